Add the thin whole path

Cause: the repository was empty. Before: nothing. Conclusion: the path stands; the subsystems grow from here.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Two commands matter: `make demo` and `make test`. Each builds .venv by itself.
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: demo test format lint types unit bench clean
+
+$(STAMP): pyproject.toml requirements/lock.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --no-deps -r requirements/lock.txt
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/almondstack-bench demo
+
+test: lint types unit
+
+lint: $(STAMP)
+	$(BIN)/black --check --quiet almondstack
+	$(BIN)/ruff check --quiet --no-cache almondstack
+
+types: $(STAMP)
+	$(BIN)/mypy --no-error-summary --cache-dir=/dev/null
+
+unit: $(STAMP)
+	$(BIN)/python -m pytest
+
+format: $(STAMP)
+	$(BIN)/black --quiet almondstack
+	$(BIN)/ruff check --quiet --no-cache --fix almondstack
+
+bench: $(STAMP)
+	$(BIN)/almondstack-bench bounds
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/almondstack/core/__init__.py
@@ -0,0 +1,76 @@
+"""The small core that every other subpackage leans on."""
+
+from almondstack.core.addresses import parse_address
+from almondstack.core.clock import Clock, SystemClock
+from almondstack.core.codec import decode_json, decode_msgpack, encode_json, encode_msgpack
+from almondstack.core.errors import AlmondError, CodecError, RequestError, SettingsError
+from almondstack.core.identifiers import (
+    hash_secret,
+    is_same_digest,
+    new_incarnation,
+    new_key,
+    new_request_id,
+    request_id_time_s,
+    split_key,
+)
+from almondstack.core.logs import PartLogger, configure_logging
+from almondstack.core.metrics import Metrics, NullMetrics
+from almondstack.core.program import EXIT_SETTINGS, Daemon, run_daemon
+from almondstack.core.reasons import Outcome, Reason, ReasonInfo, RetryReason, reason_info
+from almondstack.core.settings import (
+    Address,
+    LoggingSettings,
+    LogServiceSettings,
+    Name,
+    NodeSettings,
+    PositiveSeconds,
+    Settings,
+    StatsdSettings,
+    TlsSettings,
+    decode_settings,
+    load_settings,
+)
+
+__all__ = [
+    "EXIT_SETTINGS",
+    "Address",
+    "AlmondError",
+    "Clock",
+    "Daemon",
+    "CodecError",
+    "LogServiceSettings",
+    "LoggingSettings",
+    "Metrics",
+    "Name",
+    "NodeSettings",
+    "NullMetrics",
+    "Outcome",
+    "PartLogger",
+    "PositiveSeconds",
+    "Reason",
+    "ReasonInfo",
+    "RequestError",
+    "RetryReason",
+    "Settings",
+    "SettingsError",
+    "StatsdSettings",
+    "SystemClock",
+    "TlsSettings",
+    "configure_logging",
+    "decode_json",
+    "decode_msgpack",
+    "decode_settings",
+    "encode_json",
+    "encode_msgpack",
+    "hash_secret",
+    "is_same_digest",
+    "load_settings",
+    "new_incarnation",
+    "new_key",
+    "new_request_id",
+    "parse_address",
+    "reason_info",
+    "request_id_time_s",
+    "run_daemon",
+    "split_key",
+]
--- /dev/null
+++ b/almondstack/core/errors.py
@@ -0,0 +1,116 @@
+"""Exceptions with codes.
+
+Explanation
+-----------
+Every failure that the product raises is an :class:`AlmondError` with a
+``code``.  A failure that ends a caller's request is a :class:`RequestError`
+and carries a :class:`~almondstack.core.reasons.Reason`.
+"""
+
+from almondstack.core.reasons import Outcome, Reason, reason_info
+
+__all__ = [
+    "AlmondError",
+    "CodecError",
+    "RequestError",
+    "SettingsError",
+]
+
+
+class AlmondError(Exception):
+    """Base of every failure of the product.
+
+    Parameters
+    ----------
+    detail : str
+        What happened, in one short sentence without secrets.
+
+    Attributes
+    ----------
+    code : str
+        Stable identifier of the kind of failure.
+    """
+
+    code = "almondstack"
+
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(detail)
+        self._detail = detail
+
+    @property
+    def detail(self) -> str:
+        """What happened, without secrets."""
+        return self._detail
+
+    def __str__(self) -> str:
+        return f"{self.code}: {self._detail}" if self._detail else self.code
+
+
+class SettingsError(AlmondError):
+    """A settings file is missing, malformed or out of range."""
+
+    code = "settings"
+
+
+class CodecError(AlmondError):
+    """Bytes from outside do not decode to what was expected."""
+
+    code = "codec"
+
+
+class RequestError(AlmondError):
+    """A caller's request ended without an upstream's answer.
+
+    Parameters
+    ----------
+    reason : Reason
+        The code that the caller is told.
+    detail : str, optional
+        More for people; must hold no secret.
+    outcome : Outcome, optional
+        Overrides the outcome of the reason, where more is known.
+    retry_after_s : int, optional
+        Overrides the ``Retry-After`` of the reason, in seconds.
+
+    Examples
+    --------
+    >>> from almondstack.core import Reason, RequestError
+    >>> RequestError(Reason.QUEUE_FULL).status
+    503
+    """
+
+    code = "request"
+
+    def __init__(
+        self,
+        reason: Reason,
+        detail: str = "",
+        outcome: Outcome | None = None,
+        retry_after_s: int | None = None,
+    ) -> None:
+        super().__init__(detail or reason_info(reason).title)
+        self._reason = reason
+        self._outcome = outcome
+        self._retry_after_s = retry_after_s
+
+    @property
+    def reason(self) -> Reason:
+        """The code that the caller is told."""
+        return self._reason
+
+    @property
+    def outcome(self) -> Outcome:
+        """What the caller may rely on."""
+        return self._outcome or reason_info(self._reason).outcome
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the answer."""
+        return reason_info(self._reason).status
+
+    @property
+    def retry_after_s(self) -> int | None:
+        """Value of ``Retry-After`` in seconds, or None."""
+        if self._retry_after_s is not None:
+            return self._retry_after_s
+        return reason_info(self._reason).retry_after_s
--- /dev/null
+++ b/almondstack/core/logs.py
@@ -0,0 +1,64 @@
+"""Log lines through absl, with a fixed prefix for each part."""
+
+import json
+import logging as std_logging
+
+from absl import logging
+
+from almondstack.core.settings import LoggingSettings
+
+__all__ = ["PartLogger", "configure_logging"]
+
+
+class _JsonFormatter(std_logging.Formatter):
+    """One JSON object a line."""
+
+    def format(self, record: std_logging.LogRecord) -> str:
+        part, _, message = record.getMessage().partition(": ")
+        fields = {
+            "time": self.formatTime(record),
+            "level": record.levelname,
+            "part": part,
+            "message": message,
+        }
+        return json.dumps(fields)
+
+
+def configure_logging(settings: LoggingSettings) -> None:
+    """Send log lines to standard error in the format that the settings ask for."""
+    logging.use_absl_handler()
+    logging.set_verbosity(settings.verbosity)
+    logging.set_stderrthreshold("debug")
+    if settings.log_format == "json":
+        logging.get_absl_handler().setFormatter(_JsonFormatter())
+
+
+class PartLogger:
+    """Writes log lines of one part.
+
+    Parameters
+    ----------
+    part : str
+        The prefix of every line.
+    """
+
+    __slots__ = ("_part",)
+
+    def __init__(self, part: str) -> None:
+        self._part = part
+
+    def info(self, message: str, *args: object) -> None:
+        """Write an informational line."""
+        logging.info(self._part + ": " + message, *args)
+
+    def warning(self, message: str, *args: object) -> None:
+        """Write a warning."""
+        logging.warning(self._part + ": " + message, *args)
+
+    def error(self, message: str, *args: object) -> None:
+        """Write an error."""
+        logging.error(self._part + ": " + message, *args)
+
+    def debug(self, message: str, *args: object) -> None:
+        """Write a line that is shown at verbosity 1."""
+        logging.debug(self._part + ": " + message, *args)
--- /dev/null
+++ b/almondstack/core/settings.py
@@ -0,0 +1,160 @@
+"""Settings files: JSON, checked by msgspec.
+
+Explanation
+-----------
+A settings class is a ``msgspec.Struct`` with ``forbid_unknown_fields`` and
+constraints on its fields.  :func:`load_settings` turns any fault into one line
+that names the path to the field.  Sections that several programs share stand
+here.
+"""
+
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import msgspec
+from msgspec import Meta
+
+from almondstack.core.addresses import parse_address
+from almondstack.core.errors import CodecError, SettingsError
+
+__all__ = [
+    "Address",
+    "LogServiceSettings",
+    "LoggingSettings",
+    "Name",
+    "NodeSettings",
+    "PositiveSeconds",
+    "Settings",
+    "StatsdSettings",
+    "TlsSettings",
+    "load_settings",
+]
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Address = Annotated[str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$")]
+PositiveSeconds = Annotated[float, Meta(gt=0, le=86_400)]
+
+T = TypeVar("T", bound="Settings")
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Base of every settings section."""
+
+
+class NodeSettings(Settings, frozen=True):
+    """Who a process is and where it stands.
+
+    Parameters
+    ----------
+    deployment : str
+        Name of the deployment; peers of another deployment are refused.
+    name : str
+        Name of the instance that the process runs on.
+    region, zone : str
+        Where the instance stands.
+    """
+
+    deployment: Name
+    name: Name
+    zone: Name
+    region: Name = "region-1"
+
+
+class LogServiceSettings(Settings, frozen=True):
+    """The platform's append-only log service.
+
+    Parameters
+    ----------
+    address : str
+        Numeric address of the service.
+    timeout_s : float
+        Bound on one call, in seconds.
+    batch_window_s : float
+        How long an append waits for others to share a call, in seconds.
+    """
+
+    address: Address
+    timeout_s: PositiveSeconds = 2.0
+    batch_window_s: Annotated[float, Meta(ge=0, le=5)] = 0.005
+
+
+class StatsdSettings(Settings, frozen=True):
+    """Where metrics go, by the statsd protocol over UDP."""
+
+    address: Address = "127.0.0.1:8125"
+    prefix: str = "almondstack"
+
+
+class LoggingSettings(Settings, frozen=True):
+    """How log lines look.
+
+    Parameters
+    ----------
+    log_format : {"text", "json"}
+        Plain lines, or one JSON object a line.
+    verbosity : int
+        absl verbosity: -1 warnings, 0 information, 1 debug.
+    """
+
+    log_format: Annotated[str, Meta(pattern="^(text|json)$")] = "text"
+    verbosity: Annotated[int, Meta(ge=-3, le=3)] = 0
+
+
+class TlsSettings(Settings, frozen=True):
+    """Files of a certificate, its private key and the trusted authority."""
+
+    certificate_file: str
+    private_key_file: str
+    authority_file: str
+
+
+def load_settings(path: str | Path, type_: type[T]) -> T:
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsError
+        One line that names the file and the path to the fault.
+    """
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    return decode_settings(data, type_, str(path))
+
+
+def decode_settings(data: bytes, type_: type[T], origin: str = "settings") -> T:
+    """Decode and check settings.
+
+    Raises
+    ------
+    SettingsError
+        One line that names ``origin`` and the path to the fault.
+    """
+    try:
+        settings = msgspec.json.decode(data, type=type_)
+        _check_addresses(settings)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, CodecError) as error:
+        raise SettingsError(f"{origin}: {error}") from error
+    except SettingsError as error:
+        raise SettingsError(f"{origin}: {error.detail}") from error
+    return settings
+
+
+def _check_addresses(section: object, path: str = "$") -> None:
+    """Check each field whose name says that it holds an address."""
+    if not isinstance(section, msgspec.Struct):
+        return
+    for name in section.__struct_fields__:
+        value = getattr(section, name)
+        where = f"{path}.{name}"
+        if isinstance(value, str) and (name.endswith("address") or name.endswith("listen")):
+            _check_address(value, where)
+        _check_addresses(value, where)
+
+
+def _check_address(value: str, where: str) -> None:
+    try:
+        parse_address(value)
+    except SettingsError as error:
+        raise SettingsError(f"{error.detail} - at `{where}`") from error
--- /dev/null
+++ b/almondstack/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' program."""
--- /dev/null
+++ b/almondstack/dispatch/call.py
@@ -0,0 +1,155 @@
+"""A caller's request on its way to an upstream, and the answer on its way back."""
+
+import threading
+from collections.abc import Iterable, Iterator
+from typing import Protocol
+
+from almondstack.model import Queue, Team
+
+__all__ = ["Body", "BufferedBody", "Call", "UpstreamAnswer"]
+
+
+class Body(Protocol):
+    """The body of a request, of limited size."""
+
+    @property
+    def length(self) -> int | None:
+        """Its length in bytes; None if it is not known beforehand."""
+        ...
+
+    @property
+    def is_replayable(self) -> bool:
+        """True if :meth:`chunks` may be called again from the start."""
+        ...
+
+    def chunks(self) -> Iterable[bytes]:
+        """Yield the body in pieces of bounded size."""
+        ...
+
+
+class BufferedBody:
+    """A body that is held in memory and can be sent again.
+
+    Parameters
+    ----------
+    data : bytes
+        The whole body.
+    """
+
+    __slots__ = ("_data",)
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+
+    @property
+    def length(self) -> int:
+        """Its length in bytes."""
+        return len(self._data)
+
+    @property
+    def is_replayable(self) -> bool:
+        """True: the bytes are kept."""
+        return True
+
+    def chunks(self) -> Iterable[bytes]:
+        """Yield the body in one piece."""
+        return [self._data] if self._data else []
+
+
+class Call:
+    """What the entry knows of a request once it is admitted.
+
+    Parameters
+    ----------
+    call_id : str
+        Unique name of the received request, for cancelling and logs.
+    team : Team
+        Whom the work is charged to.
+    queue : Queue
+        Where it was submitted.
+    method, path : str
+        Sent to the upstream as they are.
+    headers : tuple of (str, str)
+        End-to-end headers.
+    body : Body
+        The body.
+    deadline_s : float
+        Monotonic time by which the answer must have started, in seconds.
+    is_idempotent : bool
+        True if the caller allows a second run.
+    is_urgent : bool
+        True if it goes before other work of its team.
+    """
+
+    __slots__ = (
+        "body",
+        "call_id",
+        "caller_gone",
+        "deadline_s",
+        "headers",
+        "is_idempotent",
+        "is_urgent",
+        "method",
+        "path",
+        "queue",
+        "team",
+    )
+
+    def __init__(
+        self,
+        *,
+        call_id: str,
+        team: Team,
+        queue: Queue,
+        body: Body,
+        deadline_s: float,
+        method: str = "POST",
+        path: str = "/",
+        headers: tuple[tuple[str, str], ...] = (),
+        is_idempotent: bool = False,
+        is_urgent: bool = False,
+    ) -> None:
+        self.call_id = call_id
+        self.team = team
+        self.queue = queue
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.deadline_s = deadline_s
+        self.is_idempotent = is_idempotent
+        self.is_urgent = is_urgent
+        self.caller_gone = threading.Event()
+
+    @property
+    def pool(self) -> str:
+        """Name of the pool that runs it."""
+        return self.queue.pool
+
+
+class UpstreamAnswer(Protocol):
+    """An upstream's answer whose head has arrived.
+
+    Explanation
+    -----------
+    The slot stays taken until the body was read to its end or :meth:`close`
+    was called.
+    """
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the upstream."""
+        ...
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """End-to-end headers."""
+        ...
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body; raise if the upstream breaks off before its end."""
+        ...
+
+    def close(self) -> None:
+        """End the answer; whatever was not read is given up."""
+        ...
--- /dev/null
+++ b/almondstack/dispatch/headers.py
@@ -0,0 +1,55 @@
+"""Which headers pass through.
+
+Explanation
+-----------
+Hop-by-hop headers end at this hop (RFC 9110, section 7.6.1).  The product's
+own headers and the caller's key are never passed on.
+"""
+
+from collections.abc import Iterable
+
+__all__ = ["end_to_end_headers"]
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_OWN = frozenset({"authorization", "idempotency-key"})
+_OWN_PREFIX = "almondstack-"
+
+
+def end_to_end_headers(pairs: Iterable[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
+    """Return the headers that go on to the next hop.
+
+    Examples
+    --------
+    >>> from almondstack.dispatch import end_to_end_headers
+    >>> end_to_end_headers([("Connection", "x-a"), ("X-A", "1"), ("Accept", "*/*")])
+    (('Accept', '*/*'),)
+    """
+    pairs = list(pairs)
+    listed = _listed_in_connection(pairs)
+    return tuple((name, value) for name, value in pairs if _passes(name.lower(), listed))
+
+
+def _listed_in_connection(pairs: list[tuple[str, str]]) -> frozenset[str]:
+    values = [value for name, value in pairs if name.lower() == "connection"]
+    return frozenset(item.strip().lower() for value in values for item in value.split(","))
+
+
+def _passes(name: str, listed: frozenset[str]) -> bool:
+    if name in _HOP_BY_HOP or name in _OWN or name in listed:
+        return False
+    return not name.startswith(_OWN_PREFIX)
--- /dev/null
+++ b/almondstack/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about the fleet: budgets, waves, buffer and moves."""
--- /dev/null
+++ b/almondstack/fold/__init__.py
@@ -0,0 +1,21 @@
+"""The deterministic fold of the fleet stream."""
+
+from almondstack.fold import config as _config
+from almondstack.fold import instances as _instances
+from almondstack.fold import members as _members
+from almondstack.fold.apply import FoldContext, fold_body, subject_of
+from almondstack.fold.fold import Fold, FoldGapError
+from almondstack.fold.refusals import Refusal, RefusedError, Verdict
+
+__all__ = [
+    "Fold",
+    "FoldContext",
+    "FoldGapError",
+    "Refusal",
+    "RefusedError",
+    "Verdict",
+    "fold_body",
+    "subject_of",
+]
+
+_REGISTERED = (_config, _instances, _members)
--- /dev/null
+++ b/almondstack/fold/refusals.py
@@ -0,0 +1,82 @@
+"""Typed refusals of records.
+
+Explanation
+-----------
+A refusal is a value and not a fault of the reader: every reader refuses the
+same record at the same offset for the same reason.
+"""
+
+from enum import StrEnum
+
+import msgspec
+
+from almondstack.core import AlmondError
+
+__all__ = ["Refusal", "RefusedError", "Verdict"]
+
+
+class Refusal(StrEnum):
+    """Why the fold did not take a record."""
+
+    REPEATED = "repeated"
+    UNKNOWN_KIND = "unknown-kind"
+    MALFORMED = "malformed"
+    LEVEL_TOO_HIGH = "level-too-high"
+    REVISION_CONFLICT = "revision-conflict"
+    NOTE_INVALID = "note-invalid"
+    NO_SUCH_TEAM = "no-such-team"
+    KEY_EXISTS = "key-exists"
+    NO_SUCH_INSTANCE = "no-such-instance"
+    NO_SUCH_POOL = "no-such-pool"
+    VERSION_CONFLICT = "version-conflict"
+    PHASE_NOT_REACHABLE = "phase-not-reachable"
+    BUDGET_BROKEN = "budget-broken"
+    ENTRY_EXISTS = "entry-exists"
+    NO_SUCH_ENTRY = "no-such-entry"
+    ENTRY_NOT_LIVE = "entry-not-live"
+
+
+class RefusedError(AlmondError):
+    """Raised by a fold function when a record's condition does not hold."""
+
+    code = "refused"
+
+    def __init__(self, refusal: Refusal, detail: str = "") -> None:
+        super().__init__(detail or refusal.value)
+        self._refusal = refusal
+
+    @property
+    def refusal(self) -> Refusal:
+        """The typed reason."""
+        return self._refusal
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What the fold made of one record.
+
+    Parameters
+    ----------
+    offset : int
+        Where the record stands in the log.
+    author, sequence, kind : str, int, str
+        From its envelope.
+    refusal : Refusal or None
+        None if the record was taken.
+    detail : str
+        More about a refusal, for people.
+    subject : str
+        What the record is about, for ``almondctl explain``.
+    """
+
+    offset: int
+    author: str
+    sequence: int
+    kind: str
+    refusal: Refusal | None = None
+    detail: str = ""
+    subject: str = ""
+
+    @property
+    def is_accepted(self) -> bool:
+        """True if the record took effect."""
+        return self.refusal is None
--- /dev/null
+++ b/almondstack/keeper/__init__.py
@@ -0,0 +1,5 @@
+"""The keeper daemon."""
+
+from almondstack.keeper.settings import KeeperSettings
+
+__all__ = ["KeeperSettings"]
--- /dev/null
+++ b/almondstack/log/client.py
@@ -0,0 +1,170 @@
+"""The platform's append-only log service, as the product sees it.
+
+Explanation
+-----------
+:class:`LogClient` is the whole interface: append, read from an offset, and the
+bounds of what is kept.  :class:`HttpLogClient` speaks it over HTTP with
+urllib3.  An append that raised :class:`LogReplyLostError` may have taken
+effect; the caller repeats it with the same author and sequence.
+"""
+
+from typing import Protocol, TypeVar
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from almondstack.core import CodecError, LogServiceSettings, decode_msgpack, encode_msgpack
+from almondstack.log.errors import LogReplyLostError, LogTruncatedError, LogUnavailableError
+
+__all__ = ["CLAIMS", "FLEET", "SNAPSHOTS", "HttpLogClient", "LogBounds", "LogClient", "LogEntry"]
+
+T = TypeVar("T")
+
+FLEET = "fleet"
+CLAIMS = "claims"
+SNAPSHOTS = "snapshots"
+
+_HTTP_OK = 200
+_HTTP_GONE = 410
+_HTTP_THROTTLED = 429
+
+
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One record of a stream.
+
+    Parameters
+    ----------
+    offset : int
+        Its place in the stream.
+    data : bytes
+        Its bytes.
+    """
+
+    offset: int
+    data: bytes
+
+
+class LogBounds(msgspec.Struct, frozen=True, array_like=True):
+    """Offset of the oldest record kept, and of the next one to come."""
+
+    oldest: int
+    next_offset: int
+
+
+class LogClient(Protocol):
+    """Access to the streams of the log service."""
+
+    def append(self, stream: str, records: list[bytes]) -> int:
+        """Append records in order; return the offset of the first."""
+        ...
+
+    def read(self, stream: str, offset: int, wait_s: float = 0.0) -> list[LogEntry]:
+        """Return records from ``offset`` on; wait up to ``wait_s`` seconds for one."""
+        ...
+
+    def bounds(self, stream: str) -> LogBounds:
+        """Return which offsets the stream keeps."""
+        ...
+
+
+class HttpLogClient:
+    """Speaks to the log service over HTTP.
+
+    Parameters
+    ----------
+    settings : LogServiceSettings
+        Address and time bounds.
+    reader : str
+        Name sent with each call, so that the service can tell its readers apart.
+    """
+
+    __slots__ = ("_base", "_headers", "_pool", "_timeout_s")
+
+    def __init__(self, settings: LogServiceSettings, reader: str) -> None:
+        self._base = f"http://{settings.address}/v1/streams"
+        self._timeout_s = settings.timeout_s
+        self._headers = {"Almondstack-Reader": reader}
+        self._pool = urllib3.PoolManager(maxsize=8, retries=False)
+
+    def append(self, stream: str, records: list[bytes]) -> int:
+        """Append records in order; return the offset of the first.
+
+        Raises
+        ------
+        LogUnavailableError
+            The service did not take the records.
+        LogReplyLostError
+            The service may have taken them.
+        """
+        body = encode_msgpack(records)
+        data = self._call("POST", f"{stream}/records", body=body)
+        return self._decode(data, int)
+
+    def read(self, stream: str, offset: int, wait_s: float = 0.0) -> list[LogEntry]:
+        """Return records from ``offset`` on; wait up to ``wait_s`` seconds for one.
+
+        Raises
+        ------
+        LogTruncatedError
+            The stream no longer keeps ``offset``.
+        LogUnavailableError
+            The service did not answer.
+        """
+        fields = {"from": str(offset), "wait_ms": str(int(wait_s * 1000))}
+        data = self._call("GET", f"{stream}/records", fields=fields, extra_s=wait_s)
+        return self._decode(data, list[LogEntry])
+
+    def bounds(self, stream: str) -> LogBounds:
+        """Return which offsets the stream keeps.
+
+        Raises
+        ------
+        LogUnavailableError
+            The service did not answer.
+        """
+        return self._decode(self._call("GET", f"{stream}/bounds"), LogBounds)
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        fields: dict[str, str] | None = None,
+        extra_s: float = 0.0,
+    ) -> bytes:
+        timeout = urllib3.Timeout(connect=self._timeout_s, read=self._timeout_s + extra_s)
+        try:
+            response = self._pool.request(
+                method,
+                f"{self._base}/{path}",
+                body=body,
+                fields=fields,
+                headers=self._headers,
+                timeout=timeout,
+                redirect=False,
+            )
+        except NewConnectionError as error:
+            raise LogUnavailableError("no connection") from error
+        except HTTPError as error:
+            if method == "POST":
+                raise LogReplyLostError(type(error).__name__) from error
+            raise LogUnavailableError(type(error).__name__) from error
+        return self._check(response.status, response.data)
+
+    @staticmethod
+    def _check(status: int, data: bytes) -> bytes:
+        if status == _HTTP_OK:
+            return data
+        if status == _HTTP_GONE:
+            raise LogTruncatedError("the offset is no longer kept")
+        if status == _HTTP_THROTTLED:
+            raise LogUnavailableError("too many appends")
+        raise LogUnavailableError(f"status {status}")
+
+    @staticmethod
+    def _decode(data: bytes, type_: type[T]) -> T:
+        try:
+            return decode_msgpack(data, type_)
+        except CodecError as error:
+            raise LogUnavailableError("the answer is malformed") from error
--- /dev/null
+++ b/almondstack/model/__init__.py
@@ -0,0 +1,56 @@
+"""Values that the whole system shares: configuration, records and folded state."""
+
+from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
+from almondstack.model.config_records import KeyGranted, KeyRevoked, ReleaseApplied
+from almondstack.model.fleet_records import InstanceMoved, InstanceObserved, InstanceStepped
+from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
+from almondstack.model.note import Configured, ReleaseNote, Withdrawn
+from almondstack.model.records import (
+    FORMAT_LEVEL,
+    Envelope,
+    decode_body,
+    decode_envelope,
+    encode_record,
+    record_kind,
+    register_record,
+)
+from almondstack.model.state import (
+    EntryPhase,
+    EntryState,
+    FleetState,
+    InstancePhase,
+    InstanceState,
+)
+
+__all__ = [
+    "FORMAT_LEVEL",
+    "Configured",
+    "EntryFenced",
+    "EntryJoined",
+    "EntryLeft",
+    "EntryPhase",
+    "EntryState",
+    "Envelope",
+    "FleetState",
+    "InstanceMoved",
+    "InstanceObserved",
+    "InstancePhase",
+    "InstanceSpec",
+    "InstanceState",
+    "InstanceStepped",
+    "Key",
+    "KeyGranted",
+    "KeyRevoked",
+    "Limit",
+    "Pool",
+    "Queue",
+    "ReleaseApplied",
+    "ReleaseNote",
+    "Team",
+    "Withdrawn",
+    "decode_body",
+    "decode_envelope",
+    "encode_record",
+    "record_kind",
+    "register_record",
+]
--- /dev/null
+++ b/almondstack/model/fleet_records.py
@@ -0,0 +1,56 @@
+"""Records of what happens to upstream instances."""
+
+import msgspec
+
+from almondstack.model.records import register_record
+from almondstack.model.state import InstancePhase
+
+__all__ = ["InstanceMoved", "InstanceObserved", "InstanceStepped"]
+
+
+@register_record("instance-stepped")
+class InstanceStepped(msgspec.Struct, frozen=True):
+    """A planned step of an instance to its next phase.
+
+    Parameters
+    ----------
+    instance : str
+        The instance.
+    version : int
+        Version of the instance that the step was planned from.
+    phase : InstancePhase
+        The phase it goes to.
+    cause : str
+        Why, for ``almondctl explain``.
+    wave : str or None
+        The maintenance wave that the step belongs to.
+    target_pool : str or None
+        For a drain that ends in a move, the pool it goes to.
+    """
+
+    instance: str
+    version: int
+    phase: InstancePhase
+    cause: str = ""
+    wave: str | None = None
+    target_pool: str | None = None
+
+
+@register_record("instance-moved")
+class InstanceMoved(msgspec.Struct, frozen=True):
+    """A drained instance changes its owner."""
+
+    instance: str
+    version: int
+    pool: str
+    cause: str = ""
+
+
+@register_record("instance-observed")
+class InstanceObserved(msgspec.Struct, frozen=True):
+    """An unplanned change that the platform or the traffic showed."""
+
+    instance: str
+    version: int
+    phase: InstancePhase
+    evidence: str = ""
--- /dev/null
+++ b/almondstack/model/state.py
@@ -0,0 +1,157 @@
+"""The state that every process folds from the log.
+
+Explanation
+-----------
+The tables are dictionaries of frozen values.  Only :mod:`almondstack.fold`
+writes them, and it replaces values rather than changing them, so a reader may
+keep any value it took.  :class:`FleetState` holds nothing that a second reader
+at the same offset would not hold as well.
+"""
+
+from enum import StrEnum
+
+import msgspec
+
+from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
+
+__all__ = [
+    "EntryPhase",
+    "EntryState",
+    "FleetState",
+    "InstancePhase",
+    "InstanceState",
+]
+
+
+class InstancePhase(StrEnum):
+    """Phase in the life of an upstream instance."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    DRAINED = "drained"
+    REBOOTING = "rebooting"
+    RETURNING = "returning"
+    FAILED = "failed"
+    UNSEEN = "unseen"
+    LEAVING = "leaving"
+
+
+class EntryPhase(StrEnum):
+    """Phase in the life of an entry incarnation."""
+
+    LIVE = "live"
+    LEFT = "left"
+    FENCED = "fenced"
+
+
+class InstanceState(msgspec.Struct, frozen=True, kw_only=True):
+    """An upstream instance as the log has it.
+
+    Parameters
+    ----------
+    spec : InstanceSpec
+        What was declared; ``spec.pool`` is the pool that should own it.
+    pool : str
+        The pool that owns it at this offset.
+    phase : InstancePhase
+        Where it is in its life.
+    version : int
+        Offset of the last record that changed it.
+    target_pool : str or None
+        Where a move in progress leads.
+    wave : str or None
+        The maintenance wave it is in.
+    is_withdrawn : bool
+        True if it disappears once it is drained.
+    reason : str
+        Why it is in this phase.
+    maintained_offset : int
+        Offset of its last completed maintenance, 0 if none.
+    """
+
+    spec: InstanceSpec
+    pool: str
+    phase: InstancePhase = InstancePhase.SERVING
+    version: int = 0
+    target_pool: str | None = None
+    wave: str | None = None
+    is_withdrawn: bool = False
+    reason: str = ""
+    maintained_offset: int = 0
+
+    @property
+    def name(self) -> str:
+        """Name of the instance."""
+        return self.spec.name
+
+    @property
+    def is_serving(self) -> bool:
+        """True if it counts for its pool's availability budget."""
+        return self.phase is InstancePhase.SERVING
+
+    @property
+    def is_taking_work(self) -> bool:
+        """True if new requests may be sent to it."""
+        return self.phase in (InstancePhase.SERVING, InstancePhase.RETURNING)
+
+
+class EntryState(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry incarnation as the log has it."""
+
+    incarnation: str
+    name: str
+    zone: str
+    region: str
+    address: str
+    peer_address: str
+    level: int
+    phase: EntryPhase = EntryPhase.LIVE
+    version: int = 0
+    evidence: str = ""
+
+    @property
+    def is_live(self) -> bool:
+        """True if it may serve."""
+        return self.phase is EntryPhase.LIVE
+
+
+class FleetState(msgspec.Struct, kw_only=True):
+    """Everything that the log decides.
+
+    Parameters
+    ----------
+    revision : int
+        Number of configuration changes accepted so far.
+    level : int
+        Format level in force.
+    sequences : dict of str to int
+        Last folded sequence number of each author.
+    revoked : dict of str to int
+        Ids of revoked keys, with the offset of the revocation.
+    """
+
+    revision: int = 0
+    level: int = 1
+    pools: dict[str, Pool] = msgspec.field(default_factory=dict)
+    instances: dict[str, InstanceState] = msgspec.field(default_factory=dict)
+    teams: dict[str, Team] = msgspec.field(default_factory=dict)
+    keys: dict[str, Key] = msgspec.field(default_factory=dict)
+    queues: dict[str, Queue] = msgspec.field(default_factory=dict)
+    limits: dict[str, Limit] = msgspec.field(default_factory=dict)
+    revoked: dict[str, int] = msgspec.field(default_factory=dict)
+    entries: dict[str, EntryState] = msgspec.field(default_factory=dict)
+    sequences: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def instances_of(self, pool: str) -> list[InstanceState]:
+        """Return the instances that ``pool`` owns, by name."""
+        owned = [item for item in self.instances.values() if item.pool == pool]
+        return sorted(owned, key=lambda item: item.name)
+
+    def serving_count(self, pool: str) -> int:
+        """Return how many instances of ``pool`` are serving."""
+        return sum(item.is_serving for item in self.instances.values() if item.pool == pool)
+
+    def live_entries(self) -> list[EntryState]:
+        """Return the entries that may serve, by incarnation."""
+        live = [entry for entry in self.entries.values() if entry.is_live]
+        return sorted(live, key=lambda entry: entry.incarnation)
--- /dev/null
+++ b/almondstack/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entries: membership, gossip and relaying."""
--- /dev/null
+++ b/almondstack/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Escrowed permits: bounds that many entries spend without asking anyone."""
--- /dev/null
+++ b/almondstack/platform/instance_list.py
@@ -0,0 +1,81 @@
+"""Client of the platform's lagging list of instances."""
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from almondstack.core import AlmondError, CodecError, decode_json
+
+__all__ = ["HttpInstanceList", "InstanceListError", "ListedInstance"]
+
+_HTTP_OK = 200
+
+
+class InstanceListError(AlmondError):
+    """The platform did not show its list."""
+
+    code = "instance-list"
+
+
+class ListedInstance(msgspec.Struct, frozen=True):
+    """One line of the list.
+
+    Parameters
+    ----------
+    name, zone, rack : str
+        The instance and its failure domains.
+    role : {"entry", "upstream"}
+        What it is used for.
+    address : str
+        Numeric address of its HTTP service.
+    peer_address : str
+        For an entry, where its peers reach it.
+    is_leaving : bool
+        True if the platform is taking it away.
+    """
+
+    name: str
+    zone: str
+    rack: str
+    role: str
+    address: str
+    peer_address: str = ""
+    is_leaving: bool = False
+
+
+class HttpInstanceList:
+    """Reads the list over HTTP.
+
+    Parameters
+    ----------
+    address : str
+        Numeric address of the service.
+    timeout_s : float
+        Bound on one call, in seconds.
+    """
+
+    __slots__ = ("_pool", "_timeout_s", "_url")
+
+    def __init__(self, address: str, timeout_s: float) -> None:
+        self._url = f"http://{address}/v1/instances"
+        self._timeout_s = timeout_s
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def read(self) -> tuple[ListedInstance, ...]:
+        """Return the list.
+
+        Raises
+        ------
+        InstanceListError
+            The service did not answer, or not with a list.
+        """
+        try:
+            response = self._pool.request("GET", self._url, timeout=self._timeout_s)
+        except HTTPError as error:
+            raise InstanceListError(type(error).__name__) from error
+        if response.status != _HTTP_OK:
+            raise InstanceListError(f"status {response.status}")
+        try:
+            return decode_json(response.data, tuple[ListedInstance, ...])
+        except CodecError as error:
+            raise InstanceListError(error.detail) from error
--- /dev/null
+++ b/almondstack/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Fair queueing of waiting calls."""
--- /dev/null
+++ b/almondstack/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for outside systems, met by their protocol."""
--- /dev/null
+++ b/almondstack/standin/instance_list.py
@@ -0,0 +1,53 @@
+"""Stand-in for the platform's lagging list of instances.
+
+Explanation
+-----------
+``GET /v1/instances`` returns the list as it stood ``lag_s`` seconds ago.
+"""
+
+import threading
+import time
+from typing import Any
+
+import msgspec
+
+from almondstack.platform import ListedInstance
+from almondstack.standin.web import Reply, StandinApp, read_body
+
+__all__ = ["InstanceListStandin", "ListFaults"]
+
+
+class ListFaults(msgspec.Struct):
+    """Switches of the list stand-in: outage, and lag in seconds."""
+
+    is_down: bool = False
+    lag_s: float = 0.0
+
+
+class InstanceListStandin(StandinApp):
+    """Keeps the history of the list and serves a past version of it."""
+
+    def __init__(self) -> None:
+        self._faults = ListFaults()
+        self._lock = threading.Lock()
+        self._versions: list[tuple[float, tuple[ListedInstance, ...]]] = [(0.0, ())]
+
+    def handle(self, method: str, path: str, query: dict[str, str], environ: Any) -> Reply:
+        """Return the answer to one request."""
+        if path == "/control/faults":
+            self._faults = msgspec.json.decode(read_body(environ), type=ListFaults)
+            return Reply.of_json({})
+        if path == "/control/instances":
+            listed = msgspec.json.decode(read_body(environ), type=tuple[ListedInstance, ...])
+            with self._lock:
+                self._versions.append((time.monotonic(), listed))
+            return Reply.of_json({})
+        if self._faults.is_down:
+            return Reply(503)
+        return Reply.of_json(self._listed())
+
+    def _listed(self) -> tuple[ListedInstance, ...]:
+        horizon = time.monotonic() - self._faults.lag_s
+        with self._lock:
+            past = [listed for made_s, listed in self._versions if made_s <= horizon]
+        return past[-1]
--- /dev/null
+++ b/almondstack/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Builders and fakes for tests; not used by the product."""
