--- a/almondstack/fold/__init__.py
+++ b/almondstack/fold/__init__.py
@@ -3,6 +3,7 @@
 from almondstack.fold import config as _config
 from almondstack.fold import instances as _instances
 from almondstack.fold import members as _members
+from almondstack.fold import waves as _waves
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.fold import Fold, FoldGapError
 from almondstack.fold.refusals import Refusal, RefusedError, Verdict
@@ -18,4 +19,4 @@
     "subject_of",
 ]
 
-_REGISTERED = (_config, _instances, _members)
+_REGISTERED = (_config, _instances, _members, _waves)
--- a/almondstack/fold/instances.py
+++ b/almondstack/fold/instances.py
@@ -4,24 +4,36 @@
 -----------
 A planned step names the version of the instance it was planned from, and the
 step out of serving is refused when the pool's availability budget would not
-hold at that offset.  Failed, unseen, leaving and moving instances do not count
-as serving.
+hold at that offset.  Failed, unseen, leaving, draining and returning instances
+do not count as serving, so no other step can lower the count.
+
+An instance that has stopped by plan has always been drained first: the only
+way to rebooting, to another owner and out of the fleet leads over drained.
 """
 
 import msgspec
 
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.refusals import Refusal, RefusedError
+from almondstack.fold.wave_progress import (
+    check_wave_reboot,
+    check_wave_step,
+    note_wave_failure,
+    note_wave_return,
+    set_aside,
+)
 from almondstack.model import (
     FleetState,
     InstanceMoved,
     InstanceObserved,
     InstancePhase,
+    InstanceRemoved,
     InstanceState,
     InstanceStepped,
+    Pool,
 )
 
-__all__ = ["NEXT_PHASES"]
+__all__ = ["NEXT_PHASES", "is_fit"]
 
 NEXT_PHASES: dict[InstancePhase, frozenset[InstancePhase]] = {
     InstancePhase.SERVING: frozenset({InstancePhase.DRAINING}),
@@ -29,44 +41,59 @@
     InstancePhase.DRAINED: frozenset({InstancePhase.REBOOTING, InstancePhase.RETURNING}),
     InstancePhase.REBOOTING: frozenset({InstancePhase.RETURNING}),
     InstancePhase.RETURNING: frozenset({InstancePhase.SERVING, InstancePhase.DRAINING}),
-    InstancePhase.FAILED: frozenset({InstancePhase.REBOOTING, InstancePhase.RETURNING}),
+    InstancePhase.FAILED: frozenset({InstancePhase.RETURNING}),
     InstancePhase.UNSEEN: frozenset({InstancePhase.RETURNING}),
-    InstancePhase.LEAVING: frozenset(),
+    InstancePhase.LEAVING: frozenset({InstancePhase.RETURNING}),
 }
 
 _UNPLANNED = frozenset({InstancePhase.FAILED, InstancePhase.UNSEEN, InstancePhase.LEAVING})
+_REMOVABLE = _UNPLANNED | {InstancePhase.DRAINED}
 
 
 @fold_body.register
 def _(body: InstanceStepped, state: FleetState, context: FoldContext) -> None:
     known = _current(state, body.instance, body.version)
-    if body.phase not in NEXT_PHASES[known.phase]:
-        raise RefusedError(Refusal.PHASE_NOT_REACHABLE, f"{known.phase} to {body.phase}")
-    if known.is_serving:
-        _check_budget(state, known)
-    if body.target_pool is not None and body.target_pool not in state.pools:
-        raise RefusedError(Refusal.NO_SUCH_POOL, body.target_pool)
-    if body.phase is InstancePhase.DRAINED and known.is_withdrawn:
-        del state.instances[body.instance]
-        return
+    _check_step(state, known, body)
+    if body.phase is InstancePhase.SERVING:
+        note_wave_return(state, known, context)
+    is_drain = body.phase is InstancePhase.DRAINING
+    is_back = body.phase in (InstancePhase.RETURNING, InstancePhase.SERVING)
     state.instances[body.instance] = msgspec.structs.replace(
         known,
         phase=body.phase,
         version=context.offset,
-        wave=body.wave,
-        target_pool=body.target_pool,
+        phase_offset=context.offset,
+        stepped_by=context.envelope.author,
+        wave=body.wave if is_drain else _wave_kept(known, body.phase),
+        target_pool=body.target_pool if is_drain else None if is_back else known.target_pool,
         reason=body.cause,
         maintained_offset=_maintained_offset(known, body, context),
     )
 
 
+def _check_step(state: FleetState, known: InstanceState, body: InstanceStepped) -> None:
+    if body.phase not in NEXT_PHASES[known.phase]:
+        raise RefusedError(Refusal.PHASE_NOT_REACHABLE, f"{known.phase} to {body.phase}")
+    if body.phase is InstancePhase.REBOOTING:
+        check_wave_reboot(state, known)
+    if body.phase is not InstancePhase.DRAINING:
+        return
+    if known.is_serving:
+        _check_budget(state, known)
+    if body.wave is not None:
+        check_wave_step(state, known, body.wave)
+    if body.target_pool is not None:
+        _check_target(state, known, body.target_pool)
+
+
 @fold_body.register
 def _(body: InstanceMoved, state: FleetState, context: FoldContext) -> None:
     known = _current(state, body.instance, body.version)
     if known.phase is not InstancePhase.DRAINED:
         raise RefusedError(Refusal.PHASE_NOT_REACHABLE, f"{known.phase} cannot change owner")
-    if body.pool not in state.pools:
-        raise RefusedError(Refusal.NO_SUCH_POOL, body.pool)
+    if known.target_pool != body.pool:
+        raise RefusedError(Refusal.NOT_THE_TARGET, f"the drain was for {known.target_pool}")
+    _check_target(state, known, body.pool)
     state.instances[body.instance] = msgspec.structs.replace(
         known, pool=body.pool, version=context.offset, target_pool=None, reason=body.cause
     )
@@ -75,13 +102,34 @@
 @fold_body.register
 def _(body: InstanceObserved, state: FleetState, context: FoldContext) -> None:
     known = _current(state, body.instance, body.version)
-    if body.phase not in _UNPLANNED:
+    if body.phase not in _UNPLANNED or body.phase is known.phase:
         raise RefusedError(Refusal.PHASE_NOT_REACHABLE, f"{body.phase} is not observed")
+    note_wave_failure(state, known, body, context)
     state.instances[body.instance] = msgspec.structs.replace(
-        known, phase=body.phase, version=context.offset, reason=body.evidence
+        known,
+        phase=body.phase,
+        version=context.offset,
+        phase_offset=context.offset,
+        stepped_by=context.envelope.author,
+        wave=None,
+        target_pool=None,
+        reason=body.evidence,
     )
 
 
+@fold_body.register
+def _(body: InstanceRemoved, state: FleetState, context: FoldContext) -> None:
+    known = _current(state, body.instance, body.version)
+    if not known.is_withdrawn:
+        raise RefusedError(Refusal.NOT_WITHDRAWN, body.instance)
+    if known.phase not in _REMOVABLE:
+        raise RefusedError(Refusal.PHASE_NOT_REACHABLE, f"{known.phase} cannot be removed")
+    for wave in list(state.waves.values()):
+        if body.instance in wave.waiting:
+            set_aside(state, wave, body.instance, "withdrawn")
+    del state.instances[body.instance]
+
+
 def _current(state: FleetState, instance: str, version: int) -> InstanceState:
     known = state.instances.get(instance)
     if known is None:
@@ -101,6 +149,23 @@
         raise RefusedError(Refusal.BUDGET_BROKEN, message)
 
 
+def _check_target(state: FleetState, known: InstanceState, target: str) -> None:
+    pool = state.pools.get(target)
+    if pool is None:
+        raise RefusedError(Refusal.NO_SUCH_POOL, target)
+    if not is_fit(known, pool):
+        raise RefusedError(Refusal.INSTANCE_UNFIT, f"{target} needs more accelerators")
+
+
+def is_fit(known: InstanceState, pool: Pool) -> bool:
+    """Return whether an instance has what a pool needs."""
+    return known.spec.accelerators >= pool.needs_accelerators
+
+
+def _wave_kept(known: InstanceState, phase: InstancePhase) -> str | None:
+    return None if phase is InstancePhase.SERVING else known.wave
+
+
 def _maintained_offset(known: InstanceState, body: InstanceStepped, context: FoldContext) -> int:
     is_back = known.phase is InstancePhase.REBOOTING and body.phase is InstancePhase.RETURNING
     return context.offset if is_back else known.maintained_offset
@@ -119,3 +184,8 @@
 @subject_of.register
 def _(body: InstanceObserved) -> str:
     return f"instance/{body.instance}"
+
+
+@subject_of.register
+def _(body: InstanceRemoved) -> str:
+    return f"instance/{body.instance}"
--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -2,7 +2,12 @@
 
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
 from almondstack.model.config_records import KeyGranted, KeyRevoked, ReleaseApplied
-from almondstack.model.fleet_records import InstanceMoved, InstanceObserved, InstanceStepped
+from almondstack.model.fleet_records import (
+    InstanceMoved,
+    InstanceObserved,
+    InstanceRemoved,
+    InstanceStepped,
+)
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
 from almondstack.model.records import (
@@ -21,6 +26,8 @@
     InstancePhase,
     InstanceState,
 )
+from almondstack.model.wave_records import WaveChanged, WaveSetAside, WaveStarted
+from almondstack.model.waves import WavePhase, WaveSpec, WaveState
 
 __all__ = [
     "FORMAT_LEVEL",
@@ -35,6 +42,7 @@
     "InstanceMoved",
     "InstanceObserved",
     "InstancePhase",
+    "InstanceRemoved",
     "InstanceSpec",
     "InstanceState",
     "InstanceStepped",
@@ -47,6 +55,12 @@
     "ReleaseApplied",
     "ReleaseNote",
     "Team",
+    "WaveChanged",
+    "WavePhase",
+    "WaveSetAside",
+    "WaveSpec",
+    "WaveStarted",
+    "WaveState",
     "Withdrawn",
     "decode_body",
     "decode_envelope",
--- a/almondstack/model/fleet_records.py
+++ b/almondstack/model/fleet_records.py
@@ -5,7 +5,7 @@
 from almondstack.model.records import register_record
 from almondstack.model.state import InstancePhase
 
-__all__ = ["InstanceMoved", "InstanceObserved", "InstanceStepped"]
+__all__ = ["InstanceMoved", "InstanceObserved", "InstanceRemoved", "InstanceStepped"]
 
 
 @register_record("instance-stepped")
@@ -23,7 +23,7 @@
     cause : str
         Why, for ``almondctl explain``.
     wave : str or None
-        The maintenance wave that the step belongs to.
+        For a drain, the maintenance wave that it belongs to.
     target_pool : str or None
         For a drain that ends in a move, the pool it goes to.
     """
@@ -54,3 +54,12 @@
     version: int
     phase: InstancePhase
     evidence: str = ""
+
+
+@register_record("instance-removed")
+class InstanceRemoved(msgspec.Struct, frozen=True):
+    """A withdrawn instance that is drained, or gone by itself, disappears."""
+
+    instance: str
+    version: int
+    cause: str = ""
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
+from almondstack.model.waves import WaveState
 
 __all__ = [
     "EntryPhase",
@@ -57,6 +58,10 @@
         Where it is in its life.
     version : int
         Offset of the last record that changed it.
+    phase_offset : int
+        Offset of the record that led to this phase; the number of its acts.
+    stepped_by : str
+        Author of that record; takes the acts of this phase first.
     target_pool : str or None
         Where a move in progress leads.
     wave : str or None
@@ -73,6 +78,8 @@
     pool: str
     phase: InstancePhase = InstancePhase.SERVING
     version: int = 0
+    phase_offset: int = 0
+    stepped_by: str = ""
     target_pool: str | None = None
     wave: str | None = None
     is_withdrawn: bool = False
@@ -140,6 +147,7 @@
     limits: dict[str, Limit] = msgspec.field(default_factory=dict)
     revoked: dict[str, int] = msgspec.field(default_factory=dict)
     entries: dict[str, EntryState] = msgspec.field(default_factory=dict)
+    waves: dict[str, WaveState] = msgspec.field(default_factory=dict)
     sequences: dict[str, int] = msgspec.field(default_factory=dict)
 
     def instances_of(self, pool: str) -> list[InstanceState]:
--- a/almondstack/platform/__init__.py
+++ b/almondstack/platform/__init__.py
@@ -1,9 +1,45 @@
 """Client side of the platform that owns the instances."""
 
+from almondstack.platform.acts import (
+    Act,
+    ActKind,
+    ActStatus,
+    LeaseRenewal,
+    PlatformTask,
+    UsageReport,
+    UsageView,
+    act_id,
+)
+from almondstack.platform.client import HttpPlatform, PlatformClient, PlatformSettings
+from almondstack.platform.errors import (
+    ActReplyLostError,
+    ActSupersededError,
+    PlatformError,
+    PlatformUnavailableError,
+)
 from almondstack.platform.instance_list import (
     HttpInstanceList,
     InstanceListError,
     ListedInstance,
 )
 
-__all__ = ["HttpInstanceList", "InstanceListError", "ListedInstance"]
+__all__ = [
+    "Act",
+    "ActKind",
+    "ActReplyLostError",
+    "ActStatus",
+    "ActSupersededError",
+    "HttpInstanceList",
+    "HttpPlatform",
+    "InstanceListError",
+    "LeaseRenewal",
+    "ListedInstance",
+    "PlatformClient",
+    "PlatformError",
+    "PlatformSettings",
+    "PlatformTask",
+    "PlatformUnavailableError",
+    "UsageReport",
+    "UsageView",
+    "act_id",
+]
--- /dev/null
+++ b/almondstack/platform/client.py
@@ -0,0 +1,200 @@
+"""Client of the platform's control service.
+
+Explanation
+-----------
+:class:`PlatformClient` is the whole interface.  An act whose reply was lost
+may have taken effect; :meth:`HttpPlatform.ensure` first asks what became of
+its id and sends it only when the platform doesn't know it.
+"""
+
+from typing import Protocol, TypeVar
+
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError
+
+from almondstack.core import (
+    Address,
+    CodecError,
+    NullMetrics,
+    PositiveSeconds,
+    Settings,
+    decode_json,
+    encode_json,
+)
+from almondstack.platform.acts import Act, ActStatus, LeaseRenewal, PlatformTask, UsageView
+from almondstack.platform.errors import (
+    ActReplyLostError,
+    ActSupersededError,
+    PlatformUnavailableError,
+)
+
+__all__ = ["HttpPlatform", "PlatformClient", "PlatformSettings"]
+
+T = TypeVar("T")
+
+_HTTP_OK = 200
+_HTTP_NOT_FOUND = 404
+_HTTP_CONFLICT = 409
+
+
+class PlatformSettings(Settings, frozen=True):
+    """Where the platform's services are.
+
+    Parameters
+    ----------
+    address : str
+        Numeric address of the control service.
+    list_address : str
+        Numeric address of the instance list.
+    timeout_s : float
+        Bound on one call, in seconds.
+    """
+
+    address: Address
+    list_address: Address
+    timeout_s: PositiveSeconds = 2.0
+
+
+class PlatformClient(Protocol):
+    """Acts on instances and tasks, and reports of them."""
+
+    def ensure(self, act: Act) -> ActStatus:
+        """Have an act taken once, however often this is called; return its status."""
+        ...
+
+    def usage(self) -> UsageView:
+        """Return the newest reports."""
+        ...
+
+    def tasks(self) -> tuple[PlatformTask, ...]:
+        """Return the tasks under a lease."""
+        ...
+
+    def renew_lease(self, task: str, holder: str, duration_s: float) -> PlatformTask:
+        """Extend the lease of a task."""
+        ...
+
+
+class HttpPlatform:
+    """Speaks to the control service over HTTP.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        Address and time bound.
+    metrics : NullMetrics
+        Counts acts, verifications and failures.
+    """
+
+    __slots__ = ("_base", "_metrics", "_pool", "_timeout_s", "_unsettled")
+
+    def __init__(self, settings: PlatformSettings, metrics: NullMetrics) -> None:
+        self._base = f"http://{settings.address}/v1"
+        self._timeout_s = settings.timeout_s
+        self._metrics = metrics
+        self._unsettled: set[str] = set()
+        self._pool = urllib3.PoolManager(maxsize=4, retries=False)
+
+    def ensure(self, act: Act) -> ActStatus:
+        """Have an act taken once, however often this is called; return its status.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The platform did not answer; the act was not sent.
+        ActReplyLostError
+            The act was sent and may have taken effect; call again.
+        ActSupersededError
+            A later step of the target was acted upon.
+        """
+        known = self._find(act.id)
+        if known is not None:
+            self._unsettled.discard(act.id)
+            return known
+        if act.id in self._unsettled:
+            self._metrics.count("platform.acts.repeated")
+        self._unsettled.add(act.id)
+        data = self._call("PUT", f"acts/{act.id}", encode_json(act))
+        self._unsettled.discard(act.id)
+        self._metrics.count(f"platform.acts.{act.kind}")
+        return self._decode(data, ActStatus)
+
+    def usage(self) -> UsageView:
+        """Return the newest reports.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The platform did not answer.
+        """
+        return self._decode(self._call("GET", "usage"), UsageView)
+
+    def tasks(self) -> tuple[PlatformTask, ...]:
+        """Return the tasks under a lease.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The platform did not answer.
+        """
+        return self._decode(self._call("GET", "tasks"), tuple[PlatformTask, ...])
+
+    def renew_lease(self, task: str, holder: str, duration_s: float) -> PlatformTask:
+        """Extend the lease of a task.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            The platform did not answer or doesn't know the task.
+        ActSupersededError
+            Another holder has the lease.
+        """
+        lease = encode_json(LeaseRenewal(holder=holder, duration_s=duration_s))
+        data = self._call("PUT", f"leases/{task}", lease)
+        return self._decode(data, PlatformTask)
+
+    def _find(self, act: str) -> ActStatus | None:
+        response = self._request("GET", f"acts/{act}")
+        if response.status == _HTTP_NOT_FOUND:
+            return None
+        return self._decode(self._check(response), ActStatus)
+
+    def _call(self, method: str, path: str, body: bytes | None = None) -> bytes:
+        return self._check(self._request(method, path, body))
+
+    def _request(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        try:
+            return self._pool.request(
+                method, f"{self._base}/{path}", body=body, timeout=self._timeout_s, redirect=False
+            )
+        except NewConnectionError as error:
+            self._metrics.count("platform.unavailable.no-connection")
+            raise PlatformUnavailableError("no connection") from error
+        except HTTPError as error:
+            return self._raise_broken(method, error)
+
+    def _raise_broken(self, method: str, error: HTTPError) -> urllib3.BaseHTTPResponse:
+        detail = type(error).__name__
+        if method == "PUT":
+            self._metrics.count("platform.reply-lost")
+            raise ActReplyLostError(detail) from error
+        self._metrics.count("platform.unavailable.broken")
+        raise PlatformUnavailableError(detail) from error
+
+    def _check(self, response: urllib3.BaseHTTPResponse) -> bytes:
+        if response.status == _HTTP_OK:
+            return response.data
+        if response.status == _HTTP_CONFLICT:
+            self._metrics.count("platform.superseded")
+            raise ActSupersededError("a later act was taken")
+        self._metrics.count("platform.unavailable.status")
+        raise PlatformUnavailableError(f"status {response.status}")
+
+    def _decode(self, data: bytes, type_: type[T]) -> T:
+        try:
+            return decode_json(data, type_)
+        except CodecError as error:
+            self._metrics.count("platform.unavailable.malformed")
+            raise PlatformUnavailableError("the answer is malformed") from error
--- a/almondstack/standin/main.py
+++ b/almondstack/standin/main.py
@@ -9,6 +9,7 @@
 from almondstack import __version__
 from almondstack.standin.instance_list import InstanceListStandin
 from almondstack.standin.log_service import LogServiceStandin
+from almondstack.standin.platform import PlatformStandin
 from almondstack.standin.upstream import UpstreamStandin
 from almondstack.standin.web import serve
 
@@ -23,7 +24,7 @@
     )
     parser.add_argument("--version", action="version", version=__version__)
     kinds = parser.add_subparsers(dest="kind", required=True)
-    for kind in ("log", "list", "upstream"):
+    for kind in ("log", "list", "platform", "upstream"):
         sub = kinds.add_parser(kind)
         sub.add_argument("--listen", required=True, help="numeric address, IP:PORT")
         sub.add_argument("--name", default=kind, help="name in answers")
@@ -35,6 +36,8 @@
         return LogServiceStandin()
     if arguments.kind == "list":
         return InstanceListStandin()
+    if arguments.kind == "platform":
+        return PlatformStandin()
     return UpstreamStandin(arguments.name)
 
 
--- a/almondstack/standin/web.py
+++ b/almondstack/standin/web.py
@@ -15,6 +15,7 @@
     200: "200 OK",
     400: "400 Bad Request",
     404: "404 Not Found",
+    409: "409 Conflict",
     410: "410 Gone",
     429: "429 Too Many Requests",
     503: "503 Service Unavailable",
