--- a/almondstack/bench/demo.py
+++ b/almondstack/bench/demo.py
@@ -1,11 +1,13 @@
 """``almondstack-bench demo``: the whole path on this machine."""
 
+import argparse
 import json
 import tempfile
 from pathlib import Path
 
 import urllib3
 
+from almondstack.bench.commands import bench_command
 from almondstack.bench.processes import ProcessGroup, wait_until_ready
 
 __all__ = ["run_demo"]
@@ -15,7 +17,8 @@
 _UPSTREAM = "127.0.0.1:18001"
 
 
-def run_demo() -> int:
+@bench_command("demo", "the whole path on this machine")
+def run_demo(_arguments: argparse.Namespace) -> int:
     """Apply a release note and send requests; 0 if each was answered."""
     with tempfile.TemporaryDirectory() as folder, ProcessGroup(Path(folder)) as group:
         path = Path(folder)
--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -1,22 +1,45 @@
 """``almondstack-bench``: demo, load, experiments and regression bounds."""
 
 import argparse
+import importlib
 import sys
 
 from almondstack import __version__
-from almondstack.bench.demo import run_demo
+from almondstack.bench.commands import BenchCommand, registered_commands
+from almondstack.core import AlmondError
 
 __all__ = ["main"]
 
+_EXIT_FAILED = 1
+
+# Each of these modules registers its subcommands when it is imported.
+_MODULES = ("almondstack.bench.demo",)
+
 
 def main(argv: list[str] | None = None) -> int:
-    """Run one benchmark or the demo."""
-    parser = argparse.ArgumentParser(prog="almondstack-bench", description=__doc__)
+    """Run one subcommand and return its exit code."""
+    for module in _MODULES:
+        importlib.import_module(module)
+    arguments = _parser(registered_commands()).parse_args(argv)
+    command = registered_commands()[arguments.command]
+    try:
+        return command.run(arguments)
+    except AlmondError as error:
+        print(f"almondstack-bench: {error}", file=sys.stderr)
+        return _EXIT_FAILED
+
+
+def _parser(commands: dict[str, BenchCommand]) -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="almondstack-bench", description=__doc__, epilog="example: almondstack-bench demo"
+    )
     parser.add_argument("--version", action="version", version=__version__)
-    commands = parser.add_subparsers(dest="command", required=True)
-    commands.add_parser("demo", help="the whole path on this machine")
-    parser.parse_args(argv)
-    return run_demo()
+    subparsers = parser.add_subparsers(dest="command", required=True)
+    for command in commands.values():
+        subparser = subparsers.add_parser(command.name, help=command.summary)
+        if command.configure is not None:
+            command.configure(subparser)
+    return parser
 
 
 if __name__ == "__main__":
