Add the judge and the upstream stand-in's faults

The stand-in kept its runs in memory, so a killed one lost the truth, and it could play four faults.

Seen on the way: http.client takes a header that breaks off for a whole one, so an answer cut within its head reads as an empty 200.

--- /dev/null
+++ b/almondstack/bench/judge.py
@@ -0,0 +1,309 @@
+"""The judge: compares what stand-ins saw with what callers were told.
+
+Explanation
+-----------
+Nothing here comes from an entry.  Runs are what upstream stand-ins wrote into
+their journals, ends are what callers received.  Both carry times on the
+machine's monotonic clock.  A run whose end was never written lasts until its
+stand-in was killed, or for ever.
+"""
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from enum import StrEnum
+
+import msgspec
+
+from almondstack.standin.journal import (
+    ConnectionClosed,
+    ConnectionOpened,
+    Event,
+    InstanceDown,
+    InstanceUp,
+    ProcessEnded,
+    RunEnded,
+    RunStarted,
+)
+
+__all__ = ["CallerEnd", "CallerRecord", "JudgeRules", "Judgement", "JudgedRun", "judge", "runs_of"]
+
+
+class CallerEnd(StrEnum):
+    """How a request ended for its caller.
+
+    Explanation
+    -----------
+    ``BROKEN`` is a connection that ended abnormally, which tells the caller
+    that the outcome is unknown.  ``NONE`` is a caller that was still waiting
+    after its deadline and a grace, or got an answer without an outcome.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    BROKEN = "broken"
+    NONE = "none"
+
+
+class CallerRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """One request as its caller saw it.
+
+    Parameters
+    ----------
+    work_id, team : str
+        As sent in ``Standin-*`` headers.
+    end : CallerEnd
+        What the caller was told.
+    status : int
+        HTTP status, 0 if none arrived.
+    reason : str
+        Value of ``Almondstack-Reason``.
+    is_right : bool
+        For an answer: it is whole and is the answer to this request.
+    intended_s, ended_s : float
+        Monotonic seconds of the intended send and of the end.
+    queue : str
+        Where it was submitted.
+    """
+
+    work_id: str
+    team: str
+    end: CallerEnd
+    status: int = 0
+    reason: str = ""
+    is_right: bool = True
+    intended_s: float = 0.0
+    ended_s: float = 0.0
+    queue: str = ""
+
+
+class JudgeRules(msgspec.Struct, frozen=True, kw_only=True):
+    """What must hold.
+
+    Parameters
+    ----------
+    ceilings : dict of str to int
+        Ceiling of each team.
+    revoked_s : dict of str to float
+        When each revoked key was revoked, in monotonic seconds.
+    revocation_bound_s : float
+        How long a revoked key may still start runs, in seconds.
+    slots, connections : int
+        Bounds of each upstream.
+    budgets : dict of str to int
+        Least number of instances in service of each pool.
+    sizes : dict of str to int
+        Number of instances in service of each pool at the start.
+    """
+
+    ceilings: dict[str, int] = {}
+    revoked_s: dict[str, float] = {}
+    revocation_bound_s: float = 3.0
+    slots: int = 8
+    connections: int = 64
+    budgets: dict[str, int] = {}
+    sizes: dict[str, int] = {}
+
+
+class JudgedRun(msgspec.Struct, frozen=True):
+    """One run with its end."""
+
+    upstream: str
+    work_id: str
+    team: str
+    key_id: str
+    is_idempotent: bool
+    started_s: float
+    ended_s: float
+
+
+class Judgement(msgspec.Struct, frozen=True, kw_only=True):
+    """Counts; all but the first four must be zero.
+
+    Parameters
+    ----------
+    requests, answered, not_run, unknown : int
+        What callers were told; a broken connection counts as unknown.
+    slots_exceeded, connections_exceeded : int
+        Starts and connections beyond the bound of their upstream.
+    pool_below_budget : int
+        Planned stops that left a pool below its availability budget.
+    lost : int
+        Callers without any truthful end.
+    doubled : int
+        Starts of non-idempotent work beyond the first.
+    above_ceiling : int
+        Starts beyond the ceiling of their team over all upstreams.
+    false_not_run : int
+        Callers told "not run" whose work ran.
+    wrong_answer : int
+        Answers that are broken, another request's, or of no run.
+    revoked_accepted : int
+        Starts for a key that was revoked longer ago than the bound.
+    """
+
+    requests: int
+    answered: int
+    not_run: int
+    unknown: int
+    slots_exceeded: int
+    connections_exceeded: int
+    pool_below_budget: int
+    lost: int
+    doubled: int
+    above_ceiling: int
+    false_not_run: int
+    wrong_answer: int
+    revoked_accepted: int
+
+    @property
+    def violations(self) -> dict[str, int]:
+        """Counts that must be zero and are not, by name."""
+        must_be_zero = self.__struct_fields__[4:]
+        counts = {name: getattr(self, name) for name in must_be_zero}
+        return {name: count for name, count in counts.items() if count}
+
+    @property
+    def is_clean(self) -> bool:
+        """True if nothing was violated."""
+        return not self.violations
+
+
+def judge(
+    callers: Sequence[CallerRecord],
+    journals: dict[str, Sequence[Event]],
+    rules: JudgeRules,
+) -> Judgement:
+    """Return the counts for one experiment.
+
+    Parameters
+    ----------
+    callers : sequence of CallerRecord
+        One record for each request that a caller made.
+    journals : dict of str to sequence of Event
+        Events of each stand-in by its name.
+    rules : JudgeRules
+        What must hold.
+    """
+    runs = [run for name, events in journals.items() for run in runs_of(name, events)]
+    ends = Counter(record.end for record in callers)
+    starts = Counter(run.work_id for run in runs)
+    return Judgement(
+        requests=len(callers),
+        answered=ends[CallerEnd.ANSWERED],
+        not_run=ends[CallerEnd.NOT_RUN],
+        unknown=ends[CallerEnd.UNKNOWN] + ends[CallerEnd.BROKEN],
+        slots_exceeded=sum(
+            _starts_beyond(rules.slots, own) for own in _grouped(runs, "upstream").values()
+        ),
+        connections_exceeded=sum(
+            _connections_beyond(rules.connections, events) for events in journals.values()
+        ),
+        pool_below_budget=sum(_below_budget(events, rules) for events in journals.values()),
+        lost=ends[CallerEnd.NONE],
+        doubled=_doubled(runs),
+        above_ceiling=sum(
+            _starts_beyond(rules.ceilings[team], own)
+            for team, own in _grouped(runs, "team").items()
+            if team in rules.ceilings
+        ),
+        false_not_run=sum(
+            record.end is CallerEnd.NOT_RUN and starts[record.work_id] > 0 for record in callers
+        ),
+        wrong_answer=sum(_is_wrong(record, starts) for record in callers),
+        revoked_accepted=sum(_is_after_revocation(run, rules) for run in runs),
+    )
+
+
+def runs_of(upstream: str, events: Iterable[Event]) -> list[JudgedRun]:
+    """Return the runs in the journal of one upstream, oldest first."""
+    open_runs: dict[int, RunStarted] = {}
+    closed: list[JudgedRun] = []
+    for event in events:
+        if isinstance(event, RunStarted):
+            open_runs[event.run] = event
+        elif isinstance(event, RunEnded) and event.run in open_runs:
+            closed.append(_closed(upstream, open_runs.pop(event.run), event.at_s))
+        elif isinstance(event, ProcessEnded):
+            closed.extend(_closed(upstream, start, event.at_s) for start in open_runs.values())
+            open_runs.clear()
+    closed.extend(_closed(upstream, start, math.inf) for start in open_runs.values())
+    return sorted(closed, key=lambda run: run.started_s)
+
+
+def _closed(upstream: str, start: RunStarted, ended_s: float) -> JudgedRun:
+    return JudgedRun(
+        upstream,
+        start.work_id,
+        start.team,
+        start.key_id,
+        start.is_idempotent,
+        start.at_s,
+        ended_s,
+    )
+
+
+def _grouped(runs: list[JudgedRun], field: str) -> dict[str, list[JudgedRun]]:
+    groups: dict[str, list[JudgedRun]] = defaultdict(list)
+    for run in runs:
+        groups[getattr(run, field)].append(run)
+    return groups
+
+
+def _starts_beyond(bound: int, runs: list[JudgedRun]) -> int:
+    """Count the starts at which more than ``bound`` were running; an end goes first."""
+    steps = [(run.started_s, 1) for run in runs] + [(run.ended_s, -1) for run in runs]
+    level = 0
+    beyond = 0
+    for _, change in sorted(steps):
+        level += change
+        beyond += change > 0 and level > bound
+    return beyond
+
+
+def _connections_beyond(bound: int, events: Sequence[Event]) -> int:
+    level = 0
+    beyond = 0
+    for event in events:
+        if isinstance(event, ConnectionOpened):
+            level += 1
+            beyond += level > bound
+        elif isinstance(event, ConnectionClosed):
+            level -= 1
+        elif isinstance(event, ProcessEnded):
+            level = 0
+    return beyond
+
+
+def _below_budget(events: Sequence[Event], rules: JudgeRules) -> int:
+    serving = Counter(rules.sizes)
+    down: set[str] = set()
+    below = 0
+    for event in events:
+        if isinstance(event, InstanceUp):
+            serving[event.pool] += 1
+            down.discard(event.instance)
+        elif isinstance(event, InstanceDown) and event.instance not in down:
+            serving[event.pool] -= 1
+            down.add(event.instance)
+            is_below = serving[event.pool] < rules.budgets.get(event.pool, 0)
+            below += event.is_planned and is_below
+    return below
+
+
+def _doubled(runs: list[JudgedRun]) -> int:
+    starts = Counter(run.work_id for run in runs if not run.is_idempotent)
+    return sum(count - 1 for count in starts.values())
+
+
+def _is_wrong(record: CallerRecord, starts: Counter[str]) -> bool:
+    if record.end is not CallerEnd.ANSWERED:
+        return False
+    has_run = starts[record.work_id] > 0
+    return not record.is_right or (record.status == 200 and not has_run)
+
+
+def _is_after_revocation(run: JudgedRun, rules: JudgeRules) -> bool:
+    revoked_s = rules.revoked_s.get(run.key_id, math.inf)
+    return run.started_s > revoked_s + rules.revocation_bound_s
--- a/almondstack/standin/main.py
+++ b/almondstack/standin/main.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from pathlib import Path
 from types import FrameType
 
 from almondstack import __version__
@@ -27,23 +28,23 @@
         sub = kinds.add_parser(kind)
         sub.add_argument("--listen", required=True, help="numeric address, IP:PORT")
         sub.add_argument("--name", default=kind, help="name in answers")
+        sub.add_argument("--journal", type=Path, help="file for what the judge reads")
     return parser
 
 
-def _app(arguments: argparse.Namespace) -> object:
-    if arguments.kind == "log":
-        return LogServiceStandin()
-    if arguments.kind == "list":
-        return InstanceListStandin()
-    return UpstreamStandin(arguments.name)
+def _serve(arguments: argparse.Namespace) -> None:
+    if arguments.kind == "upstream":
+        UpstreamStandin(arguments.name, arguments.listen, arguments.journal).serve()
+        return
+    app = LogServiceStandin() if arguments.kind == "log" else InstanceListStandin()
+    serve(app, arguments.listen, threads=96).serve()
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run one stand-in until SIGTERM."""
     arguments = _parser().parse_args(argv)
-    server = serve(_app(arguments), arguments.listen, threads=96)
     signal.signal(signal.SIGTERM, _end)
-    server.serve()
+    _serve(arguments)
     return 0
 
 
--- a/almondstack/standin/upstream.py
+++ b/almondstack/standin/upstream.py
@@ -3,41 +3,31 @@
 Explanation
 -----------
 The caller says in ``Standin-*`` headers how long a request takes and what the
-answer looks like, and the stand-in keeps one :class:`Run` for each start.  The
-judge compares these with what callers were told, independently of the entries.
+answer looks like, and the stand-in writes each start and end into a
+:class:`~almondstack.standin.journal.Journal`.  The judge compares these with
+what callers were told, independently of the entries.  Slots and connections
+are counted and not enforced.  Every connection has a thread (``http.server``),
+so that a fault can be played on the bare socket.
 """
 
+import contextlib
+import socket
 import threading
 import time
-from collections.abc import Iterable
-from typing import Any
+from collections.abc import Iterator
+from http.server import ThreadingHTTPServer
+from pathlib import Path
 
 import msgspec
 
-from almondstack.standin.web import Reply, StandinApp, StartResponse, read_body
+from almondstack.core import parse_address
+from almondstack.standin.journal import Journal, RunEnded, RunStarted
+from almondstack.standin.upstream_faults import UpstreamFaults
+from almondstack.standin.upstream_handler import UpstreamHandler
 
 __all__ = ["Run", "UpstreamFaults", "UpstreamStandin"]
 
-
-class UpstreamFaults(msgspec.Struct):
-    """Switches of the upstream stand-in.
-
-    Parameters
-    ----------
-    fails_fast : bool
-        Answer every request with status 503 at once.
-    hangs : bool
-        Accept requests and never answer.
-    is_draining : bool
-        Answer new requests with 503 and ``Almondstack-Draining: yes``.
-    slow_factor : float
-        Multiplies every run time.
-    """
-
-    fails_fast: bool = False
-    hangs: bool = False
-    is_draining: bool = False
-    slow_factor: float = 1.0
+_BACKLOG = 512
 
 
 class Run(msgspec.Struct):
@@ -57,73 +47,138 @@
     ended_s: float | None = None
 
 
-class UpstreamStandin(StandinApp):
+class _Server(ThreadingHTTPServer):
+    """Gives its handlers a way back to the stand-in."""
+
+    daemon_threads = True
+    block_on_close = False
+    allow_reuse_address = True
+    request_queue_size = _BACKLOG
+
+    def __init__(self, address: tuple[str, int], standin: "UpstreamStandin") -> None:
+        self.standin = standin
+        super().__init__(address, UpstreamHandler)
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """A caller that hangs up is no matter for a log."""
+
+
+class UpstreamStandin:
     """Runs requests for as long as they ask.
 
     Parameters
     ----------
     name : str
         Name of the instance, sent back in each answer.
+    address : str
+        Numeric address to listen on.
+    journal_path : pathlib.Path, optional
+        File for the events.
+
+    Examples
+    --------
+    >>> from almondstack.standin.upstream import UpstreamStandin
+    >>> from almondstack.testing.addresses import free_address
+    >>> with UpstreamStandin("u1", free_address()) as upstream:
+    ...     upstream.faults = UpstreamFaults(hangs=True)
+    ...     len(upstream.runs())
+    0
     """
 
-    def __init__(self, name: str) -> None:
-        self._name = name
+    def __init__(self, name: str, address: str, journal_path: Path | None = None) -> None:
+        self.name = name
+        self.address = address
+        self.journal = Journal(journal_path)
         self._faults = UpstreamFaults()
-        self._runs: list[Run] = []
-        self._lock = threading.Lock()
-        self._running = 0
-        self._peak_running = 0
-
-    def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
-        """Serve one request by WSGI (PEP 3333)."""
-        if environ["PATH_INFO"].startswith("/control/"):
-            return super().__call__(environ, start_response)
-        return self._serve_work(environ, start_response)
-
-    def handle(self, method: str, path: str, query: dict[str, str], environ: Any) -> Reply:
-        """Serve the control paths."""
-        if path == "/control/faults" and method == "POST":
-            self._faults = msgspec.json.decode(read_body(environ), type=UpstreamFaults)
-        if path == "/control/runs":
-            with self._lock:
-                return Reply.of_json({"runs": self._runs, "peak_running": self._peak_running})
-        return Reply.of_json({"name": self._name, "running": self._running})
-
-    def _serve_work(self, environ: dict[str, Any], start_response: StartResponse) -> Any:
-        if self._faults.is_draining or self._faults.fails_fast:
-            headers = [("Content-Length", "0")]
-            if self._faults.is_draining:
-                headers.append(("Almondstack-Draining", "yes"))
-            start_response("503 Service Unavailable", headers)
-            return [b""]
-        run = self._start_run(environ)
-        body = read_body(environ)
-        self._work(environ)
-        self._end_run(run)
-        answer = msgspec.json.encode(
-            {"work_id": run.work_id, "upstream": self._name, "length": len(body)}
-        )
-        headers = [("Content-Type", "application/json"), ("Content-Length", str(len(answer)))]
-        start_response("200 OK", headers)
-        return [answer]
-
-    def _work(self, environ: dict[str, Any]) -> None:
-        if self._faults.hangs:
-            time.sleep(3600)
-        work_ms = float(environ.get("HTTP_STANDIN_WORK_MS", "0"))
-        time.sleep(work_ms / 1000 * self._faults.slow_factor)
-
-    def _start_run(self, environ: dict[str, Any]) -> Run:
-        work_id = environ.get("HTTP_STANDIN_WORK_ID", "")
-        team = environ.get("HTTP_STANDIN_TEAM", "")
-        run = Run(work_id, team, time.monotonic())
-        with self._lock:
-            self._runs.append(run)
-            self._running += 1
-            self._peak_running = max(self._peak_running, self._running)
-        return run
-
-    def _end_run(self, run: Run) -> None:
-        run.ended_s = time.monotonic()
-        with self._lock:
-            self._running -= 1
+        self._changed = threading.Condition()
+        self._idle: set[socket.socket] = set()
+        self._run_count = 0
+        self._is_ended = threading.Event()
+        self._server = _Server(parse_address(address), self)
+
+    def __enter__(self) -> "UpstreamStandin":
+        threading.Thread(target=self.serve, name=f"upstream-{self.name}", daemon=True).start()
+        return self
+
+    def __exit__(self, *_exc: object) -> None:
+        self.stop()
+
+    @property
+    def faults(self) -> UpstreamFaults:
+        """The switches."""
+        return self._faults
+
+    @faults.setter
+    def faults(self, faults: UpstreamFaults) -> None:
+        with self._changed:
+            self._faults = faults
+            self._changed.notify_all()
+        if faults.closes_idle:
+            self.close_idle()
+        if faults.refuses_for_s > 0:
+            threading.Thread(target=self._server.shutdown, name="refuse").start()
+
+    def serve(self) -> None:
+        """Serve until :meth:`stop`."""
+        while not self._is_ended.is_set():
+            self._server.serve_forever(poll_interval=0.05)
+            self._server.server_close()
+            if self._is_ended.wait(self._faults.refuses_for_s):
+                return
+            self._faults = msgspec.structs.replace(self._faults, refuses_for_s=0.0)
+            self._server = _Server(parse_address(self.address), self)
+
+    def stop(self) -> None:
+        """Stop listening; connections in progress are left to their threads."""
+        self._is_ended.set()
+        self.faults = UpstreamFaults()
+        self._server.shutdown()
+        self._server.server_close()
+        self.close_idle()
+
+    def runs(self) -> list[Run]:
+        """Return each start so far, oldest first."""
+        by_number: dict[int, Run] = {}
+        for event in self.journal.events():
+            if isinstance(event, RunStarted):
+                by_number[event.run] = Run(event.work_id, event.team, event.at_s)
+            elif isinstance(event, RunEnded):
+                by_number[event.run].ended_s = event.at_s
+        return list(by_number.values())
+
+    @contextlib.contextmanager
+    def running(self, work_id: str, team: str, key_id: str, is_idempotent: bool) -> Iterator[None]:
+        """Write the start and the end of a run."""
+        with self._changed:
+            self._run_count += 1
+            number = self._run_count
+        now_s = time.monotonic()
+        self.journal.add(RunStarted(number, work_id, team, key_id, is_idempotent, now_s))
+        try:
+            yield
+        finally:
+            self.journal.add(RunEnded(number, time.monotonic()))
+
+    def wait_while_hanging(self) -> None:
+        """Return once the stand-in does not hang."""
+        with self._changed:
+            self._changed.wait_for(lambda: not self._faults.hangs)
+
+    def note_idle(self, connection: socket.socket) -> None:
+        """Remember that a connection waits for its next request."""
+        with self._changed:
+            self._idle.add(connection)
+
+    def note_busy(self, connection: socket.socket) -> None:
+        """Remember that a connection has a request."""
+        with self._changed:
+            self._idle.discard(connection)
+
+    def close_idle(self) -> None:
+        """Close every connection that waits for a request."""
+        with self._changed:
+            idle = list(self._idle)
+            self._idle.clear()
+        for connection in idle:
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
