Split almondctl into a registry of commands

Cause: others must add commands without touching one file. Change: each command registers itself; settings from JSON with flags to override; table or JSON output; exit codes as IntEnum.

--- /dev/null
+++ b/almondstack/ctl/commands/__init__.py
@@ -0,0 +1,8 @@
+"""The commands of ``almondctl``, each in a module of its own."""
+
+from almondstack.ctl.commands import apply as apply_command
+from almondstack.ctl.commands import check, version
+
+__all__: list[str] = []
+
+_MODULES = (apply_command, check, version)
--- /dev/null
+++ b/almondstack/ctl/commands/version.py
@@ -0,0 +1,33 @@
+"""``almondctl version``: the program and the record format that it speaks."""
+
+import argparse
+
+import msgspec
+
+from almondstack import __version__
+from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.registry import Command, CommandContext, register_command
+from almondstack.model import FORMAT_LEVEL
+
+__all__: list[str] = []
+
+
+class VersionResult(msgspec.Struct, frozen=True):
+    """What ``version`` prints."""
+
+    version: str
+    format_level: int
+
+
+def _add_arguments(_parser: argparse.ArgumentParser) -> None:
+    """Take no arguments."""
+
+
+def _run(context: CommandContext, _arguments: argparse.Namespace) -> ExitCode:
+    context.printer.result(VersionResult(__version__, FORMAT_LEVEL))
+    return ExitCode.OK
+
+
+register_command(
+    Command("version", "Print the version.", _add_arguments, _run, needs_settings=False)
+)
--- a/almondstack/ctl/main.py
+++ b/almondstack/ctl/main.py
@@ -2,64 +2,63 @@
 
 import argparse
 import sys
-from pathlib import Path
 
 from almondstack import __version__
-from almondstack.core import AlmondError, LogServiceSettings, decode_json
-from almondstack.ctl.session import OperatorSession
-from almondstack.model import ReleaseApplied, ReleaseNote
-from almondstack.note import check_note
+from almondstack.core import AlmondError, LogServiceSettings, SettingsError
+from almondstack.ctl import commands as _commands
+from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.output import OutputFormat, Printer
+from almondstack.ctl.registry import Command, CommandContext, registered_commands
+from almondstack.ctl.settings import CtlSettings, add_settings_arguments, settings_from
 
 __all__ = ["main"]
 
-EXIT_OK = 0
-EXIT_FAULTS = 1
-EXIT_USAGE = 2
-EXIT_CONFLICT = 3
-EXIT_UNAVAILABLE = 4
+_REGISTERED = _commands
+_NO_LOG = CtlSettings(log=LogServiceSettings(address="127.0.0.1:1"))
 
 
 def _parser() -> argparse.ArgumentParser:
-    parser = argparse.ArgumentParser(prog="almondctl", description="Operates almondstack.")
-    parser.add_argument("--log", required=True, help="numeric address of the log service")
+    parser = argparse.ArgumentParser(
+        prog="almondctl",
+        description="Operates almondstack.",
+        epilog="example: almondctl --settings ctl.json apply note.json",
+    )
     parser.add_argument("--version", action="version", version=__version__)
-    commands = parser.add_subparsers(dest="command", required=True)
-    for name in ("check", "apply"):
-        command = commands.add_parser(name)
-        command.add_argument("note", help="path of a release note in JSON")
+    _add_common(parser)
+    common = argparse.ArgumentParser(add_help=False, argument_default=argparse.SUPPRESS)
+    _add_common(common)
+    subparsers = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    for command in registered_commands():
+        sub = subparsers.add_parser(
+            command.name, help=command.summary, description=command.summary, parents=[common]
+        )
+        command.add_arguments(sub)
+        sub.set_defaults(registered=command)
     return parser
 
 
+def _add_common(parser: argparse.ArgumentParser) -> None:
+    add_settings_arguments(parser)
+    parser.add_argument("--output", choices=[item.value for item in OutputFormat])
+
+
 def main(argv: list[str] | None = None) -> int:
-    """Run one operator's command."""
+    """Run one operator's command and return its :class:`ExitCode`."""
     arguments = _parser().parse_args(argv)
+    command: Command = arguments.registered
+    try:
+        settings = settings_from(arguments) if command.needs_settings else _NO_LOG
+    except SettingsError as error:
+        print(f"almondctl: {error}", file=sys.stderr)
+        return ExitCode.USAGE
+    output = OutputFormat(getattr(arguments, "output", None) or OutputFormat.TABLE)
     try:
-        return _run(arguments)
+        return command.run(CommandContext(settings, Printer(output)), arguments)
     except AlmondError as error:
         print(f"almondctl: {error}", file=sys.stderr)
-        return EXIT_UNAVAILABLE
-
-
-def _run(arguments: argparse.Namespace) -> int:
-    note = decode_json(Path(arguments.note).read_bytes(), ReleaseNote)
-    session = OperatorSession(LogServiceSettings(address=arguments.log))
-    session.catch_up()
-    faults = check_note(session.fold.state, note)
-    for fault in faults:
-        print(f"{fault.path}: {fault.code}: {fault.message}")
-    if faults:
-        return EXIT_FAULTS
-    if arguments.command == "check":
-        return EXIT_OK
-    revision = session.fold.state.revision
-    verdict = session.append(ReleaseApplied(revision, note), timeout_s=10.0)
-    if verdict is None:
-        return EXIT_UNAVAILABLE
-    if not verdict.is_accepted:
-        print(f"refused: {verdict.refusal}: {verdict.detail}")
-        return EXIT_CONFLICT
-    print(f"revision {session.fold.state.revision} at offset {verdict.offset}")
-    return EXIT_OK
+        return ExitCode.UNAVAILABLE
+    except KeyboardInterrupt:
+        return ExitCode.OK
 
 
 if __name__ == "__main__":
--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -5,6 +5,15 @@
 from almondstack.model.fleet_records import InstanceMoved, InstanceObserved, InstanceStepped
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
+from almondstack.model.operator_messages import (
+    REVOCATIONS_PATH,
+    STATUS_PATH,
+    EntryStatus,
+    RevocationReply,
+    RevocationRequest,
+    is_right_proof,
+    revocation_proof,
+)
 from almondstack.model.records import (
     FORMAT_LEVEL,
     Envelope,
@@ -24,12 +33,15 @@
 
 __all__ = [
     "FORMAT_LEVEL",
+    "REVOCATIONS_PATH",
+    "STATUS_PATH",
     "Configured",
     "EntryFenced",
     "EntryJoined",
     "EntryLeft",
     "EntryPhase",
     "EntryState",
+    "EntryStatus",
     "Envelope",
     "FleetState",
     "InstanceMoved",
@@ -46,11 +58,15 @@
     "Queue",
     "ReleaseApplied",
     "ReleaseNote",
+    "RevocationReply",
+    "RevocationRequest",
     "Team",
     "Withdrawn",
     "decode_body",
     "decode_envelope",
     "encode_record",
+    "is_right_proof",
     "record_kind",
     "register_record",
+    "revocation_proof",
 ]
