--- /dev/null
+++ b/almondstack/permits/table.py
@@ -0,0 +1,151 @@
+"""Permits held in this process, and how many of them are in use.
+
+Explanation
+-----------
+The table knows nothing of where permits come from.  One lock guards it; taking
+several resources is atomic because all are checked before any is taken.  A
+permit of a rate fills a token bucket (Turner 1986) by one token a second.
+"""
+
+import threading
+from collections.abc import Callable, Iterable
+
+from almondstack.core import Clock
+from almondstack.permits.bounds import is_rate
+
+__all__ = ["Holding", "PermitTable"]
+
+
+class Holding:
+    """Permits of one resource; guarded by the lock of the table."""
+
+    __slots__ = ("burst_s", "filled_s", "held", "tokens", "used", "waiting")
+
+    def __init__(self) -> None:
+        self.held = 0
+        self.used = 0
+        self.waiting = 0
+        self.tokens = 0.0
+        self.filled_s = 0.0
+        self.burst_s = 1.0
+
+    def fill(self, now_s: float) -> None:
+        """Add the tokens of the time since the last call."""
+        most = max(1.0, self.held * self.burst_s) if self.held else 0.0
+        self.tokens = min(most, self.tokens + max(0.0, now_s - self.filled_s) * self.held)
+        self.filled_s = now_s
+
+
+class PermitTable:
+    """Counts permits held and in use.
+
+    Parameters
+    ----------
+    clock : Clock
+        Fills the buckets of rates.
+
+    Examples
+    --------
+    >>> from almondstack.core import SystemClock
+    >>> from almondstack.permits import PermitTable
+    >>> table = PermitTable(SystemClock())
+    >>> table.set_held({"ceiling/north": 1})
+    >>> table.try_take(["ceiling/north"]), table.try_take(["ceiling/north"])
+    (True, False)
+    """
+
+    __slots__ = ("_clock", "_holdings", "_listeners", "_lock")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._holdings: dict[str, Holding] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._lock = threading.RLock()
+
+    @property
+    def lock(self) -> threading.RLock:
+        """Held while permits are taken; hold it to change several counts together."""
+        return self._lock
+
+    def holding(self, resource: str) -> Holding:
+        """Return the counts of ``resource``; hold the lock to use them."""
+        found = self._holdings.get(resource)
+        if found is None:
+            found = self._holdings[resource] = Holding()
+        return found
+
+    def resources(self) -> list[str]:
+        """Return the resources that were ever held or asked for here."""
+        with self._lock:
+            return list(self._holdings)
+
+    def try_take(self, resources: Iterable[str]) -> bool:
+        """Take one permit of each resource, or none at all."""
+        with self._lock:
+            wanted = [(name, self.holding(name)) for name in resources]
+            for name, item in wanted:
+                if not self._has_free(name, item):
+                    return False
+            for name, item in wanted:
+                if is_rate(name):
+                    item.tokens -= 1
+                else:
+                    item.used += 1
+            return True
+
+    def give_back(self, resources: Iterable[str]) -> None:
+        """Return one permit of each resource; tokens of rates stay spent."""
+        with self._lock:
+            for name in resources:
+                if not is_rate(name):
+                    self.holding(name).used -= 1
+        self.notify()
+
+    def free_count(self, resource: str) -> int:
+        """Return how many permits are not in use; for a rate, how many tokens there are."""
+        with self._lock:
+            item = self.holding(resource)
+            if is_rate(resource):
+                item.fill(self._clock.monotonic())
+                return int(item.tokens)
+            return max(0, item.held - item.used)
+
+    def held_count(self, resource: str) -> int:
+        """Return how many permits are held, in use or not."""
+        with self._lock:
+            return self.holding(resource).held
+
+    def note_demand(self, resource: str, waiting: int) -> None:
+        """Remember how many calls wait for ``resource``."""
+        with self._lock:
+            self.holding(resource).waiting = waiting
+
+    def set_held(self, held: dict[str, int], bursts: dict[str, float] | None = None) -> None:
+        """Replace what is held; resources that are not named are held no more."""
+        now_s = self._clock.monotonic()
+        has_more = False
+        with self._lock:
+            for name in self._holdings.keys() | held.keys():
+                item = self.holding(name)
+                count = held.get(name, 0)
+                item.fill(now_s)
+                item.burst_s = (bursts or {}).get(name, item.burst_s)
+                has_more = has_more or count > item.held
+                item.held = count
+        if has_more:
+            self.notify()
+
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever permits have arrived or become free."""
+        self._listeners.append(listener)
+
+    def notify(self) -> None:
+        """Call the listeners; the lock must not be held."""
+        for listener in self._listeners:
+            listener()
+
+    def _has_free(self, name: str, item: Holding) -> bool:
+        if not is_rate(name):
+            return item.used < item.held
+        item.fill(self._clock.monotonic())
+        return item.tokens >= 1
