--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -10,6 +10,15 @@
 )
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
+from almondstack.model.operator_messages import (
+    REVOCATIONS_PATH,
+    STATUS_PATH,
+    EntryStatus,
+    RevocationReply,
+    RevocationRequest,
+    is_right_proof,
+    revocation_proof,
+)
 from almondstack.model.records import (
     FORMAT_LEVEL,
     Envelope,
@@ -31,12 +40,15 @@
 
 __all__ = [
     "FORMAT_LEVEL",
+    "REVOCATIONS_PATH",
+    "STATUS_PATH",
     "Configured",
     "EntryFenced",
     "EntryJoined",
     "EntryLeft",
     "EntryPhase",
     "EntryState",
+    "EntryStatus",
     "Envelope",
     "FleetState",
     "InstanceMoved",
@@ -54,6 +66,8 @@
     "Queue",
     "ReleaseApplied",
     "ReleaseNote",
+    "RevocationReply",
+    "RevocationRequest",
     "Team",
     "WaveChanged",
     "WavePhase",
@@ -65,6 +79,8 @@
     "decode_body",
     "decode_envelope",
     "encode_record",
+    "is_right_proof",
     "record_kind",
     "register_record",
+    "revocation_proof",
 ]
--- a/almondstack/standin/main.py
+++ b/almondstack/standin/main.py
@@ -4,6 +4,8 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from pathlib import Path
 from types import FrameType
 
 from almondstack import __version__
@@ -11,10 +13,16 @@
 from almondstack.standin.log_service import LogServiceStandin
 from almondstack.standin.platform import PlatformStandin
 from almondstack.standin.upstream import UpstreamStandin
-from almondstack.standin.web import serve
+from almondstack.standin.web import StandinApp, serve
 
 __all__ = ["main"]
 
+_APPS: dict[str, Callable[[], StandinApp]] = {
+    "log": LogServiceStandin,
+    "list": InstanceListStandin,
+    "platform": PlatformStandin,
+}
+
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
@@ -28,25 +36,22 @@
         sub = kinds.add_parser(kind)
         sub.add_argument("--listen", required=True, help="numeric address, IP:PORT")
         sub.add_argument("--name", default=kind, help="name in answers")
+        sub.add_argument("--journal", type=Path, help="file for what the judge reads")
     return parser
 
 
-def _app(arguments: argparse.Namespace) -> object:
-    if arguments.kind == "log":
-        return LogServiceStandin()
-    if arguments.kind == "list":
-        return InstanceListStandin()
-    if arguments.kind == "platform":
-        return PlatformStandin()
-    return UpstreamStandin(arguments.name)
+def _serve(arguments: argparse.Namespace) -> None:
+    if arguments.kind == "upstream":
+        UpstreamStandin(arguments.name, arguments.listen, arguments.journal).serve()
+        return
+    serve(_APPS[arguments.kind](), arguments.listen, threads=96).serve()
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run one stand-in until SIGTERM."""
     arguments = _parser().parse_args(argv)
-    server = serve(_app(arguments), arguments.listen, threads=96)
     signal.signal(signal.SIGTERM, _end)
-    server.serve()
+    _serve(arguments)
     return 0
 
 
