Run waves and replacements by keepers

Keepers fold the log, plan steps, append them as conditional records and take the acts of accepted steps on the platform under ids that follow from the step.

--- /dev/null
+++ b/almondstack/fleet/acts.py
@@ -0,0 +1,42 @@
+"""Which act on the platform a folded step asks for.
+
+Explanation
+-----------
+An act follows from the folded state alone and carries the offset of its step,
+so each keeper names the same act, and a keeper that has not folded the step
+has nothing to act upon.
+"""
+
+from almondstack.model import FleetState, InstancePhase, InstanceState
+from almondstack.platform import Act, ActKind, act_id
+
+__all__ = ["needed_act", "needed_acts"]
+
+_KINDS = {
+    InstancePhase.DRAINING: ActKind.DRAIN,
+    InstancePhase.REBOOTING: ActKind.REBOOT,
+    InstancePhase.RETURNING: ActKind.RESUME,
+}
+
+
+def needed_act(item: InstanceState) -> Act | None:
+    """Return the act that the present phase of an instance asks for, if any."""
+    kind = _KINDS.get(item.phase)
+    if item.phase is InstancePhase.DRAINED and item.is_withdrawn:
+        kind = ActKind.RELEASE
+    if kind is None:
+        return None
+    order = item.phase_offset
+    pool = item.pool if kind is ActKind.RESUME else ""
+    return Act(id=act_id(item.name, order), target=item.name, kind=kind, order=order, pool=pool)
+
+
+def needed_acts(state: FleetState) -> list[tuple[InstanceState, Act]]:
+    """Return each instance that needs an act, with the act, by name."""
+    found = []
+    for name in sorted(state.instances):
+        item = state.instances[name]
+        act = needed_act(item)
+        if act is not None:
+            found.append((item, act))
+    return found
--- /dev/null
+++ b/almondstack/fleet/moves.py
@@ -0,0 +1,156 @@
+"""Decides which instances change their pool.
+
+Explanation
+-----------
+A move costs the time of a drain and of a return, during which the instance
+serves nobody.  So a lost instance is replaced only after a while, or at once if
+the budget is broken; a loan is not given back for its own sake, but is taken
+from where there is one too many when another pool needs it; and a pool that is
+full is helped only when it has been full for longer than a move takes to pay.
+"""
+
+from almondstack.fleet.view import FleetView
+from almondstack.model import InstancePhase, InstanceState, InstanceStepped, Pool
+
+__all__ = ["break_even_s", "next_moves"]
+
+
+def break_even_s(move_s: float, gain_share: float) -> float:
+    """Return how long a shortage must go on for a move to pay.
+
+    Explanation
+    -----------
+    The mover serves nobody for ``move_s`` seconds and then adds
+    ``gain_share`` of an instance's work for the rest of the shortage: with a
+    shortage of ``T`` seconds it gains ``gain_share * (T - move_s)`` and costs
+    ``(1 - gain_share) * move_s`` of the work that it would have done.
+
+    Examples
+    --------
+    >>> from almondstack.fleet import break_even_s
+    >>> break_even_s(30.0, 0.5)
+    60.0
+    """
+    return move_s + (1 - gain_share) / gain_share * move_s
+
+
+def next_moves(view: FleetView) -> list[InstanceStepped]:
+    """Return the drains that begin a move."""
+    drains = [_to_declared(item) for item in _misplaced(view)]
+    taken = {drain.instance for drain in drains}
+    for name in sorted(view.state.pools):
+        pool = view.state.pools[name]
+        if pool.is_spare:
+            continue
+        for _ in range(_wanted(view, pool)):
+            donor = _choose_donor(view, pool, taken)
+            if donor is None:
+                break
+            taken.add(donor.name)
+            cause = f"{name} lacks an instance"
+            drains.append(_drain_to(donor, name, cause))
+    return drains
+
+
+def _misplaced(view: FleetView) -> list[InstanceState]:
+    found = []
+    for name in sorted(view.state.instances):
+        item = view.state.instances[name]
+        is_homeless = item.pool not in view.state.pools
+        has_home = item.spec.pool in view.state.pools
+        is_asked = item.is_misplaced or is_homeless
+        if item.is_serving and not item.is_withdrawn and has_home and is_asked:
+            found.append(item)
+    return found
+
+
+def _to_declared(item: InstanceState) -> InstanceStepped:
+    return _drain_to(item, item.spec.pool, "declared for another pool")
+
+
+def _drain_to(item: InstanceState, pool: str, cause: str) -> InstanceStepped:
+    drain = InstancePhase.DRAINING
+    return InstanceStepped(item.name, item.version, drain, cause, target_pool=pool)
+
+
+def _wanted(view: FleetView, pool: Pool) -> int:
+    owned = [item for item in view.owned(pool.name) if not _goes_away(item)]
+    coming = _coming(view, pool.name)
+    lost = [item for item in owned if item.is_lost]
+    well = len(owned) - len(lost) + coming
+    if view.missing(pool):
+        waiting = sum(item.is_planned_out for item in owned)
+        urgent = pool.min_serving - len(view.serving(pool.name)) - waiting - coming
+        return max(urgent, _overdue(view, pool, lost, well), 0)
+    if lost or well < pool.size:
+        return _overdue(view, pool, lost, well)
+    if _is_held_up(view, pool) and well <= pool.size:
+        return 1
+    is_full = view.seen.full_for_s(pool.name) >= view.settings.pressure_after_s
+    return 1 if is_full and well <= pool.size else 0
+
+
+def _overdue(view: FleetView, pool: Pool, lost: list[InstanceState], well: int) -> int:
+    bound_s = view.settings.replace_after_s
+    recent = sum(view.seen.phase_age_s(item.name) < bound_s for item in lost)
+    return max(pool.size - well - recent, 0)
+
+
+def _is_held_up(view: FleetView, pool: Pool) -> bool:
+    """A wave waits for a pool that can't spare a single instance."""
+    if len(view.serving(pool.name)) > pool.min_serving or view.lost(pool.name):
+        return False
+    if any(item.is_planned_out for item in view.owned(pool.name)):
+        return False
+    waves = [wave for wave in view.state.waves.values() if wave.is_running]
+    names = {item.name for item in view.owned(pool.name)}
+    return any(names.intersection(wave.waiting) for wave in waves)
+
+
+def _coming(view: FleetView, pool: str) -> int:
+    return sum(
+        item.target_pool == pool and item.pool != pool and not item.is_lost
+        for item in view.state.instances.values()
+    )
+
+
+def _goes_away(item: InstanceState) -> bool:
+    return item.is_withdrawn or item.target_pool not in (None, item.pool)
+
+
+def _choose_donor(view: FleetView, pool: Pool, taken: set[str]) -> InstanceState | None:
+    for source in _sources(view, pool, taken):
+        fit = [item for item in source if _is_donor(view, item, pool, taken)]
+        if fit:
+            return min(fit, key=lambda item: _crowding(view, item, pool.name))
+    return None
+
+
+def _sources(view: FleetView, pool: Pool, taken: set[str]) -> list[list[InstanceState]]:
+    sources = []
+    for spare in view.spare_pools():
+        serving = [item for item in view.serving(spare.name) if item.name not in taken]
+        if len(serving) > spare.min_serving:
+            sources.append(serving)
+    for name in sorted(view.state.pools):
+        other = view.state.pools[name]
+        if other.is_spare or name == pool.name:
+            continue
+        serving = [item for item in view.serving(name) if item.name not in taken]
+        if len(serving) > max(other.size, other.min_serving):
+            sources.append(serving)
+    return sources
+
+
+def _is_donor(view: FleetView, item: InstanceState, pool: Pool, taken: set[str]) -> bool:
+    is_free = item.name not in taken and not item.is_withdrawn and not item.is_misplaced
+    is_fit = item.spec.accelerators >= pool.needs_accelerators
+    return is_free and is_fit and view.is_surely_well(item)
+
+
+def _crowding(view: FleetView, item: InstanceState, pool: str) -> tuple[int, int, int, str]:
+    """Fewest of the pool in the same rack, then zone; fewest accelerators; by name."""
+    owned = [other for other in view.owned(pool) if not other.is_lost]
+    in_rack = sum(other.spec.rack == item.spec.rack for other in owned)
+    in_zone = sum(other.spec.zone == item.spec.zone for other in owned)
+    return in_rack, in_zone, item.spec.accelerators, item.name
--- /dev/null
+++ b/almondstack/fleet/tracker.py
@@ -0,0 +1,163 @@
+"""Turns what the platform shows from moment to moment into observations.
+
+Explanation
+-----------
+The tracker remembers since when something has been so.  Reports count by the
+time at which they were true, so a list or a report that is delivered twice or
+late never makes a condition hold longer than it did.
+"""
+
+from collections.abc import Iterable
+
+from almondstack.core import Clock
+from almondstack.fleet.observations import Observations
+from almondstack.model import FleetState
+from almondstack.platform import ActStatus, ListedInstance, UsageReport, UsageView
+
+__all__ = ["FleetTracker"]
+
+_FULL_SHARE = 0.95
+_ACTS_KEPT = 20_000
+
+
+class FleetTracker:
+    """Keeps the observations of one keeper.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic and wall clock.
+    """
+
+    __slots__ = (
+        "_absent_since_s",
+        "_acts",
+        "_bad_since_s",
+        "_clock",
+        "_full_since_s",
+        "_good_since_s",
+        "_leaving",
+        "_listed",
+        "_phases",
+        "_platform_now_s",
+        "_reports",
+        "_reports_at_s",
+    )
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._reports: dict[str, UsageReport] = {}
+        self._reports_at_s = clock.monotonic()
+        self._platform_now_s = 0.0
+        self._acts: dict[str, ActStatus] = {}
+        self._phases: dict[str, tuple[int, float]] = {}
+        self._good_since_s: dict[str, float] = {}
+        self._bad_since_s: dict[str, float] = {}
+        self._listed: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
+        self._absent_since_s: dict[str, float] = {}
+        self._full_since_s: dict[str, float] = {}
+
+    def note_usage(self, view: UsageView) -> None:
+        """Take the platform's reports."""
+        now_s = self._clock.monotonic()
+        self._reports_at_s = now_s
+        self._platform_now_s = max(self._platform_now_s, view.now_s)
+        for report in view.reports:
+            known = self._reports.get(report.instance)
+            if known is None or report.as_of_s > known.as_of_s:
+                self._note_report(report, now_s)
+
+    def _note_report(self, report: UsageReport, now_s: float) -> None:
+        name = report.instance
+        self._reports[name] = report
+        since, other = self._good_since_s, self._bad_since_s
+        if not report.is_healthy:
+            since, other = other, since
+        other.pop(name, None)
+        since.setdefault(name, now_s)
+
+    def note_list(self, listed: Iterable[ListedInstance]) -> None:
+        """Take the platform's list."""
+        shown = [item for item in listed if item.role == "upstream"]
+        self._leaving = frozenset(item.name for item in shown if item.is_leaving)
+        self._listed = frozenset(item.name for item in shown) - self._leaving
+
+    def note_act(self, status: ActStatus) -> None:
+        """Remember what became of an act."""
+        self._acts[status.id] = status
+        while len(self._acts) > _ACTS_KEPT:
+            del self._acts[next(iter(self._acts))]
+
+    def observe(self, state: FleetState, view_age_s: float, bound_s: float) -> Observations:
+        """Return the observations that go with ``state``.
+
+        Parameters
+        ----------
+        state : FleetState
+            The folded state.
+        view_age_s : float
+            Time since the log last answered, in seconds.
+        bound_s : float
+            Reports older than this show nothing, in seconds.
+        """
+        now_s = self._clock.monotonic()
+        self._note_phases(state, now_s)
+        self._note_absent(state, now_s, bound_s)
+        self._note_full(state, now_s)
+        return self.peek(view_age_s)
+
+    def peek(self, view_age_s: float) -> Observations:
+        """Return the observations as they are, without looking at a state."""
+        now_s = self._clock.monotonic()
+        return Observations(
+            now_s=now_s,
+            unix_s=self._clock.unix(),
+            view_age_s=view_age_s,
+            reports_age_s=now_s - self._reports_at_s,
+            platform_now_s=self._platform_now_s,
+            reports=dict(self._reports),
+            acts=dict(self._acts),
+            phase_since_s={name: since_s for name, (_, since_s) in self._phases.items()},
+            good_since_s=dict(self._good_since_s),
+            bad_since_s=dict(self._bad_since_s),
+            listed=self._listed,
+            leaving=self._leaving,
+            absent_since_s=dict(self._absent_since_s),
+            full_since_s=dict(self._full_since_s),
+        )
+
+    def _note_phases(self, state: FleetState, now_s: float) -> None:
+        phases = {}
+        for name, known in state.instances.items():
+            seen = self._phases.get(name)
+            is_same = seen is not None and seen[0] == known.phase_offset
+            phases[name] = seen if seen and is_same else (known.phase_offset, now_s)
+        self._phases = phases
+
+    def _note_absent(self, state: FleetState, now_s: float, bound_s: float) -> None:
+        if now_s - self._reports_at_s > bound_s:
+            self._absent_since_s.clear()
+            return
+        for name in state.instances:
+            report = self._reports.get(name)
+            is_shown = name in self._listed or name in self._leaving
+            is_reported = report is not None and self._platform_now_s - report.as_of_s <= bound_s
+            if is_shown or is_reported:
+                self._absent_since_s.pop(name, None)
+            else:
+                self._absent_since_s.setdefault(name, now_s)
+
+    def _note_full(self, state: FleetState, now_s: float) -> None:
+        used: dict[str, int] = {}
+        slots: dict[str, int] = {}
+        for name, known in state.instances.items():
+            report = self._reports.get(name)
+            if report is not None and known.is_serving:
+                used[known.pool] = used.get(known.pool, 0) + report.running
+                slots[known.pool] = slots.get(known.pool, 0) + known.spec.slots
+        for pool in state.pools:
+            if slots.get(pool) and used[pool] >= _FULL_SHARE * slots[pool]:
+                self._full_since_s.setdefault(pool, now_s)
+            else:
+                self._full_since_s.pop(pool, None)
--- /dev/null
+++ b/almondstack/fleet/view.py
@@ -0,0 +1,70 @@
+"""An index over the folded state that one planning round reads."""
+
+from almondstack.fleet.observations import Observations
+from almondstack.fleet.settings import FleetSettings
+from almondstack.model import FleetState, InstanceState, Pool
+
+__all__ = ["FleetView"]
+
+
+class FleetView:
+    """The fleet as one planning round sees it.
+
+    Parameters
+    ----------
+    state : FleetState
+        The folded state; not changed while the round runs.
+    seen : Observations
+        What the keeper has seen.
+    settings : FleetSettings
+        Bounds and waiting times.
+    """
+
+    __slots__ = ("_by_pool", "seen", "settings", "state")
+
+    def __init__(self, state: FleetState, seen: Observations, settings: FleetSettings) -> None:
+        self.state = state
+        self.seen = seen
+        self.settings = settings
+        self._by_pool: dict[str, list[InstanceState]] = {name: [] for name in state.pools}
+        for name in sorted(state.instances):
+            known = state.instances[name]
+            self._by_pool.setdefault(known.pool, []).append(known)
+
+    def owned(self, pool: str) -> list[InstanceState]:
+        """Return the instances of a pool, by name."""
+        return self._by_pool.get(pool, [])
+
+    def serving(self, pool: str) -> list[InstanceState]:
+        """Return the serving instances of a pool, by name."""
+        return [item for item in self.owned(pool) if item.is_serving]
+
+    def lost(self, pool: str) -> list[InstanceState]:
+        """Return the instances of a pool that are out by no plan, by name."""
+        return [item for item in self.owned(pool) if item.is_lost]
+
+    def surely_serving(self, pool: str) -> list[InstanceState]:
+        """Return the serving instances of a pool whose report is young and good."""
+        return [item for item in self.serving(pool) if self.is_surely_well(item)]
+
+    def is_surely_well(self, item: InstanceState) -> bool:
+        """Return whether a young report shows an instance in good health."""
+        report = self.seen.reports.get(item.name)
+        is_young = self.seen.report_age_s(item.name) <= self.settings.view_bound_s
+        return report is not None and report.is_healthy and is_young
+
+    def missing(self, pool: Pool) -> int:
+        """Return by how many instances a pool is below its budget."""
+        return max(pool.min_serving - len(self.serving(pool.name)), 0)
+
+    def spare_pools(self) -> list[Pool]:
+        """Return the pools that lend instances, by name."""
+        pools = self.state.pools
+        return [pools[name] for name in sorted(pools) if pools[name].is_spare]
+
+    def rack_reserve(self, serving: list[InstanceState]) -> int:
+        """Return how many of these instances the loss of one rack could take."""
+        counts: dict[str, int] = {}
+        for item in serving:
+            counts[item.spec.rack] = counts.get(item.spec.rack, 0) + 1
+        return max(counts.values(), default=0)
--- a/almondstack/fold/instances.py
+++ b/almondstack/fold/instances.py
@@ -9,6 +9,8 @@
 
 An instance that has stopped by plan has always been drained first: the only
 way to rebooting, to another owner and out of the fleet leads over drained.
+Every way back leads over returning, so that the platform has been told to give
+the instance work before it counts as serving; none of them needs budget.
 """
 
 import msgspec
@@ -37,7 +39,7 @@
 
 NEXT_PHASES: dict[InstancePhase, frozenset[InstancePhase]] = {
     InstancePhase.SERVING: frozenset({InstancePhase.DRAINING}),
-    InstancePhase.DRAINING: frozenset({InstancePhase.DRAINED, InstancePhase.SERVING}),
+    InstancePhase.DRAINING: frozenset({InstancePhase.DRAINED, InstancePhase.RETURNING}),
     InstancePhase.DRAINED: frozenset({InstancePhase.REBOOTING, InstancePhase.RETURNING}),
     InstancePhase.REBOOTING: frozenset({InstancePhase.RETURNING}),
     InstancePhase.RETURNING: frozenset({InstancePhase.SERVING, InstancePhase.DRAINING}),
@@ -57,7 +59,6 @@
     if body.phase is InstancePhase.SERVING:
         note_wave_return(state, known, context)
     is_drain = body.phase is InstancePhase.DRAINING
-    is_back = body.phase in (InstancePhase.RETURNING, InstancePhase.SERVING)
     state.instances[body.instance] = msgspec.structs.replace(
         known,
         phase=body.phase,
@@ -65,7 +66,7 @@
         phase_offset=context.offset,
         stepped_by=context.envelope.author,
         wave=body.wave if is_drain else _wave_kept(known, body.phase),
-        target_pool=body.target_pool if is_drain else None if is_back else known.target_pool,
+        target_pool=_target_kept(known, body),
         reason=body.cause,
         maintained_offset=_maintained_offset(known, body, context),
     )
@@ -95,7 +96,12 @@
         raise RefusedError(Refusal.NOT_THE_TARGET, f"the drain was for {known.target_pool}")
     _check_target(state, known, body.pool)
     state.instances[body.instance] = msgspec.structs.replace(
-        known, pool=body.pool, version=context.offset, target_pool=None, reason=body.cause
+        known,
+        pool=body.pool,
+        version=context.offset,
+        target_pool=None,
+        lent_from=None if body.pool == known.spec.pool else known.spec.pool,
+        reason=body.cause,
     )
 
 
@@ -162,6 +168,12 @@
     return known.spec.accelerators >= pool.needs_accelerators
 
 
+def _target_kept(known: InstanceState, body: InstanceStepped) -> str | None:
+    if body.phase is InstancePhase.DRAINING:
+        return body.target_pool
+    return None if body.phase is InstancePhase.RETURNING else known.target_pool
+
+
 def _wave_kept(known: InstanceState, phase: InstancePhase) -> str | None:
     return None if phase is InstancePhase.SERVING else known.wave
 
--- a/almondstack/keeper/daemon.py
+++ b/almondstack/keeper/daemon.py
@@ -2,13 +2,24 @@
 
 import threading
 
-from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation
+from cheroot import wsgi
+
+from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation, parse_address
+from almondstack.fleet import FleetView
 from almondstack.fold import Fold
+from almondstack.keeper.rounds import KeeperRounds, copy_state
 from almondstack.keeper.settings import KeeperSettings
-from almondstack.log import Follower, HttpLogClient
+from almondstack.keeper.status import KeeperStatus, StatusApp, wave_progress
+from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
+from almondstack.platform import HttpInstanceList, HttpPlatform
 
 __all__ = ["KeeperDaemon"]
 
+_STATUS_THREADS = 2
+_READY_SILENCE_S = 30.0
+_FLUSH_S = 2.0
+_FLUSH_STEP_S = 0.05
+
 _log = PartLogger("keeper")
 
 
@@ -21,22 +32,88 @@
         All settings.
     """
 
-    __slots__ = ("_fold", "_follower", "_incarnation", "_stopping")
+    __slots__ = (
+        "_clock",
+        "_fold",
+        "_follower",
+        "_incarnation",
+        "_metrics",
+        "_rounds",
+        "_server",
+        "_settings",
+        "_stopping",
+        "_writer",
+    )
 
     def __init__(self, settings: KeeperSettings) -> None:
+        self._settings = settings
+        self._clock = SystemClock()
+        self._metrics = Metrics(settings.statsd)
         self._incarnation = new_incarnation(f"{settings.node.name}.keeper")
         client = HttpLogClient(settings.log, self._incarnation)
         self._fold = Fold()
-        self._follower = Follower(client, self._fold, Metrics(settings.statsd), SystemClock())
+        self._follower = Follower(client, self._fold, self._metrics, self._clock)
+        self._writer = RecordWriter(
+            client, FLEET, self._incarnation, settings.log, self._metrics, self._clock
+        )
+        platform = settings.platform
+        self._rounds = KeeperRounds(
+            settings.node.name,
+            self._fold,
+            client,
+            self._follower,
+            self._writer,
+            HttpPlatform(platform, self._metrics),
+            HttpInstanceList(platform.list_address, platform.timeout_s),
+            settings.fleet,
+            self._metrics,
+            self._clock,
+        )
+        self._server = wsgi.Server(
+            parse_address(settings.status_listen),
+            StatusApp(self.status, self._metrics),
+            numthreads=_STATUS_THREADS,
+            max=_STATUS_THREADS,
+        )
         self._stopping = threading.Event()
 
     def run(self) -> None:
         """Keep the fleet until :meth:`stop`."""
         self._follower.start()
-        _log.info("Following the log as %s.", self._incarnation)
-        self._stopping.wait()
-        self._follower.stop()
+        self._writer.start()
+        self._server.prepare()
+        threading.Thread(target=self._server.serve, name="status", daemon=True).start()
+        _log.info("Keeping the fleet as %s.", self._incarnation)
+        while not self._stopping.is_set():
+            self._rounds.run_once()
+            self._clock.wait(self._stopping, self._settings.round_s)
+        self._finish()
 
     def stop(self) -> None:
-        """End the process."""
+        """Begin a graceful shutdown: the round in progress ends."""
         self._stopping.set()
+
+    def status(self) -> KeeperStatus:
+        """Return what the keeper shows of itself."""
+        state = copy_state(self._fold)
+        silence_s = self._follower.silence_s
+        fleet = self._settings.fleet
+        seen = self._rounds.tracker.peek(silence_s)
+        return KeeperStatus(
+            incarnation=self._incarnation,
+            next_offset=self._fold.next_offset,
+            log_silence_s=min(silence_s, 1e9),
+            is_ready=bool(state.pools) and silence_s < _READY_SILENCE_S,
+            waves=wave_progress(state, FleetView(state, seen, fleet)),
+            counters=self._metrics.totals(),
+        )
+
+    def _finish(self) -> None:
+        deadline_s = self._clock.monotonic() + _FLUSH_S
+        never = threading.Event()
+        while self._writer.pending_count and self._clock.monotonic() < deadline_s:
+            self._clock.wait(never, _FLUSH_STEP_S)
+        self._server.stop()
+        self._writer.stop()
+        self._follower.stop()
+        _log.info("Shut down.")
--- a/almondstack/keeper/settings.py
+++ b/almondstack/keeper/settings.py
@@ -1,20 +1,36 @@
 """Settings of ``almondstack-keeper``."""
 
 from almondstack.core import (
+    Address,
     LoggingSettings,
     LogServiceSettings,
     NodeSettings,
+    PositiveSeconds,
     Settings,
     StatsdSettings,
 )
+from almondstack.fleet import FleetSettings
+from almondstack.platform import PlatformSettings
 
 __all__ = ["KeeperSettings"]
 
 
 class KeeperSettings(Settings, frozen=True):
-    """All settings of a keeper process."""
+    """All settings of a keeper process.
+
+    Parameters
+    ----------
+    status_listen : str
+        Numeric address of ``/livez``, ``/readyz`` and ``/statusz``.
+    round_s : float
+        Time between two rounds of planning, in seconds.
+    """
 
     node: NodeSettings
     log: LogServiceSettings
+    platform: PlatformSettings
+    status_listen: Address
+    round_s: PositiveSeconds = 0.5
+    fleet: FleetSettings = FleetSettings()
     statsd: StatsdSettings = StatsdSettings()
     logging: LoggingSettings = LoggingSettings()
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -64,6 +64,8 @@
         Author of that record; takes the acts of this phase first.
     target_pool : str or None
         Where a move in progress leads.
+    lent_from : str or None
+        The declared pool, while another pool owns it by a decision of the keepers.
     wave : str or None
         The maintenance wave it is in.
     is_withdrawn : bool
@@ -81,6 +83,7 @@
     phase_offset: int = 0
     stepped_by: str = ""
     target_pool: str | None = None
+    lent_from: str | None = None
     wave: str | None = None
     is_withdrawn: bool = False
     reason: str = ""
@@ -96,6 +99,22 @@
         """True if it counts for its pool's availability budget."""
         return self.phase is InstancePhase.SERVING
 
+    @property
+    def is_lost(self) -> bool:
+        """True if it is out of service by no plan."""
+        lost = (InstancePhase.FAILED, InstancePhase.UNSEEN, InstancePhase.LEAVING)
+        return self.phase in lost
+
+    @property
+    def is_planned_out(self) -> bool:
+        """True if it is out of service by plan and comes back."""
+        return not self.is_serving and not self.is_lost
+
+    @property
+    def is_misplaced(self) -> bool:
+        """True if it was declared for another pool than the one that owns it."""
+        return self.spec.pool not in (self.pool, self.lent_from)
+
     @property
     def is_taking_work(self) -> bool:
         """True if new requests may be sent to it."""
--- a/almondstack/standin/platform.py
+++ b/almondstack/standin/platform.py
@@ -9,12 +9,14 @@
 acts themselves, with every act that broke a rule.
 """
 
+import contextlib
 import threading
 import time
 from typing import Any
 
 import msgspec
 import urllib3
+from urllib3.exceptions import HTTPError
 
 from almondstack.platform import Act, ActKind, LeaseRenewal
 from almondstack.standin.platform_fleet import FleetFaults, FleetSetup, Machine, PlatformFleet
@@ -60,7 +62,7 @@
         self._lock = threading.RLock()
         self._faults = PlatformFaults()
         self._recount = Recount(grace_s)
-        self._fleet = PlatformFleet(time.monotonic, self._read_running)
+        self._fleet = PlatformFleet(time.monotonic, self._recount, self._read_running)
         self._leases: dict[str, str] = {}
         self._pool = urllib3.PoolManager(retries=False)
 
@@ -94,7 +96,7 @@
         if status is None:
             if self._fleet.is_superseded(act):
                 return Reply(409)
-            status = self._fleet.take(act, self._recount)
+            status = self._fleet.take(act)
             self._tell_upstream(act)
         if self._faults.drop_replies > 0:
             self._faults.drop_replies -= 1
@@ -119,7 +121,7 @@
         with self._lock:
             if what == "fleet":
                 setup = msgspec.json.decode(read_body(environ), type=FleetSetup)
-                self._fleet.set_up(setup, self._recount)
+                self._fleet.set_up(setup)
             if what == "faults":
                 self._set_faults(msgspec.json.decode(read_body(environ), type=PlatformFaults))
             reboots = {item.name: item.reboots for item in self._fleet.machines.values()}
@@ -146,9 +148,13 @@
         if act.kind in (ActKind.DRAIN, ActKind.RESUME):
             body = msgspec.json.encode({"is_draining": act.kind is ActKind.DRAIN})
             url = f"http://{machine.address}/control/faults"
-            self._pool.request("POST", url, body=body, timeout=_CALL_TIMEOUT_S)
-
-    def _read_running(self, machine: Machine) -> int:
-        url = f"http://{machine.address}/control/status"
-        response = self._pool.request("GET", url, timeout=_CALL_TIMEOUT_S)
-        return int(response.json()["running"])
+            with contextlib.suppress(HTTPError):
+                self._pool.request("POST", url, body=body, timeout=_CALL_TIMEOUT_S)
+
+    def _read_running(self, machine: Machine) -> int | None:
+        url = f"http://{machine.address}/control/runs"
+        try:
+            response = self._pool.request("GET", url, timeout=_CALL_TIMEOUT_S)
+        except HTTPError:
+            return None
+        return sum(run["ended_s"] is None for run in response.json()["runs"])
--- a/almondstack/standin/platform_fleet.py
+++ b/almondstack/standin/platform_fleet.py
@@ -80,16 +80,31 @@
     ----------
     clock : callable
         Returns seconds on the platform's clock.
+    recount : Recount
+        Judges each act that is taken.
     read_running : callable, optional
         Returns what runs on a machine that has an address.
     """
 
-    __slots__ = ("_clock", "_machines", "_orders", "_read_running", "_tasks", "_views", "faults")
+    __slots__ = (
+        "_clock",
+        "_machines",
+        "_orders",
+        "_read_running",
+        "_recount",
+        "_tasks",
+        "_views",
+        "faults",
+    )
 
     def __init__(
-        self, clock: Callable[[], float], read_running: Callable[[Machine], int] | None = None
+        self,
+        clock: Callable[[], float],
+        recount: Recount,
+        read_running: Callable[[Machine], int | None] | None = None,
     ) -> None:
         self._clock = clock
+        self._recount = recount
         self._read_running = read_running
         self._machines: dict[str, Machine] = {}
         self._tasks: dict[str, PlatformTask] = {}
@@ -107,12 +122,12 @@
         """The tasks by id."""
         return self._tasks
 
-    def set_up(self, setup: FleetSetup, recount: Recount) -> None:
+    def set_up(self, setup: FleetSetup) -> None:
         """Add instances and tasks, and replace the budgets."""
-        recount.set_budgets(setup.pools)
+        self._recount.set_budgets(setup.pools)
         for machine in setup.instances:
             self._machines[machine.name] = machine
-            recount.place(machine.name, machine.pool)
+            self._recount.place(machine.name, machine.pool)
         for task in setup.tasks:
             self._tasks[task.id] = task
 
@@ -125,10 +140,10 @@
         if machine.reboot_until_s is None or self._clock() < machine.reboot_until_s:
             return known
         machine.reboot_until_s = None
-        is_broken = machine.name in self.faults.fail_on_return
-        done = ActStatus(
-            id=act, is_done=not is_broken, is_failed=is_broken, at_s=self._clock()
-        )
+        if machine.name in self.faults.fail_on_return:
+            self.faults.failed.append(machine.name)
+            self._recount.fail(machine.name, self._clock())
+        done = ActStatus(id=act, is_done=True, at_s=self._clock())
         self._orders[act] = done
         return done
 
@@ -137,35 +152,35 @@
         machine = self._machines.get(act.target)
         return machine is not None and act.order < machine.order
 
-    def take(self, act: Act, recount: Recount) -> ActStatus:
+    def take(self, act: Act) -> ActStatus:
         """Take an act that did not arrive before."""
         self._record_view()
         machine = self._machines.get(act.target)
         if machine is None:
             return self._take_task_act(act)
         machine.order = act.order
-        status = self._take_on_machine(act, machine, recount)
+        status = self._take_on_machine(act, machine)
         self._orders[act.id] = status
         self._record_view()
         return status
 
-    def _take_on_machine(self, act: Act, machine: Machine, recount: Recount) -> ActStatus:
+    def _take_on_machine(self, act: Act, machine: Machine) -> ActStatus:
         now_s = self._clock()
         if act.kind is ActKind.DRAIN:
-            recount.drained(act.id, machine.name, now_s)
+            self._recount.drained(act.id, machine.name, now_s)
             machine.is_draining = True
             machine.empty_at_s = now_s + self.faults.drain_s
         elif act.kind is ActKind.RESUME:
-            recount.resumed(act.id, machine.name, act.pool)
+            self._recount.resumed(act.id, machine.name, act.pool)
             machine.is_draining = False
             machine.pool = act.pool or machine.pool
         elif act.kind is ActKind.REBOOT:
-            recount.stopped(act.id, machine.name, self.running(machine))
+            self._recount.stopped(act.id, machine.name, self.running(machine) or 0)
             machine.reboots += 1
             machine.reboot_until_s = now_s + self.faults.reboot_s
             return ActStatus(id=act.id, is_done=False, at_s=now_s)
         elif act.kind is ActKind.RELEASE:
-            recount.stopped(act.id, machine.name, self.running(machine))
+            self._recount.stopped(act.id, machine.name, self.running(machine) or 0)
         return ActStatus(id=act.id, is_done=True, at_s=now_s)
 
     def _take_task_act(self, act: Act) -> ActStatus:
@@ -180,8 +195,8 @@
         self._orders[act.id] = status
         return status
 
-    def running(self, machine: Machine) -> int:
-        """Return how many requests run on a machine now."""
+    def running(self, machine: Machine) -> int | None:
+        """Return how many requests run on a machine now; None if it doesn't answer."""
         if machine.address and self._read_running is not None:
             return self._read_running(machine)
         if not machine.is_draining or machine.name in self.faults.never_empty:
@@ -202,11 +217,12 @@
         self._views.append(UsageView(now_s=now_s, reports=reports))
 
     def _report(self, machine: Machine, now_s: float) -> UsageReport:
-        is_broken = machine.name in self.faults.failed
+        running = self.running(machine)
+        is_broken = running is None or machine.name in self.faults.failed
         return UsageReport(
             instance=machine.name,
             as_of_s=now_s,
-            running=self.running(machine),
+            running=running or 0,
             is_healthy=not is_broken and machine.reboot_until_s is None,
             is_draining=machine.is_draining,
         )
