--- a/almondstack/dispatch/call.py
+++ b/almondstack/dispatch/call.py
@@ -1,7 +1,7 @@
 """A caller's request on its way to an upstream, and the answer on its way back."""
 
 import threading
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 from almondstack.model import Queue, Team
@@ -79,9 +79,13 @@
         True if the caller allows a second run.
     is_urgent : bool
         True if it goes before other work of its team.
+    before_start : callable
+        Called at the last moment before a send; raises RequestError if the
+        call must not start any more (a revoked key, a fenced entry).
     """
 
     __slots__ = (
+        "before_start",
         "body",
         "call_id",
         "caller_gone",
@@ -108,6 +112,7 @@
         headers: tuple[tuple[str, str], ...] = (),
         is_idempotent: bool = False,
         is_urgent: bool = False,
+        before_start: Callable[[], None] = lambda: None,
     ) -> None:
         self.call_id = call_id
         self.team = team
@@ -119,6 +124,7 @@
         self.deadline_s = deadline_s
         self.is_idempotent = is_idempotent
         self.is_urgent = is_urgent
+        self.before_start = before_start
         self.caller_gone = threading.Event()
 
     @property
@@ -146,6 +152,11 @@
         """End-to-end headers."""
         ...
 
+    @property
+    def length(self) -> int | None:
+        """Length of the body in bytes; None if it shows only at its end."""
+        ...
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the body; raise if the upstream breaks off before its end."""
         ...
--- a/almondstack/dispatch/first_come.py
+++ b/almondstack/dispatch/first_come.py
@@ -50,6 +50,7 @@
         if not takers:
             raise RequestError(Reason.NO_UPSTREAM)
         bound_s = self._fold.state.pools[call.pool].run_time_bound_s
+        call.before_start()
         for _ in takers:
             chosen = takers[next(self._turn) % len(takers)]
             try:
@@ -57,3 +58,10 @@
             except NotSentError:
                 continue
         raise RequestError(Reason.UPSTREAMS_FAILING)
+
+    def cancel(self, call_id: str) -> bool:
+        """Return False: a call starts at once."""
+        return False
+
+    def abandon(self, call: Call) -> None:
+        """Do nothing: no call waits."""
--- a/almondstack/dispatch/upstream.py
+++ b/almondstack/dispatch/upstream.py
@@ -42,6 +42,12 @@
         """End-to-end headers."""
         return end_to_end_headers(self._response.headers.items())
 
+    @property
+    def length(self) -> int | None:
+        """Length of the body in bytes; None if it shows only at its end."""
+        value = self._response.headers.get("Content-Length")
+        return int(value) if value is not None else None
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the body; raise if the upstream breaks off before its end.
 
--- a/almondstack/entry/__init__.py
+++ b/almondstack/entry/__init__.py
@@ -1,6 +1,16 @@
 """The entry: callers' HTTP, admission and the way to the dispatcher."""
 
-from almondstack.entry.app import Dispatching, EntryApp
+from almondstack.entry.app import EntryApp
+from almondstack.entry.contract import Connectivity, Dispatching, Revocations
+from almondstack.entry.parts import EntryParts
 from almondstack.entry.settings import CallerSettings, EntrySettings
 
-__all__ = ["CallerSettings", "Dispatching", "EntryApp", "EntrySettings"]
+__all__ = [
+    "CallerSettings",
+    "Connectivity",
+    "Dispatching",
+    "EntryApp",
+    "EntryParts",
+    "EntrySettings",
+    "Revocations",
+]
--- a/almondstack/entry/authentication.py
+++ b/almondstack/entry/authentication.py
@@ -8,57 +8,84 @@
     is_same_digest,
     split_key,
 )
-from almondstack.model import FleetState, Queue, Team
+from almondstack.entry.contract import Revocations
+from almondstack.fold import Fold
+from almondstack.model import Queue, Team
 
-__all__ = ["authenticate", "authorize"]
+__all__ = ["Authenticator"]
 
 _SCHEME = "bearer"
 _NO_DIGEST = "0" * 64
 
 
-def authenticate(state: FleetState, authorization: str) -> Team:
-    """Return the team whose key came with a request.
+class Authenticator:
+    """Checks keys against the folded state and the revocations heard since.
 
     Parameters
     ----------
-    state : FleetState
-        The folded state.
-    authorization : str
-        Value of the ``Authorization`` header (RFC 6750, section 2.1).
-
-    Raises
-    ------
-    RequestError
-        The key is missing, unknown or revoked.
+    fold : Fold
+        Knows teams, keys and queues.
+    revocations : Revocations
+        Honoured before the log confirms them.
     """
+
+    __slots__ = ("_fold", "_revocations")
+
+    def __init__(self, fold: Fold, revocations: Revocations) -> None:
+        self._fold = fold
+        self._revocations = revocations
+
+    def authenticate(self, authorization: str) -> Team:
+        """Return the team whose key came with a request.
+
+        Parameters
+        ----------
+        authorization : str
+            Value of the ``Authorization`` header (RFC 6750, section 2.1).
+
+        Raises
+        ------
+        RequestError
+            The key is missing, unknown or revoked.
+        """
+        state = self._fold.state
+        key_id, secret = _read_key(authorization)
+        if key_id in state.revoked or self._revocations.is_revoked(key_id):
+            raise RequestError(Reason.KEY_REVOKED)
+        key = state.keys.get(key_id)
+        is_right = is_same_digest(hash_secret(secret), key.digest if key else _NO_DIGEST)
+        team = state.teams.get(key.team) if key else None
+        if team is None or not is_right:
+            raise RequestError(Reason.KEY_UNKNOWN)
+        return team
+
+    def authorize(self, queue: Queue, authorization: str) -> Team:
+        """Return the team that a request to ``queue`` is charged to.
+
+        Raises
+        ------
+        RequestError
+            The key does not hold, or its team may not use the queue.
+        """
+        if queue.is_open and not authorization:
+            return self._open_team(queue)
+        team = self.authenticate(authorization)
+        if queue.teams and team.name not in queue.teams:
+            raise RequestError(Reason.TEAM_NOT_ALLOWED)
+        return team
+
+    def _open_team(self, queue: Queue) -> Team:
+        team = self._fold.state.teams.get(queue.open_team or "")
+        if team is None:
+            raise RequestError(Reason.TEAM_NOT_ALLOWED)
+        return team
+
+
+def _read_key(authorization: str) -> tuple[str, str]:
     scheme, _, token = authorization.partition(" ")
-    if scheme.lower() != _SCHEME or not token:
+    if scheme.lower() != _SCHEME or not token.strip():
         raise RequestError(Reason.KEY_MISSING)
     try:
-        key_id, secret = split_key(token.strip())
+        return split_key(token.strip())
     except CodecError as error:
         raise RequestError(Reason.KEY_UNKNOWN) from error
-    if key_id in state.revoked:
-        raise RequestError(Reason.KEY_REVOKED)
-    key = state.keys.get(key_id)
-    is_right = is_same_digest(hash_secret(secret), key.digest if key else _NO_DIGEST)
-    team = state.teams.get(key.team) if key else None
-    if team is None or not is_right:
-        raise RequestError(Reason.KEY_UNKNOWN)
-    return team
-
-
-def authorize(state: FleetState, queue: Queue, authorization: str) -> Team:
-    """Return the team that a request to ``queue`` is charged to.
-
-    Raises
-    ------
-    RequestError
-        The key does not hold, or its team may not use the queue.
-    """
-    if queue.is_open and not authorization:
-        return state.teams[queue.open_team or ""]
-    team = authenticate(state, authorization)
-    if queue.teams and team.name not in queue.teams:
-        raise RequestError(Reason.TEAM_NOT_ALLOWED)
-    return team
--- /dev/null
+++ b/almondstack/entry/connections.py
@@ -0,0 +1,144 @@
+"""Bounds on connections: callers that are slow, gone or too many.
+
+Explanation
+-----------
+Two small threads serve all connections of an entry.  :class:`HangupWatcher`
+waits in epoll for callers that hang up while their request waits.
+:class:`Reaper` ends connections whose present phase takes too long, which a
+timeout for each read cannot see.
+"""
+
+import contextlib
+import heapq
+import itertools
+import select
+import socket
+import struct
+import threading
+from collections.abc import Callable, Iterator
+
+from almondstack.core import Clock
+
+__all__ = ["HangupWatcher", "Reaper", "reset_on_close"]
+
+_HANGUP = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+_POLL_S = 0.5
+_REAP_INTERVAL_S = 0.2
+
+
+def reset_on_close(connection: socket.socket) -> None:
+    """Make the coming close abnormal (TCP reset), so that it cannot pass for an end."""
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+class HangupWatcher:
+    """Calls back when a caller closes its connection."""
+
+    __slots__ = ("_callbacks", "_epoll", "_lock", "_stop", "_thread")
+
+    def __init__(self) -> None:
+        self._epoll = select.epoll()
+        self._callbacks: dict[int, Callable[[], None]] = {}
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="hangups", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread."""
+        self._stop.set()
+
+    @contextlib.contextmanager
+    def watching(
+        self, connection: socket.socket | None, on_hangup: Callable[[], None]
+    ) -> Iterator[None]:
+        """Call ``on_hangup`` once if the caller hangs up within the block."""
+        if connection is None or connection.fileno() < 0:
+            yield
+            return
+        descriptor = connection.fileno()
+        with self._lock:
+            self._callbacks[descriptor] = on_hangup
+            self._epoll.register(descriptor, _HANGUP | select.EPOLLONESHOT)
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._callbacks.pop(descriptor, None)
+                with contextlib.suppress(OSError, ValueError):
+                    self._epoll.unregister(descriptor)
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            for descriptor, _event in self._epoll.poll(_POLL_S):
+                with self._lock:
+                    callback = self._callbacks.pop(descriptor, None)
+                if callback is not None:
+                    callback()
+
+
+class Reaper:
+    """Shuts down connections that stay in one phase past its bound.
+
+    Parameters
+    ----------
+    clock : Clock
+        Measures.
+    """
+
+    __slots__ = ("_clock", "_entries", "_heap", "_lock", "_numbers", "_stop", "_thread")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._entries: dict[int, socket.socket] = {}
+        self._heap: list[tuple[float, int]] = []
+        self._numbers = itertools.count()
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="reaper", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread."""
+        self._stop.set()
+
+    @contextlib.contextmanager
+    def bounding(self, connection: socket.socket | None, bound_s: float) -> Iterator[None]:
+        """Shut the connection down if the block takes longer than ``bound_s`` seconds."""
+        if connection is None:
+            yield
+            return
+        with self._lock:
+            number = next(self._numbers)
+            self._entries[number] = connection
+            heapq.heappush(self._heap, (self._clock.monotonic() + bound_s, number))
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._entries.pop(number, None)
+
+    def reap(self) -> int:
+        """Shut down what is past its bound; return how many."""
+        count = 0
+        now_s = self._clock.monotonic()
+        with self._lock:
+            while self._heap and self._heap[0][0] <= now_s:
+                _, number = heapq.heappop(self._heap)
+                connection = self._entries.pop(number, None)
+                if connection is not None:
+                    count += 1
+                    with contextlib.suppress(OSError):
+                        connection.shutdown(socket.SHUT_RDWR)
+        return count
+
+    def _run(self) -> None:
+        while not self._clock.wait(self._stop, _REAP_INTERVAL_S):
+            self.reap()
--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -1,20 +1,23 @@
 """Puts the parts of an entry together."""
 
-import math
 import threading
 
-from cheroot import wsgi
-
-from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation, parse_address
+from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation
 from almondstack.dispatch import FirstComeDispatcher, UpstreamClient
 from almondstack.entry.app import EntryApp
+from almondstack.entry.contract import AlwaysConnected, NoRevocations
+from almondstack.entry.parts import EntryParts
+from almondstack.entry.server import EntryServer
 from almondstack.entry.settings import EntrySettings
 from almondstack.fold import Fold
 from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
 from almondstack.model import EntryJoined, EntryLeft
+from almondstack.once import ClaimBook, ClaimFollower, ClaimTable, OnceGuard, TicketBook
 
 __all__ = ["EntryDaemon"]
 
+_LEAVE_TIMEOUT_S = 2.0
+
 _log = PartLogger("entry")
 
 
@@ -28,10 +31,13 @@
     """
 
     __slots__ = (
-        "_app",
+        "_claim_follower",
+        "_claims",
+        "_ended",
         "_fold",
         "_follower",
         "_incarnation",
+        "_parts",
         "_server",
         "_settings",
         "_stopping",
@@ -47,33 +53,55 @@
         self._fold = Fold()
         self._follower = Follower(client, self._fold, metrics, clock)
         self._writer = RecordWriter(client, FLEET, self._incarnation, settings.log, metrics, clock)
-        dispatching = FirstComeDispatcher(self._fold, UpstreamClient(), clock)
-        self._app = EntryApp(self._fold, dispatching, clock, metrics)
-        self._server = _make_server(settings, self._app)
+        table = ClaimTable(
+            int(settings.once.window_s * 1000), int(settings.once.clock_error_s * 1000)
+        )
+        self._claims = ClaimBook(client, self._incarnation, table, settings.once, clock, metrics)
+        self._claim_follower = ClaimFollower(
+            client, table, self._claims.decide, settings.once, clock, metrics
+        )
+        tickets = TicketBook(self._incarnation, settings.once, clock)
+        self._parts = EntryParts(
+            settings=settings,
+            incarnation=self._incarnation,
+            fold=self._fold,
+            dispatching=FirstComeDispatcher(self._fold, UpstreamClient(), clock),
+            once=OnceGuard(self._claims, tickets),
+            revocations=NoRevocations(),
+            connectivity=AlwaysConnected(),
+            clock=clock,
+            metrics=metrics,
+        )
+        app = EntryApp(self._parts)
+        self._server = EntryServer(settings, app, self._parts.reaper, metrics)
         self._stopping = threading.Event()
-
-    @property
-    def incarnation(self) -> str:
-        """Name of this life."""
-        return self._incarnation
+        self._ended = threading.Event()
 
     def run(self) -> None:
         """Serve until :meth:`stop`."""
-        self._follower.start()
-        self._writer.start()
+        self._start_threads()
         self._join()
         self._server.prepare()
         _log.info("Serving callers at %s as %s.", self._settings.callers.listen, self._incarnation)
         self._server.serve()
+        self._ended.wait()
 
     def stop(self) -> None:
-        """Shut down gracefully: nothing new, and what runs ends."""
+        """Shut down gracefully: nothing new, and what was admitted ends."""
         if self._stopping.is_set():
             return
         self._stopping.set()
-        self._app.stop_taking()
+        self._parts.stop_taking()
         threading.Thread(target=self._finish, name="shutdown").start()
 
+    def _start_threads(self) -> None:
+        self._follower.start()
+        self._writer.start()
+        self._claims.start()
+        self._claim_follower.start()
+        self._parts.hangups.start()
+        self._parts.reaper.start()
+
     def _join(self) -> None:
         node = self._settings.node
         self._writer.submit(
@@ -88,25 +116,18 @@
         )
 
     def _finish(self) -> None:
+        is_empty = self._parts.calls.wait_until_empty(self._settings.shutdown_timeout_s)
+        if not is_empty:
+            _log.warning("Shut down with %d requests under way.", self._parts.calls.count)
         self._server.stop()
-        sequence = self._writer.submit(EntryLeft(self._incarnation))
-        self._fold.wait_for_verdict(self._writer.author, sequence, timeout_s=2.0)
-        self._writer.stop()
-        self._follower.stop()
+        self._leave()
+        for part in (self._claims, self._claim_follower, self._writer, self._follower):
+            part.stop()
+        self._parts.hangups.stop()
+        self._parts.reaper.stop()
         _log.info("Shut down.")
+        self._ended.set()
 
-
-def _make_server(settings: EntrySettings, app: EntryApp) -> wsgi.Server:
-    callers = settings.callers
-    server = wsgi.Server(
-        parse_address(callers.listen),
-        app,
-        numthreads=callers.threads,
-        max=callers.threads,
-        accepted_queue_size=callers.waiting_connections,
-        accepted_queue_timeout=0,
-        timeout=math.ceil(callers.body_timeout_s),
-        shutdown_timeout=math.ceil(settings.shutdown_timeout_s),
-    )
-    server.request_queue_size = callers.waiting_connections
-    return server
+    def _leave(self) -> None:
+        sequence = self._writer.submit(EntryLeft(self._incarnation))
+        self._fold.wait_for_verdict(self._writer.author, sequence, _LEAVE_TIMEOUT_S)
--- /dev/null
+++ b/almondstack/entry/forwarding.py
@@ -0,0 +1,113 @@
+"""Passes a request on to the entry that alone may decide about it.
+
+Explanation
+-----------
+Used for tickets, which only their issuer may start, and for cancelling.  The
+answer comes back as it is, with the other entry's outcome.
+"""
+
+from collections.abc import Iterator
+
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from almondstack.core import Reason, RequestError, TlsSettings
+from almondstack.dispatch import Body, end_to_end_headers
+from almondstack.entry.http import HttpReply, HttpRequest
+
+__all__ = ["FORWARDED_HEADER", "Forwarder"]
+
+FORWARDED_HEADER = "almondstack-forwarded"
+_CONNECT_TIMEOUT_S = 1.0
+_CHUNK_BYTES = 65_536
+_OWN_PREFIX = "almondstack-"
+
+
+class Forwarder:
+    """Speaks the callers' interface to other entries.
+
+    Parameters
+    ----------
+    tls : TlsSettings or None
+        As for callers; None uses plain HTTP.
+    """
+
+    __slots__ = ("_pool", "_scheme")
+
+    def __init__(self, tls: TlsSettings | None) -> None:
+        self._scheme = "http" if tls is None else "https"
+        authority = None if tls is None else tls.authority_file
+        self._pool = urllib3.PoolManager(retries=False, maxsize=16, ca_certs=authority)
+
+    def forward(
+        self, request: HttpRequest, body: Body, address: str, timeout_s: float
+    ) -> HttpReply:
+        """Return the other entry's answer.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            The caller's request.
+        body : Body
+            Its body.
+        address : str
+            The other entry.
+        timeout_s : float
+            Bound on the wait for the head of the answer, in seconds.
+
+        Raises
+        ------
+        RequestError
+            The other entry did not answer; the request may have run.
+        """
+        timeout = urllib3.Timeout(connect=_CONNECT_TIMEOUT_S, read=timeout_s)
+        try:
+            response = self._pool.request(
+                request.method,
+                f"{self._scheme}://{address}{request.path}",
+                body=b"".join(body.chunks()) if body.length is not None else body.chunks(),
+                headers=_forwarded_headers(request),
+                timeout=timeout,
+                preload_content=False,
+                decode_content=False,
+                redirect=False,
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise RequestError(Reason.TICKET_HOLDER_UNREACHABLE) from error
+        except (HTTPError, OSError) as error:
+            raise RequestError(Reason.UPSTREAM_BROKE, type(error).__name__) from error
+        return HttpReply(response.status, _answer_headers(response), _stream(response))
+
+
+def _forwarded_headers(request: HttpRequest) -> urllib3.HTTPHeaderDict:
+    headers = urllib3.HTTPHeaderDict(end_to_end_headers(request.headers))
+    for name, value in request.headers:
+        is_own = name.lower().startswith(_OWN_PREFIX)
+        if is_own or name.lower() in ("authorization", "idempotency-key"):
+            headers[name] = value
+    headers[FORWARDED_HEADER] = "yes"
+    return headers
+
+
+def _answer_headers(response: urllib3.BaseHTTPResponse) -> list[tuple[str, str]]:
+    pairs = list(response.headers.items())
+    own = [pair for pair in pairs if pair[0].lower().startswith(_OWN_PREFIX)]
+    headers = [*end_to_end_headers(pairs), *own]
+    length = response.headers.get("Content-Length")
+    if length is not None:
+        headers.append(("Content-Length", length))
+    return headers
+
+
+def _stream(response: urllib3.BaseHTTPResponse) -> Iterator[bytes]:
+    is_whole = False
+    try:
+        yield from response.stream(_CHUNK_BYTES, decode_content=False)
+        is_whole = True
+    except (HTTPError, OSError) as error:
+        raise RequestError(Reason.UPSTREAM_BROKE, type(error).__name__) from error
+    finally:
+        if is_whole:
+            response.release_conn()
+        else:
+            response.close()
--- /dev/null
+++ b/almondstack/entry/http.py
@@ -0,0 +1,105 @@
+"""A request and a reply of the callers' interface."""
+
+import socket
+from collections.abc import Iterable, Iterator
+
+from almondstack.core import Outcome, encode_json
+from almondstack.dispatch import Body
+
+__all__ = ["HttpReply", "HttpRequest", "json_reply"]
+
+Headers = list[tuple[str, str]]
+
+
+class HttpRequest:
+    """One request whose head has been read.
+
+    Parameters
+    ----------
+    method, path, query : str
+        From the request line; the path is decoded.
+    headers : list of (str, str)
+        Field names as sent, values decoded as Latin-1.
+    body : IncomingBody
+        Not read yet.
+    socket_ : socket.socket
+        The caller's connection.
+    """
+
+    __slots__ = ("_by_name", "body", "headers", "method", "path", "query", "socket")
+
+    def __init__(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: Headers,
+        body: "IncomingBody",
+        socket_: socket.socket | None = None,
+        query: str = "",
+    ) -> None:
+        self.method = method
+        self.path = path
+        self.query = query
+        self.headers = headers
+        self.body = body
+        self.socket = socket_
+        self._by_name = {name.lower(): value for name, value in headers}
+
+    @property
+    def path_parts(self) -> tuple[str, ...]:
+        """The path without empty parts at its ends."""
+        return tuple(self.path.strip("/").split("/"))
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return the value of a header; ``name`` is in lower case."""
+        return self._by_name.get(name, default)
+
+
+class IncomingBody:
+    """The body of a request as it arrives; sizes are in bytes."""
+
+    __slots__ = ()
+
+    @property
+    def declared_length(self) -> int | None:
+        """Length that the caller declared; None if it sends chunks."""
+        raise NotImplementedError
+
+    def read(self, size: int) -> bytes:
+        """Return at most ``size`` bytes; empty only at the end."""
+        raise NotImplementedError
+
+    def load(self, most_bytes: int) -> Body:
+        """Return the body, held in memory if small, else streamed."""
+        raise NotImplementedError
+
+
+class HttpReply:
+    """An answer to a caller.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of (str, str)
+        Header fields.
+    chunks : iterable of bytes
+        The body; if it raises, the caller's connection ends abnormally.
+    """
+
+    __slots__ = ("chunks", "headers", "status")
+
+    def __init__(self, status: int, headers: Headers, chunks: Iterable[bytes] = ()) -> None:
+        self.status = status
+        self.headers = headers
+        self.chunks: Iterable[bytes] | Iterator[bytes] = chunks
+
+
+def json_reply(value: object, outcome: Outcome | None = None, status: int = 200) -> HttpReply:
+    """Return an answer of the entry itself that holds ``value`` as JSON."""
+    body = encode_json(value)
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    if outcome is not None:
+        headers.append(("Almondstack-Outcome", outcome.value))
+    return HttpReply(status, headers, [body])
--- /dev/null
+++ b/almondstack/entry/overflow.py
@@ -0,0 +1,84 @@
+"""Tells callers for whom no thread is free that their request was not run."""
+
+import contextlib
+import queue
+import socket
+import threading
+import time
+from collections import deque
+from typing import Any
+
+from almondstack.core import NullMetrics, Reason, RequestError
+from almondstack.entry.problems import problem_body, problem_headers, status_line
+
+__all__ = ["OverflowRefuser", "raw_refusal"]
+
+_LINGER_S = 1.0
+_MOST_LINGERING = 512
+_SEND_TIMEOUT_S = 0.2
+_POLL_S = 0.2
+
+
+def raw_refusal(reason: Reason, detail: str = "") -> bytes:
+    """Return a whole HTTP/1.1 answer that closes the connection."""
+    error = RequestError(reason, detail)
+    body = problem_body(error)
+    headers = [*problem_headers(error, body), ("Connection", "close")]
+    lines = [f"HTTP/1.1 {status_line(error.status)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+class OverflowRefuser:
+    """Refuses connections in one thread, and lets callers read the answer.
+
+    Parameters
+    ----------
+    metrics : NullMetrics
+        Counts refusals.
+    """
+
+    __slots__ = ("_answer", "_lingering", "_metrics", "_queue", "_stop", "_thread")
+
+    def __init__(self, metrics: NullMetrics) -> None:
+        self._metrics = metrics
+        self._answer = raw_refusal(Reason.TOO_MANY_CONNECTIONS)
+        self._queue: queue.SimpleQueue[Any] = queue.SimpleQueue()
+        self._lingering: deque[tuple[float, Any]] = deque()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="overflow", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread."""
+        self._stop.set()
+
+    def refuse(self, connection: Any) -> None:
+        """Refuse a cheroot connection and close it soon."""
+        self._metrics.count(f"refused.{Reason.TOO_MANY_CONNECTIONS.value}")
+        self._queue.put(connection)
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            with contextlib.suppress(queue.Empty):
+                self._send(self._queue.get(timeout=_POLL_S))
+            self._close_old()
+
+    def _send(self, connection: Any) -> None:
+        with contextlib.suppress(OSError):
+            connection.socket.settimeout(_SEND_TIMEOUT_S)
+            connection.socket.sendall(self._answer)
+            connection.socket.shutdown(socket.SHUT_WR)
+        self._lingering.append((time.monotonic() + _LINGER_S, connection))
+
+    def _close_old(self) -> None:
+        now_s = time.monotonic()
+        while self._lingering and (
+            self._lingering[0][0] <= now_s or len(self._lingering) > _MOST_LINGERING
+        ):
+            _, connection = self._lingering.popleft()
+            with contextlib.suppress(OSError):
+                connection.close()
--- /dev/null
+++ b/almondstack/entry/parts.py
@@ -0,0 +1,118 @@
+"""The parts of an entry that its handlers share."""
+
+import threading
+
+from almondstack.core import Clock, NullMetrics, Reason, RequestError
+from almondstack.entry.authentication import Authenticator
+from almondstack.entry.calls import CallRegistry
+from almondstack.entry.connections import HangupWatcher, Reaper
+from almondstack.entry.contract import Connectivity, Dispatching, Revocations
+from almondstack.entry.forwarding import Forwarder
+from almondstack.entry.settings import EntrySettings
+from almondstack.fold import Fold
+from almondstack.once import OnceGuard
+
+__all__ = ["EntryParts"]
+
+
+class EntryParts:
+    """Everything that serving a request needs.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        All settings.
+    incarnation : str
+        Name of this life.
+    fold : Fold
+        The folded state.
+    dispatching : Dispatching
+        Runs admitted calls.
+    once : OnceGuard
+        Decides who may run a request with an id.
+    revocations : Revocations
+        Revocations heard by any route.
+    connectivity : Connectivity
+        Whether the entry is cut off, and may start work.
+    clock : Clock
+        Measures deadlines.
+    metrics : NullMetrics
+        Counts outcomes and reasons.
+    """
+
+    __slots__ = (
+        "_stopping",
+        "authenticator",
+        "calls",
+        "clock",
+        "connectivity",
+        "dispatching",
+        "fold",
+        "forwarder",
+        "hangups",
+        "incarnation",
+        "metrics",
+        "once",
+        "reaper",
+        "revocations",
+        "settings",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        incarnation: str,
+        fold: Fold,
+        dispatching: Dispatching,
+        once: OnceGuard,
+        revocations: Revocations,
+        connectivity: Connectivity,
+        clock: Clock,
+        metrics: NullMetrics,
+    ) -> None:
+        self.settings = settings
+        self.incarnation = incarnation
+        self.fold = fold
+        self.dispatching = dispatching
+        self.once = once
+        self.revocations = revocations
+        self.connectivity = connectivity
+        self.clock = clock
+        self.metrics = metrics
+        self.authenticator = Authenticator(fold, revocations)
+        self.calls = CallRegistry()
+        self.hangups = HangupWatcher()
+        self.reaper = Reaper(clock)
+        self.forwarder = Forwarder(settings.callers.tls)
+        self._stopping = threading.Event()
+
+    @property
+    def is_stopping(self) -> bool:
+        """True once a graceful shutdown has begun."""
+        return self._stopping.is_set()
+
+    @property
+    def is_fenced(self) -> bool:
+        """True if the log has fenced this life."""
+        entry = self.fold.state.entries.get(self.incarnation)
+        return entry is not None and not entry.is_live
+
+    def stop_taking(self) -> None:
+        """Refuse new requests from now on."""
+        self._stopping.set()
+
+    def check_ready(self) -> None:
+        """Check that the entry takes requests.
+
+        Raises
+        ------
+        RequestError
+            It shuts down, has no configuration, or was fenced.
+        """
+        if self.is_stopping:
+            raise RequestError(Reason.SHUTTING_DOWN)
+        if self.fold.state.revision == 0:
+            raise RequestError(Reason.NOT_READY)
+        if self.is_fenced:
+            raise RequestError(Reason.FENCED)
--- a/almondstack/entry/problems.py
+++ b/almondstack/entry/problems.py
@@ -1,29 +1,24 @@
 """Problem details for callers (RFC 9457)."""
 
+from http.client import responses
+
 from almondstack.core import RequestError, encode_json, reason_info
 
 __all__ = ["problem_body", "problem_headers", "status_line"]
 
-_PHRASES = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    403: "Forbidden",
-    404: "Not Found",
-    409: "Conflict",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
+_UNAUTHORIZED = 401
 
 
 def status_line(status: int) -> str:
-    """Return the status with its phrase, as WSGI wants it."""
-    return f"{status} {_PHRASES.get(status, 'Status')}"
+    """Return the status with its phrase.
+
+    Examples
+    --------
+    >>> from almondstack.entry.problems import status_line
+    >>> status_line(404)
+    '404 Not Found'
+    """
+    return f"{status} {responses.get(status, 'Status')}"
 
 
 def problem_body(error: RequestError) -> bytes:
@@ -49,6 +44,6 @@
     ]
     if error.retry_after_s is not None:
         headers.append(("Retry-After", str(error.retry_after_s)))
-    if error.status == 401:
+    if error.status == _UNAUTHORIZED:
         headers.append(("WWW-Authenticate", "Bearer"))
     return headers
--- /dev/null
+++ b/almondstack/entry/server.py
@@ -0,0 +1,200 @@
+"""The HTTP server for callers, on cheroot.
+
+Explanation
+-----------
+cheroot gives each request a thread of a bounded pool.  Added here: a new
+connection waits for its first byte without a thread, heads are read strictly
+and within a time bound, refusals of the server itself are problem details, and
+an answer that breaks off ends the connection with a reset.
+"""
+
+import math
+import queue
+from collections.abc import Callable
+from typing import Any
+
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.workers.threadpool import ThreadPool
+
+from almondstack.core import NullMetrics, PartLogger, Reason, parse_address
+from almondstack.entry.bodies import ChunkedBody, KnownLengthBody
+from almondstack.entry.connections import Reaper, reset_on_close
+from almondstack.entry.header_reader import StrictHeaderReader
+from almondstack.entry.http import HttpReply, HttpRequest
+from almondstack.entry.overflow import OverflowRefuser, raw_refusal
+from almondstack.entry.problems import status_line
+from almondstack.entry.settings import EntrySettings
+from almondstack.entry.tls import ReloadingTlsAdapter
+
+__all__ = ["EntryServer", "Handler"]
+
+Handler = Callable[[HttpRequest], HttpReply]
+
+_MOST_HEAD_BYTES = 32_768
+_MOST_DISCARDED_BYTES = 65_536
+
+_REASONS_BY_STATUS = {
+    "400": Reason.BAD_REQUEST,
+    "405": Reason.PATH_UNKNOWN,
+    "408": Reason.BODY_INCOMPLETE,
+    "413": Reason.BAD_REQUEST,
+    "414": Reason.BAD_REQUEST,
+    "500": Reason.INTERNAL,
+    "505": Reason.BAD_REQUEST,
+}
+
+_log = PartLogger("entry")
+
+
+class _EntryRequest(HTTPRequest):
+    """Reads one head strictly, and refuses in the callers' format."""
+
+    header_reader = StrictHeaderReader()
+
+    def __init__(self, server: "EntryServer", conn: HTTPConnection) -> None:
+        super().__init__(server, conn, proxy_mode=False, strict_mode=True)
+
+    def parse_request(self) -> None:
+        """Read the head within the time bound."""
+        bound_s = self.server.head_timeout_s
+        with self.server.reaper.bounding(self.conn.socket, bound_s):
+            super().parse_request()
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Refuse and close; called by cheroot for heads that it does not take."""
+        reason = _REASONS_BY_STATUS.get(str(status)[:3], Reason.BAD_REQUEST)
+        self.server.metrics.count(f"refused.{reason.value}")
+        self.close_connection = True
+        self.sent_headers = True
+        try:
+            self.conn.wfile.write(raw_refusal(reason, msg))
+        except OSError:
+            _log.debug("A refused caller was gone.")
+
+
+class _EntryConnection(HTTPConnection):
+    """A caller's connection."""
+
+    RequestHandlerClass = _EntryRequest
+
+
+class _EntryGateway(Gateway):
+    """Hands a request to the handler and writes its reply."""
+
+    def respond(self) -> None:
+        """Answer one request."""
+        body = self._incoming_body()
+        reply = self.req.server.handler(self._request(body))
+        try:
+            self._send(reply, body)
+        finally:
+            close = getattr(reply.chunks, "close", None)
+            if close is not None:
+                close()
+
+    def _send(self, reply: HttpReply, body: ChunkedBody | KnownLengthBody) -> None:
+        self._write_head(reply, body)
+        try:
+            for chunk in reply.chunks:
+                if chunk:
+                    self.req.write(chunk)
+        except Exception as error:
+            _log.info("An answer broke off. %s.", error)
+            reset_on_close(self.req.conn.socket)
+            raise ConnectionAbortedError("the answer broke off") from error
+
+    def _incoming_body(self) -> ChunkedBody | KnownLengthBody:
+        if self.req.chunked_read:
+            return ChunkedBody(self.req.conn.rfile)
+        length = int(self.req.inheaders.get(b"Content-Length", 0))
+        return KnownLengthBody(self.req.conn.rfile, length)
+
+    def _request(self, body: ChunkedBody | KnownLengthBody) -> HttpRequest:
+        request = self.req
+        headers = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in request.inheaders.items()
+        ]
+        return HttpRequest(
+            method=request.method.decode("latin-1"),
+            path=request.path.decode("latin-1"),
+            query=(request.qs or b"").decode("latin-1"),
+            headers=headers,
+            body=body,
+            socket_=request.conn.socket,
+        )
+
+    def _write_head(self, reply: HttpReply, body: ChunkedBody | KnownLengthBody) -> None:
+        request = self.req
+        request.status = status_line(reply.status).encode("latin-1")
+        request.outheaders.extend(
+            (name.encode("latin-1"), value.encode("latin-1")) for name, value in reply.headers
+        )
+        is_short = isinstance(body, KnownLengthBody) and body.remaining <= _MOST_DISCARDED_BYTES
+        if body.remaining and not is_short:
+            request.close_connection = True
+        request.rfile = body if isinstance(body, KnownLengthBody) else request.rfile
+        request.ensure_headers_sent()
+
+
+class EntryServer(HTTPServer):
+    """Listens for callers.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Address, thread count and bounds.
+    handler : callable
+        Answers one request; must not raise.
+    reaper : Reaper
+        Ends connections that are too slow.
+    metrics : NullMetrics
+        Counts refusals of the server itself.
+    """
+
+    ConnectionClass = _EntryConnection
+
+    def __init__(
+        self, settings: EntrySettings, handler: Handler, reaper: Reaper, metrics: NullMetrics
+    ) -> None:
+        callers = settings.callers
+        super().__init__(parse_address(callers.listen), _EntryGateway, server_name="almondstack")
+        self.handler = handler
+        self.reaper = reaper
+        self.metrics = metrics
+        self.head_timeout_s = callers.head_timeout_s
+        self.timeout = math.ceil(callers.body_timeout_s)
+        self.shutdown_timeout = math.ceil(settings.shutdown_timeout_s)
+        self.request_queue_size = callers.waiting_connections
+        self.max_request_header_size = _MOST_HEAD_BYTES
+        self.keep_alive_conn_limit = callers.idle_connections
+        self.requests = ThreadPool(
+            self,
+            min=callers.threads,
+            max=callers.threads,
+            accepted_queue_size=callers.waiting_connections,
+            accepted_queue_timeout=0,
+        )
+        self._refuser = OverflowRefuser(metrics)
+        if callers.tls is not None:
+            self.ssl_adapter = ReloadingTlsAdapter(callers.tls)
+
+    def prepare(self) -> None:
+        """Bind the address and start the threads."""
+        super().prepare()
+        self._refuser.start()
+
+    def process_conn(self, conn: Any) -> None:
+        """Give a connection a thread once a byte of it can be read."""
+        if conn.last_used is None:
+            self.put_conn(conn)
+            return
+        try:
+            self.requests.put(conn)
+        except queue.Full:
+            self._refuser.refuse(conn)
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Write cheroot's own messages in our format."""
+        if "the answer broke off" not in msg:
+            _log.debug("%s", msg)
--- a/almondstack/entry/settings.py
+++ b/almondstack/entry/settings.py
@@ -12,7 +12,9 @@
     PositiveSeconds,
     Settings,
     StatsdSettings,
+    TlsSettings,
 )
+from almondstack.once import OnceSettings
 
 __all__ = ["CallerSettings", "EntrySettings"]
 
@@ -28,14 +30,23 @@
         Most callers served at once.
     waiting_connections : int
         Most connections that wait for a thread.
+    idle_connections : int
+        Most connections kept open between requests.
+    head_timeout_s : float
+        A request's head must arrive within so many seconds.
     body_timeout_s : float
         A caller that sends nothing for so long is cut off, in seconds.
+    tls : TlsSettings or None
+        Files for TLS; None serves plain HTTP.
     """
 
     listen: Address
     threads: Annotated[int, Meta(ge=4, le=2000)] = 256
     waiting_connections: Annotated[int, Meta(ge=1, le=65_536)] = 512
+    idle_connections: Annotated[int, Meta(ge=1, le=65_536)] = 1024
+    head_timeout_s: PositiveSeconds = 5.0
     body_timeout_s: PositiveSeconds = 10.0
+    tls: TlsSettings | None = None
 
 
 class EntrySettings(Settings, frozen=True):
@@ -43,6 +54,9 @@
 
     Parameters
     ----------
+    operator_token_file : str or None
+        File whose content operators prove to know when they send a
+        revocation straight to this entry; None refuses such calls.
     shutdown_timeout_s : float
         Bound on a graceful shutdown, in seconds.
     """
@@ -50,7 +64,9 @@
     node: NodeSettings
     callers: CallerSettings
     log: LogServiceSettings
+    once: OnceSettings = OnceSettings()
     peer_listen: Address = "127.0.0.1:7201"
+    operator_token_file: str | None = None
     statsd: StatsdSettings = StatsdSettings()
     logging: LoggingSettings = LoggingSettings()
     shutdown_timeout_s: PositiveSeconds = 30.0
--- a/almondstack/entry/submission.py
+++ b/almondstack/entry/submission.py
@@ -3,11 +3,13 @@
 import msgspec
 
 from almondstack.core import Reason, RequestError
+from almondstack.entry.http import HttpRequest
 from almondstack.model import Queue
 
 __all__ = ["Submission", "parse_submission"]
 
 _MOST_DEADLINE_MS = 86_400_000
+_MOST_ID_CHARACTERS = 512
 
 
 class Submission(msgspec.Struct, frozen=True):
@@ -16,7 +18,7 @@
     Parameters
     ----------
     request_id : str or None
-        Value of ``Idempotency-Key``.
+        Value of ``Idempotency-Key``: a UUIDv7 or a ticket.
     is_idempotent, is_urgent : bool
         Values of ``Almondstack-Idempotent`` and ``Almondstack-Urgent``.
     deadline_ms : int
@@ -29,34 +31,37 @@
     deadline_ms: int
 
 
-def parse_submission(headers: dict[str, str], queue: Queue) -> Submission:
-    """Read the product's headers; names are in lower case.
+def parse_submission(request: HttpRequest, queue: Queue) -> Submission:
+    """Read the product's headers.
 
     Raises
     ------
     RequestError
         A header has a value that is not allowed.
     """
+    request_id = request.header("idempotency-key").strip()
+    if len(request_id) > _MOST_ID_CHARACTERS:
+        raise RequestError(Reason.ID_MALFORMED)
     return Submission(
-        request_id=headers.get("idempotency-key") or None,
-        is_idempotent=_flag(headers, "almondstack-idempotent"),
-        is_urgent=_flag(headers, "almondstack-urgent"),
-        deadline_ms=_deadline_ms(headers, queue),
+        request_id=request_id or None,
+        is_idempotent=_flag(request, "almondstack-idempotent"),
+        is_urgent=_flag(request, "almondstack-urgent"),
+        deadline_ms=_deadline_ms(request, queue),
     )
 
 
-def _flag(headers: dict[str, str], name: str) -> bool:
-    value = headers.get(name, "no").strip().lower()
+def _flag(request: HttpRequest, name: str) -> bool:
+    value = request.header(name, "no").lower()
     if value not in ("yes", "no"):
         raise RequestError(Reason.BAD_HEADER, f"{name} must be yes or no")
     return value == "yes"
 
 
-def _deadline_ms(headers: dict[str, str], queue: Queue) -> int:
+def _deadline_ms(request: HttpRequest, queue: Queue) -> int:
     name = "almondstack-deadline-ms"
-    value = headers.get(name)
-    if value is None:
+    value = request.header(name)
+    if not value:
         return queue.default_deadline_ms
-    if not (value.isascii() and value.isdigit()) or not 0 < int(value) <= _MOST_DEADLINE_MS:
+    if not (value.isascii() and value.isdigit()) or not 0 < int(value[:10]) <= _MOST_DEADLINE_MS:
         raise RequestError(Reason.BAD_HEADER, f"{name} must be from 1 to {_MOST_DEADLINE_MS}")
-    return int(value)
+    return int(value[:10])
--- /dev/null
+++ b/almondstack/entry/submit.py
@@ -0,0 +1,182 @@
+"""``POST /v1/queues/{queue}/requests``: from a request to its answer."""
+
+import uuid
+from collections.abc import Iterator
+
+from almondstack.core import Outcome, Reason, RequestError
+from almondstack.dispatch import Body, Call, UpstreamAnswer, end_to_end_headers
+from almondstack.entry.forwarding import FORWARDED_HEADER
+from almondstack.entry.http import HttpReply, HttpRequest
+from almondstack.entry.parts import EntryParts
+from almondstack.entry.submission import Submission, parse_submission
+from almondstack.model import Queue, Team
+from almondstack.once import Hold, is_ticket, parse_ticket
+
+__all__ = ["SubmitHandler", "queue_of"]
+
+
+def queue_of(parts: EntryParts, name: str) -> Queue:
+    """Return the queue ``name``.
+
+    Raises
+    ------
+    RequestError
+        There is none.
+    """
+    queue = parts.fold.state.queues.get(name)
+    if queue is None:
+        raise RequestError(Reason.QUEUE_UNKNOWN)
+    return queue
+
+
+class SubmitHandler:
+    """Admits a request, runs it and streams the answer.
+
+    Parameters
+    ----------
+    parts : EntryParts
+        The parts of the entry.
+    """
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+
+    def handle(self, request: HttpRequest, queue_name: str) -> HttpReply:
+        """Return the answer to a submission.
+
+        Raises
+        ------
+        RequestError
+            No upstream answered; the outcome says whether it may have run.
+        """
+        parts = self._parts
+        parts.check_ready()
+        queue = queue_of(parts, queue_name)
+        authorization = request.header("authorization")
+        team = parts.authenticator.authorize(queue, authorization)
+        self._check_strict(queue, team)
+        submission = parse_submission(request, queue)
+        deadline_s = parts.clock.monotonic() + submission.deadline_ms / 1000
+        body = self._load_body(request, queue, submission)
+        holder = self._foreign_holder(submission)
+        if holder is not None:
+            return self._forward(request, body, holder, submission)
+        call = self._make_call(request, queue, team, body, submission, deadline_s)
+        hold = parts.once.hold(team.name, submission.request_id, submission.is_idempotent)
+        return self._run(request, call, hold, submission)
+
+    def _check_strict(self, queue: Queue, team: Team) -> None:
+        if (queue.is_strict or team.is_strict) and self._parts.connectivity.is_cut_off:
+            raise RequestError(Reason.CUT_OFF_STRICT)
+
+    def _load_body(self, request: HttpRequest, queue: Queue, submission: Submission) -> Body:
+        bound_s = submission.deadline_ms / 1000
+        with self._parts.reaper.bounding(request.socket, bound_s):
+            return request.body.load(queue.max_body_bytes)
+
+    def _foreign_holder(self, submission: Submission) -> str | None:
+        """Return the incarnation that a ticket names, if it is not this one."""
+        if submission.request_id is None or not is_ticket(submission.request_id):
+            return None
+        incarnation = parse_ticket(submission.request_id).incarnation
+        return None if incarnation == self._parts.incarnation else incarnation
+
+    def _forward(
+        self, request: HttpRequest, body: Body, holder: str, submission: Submission
+    ) -> HttpReply:
+        entry = self._parts.fold.state.entries.get(holder)
+        if entry is None or not entry.is_live or request.header(FORWARDED_HEADER):
+            raise RequestError(Reason.TICKET_HOLDER_GONE)
+        self._parts.metrics.count("forwarded.ticket")
+        timeout_s = submission.deadline_ms / 1000
+        return self._parts.forwarder.forward(request, body, entry.address, timeout_s)
+
+    def _make_call(
+        self,
+        request: HttpRequest,
+        queue: Queue,
+        team: Team,
+        body: Body,
+        submission: Submission,
+        deadline_s: float,
+    ) -> Call:
+        authorization = request.header("authorization")
+        return Call(
+            call_id=str(uuid.uuid4()),
+            team=team,
+            queue=queue,
+            body=body,
+            deadline_s=deadline_s,
+            headers=end_to_end_headers(request.headers),
+            is_idempotent=submission.is_idempotent,
+            is_urgent=submission.is_urgent,
+            before_start=lambda: self._check_start(queue, authorization),
+        )
+
+    def _check_start(self, queue: Queue, authorization: str) -> None:
+        """Check again, at the last moment, what may have changed while the call waited."""
+        if self._parts.is_fenced or not self._parts.connectivity.is_start_allowed:
+            raise RequestError(Reason.FENCED)
+        self._parts.authenticator.authorize(queue, authorization)
+
+    def _run(
+        self, request: HttpRequest, call: Call, hold: Hold, submission: Submission
+    ) -> HttpReply:
+        parts = self._parts
+        with parts.calls.registered(call, submission.request_id):
+            try:
+                with parts.hangups.watching(request.socket, lambda: self._abandon(call)):
+                    answer = parts.dispatching.submit(call)
+            except RequestError as error:
+                self._end_hold(hold, error.outcome)
+                parts.calls.end_one()
+                raise
+            except BaseException:
+                hold.finish()
+                parts.calls.end_one()
+                raise
+        hold.finish()
+        return self._reply(call, answer)
+
+    def _abandon(self, call: Call) -> None:
+        call.caller_gone.set()
+        self._parts.dispatching.abandon(call)
+
+    @staticmethod
+    def _end_hold(hold: Hold, outcome: Outcome) -> None:
+        if outcome is Outcome.NOT_RUN:
+            hold.release()
+        else:
+            hold.finish()
+
+    def _reply(self, call: Call, answer: UpstreamAnswer) -> HttpReply:
+        self._parts.metrics.count("outcome.answered")
+        headers = [*answer.headers, ("Almondstack-Outcome", Outcome.ANSWERED.value)]
+        if answer.length is not None:
+            headers.append(("Content-Length", str(answer.length)))
+        return HttpReply(answer.status, headers, _AnswerStream(self._parts, answer))
+
+
+class _AnswerStream:
+    """Streams an answer and frees its place, however the stream ends."""
+
+    __slots__ = ("_answer", "_chunks", "_is_closed", "_parts")
+
+    def __init__(self, parts: EntryParts, answer: UpstreamAnswer) -> None:
+        self._parts = parts
+        self._answer = answer
+        self._chunks = answer.chunks()
+        self._is_closed = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._chunks
+
+    def close(self) -> None:
+        """End the answer; called once its last byte is written or it broke off."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._answer.close()
+        self._parts.calls.end_one()
--- /dev/null
+++ b/almondstack/entry/tickets.py
@@ -0,0 +1,109 @@
+"""``POST /v1/tickets`` and ``DELETE`` of a waiting request."""
+
+import uuid
+
+from almondstack.core import Outcome, Reason, RequestError
+from almondstack.dispatch import BufferedBody
+from almondstack.entry.forwarding import FORWARDED_HEADER
+from almondstack.entry.http import HttpReply, HttpRequest, json_reply
+from almondstack.entry.parts import EntryParts
+from almondstack.entry.submit import queue_of
+from almondstack.once import is_ticket, parse_ticket
+
+__all__ = ["CancelHandler", "TicketHandler"]
+
+_FORWARD_TIMEOUT_S = 5.0
+
+
+class TicketHandler:
+    """Hands out tickets.
+
+    Parameters
+    ----------
+    parts : EntryParts
+        The parts of the entry.
+    """
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+
+    def handle(self, request: HttpRequest) -> HttpReply:
+        """Return tickets; ``?count=N`` asks for more than one.
+
+        Raises
+        ------
+        RequestError
+            The key does not hold, or the count is out of range.
+        """
+        self._parts.check_ready()
+        team = self._parts.authenticator.authenticate(request.header("authorization"))
+        count = self._count(request.query)
+        tickets = self._parts.once.tickets.issue(team.name, count)
+        self._parts.metrics.count("tickets.issued", count)
+        life_s = self._parts.settings.once.ticket_life_s
+        return json_reply({"tickets": tickets, "life_s": life_s})
+
+    def _count(self, query: str) -> int:
+        most = self._parts.settings.once.tickets_per_call
+        if not query:
+            return 1
+        name, _, value = query.partition("=")
+        is_number = name == "count" and value.isascii() and value.isdigit() and len(value) < 7
+        if not is_number or not 1 <= int(value) <= most:
+            raise RequestError(Reason.BAD_REQUEST, f"count must be from 1 to {most}")
+        return int(value)
+
+
+class CancelHandler:
+    """Cancels a request that has not started.
+
+    Parameters
+    ----------
+    parts : EntryParts
+        The parts of the entry.
+    """
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
+
+    def handle(self, request: HttpRequest, queue_name: str, request_id: str) -> HttpReply:
+        """Cancel the request of the caller's team with this id.
+
+        Raises
+        ------
+        RequestError
+            There is no such request, or it has started.
+        """
+        parts = self._parts
+        queue = queue_of(parts, queue_name)
+        team = parts.authenticator.authorize(queue, request.header("authorization"))
+        call = parts.calls.find(team.name, request_id)
+        if call is None:
+            return self._ask_holder(request, team.name, request_id)
+        if not parts.dispatching.cancel(call.call_id):
+            raise RequestError(Reason.ALREADY_STARTED)
+        return json_reply({"cancelled": request_id}, Outcome.NOT_RUN)
+
+    def _ask_holder(self, request: HttpRequest, team: str, request_id: str) -> HttpReply:
+        holder = self._holder(team, request_id)
+        entry = self._parts.fold.state.entries.get(holder or "")
+        if entry is None or not entry.is_live or request.header(FORWARDED_HEADER):
+            raise RequestError(Reason.ID_NOT_FOUND)
+        if holder == self._parts.incarnation:
+            raise RequestError(Reason.ID_NOT_FOUND)
+        self._parts.metrics.count("forwarded.cancel")
+        body = BufferedBody(b"")
+        return self._parts.forwarder.forward(request, body, entry.address, _FORWARD_TIMEOUT_S)
+
+    def _holder(self, team: str, request_id: str) -> str | None:
+        if is_ticket(request_id):
+            return parse_ticket(request_id).incarnation
+        try:
+            uuid.UUID(request_id)
+        except ValueError as error:
+            raise RequestError(Reason.ID_MALFORMED) from error
+        return self._parts.once.claims.holder_of(team, request_id)
--- /dev/null
+++ b/almondstack/entry/tls.py
@@ -0,0 +1,91 @@
+"""TLS for callers, with certificates read again when their files change."""
+
+import io
+import os
+import socket
+import ssl
+import threading
+from typing import Any
+
+from cheroot.makefile import MakeFile
+from cheroot.ssl import Adapter
+
+from almondstack.core import PartLogger, SettingsError, TlsSettings
+
+__all__ = ["ReloadingTlsAdapter"]
+
+_log = PartLogger("tls")
+
+
+class ReloadingTlsAdapter(Adapter):
+    """Wraps accepted connections; the handshake runs in the caller's thread.
+
+    Parameters
+    ----------
+    settings : TlsSettings
+        Paths of the certificate, its key and the authority.
+
+    Raises
+    ------
+    SettingsError
+        The files cannot be loaded.
+    """
+
+    def __init__(self, settings: TlsSettings) -> None:
+        super().__init__(settings.certificate_file, settings.private_key_file)
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._stamp = self._read_stamp()
+        self._context = self._make_context()
+
+    def bind(self, sock: socket.socket) -> socket.socket:
+        """Return the listening socket as it is."""
+        return sock
+
+    def wrap(self, sock: socket.socket) -> tuple[socket.socket, dict[str, str]]:
+        """Return the accepted socket with TLS around it, not yet shaken hands."""
+        context = self._current_context()
+        wrapped = context.wrap_socket(sock, server_side=True, do_handshake_on_connect=False)
+        return wrapped, {"HTTPS": "on"}
+
+    def get_environ(self) -> dict[str, str]:
+        """Return nothing: the entry reads no WSGI environment."""
+        return {}
+
+    def makefile(self, sock: Any, mode: str = "r", bufsize: int = io.DEFAULT_BUFFER_SIZE) -> Any:
+        """Return a file on the wrapped socket."""
+        return MakeFile(sock, mode, bufsize)
+
+    def _current_context(self) -> ssl.SSLContext:
+        with self._lock:
+            stamp = self._read_stamp()
+            if stamp != self._stamp:
+                self._reload(stamp)
+            return self._context
+
+    def _reload(self, stamp: tuple[int, ...]) -> None:
+        try:
+            self._context = self._make_context()
+        except SettingsError as error:
+            _log.error("Kept the old certificate. %s.", error.detail)
+            return
+        self._stamp = stamp
+        _log.info("Loaded a new certificate.")
+
+    def _read_stamp(self) -> tuple[int, ...]:
+        files = (self._settings.certificate_file, self._settings.private_key_file)
+        try:
+            return tuple(os.stat(file).st_mtime_ns for file in files)
+        except OSError:
+            return ()
+
+    def _make_context(self) -> ssl.SSLContext:
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        context.minimum_version = ssl.TLSVersion.TLSv1_2
+        try:
+            context.load_cert_chain(
+                self._settings.certificate_file, self._settings.private_key_file
+            )
+        except (OSError, ssl.SSLError) as error:
+            raise SettingsError(f"the certificate cannot be loaded: {error}") from error
+        return context
--- /dev/null
+++ b/almondstack/once/__init__.py
@@ -0,0 +1,27 @@
+"""At most once: claims of request ids through the log, and tickets."""
+
+from almondstack.once.claims import ClaimBook
+from almondstack.once.follower import ClaimFollower
+from almondstack.once.guard import Hold, OnceGuard
+from almondstack.once.records import Claim, ClaimBatch, ClaimKey, claim_key
+from almondstack.once.settings import OnceSettings
+from almondstack.once.table import ClaimOwner, ClaimTable
+from almondstack.once.tickets import Ticket, TicketBook, is_ticket, parse_ticket
+
+__all__ = [
+    "Claim",
+    "ClaimBatch",
+    "ClaimBook",
+    "ClaimFollower",
+    "ClaimKey",
+    "ClaimOwner",
+    "ClaimTable",
+    "Hold",
+    "OnceGuard",
+    "OnceSettings",
+    "Ticket",
+    "TicketBook",
+    "claim_key",
+    "is_ticket",
+    "parse_ticket",
+]
--- /dev/null
+++ b/almondstack/once/guard.py
@@ -0,0 +1,112 @@
+"""One interface over ids and tickets for the submission handler."""
+
+from typing import Protocol
+
+from almondstack.once.claims import ClaimBook
+from almondstack.once.records import Claim
+from almondstack.once.tickets import Ticket, TicketBook, is_ticket
+
+__all__ = ["Hold", "OnceGuard"]
+
+
+class Hold(Protocol):
+    """The right to run one request once."""
+
+    def release(self) -> None:
+        """Free the id: the request has not run and never will."""
+        ...
+
+    def finish(self) -> None:
+        """Keep the id taken: the request has run, or may have."""
+        ...
+
+
+class _NoHold:
+    __slots__ = ()
+
+    def release(self) -> None:
+        """Do nothing."""
+
+    def finish(self) -> None:
+        """Do nothing."""
+
+
+class _ClaimHold:
+    __slots__ = ("_book", "_claim")
+
+    def __init__(self, book: ClaimBook, claim: Claim) -> None:
+        self._book = book
+        self._claim = claim
+
+    def release(self) -> None:
+        """Release the claim in the log."""
+        self._book.release(self._claim)
+
+    def finish(self) -> None:
+        """Leave the claim in the log."""
+        self._book.finish(self._claim)
+
+
+class _TicketHold:
+    __slots__ = ("_book", "_ticket")
+
+    def __init__(self, book: TicketBook, ticket: Ticket) -> None:
+        self._book = book
+        self._ticket = ticket
+
+    def release(self) -> None:
+        """Let the ticket be used again."""
+        self._book.release(self._ticket)
+
+    def finish(self) -> None:
+        """Leave the ticket used."""
+
+
+class OnceGuard:
+    """Gives the right to run a request.
+
+    Parameters
+    ----------
+    claims : ClaimBook
+        Decides on UUIDs through the log.
+    tickets : TicketBook
+        Decides on tickets of this incarnation.
+    """
+
+    __slots__ = ("_claims", "_tickets")
+
+    def __init__(self, claims: ClaimBook, tickets: TicketBook) -> None:
+        self._claims = claims
+        self._tickets = tickets
+
+    @property
+    def claims(self) -> ClaimBook:
+        """Claims through the log."""
+        return self._claims
+
+    @property
+    def tickets(self) -> TicketBook:
+        """Tickets of this incarnation."""
+        return self._tickets
+
+    def hold(self, team: str, request_id: str | None, is_idempotent: bool) -> Hold:
+        """Take the right to run a request.
+
+        Explanation
+        -----------
+        A request without an id is one start for each receipt.  An idempotent
+        request may run again, so its id needs no claim; a ticket is always
+        taken, since only its holder may start it.
+
+        Raises
+        ------
+        RequestError
+            Someone else has the id, or it cannot be checked.
+        """
+        if request_id is None:
+            return _NoHold()
+        if is_ticket(request_id):
+            return _TicketHold(self._tickets, self._tickets.use(request_id, team))
+        if is_idempotent:
+            return _NoHold()
+        return _ClaimHold(self._claims, self._claims.take(team, request_id))
--- /dev/null
+++ b/almondstack/once/records.py
@@ -0,0 +1,93 @@
+"""Records of the claims stream.
+
+Explanation
+-----------
+A claim names a request id by its team and its UUID, so that no team can take
+another's ids.  One record carries all claims and releases that an entry
+gathered in a few milliseconds.
+"""
+
+import uuid
+
+import msgspec
+
+from almondstack.core import CodecError, decode_msgpack, encode_msgpack
+
+__all__ = ["Claim", "ClaimBatch", "ClaimKey", "claim_key", "decode_batch", "encode_batch"]
+
+CLAIMS_LEVEL = 1
+
+
+class ClaimKey(msgspec.Struct, frozen=True, array_like=True):
+    """What is claimed: a request id of one team.
+
+    Parameters
+    ----------
+    team : str
+        The team.
+    id_bytes : bytes
+        The 16 bytes of the UUIDv7.
+    """
+
+    team: str
+    id_bytes: bytes
+
+    @property
+    def made_ms(self) -> int:
+        """When the id was made, in milliseconds since 1970 (RFC 9562)."""
+        return int.from_bytes(self.id_bytes[:6], "big")
+
+
+class Claim(msgspec.Struct, frozen=True, array_like=True):
+    """One claim, numbered by its author."""
+
+    key: ClaimKey
+    serial: int
+
+
+class ClaimBatch(msgspec.Struct, frozen=True, array_like=True):
+    """Claims and releases of one author.
+
+    Parameters
+    ----------
+    level : int
+        Format level; readers skip batches above their own.
+    author : str
+        Incarnation that will run the claimed requests.
+    written_ms : int
+        The author's wall clock, in milliseconds since 1970.
+    claims : list of Claim
+        Taken in order; the first claim of a key wins.
+    releases : list of Claim
+        Claims of this author whose request will never run.
+    """
+
+    level: int
+    author: str
+    written_ms: int
+    claims: list[Claim]
+    releases: list[Claim]
+
+
+def claim_key(team: str, request_id: str) -> ClaimKey:
+    """Return the key of a request id that is known to be a UUID."""
+    return ClaimKey(team, uuid.UUID(request_id).bytes)
+
+
+def encode_batch(batch: ClaimBatch) -> bytes:
+    """Return the bytes of a record of the claims stream."""
+    return encode_msgpack(batch)
+
+
+def decode_batch(data: bytes) -> ClaimBatch:
+    """Decode a record of the claims stream.
+
+    Raises
+    ------
+    CodecError
+        The bytes are no batch, or of a level that is not known here.
+    """
+    batch = decode_msgpack(data, ClaimBatch)
+    if batch.level > CLAIMS_LEVEL:
+        raise CodecError(f"claims level {batch.level} is not known")
+    return batch
--- /dev/null
+++ b/almondstack/once/table.py
@@ -0,0 +1,112 @@
+"""The fold of the claims stream: who may run which request id.
+
+Explanation
+-----------
+The first claim in the log wins, for every reader alike.  Claims are remembered
+for a window; an id older than the horizon can no longer be checked, so its
+claim is refused.  The horizon never goes back.  All times are milliseconds
+since 1970 taken from the records, never from a clock of the reader.
+"""
+
+import msgspec
+
+from almondstack.once.records import Claim, ClaimBatch, ClaimKey
+
+__all__ = ["ClaimOwner", "ClaimTable"]
+
+_BUCKET_MS = 1000
+
+
+class ClaimOwner(msgspec.Struct, frozen=True, array_like=True):
+    """Who holds a claim."""
+
+    author: str
+    serial: int
+
+
+class ClaimTable:
+    """Claims within the window.
+
+    Parameters
+    ----------
+    window_ms : int
+        How long a claim is remembered after its id was made, in milliseconds.
+    clock_error_ms : int
+        How far in its author's future an id may lie, in milliseconds.
+
+    Examples
+    --------
+    >>> from almondstack.once import Claim, ClaimBatch, ClaimTable, claim_key
+    >>> key = claim_key("north", "01890a5d-ac96-774b-bcce-b302099a8057")
+    >>> table = ClaimTable(600_000, 30_000)
+    >>> table.apply(ClaimBatch(1, "entry-1", key.made_ms, [Claim(key, 1)], []))
+    >>> table.apply(ClaimBatch(1, "entry-2", key.made_ms, [Claim(key, 1)], []))
+    >>> table.owner(key).author
+    'entry-1'
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_clock_error_ms",
+        "_horizon_ms",
+        "_newest_ms",
+        "_oldest_bucket",
+        "_owners",
+        "_window_ms",
+    )
+
+    def __init__(self, window_ms: int, clock_error_ms: int) -> None:
+        self._window_ms = window_ms
+        self._clock_error_ms = clock_error_ms
+        self._owners: dict[ClaimKey, ClaimOwner] = {}
+        self._buckets: dict[int, list[ClaimKey]] = {}
+        self._newest_ms = 0
+        self._horizon_ms = 0
+        self._oldest_bucket: int | None = None
+
+    @property
+    def horizon_ms(self) -> int:
+        """Ids made before this can no longer be checked."""
+        return self._horizon_ms
+
+    def __len__(self) -> int:
+        return len(self._owners)
+
+    def owner(self, key: ClaimKey) -> ClaimOwner | None:
+        """Return who holds ``key``, or None."""
+        return self._owners.get(key)
+
+    def forget_before(self, time_ms: int) -> None:
+        """Refuse ids made before ``time_ms``: their claims may be missing here."""
+        self._horizon_ms = max(self._horizon_ms, time_ms)
+        self._prune()
+
+    def apply(self, batch: ClaimBatch) -> None:
+        """Fold one record."""
+        for release in batch.releases:
+            self._release(batch.author, release)
+        latest_ms = batch.written_ms + self._clock_error_ms
+        for claim in batch.claims:
+            self._claim(batch.author, claim, latest_ms)
+        self.forget_before(self._newest_ms - self._window_ms)
+
+    def _claim(self, author: str, claim: Claim, latest_ms: int) -> None:
+        made_ms = claim.key.made_ms
+        if not self._horizon_ms <= made_ms <= latest_ms or claim.key in self._owners:
+            return
+        self._owners[claim.key] = ClaimOwner(author, claim.serial)
+        self._buckets.setdefault(made_ms // _BUCKET_MS, []).append(claim.key)
+        self._newest_ms = max(self._newest_ms, made_ms)
+
+    def _release(self, author: str, release: Claim) -> None:
+        if self._owners.get(release.key) == ClaimOwner(author, release.serial):
+            del self._owners[release.key]
+
+    def _prune(self) -> None:
+        horizon_bucket = self._horizon_ms // _BUCKET_MS
+        if self._oldest_bucket == horizon_bucket:
+            return
+        self._oldest_bucket = horizon_bucket
+        for bucket in [number for number in self._buckets if number < horizon_bucket]:
+            for key in self._buckets.pop(bucket):
+                self._owners.pop(key, None)
--- /dev/null
+++ b/almondstack/once/tickets.py
@@ -0,0 +1,186 @@
+"""Tickets: ids that only the entry that issued them may start.
+
+Explanation
+-----------
+A ticket lets a non-idempotent request run at most once while the log is
+silent.  It names the issuing incarnation and carries a keyed digest (HMAC,
+RFC 2104) made with a secret that never leaves that process, so nothing needs
+to be remembered until the ticket is used.  When the process is gone, nobody
+can start the ticket, which is what keeps the promise.
+"""
+
+import base64
+import binascii
+import hashlib
+import hmac
+import itertools
+import secrets
+import threading
+from collections import deque
+
+import msgspec
+
+from almondstack.core import (
+    Clock,
+    CodecError,
+    Reason,
+    RequestError,
+    decode_msgpack,
+    encode_msgpack,
+)
+from almondstack.once.settings import OnceSettings
+
+__all__ = ["Ticket", "TicketBook", "is_ticket", "parse_ticket"]
+
+_PREFIX = "t1."
+_SECRET_BYTES = 32
+_DIGEST_BYTES = 16
+
+
+class Ticket(msgspec.Struct, frozen=True, array_like=True):
+    """What a ticket says.
+
+    Parameters
+    ----------
+    incarnation : str
+        The only process that may start it.
+    team : str
+        The team that it was issued to.
+    serial : int
+        Number within the incarnation.
+    expires_ms : int
+        On the monotonic clock of the incarnation, in milliseconds.
+    """
+
+    incarnation: str
+    team: str
+    serial: int
+    expires_ms: int
+
+
+def is_ticket(request_id: str) -> bool:
+    """Return True if an idempotency key has the form of a ticket."""
+    return request_id.startswith(_PREFIX)
+
+
+def parse_ticket(text: str) -> Ticket:
+    """Read a ticket without checking its digest.
+
+    Raises
+    ------
+    RequestError
+        It is malformed.
+    """
+    try:
+        data = base64.urlsafe_b64decode(text.removeprefix(_PREFIX).encode("ascii"))
+        return decode_msgpack(data[:-_DIGEST_BYTES], Ticket)
+    except (CodecError, ValueError, binascii.Error) as error:
+        raise RequestError(Reason.ID_MALFORMED) from error
+
+
+class TicketBook:
+    """Issues tickets and lets each start once.
+
+    Parameters
+    ----------
+    incarnation : str
+        Name of this process's life.
+    settings : OnceSettings
+        Lifetime of tickets.
+    clock : Clock
+        Measures it.
+
+    Examples
+    --------
+    >>> from almondstack.core import SystemClock
+    >>> from almondstack.once import OnceSettings, TicketBook
+    >>> book = TicketBook("entry-1~00", OnceSettings(), SystemClock())
+    >>> ticket = book.issue("north", 1)[0]
+    >>> book.use(ticket, "north").serial
+    1
+    """
+
+    __slots__ = (
+        "_clock",
+        "_incarnation",
+        "_lock",
+        "_secret",
+        "_serials",
+        "_settings",
+        "_used",
+        "_used_in_order",
+    )
+
+    def __init__(self, incarnation: str, settings: OnceSettings, clock: Clock) -> None:
+        self._incarnation = incarnation
+        self._settings = settings
+        self._clock = clock
+        self._secret = secrets.token_bytes(_SECRET_BYTES)
+        self._serials = itertools.count(1)
+        self._lock = threading.Lock()
+        self._used: set[int] = set()
+        self._used_in_order: deque[tuple[int, int]] = deque()
+
+    @property
+    def incarnation(self) -> str:
+        """Name of the life whose tickets these are."""
+        return self._incarnation
+
+    @property
+    def used_count(self) -> int:
+        """Number of used tickets that are remembered."""
+        return len(self._used)
+
+    def issue(self, team: str, count: int) -> list[str]:
+        """Return ``count`` fresh tickets."""
+        expires_ms = self._now_ms() + int(self._settings.ticket_life_s * 1000)
+        return [self._encode(team, expires_ms) for _ in range(count)]
+
+    def use(self, text: str, team: str) -> Ticket:
+        """Mark a ticket as used.
+
+        Raises
+        ------
+        RequestError
+            The ticket is forged, another team's, too old, or used already.
+        """
+        ticket = self._verify(text, team)
+        with self._lock:
+            self._forget_expired()
+            if ticket.serial in self._used:
+                raise RequestError(Reason.ID_CLAIMED)
+            self._used.add(ticket.serial)
+            self._used_in_order.append((ticket.expires_ms, ticket.serial))
+        return ticket
+
+    def release(self, ticket: Ticket) -> None:
+        """Free a ticket whose request has not run and never will."""
+        with self._lock:
+            self._used.discard(ticket.serial)
+
+    def _verify(self, text: str, team: str) -> Ticket:
+        ticket = parse_ticket(text)
+        is_genuine = hmac.compare_digest(self._sign(ticket).encode(), text.encode())
+        if not is_genuine or ticket.incarnation != self._incarnation:
+            raise RequestError(Reason.ID_MALFORMED)
+        if ticket.team != team:
+            raise RequestError(Reason.TICKET_FOREIGN)
+        if ticket.expires_ms <= self._now_ms():
+            raise RequestError(Reason.ID_TOO_OLD)
+        return ticket
+
+    def _encode(self, team: str, expires_ms: int) -> str:
+        return self._sign(Ticket(self._incarnation, team, next(self._serials), expires_ms))
+
+    def _sign(self, ticket: Ticket) -> str:
+        data = encode_msgpack(ticket)
+        digest = hmac.digest(self._secret, data, hashlib.sha256)[:_DIGEST_BYTES]
+        return _PREFIX + base64.urlsafe_b64encode(data + digest).decode("ascii")
+
+    def _forget_expired(self) -> None:
+        now_ms = self._now_ms()
+        while self._used_in_order and self._used_in_order[0][0] <= now_ms:
+            self._used.discard(self._used_in_order.popleft()[1])
+
+    def _now_ms(self) -> int:
+        return int(self._clock.monotonic() * 1000)
