Give the log stand-in a rate, retention and prompt outages

A long poll outlived the start of an outage, a dropped reply was a status 500 instead of a broken connection, and readers could only be cut by the name of one incarnation.

--- a/almondstack/standin/log_service.py
+++ b/almondstack/standin/log_service.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from almondstack.core import decode_msgpack, encode_msgpack
-from almondstack.standin.web import Reply, StandinApp, read_body
+from almondstack.standin.web import Reply, StandinApp, break_off, read_body
 
 __all__ = ["LogFaults", "LogServiceStandin"]
 
@@ -24,28 +24,39 @@
     Parameters
     ----------
     is_down : bool
-        Refuse every call.
+        Refuse every call; long polls end at once.
     delay_s : float
         Wait before acting, in seconds.
     drop_replies : int
         Act on this many appends and break off instead of answering.
     cut_readers : list of str
-        Names of readers that get no answer.
+        Readers that get no answer, by their whole name or by what stands
+        before its incarnation (``e1`` for ``e1~0123456789ab``).
+    appends_per_s : int
+        Most appends taken in one second; 0 means any number.
+    kept : int
+        Records kept in each stream; 0 means the number at the start.
     """
 
     is_down: bool = False
     delay_s: float = 0.0
     drop_replies: int = 0
     cut_readers: list[str] = msgspec.field(default_factory=list)
+    appends_per_s: int = 0
+    kept: int = 0
+
+    def is_refused(self, reader: str) -> bool:
+        """True if ``reader`` gets no answer now."""
+        name = reader.partition("~")[0]
+        return self.is_down or reader in self.cut_readers or name in self.cut_readers
 
 
 class _Stream:
     """Records of one stream, of which the oldest are dropped."""
 
-    def __init__(self, kept: int) -> None:
+    def __init__(self) -> None:
         self.records: list[bytes] = []
         self.oldest = 0
-        self._kept = kept
 
     @property
     def next_offset(self) -> int:
@@ -56,11 +67,31 @@
         """Add records; return the offset of the first."""
         first = self.next_offset
         self.records.extend(records)
-        surplus = len(self.records) - self._kept
+        return first
+
+    def truncate(self, kept: int) -> None:
+        """Drop all but the newest ``kept`` records."""
+        surplus = len(self.records) - kept
         if surplus > 0:
             del self.records[:surplus]
             self.oldest += surplus
-        return first
+
+
+class _AppendRate:
+    """Counts appends in the current second."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._count = 0
+
+    def is_over(self, bound: int) -> bool:
+        """Count one append; True if it is beyond ``bound`` in its second."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._count = 0
+        self._count += 1
+        return 0 < bound < self._count
 
 
 class LogServiceStandin(StandinApp):
@@ -76,8 +107,10 @@
         self._kept = kept
         self._streams: dict[str, _Stream] = {}
         self._faults = LogFaults()
-        self._grown = threading.Condition()
+        self._changed = threading.Condition()
+        self._rate = _AppendRate()
         self._append_count = 0
+        self._read_bytes = 0
 
     def handle(self, method: str, path: str, query: dict[str, str], environ: Any) -> Reply:
         """Return the answer to one request."""
@@ -87,56 +120,60 @@
         if parts[:2] != ["v1", "streams"] or len(parts) != 4:
             return Reply(404)
         reader = environ.get("HTTP_ALMONDSTACK_READER", "")
+        body = read_body(environ)
         time.sleep(self._faults.delay_s)
-        if self._faults.is_down or reader in self._faults.cut_readers:
-            return Reply(503)
-        return self._serve_stream(method, parts[2], parts[3], query, environ)
+        with self._changed:
+            if self._faults.is_refused(reader):
+                return Reply(503)
+            return self._serve_stream(method, parts[2], parts[3], query, body, reader)
 
     def _serve_stream(
-        self, method: str, name: str, what: str, query: dict[str, str], environ: Any
+        self, method: str, name: str, what: str, query: dict[str, str], body: bytes, reader: str
     ) -> Reply:
+        stream = self._streams.setdefault(name, _Stream())
         if what == "bounds":
-            with self._grown:
-                stream = self._stream(name)
-                return Reply(200, encode_msgpack([stream.oldest, stream.next_offset]))
+            return Reply(200, encode_msgpack([stream.oldest, stream.next_offset]))
         if method == "POST":
-            return self._append(name, environ)
-        return self._read(name, int(query["from"]), int(query.get("wait_ms", "0")) / 1000)
-
-    def _stream(self, name: str) -> _Stream:
-        return self._streams.setdefault(name, _Stream(self._kept))
-
-    def _append(self, name: str, environ: Any) -> Reply:
-        records = decode_msgpack(read_body(environ), list[bytes])
-        with self._grown:
-            first = self._stream(name).append(records)
-            self._append_count += 1
-            self._grown.notify_all()
-            is_lost = self._faults.drop_replies > 0
-            self._faults.drop_replies -= is_lost
-        if is_lost:
-            raise ConnectionAbortedError("reply dropped on purpose")
+            return self._append(stream, body)
+        return self._read(stream, int(query["from"]), int(query.get("wait_ms", "0")) / 1000, reader)
+
+    def _append(self, stream: _Stream, body: bytes) -> Reply:
+        if self._rate.is_over(self._faults.appends_per_s):
+            return Reply(429)
+        first = stream.append(decode_msgpack(body, list[bytes]))
+        stream.truncate(self._faults.kept or self._kept)
+        self._append_count += 1
+        self._changed.notify_all()
+        if self._faults.drop_replies > 0:
+            self._faults.drop_replies -= 1
+            break_off()
         return Reply(200, encode_msgpack(first))
 
-    def _read(self, name: str, offset: int, wait_s: float) -> Reply:
-        with self._grown:
-            stream = self._stream(name)
-            if offset < stream.oldest:
-                return Reply(410)
-            self._grown.wait_for(lambda: stream.next_offset > offset, wait_s)
-            if self._faults.is_down:
-                return Reply(503)
-            start = max(offset - stream.oldest, 0)
-            records = stream.records[start : start + 1000]
-        return Reply(200, encode_msgpack([[offset + i, data] for i, data in enumerate(records)]))
+    def _read(self, stream: _Stream, offset: int, wait_s: float, reader: str) -> Reply:
+        self._changed.wait_for(
+            lambda: stream.next_offset > offset or self._faults.is_refused(reader), wait_s
+        )
+        if self._faults.is_refused(reader):
+            return Reply(503)
+        if offset < stream.oldest:
+            return Reply(410)
+        start = offset - stream.oldest
+        records = stream.records[start : start + 1000]
+        data = encode_msgpack([[offset + i, record] for i, record in enumerate(records)])
+        self._read_bytes += len(data)
+        return Reply(200, data)
 
     def _control(self, what: str, environ: Any) -> Reply:
-        if what == "faults":
-            self._faults = msgspec.convert(_json(environ), LogFaults)
-        with self._grown:
+        body = read_body(environ)
+        with self._changed:
+            if what == "faults":
+                self._set_faults(msgspec.json.decode(body, type=LogFaults))
             lengths = {name: stream.next_offset for name, stream in self._streams.items()}
-        return Reply.of_json({"appends": self._append_count, "next_offsets": lengths})
-
-
-def _json(environ: Any) -> Any:
-    return msgspec.json.decode(read_body(environ) or b"{}")
+            counts = {"appends": self._append_count, "read_bytes": self._read_bytes}
+        return Reply.of_json({**counts, "next_offsets": lengths})
+
+    def _set_faults(self, faults: LogFaults) -> None:
+        self._faults = faults
+        for stream in self._streams.values():
+            stream.truncate(faults.kept or self._kept)
+        self._changed.notify_all()
--- a/almondstack/standin/web.py
+++ b/almondstack/standin/web.py
@@ -1,13 +1,14 @@
 """A small WSGI application base for the stand-ins."""
 
+import errno
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, NoReturn
 
 from cheroot import wsgi
 
 from almondstack.core import encode_json, parse_address
 
-__all__ = ["Reply", "StandinApp", "serve"]
+__all__ = ["Reply", "StandinApp", "break_off", "read_body", "serve"]
 
 StartResponse = Callable[..., Any]
 
@@ -66,6 +67,11 @@
         return [reply.body]
 
 
+def break_off() -> NoReturn:
+    """End the connection without an answer; cheroot is silent after this error."""
+    raise ConnectionResetError(errno.ECONNRESET, "reply dropped on purpose")
+
+
 def read_body(environ: dict[str, Any]) -> bytes:
     """Return the whole request body."""
     return environ["wsgi.input"].read()
