Add records, accounts and settlements of permits to the fold

Cause: bounds over the fleet are spent by entries without asking, so the log must know what each incarnation drew. Change: PermitsDrawn, PermitsReturned, PermitsSettled, EntryEnded; the bound is read from the configuration in force, so a lowered one is a debt until permits return. A settlement moves transfer totals with an ended incarnation into the log; ended incarnations that may share open transfers are released together.

--- a/almondstack/fold/__init__.py
+++ b/almondstack/fold/__init__.py
@@ -3,8 +3,15 @@
 from almondstack.fold import config as _config
 from almondstack.fold import instances as _instances
 from almondstack.fold import members as _members
+from almondstack.fold import permits as _permits
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.fold import Fold, FoldGapError
+from almondstack.fold.permits_floors import (
+    debt_of,
+    home_zone,
+    unallocated_count,
+    zone_floors,
+)
 from almondstack.fold.refusals import Refusal, RefusedError, Verdict
 
 __all__ = [
@@ -14,8 +21,12 @@
     "Refusal",
     "RefusedError",
     "Verdict",
+    "debt_of",
     "fold_body",
+    "home_zone",
     "subject_of",
+    "unallocated_count",
+    "zone_floors",
 ]
 
-_REGISTERED = (_config, _instances, _members)
+_REGISTERED = (_config, _instances, _members, _permits)
--- a/almondstack/fold/members.py
+++ b/almondstack/fold/members.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
+from almondstack.fold.permits_settlement import open_settlement
 from almondstack.fold.refusals import Refusal, RefusedError
 from almondstack.model import (
     EntryFenced,
@@ -55,6 +56,7 @@
     state.entries[incarnation] = msgspec.structs.replace(
         entry, phase=phase, evidence=evidence, version=context.offset
     )
+    open_settlement(state, incarnation, is_ended=phase is EntryPhase.LEFT)
 
 
 @subject_of.register
--- a/almondstack/fold/refusals.py
+++ b/almondstack/fold/refusals.py
@@ -34,6 +34,9 @@
     ENTRY_EXISTS = "entry-exists"
     NO_SUCH_ENTRY = "no-such-entry"
     ENTRY_NOT_LIVE = "entry-not-live"
+    PERMITS_EXHAUSTED = "permits-exhausted"
+    PERMITS_NOT_DRAWN = "permits-not-drawn"
+    NOTHING_TO_SETTLE = "nothing-to-settle"
 
 
 class RefusedError(AlmondError):
--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -5,6 +5,25 @@
 from almondstack.model.fleet_records import InstanceMoved, InstanceObserved, InstanceStepped
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
+from almondstack.model.permit_records import (
+    EntryEnded,
+    PermitCount,
+    PermitsDrawn,
+    PermitsReturned,
+    PermitsSettled,
+    SettledCount,
+)
+from almondstack.model.permit_resources import (
+    bound_of,
+    bounds_of,
+    ceiling_resource,
+    is_rate,
+    is_slots,
+    rate_bursts,
+    rate_resource,
+    slots_resource,
+)
+from almondstack.model.permit_state import PermitAccount, Settlement
 from almondstack.model.records import (
     FORMAT_LEVEL,
     Envelope,
@@ -25,6 +44,7 @@
 __all__ = [
     "FORMAT_LEVEL",
     "Configured",
+    "EntryEnded",
     "EntryFenced",
     "EntryJoined",
     "EntryLeft",
@@ -42,15 +62,30 @@
     "KeyGranted",
     "KeyRevoked",
     "Limit",
+    "PermitAccount",
+    "PermitCount",
+    "PermitsDrawn",
+    "PermitsReturned",
+    "PermitsSettled",
     "Pool",
     "Queue",
     "ReleaseApplied",
     "ReleaseNote",
+    "SettledCount",
+    "Settlement",
     "Team",
     "Withdrawn",
+    "bound_of",
+    "bounds_of",
+    "ceiling_resource",
     "decode_body",
     "decode_envelope",
     "encode_record",
+    "is_rate",
+    "is_slots",
+    "rate_bursts",
+    "rate_resource",
     "record_kind",
     "register_record",
+    "slots_resource",
 ]
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
+from almondstack.model.permit_state import PermitAccount, Settlement
 
 __all__ = [
     "EntryPhase",
@@ -128,6 +129,10 @@
         Last folded sequence number of each author.
     revoked : dict of str to int
         Ids of revoked keys, with the offset of the revocation.
+    permits : dict of str to PermitAccount
+        By resource, what the incarnations have drawn.
+    settlements : dict of str to Settlement
+        By incarnation that is no longer live, what is open about its permits.
     """
 
     revision: int = 0
@@ -140,6 +145,8 @@
     limits: dict[str, Limit] = msgspec.field(default_factory=dict)
     revoked: dict[str, int] = msgspec.field(default_factory=dict)
     entries: dict[str, EntryState] = msgspec.field(default_factory=dict)
+    permits: dict[str, PermitAccount] = msgspec.field(default_factory=dict)
+    settlements: dict[str, Settlement] = msgspec.field(default_factory=dict)
     sequences: dict[str, int] = msgspec.field(default_factory=dict)
 
     def instances_of(self, pool: str) -> list[InstanceState]:
--- a/almondstack/permits/__init__.py
+++ b/almondstack/permits/__init__.py
@@ -1,6 +1,6 @@
 """Escrowed permits: bounds that many entries spend without asking anyone."""
 
-from almondstack.permits.bounds import bounds_of, is_rate, rate_bursts
+from almondstack.model import bounds_of, is_rate, rate_bursts
 from almondstack.permits.contract import (
     Permits,
     ceiling_resource,
--- a/almondstack/permits/contract.py
+++ b/almondstack/permits/contract.py
@@ -12,22 +12,9 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-__all__ = ["Permits", "ceiling_resource", "rate_resource", "slots_resource"]
-
-
-def ceiling_resource(team: str) -> str:
-    """Return the resource of a team's ceiling; one permit is one running request."""
-    return f"ceiling/{team}"
-
+from almondstack.model import ceiling_resource, rate_resource, slots_resource
 
-def slots_resource(instance: str) -> str:
-    """Return the resource of an upstream's slots; one permit is one running request."""
-    return f"slots/{instance}"
-
-
-def rate_resource(limit: str) -> str:
-    """Return the resource of a rate limit; one permit is one request a second."""
-    return f"rate/{limit}"
+__all__ = ["Permits", "ceiling_resource", "rate_resource", "slots_resource"]
 
 
 class Permits(Protocol):
--- a/almondstack/permits/local.py
+++ b/almondstack/permits/local.py
@@ -9,7 +9,7 @@
 
 from almondstack.core import Clock
 from almondstack.fold import Fold
-from almondstack.permits.bounds import bounds_of, rate_bursts
+from almondstack.model import bounds_of, rate_bursts
 from almondstack.permits.table import PermitTable
 
 __all__ = ["LocalPermits"]
--- a/almondstack/permits/table.py
+++ b/almondstack/permits/table.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable
 
 from almondstack.core import Clock
-from almondstack.permits.bounds import is_rate
+from almondstack.model import is_rate
 
 __all__ = ["Holding", "PermitTable"]
 
