--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -5,6 +5,15 @@
 from almondstack.model.fleet_records import InstanceMoved, InstanceObserved, InstanceStepped
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
+from almondstack.model.operator_messages import (
+    REVOCATIONS_PATH,
+    STATUS_PATH,
+    EntryStatus,
+    RevocationReply,
+    RevocationRequest,
+    is_right_proof,
+    revocation_proof,
+)
 from almondstack.model.permit_records import (
     EntryEnded,
     PermitCount,
@@ -43,6 +52,8 @@
 
 __all__ = [
     "FORMAT_LEVEL",
+    "REVOCATIONS_PATH",
+    "STATUS_PATH",
     "Configured",
     "EntryEnded",
     "EntryFenced",
@@ -50,6 +61,7 @@
     "EntryLeft",
     "EntryPhase",
     "EntryState",
+    "EntryStatus",
     "Envelope",
     "FleetState",
     "InstanceMoved",
@@ -71,6 +83,8 @@
     "Queue",
     "ReleaseApplied",
     "ReleaseNote",
+    "RevocationReply",
+    "RevocationRequest",
     "SettledCount",
     "Settlement",
     "Team",
@@ -82,10 +96,12 @@
     "decode_envelope",
     "encode_record",
     "is_rate",
+    "is_right_proof",
     "is_slots",
     "rate_bursts",
     "rate_resource",
     "record_kind",
     "register_record",
+    "revocation_proof",
     "slots_resource",
 ]
