Grow the demo to three zones with faults and the judge

The demo had one entry, one upstream and 50 requests that its own client counted. Exit 0 only if nothing was violated.

--- a/almondstack/bench/demo.py
+++ b/almondstack/bench/demo.py
@@ -1,71 +1,82 @@
-"""``almondstack-bench demo``: the whole path on this machine."""
+"""``almondstack-bench demo``: the whole path on this machine, with faults."""
 
 import argparse
 import json
 import tempfile
 from pathlib import Path
 
-import urllib3
+import msgspec
 
+from almondstack.bench.caller import Caller
 from almondstack.bench.commands import bench_command
-from almondstack.bench.processes import ProcessGroup, wait_until_ready
+from almondstack.bench.deployment import Deployment, DeploymentPlan, load_note
+from almondstack.bench.judge import Judgement, judge
+from almondstack.bench.mixes import EXAMPLES, MIXES
+from almondstack.bench.processes import ProcessGroup
+from almondstack.bench.report import team_table
+from almondstack.bench.sending import Step, send_all
+from almondstack.bench.workload import arrivals
+from almondstack.standin.log_service import LogFaults
 
 __all__ = ["run_demo"]
 
-_LOG = "127.0.0.1:17001"
-_ENTRY = "127.0.0.1:17101"
-_UPSTREAM = "127.0.0.1:18001"
+_SEED = 20261203
+_VICTIMS = {"magnolia": "score-1", "lagos": "validate-1"}
+_REVOKED = {"magnolia": "gulf-haulers-2", "lagos": "small-publishers-2"}
+_KILL_S = 3.0
+_REPLACE_S = 6.0
+_SILENCE_S = 10.0
+_SOUND_S = 14.0
+_REVOKE_S = 15.5
 
 
-@bench_command("demo", "the whole path on this machine")
-def run_demo(_arguments: argparse.Namespace) -> int:
-    """Apply a release note and send requests; 0 if each was answered."""
-    with tempfile.TemporaryDirectory() as folder, ProcessGroup(Path(folder)) as group:
-        path = Path(folder)
-        group.start("log", "almondstack.standin.main", "log", "--listen", _LOG)
-        group.start("u1", "almondstack.standin.main", "upstream", "--listen", _UPSTREAM)
-        wait_until_ready(f"http://{_LOG}/v1/streams/fleet/bounds")
-        (path / "entry.json").write_text(json.dumps(_entry_settings()))
-        (path / "note.json").write_text(json.dumps(_note()))
-        group.start("entry", "almondstack.entry.main", "--settings", str(path / "entry.json"))
-        group.start("ctl", "almondstack.ctl.main", "--log", _LOG, "apply", str(path / "note.json"))
-        assert group.wait("ctl") == 0, (path / "ctl.log").read_text()
-        wait_until_ready(f"http://{_ENTRY}/readyz")
-        counts = _send(50)
-    print(json.dumps(counts))
-    return 0 if counts["answered"] == counts["requests"] else 1
+def _configure(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--deployment", choices=sorted(MIXES), default="magnolia")
+    parser.add_argument("--seed", type=int, default=_SEED)
+    parser.add_argument("--scale", type=float, default=1.0, help="multiplies the rate")
+    parser.add_argument("--keep", type=Path, help="folder that keeps settings, output, journals")
 
 
-def _entry_settings() -> dict[str, object]:
-    return {
-        "node": {"deployment": "demo", "name": "e1", "zone": "a"},
-        "callers": {"listen": _ENTRY, "threads": 32},
-        "log": {"address": _LOG},
-    }
+@bench_command("demo", "the whole path on this machine, with faults, in half a minute", _configure)
+def run_demo(arguments: argparse.Namespace) -> int:
+    """Run the demo; 0 if the judge found nothing that must not be."""
+    if arguments.keep is not None:
+        arguments.keep.mkdir(parents=True)
+        return _run_in(arguments.keep, arguments)
+    with tempfile.TemporaryDirectory() as folder:
+        return _run_in(Path(folder), arguments)
 
 
-def _note() -> dict[str, object]:
-    instance = {"name": "u1", "pool": "score", "zone": "a", "rack": "a1", "address": _UPSTREAM}
-    return {
-        "added": {
-            "pools": [{"name": "score", "min_serving": 1, "size": 1}],
-            "instances": [instance],
-            "teams": [{"name": "north", "share": 1, "ceiling": 8}],
-            "queues": [{"name": "open", "pool": "score", "is_open": True, "open_team": "north"}],
-        }
-    }
+def _run_in(folder: Path, arguments: argparse.Namespace) -> int:
+    name = arguments.deployment
+    plan = DeploymentPlan(note=load_note(EXAMPLES / f"{name}.json"), own_process=(_VICTIMS[name],))
+    mix = MIXES[name](arguments.scale)
+    with ProcessGroup(folder) as group:
+        deployment = Deployment(plan, folder, group)
+        print(f"Starting {name}: three zones of entries, keepers and upstreams.", flush=True)
+        deployment.start()
+        items = arrivals(mix, deployment.note, list(plan.entries), arguments.seed)
+        caller = Caller(deployment.entry_addresses)
+        records = send_all(caller, items, _steps(deployment, name), "demo")
+        journals = deployment.journals()
+    judgement = judge(records, journals, deployment.rules)
+    print(team_table(deployment.note, records, journals))
+    print(json.dumps(msgspec.to_builtins(judgement)))
+    return _exit_code(judgement)
 
 
-def _send(count: int) -> dict[str, int]:
-    pool = urllib3.PoolManager(retries=False)
-    counts = {"requests": count, "answered": 0}
-    for number in range(count):
-        response = pool.request(
-            "POST",
-            f"http://{_ENTRY}/v1/queues/open/requests",
-            body=b"invoice",
-            headers={"Standin-Work-Id": str(number), "Standin-Work-Ms": "2"},
-        )
-        is_answered = response.headers.get("Almondstack-Outcome") == "answered"
-        counts["answered"] += is_answered and response.json()["work_id"] == str(number)
-    return counts
+def _steps(deployment: Deployment, name: str) -> list[Step]:
+    victim, key_id = _VICTIMS[name], _REVOKED[name]
+    entry = deployment.entry_names[0]
+    silent, sound = LogFaults(is_down=True), LogFaults()
+    return [
+        Step(_KILL_S, f"Upstream {victim} is killed.", lambda: deployment.kill_upstream(victim)),
+        Step(_REPLACE_S, f"Entry {entry} is replaced.", lambda: deployment.replace_entry(entry)),
+        Step(_SILENCE_S, "The log falls silent.", lambda: deployment.set_log_faults(silent)),
+        Step(_SOUND_S, "The log is back.", lambda: deployment.set_log_faults(sound)),
+        Step(_REVOKE_S, f"Key {key_id} is revoked.", lambda: deployment.revoke_key(key_id)),
+    ]
+
+
+def _exit_code(judgement: Judgement) -> int:
+    return 0 if judgement.is_clean else 1
--- a/almondstack/bench/judge.py
+++ b/almondstack/bench/judge.py
@@ -10,7 +10,7 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from enum import StrEnum
 
 import msgspec
@@ -172,7 +172,7 @@
 
 def judge(
     callers: Sequence[CallerRecord],
-    journals: dict[str, Sequence[Event]],
+    journals: Mapping[str, Sequence[Event]],
     rules: JudgeRules,
 ) -> Judgement:
     """Return the counts for one experiment.
@@ -181,7 +181,7 @@
     ----------
     callers : sequence of CallerRecord
         One record for each request that a caller made.
-    journals : dict of str to sequence of Event
+    journals : mapping of str to sequence of Event
         Events of each stand-in by its name.
     rules : JudgeRules
         What must hold.
--- a/almondstack/bench/processes.py
+++ b/almondstack/bench/processes.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import IO
 
@@ -18,10 +19,11 @@
 
 from almondstack.core import AlmondError
 
-__all__ = ["ProcessGroup", "ProcessNotReadyError"]
+__all__ = ["ProcessGroup", "ProcessNotReadyError", "wait_until", "wait_until_ready"]
 
 _READY_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 15.0
+_POLL_S = 0.02
 
 
 class ProcessNotReadyError(AlmondError):
@@ -65,6 +67,35 @@
         """Send a signal to one process."""
         self._processes[name].send_signal(number)
 
+    def is_running(self, name: str) -> bool:
+        """Return True if the process was started and has not ended."""
+        process = self._processes.get(name)
+        return process is not None and process.poll() is None
+
+    def pid(self, name: str) -> int:
+        """Return the process id of one process."""
+        return self._processes[name].pid
+
+    def kill(self, name: str) -> None:
+        """End one process without warning and wait until it is gone."""
+        process = self._processes.pop(name)
+        process.kill()
+        process.wait(_STOP_TIMEOUT_S)
+
+    def terminate(self, name: str, timeout_s: float = _STOP_TIMEOUT_S) -> int:
+        """Ask one process for a graceful shutdown and return its exit code."""
+        process = self._processes.pop(name)
+        process.terminate()
+        try:
+            return process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait(_STOP_TIMEOUT_S)
+
+    def output(self, name: str) -> str:
+        """Return what the process wrote so far."""
+        return (self._folder / f"{name}.log").read_text(errors="replace")
+
     def wait(self, name: str, timeout_s: float = _STOP_TIMEOUT_S) -> int:
         """Wait for the end of one process and return its exit code."""
         return self._processes.pop(name).wait(timeout_s)
@@ -85,6 +116,24 @@
             file.close()
 
 
+def wait_until(
+    condition: Callable[[], bool], what: str, timeout_s: float = _READY_TIMEOUT_S
+) -> None:
+    """Poll ``condition`` until it holds.
+
+    Raises
+    ------
+    ProcessNotReadyError
+        It did not hold within ``timeout_s`` seconds; names ``what``.
+    """
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        if condition():
+            return
+        time.sleep(_POLL_S)
+    raise ProcessNotReadyError(what)
+
+
 def wait_until_ready(url: str, timeout_s: float = _READY_TIMEOUT_S) -> None:
     """Wait until a GET of ``url`` gives status 200.
 
@@ -93,13 +142,12 @@
     ProcessNotReadyError
         It did not within ``timeout_s`` seconds.
     """
-    deadline_s = time.monotonic() + timeout_s
     pool = urllib3.PoolManager(retries=False)
-    while time.monotonic() < deadline_s:
+
+    def is_ready() -> bool:
         try:
-            if pool.request("GET", url, timeout=1.0).status == 200:
-                return
+            return pool.request("GET", url, timeout=1.0).status == 200
         except HTTPError:
-            pass
-        time.sleep(0.02)
-    raise ProcessNotReadyError(url)
+            return False
+
+    wait_until(is_ready, url, timeout_s)
--- /dev/null
+++ b/almondstack/bench/tests/test_workload.py
@@ -0,0 +1,33 @@
+import pytest
+
+from almondstack.bench.deployment import load_note
+from almondstack.bench.mixes import EXAMPLES, MIXES
+from almondstack.bench.workload import arrivals, demo_key
+from almondstack.core import hash_secret, split_key
+from almondstack.model import FleetState
+from almondstack.note import check_note
+
+
+@pytest.mark.parametrize("name", sorted(MIXES))
+def test_example_note_is_valid_and_takes_the_demo_keys(name):
+    note = load_note(EXAMPLES / f"{name}.json")
+    assert check_note(FleetState(), note) == []
+    digests = {key.id: key.digest for key in note.added.keys}
+    teams = {team for load in MIXES[name]().loads for team in load.weights} - {"public"}
+    for team in teams:
+        key_id, secret = split_key(demo_key(team))
+        assert digests[key_id] == hash_secret(secret)
+
+
+@pytest.mark.parametrize("name", sorted(MIXES))
+def test_same_seed_gives_the_same_work_and_queues_burst_in_turn(name):
+    note = load_note(EXAMPLES / f"{name}.json")
+    mix = MIXES[name]()
+    items = arrivals(mix, note, ["a", "b"], seed=1)
+    assert items == arrivals(mix, note, ["a", "b"], seed=1)
+    assert items != arrivals(mix, note, ["a", "b"], seed=2)
+    assert len({item.work_id for item in items}) == len(items)
+    first = mix.loads[0]
+    own = [item for item in items if item.queue == first.queue]
+    in_turn = sum(item.intended_s < mix.turn_s for item in own)
+    assert in_turn > 0.8 * len(own)
--- a/almondstack/standin/main.py
+++ b/almondstack/standin/main.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+import threading
 from pathlib import Path
 from types import FrameType
 
@@ -15,6 +16,9 @@
 
 __all__ = ["main"]
 
+_THREADS = 96
+_ADDRESS_HELP = "numeric address, IP:PORT"
+
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
@@ -24,20 +28,33 @@
     )
     parser.add_argument("--version", action="version", version=__version__)
     kinds = parser.add_subparsers(dest="kind", required=True)
-    for kind in ("log", "list", "upstream"):
-        sub = kinds.add_parser(kind)
-        sub.add_argument("--listen", required=True, help="numeric address, IP:PORT")
-        sub.add_argument("--name", default=kind, help="name in answers")
-        sub.add_argument("--journal", type=Path, help="file for what the judge reads")
+    for kind in ("log", "list"):
+        kinds.add_parser(kind).add_argument("--listen", required=True, help=_ADDRESS_HELP)
+    upstream = kinds.add_parser("upstream", help="one or more upstream instances in one process")
+    upstream.add_argument("--listen", required=True, nargs="+", help=_ADDRESS_HELP)
+    upstream.add_argument("--name", default=["upstream"], nargs="+", help="one name an address")
+    upstream.add_argument("--journals", type=Path, help="folder for what the judge reads")
     return parser
 
 
 def _serve(arguments: argparse.Namespace) -> None:
     if arguments.kind == "upstream":
-        UpstreamStandin(arguments.name, arguments.listen, arguments.journal).serve()
+        _serve_upstreams(arguments)
         return
     app = LogServiceStandin() if arguments.kind == "log" else InstanceListStandin()
-    serve(app, arguments.listen, threads=96).serve()
+    serve(app, arguments.listen, threads=_THREADS).serve()
+
+
+def _serve_upstreams(arguments: argparse.Namespace) -> None:
+    threads = []
+    for name, address in zip(arguments.name, arguments.listen, strict=True):
+        path = arguments.journals / f"{name}.journal" if arguments.journals else None
+        upstream = UpstreamStandin(name, address, path)
+        threads.append(threading.Thread(target=upstream.serve, name=f"upstream-{name}"))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
 
 
 def main(argv: list[str] | None = None) -> int:
