--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -46,7 +46,15 @@
         client = HttpLogClient(settings.log, self._incarnation)
         self._fold = Fold()
         self._follower = Follower(client, self._fold, metrics, clock)
-        self._writer = RecordWriter(client, FLEET, self._incarnation, settings.log, metrics, clock)
+        self._writer = RecordWriter(
+            client,
+            FLEET,
+            self._incarnation,
+            settings.log,
+            metrics,
+            clock,
+            position=lambda: self._fold.next_offset,
+        )
         dispatching = FirstComeDispatcher(self._fold, UpstreamClient(), clock)
         self._app = EntryApp(self._fold, dispatching, clock, metrics)
         self._server = _make_server(settings, self._app)
--- a/almondstack/fold/__init__.py
+++ b/almondstack/fold/__init__.py
@@ -2,15 +2,20 @@
 
 from almondstack.fold import config as _config
 from almondstack.fold import instances as _instances
+from almondstack.fold import levels as _levels
 from almondstack.fold import members as _members
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
-from almondstack.fold.fold import Fold, FoldGapError
+from almondstack.fold.fold import Fold, FoldGapError, FoldOutdatedError
+from almondstack.fold.listeners import FoldDelta, FoldListener
 from almondstack.fold.refusals import Refusal, RefusedError, Verdict
 
 __all__ = [
     "Fold",
     "FoldContext",
+    "FoldDelta",
     "FoldGapError",
+    "FoldListener",
+    "FoldOutdatedError",
     "Refusal",
     "RefusedError",
     "Verdict",
@@ -18,4 +23,4 @@
     "subject_of",
 ]
 
-_REGISTERED = (_config, _instances, _members)
+_REGISTERED = (_config, _instances, _levels, _members)
--- /dev/null
+++ b/almondstack/fold/judge.py
@@ -0,0 +1,107 @@
+"""The verdict on one record: what every reader does alike.
+
+Explanation
+-----------
+Reads no clock, no random source and nothing but the state, the record and its
+offset.  The order of the checks is part of the record format.
+"""
+
+from typing import Any
+
+import msgspec
+
+from almondstack.core import CodecError
+from almondstack.fold.apply import FoldContext, fold_body, subject_of
+from almondstack.fold.pruning import prune, settle_pools
+from almondstack.fold.refusals import Refusal, RefusedError, Verdict
+from almondstack.model import (
+    REPEAT_WINDOW_RECORDS,
+    AuthorMark,
+    Envelope,
+    FleetState,
+    RecordRegistry,
+    decode_envelope,
+)
+
+__all__ = ["Judgement", "judge"]
+
+_DETERMINISTIC_FAULTS = (LookupError, ValueError, TypeError, AttributeError, ArithmeticError)
+
+
+class Judgement(msgspec.Struct, frozen=True):
+    """A verdict, and the body of the record if it was decoded."""
+
+    verdict: Verdict
+    body: Any = None
+
+
+def judge(state: FleetState, registry: RecordRegistry, offset: int, data: bytes) -> Judgement:
+    """Fold one record into ``state`` and return the verdict."""
+    judgement = _judge_record(state, registry, offset, data)
+    settle_pools(state)
+    prune(state, offset)
+    return judgement
+
+
+def _judge_record(
+    state: FleetState, registry: RecordRegistry, offset: int, data: bytes
+) -> Judgement:
+    try:
+        envelope = decode_envelope(data)
+    except CodecError as error:
+        return Judgement(Verdict(offset, "", 0, "", Refusal.MALFORMED, error.detail))
+    refusal = _check_envelope(state, offset, envelope)
+    if refusal is not None:
+        return Judgement(_verdict(offset, envelope, refusal))
+    state.authors[envelope.author] = AuthorMark(envelope.sequence, offset)
+    return _judge_body(state, registry, offset, envelope)
+
+
+def _check_envelope(state: FleetState, offset: int, envelope: Envelope) -> Refusal | None:
+    mark = state.authors.get(envelope.author)
+    if envelope.sequence <= (mark.sequence if mark else 0):
+        return Refusal.REPEATED
+    if not 0 <= envelope.base <= offset:
+        return Refusal.MALFORMED
+    if offset - envelope.base > REPEAT_WINDOW_RECORDS:
+        return Refusal.TOO_OLD
+    return None
+
+
+def _judge_body(
+    state: FleetState, registry: RecordRegistry, offset: int, envelope: Envelope
+) -> Judgement:
+    if envelope.level > state.level:
+        return Judgement(_verdict(offset, envelope, Refusal.LEVEL_TOO_HIGH))
+    try:
+        body = registry.decode_body(envelope)
+    except CodecError as error:
+        return Judgement(_verdict(offset, envelope, Refusal.MALFORMED, error.detail))
+    if body is None:
+        return Judgement(_verdict(offset, envelope, Refusal.UNKNOWN_KIND, envelope.kind))
+    if envelope.level != registry.level_of(envelope.kind):
+        return Judgement(_verdict(offset, envelope, Refusal.MALFORMED, "wrong level"), body)
+    return Judgement(_fold(state, offset, envelope, body), body)
+
+
+def _fold(state: FleetState, offset: int, envelope: Envelope, body: Any) -> Verdict:
+    subject = subject_of(body)
+    try:
+        fold_body(body, state, FoldContext(offset, envelope))
+    except RefusedError as error:
+        return _verdict(offset, envelope, error.refusal, error.detail, subject)
+    except _DETERMINISTIC_FAULTS as error:
+        return _verdict(offset, envelope, Refusal.FAULT, type(error).__name__, subject)
+    return _verdict(offset, envelope, None, "", subject)
+
+
+def _verdict(
+    offset: int,
+    envelope: Envelope,
+    refusal: Refusal | None,
+    detail: str = "",
+    subject: str = "",
+) -> Verdict:
+    return Verdict(
+        offset, envelope.author, envelope.sequence, envelope.kind, refusal, detail, subject
+    )
--- /dev/null
+++ b/almondstack/fold/levels.py
@@ -0,0 +1,22 @@
+"""Fold of the records by which the format level is raised."""
+
+from almondstack.fold.apply import FoldContext, fold_body, subject_of
+from almondstack.fold.refusals import Refusal, RefusedError
+from almondstack.model import FleetState, LevelRaised
+
+__all__: list[str] = []
+
+
+@fold_body.register
+def _(body: LevelRaised, state: FleetState, context: FoldContext) -> None:
+    if body.level <= state.level:
+        raise RefusedError(Refusal.LEVEL_IN_FORCE, f"level {state.level} is in force")
+    lagging = [entry.incarnation for entry in state.live_entries() if entry.level < body.level]
+    if lagging:
+        raise RefusedError(Refusal.LEVEL_NOT_SUPPORTED, f"{lagging[0]} does not support it")
+    state.level = body.level
+
+
+@subject_of.register
+def _(body: LevelRaised) -> str:
+    return "config/level"
--- a/almondstack/fold/members.py
+++ b/almondstack/fold/members.py
@@ -21,7 +21,7 @@
     if body.incarnation in state.entries:
         raise RefusedError(Refusal.ENTRY_EXISTS, body.incarnation)
     if body.level < state.level:
-        raise RefusedError(Refusal.LEVEL_TOO_HIGH, f"level {state.level} is in force")
+        raise RefusedError(Refusal.LEVEL_NOT_SUPPORTED, f"level {state.level} is in force")
     state.entries[body.incarnation] = EntryState(
         incarnation=body.incarnation,
         name=body.name,
--- a/almondstack/log/client.py
+++ b/almondstack/log/client.py
@@ -16,8 +16,9 @@
 
 from almondstack.core import CodecError, LogServiceSettings, decode_msgpack, encode_msgpack
 from almondstack.log.errors import LogReplyLostError, LogTruncatedError, LogUnavailableError
+from almondstack.model import LogEntry
 
-__all__ = ["CLAIMS", "FLEET", "SNAPSHOTS", "HttpLogClient", "LogBounds", "LogClient", "LogEntry"]
+__all__ = ["CLAIMS", "FLEET", "SNAPSHOTS", "HttpLogClient", "LogBounds", "LogClient"]
 
 T = TypeVar("T")
 
@@ -30,21 +31,6 @@
 _HTTP_THROTTLED = 429
 
 
-class LogEntry(msgspec.Struct, frozen=True, array_like=True):
-    """One record of a stream.
-
-    Parameters
-    ----------
-    offset : int
-        Its place in the stream.
-    data : bytes
-        Its bytes.
-    """
-
-    offset: int
-    data: bytes
-
-
 class LogBounds(msgspec.Struct, frozen=True, array_like=True):
     """Offset of the oldest record kept, and of the next one to come."""
 
--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -3,6 +3,7 @@
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
 from almondstack.model.config_records import KeyGranted, KeyRevoked, ReleaseApplied
 from almondstack.model.fleet_records import InstanceMoved, InstanceObserved, InstanceStepped
+from almondstack.model.level_records import LevelRaised
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
 from almondstack.model.operator_messages import (
@@ -16,25 +17,34 @@
 )
 from almondstack.model.records import (
     FORMAT_LEVEL,
+    REPEAT_WINDOW_RECORDS,
     Envelope,
+    LogEntry,
+    RecordRegistry,
     decode_body,
     decode_envelope,
+    default_registry,
     encode_record,
     record_kind,
     register_record,
 )
 from almondstack.model.state import (
+    AuthorMark,
     EntryPhase,
     EntryState,
     FleetState,
     InstancePhase,
     InstanceState,
+    LeavingQueue,
+    LeavingTeam,
 )
 
 __all__ = [
     "FORMAT_LEVEL",
+    "REPEAT_WINDOW_RECORDS",
     "REVOCATIONS_PATH",
     "STATUS_PATH",
+    "AuthorMark",
     "Configured",
     "EntryFenced",
     "EntryJoined",
@@ -53,9 +63,14 @@
     "Key",
     "KeyGranted",
     "KeyRevoked",
+    "LeavingQueue",
+    "LeavingTeam",
+    "LevelRaised",
     "Limit",
+    "LogEntry",
     "Pool",
     "Queue",
+    "RecordRegistry",
     "ReleaseApplied",
     "ReleaseNote",
     "RevocationReply",
@@ -64,6 +79,7 @@
     "Withdrawn",
     "decode_body",
     "decode_envelope",
+    "default_registry",
     "encode_record",
     "is_right_proof",
     "record_kind",
--- a/almondstack/model/records.py
+++ b/almondstack/model/records.py
@@ -6,6 +6,11 @@
 stays undecoded until the kind is looked up, so that a reader skips kinds that
 it does not know.  Subpackages add kinds with :func:`register_record`.
 
+Each kind belongs to a format level.  A record of a level that is not in force
+is refused by readers that know the kind and by those that don't, so both fold
+alike.  A body never changes its fields or its meaning: a new form is a new
+kind of a new level.
+
 See Also
 --------
 almondstack.fold : the deterministic function over these records.
@@ -20,20 +25,37 @@
 
 __all__ = [
     "FORMAT_LEVEL",
+    "REPEAT_WINDOW_RECORDS",
     "Envelope",
+    "LogEntry",
+    "RecordRegistry",
     "decode_body",
     "decode_envelope",
+    "default_registry",
     "encode_record",
     "record_kind",
     "register_record",
 ]
 
 FORMAT_LEVEL = 1
+REPEAT_WINDOW_RECORDS = 8192
 
 R = TypeVar("R", bound=type)
 
-_types_by_kind: dict[str, type] = {}
-_kinds_by_type: dict[type, str] = {}
+
+class LogEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One record of a stream.
+
+    Parameters
+    ----------
+    offset : int
+        Its place in the stream.
+    data : bytes
+        Its bytes.
+    """
+
+    offset: int
+    data: bytes
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -42,7 +64,7 @@
     Parameters
     ----------
     level : int
-        Format level that a reader must have to judge the record.
+        Format level that must be in force for the record to be taken.
     author : str
         Incarnation or operator session that wrote it.
     sequence : int
@@ -51,6 +73,10 @@
         Names the type of the body.
     body : msgspec.Raw
         The body, still encoded.
+    base : int
+        An offset that the author had folded when it wrote the record.  The
+        record is refused more than ``REPEAT_WINDOW_RECORDS`` offsets later,
+        so the fold need not remember its author for ever.
     """
 
     level: int
@@ -58,14 +84,96 @@
     sequence: int
     kind: str
     body: msgspec.Raw
+    base: int = 0
 
 
-def register_record(kind: str) -> Callable[[R], R]:
+class RecordRegistry:
+    """The kinds of records that a process knows.
+
+    Parameters
+    ----------
+    level : int
+        Highest format level that it can judge.
+    """
+
+    __slots__ = ("_kinds", "_level", "_levels", "_types")
+
+    def __init__(self, level: int) -> None:
+        self._level = level
+        self._types: dict[str, type] = {}
+        self._kinds: dict[type, str] = {}
+        self._levels: dict[str, int] = {}
+
+    @property
+    def level(self) -> int:
+        """Highest format level that the process can judge."""
+        return self._level
+
+    def add(self, kind: str, type_: type, level: int) -> None:
+        """Make ``type_`` the body of ``kind``."""
+        self._types[kind] = type_
+        self._kinds[type_] = kind
+        self._levels[kind] = level
+
+    def restricted(self, level: int) -> "RecordRegistry":
+        """Return the registry of a process that knows levels up to ``level`` only."""
+        older = RecordRegistry(level)
+        for kind, type_ in self._types.items():
+            if self._levels[kind] <= level:
+                older.add(kind, type_, self._levels[kind])
+        return older
+
+    def extended(self, level: int) -> "RecordRegistry":
+        """Return a copy that can judge ``level`` and may be given further kinds."""
+        newer = self.restricted(self._level)
+        newer._level = level
+        return newer
+
+    def kind_of(self, type_: type) -> str:
+        """Return the kind whose body is ``type_``."""
+        return self._kinds[type_]
+
+    def level_of(self, kind: str) -> int | None:
+        """Return the level that ``kind`` belongs to, or None if it is unknown."""
+        return self._levels.get(kind)
+
+    def encode(self, author: str, sequence: int, body: Any, base: int = 0) -> bytes:
+        """Return the bytes of a record."""
+        kind = self._kinds[type(body)]
+        raw = msgspec.Raw(encode_msgpack(body))
+        level = self._levels[kind]
+        return encode_msgpack(Envelope(level, author, sequence, kind, raw, base))
+
+    def decode_body(self, envelope: Envelope) -> Any:
+        """Decode the body of a record, or return None for an unknown kind.
+
+        Raises
+        ------
+        CodecError
+            The kind is known but the body is malformed.
+        """
+        type_ = self._types.get(envelope.kind)
+        if type_ is None:
+            return None
+        try:
+            return msgspec.msgpack.decode(envelope.body, type=type_)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            raise CodecError(str(error)) from error
+
+
+_registry = RecordRegistry(FORMAT_LEVEL)
+
+
+def default_registry() -> RecordRegistry:
+    """Return the registry of this version of the product."""
+    return _registry
+
+
+def register_record(kind: str, level: int = 1) -> Callable[[R], R]:
     """Return a class decorator that makes a struct the body of ``kind``."""
 
     def register(type_: R) -> R:
-        _types_by_kind[kind] = type_
-        _kinds_by_type[type_] = kind
+        _registry.add(kind, type_, level)
         return type_
 
     return register
@@ -73,14 +181,12 @@
 
 def record_kind(type_: type) -> str:
     """Return the kind whose body is ``type_``."""
-    return _kinds_by_type[type_]
+    return _registry.kind_of(type_)
 
 
-def encode_record(author: str, sequence: int, body: Any) -> bytes:
-    """Return the bytes of a record."""
-    kind = _kinds_by_type[type(body)]
-    raw = msgspec.Raw(encode_msgpack(body))
-    return encode_msgpack(Envelope(FORMAT_LEVEL, author, sequence, kind, raw))
+def encode_record(author: str, sequence: int, body: Any, base: int = 0) -> bytes:
+    """Return the bytes of a record; see :class:`Envelope` for ``base``."""
+    return _registry.encode(author, sequence, body, base)
 
 
 def decode_envelope(data: bytes) -> Envelope:
@@ -102,10 +208,4 @@
     CodecError
         The kind is known but the body is malformed.
     """
-    type_ = _types_by_kind.get(envelope.kind)
-    if type_ is None:
-        return None
-    try:
-        return msgspec.msgpack.decode(envelope.body, type=type_)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise CodecError(str(error)) from error
+    return _registry.decode_body(envelope)
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -15,11 +15,14 @@
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
 
 __all__ = [
+    "AuthorMark",
     "EntryPhase",
     "EntryState",
     "FleetState",
     "InstancePhase",
     "InstanceState",
+    "LeavingQueue",
+    "LeavingTeam",
 ]
 
 
@@ -115,6 +118,27 @@
         return self.phase is EntryPhase.LIVE
 
 
+class AuthorMark(msgspec.Struct, frozen=True, array_like=True):
+    """Last folded record of an author: its sequence number and its offset."""
+
+    sequence: int
+    offset: int
+
+
+class LeavingTeam(msgspec.Struct, frozen=True):
+    """A withdrawn team whose admitted work may still run; ``offset`` of its withdrawal."""
+
+    offset: int
+    team: Team
+
+
+class LeavingQueue(msgspec.Struct, frozen=True):
+    """A withdrawn queue whose admitted work may still run; ``offset`` of its withdrawal."""
+
+    offset: int
+    queue: Queue
+
+
 class FleetState(msgspec.Struct, kw_only=True):
     """Everything that the log decides.
 
@@ -124,10 +148,16 @@
         Number of configuration changes accepted so far.
     level : int
         Format level in force.
-    sequences : dict of str to int
-        Last folded sequence number of each author.
     revoked : dict of str to int
-        Ids of revoked keys, with the offset of the revocation.
+        Ids of revoked keys, with the offset of the revocation; never forgotten.
+    leaving_pools : dict of str to int
+        Withdrawn pools that still own instances, with the offset of the
+        withdrawal; they stay in ``pools`` with no budget until the last is gone.
+    leaving_teams, leaving_queues : dict
+        Withdrawn teams and queues; nothing new is admitted for them, and what
+        was admitted ends under the values kept here.
+    authors : dict of str to AuthorMark
+        Last folded record of each author within the repeat window.
     """
 
     revision: int = 0
@@ -140,7 +170,20 @@
     limits: dict[str, Limit] = msgspec.field(default_factory=dict)
     revoked: dict[str, int] = msgspec.field(default_factory=dict)
     entries: dict[str, EntryState] = msgspec.field(default_factory=dict)
-    sequences: dict[str, int] = msgspec.field(default_factory=dict)
+    leaving_pools: dict[str, int] = msgspec.field(default_factory=dict)
+    leaving_teams: dict[str, LeavingTeam] = msgspec.field(default_factory=dict)
+    leaving_queues: dict[str, LeavingQueue] = msgspec.field(default_factory=dict)
+    authors: dict[str, AuthorMark] = msgspec.field(default_factory=dict)
+
+    def find_team(self, name: str) -> Team | None:
+        """Return a team in force or one that is leaving."""
+        leaving = self.leaving_teams.get(name)
+        return self.teams.get(name) or (leaving.team if leaving else None)
+
+    def find_queue(self, name: str) -> Queue | None:
+        """Return a queue in force or one that is leaving."""
+        leaving = self.leaving_queues.get(name)
+        return self.queues.get(name) or (leaving.queue if leaving else None)
 
     def instances_of(self, pool: str) -> list[InstanceState]:
         """Return the instances that ``pool`` owns, by name."""
