--- a/almondstack/fold/judge.py
+++ b/almondstack/fold/judge.py
@@ -58,8 +58,7 @@
 
 
 def _check_envelope(state: FleetState, offset: int, envelope: Envelope) -> Refusal | None:
-    mark = state.authors.get(envelope.author)
-    if envelope.sequence <= (mark.sequence if mark else 0):
+    if envelope.sequence <= state.last_sequence(envelope.author):
         return Refusal.REPEATED
     if not 0 <= envelope.base <= offset:
         return Refusal.MALFORMED
--- a/almondstack/fold/pruning.py
+++ b/almondstack/fold/pruning.py
@@ -37,7 +37,7 @@
     state.entries = {
         name: entry
         for name, entry in state.entries.items()
-        if entry.is_live or entry.version >= oldest
+        if entry.is_live or entry.version >= oldest or name in state.settlements
     }
 
 
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
+from almondstack.model.permit_state import PermitAccount, Settlement
 
 __all__ = [
     "AuthorMark",
@@ -158,6 +159,10 @@
         was admitted ends under the values kept here.
     authors : dict of str to AuthorMark
         Last folded record of each author within the repeat window.
+    permits : dict of str to PermitAccount
+        By resource, what the incarnations have drawn.
+    settlements : dict of str to Settlement
+        By incarnation that is no longer live, what is open about its permits.
     """
 
     revision: int = 0
@@ -174,6 +179,13 @@
     leaving_teams: dict[str, LeavingTeam] = msgspec.field(default_factory=dict)
     leaving_queues: dict[str, LeavingQueue] = msgspec.field(default_factory=dict)
     authors: dict[str, AuthorMark] = msgspec.field(default_factory=dict)
+    permits: dict[str, PermitAccount] = msgspec.field(default_factory=dict)
+    settlements: dict[str, Settlement] = msgspec.field(default_factory=dict)
+
+    def last_sequence(self, author: str) -> int:
+        """Return the last folded sequence number of ``author``; 0 if none is remembered."""
+        mark = self.authors.get(author)
+        return mark.sequence if mark else 0
 
     def find_team(self, name: str) -> Team | None:
         """Return a team in force or one that is leaving."""
