--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -52,7 +52,15 @@
         client = HttpLogClient(settings.log, self._incarnation)
         self._fold = Fold()
         self._follower = Follower(client, self._fold, metrics, clock)
-        self._writer = RecordWriter(client, FLEET, self._incarnation, settings.log, metrics, clock)
+        self._writer = RecordWriter(
+            client,
+            FLEET,
+            self._incarnation,
+            settings.log,
+            metrics,
+            clock,
+            position=self._follower.position,
+        )
         table = ClaimTable(
             int(settings.once.window_s * 1000), int(settings.once.clock_error_s * 1000)
         )
--- a/almondstack/fold/__init__.py
+++ b/almondstack/fold/__init__.py
@@ -2,10 +2,12 @@
 
 from almondstack.fold import config as _config
 from almondstack.fold import instances as _instances
+from almondstack.fold import levels as _levels
 from almondstack.fold import members as _members
 from almondstack.fold import permits as _permits
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
-from almondstack.fold.fold import Fold, FoldGapError
+from almondstack.fold.fold import Fold, FoldGapError, FoldOutdatedError
+from almondstack.fold.listeners import FoldDelta, FoldListener
 from almondstack.fold.permits_floors import (
     debt_of,
     home_zone,
@@ -17,7 +19,10 @@
 __all__ = [
     "Fold",
     "FoldContext",
+    "FoldDelta",
     "FoldGapError",
+    "FoldListener",
+    "FoldOutdatedError",
     "Refusal",
     "RefusedError",
     "Verdict",
@@ -29,4 +34,4 @@
     "zone_floors",
 ]
 
-_REGISTERED = (_config, _instances, _members, _permits)
+_REGISTERED = (_config, _instances, _levels, _members, _permits)
