--- a/almondstack/fleet/moves.py
+++ b/almondstack/fleet/moves.py
@@ -40,7 +40,7 @@
     taken = {drain.instance for drain in drains}
     for name in sorted(view.state.pools):
         pool = view.state.pools[name]
-        if pool.is_spare:
+        if pool.is_spare or name in view.state.leaving_pools:
             continue
         for _ in range(_wanted(view, pool)):
             donor = _choose_donor(view, pool, taken)
--- a/almondstack/fold/members.py
+++ b/almondstack/fold/members.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
+from almondstack.fold.permits_settlement import open_settlement
 from almondstack.fold.refusals import Refusal, RefusedError
 from almondstack.model import (
     EntryFenced,
@@ -21,7 +22,7 @@
     if body.incarnation in state.entries:
         raise RefusedError(Refusal.ENTRY_EXISTS, body.incarnation)
     if body.level < state.level:
-        raise RefusedError(Refusal.LEVEL_TOO_HIGH, f"level {state.level} is in force")
+        raise RefusedError(Refusal.LEVEL_NOT_SUPPORTED, f"level {state.level} is in force")
     state.entries[body.incarnation] = EntryState(
         incarnation=body.incarnation,
         name=body.name,
@@ -55,6 +56,7 @@
     state.entries[incarnation] = msgspec.structs.replace(
         entry, phase=phase, evidence=evidence, version=context.offset
     )
+    open_settlement(state, incarnation, is_ended=phase is EntryPhase.LEFT)
 
 
 @subject_of.register
--- a/almondstack/keeper/daemon.py
+++ b/almondstack/keeper/daemon.py
@@ -54,7 +54,13 @@
         self._fold = Fold()
         self._follower = Follower(client, self._fold, self._metrics, self._clock)
         self._writer = RecordWriter(
-            client, FLEET, self._incarnation, settings.log, self._metrics, self._clock
+            client,
+            FLEET,
+            self._incarnation,
+            settings.log,
+            self._metrics,
+            self._clock,
+            position=self._follower.position,
         )
         platform = settings.platform
         self._rounds = KeeperRounds(
--- a/almondstack/keeper/rounds.py
+++ b/almondstack/keeper/rounds.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from almondstack.core import Clock, NullMetrics
-from almondstack.fleet import FleetSettings, FleetTracker, Planner
+from almondstack.fleet import FleetSettings, FleetTracker, Planner, Proposal
 from almondstack.fold import Fold
 from almondstack.keeper.actor import Actor
 from almondstack.keeper.gate import ProposalGate
@@ -138,13 +138,20 @@
         self._lessons.learn(state, seen)
         proposals = self._planner.plan(state, seen)
         for proposal in self._gate.choose(proposals, state, seen.now_s):
-            self._writer.submit(proposal.body)
-            self._metrics.count("keeper.proposals")
+            self._propose(proposal)
         planned_ms = (time.process_time() - started_s) * _MS_PER_S
         self._metrics.timing_ms("keeper.plan", planned_ms)
         self._metrics.count("keeper.rounds.done")
         self._actor.act(state, seen.phase_since_s, seen_log_s)
 
+    def _propose(self, proposal: Proposal) -> None:
+        try:
+            self._writer.submit(proposal.body)
+        except LogError as error:
+            self._metrics.count(f"keeper.proposals.put-off.{error.code}")
+            return
+        self._metrics.count("keeper.proposals.made")
+
     def _look(self) -> None:
         try:
             self._tracker.note_usage(self._platform.usage())
--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -8,6 +8,7 @@
     InstanceRemoved,
     InstanceStepped,
 )
+from almondstack.model.level_records import LevelRaised
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
 from almondstack.model.operator_messages import (
@@ -19,30 +20,59 @@
     is_right_proof,
     revocation_proof,
 )
+from almondstack.model.permit_records import (
+    EntryEnded,
+    PermitCount,
+    PermitsDrawn,
+    PermitsReturned,
+    PermitsSettled,
+    SettledCount,
+)
+from almondstack.model.permit_resources import (
+    bound_of,
+    bounds_of,
+    ceiling_resource,
+    is_rate,
+    is_slots,
+    rate_bursts,
+    rate_resource,
+    slots_resource,
+)
+from almondstack.model.permit_state import PermitAccount, Settlement
 from almondstack.model.records import (
     FORMAT_LEVEL,
+    REPEAT_WINDOW_RECORDS,
     Envelope,
+    LogEntry,
+    RecordRegistry,
     decode_body,
     decode_envelope,
+    default_registry,
     encode_record,
     record_kind,
     register_record,
 )
 from almondstack.model.state import (
+    AuthorMark,
     EntryPhase,
     EntryState,
     FleetState,
     InstancePhase,
     InstanceState,
+    LeavingQueue,
+    LeavingTeam,
 )
 from almondstack.model.wave_records import WaveChanged, WaveSetAside, WaveStarted
 from almondstack.model.waves import WavePhase, WaveSpec, WaveState
 
 __all__ = [
     "FORMAT_LEVEL",
+    "REPEAT_WINDOW_RECORDS",
     "REVOCATIONS_PATH",
     "STATUS_PATH",
+    "AuthorMark",
     "Configured",
+    "EntryEnded",
     "EntryFenced",
     "EntryJoined",
     "EntryLeft",
@@ -61,13 +91,25 @@
     "Key",
     "KeyGranted",
     "KeyRevoked",
+    "LeavingQueue",
+    "LeavingTeam",
+    "LevelRaised",
     "Limit",
+    "LogEntry",
+    "PermitAccount",
+    "PermitCount",
+    "PermitsDrawn",
+    "PermitsReturned",
+    "PermitsSettled",
     "Pool",
     "Queue",
+    "RecordRegistry",
     "ReleaseApplied",
     "ReleaseNote",
     "RevocationReply",
     "RevocationRequest",
+    "SettledCount",
+    "Settlement",
     "Team",
     "WaveChanged",
     "WavePhase",
@@ -76,11 +118,20 @@
     "WaveStarted",
     "WaveState",
     "Withdrawn",
+    "bound_of",
+    "bounds_of",
+    "ceiling_resource",
     "decode_body",
     "decode_envelope",
+    "default_registry",
     "encode_record",
+    "is_rate",
     "is_right_proof",
+    "is_slots",
+    "rate_bursts",
+    "rate_resource",
     "record_kind",
     "register_record",
     "revocation_proof",
+    "slots_resource",
 ]
