Prove the planner by a state machine and plan the buffer

A hypothesis state machine runs several real keepers over one log and one platform with lost replies, pauses, outages, silent zones, bad returns and operators, against a recount from the acts and one from the records. It found that a stalled move was tried again without end (about 5 records a cycle): an instance now rests after a stall, longer each time. It found that a rebooted instance whose return was cut by another drain was rebooted twice in one wave: the fold now counts it as done.

--- a/almondstack/fleet/acts.py
+++ b/almondstack/fleet/acts.py
@@ -7,10 +7,11 @@
 has nothing to act upon.
 """
 
+from almondstack.fleet.view import FleetView
 from almondstack.model import FleetState, InstancePhase, InstanceState
 from almondstack.platform import Act, ActKind, act_id
 
-__all__ = ["needed_act", "needed_acts"]
+__all__ = ["is_safe_now", "needed_act", "needed_acts"]
 
 _KINDS = {
     InstancePhase.DRAINING: ActKind.DRAIN,
@@ -40,3 +41,19 @@
         if act is not None:
             found.append((item, act))
     return found
+
+
+def is_safe_now(view: FleetView, item: InstanceState, act: Act) -> bool:
+    """Return whether an act may be taken as things stand.
+
+    Explanation
+    -----------
+    Between the record of a drain and its act other instances may have failed
+    or the budget may have risen, so the drain is taken only while young
+    reports show that the pool holds its budget without the instance.
+    """
+    pool = view.state.pools.get(item.pool)
+    if act.kind is not ActKind.DRAIN or pool is None:
+        return True
+    others = [other for other in view.surely_serving(item.pool) if other.name != item.name]
+    return len(others) >= pool.min_serving
--- /dev/null
+++ b/almondstack/fleet/buffer.py
@@ -0,0 +1,170 @@
+"""The least number of spare instances, and where they should stand.
+
+Explanation
+-----------
+A failure domain is a rack or a zone.  When one domain is lost while a wave has
+``wave_out`` instances out, each pool may lack some instances for its budget;
+spares outside the lost domain must make up for the sum over all pools.  Since
+only one domain is lost at a time, pools share the spares.
+
+The domains nest, racks within zones, so for a given number ``S`` of spares the
+question whether they can be placed is one of independent upper bounds: domain
+``D`` may hold at most ``S - need(D)`` of them.  The first ``S`` for which the
+bounds add up to ``S`` is the optimum; :mod:`almondstack.bench` compares it with
+an integer program.
+"""
+
+import msgspec
+
+from almondstack.model import FleetState, InstanceState, Pool
+
+__all__ = ["BufferPlan", "Demand", "demand_of", "need_of_domain", "plan_buffer"]
+
+
+class Demand(msgspec.Struct, frozen=True, kw_only=True):
+    """What the buffer has to stand by for.
+
+    Parameters
+    ----------
+    pools : tuple of Pool
+        Pools with a budget; spare pools are left out.
+    placed : dict of str to list of InstanceState
+        The instances that each pool owns and that are not lost.
+    rack_zones : dict of str to str
+        The zone of each rack.
+    rack_room : dict of str to int
+        How many spares each rack can hold.
+    wave_out : int
+        How many instances a wave has out at once, over all pools.
+    is_zone_loss : bool
+        True if the loss of a whole zone counts, besides the loss of a rack.
+    """
+
+    pools: tuple[Pool, ...]
+    placed: dict[str, list[InstanceState]]
+    rack_zones: dict[str, str]
+    rack_room: dict[str, int]
+    wave_out: int = 1
+    is_zone_loss: bool = True
+
+
+class BufferPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """How many spares are needed.
+
+    Parameters
+    ----------
+    spares : int or None
+        The least number; None if no placement holds every budget.
+    by_rack : dict of str to int
+        One placement of that number.
+    worst_domain : str
+        The domain whose loss needs most spares.
+    worst_need : int
+        How many that is: the lower bound of ``spares``.
+    """
+
+    spares: int | None
+    by_rack: dict[str, int]
+    worst_domain: str
+    worst_need: int
+
+
+def demand_of(state: FleetState, wave_out: int = 1, is_zone_loss: bool = True) -> Demand:
+    """Return the demand of a fleet; its spare instances are the room for spares."""
+    pools = tuple(
+        state.pools[name]
+        for name in sorted(state.pools)
+        if not state.pools[name].is_spare and name not in state.leaving_pools
+    )
+    placed: dict[str, list[InstanceState]] = {pool.name: [] for pool in pools}
+    zones: dict[str, str] = {}
+    room: dict[str, int] = {}
+    for name in sorted(state.instances):
+        item = state.instances[name]
+        zones[item.spec.rack] = item.spec.zone
+        if item.pool in placed and not item.is_lost:
+            placed[item.pool].append(item)
+        elif item.pool not in placed and not item.is_lost:
+            room[item.spec.rack] = room.get(item.spec.rack, 0) + 1
+    return Demand(
+        pools=pools,
+        placed=placed,
+        rack_zones=zones,
+        rack_room=room,
+        wave_out=wave_out,
+        is_zone_loss=is_zone_loss,
+    )
+
+
+def need_of_domain(demand: Demand, domain: str) -> int:
+    """Return how many spares the loss of a rack or zone needs, with a wave in progress."""
+    slacks = []
+    need = 0
+    for pool in demand.pools:
+        owned = demand.placed[pool.name]
+        left = sum(domain not in (item.spec.rack, item.spec.zone) for item in owned)
+        slack = left - pool.min_serving
+        need += max(-slack, 0)
+        slacks.append((max(slack, 0), max(len(owned) - pool.min_serving, 0)))
+    return need + _wave_need(slacks, demand.wave_out)
+
+
+def _wave_need(slacks: list[tuple[int, int]], wave_out: int) -> int:
+    """The wave is where it costs most: in the pools with least slack after the loss."""
+    need = 0
+    for slack, most_out in sorted(slacks):
+        out = min(most_out, wave_out)
+        need += max(out - slack, 0)
+        wave_out -= out if out > slack else 0
+    return need
+
+
+def plan_buffer(demand: Demand) -> BufferPlan:
+    """Return the least number of spares and a placement of them.
+
+    Examples
+    --------
+    >>> from almondstack.fleet import demand_of, plan_buffer
+    >>> from almondstack.testing.builders import make_fold
+    >>> plan_buffer(demand_of(make_fold().state)).worst_need
+    3
+    """
+    racks = sorted(demand.rack_zones)
+    zones = sorted(set(demand.rack_zones.values())) if demand.is_zone_loss else []
+    needs = {domain: need_of_domain(demand, domain) for domain in (*zones, *racks)}
+    worst = max(needs, key=lambda domain: (needs[domain], domain), default="")
+    lower = needs.get(worst, 0)
+    for spares in range(lower, sum(demand.rack_room.values()) + 1):
+        placement = _place(demand, needs, spares)
+        if placement is not None:
+            return BufferPlan(
+                spares=spares, by_rack=placement, worst_domain=worst, worst_need=lower
+            )
+    return BufferPlan(spares=None, by_rack={}, worst_domain=worst, worst_need=lower)
+
+
+def _place(demand: Demand, needs: dict[str, int], spares: int) -> dict[str, int] | None:
+    """Fill the racks evenly, each time the one that holds least, within the bounds."""
+    left_in_rack = {
+        rack: min(room, spares - needs.get(rack, 0)) for rack, room in demand.rack_room.items()
+    }
+    left_in_zone = {zone: spares - needs.get(zone, 0) for zone in demand.rack_zones.values()}
+    placed = dict.fromkeys(demand.rack_room, 0)
+    in_zone = dict.fromkeys(left_in_zone, 0)
+    for _ in range(spares):
+        open_racks = [
+            rack
+            for rack, left in left_in_rack.items()
+            if left > 0 and left_in_zone[demand.rack_zones[rack]] > 0
+        ]
+        if not open_racks:
+            return None
+        rack = min(
+            open_racks, key=lambda name: (in_zone[demand.rack_zones[name]], placed[name], name)
+        )
+        zone = demand.rack_zones[rack]
+        left_in_rack[rack] -= 1
+        left_in_zone[zone] -= 1
+        placed[rack] += 1
+        in_zone[zone] += 1
+    return {name: count for name, count in placed.items() if count}
--- a/almondstack/fleet/moves.py
+++ b/almondstack/fleet/moves.py
@@ -14,6 +14,8 @@
 
 __all__ = ["break_even_s", "next_moves"]
 
+_MOST_DOUBLINGS = 6
+
 
 def break_even_s(move_s: float, gain_share: float) -> float:
     """Return how long a shortage must go on for a move to pay.
@@ -59,11 +61,20 @@
         is_homeless = item.pool not in view.state.pools
         has_home = item.spec.pool in view.state.pools
         is_asked = item.is_misplaced or is_homeless
-        if item.is_serving and not item.is_withdrawn and has_home and is_asked:
+        is_free = item.is_serving and not item.is_withdrawn and not _is_resting(view, item)
+        if is_free and has_home and is_asked:
             found.append(item)
     return found
 
 
+def _is_resting(view: FleetView, item: InstanceState) -> bool:
+    """An instance that did not get empty is left alone, longer each time."""
+    if not item.stalls:
+        return False
+    rest_s = view.settings.loss_pause_s * 2 ** min(item.stalls - 1, _MOST_DOUBLINGS)
+    return view.seen.phase_age_s(item.name) < rest_s
+
+
 def _to_declared(item: InstanceState) -> InstanceStepped:
     return _drain_to(item, item.spec.pool, "declared for another pool")
 
@@ -144,6 +155,7 @@
 
 def _is_donor(view: FleetView, item: InstanceState, pool: Pool, taken: set[str]) -> bool:
     is_free = item.name not in taken and not item.is_withdrawn and not item.is_misplaced
+    is_free = is_free and not _is_resting(view, item)
     is_fit = item.spec.accelerators >= pool.needs_accelerators
     return is_free and is_fit and view.is_surely_well(item)
 
--- /dev/null
+++ b/almondstack/fleet/relief.py
@@ -0,0 +1,96 @@
+"""Chooses platform tasks to slow down or stop when urgent work finds no slot.
+
+Explanation
+-----------
+Tasks of teams above their share go first, the team farthest above it first.
+A task that may not run twice is never touched.  Of the means that a task
+allows the mildest that frees a slot is taken: a checkpoint keeps the work done
+so far, a throttle halves the slots, a stop loses the work.
+"""
+
+import msgspec
+
+from almondstack.model import Team
+from almondstack.platform import Act, ActKind, PlatformTask, act_id
+
+__all__ = ["choose_relief", "team_excess"]
+
+
+class _Candidate(msgspec.Struct, frozen=True, order=True):
+    """A task with the act that would free slots, ordered by preference."""
+
+    rank: tuple[float, int, str]
+    task: PlatformTask
+    kind: ActKind
+    freed: int
+
+
+def team_excess(teams: dict[str, Team], running: dict[str, int]) -> dict[str, float]:
+    """Return by how much each team is above its share of what runs.
+
+    Examples
+    --------
+    >>> from almondstack.fleet import team_excess
+    >>> from almondstack.model import Team
+    >>> teams = {name: Team(name=name, share=1, ceiling=9) for name in ("north", "south")}
+    >>> team_excess(teams, {"north": 6, "south": 2})
+    {'north': 2.0, 'south': -2.0}
+    """
+    active = {name: count for name, count in running.items() if count and name in teams}
+    total_share = sum(teams[name].share for name in active) or 1
+    total = sum(active.values())
+    return {name: count - total * teams[name].share / total_share for name, count in active.items()}
+
+
+def choose_relief(
+    tasks: tuple[PlatformTask, ...],
+    teams: dict[str, Team],
+    running: dict[str, int],
+    slots_wanted: int,
+    order: int,
+) -> list[Act]:
+    """Return acts that free ``slots_wanted`` slots, or as many as they can.
+
+    Parameters
+    ----------
+    tasks : tuple of PlatformTask
+        What the platform runs on the pool's instances.
+    teams : dict of str to Team
+        Shares by team.
+    running : dict of str to int
+        Slots in use by team, tasks included.
+    slots_wanted : int
+        Slots that urgent work waits for.
+    order : int
+        Offset of the state that the choice is made from.
+    """
+    used = dict(running)
+    left = list(tasks)
+    acts: list[Act] = []
+    while slots_wanted > 0:
+        found = _best(left, team_excess(teams, used))
+        if found is None:
+            break
+        task = found.task
+        acts.append(Act(id=act_id(task.id, order), target=task.id, kind=found.kind, order=order))
+        left.remove(task)
+        used[task.team] -= found.freed
+        slots_wanted -= found.freed
+    return acts
+
+
+def _best(tasks: list[PlatformTask], excess: dict[str, float]) -> _Candidate | None:
+    candidates = [
+        _candidate(task, excess[task.team])
+        for task in tasks
+        if task.is_idempotent and excess.get(task.team, 0.0) > 0
+    ]
+    return min(candidates, default=None, key=lambda item: item.rank)
+
+
+def _candidate(task: PlatformTask, excess: float) -> _Candidate:
+    if task.can_checkpoint:
+        return _Candidate((-excess, 0, task.id), task, ActKind.CHECKPOINT, task.slots)
+    if task.slots > 1:
+        return _Candidate((-excess, 1, task.id), task, ActKind.THROTTLE, task.slots // 2)
+    return _Candidate((-excess, 2, task.id), task, ActKind.STOP, task.slots)
--- a/almondstack/fleet/steps.py
+++ b/almondstack/fleet/steps.py
@@ -93,7 +93,13 @@
     bound_s = estimates.stall_s(pool, view.settings) if pool else float("inf")
     if item.is_withdrawn or view.seen.phase_age_s(item.name) <= bound_s:
         return []
-    back = _step(item, InstancePhase.RETURNING, f"not empty after {bound_s:.0f} s")
+    back = InstanceStepped(
+        item.name,
+        item.version,
+        InstancePhase.RETURNING,
+        f"not empty after {bound_s:.0f} s",
+        is_stalled=True,
+    )
     if item.wave is None:
         return [back]
     return [WaveSetAside(item.wave, item.name, f"stalled: {back.cause}"), back]
--- /dev/null
+++ b/almondstack/fleet/tests/test_relief.py
@@ -0,0 +1,33 @@
+from almondstack.fleet import choose_relief
+from almondstack.platform import ActKind, PlatformTask
+from almondstack.testing.builders import make_team
+
+_TEAMS = {"north": make_team("north"), "south": make_team("south")}
+
+
+def _task(name, team, **fields):
+    return PlatformTask(id=name, instance="u1", team=team, is_idempotent=True, **fields)
+
+
+def test_teams_above_their_share_go_first_and_mildly():
+    tasks = (
+        _task("t1", "south"),
+        _task("t2", "north"),
+        _task("t3", "north", can_checkpoint=True),
+        _task("t4", "north", slots=4),
+    )
+    acts = choose_relief(tasks, _TEAMS, {"north": 8, "south": 2}, 3, order=7)
+    assert [(act.target, act.kind) for act in acts] == [
+        ("t3", ActKind.CHECKPOINT),
+        ("t4", ActKind.THROTTLE),
+    ]
+
+
+def test_work_that_may_not_run_twice_is_never_touched():
+    tasks = (PlatformTask(id="t1", instance="u1", team="north", can_checkpoint=True),)
+    assert choose_relief(tasks, _TEAMS, {"north": 8, "south": 1}, 1, order=7) == []
+
+
+def test_nothing_is_taken_from_a_team_within_its_share():
+    tasks = (_task("t1", "south"), _task("t2", "north"))
+    assert choose_relief(tasks, _TEAMS, {"north": 2, "south": 2}, 2, order=7) == []
--- a/almondstack/fleet/waves.py
+++ b/almondstack/fleet/waves.py
@@ -98,6 +98,9 @@
     if not wave.waiting:
         summary = f"{len(wave.done)} done, {len(wave.set_aside)} set aside"
         return [WaveChanged(wave.name, wave.version, WavePhase.ENDED, summary)]
+    withdrawn = _withdrawn(view, wave)
+    if withdrawn:
+        return withdrawn
     window_end_s = wave.spec.started_s + wave.spec.window_s + view.settings.loss_pause_s
     if view.seen.unix_s < window_end_s:
         return []
@@ -108,6 +111,16 @@
     ]
 
 
+def _withdrawn(view: FleetView, wave: WaveState) -> list[WaveChanged | WaveSetAside]:
+    goes_on = (InstancePhase.REBOOTING, InstancePhase.RETURNING)
+    found: list[WaveChanged | WaveSetAside] = []
+    for name in wave.waiting:
+        item = view.state.instances.get(name)
+        if item is not None and item.is_withdrawn and item.phase not in goes_on:
+            found.append(WaveSetAside(wave.name, name, "withdrawn"))
+    return found
+
+
 def _is_long_lost(view: FleetView, name: str) -> bool:
     is_old = view.seen.phase_age_s(name) >= view.settings.loss_pause_s
     return view.state.instances[name].is_lost and is_old
--- a/almondstack/fold/instances.py
+++ b/almondstack/fold/instances.py
@@ -68,6 +68,7 @@
         wave=body.wave if is_drain else _wave_kept(known, body.phase),
         target_pool=_target_kept(known, body),
         reason=body.cause,
+        stalls=_stalls(known, body),
         maintained_offset=_maintained_offset(known, body, context),
     )
 
@@ -178,6 +179,13 @@
     return None if phase is InstancePhase.SERVING else known.wave
 
 
+def _stalls(known: InstanceState, body: InstanceStepped) -> int:
+    if body.phase is InstancePhase.DRAINED:
+        return 0
+    is_given_up = known.phase is InstancePhase.DRAINING and body.is_stalled
+    return known.stalls + is_given_up
+
+
 def _maintained_offset(known: InstanceState, body: InstanceStepped, context: FoldContext) -> int:
     is_back = known.phase is InstancePhase.REBOOTING and body.phase is InstancePhase.RETURNING
     return context.offset if is_back else known.maintained_offset
--- a/almondstack/fold/wave_progress.py
+++ b/almondstack/fold/wave_progress.py
@@ -35,7 +35,8 @@
         raise RefusedError(Refusal.NO_SUCH_WAVE, name)
     if not wave.is_running:
         raise RefusedError(Refusal.WAVE_NOT_OPEN, f"{name} is {wave.phase}")
-    if known.name not in wave.waiting:
+    is_rebooted = known.maintained_offset > wave.started_offset
+    if is_rebooted or known.name not in wave.waiting:
         raise RefusedError(Refusal.NOT_WAITING_IN_WAVE, known.name)
 
 
@@ -57,13 +58,18 @@
 
 
 def note_wave_return(state: FleetState, known: InstanceState, context: FoldContext) -> None:
-    """Count an instance that serves again after its reboot as done."""
-    wave = state.waves.get(known.wave or "")
-    is_rebooted = wave is not None and known.maintained_offset > wave.started_offset
-    if wave is None or not is_rebooted or known.name not in wave.waiting:
-        return
-    done = {**wave.done, known.name: context.offset}
-    state.waves[wave.name] = msgspec.structs.replace(wave, done=done)
+    """Count an instance that serves again after its reboot as done.
+
+    Explanation
+    -----------
+    The instance need not be in the hands of the wave any more: a drain for
+    another purpose may have come between its reboot and serving again.
+    """
+    for wave in list(state.waves.values()):
+        is_rebooted = known.maintained_offset > wave.started_offset
+        if is_rebooted and known.name in wave.waiting:
+            done = {**wave.done, known.name: context.offset}
+            state.waves[wave.name] = msgspec.structs.replace(wave, done=done)
 
 
 def note_wave_failure(
--- a/almondstack/keeper/actor.py
+++ b/almondstack/keeper/actor.py
@@ -7,9 +7,19 @@
 the act has the same id, so the platform takes it once.
 """
 
+import msgspec
+
 from almondstack.core import Clock, NullMetrics, PartLogger
-from almondstack.fleet import FleetSettings, FleetTracker, keeper_names, needed_acts, rank_of
-from almondstack.model import FleetState, InstanceState
+from almondstack.fleet import (
+    FleetSettings,
+    FleetTracker,
+    FleetView,
+    is_safe_now,
+    keeper_names,
+    needed_acts,
+    rank_of,
+)
+from almondstack.model import InstanceState
 from almondstack.platform import Act, ActSupersededError, PlatformClient, PlatformError
 
 __all__ = ["Actor"]
@@ -66,37 +76,36 @@
         self._clock = clock
         self._settled: set[str] = set()
 
-    def act(self, state: FleetState, phase_since_s: dict[str, float], seen_log_s: float) -> None:
+    def act(self, view: FleetView, seen_log_s: float) -> None:
         """Take every act that falls to this keeper.
 
         Parameters
         ----------
-        state : FleetState
-            The folded state as of ``seen_log_s``.
-        phase_since_s : dict of str to float
-            When each instance was first seen in its phase, in seconds.
+        view : FleetView
+            The folded state as of ``seen_log_s`` and what was seen besides.
         seen_log_s : float
             When this keeper saw the end of the log, on the monotonic clock.
         """
-        names = keeper_names(state, self._own)
-        wanted = needed_acts(state)
+        names = keeper_names(view.state, self._own)
+        wanted = needed_acts(view.state)
         self._settled &= {act.id for _, act in wanted}
+        expires_s = view.seen.platform_now_s + self._settings.act_lease_s
         for item, act in wanted:
-            if act.id in self._settled or not self._falls_here(item, names, phase_since_s):
+            if act.id in self._settled or not self._falls_here(item, names, view):
                 continue
             if self._clock.monotonic() - seen_log_s > self._settings.act_lease_s:
                 self._metrics.count("keeper.acts.lease-over")
                 return
-            self._ensure(act)
+            if is_safe_now(view, item, act):
+                self._ensure(msgspec.structs.replace(act, expires_s=expires_s))
+            else:
+                self._metrics.count("keeper.acts.withheld")
 
-    def _falls_here(
-        self, item: InstanceState, names: list[str], phase_since_s: dict[str, float]
-    ) -> bool:
+    def _falls_here(self, item: InstanceState, names: list[str], view: FleetView) -> bool:
         if item.stepped_by == self._author:
             return True
         rank = rank_of(self._own, names, f"pool/{item.pool}")
-        now_s = self._clock.monotonic()
-        age_s = now_s - phase_since_s.get(item.name, now_s)
+        age_s = view.seen.phase_age_s(item.name)
         return age_s >= (rank + 1) * self._settings.takeover_s
 
     def _ensure(self, act: Act) -> None:
--- a/almondstack/keeper/rounds.py
+++ b/almondstack/keeper/rounds.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from almondstack.core import Clock, NullMetrics
-from almondstack.fleet import FleetSettings, FleetTracker, Planner, Proposal
+from almondstack.core import AlmondError, Clock, NullMetrics
+from almondstack.fleet import FleetSettings, FleetTracker, FleetView, Planner, Proposal
 from almondstack.fold import Fold
 from almondstack.keeper.actor import Actor
 from almondstack.keeper.gate import ProposalGate
@@ -13,7 +13,7 @@
 from almondstack.log import FLEET, Follower, LogClient, LogError, RecordWriter
 from almondstack.model import FleetState
 from almondstack.platform import (
-    HttpInstanceList,
+    InstanceList,
     InstanceListError,
     PlatformClient,
     PlatformError,
@@ -21,7 +21,6 @@
 
 __all__ = ["KeeperRounds", "copy_state"]
 
-_CATCH_UP_S = 2.0
 _MS_PER_S = 1000
 
 
@@ -60,7 +59,7 @@
         Appends the proposals.
     platform : PlatformClient
         Acts and reports.
-    instance_list : HttpInstanceList
+    instance_list : InstanceList
         The lagging list.
     settings : FleetSettings
         Bounds and waiting times.
@@ -95,7 +94,7 @@
         follower: Follower,
         writer: RecordWriter,
         platform: PlatformClient,
-        instance_list: HttpInstanceList,
+        instance_list: InstanceList,
         settings: FleetSettings,
         metrics: NullMetrics,
         clock: Clock,
@@ -134,7 +133,8 @@
             return
         started_s = time.process_time()
         state = copy_state(self._fold)
-        seen = self._tracker.observe(state, self._follower.silence_s, self._settings.unseen_after_s)
+        view_age_s = self._clock.monotonic() - seen_log_s
+        seen = self._tracker.observe(state, view_age_s, self._settings.unseen_after_s)
         self._lessons.learn(state, seen)
         proposals = self._planner.plan(state, seen)
         for proposal in self._gate.choose(proposals, state, seen.now_s):
@@ -142,7 +142,7 @@
         planned_ms = (time.process_time() - started_s) * _MS_PER_S
         self._metrics.timing_ms("keeper.plan", planned_ms)
         self._metrics.count("keeper.rounds.done")
-        self._actor.act(state, seen.phase_since_s, seen_log_s)
+        self._actor.act(FleetView(state, seen, self._settings), seen_log_s)
 
     def _propose(self, proposal: Proposal) -> None:
         try:
@@ -165,7 +165,9 @@
     def _catch_up(self) -> bool:
         try:
             end = self._log.bounds(FLEET).next_offset
-        except LogError as error:
+            while self._fold.next_offset < end and self._follower.may_decide:
+                self._follower.poll()
+        except AlmondError as error:
             self._metrics.count(f"keeper.catch-up.{error.code}")
             return False
-        return self._fold.wait_for_offset(end, _CATCH_UP_S)
+        return self._follower.may_decide
--- a/almondstack/model/fleet_records.py
+++ b/almondstack/model/fleet_records.py
@@ -26,6 +26,8 @@
         For a drain, the maintenance wave that it belongs to.
     target_pool : str or None
         For a drain that ends in a move, the pool it goes to.
+    is_stalled : bool
+        For the return from a drain, True if the instance did not get empty.
     """
 
     instance: str
@@ -34,6 +36,7 @@
     cause: str = ""
     wave: str | None = None
     target_pool: str | None = None
+    is_stalled: bool = False
 
 
 @register_record("instance-moved")
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -76,6 +76,8 @@
         True if it disappears once it is drained.
     reason : str
         Why it is in this phase.
+    stalls : int
+        Drains in a row that were given up because it did not get empty.
     maintained_offset : int
         Offset of its last completed maintenance, 0 if none.
     """
@@ -91,6 +93,7 @@
     wave: str | None = None
     is_withdrawn: bool = False
     reason: str = ""
+    stalls: int = 0
     maintained_offset: int = 0
 
     @property
--- a/almondstack/platform/__init__.py
+++ b/almondstack/platform/__init__.py
@@ -12,6 +12,7 @@
 )
 from almondstack.platform.client import HttpPlatform, PlatformClient, PlatformSettings
 from almondstack.platform.errors import (
+    ActExpiredError,
     ActReplyLostError,
     ActSupersededError,
     PlatformError,
@@ -19,18 +20,21 @@
 )
 from almondstack.platform.instance_list import (
     HttpInstanceList,
+    InstanceList,
     InstanceListError,
     ListedInstance,
 )
 
 __all__ = [
     "Act",
+    "ActExpiredError",
     "ActKind",
     "ActReplyLostError",
     "ActStatus",
     "ActSupersededError",
     "HttpInstanceList",
     "HttpPlatform",
+    "InstanceList",
     "InstanceListError",
     "LeaseRenewal",
     "ListedInstance",
--- a/almondstack/platform/acts.py
+++ b/almondstack/platform/acts.py
@@ -4,10 +4,10 @@
 -----------
 An act has an id that follows from the folded step it belongs to, so every
 keeper that takes up the step names the same act, and the platform takes it
-once.  It also has an order: the platform refuses an act whose order is below
-that of an act it took on the same target (a fencing token, Kleppmann 2016), so
-that a keeper which was paused for long can't reach an instance with a step
-that the fleet has left behind.
+once.  Two more conditions keep a keeper that was paused for long from reaching
+an instance with a step that the fleet has left behind: the platform refuses an
+act whose order is below that of an act it took on the same target (a fencing
+token, Kleppmann 2016), and an act that arrives after its lease.
 """
 
 from enum import StrEnum
@@ -25,6 +25,8 @@
     "act_id",
 ]
 
+_NO_LEASE_END_S = 1e12
+
 
 class ActKind(StrEnum):
     """Kinds of acts on an instance or a task."""
@@ -65,6 +67,8 @@
         Offset of the step that it belongs to.
     pool : str
         For a resumption, the pool that the instance returns to.
+    expires_s : float
+        End of the lease under which it is sent, in seconds on the platform's clock.
     """
 
     id: str
@@ -72,6 +76,7 @@
     kind: ActKind
     order: int
     pool: str = ""
+    expires_s: float = _NO_LEASE_END_S
 
 
 class ActStatus(msgspec.Struct, frozen=True, kw_only=True):
--- a/almondstack/platform/client.py
+++ b/almondstack/platform/client.py
@@ -23,6 +23,7 @@
 )
 from almondstack.platform.acts import Act, ActStatus, LeaseRenewal, PlatformTask, UsageView
 from almondstack.platform.errors import (
+    ActExpiredError,
     ActReplyLostError,
     ActSupersededError,
     PlatformUnavailableError,
@@ -35,6 +36,7 @@
 _HTTP_OK = 200
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
+_HTTP_GONE = 410
 
 
 class PlatformSettings(Settings, frozen=True):
@@ -106,6 +108,8 @@
             The act was sent and may have taken effect; call again.
         ActSupersededError
             A later step of the target was acted upon.
+        ActExpiredError
+            The act arrived after its lease; it was not taken.
         """
         known = self._find(act.id)
         if known is not None:
@@ -189,6 +193,9 @@
         if response.status == _HTTP_CONFLICT:
             self._metrics.count("platform.superseded")
             raise ActSupersededError("a later act was taken")
+        if response.status == _HTTP_GONE:
+            self._metrics.count("platform.expired")
+            raise ActExpiredError("the lease of the act is over")
         self._metrics.count("platform.unavailable.status")
         raise PlatformUnavailableError(f"status {response.status}")
 
--- a/almondstack/platform/errors.py
+++ b/almondstack/platform/errors.py
@@ -3,6 +3,7 @@
 from almondstack.core import AlmondError
 
 __all__ = [
+    "ActExpiredError",
     "ActReplyLostError",
     "ActSupersededError",
     "PlatformError",
@@ -32,3 +33,9 @@
     """The platform took a later act on the same target and refuses this one."""
 
     code = "act-superseded"
+
+
+class ActExpiredError(PlatformError):
+    """The act arrived after its lease and was not taken."""
+
+    code = "act-expired"
--- a/almondstack/platform/instance_list.py
+++ b/almondstack/platform/instance_list.py
@@ -1,12 +1,14 @@
 """Client of the platform's lagging list of instances."""
 
+from typing import Protocol
+
 import msgspec
 import urllib3
 from urllib3.exceptions import HTTPError
 
 from almondstack.core import AlmondError, CodecError, decode_json
 
-__all__ = ["HttpInstanceList", "InstanceListError", "ListedInstance"]
+__all__ = ["HttpInstanceList", "InstanceList", "InstanceListError", "ListedInstance"]
 
 _HTTP_OK = 200
 
@@ -43,6 +45,14 @@
     is_leaving: bool = False
 
 
+class InstanceList(Protocol):
+    """Access to the list."""
+
+    def read(self) -> tuple[ListedInstance, ...]:
+        """Return the list."""
+        ...
+
+
 class HttpInstanceList:
     """Reads the list over HTTP.
 
--- a/almondstack/standin/platform.py
+++ b/almondstack/standin/platform.py
@@ -96,6 +96,8 @@
         if status is None:
             if self._fleet.is_superseded(act):
                 return Reply(409)
+            if self._fleet.is_expired(act):
+                return Reply(410)
             status = self._fleet.take(act)
             self._tell_upstream(act)
         if self._faults.drop_replies > 0:
--- a/almondstack/standin/platform_fleet.py
+++ b/almondstack/standin/platform_fleet.py
@@ -63,6 +63,8 @@
         Instances that break at their next reboot.
     never_empty : list of str
         Instances whose work doesn't end.
+    silent : list of str
+        Instances whose reports don't reach the platform any more.
     """
 
     drain_s: float = 0.5
@@ -71,6 +73,7 @@
     failed: list[str] = msgspec.field(default_factory=list)
     fail_on_return: list[str] = msgspec.field(default_factory=list)
     never_empty: list[str] = msgspec.field(default_factory=list)
+    silent: list[str] = msgspec.field(default_factory=list)
 
 
 class PlatformFleet:
@@ -92,6 +95,7 @@
         "_orders",
         "_read_running",
         "_recount",
+        "_reports",
         "_tasks",
         "_views",
         "faults",
@@ -109,6 +113,7 @@
         self._machines: dict[str, Machine] = {}
         self._tasks: dict[str, PlatformTask] = {}
         self._orders: dict[str, ActStatus] = {}
+        self._reports: dict[str, UsageReport] = {}
         self._views: deque[UsageView] = deque(maxlen=_VIEWS_KEPT)
         self.faults = FleetFaults()
 
@@ -152,6 +157,10 @@
         machine = self._machines.get(act.target)
         return machine is not None and act.order < machine.order
 
+    def is_expired(self, act: Act) -> bool:
+        """Return whether an act arrives after its lease."""
+        return self._clock() > act.expires_s
+
     def take(self, act: Act) -> ActStatus:
         """Take an act that did not arrive before."""
         self._record_view()
@@ -171,7 +180,7 @@
             machine.is_draining = True
             machine.empty_at_s = now_s + self.faults.drain_s
         elif act.kind is ActKind.RESUME:
-            self._recount.resumed(act.id, machine.name, act.pool)
+            self._recount.resumed(act.id, machine.name, act.pool, self.running(machine) or 0)
             machine.is_draining = False
             machine.pool = act.pool or machine.pool
         elif act.kind is ActKind.REBOOT:
@@ -213,7 +222,10 @@
 
     def _record_view(self) -> None:
         now_s = self._clock()
-        reports = tuple(self._report(machine, now_s) for machine in self._machines.values())
+        for machine in self._machines.values():
+            if machine.name not in self.faults.silent:
+                self._reports[machine.name] = self._report(machine, now_s)
+        reports = tuple(self._reports.values())
         self._views.append(UsageView(now_s=now_s, reports=reports))
 
     def _report(self, machine: Machine, now_s: float) -> UsageReport:
--- a/almondstack/standin/platform_recount.py
+++ b/almondstack/standin/platform_recount.py
@@ -26,7 +26,7 @@
     act : str
         Id of the act.
     rule : str
-        ``budget``, ``not-drained``, ``not-empty`` or ``twice``.
+        ``budget``, ``not-drained``, ``not-empty``, ``moved-busy`` or ``twice``.
     detail : str
         What was counted.
     """
@@ -69,6 +69,11 @@
         """Every act that broke a rule."""
         return self._violations
 
+    @property
+    def budgets(self) -> dict[str, int]:
+        """The budget of each pool."""
+        return dict(self._budgets)
+
     def set_budgets(self, budgets: tuple[PoolBudget, ...]) -> None:
         """Replace the budgets."""
         self._budgets = {budget.name: budget.min_serving for budget in budgets}
@@ -115,9 +120,12 @@
         if running:
             self._add(act, "not-empty", f"{instance} runs {running}")
 
-    def resumed(self, act: str, instance: str, pool: str) -> None:
+    def resumed(self, act: str, instance: str, pool: str, running: int) -> None:
         """Note that an instance takes work again, for ``pool`` if one is named."""
         self._note_once(act)
+        is_moved = pool not in ("", self._pools.get(instance))
+        if is_moved and (running or instance not in self._stopped):
+            self._add(act, "moved-busy", f"{instance} runs {running}")
         self._stopped.discard(instance)
         if pool:
             self._pools[instance] = pool
--- /dev/null
+++ b/almondstack/testing/fleet_machine.py
@@ -0,0 +1,203 @@
+"""A hypothesis state machine over real keepers, the fold and a fake platform."""
+
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant, precondition, rule
+
+from almondstack.fleet import FleetView, wave_hold_reason
+from almondstack.model import (
+    Configured,
+    InstanceMoved,
+    InstancePhase,
+    InstanceRemoved,
+    InstanceState,
+    InstanceStepped,
+    ReleaseNote,
+    WaveChanged,
+    WavePhase,
+    WaveState,
+    Withdrawn,
+)
+from almondstack.testing.fleet_faults import POOLS
+from almondstack.testing.fleet_mishaps import MishapRules
+from almondstack.testing.fleet_notes import spread_instances
+from almondstack.testing.fleet_world import WORLD_SETTINGS
+
+__all__ = ["FleetMachine", "ShortFleetMachine"]
+
+_CALM_TICKS = 400
+_LONG_S = 120.0
+_ROGUE_PHASES = (InstancePhase.DRAINING, InstancePhase.REBOOTING)
+
+
+class FleetMachine(MishapRules):
+    """Keepers, operators and faults in any order."""
+
+    @rule(data=st.data(), phase=st.sampled_from(_ROGUE_PHASES))
+    def rogue_step(self, data: st.DataObject, phase: InstancePhase) -> None:
+        """A keeper with a fault asks for a step; the fold has to judge it."""
+        item = self._draw_instance(data)
+        if item is not None:
+            self._submit_rogue(InstanceStepped(item.name, item.version, phase, "rogue"))
+
+    @rule(data=st.data(), pool=st.sampled_from(POOLS))
+    def rogue_move(self, data: st.DataObject, pool: str) -> None:
+        """A keeper with a fault moves or removes an instance."""
+        item = self._draw_instance(data)
+        if item is not None and item.phase is not InstancePhase.DRAINED:
+            self._submit_rogue(InstanceMoved(item.name, item.version, pool, "rogue"))
+            self._submit_rogue(InstanceRemoved(item.name, item.version, "rogue"))
+
+    def _draw_instance(self, data: st.DataObject) -> InstanceState | None:
+        names = sorted(self.world.state.instances)
+        if not names:
+            return None
+        return self.world.state.instances[data.draw(st.sampled_from(names))]
+
+    @rule(data=st.data(), phase=st.sampled_from([WavePhase.PAUSED, WavePhase.RUNNING]))
+    def change_wave(self, data: st.DataObject, phase: WavePhase) -> None:
+        """An operator pauses or resumes a wave."""
+        self._change_wave(data, phase)
+
+    @rule(data=st.data())
+    def abort_wave(self, data: st.DataObject) -> None:
+        """An operator aborts a wave."""
+        self._change_wave(data, WavePhase.ABORTED)
+
+    def _change_wave(self, data: st.DataObject, phase: WavePhase) -> None:
+        waves = self.world.state.waves
+        if waves:
+            wave = waves[data.draw(st.sampled_from(sorted(waves)))]
+            self.world.submit(WaveChanged(wave.name, wave.version, phase, "operator"))
+
+    @rule(data=st.data())
+    def change_spec(self, data: st.DataObject) -> None:
+        """An operator changes an instance, or declares it for another pool."""
+        specs = [item.spec for item in self.world.state.instances.values() if not item.is_withdrawn]
+        if not specs:
+            return
+        spec = data.draw(st.sampled_from(sorted(specs, key=lambda item: item.name)))
+        pool = data.draw(st.sampled_from([spec.pool, *POOLS]))
+        changed = msgspec.structs.replace(spec, pool=pool, slots=8 + self.renewed % 2)
+        self.renewed += 1
+        self.world.apply(ReleaseNote(changed=Configured(instances=(changed,))))
+
+    @rule(data=st.data())
+    def withdraw_instance(self, data: st.DataObject) -> None:
+        """An operator withdraws an instance."""
+        names = [n for n, item in self.world.state.instances.items() if not item.is_withdrawn]
+        if names:
+            name = data.draw(st.sampled_from(sorted(names)))
+            self.world.apply(ReleaseNote(withdrawn=Withdrawn(instances=(name,))))
+
+    @precondition(lambda self: "match" in self.world.state.pools)
+    @rule()
+    def withdraw_pool(self) -> None:
+        """An operator withdraws a pool with its instances in mid-wave."""
+        state = self.world.state
+        names = tuple(
+            name
+            for name, item in state.instances.items()
+            if item.spec.pool == "match" and not item.is_withdrawn
+        )
+        note = ReleaseNote(withdrawn=Withdrawn(pools=("match",), instances=names))
+        self.world.apply(note)
+
+    @rule(count=st.integers(1, 2))
+    def add_instances(self, count: int) -> None:
+        """An operator adds instances to a pool."""
+        self.renewed += count
+        first = 100 + self.renewed
+        added = spread_instances("score", "n", count, first=first)
+        self.world.apply(ReleaseNote(added=Configured(instances=tuple(added))))
+
+    @invariant()
+    def acts_are_sound(self) -> None:
+        """No act broke a budget, came twice or stopped what ran."""
+        if hasattr(self, "world"):
+            assert not self.world.recount.violations, self.world.recount.violations
+
+    @invariant()
+    def records_are_sound(self) -> None:
+        """No accepted record broke a budget or skipped a drain."""
+        if hasattr(self, "world"):
+            self.world.catch_up()
+            assert not self.world.oracle.faults, self.world.oracle.faults
+
+    @invariant()
+    def waves_obey_their_threshold(self) -> None:
+        """A wave whose instances failed on return too often doesn't run."""
+        if hasattr(self, "world"):
+            for name, count in self.world.oracle.return_failures.items():
+                wave = self.world.state.waves[name]
+                is_over = count >= wave.spec.failure_threshold
+                assert not (is_over and wave.is_running), (name, count)
+
+    def teardown(self) -> None:
+        """Once all is well, each wave ends or states why not, and platform and log agree."""
+        if not hasattr(self, "world"):
+            return
+        self.world.heal_all()
+        for _ in range(_CALM_TICKS):
+            self.world.tick()
+            if self._is_settled():
+                break
+        self.world.adopt_budgets()
+        self.acts_are_sound()
+        self.records_are_sound()
+        for wave in self.world.state.waves.values():
+            assert self._has_ended_or_says_why(wave), wave
+        self._check_owners()
+
+    def _is_settled(self) -> bool:
+        state = self.world.state
+        is_quiet = all(item.is_serving for item in state.instances.values())
+        return is_quiet and not any(wave.is_running for wave in state.waves.values())
+
+    def _has_ended_or_says_why(self, wave: WaveState) -> bool:
+        if not wave.is_running:
+            return bool(wave.reason)
+        view = self._view()
+        reason = wave_hold_reason(view, wave)
+        pools = {
+            self.world.state.instances[name].pool
+            for name in wave.waiting
+            if name in self.world.state.instances
+        }
+        is_tight = any(
+            len(view.serving(name)) <= view.state.pools[name].min_serving
+            for name in pools
+            if name in view.state.pools
+        )
+        return bool(reason) and is_tight
+
+    def _view(self) -> FleetView:
+        keeper = self.world.keepers[0]
+        seen = keeper.rounds.tracker.peek(0.0)
+        return FleetView(self.world.state, seen, WORLD_SETTINGS)
+
+    def _check_owners(self) -> None:
+        for name, item in self.world.state.instances.items():
+            if item.is_serving:
+                machine = self.world.fleet.machines[name]
+                assert machine.pool == item.pool, (name, machine.pool, item.pool)
+                assert not machine.is_draining, name
+
+
+class ShortFleetMachine(FleetMachine):
+    """Only the courses of events that a known fault needs; finds faults in few examples."""
+
+    add_instances = None
+    change_load = None
+    change_spec = None
+    change_times = None
+    change_wave = None
+    cut_zone = None
+    fail_instance = None
+    hold_records = None
+    lose_log_replies = None
+    platform_outage = None
+    switch_keeper = None
+    switch_log = None
+    withdraw_instance = None
+    withdraw_pool = None
