Prove the callers' interface and at-most-once under failure

Cause: nothing showed that ambiguous heads, broken answers, hang-ups, lost replies of the log, replaced entries and racing claims are met. Change: a state machine over claims with four named mutations, tests of tickets, heads, bodies, broken answers, forwarding, cancelling and revocation; the operator's revocation path. Found and mended: an aborted answer over HTTP/1.0 ended with FIN and looked whole (cheroot shuts the socket down before it closes it), now a reset.

--- a/almondstack/entry/app.py
+++ b/almondstack/entry/app.py
@@ -2,6 +2,7 @@
 
 from almondstack.core import PartLogger, Reason, RequestError
 from almondstack.entry.http import HttpReply, HttpRequest, json_reply
+from almondstack.entry.operator import OperatorHandler
 from almondstack.entry.parts import EntryParts
 from almondstack.entry.problems import problem_body, problem_headers
 from almondstack.entry.status import status_of
@@ -22,13 +23,14 @@
         The parts of the entry.
     """
 
-    __slots__ = ("_cancel", "_parts", "_submit", "_tickets")
+    __slots__ = ("_cancel", "_operator", "_parts", "_submit", "_tickets")
 
     def __init__(self, parts: EntryParts) -> None:
         self._parts = parts
         self._submit = SubmitHandler(parts)
         self._tickets = TicketHandler(parts)
         self._cancel = CancelHandler(parts)
+        self._operator = OperatorHandler(parts)
 
     def __call__(self, request: HttpRequest) -> HttpReply:
         """Answer one request; never raises."""
@@ -48,6 +50,8 @@
                 return self._tickets.handle(request)
             case "DELETE", ("v1", "queues", queue, "requests", request_id):
                 return self._cancel.handle(request, queue, request_id)
+            case "POST", ("v1", "operator", "revocations"):
+                return self._operator.handle(request)
             case "GET", ("livez",):
                 return json_reply({"live": True})
             case "GET", ("readyz",):
--- a/almondstack/entry/server.py
+++ b/almondstack/entry/server.py
@@ -32,6 +32,7 @@
 
 _MOST_HEAD_BYTES = 32_768
 _MOST_DISCARDED_BYTES = 65_536
+_EXPIRATION_INTERVAL_S = 0.1
 
 _REASONS_BY_STATUS = {
     "400": Reason.BAD_REQUEST,
@@ -76,6 +77,16 @@
     """A caller's connection."""
 
     RequestHandlerClass = _EntryRequest
+    is_aborted = False
+
+    def close(self) -> None:
+        """Close the connection; with a reset if an answer on it broke off."""
+        if not self.is_aborted:
+            super().close()
+            return
+        reset_on_close(self.socket)
+        self.rfile.close()
+        self.socket.close()
 
 
 class _EntryGateway(Gateway):
@@ -100,7 +111,7 @@
                     self.req.write(chunk)
         except Exception as error:
             _log.info("An answer broke off. %s.", error)
-            reset_on_close(self.req.conn.socket)
+            self.req.conn.is_aborted = True
             raise ConnectionAbortedError("the answer broke off") from error
 
     def _incoming_body(self) -> ChunkedBody | KnownLengthBody:
@@ -153,6 +164,7 @@
     """
 
     ConnectionClass = _EntryConnection
+    expiration_interval = _EXPIRATION_INTERVAL_S
 
     def __init__(
         self, settings: EntrySettings, handler: Handler, reaper: Reaper, metrics: NullMetrics
--- a/almondstack/entry/status.py
+++ b/almondstack/entry/status.py
@@ -1,25 +1,18 @@
 """``GET /statusz``: what an entry knows about itself."""
 
-import msgspec
-
 from almondstack.entry.parts import EntryParts
+from almondstack.model import EntryStatus
 
-__all__ = ["EntryStatus", "status_of"]
+__all__ = ["StatusPage", "status_of"]
 
 
-class EntryStatus(msgspec.Struct, frozen=True):
+class StatusPage(EntryStatus, frozen=True, kw_only=True):
     """State of one entry, as JSON.
 
     Parameters
     ----------
-    incarnation, zone, region : str
-        Who it is.
-    next_offset : int
-        Offset of the next record that it will fold.
-    revision : int
-        Configuration in force.
-    is_cut_off : bool
-        True if it hears neither the log nor another zone.
+    region : str
+        Where it stands.
     is_fenced, is_stopping : bool
         Why it may refuse everything.
     under_way : int
@@ -28,21 +21,16 @@
         Every outcome, refusal and retry reason.
     """
 
-    incarnation: str
-    zone: str
     region: str
-    next_offset: int
-    revision: int
-    is_cut_off: bool
     is_fenced: bool
     is_stopping: bool
     under_way: int
     counters: dict[str, int]
 
 
-def status_of(parts: EntryParts) -> EntryStatus:
+def status_of(parts: EntryParts) -> StatusPage:
     """Return the state of an entry."""
-    return EntryStatus(
+    return StatusPage(
         incarnation=parts.incarnation,
         zone=parts.settings.node.zone,
         region=parts.settings.node.region,
--- a/almondstack/once/claims.py
+++ b/almondstack/once/claims.py
@@ -31,12 +31,12 @@
 from almondstack.once.settings import OnceSettings
 from almondstack.once.table import ClaimOwner, ClaimTable
 
-__all__ = ["ClaimBook"]
+__all__ = ["ClaimBook", "WaitingClaim"]
 
 _RETRY_S = 0.1
 
 
-class _Waiting:
+class WaitingClaim:
     """A claim that the log has not decided."""
 
     __slots__ = ("claim", "decided", "is_given_up", "is_mine")
@@ -83,6 +83,7 @@
         "_stop",
         "_table",
         "_thread",
+        "_unconfirmed",
         "_waiting",
         "_wake",
     )
@@ -105,11 +106,12 @@
         self._lock = threading.Lock()
         self._wake = threading.Condition(self._lock)
         self._serial = 0
-        self._pending: list[_Waiting] = []
+        self._pending: list[WaitingClaim] = []
         self._releases: list[Claim] = []
-        self._waiting: dict[ClaimOwner, _Waiting] = {}
+        self._waiting: dict[ClaimOwner, WaitingClaim] = {}
         self._keys_in_use: set[ClaimKey] = set()
         self._is_failing = False
+        self._unconfirmed: ClaimBatch | None = None
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="claims", daemon=True)
 
@@ -136,9 +138,28 @@
         RequestError
             The id is malformed, too old, claimed already, or the log is silent.
         """
-        key = self._check_id(team, request_id)
-        waiting = self._enqueue(key)
+        waiting = self.begin(team, request_id)
         waiting.decided.wait(self._settings.claim_timeout_s)
+        return self.settle(waiting)
+
+    def begin(self, team: str, request_id: str) -> WaitingClaim:
+        """Hand a claim to the next append.
+
+        Raises
+        ------
+        RequestError
+            The id is malformed, too old, claimed already, or the log is silent.
+        """
+        return self._enqueue(self._check_id(team, request_id))
+
+    def settle(self, waiting: WaitingClaim) -> Claim:
+        """Return the claim if the log has decided for it; give it up otherwise.
+
+        Raises
+        ------
+        RequestError
+            The log has not decided, or for another.
+        """
         with self._lock:
             if not waiting.decided.is_set():
                 self._give_up(waiting)
@@ -146,9 +167,32 @@
             if waiting.is_mine:
                 self._metrics.count("claims.taken")
                 return waiting.claim
-            self._keys_in_use.discard(key)
+            self._keys_in_use.discard(waiting.claim.key)
         raise RequestError(Reason.ID_CLAIMED)
 
+    def flush(self) -> bool:
+        """Append what waits in one call; False if the log did not confirm it.
+
+        Explanation
+        -----------
+        What was not confirmed stays first in line, unchanged, since the log
+        may have taken it.
+        """
+        if self._unconfirmed is None:
+            self._unconfirmed = self._next_batch()
+        if self._unconfirmed is None:
+            return True
+        try:
+            self._client.append(CLAIMS, [encode_batch(self._unconfirmed)])
+        except LogError as error:
+            self._is_failing = True
+            self._metrics.count(f"claims.append-failed.{error.code}")
+            return False
+        self._unconfirmed = None
+        self._is_failing = False
+        self._metrics.count("claims.appends")
+        return True
+
     def release(self, claim: Claim) -> None:
         """Free the id of a request that has not run and never will."""
         with self._wake:
@@ -189,27 +233,27 @@
             raise RequestError(Reason.ID_IN_FUTURE)
         return key
 
-    def _enqueue(self, key: ClaimKey) -> _Waiting:
+    def _enqueue(self, key: ClaimKey) -> WaitingClaim:
         with self._wake:
             if self._table.owner(key) is not None or key in self._keys_in_use:
                 raise RequestError(Reason.ID_CLAIMED)
             if self._is_failing or len(self._pending) >= self._settings.most_pending:
                 raise RequestError(Reason.CLAIMS_UNAVAILABLE)
             self._serial += 1
-            waiting = _Waiting(Claim(key, self._serial))
+            waiting = WaitingClaim(Claim(key, self._serial))
             self._keys_in_use.add(key)
             self._pending.append(waiting)
             self._waiting[ClaimOwner(self._author, self._serial)] = waiting
             self._wake.notify_all()
             return waiting
 
-    def _give_up(self, waiting: _Waiting) -> None:
+    def _give_up(self, waiting: WaitingClaim) -> None:
         waiting.is_given_up = True
         if waiting in self._pending:
             self._pending.remove(waiting)
             self._forget(waiting)
 
-    def _forget(self, waiting: _Waiting) -> None:
+    def _forget(self, waiting: WaitingClaim) -> None:
         self._waiting.pop(ClaimOwner(self._author, waiting.claim.serial), None)
         self._keys_in_use.discard(waiting.claim.key)
 
@@ -230,12 +274,12 @@
             with self._wake:
                 self._wake.wait_for(self._has_work)
             self._clock.wait(self._stop, self._settings.batch_window_s)
-            batch = self._next_batch()
-            if batch is not None:
-                self._append(batch)
+            if not self.flush():
+                self._clock.wait(self._stop, _RETRY_S)
 
     def _has_work(self) -> bool:
-        return bool(self._pending or self._releases or self._stop.is_set())
+        has_records = self._unconfirmed or self._pending or self._releases
+        return bool(has_records or self._stop.is_set())
 
     def _next_batch(self) -> ClaimBatch | None:
         with self._lock:
@@ -246,17 +290,3 @@
         claims = [waiting.claim for waiting in pending]
         written_ms = int(self._clock.unix() * 1000)
         return ClaimBatch(CLAIMS_LEVEL, self._author, written_ms, claims, releases)
-
-    def _append(self, batch: ClaimBatch) -> None:
-        data = encode_batch(batch)
-        while not self._stop.is_set():
-            try:
-                self._client.append(CLAIMS, [data])
-            except LogError as error:
-                self._is_failing = True
-                self._metrics.count(f"claims.append-failed.{error.code}")
-                self._clock.wait(self._stop, _RETRY_S)
-                continue
-            self._is_failing = False
-            self._metrics.count("claims.appends")
-            return
--- /dev/null
+++ b/almondstack/testing/entries.py
@@ -0,0 +1,211 @@
+"""An entry that serves on loopback inside a test process."""
+
+import contextlib
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from almondstack.core import (
+    LogServiceSettings,
+    NodeSettings,
+    NullMetrics,
+    Outcome,
+    Reason,
+    RequestError,
+    SystemClock,
+)
+from almondstack.dispatch import Call
+from almondstack.entry.app import EntryApp
+from almondstack.entry.contract import AlwaysConnected, NoRevocations
+from almondstack.entry.parts import EntryParts
+from almondstack.entry.server import EntryServer
+from almondstack.entry.settings import CallerSettings, EntrySettings
+from almondstack.fold import Fold
+from almondstack.log import LogEntry
+from almondstack.once import (
+    ClaimBook,
+    ClaimFollower,
+    ClaimTable,
+    OnceGuard,
+    OnceSettings,
+    TicketBook,
+)
+from almondstack.testing.addresses import free_address
+from almondstack.testing.builders import make_fold
+from almondstack.testing.fake_log import FakeLog, FakeLogClient
+
+__all__ = ["FakeAnswer", "FakeDispatcher", "RunningEntry", "running_entry"]
+
+_WAIT_S = 10.0
+_POLL_S = 0.01
+
+
+class FakeAnswer:
+    """An upstream's answer made of given pieces; a piece that is an error is raised."""
+
+    def __init__(self, pieces: list[Any], length: int | None = None, status: int = 200) -> None:
+        self.status = status
+        self.headers: tuple[tuple[str, str], ...] = (("Content-Type", "text/plain"),)
+        self.length = length
+        self.is_closed = False
+        self._pieces = pieces
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the pieces."""
+        for piece in self._pieces:
+            if isinstance(piece, Exception):
+                raise piece
+            yield piece
+
+    def close(self) -> None:
+        """Note the end."""
+        self.is_closed = True
+
+
+class FakeDispatcher:
+    """Runs calls with a function, or lets them wait until they are cancelled.
+
+    Parameters
+    ----------
+    run : callable or None
+        Gets the call and returns the answer; None lets calls wait.
+    """
+
+    def __init__(self, run: Callable[[Call], Any] | None) -> None:
+        self.run = run or self.wait
+        self.calls: list[Call] = []
+        self.waiting: dict[str, tuple[Call, threading.Event]] = {}
+        self.abandoned_count = 0
+        self._lock = threading.Lock()
+
+    def submit(self, call: Call) -> Any:
+        """Run the call."""
+        with self._lock:
+            self.calls.append(call)
+        call.before_start()
+        return self.run(call)
+
+    def wait(self, call: Call) -> Any:
+        """Wait like a queued call; to be used as ``run``."""
+        ended = threading.Event()
+        with self._lock:
+            self.waiting[call.call_id] = (call, ended)
+        ended.wait(_WAIT_S)
+        reason = Reason.CALLER_GONE if call.caller_gone.is_set() else Reason.CANCELLED
+        raise RequestError(reason, outcome=Outcome.NOT_RUN)
+
+    def cancel(self, call_id: str) -> bool:
+        """End a waiting call."""
+        with self._lock:
+            found = self.waiting.pop(call_id, None)
+        if found is not None:
+            found[1].set()
+        return found is not None
+
+    def abandon(self, call: Call) -> None:
+        """End a waiting call whose caller is gone."""
+        self.abandoned_count += self.cancel(call.call_id)
+
+
+class _PollingLogClient(FakeLogClient):
+    """A client whose reads take a moment when there is nothing new."""
+
+    __slots__ = ()
+
+    def read(self, stream: str, offset: int, wait_s: float = 0.0) -> list[LogEntry]:
+        """Return records from ``offset`` on."""
+        found = super().read(stream, offset, wait_s)
+        if not found and wait_s > 0:
+            time.sleep(_POLL_S)
+        return found
+
+
+class RunningEntry:
+    """One entry and what a test needs of it."""
+
+    def __init__(
+        self,
+        fold: Fold,
+        dispatcher: FakeDispatcher,
+        log: FakeLog,
+        incarnation: str,
+        once: OnceSettings,
+        **callers: Any,
+    ) -> None:
+        clock = SystemClock()
+        self.address = free_address()
+        self.metrics = NullMetrics()
+        self.dispatcher = dispatcher
+        self.settings = EntrySettings(
+            node=NodeSettings(deployment="test", name="entry-1", zone="a"),
+            callers=CallerSettings(listen=self.address, **{"threads": 16, **callers}),
+            log=LogServiceSettings(address="127.0.0.1:1"),
+            once=once,
+        )
+        table = ClaimTable(int(once.window_s * 1000), int(once.clock_error_s * 1000))
+        self.client = _PollingLogClient(log)
+        self.claims = ClaimBook(self.client, incarnation, table, once, clock, self.metrics)
+        self.follower = ClaimFollower(
+            self.client, table, self.claims.decide, once, clock, self.metrics
+        )
+        self.parts = EntryParts(
+            settings=self.settings,
+            incarnation=incarnation,
+            fold=fold,
+            dispatching=dispatcher,
+            once=OnceGuard(self.claims, TicketBook(incarnation, once, clock)),
+            revocations=NoRevocations(),
+            connectivity=AlwaysConnected(),
+            clock=clock,
+            metrics=self.metrics,
+        )
+        self.server = EntryServer(
+            self.settings, EntryApp(self.parts), self.parts.reaper, self.metrics
+        )
+
+    def start(self) -> None:
+        """Start all threads."""
+        for part in (self.claims, self.follower, self.parts.hangups, self.parts.reaper):
+            part.start()
+        self.server.prepare()
+        threading.Thread(target=self.server.serve, daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop all threads."""
+        self.server.stop()
+        for part in (self.claims, self.follower, self.parts.hangups, self.parts.reaper):
+            part.stop()
+
+
+@contextlib.contextmanager
+def running_entry(
+    run: Callable[[Call], Any] | None = None,
+    *,
+    fold: Fold | None = None,
+    log: FakeLog | None = None,
+    incarnation: str = "entry-1~00",
+    once: OnceSettings | None = None,
+    **callers: Any,
+) -> Iterator[RunningEntry]:
+    """Serve on loopback within the block.
+
+    Parameters
+    ----------
+    run : callable, optional
+        Answers each call; without it, calls wait until they are cancelled.
+    """
+    dispatcher = FakeDispatcher(run)
+    entry = RunningEntry(
+        fold or make_fold(),
+        dispatcher,
+        log or FakeLog(),
+        incarnation,
+        once or OnceSettings(),
+        **callers,
+    )
+    entry.start()
+    try:
+        yield entry
+    finally:
+        entry.stop()
--- /dev/null
+++ b/almondstack/testing/raw_http.py
@@ -0,0 +1,97 @@
+"""Raw bytes to a server and back, for tests of what no library would send."""
+
+import socket
+import time
+from collections.abc import Callable
+
+from almondstack.core import parse_address
+
+__all__ = ["RawAnswer", "connect", "exchange", "read_to_end", "submission", "wait_until"]
+
+_TIMEOUT_S = 10.0
+KEY = "k1.secret"
+
+
+class RawAnswer:
+    """What came back on one connection until it ended.
+
+    Parameters
+    ----------
+    data : bytes
+        Everything that was read.
+    is_reset : bool
+        True if the connection ended abnormally.
+    """
+
+    def __init__(self, data: bytes, is_reset: bool) -> None:
+        self.data = data
+        self.is_reset = is_reset
+        self.head, _, self.body = data.partition(b"\r\n\r\n")
+
+    @property
+    def status(self) -> int:
+        """Status of the first answer; 0 if there is none."""
+        words = self.head.split(b" ", 2)
+        return int(words[1]) if len(words) > 1 else 0
+
+    def header(self, name: str) -> str:
+        """Return a header of the first answer, empty if there is none."""
+        for line in self.head.split(b"\r\n")[1:]:
+            key, _, value = line.partition(b":")
+            if key.decode("latin-1").lower() == name:
+                return value.decode("latin-1").strip()
+        return ""
+
+    @property
+    def answer_count(self) -> int:
+        """Number of heads in what came back."""
+        return self.data.count(b"HTTP/1.1 ")
+
+
+def connect(address: str) -> socket.socket:
+    """Return a connection to ``address``."""
+    return socket.create_connection(parse_address(address), timeout=_TIMEOUT_S)
+
+
+def read_to_end(connection: socket.socket) -> RawAnswer:
+    """Read until the other side closes."""
+    pieces = []
+    try:
+        while piece := connection.recv(65_536):
+            pieces.append(piece)
+    except ConnectionResetError:
+        return RawAnswer(b"".join(pieces), True)
+    return RawAnswer(b"".join(pieces), False)
+
+
+def exchange(address: str, data: bytes) -> RawAnswer:
+    """Send ``data`` and read until the other side closes."""
+    with connect(address) as connection:
+        connection.sendall(data)
+        return read_to_end(connection)
+
+
+def submission(
+    *headers: str, body: bytes = b"", queue: str = "invoices", version: str = "1.1", key: str = KEY
+) -> bytes:
+    """Return a whole submission that asks the server to close."""
+    lines = [
+        f"POST /v1/queues/{queue}/requests HTTP/{version}",
+        "Host: test",
+        "Connection: close",
+        f"Authorization: Bearer {key}",
+        *headers,
+    ]
+    if not any(line.lower().startswith(("content-length", "transfer-")) for line in headers):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body
+
+
+def wait_until(condition: Callable[[], bool], timeout_s: float = _TIMEOUT_S) -> bool:
+    """Poll ``condition`` until it holds; False after ``timeout_s`` seconds."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        if condition():
+            return True
+        time.sleep(0.005)
+    return False
