--- a/almondstack/dispatch/__init__.py
+++ b/almondstack/dispatch/__init__.py
@@ -1,18 +1,55 @@
 """From an admitted call to an upstream's answer: choice, sending, retries, health."""
 
 from almondstack.dispatch.call import Body, BufferedBody, Call, UpstreamAnswer
+from almondstack.dispatch.choosing import UpstreamChooser
+from almondstack.dispatch.connections import ConnectionPool, UpstreamConnection
+from almondstack.dispatch.departures import Departures, LeavingList, NoLeavingList
+from almondstack.dispatch.failures import BrokenExchangeError, NotSentError
+from almondstack.dispatch.fair import FairDispatcher
 from almondstack.dispatch.first_come import FirstComeDispatcher
 from almondstack.dispatch.headers import end_to_end_headers
-from almondstack.dispatch.upstream import HttpUpstreamAnswer, NotSentError, UpstreamClient
+from almondstack.dispatch.health import HealthBook, HealthRemark
+from almondstack.dispatch.holding import GrantHolder
+from almondstack.dispatch.housekeeping import prober_rank
+from almondstack.dispatch.retries import RetryBudget, RetryPolicy, Try, TryHistory
+from almondstack.dispatch.settings import (
+    ConnectionSettings,
+    DispatchSettings,
+    HealthSettings,
+    ProbeSettings,
+    RetrySettings,
+)
+from almondstack.dispatch.upstream import HttpUpstreamAnswer, UpstreamClient
 
 __all__ = [
     "Body",
+    "BrokenExchangeError",
     "BufferedBody",
     "Call",
+    "ConnectionPool",
+    "ConnectionSettings",
+    "Departures",
+    "DispatchSettings",
+    "FairDispatcher",
     "FirstComeDispatcher",
+    "GrantHolder",
+    "HealthBook",
+    "HealthRemark",
+    "HealthSettings",
     "HttpUpstreamAnswer",
+    "LeavingList",
+    "NoLeavingList",
     "NotSentError",
+    "ProbeSettings",
+    "RetryBudget",
+    "RetryPolicy",
+    "RetrySettings",
+    "Try",
+    "TryHistory",
     "UpstreamAnswer",
+    "UpstreamChooser",
     "UpstreamClient",
+    "UpstreamConnection",
     "end_to_end_headers",
+    "prober_rank",
 ]
--- /dev/null
+++ b/almondstack/dispatch/fair.py
@@ -0,0 +1,334 @@
+"""The dispatcher: fair order, permits, health and careful retries."""
+
+from almondstack.core import Clock, NullMetrics, Outcome, Reason, RequestError, RetryReason
+from almondstack.dispatch.answer import FairAnswer
+from almondstack.dispatch.call import Call, UpstreamAnswer
+from almondstack.dispatch.departures import Departures, LeavingList, NoLeavingList
+from almondstack.dispatch.exchange import Reply, exchange
+from almondstack.dispatch.failures import BrokenExchangeError, NotSentError
+from almondstack.dispatch.health import HealthBook
+from almondstack.dispatch.housekeeping import Housekeeper
+from almondstack.dispatch.parts import DispatchParts
+from almondstack.dispatch.retries import Try, TryHistory
+from almondstack.dispatch.settings import DispatchSettings
+from almondstack.fold import Fold
+from almondstack.permits import Permits
+from almondstack.queueing import (
+    FairScheduler,
+    FleetUsage,
+    Grant,
+    NoFleetUsage,
+    NoRelief,
+    UrgentRelief,
+    WaitingCall,
+)
+
+__all__ = ["FairDispatcher"]
+
+_SERVER_ERROR = 500
+_UNAVAILABLE = 503
+
+
+class _Job:
+    """A call, its place in the queue and its failed tries."""
+
+    __slots__ = ("call", "history", "item")
+
+    def __init__(self, call: Call, item: WaitingCall) -> None:
+        self.call = call
+        self.item = item
+        self.history = TryHistory()
+
+
+class FairDispatcher:
+    """Runs admitted calls, each in its caller's thread.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+        All settings.
+    fold : Fold
+        Knows pools, teams and instances.
+    permits : Permits
+        Ceilings, slots and rates.
+    clock : Clock
+        Measures deadlines.
+    metrics : NullMetrics
+        Counts starts and retries.
+    usage : FleetUsage, optional
+        What runs at other entries.
+    listing : LeavingList, optional
+        The platform's list.
+    relief : UrgentRelief, optional
+        Frees slots for urgent work.
+    """
+
+    __slots__ = ("_housekeeper", "_parts", "_relief")
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        fold: Fold,
+        permits: Permits,
+        clock: Clock,
+        metrics: NullMetrics,
+        usage: FleetUsage | None = None,
+        listing: LeavingList | None = None,
+        relief: UrgentRelief | None = None,
+    ) -> None:
+        self._parts = DispatchParts(
+            settings,
+            fold,
+            permits,
+            clock,
+            metrics,
+            usage or NoFleetUsage(),
+            listing or NoLeavingList(),
+        )
+        self._relief = relief or NoRelief()
+        self._housekeeper = Housekeeper(self._parts)
+
+    @property
+    def parts(self) -> DispatchParts:
+        """What the dispatcher works with."""
+        return self._parts
+
+    @property
+    def scheduler(self) -> FairScheduler:
+        """Waiting and running calls."""
+        return self._parts.scheduler
+
+    @property
+    def health(self) -> HealthBook:
+        """Health of upstreams; its remarks may be exchanged between entries."""
+        return self._parts.health
+
+    @property
+    def departures(self) -> Departures:
+        """Who leaves."""
+        return self._parts.departures
+
+    def start(self) -> None:
+        """Start housekeeping and probes."""
+        self._housekeeper.start()
+
+    def stop(self) -> None:
+        """End housekeeping and close idle connections."""
+        self._housekeeper.stop()
+        self._parts.connections.close_all()
+
+    def cancel(self, call_id: str) -> bool:
+        """End a call that has not started; True if it now never will."""
+        return self._parts.scheduler.cancel(call_id)
+
+    def abandon(self, call: Call) -> None:
+        """Free the place of a call whose caller hung up, unless it runs."""
+        call.caller_gone.set()
+        self._parts.scheduler.abandon(call.call_id)
+
+    def submit(self, call: Call) -> UpstreamAnswer:
+        """Run ``call`` on an upstream.
+
+        Explanation
+        -----------
+        Blocks until the head of the answer has arrived.
+
+        Raises
+        ------
+        RequestError
+            No upstream answered; the outcome says whether the work may have run.
+        """
+        self._check_pool(call)
+        item = self._parts.scheduler.admit(call)
+        self._parts.retries.note_first_try()
+        job = _Job(call, item)
+        try:
+            while True:
+                answer = self._try_once(job)
+                if answer is not None:
+                    return answer
+        except BaseException as error:
+            self._parts.scheduler.give_up(item)
+            if isinstance(error, RequestError):
+                self._charge(job, error.reason)
+            raise
+
+    def end_whole(self, grant: Grant, reply: Reply) -> None:
+        """Give back the slot; the work has surely ended."""
+        self._put_back(grant, reply)
+        is_typical = reply.status < _SERVER_ERROR and not reply.is_draining
+        run_time_s = self._parts.clock.monotonic() - grant.started_s
+        self._parts.scheduler.finish(grant, run_time_s if is_typical else None)
+
+    def end_broken(self, grant: Grant, reply: Reply, is_upstream_fault: bool) -> None:
+        """Keep the slot; the work may still run."""
+        self._parts.connections.discard(reply.connection)
+        if is_upstream_fault:
+            self._note_failure(grant)
+        self._hold(grant)
+
+    def _check_pool(self, call: Call) -> None:
+        if call.caller_gone.is_set():
+            raise RequestError(Reason.CALLER_GONE)
+        if not any(
+            not self._parts.departures.is_leaving(item)
+            for item in self._parts.chooser.taking(call.pool)
+        ):
+            raise RequestError(Reason.NO_UPSTREAM)
+
+    def _try_once(self, job: _Job) -> UpstreamAnswer | None:
+        """Return the answer, or None after a pause if there is to be another try."""
+        grant = self._await_grant(job)
+        try:
+            reply = self._exchange(job.call, grant)
+        except NotSentError as error:
+            self._note_unsent(job, grant, error)
+        except BrokenExchangeError as error:
+            self._note_broken(job, grant, error)
+        except RequestError as error:
+            self._end_early(grant, error)
+            raise
+        else:
+            if not self._is_refused_drain(job, grant, reply):
+                return self._accept(job, grant, reply)
+        self._pause_and_requeue(job)
+        return None
+
+    def _await_grant(self, job: _Job) -> Grant:
+        item = job.item
+        while True:
+            if item.wait(self._next_look_s(item) - self._parts.clock.monotonic()):
+                self._raise_if_ended(job)
+                assert item.grant is not None
+                return item.grant
+            if self._parts.clock.monotonic() >= item.latest_start_s:
+                self._parts.scheduler.end(item, Reason.DEADLINE_PASSED)
+            elif not item.has_asked_relief:
+                item.has_asked_relief = True
+                self._relief.relieve(item.call.pool, item.call.team.name)
+
+    def _end_early(self, grant: Grant, error: RequestError) -> None:
+        """Give back the slot of a call that ended within its own send."""
+        if error.outcome is Outcome.NOT_RUN:
+            self._parts.scheduler.finish(grant)
+        else:
+            self._hold(grant)
+
+    def _next_look_s(self, item: WaitingCall) -> float:
+        if not item.call.is_urgent or item.has_asked_relief:
+            return item.latest_start_s
+        relief_s = item.enqueued_s + self._parts.settings.queueing.relief_after_s
+        return min(item.latest_start_s, relief_s)
+
+    @staticmethod
+    def _raise_if_ended(job: _Job) -> None:
+        if job.item.reason is None:
+            return
+        for failed in reversed(job.history.tries):
+            if failed.has_run:
+                raise RequestError(failed.reason)
+        raise RequestError(job.item.reason)
+
+    def _exchange(self, call: Call, grant: Grant) -> Reply:
+        address = grant.instance.spec.address
+        until_s = min(grant.started_s + self._run_time_bound_s(call.pool), call.deadline_s)
+        if call.caller_gone.is_set():
+            raise NotSentError("caller gone", RetryReason.SEND_NOT_STARTED)
+        connection = self._parts.connections.take(address, call.is_idempotent)
+        try:
+            reply = exchange(call, connection, until_s, self._parts.clock)
+        except BaseException:
+            self._parts.connections.discard(connection)
+            raise
+        reply.allow_pauses(self._parts.settings.connections.body_timeout_s)
+        return reply
+
+    def _accept(self, job: _Job, grant: Grant, reply: Reply) -> UpstreamAnswer:
+        name = grant.instance.name
+        if reply.is_draining:
+            self._parts.departures.note_answer(grant.instance)
+        if reply.is_overload:
+            self._parts.health.note_overload(name)
+        elif reply.status >= _SERVER_ERROR and not reply.is_draining:
+            self._note_failure(grant)
+        else:
+            self._parts.health.note_success(name)
+            self._charge(job, None)
+        return FairAnswer(grant, reply, self, self._parts.settings.connections, self._parts.clock)
+
+    def _is_refused_drain(self, job: _Job, grant: Grant, reply: Reply) -> bool:
+        """Return True if an idempotent call met a draining upstream and may go on."""
+        is_refusal = reply.is_draining and reply.status == _UNAVAILABLE
+        if not is_refusal or not job.call.is_idempotent or not job.call.body.is_replayable:
+            return False
+        self._parts.departures.note_answer(grant.instance)
+        answer = FairAnswer(grant, reply, self, self._parts.settings.connections, self._parts.clock)
+        self._parts.scheduler.suspend(grant, has_started=True)
+        answer.close()
+        self._add_try(
+            job.history, grant, True, Reason.UPSTREAM_OVERLOADED, RetryReason.UPSTREAM_DRAINING
+        )
+        return True
+
+    def _note_unsent(self, job: _Job, grant: Grant, error: NotSentError) -> None:
+        self._parts.scheduler.suspend(grant, has_started=False)
+        self._parts.scheduler.finish(grant)
+        if job.call.caller_gone.is_set():
+            raise RequestError(Reason.CALLER_GONE)
+        if error.retry_reason is RetryReason.CONNECT_FAILED:
+            pool = self._parts.chooser.names(job.call.pool)
+            self._parts.health.note_connect_failure(grant.instance.name, pool)
+        self._add_try(job.history, grant, False, Reason.UPSTREAMS_FAILING, error.retry_reason)
+
+    def _note_broken(self, job: _Job, grant: Grant, error: BrokenExchangeError) -> None:
+        self._parts.scheduler.suspend(grant, has_started=True)
+        self._hold(grant)
+        is_timeout = error.reason is Reason.UPSTREAM_TIMEOUT
+        retry = RetryReason.IDEMPOTENT_TIMEOUT if is_timeout else RetryReason.IDEMPOTENT_BROKE
+        self._add_try(job.history, grant, True, error.reason, retry)
+
+    @staticmethod
+    def _add_try(
+        history: TryHistory, grant: Grant, has_run: bool, reason: Reason, retry: RetryReason
+    ) -> None:
+        spec = grant.instance.spec
+        history.tries.append(Try(spec.name, spec.rack, has_run, reason, retry))
+
+    def _pause_and_requeue(self, job: _Job) -> None:
+        item, history = job.item, job.history
+        suspected = self._parts.health.suspected(history.avoid)
+        now_s = self._parts.clock.monotonic()
+        pause_s = self._parts.retries.pause_s(job.call, history, suspected, now_s)
+        item.wait(pause_s)
+        self._parts.scheduler.requeue(item, history.avoid)
+
+    def _charge(self, job: _Job, reason: Reason | None) -> None:
+        """Hold failed tries against their upstreams, unless the call was the fault."""
+        if reason is Reason.REQUEST_FAILING:
+            return
+        pool = self._parts.chooser.names(job.call.pool)
+        for failed in job.history.tries:
+            if failed.retry_reason in (
+                RetryReason.IDEMPOTENT_BROKE,
+                RetryReason.IDEMPOTENT_TIMEOUT,
+            ):
+                self._parts.health.note_failure(failed.instance, pool)
+
+    def _note_failure(self, grant: Grant) -> None:
+        pool = self._parts.chooser.names(grant.instance.pool)
+        self._parts.health.note_failure(grant.instance.name, pool)
+
+    def _put_back(self, grant: Grant, reply: Reply) -> None:
+        if reply.is_reusable and not reply.is_draining:
+            self._parts.connections.put(
+                reply.connection, self._parts.chooser.most_idle(grant.instance)
+            )
+        else:
+            self._parts.connections.discard(reply.connection)
+
+    def _hold(self, grant: Grant) -> None:
+        self._parts.holder.hold(grant, self._run_time_bound_s(grant.waiting.call.pool))
+
+    def _run_time_bound_s(self, name: str) -> float:
+        pool = self._parts.fold.state.pools.get(name)
+        return pool.run_time_bound_s if pool else self._parts.settings.connections.body_timeout_s
--- a/almondstack/dispatch/first_come.py
+++ b/almondstack/dispatch/first_come.py
@@ -10,7 +10,8 @@
 
 from almondstack.core import Clock, Reason, RequestError
 from almondstack.dispatch.call import Call, UpstreamAnswer
-from almondstack.dispatch.upstream import NotSentError, UpstreamClient
+from almondstack.dispatch.failures import NotSentError
+from almondstack.dispatch.upstream import UpstreamClient
 from almondstack.fold import Fold
 
 __all__ = ["FirstComeDispatcher"]
--- /dev/null
+++ b/almondstack/dispatch/health.py
@@ -0,0 +1,293 @@
+"""Health of upstreams, learned from real answers first.
+
+Explanation
+-----------
+Outlier detection: failures and successes are counted with exponentially
+decaying weight, and an upstream whose failure ratio is high and well above the
+rest of its pool is ejected for a while.  After the ejection a single call is a
+trial, and a success lets the upstream take up load gradually.  An upstream that
+fails fast would otherwise have the most free slots and attract most work.
+"""
+
+import math
+import threading
+from collections.abc import Iterable
+
+import msgspec
+
+from almondstack.core import Clock
+from almondstack.dispatch.settings import HealthSettings
+
+__all__ = ["HealthBook", "HealthRemark"]
+
+_SUSPECT_RATIO = 0.3
+_FORGET_FACTOR = 10
+
+
+class HealthRemark(msgspec.Struct, frozen=True):
+    """What one entry tells others about an upstream.
+
+    Parameters
+    ----------
+    instance : str
+        The upstream.
+    failure_ratio : float
+        Weighted part of failed tries.
+    volume : float
+        Weighted number of tries.
+    is_ejected : bool
+        True if the entry sends it nothing.
+    is_leaving : bool
+        True if the upstream itself said that it drains.
+    """
+
+    instance: str
+    failure_ratio: float
+    volume: float
+    is_ejected: bool = False
+    is_leaving: bool = False
+
+
+class _Record:
+    """Counts of one upstream."""
+
+    __slots__ = (
+        "bad",
+        "connect_failures",
+        "ejected_until_s",
+        "ejections",
+        "good",
+        "is_down",
+        "paused_until_s",
+        "replied_s",
+        "slow_since_s",
+        "suspected_until_s",
+        "updated_s",
+    )
+
+    def __init__(self, now_s: float) -> None:
+        self.good = 0.0
+        self.bad = 0.0
+        self.connect_failures = 0
+        self.ejections = 0
+        self.is_down = False
+        self.ejected_until_s: float | None = None
+        self.paused_until_s = -math.inf
+        self.replied_s = -math.inf
+        self.slow_since_s = -math.inf
+        self.suspected_until_s = -math.inf
+        self.updated_s = now_s
+
+    @property
+    def volume(self) -> float:
+        return self.good + self.bad
+
+    @property
+    def ratio(self) -> float:
+        return self.bad / self.volume if self.volume else 0.0
+
+    def decay(self, now_s: float, window_s: float) -> None:
+        factor = math.exp(-max(0.0, now_s - self.updated_s) / window_s)
+        self.good *= factor
+        self.bad *= factor
+        self.updated_s = now_s
+
+
+class HealthBook:
+    """Health of all upstreams as this entry sees it.
+
+    Parameters
+    ----------
+    settings : HealthSettings
+        Bounds.
+    clock : Clock
+        Measures ejections.
+    """
+
+    __slots__ = ("_clock", "_lock", "_records", "_settings")
+
+    def __init__(self, settings: HealthSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._records: dict[str, _Record] = {}
+        self._lock = threading.RLock()
+
+    def may_take(self, instance: str, used: int, held: int) -> bool:
+        """Return True if ``instance`` may get one more call now.
+
+        Parameters
+        ----------
+        instance : str
+            The upstream.
+        used, held : int
+            Slot permits in use and held here.
+        """
+        now_s = self._clock.monotonic()
+        with self._lock:
+            record = self._record(instance)
+            if now_s < record.paused_until_s:
+                return False
+            if record.ejected_until_s is not None:
+                return now_s >= record.ejected_until_s
+            ramp = (now_s - record.slow_since_s) / self._settings.slow_start_s
+            return ramp >= 1 or used < max(1, math.ceil(held * ramp))
+
+    def is_ejected(self, instance: str) -> bool:
+        """Return True if ``instance`` gets nothing but trials."""
+        with self._lock:
+            return self._record(instance).ejected_until_s is not None
+
+    def is_suspected(self, instance: str) -> bool:
+        """Return True if there is reason to prefer others."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            record = self._decayed(instance)
+            has_failed = record.volume >= 1 and record.ratio >= _SUSPECT_RATIO
+            is_ejected = record.ejected_until_s is not None
+            is_doubted = now_s < record.suspected_until_s or record.connect_failures > 0
+            return has_failed or is_ejected or is_doubted
+
+    def suspected(self, instances: Iterable[str]) -> frozenset[str]:
+        """Return those of ``instances`` that are suspected."""
+        return frozenset(name for name in instances if self.is_suspected(name))
+
+    def idle_s(self, instance: str) -> float:
+        """Return how long ago ``instance`` gave an answer, in seconds."""
+        with self._lock:
+            return self._clock.monotonic() - self._record(instance).replied_s
+
+    def note_start(self, instance: str) -> None:
+        """Take note of a call; during an ejection it is the only trial for a while."""
+        with self._lock:
+            record = self._record(instance)
+            if record.ejected_until_s is not None:
+                record.ejected_until_s = self._clock.monotonic() + self._settings.ejection_s
+
+    def note_success(self, instance: str) -> None:
+        """Take note of a whole answer; ends an ejection."""
+        with self._lock:
+            record = self._decayed(instance)
+            record.good += 1
+            record.connect_failures = 0
+            record.replied_s = record.updated_s
+            if record.ejected_until_s is not None:
+                self._readmit(record)
+
+    def note_failure(self, instance: str, pool: Iterable[str]) -> None:
+        """Take note of a failed answer; ``pool`` are the upstreams it is compared with."""
+        with self._lock:
+            record = self._decayed(instance)
+            record.bad += 1
+            record.replied_s = record.updated_s
+            others = [name for name in pool if name != instance]
+            if record.ejected_until_s is not None or self._is_outlier(record, others):
+                self._eject(record, others)
+
+    def note_connect_failure(self, instance: str, pool: Iterable[str]) -> None:
+        """Take note of a connection that could not be made; never a call's fault."""
+        with self._lock:
+            record = self._decayed(instance)
+            record.bad += 1
+            record.connect_failures += 1
+            others = [name for name in pool if name != instance]
+            is_down = record.connect_failures >= self._settings.connect_failures
+            if record.ejected_until_s is not None or is_down:
+                record.is_down = True
+                self._eject(record, [], is_forced=True)
+            elif self._is_outlier(record, others):
+                self._eject(record, others)
+
+    def note_probe(self, instance: str) -> None:
+        """Take note of a good answer to a probe: an unreachable upstream may be tried again.
+
+        Explanation
+        -----------
+        An upstream that was ejected for failing work stays so, as a probe asks
+        for no work.
+        """
+        with self._lock:
+            record = self._decayed(instance)
+            record.replied_s = record.updated_s
+            record.connect_failures = 0
+            if record.is_down and record.ejected_until_s is not None:
+                record.ejected_until_s = record.updated_s
+
+    def note_overload(self, instance: str) -> None:
+        """Take note of an answer that asks to come back later."""
+        with self._lock:
+            record = self._decayed(instance)
+            record.replied_s = record.updated_s
+            record.paused_until_s = record.updated_s + self._settings.overload_pause_s
+
+    def note_return(self, instance: str) -> None:
+        """Let an instance that came back take up load gradually."""
+        with self._lock:
+            self._records[instance] = _Record(self._clock.monotonic())
+            self._readmit(self._records[instance])
+
+    def forget_except(self, instances: Iterable[str]) -> None:
+        """Drop the records of instances that no longer exist."""
+        known = set(instances)
+        with self._lock:
+            for name in self._records.keys() - known:
+                del self._records[name]
+
+    def remarks(self) -> tuple[HealthRemark, ...]:
+        """Return what is worth telling other entries."""
+        with self._lock:
+            records = [(name, self._decayed(name)) for name in self._records]
+            return tuple(
+                HealthRemark(name, record.ratio, record.volume, record.ejected_until_s is not None)
+                for name, record in records
+                if record.ejected_until_s is not None or record.ratio >= _SUSPECT_RATIO
+            )
+
+    def take_remarks(self, remarks: Iterable[HealthRemark]) -> None:
+        """Suspect what other entries found failing; only own failures eject."""
+        until_s = self._clock.monotonic() + self._settings.window_s
+        with self._lock:
+            for remark in remarks:
+                if remark.is_ejected or remark.failure_ratio >= _SUSPECT_RATIO:
+                    self._record(remark.instance).suspected_until_s = until_s
+
+    def _record(self, instance: str) -> _Record:
+        found = self._records.get(instance)
+        if found is None:
+            found = self._records[instance] = _Record(self._clock.monotonic())
+        return found
+
+    def _decayed(self, instance: str) -> _Record:
+        record = self._record(instance)
+        record.decay(self._clock.monotonic(), self._settings.window_s)
+        return record
+
+    def _is_outlier(self, record: _Record, others: list[str]) -> bool:
+        settings = self._settings
+        if record.volume < settings.least_volume or record.ratio < settings.failure_ratio:
+            return False
+        rest = [self._decayed(name) for name in others]
+        volume = sum(item.volume for item in rest)
+        ratio = sum(item.bad for item in rest) / volume if volume else 0.0
+        return record.ratio >= ratio + settings.ratio_above_pool
+
+    def _eject(self, record: _Record, others: list[str], is_forced: bool = False) -> None:
+        is_first = record.ejected_until_s is None
+        if is_first and not is_forced and not self._can_spare(others):
+            return
+        growing_s = self._settings.ejection_s * 2 ** min(record.ejections, _FORGET_FACTOR)
+        record.ejections += 1
+        record.ejected_until_s = record.updated_s + min(
+            growing_s, self._settings.longest_ejection_s
+        )
+
+    def _can_spare(self, others: list[str]) -> bool:
+        left = sum(self._record(name).ejected_until_s is None for name in others)
+        return left >= math.ceil(self._settings.panic_fraction * (len(others) + 1))
+
+    def _readmit(self, record: _Record) -> None:
+        record.ejected_until_s = None
+        record.is_down = False
+        record.ejections = max(0, record.ejections - 1)
+        record.connect_failures = 0
+        record.bad = 0.0
+        record.slow_since_s = record.updated_s
--- /dev/null
+++ b/almondstack/dispatch/parts.py
@@ -0,0 +1,73 @@
+"""The parts of a dispatcher, put together."""
+
+from almondstack.core import Clock, NullMetrics
+from almondstack.dispatch.choosing import UpstreamChooser
+from almondstack.dispatch.connections import ConnectionPool
+from almondstack.dispatch.departures import Departures, LeavingList
+from almondstack.dispatch.health import HealthBook
+from almondstack.dispatch.holding import GrantHolder
+from almondstack.dispatch.retries import RetryPolicy
+from almondstack.dispatch.settings import DispatchSettings
+from almondstack.fold import Fold
+from almondstack.permits import Permits
+from almondstack.queueing import FairScheduler, FleetUsage
+
+__all__ = ["DispatchParts"]
+
+
+class DispatchParts:
+    """Everything that a dispatcher works with; the fields are read only.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+        All settings.
+    fold : Fold
+        Knows pools, teams and instances.
+    permits : Permits
+        Ceilings, slots and rates.
+    clock : Clock
+        Measures deadlines.
+    metrics : NullMetrics
+        Counts starts and retries.
+    usage : FleetUsage
+        What runs at other entries.
+    listing : LeavingList
+        The platform's list.
+    """
+
+    __slots__ = (
+        "chooser",
+        "clock",
+        "connections",
+        "departures",
+        "fold",
+        "health",
+        "holder",
+        "retries",
+        "scheduler",
+        "settings",
+    )
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        fold: Fold,
+        permits: Permits,
+        clock: Clock,
+        metrics: NullMetrics,
+        usage: FleetUsage,
+        listing: LeavingList,
+    ) -> None:
+        self.settings = settings
+        self.fold = fold
+        self.clock = clock
+        self.health = HealthBook(settings.health, clock)
+        self.departures = Departures(listing, clock)
+        self.chooser = UpstreamChooser(settings, fold, permits, self.health, self.departures)
+        self.scheduler = FairScheduler(
+            settings.queueing, fold, permits, self.chooser, usage, clock, metrics
+        )
+        self.connections = ConnectionPool(settings.connections, clock)
+        self.holder = GrantHolder(self.scheduler, clock)
+        self.retries = RetryPolicy(settings.retries, metrics)
--- /dev/null
+++ b/almondstack/dispatch/reader.py
@@ -0,0 +1,127 @@
+"""Reads an answer from a socket within a bound of time and memory."""
+
+import http.client
+import io
+import socket
+
+from almondstack.core import Clock
+
+__all__ = ["AnswerReader", "AnswerSocket", "StrictResponse"]
+
+_LONGEST_LINE_BYTES = 65_536
+_MOST_INFORMATIONAL = 16
+_SWITCHING_PROTOCOLS = 101
+
+
+class _TimedSocketReader(io.RawIOBase):
+    """Receives until a moment, whatever the number of pieces."""
+
+    def __init__(self, sock: socket.socket, deadline_s: float, clock: Clock) -> None:
+        super().__init__()
+        self._sock = sock
+        self._io = sock.makefile("rb", buffering=0)
+        self._deadline_s = deadline_s
+        self._clock = clock
+        self.pause_s: float | None = None
+        self.is_ending = False
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: memoryview) -> int | None:  # type: ignore[override]
+        if self.is_ending:
+            return None
+        left_s = self._deadline_s - self._clock.monotonic()
+        if self.pause_s is not None:
+            left_s = self.pause_s
+        if left_s <= 0:
+            raise TimeoutError("the answer took too long")
+        self._sock.settimeout(left_s)
+        return self._io.readinto(buffer)
+
+    def close(self) -> None:
+        self._io.close()
+        super().close()
+
+
+class AnswerReader(io.BufferedReader):
+    """A buffered reader with bounded lines that knows of bytes after the answer."""
+
+    def __init__(self, raw: _TimedSocketReader) -> None:
+        super().__init__(raw)
+        self._timed = raw
+        self.has_extra = False
+
+    def allow_pauses(self, pause_s: float) -> None:
+        """From here on bound each pause instead of the whole answer."""
+        self._timed.pause_s = pause_s
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Read one line; one that is too long is malformed."""
+        if size is not None and size >= 0:
+            return super().readline(size)
+        line = super().readline(_LONGEST_LINE_BYTES + 1)
+        if len(line) > _LONGEST_LINE_BYTES:
+            raise http.client.LineTooLong("chunk")
+        return line
+
+    def close(self) -> None:
+        """Remember whether bytes are left over; the socket stays open."""
+        if not self.closed:
+            self._timed.is_ending = True
+            self.has_extra = bool(self.peek(1))
+        super().close()
+
+
+class AnswerSocket:
+    """What :mod:`http.client` sees in place of the socket.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        The connection.
+    deadline_s : float
+        Monotonic time by which the head must have arrived, in seconds.
+    clock : Clock
+        Measures it.
+    """
+
+    __slots__ = ("reader",)
+
+    def __init__(self, sock: socket.socket, deadline_s: float, clock: Clock) -> None:
+        self.reader = AnswerReader(_TimedSocketReader(sock, deadline_s, clock))
+
+    def makefile(self, _mode: str) -> AnswerReader:
+        """Return the reader."""
+        return self.reader
+
+
+class StrictResponse(http.client.HTTPResponse):
+    """Skips informational answers and refuses ambiguous framing (RFC 9112, section 6)."""
+
+    def begin(self) -> None:
+        """Read the head of the final answer."""
+        for _ in range(_MOST_INFORMATIONAL):
+            self.headers = None  # type: ignore[assignment]
+            super().begin()
+            if not 100 <= self.status < 200:
+                break
+            if self.status == _SWITCHING_PROTOCOLS or self.fp is None:
+                raise http.client.BadStatusLine(str(self.status))
+        else:
+            raise http.client.BadStatusLine("too many informational answers")
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        codings = self.headers.get_all("transfer-encoding", [])
+        lengths = set(self.headers.get_all("content-length", []))
+        if codings and (len(codings) != 1 or codings[0].strip().lower() != "chunked"):
+            raise http.client.BadStatusLine("transfer coding")
+        if codings and lengths:
+            raise http.client.BadStatusLine("two framings")
+        if len(lengths) > 1 or any(not _is_number(text) for text in lengths):
+            raise http.client.BadStatusLine("content length")
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit()
--- a/almondstack/dispatch/upstream.py
+++ b/almondstack/dispatch/upstream.py
@@ -7,22 +7,17 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
-from almondstack.core import AlmondError, Outcome, Reason, RequestError, parse_address
+from almondstack.core import Outcome, Reason, RequestError, parse_address
 from almondstack.dispatch.call import Call
+from almondstack.dispatch.failures import NotSentError
 from almondstack.dispatch.headers import end_to_end_headers
 
-__all__ = ["HttpUpstreamAnswer", "NotSentError", "UpstreamClient"]
+__all__ = ["HttpUpstreamAnswer", "UpstreamClient"]
 
 _CHUNK_BYTES = 65_536
 _CONNECT_TIMEOUT_S = 1.0
 
 
-class NotSentError(AlmondError):
-    """No byte of the request can have reached the upstream."""
-
-    code = "not-sent"
-
-
 class HttpUpstreamAnswer:
     """Streams an upstream's answer."""
 
--- /dev/null
+++ b/almondstack/queueing/expected_wait.py
@@ -0,0 +1,80 @@
+"""Refuses at admission what could only time out in the queue."""
+
+import math
+
+from almondstack.core import Reason, RequestError
+from almondstack.queueing.pool_queue import PoolQueue
+from almondstack.queueing.run_times import RunTimes
+from almondstack.queueing.settings import QueueingSettings
+from almondstack.queueing.team_queue import TeamQueue
+from almondstack.queueing.work import Work
+
+__all__ = ["ExpectedWait"]
+
+_LONGEST_RETRY_AFTER_S = 60
+_LEAST_CONCURRENCY = 0.5
+
+
+class ExpectedWait:
+    """Estimates the wait of a call from learned run times (Little 1961).
+
+    Parameters
+    ----------
+    settings : QueueingSettings
+        The margin.
+    run_times : RunTimes
+        What has been learned.
+    """
+
+    __slots__ = ("_run_times", "_settings")
+
+    def __init__(self, settings: QueueingSettings, run_times: RunTimes) -> None:
+        self._settings = settings
+        self._run_times = run_times
+
+    def check(
+        self, call: Work, pool: PoolQueue, queue: TeamQueue, slots: int, now_s: float
+    ) -> None:
+        """Compare the expected wait with the deadline.
+
+        Explanation
+        -----------
+        A team without a waiting call is always admitted, so that an estimate
+        that is far too long is corrected by the next answer.
+
+        Raises
+        ------
+        RequestError
+            With :attr:`Reason.WAIT_EXCEEDS_DEADLINE` and a ``Retry-After``.
+        """
+        ahead = queue.urgent_count if call.is_urgent else len(queue)
+        if not ahead:
+            return
+        wait_s = self.wait_s(call, pool, queue, slots)
+        low_s = self._run_times.of(call.queue.name).low_s
+        left_s = call.deadline_s - now_s - low_s
+        if wait_s * self._settings.wait_margin > left_s:
+            retry_s = math.ceil(wait_s - max(0.0, left_s))
+            raise RequestError(
+                Reason.WAIT_EXCEEDS_DEADLINE,
+                retry_after_s=min(max(1, retry_s), _LONGEST_RETRY_AFTER_S),
+            )
+
+    def wait_s(self, call: Work, pool: PoolQueue, queue: TeamQueue, slots: int) -> float:
+        """Return the expected wait in seconds; 0 while run times are unknown."""
+        work_s = 0.0
+        for name, count in queue.waiting_by_queue.items():
+            work_s += count * (self._run_times.of(name).mean_s or 0.0)
+        if call.is_urgent:
+            work_s *= queue.urgent_count / max(1, len(queue))
+        return work_s / self._concurrency(pool, queue, slots)
+
+    @staticmethod
+    def _concurrency(pool: PoolQueue, queue: TeamQueue, slots: int) -> float:
+        """Return how many calls of the team can be expected to run at once here."""
+        share = queue.team.share
+        others = sum(
+            item.team.share for item in pool.teams.values() if len(item) and item is not queue
+        )
+        expected = slots * share / (share + others)
+        return max(_LEAST_CONCURRENCY, min(expected, queue.team.ceiling))
--- /dev/null
+++ b/almondstack/queueing/pool_queue.py
@@ -0,0 +1,103 @@
+"""Waiting calls of one pool, in the order in which teams are served.
+
+Explanation
+-----------
+Weighted max-min over what runs: the next start goes to the team with the least
+running calls in the fleet per unit of share.  That alone leaves a constant
+distance where shares do not divide the slots, and reacts to late totals, so the
+distance is integrated over time, as start-time fair queueing (Goyal, Vin and
+Cheng 1996) does with service: a team that was below the common level for some
+seconds is preferred until it has caught up.  A team without waiting work keeps
+no credit.
+"""
+
+from collections.abc import Iterator
+
+from almondstack.model import Team
+from almondstack.queueing.settings import QueueingSettings
+from almondstack.queueing.team_queue import TeamQueue
+from almondstack.queueing.usage import FleetUsage
+
+__all__ = ["PoolQueue"]
+
+
+class PoolQueue:
+    """All teams of one pool; guarded by the lock of the scheduler.
+
+    Parameters
+    ----------
+    pool : str
+        Name of the pool.
+    settings : QueueingSettings
+        Bounds and gains.
+    usage : FleetUsage
+        What runs at other entries.
+    """
+
+    __slots__ = ("_settings", "_updated_s", "_usage", "pool", "teams", "waiting_count")
+
+    def __init__(self, pool: str, settings: QueueingSettings, usage: FleetUsage) -> None:
+        self.pool = pool
+        self._settings = settings
+        self._usage = usage
+        self._updated_s = 0.0
+        self.teams: dict[str, TeamQueue] = {}
+        self.waiting_count = 0
+
+    def team_queue(self, team: Team) -> TeamQueue:
+        """Return the queue of ``team`` with its present share."""
+        found = self.teams.get(team.name)
+        if found is None:
+            found = self.teams[team.name] = TeamQueue(team)
+        found.team = team
+        return found
+
+    def update(self, now_s: float) -> None:
+        """Take in the totals of other entries and integrate distances up to ``now_s``."""
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self._updated_s = now_s
+        active: list[TeamQueue] = []
+        for queue in self.teams.values():
+            queue.elsewhere = self._usage.running_elsewhere(self.pool, queue.team.name)
+            if len(queue) and not queue.is_blocked:
+                active.append(queue)
+            else:
+                queue.lag_s = 0.0
+        if len(active) > 1:
+            self._integrate(active, elapsed_s)
+
+    def in_order(self, now_s: float) -> Iterator[TeamQueue]:
+        """Yield the teams that have waiting calls, the next to be served first."""
+        active = [queue for queue in self.teams.values() if len(queue)]
+        gain = self._settings.share_gain_per_s
+        level = _common_level(active)
+
+        def rank(queue: TeamQueue) -> tuple[int, float]:
+            score = queue.level - gain * queue.lag_s
+            return (0 if self._is_overdrawing(queue, level, now_s) else 1, score)
+
+        active.sort(key=rank)
+        return iter(active)
+
+    def _integrate(self, active: list[TeamQueue], elapsed_s: float) -> None:
+        level = _common_level(active)
+        bound = self._settings.max_lag_s * max(level, 1.0)
+        for queue in active:
+            lag_s = queue.lag_s + (level - queue.level) * elapsed_s
+            queue.lag_s = min(bound, max(-bound, lag_s))
+
+    def _is_overdrawing(self, queue: TeamQueue, level: float, now_s: float) -> bool:
+        head = queue.urgent_head()
+        if head is None or now_s - head.enqueued_s < self._settings.urgent_patience_s:
+            return False
+        fair = level * queue.team.share
+        excess = queue.running + queue.elsewhere - fair
+        owed = -queue.lag_s * queue.team.share
+        overdraft = self._settings.urgent_overdraft_slots
+        return excess < overdraft and owed < overdraft * self._settings.max_lag_s
+
+
+def _common_level(active: list[TeamQueue]) -> float:
+    share = sum(queue.team.share for queue in active)
+    running = sum(queue.running + queue.elsewhere for queue in active)
+    return running / share if share else 0.0
--- /dev/null
+++ b/almondstack/queueing/run_times.py
@@ -0,0 +1,89 @@
+"""Run times learned from answers.
+
+Explanation
+-----------
+Callers' sizes are not used: they may be wrong by a factor of ten.  The mean is
+an exponentially weighted moving average, and the low quantile follows the
+stochastic approximation of Robbins and Monro (1951) in the logarithm, so that
+its steps do not depend on the unit.
+"""
+
+import math
+
+__all__ = ["RunTimeEstimator", "RunTimes"]
+
+_MEAN_WEIGHT = 0.05
+_QUANTILE = 0.1
+_QUANTILE_STEP = 0.15
+_FEWEST_SAMPLES = 5
+_SHORTEST_S = 1e-5
+
+
+class RunTimeEstimator:
+    """Learned run time of one queue.
+
+    Examples
+    --------
+    >>> from almondstack.queueing import RunTimeEstimator
+    >>> estimator = RunTimeEstimator()
+    >>> estimator.mean_s is None
+    True
+    >>> for _ in range(100):
+    ...     estimator.learn(0.5, bound_s=60.0)
+    >>> round(estimator.mean_s, 2), round(estimator.low_s, 1)
+    (0.5, 0.5)
+    """
+
+    __slots__ = ("_count", "_log_low", "_mean_s")
+
+    def __init__(self) -> None:
+        self._count = 0
+        self._mean_s = 0.0
+        self._log_low = 0.0
+
+    @property
+    def mean_s(self) -> float | None:
+        """Mean run time in seconds; None while too little is known."""
+        return self._mean_s if self._count >= _FEWEST_SAMPLES else None
+
+    @property
+    def low_s(self) -> float:
+        """Run time that nine in ten calls exceed, in seconds; 0 while unknown."""
+        return math.exp(self._log_low) if self._count >= _FEWEST_SAMPLES else 0.0
+
+    def learn(self, run_time_s: float, bound_s: float) -> None:
+        """Take in one run time; values above ``bound_s`` count as ``bound_s``."""
+        value_s = min(max(run_time_s, _SHORTEST_S), bound_s)
+        self._count += 1
+        weight = max(_MEAN_WEIGHT, 1 / self._count)
+        self._mean_s += weight * (value_s - self._mean_s)
+        if self._count == 1:
+            self._log_low = math.log(value_s)
+            return
+        is_below = math.log(value_s) < self._log_low
+        self._log_low += _QUANTILE_STEP * (_QUANTILE - is_below)
+        if not is_below:
+            self._log_low = min(self._log_low, math.log(value_s))
+
+
+class RunTimes:
+    """Learned run times of all queues.
+
+    Examples
+    --------
+    >>> from almondstack.queueing import RunTimes
+    >>> RunTimes().of("invoices").mean_s is None
+    True
+    """
+
+    __slots__ = ("_by_queue",)
+
+    def __init__(self) -> None:
+        self._by_queue: dict[str, RunTimeEstimator] = {}
+
+    def of(self, queue: str) -> RunTimeEstimator:
+        """Return the estimator of ``queue``."""
+        found = self._by_queue.get(queue)
+        if found is None:
+            found = self._by_queue.setdefault(queue, RunTimeEstimator())
+        return found
--- /dev/null
+++ b/almondstack/queueing/team_queue.py
@@ -0,0 +1,87 @@
+"""Waiting and running calls of one team in one pool."""
+
+from collections import Counter, OrderedDict
+
+from almondstack.model import Team
+from almondstack.queueing.waiting import WaitingCall
+
+__all__ = ["TeamQueue"]
+
+
+class TeamQueue:
+    """Two lanes, urgent and ordinary, each first in, first out.
+
+    Explanation
+    -----------
+    A lane is a linked hash map, so that a call leaves from anywhere in constant
+    time.
+
+    Parameters
+    ----------
+    team : Team
+        Whose calls they are.
+    """
+
+    __slots__ = (
+        "_ordinary",
+        "_urgent",
+        "elsewhere",
+        "is_blocked",
+        "lag_s",
+        "noted_demand",
+        "running",
+        "team",
+        "waiting_by_queue",
+    )
+
+    def __init__(self, team: Team) -> None:
+        self._urgent: OrderedDict[str, WaitingCall] = OrderedDict()
+        self._ordinary: OrderedDict[str, WaitingCall] = OrderedDict()
+        self.team = team
+        self.running = 0
+        self.elsewhere = 0
+        self.lag_s = 0.0
+        self.is_blocked = False
+        self.noted_demand = 0
+        self.waiting_by_queue: Counter[str] = Counter()
+
+    def __len__(self) -> int:
+        return len(self._urgent) + len(self._ordinary)
+
+    @property
+    def urgent_count(self) -> int:
+        """How many urgent calls wait."""
+        return len(self._urgent)
+
+    @property
+    def level(self) -> float:
+        """Running calls in the fleet per unit of share."""
+        return (self.running + self.elsewhere) / self.team.share
+
+    def add(self, item: WaitingCall, at_front: bool = False) -> None:
+        """Append a call, or put it before all others of its lane."""
+        lane = self._lane(item)
+        lane[item.call.call_id] = item
+        if at_front:
+            lane.move_to_end(item.call.call_id, last=False)
+        self.waiting_by_queue[item.call.queue.name] += 1
+
+    def remove(self, item: WaitingCall) -> None:
+        """Take a call out, wherever it is."""
+        del self._lane(item)[item.call.call_id]
+        self.waiting_by_queue[item.call.queue.name] -= 1
+
+    def head(self) -> WaitingCall | None:
+        """Return the call that starts next."""
+        return self.urgent_head() or _first(self._ordinary)
+
+    def urgent_head(self) -> WaitingCall | None:
+        """Return the urgent call that starts next."""
+        return _first(self._urgent)
+
+    def _lane(self, item: WaitingCall) -> OrderedDict[str, WaitingCall]:
+        return self._urgent if item.call.is_urgent else self._ordinary
+
+
+def _first(lane: OrderedDict[str, WaitingCall]) -> WaitingCall | None:
+    return next(iter(lane.values())) if lane else None
--- /dev/null
+++ b/almondstack/queueing/waiting.py
@@ -0,0 +1,115 @@
+"""A call that waits, and the grant that starts it."""
+
+import threading
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from almondstack.core import Reason, RequestError
+from almondstack.model import InstanceState
+from almondstack.queueing.work import Work
+
+if TYPE_CHECKING:
+    from almondstack.queueing.team_queue import TeamQueue
+
+__all__ = ["Grant", "WaitingCall", "WaitingState"]
+
+
+class WaitingState(Enum):
+    """Where a call is on its way to a start."""
+
+    WAITING = "waiting"
+    PAUSED = "paused"
+    RUNNING = "running"
+    ENDED = "ended"
+
+
+class Grant:
+    """The right to run one call once on one upstream.
+
+    Parameters
+    ----------
+    instance : InstanceState
+        The upstream.
+    resources : tuple of str
+        Permits that were taken and have to be given back.
+    started_s : float
+        Monotonic time of the grant, in seconds.
+    """
+
+    __slots__ = ("instance", "is_finished", "resources", "started_s", "team_queue", "waiting")
+
+    def __init__(
+        self,
+        waiting: "WaitingCall",
+        instance: InstanceState,
+        resources: tuple[str, ...],
+        started_s: float,
+    ) -> None:
+        self.waiting = waiting
+        self.instance = instance
+        self.resources = resources
+        self.started_s = started_s
+        self.is_finished = False
+        self.team_queue = waiting.team_queue
+
+
+class WaitingCall:
+    """One admitted call; its state is guarded by the lock of the scheduler.
+
+    Parameters
+    ----------
+    call : Work
+        The call.
+    enqueued_s : float
+        Monotonic time of the admission, in seconds.
+    latest_start_s : float
+        Monotonic time after which a start is useless, in seconds.
+    team_queue : TeamQueue
+        Where it waits.
+    """
+
+    __slots__ = (
+        "_settled",
+        "avoid",
+        "call",
+        "enqueued_s",
+        "grant",
+        "has_started",
+        "has_asked_relief",
+        "latest_start_s",
+        "reason",
+        "state",
+        "team_queue",
+    )
+
+    def __init__(
+        self, call: Work, enqueued_s: float, latest_start_s: float, team_queue: "TeamQueue"
+    ) -> None:
+        self.call = call
+        self.enqueued_s = enqueued_s
+        self.latest_start_s = latest_start_s
+        self.team_queue = team_queue
+        self.avoid: frozenset[str] = frozenset()
+        self.state = WaitingState.WAITING
+        self.grant: Grant | None = None
+        self.reason: Reason | None = None
+        self.has_started = False
+        self.has_asked_relief = False
+        self._settled = threading.Event()
+
+    def settle(self) -> None:
+        """Wake the caller's thread."""
+        self._settled.set()
+
+    def unsettle(self) -> None:
+        """Let the caller's thread wait again."""
+        self._settled.clear()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait at most ``timeout_s`` seconds for a grant or an end; True if there is one."""
+        return self._settled.wait(max(0.0, timeout_s))
+
+    def raise_if_ended(self) -> None:
+        """Raise the reason for which the call ended, if it did."""
+        if self.reason is not None:
+            raise RequestError(self.reason)
--- /dev/null
+++ b/almondstack/queueing/work.py
@@ -0,0 +1,23 @@
+"""What the scheduler needs to know of a call."""
+
+from typing import Protocol
+
+from almondstack.model import Queue, Team
+
+__all__ = ["Work"]
+
+
+class Work(Protocol):
+    """A request that waits for its start; see :class:`almondstack.dispatch.Call`."""
+
+    call_id: str
+    team: Team
+    queue: Queue
+    deadline_s: float
+    is_idempotent: bool
+    is_urgent: bool
+
+    @property
+    def pool(self) -> str:
+        """Name of the pool that runs it."""
+        ...
