--- a/almondstack/fold/refusals.py
+++ b/almondstack/fold/refusals.py
@@ -21,7 +21,11 @@
     REPEATED = "repeated"
     UNKNOWN_KIND = "unknown-kind"
     MALFORMED = "malformed"
+    TOO_OLD = "too-old"
+    FAULT = "fault"
     LEVEL_TOO_HIGH = "level-too-high"
+    LEVEL_IN_FORCE = "level-in-force"
+    LEVEL_NOT_SUPPORTED = "level-not-supported"
     REVISION_CONFLICT = "revision-conflict"
     NOTE_INVALID = "note-invalid"
     NO_SUCH_TEAM = "no-such-team"
@@ -34,6 +38,9 @@
     ENTRY_EXISTS = "entry-exists"
     NO_SUCH_ENTRY = "no-such-entry"
     ENTRY_NOT_LIVE = "entry-not-live"
+    PERMITS_EXHAUSTED = "permits-exhausted"
+    PERMITS_NOT_DRAWN = "permits-not-drawn"
+    NOTHING_TO_SETTLE = "nothing-to-settle"
 
 
 class RefusedError(AlmondError):
