Serve callers through the fair dispatcher

Cause: the entry sent every call at once to the next upstream in turn, without permits, shares, health or retries. Change: FairScheduler (weighted max-min with an integrated distance, admission by learned run times) and FairDispatcher (permits, locality, health, pooled connections of known state, retry budget) take its place; the stand-in answers /livez for probes.

--- a/almondstack/dispatch/answer.py
+++ b/almondstack/dispatch/answer.py
@@ -68,6 +68,11 @@
         """End-to-end headers."""
         return self._reply.headers
 
+    @property
+    def length(self) -> int | None:
+        """Length of the body in bytes; None if it shows only at its end."""
+        return self._reply.length
+
     def chunks(self) -> Iterator[bytes]:
         """Yield the body; raise if the upstream breaks off before its end."""
         while (piece := self._next()) is not None:
--- a/almondstack/dispatch/choosing.py
+++ b/almondstack/dispatch/choosing.py
@@ -10,6 +10,7 @@
 
 import itertools
 
+from almondstack.core import NodeSettings
 from almondstack.dispatch.departures import Departures
 from almondstack.dispatch.health import HealthBook
 from almondstack.dispatch.settings import DispatchSettings
@@ -26,7 +27,9 @@
     Parameters
     ----------
     settings : DispatchSettings
-        Own zone and the cost of others.
+        The cost of other zones.
+    node : NodeSettings
+        Own zone.
     fold : Fold
         Knows instances.
     permits : Permits
@@ -47,17 +50,20 @@
         "_settings",
         "_taking",
         "_turn",
+        "_zone",
     )
 
     def __init__(
         self,
         settings: DispatchSettings,
+        node: NodeSettings,
         fold: Fold,
         permits: Permits,
         health: HealthBook,
         departures: Departures,
     ) -> None:
         self._settings = settings
+        self._zone = node.zone
         self._fold = fold
         self._permits = permits
         self._health = health
@@ -134,7 +140,7 @@
         return free if self._health.may_take(instance.name, held - free, held) else 0
 
     def _cost_ms(self, instance: InstanceState) -> float:
-        is_near = instance.spec.zone == self._settings.zone
+        is_near = instance.spec.zone == self._zone
         return 0.0 if is_near else self._settings.zone_cost_ms
 
     def _refresh(self) -> None:
--- a/almondstack/dispatch/exchange.py
+++ b/almondstack/dispatch/exchange.py
@@ -56,10 +56,14 @@
 
     @property
     def headers(self) -> tuple[tuple[str, str], ...]:
-        """End-to-end headers, with the length of the body if it is known."""
-        passed = end_to_end_headers(self._response.headers.items())
-        length = self._response.headers.get("Content-Length")
-        return passed if length is None else (*passed, ("Content-Length", length))
+        """End-to-end headers."""
+        return end_to_end_headers(self._response.headers.items())
+
+    @property
+    def length(self) -> int | None:
+        """Length of the body in bytes; None if it shows only at its end."""
+        value = self._response.headers.get("Content-Length")
+        return int(value) if value is not None else None
 
     @property
     def is_draining(self) -> bool:
--- a/almondstack/dispatch/fair.py
+++ b/almondstack/dispatch/fair.py
@@ -1,6 +1,14 @@
 """The dispatcher: fair order, permits, health and careful retries."""
 
-from almondstack.core import Clock, NullMetrics, Outcome, Reason, RequestError, RetryReason
+from almondstack.core import (
+    Clock,
+    NodeSettings,
+    NullMetrics,
+    Outcome,
+    Reason,
+    RequestError,
+    RetryReason,
+)
 from almondstack.dispatch.answer import FairAnswer
 from almondstack.dispatch.call import Call, UpstreamAnswer
 from almondstack.dispatch.departures import Departures, LeavingList, NoLeavingList
@@ -47,6 +55,8 @@
     ----------
     settings : DispatchSettings
         All settings.
+    node : NodeSettings
+        Name and availability zone of this entry.
     fold : Fold
         Knows pools, teams and instances.
     permits : Permits
@@ -68,6 +78,7 @@
     def __init__(
         self,
         settings: DispatchSettings,
+        node: NodeSettings,
         fold: Fold,
         permits: Permits,
         clock: Clock,
@@ -78,6 +89,7 @@
     ) -> None:
         self._parts = DispatchParts(
             settings,
+            node,
             fold,
             permits,
             clock,
@@ -187,6 +199,7 @@
             self._note_broken(job, grant, error)
         except RequestError as error:
             self._end_early(grant, error)
+            self._raise_if_run(job)
             raise
         else:
             if not self._is_refused_drain(job, grant, reply):
@@ -220,20 +233,24 @@
         relief_s = item.enqueued_s + self._parts.settings.queueing.relief_after_s
         return min(item.latest_start_s, relief_s)
 
+    def _raise_if_ended(self, job: _Job) -> None:
+        if job.item.reason is not None:
+            self._raise_if_run(job)
+            raise RequestError(job.item.reason)
+
     @staticmethod
-    def _raise_if_ended(job: _Job) -> None:
-        if job.item.reason is None:
-            return
+    def _raise_if_run(job: _Job) -> None:
+        """Raise the newest failure after which the work may have run, if there is one."""
         for failed in reversed(job.history.tries):
             if failed.has_run:
                 raise RequestError(failed.reason)
-        raise RequestError(job.item.reason)
 
     def _exchange(self, call: Call, grant: Grant) -> Reply:
         address = grant.instance.spec.address
         until_s = min(grant.started_s + self._run_time_bound_s(call.pool), call.deadline_s)
         if call.caller_gone.is_set():
-            raise NotSentError("caller gone", RetryReason.SEND_NOT_STARTED)
+            raise RequestError(Reason.CALLER_GONE)
+        call.before_start()
         connection = self._parts.connections.take(address, call.is_idempotent)
         try:
             reply = exchange(call, connection, until_s, self._parts.clock)
@@ -273,8 +290,6 @@
     def _note_unsent(self, job: _Job, grant: Grant, error: NotSentError) -> None:
         self._parts.scheduler.suspend(grant, has_started=False)
         self._parts.scheduler.finish(grant)
-        if job.call.caller_gone.is_set():
-            raise RequestError(Reason.CALLER_GONE)
         if error.retry_reason is RetryReason.CONNECT_FAILED:
             pool = self._parts.chooser.names(job.call.pool)
             self._parts.health.note_connect_failure(grant.instance.name, pool)
--- a/almondstack/dispatch/housekeeping.py
+++ b/almondstack/dispatch/housekeeping.py
@@ -100,13 +100,13 @@
         return True
 
     def _is_mine(self, instance: InstanceState) -> bool:
-        settings = self._parts.settings
-        if instance.spec.zone != settings.zone:
+        node = self._parts.node
+        if instance.spec.zone != node.zone:
             return False
         live = self._parts.fold.state.live_entries()
-        names = [entry.name for entry in live if entry.zone == settings.zone]
-        rank = prober_rank(settings.name, instance.name, names)
-        return rank < settings.probes.probers
+        names = [entry.name for entry in live if entry.zone == node.zone]
+        rank = prober_rank(node.name, instance.name, names)
+        return rank < self._parts.settings.probes.probers
 
     def _is_due(self, instance: InstanceState) -> bool:
         if not instance.is_taking_work:
--- a/almondstack/dispatch/parts.py
+++ b/almondstack/dispatch/parts.py
@@ -1,6 +1,6 @@
 """The parts of a dispatcher, put together."""
 
-from almondstack.core import Clock, NullMetrics
+from almondstack.core import Clock, NodeSettings, NullMetrics
 from almondstack.dispatch.choosing import UpstreamChooser
 from almondstack.dispatch.connections import ConnectionPool
 from almondstack.dispatch.departures import Departures, LeavingList
@@ -22,6 +22,8 @@
     ----------
     settings : DispatchSettings
         All settings.
+    node : NodeSettings
+        Name and availability zone of this entry.
     fold : Fold
         Knows pools, teams and instances.
     permits : Permits
@@ -44,6 +46,7 @@
         "fold",
         "health",
         "holder",
+        "node",
         "retries",
         "scheduler",
         "settings",
@@ -52,6 +55,7 @@
     def __init__(
         self,
         settings: DispatchSettings,
+        node: NodeSettings,
         fold: Fold,
         permits: Permits,
         clock: Clock,
@@ -60,11 +64,12 @@
         listing: LeavingList,
     ) -> None:
         self.settings = settings
+        self.node = node
         self.fold = fold
         self.clock = clock
         self.health = HealthBook(settings.health, clock)
         self.departures = Departures(listing, clock)
-        self.chooser = UpstreamChooser(settings, fold, permits, self.health, self.departures)
+        self.chooser = UpstreamChooser(settings, node, fold, permits, self.health, self.departures)
         self.scheduler = FairScheduler(
             settings.queueing, fold, permits, self.chooser, usage, clock, metrics
         )
--- a/almondstack/dispatch/retries.py
+++ b/almondstack/dispatch/retries.py
@@ -151,7 +151,7 @@
             raise RequestError(last.reason)
         if history.failed_racks(suspected) >= self._settings.failing_racks:
             raise RequestError(Reason.REQUEST_FAILING)
-        if not call.body.is_replayable and last.retry_reason is not RetryReason.CONNECT_FAILED:
+        if not call.body.is_replayable:
             raise _given_up(history, last.reason)
         if len(history.tries) >= self._settings.max_tries:
             raise _given_up(history, last.reason)
--- a/almondstack/dispatch/settings.py
+++ b/almondstack/dispatch/settings.py
@@ -139,18 +139,12 @@
 
     Parameters
     ----------
-    zone : str
-        Availability zone of this entry.
-    name : str
-        Name of this entry among the probers of its zone.
     zone_cost_ms : float
         Added latency of an upstream in another zone, in milliseconds.
     housekeeping_s : float
         Pause between rounds of housekeeping.
     """
 
-    zone: str = ""
-    name: str = ""
     zone_cost_ms: Annotated[float, Meta(ge=0, le=1000)] = 1.5
     housekeeping_s: PositiveSeconds = 0.05
     queueing: QueueingSettings = QueueingSettings()
--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -3,7 +3,7 @@
 import threading
 
 from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation
-from almondstack.dispatch import FirstComeDispatcher, UpstreamClient
+from almondstack.dispatch import FairDispatcher
 from almondstack.entry.app import EntryApp
 from almondstack.entry.contract import AlwaysConnected, NoRevocations
 from almondstack.entry.parts import EntryParts
@@ -13,6 +13,7 @@
 from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
 from almondstack.model import EntryJoined, EntryLeft
 from almondstack.once import ClaimBook, ClaimFollower, ClaimTable, OnceGuard, TicketBook
+from almondstack.permits import LocalPermits
 
 __all__ = ["EntryDaemon"]
 
@@ -33,6 +34,7 @@
     __slots__ = (
         "_claim_follower",
         "_claims",
+        "_dispatcher",
         "_ended",
         "_fold",
         "_follower",
@@ -69,11 +71,19 @@
             client, table, self._claims.decide, settings.once, clock, metrics
         )
         tickets = TicketBook(self._incarnation, settings.once, clock)
+        self._dispatcher = FairDispatcher(
+            settings.dispatch,
+            settings.node,
+            self._fold,
+            LocalPermits(self._fold, clock),
+            clock,
+            metrics,
+        )
         self._parts = EntryParts(
             settings=settings,
             incarnation=self._incarnation,
             fold=self._fold,
-            dispatching=FirstComeDispatcher(self._fold, UpstreamClient(), clock),
+            dispatching=self._dispatcher,
             once=OnceGuard(self._claims, tickets),
             revocations=NoRevocations(),
             connectivity=AlwaysConnected(),
@@ -107,6 +117,7 @@
         self._writer.start()
         self._claims.start()
         self._claim_follower.start()
+        self._dispatcher.start()
         self._parts.hangups.start()
         self._parts.reaper.start()
 
@@ -131,6 +142,7 @@
         self._leave()
         for part in (self._claims, self._claim_follower, self._writer, self._follower):
             part.stop()
+        self._dispatcher.stop()
         self._parts.hangups.stop()
         self._parts.reaper.stop()
         _log.info("Shut down.")
--- a/almondstack/entry/settings.py
+++ b/almondstack/entry/settings.py
@@ -14,6 +14,7 @@
     StatsdSettings,
     TlsSettings,
 )
+from almondstack.dispatch import DispatchSettings
 from almondstack.once import OnceSettings
 
 __all__ = ["CallerSettings", "EntrySettings"]
@@ -65,6 +66,7 @@
     callers: CallerSettings
     log: LogServiceSettings
     once: OnceSettings = OnceSettings()
+    dispatch: DispatchSettings = DispatchSettings()
     peer_listen: Address = "127.0.0.1:7201"
     operator_token_file: str | None = None
     statsd: StatsdSettings = StatsdSettings()
--- a/almondstack/queueing/shares.py
+++ b/almondstack/queueing/shares.py
@@ -29,7 +29,7 @@
     --------
     >>> from almondstack.queueing import max_min_shares
     >>> max_min_shares(12, {"a": 1, "b": 2, "c": 1}, {"a": 9, "b": 9, "c": 1})
-    {'c': 1, 'a': 3.6..., 'b': 7.3...}
+    {'c': 1, 'b': 7.3..., 'a': 3.6...}
     """
     result: dict[str, float] = {}
     left = capacity
--- a/almondstack/standin/upstream_handler.py
+++ b/almondstack/standin/upstream_handler.py
@@ -88,6 +88,8 @@
         self._standin.note_busy(self.connection)
         if self.path.startswith("/control/"):
             self._serve_control()
+        elif self.path == "/livez":
+            self._serve_liveness()
         elif self._standin.faults.refuses_work:
             self._refuse()
         else:
@@ -102,6 +104,10 @@
             reply = {"runs": self._standin.runs()}
         self._send(200, encode_json(reply))
 
+    def _serve_liveness(self) -> None:
+        is_draining = self._standin.faults.is_draining
+        self._send(200, b"", {"Almondstack-Draining": "yes"} if is_draining else {})
+
     def _refuse(self) -> None:
         self._read_body()
         is_draining = self._standin.faults.is_draining
