--- a/almondstack/dispatch/reader.py
+++ b/almondstack/dispatch/reader.py
@@ -57,13 +57,14 @@
         self._timed.pause_s = pause_s
 
     def readline(self, size: int | None = -1, /) -> bytes:
-        """Read one line; one that is too long is malformed."""
-        if size is not None and size >= 0:
-            return super().readline(size)
-        line = super().readline(_LONGEST_LINE_BYTES + 1)
-        if len(line) > _LONGEST_LINE_BYTES:
-            raise http.client.LineTooLong("chunk")
-        return line
+        """Read one line of bounded length; raise if it breaks off."""
+        limit = _LONGEST_LINE_BYTES + 1 if size is None or size < 0 else size
+        line = super().readline(limit)
+        if line.endswith(b"\n"):
+            return line
+        if len(line) >= limit:
+            raise http.client.LineTooLong("line of an answer")
+        raise http.client.RemoteDisconnected("the answer broke off within a line")
 
     def close(self) -> None:
         """Remember whether bytes are left over; the socket stays open."""
@@ -113,6 +114,8 @@
         self._check_framing()
 
     def _check_framing(self) -> None:
+        if self.headers.defects:
+            raise http.client.BadStatusLine("malformed header")
         codings = self.headers.get_all("transfer-encoding", [])
         lengths = set(self.headers.get_all("content-length", []))
         if codings and (len(codings) != 1 or codings[0].strip().lower() != "chunked"):
--- a/almondstack/queueing/scheduler.py
+++ b/almondstack/queueing/scheduler.py
@@ -124,7 +124,7 @@
         """Return how many calls of ``team`` run in ``pool`` for this entry."""
         found = self._pools.get(pool)
         queue = found.teams.get(team) if found else None
-        return queue.running if queue else 0
+        return queue.running if queue is not None else 0
 
     def running_counts(self) -> dict[tuple[str, str], int]:
         """Return the running calls by pool and team, for the exchange between entries."""
--- /dev/null
+++ b/almondstack/testing/scheduling.py
@@ -0,0 +1,116 @@
+"""Builders for tests and benches of the scheduler."""
+
+import itertools
+
+from almondstack.core import NodeSettings, NullMetrics
+from almondstack.dispatch import (
+    BufferedBody,
+    Call,
+    Departures,
+    DispatchSettings,
+    HealthBook,
+    NoLeavingList,
+    UpstreamChooser,
+)
+from almondstack.fold import Fold
+from almondstack.model import Queue, Team
+from almondstack.permits import ceiling_resource, slots_resource
+from almondstack.queueing import FairScheduler, FleetUsage, NoFleetUsage, QueueingSettings
+from almondstack.testing.builders import make_fold, make_instance, make_note, make_pool
+from almondstack.testing.clocks import ManualClock
+from almondstack.testing.fake_permits import FakePermits
+
+__all__ = ["QUEUE", "SchedulerKit", "make_call", "make_node", "make_pool_fold"]
+
+QUEUE = Queue(name="invoices", pool="score")
+_numbers = itertools.count(1)
+
+
+def make_node(name: str = "e1", zone: str = "a") -> NodeSettings:
+    """Return the settings of an entry's instance."""
+    return NodeSettings(deployment="test", name=name, zone=zone)
+
+
+def make_call(
+    team: Team,
+    deadline_s: float,
+    *,
+    is_urgent: bool = False,
+    is_idempotent: bool = False,
+    queue: Queue = QUEUE,
+    body: bytes = b"",
+    call_id: str = "",
+) -> Call:
+    """Return a call with an id of its own."""
+    return Call(
+        call_id=call_id or f"call-{next(_numbers)}",
+        team=team,
+        queue=queue,
+        body=BufferedBody(body),
+        deadline_s=deadline_s,
+        is_idempotent=is_idempotent,
+        is_urgent=is_urgent,
+    )
+
+
+def make_pool_fold(
+    teams: tuple[Team, ...], instances: int = 2, slots: int = 2, **pool_fields: object
+) -> Fold:
+    """Return a fold with one pool; its instances stand in zones and racks in turn."""
+    specs = tuple(
+        make_instance(f"u{i}", zone="abc"[i % 3], rack=f"r{i % 3}", slots=slots)
+        for i in range(1, instances + 1)
+    )
+    pool = make_pool(size=instances, min_serving=1, **pool_fields)
+    note = make_note(pools=(pool,), teams=teams, instances=specs, keys=(), queues=(QUEUE,))
+    return make_fold(note)
+
+
+class SchedulerKit:
+    """A scheduler over fake permits and a clock that is moved by hand.
+
+    Parameters
+    ----------
+    teams : tuple of Team
+        The teams.
+    instances, slots : int
+        Upstreams of the pool, and slots of each.
+    settings : QueueingSettings, optional
+        Bounds.
+    usage : FleetUsage, optional
+        What runs at other entries.
+    clock : ManualClock, optional
+        Shared with other kits of one simulation.
+    """
+
+    __slots__ = ("chooser", "clock", "departures", "fold", "health", "permits", "scheduler")
+
+    def __init__(
+        self,
+        teams: tuple[Team, ...],
+        instances: int = 2,
+        slots: int = 2,
+        settings: QueueingSettings | None = None,
+        usage: FleetUsage | None = None,
+        clock: ManualClock | None = None,
+    ) -> None:
+        self.fold = make_pool_fold(teams, instances, slots)
+        self.clock = clock or ManualClock()
+        held = {ceiling_resource(team.name): team.ceiling for team in teams}
+        held |= {slots_resource(f"u{i}"): slots for i in range(1, instances + 1)}
+        self.permits = FakePermits(held)
+        dispatch = DispatchSettings()
+        self.health = HealthBook(dispatch.health, self.clock)
+        self.departures = Departures(NoLeavingList(), self.clock)
+        self.chooser = UpstreamChooser(
+            dispatch, make_node(), self.fold, self.permits, self.health, self.departures
+        )
+        self.scheduler = FairScheduler(
+            settings or QueueingSettings(),
+            self.fold,
+            self.permits,
+            self.chooser,
+            usage or NoFleetUsage(),
+            self.clock,
+            NullMetrics(),
+        )
