--- a/almondstack/ctl/commands/apply.py
+++ b/almondstack/ctl/commands/apply.py
@@ -1,50 +1,169 @@
-"""``almondctl apply``: append a release note, conditional on a revision."""
+"""``almondctl apply``: append a release note, conditional on a revision.
+
+Explanation
+-----------
+Accepted means folded without conflict and confirmed by every live entry.  A
+note that is in force already is a success, so an apply whose end was not seen
+can be repeated.
+"""
 
 import argparse
 
 import msgspec
 
+from almondstack.core import SystemClock
 from almondstack.ctl.commands.check import CheckResult
+from almondstack.ctl.confirmation import Confirmation, MissingEntry, ZoneProgress, wait_for_entries
+from almondstack.ctl.entries import EntryClient
 from almondstack.ctl.exits import ExitCode
-from almondstack.ctl.notes import read_note
+from almondstack.ctl.notes import note_of, read_document
 from almondstack.ctl.registry import Command, CommandContext, register_command
 from almondstack.ctl.session import OperatorSession
-from almondstack.model import ReleaseApplied
-from almondstack.note import check_note
+from almondstack.fold import FoldDelta, Verdict
+from almondstack.model import ReleaseApplied, ReleaseNote
+from almondstack.note import (
+    Change,
+    ConfigTables,
+    check_note,
+    config_tables,
+    diff_tables,
+    is_in_force,
+)
 
 __all__: list[str] = []
 
 
 class ApplyResult(msgspec.Struct, frozen=True):
-    """What ``apply`` prints."""
+    """What ``apply`` prints when the note is in force.
+
+    Parameters
+    ----------
+    is_accepted : bool
+        True if every live entry has confirmed.
+    """
+
+    revision: int
+    next_offset: int
+    is_accepted: bool
+    missing_zones: list[str]
+    zones: list[ZoneProgress]
+    missing: list[MissingEntry]
 
+
+class ConflictResult(msgspec.Struct, frozen=True):
+    """What ``apply`` prints when the note was refused.
+
+    Parameters
+    ----------
+    planned_revision, revision : int
+        What the note was planned from, and what is in force.
+    others : list of Change
+        What others have changed in between, as far as this run saw it.
+    """
+
+    refusal: str
+    detail: str
+    planned_revision: int
     revision: int
-    offset: int
-    refusal: str = ""
-    detail: str = ""
+    others: list[Change]
 
 
 def _add_arguments(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("note", help="path of a release note in JSON")
+    parser.add_argument("document", help="release note or desired configuration, in JSON")
+    parser.add_argument(
+        "--revision", type=int, help="revision that the note was planned from; default: the present"
+    )
+    parser.add_argument("--no-wait", action="store_true", help="do not wait for the entries")
 
 
 def _run(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
-    note = read_note(arguments.note)
+    document = read_document(arguments.document)
     session = OperatorSession(context.settings.log)
-    session.catch_up()
+    before = _catch_up(session, arguments.revision)
     state = session.fold.state
-    faults = check_note(state, note)
-    if faults:
-        context.printer.result(CheckResult(state.revision, faults))
+    note = note_of(document, state)
+    if is_in_force(state, note):
+        context.printer.progress("The note is in force already.")
+        return _confirm(context, arguments, session, session.fold.next_offset)
+    planned = state.revision if arguments.revision is None else arguments.revision
+    report = check_note(state, note)
+    if report.faults and planned == state.revision:
+        result = CheckResult(state.revision, report.faults, report.warnings)
+        context.printer.result(result, "nothing was changed")
         return ExitCode.FAULTS
-    body = ReleaseApplied(state.revision, note, context.settings.operator)
+    body = ReleaseApplied(planned, note, context.settings.operator)
     verdict = session.append(body, context.settings.apply_timeout_s)
     if verdict is None:
+        context.printer.progress("The log has not confirmed the note; apply it again later.")
         return ExitCode.UNAVAILABLE
+    return _judge(context, arguments, session, note, planned, before, verdict)
+
+
+def _catch_up(session: OperatorSession, planned: int | None) -> ConfigTables:
+    """Catch up, and return the configuration that the note was planned from, if it is seen."""
+    seen: list[ConfigTables] = []
+
+    def note(_delta: FoldDelta) -> None:
+        if not seen and session.fold.state.revision == planned:
+            seen.append(config_tables(session.fold.state))
+
+    session.fold.add_listener(note)
+    session.catch_up(is_whole=planned is not None)
+    return seen[0] if seen else config_tables(session.fold.state)
+
+
+def _judge(
+    context: CommandContext,
+    arguments: argparse.Namespace,
+    session: OperatorSession,
+    note: ReleaseNote,
+    planned: int,
+    before: ConfigTables,
+    verdict: Verdict,
+) -> ExitCode:
+    state = session.fold.state
+    if verdict.is_accepted:
+        return _confirm(context, arguments, session, verdict.offset + 1)
+    if is_in_force(state, note):
+        context.printer.progress("Another operator applied the same.")
+        return _confirm(context, arguments, session, verdict.offset + 1)
+    others = diff_tables(before, config_tables(state))
     refusal = verdict.refusal or ""
-    revision = session.fold.state.revision
-    context.printer.result(ApplyResult(revision, verdict.offset, refusal, verdict.detail))
-    return ExitCode.OK if verdict.is_accepted else ExitCode.CONFLICT
+    result = ConflictResult(refusal, verdict.detail, planned, state.revision, others)
+    context.printer.result(result, "nothing was changed")
+    return ExitCode.CONFLICT
+
+
+def _confirm(
+    context: CommandContext,
+    arguments: argparse.Namespace,
+    session: OperatorSession,
+    next_offset: int,
+) -> ExitCode:
+    confirmation = Confirmation([], [])
+    if not arguments.no_wait:
+        session.start()
+        confirmation = wait_for_entries(
+            session.fold,
+            EntryClient(context.settings),
+            next_offset,
+            context.settings.apply_timeout_s,
+            SystemClock(),
+            context.printer,
+        )
+    session.stop()
+    is_accepted = confirmation.is_complete and not arguments.no_wait
+    context.printer.result(
+        ApplyResult(
+            revision=session.fold.state.revision,
+            next_offset=next_offset,
+            is_accepted=is_accepted,
+            missing_zones=confirmation.missing_zones,
+            zones=confirmation.zones,
+            missing=confirmation.missing,
+        )
+    )
+    return ExitCode.OK if confirmation.is_complete else ExitCode.NOT_CONFIRMED
 
 
-register_command(Command("apply", "Apply a release note.", _add_arguments, _run))
+register_command(Command("apply", "Apply a document and wait for it.", _add_arguments, _run))
--- a/almondstack/ctl/commands/check.py
+++ b/almondstack/ctl/commands/check.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from almondstack.ctl.exits import ExitCode
-from almondstack.ctl.notes import read_note
+from almondstack.ctl.notes import note_of, read_document
 from almondstack.ctl.registry import Command, CommandContext, register_command
 from almondstack.ctl.session import OperatorSession
-from almondstack.note import NoteFault, check_note
+from almondstack.note import NoteFault, check_note, is_in_force
 
 __all__ = ["CheckResult"]
 
@@ -18,20 +18,27 @@
 
     revision: int
     faults: list[NoteFault]
+    warnings: list[NoteFault]
 
 
 def _add_arguments(parser: argparse.ArgumentParser) -> None:
-    parser.add_argument("note", help="path of a release note in JSON")
+    parser.add_argument("document", help="release note or desired configuration, in JSON")
+    parser.add_argument("--strict", action="store_true", help="fail on warnings too")
 
 
 def _run(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
-    note = read_note(arguments.note)
+    document = read_document(arguments.document)
     session = OperatorSession(context.settings.log)
     session.catch_up()
     state = session.fold.state
-    faults = check_note(state, note)
-    context.printer.result(CheckResult(state.revision, faults))
-    return ExitCode.FAULTS if faults else ExitCode.OK
+    note = note_of(document, state)
+    if is_in_force(state, note):
+        context.printer.result(CheckResult(state.revision, [], []), "in force already")
+        return ExitCode.OK
+    report = check_note(state, note)
+    context.printer.result(CheckResult(state.revision, report.faults, report.warnings))
+    is_bad = report.faults or (arguments.strict and report.warnings)
+    return ExitCode.FAULTS if is_bad else ExitCode.OK
 
 
-register_command(Command("check", "Check a release note.", _add_arguments, _run))
+register_command(Command("check", "Check a document and print every fault.", _add_arguments, _run))
--- /dev/null
+++ b/almondstack/ctl/commands/diff.py
@@ -0,0 +1,53 @@
+"""``almondctl diff``: what a document would change."""
+
+import argparse
+from pathlib import Path
+
+import msgspec
+
+from almondstack.core import encode_json
+from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.notes import DocumentError, note_of, read_document
+from almondstack.ctl.registry import Command, CommandContext, register_command
+from almondstack.ctl.session import OperatorSession
+from almondstack.model import ReleaseNote
+from almondstack.note import Change, config_tables, diff_tables, merge_note
+
+__all__: list[str] = []
+
+
+class DiffResult(msgspec.Struct, frozen=True):
+    """What ``diff`` prints; ``revision`` is what ``apply --revision`` takes."""
+
+    revision: int
+    changes: list[Change]
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("document", help="release note or desired configuration, in JSON")
+    parser.add_argument("--note-out", metavar="FILE", help="write the derived release note")
+
+
+def _run(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
+    document = read_document(arguments.document)
+    session = OperatorSession(context.settings.log)
+    session.catch_up()
+    state = session.fold.state
+    note = note_of(document, state)
+    before = config_tables(state)
+    after, _ = merge_note(before, note)
+    if arguments.note_out:
+        _write(arguments.note_out, note)
+    context.printer.result(DiffResult(state.revision, diff_tables(before, after)))
+    return ExitCode.OK
+
+
+def _write(path: str, note: ReleaseNote) -> None:
+    data = msgspec.json.format(encode_json(note), indent=2)
+    try:
+        Path(path).write_bytes(data + b"\n")
+    except OSError as error:
+        raise DocumentError(f"{path}: {error.strerror}") from error
+
+
+register_command(Command("diff", "Show what a document would change.", _add_arguments, _run))
--- /dev/null
+++ b/almondstack/ctl/commands/explain.py
@@ -0,0 +1,109 @@
+"""``almondctl explain``: the records on one thing, their conditions and refusals."""
+
+import argparse
+from typing import Any
+
+import msgspec
+
+from almondstack.core import encode_json
+from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.mentions import mentions, shown_body
+from almondstack.ctl.registry import Command, CommandContext, register_command
+from almondstack.ctl.session import OperatorSession
+from almondstack.fold import FoldDelta
+from almondstack.model import FleetState
+
+__all__: list[str] = []
+
+_TABLES = {
+    "pool": "pools",
+    "instance": "instances",
+    "team": "teams",
+    "key": "keys",
+    "queue": "queues",
+    "limit": "limits",
+    "entry": "entries",
+}
+
+
+class RecordRow(msgspec.Struct, frozen=True):
+    """One record on the thing."""
+
+    offset: int
+    author: str
+    kind: str
+    verdict: str
+    detail: str
+    record: str
+
+
+class ExplainResult(msgspec.Struct, frozen=True):
+    """What ``explain`` prints.
+
+    Parameters
+    ----------
+    first_offset : int
+        Records before this offset are no longer kept or were not read.
+    """
+
+    kind: str
+    name: str
+    value: str
+    first_offset: int
+    records: list[RecordRow]
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("kind", help=f"one of {', '.join(_TABLES)}, wave, config")
+    parser.add_argument("name")
+
+
+def _run(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
+    session = OperatorSession(context.settings.log)
+    kind, name = arguments.kind, arguments.name
+    rows: list[RecordRow] = []
+    first_offsets: list[int] = []
+
+    def note(delta: FoldDelta) -> None:
+        if delta.verdict is None:
+            first_offsets.append(delta.next_offset)
+        elif mentions(delta.body, kind, name):
+            rows.append(_row(delta))
+
+    session.fold.add_listener(note)
+    session.catch_up(is_whole=True)
+    value = _value(session.fold.state, kind, name)
+    first_offset = first_offsets[-1] if first_offsets else 0
+    context.printer.result(ExplainResult(kind, name, value, first_offset, rows))
+    return ExitCode.OK if rows or value else ExitCode.NOT_FOUND
+
+
+def _row(delta: FoldDelta) -> RecordRow:
+    verdict = delta.verdict
+    assert verdict is not None
+    return RecordRow(
+        offset=verdict.offset,
+        author=verdict.author,
+        kind=verdict.kind,
+        verdict=verdict.refusal.value if verdict.refusal else "accepted",
+        detail=verdict.detail,
+        record=shown_body(delta.body),
+    )
+
+
+def _value(state: FleetState, kind: str, name: str) -> str:
+    if kind == "key":
+        return _key_value(state, name)
+    table: dict[str, Any] = getattr(state, _TABLES.get(kind, ""), {})
+    found = table.get(name)
+    return encode_json(found).decode() if found is not None else ""
+
+
+def _key_value(state: FleetState, name: str) -> str:
+    if name in state.revoked:
+        return f"revoked at offset {state.revoked[name]}"
+    key = state.keys.get(name)
+    return f"in force for team {key.team}" if key else ""
+
+
+register_command(Command("explain", "Show the records on one thing.", _add_arguments, _run))
--- /dev/null
+++ b/almondstack/ctl/commands/keys.py
@@ -0,0 +1,160 @@
+"""``almondctl keys``: list, grant and revoke keys of teams."""
+
+import argparse
+import secrets
+
+import msgspec
+
+from almondstack.core import AlmondError, hash_secret, new_key, split_key
+from almondstack.ctl.entries import EntryAddress, EntryCallError, EntryClient, known_entries
+from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.registry import Command, CommandContext, register_command
+from almondstack.ctl.session import OperatorSession
+from almondstack.fold import Verdict
+from almondstack.log import LogError
+from almondstack.model import FleetState, Key, KeyGranted, KeyRevoked
+
+__all__: list[str] = []
+
+_ID_BYTES = 4
+
+
+class KeyRow(msgspec.Struct, frozen=True):
+    """One key, without its digest."""
+
+    key_id: str
+    team: str
+    state: str
+    revoked_offset: int | None = None
+
+
+class KeyList(msgspec.Struct, frozen=True):
+    """What ``keys list`` prints."""
+
+    keys: list[KeyRow]
+
+
+class GrantResult(msgspec.Struct, frozen=True):
+    """What ``keys grant`` prints, once; the secret is not kept anywhere."""
+
+    key_id: str
+    team: str
+    key: str
+
+
+class EntryAnswer(msgspec.Struct, frozen=True, order=True):
+    """Whether an entry refuses the key from now on."""
+
+    zone: str
+    address: str
+    is_honoured: bool
+    detail: str = ""
+
+
+class RevokeResult(msgspec.Struct, frozen=True):
+    """What ``keys revoke`` prints.
+
+    Parameters
+    ----------
+    is_logged : bool
+        True if the revocation is in the log, so that it holds for ever.
+    missing_zones : list of str
+        Zones with an entry that was not reached directly.
+    """
+
+    key_id: str
+    is_logged: bool
+    missing_zones: list[str]
+    entries: list[EntryAnswer]
+
+
+class KeyRefusedError(AlmondError):
+    """The log refused the record of a key."""
+
+    code = "key-refused"
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    actions = parser.add_subparsers(dest="action", required=True)
+    listing = actions.add_parser("list", help="list keys without their secrets")
+    listing.add_argument("--team", help="only keys of this team")
+    grant = actions.add_parser("grant", help="make a key and print it once")
+    grant.add_argument("team")
+    grant.add_argument("--id", help="public part of the key; default: made from the team")
+    revoke = actions.add_parser("revoke", help="end a key for ever, in the log and at once")
+    revoke.add_argument("key_id")
+
+
+def _run(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
+    run = {"list": _list, "grant": _grant, "revoke": _revoke}[arguments.action]
+    return run(context, arguments)
+
+
+def _list(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
+    session = OperatorSession(context.settings.log)
+    session.catch_up()
+    state = session.fold.state
+    rows = [KeyRow(key.id, key.team, "in-force") for key in state.keys.values()]
+    rows.extend(KeyRow(name, "", "revoked", offset) for name, offset in state.revoked.items())
+    shown = [row for row in rows if arguments.team in (None, row.team)]
+    context.printer.result(KeyList(sorted(shown, key=lambda row: row.key_id)))
+    return ExitCode.OK
+
+
+def _grant(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
+    session = OperatorSession(context.settings.log)
+    session.catch_up()
+    key_id = arguments.id or f"{arguments.team}-{secrets.token_hex(_ID_BYTES)}"
+    secret_key = new_key(key_id)
+    digest = hash_secret(split_key(secret_key)[1])
+    key = msgspec.convert({"id": key_id, "team": arguments.team, "digest": digest}, Key)
+    verdict = session.append(KeyGranted(key), context.settings.apply_timeout_s)
+    session.stop()
+    if verdict is None:
+        context.printer.progress(f"The log has not confirmed key {key_id}; revoke it.")
+        return ExitCode.UNAVAILABLE
+    if not verdict.is_accepted:
+        raise KeyRefusedError(f"{verdict.refusal}: {verdict.detail}")
+    context.printer.result(GrantResult(key_id, arguments.team, secret_key))
+    return ExitCode.OK
+
+
+def _revoke(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
+    session = OperatorSession(context.settings.log)
+    state = _state_or_nothing(session)
+    client = EntryClient(context.settings)
+    entries = known_entries(state, context.settings)
+    answers = client.ask_all(entries, lambda entry: client.revoke(entry, arguments.key_id))
+    rows = sorted(_answer(entry, answer) for entry, answer in answers.items())
+    verdict = _append_revocation(context, session, arguments.key_id)
+    session.stop()
+    missing = sorted({row.zone for row in rows if not row.is_honoured})
+    is_logged = verdict is not None and verdict.is_accepted
+    context.printer.result(RevokeResult(arguments.key_id, is_logged, missing, rows))
+    if not is_logged:
+        return ExitCode.UNAVAILABLE
+    return ExitCode.NOT_CONFIRMED if missing else ExitCode.OK
+
+
+def _state_or_nothing(session: OperatorSession) -> FleetState:
+    """Return the folded state; an empty one while the log is out."""
+    try:
+        session.catch_up()
+    except LogError:
+        return FleetState()
+    return session.fold.state
+
+
+def _append_revocation(
+    context: CommandContext, session: OperatorSession, key_id: str
+) -> Verdict | None:
+    return session.append(KeyRevoked(key_id), context.settings.apply_timeout_s)
+
+
+def _answer(entry: EntryAddress, answer: object) -> EntryAnswer:
+    if isinstance(answer, EntryCallError):
+        return EntryAnswer(entry.zone, entry.address, False, str(answer))
+    return EntryAnswer(entry.zone, entry.address, True)
+
+
+register_command(Command("keys", "List, grant and revoke keys.", _add_arguments, _run))
--- /dev/null
+++ b/almondstack/ctl/commands/status.py
@@ -0,0 +1,140 @@
+"""``almondctl status``: what is in force, where, and what is still under way."""
+
+import argparse
+
+import msgspec
+
+from almondstack.ctl.entries import EntryAddress, EntryClient, known_entries
+from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.registry import Command, CommandContext, register_command
+from almondstack.ctl.session import OperatorSession
+from almondstack.log import FLEET, SnapshotStore
+from almondstack.model import EntryStatus, FleetState
+
+__all__: list[str] = []
+
+
+class EntryRow(msgspec.Struct, frozen=True, order=True):
+    """One entry, as it answers."""
+
+    zone: str
+    address: str
+    incarnation: str
+    is_up: bool
+    is_cut_off: bool
+    behind: int | None
+    detail: str = ""
+
+
+class PoolRow(msgspec.Struct, frozen=True):
+    """One pool, as the log has it."""
+
+    pool: str
+    serving: int
+    owned: int
+    min_serving: int
+    size: int
+    is_leaving: bool
+
+
+class InstanceRow(msgspec.Struct, frozen=True):
+    """An instance that is not simply serving in its pool."""
+
+    instance: str
+    pool: str
+    phase: str
+    target: str
+    is_withdrawn: bool
+    reason: str
+
+
+class StatusResult(msgspec.Struct, frozen=True):
+    """What ``status`` prints."""
+
+    revision: int
+    format_level: int
+    next_offset: int
+    oldest_offset: int
+    snapshot_offset: int | None
+    entries: list[EntryRow]
+    pools: list[PoolRow]
+    under_way: list[InstanceRow]
+    leaving_teams: list[str]
+    leaving_queues: list[str]
+
+
+def _add_arguments(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--offline", action="store_true", help="do not ask the entries")
+
+
+def _run(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
+    session = OperatorSession(context.settings.log)
+    session.catch_up()
+    state = session.fold.state
+    newest = SnapshotStore(session.client).newest()
+    entries = [] if arguments.offline else _entry_rows(context, session)
+    result = StatusResult(
+        revision=state.revision,
+        format_level=state.level,
+        next_offset=session.fold.next_offset,
+        oldest_offset=session.client.bounds(FLEET).oldest,
+        snapshot_offset=newest.next_offset if newest else None,
+        entries=entries,
+        pools=_pool_rows(state),
+        under_way=_instance_rows(state),
+        leaving_teams=sorted(state.leaving_teams),
+        leaving_queues=sorted(state.leaving_queues),
+    )
+    context.printer.result(result)
+    is_whole = all(row.is_up for row in entries)
+    return ExitCode.OK if is_whole else ExitCode.NOT_CONFIRMED
+
+
+def _entry_rows(context: CommandContext, session: OperatorSession) -> list[EntryRow]:
+    client = EntryClient(context.settings)
+    entries = known_entries(session.fold.state, context.settings)
+    answers = client.ask_all(entries, client.status)
+    next_offset = session.fold.next_offset
+    return sorted(_entry_row(entry, answers[entry], next_offset) for entry in entries)
+
+
+def _entry_row(entry: EntryAddress, answer: object, next_offset: int) -> EntryRow:
+    if not isinstance(answer, EntryStatus):
+        return EntryRow(
+            entry.zone, entry.address, entry.incarnation, False, False, None, str(answer)
+        )
+    behind = max(next_offset - answer.next_offset, 0)
+    incarnation = answer.incarnation or entry.incarnation
+    return EntryRow(entry.zone, entry.address, incarnation, True, answer.is_cut_off, behind)
+
+
+def _pool_rows(state: FleetState) -> list[PoolRow]:
+    return [
+        PoolRow(
+            pool=name,
+            serving=state.serving_count(name),
+            owned=len(state.instances_of(name)),
+            min_serving=pool.min_serving,
+            size=pool.size,
+            is_leaving=name in state.leaving_pools,
+        )
+        for name, pool in sorted(state.pools.items())
+    ]
+
+
+def _instance_rows(state: FleetState) -> list[InstanceRow]:
+    return [
+        InstanceRow(
+            instance=name,
+            pool=item.pool,
+            phase=item.phase.value,
+            target=item.target_pool or (item.spec.pool if item.spec.pool != item.pool else ""),
+            is_withdrawn=item.is_withdrawn,
+            reason=item.reason,
+        )
+        for name, item in sorted(state.instances.items())
+        if not item.is_serving or item.is_withdrawn or item.spec.pool != item.pool
+    ]
+
+
+register_command(Command("status", "Show what is in force and where.", _add_arguments, _run))
--- /dev/null
+++ b/almondstack/ctl/confirmation.py
@@ -0,0 +1,127 @@
+"""Waits until a record is in force on every entry that may serve."""
+
+import threading
+from collections import Counter
+
+import msgspec
+
+from almondstack.core import Clock
+from almondstack.ctl.entries import EntryAddress, EntryClient
+from almondstack.ctl.output import Printer
+from almondstack.fold import Fold
+from almondstack.model import EntryStatus
+
+__all__ = ["Confirmation", "MissingEntry", "ZoneProgress", "wait_for_entries"]
+
+_ASK_EVERY_S = 0.1
+
+
+class MissingEntry(msgspec.Struct, frozen=True, order=True):
+    """An entry that has not confirmed."""
+
+    zone: str
+    incarnation: str
+    address: str
+    reason: str
+
+
+class ZoneProgress(msgspec.Struct, frozen=True, order=True):
+    """How many entries of a zone have confirmed."""
+
+    zone: str
+    confirmed: int
+    entries: int
+
+
+class Confirmation(msgspec.Struct, frozen=True):
+    """Which entries have a record in force.
+
+    Parameters
+    ----------
+    zones : list of ZoneProgress
+        By zone.
+    missing : list of MissingEntry
+        Entries that have not confirmed.
+    """
+
+    zones: list[ZoneProgress]
+    missing: list[MissingEntry]
+
+    @property
+    def is_complete(self) -> bool:
+        """True if every live entry has confirmed."""
+        return not self.missing
+
+    @property
+    def missing_zones(self) -> list[str]:
+        """Zones with an entry that has not confirmed."""
+        return sorted({entry.zone for entry in self.missing})
+
+
+def wait_for_entries(
+    fold: Fold,
+    client: EntryClient,
+    next_offset: int,
+    timeout_s: float,
+    clock: Clock,
+    printer: Printer,
+) -> Confirmation:
+    """Ask the live entries until each has folded up to ``next_offset``.
+
+    Explanation
+    -----------
+    Entries that join or end meanwhile are taken from the folded state, which
+    must go on being followed.
+
+    Parameters
+    ----------
+    next_offset : int
+        Offset after the record.
+    timeout_s : float
+        When to give up, in seconds.
+    """
+    end_s = clock.monotonic() + timeout_s
+    pause = threading.Event()
+    shown: list[ZoneProgress] | None = None
+    while True:
+        confirmation = _ask(fold, client, next_offset)
+        if confirmation.zones != shown:
+            shown = confirmation.zones
+            _show(printer, shown)
+        if confirmation.is_complete or clock.monotonic() >= end_s:
+            return confirmation
+        clock.wait(pause, _ASK_EVERY_S)
+
+
+def _ask(fold: Fold, client: EntryClient, next_offset: int) -> Confirmation:
+    with fold.lock:
+        entries = [
+            EntryAddress(entry.zone, entry.address, entry.incarnation)
+            for entry in fold.state.live_entries()
+        ]
+    answers = client.ask_all(entries, client.status)
+    missing = [
+        MissingEntry(entry.zone, entry.incarnation, entry.address, reason)
+        for entry, answer in answers.items()
+        if (reason := _why_missing(entry, answer, next_offset))
+    ]
+    total = Counter(entry.zone for entry in entries)
+    lacking = Counter(entry.zone for entry in missing)
+    zones = [ZoneProgress(zone, total[zone] - lacking[zone], total[zone]) for zone in total]
+    return Confirmation(sorted(zones), sorted(missing))
+
+
+def _why_missing(entry: EntryAddress, answer: object, next_offset: int) -> str:
+    if not isinstance(answer, EntryStatus):
+        return f"no answer: {answer}"
+    if answer.incarnation and answer.incarnation != entry.incarnation:
+        return f"{answer.incarnation} answers there"
+    if answer.next_offset < next_offset:
+        where = "cut off at" if answer.is_cut_off else "at"
+        return f"{where} offset {answer.next_offset} of {next_offset}"
+    return ""
+
+
+def _show(printer: Printer, zones: list[ZoneProgress]) -> None:
+    for zone in zones:
+        printer.progress(f"zone {zone.zone}: {zone.confirmed} of {zone.entries} entries confirmed")
--- /dev/null
+++ b/almondstack/ctl/entries.py
@@ -0,0 +1,133 @@
+"""Calls from the operators' program to entries."""
+
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from typing import TypeVar
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from almondstack.core import AlmondError, CodecError, decode_json, encode_json
+from almondstack.ctl.settings import CtlSettings
+from almondstack.model import (
+    REVOCATIONS_PATH,
+    STATUS_PATH,
+    EntryStatus,
+    FleetState,
+    RevocationReply,
+    RevocationRequest,
+    revocation_proof,
+)
+
+__all__ = ["EntryAddress", "EntryCallError", "EntryClient", "known_entries"]
+
+T = TypeVar("T")
+R = TypeVar("R")
+
+_HTTP_OK = 200
+_MOST_CALLS = 32
+
+
+class EntryCallError(AlmondError):
+    """An entry did not answer, or not as expected."""
+
+    code = "entry-call"
+
+
+class EntryAddress(msgspec.Struct, frozen=True, order=True):
+    """Where an entry is reached; ``incarnation`` is empty if only settings name it."""
+
+    zone: str
+    address: str
+    incarnation: str = ""
+
+
+def known_entries(state: FleetState, settings: CtlSettings) -> list[EntryAddress]:
+    """Return the live entries of the folded state, and others that the settings name."""
+    live = [
+        EntryAddress(entry.zone, entry.address, entry.incarnation) for entry in state.live_entries()
+    ]
+    folded = {entry.address for entry in live}
+    named = [
+        EntryAddress(zone, address)
+        for zone, addresses in settings.entries.items()
+        for address in addresses
+        if address not in folded
+    ]
+    return sorted([*live, *named])
+
+
+class EntryClient:
+    """Speaks to entries over HTTP, to many at once.
+
+    Parameters
+    ----------
+    settings : CtlSettings
+        Time bounds and the operators' token.
+    """
+
+    __slots__ = ("_pool", "_settings")
+
+    def __init__(self, settings: CtlSettings) -> None:
+        self._settings = settings
+        self._pool = urllib3.PoolManager(retries=False)
+
+    def status(self, entry: EntryAddress) -> EntryStatus:
+        """Ask an entry how far it is.
+
+        Raises
+        ------
+        EntryCallError
+            It did not answer.
+        """
+        return self._call("GET", entry, STATUS_PATH, None, EntryStatus)
+
+    def revoke(self, entry: EntryAddress, key_id: str) -> RevocationReply:
+        """Ask an entry to refuse a key at once.
+
+        Raises
+        ------
+        EntryCallError
+            It did not confirm.
+        """
+        proof = revocation_proof(self._settings.operator_token, key_id)
+        body = encode_json(RevocationRequest(key_id, proof))
+        return self._call("POST", entry, REVOCATIONS_PATH, body, RevocationReply)
+
+    def ask_all(
+        self, entries: Sequence[EntryAddress], ask: Callable[[EntryAddress], R]
+    ) -> dict[EntryAddress, R | EntryCallError]:
+        """Ask many entries at once; a failure stands in place of the answer."""
+
+        def try_ask(entry: EntryAddress) -> R | EntryCallError:
+            try:
+                return ask(entry)
+            except EntryCallError as error:
+                return error
+
+        if not entries:
+            return {}
+        with ThreadPoolExecutor(min(len(entries), _MOST_CALLS)) as executor:
+            return dict(zip(entries, executor.map(try_ask, entries), strict=True))
+
+    def _call(
+        self, method: str, entry: EntryAddress, path: str, body: bytes | None, type_: type[T]
+    ) -> T:
+        try:
+            response = self._pool.request(
+                method,
+                f"http://{entry.address}{path}",
+                body=body,
+                headers={"Content-Type": "application/json"},
+                timeout=self._settings.entry_timeout_s,
+                redirect=False,
+            )
+        except HTTPError as error:
+            raise EntryCallError(type(error).__name__) from error
+        if response.status != _HTTP_OK:
+            raise EntryCallError(f"status {response.status}")
+        try:
+            return decode_json(response.data, type_)
+        except CodecError as error:
+            raise EntryCallError("the answer is malformed") from error
--- /dev/null
+++ b/almondstack/ctl/mentions.py
@@ -0,0 +1,65 @@
+"""Which records are about a thing, and how they are shown."""
+
+from functools import singledispatch
+from typing import Any
+
+import msgspec
+
+from almondstack.core import encode_json
+from almondstack.fold import subject_of
+from almondstack.model import Configured, Key, KeyGranted, ReleaseApplied
+from almondstack.note import KINDS
+from almondstack.note.merge import name_of
+
+__all__ = ["mentions", "shown_body"]
+
+_HIDDEN_DIGEST = "0" * 64
+
+
+@singledispatch
+def mentions(body: object, kind: str, name: str) -> bool:
+    """Return True if a record's body is about the thing."""
+    return body is not None and subject_of(body) == f"{kind}/{name}"
+
+
+@mentions.register
+def _(body: ReleaseApplied, kind: str, name: str) -> bool:
+    if kind == "config":
+        return True
+    plural = f"{kind}s"
+    if plural not in KINDS:
+        return False
+    note = body.note
+    things = (*getattr(note.added, plural), *getattr(note.changed, plural))
+    return name in {name_of(thing) for thing in things} or name in getattr(note.withdrawn, plural)
+
+
+def shown_body(body: Any) -> str:
+    """Return a record's body as JSON, without digests of keys."""
+    return encode_json(_without_digests(body)).decode()
+
+
+@singledispatch
+def _without_digests(body: Any) -> Any:
+    return body
+
+
+@_without_digests.register
+def _(body: KeyGranted) -> KeyGranted:
+    return KeyGranted(_hidden(body.key))
+
+
+@_without_digests.register
+def _(body: ReleaseApplied) -> ReleaseApplied:
+    note = msgspec.structs.replace(
+        body.note, added=_all_hidden(body.note.added), changed=_all_hidden(body.note.changed)
+    )
+    return msgspec.structs.replace(body, note=note)
+
+
+def _all_hidden(configured: Configured) -> Configured:
+    return msgspec.structs.replace(configured, keys=tuple(map(_hidden, configured.keys)))
+
+
+def _hidden(key: Key) -> Key:
+    return msgspec.structs.replace(key, digest=_HIDDEN_DIGEST)
--- a/almondstack/ctl/session.py
+++ b/almondstack/ctl/session.py
@@ -36,7 +36,7 @@
             settings,
             metrics,
             clock,
-            position=lambda: self._fold.next_offset,
+            position=self._follower.position,
         )
         self._is_started = False
 
--- a/almondstack/fold/config.py
+++ b/almondstack/fold/config.py
@@ -6,13 +6,16 @@
 from almondstack.fold.refusals import Refusal, RefusedError
 from almondstack.model import (
     FleetState,
+    InstancePhase,
     InstanceSpec,
     InstanceState,
     KeyGranted,
     KeyRevoked,
+    LeavingQueue,
+    LeavingTeam,
     ReleaseApplied,
 )
-from almondstack.note import ConfigTables, check_tables, config_tables, merge_note
+from almondstack.note import ConfigTables, note_faults
 
 __all__: list[str] = []
 
@@ -21,28 +24,47 @@
 def _(body: ReleaseApplied, state: FleetState, context: FoldContext) -> None:
     if body.base_revision != state.revision:
         raise RefusedError(Refusal.REVISION_CONFLICT, f"revision {state.revision} is in force")
-    tables, faults = merge_note(config_tables(state), body.note)
-    faults.extend(check_tables(tables))
-    revoked = [name for name in tables.keys if name in state.revoked]
+    tables, faults = note_faults(state, body.note)
     if faults:
         raise RefusedError(Refusal.NOTE_INVALID, f"{faults[0].path}: {faults[0].message}")
-    if revoked:
-        raise RefusedError(Refusal.NOTE_INVALID, f"key {revoked[0]} was revoked")
-    _install(state, tables, body, context)
-
-
-def _install(
-    state: FleetState, tables: ConfigTables, body: ReleaseApplied, context: FoldContext
-) -> None:
     state.revision += 1
-    state.pools = dict(tables.pools)
-    state.teams = dict(tables.teams)
+    _install_teams(state, tables, context)
+    _install_queues(state, tables, context)
     state.keys = dict(tables.keys)
-    state.queues = dict(tables.queues)
     state.limits = dict(tables.limits)
     for name in body.note.withdrawn.keys:
         state.revoked.setdefault(name, context.offset)
     _install_instances(state, tables.instances, context)
+    _install_pools(state, tables, context)
+
+
+def _install_teams(state: FleetState, tables: ConfigTables, context: FoldContext) -> None:
+    for name, team in state.teams.items():
+        if name not in tables.teams:
+            state.leaving_teams[name] = LeavingTeam(context.offset, team)
+    state.teams = dict(tables.teams)
+    for name in tables.teams:
+        state.leaving_teams.pop(name, None)
+
+
+def _install_queues(state: FleetState, tables: ConfigTables, context: FoldContext) -> None:
+    for name, queue in state.queues.items():
+        if name not in tables.queues:
+            state.leaving_queues[name] = LeavingQueue(context.offset, queue)
+    state.queues = dict(tables.queues)
+    for name in tables.queues:
+        state.leaving_queues.pop(name, None)
+
+
+def _install_pools(state: FleetState, tables: ConfigTables, context: FoldContext) -> None:
+    """Keep a withdrawn pool, without a budget, until its last instance is gone."""
+    leaving = {name: pool for name, pool in state.pools.items() if name not in tables.pools}
+    for name, pool in leaving.items():
+        leaving[name] = msgspec.structs.replace(pool, min_serving=0, size=0)
+        state.leaving_pools.setdefault(name, context.offset)
+    state.pools = {**tables.pools, **leaving}
+    for name in tables.pools:
+        state.leaving_pools.pop(name, None)
 
 
 def _install_instances(
@@ -58,9 +80,17 @@
             )
     for name, known in list(state.instances.items()):
         if name not in specs and not known.is_withdrawn:
-            state.instances[name] = msgspec.structs.replace(
-                known, is_withdrawn=True, version=context.offset
-            )
+            _withdraw_instance(state, known, context)
+
+
+def _withdraw_instance(state: FleetState, known: InstanceState, context: FoldContext) -> None:
+    """Let a serving or draining instance drain first; drop one that takes no work."""
+    if known.is_taking_work or known.phase is InstancePhase.DRAINING:
+        state.instances[known.name] = msgspec.structs.replace(
+            known, is_withdrawn=True, version=context.offset
+        )
+    else:
+        del state.instances[known.name]
 
 
 @fold_body.register
@@ -76,7 +106,9 @@
 
 @fold_body.register
 def _(body: KeyRevoked, state: FleetState, context: FoldContext) -> None:
-    state.revoked.setdefault(body.key_id, context.offset)
+    if body.key_id in state.revoked:
+        return
+    state.revoked[body.key_id] = context.offset
     state.keys.pop(body.key_id, None)
     state.revision += 1
 
--- a/almondstack/fold/pruning.py
+++ b/almondstack/fold/pruning.py
@@ -4,7 +4,8 @@
 -----------
 Every reader prunes at the same offsets, so that the states stay equal.  An
 author is forgotten once no record that it wrote earlier can be taken any more
-(see ``base`` in :class:`~almondstack.model.Envelope`).
+(see ``base`` in :class:`~almondstack.model.Envelope`); that of an entry stays
+as long as the entry is remembered.
 """
 
 from typing import Protocol, TypeVar
@@ -31,14 +32,18 @@
     if offset % PRUNE_EVERY_RECORDS != 0:
         return
     oldest = offset - REPEAT_WINDOW_RECORDS
-    state.authors = _since(state.authors, oldest)
-    state.leaving_teams = _since(state.leaving_teams, oldest)
-    state.leaving_queues = _since(state.leaving_queues, oldest)
     state.entries = {
         name: entry
         for name, entry in state.entries.items()
         if entry.is_live or entry.version >= oldest or name in state.settlements
     }
+    state.authors = {
+        name: mark
+        for name, mark in state.authors.items()
+        if mark.offset >= oldest or name in state.entries
+    }
+    state.leaving_teams = _since(state.leaving_teams, oldest)
+    state.leaving_queues = _since(state.leaving_queues, oldest)
 
 
 def settle_pools(state: FleetState) -> None:
--- a/almondstack/note/validate.py
+++ b/almondstack/note/validate.py
@@ -4,23 +4,37 @@
 -----------
 The fold runs the same checks as ``almondctl check``, so a note that was valid
 when it was planned and is not valid on top of the log is refused by every
-reader alike.
+reader alike.  They are therefore part of the record format: a check may only
+be added with a new format level.  Warnings are not.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 
-from almondstack.model import FleetState, ReleaseNote
-from almondstack.note.faults import NoteFault
+from almondstack.model import FleetState, InstanceSpec, Limit, Pool, Queue, ReleaseNote
+from almondstack.note.faults import FaultCode, NoteFault, NoteReport
+from almondstack.note.locate import NoteLocator
 from almondstack.note.merge import ConfigTables, config_tables, merge_note
+from almondstack.note.warn import warn_tables
 
-__all__ = ["check_note", "check_tables"]
+__all__ = ["check_note", "check_tables", "note_faults"]
 
 
-def check_note(state: FleetState, note: ReleaseNote) -> list[NoteFault]:
-    """Return every fault of ``note`` upon ``state``, in order of path."""
+def check_note(state: FleetState, note: ReleaseNote) -> NoteReport:
+    """Return every fault and warning of ``note`` upon ``state``, in order of path."""
+    tables, _ = merge_note(config_tables(state), note)
+    locator = NoteLocator(note)
+    faults = [locator.located(fault) for fault in note_faults(state, note)[1]]
+    warnings = [locator.located(warning) for warning in warn_tables(tables)]
+    return NoteReport(sorted(set(faults)), sorted(set(warnings)))
+
+
+def note_faults(state: FleetState, note: ReleaseNote) -> tuple[ConfigTables, list[NoteFault]]:
+    """Return what ``note`` leads to upon ``state``, and the faults that forbid it."""
     tables, faults = merge_note(config_tables(state), note)
     faults.extend(check_tables(tables))
-    return sorted(faults)
+    faults.extend(_check_revoked(state, note))
+    return tables, faults
 
 
 def check_tables(tables: ConfigTables) -> Iterator[NoteFault]:
@@ -28,52 +42,112 @@
     yield from _check_instances(tables)
     yield from _check_pools(tables)
     yield from _check_queues(tables)
-    yield from _check_keys_and_limits(tables)
+    yield from _check_keys(tables)
+    yield from _check_limits(tables)
+
+
+def _check_revoked(state: FleetState, note: ReleaseNote) -> Iterator[NoteFault]:
+    for section, configured in (("added", note.added), ("changed", note.changed)):
+        for index, key in enumerate(configured.keys):
+            if key.id in state.revoked:
+                path = f"{section}.keys[{index}].id"
+                yield NoteFault(path, FaultCode.REVOKED, f"key {key.id} was revoked")
 
 
 def _check_instances(tables: ConfigTables) -> Iterator[NoteFault]:
     addresses: dict[str, str] = {}
     for name, spec in tables.instances.items():
         path = f"instances.{name}"
-        if spec.pool not in tables.pools:
-            yield NoteFault(f"{path}.pool", "dangling", f"there is no pool {spec.pool}")
         other = addresses.setdefault(spec.address, name)
         if other != name:
-            yield NoteFault(f"{path}.address", "shared", f"{other} has the same address")
+            message = f"{other} has the same address"
+            yield NoteFault(f"{path}.address", FaultCode.SHARED_ADDRESS, message)
+        pool = tables.pools.get(spec.pool)
+        if pool is None:
+            yield _dangling(f"{path}.pool", "pool", spec.pool)
+        else:
+            yield from _check_fitness(path, spec, pool)
+
+
+def _check_fitness(path: str, spec: InstanceSpec, pool: Pool) -> Iterator[NoteFault]:
+    if spec.accelerators < pool.needs_accelerators:
+        message = f"pool {pool.name} needs {pool.needs_accelerators} accelerators"
+        yield NoteFault(f"{path}.accelerators", FaultCode.UNFIT, message)
 
 
 def _check_pools(tables: ConfigTables) -> Iterator[NoteFault]:
-    owned: dict[str, int] = {}
-    for spec in tables.instances.values():
-        owned[spec.pool] = owned.get(spec.pool, 0) + 1
+    owned = Counter(spec.pool for spec in tables.instances.values())
     for name, pool in tables.pools.items():
-        count = owned.get(name, 0)
+        path = f"pools.{name}.min_serving"
         if pool.min_serving > pool.size:
             message = f"budget {pool.min_serving} is above size {pool.size}"
-            yield NoteFault(f"pools.{name}.min_serving", "budget", message)
-        if pool.min_serving > count:
-            message = f"budget {pool.min_serving} cannot hold with {count} instances"
-            yield NoteFault(f"pools.{name}.min_serving", "budget", message)
+            yield NoteFault(path, FaultCode.BUDGET, message)
+        if pool.min_serving > owned[name]:
+            message = f"budget {pool.min_serving} cannot hold with {owned[name]} instances"
+            yield NoteFault(path, FaultCode.BUDGET, message)
 
 
 def _check_queues(tables: ConfigTables) -> Iterator[NoteFault]:
     for name, queue in tables.queues.items():
         path = f"queues.{name}"
         if queue.pool not in tables.pools:
-            yield NoteFault(f"{path}.pool", "dangling", f"there is no pool {queue.pool}")
-        for team in queue.teams:
+            yield _dangling(f"{path}.pool", "pool", queue.pool)
+        for index, team in enumerate(queue.teams):
             if team not in tables.teams:
-                yield NoteFault(f"{path}.teams", "dangling", f"there is no team {team}")
-        if queue.is_open and queue.open_team not in tables.teams:
-            yield NoteFault(f"{path}.open_team", "dangling", "an open queue needs a team")
-
-
-def _check_keys_and_limits(tables: ConfigTables) -> Iterator[NoteFault]:
+                yield _dangling(f"{path}.teams[{index}]", "team", team)
+        if len(set(queue.teams)) < len(queue.teams):
+            yield NoteFault(f"{path}.teams", FaultCode.DUPLICATE, "a team is named twice")
+        yield from _check_open_team(tables, path, queue)
+
+
+def _check_open_team(tables: ConfigTables, path: str, queue: Queue) -> Iterator[NoteFault]:
+    path = f"{path}.open_team"
+    if not queue.is_open:
+        if queue.open_team is not None:
+            yield NoteFault(path, FaultCode.NOT_OPEN, "only an open queue has an open team")
+        if not tables.teams:
+            yield NoteFault(f"queues.{queue.name}.teams", FaultCode.NO_TEAM, "there is no team")
+        return
+    if queue.open_team is None:
+        yield NoteFault(path, FaultCode.NO_TEAM, "an open queue needs a team")
+        return
+    team = tables.teams.get(queue.open_team)
+    if team is None:
+        yield _dangling(path, "team", queue.open_team)
+    elif team.ceiling == 0:
+        yield NoteFault(path, FaultCode.CEILING, f"the ceiling of {team.name} admits no work")
+
+
+def _check_keys(tables: ConfigTables) -> Iterator[NoteFault]:
     for name, key in tables.keys.items():
         if key.team not in tables.teams:
-            yield NoteFault(f"keys.{name}.team", "dangling", f"there is no team {key.team}")
+            yield _dangling(f"keys.{name}.team", "team", key.team)
+
+
+def _check_limits(tables: ConfigTables) -> Iterator[NoteFault]:
+    bound: dict[tuple[str, str | None], str] = {}
     for name, limit in tables.limits.items():
+        path = f"limits.{name}"
         if limit.team not in tables.teams:
-            yield NoteFault(f"limits.{name}.team", "dangling", f"there is no team {limit.team}")
-        if limit.queue is not None and limit.queue not in tables.queues:
-            yield NoteFault(f"limits.{name}.queue", "dangling", f"there is no queue {limit.queue}")
+            yield _dangling(f"{path}.team", "team", limit.team)
+        other = bound.setdefault((limit.team, limit.queue), name)
+        if other != name:
+            message = f"{other} binds the same team and queue"
+            yield NoteFault(path, FaultCode.DUPLICATE, message)
+        if limit.queue is not None:
+            yield from _check_limited_queue(tables, path, limit, limit.queue)
+
+
+def _check_limited_queue(
+    tables: ConfigTables, path: str, limit: Limit, name: str
+) -> Iterator[NoteFault]:
+    queue = tables.queues.get(name)
+    if queue is None:
+        yield _dangling(f"{path}.queue", "queue", name)
+    elif queue.teams and limit.team not in queue.teams and queue.open_team != limit.team:
+        message = f"{limit.team} may not use {name}"
+        yield NoteFault(f"{path}.queue", FaultCode.LIMIT, message)
+
+
+def _dangling(path: str, kind: str, name: str) -> NoteFault:
+    return NoteFault(path, FaultCode.DANGLING, f"there is no {kind} {name}")
