--- a/almondstack/fold/__init__.py
+++ b/almondstack/fold/__init__.py
@@ -5,6 +5,7 @@
 from almondstack.fold import levels as _levels
 from almondstack.fold import members as _members
 from almondstack.fold import permits as _permits
+from almondstack.fold import waves as _waves
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.fold import Fold, FoldGapError, FoldOutdatedError
 from almondstack.fold.listeners import FoldDelta, FoldListener
@@ -34,4 +35,4 @@
     "zone_floors",
 ]
 
-_REGISTERED = (_config, _instances, _levels, _members, _permits)
+_REGISTERED = (_config, _instances, _levels, _members, _permits, _waves)
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -14,6 +14,7 @@
 
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
 from almondstack.model.permit_state import PermitAccount, Settlement
+from almondstack.model.waves import WaveState
 
 __all__ = [
     "AuthorMark",
@@ -61,8 +62,14 @@
         Where it is in its life.
     version : int
         Offset of the last record that changed it.
+    phase_offset : int
+        Offset of the record that led to this phase; the number of its acts.
+    stepped_by : str
+        Author of that record; takes the acts of this phase first.
     target_pool : str or None
         Where a move in progress leads.
+    lent_from : str or None
+        The declared pool, while another pool owns it by a decision of the keepers.
     wave : str or None
         The maintenance wave it is in.
     is_withdrawn : bool
@@ -77,7 +84,10 @@
     pool: str
     phase: InstancePhase = InstancePhase.SERVING
     version: int = 0
+    phase_offset: int = 0
+    stepped_by: str = ""
     target_pool: str | None = None
+    lent_from: str | None = None
     wave: str | None = None
     is_withdrawn: bool = False
     reason: str = ""
@@ -93,6 +103,22 @@
         """True if it counts for its pool's availability budget."""
         return self.phase is InstancePhase.SERVING
 
+    @property
+    def is_lost(self) -> bool:
+        """True if it is out of service by no plan."""
+        lost = (InstancePhase.FAILED, InstancePhase.UNSEEN, InstancePhase.LEAVING)
+        return self.phase in lost
+
+    @property
+    def is_planned_out(self) -> bool:
+        """True if it is out of service by plan and comes back."""
+        return not self.is_serving and not self.is_lost
+
+    @property
+    def is_misplaced(self) -> bool:
+        """True if it was declared for another pool than the one that owns it."""
+        return self.spec.pool not in (self.pool, self.lent_from)
+
     @property
     def is_taking_work(self) -> bool:
         """True if new requests may be sent to it."""
@@ -175,6 +201,7 @@
     limits: dict[str, Limit] = msgspec.field(default_factory=dict)
     revoked: dict[str, int] = msgspec.field(default_factory=dict)
     entries: dict[str, EntryState] = msgspec.field(default_factory=dict)
+    waves: dict[str, WaveState] = msgspec.field(default_factory=dict)
     leaving_pools: dict[str, int] = msgspec.field(default_factory=dict)
     leaving_teams: dict[str, LeavingTeam] = msgspec.field(default_factory=dict)
     leaving_queues: dict[str, LeavingQueue] = msgspec.field(default_factory=dict)
