--- a/almondstack/testing/scheduling.py
+++ b/almondstack/testing/scheduling.py
@@ -1,6 +1,7 @@
 """Builders for tests and benches of the scheduler."""
 
 import itertools
+from typing import Any
 
 from almondstack.core import NodeSettings, NullMetrics
 from almondstack.dispatch import (
@@ -54,7 +55,7 @@
 
 
 def make_pool_fold(
-    teams: tuple[Team, ...], instances: int = 2, slots: int = 2, **pool_fields: object
+    teams: tuple[Team, ...], instances: int = 2, slots: int = 2, **pool_fields: Any
 ) -> Fold:
     """Return a fold with one pool; its instances stand in zones and racks in turn."""
     specs = tuple(
