--- a/almondstack/fold/tests/test_permits.py
+++ b/almondstack/fold/tests/test_permits.py
@@ -25,7 +25,7 @@
 
 
 def _put(fold: Fold, author: str, body: Any) -> Refusal | None:
-    sequence = fold.state.sequences.get(author, 0) + 1
+    sequence = fold.state.last_sequence(author) + 1
     verdict = fold.apply(fold.next_offset, encode_record(author, sequence, body))
     assert verdict is not None
     return verdict.refusal
--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -2,7 +2,13 @@
 
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
 from almondstack.model.config_records import KeyGranted, KeyRevoked, ReleaseApplied
-from almondstack.model.fleet_records import InstanceMoved, InstanceObserved, InstanceStepped
+from almondstack.model.fleet_records import (
+    InstanceMoved,
+    InstanceObserved,
+    InstanceRemoved,
+    InstanceStepped,
+)
+from almondstack.model.level_records import LevelRaised
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
 from almondstack.model.operator_messages import (
@@ -35,25 +41,36 @@
 from almondstack.model.permit_state import PermitAccount, Settlement
 from almondstack.model.records import (
     FORMAT_LEVEL,
+    REPEAT_WINDOW_RECORDS,
     Envelope,
+    LogEntry,
+    RecordRegistry,
     decode_body,
     decode_envelope,
+    default_registry,
     encode_record,
     record_kind,
     register_record,
 )
 from almondstack.model.state import (
+    AuthorMark,
     EntryPhase,
     EntryState,
     FleetState,
     InstancePhase,
     InstanceState,
+    LeavingQueue,
+    LeavingTeam,
 )
+from almondstack.model.wave_records import WaveChanged, WaveSetAside, WaveStarted
+from almondstack.model.waves import WavePhase, WaveSpec, WaveState
 
 __all__ = [
     "FORMAT_LEVEL",
+    "REPEAT_WINDOW_RECORDS",
     "REVOCATIONS_PATH",
     "STATUS_PATH",
+    "AuthorMark",
     "Configured",
     "EntryEnded",
     "EntryFenced",
@@ -67,13 +84,18 @@
     "InstanceMoved",
     "InstanceObserved",
     "InstancePhase",
+    "InstanceRemoved",
     "InstanceSpec",
     "InstanceState",
     "InstanceStepped",
     "Key",
     "KeyGranted",
     "KeyRevoked",
+    "LeavingQueue",
+    "LeavingTeam",
+    "LevelRaised",
     "Limit",
+    "LogEntry",
     "PermitAccount",
     "PermitCount",
     "PermitsDrawn",
@@ -81,6 +103,7 @@
     "PermitsSettled",
     "Pool",
     "Queue",
+    "RecordRegistry",
     "ReleaseApplied",
     "ReleaseNote",
     "RevocationReply",
@@ -88,12 +111,19 @@
     "SettledCount",
     "Settlement",
     "Team",
+    "WaveChanged",
+    "WavePhase",
+    "WaveSetAside",
+    "WaveSpec",
+    "WaveStarted",
+    "WaveState",
     "Withdrawn",
     "bound_of",
     "bounds_of",
     "ceiling_resource",
     "decode_body",
     "decode_envelope",
+    "default_registry",
     "encode_record",
     "is_rate",
     "is_right_proof",
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -14,13 +14,17 @@
 
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
 from almondstack.model.permit_state import PermitAccount, Settlement
+from almondstack.model.waves import WaveState
 
 __all__ = [
+    "AuthorMark",
     "EntryPhase",
     "EntryState",
     "FleetState",
     "InstancePhase",
     "InstanceState",
+    "LeavingQueue",
+    "LeavingTeam",
 ]
 
 
@@ -58,8 +62,14 @@
         Where it is in its life.
     version : int
         Offset of the last record that changed it.
+    phase_offset : int
+        Offset of the record that led to this phase; the number of its acts.
+    stepped_by : str
+        Author of that record; takes the acts of this phase first.
     target_pool : str or None
         Where a move in progress leads.
+    lent_from : str or None
+        The declared pool, while another pool owns it by a decision of the keepers.
     wave : str or None
         The maintenance wave it is in.
     is_withdrawn : bool
@@ -74,7 +84,10 @@
     pool: str
     phase: InstancePhase = InstancePhase.SERVING
     version: int = 0
+    phase_offset: int = 0
+    stepped_by: str = ""
     target_pool: str | None = None
+    lent_from: str | None = None
     wave: str | None = None
     is_withdrawn: bool = False
     reason: str = ""
@@ -90,6 +103,22 @@
         """True if it counts for its pool's availability budget."""
         return self.phase is InstancePhase.SERVING
 
+    @property
+    def is_lost(self) -> bool:
+        """True if it is out of service by no plan."""
+        lost = (InstancePhase.FAILED, InstancePhase.UNSEEN, InstancePhase.LEAVING)
+        return self.phase in lost
+
+    @property
+    def is_planned_out(self) -> bool:
+        """True if it is out of service by plan and comes back."""
+        return not self.is_serving and not self.is_lost
+
+    @property
+    def is_misplaced(self) -> bool:
+        """True if it was declared for another pool than the one that owns it."""
+        return self.spec.pool not in (self.pool, self.lent_from)
+
     @property
     def is_taking_work(self) -> bool:
         """True if new requests may be sent to it."""
@@ -116,6 +145,27 @@
         return self.phase is EntryPhase.LIVE
 
 
+class AuthorMark(msgspec.Struct, frozen=True, array_like=True):
+    """Last folded record of an author: its sequence number and its offset."""
+
+    sequence: int
+    offset: int
+
+
+class LeavingTeam(msgspec.Struct, frozen=True):
+    """A withdrawn team whose admitted work may still run; ``offset`` of its withdrawal."""
+
+    offset: int
+    team: Team
+
+
+class LeavingQueue(msgspec.Struct, frozen=True):
+    """A withdrawn queue whose admitted work may still run; ``offset`` of its withdrawal."""
+
+    offset: int
+    queue: Queue
+
+
 class FleetState(msgspec.Struct, kw_only=True):
     """Everything that the log decides.
 
@@ -125,10 +175,16 @@
         Number of configuration changes accepted so far.
     level : int
         Format level in force.
-    sequences : dict of str to int
-        Last folded sequence number of each author.
     revoked : dict of str to int
-        Ids of revoked keys, with the offset of the revocation.
+        Ids of revoked keys, with the offset of the revocation; never forgotten.
+    leaving_pools : dict of str to int
+        Withdrawn pools that still own instances, with the offset of the
+        withdrawal; they stay in ``pools`` with no budget until the last is gone.
+    leaving_teams, leaving_queues : dict
+        Withdrawn teams and queues; nothing new is admitted for them, and what
+        was admitted ends under the values kept here.
+    authors : dict of str to AuthorMark
+        Last folded record of each author within the repeat window.
     permits : dict of str to PermitAccount
         By resource, what the incarnations have drawn.
     settlements : dict of str to Settlement
@@ -145,9 +201,28 @@
     limits: dict[str, Limit] = msgspec.field(default_factory=dict)
     revoked: dict[str, int] = msgspec.field(default_factory=dict)
     entries: dict[str, EntryState] = msgspec.field(default_factory=dict)
+    waves: dict[str, WaveState] = msgspec.field(default_factory=dict)
+    leaving_pools: dict[str, int] = msgspec.field(default_factory=dict)
+    leaving_teams: dict[str, LeavingTeam] = msgspec.field(default_factory=dict)
+    leaving_queues: dict[str, LeavingQueue] = msgspec.field(default_factory=dict)
+    authors: dict[str, AuthorMark] = msgspec.field(default_factory=dict)
     permits: dict[str, PermitAccount] = msgspec.field(default_factory=dict)
     settlements: dict[str, Settlement] = msgspec.field(default_factory=dict)
-    sequences: dict[str, int] = msgspec.field(default_factory=dict)
+
+    def last_sequence(self, author: str) -> int:
+        """Return the last folded sequence number of ``author``; 0 if none is remembered."""
+        mark = self.authors.get(author)
+        return mark.sequence if mark else 0
+
+    def find_team(self, name: str) -> Team | None:
+        """Return a team in force or one that is leaving."""
+        leaving = self.leaving_teams.get(name)
+        return self.teams.get(name) or (leaving.team if leaving else None)
+
+    def find_queue(self, name: str) -> Queue | None:
+        """Return a queue in force or one that is leaving."""
+        leaving = self.leaving_queues.get(name)
+        return self.queues.get(name) or (leaving.queue if leaving else None)
 
     def instances_of(self, pool: str) -> list[InstanceState]:
         """Return the instances that ``pool`` owns, by name."""
