--- a/almondstack/core/reasons.py
+++ b/almondstack/core/reasons.py
@@ -77,12 +77,10 @@
     """Why a request was sent to another upstream."""
 
     CONNECT_FAILED = "connect-failed"
-    STALE_CONNECTION = "stale-connection"
     SEND_NOT_STARTED = "send-not-started"
     IDEMPOTENT_BROKE = "idempotent-broke"
     IDEMPOTENT_TIMEOUT = "idempotent-timeout"
     UPSTREAM_DRAINING = "upstream-draining"
-    PERMIT_LOST = "permit-lost"
 
 
 class ReasonInfo(msgspec.Struct, frozen=True):
--- a/almondstack/entry/tests/test_requests.py
+++ b/almondstack/entry/tests/test_requests.py
@@ -1,15 +1,24 @@
 """Whole requests: answers that break, callers that hang up, ids, tickets, revocations."""
 
 import json
+import threading
 import time
 
 import msgspec
 
-from almondstack.core import Reason, RequestError, new_request_id
+from almondstack.core import Reason, RequestError, SystemClock, new_request_id
+from almondstack.entry.contract import AlwaysConnected
 from almondstack.fold import Fold
-from almondstack.model import EntryJoined, KeyRevoked, encode_record, revocation_proof
-from almondstack.once import OnceSettings
-from almondstack.testing.builders import make_fold
+from almondstack.model import (
+    EntryFenced,
+    EntryJoined,
+    KeyRevoked,
+    Queue,
+    encode_record,
+    revocation_proof,
+)
+from almondstack.once import OnceSettings, TicketBook
+from almondstack.testing.builders import make_fold, make_note, make_team
 from almondstack.testing.entries import FakeAnswer, running_entry
 from almondstack.testing.fake_log import FakeLog
 from almondstack.testing.raw_http import connect, exchange, read_to_end, submission, wait_until
@@ -257,3 +266,88 @@
     body = EntryJoined(incarnation, "entry-1", "a", "r", address, "127.0.0.1:1")
     verdict = fold.apply(fold.next_offset, encode_record(incarnation, 1, body))
     assert verdict.is_accepted
+
+
+def test_started_request_cannot_be_cancelled():
+    request_id = new_request_id()
+    started, ended = threading.Event(), threading.Event()
+
+    def run(call):
+        started.set()
+        ended.wait(10.0)
+        return FakeAnswer([b"done"], 4)
+
+    with running_entry(run) as entry, connect(entry.address) as caller:
+        caller.sendall(submission(f"Idempotency-Key: {request_id}"))
+        assert started.wait(10.0)
+        got = _delete(entry.address, request_id)
+        assert (got.status, got.header("almondstack-reason")) == (409, "already-started")
+        ended.set()
+        assert read_to_end(caller).status == 200
+
+
+def test_team_may_use_only_its_queues():
+    note = make_note(
+        teams=(make_team(), make_team("south")),
+        queues=(Queue(name="invoices", pool="score", teams=("south",)),),
+    )
+    with running_entry(ok, fold=make_fold(note)) as entry:
+        got = exchange(entry.address, submission())
+        assert (got.status, got.header("almondstack-reason")) == (403, "team-not-allowed")
+
+
+def test_cut_off_entry_refuses_strict_queues_only():
+    queues = (Queue(name="invoices", pool="score"), Queue(name="pay", pool="score", is_strict=True))
+    with running_entry(ok, fold=make_fold(make_note(queues=queues))) as entry:
+        entry.parts.connectivity = CutOff()
+        assert exchange(entry.address, submission()).status == 200
+        got = exchange(entry.address, submission(queue="pay"))
+        assert got.header("almondstack-reason") == "cut-off-strict"
+        assert got.header("almondstack-outcome") == "not-run"
+
+
+def test_fenced_entry_starts_nothing():
+    fold = make_fold()
+    with running_entry(ok, fold=fold) as entry:
+        _join(fold, entry.parts.incarnation, entry.address)
+        body = EntryFenced(entry.parts.incarnation, "gone from the list")
+        fold.apply(fold.next_offset, encode_record("keeper", 1, body))
+        got = exchange(entry.address, submission())
+        assert (got.status, got.header("almondstack-reason")) == (503, "fenced")
+        assert entry.dispatcher.calls == []
+
+
+def test_entry_that_was_paused_starts_nothing_before_it_knows_more():
+    with running_entry(ok) as entry:
+        entry.parts.connectivity = JustWoken()
+        got = exchange(entry.address, submission())
+        assert got.header("almondstack-reason") == "fenced"
+        assert got.header("almondstack-outcome") == "not-run"
+
+
+def test_fault_of_the_entry_is_a_typed_unknown():
+    def run(call):
+        raise ZeroDivisionError
+
+    with running_entry(run) as entry:
+        got = exchange(entry.address, submission())
+        assert (got.status, got.header("almondstack-outcome")) == (500, "unknown")
+        assert wait_until(lambda: entry.parts.calls.count == 0)
+
+
+def test_ticket_of_an_entry_that_the_log_knows_as_gone():
+    fold = make_fold()
+    with running_entry(ok, fold=fold, incarnation="entry-2~00") as entry:
+        ticket = TicketBook("entry-1~00", OnceSettings(), SystemClock()).issue("north", 1)[0]
+        got = exchange(entry.address, submission(f"Idempotency-Key: {ticket}"))
+        assert got.header("almondstack-reason") == "ticket-holder-gone"
+        assert got.header("almondstack-outcome") == "unknown"
+        assert entry.dispatcher.calls == []
+
+
+class CutOff(AlwaysConnected):
+    is_cut_off = True
+
+
+class JustWoken(AlwaysConnected):
+    is_start_allowed = False
