--- a/almondstack/bench/deployment.py
+++ b/almondstack/bench/deployment.py
@@ -9,6 +9,7 @@
 import json
 import time
 from pathlib import Path
+from typing import Any
 
 import msgspec
 import urllib3
@@ -50,12 +51,17 @@
         True to start a keeper beside each entry.
     own_process : tuple of str
         Upstreams that run in a process of their own, so that they can be killed.
+    callers, sections : dict
+        Settings of every entry beside the defaults: for its caller section,
+        and whole sections.
     """
 
     note: ReleaseNote
     entries: dict[str, int] = msgspec.field(default_factory=lambda: {"a": 2, "b": 2, "c": 2})
     has_keepers: bool = True
     own_process: tuple[str, ...] = ()
+    callers: dict[str, Any] = msgspec.field(default_factory=lambda: {"threads": 128})
+    sections: dict[str, Any] = {}
 
 
 class Deployment:
@@ -128,6 +134,10 @@
         """Return where an entry serves callers."""
         return f"{self._host_of(entry)}:7101"
 
+    def peers_address(self, entry: str) -> str:
+        """Return where an entry listens for its peers."""
+        return f"{self._host_of(entry)}:7201"
+
     def start(self) -> None:
         """Start everything, apply the note and wait until every entry is ready."""
         self._start_standins()
@@ -253,15 +263,17 @@
         ]
         entries = [
             ListedInstance(
-                name, zone, f"{zone}0", "entry", self.callers_address(name), self._peers_at(name)
+                name,
+                zone,
+                f"{zone}0",
+                "entry",
+                self.callers_address(name),
+                self.peers_address(name),
             )
             for name, zone in self._zones.items()
         ]
         return [*upstreams, *entries]
 
-    def _peers_at(self, entry: str) -> str:
-        return f"{self._host_of(entry)}:7201"
-
     def _apply_note(self) -> None:
         path = self._folder / "note.json"
         path.write_bytes(msgspec.json.encode(self._note))
@@ -279,9 +291,10 @@
     def _entry_settings(self, name: str) -> dict[str, object]:
         return {
             "node": self._node(name),
-            "callers": {"listen": self.callers_address(name), "threads": 128},
+            "callers": {"listen": self.callers_address(name), **self._plan.callers},
             "log": {"address": self.log_address},
-            "peer_listen": self._peers_at(name),
+            "peer_listen": self.peers_address(name),
+            **self._plan.sections,
         }
 
     def _keeper_settings(self, entry: str) -> dict[str, object]:
--- a/almondstack/bench/judge.py
+++ b/almondstack/bench/judge.py
@@ -26,7 +26,16 @@
     RunStarted,
 )
 
-__all__ = ["CallerEnd", "CallerRecord", "JudgeRules", "Judgement", "JudgedRun", "judge", "runs_of"]
+__all__ = [
+    "CallerEnd",
+    "CallerRecord",
+    "JudgeRules",
+    "JudgedRun",
+    "Judgement",
+    "events_since",
+    "judge",
+    "runs_of",
+]
 
 
 class CallerEnd(StrEnum):
@@ -232,6 +241,21 @@
     return sorted(closed, key=lambda run: run.started_s)
 
 
+def events_since(events: Iterable[Event], since_s: float) -> list[Event]:
+    """Return the events without the runs that started before ``since_s``."""
+    early: set[int] = set()
+    kept: list[Event] = []
+    for event in events:
+        if isinstance(event, RunStarted) and event.at_s < since_s:
+            early.add(event.run)
+        elif isinstance(event, RunStarted):
+            early.discard(event.run)
+            kept.append(event)
+        elif not (isinstance(event, RunEnded) and event.run in early):
+            kept.append(event)
+    return kept
+
+
 def _closed(upstream: str, start: RunStarted, ended_s: float) -> JudgedRun:
     return JudgedRun(
         upstream,
--- /dev/null
+++ b/almondstack/bench/tests/failures/test_log.py
@@ -0,0 +1,33 @@
+"""A log that is silent, slow or loses its replies."""
+
+from almondstack.bench.judge import CallerEnd
+from almondstack.standin.log_service import LogFaults
+
+
+def test_silent_log_stops_no_work_without_an_id(fleet):
+    fleet.deployment.set_log_faults(LogFaults(is_down=True))
+    records = fleet.submit(*(fleet.item(has_id=False) for _ in range(24)))
+    assert {record.end for record in records} == {CallerEnd.ANSWERED}
+    assert fleet.violations(records) == {}
+
+
+def test_silent_log_refuses_ids_truthfully(fleet):
+    fleet.deployment.set_log_faults(LogFaults(is_down=True))
+    items = [fleet.item(has_id=True, is_idempotent=False, deadline_ms=1000) for _ in range(8)]
+    records = fleet.submit(*items)
+    assert {record.end for record in records} == {CallerEnd.NOT_RUN}
+    assert fleet.violations(records) == {}
+
+
+def test_lost_replies_double_nothing(fleet):
+    fleet.deployment.set_log_faults(LogFaults(drop_replies=6))
+    items = [fleet.item(has_id=True, is_idempotent=False) for _ in range(24)]
+    records = fleet.submit(*items)
+    assert fleet.violations(records) == {}
+    assert any(record.end is CallerEnd.ANSWERED for record in records)
+
+
+def test_throttled_and_slow_log_doubles_nothing(fleet):
+    fleet.deployment.set_log_faults(LogFaults(appends_per_s=2, delay_s=0.05))
+    records = fleet.submit(*(fleet.item(has_id=True) for _ in range(24)))
+    assert fleet.violations(records) == {}
--- /dev/null
+++ b/almondstack/testing/small_fleet.py
@@ -0,0 +1,187 @@
+"""A small deployment of real processes for the failure suite."""
+
+import contextlib
+import functools
+import itertools
+import signal
+import time
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from urllib3.exceptions import HTTPError
+
+from almondstack.bench.caller import Caller, WorkItem
+from almondstack.bench.deployment import Deployment, DeploymentPlan, ExperimentError
+from almondstack.bench.judge import CallerRecord, JudgedRun, events_since, judge, runs_of
+from almondstack.bench.processes import ProcessGroup, wait_until
+from almondstack.bench.workload import demo_key
+from almondstack.core import hash_secret, split_key
+from almondstack.model import Configured, InstanceSpec, Key, Pool, Queue, ReleaseNote, Team
+from almondstack.standin.log_service import LogFaults
+from almondstack.standin.upstream_faults import UpstreamFaults
+
+__all__ = ["SmallFleet", "make_small_note", "small_fleet"]
+
+_CALLERS = 16
+_KEYS_A_TEAM = 4
+_RUN_BOUND_S = 3.0
+
+
+def make_small_note() -> ReleaseNote:
+    """Return two pools over two zones, two teams with keys, and three queues."""
+    places = [("u1", "score", "a"), ("u2", "score", "b"), ("u3", "score", "a"), ("p1", "pay", "a")]
+    instances = tuple(
+        InstanceSpec(
+            name=name, pool=pool, zone=zone, rack=f"{zone}{name[1]}", address="127.0.0.1:1"
+        )
+        for name, pool, zone in places
+    )
+    keys = tuple(
+        _key(team, number) for team in ("north", "south") for number in range(1, _KEYS_A_TEAM + 1)
+    )
+    return ReleaseNote(
+        added=Configured(
+            pools=(
+                Pool(name="score", min_serving=1, size=3, run_time_bound_s=_RUN_BOUND_S),
+                Pool(name="pay", min_serving=1, size=1, run_time_bound_s=_RUN_BOUND_S),
+            ),
+            instances=instances,
+            teams=(Team(name="north", share=2, ceiling=6), Team(name="south", share=1, ceiling=20)),
+            keys=keys,
+            queues=(
+                Queue(name="scoring", pool="score", max_body_bytes=100_000),
+                Queue(name="payments", pool="pay"),
+                Queue(name="lookups", pool="score", is_open=True, open_team="south"),
+            ),
+        )
+    )
+
+
+class SmallFleet:
+    """Two zones, three entries and four upstreams, each a process.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        The running deployment.
+    group : ProcessGroup
+        Its processes.
+    """
+
+    def __init__(self, deployment: Deployment, group: ProcessGroup) -> None:
+        self._deployment = deployment
+        self._group = group
+        self._numbers = itertools.count(1)
+        self._since_s = 0.0
+
+    @property
+    def deployment(self) -> Deployment:
+        """The running deployment."""
+        return self._deployment
+
+    @property
+    def group(self) -> ProcessGroup:
+        """Its processes."""
+        return self._group
+
+    @property
+    def upstreams(self) -> list[str]:
+        """Names of the upstreams."""
+        return [item.name for item in self._deployment.note.added.instances]
+
+    def item(self, **fields: Any) -> WorkItem:
+        """Return work of team south with a fresh id."""
+        team = fields.get("team", "south")
+        number = next(self._numbers)
+        defaults = {
+            "work_id": f"w{number}",
+            "team": team,
+            "queue": "scoring",
+            "zone": "a",
+            "key": demo_key(team),
+            "deadline_ms": 2500,
+            "is_idempotent": number % 2 == 0,
+            "has_id": number % 3 == 0,
+        }
+        return WorkItem(**{**defaults, **fields})
+
+    def submit(self, *items: WorkItem) -> list[CallerRecord]:
+        """Submit work, 16 pieces at once, and return how each ended."""
+        caller = Caller(self._deployment.entry_addresses)
+        with ThreadPoolExecutor(_CALLERS) as executor:
+            return list(executor.map(caller.submit, items))
+
+    def submit_to(self, entry: str, item: WorkItem) -> CallerRecord:
+        """Submit work to one entry only."""
+        address = self._deployment.callers_address(entry)
+        return Caller({item.zone: [address]}).submit(item)
+
+    def runs(self, *work_ids: str) -> list[JudgedRun]:
+        """Return the runs of some work, over all upstreams."""
+        journals = self._deployment.journals()
+        runs = [run for name, events in journals.items() for run in runs_of(name, events)]
+        return [run for run in runs if run.work_id in work_ids]
+
+    def wait_for_run(self, work_id: str) -> None:
+        """Wait until some work has started on an upstream."""
+        wait_until(lambda: bool(self.runs(work_id)), f"run of {work_id}")
+
+    def begin(self) -> None:
+        """Judge only what starts from now on."""
+        self._since_s = time.monotonic()
+
+    def violations(self, records: Sequence[CallerRecord]) -> dict[str, int]:
+        """Return what the judge finds wrong since :meth:`begin`."""
+        journals = {
+            name: events_since(events, self._since_s)
+            for name, events in self._deployment.journals().items()
+        }
+        return judge(records, journals, self._deployment.rules).violations
+
+    def restore(self) -> None:
+        """Clear every fault, start what was ended, and wait until all serve."""
+        for name in self._deployment.entry_names:
+            if not self._group.is_running(name):
+                self._deployment.start_entry(name)
+            self._group.signal(name, signal.SIGCONT)
+        for name in self.upstreams:
+            if not self._group.is_running(f"upstream-{name}"):
+                self._deployment.start_upstream(name)
+            self._group.signal(f"upstream-{name}", signal.SIGCONT)
+        self._deployment.set_log_faults(LogFaults())
+        for name in self._deployment.entry_names:
+            self._deployment.wait_until_serving(name)
+        for name in self.upstreams:
+            wait_until(functools.partial(self._clear, name), f"upstream {name}")
+
+    def _clear(self, upstream: str) -> bool:
+        try:
+            self._deployment.set_upstream_faults(upstream, UpstreamFaults())
+        except (HTTPError, ExperimentError):
+            return False
+        return True
+
+
+@contextlib.contextmanager
+def small_fleet(folder: Path, **fields: Any) -> Iterator[SmallFleet]:
+    """Run a small fleet; ``fields`` change its plan."""
+    note = make_small_note()
+    defaults: dict[str, Any] = {
+        "note": note,
+        "entries": {"a": 2, "b": 1},
+        "has_keepers": False,
+        "own_process": tuple(item.name for item in note.added.instances),
+        "callers": {"threads": 64, "head_timeout_s": 1.0, "body_timeout_s": 1.0},
+    }
+    plan = DeploymentPlan(**{**defaults, **fields})
+    with ProcessGroup(folder) as group:
+        deployment = Deployment(plan, folder, group)
+        deployment.start()
+        yield SmallFleet(deployment, group)
+
+
+def _key(team: str, number: int) -> Key:
+    key_id, secret = split_key(demo_key(team, number))
+    return Key(id=key_id, team=team, digest=hash_secret(secret))
