--- a/almondstack/model/__init__.py
+++ b/almondstack/model/__init__.py
@@ -2,7 +2,12 @@
 
 from almondstack.model.config import InstanceSpec, Key, Limit, Pool, Queue, Team
 from almondstack.model.config_records import KeyGranted, KeyRevoked, ReleaseApplied
-from almondstack.model.fleet_records import InstanceMoved, InstanceObserved, InstanceStepped
+from almondstack.model.fleet_records import (
+    InstanceMoved,
+    InstanceObserved,
+    InstanceRemoved,
+    InstanceStepped,
+)
 from almondstack.model.level_records import LevelRaised
 from almondstack.model.member_records import EntryFenced, EntryJoined, EntryLeft
 from almondstack.model.note import Configured, ReleaseNote, Withdrawn
@@ -57,6 +62,8 @@
     LeavingQueue,
     LeavingTeam,
 )
+from almondstack.model.wave_records import WaveChanged, WaveSetAside, WaveStarted
+from almondstack.model.waves import WavePhase, WaveSpec, WaveState
 
 __all__ = [
     "FORMAT_LEVEL",
@@ -77,6 +84,7 @@
     "InstanceMoved",
     "InstanceObserved",
     "InstancePhase",
+    "InstanceRemoved",
     "InstanceSpec",
     "InstanceState",
     "InstanceStepped",
@@ -103,6 +111,12 @@
     "SettledCount",
     "Settlement",
     "Team",
+    "WaveChanged",
+    "WavePhase",
+    "WaveSetAside",
+    "WaveSpec",
+    "WaveStarted",
+    "WaveState",
     "Withdrawn",
     "bound_of",
     "bounds_of",
--- a/almondstack/standin/main.py
+++ b/almondstack/standin/main.py
@@ -5,17 +5,24 @@
 import signal
 import sys
 import threading
+from collections.abc import Callable
 from pathlib import Path
 from types import FrameType
 
 from almondstack import __version__
 from almondstack.standin.instance_list import InstanceListStandin
 from almondstack.standin.log_service import LogServiceStandin
+from almondstack.standin.platform import PlatformStandin
 from almondstack.standin.upstream import UpstreamStandin
-from almondstack.standin.web import serve
+from almondstack.standin.web import StandinApp, serve
 
 __all__ = ["main"]
 
+_APPS: dict[str, Callable[[], StandinApp]] = {
+    "log": LogServiceStandin,
+    "list": InstanceListStandin,
+    "platform": PlatformStandin,
+}
 _THREADS = 96
 _ADDRESS_HELP = "numeric address, IP:PORT"
 
@@ -28,7 +35,7 @@
     )
     parser.add_argument("--version", action="version", version=__version__)
     kinds = parser.add_subparsers(dest="kind", required=True)
-    for kind in ("log", "list"):
+    for kind in _APPS:
         kinds.add_parser(kind).add_argument("--listen", required=True, help=_ADDRESS_HELP)
     upstream = kinds.add_parser("upstream", help="one or more upstream instances in one process")
     upstream.add_argument("--listen", required=True, nargs="+", help=_ADDRESS_HELP)
@@ -41,8 +48,7 @@
     if arguments.kind == "upstream":
         _serve_upstreams(arguments)
         return
-    app = LogServiceStandin() if arguments.kind == "log" else InstanceListStandin()
-    serve(app, arguments.listen, threads=_THREADS).serve()
+    serve(_APPS[arguments.kind](), arguments.listen, threads=_THREADS).serve()
 
 
 def _serve_upstreams(arguments: argparse.Namespace) -> None:
