--- a/almondstack/testing/reason_record.py
+++ b/almondstack/testing/reason_record.py
@@ -54,8 +54,8 @@
             if name.startswith(_RETRIED):
                 given.add(name)
 
-        RequestError.__init__ = recording_init  # type: ignore[method-assign]
-        NullMetrics.count = recording_count  # type: ignore[method-assign]
+        setattr(RequestError, "__init__", recording_init)
+        setattr(NullMetrics, "count", recording_count)
 
     def missing(self) -> list[str]:
         """Return the codes that product code never gave."""
