--- a/almondstack/testing/reason_record.py
+++ b/almondstack/testing/reason_record.py
@@ -9,6 +9,7 @@
 
 import sys
 from pathlib import Path
+from typing import Any
 
 from almondstack.core import NullMetrics, Reason, RequestError, RetryReason
 from almondstack.core.reasons import Outcome
@@ -54,8 +55,10 @@
             if name.startswith(_RETRIED):
                 given.add(name)
 
-        setattr(RequestError, "__init__", recording_init)
-        setattr(NullMetrics, "count", recording_count)
+        error_type: Any = RequestError
+        error_type.__init__ = recording_init
+        metrics_type: Any = NullMetrics
+        metrics_type.count = recording_count
 
     def missing(self) -> list[str]:
         """Return the codes that product code never gave."""
