Run the keepers and the platform stand-in in the demo

The keepers had come to need a platform, ended with code 2 in the demo, and nothing noticed. The demo starts the platform stand-in, gives keepers their settings, waits for their readiness and checks at the end that every entry and keeper still runs. The judge takes budget breaches and hard stops from the platform stand-in's own recount instead of events of its own. Names, addresses and settings of a deployment stand in a module apart.

--- a/almondstack/bench/demo.py
+++ b/almondstack/bench/demo.py
@@ -9,8 +9,9 @@
 
 from almondstack.bench.caller import Caller
 from almondstack.bench.commands import bench_command
-from almondstack.bench.deployment import Deployment, DeploymentPlan, load_note
-from almondstack.bench.judge import Judgement, judge
+from almondstack.bench.deployment import Deployment
+from almondstack.bench.judge import Judgement
+from almondstack.bench.layout import DeploymentPlan, load_note
 from almondstack.bench.mixes import EXAMPLES, MIXES
 from almondstack.bench.processes import ProcessGroup
 from almondstack.bench.report import team_table
@@ -56,10 +57,11 @@
         print(f"Starting {name}: three zones of entries, keepers and upstreams.", flush=True)
         deployment.start()
         items = arrivals(mix, deployment.note, list(plan.entries), arguments.seed)
-        caller = Caller(deployment.entry_addresses)
+        caller = Caller(deployment.layout.entry_addresses)
         records = send_all(caller, items, _steps(deployment, name), "demo")
+        deployment.check_running()
         journals = deployment.journals()
-    judgement = judge(records, journals, deployment.rules)
+        judgement = deployment.judge(records)
     print(team_table(deployment.note, records, journals))
     print(json.dumps(msgspec.to_builtins(judgement)))
     return _exit_code(judgement)
@@ -67,7 +69,7 @@
 
 def _steps(deployment: Deployment, name: str) -> list[Step]:
     victim, key_id = _VICTIMS[name], _REVOKED[name]
-    entry = deployment.entry_names[0]
+    entry = deployment.layout.entry_names[0]
     silent, sound = LogFaults(is_down=True), LogFaults()
     return [
         Step(_KILL_S, f"Upstream {victim} is killed.", lambda: deployment.kill_upstream(victim)),
--- a/almondstack/bench/judge.py
+++ b/almondstack/bench/judge.py
@@ -19,12 +19,11 @@
     ConnectionClosed,
     ConnectionOpened,
     Event,
-    InstanceDown,
-    InstanceUp,
     ProcessEnded,
     RunEnded,
     RunStarted,
 )
+from almondstack.standin.platform_recount import Violation
 
 __all__ = [
     "CallerEnd",
@@ -100,10 +99,6 @@
         How long a revoked key may still start runs, in seconds.
     slots, connections : int
         Bounds of each upstream.
-    budgets : dict of str to int
-        Least number of instances in service of each pool.
-    sizes : dict of str to int
-        Number of instances in service of each pool at the start.
     """
 
     ceilings: dict[str, int] = {}
@@ -111,8 +106,6 @@
     revocation_bound_s: float = 3.0
     slots: int = 8
     connections: int = 64
-    budgets: dict[str, int] = {}
-    sizes: dict[str, int] = {}
 
 
 class JudgedRun(msgspec.Struct, frozen=True):
@@ -138,6 +131,8 @@
         Starts and connections beyond the bound of their upstream.
     pool_below_budget : int
         Planned stops that left a pool below its availability budget.
+    hard_stops : int
+        Planned stops of instances that were not drained or still ran work.
     lost : int
         Callers without any truthful end.
     doubled : int
@@ -159,6 +154,7 @@
     slots_exceeded: int
     connections_exceeded: int
     pool_below_budget: int
+    hard_stops: int
     lost: int
     doubled: int
     above_ceiling: int
@@ -183,6 +179,7 @@
     callers: Sequence[CallerRecord],
     journals: Mapping[str, Sequence[Event]],
     rules: JudgeRules,
+    platform_violations: Sequence[Violation] = (),
 ) -> Judgement:
     """Return the counts for one experiment.
 
@@ -194,7 +191,10 @@
         Events of each stand-in by its name.
     rules : JudgeRules
         What must hold.
+    platform_violations : sequence of Violation
+        Acts that the platform stand-in took and that broke a rule.
     """
+    rules_broken = Counter(violation.rule for violation in platform_violations)
     runs = [run for name, events in journals.items() for run in runs_of(name, events)]
     ends = Counter(record.end for record in callers)
     starts = Counter(run.work_id for run in runs)
@@ -209,7 +209,8 @@
         connections_exceeded=sum(
             _connections_beyond(rules.connections, events) for events in journals.values()
         ),
-        pool_below_budget=sum(_below_budget(events, rules) for events in journals.values()),
+        pool_below_budget=rules_broken["budget"],
+        hard_stops=rules_broken["not-drained"] + rules_broken["not-empty"],
         lost=ends[CallerEnd.NONE],
         doubled=_doubled(runs),
         above_ceiling=sum(
@@ -300,22 +301,6 @@
     return beyond
 
 
-def _below_budget(events: Sequence[Event], rules: JudgeRules) -> int:
-    serving = Counter(rules.sizes)
-    down: set[str] = set()
-    below = 0
-    for event in events:
-        if isinstance(event, InstanceUp):
-            serving[event.pool] += 1
-            down.discard(event.instance)
-        elif isinstance(event, InstanceDown) and event.instance not in down:
-            serving[event.pool] -= 1
-            down.add(event.instance)
-            is_below = serving[event.pool] < rules.budgets.get(event.pool, 0)
-            below += event.is_planned and is_below
-    return below
-
-
 def _doubled(runs: list[JudgedRun]) -> int:
     starts = Counter(run.work_id for run in runs if not run.is_idempotent)
     return sum(count - 1 for count in starts.values())
--- /dev/null
+++ b/almondstack/bench/layout.py
@@ -0,0 +1,209 @@
+"""Names, addresses and settings of a deployment on loopback.
+
+Explanation
+-----------
+All sockets stand on addresses of 127.0.0.0/8 that are made from the process id
+of the bench, so that two runs on one machine never meet.
+"""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from almondstack.core import decode_json
+from almondstack.model import ReleaseNote
+from almondstack.platform import ListedInstance
+from almondstack.standin.platform_fleet import FleetSetup, Machine
+from almondstack.standin.platform_recount import PoolBudget
+from almondstack.testing.addresses import loopback_host
+
+__all__ = ["DeploymentPlan", "Layout", "load_note"]
+
+_FIRST_ENTRY_HOST = 10
+_FIRST_UPSTREAM_HOST = 100
+
+
+class DeploymentPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """What to start.
+
+    Parameters
+    ----------
+    note : ReleaseNote
+        Applied first; instances get addresses of this run.
+    entries : dict of str to int
+        Number of entries in each zone.
+    keepers : int
+        Number of keepers in each zone, beside the first entries.
+    own_process : tuple of str
+        Upstreams that run in a process of their own, so that they can be killed.
+    callers, sections : dict
+        Settings of every entry beside the defaults: for its caller section,
+        and whole sections.
+    """
+
+    note: ReleaseNote
+    entries: dict[str, int] = msgspec.field(default_factory=lambda: {"a": 2, "b": 2, "c": 2})
+    keepers: int = 1
+    own_process: tuple[str, ...] = ()
+    callers: dict[str, Any] = msgspec.field(default_factory=lambda: {"threads": 128})
+    sections: dict[str, Any] = {}
+
+
+class Layout:
+    """Where each part of a plan stands and how it is set.
+
+    Parameters
+    ----------
+    plan : DeploymentPlan
+        What is started.
+    """
+
+    __slots__ = ("_network", "_note", "_plan", "_zones")
+
+    def __init__(self, plan: DeploymentPlan) -> None:
+        self._plan = plan
+        self._network = loopback_host().rpartition(".")[0]
+        self._note = self._with_own_addresses(plan.note)
+        self._zones = {
+            f"e-{zone}{number + 1}": zone
+            for zone, count in plan.entries.items()
+            for number in range(count)
+        }
+
+    @property
+    def note(self) -> ReleaseNote:
+        """The release note with this run's addresses."""
+        return self._note
+
+    @property
+    def log_address(self) -> str:
+        """Address of the log stand-in."""
+        return f"{self._network}.1:7001"
+
+    @property
+    def list_address(self) -> str:
+        """Address of the instance list stand-in."""
+        return f"{self._network}.1:7002"
+
+    @property
+    def platform_address(self) -> str:
+        """Address of the platform stand-in."""
+        return f"{self._network}.1:7003"
+
+    @property
+    def entry_names(self) -> list[str]:
+        """Names of the entries."""
+        return list(self._zones)
+
+    @property
+    def keeper_names(self) -> list[str]:
+        """Names of the entries that have a keeper beside them."""
+        return [name for name in self._zones if int(name.lstrip("e-abc")) <= self._plan.keepers]
+
+    @property
+    def entry_addresses(self) -> dict[str, list[str]]:
+        """Callers' addresses of the entries of each zone."""
+        by_zone: dict[str, list[str]] = {zone: [] for zone in self._plan.entries}
+        for name, zone in self._zones.items():
+            by_zone[zone].append(self.callers_address(name))
+        return by_zone
+
+    def callers_address(self, entry: str) -> str:
+        """Return where an entry serves callers."""
+        return f"{self._host_of(entry)}:7101"
+
+    def peers_address(self, entry: str) -> str:
+        """Return where an entry listens for its peers."""
+        return f"{self._host_of(entry)}:7201"
+
+    def keeper_address(self, entry: str) -> str:
+        """Return where the keeper beside an entry shows its status."""
+        return f"{self._host_of(entry)}:7301"
+
+    def upstream_address(self, name: str) -> str:
+        """Return where an upstream serves."""
+        return {item.name: item.address for item in self._note.added.instances}[name]
+
+    def entry_settings(self, name: str) -> dict[str, Any]:
+        """Return the settings of an entry."""
+        return {
+            "node": self._node(name),
+            "callers": {"listen": self.callers_address(name), **self._plan.callers},
+            "log": {"address": self.log_address},
+            "peer_listen": self.peers_address(name),
+            **self._plan.sections,
+        }
+
+    def keeper_settings(self, entry: str) -> dict[str, Any]:
+        """Return the settings of the keeper beside an entry."""
+        return {
+            "node": self._node(entry),
+            "log": {"address": self.log_address},
+            "platform": {"address": self.platform_address, "list_address": self.list_address},
+            "status_listen": self.keeper_address(entry),
+            "round_s": 1.0,
+        }
+
+    def listed(self) -> list[ListedInstance]:
+        """Return what the platform's list shows."""
+        upstreams = [
+            ListedInstance(item.name, item.zone, item.rack, "upstream", item.address)
+            for item in self._note.added.instances
+        ]
+        entries = [
+            ListedInstance(
+                name,
+                zone,
+                f"{zone}0",
+                "entry",
+                self.callers_address(name),
+                self.peers_address(name),
+            )
+            for name, zone in self._zones.items()
+        ]
+        return [*upstreams, *entries]
+
+    def machines(self) -> FleetSetup:
+        """Return what the platform stand-in is told."""
+        added = self._note.added
+        budgets = [PoolBudget(name=pool.name, min_serving=pool.min_serving) for pool in added.pools]
+        instances = [
+            Machine(
+                name=item.name,
+                pool=item.pool,
+                zone=item.zone,
+                rack=item.rack,
+                address=item.address,
+            )
+            for item in added.instances
+        ]
+        return FleetSetup(pools=tuple(budgets), instances=tuple(instances))
+
+    def _with_own_addresses(self, note: ReleaseNote) -> ReleaseNote:
+        instances = tuple(
+            msgspec.structs.replace(
+                item, address=f"{self._network}.{_FIRST_UPSTREAM_HOST + number}:8000"
+            )
+            for number, item in enumerate(note.added.instances)
+        )
+        added = msgspec.structs.replace(note.added, instances=instances)
+        return msgspec.structs.replace(note, added=added)
+
+    def _host_of(self, entry: str) -> str:
+        number = list(self._zones).index(entry)
+        return f"{self._network}.{_FIRST_ENTRY_HOST + number}"
+
+    def _node(self, entry: str) -> dict[str, str]:
+        return {"deployment": "demo", "name": entry, "zone": self._zones[entry]}
+
+
+def load_note(path: Path) -> ReleaseNote:
+    """Read a release note.
+
+    Raises
+    ------
+    CodecError
+        The file is no release note.
+    """
+    return decode_json(path.read_bytes(), ReleaseNote)
--- a/almondstack/bench/tests/failures/test_entries.py
+++ b/almondstack/bench/tests/failures/test_entries.py
@@ -18,7 +18,7 @@
 
 
 def _connect(fleet, entry: str = "e-a1") -> socket.socket:
-    address = parse_address(fleet.deployment.callers_address(entry))
+    address = parse_address(fleet.deployment.layout.callers_address(entry))
     return socket.create_connection(address, timeout=10.0)
 
 
--- a/almondstack/bench/tests/test_judge.py
+++ b/almondstack/bench/tests/test_judge.py
@@ -6,20 +6,17 @@
 from almondstack.bench.judge import CallerEnd, CallerRecord, JudgeRules, judge, runs_of
 from almondstack.standin.journal import (
     ConnectionOpened,
-    InstanceDown,
-    InstanceUp,
     ProcessEnded,
     RunEnded,
     RunStarted,
 )
+from almondstack.standin.platform_recount import Violation
 
 _RULES = JudgeRules(
     ceilings={"north": 2},
     revoked_s={"k1": 10.0},
     slots=3,
     connections=1,
-    budgets={"score": 1},
-    sizes={"score": 2},
 )
 _RIGHT = CallerRecord(work_id="1", team="north", end=CallerEnd.ANSWERED, status=200)
 
@@ -98,8 +95,9 @@
     assert _judged((), u1=connections) == {"connections_exceeded": 1}
 
 
-def test_planned_stop_below_the_budget_is_counted():
-    failed = InstanceDown("u1", "score", False, 0.0)
-    stopped = InstanceDown("u2", "score", True, 2.0)
-    assert _judged((), platform=[failed, stopped]) == {"pool_below_budget": 1}
-    assert _judged((), platform=[failed, InstanceUp("u1", "score", 1.0), stopped]) == {}
+def test_acts_that_the_platform_held_against_us_are_counted():
+    broken = [Violation(act=str(number), rule=rule) for number, rule in enumerate(_PLATFORM_RULES)]
+    assert judge((), {}, _RULES, broken).violations == {"pool_below_budget": 1, "hard_stops": 2}
+
+
+_PLATFORM_RULES = ("budget", "not-drained", "not-empty")
--- a/almondstack/bench/tests/test_workload.py
+++ b/almondstack/bench/tests/test_workload.py
@@ -1,6 +1,6 @@
 import pytest
 
-from almondstack.bench.deployment import load_note
+from almondstack.bench.layout import load_note
 from almondstack.bench.mixes import EXAMPLES, MIXES
 from almondstack.bench.workload import arrivals, demo_key
 from almondstack.core import hash_secret, split_key
--- a/almondstack/standin/journal.py
+++ b/almondstack/standin/journal.py
@@ -18,8 +18,6 @@
     "ConnectionClosed",
     "ConnectionOpened",
     "Event",
-    "InstanceDown",
-    "InstanceUp",
     "Journal",
     "ProcessEnded",
     "RunEnded",
@@ -77,38 +75,7 @@
     at_s: float
 
 
-class InstanceDown(msgspec.Struct, frozen=True, tag=True):
-    """An instance stopped serving its pool.
-
-    Parameters
-    ----------
-    is_planned : bool
-        True if the product asked for it, False for a failure.
-    """
-
-    instance: str
-    pool: str
-    is_planned: bool
-    at_s: float
-
-
-class InstanceUp(msgspec.Struct, frozen=True, tag=True):
-    """An instance serves its pool."""
-
-    instance: str
-    pool: str
-    at_s: float
-
-
-Event = (
-    RunStarted
-    | RunEnded
-    | ConnectionOpened
-    | ConnectionClosed
-    | ProcessEnded
-    | InstanceDown
-    | InstanceUp
-)
+Event = RunStarted | RunEnded | ConnectionOpened | ConnectionClosed | ProcessEnded
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(Event)
--- a/almondstack/standin/platform.py
+++ b/almondstack/standin/platform.py
@@ -21,7 +21,7 @@
 from almondstack.platform import Act, ActKind, LeaseRenewal
 from almondstack.standin.platform_fleet import FleetFaults, FleetSetup, Machine, PlatformFleet
 from almondstack.standin.platform_recount import Recount
-from almondstack.standin.web import Reply, StandinApp, read_body
+from almondstack.standin.web import Reply, StandinApp, break_off, read_body
 
 __all__ = ["PlatformFaults", "PlatformStandin"]
 
@@ -100,7 +100,7 @@
             self._tell_upstream(act)
         if self._faults.drop_replies > 0:
             self._faults.drop_replies -= 1
-            raise ConnectionAbortedError("reply dropped on purpose")
+            break_off()
         return Reply.of_json(status)
 
     def _renew(self, task: str, environ: Any) -> Reply:
--- a/almondstack/testing/small_fleet.py
+++ b/almondstack/testing/small_fleet.py
@@ -13,8 +13,9 @@
 from urllib3.exceptions import HTTPError
 
 from almondstack.bench.caller import Caller, WorkItem
-from almondstack.bench.deployment import Deployment, DeploymentPlan, ExperimentError
+from almondstack.bench.deployment import Deployment, ExperimentError
 from almondstack.bench.judge import CallerRecord, JudgedRun, events_since, judge, runs_of
+from almondstack.bench.layout import DeploymentPlan
 from almondstack.bench.processes import ProcessGroup, wait_until
 from almondstack.bench.workload import demo_key
 from almondstack.core import hash_secret, split_key
@@ -109,13 +110,13 @@
 
     def submit(self, *items: WorkItem) -> list[CallerRecord]:
         """Submit work, 16 pieces at once, and return how each ended."""
-        caller = Caller(self._deployment.entry_addresses)
+        caller = Caller(self._deployment.layout.entry_addresses)
         with ThreadPoolExecutor(_CALLERS) as executor:
             return list(executor.map(caller.submit, items))
 
     def submit_to(self, entry: str, item: WorkItem) -> CallerRecord:
         """Submit work to one entry only."""
-        address = self._deployment.callers_address(entry)
+        address = self._deployment.layout.callers_address(entry)
         return Caller({item.zone: [address]}).submit(item)
 
     def runs(self, *work_ids: str) -> list[JudgedRun]:
@@ -142,7 +143,7 @@
 
     def restore(self) -> None:
         """Clear every fault, start what was ended, and wait until all serve."""
-        for name in self._deployment.entry_names:
+        for name in self._deployment.layout.entry_names:
             if not self._group.is_running(name):
                 self._deployment.start_entry(name)
             self._group.signal(name, signal.SIGCONT)
@@ -151,7 +152,7 @@
                 self._deployment.start_upstream(name)
             self._group.signal(f"upstream-{name}", signal.SIGCONT)
         self._deployment.set_log_faults(LogFaults())
-        for name in self._deployment.entry_names:
+        for name in self._deployment.layout.entry_names:
             self._deployment.wait_until_serving(name)
         for name in self.upstreams:
             wait_until(functools.partial(self._clear, name), f"upstream {name}")
@@ -171,7 +172,7 @@
     defaults: dict[str, Any] = {
         "note": note,
         "entries": {"a": 2, "b": 1},
-        "has_keepers": False,
+        "keepers": 0,
         "own_process": tuple(item.name for item in note.added.instances),
         "callers": {"threads": 64, "head_timeout_s": 1.0, "body_timeout_s": 1.0},
     }
