--- a/almondstack/core/logs.py
+++ b/almondstack/core/logs.py
@@ -3,7 +3,7 @@
 import json
 import logging as std_logging
 
-from absl import logging
+from absl import flags, logging
 
 from almondstack.core.settings import LoggingSettings
 
@@ -26,6 +26,7 @@
 
 def configure_logging(settings: LoggingSettings) -> None:
     """Send log lines to standard error in the format that the settings ask for."""
+    flags.FLAGS.mark_as_parsed()
     logging.use_absl_handler()
     logging.set_verbosity(settings.verbosity)
     logging.set_stderrthreshold("debug")
@@ -33,6 +34,12 @@
         logging.get_absl_handler().setFormatter(_JsonFormatter())
 
 
+def _skip_own_frames() -> None:
+    """Let a line name the caller of :class:`PartLogger` as its place."""
+    for name in ("info", "warning", "error", "debug"):
+        logging.ABSLLogger.register_frame_to_skip(__file__, name)
+
+
 class PartLogger:
     """Writes log lines of one part.
 
@@ -62,3 +69,6 @@
     def debug(self, message: str, *args: object) -> None:
         """Write a line that is shown at verbosity 1."""
         logging.debug(self._part + ": " + message, *args)
+
+
+_skip_own_frames()
