--- /dev/null
+++ b/almondstack/fold/tests/machine.py
@@ -0,0 +1,380 @@
+"""A state machine over the real fold, follower, writer, snapshots and bootstrap.
+
+Fakes stand only for the log service and the clock.  Operators race, replies
+are lost, records come twice and late, relays come out of order, the log goes
+out, processes are cut off, crash and are replaced, the log is truncated behind
+a snapshot, and snapshots are damaged.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from typing import Any
+from unittest import mock
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+import almondstack.fold.judge
+import almondstack.fold.pruning
+from almondstack.core import LogServiceSettings, NullMetrics, encode_msgpack
+from almondstack.fold import Fold, Refusal
+from almondstack.fold.tests.oracle import TEAM, Oracle, Projection
+from almondstack.log import (
+    FLEET,
+    SNAPSHOTS,
+    Bootstrap,
+    Follower,
+    LogError,
+    LogTruncatedError,
+    RecordWriter,
+    SnapshotSettings,
+    SnapshotStore,
+    SnapshotWriter,
+    WriterFullError,
+)
+from almondstack.log.snapshots import SnapshotChunk
+from almondstack.model import (
+    Configured,
+    EntryFenced,
+    EntryJoined,
+    KeyGranted,
+    KeyRevoked,
+    ReleaseApplied,
+    ReleaseNote,
+    Withdrawn,
+    encode_record,
+)
+from almondstack.testing.builders import make_key, make_note, make_team
+from almondstack.testing.clocks import ManualClock
+from almondstack.testing.fake_log import FakeLog
+
+WINDOW_RECORDS = 8
+PRUNE_EVERY_RECORDS = 2
+PROCESSES = 3
+KEYS = ("k1", "k2", "k3")
+MOST_PENDING = 5
+
+slots = st.integers(0, PROCESSES - 1)
+key_ids = st.sampled_from(KEYS)
+
+
+@contextmanager
+def small_windows() -> Iterator[None]:
+    """Let the fold forget after a few records, so that the machine reaches it."""
+    judge, pruning = almondstack.fold.judge, almondstack.fold.pruning
+    with (
+        mock.patch.object(judge, "REPEAT_WINDOW_RECORDS", WINDOW_RECORDS),
+        mock.patch.object(pruning, "REPEAT_WINDOW_RECORDS", WINDOW_RECORDS),
+        mock.patch.object(pruning, "PRUNE_EVERY_RECORDS", PRUNE_EVERY_RECORDS),
+    ):
+        yield
+
+
+class RecordingLog(FakeLog):
+    """Remembers every record of the fleet stream, truncated or not."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.history: list[bytes] = []
+
+    def append(self, stream: str, records: list[bytes]) -> int:
+        if stream == FLEET:
+            self.history.extend(records)
+        return super().append(stream, records)
+
+
+class Process:
+    """One incarnation: what an entry has of log and fold."""
+
+    def __init__(self, log: RecordingLog, incarnation: str, machine: "LogMachine") -> None:
+        self.incarnation = incarnation
+        self.client = log.client()
+        self.clock = ManualClock()
+        self.fold = Fold()
+        self._machine = machine
+        metrics = NullMetrics()
+        bootstrap = Bootstrap(self.client, self.fold, metrics, self)
+        self.follower = Follower(self.client, self.fold, metrics, self.clock, bootstrap)
+        settings = LogServiceSettings(address="127.0.0.1:1")
+        self.writer = RecordWriter(
+            self.client,
+            FLEET,
+            incarnation,
+            settings,
+            metrics,
+            self.clock,
+            position=self.follower.position,
+            most_pending=MOST_PENDING,
+        )
+        self.snapshots = SnapshotWriter(
+            self.client,
+            self.fold,
+            incarnation,
+            SnapshotSettings(every_records=4, turn_s=1.0),
+            metrics,
+            self.clock,
+        )
+        self.submitted: dict[int, Any] = {}
+        self.best_offset = 0
+        self.best_revision = 0
+
+    def fetch_state(self) -> tuple[bytes, int] | None:
+        """Return the state of the process that is furthest, as a peer would."""
+        peers = [other for other in self._machine.processes if other is not self]
+        best = max(peers, key=lambda other: other.fold.next_offset, default=None)
+        return best.fold.encode_state() if best and not self.client.is_cut_off else None
+
+    def submit(self, body: Any) -> None:
+        try:
+            self.submitted[self.writer.submit(body)] = body
+        except WriterFullError:
+            assert self.writer.pending_count == MOST_PENDING
+
+    def follow(self) -> None:
+        """Do what the follower's thread does, once."""
+        try:
+            self.follower.poll()
+        except LogTruncatedError:
+            assert self.follower.has_gap and not self.follower.may_decide
+            assert self.follower.position() is None
+            self.start()
+        except LogError:
+            pass
+
+    def start(self) -> None:
+        with suppress(LogError):
+            self.follower.bootstrap()
+
+
+class LogMachine(RuleBasedStateMachine):
+    """See the module."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._windows = small_windows()
+        self._windows.__enter__()
+        self.log = RecordingLog()
+        self.truth = Fold()
+        self.oracle = Oracle(WINDOW_RECORDS)
+        self.states: list[bytes] = [self.truth.encode_state()[0]]
+        self.processes: list[Process] = []
+        self.all_writers: list[Process] = []
+        self._born = 0
+
+    @initialize()
+    def found(self) -> None:
+        genesis = ReleaseApplied(0, make_note(keys=()))
+        self.log.append(FLEET, [encode_record("founder", 1, genesis)])
+        for _ in range(PROCESSES):
+            self.processes.append(self._new_process())
+        self.work()
+
+    def teardown(self) -> None:
+        try:
+            if self.processes:
+                self._heal()
+                self._check_end()
+        finally:
+            self._windows.__exit__(None, None, None)
+
+    def _new_process(self) -> Process:
+        self._born += 1
+        incarnation = f"e{self._born}"
+        process = Process(self.log, incarnation, self)
+        process.start()
+        address = "127.0.0.1:1"
+        process.submit(EntryJoined(incarnation, incarnation, "a", "r", address, address))
+        self.all_writers.append(process)
+        return process
+
+    # Operators.
+
+    @rule(slot=slots, ceiling=st.integers(1, 5), is_sent=st.booleans())
+    def plan_ceiling(self, slot: int, ceiling: int, is_sent: bool) -> None:
+        note = ReleaseNote(changed=Configured(teams=(make_team(TEAM, ceiling=ceiling),)))
+        self._plan(slot, note, is_sent)
+
+    @rule(slot=slots, key_id=key_ids, is_sent=st.booleans())
+    def plan_key(self, slot: int, key_id: str, is_sent: bool) -> None:
+        self._plan(slot, ReleaseNote(added=Configured(keys=(make_key(key_id),))), is_sent)
+
+    @rule(slot=slots, key_id=key_ids, is_sent=st.booleans())
+    def plan_withdrawal(self, slot: int, key_id: str, is_sent: bool) -> None:
+        self._plan(slot, ReleaseNote(withdrawn=Withdrawn(keys=(key_id,))), is_sent)
+
+    @rule(slot=slots, key_id=key_ids, is_sent=st.booleans())
+    def grant(self, slot: int, key_id: str, is_sent: bool) -> None:
+        self._submit(slot, KeyGranted(make_key(key_id)), is_sent)
+
+    @rule(slot=slots, key_id=key_ids, is_sent=st.booleans())
+    def revoke(self, slot: int, key_id: str, is_sent: bool) -> None:
+        self._submit(slot, KeyRevoked(key_id), is_sent)
+
+    def _plan(self, slot: int, note: ReleaseNote, is_sent: bool) -> None:
+        process = self.processes[slot]
+        if process.follower.may_decide:
+            self._submit(slot, ReleaseApplied(process.fold.state.revision, note), is_sent)
+
+    def _submit(self, slot: int, body: Any, is_sent: bool) -> None:
+        process = self.processes[slot]
+        process.submit(body)
+        if is_sent:
+            process.writer.append_once()
+
+    # Progress.
+
+    @rule()
+    def work(self) -> None:
+        for process in self.processes:
+            process.follow()
+            process.writer.append_once()
+        for process in self.processes:
+            process.follow()
+
+    @rule(slot=slots)
+    def append(self, slot: int) -> None:
+        self.processes[slot].writer.append_once()
+
+    @rule(slot=slots)
+    def follow(self, slot: int) -> None:
+        self.processes[slot].follow()
+
+    @rule(slot=slots)
+    def bootstrap_again(self, slot: int) -> None:
+        """Look for a state although this process has one, as after a race with relays."""
+        self.processes[slot].start()
+
+    @rule(giver=slots, taker=slots, data=st.data())
+    def relay(self, giver: int, taker: int, data: st.DataObject) -> None:
+        fold = self.processes[giver].fold
+        entries = fold.records_since(fold.oldest_record)
+        chosen = data.draw(st.lists(st.sampled_from(entries), max_size=8)) if entries else []
+        self.processes[taker].follower.take(chosen)
+
+    @rule(slot=slots, seconds=st.integers(0, 5))
+    def snapshot(self, slot: int, seconds: int) -> None:
+        process = self.processes[slot]
+        process.clock.advance(seconds)
+        with suppress(LogError):
+            process.snapshots.check()
+
+    # Faults.
+
+    @rule(slot=slots, fault=st.sampled_from(("reply", "log", "link")))
+    def fail(self, slot: int, fault: str) -> None:
+        if fault == "reply":
+            self.log.lost_replies += 1
+        elif fault == "log":
+            self.log.is_down = True
+        else:
+            self.processes[slot].client.is_cut_off = True
+
+    @rule()
+    def mend(self) -> None:
+        self.log.is_down = False
+        for process in self.processes:
+            process.client.is_cut_off = False
+
+    @rule(back=st.integers(1, 2 * WINDOW_RECORDS))
+    def deliver_again(self, back: int) -> None:
+        index = max(len(self.log.history) - back, 0)
+        self.log.append(FLEET, [self.log.history[index]])
+
+    @rule(slot=slots)
+    def replace(self, slot: int) -> None:
+        gone = self.processes[slot]
+        self.processes[slot] = self._new_process()
+        self.processes[(slot + 1) % PROCESSES].submit(EntryFenced(gone.incarnation, "gone"))
+
+    @rule(slot=slots, behind=st.integers(0, 3))
+    def truncate(self, slot: int, behind: int) -> None:
+        """Let the retention end for what the newest snapshot covers."""
+        self.snapshot(slot, seconds=30)
+        self.snapshot(slot, seconds=30)
+        if self.log.is_down:
+            return
+        newest = SnapshotStore(self.log.client()).newest()
+        if newest is not None:
+            self.log.truncate(FLEET, newest.next_offset - behind)
+
+    @rule(ahead=st.integers(0, 4))
+    def damage_snapshot(self, ahead: int) -> None:
+        """Append a snapshot that decodes but is not what its digest names."""
+        if self.log.is_down:
+            return
+        newest = SnapshotStore(self.log.client()).newest()
+        if newest is None:
+            return
+        offset = min(newest.next_offset + ahead, len(self.log.history))
+        digest = bytes(32)
+        chunk = SnapshotChunk(1, offset, digest, 0, 1, 0.0, newest.data)
+        self.log.append(SNAPSHOTS, [encode_msgpack(chunk)])
+
+    # What always holds.
+
+    @invariant()
+    def everything_holds(self) -> None:
+        self.truth_agrees_with_the_oracle()
+        self.readers_at_one_offset_are_equal()
+        self.nothing_goes_back()
+        self.no_revoked_key_is_in_force()
+
+    def truth_agrees_with_the_oracle(self) -> None:
+        for offset in range(self.truth.next_offset, len(self.log.history)):
+            data = self.log.history[offset]
+            verdict = self.truth.apply(offset, data)
+            self.oracle.judge(offset, data)
+            self.states.append(self.truth.encode_state()[0])
+            assert verdict is not None
+            is_taken = verdict.refusal not in (Refusal.REPEATED, Refusal.TOO_OLD)
+            assert is_taken == self.oracle.taken[offset], ("taken once", verdict)
+            assert verdict.is_accepted == self.oracle.accepted[offset], ("accepted", verdict)
+            assert Projection.of(self.truth.state) == self.oracle.projections[offset], "in force"
+
+    def readers_at_one_offset_are_equal(self) -> None:
+        for process in self.processes:
+            state, offset = process.fold.encode_state()
+            assert state == self.states[offset], f"reader differs at {offset}"
+
+    def nothing_goes_back(self) -> None:
+        for process in self.processes:
+            assert process.fold.next_offset >= process.best_offset, "offset went back"
+            assert process.fold.state.revision >= process.best_revision, "revision went back"
+            process.best_offset = process.fold.next_offset
+            process.best_revision = process.fold.state.revision
+
+    def no_revoked_key_is_in_force(self) -> None:
+        for process in self.processes:
+            state = process.fold.state
+            offset = process.fold.next_offset
+            revoked = self.oracle.projections[offset - 1].revoked if offset else frozenset()
+            assert not revoked & set(state.keys), "revoked key returned"
+
+    # The end of each run.
+
+    def _heal(self) -> None:
+        self.log.lost_replies = 0
+        self.mend()
+        for _ in range(4):
+            self.work()
+        self.everything_holds()
+
+    def _check_end(self) -> None:
+        end = len(self.log.history)
+        for process in self.processes:
+            assert process.fold.next_offset == end, "a reader stands still"
+            assert not process.follower.has_gap
+            assert process.writer.pending_count == 0
+        logged = set(self.log.history)
+        for process in self.all_writers:
+            self._check_writer(process, logged)
+
+    def _check_writer(self, process: Process, logged: set[bytes]) -> None:
+        first_seen: list[int] = []
+        for data in self.log.history:
+            envelope = almondstack.fold.judge.decode_envelope(data)
+            if envelope.author == process.incarnation and envelope.sequence not in first_seen:
+                first_seen.append(envelope.sequence)
+        assert first_seen == list(range(1, len(first_seen) + 1)), "sequences out of order"
+        if process in self.processes:
+            assert len(first_seen) == len(process.submitted), "a record was lost"
