--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -1,9 +1,10 @@
 """Puts the parts of an entry together."""
 
+import sys
 import threading
 
 from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation
-from almondstack.dispatch import FirstComeDispatcher, UpstreamClient
+from almondstack.dispatch import FairDispatcher
 from almondstack.entry.app import EntryApp
 from almondstack.entry.contract import AlwaysConnected, NoRevocations
 from almondstack.entry.parts import EntryParts
@@ -13,6 +14,7 @@
 from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
 from almondstack.model import EntryJoined, EntryLeft
 from almondstack.once import ClaimBook, ClaimFollower, ClaimTable, OnceGuard, TicketBook
+from almondstack.permits import LocalPermits
 
 __all__ = ["EntryDaemon"]
 
@@ -33,10 +35,12 @@
     __slots__ = (
         "_claim_follower",
         "_claims",
+        "_dispatcher",
         "_ended",
         "_fold",
         "_follower",
         "_incarnation",
+        "_metrics",
         "_parts",
         "_server",
         "_settings",
@@ -46,7 +50,7 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         clock = SystemClock()
-        metrics = Metrics(settings.statsd)
+        metrics = self._metrics = Metrics(settings.statsd)
         self._settings = settings
         self._incarnation = new_incarnation(settings.node.name)
         client = HttpLogClient(settings.log, self._incarnation)
@@ -69,11 +73,19 @@
             client, table, self._claims.decide, settings.once, clock, metrics
         )
         tickets = TicketBook(self._incarnation, settings.once, clock)
+        self._dispatcher = FairDispatcher(
+            settings.dispatch,
+            settings.node,
+            self._fold,
+            LocalPermits(self._fold, clock),
+            clock,
+            metrics,
+        )
         self._parts = EntryParts(
             settings=settings,
             incarnation=self._incarnation,
             fold=self._fold,
-            dispatching=FirstComeDispatcher(self._fold, UpstreamClient(), clock),
+            dispatching=self._dispatcher,
             once=OnceGuard(self._claims, tickets),
             revocations=NoRevocations(),
             connectivity=AlwaysConnected(),
@@ -87,6 +99,7 @@
 
     def run(self) -> None:
         """Serve until :meth:`stop`."""
+        sys.setswitchinterval(self._settings.switch_interval_ms / 1000)
         self._start_threads()
         self._join()
         self._server.prepare()
@@ -103,10 +116,12 @@
         threading.Thread(target=self._finish, name="shutdown").start()
 
     def _start_threads(self) -> None:
+        self._metrics.start()
         self._follower.start()
         self._writer.start()
         self._claims.start()
         self._claim_follower.start()
+        self._dispatcher.start()
         self._parts.hangups.start()
         self._parts.reaper.start()
 
@@ -131,8 +146,10 @@
         self._leave()
         for part in (self._claims, self._claim_follower, self._writer, self._follower):
             part.stop()
+        self._dispatcher.stop()
         self._parts.hangups.stop()
         self._parts.reaper.stop()
+        self._metrics.stop()
         _log.info("Shut down.")
         self._ended.set()
 
