--- a/almondstack/ctl/commands/__init__.py
+++ b/almondstack/ctl/commands/__init__.py
@@ -1,8 +1,9 @@
 """The commands of ``almondctl``, each in a module of its own."""
 
+from almondstack.ctl import waves
 from almondstack.ctl.commands import apply as apply_command
 from almondstack.ctl.commands import check, diff, explain, keys, level, status, version, watch
 
 __all__: list[str] = []
 
-_MODULES = (apply_command, check, diff, explain, keys, level, status, version, watch)
+_MODULES = (apply_command, check, diff, explain, keys, level, status, version, watch, waves)
--- a/almondstack/fleet/tests/test_fleet_machine.py
+++ b/almondstack/fleet/tests/test_fleet_machine.py
@@ -1,8 +1,8 @@
 import pytest
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from almondstack.testing.fleet_machine import FleetMachine, ShortFleetMachine
+from almondstack.testing.fleet_machine import FleetMachine, run_tour
 from almondstack.testing.fleet_mutations import MUTATIONS
 
 _MACHINE = settings(
@@ -13,14 +13,17 @@
     database=None,
     suppress_health_check=list(HealthCheck),
 )
-_HUNT = settings(_MACHINE, max_examples=60, stateful_step_count=12, phases=[Phase.generate])
 
 
 def test_fleet_keeps_its_promises():
     run_state_machine_as_test(FleetMachine, settings=_MACHINE)
 
 
+def test_fleet_keeps_its_promises_on_the_tour():
+    run_tour()
+
+
 @pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda item: item.name)
-def test_machine_catches(mutation):
+def test_tour_catches(mutation):
     with mutation.apply(), pytest.raises(AssertionError):
-        run_state_machine_as_test(ShortFleetMachine, settings=_HUNT)
+        run_tour()
--- a/almondstack/testing/fleet_faults.py
+++ b/almondstack/testing/fleet_faults.py
@@ -67,14 +67,18 @@
 
     def _disturb(self, what: str) -> None:
         if what == "abort":
-            for wave in list(self.world.state.waves.values()):
-                change = WaveChanged(wave.name, wave.version, WavePhase.ABORTED, "operator")
-                self.world.submit(change)
+            self.abort_waves()
         if what == "loss":
             self.lose_domain("a", True)
         if what == "budget":
             self.change_budget("score", 4)
 
+    def abort_waves(self) -> None:
+        """An operator aborts every wave."""
+        for wave in list(self.world.state.waves.values()):
+            change = WaveChanged(wave.name, wave.version, WavePhase.ABORTED, "operator")
+            self.world.submit(change)
+
     def _let_others(self, number: int, seconds: float) -> None:
         steps = 10
         for _ in range(steps):
--- a/almondstack/testing/fleet_machine.py
+++ b/almondstack/testing/fleet_machine.py
@@ -1,5 +1,7 @@
 """A hypothesis state machine over real keepers, the fold and a fake platform."""
 
+from collections.abc import Callable
+
 import msgspec
 from hypothesis import strategies as st
 from hypothesis.stateful import invariant, precondition, rule
@@ -18,12 +20,12 @@
     WaveState,
     Withdrawn,
 )
-from almondstack.testing.fleet_faults import POOLS
+from almondstack.testing.fleet_faults import KEEPERS, POOLS
 from almondstack.testing.fleet_mishaps import MishapRules
 from almondstack.testing.fleet_notes import spread_instances
 from almondstack.testing.fleet_world import WORLD_SETTINGS
 
-__all__ = ["FleetMachine", "ShortFleetMachine"]
+__all__ = ["FleetMachine", "run_tour"]
 
 _CALM_TICKS = 400
 _LONG_S = 120.0
@@ -184,20 +186,51 @@
                 assert not machine.is_draining, name
 
 
-class ShortFleetMachine(FleetMachine):
-    """Only the courses of events that a known fault needs; finds faults in few examples."""
-
-    add_instances = None
-    change_load = None
-    change_spec = None
-    change_times = None
-    change_wave = None
-    cut_zone = None
-    fail_instance = None
-    hold_records = None
-    lose_log_replies = None
-    platform_outage = None
-    switch_keeper = None
-    switch_log = None
-    withdraw_instance = None
-    withdraw_pool = None
+def run_tour() -> None:
+    """Go through fixed courses of the machine, which bring about each known mishap.
+
+    Raises
+    ------
+    AssertionError
+        A check of the machine failed.
+    """
+    _run_course(_lose_replies, (), False)
+    _run_course(_stick, (), False)
+    for ticks in (3, 4, 5, 6):
+        _run_course(FleetMachine.notes_during_reboots, (ticks,))
+    for ticks in (2, 3):
+        _run_course(FleetMachine.rogue_reboots, (ticks, ticks == 3))
+    _run_course(FleetMachine.load_comes_back, ("match",))
+    for number in range(KEEPERS):
+        _run_course(FleetMachine.abort_under_a_pause, (number, 4.0))
+    _run_course(FleetMachine.outage_before_the_drain, ("score",))
+    _run_course(FleetMachine.outage_before_the_drain, ("match",))
+    _run_course(FleetMachine.rogue_drain_of_pool, ("score", True))
+    _run_course(FleetMachine.wave_of_bad_returns, ("match", 1))
+
+
+def _run_course(
+    course: Callable[..., None], arguments: tuple[object, ...], is_quiet: bool = True
+) -> None:
+    machine = FleetMachine()
+    machine.start(2, ())
+    if is_quiet:
+        machine.abort_waves()
+        machine.run(1.0, 12)
+    course(machine, *arguments)
+    machine.acts_are_sound()
+    machine.records_are_sound()
+    machine.waves_obey_their_threshold()
+    machine.run(1.0, 8)
+    machine.teardown()
+
+
+def _lose_replies(machine: FleetMachine) -> None:
+    for number in range(KEEPERS):
+        machine.lose_act_replies(number, 3)
+    machine.run(1.0, 25)
+
+
+def _stick(machine: FleetMachine) -> None:
+    machine.world.fleet.faults.never_empty.append("m5")
+    machine.run(1.0, 25)
--- a/almondstack/testing/fleet_mishaps.py
+++ b/almondstack/testing/fleet_mishaps.py
@@ -4,12 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
 
-from almondstack.model import (
-    Configured,
-    InstancePhase,
-    InstanceStepped,
-    ReleaseNote,
-)
+from almondstack.model import Configured, InstancePhase, InstanceStepped, ReleaseNote, Withdrawn
 from almondstack.testing.fleet_faults import KEEPERS, POOLS, FaultRules
 
 __all__ = ["MishapRules"]
@@ -51,6 +46,9 @@
         self.run(1.0, 9)
         self._set_load(pool, 3)
         self.start_wave((pool,), 2)
+        owned = [item for item in self.world.state.instances.values() if item.pool == pool]
+        names = sorted(item.name for item in owned if not item.is_withdrawn)
+        self.world.apply(ReleaseNote(withdrawn=Withdrawn(instances=tuple(names[-1:]))))
         self.run(1.0, 7)
 
     def _set_load(self, pool: str, busy: int) -> None:
