Give the baseline the one exchange there is, and handlers one base

Cause: dispatch/upstream.py said again what exchange.py says, three handlers what one base can. Conclusion: one exchange.

--- a/almondstack/dispatch/__init__.py
+++ b/almondstack/dispatch/__init__.py
@@ -19,7 +19,6 @@
     ProbeSettings,
     RetrySettings,
 )
-from almondstack.dispatch.upstream import HttpUpstreamAnswer, UpstreamClient
 
 __all__ = [
     "Body",
@@ -36,7 +35,6 @@
     "HealthBook",
     "HealthRemark",
     "HealthSettings",
-    "HttpUpstreamAnswer",
     "LeavingList",
     "NoLeavingList",
     "NotSentError",
@@ -48,7 +46,6 @@
     "TryHistory",
     "UpstreamAnswer",
     "UpstreamChooser",
-    "UpstreamClient",
     "UpstreamConnection",
     "end_to_end_headers",
     "prober_rank",
--- a/almondstack/dispatch/first_come.py
+++ b/almondstack/dispatch/first_come.py
@@ -7,16 +7,52 @@
 """
 
 import itertools
+from collections.abc import Iterator
 
 from almondstack.core import Clock, Reason, RequestError
 from almondstack.dispatch.call import Call, UpstreamAnswer
-from almondstack.dispatch.failures import NotSentError
-from almondstack.dispatch.upstream import UpstreamClient
+from almondstack.dispatch.connections import ConnectionPool
+from almondstack.dispatch.exchange import Reply, exchange
+from almondstack.dispatch.failures import BrokenExchangeError, NotSentError
+from almondstack.dispatch.settings import ConnectionSettings
 from almondstack.fold import Fold
 
 __all__ = ["FirstComeDispatcher"]
 
 
+class _FirstComeAnswer:
+    """Streams an answer and closes its connection."""
+
+    __slots__ = ("_connections", "_reply")
+
+    def __init__(self, reply: Reply, connections: ConnectionPool) -> None:
+        self._reply = reply
+        self._connections = connections
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the upstream."""
+        return self._reply.status
+
+    @property
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """End-to-end headers."""
+        return self._reply.headers
+
+    @property
+    def length(self) -> int | None:
+        """Length of the body in bytes; None if it shows only at its end."""
+        return self._reply.length
+
+    def chunks(self) -> Iterator[bytes]:
+        """Yield the body; raise if the upstream breaks off before its end."""
+        return self._reply.chunks()
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connections.discard(self._reply.connection)
+
+
 class FirstComeDispatcher:
     """Sends each call at once to the next instance of its pool in turn.
 
@@ -24,18 +60,16 @@
     ----------
     fold : Fold
         Knows the pools.
-    client : UpstreamClient
-        Sends.
     clock : Clock
         Measures deadlines.
     """
 
-    __slots__ = ("_client", "_clock", "_fold", "_turn")
+    __slots__ = ("_clock", "_connections", "_fold", "_turn")
 
-    def __init__(self, fold: Fold, client: UpstreamClient, clock: Clock) -> None:
+    def __init__(self, fold: Fold, clock: Clock) -> None:
         self._fold = fold
-        self._client = client
         self._clock = clock
+        self._connections = ConnectionPool(ConnectionSettings(), clock)
         self._turn = itertools.count()
 
     def submit(self, call: Call) -> UpstreamAnswer:
@@ -50,14 +84,15 @@
         takers = [item for item in owned if item.is_taking_work]
         if not takers:
             raise RequestError(Reason.NO_UPSTREAM)
-        bound_s = self._fold.state.pools[call.pool].run_time_bound_s
         call.before_start()
         for _ in takers:
             chosen = takers[next(self._turn) % len(takers)]
             try:
-                return self._client.send(call, chosen.spec.address, bound_s)
+                return self._send(call, chosen.spec.address)
             except NotSentError:
                 continue
+            except BrokenExchangeError as error:
+                raise RequestError(error.reason) from error
         raise RequestError(Reason.UPSTREAMS_FAILING)
 
     def cancel(self, call_id: str) -> bool:
@@ -66,3 +101,14 @@
 
     def abandon(self, call: Call) -> None:
         """Do nothing: no call waits."""
+
+    def _send(self, call: Call, address: str) -> UpstreamAnswer:
+        connection = self._connections.take(address, is_idempotent=False)
+        bound_s = self._fold.state.pools[call.pool].run_time_bound_s
+        try:
+            until_s = self._clock.monotonic() + bound_s
+            reply = exchange(call, connection, until_s, self._clock)
+        except BaseException:
+            self._connections.discard(connection)
+            raise
+        return _FirstComeAnswer(reply, self._connections)
--- a/almondstack/dispatch/tests/test_refusals.py
+++ b/almondstack/dispatch/tests/test_refusals.py
@@ -6,7 +6,7 @@
 import pytest
 
 from almondstack.core import Outcome, Reason
-from almondstack.dispatch import DispatchSettings
+from almondstack.dispatch import DispatchSettings, FirstComeDispatcher
 from almondstack.dispatch.connections import UpstreamConnection
 from almondstack.dispatch.tests.test_exchanges import upstreams  # noqa: F401
 from almondstack.model import (
@@ -141,3 +141,16 @@
     assert error is not None
     assert (error.reason, error.outcome) == (Reason.UPSTREAM_OVERLOADED, Outcome.UNKNOWN)
     assert len(server.received) == 1
+
+
+def test_baseline_sends_in_turn_and_passes_over_what_refuses(upstreams):  # noqa: F811
+    gone, first, second = upstreams(), upstreams(), upstreams()
+    gone.close()
+    kit = DispatchKit(gone.address, first.address, second.address)
+    baseline = FirstComeDispatcher(kit.fold, kit.clock)
+    for _ in range(6):
+        answer = baseline.submit(kit.call())
+        assert b"".join(answer.chunks()) == b"ok"
+        answer.close()
+    assert len(first.received) + len(second.received) == 6
+    assert first.received and second.received
--- a/almondstack/entry/operator.py
+++ b/almondstack/entry/operator.py
@@ -18,7 +18,7 @@
     decode_json,
 )
 from almondstack.entry.http import HttpReply, HttpRequest, json_reply
-from almondstack.entry.parts import EntryParts
+from almondstack.entry.parts import EntryParts, Handler
 from almondstack.model import RevocationReply, RevocationRequest, is_right_proof
 
 __all__ = ["OperatorHandler", "read_token"]
@@ -47,7 +47,7 @@
     return token
 
 
-class OperatorHandler:
+class OperatorHandler(Handler):
     """Takes revocations from operators who know the token.
 
     Parameters
@@ -56,10 +56,10 @@
         The parts of the entry.
     """
 
-    __slots__ = ("_parts", "_token")
+    __slots__ = ("_token",)
 
     def __init__(self, parts: EntryParts) -> None:
-        self._parts = parts
+        super().__init__(parts)
         self._token = read_token(parts.settings.operator_token_file)
 
     def handle(self, request: HttpRequest) -> HttpReply:
--- a/almondstack/entry/parts.py
+++ b/almondstack/entry/parts.py
@@ -12,7 +12,7 @@
 from almondstack.fold import Fold
 from almondstack.once import OnceGuard
 
-__all__ = ["EntryParts"]
+__all__ = ["EntryParts", "Handler"]
 
 
 class EntryParts:
@@ -116,3 +116,18 @@
             raise RequestError(Reason.NOT_READY)
         if self.is_fenced:
             raise RequestError(Reason.FENCED)
+
+
+class Handler:
+    """Base of what answers one kind of request.
+
+    Parameters
+    ----------
+    parts : EntryParts
+        The parts of the entry.
+    """
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts: EntryParts) -> None:
+        self._parts = parts
--- a/almondstack/entry/submit.py
+++ b/almondstack/entry/submit.py
@@ -7,7 +7,7 @@
 from almondstack.dispatch import Body, Call, UpstreamAnswer, end_to_end_headers
 from almondstack.entry.forwarding import FORWARDED_HEADER
 from almondstack.entry.http import HttpReply, HttpRequest
-from almondstack.entry.parts import EntryParts
+from almondstack.entry.parts import EntryParts, Handler
 from almondstack.entry.submission import Submission, parse_submission
 from almondstack.model import Queue, Team
 from almondstack.once import Hold, is_ticket, parse_ticket
@@ -29,19 +29,8 @@
     return queue
 
 
-class SubmitHandler:
-    """Admits a request, runs it and streams the answer.
-
-    Parameters
-    ----------
-    parts : EntryParts
-        The parts of the entry.
-    """
-
-    __slots__ = ("_parts",)
-
-    def __init__(self, parts: EntryParts) -> None:
-        self._parts = parts
+class SubmitHandler(Handler):
+    """Admits a request, runs it and streams the answer."""
 
     def handle(self, request: HttpRequest, queue_name: str) -> HttpReply:
         """Return the answer to a submission.
--- a/almondstack/entry/tickets.py
+++ b/almondstack/entry/tickets.py
@@ -6,7 +6,7 @@
 from almondstack.dispatch import BufferedBody
 from almondstack.entry.forwarding import FORWARDED_HEADER
 from almondstack.entry.http import HttpReply, HttpRequest, json_reply
-from almondstack.entry.parts import EntryParts
+from almondstack.entry.parts import Handler
 from almondstack.entry.submit import queue_of
 from almondstack.once import is_ticket, parse_ticket
 
@@ -15,19 +15,8 @@
 _FORWARD_TIMEOUT_S = 5.0
 
 
-class TicketHandler:
-    """Hands out tickets.
-
-    Parameters
-    ----------
-    parts : EntryParts
-        The parts of the entry.
-    """
-
-    __slots__ = ("_parts",)
-
-    def __init__(self, parts: EntryParts) -> None:
-        self._parts = parts
+class TicketHandler(Handler):
+    """Hands out tickets."""
 
     def handle(self, request: HttpRequest) -> HttpReply:
         """Return tickets; ``?count=N`` asks for more than one.
@@ -56,19 +45,8 @@
         return int(value)
 
 
-class CancelHandler:
-    """Cancels a request that has not started.
-
-    Parameters
-    ----------
-    parts : EntryParts
-        The parts of the entry.
-    """
-
-    __slots__ = ("_parts",)
-
-    def __init__(self, parts: EntryParts) -> None:
-        self._parts = parts
+class CancelHandler(Handler):
+    """Cancels a request that has not started."""
 
     def handle(self, request: HttpRequest, queue_name: str, request_id: str) -> HttpReply:
         """Cancel the request of the caller's team with this id.
