--- a/almondstack/core/program.py
+++ b/almondstack/core/program.py
@@ -69,7 +69,11 @@
         print(f"{program}: settings are valid")
         return 0
     configure_logging(getattr(settings, "logging", LoggingSettings()))
-    daemon = make(settings)
+    try:
+        daemon = make(settings)
+    except SettingsError as error:
+        print(f"{program}: {error}", file=sys.stderr)
+        return EXIT_SETTINGS
     _handle_signals(daemon)
     daemon.run()
     return 0
--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -7,6 +7,7 @@
 from almondstack.dispatch import FairDispatcher
 from almondstack.entry.app import EntryApp
 from almondstack.entry.contract import AlwaysConnected, NoRevocations
+from almondstack.entry.listing import ListWatch
 from almondstack.entry.parts import EntryParts
 from almondstack.entry.server import EntryServer
 from almondstack.entry.settings import EntrySettings
@@ -19,6 +20,7 @@
 __all__ = ["EntryDaemon"]
 
 _LEAVE_TIMEOUT_S = 2.0
+_FENCE_LOOK_S = 0.5
 
 _log = PartLogger("entry")
 
@@ -40,6 +42,7 @@
         "_fold",
         "_follower",
         "_incarnation",
+        "_listing",
         "_metrics",
         "_parts",
         "_server",
@@ -73,6 +76,7 @@
             client, table, self._claims.decide, settings.once, clock, metrics
         )
         tickets = TicketBook(self._incarnation, settings.once, clock)
+        self._listing = ListWatch(settings.instance_list, clock, metrics)
         self._dispatcher = FairDispatcher(
             settings.dispatch,
             settings.node,
@@ -80,6 +84,7 @@
             LocalPermits(self._fold, clock),
             clock,
             metrics,
+            listing=self._listing,
         )
         self._parts = EntryParts(
             settings=settings,
@@ -121,7 +126,9 @@
         self._writer.start()
         self._claims.start()
         self._claim_follower.start()
+        self._listing.start()
         self._dispatcher.start()
+        threading.Thread(target=self._watch_fence, name="fence", daemon=True).start()
         self._parts.hangups.start()
         self._parts.reaper.start()
 
@@ -138,6 +145,13 @@
             )
         )
 
+    def _watch_fence(self) -> None:
+        """End this life once the log has fenced it; the platform starts another."""
+        while not self._stopping.wait(_FENCE_LOOK_S):
+            if self._parts.is_fenced:
+                _log.error("The log has fenced %s.", self._incarnation)
+                self.stop()
+
     def _finish(self) -> None:
         is_empty = self._parts.calls.wait_until_empty(self._settings.shutdown_timeout_s)
         if not is_empty:
@@ -147,6 +161,7 @@
         for part in (self._claims, self._claim_follower, self._writer, self._follower):
             part.stop()
         self._dispatcher.stop()
+        self._listing.stop()
         self._parts.hangups.stop()
         self._parts.reaper.stop()
         self._metrics.stop()
--- /dev/null
+++ b/almondstack/entry/listing.py
@@ -0,0 +1,73 @@
+"""Reads the platform's list of instances again and again."""
+
+import threading
+
+from almondstack.core import Clock, NullMetrics
+from almondstack.platform import HttpInstanceList, InstanceListError, ListedInstance
+
+__all__ = ["ListWatch"]
+
+_INTERVAL_S = 1.0
+_TIMEOUT_S = 1.0
+_UPSTREAM = "upstream"
+
+
+class ListWatch:
+    """The list as last read, for the dispatcher's :class:`LeavingList`.
+
+    Explanation
+    -----------
+    An instance that the list no longer shows is gone.  A list that cannot be
+    read says nothing new, and an empty list is not believed.
+
+    Parameters
+    ----------
+    address : str or None
+        Numeric address of the list; None reads nothing.
+    clock : Clock
+        Waits.
+    metrics : NullMetrics
+        Counts failures.
+    """
+
+    __slots__ = ("_clock", "_leaving", "_list", "_metrics", "_seen", "_stop", "_thread")
+
+    def __init__(self, address: str | None, clock: Clock, metrics: NullMetrics) -> None:
+        self._list = None if address is None else HttpInstanceList(address, _TIMEOUT_S)
+        self._clock = clock
+        self._metrics = metrics
+        self._seen: frozenset[str] = frozenset()
+        self._leaving: frozenset[str] = frozenset()
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="list", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        if self._list is not None:
+            self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread."""
+        self._stop.set()
+
+    def leaving(self) -> frozenset[str]:
+        """Return the names of the instances that it shows as leaving or gone."""
+        return self._leaving
+
+    def take(self, listed: tuple[ListedInstance, ...]) -> None:
+        """Take a list that was read."""
+        upstreams = [item for item in listed if item.role == _UPSTREAM]
+        if not upstreams:
+            return
+        live = frozenset(item.name for item in upstreams if not item.is_leaving)
+        shown = frozenset(item.name for item in upstreams)
+        self._seen |= shown
+        self._leaving = self._seen - live
+
+    def _run(self) -> None:
+        assert self._list is not None
+        while not self._clock.wait(self._stop, _INTERVAL_S):
+            try:
+                self.take(self._list.read())
+            except InstanceListError as error:
+                self._metrics.count(f"list.read-failed.{error.code}")
--- a/almondstack/entry/settings.py
+++ b/almondstack/entry/settings.py
@@ -55,6 +55,8 @@
 
     Parameters
     ----------
+    instance_list : str or None
+        Address of the platform's list of instances; None does without it.
     operator_token_file : str or None
         File whose content operators prove to know when they send a
         revocation straight to this entry; None refuses such calls.
@@ -71,6 +73,7 @@
     once: OnceSettings = OnceSettings()
     dispatch: DispatchSettings = DispatchSettings()
     peer_listen: Address = "127.0.0.1:7201"
+    instance_list: Address | None = None
     operator_token_file: str | None = None
     statsd: StatsdSettings = StatsdSettings()
     logging: LoggingSettings = LoggingSettings()
