--- /dev/null
+++ b/almondstack/bench/state.py
@@ -0,0 +1,258 @@
+"""``almondstack-bench state``: cost of the fold, of snapshots and of a bootstrap.
+
+Explanation
+-----------
+Folds seven weeks of changes upon a fleet of 740 instances in 255 pools.  The
+bootstrap is measured over HTTP from the stand-in log service in this process,
+once from the first record and once from a snapshot with a tail.
+"""
+
+import argparse
+import json
+import statistics
+import threading
+import time
+import zlib
+from collections import defaultdict
+from typing import Any
+
+import msgspec
+
+from almondstack.bench.commands import bench_command
+from almondstack.core import LogServiceSettings, NullMetrics, SystemClock, hash_secret
+from almondstack.fold import Fold
+from almondstack.log import FLEET, Follower, HttpLogClient, SnapshotStore, decode_state
+from almondstack.model import (
+    Configured,
+    EntryJoined,
+    EntryLeft,
+    InstancePhase,
+    InstanceSpec,
+    InstanceStepped,
+    Key,
+    KeyGranted,
+    KeyRevoked,
+    PermitsSettled,
+    Pool,
+    Queue,
+    ReleaseApplied,
+    ReleaseNote,
+    Team,
+    encode_record,
+)
+from almondstack.standin.log_service import LogServiceStandin
+from almondstack.standin.web import serve
+from almondstack.testing.addresses import free_address
+
+__all__ = ["StateMeasures", "measure_state"]
+
+_POOLS = 255
+_INSTANCES = 740
+_TEAMS = 12
+_RECORDS = 17_150
+_TAIL_RECORDS = 350
+_ROUNDS = 5
+_CHUNK_BYTES = 1 << 18
+
+_CYCLE = (
+    InstancePhase.DRAINING,
+    InstancePhase.DRAINED,
+    InstancePhase.RETURNING,
+    InstancePhase.SERVING,
+)
+
+
+class StateMeasures(msgspec.Struct, frozen=True):
+    """Figures of one run; times in milliseconds or microseconds as named.
+
+    Parameters
+    ----------
+    fold_us : dict of str to float
+        Median time to fold one record, by kind.
+    """
+
+    records: int
+    refused: int
+    fold_us: dict[str, float]
+    state_bytes: int
+    snapshot_bytes: int
+    encode_ms: float
+    compress_ms: float
+    decode_ms: float
+    bootstrap_log_ms: float
+    bootstrap_snapshot_ms: float
+
+
+class _History:
+    """Makes the records of seven weeks, folding them as it goes."""
+
+    def __init__(self) -> None:
+        self.fold = Fold()
+        self.records: list[bytes] = []
+        self.refused = 0
+        self._times_s: dict[str, list[float]] = defaultdict(list)
+        self._sequences: dict[str, int] = defaultdict(int)
+
+    @property
+    def fold_us(self) -> dict[str, float]:
+        """Median time to fold one record in microseconds, by kind."""
+        return {
+            kind: round(statistics.median(times) * 1e6, 1)
+            for kind, times in sorted(self._times_s.items())
+        }
+
+    def put(self, author: str, body: Any) -> None:
+        """Add one record."""
+        self._sequences[author] += 1
+        offset = self.fold.next_offset
+        data = encode_record(author, self._sequences[author], body, base=offset)
+        self.records.append(data)
+        begin_s = time.perf_counter()
+        verdict = self.fold.apply(offset, data)
+        taken_s = time.perf_counter() - begin_s
+        assert verdict is not None
+        self._times_s[verdict.kind].append(taken_s)
+        self.refused += not verdict.is_accepted
+
+    def step(self, author: str, name: str, phase: InstancePhase) -> None:
+        """Add a step of an instance."""
+        version = self.fold.state.instances[name].version
+        self.put(author, InstanceStepped(name, version, phase))
+
+
+def measure_state() -> StateMeasures:
+    """Make the history and measure."""
+    history = _make_history(_RECORDS)
+    state, _ = history.fold.encode_state()
+    encode_ms = _median_ms(history.fold.encode_state)
+    compressed = zlib.compress(state, 1)
+    log_ms, snapshot_ms = _measure_bootstrap(history)
+    return StateMeasures(
+        records=len(history.records),
+        refused=history.refused,
+        fold_us=history.fold_us,
+        state_bytes=len(state),
+        snapshot_bytes=len(compressed),
+        encode_ms=encode_ms,
+        compress_ms=_median_ms(lambda: zlib.compress(state, 1)),
+        decode_ms=_median_ms(lambda: decode_state(zlib.decompress(compressed))),
+        bootstrap_log_ms=log_ms,
+        bootstrap_snapshot_ms=snapshot_ms,
+    )
+
+
+def _make_history(count: int) -> _History:
+    history = _History()
+    history.put("founder", ReleaseApplied(0, _whole_note()))
+    for number in range(8):
+        _join(history, f"entry-{number}~0")
+    names = sorted(history.fold.state.instances)
+    number = 0
+    while len(history.records) < count:
+        name = names[number % len(names)]
+        for phase in _CYCLE:
+            history.step("keeper~0", name, phase)
+        _operate(history, number)
+        number += 1
+    return history
+
+
+def _operate(history: _History, number: int) -> None:
+    """Add what operators do between two reboots, each by a session of its own."""
+    author = f"almondctl~{number:012x}"
+    key_id = f"key-{number}"
+    history.put(author, KeyGranted(Key(id=key_id, team="team-0", digest=hash_secret(key_id))))
+    team = Team(name="team-1", share=1 + number % 9, ceiling=64)
+    note = ReleaseNote(changed=Configured(teams=(team,)))
+    history.put(author, ReleaseApplied(history.fold.state.revision, note))
+    if number >= 20:
+        history.put(author, KeyRevoked(f"key-{number - 20}"))
+    if number % 30 == 0:
+        _join(history, f"entry-0~{number + 1}")
+        _leave(history, f"entry-0~{max(number - 29, 0)}")
+
+
+def _join(history: _History, incarnation: str) -> None:
+    name = incarnation.partition("~")[0]
+    address = "127.0.0.1:7101"
+    history.put(incarnation, EntryJoined(incarnation, name, "a", "region-1", address, address))
+
+
+def _leave(history: _History, incarnation: str) -> None:
+    history.put(incarnation, EntryLeft(incarnation))
+    for entry in history.fold.state.live_entries():
+        history.put(entry.incarnation, PermitsSettled(incarnation=incarnation, items=()))
+
+
+def _whole_note() -> ReleaseNote:
+    pools = [f"pool-{number}" for number in range(_POOLS)]
+    counts = [len(range(number, _INSTANCES, _POOLS)) for number in range(_POOLS)]
+    return ReleaseNote(
+        added=Configured(
+            pools=tuple(
+                Pool(name=name, min_serving=1, size=count)
+                for name, count in zip(pools, counts, strict=True)
+            ),
+            instances=tuple(_instance(number) for number in range(_INSTANCES)),
+            teams=tuple(Team(name=f"team-{n}", share=1 + n, ceiling=64) for n in range(_TEAMS)),
+            queues=tuple(Queue(name=f"queue-{name}", pool=name) for name in pools),
+        )
+    )
+
+
+def _instance(number: int) -> InstanceSpec:
+    return InstanceSpec(
+        name=f"instance-{number}",
+        pool=f"pool-{number % _POOLS}",
+        zone="abc"[number % 3],
+        rack=f"rack-{number // 4}",
+        address=f"10.0.{number // 250}.{number % 250 + 1}:8000",
+    )
+
+
+def _measure_bootstrap(history: _History) -> tuple[float, float]:
+    address = free_address()
+    server = serve(LogServiceStandin(), address)
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        client = HttpLogClient(LogServiceSettings(address=address, timeout_s=30.0), "bench")
+        client.append(FLEET, history.records)
+        log_ms = _median_ms(lambda: _bootstrap(client, history))
+        _write_snapshot(client, history)
+        return log_ms, _median_ms(lambda: _bootstrap(client, history))
+    finally:
+        server.stop()
+        thread.join()
+
+
+def _write_snapshot(client: HttpLogClient, history: _History) -> None:
+    fold = Fold()
+    for offset, data in enumerate(history.records[:-_TAIL_RECORDS]):
+        fold.apply(offset, data)
+    state, next_offset = fold.encode_state()
+    SnapshotStore(client).write(state, 1, next_offset, time.time(), _CHUNK_BYTES)
+
+
+def _bootstrap(client: HttpLogClient, history: _History) -> None:
+    fold = Fold()
+    follower = Follower(client, fold, NullMetrics(), SystemClock())
+    follower.bootstrap()
+    while fold.next_offset < len(history.records):
+        follower.poll()
+    assert fold.state.revision == history.fold.state.revision
+
+
+def _median_ms(run: Any) -> float:
+    times_s: list[float] = []
+    for _ in range(_ROUNDS):
+        begin_s = time.perf_counter()
+        run()
+        times_s.append(time.perf_counter() - begin_s)
+    return round(statistics.median(times_s) * 1e3, 2)
+
+
+@bench_command("state", "cost of the fold, of snapshots and of a bootstrap")
+def _run(_arguments: argparse.Namespace) -> int:
+    print(json.dumps(msgspec.to_builtins(measure_state()), indent=2))
+    return 0
