--- a/almondstack/core/__init__.py
+++ b/almondstack/core/__init__.py
@@ -30,6 +30,7 @@
     decode_settings,
     load_settings,
 )
+from almondstack.core.tokens import read_token
 
 __all__ = [
     "EXIT_SETTINGS",
@@ -69,6 +70,7 @@
     "new_key",
     "new_request_id",
     "parse_address",
+    "read_token",
     "reason_info",
     "request_id_time_s",
     "run_daemon",
--- /dev/null
+++ b/almondstack/core/tokens.py
@@ -0,0 +1,26 @@
+"""Tokens that are kept in a file of their own, apart from the settings."""
+
+from pathlib import Path
+
+from almondstack.core.errors import SettingsError
+
+__all__ = ["read_token"]
+
+
+def read_token(path: str | None) -> str:
+    """Return the token in a file; empty if no file is named.
+
+    Raises
+    ------
+    SettingsError
+        The file cannot be read or is empty.
+    """
+    if path is None:
+        return ""
+    try:
+        token = Path(path).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    if not token:
+        raise SettingsError(f"{path} holds no token")
+    return token
--- a/almondstack/ctl/entries.py
+++ b/almondstack/ctl/entries.py
@@ -8,7 +8,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from almondstack.core import AlmondError, CodecError, decode_json, encode_json
+from almondstack.core import AlmondError, CodecError, decode_json, encode_json, read_token
 from almondstack.ctl.settings import CtlSettings
 from almondstack.model import (
     REVOCATIONS_PATH,
@@ -67,10 +67,11 @@
         Time bounds and the operators' token.
     """
 
-    __slots__ = ("_pool", "_settings")
+    __slots__ = ("_pool", "_settings", "_token")
 
     def __init__(self, settings: CtlSettings) -> None:
         self._settings = settings
+        self._token = read_token(settings.operator_token_file)
         self._pool = urllib3.PoolManager(retries=False)
 
     def status(self, entry: EntryAddress) -> EntryStatus:
@@ -91,7 +92,7 @@
         EntryCallError
             It did not confirm.
         """
-        proof = revocation_proof(self._settings.operator_token, key_id)
+        proof = revocation_proof(self._token, key_id)
         body = encode_json(RevocationRequest(key_id, proof))
         return self._call("POST", entry, REVOCATIONS_PATH, body, RevocationReply)
 
--- a/almondstack/ctl/settings.py
+++ b/almondstack/ctl/settings.py
@@ -29,8 +29,9 @@
         Callers' addresses of entries by zone, for the time when the log is out.
     operator : str
         Who applies a change, for ``almondctl explain``.
-    operator_token : str
-        Proves to an entry that a revocation comes from an operator.
+    operator_token_file : str or None
+        File whose content proves to an entry that a revocation comes from an
+        operator.
     apply_timeout_s : float
         How long to wait for every entry to confirm, in seconds.
     entry_timeout_s : float
@@ -40,7 +41,7 @@
     log: LogServiceSettings
     entries: dict[Name, tuple[Address, ...]] = {}
     operator: str = ""
-    operator_token: str = ""
+    operator_token_file: str | None = None
     apply_timeout_s: PositiveSeconds = 20.0
     entry_timeout_s: PositiveSeconds = 1.0
 
--- a/almondstack/ctl/tests/test_commands.py
+++ b/almondstack/ctl/tests/test_commands.py
@@ -98,9 +98,10 @@
         settings = {
             "log": {"address": self.log_address},
             "entries": {"a": [self.entry_address]},
-            "operator_token": TOKEN,
+            "operator_token_file": str(tmp_path / "token"),
             "apply_timeout_s": 5,
         }
+        (tmp_path / "token").write_text(TOKEN)
         (tmp_path / "ctl.json").write_text(json.dumps(settings))
 
     def join(self) -> None:
--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -10,7 +10,7 @@
 from almondstack.entry.server import EntryServer
 from almondstack.entry.settings import EntrySettings
 from almondstack.fold import Fold
-from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
+from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter, SnapshotWriter
 from almondstack.model import EntryJoined, EntryLeft
 from almondstack.once import ClaimBook, ClaimFollower, ClaimTable, OnceGuard, TicketBook
 from almondstack.permits import LocalPermits
@@ -42,6 +42,7 @@
         "_parts",
         "_server",
         "_settings",
+        "_snapshots",
         "_stopping",
         "_writer",
     )
@@ -63,6 +64,9 @@
             clock,
             position=self._follower.position,
         )
+        self._snapshots = SnapshotWriter(
+            client, self._fold, self._incarnation, settings.snapshots, metrics, clock
+        )
         table = ClaimTable(
             int(settings.once.window_s * 1000), int(settings.once.clock_error_s * 1000)
         )
@@ -115,6 +119,7 @@
     def _start_threads(self) -> None:
         self._follower.start()
         self._writer.start()
+        self._snapshots.start()
         self._claims.start()
         self._claim_follower.start()
         self._dispatcher.start()
@@ -140,6 +145,7 @@
             _log.warning("Shut down with %d requests under way.", self._parts.calls.count)
         self._server.stop()
         self._leave()
+        self._snapshots.stop()
         for part in (self._claims, self._claim_follower, self._writer, self._follower):
             part.stop()
         self._dispatcher.stop()
--- a/almondstack/entry/operator.py
+++ b/almondstack/entry/operator.py
@@ -7,46 +7,25 @@
 entry honours it before the log confirms it.
 """
 
-from pathlib import Path
-
 from almondstack.core import (
     CodecError,
     PartLogger,
     Reason,
     RequestError,
-    SettingsError,
     decode_json,
+    read_token,
 )
 from almondstack.entry.http import HttpReply, HttpRequest, json_reply
 from almondstack.entry.parts import EntryParts
 from almondstack.model import RevocationReply, RevocationRequest, is_right_proof
 
-__all__ = ["OperatorHandler", "read_token"]
+__all__ = ["OperatorHandler"]
 
 _MOST_BODY_BYTES = 4096
 
 _log = PartLogger("operator")
 
 
-def read_token(path: str | None) -> str:
-    """Return the operators' token; empty if none is set.
-
-    Raises
-    ------
-    SettingsError
-        The file cannot be read or is empty.
-    """
-    if path is None:
-        return ""
-    try:
-        token = Path(path).read_text(encoding="utf-8").strip()
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
-    if not token:
-        raise SettingsError(f"{path} holds no token")
-    return token
-
-
 class OperatorHandler:
     """Takes revocations from operators who know the token.
 
--- a/almondstack/entry/settings.py
+++ b/almondstack/entry/settings.py
@@ -15,6 +15,7 @@
     TlsSettings,
 )
 from almondstack.dispatch import DispatchSettings
+from almondstack.log import SnapshotSettings
 from almondstack.once import OnceSettings
 
 __all__ = ["CallerSettings", "EntrySettings"]
@@ -65,6 +66,7 @@
     node: NodeSettings
     callers: CallerSettings
     log: LogServiceSettings
+    snapshots: SnapshotSettings = SnapshotSettings()
     once: OnceSettings = OnceSettings()
     dispatch: DispatchSettings = DispatchSettings()
     peer_listen: Address = "127.0.0.1:7201"
--- a/almondstack/keeper/settings.py
+++ b/almondstack/keeper/settings.py
@@ -10,6 +10,7 @@
     StatsdSettings,
 )
 from almondstack.fleet import FleetSettings
+from almondstack.log import SnapshotSettings
 from almondstack.platform import PlatformSettings
 
 __all__ = ["KeeperSettings"]
@@ -31,6 +32,7 @@
     platform: PlatformSettings
     status_listen: Address
     round_s: PositiveSeconds = 0.5
+    snapshots: SnapshotSettings = SnapshotSettings()
     fleet: FleetSettings = FleetSettings()
     statsd: StatsdSettings = StatsdSettings()
     logging: LoggingSettings = LoggingSettings()
