--- a/almondstack/keeper/daemon.py
+++ b/almondstack/keeper/daemon.py
@@ -89,6 +89,7 @@
 
     def run(self) -> None:
         """Keep the fleet until :meth:`stop`."""
+        self._metrics.start()
         self._follower.start()
         self._writer.start()
         self._snapshots.start()
@@ -128,4 +129,5 @@
         self._snapshots.stop()
         self._writer.stop()
         self._follower.stop()
+        self._metrics.stop()
         _log.info("Shut down.")
