Tell faults of the operator from refusals and outages

Cause: almondctl ended with UNAVAILABLE for a file that it couldn't read and for a grant to a team that isn't there; a malformed key id was a traceback; a typing error in a revocation went unseen; a follower asked a dead log ten times a second. Change: exit codes by type of failure, was_known in the answer of keys revoke, backoff with jitter up to 1 s, and tests of the HTTP client's failures.

--- a/almondstack/ctl/commands/diff.py
+++ b/almondstack/ctl/commands/diff.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from almondstack.core import encode_json
+from almondstack.ctl.errors import DocumentError
 from almondstack.ctl.exits import ExitCode
-from almondstack.ctl.notes import DocumentError, note_of, read_document
+from almondstack.ctl.notes import note_of, read_document
 from almondstack.ctl.registry import Command, CommandContext, register_command
 from almondstack.ctl.session import OperatorSession
 from almondstack.model import ReleaseNote
--- a/almondstack/ctl/commands/keys.py
+++ b/almondstack/ctl/commands/keys.py
@@ -5,8 +5,9 @@
 
 import msgspec
 
-from almondstack.core import AlmondError, hash_secret, new_key, split_key
+from almondstack.core import hash_secret, new_key, split_key
 from almondstack.ctl.entries import EntryAddress, EntryCallError, EntryClient, known_entries
+from almondstack.ctl.errors import DocumentError, RecordRefusedError
 from almondstack.ctl.exits import ExitCode
 from almondstack.ctl.registry import Command, CommandContext, register_command
 from almondstack.ctl.session import OperatorSession
@@ -58,22 +59,19 @@
     ----------
     is_logged : bool
         True if the revocation is in the log, so that it holds for ever.
+    was_known : bool
+        False if no key of this id was in force; look for a typing error.
     missing_zones : list of str
         Zones with an entry that was not reached directly.
     """
 
     key_id: str
     is_logged: bool
+    was_known: bool
     missing_zones: list[str]
     entries: list[EntryAnswer]
 
 
-class KeyRefusedError(AlmondError):
-    """The log refused the record of a key."""
-
-    code = "key-refused"
-
-
 def _add_arguments(parser: argparse.ArgumentParser) -> None:
     actions = parser.add_subparsers(dest="action", required=True)
     listing = actions.add_parser("list", help="list keys without their secrets")
@@ -106,22 +104,30 @@
     session.catch_up()
     key_id = arguments.id or f"{arguments.team}-{secrets.token_hex(_ID_BYTES)}"
     secret_key = new_key(key_id)
-    digest = hash_secret(split_key(secret_key)[1])
-    key = msgspec.convert({"id": key_id, "team": arguments.team, "digest": digest}, Key)
+    key = _stored_key(key_id, arguments.team, secret_key)
     verdict = session.append(KeyGranted(key), context.settings.apply_timeout_s)
     session.stop()
     if verdict is None:
         context.printer.progress(f"The log has not confirmed key {key_id}; revoke it.")
         return ExitCode.UNAVAILABLE
     if not verdict.is_accepted:
-        raise KeyRefusedError(f"{verdict.refusal}: {verdict.detail}")
+        raise RecordRefusedError(f"{verdict.refusal}: {verdict.detail}")
     context.printer.result(GrantResult(key_id, arguments.team, secret_key))
     return ExitCode.OK
 
 
+def _stored_key(key_id: str, team: str, secret_key: str) -> Key:
+    digest = hash_secret(split_key(secret_key)[1])
+    try:
+        return msgspec.convert({"id": key_id, "team": team, "digest": digest}, Key)
+    except msgspec.ValidationError as error:
+        raise DocumentError(str(error)) from error
+
+
 def _revoke(context: CommandContext, arguments: argparse.Namespace) -> ExitCode:
     session = OperatorSession(context.settings.log)
     state = _state_or_nothing(session)
+    was_known = arguments.key_id in state.keys
     client = EntryClient(context.settings)
     entries = known_entries(state, context.settings)
     answers = client.ask_all(entries, lambda entry: client.revoke(entry, arguments.key_id))
@@ -130,7 +136,7 @@
     session.stop()
     missing = sorted({row.zone for row in rows if not row.is_honoured})
     is_logged = verdict is not None and verdict.is_accepted
-    context.printer.result(RevokeResult(arguments.key_id, is_logged, missing, rows))
+    context.printer.result(RevokeResult(arguments.key_id, is_logged, was_known, missing, rows))
     if not is_logged:
         return ExitCode.UNAVAILABLE
     return ExitCode.NOT_CONFIRMED if missing else ExitCode.OK
--- a/almondstack/ctl/exits.py
+++ b/almondstack/ctl/exits.py
@@ -1,8 +1,12 @@
 """Exit codes of ``almondctl``; docs/operators.md lists them."""
 
 from enum import IntEnum
+from functools import singledispatch
 
-__all__ = ["ExitCode"]
+from almondstack.core import AlmondError, SettingsError
+from almondstack.ctl.errors import DocumentError, RecordRefusedError
+
+__all__ = ["ExitCode", "exit_code_of"]
 
 
 class ExitCode(IntEnum):
@@ -15,3 +19,32 @@
     UNAVAILABLE = 4
     NOT_CONFIRMED = 5
     NOT_FOUND = 6
+
+
+@singledispatch
+def exit_code_of(error: AlmondError) -> ExitCode:
+    """Return the exit code of a command that ended with ``error``.
+
+    Examples
+    --------
+    >>> from almondstack.ctl.errors import DocumentError
+    >>> from almondstack.ctl.exits import exit_code_of
+    >>> exit_code_of(DocumentError("note.json: not JSON")).name
+    'USAGE'
+    """
+    return ExitCode.UNAVAILABLE
+
+
+@exit_code_of.register
+def _(error: DocumentError) -> ExitCode:
+    return ExitCode.USAGE
+
+
+@exit_code_of.register
+def _(error: SettingsError) -> ExitCode:
+    return ExitCode.USAGE
+
+
+@exit_code_of.register
+def _(error: RecordRefusedError) -> ExitCode:
+    return ExitCode.CONFLICT
--- a/almondstack/ctl/main.py
+++ b/almondstack/ctl/main.py
@@ -6,7 +6,7 @@
 from almondstack import __version__
 from almondstack.core import AlmondError, LogServiceSettings, SettingsError
 from almondstack.ctl import commands as _commands
-from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.exits import ExitCode, exit_code_of
 from almondstack.ctl.output import OutputFormat, Printer
 from almondstack.ctl.registry import Command, CommandContext, registered_commands
 from almondstack.ctl.settings import CtlSettings, add_settings_arguments, settings_from
@@ -56,7 +56,7 @@
         return command.run(CommandContext(settings, Printer(output)), arguments)
     except AlmondError as error:
         print(f"almondctl: {error}", file=sys.stderr)
-        return ExitCode.UNAVAILABLE
+        return exit_code_of(error)
     except KeyboardInterrupt:
         return ExitCode.OK
 
--- a/almondstack/ctl/notes.py
+++ b/almondstack/ctl/notes.py
@@ -3,21 +3,16 @@
 import json
 from pathlib import Path
 
-from almondstack.core import AlmondError, CodecError, decode_json
+from almondstack.core import CodecError, decode_json
+from almondstack.ctl.errors import DocumentError
 from almondstack.model import FleetState, ReleaseNote
 from almondstack.note import KINDS, DesiredConfig, config_tables, note_towards
 
-__all__ = ["Document", "DocumentError", "note_of", "read_document"]
+__all__ = ["Document", "note_of", "read_document"]
 
 Document = ReleaseNote | DesiredConfig
 
 
-class DocumentError(AlmondError):
-    """The document cannot be read, or is neither a release note nor a configuration."""
-
-    code = "document"
-
-
 def read_document(path: str) -> Document:
     """Return the release note or the desired configuration in a JSON file.
 
--- a/almondstack/ctl/tests/test_commands.py
+++ b/almondstack/ctl/tests/test_commands.py
@@ -211,8 +211,9 @@
 def test_revocation_goes_to_the_log_and_straight_to_the_entry(bench):
     assert bench.run("apply", bench.write("n.json", make_note()))[0] == ExitCode.OK
     code, result = bench.run("keys", "revoke", "k1")
-    assert code == ExitCode.OK and result["is_logged"]
+    assert code == ExitCode.OK and result["is_logged"] and result["was_known"]
     assert bench.entry.revoked == ["k1"]
+    assert not bench.run("keys", "revoke", "k-typo")[1]["was_known"]
     note = ReleaseNote(added=Configured(keys=make_note().added.keys))
     code, result = bench.run("apply", bench.write("again.json", note))
     assert code == ExitCode.FAULTS and result["faults"][0]["code"] == "revoked"
@@ -236,6 +237,13 @@
     assert bench.run("explain", "team", "nobody")[0] == ExitCode.NOT_FOUND
 
 
+def test_faulty_command_is_told_apart_from_a_refused_record(bench, tmp_path):
+    assert bench.run("check", str(tmp_path / "none.json"))[0] == ExitCode.USAGE
+    assert bench.run("keys", "grant", "north", "--id", "NOT A NAME")[0] == ExitCode.USAGE
+    assert bench.run("keys", "grant", "nobody")[0] == ExitCode.CONFLICT
+    assert main(["status"]) == ExitCode.USAGE
+
+
 def test_watch_ends_after_a_count(bench):
     timer = threading.Timer(0.2, bench.join)
     timer.start()
--- a/almondstack/log/follower.py
+++ b/almondstack/log/follower.py
@@ -1,5 +1,6 @@
 """Follows the fleet stream and folds it."""
 
+import random
 import threading
 
 from almondstack.core import Clock, NullMetrics, PartLogger
@@ -13,7 +14,8 @@
 __all__ = ["Follower"]
 
 _POLL_WAIT_S = 1.0
-_RETRY_S = 0.1
+_RETRY_FIRST_S = 0.1
+_RETRY_MOST_S = 1.0
 
 _log = PartLogger("log")
 
@@ -186,28 +188,36 @@
 
     def _run(self) -> None:
         self._run_bootstrap()
+        delay_s = _RETRY_FIRST_S
         while not self._stop.is_set():
             try:
                 self.poll(_POLL_WAIT_S)
+                delay_s = _RETRY_FIRST_S
             except LogTruncatedError:
                 self._run_bootstrap()
             except LogError as error:
                 self._metrics.count(f"log.read-failed.{error.code}")
-                self._clock.wait(self._stop, _RETRY_S)
+                delay_s = self._back_off(delay_s)
             except FoldOutdatedError as error:
                 self._give_up(error)
 
     def _run_bootstrap(self) -> None:
+        delay_s = _RETRY_FIRST_S
         while not self._stop.is_set():
             try:
                 self.bootstrap()
                 return
             except LogError as error:
                 self._metrics.count(f"log.bootstrap-failed.{error.code}")
-                self._clock.wait(self._stop, _RETRY_S)
+                delay_s = self._back_off(delay_s)
             except FoldOutdatedError as error:
                 self._give_up(error)
 
+    def _back_off(self, delay_s: float) -> float:
+        """Wait about ``delay_s`` seconds and return the next delay."""
+        self._clock.wait(self._stop, delay_s * random.uniform(0.5, 1.5))
+        return min(delay_s * 2, _RETRY_MOST_S)
+
     def _give_up(self, error: FoldOutdatedError) -> None:
         _log.error("This version is too old: %s.", error.detail)
         self._metrics.count("fold.outdated")
--- /dev/null
+++ b/almondstack/log/tests/test_client.py
@@ -0,0 +1,80 @@
+"""The HTTP client against the stand-in, through the failures that it must tell apart."""
+
+import threading
+from collections.abc import Iterator
+
+import pytest
+import urllib3
+
+from almondstack.core import LogServiceSettings, encode_json
+from almondstack.log import (
+    FLEET,
+    HttpLogClient,
+    LogBounds,
+    LogEntry,
+    LogReplyLostError,
+    LogTruncatedError,
+    LogUnavailableError,
+)
+from almondstack.standin.log_service import LogServiceStandin
+from almondstack.standin.web import serve
+from almondstack.testing.addresses import free_address
+
+KEPT = 10
+
+
+@pytest.fixture(scope="module")
+def address() -> Iterator[str]:
+    where = free_address()
+    server = serve(LogServiceStandin(KEPT), where, threads=8)
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    yield where
+    server.stop()
+    thread.join(5)
+
+
+@pytest.fixture
+def client(address: str) -> HttpLogClient:
+    _set_faults(address)
+    return HttpLogClient(LogServiceSettings(address=address, timeout_s=2.0), "reader-1")
+
+
+def _set_faults(address: str, **faults) -> None:
+    body = encode_json(faults)
+    urllib3.PoolManager().request("POST", f"http://{address}/control/faults", body=body)
+
+
+def test_lost_reply_has_acted_and_is_told_apart(client, address):
+    before = client.bounds(FLEET).next_offset
+    _set_faults(address, drop_replies=1)
+    with pytest.raises(LogReplyLostError):
+        client.append(FLEET, [b"one", b"two"])
+    assert client.bounds(FLEET).next_offset == before + 2
+    assert client.append(FLEET, [b"three"]) == before + 2
+    assert [entry.data for entry in client.read(FLEET, before)] == [b"one", b"two", b"three"]
+
+
+def test_truncated_offset_is_said(client):
+    client.append("short", [b"%d" % number for number in range(KEPT + 5)])
+    assert client.bounds("short") == LogBounds(5, KEPT + 5)
+    with pytest.raises(LogTruncatedError):
+        client.read("short", 4)
+    assert client.read("short", 5)[0] == LogEntry(5, b"5")
+
+
+def test_outage_and_a_cut_off_reader_are_unavailable(client, address):
+    _set_faults(address, is_down=True)
+    with pytest.raises(LogUnavailableError):
+        client.bounds(FLEET)
+    _set_faults(address, cut_readers=["reader-1"])
+    with pytest.raises(LogUnavailableError):
+        client.read(FLEET, 0)
+    other = HttpLogClient(LogServiceSettings(address=address), "reader-2")
+    assert other.bounds(FLEET).oldest >= 0
+
+
+def test_nobody_listening_is_unavailable():
+    client = HttpLogClient(LogServiceSettings(address=free_address()), "reader-1")
+    with pytest.raises(LogUnavailableError):
+        client.append(FLEET, [b"one"])
