--- /dev/null
+++ b/almondstack/bench/load.py
@@ -0,0 +1,179 @@
+"""``almondstack-bench load``: open-loop load on a whole deployment."""
+
+import argparse
+import math
+import tempfile
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from almondstack.bench.caller import Caller
+from almondstack.bench.commands import bench_command
+from almondstack.bench.deployment import Deployment
+from almondstack.bench.fairness import ShareSecond, share_seconds
+from almondstack.bench.judge import CallerEnd, CallerRecord, JudgedRun, runs_of
+from almondstack.bench.layout import DeploymentPlan, load_note
+from almondstack.bench.mixes import EXAMPLES, MIXES
+from almondstack.bench.plots import plot_lines
+from almondstack.bench.processes import ProcessGroup
+from almondstack.bench.report import team_table
+from almondstack.bench.results import save_result, waits_of
+from almondstack.bench.sending import send_all
+from almondstack.bench.workload import Mix, arrivals, longer_work
+
+__all__ = ["LoadOptions", "add_load_arguments", "run_load"]
+
+_RESULTS = Path("results")
+_CLOSE = 0.05
+_URGENT_TARGET_S = 1.4
+
+
+class LoadOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """What to send.
+
+    Parameters
+    ----------
+    deployment : str
+        Name of the mix and of the example note.
+    seed : int
+        Makes the arrivals.
+    duration_s : float
+        How long requests are sent, in seconds.
+    scale : float
+        Multiplies every rate of arrivals.
+    work_factor : float
+        Multiplies every run time.
+    has_bursts : bool
+        False for steady arrivals.
+    entries : dict of str to int
+        Number of entries in each zone.
+    sections : dict
+        Settings sections of every entry, beside the defaults.
+    """
+
+    deployment: str = "magnolia"
+    seed: int = 1
+    duration_s: float = 40.0
+    scale: float = 2.0
+    work_factor: float = 5.0
+    has_bursts: bool = True
+    entries: dict[str, int] = msgspec.field(default_factory=lambda: {"a": 3, "b": 3, "c": 2})
+    sections: dict[str, Any] = {}
+
+    def mix(self) -> Mix:
+        """Return the mix that is sent."""
+        mix = longer_work(MIXES[self.deployment](self.scale, self.duration_s), self.work_factor)
+        return msgspec.structs.replace(mix, has_bursts=self.has_bursts)
+
+
+def add_load_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments that make :class:`LoadOptions`."""
+    defaults = LoadOptions()
+    parser.add_argument("--deployment", choices=sorted(MIXES), default=defaults.deployment)
+    parser.add_argument("--seed", type=int, default=defaults.seed)
+    parser.add_argument("--duration", type=float, default=defaults.duration_s, metavar="SECONDS")
+    parser.add_argument("--scale", type=float, default=defaults.scale, help="of arrivals")
+    parser.add_argument("--work-factor", type=float, default=defaults.work_factor)
+    parser.add_argument("--steady", action="store_true", help="no bursts")
+    parser.add_argument("--results", type=Path, default=_RESULTS, help="folder for results")
+
+
+def options_from(arguments: argparse.Namespace) -> LoadOptions:
+    """Return the options that the command line asked for."""
+    return LoadOptions(
+        deployment=arguments.deployment,
+        seed=arguments.seed,
+        duration_s=arguments.duration,
+        scale=arguments.scale,
+        work_factor=arguments.work_factor,
+        has_bursts=not arguments.steady,
+    )
+
+
+@bench_command("load", "open-loop load by seed, with bursts", add_load_arguments)
+def run_load_command(arguments: argparse.Namespace) -> int:
+    """Run one load, print and save its figures; 0 if the judge found nothing."""
+    options = options_from(arguments)
+    figures, shares = run_load(options, show_table=True)
+    path = save_result("load", figures, arguments.results)
+    _plot_shares(path.with_suffix(".png"), shares)
+    print(msgspec.json.format(msgspec.json.encode(figures), indent=1).decode())
+    print(f"saved {path}")
+    return 0 if not figures["violations"] else 1
+
+
+def run_load(
+    options: LoadOptions, show_table: bool = False
+) -> tuple[dict[str, Any], list[ShareSecond]]:
+    """Run one load on a fresh deployment; return its figures and its shares."""
+    plan = DeploymentPlan(
+        note=load_note(EXAMPLES / f"{options.deployment}.json"),
+        entries=options.entries,
+        sections=options.sections,
+    )
+    with tempfile.TemporaryDirectory() as folder, ProcessGroup(Path(folder)) as group:
+        deployment = Deployment(plan, Path(folder), group)
+        deployment.start()
+        items = arrivals(options.mix(), deployment.note, list(plan.entries), options.seed)
+        records = send_all(Caller(deployment.layout.entry_addresses), items, title="load")
+        deployment.check_running()
+        journals = deployment.journals()
+        judgement = deployment.judge(records)
+    if show_table:
+        print(team_table(deployment.note, records, journals))
+    runs = [run for name, events in journals.items() for run in runs_of(name, events)]
+    urgent = {item.work_id for item in items if item.is_urgent}
+    shares = share_seconds(deployment.note, records, runs)
+    figures = {
+        "options": msgspec.to_builtins(options),
+        "counts": msgspec.to_builtins(judgement),
+        "violations": judgement.violations,
+        "waits": _waits(records, runs, urgent),
+        "shares": _share_figures(shares),
+        "refused": Counter(r.reason for r in records if r.end is not CallerEnd.ANSWERED),
+    }
+    return figures, shares
+
+
+def _waits(
+    records: Sequence[CallerRecord], runs: Sequence[JudgedRun], urgent: set[str]
+) -> dict[str, Any]:
+    """Return percentiles of the time from the intended send to the start and the answer."""
+    started_s = {run.work_id: run.started_s for run in reversed(runs)}
+    answered = [record for record in records if record.end is CallerEnd.ANSWERED]
+    begun = [record for record in records if record.work_id in started_s]
+    waits = {record.work_id: started_s[record.work_id] - record.intended_s for record in begun}
+    urgent_waits = [wait for work_id, wait in waits.items() if work_id in urgent]
+    in_time = sum(wait <= _URGENT_TARGET_S for wait in urgent_waits)
+    return {
+        "answer": waits_of([record.ended_s - record.intended_s for record in answered]),
+        "start": waits_of([wait for work_id, wait in waits.items() if work_id not in urgent]),
+        "urgent_start": waits_of(urgent_waits),
+        "urgent_within_1.4_s": in_time / len(urgent_waits) if urgent_waits else None,
+        "urgent_not_started": len(urgent - waits.keys()),
+    }
+
+
+def _share_figures(shares: Sequence[ShareSecond]) -> dict[str, Any]:
+    """Return how often teams were within 5 % of their share in seconds of shortage."""
+    distances = sorted(second.distance for second in shares)
+    if not distances:
+        return {"team_seconds": 0}
+    at_95 = distances[min(math.ceil(0.95 * len(distances)), len(distances)) - 1]
+    return {
+        "team_seconds": len(distances),
+        "within_5_percent": sum(item <= _CLOSE for item in distances) / len(distances),
+        "median_distance": round(distances[len(distances) // 2], 4),
+        "p95_distance": round(at_95, 4),
+    }
+
+
+def _plot_shares(path: Path, shares: Sequence[ShareSecond]) -> None:
+    lines: dict[str, list[tuple[float, float]]] = {}
+    for item in shares:
+        lines.setdefault(f"{item.pool} {item.team}", []).append((item.second, item.got / item.fair))
+    if lines:
+        plot_lines(path, "Running over fair part, in shortage", ("second", "ratio"), lines)
--- a/almondstack/bench/workload.py
+++ b/almondstack/bench/workload.py
@@ -8,7 +8,7 @@
 from almondstack.bench.caller import WorkItem
 from almondstack.model import Queue, ReleaseNote
 
-__all__ = ["Mix", "QueueLoad", "arrivals", "demo_key"]
+__all__ = ["Mix", "QueueLoad", "arrivals", "demo_key", "longer_work"]
 
 _BURST_FACTOR = 5.0
 _REST_FACTOR = 0.05
@@ -68,6 +68,14 @@
         return load.per_second * (_BURST_FACTOR if is_turn else _REST_FACTOR)
 
 
+def longer_work(mix: Mix, factor: float) -> Mix:
+    """Return ``mix`` with every run time multiplied."""
+    loads = tuple(
+        msgspec.structs.replace(load, work_ms=load.work_ms * factor) for load in mix.loads
+    )
+    return msgspec.structs.replace(mix, loads=loads)
+
+
 def demo_key(team: str, number: int = 1) -> str:
     """Return the key of a team of the example notes; it protects nothing."""
     return f"{team}-{number}.{team}-{number}-demo-secret"
