--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -16,6 +16,9 @@
 _MODULES = (
     "almondstack.bench.demo",
     "almondstack.bench.load",
+    "almondstack.bench.slopes",
+    "almondstack.bench.slope_fleet",
+    "almondstack.bench.slope_state",
 )
 
 
--- a/almondstack/fleet/moves.py
+++ b/almondstack/fleet/moves.py
@@ -75,7 +75,7 @@
 
 def _wanted(view: FleetView, pool: Pool) -> int:
     owned = [item for item in view.owned(pool.name) if not _goes_away(item)]
-    coming = _coming(view, pool.name)
+    coming = view.coming(pool.name)
     lost = [item for item in owned if item.is_lost]
     well = len(owned) - len(lost) + coming
     if view.missing(pool):
@@ -107,13 +107,6 @@
     return any(names.intersection(wave.waiting) for wave in waves)
 
 
-def _coming(view: FleetView, pool: str) -> int:
-    return sum(
-        item.target_pool == pool and item.pool != pool and not item.is_lost
-        for item in view.state.instances.values()
-    )
-
-
 def _goes_away(item: InstanceState) -> bool:
     return item.is_withdrawn or item.target_pool not in (None, item.pool)
 
--- a/almondstack/fleet/view.py
+++ b/almondstack/fleet/view.py
@@ -1,5 +1,7 @@
 """An index over the folded state that one planning round reads."""
 
+from collections import Counter
+
 from almondstack.fleet.observations import Observations
 from almondstack.fleet.settings import FleetSettings
 from almondstack.model import FleetState, InstanceState, Pool
@@ -20,7 +22,7 @@
         Bounds and waiting times.
     """
 
-    __slots__ = ("_by_pool", "seen", "settings", "state")
+    __slots__ = ("_by_pool", "_coming", "seen", "settings", "state")
 
     def __init__(self, state: FleetState, seen: Observations, settings: FleetSettings) -> None:
         self.state = state
@@ -30,6 +32,11 @@
         for name in sorted(state.instances):
             known = state.instances[name]
             self._by_pool.setdefault(known.pool, []).append(known)
+        self._coming = Counter(
+            item.target_pool
+            for item in state.instances.values()
+            if item.target_pool != item.pool and not item.is_lost
+        )
 
     def owned(self, pool: str) -> list[InstanceState]:
         """Return the instances of a pool, by name."""
@@ -53,6 +60,10 @@
         is_young = self.seen.report_age_s(item.name) <= self.settings.view_bound_s
         return report is not None and report.is_healthy and is_young
 
+    def coming(self, pool: str) -> int:
+        """Return how many instances are on their way to a pool from another."""
+        return self._coming[pool]
+
     def missing(self, pool: Pool) -> int:
         """Return by how many instances a pool is below its budget."""
         return max(pool.min_serving - len(self.serving(pool.name)), 0)
