Close a connection that turns idle while idle ones are closed

The switch closes_idle missed a connection between its answer and its next wait; test_idle_connection_is_closed_unannounced failed so once in a landing.

--- a/almondstack/standin/upstream.py
+++ b/almondstack/standin/upstream.py
@@ -165,9 +165,12 @@
             self._changed.wait_for(lambda: not self._faults.hangs)
 
     def note_idle(self, connection: socket.socket) -> None:
-        """Remember that a connection waits for its next request."""
+        """Remember that a connection waits for its next request, or close it."""
         with self._changed:
             self._idle.add(connection)
+            is_closed = self._faults.closes_idle
+        if is_closed:
+            self.close_idle()
 
     def note_busy(self, connection: socket.socket) -> None:
         """Remember that a connection has a request."""
