--- a/almondstack/standin/upstream_handler.py
+++ b/almondstack/standin/upstream_handler.py
@@ -56,6 +56,7 @@
         """Count the connection."""
         super().setup()
         self._standin: UpstreamStandin = self.server.standin  # type: ignore[attr-defined]
+        self._has_served = False
         self._standin.journal.add(ConnectionOpened(time.monotonic()))
 
     def finish(self) -> None:
@@ -67,7 +68,9 @@
 
     def handle_one_request(self) -> None:
         """Wait for a request and serve it."""
-        self._standin.note_idle(self.connection)
+        if self._has_served:
+            self._standin.note_idle(self.connection)
+        self._has_served = True
         try:
             super().handle_one_request()
         except OSError:
