Add slopes of whole processes

almondstack-bench slopes now measures an entry's processor time against requests and records, and what an idle entry and keeper use against the number of instances and entries, with one stand-in that answers at the addresses of all instances.

--- a/almondstack/bench/layout.py
+++ b/almondstack/bench/layout.py
@@ -6,6 +6,7 @@
 of the bench, so that two runs on one machine never meet.
 """
 
+import os
 from pathlib import Path
 from typing import Any
 
@@ -22,6 +23,9 @@
 
 _FIRST_ENTRY_HOST = 10
 _FIRST_UPSTREAM_HOST = 100
+_FIRST_SHARED_PORT = 20_000
+_SHARED_PORTS = 10_000
+_SHARED_NETWORK = 240
 
 
 class DeploymentPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,6 +41,8 @@
         Number of keepers in each zone, beside the first entries.
     own_process : tuple of str
         Upstreams that run in a process of their own, so that they can be killed.
+    has_shared_upstream : bool
+        True if one stand-in process answers at the addresses of all upstreams.
     callers, sections : dict
         Settings of every entry beside the defaults: for its caller section,
         and whole sections.
@@ -46,6 +52,7 @@
     entries: dict[str, int] = msgspec.field(default_factory=lambda: {"a": 2, "b": 2, "c": 2})
     keepers: int = 1
     own_process: tuple[str, ...] = ()
+    has_shared_upstream: bool = False
     callers: dict[str, Any] = msgspec.field(default_factory=lambda: {"threads": 128})
     sections: dict[str, Any] = {}
 
@@ -180,16 +187,25 @@
         ]
         return FleetSetup(pools=tuple(budgets), instances=tuple(instances))
 
+    @property
+    def shared_upstream_address(self) -> str:
+        """Where the one process listens that stands in for all upstreams."""
+        return f"0.0.0.0:{_FIRST_SHARED_PORT + os.getpid() % _SHARED_PORTS}"
+
     def _with_own_addresses(self, note: ReleaseNote) -> ReleaseNote:
         instances = tuple(
-            msgspec.structs.replace(
-                item, address=f"{self._network}.{_FIRST_UPSTREAM_HOST + number}:8000"
-            )
+            msgspec.structs.replace(item, address=self._address_of(number))
             for number, item in enumerate(note.added.instances)
         )
         added = msgspec.structs.replace(note.added, instances=instances)
         return msgspec.structs.replace(note, added=added)
 
+    def _address_of(self, number: int) -> str:
+        if not self._plan.has_shared_upstream:
+            return f"{self._network}.{_FIRST_UPSTREAM_HOST + number}:8000"
+        port = self.shared_upstream_address.rpartition(":")[2]
+        return f"127.{_SHARED_NETWORK + number // 200}.1.{number % 200 + 1}:{port}"
+
     def _host_of(self, entry: str) -> str:
         number = list(self._zones).index(entry)
         return f"{self._network}.{_FIRST_ENTRY_HOST + number}"
--- a/almondstack/bench/sending.py
+++ b/almondstack/bench/sending.py
@@ -11,7 +11,7 @@
 from almondstack.bench.caller import Caller, WorkItem
 from almondstack.bench.judge import CallerRecord
 
-__all__ = ["Step", "send_all"]
+__all__ = ["Step", "send_all", "send_closed"]
 
 _THREADS = 256
 _START_DELAY_S = 0.2
@@ -35,6 +35,12 @@
     act: Callable[[], None]
 
 
+def send_closed(caller: Caller, items: Sequence[WorkItem], callers: int) -> list[CallerRecord]:
+    """Send ``items`` with so many callers, each waiting for its answer; for costs only."""
+    with ThreadPoolExecutor(callers, thread_name_prefix="caller") as executor:
+        return list(executor.map(caller.submit, items))
+
+
 def send_all(
     caller: Caller, items: Sequence[WorkItem], steps: Sequence[Step] = (), title: str = ""
 ) -> list[CallerRecord]:
--- /dev/null
+++ b/almondstack/bench/slope_processes.py
@@ -0,0 +1,123 @@
+"""Slopes of whole processes: requests, records, fleet size and number of entries."""
+
+import contextlib
+import functools
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from almondstack.bench.caller import Caller
+from almondstack.bench.deployment import Deployment
+from almondstack.bench.judge import CallerEnd
+from almondstack.bench.layout import DeploymentPlan
+from almondstack.bench.processes import ProcessGroup, wait_until
+from almondstack.bench.sending import send_closed
+from almondstack.bench.slopes import Points, slope_case
+from almondstack.bench.usage import ProcessUsage, usage_of
+from almondstack.core import LogServiceSettings
+from almondstack.log import FLEET, HttpLogClient
+from almondstack.model import KeyRevoked, encode_record
+from almondstack.testing.large_fleet import FULL_INSTANCES, make_large_note
+from almondstack.testing.small_fleet import make_small_note, small_work
+
+__all__: list[str] = []
+
+_REQUESTS = (200, 400, 800, 1600)
+_RECORDS = (200, 400, 800, 1600)
+_INSTANCES = (92, 185, 370, 740)
+_ENTRIES = (2, 4, 8, 16)
+_FULL_ENTRIES = 72
+_FULL_RECORDS = 2000
+_FULL_REQUESTS = 1000
+_CALLERS = 8
+_IDLE_S = 6.0
+_SETTLE_S = 2.0
+
+
+@contextlib.contextmanager
+def _running(**fields: Any) -> Iterator[Deployment]:
+    plan = DeploymentPlan(
+        **{"note": make_small_note(), "entries": {"a": 1}, "keepers": 0, **fields}
+    )
+    with tempfile.TemporaryDirectory() as folder, ProcessGroup(Path(folder)) as group:
+        deployment = Deployment(plan, Path(folder), group)
+        deployment.start()
+        yield deployment
+
+
+@slope_case("entry-requests", "requests", _FULL_REQUESTS)
+def entry_requests() -> dict[str, Points]:
+    """Return the processor time of one entry process against answered requests."""
+    points: Points = []
+    with _running() as deployment:
+        caller = Caller(deployment.layout.entry_addresses)
+        send_closed(caller, small_work(_CALLERS * 10), _CALLERS)
+        pid = deployment.pid("e-a1")
+        for count in _REQUESTS:
+            before = usage_of(pid)
+            records = send_closed(caller, small_work(count), _CALLERS)
+            assert all(record.end is CallerEnd.ANSWERED for record in records)
+            points.append((count, usage_of(pid).cpu_s - before.cpu_s))
+    return {"s of processor": points}
+
+
+@slope_case("entry-records", "records", _FULL_RECORDS)
+def entry_records() -> dict[str, Points]:
+    """Return the processor time of one entry against records that it follows one by one."""
+    points: Points = []
+    with _running() as deployment:
+        client = HttpLogClient(LogServiceSettings(address=deployment.layout.log_address), "bench")
+        pid = deployment.pid("e-a1")
+        for count in _RECORDS:
+            before = usage_of(pid)
+            for number in range(count):
+                record = encode_record(f"bench-{count}", number + 1, KeyRevoked(f"k{number}"))
+                end = client.append(FLEET, [record]) + 1
+            wait_until(functools.partial(_has_folded, deployment, end), "folding")
+            points.append((count, usage_of(pid).cpu_s - before.cpu_s))
+    return {"s of processor": points}
+
+
+@slope_case("fleet-size", "instances", FULL_INSTANCES)
+def fleet_size() -> dict[str, Points]:
+    """Return what one entry and one keeper use while nothing happens."""
+    found: dict[str, Points] = {}
+    for size in _INSTANCES:
+        note = make_large_note(size)
+        with _running(note=note, keepers=1, has_shared_upstream=True) as deployment:
+            idle = _idle_usage(deployment, ["e-a1", "keeper-e-a1"])
+        for name, role in (("e-a1", "entry"), ("keeper-e-a1", "keeper")):
+            used = idle[name]
+            found.setdefault(f"{role} % of a core", []).append((size, used.cpu_s / _IDLE_S * 100))
+            found.setdefault(f"{role} MiB", []).append((size, used.resident_mib))
+    return found
+
+
+@slope_case("entry-count", "entries", _FULL_ENTRIES)
+def entry_count() -> dict[str, Points]:
+    """Return what one entry uses beside others while nothing happens."""
+    found: dict[str, Points] = {"entry % of a core": [], "entry MiB": []}
+    for count in _ENTRIES:
+        with _running(entries={"a": count // 2, "b": count - count // 2}) as deployment:
+            used = _idle_usage(deployment, ["e-a1"])["e-a1"]
+        found["entry % of a core"].append((count, used.cpu_s / _IDLE_S * 100))
+        found["entry MiB"].append((count, used.resident_mib))
+    return found
+
+
+def _has_folded(deployment: Deployment, end: int) -> bool:
+    return deployment.status("e-a1")["next_offset"] >= end
+
+
+def _idle_usage(deployment: Deployment, names: list[str]) -> dict[str, ProcessUsage]:
+    """Return the processor time over the window and the memory at its end."""
+    time.sleep(_SETTLE_S)
+    before = {name: usage_of(deployment.pid(name)).cpu_s for name in names}
+    time.sleep(_IDLE_S)
+    after = {name: usage_of(deployment.pid(name)) for name in names}
+    return {
+        name: ProcessUsage(used.cpu_s - before[name], used.resident_mib)
+        for name, used in after.items()
+    }
--- /dev/null
+++ b/almondstack/bench/usage.py
@@ -0,0 +1,43 @@
+"""Processor time and memory of a running process, from ``/proc`` (proc(5))."""
+
+import os
+from pathlib import Path
+
+import msgspec
+
+__all__ = ["ProcessUsage", "usage_of"]
+
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+_USER_TICKS, _SYSTEM_TICKS, _RESIDENT_PAGES = 11, 12, 21
+
+
+class ProcessUsage(msgspec.Struct, frozen=True):
+    """What a process has used so far.
+
+    Parameters
+    ----------
+    cpu_s : float
+        Processor time of all its threads, in seconds; steps of 0.01.
+    resident_mib : float
+        Resident memory now, in MiB.
+    """
+
+    cpu_s: float
+    resident_mib: float
+
+
+def usage_of(pid: int) -> ProcessUsage:
+    """Return what the process has used so far.
+
+    Examples
+    --------
+    >>> import os
+    >>> from almondstack.bench.usage import usage_of
+    >>> usage_of(os.getpid()).resident_mib > 1
+    True
+    """
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    resident = int(fields[_RESIDENT_PAGES]) * _PAGE_BYTES
+    return ProcessUsage(ticks / _TICKS_PER_S, resident / 2**20)
--- a/almondstack/testing/small_fleet.py
+++ b/almondstack/testing/small_fleet.py
@@ -23,7 +23,7 @@
 from almondstack.standin.log_service import LogFaults
 from almondstack.standin.upstream_faults import UpstreamFaults
 
-__all__ = ["SmallFleet", "make_small_note", "small_fleet"]
+__all__ = ["SmallFleet", "make_small_note", "small_fleet", "small_work"]
 
 _CALLERS = 16
 _KEYS_A_TEAM = 4
@@ -60,6 +60,23 @@
     )
 
 
+def small_work(count: int) -> list[WorkItem]:
+    """Return short work without ids for zone a of a small fleet."""
+    return [
+        WorkItem(
+            work_id=f"s{number}",
+            team="south",
+            queue="scoring",
+            zone="a",
+            key=demo_key("south"),
+            work_ms=1,
+            has_id=False,
+            is_idempotent=True,
+        )
+        for number in range(count)
+    ]
+
+
 class SmallFleet:
     """Two zones, three entries and four upstreams, each a process.
 
