--- a/almondstack/keeper/daemon.py
+++ b/almondstack/keeper/daemon.py
@@ -10,7 +10,7 @@
 from almondstack.keeper.rounds import KeeperRounds, copy_state
 from almondstack.keeper.settings import KeeperSettings
 from almondstack.keeper.status import KeeperStatus, StatusApp, wave_progress
-from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
+from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter, SnapshotWriter
 from almondstack.platform import HttpInstanceList, HttpPlatform
 
 __all__ = ["KeeperDaemon"]
@@ -43,6 +43,7 @@
         "_rounds",
         "_server",
         "_settings",
+        "_snapshots",
         "_stopping",
         "_writer",
     )
@@ -64,6 +65,9 @@
             self._clock,
             position=self._follower.position,
         )
+        self._snapshots = SnapshotWriter(
+            client, self._fold, self._incarnation, settings.snapshots, self._metrics, self._clock
+        )
         platform = settings.platform
         self._rounds = KeeperRounds(
             settings.node.name,
@@ -93,6 +97,7 @@
         self._metrics.start()
         self._follower.start()
         self._writer.start()
+        self._snapshots.start()
         self._server.prepare()
         threading.Thread(target=self._server.serve, name="status", daemon=True).start()
         _log.info("Keeping the fleet as %s.", self._incarnation)
@@ -126,6 +131,7 @@
         while self._writer.pending_count and self._clock.monotonic() < deadline_s:
             self._clock.wait(never, _FLUSH_STEP_S)
         self._server.stop()
+        self._snapshots.stop()
         self._writer.stop()
         self._follower.stop()
         self._metrics.stop()
