--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -13,7 +13,16 @@
 _EXIT_FAILED = 1
 
 # Each of these modules registers its subcommands when it is imported.
-_MODULES = ("almondstack.bench.demo", "almondstack.bench.entry_bench")
+_MODULES = (
+    "almondstack.bench.demo",
+    "almondstack.bench.entry_bench",
+    "almondstack.bench.load",
+    "almondstack.bench.slopes",
+    "almondstack.bench.slope_fleet",
+    "almondstack.bench.slope_processes",
+    "almondstack.bench.slope_state",
+    "almondstack.bench.state",
+)
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -7,11 +7,12 @@
 from almondstack.dispatch import FairDispatcher
 from almondstack.entry.app import EntryApp
 from almondstack.entry.contract import AlwaysConnected, NoRevocations
+from almondstack.entry.listing import ListWatch
 from almondstack.entry.parts import EntryParts
 from almondstack.entry.server import EntryServer
 from almondstack.entry.settings import EntrySettings
 from almondstack.fold import Fold
-from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
+from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter, SnapshotWriter
 from almondstack.model import EntryJoined, EntryLeft
 from almondstack.once import ClaimBook, ClaimFollower, ClaimTable, OnceGuard, TicketBook
 from almondstack.permits import LocalPermits
@@ -19,6 +20,7 @@
 __all__ = ["EntryDaemon"]
 
 _LEAVE_TIMEOUT_S = 2.0
+_FENCE_LOOK_S = 0.5
 
 _log = PartLogger("entry")
 
@@ -40,10 +42,12 @@
         "_fold",
         "_follower",
         "_incarnation",
+        "_listing",
         "_metrics",
         "_parts",
         "_server",
         "_settings",
+        "_snapshots",
         "_stopping",
         "_writer",
     )
@@ -65,6 +69,9 @@
             clock,
             position=self._follower.position,
         )
+        self._snapshots = SnapshotWriter(
+            client, self._fold, self._incarnation, settings.snapshots, metrics, clock
+        )
         table = ClaimTable(
             int(settings.once.window_s * 1000), int(settings.once.clock_error_s * 1000)
         )
@@ -73,6 +80,7 @@
             client, table, self._claims.decide, settings.once, clock, metrics
         )
         tickets = TicketBook(self._incarnation, settings.once, clock)
+        self._listing = ListWatch(settings.instance_list, clock, metrics)
         self._dispatcher = FairDispatcher(
             settings.dispatch,
             settings.node,
@@ -80,6 +88,7 @@
             LocalPermits(self._fold, clock),
             clock,
             metrics,
+            listing=self._listing,
         )
         self._parts = EntryParts(
             settings=settings,
@@ -119,9 +128,12 @@
         self._metrics.start()
         self._follower.start()
         self._writer.start()
+        self._snapshots.start()
         self._claims.start()
         self._claim_follower.start()
+        self._listing.start()
         self._dispatcher.start()
+        threading.Thread(target=self._watch_fence, name="fence", daemon=True).start()
         self._parts.hangups.start()
         self._parts.reaper.start()
 
@@ -138,15 +150,24 @@
             )
         )
 
+    def _watch_fence(self) -> None:
+        """End this life once the log has fenced it; the platform starts another."""
+        while not self._stopping.wait(_FENCE_LOOK_S):
+            if self._parts.is_fenced:
+                _log.error("The log has fenced %s.", self._incarnation)
+                self.stop()
+
     def _finish(self) -> None:
         is_empty = self._parts.calls.wait_until_empty(self._settings.shutdown_timeout_s)
         if not is_empty:
             _log.warning("Shut down with %d requests under way.", self._parts.calls.count)
         self._server.stop()
         self._leave()
+        self._snapshots.stop()
         for part in (self._claims, self._claim_follower, self._writer, self._follower):
             part.stop()
         self._dispatcher.stop()
+        self._listing.stop()
         self._parts.hangups.stop()
         self._parts.reaper.stop()
         self._metrics.stop()
