Let the spares back a wave, and measure the fleet on paper

A wave takes as many instances as the budget lets go only while the spares outside each rack would make up for its loss; a spare that backs a drain is not taken itself.

--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -16,6 +16,7 @@
 _MODULES = (
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
+    "almondstack.bench.fleet_bench",
     "almondstack.bench.load",
     "almondstack.bench.slopes",
     "almondstack.bench.slope_fleet",
--- a/almondstack/fleet/settings.py
+++ b/almondstack/fleet/settings.py
@@ -1,6 +1,6 @@
 """Settings of the planner."""
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 from msgspec import Meta
 
@@ -39,6 +39,10 @@
         broken.
     pressure_after_s : float
         A pool that is full for so long is lent a spare instance.
+    wave_policy : {"spares", "alone", "budget"}
+        How many instances of a pool a wave takes at once: as many as the budget
+        lets go and the spares back against the loss of a rack, one, or as many
+        as the budget lets go.
     loss_pause_s : float
         A wave takes nothing from a pool without reserve for so long after a loss.
     takeover_s : float
@@ -58,6 +62,7 @@
     stall_factor: _Factor = 10.0
     replace_after_s: PositiveSeconds = 60.0
     pressure_after_s: PositiveSeconds = 180.0
+    wave_policy: Literal["spares", "alone", "budget"] = "spares"
     loss_pause_s: PositiveSeconds = 600.0
     takeover_s: PositiveSeconds = 3.0
     act_lease_s: PositiveSeconds = 5.0
--- a/almondstack/fleet/view.py
+++ b/almondstack/fleet/view.py
@@ -72,10 +72,3 @@
         """Return the pools that lend instances, by name."""
         pools = self.state.pools
         return [pools[name] for name in sorted(pools) if pools[name].is_spare]
-
-    def rack_reserve(self, serving: list[InstanceState]) -> int:
-        """Return how many of these instances the loss of one rack could take."""
-        counts: dict[str, int] = {}
-        for item in serving:
-            counts[item.spec.rack] = counts.get(item.spec.rack, 0) + 1
-        return max(counts.values(), default=0)
--- a/almondstack/fleet/waves.py
+++ b/almondstack/fleet/waves.py
@@ -2,13 +2,14 @@
 
 Explanation
 -----------
-A batch is as large as the budget of the pool and a reserve allow.  The reserve
-is what the loss of one rack could take from what is left.  A pool that can't
-hold the reserve is taken one instance at a time, and not at all for a while
-after a loss.  Instances whose report is too old count as not serving, so a
+A batch is as large as the budget of the pool allows and the spares back: if a
+rack were lost now, the spares outside it must make up for what all pools would
+lack.  Without that a pool is taken one instance at a time, and not at all for a
+while after a loss.  Instances whose report is too old count as not serving, so a
 zone that nobody hears from is left alone.
 """
 
+from almondstack.fleet.reserve import LossReserve
 from almondstack.fleet.schedule import due_times
 from almondstack.fleet.view import FleetView
 from almondstack.model import (
@@ -37,41 +38,48 @@
         if item is not None and is_due and item.is_serving and view.is_surely_well(item):
             ready.setdefault(item.pool, []).append(item)
     drains = []
+    reserve = LossReserve(view)
     for pool in sorted(ready):
-        drains.extend(_batch(view, wave, pool, ready[pool], due))
+        drains.extend(_batch(view, wave, ready[pool], due, reserve))
     return drains
 
 
 def _batch(
     view: FleetView,
     wave: WaveState,
-    pool_name: str,
     ready: list[InstanceState],
     due: dict[str, float],
+    reserve: LossReserve,
 ) -> list[InstanceStepped]:
+    pool_name = ready[0].pool
     pool = view.state.pools.get(pool_name)
     racks_out = _racks_out(view, pool_name)
     ready.sort(key=lambda item: (item.spec.rack not in racks_out, due[item.name], item.name))
-    cause = f"wave {wave.name}"
-    steps = []
-    serving = view.surely_serving(pool_name)
+    steps: list[InstanceStepped] = []
+    left = len(view.surely_serving(pool_name))
     for item in ready:
-        left = [other for other in serving if other.name != item.name]
-        if pool is not None and not _may_lose(view, pool, left):
+        left -= 1
+        if pool is not None and not _may_take(view, pool, item, left, reserve):
             break
-        serving = left
-        drain = InstancePhase.DRAINING
-        steps.append(InstanceStepped(item.name, item.version, drain, cause, wave.name))
+        reserve.take(item)
+        steps.append(_drain(wave, item))
     return steps
 
 
-def _may_lose(view: FleetView, pool: Pool, left: list[InstanceState]) -> bool:
-    if len(left) < pool.min_serving:
+def _drain(wave: WaveState, item: InstanceState) -> InstanceStepped:
+    cause = f"wave {wave.name}"
+    return InstanceStepped(item.name, item.version, InstancePhase.DRAINING, cause, wave.name)
+
+
+def _may_take(
+    view: FleetView, pool: Pool, item: InstanceState, left: int, reserve: LossReserve
+) -> bool:
+    if left < pool.min_serving:
         return False
-    if len(left) - view.rack_reserve(left) >= pool.min_serving:
+    policy = view.settings.wave_policy
+    if policy == "budget" or (policy == "spares" and reserve.may_take(item)):
         return True
-    owned = view.owned(pool.name)
-    is_alone = len(left) + len(view.lost(pool.name)) + 1 >= len(owned)
+    is_alone = left + len(view.lost(pool.name)) + 1 >= len(view.owned(pool.name))
     return is_alone and not _has_young_loss(view, pool.name)
 
 
@@ -81,10 +89,9 @@
 
 
 def batch_room(view: FleetView, pool: Pool) -> int:
-    """Return how many instances the reserve of a pool lets go at once, at least 1."""
-    serving = view.serving(pool.name)
-    room = len(serving) - view.rack_reserve(serving) - pool.min_serving
-    return max(room, 1)
+    """Return how many instances the budget of a pool lets go at once, at least 1."""
+    room = len(view.serving(pool.name)) - pool.min_serving
+    return 1 if view.settings.wave_policy == "alone" else max(room, 1)
 
 
 def _racks_out(view: FleetView, pool: str) -> set[str]:
--- a/almondstack/testing/fleet_world.py
+++ b/almondstack/testing/fleet_world.py
@@ -141,7 +141,7 @@
     def __init__(self, world: "FleetWorld", name: str) -> None:
         self.name = name
         self.is_held = False
-        self.metrics = NullMetrics()
+        self.metrics = world.make_metrics()
         self.client = world.log.client()
         self.platform = FakePlatform(world.fleet)
         self.fold = Fold()
@@ -163,7 +163,7 @@
             self.writer,
             self.platform,
             _FakeList(world),
-            WORLD_SETTINGS,
+            world.settings,
             self.metrics,
             world.clock,
         )
@@ -187,9 +187,21 @@
         What is declared at the start.
     keepers : int
         How many keepers there are.
+    settings : FleetSettings
+        Bounds and waiting times of each keeper.
+    make_metrics : callable
+        Makes the counters of each keeper.
     """
 
-    def __init__(self, note: ReleaseNote, keepers: int = 2) -> None:
+    def __init__(
+        self,
+        note: ReleaseNote,
+        keepers: int = 2,
+        settings: FleetSettings = WORLD_SETTINGS,
+        make_metrics: Callable[[], NullMetrics] = NullMetrics,
+    ) -> None:
+        self.settings = settings
+        self.make_metrics = make_metrics
         self.clock = ManualClock()
         self.log = FakeLog()
         self.recount = Recount(_GRACE_S)
