--- /dev/null
+++ b/almondstack/bench/bounds.py
@@ -0,0 +1,152 @@
+"""``almondstack-bench bounds``: regression bounds as ratios or counts."""
+
+import argparse
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from tqdm import tqdm
+
+from almondstack.bench.commands import bench_command
+from almondstack.bench.load import LoadOptions, run_load
+from almondstack.bench.overload import goodput_ratio
+from almondstack.bench.results import save_result
+from almondstack.bench.slope_fleet import planner_round
+from almondstack.bench.slope_processes import fleet_size
+from almondstack.bench.slope_state import fold_record, snapshot
+from almondstack.bench.slopes import Points
+
+__all__ = ["Bound"]
+
+_CORE_TARGET_PERCENT = 1.3
+_MEMORY_TARGET_MIB = 256.0
+_GOODPUT_TARGET = 0.95
+_URGENT_TARGET_MS = 1400.0
+_CLOSE_SHARE_TARGET = 0.95
+_LINEAR = 2.6
+_CONSTANT = 1.5
+
+
+class Bound(msgspec.Struct, frozen=True, kw_only=True):
+    """One figure and what it must not pass.
+
+    Parameters
+    ----------
+    name : str
+        What was measured.
+    measured, bound : float
+        The figure, and its bound.
+    is_least : bool
+        True if the figure must be at least the bound, else at most.
+    """
+
+    name: str
+    measured: float
+    bound: float
+    is_least: bool = False
+
+    @property
+    def holds(self) -> bool:
+        """True if the figure keeps its bound."""
+        return self.measured >= self.bound if self.is_least else self.measured <= self.bound
+
+    def __str__(self) -> str:
+        verdict = "holds " if self.holds else "FAILED"
+        sign = ">=" if self.is_least else "<="
+        return f"{verdict} {self.name}: {self.measured:.4g} {sign} {self.bound:g}"
+
+
+def _growth(points: Points, start: int = -2) -> float:
+    """Return the last figure over an earlier one."""
+    return points[-1][1] / points[start][1]
+
+
+def _state_bounds() -> list[Bound]:
+    records, snapshots = fold_record(), snapshot()
+    growth = _growth(records["us a record"], 0)
+    return [
+        Bound(name="fold of a record, 740 over 92 instances", measured=growth, bound=_CONSTANT),
+        Bound(
+            name="snapshot size, 740 over 370 instances",
+            measured=_growth(snapshots["KiB compressed"]),
+            bound=_LINEAR,
+        ),
+        Bound(
+            name="snapshot writing, 740 over 370 instances",
+            measured=_growth(snapshots["ms to write"]),
+            bound=_LINEAR,
+        ),
+    ]
+
+
+def _planner_bounds() -> list[Bound]:
+    growth = _growth(planner_round()["ms a round"])
+    name = "planning round, 740 over 370 instances"
+    return [Bound(name=name, measured=growth, bound=_LINEAR)]
+
+
+def _idle_bounds() -> list[Bound]:
+    found = {name: points[-1][1] for name, points in fleet_size().items()}
+    bounds = {"% of a core": _CORE_TARGET_PERCENT, "MiB": _MEMORY_TARGET_MIB}
+    return [
+        Bound(
+            name=f"idle {name} at 740 instances",
+            measured=measured,
+            bound=bounds[name.partition(" ")[2]],
+        )
+        for name, measured in found.items()
+    ]
+
+
+def _goodput_bounds() -> list[Bound]:
+    found = goodput_ratio()
+    name = "goodput at five times capacity over that at capacity"
+    return [
+        Bound(name=name, measured=found["ratio"], bound=_GOODPUT_TARGET, is_least=True),
+        Bound(name="violations counted at both loads", measured=found["violations"], bound=0),
+    ]
+
+
+def _burst_bounds() -> list[Bound]:
+    figures, _ = run_load(LoadOptions())
+    urgent = figures["waits"]["urgent_start"]
+    violated = sum(figures["violations"].values())
+    return [
+        Bound(name="violations that the judge counts in bursts", measured=violated, bound=0),
+        Bound(
+            name="start of urgent work, p99 in ms", measured=urgent.p99_ms, bound=_URGENT_TARGET_MS
+        ),
+        Bound(
+            name="team-seconds of shortage within 5 % of the share",
+            measured=figures["shares"].get("within_5_percent", 0.0),
+            bound=_CLOSE_SHARE_TARGET,
+            is_least=True,
+        ),
+    ]
+
+
+_GROUPS: dict[str, Callable[[], list[Bound]]] = {
+    "state": _state_bounds,
+    "planner": _planner_bounds,
+    "idle": _idle_bounds,
+    "goodput": _goodput_bounds,
+    "bursts": _burst_bounds,
+}
+
+
+def _configure(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--only", nargs="*", choices=sorted(_GROUPS), help="groups; all if none")
+    parser.add_argument("--results", type=Path, default=Path("results"))
+
+
+@bench_command("bounds", "regression bounds from the stated targets", _configure)
+def run_bounds(arguments: argparse.Namespace) -> int:
+    """Measure every bound; 0 if all hold."""
+    found: list[Bound] = []
+    for name in tqdm(arguments.only or list(_GROUPS), desc="bounds", unit="group"):
+        found.extend(_GROUPS[name]())
+    print("\n".join(map(str, found)))
+    figures: dict[str, Any] = {"bounds": msgspec.to_builtins(found)}
+    print(f"saved {save_result('bounds', figures, arguments.results)}")
+    return 0 if all(bound.holds for bound in found) else 1
--- a/almondstack/bench/load.py
+++ b/almondstack/bench/load.py
@@ -52,6 +52,8 @@
         Number of entries in each zone.
     sections : dict
         Settings sections of every entry, beside the defaults.
+    own_mix : Mix or None
+        Sent instead of the deployment's mix.
     """
 
     deployment: str = "magnolia"
@@ -62,9 +64,12 @@
     has_bursts: bool = True
     entries: dict[str, int] = msgspec.field(default_factory=lambda: {"a": 3, "b": 3, "c": 2})
     sections: dict[str, Any] = {}
+    own_mix: Mix | None = None
 
     def mix(self) -> Mix:
         """Return the mix that is sent."""
+        if self.own_mix is not None:
+            return self.own_mix
         mix = longer_work(MIXES[self.deployment](self.scale, self.duration_s), self.work_factor)
         return msgspec.structs.replace(mix, has_bursts=self.has_bursts)
 
@@ -131,6 +136,7 @@
         "options": msgspec.to_builtins(options),
         "counts": msgspec.to_builtins(judgement),
         "violations": judgement.violations,
+        "answered_by_second": _answered_by_second(records),
         "waits": _waits(records, runs, urgent),
         "shares": _share_figures(shares),
         "refused": Counter(r.reason for r in records if r.end is not CallerEnd.ANSWERED),
@@ -138,6 +144,13 @@
     return figures, shares
 
 
+def _answered_by_second(records: Sequence[CallerRecord]) -> list[int]:
+    origin_s = min((record.intended_s for record in records), default=0.0)
+    ends = [record.ended_s for record in records if record.end is CallerEnd.ANSWERED]
+    counts = Counter(int(end_s - origin_s) for end_s in ends)
+    return [counts[second] for second in range(max(counts, default=-1) + 1)]
+
+
 def _waits(
     records: Sequence[CallerRecord], runs: Sequence[JudgedRun], urgent: set[str]
 ) -> dict[str, Any]:
--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -14,6 +14,8 @@
 
 # Each of these modules registers its subcommands when it is imported.
 _MODULES = (
+    "almondstack.bench.bounds",
+    "almondstack.bench.compare",
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
     "almondstack.bench.load",
