--- a/almondstack/fold/config.py
+++ b/almondstack/fold/config.py
@@ -4,6 +4,7 @@
 
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.refusals import Refusal, RefusedError
+from almondstack.fold.tables import table_with, table_without
 from almondstack.model import (
     FleetState,
     InstanceSpec,
@@ -31,8 +32,8 @@
     _install_queues(state, tables, context)
     state.keys = dict(tables.keys)
     state.limits = dict(tables.limits)
-    for name in body.note.withdrawn.keys:
-        state.revoked.setdefault(name, context.offset)
+    gone = {name: context.offset for name in body.note.withdrawn.keys}
+    state.revoked = {**gone, **state.revoked}
     _install_instances(state, tables.instances, context)
     _install_pools(state, tables, context)
 
@@ -40,19 +41,19 @@
 def _install_teams(state: FleetState, tables: ConfigTables, context: FoldContext) -> None:
     for name, team in state.teams.items():
         if name not in tables.teams:
-            state.leaving_teams[name] = LeavingTeam(context.offset, team)
+            leaving = LeavingTeam(context.offset, team)
+            state.leaving_teams = table_with(state.leaving_teams, name, leaving)
     state.teams = dict(tables.teams)
-    for name in tables.teams:
-        state.leaving_teams.pop(name, None)
+    state.leaving_teams = table_without(state.leaving_teams, tables.teams)
 
 
 def _install_queues(state: FleetState, tables: ConfigTables, context: FoldContext) -> None:
     for name, queue in state.queues.items():
         if name not in tables.queues:
-            state.leaving_queues[name] = LeavingQueue(context.offset, queue)
+            leaving = LeavingQueue(context.offset, queue)
+            state.leaving_queues = table_with(state.leaving_queues, name, leaving)
     state.queues = dict(tables.queues)
-    for name in tables.queues:
-        state.leaving_queues.pop(name, None)
+    state.leaving_queues = table_without(state.leaving_queues, tables.queues)
 
 
 def _install_pools(state: FleetState, tables: ConfigTables, context: FoldContext) -> None:
@@ -60,28 +61,28 @@
     leaving = {name: pool for name, pool in state.pools.items() if name not in tables.pools}
     for name, pool in leaving.items():
         leaving[name] = msgspec.structs.replace(pool, min_serving=0, size=0)
-        state.leaving_pools.setdefault(name, context.offset)
     state.pools = {**tables.pools, **leaving}
-    for name in tables.pools:
-        state.leaving_pools.pop(name, None)
+    state.leaving_pools = {name: state.leaving_pools.get(name, context.offset) for name in leaving}
 
 
 def _install_instances(
     state: FleetState, specs: dict[str, InstanceSpec], context: FoldContext
 ) -> None:
+    instances = dict(state.instances)
     for name, spec in specs.items():
-        known = state.instances.get(name)
+        known = instances.get(name)
         if known is None:
-            state.instances[name] = InstanceState(spec=spec, pool=spec.pool, version=context.offset)
+            instances[name] = InstanceState(spec=spec, pool=spec.pool, version=context.offset)
         elif known.spec != spec or known.is_withdrawn:
-            state.instances[name] = msgspec.structs.replace(
+            instances[name] = msgspec.structs.replace(
                 known, spec=spec, is_withdrawn=False, version=context.offset
             )
-    for name, known in list(state.instances.items()):
+    for name, known in state.instances.items():
         if name not in specs and not known.is_withdrawn:
-            state.instances[name] = msgspec.structs.replace(
+            instances[name] = msgspec.structs.replace(
                 known, is_withdrawn=True, version=context.offset
             )
+    state.instances = instances
 
 
 @fold_body.register
@@ -91,7 +92,7 @@
         raise RefusedError(Refusal.NO_SUCH_TEAM, key.team)
     if key.id in state.keys or key.id in state.revoked:
         raise RefusedError(Refusal.KEY_EXISTS, key.id)
-    state.keys[key.id] = key
+    state.keys = table_with(state.keys, key.id, key)
     state.revision += 1
 
 
@@ -99,8 +100,8 @@
 def _(body: KeyRevoked, state: FleetState, context: FoldContext) -> None:
     if body.key_id in state.revoked:
         return
-    state.revoked[body.key_id] = context.offset
-    state.keys.pop(body.key_id, None)
+    state.revoked = table_with(state.revoked, body.key_id, context.offset)
+    state.keys = table_without(state.keys, [body.key_id])
     state.revision += 1
 
 
--- a/almondstack/fold/instances.py
+++ b/almondstack/fold/instances.py
@@ -17,6 +17,7 @@
 
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.refusals import Refusal, RefusedError
+from almondstack.fold.tables import table_without
 from almondstack.fold.wave_progress import (
     check_wave_reboot,
     check_wave_step,
@@ -133,7 +134,7 @@
     for wave in list(state.waves.values()):
         if body.instance in wave.waiting:
             set_aside(state, wave, body.instance, "withdrawn")
-    del state.instances[body.instance]
+    state.instances = table_without(state.instances, [body.instance])
 
 
 def _current(state: FleetState, instance: str, version: int) -> InstanceState:
--- a/almondstack/fold/judge.py
+++ b/almondstack/fold/judge.py
@@ -14,6 +14,7 @@
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.pruning import prune, settle_pools
 from almondstack.fold.refusals import Refusal, RefusedError, Verdict
+from almondstack.fold.tables import table_with
 from almondstack.model import (
     REPEAT_WINDOW_RECORDS,
     AuthorMark,
@@ -53,7 +54,8 @@
     refusal = _check_envelope(state, offset, envelope)
     if refusal is not None:
         return Judgement(_verdict(offset, envelope, refusal))
-    state.authors[envelope.author] = AuthorMark(envelope.sequence, offset)
+    mark = AuthorMark(envelope.sequence, offset)
+    state.authors = table_with(state.authors, envelope.author, mark)
     return _judge_body(state, registry, offset, envelope)
 
 
--- a/almondstack/fold/members.py
+++ b/almondstack/fold/members.py
@@ -5,6 +5,7 @@
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.permits_settlement import open_settlement
 from almondstack.fold.refusals import Refusal, RefusedError
+from almondstack.fold.tables import table_with
 from almondstack.model import (
     EntryFenced,
     EntryJoined,
@@ -23,7 +24,7 @@
         raise RefusedError(Refusal.ENTRY_EXISTS, body.incarnation)
     if body.level < state.level:
         raise RefusedError(Refusal.LEVEL_NOT_SUPPORTED, f"level {state.level} is in force")
-    state.entries[body.incarnation] = EntryState(
+    entry = EntryState(
         incarnation=body.incarnation,
         name=body.name,
         zone=body.zone,
@@ -33,6 +34,7 @@
         level=body.level,
         version=context.offset,
     )
+    state.entries = table_with(state.entries, body.incarnation, entry)
 
 
 @fold_body.register
--- a/almondstack/fold/permits_settlement.py
+++ b/almondstack/fold/permits_settlement.py
@@ -10,6 +10,7 @@
 work of both has surely ended.
 """
 
+from almondstack.fold.tables import table_with, table_without
 from almondstack.model import FleetState, PermitAccount, Settlement
 
 __all__ = ["add_drawn", "open_settlement", "release_ended"]
@@ -25,15 +26,15 @@
 def open_settlement(state: FleetState, incarnation: str, is_ended: bool) -> None:
     """Ask every live entry to settle with ``incarnation``, which is not live any more."""
     waiting = tuple(entry.incarnation for entry in state.live_entries())
-    state.settlements[incarnation] = Settlement(waiting, is_ended)
+    settlement = Settlement(waiting, is_ended)
+    state.settlements = table_with(state.settlements, incarnation, settlement)
     release_ended(state)
 
 
 def release_ended(state: FleetState) -> None:
     """Return the permits of every ended incarnation with which all is settled."""
-    for name in sorted(state.settlements):
-        group = _group_of(state, name)
-        if group and all(_is_ready(state, member) for member in group):
+    for group in _groups(state):
+        if all(_is_ready(state, member) for member in group):
             _release(state, group)
 
 
@@ -43,36 +44,45 @@
     return settlement.is_ended and not has_live
 
 
-def _group_of(state: FleetState, incarnation: str) -> set[str]:
-    """Return the ended incarnations with which ``incarnation`` may share open transfers."""
-    if incarnation not in state.settlements:
-        return set()
-    group = {incarnation}
-    is_growing = True
-    while is_growing:
-        linked = {name for name in state.settlements if _is_linked(state, name, group)}
-        is_growing = not linked <= group
-        group |= linked
+def _groups(state: FleetState) -> list[set[str]]:
+    """Return the ended incarnations, those that may share open transfers together."""
+    links: dict[str, set[str]] = {name: set() for name in state.settlements}
+    for name, settlement in state.settlements.items():
+        for other in links.keys() & settlement.waiting:
+            links[name].add(other)
+            links[other].add(name)
+    groups: list[set[str]] = []
+    seen: set[str] = set()
+    for name in sorted(links):
+        if name not in seen:
+            groups.append(_reachable(links, name))
+            seen |= groups[-1]
+    return groups
+
+
+def _reachable(links: dict[str, set[str]], start: str) -> set[str]:
+    group = {start}
+    frontier = [start]
+    while frontier:
+        fresh = links[frontier.pop()] - group
+        group |= fresh
+        frontier.extend(fresh)
     return group
 
 
-def _is_linked(state: FleetState, name: str, group: set[str]) -> bool:
-    if group & set(state.settlements[name].waiting):
-        return True
-    return any(name in state.settlements[member].waiting for member in group)
-
-
 def _release(state: FleetState, group: set[str]) -> None:
-    for resource, account in list(state.permits.items()):
+    permits: dict[str, PermitAccount] = {}
+    for resource, account in state.permits.items():
         kept = {name: count for name, count in account.drawn.items() if name not in group}
-        _store(state, resource, kept)
-    for name in group:
-        del state.settlements[name]
+        if kept:
+            permits[resource] = PermitAccount(kept)
+    state.permits = permits
+    state.settlements = table_without(state.settlements, group)
 
 
 def _store(state: FleetState, resource: str, drawn: dict[str, int]) -> None:
     kept = {name: count for name, count in drawn.items() if count}
     if kept:
-        state.permits[resource] = PermitAccount(kept)
+        state.permits = table_with(state.permits, resource, PermitAccount(kept))
     else:
-        state.permits.pop(resource, None)
+        state.permits = table_without(state.permits, [resource])
--- a/almondstack/fold/pruning.py
+++ b/almondstack/fold/pruning.py
@@ -10,6 +10,7 @@
 
 from typing import Protocol, TypeVar
 
+from almondstack.fold.tables import table_without
 from almondstack.model import REPEAT_WINDOW_RECORDS, FleetState
 
 __all__ = ["PRUNE_EVERY_RECORDS", "prune", "settle_pools"]
@@ -51,9 +52,9 @@
     if not state.leaving_pools:
         return
     owners = {item.pool for item in state.instances.values()}
-    for name in [name for name in state.leaving_pools if name not in owners]:
-        del state.leaving_pools[name]
-        state.pools.pop(name, None)
+    empty = [name for name in state.leaving_pools if name not in owners]
+    state.leaving_pools = table_without(state.leaving_pools, empty)
+    state.pools = table_without(state.pools, empty)
 
 
 def _since(table: dict[str, M], oldest: int) -> dict[str, M]:
--- /dev/null
+++ b/almondstack/fold/tables.py
@@ -0,0 +1,41 @@
+"""Changes of tables that readers may be iterating over.
+
+Explanation
+-----------
+Readers hold no lock.  The value of a name that a table has is replaced in
+place; if a name comes or goes, the table itself is replaced, so an iteration
+over the one that a reader took goes on undisturbed.
+"""
+
+from collections.abc import Iterable
+from typing import TypeVar
+
+__all__ = ["table_with", "table_without"]
+
+V = TypeVar("V")
+
+
+def table_with(table: dict[str, V], name: str, value: V) -> dict[str, V]:
+    """Return the table in which ``name`` has ``value``: ``table`` itself if it has the name.
+
+    Examples
+    --------
+    >>> from almondstack.fold.tables import table_with
+    >>> table = {"a": 1}
+    >>> table_with(table, "a", 2) is table
+    True
+    >>> table_with(table, "b", 3), table
+    ({'a': 2, 'b': 3}, {'a': 2})
+    """
+    if name not in table:
+        return {**table, name: value}
+    table[name] = value
+    return table
+
+
+def table_without(table: dict[str, V], names: Iterable[str]) -> dict[str, V]:
+    """Return a table without ``names``: ``table`` itself if it has none of them."""
+    gone = table.keys() & set(names)
+    if not gone:
+        return table
+    return {name: value for name, value in table.items() if name not in gone}
--- a/almondstack/fold/waves.py
+++ b/almondstack/fold/waves.py
@@ -4,6 +4,7 @@
 
 from almondstack.fold.apply import FoldContext, fold_body, subject_of
 from almondstack.fold.refusals import Refusal, RefusedError
+from almondstack.fold.tables import table_with
 from almondstack.fold.wave_progress import set_aside
 from almondstack.model import (
     FleetState,
@@ -39,13 +40,14 @@
     if not members:
         raise RefusedError(Refusal.WAVE_EMPTY, spec.name)
     _check_overlap(state, members)
-    state.waves[spec.name] = WaveState(
+    wave = WaveState(
         spec=spec,
         members=members,
         version=context.offset,
         started_offset=context.offset,
         reason=f"started by {body.operator}" if body.operator else "started",
     )
+    state.waves = table_with(state.waves, spec.name, wave)
 
 
 def wave_members(state: FleetState, spec: WaveSpec) -> tuple[str, ...]:
--- a/almondstack/model/state.py
+++ b/almondstack/model/state.py
@@ -4,8 +4,10 @@
 -----------
 The tables are dictionaries of frozen values.  Only :mod:`almondstack.fold`
 writes them, and it replaces values rather than changing them, so a reader may
-keep any value it took.  :class:`FleetState` holds nothing that a second reader
-at the same offset would not hold as well.
+keep any value it took.  A table is replaced when a name comes or goes, so a
+reader without the fold's lock may iterate over the table it took.
+:class:`FleetState` holds nothing that a second reader at the same offset would
+not hold as well.
 """
 
 from enum import StrEnum
