--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -16,6 +16,11 @@
 _MODULES = (
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
+    "almondstack.bench.load",
+    "almondstack.bench.slopes",
+    "almondstack.bench.slope_fleet",
+    "almondstack.bench.slope_processes",
+    "almondstack.bench.slope_state",
     "almondstack.bench.state",
 )
 
--- a/almondstack/keeper/daemon.py
+++ b/almondstack/keeper/daemon.py
@@ -16,6 +16,8 @@
 __all__ = ["KeeperDaemon"]
 
 _STATUS_THREADS = 2
+_STATUS_TIMEOUT_S = 2
+_MOST_HEAD_BYTES = 16_384
 _READY_SILENCE_S = 30.0
 _FLUSH_S = 2.0
 _FLUSH_STEP_S = 0.05
@@ -84,7 +86,10 @@
             StatusApp(self.status, self._metrics),
             numthreads=_STATUS_THREADS,
             max=_STATUS_THREADS,
+            timeout=_STATUS_TIMEOUT_S,
         )
+        self._server.max_request_header_size = _MOST_HEAD_BYTES
+        self._server.max_request_body_size = _MOST_HEAD_BYTES
         self._stopping = threading.Event()
 
     def run(self) -> None:
