Follow the fleet's late totals slowly, and measure the scheduler

Change: own starts count at once, the difference to the fleet's totals is followed with a time constant of 1 s; the reserve before a deadline is the learned run time that one in ten exceeds; nothing is sorted while no slot is free; UsageBook and UsageReport carry running totals between entries; almondstack-bench path.

--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -13,7 +13,7 @@
 _EXIT_FAILED = 1
 
 # Each of these modules registers its subcommands when it is imported.
-_MODULES = ("almondstack.bench.demo",)
+_MODULES = ("almondstack.bench.demo", "almondstack.bench.path_bench")
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/almondstack/dispatch/choosing.py
+++ b/almondstack/dispatch/choosing.py
@@ -8,8 +8,6 @@
 and then the one with the most free permits.
 """
 
-import itertools
-
 from almondstack.core import NodeSettings
 from almondstack.dispatch.departures import Departures
 from almondstack.dispatch.health import HealthBook
@@ -21,6 +19,17 @@
 __all__ = ["UpstreamChooser"]
 
 
+class _Taker:
+    """An upstream that takes work, and the resource of its slots."""
+
+    __slots__ = ("instance", "name", "resource")
+
+    def __init__(self, instance: InstanceState) -> None:
+        self.instance = instance
+        self.name = instance.name
+        self.resource = slots_resource(instance.name)
+
+
 class UpstreamChooser:
     """Chooses upstreams of a pool.
 
@@ -68,37 +77,38 @@
         self._permits = permits
         self._health = health
         self._departures = departures
-        self._turn = itertools.count()
+        self._turn = 0
         self._offset = -1
-        self._taking: dict[str, list[InstanceState]] = {}
+        self._taking: dict[str, list[_Taker]] = {}
         self._noted: dict[str, int] = {}
 
     def choose(self, pool: str, avoid: frozenset[str]) -> InstanceState | None:
         """Return the best upstream with a free slot permit here, or None."""
         best: InstanceState | None = None
         best_rank: tuple[bool, bool, float, int, int] | None = None
-        taking = self.taking(pool)
-        turn = next(self._turn)
-        for place, instance in enumerate(taking):
-            free = self._free_slots(instance)
+        takers = self._takers(pool)
+        for place, taker in enumerate(takers):
+            free = self._free_slots(taker)
             if free <= 0:
                 continue
             rank = (
-                instance.name in avoid,
-                self._health.is_suspected(instance.name),
-                self._cost_ms(instance),
+                taker.name in avoid,
+                self._health.is_suspected(taker.name),
+                self._cost_ms(taker.instance),
                 -free,
-                (place + turn) % len(taking),
+                (place + self._turn) % len(takers),
             )
             if best_rank is None or rank < best_rank:
-                best, best_rank = instance, rank
+                best, best_rank = taker.instance, rank
         return best
 
+    def has_room(self, pool: str) -> bool:
+        """Return True if :meth:`choose` would find an upstream."""
+        return any(self._free_slots(taker) > 0 for taker in self._takers(pool))
+
     def taking(self, pool: str) -> list[InstanceState]:
         """Return the upstreams of ``pool`` that the log shows as taking work."""
-        if self._fold.next_offset != self._offset:
-            self._refresh()
-        return self._taking.get(pool, [])
+        return [taker.instance for taker in self._takers(pool)]
 
     def names(self, pool: str) -> list[str]:
         """Return the names of :meth:`taking`."""
@@ -106,13 +116,11 @@
 
     def slots_held(self, pool: str) -> int:
         """Return how many slot permits of ``pool`` are held here."""
-        return sum(
-            self._permits.held_count(slots_resource(instance.name))
-            for instance in self.taking(pool)
-        )
+        return sum(self._permits.held_count(taker.resource) for taker in self._takers(pool))
 
     def note_start(self, instance: str) -> None:
         """Take note that a call starts on ``instance``."""
+        self._turn += 1
         self._health.note_start(instance)
 
     def note_waiting(self, pool: str, waiting: int) -> None:
@@ -120,8 +128,8 @@
         if self._noted.get(pool, 0) == waiting:
             return
         self._noted[pool] = waiting
-        for instance in self.taking(pool):
-            self._permits.note_demand(slots_resource(instance.name), waiting)
+        for taker in self._takers(pool):
+            self._permits.note_demand(taker.resource, waiting)
 
     def most_idle(self, instance: InstanceState) -> int:
         """Return how many idle connections the permits held here allow."""
@@ -131,18 +139,22 @@
         per_slot = instance.spec.connections // instance.spec.slots
         return max(0, held * per_slot - used)
 
-    def _free_slots(self, instance: InstanceState) -> int:
-        resource = slots_resource(instance.name)
-        free = self._permits.free_count(resource)
-        if free <= 0 or self._departures.is_leaving(instance):
+    def _free_slots(self, taker: _Taker) -> int:
+        free = self._permits.free_count(taker.resource)
+        if free <= 0 or self._departures.is_leaving(taker.instance):
             return 0
-        held = self._permits.held_count(resource)
-        return free if self._health.may_take(instance.name, held - free, held) else 0
+        held = self._permits.held_count(taker.resource)
+        return free if self._health.may_take(taker.name, held - free, held) else 0
 
     def _cost_ms(self, instance: InstanceState) -> float:
         is_near = instance.spec.zone == self._zone
         return 0.0 if is_near else self._settings.zone_cost_ms
 
+    def _takers(self, pool: str) -> list[_Taker]:
+        if self._fold.next_offset != self._offset:
+            self._refresh()
+        return self._taking.get(pool, [])
+
     def _refresh(self) -> None:
         """Sort the instances by pool again, and ease those that came back in."""
         with self._fold.lock:
@@ -150,11 +162,11 @@
             instances = sorted(self._fold.state.instances.values(), key=lambda item: item.name)
         before = {item.name for items in self._taking.values() for item in items}
         is_first = self._offset < 0
-        taking: dict[str, list[InstanceState]] = {}
+        taking: dict[str, list[_Taker]] = {}
         for instance in instances:
             if not instance.is_taking_work:
                 continue
-            taking.setdefault(instance.pool, []).append(instance)
+            taking.setdefault(instance.pool, []).append(_Taker(instance))
             if not is_first and before and instance.name not in before:
                 self._health.note_return(instance.name)
         self._health.forget_except(item.name for item in instances)
--- a/almondstack/dispatch/parts.py
+++ b/almondstack/dispatch/parts.py
@@ -71,7 +71,13 @@
         self.departures = Departures(listing, clock)
         self.chooser = UpstreamChooser(settings, node, fold, permits, self.health, self.departures)
         self.scheduler = FairScheduler(
-            settings.queueing, fold, permits, self.chooser, usage, clock, metrics
+            settings.queueing,
+            fold,
+            permits,
+            self.chooser,
+            usage,
+            clock,
+            metrics,
         )
         self.connections = ConnectionPool(settings.connections, clock)
         self.holder = GrantHolder(self.scheduler, clock)
--- a/almondstack/queueing/__init__.py
+++ b/almondstack/queueing/__init__.py
@@ -9,6 +9,7 @@
 from almondstack.queueing.team_queue import TeamQueue
 from almondstack.queueing.urgent import NoRelief, UrgentRelief
 from almondstack.queueing.usage import FleetUsage, NoFleetUsage
+from almondstack.queueing.usage_book import TeamUsage, UsageBook, UsageReport
 from almondstack.queueing.waiting import Grant, WaitingCall, WaitingState
 
 __all__ = [
@@ -24,7 +25,10 @@
     "RunTimeEstimator",
     "RunTimes",
     "TeamQueue",
+    "TeamUsage",
     "UrgentRelief",
+    "UsageBook",
+    "UsageReport",
     "WaitingCall",
     "WaitingState",
     "max_min_shares",
--- a/almondstack/queueing/expected_wait.py
+++ b/almondstack/queueing/expected_wait.py
@@ -13,6 +13,7 @@
 
 _LONGEST_RETRY_AFTER_S = 60
 _LEAST_CONCURRENCY = 0.5
+_MOST_RESERVE = 0.5
 
 
 class ExpectedWait:
@@ -51,8 +52,7 @@
         if not ahead:
             return
         wait_s = self.wait_s(call, pool, queue, slots)
-        low_s = self._run_times.of(call.queue.name).low_s
-        left_s = call.deadline_s - now_s - low_s
+        left_s = self.latest_start_s(call, now_s) - now_s
         if wait_s * self._settings.wait_margin > left_s:
             retry_s = math.ceil(wait_s - max(0.0, left_s))
             raise RequestError(
@@ -60,6 +60,18 @@
                 retry_after_s=min(max(1, retry_s), _LONGEST_RETRY_AFTER_S),
             )
 
+    def latest_start_s(self, call: Work, now_s: float) -> float:
+        """Return when ``call`` must start to end in time, in monotonic seconds.
+
+        Explanation
+        -----------
+        Work that starts later would hold a slot and be of no use.  The reserve
+        is the run time that one in ten calls exceeds, but never more than half
+        of the time there is, as the estimate may be far off.
+        """
+        high_s = self._run_times.of(call.queue.name).high_s
+        return call.deadline_s - min(high_s, _MOST_RESERVE * (call.deadline_s - now_s))
+
     def wait_s(self, call: Work, pool: PoolQueue, queue: TeamQueue, slots: int) -> float:
         """Return the expected wait in seconds; 0 while run times are unknown."""
         work_s = 0.0
--- a/almondstack/queueing/pool_queue.py
+++ b/almondstack/queueing/pool_queue.py
@@ -9,8 +9,14 @@
 Cheng 1996) does with service: a team that was below the common level for some
 seconds is preferred until it has caught up.  A team without waiting work keeps
 no credit.
+
+The totals of other entries are late.  If every entry acted on them at once, all
+would favour the same team and overshoot together; so the level of a team is a
+complementary filter: own starts count at once, scaled up to the fleet, and the
+difference between this entry's picture and the fleet's is followed slowly.
 """
 
+import math
 from collections.abc import Iterator
 
 from almondstack.model import Team
@@ -34,13 +40,14 @@
         What runs at other entries.
     """
 
-    __slots__ = ("_settings", "_updated_s", "_usage", "pool", "teams", "waiting_count")
+    __slots__ = ("_scale", "_settings", "_updated_s", "_usage", "pool", "teams", "waiting_count")
 
     def __init__(self, pool: str, settings: QueueingSettings, usage: FleetUsage) -> None:
         self.pool = pool
         self._settings = settings
         self._usage = usage
         self._updated_s = 0.0
+        self._scale = 1.0
         self.teams: dict[str, TeamQueue] = {}
         self.waiting_count = 0
 
@@ -52,14 +59,19 @@
         found.team = team
         return found
 
+    def note_start(self, queue: TeamQueue) -> None:
+        """Take note that a call of ``queue`` took a slot."""
+        queue.running += 1
+        queue.level += self._scale / queue.team.share
+
     def update(self, now_s: float) -> None:
         """Take in the totals of other entries and integrate distances up to ``now_s``."""
         elapsed_s = max(0.0, now_s - self._updated_s)
         self._updated_s = now_s
+        self._follow_fleet(elapsed_s)
         active: list[TeamQueue] = []
         for queue in self.teams.values():
-            queue.elsewhere = self._usage.running_elsewhere(self.pool, queue.team.name)
-            if len(queue) and not queue.is_blocked:
+            if queue.is_waiting and not queue.is_blocked:
                 active.append(queue)
             else:
                 queue.lag_s = 0.0
@@ -68,22 +80,49 @@
 
     def in_order(self, now_s: float) -> Iterator[TeamQueue]:
         """Yield the teams that have waiting calls, the next to be served first."""
-        active = [queue for queue in self.teams.values() if len(queue)]
+        active = [queue for queue in self.teams.values() if queue.is_waiting]
+        if not active:
+            return
+        ranks = self._ranks(active, now_s)
+        first = min(active, key=lambda queue: ranks[queue.team.name])
+        yield first
+        rest = [queue for queue in active if queue is not first]
+        yield from sorted(rest, key=lambda queue: ranks[queue.team.name])
+
+    def _ranks(self, active: list[TeamQueue], now_s: float) -> dict[str, tuple[bool, float]]:
+        """Return by team how soon it is served; less is sooner."""
         gain = self._settings.share_gain_per_s
-        level = _common_level(active)
-
-        def rank(queue: TeamQueue) -> tuple[int, float]:
-            score = queue.level - gain * queue.lag_s
-            return (0 if self._is_overdrawing(queue, level, now_s) else 1, score)
-
-        active.sort(key=rank)
-        return iter(active)
+        common = _common_level(active)
+        return {
+            queue.team.name: (
+                not self._is_overdrawing(queue, common, now_s),
+                queue.level - gain * queue.lag_s,
+            )
+            for queue in active
+        }
+
+    def _follow_fleet(self, elapsed_s: float) -> None:
+        """Follow slowly how far the local picture is from that of the fleet."""
+        local = fleet = 0
+        for queue in self.teams.values():
+            queue.elsewhere = self._usage.running_elsewhere(self.pool, queue.team.name)
+            local += queue.running
+            fleet += queue.elsewhere
+        fleet += local
+        self._scale = fleet / local if local else 1.0
+        weight = 1 - math.exp(-elapsed_s / self._settings.fleet_smoothing_s)
+        for queue in self.teams.values():
+            share = queue.team.share
+            own = queue.running * self._scale / share
+            difference = own - (queue.running + queue.elsewhere) / share
+            queue.drift += weight * (difference - queue.drift)
+            queue.level = own - queue.drift
 
     def _integrate(self, active: list[TeamQueue], elapsed_s: float) -> None:
-        level = _common_level(active)
-        bound = self._settings.max_lag_s * max(level, 1.0)
+        common = _common_level(active)
+        bound = self._settings.max_lag_s * max(common, 1.0)
         for queue in active:
-            lag_s = queue.lag_s + (level - queue.level) * elapsed_s
+            lag_s = queue.lag_s + (common - queue.level) * elapsed_s
             queue.lag_s = min(bound, max(-bound, lag_s))
 
     def _is_overdrawing(self, queue: TeamQueue, level: float, now_s: float) -> bool:
@@ -94,10 +133,13 @@
         excess = queue.running + queue.elsewhere - fair
         owed = -queue.lag_s * queue.team.share
         overdraft = self._settings.urgent_overdraft_slots
-        return excess < overdraft and owed < overdraft * self._settings.max_lag_s
+        return excess < overdraft and owed < overdraft * self._settings.urgent_debt_s
 
 
 def _common_level(active: list[TeamQueue]) -> float:
-    share = sum(queue.team.share for queue in active)
-    running = sum(queue.running + queue.elsewhere for queue in active)
+    share = 0
+    running = 0.0
+    for queue in active:
+        share += queue.team.share
+        running += queue.level * queue.team.share
     return running / share if share else 0.0
--- a/almondstack/queueing/run_times.py
+++ b/almondstack/queueing/run_times.py
@@ -3,7 +3,7 @@
 Explanation
 -----------
 Callers' sizes are not used: they may be wrong by a factor of ten.  The mean is
-an exponentially weighted moving average, and the low quantile follows the
+an exponentially weighted moving average, and the high quantile follows the
 stochastic approximation of Robbins and Monro (1951) in the logarithm, so that
 its steps do not depend on the unit.
 """
@@ -13,7 +13,7 @@
 __all__ = ["RunTimeEstimator", "RunTimes"]
 
 _MEAN_WEIGHT = 0.05
-_QUANTILE = 0.1
+_QUANTILE = 0.9
 _QUANTILE_STEP = 0.15
 _FEWEST_SAMPLES = 5
 _SHORTEST_S = 1e-5
@@ -30,16 +30,16 @@
     True
     >>> for _ in range(100):
     ...     estimator.learn(0.5, bound_s=60.0)
-    >>> round(estimator.mean_s, 2), round(estimator.low_s, 1)
-    (0.5, 0.5)
+    >>> round(estimator.mean_s, 2), 0.4 < estimator.high_s < 0.6
+    (0.5, True)
     """
 
-    __slots__ = ("_count", "_log_low", "_mean_s")
+    __slots__ = ("_count", "_log_high", "_mean_s")
 
     def __init__(self) -> None:
         self._count = 0
         self._mean_s = 0.0
-        self._log_low = 0.0
+        self._log_high = 0.0
 
     @property
     def mean_s(self) -> float | None:
@@ -47,9 +47,9 @@
         return self._mean_s if self._count >= _FEWEST_SAMPLES else None
 
     @property
-    def low_s(self) -> float:
-        """Run time that nine in ten calls exceed, in seconds; 0 while unknown."""
-        return math.exp(self._log_low) if self._count >= _FEWEST_SAMPLES else 0.0
+    def high_s(self) -> float:
+        """Run time that one in ten calls exceeds, in seconds; 0 while unknown."""
+        return math.exp(self._log_high) if self._count >= _FEWEST_SAMPLES else 0.0
 
     def learn(self, run_time_s: float, bound_s: float) -> None:
         """Take in one run time; values above ``bound_s`` count as ``bound_s``."""
@@ -58,12 +58,10 @@
         weight = max(_MEAN_WEIGHT, 1 / self._count)
         self._mean_s += weight * (value_s - self._mean_s)
         if self._count == 1:
-            self._log_low = math.log(value_s)
+            self._log_high = math.log(value_s)
             return
-        is_below = math.log(value_s) < self._log_low
-        self._log_low += _QUANTILE_STEP * (_QUANTILE - is_below)
-        if not is_below:
-            self._log_low = min(self._log_low, math.log(value_s))
+        is_below = math.log(value_s) <= self._log_high
+        self._log_high += _QUANTILE_STEP * (_QUANTILE - is_below)
 
 
 class RunTimes:
--- a/almondstack/queueing/scheduler.py
+++ b/almondstack/queueing/scheduler.py
@@ -22,6 +22,7 @@
 from almondstack.queueing.settings import QueueingSettings
 from almondstack.queueing.team_queue import TeamQueue
 from almondstack.queueing.usage import FleetUsage
+from almondstack.queueing.usage_book import TeamUsage, UsageReport
 from almondstack.queueing.waiting import Grant, WaitingCall, WaitingState
 from almondstack.queueing.work import Work
 
@@ -35,6 +36,10 @@
         """Return an upstream with a free slot permit here, or None."""
         ...
 
+    def has_room(self, pool: str) -> bool:
+        """Return True if :meth:`choose` would find an upstream."""
+        ...
+
     def slots_held(self, pool: str) -> int:
         """Return how many slot permits of ``pool`` are held here."""
         ...
@@ -126,15 +131,16 @@
         queue = found.teams.get(team) if found else None
         return queue.running if queue is not None else 0
 
-    def running_counts(self) -> dict[tuple[str, str], int]:
-        """Return the running calls by pool and team, for the exchange between entries."""
+    def usage_report(self, entry: str) -> UsageReport:
+        """Return what runs here, to be told to other entries as of ``entry``."""
         with self._locked():
-            return {
-                (pool.pool, name): queue.running
+            usages = tuple(
+                TeamUsage(pool.pool, name, queue.running)
                 for pool in self._pools.values()
                 for name, queue in pool.teams.items()
                 if queue.running
-            }
+            )
+        return UsageReport(entry, usages)
 
     def admit(self, call: Work) -> WaitingCall:
         """Let ``call`` wait, and start it at once if it can be.
@@ -153,9 +159,8 @@
             self._check_bounds(call, pool, queue)
             self._check_wait(call, pool, queue, now_s)
             self._check_rate(call)
-            low_s = self._run_times.of(call.queue.name).low_s
-            latest_s = max(now_s, call.deadline_s - low_s)
-            item = WaitingCall(call, now_s, min(latest_s, call.deadline_s), queue)
+            latest_s = self._expected.latest_start_s(call, now_s)
+            item = WaitingCall(call, now_s, latest_s, queue)
             self._insert(pool, queue, item)
             self._start_waiting(pool, now_s)
         return item
@@ -208,13 +213,13 @@
             if grant.is_finished:
                 return
             grant.is_finished = True
+            self._pool(grant.waiting.call.pool).update(self._clock.monotonic())
             grant.team_queue.running -= 1
             if grant.waiting.grant is grant:
                 self._close(grant.waiting)
             if run_time_s is not None:
                 self._learn(grant.waiting.call, run_time_s)
         self._permits.give_back(grant.resources)
-        self.pump()
 
     def suspend(self, grant: Grant, has_started: bool) -> None:
         """Part a call from its grant, which stays taken, until the next try.
@@ -326,9 +331,10 @@
         self._run_times.of(call.queue.name).learn(run_time_s, bound_s)
 
     def _start_waiting(self, pool: PoolQueue, now_s: float) -> None:
-        pool.update(now_s)
-        while pool.waiting_count and self._start_one(pool, now_s):
-            pass
+        if pool.waiting_count and self._placement.has_room(pool.pool):
+            pool.update(now_s)
+            while pool.waiting_count and self._start_one(pool, now_s):
+                pass
         self._note_demand(pool)
 
     def _start_one(self, pool: PoolQueue, now_s: float) -> bool:
@@ -358,7 +364,7 @@
     def _start(self, pool: PoolQueue, queue: TeamQueue, item: WaitingCall, grant: Grant) -> None:
         self._take_out(item)
         self._placement.note_start(grant.instance.name)
-        queue.running += 1
+        pool.note_start(queue)
         item.state = WaitingState.RUNNING
         item.grant = grant
         item.settle()
--- a/almondstack/queueing/settings.py
+++ b/almondstack/queueing/settings.py
@@ -23,10 +23,14 @@
         distance, per second.
     max_lag_s : float
         Bound on the remembered distance, in seconds of the team's whole share.
+    fleet_smoothing_s : float
+        How slowly the totals of other entries are followed, in seconds.
     urgent_patience_s : float
         An urgent call that waited so long may overdraw its team's share.
     urgent_overdraft_slots : int
         Most running calls above its share that a team may reach that way here.
+    urgent_debt_s : float
+        How long the team may owe each of these slots, in seconds.
     relief_after_s : float
         An urgent call that waited so long asks the platform for a slot.
     wait_margin : float
@@ -35,9 +39,11 @@
 
     max_waiting: Annotated[int, Meta(ge=1, le=1_000_000)] = 2000
     max_waiting_per_team: Annotated[int, Meta(ge=1, le=1_000_000)] = 1000
-    share_gain_per_s: Annotated[float, Meta(ge=0, le=100)] = 1.0
+    share_gain_per_s: Annotated[float, Meta(ge=0, le=100)] = 2.0
     max_lag_s: PositiveSeconds = 2.0
+    fleet_smoothing_s: PositiveSeconds = 1.0
     urgent_patience_s: Annotated[float, Meta(ge=0, le=60)] = 0.2
     urgent_overdraft_slots: Annotated[int, Meta(ge=0, le=4096)] = 2
+    urgent_debt_s: PositiveSeconds = 10.0
     relief_after_s: PositiveSeconds = 0.7
-    wait_margin: Annotated[float, Meta(gt=0, le=10)] = 1.0
+    wait_margin: Annotated[float, Meta(gt=0, le=10)] = 1.25
--- a/almondstack/queueing/team_queue.py
+++ b/almondstack/queueing/team_queue.py
@@ -25,9 +25,11 @@
     __slots__ = (
         "_ordinary",
         "_urgent",
+        "drift",
         "elsewhere",
         "is_blocked",
         "lag_s",
+        "level",
         "noted_demand",
         "running",
         "team",
@@ -41,6 +43,8 @@
         self.running = 0
         self.elsewhere = 0
         self.lag_s = 0.0
+        self.drift = 0.0
+        self.level = 0.0
         self.is_blocked = False
         self.noted_demand = 0
         self.waiting_by_queue: Counter[str] = Counter()
@@ -54,9 +58,9 @@
         return len(self._urgent)
 
     @property
-    def level(self) -> float:
-        """Running calls in the fleet per unit of share."""
-        return (self.running + self.elsewhere) / self.team.share
+    def is_waiting(self) -> bool:
+        """True if a call waits."""
+        return bool(self._urgent or self._ordinary)
 
     def add(self, item: WaitingCall, at_front: bool = False) -> None:
         """Append a call, or put it before all others of its lane."""
