Refuse at once when a pool cannot be reached, and test health and waits

Cause: calls for a pool whose upstreams refuse connections waited until their deadline; a call whose deadline passed while connecting was sent all the same and ended as unknown; a start was allowed before the connection was made, so that a revocation could slip in between. Change: UPSTREAMS_FAILING at admission while no upstream can be tried; deadline, hang-up and permission are checked between connecting and sending; an unreachable upstream is tried again after 2 s at most; the run time quantile follows tenfold changes within 100 answers; the upstream stand-in no longer misses the switch that closes idle connections when it is set right after an answer.

--- a/almondstack/dispatch/fair.py
+++ b/almondstack/dispatch/fair.py
@@ -182,11 +182,12 @@
     def _check_pool(self, call: Call) -> None:
         if call.caller_gone.is_set():
             raise RequestError(Reason.CALLER_GONE)
-        if not any(
-            not self._parts.departures.is_leaving(item)
-            for item in self._parts.chooser.taking(call.pool)
-        ):
+        taking = self._parts.chooser.taking(call.pool)
+        staying = [item.name for item in taking if not self._parts.departures.is_leaving(item)]
+        if not staying:
             raise RequestError(Reason.NO_UPSTREAM)
+        if all(self._parts.health.is_unreachable(name) for name in staying):
+            raise RequestError(Reason.UPSTREAMS_FAILING)
 
     def _try_once(self, job: _Job) -> UpstreamAnswer | None:
         """Return the answer, or None after a pause if there is to be another try."""
@@ -213,6 +214,7 @@
             if item.wait(self._next_look_s(item) - self._parts.clock.monotonic()):
                 self._raise_if_ended(job)
                 assert item.grant is not None
+                self._parts.metrics.count("started")
                 return item.grant
             if self._parts.clock.monotonic() >= item.latest_start_s:
                 self._parts.scheduler.end(item, Reason.DEADLINE_PASSED)
@@ -248,11 +250,9 @@
     def _exchange(self, call: Call, grant: Grant) -> Reply:
         address = grant.instance.spec.address
         until_s = min(grant.started_s + self._run_time_bound_s(call.pool), call.deadline_s)
-        if call.caller_gone.is_set():
-            raise RequestError(Reason.CALLER_GONE)
-        call.before_start()
         connection = self._parts.connections.take(address, call.is_idempotent)
         try:
+            self._check_start(call, until_s)
             reply = exchange(call, connection, until_s, self._parts.clock)
         except BaseException:
             self._parts.connections.discard(connection)
@@ -260,6 +260,14 @@
         reply.allow_pauses(self._parts.settings.connections.body_timeout_s)
         return reply
 
+    def _check_start(self, call: Call, until_s: float) -> None:
+        """Raise if the call must not be sent any more; nothing has been sent yet."""
+        if call.caller_gone.is_set():
+            raise RequestError(Reason.CALLER_GONE)
+        if self._parts.clock.monotonic() >= until_s:
+            raise RequestError(Reason.DEADLINE_PASSED)
+        call.before_start()
+
     def _accept(self, job: _Job, grant: Grant, reply: Reply) -> UpstreamAnswer:
         name = grant.instance.name
         if reply.is_draining:
--- a/almondstack/dispatch/health.py
+++ b/almondstack/dispatch/health.py
@@ -21,7 +21,7 @@
 __all__ = ["HealthBook", "HealthRemark"]
 
 _SUSPECT_RATIO = 0.3
-_FORGET_FACTOR = 10
+_MOST_DOUBLINGS = 10
 
 
 class HealthRemark(msgspec.Struct, frozen=True):
@@ -137,6 +137,13 @@
         with self._lock:
             return self._record(instance).ejected_until_s is not None
 
+    def is_unreachable(self, instance: str) -> bool:
+        """Return True if no connection could be made and it is too early for a trial."""
+        now_s = self._clock.monotonic()
+        with self._lock:
+            record = self._record(instance)
+            return record.is_down and now_s < (record.ejected_until_s or now_s)
+
     def is_suspected(self, instance: str) -> bool:
         """Return True if there is reason to prefer others."""
         now_s = self._clock.monotonic()
@@ -274,11 +281,12 @@
         is_first = record.ejected_until_s is None
         if is_first and not is_forced and not self._can_spare(others):
             return
-        growing_s = self._settings.ejection_s * 2 ** min(record.ejections, _FORGET_FACTOR)
+        longest_s = self._settings.longest_ejection_s
+        if record.is_down:
+            longest_s = min(longest_s, self._settings.longest_unreachable_s)
+        growing_s = self._settings.ejection_s * 2 ** min(record.ejections, _MOST_DOUBLINGS)
         record.ejections += 1
-        record.ejected_until_s = record.updated_s + min(
-            growing_s, self._settings.longest_ejection_s
-        )
+        record.ejected_until_s = record.updated_s + min(growing_s, longest_s)
 
     def _can_spare(self, others: list[str]) -> bool:
         left = sum(self._record(name).ejected_until_s is None for name in others)
--- a/almondstack/dispatch/parts.py
+++ b/almondstack/dispatch/parts.py
@@ -46,6 +46,7 @@
         "fold",
         "health",
         "holder",
+        "metrics",
         "node",
         "retries",
         "scheduler",
@@ -65,6 +66,7 @@
     ) -> None:
         self.settings = settings
         self.node = node
+        self.metrics = metrics
         self.fold = fold
         self.clock = clock
         self.health = HealthBook(settings.health, clock)
@@ -77,7 +79,6 @@
             self.chooser,
             usage,
             clock,
-            metrics,
         )
         self.connections = ConnectionPool(settings.connections, clock)
         self.holder = GrantHolder(self.scheduler, clock)
--- a/almondstack/dispatch/settings.py
+++ b/almondstack/dispatch/settings.py
@@ -67,6 +67,8 @@
         Least part of a pool's upstreams that ejection leaves.
     ejection_s, longest_ejection_s : float
         First and longest ejection; it doubles in between.
+    longest_unreachable_s : float
+        Longest ejection for connections that cannot be made.
     slow_start_s : float
         How long a returned upstream takes up load.
     overload_pause_s : float
@@ -81,6 +83,7 @@
     panic_fraction: Fraction = 0.5
     ejection_s: PositiveSeconds = 1.0
     longest_ejection_s: PositiveSeconds = 30.0
+    longest_unreachable_s: PositiveSeconds = 2.0
     slow_start_s: PositiveSeconds = 5.0
     overload_pause_s: PositiveSeconds = 0.25
 
--- a/almondstack/queueing/run_times.py
+++ b/almondstack/queueing/run_times.py
@@ -14,7 +14,7 @@
 
 _MEAN_WEIGHT = 0.05
 _QUANTILE = 0.9
-_QUANTILE_STEP = 0.15
+_QUANTILE_STEP = 0.3
 _FEWEST_SAMPLES = 5
 _SHORTEST_S = 1e-5
 
@@ -30,7 +30,7 @@
     True
     >>> for _ in range(100):
     ...     estimator.learn(0.5, bound_s=60.0)
-    >>> round(estimator.mean_s, 2), 0.4 < estimator.high_s < 0.6
+    >>> round(estimator.mean_s, 2), 0.35 < estimator.high_s < 0.7
     (0.5, True)
     """
 
--- a/almondstack/queueing/scheduler.py
+++ b/almondstack/queueing/scheduler.py
@@ -12,7 +12,7 @@
 from contextlib import contextmanager
 from typing import Protocol
 
-from almondstack.core import Clock, NullMetrics, Reason, RequestError
+from almondstack.core import Clock, Reason, RequestError
 from almondstack.fold import Fold
 from almondstack.model import InstanceState
 from almondstack.permits import Permits, ceiling_resource, rate_resource, slots_resource
@@ -70,8 +70,6 @@
         What runs at other entries.
     clock : Clock
         Measures waits.
-    metrics : NullMetrics
-        Counts starts.
     """
 
     __slots__ = (
@@ -81,7 +79,6 @@
         "_fold",
         "_is_stale",
         "_lock",
-        "_metrics",
         "_permits",
         "_placement",
         "_pools",
@@ -98,7 +95,6 @@
         placement: Placement,
         usage: FleetUsage,
         clock: Clock,
-        metrics: NullMetrics,
     ) -> None:
         self._settings = settings
         self._fold = fold
@@ -106,7 +102,6 @@
         self._placement = placement
         self._usage = usage
         self._clock = clock
-        self._metrics = metrics
         self._run_times = RunTimes()
         self._expected = ExpectedWait(settings, self._run_times)
         self._pools: dict[str, PoolQueue] = {}
@@ -368,4 +363,3 @@
         item.state = WaitingState.RUNNING
         item.grant = grant
         item.settle()
-        self._metrics.count("started")
--- a/almondstack/standin/upstream_handler.py
+++ b/almondstack/standin/upstream_handler.py
@@ -55,6 +55,7 @@
     def setup(self) -> None:
         """Count the connection."""
         super().setup()
+        self._has_served = False
         self._standin: UpstreamStandin = self.server.standin  # type: ignore[attr-defined]
         self._standin.journal.add(ConnectionOpened(time.monotonic()))
 
@@ -68,6 +69,9 @@
     def handle_one_request(self) -> None:
         """Wait for a request and serve it."""
         self._standin.note_idle(self.connection)
+        if self._has_served and self._standin.faults.closes_idle:
+            self._break_after(b"")
+            return
         try:
             super().handle_one_request()
         except OSError:
@@ -86,6 +90,7 @@
 
     def _serve(self) -> None:
         self._standin.note_busy(self.connection)
+        self._has_served = True
         if self.path.startswith("/control/"):
             self._serve_control()
         elif self.path == "/livez":
--- a/almondstack/testing/scheduling.py
+++ b/almondstack/testing/scheduling.py
@@ -3,7 +3,7 @@
 import itertools
 from typing import Any
 
-from almondstack.core import NodeSettings, NullMetrics
+from almondstack.core import NodeSettings
 from almondstack.dispatch import (
     BufferedBody,
     Call,
@@ -113,5 +113,4 @@
             self.chooser,
             usage or NoFleetUsage(),
             self.clock,
-            NullMetrics(),
         )
