--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -17,6 +17,7 @@
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
     "almondstack.bench.path_bench",
+    "almondstack.bench.state",
 )
 
 
