--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -16,7 +16,12 @@
 _MODULES = (
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
+    "almondstack.bench.load",
     "almondstack.bench.path_bench",
+    "almondstack.bench.slope_fleet",
+    "almondstack.bench.slope_processes",
+    "almondstack.bench.slope_state",
+    "almondstack.bench.slopes",
     "almondstack.bench.state",
 )
 
