Probe apart from housekeeping, and weigh late totals

Cause: probes ran in the housekeeping thread, where a few silent upstreams delayed the release of permits and the marks of leaving upstreams; with eight entries a tenth of the team-seconds strayed by a quarter of the share.

--- a/almondstack/bench/path_bench.py
+++ b/almondstack/bench/path_bench.py
@@ -17,11 +17,14 @@
 from almondstack.bench.first_come_simulation import simulate_first_come
 from almondstack.bench.path_simulation import Load, PoolSimulation, SimulationResult
 from almondstack.bench.share_distance import report_shares
+from almondstack.dispatch import ConnectionSettings, DispatchSettings
 from almondstack.model import Queue, Team
 from almondstack.queueing import QueueingSettings
+from almondstack.testing.dispatching import DispatchKit
 from almondstack.testing.scheduling import SchedulerKit, make_call
+from almondstack.testing.scripted_upstream import ScriptedUpstream
 
-__all__ = ["measure_cancellations", "measure_cost", "run_path_bench"]
+__all__ = ["measure_cancellations", "measure_connections", "measure_cost", "run_path_bench"]
 
 _SHARES = {"grocer": 6, "mart": 5, "depot": 3, "fresh": 2, "agency": 1, "press": 1}
 _PARTS = (0.3, 0.25, 0.2, 0.1, 0.1, 0.05)
@@ -96,6 +99,25 @@
     }
 
 
+def measure_connections(count: int = 400) -> dict[str, float]:
+    """Return the time of a call on a fresh and on a pooled connection, in microseconds."""
+    upstream = ScriptedUpstream()
+    try:
+        kept = _time_calls(DispatchKit(upstream.address), count)
+        fresh_only = DispatchSettings(connections=ConnectionSettings(idle_per_upstream=0))
+        fresh = _time_calls(DispatchKit(upstream.address, settings=fresh_only), count)
+    finally:
+        upstream.close()
+    return {"pooled_us": kept, "fresh_us": fresh, "ratio": fresh / kept}
+
+
+def _time_calls(kit: DispatchKit, count: int) -> float:
+    start_s = time.perf_counter()
+    for _ in range(count):
+        kit.body()
+    return (time.perf_counter() - start_s) / count * 1e6
+
+
 def _simulated(load: Load, result: SimulationResult) -> dict[str, object]:
     starts = sorted(result.urgent_starts_s)
     return {
@@ -134,6 +156,7 @@
         "cost_6_teams": measure_cost(),
         "cost_60_teams": measure_cost(teams=60),
         "cancellations": measure_cancellations(),
+        "connections": measure_connections(),
         "fair_at_capacity": at_capacity,
         "fair_burst_8_entries": burst,
         "fair_burst_1_entry": _fair(5.0, 1, seed),
--- a/almondstack/dispatch/__init__.py
+++ b/almondstack/dispatch/__init__.py
@@ -10,7 +10,7 @@
 from almondstack.dispatch.headers import end_to_end_headers
 from almondstack.dispatch.health import HealthBook, HealthRemark
 from almondstack.dispatch.holding import GrantHolder
-from almondstack.dispatch.housekeeping import prober_rank
+from almondstack.dispatch.probing import Prober, prober_rank
 from almondstack.dispatch.retries import RetryBudget, RetryPolicy, Try, TryHistory
 from almondstack.dispatch.settings import (
     ConnectionSettings,
@@ -39,6 +39,7 @@
     "NoLeavingList",
     "NotSentError",
     "ProbeSettings",
+    "Prober",
     "RetryBudget",
     "RetryPolicy",
     "RetrySettings",
--- a/almondstack/dispatch/fair.py
+++ b/almondstack/dispatch/fair.py
@@ -15,9 +15,11 @@
 from almondstack.dispatch.exchange import Reply, exchange
 from almondstack.dispatch.failures import BrokenExchangeError, NotSentError
 from almondstack.dispatch.health import HealthBook
-from almondstack.dispatch.housekeeping import Housekeeper
+from almondstack.dispatch.housekeeping import keep_house
+from almondstack.dispatch.job import Job
 from almondstack.dispatch.parts import DispatchParts
-from almondstack.dispatch.retries import Try, TryHistory
+from almondstack.dispatch.periodic import Periodic
+from almondstack.dispatch.probing import Prober
 from almondstack.dispatch.settings import DispatchSettings
 from almondstack.fold import Fold
 from almondstack.permits import Permits
@@ -37,17 +39,6 @@
 _UNAVAILABLE = 503
 
 
-class _Job:
-    """A call, its place in the queue and its failed tries."""
-
-    __slots__ = ("call", "history", "item")
-
-    def __init__(self, call: Call, item: WaitingCall) -> None:
-        self.call = call
-        self.item = item
-        self.history = TryHistory()
-
-
 class FairDispatcher:
     """Runs admitted calls, each in its caller's thread.
 
@@ -73,7 +64,7 @@
         Frees slots for urgent work.
     """
 
-    __slots__ = ("_housekeeper", "_parts", "_relief")
+    __slots__ = ("_helpers", "_parts", "_relief")
 
     def __init__(
         self,
@@ -98,7 +89,11 @@
             listing or NoLeavingList(),
         )
         self._relief = relief or NoRelief()
-        self._housekeeper = Housekeeper(self._parts)
+        prober = Prober(self._parts)
+        self._helpers = (
+            Periodic("dispatch-house", settings.housekeeping_s, lambda: keep_house(self._parts)),
+            Periodic("dispatch-probe", settings.probes.interval_s, prober.probe_once),
+        )
 
     @property
     def parts(self) -> DispatchParts:
@@ -122,11 +117,13 @@
 
     def start(self) -> None:
         """Start housekeeping and probes."""
-        self._housekeeper.start()
+        for helper in self._helpers:
+            helper.start()
 
     def stop(self) -> None:
-        """End housekeeping and close idle connections."""
-        self._housekeeper.stop()
+        """End the helpers and close idle connections."""
+        for helper in self._helpers:
+            helper.stop()
         self._parts.connections.close_all()
 
     def cancel(self, call_id: str) -> bool:
@@ -153,7 +150,7 @@
         self._check_pool(call)
         item = self._parts.scheduler.admit(call)
         self._parts.retries.note_first_try()
-        job = _Job(call, item)
+        job = Job(call, item)
         try:
             while True:
                 answer = self._try_once(job)
@@ -189,7 +186,7 @@
         if all(self._parts.health.is_unreachable(name) for name in staying):
             raise RequestError(Reason.UPSTREAMS_FAILING)
 
-    def _try_once(self, job: _Job) -> UpstreamAnswer | None:
+    def _try_once(self, job: Job) -> UpstreamAnswer | None:
         """Return the answer, or None after a pause if there is to be another try."""
         grant = self._await_grant(job)
         try:
@@ -200,7 +197,7 @@
             self._note_broken(job, grant, error)
         except RequestError as error:
             self._end_early(grant, error)
-            self._raise_if_run(job)
+            job.raise_if_run()
             raise
         else:
             if not self._is_refused_drain(job, grant, reply):
@@ -208,11 +205,11 @@
         self._pause_and_requeue(job)
         return None
 
-    def _await_grant(self, job: _Job) -> Grant:
+    def _await_grant(self, job: Job) -> Grant:
         item = job.item
         while True:
             if item.wait(self._next_look_s(item) - self._parts.clock.monotonic()):
-                self._raise_if_ended(job)
+                job.raise_if_ended()
                 assert item.grant is not None
                 self._parts.metrics.count("started")
                 return item.grant
@@ -235,18 +232,6 @@
         relief_s = item.enqueued_s + self._parts.settings.queueing.relief_after_s
         return min(item.latest_start_s, relief_s)
 
-    def _raise_if_ended(self, job: _Job) -> None:
-        if job.item.reason is not None:
-            self._raise_if_run(job)
-            raise RequestError(job.item.reason)
-
-    @staticmethod
-    def _raise_if_run(job: _Job) -> None:
-        """Raise the newest failure after which the work may have run, if there is one."""
-        for failed in reversed(job.history.tries):
-            if failed.has_run:
-                raise RequestError(failed.reason)
-
     def _exchange(self, call: Call, grant: Grant) -> Reply:
         address = grant.instance.spec.address
         until_s = min(grant.started_s + self._run_time_bound_s(call.pool), call.deadline_s)
@@ -268,7 +253,7 @@
             raise RequestError(Reason.DEADLINE_PASSED)
         call.before_start()
 
-    def _accept(self, job: _Job, grant: Grant, reply: Reply) -> UpstreamAnswer:
+    def _accept(self, job: Job, grant: Grant, reply: Reply) -> UpstreamAnswer:
         name = grant.instance.name
         if reply.is_draining:
             self._parts.departures.note_answer(grant.instance)
@@ -281,7 +266,7 @@
             self._charge(job, None)
         return FairAnswer(grant, reply, self, self._parts.settings.connections, self._parts.clock)
 
-    def _is_refused_drain(self, job: _Job, grant: Grant, reply: Reply) -> bool:
+    def _is_refused_drain(self, job: Job, grant: Grant, reply: Reply) -> bool:
         """Return True if an idempotent call met a draining upstream and may go on."""
         is_refusal = reply.is_draining and reply.status == _UNAVAILABLE
         if not is_refusal or not job.call.is_idempotent or not job.call.body.is_replayable:
@@ -290,34 +275,25 @@
         answer = FairAnswer(grant, reply, self, self._parts.settings.connections, self._parts.clock)
         self._parts.scheduler.suspend(grant, has_started=True)
         answer.close()
-        self._add_try(
-            job.history, grant, True, Reason.UPSTREAM_OVERLOADED, RetryReason.UPSTREAM_DRAINING
-        )
+        job.add_failed_try(grant, True, Reason.UPSTREAM_OVERLOADED, RetryReason.UPSTREAM_DRAINING)
         return True
 
-    def _note_unsent(self, job: _Job, grant: Grant, error: NotSentError) -> None:
+    def _note_unsent(self, job: Job, grant: Grant, error: NotSentError) -> None:
         self._parts.scheduler.suspend(grant, has_started=False)
         self._parts.scheduler.finish(grant)
         if error.retry_reason is RetryReason.CONNECT_FAILED:
             pool = self._parts.chooser.names(job.call.pool)
             self._parts.health.note_connect_failure(grant.instance.name, pool)
-        self._add_try(job.history, grant, False, Reason.UPSTREAMS_FAILING, error.retry_reason)
+        job.add_failed_try(grant, False, Reason.UPSTREAMS_FAILING, error.retry_reason)
 
-    def _note_broken(self, job: _Job, grant: Grant, error: BrokenExchangeError) -> None:
+    def _note_broken(self, job: Job, grant: Grant, error: BrokenExchangeError) -> None:
         self._parts.scheduler.suspend(grant, has_started=True)
         self._hold(grant)
         is_timeout = error.reason is Reason.UPSTREAM_TIMEOUT
         retry = RetryReason.IDEMPOTENT_TIMEOUT if is_timeout else RetryReason.IDEMPOTENT_BROKE
-        self._add_try(job.history, grant, True, error.reason, retry)
-
-    @staticmethod
-    def _add_try(
-        history: TryHistory, grant: Grant, has_run: bool, reason: Reason, retry: RetryReason
-    ) -> None:
-        spec = grant.instance.spec
-        history.tries.append(Try(spec.name, spec.rack, has_run, reason, retry))
+        job.add_failed_try(grant, True, error.reason, retry)
 
-    def _pause_and_requeue(self, job: _Job) -> None:
+    def _pause_and_requeue(self, job: Job) -> None:
         item, history = job.item, job.history
         suspected = self._parts.health.suspected(history.avoid)
         now_s = self._parts.clock.monotonic()
@@ -325,7 +301,7 @@
         item.wait(pause_s)
         self._parts.scheduler.requeue(item, history.avoid)
 
-    def _charge(self, job: _Job, reason: Reason | None) -> None:
+    def _charge(self, job: Job, reason: Reason | None) -> None:
         """Hold failed tries against their upstreams, unless the call was the fault."""
         if reason is Reason.REQUEST_FAILING:
             return
--- /dev/null
+++ b/almondstack/dispatch/tests/test_helpers.py
@@ -0,0 +1,80 @@
+"""Probes and housekeeping."""
+
+import pytest
+
+from almondstack.dispatch import Prober
+from almondstack.dispatch.housekeeping import keep_house
+from almondstack.dispatch.tests.test_exchanges import upstreams  # noqa: F401
+from almondstack.model import EntryJoined, encode_record
+from almondstack.permits import slots_resource
+from almondstack.testing.dispatching import DispatchKit
+from almondstack.testing.scripted_upstream import Step
+
+_DRAINS = Step(
+    pieces=(b"HTTP/1.1 200 OK\r\nAlmondstack-Draining: yes\r\nContent-Length: 0\r\n\r\n",)
+)
+
+
+def _join(kit, *names):
+    for name in names:
+        body = EntryJoined(
+            incarnation=f"{name}~1",
+            name=name,
+            zone="a",
+            region="r",
+            address="127.0.0.1:1",
+            peer_address="127.0.0.1:2",
+        )
+        kit.fold.apply(kit.fold.next_offset, encode_record(f"{name}~1", 1, body))
+
+
+def test_idle_upstream_is_probed_and_its_drain_is_seen(upstreams):  # noqa: F811
+    leaving, staying = upstreams(default=_DRAINS), upstreams()
+    kit = DispatchKit(leaving.address, staying.address)
+    _join(kit, "e1")
+    prober = Prober(kit.dispatcher.parts)
+    prober.probe_once()
+    assert (len(leaving.received), len(staying.received)) == (1, 1)
+    assert kit.dispatcher.departures.marked() == {"u1"}
+    prober.probe_once()
+    assert (len(leaving.received), len(staying.received)) == (2, 1)
+
+
+def test_each_upstream_has_two_probers(upstreams):  # noqa: F811
+    upstream = upstreams()
+    kit = DispatchKit(upstream.address)
+    names = ["e1", "e2", "e3", "e4", "e5"]
+    _join(kit, *names)
+    instance = kit.fold.state.instances["u1"]
+    parts = kit.dispatcher.parts
+    count = 0
+    for name in names:
+        parts.node = type(parts.node)(deployment="test", name=name, zone="a")
+        count += Prober(parts).is_mine(instance)
+    assert count == 2
+
+
+@pytest.mark.parametrize("held", [8, 0])
+def test_idle_connections_go_with_their_permits(held, upstreams):  # noqa: F811
+    upstream = upstreams()
+    kit = DispatchKit(upstream.address)
+    assert kit.body() == b"ok"
+    kit.dispatcher.parts.chooser._permits = _Held(kit.permits, held)
+    keep_house(kit.dispatcher.parts)
+    assert kit.dispatcher.parts.connections.open_count(upstream.address) == min(1, held)
+
+
+class _Held:
+    """Permits of which some have been lent."""
+
+    def __init__(self, permits, held):
+        self._permits = permits
+        self._held = held
+
+    def held_count(self, resource):
+        return self._held if resource == slots_resource("u1") else 0
+
+    free_count = held_count
+
+    def note_demand(self, resource, waiting):
+        pass
--- a/almondstack/queueing/pool_queue.py
+++ b/almondstack/queueing/pool_queue.py
@@ -13,7 +13,8 @@
 The totals of other entries are late.  If every entry acted on them at once, all
 would favour the same team and overshoot together; so the level of a team is a
 complementary filter: own starts count at once, scaled up to the fleet, and the
-difference between this entry's picture and the fleet's is followed slowly.
+difference between this entry's picture and the fleet's is followed slowly.  The
+late totals themselves enter the order with a weight below one.
 """
 
 import math
@@ -92,11 +93,12 @@
     def _ranks(self, active: list[TeamQueue], now_s: float) -> dict[str, tuple[bool, float]]:
         """Return by team how soon it is served; less is sooner."""
         gain = self._settings.share_gain_per_s
+        weight = self._settings.fleet_weight
         common = _common_level(active)
         return {
             queue.team.name: (
                 not self._is_overdrawing(queue, common, now_s),
-                queue.level - gain * queue.lag_s,
+                queue.level + weight * queue.fleet_level - gain * queue.lag_s,
             )
             for queue in active
         }
--- a/almondstack/queueing/scheduler.py
+++ b/almondstack/queueing/scheduler.py
@@ -10,13 +10,12 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Protocol
 
 from almondstack.core import Clock, Reason, RequestError
 from almondstack.fold import Fold
-from almondstack.model import InstanceState
 from almondstack.permits import Permits, ceiling_resource, rate_resource, slots_resource
 from almondstack.queueing.expected_wait import ExpectedWait
+from almondstack.queueing.placement import Placement
 from almondstack.queueing.pool_queue import PoolQueue
 from almondstack.queueing.run_times import RunTimes
 from almondstack.queueing.settings import QueueingSettings
@@ -26,31 +25,7 @@
 from almondstack.queueing.waiting import Grant, WaitingCall, WaitingState
 from almondstack.queueing.work import Work
 
-__all__ = ["FairScheduler", "Placement"]
-
-
-class Placement(Protocol):
-    """Chooses upstreams."""
-
-    def choose(self, pool: str, avoid: frozenset[str]) -> InstanceState | None:
-        """Return an upstream with a free slot permit here, or None."""
-        ...
-
-    def has_room(self, pool: str) -> bool:
-        """Return True if :meth:`choose` would find an upstream."""
-        ...
-
-    def slots_held(self, pool: str) -> int:
-        """Return how many slot permits of ``pool`` are held here."""
-        ...
-
-    def note_start(self, instance: str) -> None:
-        """Take note that a call starts on ``instance``."""
-        ...
-
-    def note_waiting(self, pool: str, waiting: int) -> None:
-        """Say how many calls wait, so that slot permits move here."""
-        ...
+__all__ = ["FairScheduler"]
 
 
 class FairScheduler:
--- a/almondstack/queueing/settings.py
+++ b/almondstack/queueing/settings.py
@@ -25,6 +25,8 @@
         Bound on the remembered distance, in seconds of the team's whole share.
     fleet_smoothing_s : float
         How slowly the totals of other entries are followed, in seconds.
+    fleet_weight : float
+        Weight of these late totals in the order of teams.
     urgent_patience_s : float
         An urgent call that waited so long may overdraw its team's share.
     urgent_overdraft_slots : int
@@ -42,6 +44,7 @@
     share_gain_per_s: Annotated[float, Meta(ge=0, le=100)] = 2.0
     max_lag_s: PositiveSeconds = 2.0
     fleet_smoothing_s: PositiveSeconds = 1.0
+    fleet_weight: Annotated[float, Meta(ge=0, le=1)] = 0.5
     urgent_patience_s: Annotated[float, Meta(ge=0, le=60)] = 0.2
     urgent_overdraft_slots: Annotated[int, Meta(ge=0, le=4096)] = 2
     urgent_debt_s: PositiveSeconds = 10.0
