Count a newcomer as caught up only after its bootstrap

Cause: relayed records that came before the bootstrap made position() known, so the entry would join with a base that may lie too far back and be refused for good. test_relays_before_the_start failed before, passes now. Change: target_offset is None until a state was found. apply says when no entry is live.

--- a/almondstack/ctl/confirmation.py
+++ b/almondstack/ctl/confirmation.py
@@ -123,5 +123,7 @@
 
 
 def _show(printer: Printer, zones: list[ZoneProgress]) -> None:
+    if not zones:
+        printer.progress("No entry is live; the first to join takes it from the log.")
     for zone in zones:
         printer.progress(f"zone {zone.zone}: {zone.confirmed} of {zone.entries} entries confirmed")
--- a/almondstack/log/bootstrap.py
+++ b/almondstack/log/bootstrap.py
@@ -66,11 +66,16 @@
         self._metrics = metrics
         self._peers = peers
         self._store = SnapshotStore(client)
-        self._target_offset = 0
+        self._target_offset: int | None = None
 
     @property
-    def target_offset(self) -> int:
-        """End of the log when it was last asked; a newcomer has caught up there."""
+    def target_offset(self) -> int | None:
+        """Where a newcomer has caught up: the end of the log, or of a peer's state.
+
+        Explanation
+        -----------
+        None until :meth:`run` has found a state.
+        """
         return self._target_offset
 
     def run(self) -> BootstrapOrigin:
@@ -91,12 +96,17 @@
     def _find(self) -> BootstrapOrigin:
         try:
             bounds = self._client.bounds(FLEET)
-            self._target_offset = bounds.next_offset
             is_installed = self._install_snapshot(bounds)
         except LogError as error:
             if self._install_peer_state(self._fold.next_offset + 1):
+                self._target_offset = self._fold.next_offset
                 return BootstrapOrigin.PEER
             raise BootstrapError(f"no peer has a state and the log fails: {error.code}") from error
+        origin = self._origin_with_log(is_installed, bounds)
+        self._target_offset = bounds.next_offset
+        return origin
+
+    def _origin_with_log(self, is_installed: bool, bounds: LogBounds) -> BootstrapOrigin:
         if is_installed:
             return BootstrapOrigin.SNAPSHOT
         if self._fold.next_offset >= bounds.oldest:
--- a/almondstack/log/follower.py
+++ b/almondstack/log/follower.py
@@ -225,7 +225,8 @@
         self._stop.set()
 
     def _note_progress(self) -> None:
-        if self._fold.next_offset >= self._bootstrap.target_offset:
+        target_offset = self._bootstrap.target_offset
+        if target_offset is not None and self._fold.next_offset >= target_offset:
             self._is_caught_up = True
 
     def _note_gap(self) -> None:
--- a/almondstack/log/tests/test_bootstrap.py
+++ b/almondstack/log/tests/test_bootstrap.py
@@ -131,6 +131,18 @@
     assert laggard.encode_state() == fold.encode_state()
 
 
+def test_relays_before_the_start_do_not_count_as_caught_up():
+    log, fold = _log(10)
+    newcomer = Fold()
+    follower = Follower(log.client(), newcomer, NullMetrics(), ManualClock())
+    follower.take(fold.records_since(0)[:4])
+    assert follower.position() is None
+    follower.bootstrap()
+    assert follower.position() is None
+    follower.poll()
+    assert follower.position() == 10
+
+
 def test_one_process_writes_a_snapshot_and_the_next_one_only_if_it_does_not():
     log, fold = _log(10)
     clock = ManualClock()
