--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	$(BIN)/ruff check --quiet --no-cache --fix almondstack
 
 bench: $(STAMP)
+	ALMONDSTACK_MACHINE_EXAMPLES=2000 $(BIN)/python -m pytest almondstack/fold/tests/test_machine.py -k no_example
 	$(BIN)/almondstack-bench bounds
 
 clean:
