--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -20,10 +20,11 @@
     "almondstack.bench.entry_bench",
     "almondstack.bench.fleet_bench",
     "almondstack.bench.load",
-    "almondstack.bench.slopes",
+    "almondstack.bench.path_bench",
     "almondstack.bench.slope_fleet",
     "almondstack.bench.slope_processes",
     "almondstack.bench.slope_state",
+    "almondstack.bench.slopes",
     "almondstack.bench.state",
 )
 
--- a/almondstack/dispatch/parts.py
+++ b/almondstack/dispatch/parts.py
@@ -46,6 +46,7 @@
         "fold",
         "health",
         "holder",
+        "metrics",
         "node",
         "retries",
         "scheduler",
@@ -65,13 +66,19 @@
     ) -> None:
         self.settings = settings
         self.node = node
+        self.metrics = metrics
         self.fold = fold
         self.clock = clock
         self.health = HealthBook(settings.health, clock)
         self.departures = Departures(listing, clock)
         self.chooser = UpstreamChooser(settings, node, fold, permits, self.health, self.departures)
         self.scheduler = FairScheduler(
-            settings.queueing, fold, permits, self.chooser, usage, clock, metrics
+            settings.queueing,
+            fold,
+            permits,
+            self.chooser,
+            usage,
+            clock,
         )
         self.connections = ConnectionPool(settings.connections, clock)
         self.holder = GrantHolder(self.scheduler, clock)
--- a/almondstack/queueing/scheduler.py
+++ b/almondstack/queueing/scheduler.py
@@ -10,42 +10,22 @@
 import threading
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Protocol
 
-from almondstack.core import Clock, NullMetrics, Reason, RequestError
+from almondstack.core import Clock, Reason, RequestError
 from almondstack.fold import Fold
-from almondstack.model import InstanceState
 from almondstack.permits import Permits, ceiling_resource, rate_resource, slots_resource
 from almondstack.queueing.expected_wait import ExpectedWait
+from almondstack.queueing.placement import Placement
 from almondstack.queueing.pool_queue import PoolQueue
 from almondstack.queueing.run_times import RunTimes
 from almondstack.queueing.settings import QueueingSettings
 from almondstack.queueing.team_queue import TeamQueue
 from almondstack.queueing.usage import FleetUsage
+from almondstack.queueing.usage_book import TeamUsage, UsageReport
 from almondstack.queueing.waiting import Grant, WaitingCall, WaitingState
 from almondstack.queueing.work import Work
 
-__all__ = ["FairScheduler", "Placement"]
-
-
-class Placement(Protocol):
-    """Chooses upstreams."""
-
-    def choose(self, pool: str, avoid: frozenset[str]) -> InstanceState | None:
-        """Return an upstream with a free slot permit here, or None."""
-        ...
-
-    def slots_held(self, pool: str) -> int:
-        """Return how many slot permits of ``pool`` are held here."""
-        ...
-
-    def note_start(self, instance: str) -> None:
-        """Take note that a call starts on ``instance``."""
-        ...
-
-    def note_waiting(self, pool: str, waiting: int) -> None:
-        """Say how many calls wait, so that slot permits move here."""
-        ...
+__all__ = ["FairScheduler"]
 
 
 class FairScheduler:
@@ -65,8 +45,6 @@
         What runs at other entries.
     clock : Clock
         Measures waits.
-    metrics : NullMetrics
-        Counts starts.
     """
 
     __slots__ = (
@@ -76,7 +54,6 @@
         "_fold",
         "_is_stale",
         "_lock",
-        "_metrics",
         "_permits",
         "_placement",
         "_pools",
@@ -93,7 +70,6 @@
         placement: Placement,
         usage: FleetUsage,
         clock: Clock,
-        metrics: NullMetrics,
     ) -> None:
         self._settings = settings
         self._fold = fold
@@ -101,7 +77,6 @@
         self._placement = placement
         self._usage = usage
         self._clock = clock
-        self._metrics = metrics
         self._run_times = RunTimes()
         self._expected = ExpectedWait(settings, self._run_times)
         self._pools: dict[str, PoolQueue] = {}
@@ -126,15 +101,16 @@
         queue = found.teams.get(team) if found else None
         return queue.running if queue is not None else 0
 
-    def running_counts(self) -> dict[tuple[str, str], int]:
-        """Return the running calls by pool and team, for the exchange between entries."""
+    def usage_report(self, entry: str) -> UsageReport:
+        """Return what runs here, to be told to other entries as of ``entry``."""
         with self._locked():
-            return {
-                (pool.pool, name): queue.running
+            usages = tuple(
+                TeamUsage(pool.pool, name, queue.running)
                 for pool in self._pools.values()
                 for name, queue in pool.teams.items()
                 if queue.running
-            }
+            )
+        return UsageReport(entry, usages)
 
     def admit(self, call: Work) -> WaitingCall:
         """Let ``call`` wait, and start it at once if it can be.
@@ -153,9 +129,8 @@
             self._check_bounds(call, pool, queue)
             self._check_wait(call, pool, queue, now_s)
             self._check_rate(call)
-            low_s = self._run_times.of(call.queue.name).low_s
-            latest_s = max(now_s, call.deadline_s - low_s)
-            item = WaitingCall(call, now_s, min(latest_s, call.deadline_s), queue)
+            latest_s = self._expected.latest_start_s(call, now_s)
+            item = WaitingCall(call, now_s, latest_s, queue)
             self._insert(pool, queue, item)
             self._start_waiting(pool, now_s)
         return item
@@ -208,13 +183,13 @@
             if grant.is_finished:
                 return
             grant.is_finished = True
+            self._pool(grant.waiting.call.pool).update(self._clock.monotonic())
             grant.team_queue.running -= 1
             if grant.waiting.grant is grant:
                 self._close(grant.waiting)
             if run_time_s is not None:
                 self._learn(grant.waiting.call, run_time_s)
         self._permits.give_back(grant.resources)
-        self.pump()
 
     def suspend(self, grant: Grant, has_started: bool) -> None:
         """Part a call from its grant, which stays taken, until the next try.
@@ -326,9 +301,10 @@
         self._run_times.of(call.queue.name).learn(run_time_s, bound_s)
 
     def _start_waiting(self, pool: PoolQueue, now_s: float) -> None:
-        pool.update(now_s)
-        while pool.waiting_count and self._start_one(pool, now_s):
-            pass
+        if pool.waiting_count and self._placement.has_room(pool.pool):
+            pool.update(now_s)
+            while pool.waiting_count and self._start_one(pool, now_s):
+                pass
         self._note_demand(pool)
 
     def _start_one(self, pool: PoolQueue, now_s: float) -> bool:
@@ -358,8 +334,7 @@
     def _start(self, pool: PoolQueue, queue: TeamQueue, item: WaitingCall, grant: Grant) -> None:
         self._take_out(item)
         self._placement.note_start(grant.instance.name)
-        queue.running += 1
+        pool.note_start(queue)
         item.state = WaitingState.RUNNING
         item.grant = grant
         item.settle()
-        self._metrics.count("started")
