Follow late totals as slowly as they are late

Cause: the totals of running calls between entries come by gossip and are about a second old, not the 0.2 s that the settings were tried with.

--- a/almondstack/queueing/__init__.py
+++ b/almondstack/queueing/__init__.py
@@ -10,7 +10,6 @@
 from almondstack.queueing.team_queue import TeamQueue
 from almondstack.queueing.urgent import NoRelief, UrgentRelief
 from almondstack.queueing.usage import FleetUsage, NoFleetUsage
-from almondstack.queueing.usage_book import TeamUsage, UsageBook, UsageReport
 from almondstack.queueing.waiting import Grant, WaitingCall, WaitingState
 
 __all__ = [
@@ -26,10 +25,7 @@
     "RunTimeEstimator",
     "RunTimes",
     "TeamQueue",
-    "TeamUsage",
     "UrgentRelief",
-    "UsageBook",
-    "UsageReport",
     "WaitingCall",
     "WaitingState",
     "max_min_shares",
--- a/almondstack/queueing/pool_queue.py
+++ b/almondstack/queueing/pool_queue.py
@@ -14,7 +14,7 @@
 would favour the same team and overshoot together; so the level of a team is a
 complementary filter: own starts count at once, scaled up to the fleet, and the
 difference between this entry's picture and the fleet's is followed slowly.  The
-late totals themselves enter the order with a weight below one.
+time constant has to be several times the age of the totals.
 """
 
 import math
@@ -93,12 +93,11 @@
     def _ranks(self, active: list[TeamQueue], now_s: float) -> dict[str, tuple[bool, float]]:
         """Return by team how soon it is served; less is sooner."""
         gain = self._settings.share_gain_per_s
-        weight = self._settings.fleet_weight
         common = _common_level(active)
         return {
             queue.team.name: (
                 not self._is_overdrawing(queue, common, now_s),
-                queue.level + weight * queue.fleet_level - gain * queue.lag_s,
+                queue.level - gain * queue.lag_s,
             )
             for queue in active
         }
@@ -127,12 +126,11 @@
             lag_s = queue.lag_s + (common - queue.level) * elapsed_s
             queue.lag_s = min(bound, max(-bound, lag_s))
 
-    def _is_overdrawing(self, queue: TeamQueue, level: float, now_s: float) -> bool:
+    def _is_overdrawing(self, queue: TeamQueue, common: float, now_s: float) -> bool:
         head = queue.urgent_head()
         if head is None or now_s - head.enqueued_s < self._settings.urgent_patience_s:
             return False
-        fair = level * queue.team.share
-        excess = queue.running + queue.elsewhere - fair
+        excess = (queue.level - common) * queue.team.share
         owed = -queue.lag_s * queue.team.share
         overdraft = self._settings.urgent_overdraft_slots
         return excess < overdraft and owed < overdraft * self._settings.urgent_debt_s
--- a/almondstack/queueing/scheduler.py
+++ b/almondstack/queueing/scheduler.py
@@ -21,7 +21,6 @@
 from almondstack.queueing.settings import QueueingSettings
 from almondstack.queueing.team_queue import TeamQueue
 from almondstack.queueing.usage import FleetUsage
-from almondstack.queueing.usage_book import TeamUsage, UsageReport
 from almondstack.queueing.waiting import Grant, WaitingCall, WaitingState
 from almondstack.queueing.work import Work
 
@@ -101,16 +100,15 @@
         queue = found.teams.get(team) if found else None
         return queue.running if queue is not None else 0
 
-    def usage_report(self, entry: str) -> UsageReport:
-        """Return what runs here, to be told to other entries as of ``entry``."""
+    def running_counts(self) -> dict[tuple[str, str], int]:
+        """Return the running calls by pool and team, to be told to other entries."""
         with self._locked():
-            usages = tuple(
-                TeamUsage(pool.pool, name, queue.running)
+            return {
+                (pool.pool, name): queue.running
                 for pool in self._pools.values()
                 for name, queue in pool.teams.items()
                 if queue.running
-            )
-        return UsageReport(entry, usages)
+            }
 
     def admit(self, call: Work) -> WaitingCall:
         """Let ``call`` wait, and start it at once if it can be.
--- a/almondstack/queueing/team_queue.py
+++ b/almondstack/queueing/team_queue.py
@@ -62,11 +62,6 @@
         """True if a call waits."""
         return bool(self._urgent or self._ordinary)
 
-    @property
-    def fleet_level(self) -> float:
-        """Running calls of the fleet per unit of share, as far as known."""
-        return (self.running + self.elsewhere) / self.team.share
-
     def add(self, item: WaitingCall, at_front: bool = False) -> None:
         """Append a call, or put it before all others of its lane."""
         lane = self._lane(item)
