Add permits drawn from the log and passed between entries

Cause: a bound over the fleet must be spent by every entry without asking. Change: EscrowPermits derives what it holds from the fold and cumulative transfer totals, draws and asks by demand, returns permits for a lowered bound, starts nothing after a pause before the log is read, and settles with ended incarnations; RecoveryProposer writes the records by which their permits come back. A hypothesis machine checks it against the true history. Found by it: an unallocated permit reserved for a zone whose floor was filled by transfers was never drawn; the floor part is now drawn by the log's own count.

--- a/almondstack/permits/__init__.py
+++ b/almondstack/permits/__init__.py
@@ -1,21 +1,38 @@
 """Escrowed permits: bounds that many entries spend without asking anyone."""
 
 from almondstack.model import bounds_of, is_rate, rate_bursts
+from almondstack.permits.book import RecordSink
 from almondstack.permits.contract import (
     Permits,
     ceiling_resource,
     rate_resource,
     slots_resource,
 )
+from almondstack.permits.escrow import EscrowPermits, PeerLink
+from almondstack.permits.guard import StartGuard
 from almondstack.permits.local import LocalPermits
+from almondstack.permits.messages import PermitAsk, PermitTotals, PermitTotalsSeen
+from almondstack.permits.recovery import RecoveryProposer, gone_incarnations
+from almondstack.permits.settings import GivePolicy, PermitSettings
 from almondstack.permits.table import PermitTable
 
 __all__ = [
+    "EscrowPermits",
+    "GivePolicy",
     "LocalPermits",
+    "PeerLink",
+    "PermitAsk",
+    "PermitSettings",
     "PermitTable",
+    "PermitTotals",
+    "PermitTotalsSeen",
     "Permits",
+    "RecordSink",
+    "RecoveryProposer",
+    "StartGuard",
     "bounds_of",
     "ceiling_resource",
+    "gone_incarnations",
     "is_rate",
     "rate_bursts",
     "rate_resource",
--- /dev/null
+++ b/almondstack/permits/demand.py
@@ -0,0 +1,192 @@
+"""Decides what to draw and whom to ask, from what calls wait for.
+
+Explanation
+-----------
+An entry draws up to its even part without being asked for anything, so that no
+permits lie idle in the log when it falls silent.  Beyond that it draws and asks
+for what its waiting calls need.  A resource counts as wanted for
+:data:`MISSED_TTL_S` after an attempt to take it failed.
+"""
+
+from typing import Protocol
+
+from almondstack.core import Clock
+from almondstack.fold import unallocated_count
+from almondstack.fold.permits_floors import available_count
+from almondstack.model import (
+    EntryState,
+    FleetState,
+    PermitCount,
+    PermitsDrawn,
+    bounds_of,
+    is_rate,
+)
+from almondstack.permits.settings import PermitSettings
+from almondstack.permits.table import Holding, PermitTable
+from almondstack.permits.targets import even_part, floor_part
+
+__all__ = ["MISSED_TTL_S", "DemandPlanner", "HolderHints"]
+
+MISSED_TTL_S = 1.0
+_SCAN_INTERVAL_S = 1.0
+_HINTED_PEERS = 2
+
+
+class HolderHints(Protocol):
+    """Knows which peers have permits to spare."""
+
+    def holders_of(self, resource: str) -> list[str]:
+        """Return peers that said they have permits to spare, most first."""
+        ...
+
+
+class DemandPlanner:
+    """Plans the draws and asks of one incarnation; guarded by the lock of the table.
+
+    Parameters
+    ----------
+    settings : PermitSettings
+        Intervals and fan-out.
+    incarnation : str
+        Who plans.
+    clock : Clock
+        Measures intervals.
+    """
+
+    __slots__ = (
+        "_asked_s",
+        "_clock",
+        "_drawing",
+        "_floors",
+        "_floors_key",
+        "_incarnation",
+        "_observed_s",
+        "_rates",
+        "_scanned",
+        "_settings",
+        "_taken",
+        "_turn",
+    )
+
+    def __init__(self, settings: PermitSettings, incarnation: str, clock: Clock) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._clock = clock
+        self._asked_s: dict[str, float] = {}
+        self._drawing: list[tuple[int, frozenset[str]]] = []
+        self._floors: dict[str, int] = {}
+        self._floors_key: tuple[int, tuple[str, ...]] = (-1, ())
+        self._observed_s = clock.monotonic()
+        self._rates: dict[str, int] = {}
+        self._scanned: tuple[int, float] = (-1, float("-inf"))
+        self._taken: dict[str, int] = {}
+        self._turn = 0
+
+    def is_ask_due(self, resource: str) -> bool:
+        """Return True if peers were not asked for ``resource`` of late."""
+        last_s = self._asked_s.get(resource, float("-inf"))
+        return self._clock.monotonic() - last_s >= self._settings.ask_interval_s
+
+    def used_rate(self, resource: str) -> int:
+        """Return how many permits of a rate were in use in the last interval."""
+        return self._rates.get(resource, 0)
+
+    def observe(self, table: PermitTable) -> None:
+        """Measure the use of rates, about once a second."""
+        now_s = self._clock.monotonic()
+        elapsed_s = now_s - self._observed_s
+        if elapsed_s < _SCAN_INTERVAL_S:
+            return
+        self._observed_s = now_s
+        for name in filter(is_rate, table.resources()):
+            taken = table.holding(name).taken
+            used = taken - self._taken.get(name, 0)
+            self._taken[name] = taken
+            self._rates[name] = -(-used // max(1, int(elapsed_s)))
+
+    def drop_folded(self, sequence: int) -> None:
+        """Forget the draws up to ``sequence``, on which the fold has decided."""
+        self._drawing = [item for item in self._drawing if item[0] > sequence]
+
+    def note_draw(self, sequence: int, body: PermitsDrawn) -> None:
+        """Remember a draw that is not folded yet."""
+        names = frozenset(item.resource for item in body.items)
+        self._drawing.append((sequence, names))
+
+    def plan_draw(
+        self, state: FleetState, offset: int, entry: EntryState, table: PermitTable
+    ) -> PermitsDrawn | None:
+        """Return the draw to submit, if any."""
+        pending = frozenset().union(*(names for _, names in self._drawing))
+        items = []
+        for name in self._to_scan(state, offset, table):
+            if name in pending or not unallocated_count(state, name):
+                continue
+            item = table.holding(name)
+            wanted = max(
+                even_part(state, name, entry) - item.held,
+                floor_part(state, name, entry) - _drawn(state, name, entry),
+                self._shortage(item),
+            )
+            count = min(wanted, available_count(state, name, entry.zone))
+            if count > 0:
+                items.append(PermitCount(name, count))
+        return PermitsDrawn(tuple(items)) if items else None
+
+    def plan_asks(
+        self, state: FleetState, entry: EntryState, table: PermitTable, hints: HolderHints
+    ) -> dict[str, tuple[PermitCount, ...]]:
+        """Return, by peer, how many permits to ask it for."""
+        others = [item.incarnation for item in state.live_entries()]
+        others.remove(self._incarnation)
+        wishes: dict[str, list[PermitCount]] = {}
+        for name, count in self._wanted(state, entry, table).items():
+            self._asked_s[name] = self._clock.monotonic()
+            for peer in self._peers_to_ask(hints.holders_of(name), others):
+                wishes.setdefault(peer, []).append(PermitCount(name, count))
+        return {peer: tuple(items) for peer, items in wishes.items()}
+
+    def _to_scan(self, state: FleetState, offset: int, table: PermitTable) -> list[str]:
+        now_s = self._clock.monotonic()
+        last_offset, last_s = self._scanned
+        if offset != last_offset or now_s - last_s >= _SCAN_INTERVAL_S:
+            self._scanned = (offset, now_s)
+            return list(bounds_of(state))
+        return [name for name in table.resources() if self._shortage(table.holding(name)) > 0]
+
+    def _wanted(self, state: FleetState, entry: EntryState, table: PermitTable) -> dict[str, int]:
+        pending = frozenset().union(*(names for _, names in self._drawing))
+        floors = self._floor_parts(state, entry)
+        wanted = {}
+        for name in floors.keys() | set(table.resources()):
+            item = table.holding(name)
+            count = max(self._shortage(item), floors.get(name, 0) - item.held)
+            if count > 0 and name not in pending and self.is_ask_due(name):
+                wanted[name] = count
+        return wanted
+
+    def _shortage(self, item: Holding) -> int:
+        has_missed = self._clock.monotonic() - item.missed_s < MISSED_TTL_S
+        return max(item.waiting, int(has_missed)) - max(0, item.held - item.used)
+
+    def _floor_parts(self, state: FleetState, entry: EntryState) -> dict[str, int]:
+        live = tuple(item.incarnation for item in state.live_entries())
+        if self._floors_key != (state.revision, live):
+            self._floors_key = (state.revision, live)
+            parts = {name: floor_part(state, name, entry) for name in bounds_of(state)}
+            self._floors = {name: count for name, count in parts.items() if count}
+        return self._floors
+
+    def _peers_to_ask(self, holders: list[str], others: list[str]) -> list[str]:
+        known = [peer for peer in holders if peer in others]
+        if known:
+            return known[:_HINTED_PEERS]
+        self._turn += 1
+        start = self._turn * self._settings.ask_fan_out % max(1, len(others))
+        return (others[start:] + others[:start])[: self._settings.ask_fan_out]
+
+
+def _drawn(state: FleetState, resource: str, entry: EntryState) -> int:
+    """Return what the log counts for ``entry``; the fold reserves floors by this."""
+    account = state.permits.get(resource)
+    return account.drawn.get(entry.incarnation, 0) if account else 0
--- a/almondstack/permits/local.py
+++ b/almondstack/permits/local.py
@@ -77,5 +77,6 @@
             state = self._fold.state
             revision = state.revision
             bounds, bursts = bounds_of(state), rate_bursts(state)
-        self._table.set_held(bounds, bursts)
         self._revision = revision
+        if self._table.set_held(bounds, bursts):
+            self._table.notify()
--- a/almondstack/permits/table.py
+++ b/almondstack/permits/table.py
@@ -19,12 +19,23 @@
 class Holding:
     """Permits of one resource; guarded by the lock of the table."""
 
-    __slots__ = ("burst_s", "filled_s", "held", "tokens", "used", "waiting")
+    __slots__ = (
+        "burst_s",
+        "filled_s",
+        "held",
+        "missed_s",
+        "taken",
+        "tokens",
+        "used",
+        "waiting",
+    )
 
     def __init__(self) -> None:
         self.held = 0
         self.used = 0
         self.waiting = 0
+        self.taken = 0
+        self.missed_s = float("-inf")
         self.tokens = 0.0
         self.filled_s = 0.0
         self.burst_s = 1.0
@@ -50,6 +61,7 @@
     >>> from almondstack.permits import PermitTable
     >>> table = PermitTable(SystemClock())
     >>> table.set_held({"ceiling/north": 1})
+    True
     >>> table.try_take(["ceiling/north"]), table.try_take(["ceiling/north"])
     (True, False)
     """
@@ -85,8 +97,10 @@
             wanted = [(name, self.holding(name)) for name in resources]
             for name, item in wanted:
                 if not self._has_free(name, item):
+                    item.missed_s = self._clock.monotonic()
                     return False
             for name, item in wanted:
+                item.taken += 1
                 if is_rate(name):
                     item.tokens -= 1
                 else:
@@ -120,8 +134,8 @@
         with self._lock:
             self.holding(resource).waiting = waiting
 
-    def set_held(self, held: dict[str, int], bursts: dict[str, float] | None = None) -> None:
-        """Replace what is held; resources that are not named are held no more."""
+    def set_held(self, held: dict[str, int], bursts: dict[str, float] | None = None) -> bool:
+        """Replace what is held, nothing of what is not named; return whether any count rose."""
         now_s = self._clock.monotonic()
         has_more = False
         with self._lock:
@@ -132,8 +146,7 @@
                 item.burst_s = (bursts or {}).get(name, item.burst_s)
                 has_more = has_more or count > item.held
                 item.held = count
-        if has_more:
-            self.notify()
+        return has_more
 
     def add_listener(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` whenever permits have arrived or become free."""
--- /dev/null
+++ b/almondstack/permits/targets.py
@@ -0,0 +1,44 @@
+"""How unallocated permits are spread before demand moves them."""
+
+import xxhash
+
+from almondstack.fold import home_zone, zone_floors
+from almondstack.model import EntryState, FleetState, bound_of
+
+__all__ = ["even_part", "floor_part"]
+
+
+def even_part(state: FleetState, resource: str, entry: EntryState) -> int:
+    """Return the part of ``entry`` if the bound is spread evenly.
+
+    Explanation
+    -----------
+    Slots are spread over the entries of the upstream's zone; everything else
+    over all live entries.  Who gets one more is drawn by rendezvous hashing
+    (Thaler and Ravishankar 1998).
+    """
+    live = state.live_entries()
+    home = home_zone(state, resource)
+    near = [item for item in live if item.zone == home]
+    return _part(bound_of(state, resource), resource, near or live, entry)
+
+
+def floor_part(state: FleetState, resource: str, entry: EntryState) -> int:
+    """Return the part of ``entry`` in the floor of its zone."""
+    floor = zone_floors(state, resource).get(entry.zone, 0)
+    if not floor:
+        return 0
+    members = [item for item in state.live_entries() if item.zone == entry.zone]
+    return _part(floor, resource, members, entry)
+
+
+def _part(count: int, resource: str, members: list[EntryState], entry: EntryState) -> int:
+    if entry not in members:
+        return 0
+    order = sorted(members, key=lambda item: _weight(resource, item))
+    each, rest = divmod(count, len(members))
+    return each + (order.index(entry) < rest)
+
+
+def _weight(resource: str, entry: EntryState) -> int:
+    return xxhash.xxh64_intdigest(f"{resource}|{entry.incarnation}".encode())
