--- /dev/null
+++ b/almondstack/peers/frames.py
@@ -0,0 +1,169 @@
+"""Frames between peers: sealed by the sender, refused unless they are for us.
+
+Explanation
+-----------
+A frame names the deployment, the sending and the receiving incarnation, and
+carries a keyed digest (HMAC-SHA-256, RFC 2104) of all of it.  The receiver is
+part of it because a restarted process may listen at the address of an earlier
+incarnation, and must not take what was meant for that one.
+"""
+
+import hashlib
+import hmac
+from enum import StrEnum
+from pathlib import Path
+
+import msgspec
+
+from almondstack.core import AlmondError, CodecError, SettingsError, decode_msgpack, encode_msgpack
+from almondstack.peers.messages import PeerBody
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "Frame",
+    "FrameCodec",
+    "FrameRefusal",
+    "FrameRefusedError",
+    "ReceivedFrame",
+    "read_secret",
+]
+
+MAX_FRAME_BYTES = 1 << 20
+_VERSION = 1
+_MAC_BYTES = 16
+
+
+class FrameRefusal(StrEnum):
+    """Why a frame was not taken."""
+
+    OVERSIZED = "oversized"
+    GARBAGE = "garbage"
+    OTHER_VERSION = "other-version"
+    OTHER_DEPLOYMENT = "other-deployment"
+    WRONG_KEY = "wrong-key"
+    OTHER_RECEIVER = "other-receiver"
+
+
+class FrameRefusedError(AlmondError):
+    """A frame was refused."""
+
+    code = "frame-refused"
+
+    def __init__(self, refusal: FrameRefusal) -> None:
+        super().__init__(refusal.value)
+        self._refusal = refusal
+
+    @property
+    def refusal(self) -> FrameRefusal:
+        """The typed reason."""
+        return self._refusal
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """What goes over the wire; ``receiver`` is empty if its name is not known yet."""
+
+    version: int
+    deployment: str
+    sender: str
+    receiver: str
+    mac: bytes
+    payload: bytes
+
+
+class ReceivedFrame(msgspec.Struct, frozen=True):
+    """A frame that was taken."""
+
+    sender: str
+    is_addressed: bool
+    body: PeerBody
+
+
+def read_secret(path: str | None) -> bytes:
+    """Return the shared secret of the deployment; empty if there is no file.
+
+    Raises
+    ------
+    SettingsError
+        The file cannot be read.
+    """
+    if path is None:
+        return b""
+    try:
+        return Path(path).read_bytes().strip()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+
+
+class FrameCodec:
+    """Seals and opens frames of one incarnation.
+
+    Parameters
+    ----------
+    deployment, incarnation : str
+        Who seals, and for whom frames are opened.
+    secret : bytes
+        Shared by all processes of the deployment.
+
+    Examples
+    --------
+    >>> from almondstack.peers.frames import FrameCodec
+    >>> from almondstack.peers.messages import Revoked
+    >>> sender, receiver = FrameCodec("d", "e1", b"s"), FrameCodec("d", "e2", b"s")
+    >>> receiver.open(sender.seal("e2", Revoked(("k1",)))).sender
+    'e1'
+    """
+
+    __slots__ = ("_deployment", "_incarnation", "_secret")
+
+    def __init__(self, deployment: str, incarnation: str, secret: bytes) -> None:
+        self._deployment = deployment
+        self._incarnation = incarnation
+        self._secret = secret
+
+    def seal(self, receiver: str, body: PeerBody) -> bytes:
+        """Return the bytes of a frame."""
+        payload = encode_msgpack(body)
+        mac = self._mac(self._incarnation, receiver, payload)
+        return encode_msgpack(
+            Frame(_VERSION, self._deployment, self._incarnation, receiver, mac, payload)
+        )
+
+    def open(self, data: bytes) -> ReceivedFrame:
+        """Check a frame and decode it.
+
+        Raises
+        ------
+        FrameRefusedError
+            It is not for this process, or not of this deployment.
+        """
+        if len(data) > MAX_FRAME_BYTES:
+            raise FrameRefusedError(FrameRefusal.OVERSIZED)
+        frame = _decode_frame(data)
+        if frame.version != _VERSION:
+            raise FrameRefusedError(FrameRefusal.OTHER_VERSION)
+        if frame.deployment != self._deployment:
+            raise FrameRefusedError(FrameRefusal.OTHER_DEPLOYMENT)
+        expected = self._mac(frame.sender, frame.receiver, frame.payload)
+        if not hmac.compare_digest(expected, frame.mac):
+            raise FrameRefusedError(FrameRefusal.WRONG_KEY)
+        if frame.receiver not in ("", self._incarnation) or frame.sender == self._incarnation:
+            raise FrameRefusedError(FrameRefusal.OTHER_RECEIVER)
+        return ReceivedFrame(frame.sender, bool(frame.receiver), _decode_body(frame.payload))
+
+    def _mac(self, sender: str, receiver: str, payload: bytes) -> bytes:
+        head = encode_msgpack((_VERSION, self._deployment, sender, receiver))
+        return hmac.digest(self._secret, head + payload, hashlib.sha256)[:_MAC_BYTES]
+
+
+def _decode_frame(data: bytes) -> Frame:
+    try:
+        return decode_msgpack(data, Frame)
+    except CodecError as error:
+        raise FrameRefusedError(FrameRefusal.GARBAGE) from error
+
+
+def _decode_body(payload: bytes) -> PeerBody:
+    try:
+        return msgspec.msgpack.decode(payload, type=PeerBody)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise FrameRefusedError(FrameRefusal.GARBAGE) from error
--- /dev/null
+++ b/almondstack/peers/usage.py
@@ -0,0 +1,51 @@
+"""What runs through other entries."""
+
+import threading
+
+from almondstack.core import Clock
+from almondstack.peers.board import DigestBoard
+
+__all__ = ["FleetUsage"]
+
+_CACHE_S = 0.25
+_STALE_S = 15.0
+
+
+class FleetUsage:
+    """Running totals that entries exchange, for the correction of shares.
+
+    Parameters
+    ----------
+    board : DigestBoard
+        Knows the digests.
+    clock : Clock
+        Ages them.
+    """
+
+    __slots__ = ("_board", "_clock", "_counted_s", "_lock", "_totals")
+
+    def __init__(self, board: DigestBoard, clock: Clock) -> None:
+        self._board = board
+        self._clock = clock
+        self._counted_s = float("-inf")
+        self._totals: dict[tuple[str, str], int] = {}
+        self._lock = threading.Lock()
+
+    def running_elsewhere(self, pool: str, team: str) -> int:
+        """Return how many requests of ``team`` run on ``pool`` through other entries."""
+        now_s = self._clock.monotonic()
+        if now_s - self._counted_s >= _CACHE_S:
+            with self._lock:
+                self._counted_s = now_s
+                self._totals = self._count()
+        return self._totals.get((pool, team), 0)
+
+    def _count(self) -> dict[tuple[str, str], int]:
+        totals: dict[tuple[str, str], int] = {}
+        for digest in self._board.digests():
+            if self._board.news_age_s(digest.incarnation) > _STALE_S:
+                continue
+            for item in digest.running:
+                key = (item.pool, item.team)
+                totals[key] = totals.get(key, 0) + item.count
+        return totals
--- a/almondstack/permits/book.py
+++ b/almondstack/permits/book.py
@@ -124,7 +124,7 @@
         live = (name for name, entry in state.entries.items() if entry.is_live)
         self._open_peers = frozenset(live) - {self._incarnation}
         self._settle(state)
-        folded = state.sequences.get(self._incarnation, 0)
+        folded = state.last_sequence(self._incarnation)
         self._returned = [item for item in self._returned if item[0] > folded]
         debts = {name: debt_of(state, name) for name in state.permits}
         self._indebted = {name: debt for name, debt in debts.items() if debt}
@@ -197,8 +197,8 @@
     def _settle(self, state: FleetState) -> None:
         for name, settlement in state.settlements.items():
             if self._incarnation in settlement.waiting and name not in self._settled:
-                self._settled.add(name)
                 self._sink.submit(PermitsSettled(name, self._ledger.settled(name)))
+                self._settled.add(name)
                 self._metrics.count("permits.settled")
         for name in self._ledger.peers():
             if not self._is_open(state, name):
--- a/almondstack/permits/escrow.py
+++ b/almondstack/permits/escrow.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from almondstack.core import Clock, NullMetrics
+from almondstack.core import AlmondError, Clock, NullMetrics
 from almondstack.fold import Fold
 from almondstack.model import PermitCount, is_rate
 from almondstack.permits.asks import AskBook
@@ -214,7 +214,7 @@
         with self._fold.lock, self._table.lock:
             has_more = self._book.sync()
             is_resumed = self._guard.resume(self._fold.next_offset)
-            self._planner.drop_folded(self._fold.state.sequences.get(self._incarnation, 0))
+            self._planner.drop_folded(self._fold.state.last_sequence(self._incarnation))
             self._planner.observe(self._table)
             self._serve_asks()
             self._return_debts()
@@ -369,6 +369,9 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             self._wake.clear()
-            self.tick()
+            try:
+                self.tick()
+            except AlmondError as error:
+                self._metrics.count(f"permits.tick-failed.{error.code}")
             self._clock.wait(self._stop, self._settings.least_tick_s)
             self._clock.wait(self._wake, self._settings.tick_s)
--- a/almondstack/testing/permit_world.py
+++ b/almondstack/testing/permit_world.py
@@ -186,7 +186,7 @@
         """Change the ceiling of team ``north``."""
         team = make_team(ceiling=ceiling)
         note = ReleaseNote(changed=Configured(teams=(team,)))
-        sequence = self.head.state.sequences["operator"] + 1
+        sequence = self.head.state.last_sequence("operator") + 1
         record = ReleaseApplied(self.head.state.revision, note)
         self.append(encode_record("operator", sequence, record))
 
