--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -1,5 +1,6 @@
 """Puts the parts of an entry together."""
 
+import sys
 import threading
 
 from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation
@@ -10,7 +11,7 @@
 from almondstack.entry.server import EntryServer
 from almondstack.entry.settings import EntrySettings
 from almondstack.fold import Fold
-from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter
+from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter, SnapshotWriter
 from almondstack.model import EntryJoined, EntryLeft
 from almondstack.once import ClaimBook, ClaimFollower, ClaimTable, OnceGuard, TicketBook
 from almondstack.permits import LocalPermits
@@ -39,16 +40,18 @@
         "_fold",
         "_follower",
         "_incarnation",
+        "_metrics",
         "_parts",
         "_server",
         "_settings",
+        "_snapshots",
         "_stopping",
         "_writer",
     )
 
     def __init__(self, settings: EntrySettings) -> None:
         clock = SystemClock()
-        metrics = Metrics(settings.statsd)
+        metrics = self._metrics = Metrics(settings.statsd)
         self._settings = settings
         self._incarnation = new_incarnation(settings.node.name)
         client = HttpLogClient(settings.log, self._incarnation)
@@ -63,6 +66,9 @@
             clock,
             position=self._follower.position,
         )
+        self._snapshots = SnapshotWriter(
+            client, self._fold, self._incarnation, settings.snapshots, metrics, clock
+        )
         table = ClaimTable(
             int(settings.once.window_s * 1000), int(settings.once.clock_error_s * 1000)
         )
@@ -97,6 +103,7 @@
 
     def run(self) -> None:
         """Serve until :meth:`stop`."""
+        sys.setswitchinterval(self._settings.switch_interval_ms / 1000)
         self._start_threads()
         self._join()
         self._server.prepare()
@@ -113,8 +120,10 @@
         threading.Thread(target=self._finish, name="shutdown").start()
 
     def _start_threads(self) -> None:
+        self._metrics.start()
         self._follower.start()
         self._writer.start()
+        self._snapshots.start()
         self._claims.start()
         self._claim_follower.start()
         self._dispatcher.start()
@@ -140,11 +149,13 @@
             _log.warning("Shut down with %d requests under way.", self._parts.calls.count)
         self._server.stop()
         self._leave()
+        self._snapshots.stop()
         for part in (self._claims, self._claim_follower, self._writer, self._follower):
             part.stop()
         self._dispatcher.stop()
         self._parts.hangups.stop()
         self._parts.reaper.stop()
+        self._metrics.stop()
         _log.info("Shut down.")
         self._ended.set()
 
