Add peer nodes: membership, gossip, relay, revocations, cut-off

Cause: entries that lose the log must stay current through one another and know whether they are cut off. Change: PeerNode pings a fixed number of peers each interval with bounded batches of digests, relays records, hands its state to newcomers, spreads revocations at once, tells an outage of the log from being cut off, and runs permits and recovery.

--- a/almondstack/peers/__init__.py
+++ b/almondstack/peers/__init__.py
@@ -1,1 +1,23 @@
-"""Messages between entries: membership, gossip and relaying."""
+"""Entries among themselves: membership, gossip, relay, revocations, cut-off."""
+
+from almondstack.peers.connectivity import Connectivity, Reach
+from almondstack.peers.messages import Digest, Remark, RunningCount
+from almondstack.peers.node import PeerNode
+from almondstack.peers.revocations import RevocationSet
+from almondstack.peers.roster import PeerStatus, Roster
+from almondstack.peers.settings import PeerSettings
+from almondstack.peers.usage import FleetUsage
+
+__all__ = [
+    "Connectivity",
+    "Digest",
+    "FleetUsage",
+    "PeerNode",
+    "PeerSettings",
+    "PeerStatus",
+    "Reach",
+    "Remark",
+    "RevocationSet",
+    "Roster",
+    "RunningCount",
+]
--- /dev/null
+++ b/almondstack/peers/roster.py
@@ -0,0 +1,186 @@
+"""Who the peers are, and what can be told of those that are silent.
+
+Explanation
+-----------
+Peers are known from the log, from digests, and by address alone from settings
+and the platform's list.  Each interval pings the next few of a shuffled round,
+as in SWIM (Das et al. 2002).  A digest that advances by way of others takes the
+place of SWIM's indirect probe and needs no message of its own.
+"""
+
+import random
+import threading
+from enum import StrEnum
+
+import msgspec
+
+from almondstack.core import Clock
+from almondstack.fold import Fold
+from almondstack.model import EntryState
+from almondstack.peers.board import DigestBoard
+from almondstack.peers.settings import PeerSettings
+from almondstack.peers.transport import PeerTransport
+
+__all__ = ["PeerStatus", "PeerTarget", "Roster"]
+
+
+class PeerStatus(StrEnum):
+    """What is known of a peer."""
+
+    ALIVE = "alive"
+    INDIRECT = "indirect"
+    LEAVING = "leaving"
+    PAUSED = "paused"
+    DEAD = "dead"
+    CUT_OFF = "cut-off"
+    GONE = "gone"
+
+
+class PeerTarget(msgspec.Struct, frozen=True):
+    """Where to send; the incarnation is empty while only the address is known."""
+
+    incarnation: str
+    address: str
+
+
+class Roster:
+    """Knows the peers of one incarnation.
+
+    Parameters
+    ----------
+    settings : PeerSettings
+        Seeds and time bounds.
+    listen : str
+        Own address.
+    incarnation : str
+        Who asks.
+    fold : Fold
+        Knows the entries.
+    board : DigestBoard
+        Knows what they said.
+    transport : PeerTransport
+        Knows which connections stand.
+    clock : Clock
+        Ages what was heard.
+    """
+
+    __slots__ = (
+        "_board",
+        "_clock",
+        "_fold",
+        "_heard_s",
+        "_incarnation",
+        "_listed",
+        "_listen",
+        "_lock",
+        "_round",
+        "_settings",
+        "_transport",
+    )
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        listen: str,
+        incarnation: str,
+        fold: Fold,
+        board: DigestBoard,
+        transport: PeerTransport,
+        clock: Clock,
+    ) -> None:
+        self._settings = settings
+        self._listen = listen
+        self._incarnation = incarnation
+        self._fold = fold
+        self._board = board
+        self._transport = transport
+        self._clock = clock
+        self._heard_s: dict[str, float] = {}
+        self._listed: tuple[str, ...] = ()
+        self._round: list[PeerTarget] = []
+        self._lock = threading.Lock()
+
+    def note_heard(self, incarnation: str) -> None:
+        """Remember that a frame of ``incarnation`` has just come."""
+        self._heard_s[incarnation] = self._clock.monotonic()
+
+    def set_listed(self, addresses: tuple[str, ...]) -> None:
+        """Take the peer addresses that the platform lists."""
+        self._listed = addresses
+
+    def heard_age_s(self, incarnation: str) -> float:
+        """Return how long ago a frame of ``incarnation`` came."""
+        heard_s = self._heard_s.get(incarnation)
+        return float("inf") if heard_s is None else self._clock.monotonic() - heard_s
+
+    def is_heard(self, incarnation: str) -> bool:
+        """Return True if ``incarnation`` was heard directly of late."""
+        return self.heard_age_s(incarnation) <= self._settings.silent_s
+
+    def address_of(self, incarnation: str) -> str | None:
+        """Return where an incarnation listens."""
+        entry = self._fold.state.entries.get(incarnation)
+        if entry is not None:
+            return entry.peer_address
+        digest = self._board.digest_of(incarnation)
+        return digest.address if digest else None
+
+    def others(self) -> list[EntryState]:
+        """Return the other entries that the log shows as live."""
+        with self._fold.lock:
+            live = self._fold.state.live_entries()
+        return [entry for entry in live if entry.incarnation != self._incarnation]
+
+    def targets(self) -> list[PeerTarget]:
+        """Return everyone that may be sent to."""
+        found = {entry.peer_address: entry.incarnation for entry in self.others()}
+        ended = self._fold.state.entries
+        for digest in self._board.digests():
+            if digest.incarnation not in ended:
+                found.setdefault(digest.address, digest.incarnation)
+        for address in (*self._settings.seeds, *self._listed):
+            found.setdefault(address, "")
+        found.pop(self._listen, None)
+        return [PeerTarget(name, address) for address, name in sorted(found.items())]
+
+    def next_targets(self) -> list[PeerTarget]:
+        """Return the peers to ping in this interval."""
+        known = self.targets()
+        self._transport.keep_only({target.address for target in known})
+        with self._lock:
+            self._round = [target for target in self._round if target in known]
+            if len(self._round) < self._settings.fan_out:
+                more = [target for target in known if target not in self._round]
+                random.shuffle(more)
+                self._round.extend(more)
+            chosen = self._round[: self._settings.fan_out]
+            self._round = self._round[self._settings.fan_out :]
+        return chosen
+
+    def status_of(self, incarnation: str) -> PeerStatus:
+        """Return what can be told of a peer."""
+        entry = self._fold.state.entries.get(incarnation)
+        if entry is not None and not entry.is_live:
+            return PeerStatus.GONE
+        digest = self._board.digest_of(incarnation)
+        if digest is not None and digest.is_leaving:
+            return PeerStatus.LEAVING
+        if self.is_heard(incarnation):
+            return PeerStatus.ALIVE
+        if self._board.news_age_s(incarnation) <= self._settings.silent_s:
+            return PeerStatus.INDIRECT
+        return self._silent_status(incarnation, entry)
+
+    def _silent_status(self, incarnation: str, entry: EntryState | None) -> PeerStatus:
+        """Tell a silent zone, a closed socket and an open one apart."""
+        if entry is not None:
+            zone = [item for item in self.others() if item.zone == entry.zone]
+            if len(zone) > 1 and not any(self._has_news(item.incarnation) for item in zone):
+                return PeerStatus.CUT_OFF
+        address = self.address_of(incarnation)
+        is_open = address is not None and self._transport.is_connected(address)
+        return PeerStatus.PAUSED if is_open else PeerStatus.DEAD
+
+    def _has_news(self, incarnation: str) -> bool:
+        has_digest = self._board.news_age_s(incarnation) <= self._settings.silent_s
+        return has_digest or self.is_heard(incarnation)
--- a/almondstack/peers/settings.py
+++ b/almondstack/peers/settings.py
@@ -15,8 +15,6 @@
 
     Parameters
     ----------
-    listen : str
-        Numeric address that peers reach.
     seeds : tuple of str
         Addresses tried while no peer is known from log or list.
     instance_list : str or None
@@ -39,7 +37,6 @@
         How permits move.
     """
 
-    listen: Address
     seeds: tuple[Address, ...] = ()
     instance_list: Address | None = None
     secret_file: str | None = None
--- a/almondstack/peers/transport.py
+++ b/almondstack/peers/transport.py
@@ -128,6 +128,7 @@
         old.close()
         self._pull = self._open_pull()
         self.keep_only(set())
+        self._metrics.count("peers.certificates-reloaded")
         _log.info("Certificates were reloaded.")
         return True
 
--- /dev/null
+++ b/almondstack/peers/watch.py
@@ -0,0 +1,125 @@
+"""Looks at the platform: its list of instances, and the head of the log after a pause."""
+
+import threading
+
+from almondstack.core import Clock, NullMetrics
+from almondstack.fold import Fold
+from almondstack.log import FLEET, LogClient, LogError
+from almondstack.peers.roster import Roster
+from almondstack.permits import RecoveryProposer, StartGuard, gone_incarnations
+from almondstack.platform import HttpInstanceList, InstanceListError, ListedInstance
+
+__all__ = ["PlatformWatch"]
+
+_STEP_S = 0.1
+_LIST_INTERVAL_S = 1.0
+_LIST_TIMEOUT_S = 1.0
+_ENTRY_ROLE = "entry"
+
+
+class PlatformWatch:
+    """A thread that waits for the platform so that no other has to.
+
+    Parameters
+    ----------
+    list_address : str or None
+        The platform's list; without it only a later incarnation shows one gone.
+    client : LogClient
+        Asked for the head of the log.
+    fold : Fold
+        Knows the incarnations.
+    roster : Roster
+        Takes the listed addresses.
+    guard : StartGuard
+        Takes the head after a pause.
+    recovery : RecoveryProposer
+        Proposes fences.
+    clock : Clock
+        Waits.
+    metrics : NullMetrics
+        Counts failures.
+    """
+
+    __slots__ = (
+        "_client",
+        "_clock",
+        "_fold",
+        "_guard",
+        "_list",
+        "_listed_s",
+        "_metrics",
+        "_recovery",
+        "_roster",
+        "_stop",
+        "_thread",
+    )
+
+    def __init__(
+        self,
+        list_address: str | None,
+        client: LogClient,
+        fold: Fold,
+        roster: Roster,
+        guard: StartGuard,
+        recovery: RecoveryProposer,
+        clock: Clock,
+        metrics: NullMetrics,
+    ) -> None:
+        self._list = HttpInstanceList(list_address, _LIST_TIMEOUT_S) if list_address else None
+        self._client = client
+        self._fold = fold
+        self._roster = roster
+        self._guard = guard
+        self._recovery = recovery
+        self._clock = clock
+        self._metrics = metrics
+        self._listed_s = float("-inf")
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="platform-watch", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread."""
+        self._stop.set()
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            if self._guard.is_suspended:
+                self._read_head()
+            now_s = self._clock.monotonic()
+            if now_s - self._listed_s >= _LIST_INTERVAL_S:
+                self._listed_s = now_s
+                self._look_for_the_gone()
+            self._clock.wait(self._stop, _STEP_S)
+
+    def _read_head(self) -> None:
+        epoch = self._guard.epoch
+        try:
+            self._guard.note_head(epoch, self._client.bounds(FLEET).next_offset)
+        except LogError as error:
+            self._metrics.count(f"permits.head-unknown.{error.code}")
+
+    def _look_for_the_gone(self) -> None:
+        listed = self._read_list()
+        names = None if listed is None else [item.name for item in listed]
+        with self._fold.lock:
+            gone = gone_incarnations(self._fold.state, names)
+        try:
+            self._recovery.tick(gone)
+        except LogError as error:
+            self._metrics.count(f"permits.recovery-failed.{error.code}")
+
+    def _read_list(self) -> list[ListedInstance] | None:
+        """Return the entries that the platform lists; None if it does not say."""
+        if self._list is None:
+            return None
+        try:
+            listed = [item for item in self._list.read() if item.role == _ENTRY_ROLE]
+        except InstanceListError as error:
+            self._metrics.count(f"peers.list-failed.{error.code}")
+            return None
+        self._roster.set_listed(tuple(item.peer_address for item in listed if item.peer_address))
+        return listed
--- a/almondstack/permits/guard.py
+++ b/almondstack/permits/guard.py
@@ -18,7 +18,7 @@
 __all__ = ["PAUSE_BOUND_S", "RECOVERY_LEAST_S", "StartGuard"]
 
 PAUSE_BOUND_S = 2.0
-RECOVERY_LEAST_S = 10.0
+RECOVERY_LEAST_S = 4.0
 
 _log = PartLogger("permits")
 
--- a/almondstack/permits/recovery.py
+++ b/almondstack/permits/recovery.py
@@ -22,23 +22,24 @@
 
 __all__ = ["RecoveryProposer", "gone_incarnations"]
 
-_FENCE_AFTER_S = 2.0
+_FENCE_AFTER_S = 1.0
 _STEP_IN_S = 2.0
 _REPEAT_S = 10.0
 _CLOCK_MARGIN = 1.25
 
 
-def gone_incarnations(state: FleetState, listed_names: Iterable[str]) -> set[str]:
+def gone_incarnations(state: FleetState, listed_names: Iterable[str] | None) -> set[str]:
     """Return incarnations whose instance is not listed or has a later incarnation.
 
     Parameters
     ----------
     state : FleetState
         Knows the incarnations.
-    listed_names : iterable of str
-        Names of the entry instances that the platform lists.
+    listed_names : iterable of str or None
+        Names of the entry instances that the platform lists; None if that is
+        not known, and then only a later incarnation shows that one is gone.
     """
-    names = set(listed_names)
+    names = None if listed_names is None else set(listed_names)
     latest: dict[str, EntryState] = {}
     for entry in state.live_entries():
         if entry.name not in latest or latest[entry.name].version < entry.version:
@@ -47,7 +48,8 @@
     for incarnation, entry in state.entries.items():
         newer = latest.get(entry.name)
         is_replaced = newer is not None and newer.incarnation != incarnation
-        if is_replaced or entry.name not in names:
+        is_unlisted = names is not None and entry.name not in names
+        if is_replaced or is_unlisted:
             gone.add(incarnation)
     return gone
 
--- /dev/null
+++ b/almondstack/permits/tests/test_mutations.py
@@ -0,0 +1,115 @@
+"""Faults put into the code on purpose; the state machine must notice each."""
+
+import sys
+from collections.abc import Callable
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from almondstack.fold import permits, permits_floors, permits_settlement
+from almondstack.permits import EscrowPermits, StartGuard
+from almondstack.permits import recovery as recovery_module
+from almondstack.permits.book import PermitBook
+from almondstack.permits.ledger import TransferLedger
+from almondstack.permits.table import PermitTable
+from almondstack.testing.permit_machine import PermitMachine
+
+_EXAMPLES = 250
+_real_held = PermitBook._held
+_real_net = TransferLedger.net
+_real_available = permits.available_count
+
+
+def _take_as_increments(ledger, peer, items):
+    totals = ledger._received.setdefault(peer, {})
+    for item in items:
+        totals[item.resource] = totals.get(item.resource, 0) + item.count
+    return sum(item.count for item in items)
+
+
+def _net_without_given(ledger, peers):
+    given, ledger._given = ledger._given, {}
+    nets = _real_net(ledger, list(peers))
+    ledger._given = given
+    return nets
+
+
+def _held_without_returns(book, state):
+    kept = book._returned, book._returning
+    book._returned, book._returning = [], {}
+    held = _real_held(book, state)
+    book._returned, book._returning = kept
+    return held
+
+
+def _ready_without_settlement(state, name):
+    return state.settlements[name].is_ended
+
+
+def _ready_without_end(state, name):
+    waiting = state.settlements[name].waiting
+    return all(other in state.settlements for other in waiting)
+
+
+def _take_from_anyone(book, peer, items):
+    gained = book._ledger.take(peer, items)
+    return bool(gained) and book._table.set_held(book._held(book._fold.state))
+
+
+def _is_open_for_ever(book, state, peer):
+    return True
+
+
+def _available_by_reader(state, resource, zone):
+    _available_by_reader.calls += 1
+    return _real_available(state, resource, zone) + _available_by_reader.calls % 2
+
+
+_available_by_reader.calls = 0
+
+
+def _take_more_than_free(table, name, item):
+    return item.used <= item.held
+
+
+MUTATIONS: dict[str, Callable[[pytest.MonkeyPatch], None]] = {
+    "totals-added-up": lambda m: m.setattr(TransferLedger, "take", _take_as_increments),
+    "giver-keeps-what-it-gave": lambda m: m.setattr(TransferLedger, "net", _net_without_given),
+    "returned-still-held": lambda m: m.setattr(PermitBook, "_held", _held_without_returns),
+    "repeats-folded-again": lambda m: m.setattr(
+        sys.modules["almondstack.fold.judge"], "_check_envelope", lambda *_: None
+    ),
+    "draw-beyond-bound": lambda m: m.setattr(permits, "available_count", lambda *_: 3),
+    "readers-differ": lambda m: m.setattr(permits, "available_count", _available_by_reader),
+    "released-unsettled": lambda m: m.setattr(
+        permits_settlement, "_is_ready", _ready_without_settlement
+    ),
+    "released-before-end": lambda m: m.setattr(permits_settlement, "_is_ready", _ready_without_end),
+    "released-one-by-one": lambda m: m.setattr(
+        permits_settlement, "_group_of", lambda state, name: {name} & state.settlements.keys()
+    ),
+    "end-without-waiting": lambda m: m.setattr(recovery_module, "_CLOCK_MARGIN", 0.1),
+    "end-by-a-fast-clock": lambda m: m.setattr(recovery_module, "_CLOCK_MARGIN", 0.8),
+    "paused-holder-starts": lambda m: m.setattr(StartGuard, "is_start_allowed", True),
+    "resumes-unread": lambda m: m.setattr(
+        StartGuard, "resume", lambda guard, _: setattr(guard, "_is_suspended", False)
+    ),
+    "takes-from-the-fenced": lambda m: m.setattr(PermitBook, "take", _take_from_anyone),
+    "settled-and-still-counted": lambda m: m.setattr(PermitBook, "_is_open", _is_open_for_ever),
+    "takes-one-too-many": lambda m: m.setattr(PermitTable, "_has_free", _take_more_than_free),
+    "lowered-bound-ignored": lambda m: m.setattr(
+        EscrowPermits, "_return_debts", lambda permits: None
+    ),
+    "floors-never-drawn": lambda m: m.setattr(
+        permits_floors, "zone_floors", lambda state, resource: {"c": 1}
+    ),
+}
+
+
+@pytest.mark.parametrize("name", MUTATIONS)
+def test_machine_notices(name, monkeypatch):
+    MUTATIONS[name](monkeypatch)
+    few = settings(max_examples=_EXAMPLES, stateful_step_count=50, phases=[Phase.generate])
+    with pytest.raises((AssertionError, ExceptionGroup)):
+        run_state_machine_as_test(PermitMachine, settings=few)
