--- a/almondstack/entry/operator.py
+++ b/almondstack/entry/operator.py
@@ -16,7 +16,7 @@
     read_token,
 )
 from almondstack.entry.http import HttpReply, HttpRequest, json_reply
-from almondstack.entry.parts import EntryParts
+from almondstack.entry.parts import EntryParts, Handler
 from almondstack.model import RevocationReply, RevocationRequest, is_right_proof
 
 __all__ = ["OperatorHandler"]
@@ -26,7 +26,7 @@
 _log = PartLogger("operator")
 
 
-class OperatorHandler:
+class OperatorHandler(Handler):
     """Takes revocations from operators who know the token.
 
     Parameters
@@ -35,10 +35,10 @@
         The parts of the entry.
     """
 
-    __slots__ = ("_parts", "_token")
+    __slots__ = ("_token",)
 
     def __init__(self, parts: EntryParts) -> None:
-        self._parts = parts
+        super().__init__(parts)
         self._token = read_token(parts.settings.operator_token_file)
 
     def handle(self, request: HttpRequest) -> HttpReply:
