Run entries with peers and shared permits, and measure both

Cause: every entry held each bound whole, so a ceiling was multiplied by the entries. Change: EntryDaemon wires PeerNode: permits, revocations, running totals, connectivity, state for newcomers, graceful return of permits. Entries draw half of their even part beforehand. A wish goes to likely holders, 20 ms later to all, and ends by a message. Permits found missing by an attempt no longer count as demand after a success. almondstack-bench peers measures cost, speed, waits and recovery.

--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -17,6 +17,7 @@
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
     "almondstack.bench.load",
+    "almondstack.bench.peers_bench",
     "almondstack.bench.slopes",
     "almondstack.bench.slope_fleet",
     "almondstack.bench.slope_processes",
--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -6,16 +6,15 @@
 from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation
 from almondstack.dispatch import FairDispatcher
 from almondstack.entry.app import EntryApp
-from almondstack.entry.contract import AlwaysConnected, NoRevocations
 from almondstack.entry.listing import ListWatch
 from almondstack.entry.parts import EntryParts
 from almondstack.entry.server import EntryServer
 from almondstack.entry.settings import EntrySettings
 from almondstack.fold import Fold
-from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter, SnapshotWriter
+from almondstack.log import FLEET, Bootstrap, Follower, HttpLogClient, RecordWriter, SnapshotWriter
 from almondstack.model import EntryJoined, EntryLeft
 from almondstack.once import ClaimBook, ClaimFollower, ClaimTable, OnceGuard, TicketBook
-from almondstack.permits import LocalPermits
+from almondstack.peers import PeerNode, RunningCount
 
 __all__ = ["EntryDaemon"]
 
@@ -45,6 +44,7 @@
         "_listing",
         "_metrics",
         "_parts",
+        "_peers",
         "_server",
         "_settings",
         "_snapshots",
@@ -59,7 +59,17 @@
         self._incarnation = new_incarnation(settings.node.name)
         client = HttpLogClient(settings.log, self._incarnation)
         self._fold = Fold()
-        self._follower = Follower(client, self._fold, metrics, clock)
+        self._peers = PeerNode(
+            settings.peer_settings,
+            settings.peer_listen,
+            settings.node,
+            self._incarnation,
+            self._fold,
+            clock,
+            metrics,
+        )
+        bootstrap = Bootstrap(client, self._fold, metrics, self._peers)
+        self._follower = Follower(client, self._fold, metrics, clock, bootstrap)
         self._writer = RecordWriter(
             client,
             FLEET,
@@ -69,6 +79,7 @@
             clock,
             position=self._follower.position,
         )
+        self._peers.attach(self._follower, self._writer, client)
         self._snapshots = SnapshotWriter(
             client, self._fold, self._incarnation, settings.snapshots, metrics, clock
         )
@@ -85,19 +96,21 @@
             settings.dispatch,
             settings.node,
             self._fold,
-            LocalPermits(self._fold, clock),
+            self._peers.permits,
             clock,
             metrics,
+            usage=self._peers.usage,
             listing=self._listing,
         )
+        self._peers.source.set_running(self._running)
         self._parts = EntryParts(
             settings=settings,
             incarnation=self._incarnation,
             fold=self._fold,
             dispatching=self._dispatcher,
             once=OnceGuard(self._claims, tickets),
-            revocations=NoRevocations(),
-            connectivity=AlwaysConnected(),
+            revocations=self._peers.revocations,
+            connectivity=self._peers.connectivity,
             clock=clock,
             metrics=metrics,
         )
@@ -126,6 +139,7 @@
 
     def _start_threads(self) -> None:
         self._metrics.start()
+        self._peers.start()
         self._follower.start()
         self._writer.start()
         self._snapshots.start()
@@ -162,7 +176,8 @@
         if not is_empty:
             _log.warning("Shut down with %d requests under way.", self._parts.calls.count)
         self._server.stop()
-        self._leave()
+        self._leave(is_empty)
+        self._peers.stop()
         self._snapshots.stop()
         for part in (self._claims, self._claim_follower, self._writer, self._follower):
             part.stop()
@@ -174,6 +189,14 @@
         _log.info("Shut down.")
         self._ended.set()
 
-    def _leave(self) -> None:
+    def _leave(self, is_empty: bool) -> None:
+        """Return the permits; with work under way the incarnation is left to be fenced."""
+        self._peers.leave()
+        if not is_empty:
+            return
         sequence = self._writer.submit(EntryLeft(self._incarnation))
         self._fold.wait_for_verdict(self._writer.author, sequence, _LEAVE_TIMEOUT_S)
+
+    def _running(self) -> list[RunningCount]:
+        counts = self._dispatcher.scheduler.running_counts()
+        return [RunningCount(pool, team, count) for (pool, team), count in counts.items() if count]
--- a/almondstack/entry/settings.py
+++ b/almondstack/entry/settings.py
@@ -2,6 +2,7 @@
 
 from typing import Annotated
 
+import msgspec
 from msgspec import Meta
 
 from almondstack.core import (
@@ -17,6 +18,7 @@
 from almondstack.dispatch import DispatchSettings
 from almondstack.log import SnapshotSettings
 from almondstack.once import OnceSettings
+from almondstack.peers import PeerSettings
 
 __all__ = ["CallerSettings", "EntrySettings"]
 
@@ -75,9 +77,16 @@
     once: OnceSettings = OnceSettings()
     dispatch: DispatchSettings = DispatchSettings()
     peer_listen: Address = "127.0.0.1:7201"
+    peers: PeerSettings = PeerSettings()
     instance_list: Address | None = None
     operator_token_file: str | None = None
     statsd: StatsdSettings = StatsdSettings()
     logging: LoggingSettings = LoggingSettings()
     switch_interval_ms: Annotated[float, Meta(ge=0.05, le=100)] = 5.0
     shutdown_timeout_s: PositiveSeconds = 30.0
+
+    @property
+    def peer_settings(self) -> PeerSettings:
+        """Settings of the links to peers, which read the same list of instances."""
+        known = self.peers.instance_list or self.instance_list
+        return msgspec.structs.replace(self.peers, instance_list=known)
--- a/almondstack/peers/settings.py
+++ b/almondstack/peers/settings.py
@@ -41,7 +41,7 @@
     instance_list: Address | None = None
     secret_file: str | None = None
     tls: TlsSettings | None = None
-    fan_out: Annotated[int, Meta(ge=1, le=128)] = 2
+    fan_out: Annotated[int, Meta(ge=1, le=128)] = 1
     gossip_interval_s: PositiveSeconds = 0.5
     batch_bytes: Annotated[int, Meta(ge=200, le=65_536)] = 1200
     log_silent_s: PositiveSeconds = 3.0
--- a/almondstack/peers/watch.py
+++ b/almondstack/peers/watch.py
@@ -104,7 +104,7 @@
 
     def _look_for_the_gone(self) -> None:
         listed = self._read_list()
-        names = None if listed is None else [item.name for item in listed]
+        names = [item.name for item in listed] or None
         with self._fold.lock:
             gone = gone_incarnations(self._fold.state, names)
         try:
@@ -112,14 +112,14 @@
         except LogError as error:
             self._metrics.count(f"permits.recovery-failed.{error.code}")
 
-    def _read_list(self) -> list[ListedInstance] | None:
-        """Return the entries that the platform lists; None if it does not say."""
+    def _read_list(self) -> list[ListedInstance]:
+        """Return the entries that the platform lists; an empty list is not believed."""
         if self._list is None:
-            return None
+            return []
         try:
             listed = [item for item in self._list.read() if item.role == _ENTRY_ROLE]
         except InstanceListError as error:
             self._metrics.count(f"peers.list-failed.{error.code}")
-            return None
+            return []
         self._roster.set_listed(tuple(item.peer_address for item in listed if item.peer_address))
         return listed
--- a/almondstack/permits/demand.py
+++ b/almondstack/permits/demand.py
@@ -2,14 +2,17 @@
 
 Explanation
 -----------
-An entry draws up to its even part without being asked for anything, so that no
-permits lie idle in the log when it falls silent.  Beyond that it draws and asks
-for what its waiting calls need.  A resource counts as wanted for
+An entry draws half of its even part, and its part of the zone's floor, before
+anything waits.  The other half stays in the log for those who need more, since
+what a lost entry held is missing until its work has surely ended.  Beyond that
+an entry draws and asks for what its waiting calls need.  A resource counts as wanted for
 :data:`MISSED_TTL_S` after an attempt to take it failed.
 """
 
 from typing import Protocol
 
+import msgspec
+
 from almondstack.core import Clock
 from almondstack.fold import unallocated_count
 from almondstack.fold.permits_floors import available_count
@@ -30,6 +33,16 @@
 MISSED_TTL_S = 1.0
 _SCAN_INTERVAL_S = 1.0
 _HINTED_PEERS = 2
+_EVEN_DIVISOR = 2
+_WIDEN_S = 0.02
+
+
+class _Asked(msgspec.Struct):
+    """Which peers know of a wish."""
+
+    asked_s: float
+    peers: set[str]
+    is_narrow: bool
 
 
 class HolderHints(Protocol):
@@ -54,7 +67,7 @@
     """
 
     __slots__ = (
-        "_asked_s",
+        "_asked",
         "_clock",
         "_drawing",
         "_floors",
@@ -72,7 +85,7 @@
         self._settings = settings
         self._incarnation = incarnation
         self._clock = clock
-        self._asked_s: dict[str, float] = {}
+        self._asked: dict[str, _Asked] = {}
         self._drawing: list[tuple[int, frozenset[str]]] = []
         self._floors: dict[str, int] = {}
         self._floors_key: tuple[int, tuple[str, ...]] = (-1, ())
@@ -84,8 +97,16 @@
 
     def is_ask_due(self, resource: str) -> bool:
         """Return True if peers were not asked for ``resource`` of late."""
-        last_s = self._asked_s.get(resource, float("-inf"))
-        return self._clock.monotonic() - last_s >= self._settings.ask_interval_s
+        known = self._asked.get(resource)
+        if known is None:
+            return True
+        return self._clock.monotonic() - known.asked_s >= self._settings.ask_interval_s
+
+    @property
+    def next_step_s(self) -> float:
+        """Longest time until the next plan, in seconds."""
+        is_narrow = any(item.is_narrow for item in list(self._asked.values()))
+        return _WIDEN_S if is_narrow else self._settings.tick_s
 
     def used_rate(self, resource: str) -> int:
         """Return how many permits of a rate were in use in the last interval."""
@@ -124,7 +145,7 @@
                 continue
             item = table.holding(name)
             wanted = max(
-                even_part(state, name, entry) - item.held,
+                -(-even_part(state, name, entry) // _EVEN_DIVISOR) - item.held,
                 floor_part(state, name, entry) - _drawn(state, name, entry),
                 self._shortage(item),
             )
@@ -136,13 +157,16 @@
     def plan_asks(
         self, state: FleetState, entry: EntryState, table: PermitTable, hints: HolderHints
     ) -> dict[str, tuple[PermitCount, ...]]:
-        """Return, by peer, how many permits to ask it for."""
+        """Return, by peer, how many permits to ask it for; 0 ends an earlier wish."""
         others = [item.incarnation for item in state.live_entries()]
         others.remove(self._incarnation)
+        wanted = self._wanted(state, entry, table)
         wishes: dict[str, list[PermitCount]] = {}
-        for name, count in self._wanted(state, entry, table).items():
-            self._asked_s[name] = self._clock.monotonic()
-            for peer in self._peers_to_ask(hints.holders_of(name), others):
+        for name in [name for name in self._asked if name not in wanted]:
+            for peer in self._asked.pop(name).peers:
+                wishes.setdefault(peer, []).append(PermitCount(name, 0))
+        for name, count in wanted.items():
+            for peer in self._peers_to_ask(name, hints, others):
                 wishes.setdefault(peer, []).append(PermitCount(name, count))
         return {peer: tuple(items) for peer, items in wishes.items()}
 
@@ -161,7 +185,7 @@
         for name in floors.keys() | set(table.resources()):
             item = table.holding(name)
             count = max(self._shortage(item), floors.get(name, 0) - item.held)
-            if count > 0 and name not in pending and self.is_ask_due(name):
+            if count > 0 and (name not in pending or name in self._asked):
                 wanted[name] = count
         return wanted
 
@@ -177,13 +201,30 @@
             self._floors = {name: count for name, count in parts.items() if count}
         return self._floors
 
-    def _peers_to_ask(self, holders: list[str], others: list[str]) -> list[str]:
-        known = [peer for peer in holders if peer in others]
-        if known:
-            return known[:_HINTED_PEERS]
-        self._turn += 1
-        start = self._turn * self._settings.ask_fan_out % max(1, len(others))
-        return (others[start:] + others[:start])[: self._settings.ask_fan_out]
+    def _peers_to_ask(self, name: str, hints: HolderHints, others: list[str]) -> list[str]:
+        """Return the likely holders first, and soon after that everyone in turn."""
+        now_s = self._clock.monotonic()
+        known = self._asked.get(name)
+        if known is None:
+            holders = [peer for peer in hints.holders_of(name) if peer in others]
+            chosen = holders[:_HINTED_PEERS] or self._next_peers(others)
+            self._asked[name] = _Asked(now_s, set(chosen), is_narrow=bool(holders))
+            return chosen
+        interval_s = _WIDEN_S if known.is_narrow else self._settings.ask_interval_s
+        if now_s - known.asked_s < interval_s:
+            return []
+        chosen = self._next_peers(others)
+        known.asked_s, known.is_narrow = now_s, False
+        known.peers.update(chosen)
+        return chosen
+
+    def _next_peers(self, others: list[str]) -> list[str]:
+        count = self._settings.ask_fan_out
+        if len(others) <= count:
+            return others
+        self._turn += count
+        start = self._turn % len(others)
+        return (others + others)[start : start + count]
 
 
 def _drawn(state: FleetState, resource: str, entry: EntryState) -> int:
--- a/almondstack/permits/escrow.py
+++ b/almondstack/permits/escrow.py
@@ -374,4 +374,4 @@
             except AlmondError as error:
                 self._metrics.count(f"permits.tick-failed.{error.code}")
             self._clock.wait(self._stop, self._settings.least_tick_s)
-            self._clock.wait(self._wake, self._settings.tick_s)
+            self._clock.wait(self._wake, self._planner.next_step_s)
--- a/almondstack/permits/table.py
+++ b/almondstack/permits/table.py
@@ -101,6 +101,7 @@
                     return False
             for name, item in wanted:
                 item.taken += 1
+                item.missed_s = float("-inf")
                 if is_rate(name):
                     item.tokens -= 1
                 else:
@@ -132,7 +133,9 @@
     def note_demand(self, resource: str, waiting: int) -> None:
         """Remember how many calls wait for ``resource``."""
         with self._lock:
-            self.holding(resource).waiting = waiting
+            item = self.holding(resource)
+            item.waiting = waiting
+            item.missed_s = float("-inf")
 
     def set_held(self, held: dict[str, int], bursts: dict[str, float] | None = None) -> bool:
         """Replace what is held, nothing of what is not named; return whether any count rose."""
--- a/almondstack/permits/tests/test_machine.py
+++ b/almondstack/permits/tests/test_machine.py
@@ -1,10 +1,33 @@
 from hypothesis import settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from almondstack.model import PermitCount
+from almondstack.permits import PermitAsk, PermitTotals
 from almondstack.testing.permit_machine import PermitMachine
+from almondstack.testing.permit_world import NORTH, PermitWorld
 
 
 def test_permits_hold_under_faults():
     run_state_machine_as_test(
         PermitMachine, settings=settings(max_examples=40, stateful_step_count=50)
     )
+
+
+def test_transfer_of_a_fenced_entry_is_ignored_once_it_is_settled():
+    world = PermitWorld(ceiling=6)
+    for number in range(3):
+        world.add_node(number, rate=1.0)
+    for _ in range(3):
+        world.settle_once()
+    giver, taker, _ = world.nodes
+    giver.permits.take_ask(taker.incarnation, PermitAsk((PermitCount(NORTH, 1),)))
+    late = [item for item in world.messages if isinstance(item.body, PermitTotals)]
+    assert len(late) == 1
+    giver.is_paused = True
+    world.live_through(8.0, has_links=False)
+    assert taker.incarnation not in world.head.state.settlements[giver.incarnation].waiting
+    held = taker.permits.held_count(NORTH)
+    world.messages[:] = late
+    world.deliver(0)
+    assert taker.permits.held_count(NORTH) == held
+    world.check()
--- a/almondstack/testing/peer_fleet.py
+++ b/almondstack/testing/peer_fleet.py
@@ -18,7 +18,7 @@
 
 __all__ = ["FleetNode", "MemoryLog", "PeerFleet"]
 
-_SOON_S = 0.1
+_LOG_WAIT_S = 0.1
 
 
 class MemoryLog:
@@ -53,11 +53,12 @@
 class _Client:
     """One node's way to the log."""
 
-    __slots__ = ("_log", "is_out")
+    __slots__ = ("_log", "is_out", "most_wait_s")
 
     def __init__(self, log: MemoryLog) -> None:
         self._log = log
         self.is_out = False
+        self.most_wait_s = _LOG_WAIT_S
 
     def append(self, stream: str, records: list[bytes]) -> int:
         """Append unless the log is out."""
@@ -67,7 +68,7 @@
     def read(self, stream: str, offset: int, wait_s: float = 0.0) -> list[LogEntry]:
         """Read unless the log is out."""
         self._check()
-        entries = self._log.read(stream, offset, min(wait_s, _SOON_S))
+        entries = self._log.read(stream, offset, min(wait_s, self.most_wait_s))
         self._check()
         return entries
 
