--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -14,14 +14,18 @@
 
 # Each of these modules registers its subcommands when it is imported.
 _MODULES = (
+    "almondstack.bench.bounds",
+    "almondstack.bench.compare",
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
+    "almondstack.bench.fleet_bench",
     "almondstack.bench.load",
+    "almondstack.bench.path_bench",
     "almondstack.bench.peers_bench",
-    "almondstack.bench.slopes",
     "almondstack.bench.slope_fleet",
     "almondstack.bench.slope_processes",
     "almondstack.bench.slope_state",
+    "almondstack.bench.slopes",
     "almondstack.bench.state",
 )
 
