--- a/almondstack/bench/deployment.py
+++ b/almondstack/bench/deployment.py
@@ -13,7 +13,7 @@
 from almondstack.bench.processes import ProcessGroup, wait_until_ready
 from almondstack.core import AlmondError, LogServiceSettings
 from almondstack.ctl.session import OperatorSession
-from almondstack.model import KeyRevoked, ReleaseNote
+from almondstack.model import FleetState, KeyRevoked, ReleaseNote
 from almondstack.standin.journal import Event, note_process_end, read_journal
 from almondstack.standin.log_service import LogFaults
 from almondstack.standin.platform_recount import Violation
@@ -134,12 +134,31 @@
 
     def revoke_key(self, key_id: str) -> None:
         """Revoke a key through the log and note when."""
-        session = OperatorSession(LogServiceSettings(address=self._layout.log_address))
-        session.catch_up()
         self._revoked_s[key_id] = time.monotonic()
-        verdict = session.append(KeyRevoked(key_id), timeout_s=_CONTROL_TIMEOUT_S)
+        self.append(KeyRevoked(key_id))
+
+    def append(self, body: object) -> None:
+        """Append one record as an operator.
+
+        Raises
+        ------
+        ExperimentError
+            The record was not taken in time.
+        """
+        session = self._session()
+        verdict = session.append(body, timeout_s=_CONTROL_TIMEOUT_S)
+        session.stop()
         if verdict is None or not verdict.is_accepted:
-            raise ExperimentError(f"key {key_id} was not revoked")
+            raise ExperimentError(f"not accepted: {body}")
+
+    def state(self) -> FleetState:
+        """Return what the log says now, folded by this process."""
+        return self._session().fold.state
+
+    def _session(self) -> OperatorSession:
+        session = OperatorSession(LogServiceSettings(address=self._layout.log_address))
+        session.catch_up()
+        return session
 
     def journals(self) -> dict[str, list[Event]]:
         """Return the events of each stand-in by its name."""
--- a/almondstack/bench/layout.py
+++ b/almondstack/bench/layout.py
@@ -46,6 +46,8 @@
     callers, sections : dict
         Settings of every entry beside the defaults: for its caller section,
         and whole sections.
+    keeper_sections : dict
+        Settings of every keeper beside the defaults.
     """
 
     note: ReleaseNote
@@ -55,6 +57,7 @@
     has_shared_upstream: bool = False
     callers: dict[str, Any] = msgspec.field(default_factory=lambda: {"threads": 128})
     sections: dict[str, Any] = {}
+    keeper_sections: dict[str, Any] = {}
 
 
 class Layout:
@@ -150,6 +153,7 @@
             "platform": {"address": self.platform_address, "list_address": self.list_address},
             "status_listen": self.keeper_address(entry),
             "round_s": 1.0,
+            **self._plan.keeper_sections,
         }
 
     def listed(self) -> list[ListedInstance]:
--- a/almondstack/testing/small_fleet.py
+++ b/almondstack/testing/small_fleet.py
@@ -156,7 +156,8 @@
             name: events_since(events, self._since_s)
             for name, events in self._deployment.journals().items()
         }
-        return judge(records, journals, self._deployment.rules).violations
+        broken = self._deployment.platform_violations()
+        return judge(records, journals, self._deployment.rules, broken).violations
 
     def restore(self) -> None:
         """Clear every fault, start what was ended, and wait until all serve."""
@@ -164,6 +165,9 @@
             if not self._group.is_running(name):
                 self._deployment.start_entry(name)
             self._group.signal(name, signal.SIGCONT)
+        for name in self._deployment.layout.keeper_names:
+            if not self._group.is_running(f"keeper-{name}"):
+                self._deployment.start_keeper(name)
         for name in self.upstreams:
             if not self._group.is_running(f"upstream-{name}"):
                 self._deployment.start_upstream(name)
@@ -191,6 +195,10 @@
         "entries": {"a": 2, "b": 1},
         "keepers": 1,
         "own_process": tuple(item.name for item in note.added.instances),
+        "keeper_sections": {
+            "round_s": 0.2,
+            "fleet": {"return_bound_s": 0.5, "takeover_s": 0.5, "loss_pause_s": 1.0},
+        },
         "callers": {"threads": 64, "head_timeout_s": 1.0, "body_timeout_s": 1.0},
     }
     plan = DeploymentPlan(**{**defaults, **fields})
