--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -23,6 +23,7 @@
     "almondstack.bench.slope_fleet",
     "almondstack.bench.slope_processes",
     "almondstack.bench.slope_state",
+    "almondstack.bench.slope_waves",
     "almondstack.bench.state",
 )
 
--- a/almondstack/bench/slope_processes.py
+++ b/almondstack/bench/slope_processes.py
@@ -87,7 +87,11 @@
     for size in _INSTANCES:
         note = make_large_note(size)
         with _running(note=note, keepers=1, has_shared_upstream=True) as deployment:
+            before = deployment.log_counts()["requests"]
             idle = _idle_usage(deployment, ["e-a1", "keeper-e-a1"])
+            calls = deployment.log_counts()["requests"] - before
+        per_second = calls / (_SETTLE_S + _IDLE_S)
+        found.setdefault("log calls a second of both", []).append((size, per_second))
         for name, role in (("e-a1", "entry"), ("keeper-e-a1", "keeper")):
             used = idle[name]
             found.setdefault(f"{role} % of a core", []).append((size, used.cpu_s / _IDLE_S * 100))
--- a/almondstack/standin/log_service.py
+++ b/almondstack/standin/log_service.py
@@ -110,7 +110,9 @@
         self._changed = threading.Condition()
         self._rate = _AppendRate()
         self._append_count = 0
+        self._append_bytes = 0
         self._read_bytes = 0
+        self._request_count = 0
 
     def handle(self, method: str, path: str, query: dict[str, str], environ: Any) -> Reply:
         """Return the answer to one request."""
@@ -123,6 +125,7 @@
         body = read_body(environ)
         time.sleep(self._faults.delay_s)
         with self._changed:
+            self._request_count += 1
             if self._faults.is_refused(reader):
                 return Reply(503)
             return self._serve_stream(method, parts[2], parts[3], query, body, reader)
@@ -143,6 +146,7 @@
         first = stream.append(decode_msgpack(body, list[bytes]))
         stream.truncate(self._faults.kept or self._kept)
         self._append_count += 1
+        self._append_bytes += len(body)
         self._changed.notify_all()
         if self._faults.drop_replies > 0:
             self._faults.drop_replies -= 1
@@ -169,7 +173,12 @@
             if what == "faults":
                 self._set_faults(msgspec.json.decode(body, type=LogFaults))
             lengths = {name: stream.next_offset for name, stream in self._streams.items()}
-            counts = {"appends": self._append_count, "read_bytes": self._read_bytes}
+            counts = {
+                "appends": self._append_count,
+                "append_bytes": self._append_bytes,
+                "read_bytes": self._read_bytes,
+                "requests": self._request_count,
+            }
         return Reply.of_json({**counts, "next_offsets": lengths})
 
     def _set_faults(self, faults: LogFaults) -> None:
