--- a/almondstack/bench/deployment.py
+++ b/almondstack/bench/deployment.py
@@ -11,6 +11,7 @@
 from almondstack.bench.judge import CallerRecord, Judgement, JudgeRules, judge
 from almondstack.bench.layout import DeploymentPlan, Layout
 from almondstack.bench.processes import ProcessGroup, wait_until_ready
+from almondstack.bench.usage import ProcessUsage, run_and_measure
 from almondstack.core import AlmondError, LogServiceSettings
 from almondstack.ctl.session import OperatorSession
 from almondstack.model import FleetState, KeyRevoked, ReleaseNote
@@ -151,6 +152,11 @@
         if verdict is None or not verdict.is_accepted:
             raise ExperimentError(f"not accepted: {body}")
 
+    def run_ctl(self, *arguments: str) -> ProcessUsage:
+        """Run one ``almondctl`` command and return what it used."""
+        log = self._layout.log_address
+        return run_and_measure("almondstack.ctl.main", "--log", log, *arguments)
+
     def state(self) -> FleetState:
         """Return what the log says now, folded by this process."""
         return self._session().fold.state
--- a/almondstack/bench/slope_processes.py
+++ b/almondstack/bench/slope_processes.py
@@ -86,11 +86,17 @@
     found: dict[str, Points] = {}
     for size in _INSTANCES:
         note = make_large_note(size)
-        with _running(note=note, keepers=1, has_shared_upstream=True) as deployment:
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            _running(note=note, keepers=1, has_shared_upstream=True) as deployment,
+        ):
             before = deployment.log_counts()["requests"]
             idle = _idle_usage(deployment, ["e-a1", "keeper-e-a1"])
             calls = deployment.log_counts()["requests"] - before
+            ctl = deployment.run_ctl("check", _write_empty_note(Path(folder)))
         per_second = calls / (_SETTLE_S + _IDLE_S)
+        found.setdefault("almondctl s of processor", []).append((size, ctl.cpu_s))
+        found.setdefault("almondctl MiB", []).append((size, ctl.resident_mib))
         found.setdefault("log calls a second of both", []).append((size, per_second))
         for name, role in (("e-a1", "entry"), ("keeper-e-a1", "keeper")):
             used = idle[name]
@@ -111,6 +117,12 @@
     return found
 
 
+def _write_empty_note(folder: Path) -> str:
+    path = folder / "empty.json"
+    path.write_text("{}")
+    return str(path)
+
+
 def _has_folded(deployment: Deployment, end: int) -> bool:
     return deployment.status("e-a1")["next_offset"] >= end
 
--- a/almondstack/bench/usage.py
+++ b/almondstack/bench/usage.py
@@ -1,11 +1,13 @@
 """Processor time and memory of a running process, from ``/proc`` (proc(5))."""
 
 import os
+import subprocess
+import sys
 from pathlib import Path
 
 import msgspec
 
-__all__ = ["ProcessUsage", "usage_of"]
+__all__ = ["ProcessUsage", "run_and_measure", "usage_of"]
 
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
@@ -41,3 +43,20 @@
     ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
     resident = int(fields[_RESIDENT_PAGES]) * _PAGE_BYTES
     return ProcessUsage(ticks / _TICKS_PER_S, resident / 2**20)
+
+
+def run_and_measure(module: str, *arguments: str) -> ProcessUsage:
+    """Run a module to its end; return its processor time and most resident memory.
+
+    Raises
+    ------
+    subprocess.CalledProcessError
+        It ended with another code than 0.
+    """
+    command = [sys.executable, "-m", module, *arguments]
+    process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    _, status, usage = os.wait4(process.pid, 0)
+    process.returncode = os.waitstatus_to_exitcode(status)
+    if process.returncode != 0:
+        raise subprocess.CalledProcessError(process.returncode, command)
+    return ProcessUsage(usage.ru_utime + usage.ru_stime, usage.ru_maxrss / 1024)
