--- a/almondstack/bench/usage.py
+++ b/almondstack/bench/usage.py
@@ -3,6 +3,7 @@
 import os
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import msgspec
@@ -10,6 +11,7 @@
 __all__ = ["ProcessUsage", "run_and_measure", "usage_of"]
 
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_SAMPLE_S = 0.005
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _USER_TICKS, _SYSTEM_TICKS, _RESIDENT_PAGES = 11, 12, 21
 
@@ -55,8 +57,27 @@
     """
     command = [sys.executable, "-m", module, *arguments]
     process = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
-    _, status, usage = os.wait4(process.pid, 0)
+    peak_mib = 0.0
+    while True:
+        ended, status, usage = os.wait4(process.pid, os.WNOHANG)
+        if ended:
+            break
+        peak_mib = max(peak_mib, _peak_mib(process.pid))
+        time.sleep(_SAMPLE_S)
     process.returncode = os.waitstatus_to_exitcode(status)
     if process.returncode != 0:
         raise subprocess.CalledProcessError(process.returncode, command)
-    return ProcessUsage(usage.ru_utime + usage.ru_stime, usage.ru_maxrss / 1024)
+    return ProcessUsage(usage.ru_utime + usage.ru_stime, peak_mib)
+
+
+def _peak_mib(pid: int) -> float:
+    """Return the most resident memory since the process began its program; 0 if unknown.
+
+    Explanation
+    -----------
+    ``getrusage`` would also count what its parent had when it was forked.
+    """
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
