--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -19,11 +19,12 @@
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
     "almondstack.bench.load",
-    "almondstack.bench.slopes",
+    "almondstack.bench.path_bench",
     "almondstack.bench.slope_fleet",
     "almondstack.bench.slope_processes",
     "almondstack.bench.slope_state",
     "almondstack.bench.slope_waves",
+    "almondstack.bench.slopes",
     "almondstack.bench.state",
 )
 
