--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -18,6 +18,7 @@
     "almondstack.bench.compare",
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
+    "almondstack.bench.fleet_bench",
     "almondstack.bench.load",
     "almondstack.bench.path_bench",
     "almondstack.bench.slope_fleet",
