Show in explain which instances of a pool are under way

Cause: explain pool named the notes on a pool but not why an instance of it does not serve, which the run book sends operators there for. Change: rows of instances shared by status and explain; the processes of the state machine stand in a module of their own.

--- a/almondstack/ctl/commands/explain.py
+++ b/almondstack/ctl/commands/explain.py
@@ -7,6 +7,7 @@
 
 from almondstack.core import encode_json
 from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.instance_rows import InstanceRow, instance_rows
 from almondstack.ctl.mentions import mentions, shown_body
 from almondstack.ctl.registry import Command, CommandContext, register_command
 from almondstack.ctl.session import OperatorSession
@@ -44,6 +45,8 @@
     ----------
     first_offset : int
         Records before this offset are no longer kept or were not read.
+    under_way : list of InstanceRow
+        For a pool, its instances that are not simply serving, and why.
     """
 
     kind: str
@@ -51,6 +54,7 @@
     value: str
     first_offset: int
     records: list[RecordRow]
+    under_way: list[InstanceRow]
 
 
 def _add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -74,7 +78,8 @@
     session.catch_up(is_whole=True)
     value = _value(session.fold.state, kind, name)
     first_offset = first_offsets[-1] if first_offsets else 0
-    context.printer.result(ExplainResult(kind, name, value, first_offset, rows))
+    under_way = instance_rows(session.fold.state, name) if kind == "pool" else []
+    context.printer.result(ExplainResult(kind, name, value, first_offset, rows, under_way))
     return ExitCode.OK if rows or value else ExitCode.NOT_FOUND
 
 
--- a/almondstack/ctl/commands/status.py
+++ b/almondstack/ctl/commands/status.py
@@ -6,6 +6,7 @@
 
 from almondstack.ctl.entries import EntryAddress, EntryClient, known_entries
 from almondstack.ctl.exits import ExitCode
+from almondstack.ctl.instance_rows import InstanceRow, instance_rows
 from almondstack.ctl.registry import Command, CommandContext, register_command
 from almondstack.ctl.session import OperatorSession
 from almondstack.log import FLEET, SnapshotStore
@@ -37,17 +38,6 @@
     is_leaving: bool
 
 
-class InstanceRow(msgspec.Struct, frozen=True):
-    """An instance that is not simply serving in its pool."""
-
-    instance: str
-    pool: str
-    phase: str
-    target: str
-    is_withdrawn: bool
-    reason: str
-
-
 class StatusResult(msgspec.Struct, frozen=True):
     """What ``status`` prints."""
 
@@ -81,7 +71,7 @@
         snapshot_offset=newest.next_offset if newest else None,
         entries=entries,
         pools=_pool_rows(state),
-        under_way=_instance_rows(state),
+        under_way=instance_rows(state),
         leaving_teams=sorted(state.leaving_teams),
         leaving_queues=sorted(state.leaving_queues),
     )
@@ -122,19 +112,4 @@
     ]
 
 
-def _instance_rows(state: FleetState) -> list[InstanceRow]:
-    return [
-        InstanceRow(
-            instance=name,
-            pool=item.pool,
-            phase=item.phase.value,
-            target=item.target_pool or (item.spec.pool if item.spec.pool != item.pool else ""),
-            is_withdrawn=item.is_withdrawn,
-            reason=item.reason,
-        )
-        for name, item in sorted(state.instances.items())
-        if not item.is_serving or item.is_withdrawn or item.spec.pool != item.pool
-    ]
-
-
 register_command(Command("status", "Show what is in force and where.", _add_arguments, _run))
--- a/almondstack/ctl/tests/test_commands.py
+++ b/almondstack/ctl/tests/test_commands.py
@@ -235,6 +235,10 @@
     assert code == ExitCode.OK
     assert [row["verdict"] for row in result["records"]] == ["accepted", "revision-conflict"]
     assert bench.run("explain", "team", "nobody")[0] == ExitCode.NOT_FOUND
+    gone = ReleaseNote(withdrawn=Withdrawn(instances=("u3",)))
+    assert bench.run("apply", bench.write("gone.json", gone))[0] == ExitCode.OK
+    code, result = bench.run("explain", "pool", "score")
+    assert [(row["instance"], row["is_withdrawn"]) for row in result["under_way"]] == [("u3", True)]
 
 
 def test_faulty_command_is_told_apart_from_a_refused_record(bench, tmp_path):
--- a/almondstack/fold/tests/machine.py
+++ b/almondstack/fold/tests/machine.py
@@ -16,22 +16,11 @@
 
 import almondstack.fold.judge
 import almondstack.fold.pruning
-from almondstack.core import LogServiceSettings, NullMetrics, encode_msgpack
+from almondstack.core import encode_msgpack
 from almondstack.fold import Fold, Refusal
 from almondstack.fold.tests.oracle import TEAM, Oracle, Projection
-from almondstack.log import (
-    FLEET,
-    SNAPSHOTS,
-    Bootstrap,
-    Follower,
-    LogError,
-    LogTruncatedError,
-    RecordWriter,
-    SnapshotSettings,
-    SnapshotStore,
-    SnapshotWriter,
-    WriterFullError,
-)
+from almondstack.fold.tests.processes import Process, RecordingLog
+from almondstack.log import FLEET, SNAPSHOTS, LogError, SnapshotStore
 from almondstack.log.snapshots import SnapshotChunk
 from almondstack.model import (
     Configured,
@@ -45,14 +34,11 @@
     encode_record,
 )
 from almondstack.testing.builders import make_key, make_note, make_team
-from almondstack.testing.clocks import ManualClock
-from almondstack.testing.fake_log import FakeLog
 
 WINDOW_RECORDS = 8
 PRUNE_EVERY_RECORDS = 2
 PROCESSES = 3
 KEYS = ("k1", "k2", "k3")
-MOST_PENDING = 5
 
 slots = st.integers(0, PROCESSES - 1)
 key_ids = st.sampled_from(KEYS)
@@ -70,82 +56,6 @@
         yield
 
 
-class RecordingLog(FakeLog):
-    """Remembers every record of the fleet stream, truncated or not."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.history: list[bytes] = []
-
-    def append(self, stream: str, records: list[bytes]) -> int:
-        if stream == FLEET:
-            self.history.extend(records)
-        return super().append(stream, records)
-
-
-class Process:
-    """One incarnation: what an entry has of log and fold."""
-
-    def __init__(self, log: RecordingLog, incarnation: str, machine: "LogMachine") -> None:
-        self.incarnation = incarnation
-        self.client = log.client()
-        self.clock = ManualClock()
-        self.fold = Fold()
-        self._machine = machine
-        metrics = NullMetrics()
-        bootstrap = Bootstrap(self.client, self.fold, metrics, self)
-        self.follower = Follower(self.client, self.fold, metrics, self.clock, bootstrap)
-        settings = LogServiceSettings(address="127.0.0.1:1")
-        self.writer = RecordWriter(
-            self.client,
-            FLEET,
-            incarnation,
-            settings,
-            metrics,
-            self.clock,
-            position=self.follower.position,
-            most_pending=MOST_PENDING,
-        )
-        self.snapshots = SnapshotWriter(
-            self.client,
-            self.fold,
-            incarnation,
-            SnapshotSettings(every_records=4, turn_s=1.0),
-            metrics,
-            self.clock,
-        )
-        self.submitted: dict[int, Any] = {}
-        self.best_offset = 0
-        self.best_revision = 0
-
-    def fetch_state(self) -> tuple[bytes, int] | None:
-        """Return the state of the process that is furthest, as a peer would."""
-        peers = [other for other in self._machine.processes if other is not self]
-        best = max(peers, key=lambda other: other.fold.next_offset, default=None)
-        return best.fold.encode_state() if best and not self.client.is_cut_off else None
-
-    def submit(self, body: Any) -> None:
-        try:
-            self.submitted[self.writer.submit(body)] = body
-        except WriterFullError:
-            assert self.writer.pending_count == MOST_PENDING
-
-    def follow(self) -> None:
-        """Do what the follower's thread does, once."""
-        try:
-            self.follower.poll()
-        except LogTruncatedError:
-            assert self.follower.has_gap and not self.follower.may_decide
-            assert self.follower.position() is None
-            self.start()
-        except LogError:
-            pass
-
-    def start(self) -> None:
-        with suppress(LogError):
-            self.follower.bootstrap()
-
-
 class LogMachine(RuleBasedStateMachine):
     """See the module."""
 
@@ -180,7 +90,7 @@
     def _new_process(self) -> Process:
         self._born += 1
         incarnation = f"e{self._born}"
-        process = Process(self.log, incarnation, self)
+        process = Process(self.log, incarnation, self.processes)
         process.start()
         address = "127.0.0.1:1"
         process.submit(EntryJoined(incarnation, incarnation, "a", "r", address, address))
--- /dev/null
+++ b/almondstack/fold/tests/processes.py
@@ -0,0 +1,98 @@
+"""The processes of the state machine: real code upon a fake log and a fake clock."""
+
+from contextlib import suppress
+from typing import Any
+
+from almondstack.core import LogServiceSettings, NullMetrics
+from almondstack.fold import Fold
+from almondstack.log import (
+    FLEET,
+    Bootstrap,
+    Follower,
+    LogError,
+    LogTruncatedError,
+    RecordWriter,
+    SnapshotSettings,
+    SnapshotWriter,
+    WriterFullError,
+)
+from almondstack.testing.clocks import ManualClock
+from almondstack.testing.fake_log import FakeLog
+
+MOST_PENDING = 5
+
+
+class RecordingLog(FakeLog):
+    """Remembers every record of the fleet stream, truncated or not."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.history: list[bytes] = []
+
+    def append(self, stream: str, records: list[bytes]) -> int:
+        if stream == FLEET:
+            self.history.extend(records)
+        return super().append(stream, records)
+
+
+class Process:
+    """One incarnation: what an entry has of log and fold."""
+
+    def __init__(self, log: RecordingLog, incarnation: str, processes: list["Process"]) -> None:
+        self.incarnation = incarnation
+        self.client = log.client()
+        self.clock = ManualClock()
+        self.fold = Fold()
+        self._processes = processes
+        metrics = NullMetrics()
+        bootstrap = Bootstrap(self.client, self.fold, metrics, self)
+        self.follower = Follower(self.client, self.fold, metrics, self.clock, bootstrap)
+        settings = LogServiceSettings(address="127.0.0.1:1")
+        self.writer = RecordWriter(
+            self.client,
+            FLEET,
+            incarnation,
+            settings,
+            metrics,
+            self.clock,
+            position=self.follower.position,
+            most_pending=MOST_PENDING,
+        )
+        self.snapshots = SnapshotWriter(
+            self.client,
+            self.fold,
+            incarnation,
+            SnapshotSettings(every_records=4, turn_s=1.0),
+            metrics,
+            self.clock,
+        )
+        self.submitted: dict[int, Any] = {}
+        self.best_offset = 0
+        self.best_revision = 0
+
+    def fetch_state(self) -> tuple[bytes, int] | None:
+        """Return the state of the process that is furthest, as a peer would."""
+        peers = [other for other in self._processes if other is not self]
+        best = max(peers, key=lambda other: other.fold.next_offset, default=None)
+        return best.fold.encode_state() if best and not self.client.is_cut_off else None
+
+    def submit(self, body: Any) -> None:
+        try:
+            self.submitted[self.writer.submit(body)] = body
+        except WriterFullError:
+            assert self.writer.pending_count == MOST_PENDING
+
+    def follow(self) -> None:
+        """Do what the follower's thread does, once."""
+        try:
+            self.follower.poll()
+        except LogTruncatedError:
+            assert self.follower.has_gap and not self.follower.may_decide
+            assert self.follower.position() is None
+            self.start()
+        except LogError:
+            pass
+
+    def start(self) -> None:
+        with suppress(LogError):
+            self.follower.bootstrap()
