--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -25,6 +25,7 @@
     "almondstack.bench.slope_fleet",
     "almondstack.bench.slope_processes",
     "almondstack.bench.slope_state",
+    "almondstack.bench.slope_waves",
     "almondstack.bench.slopes",
     "almondstack.bench.state",
 )
