--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -21,9 +21,11 @@
     "almondstack.bench.fleet_bench",
     "almondstack.bench.load",
     "almondstack.bench.path_bench",
+    "almondstack.bench.peers_bench",
     "almondstack.bench.slope_fleet",
     "almondstack.bench.slope_processes",
     "almondstack.bench.slope_state",
+    "almondstack.bench.slope_waves",
     "almondstack.bench.slopes",
     "almondstack.bench.state",
 )
