--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -198,5 +198,5 @@
         self._fold.wait_for_verdict(self._writer.author, sequence, _LEAVE_TIMEOUT_S)
 
     def _running(self) -> list[RunningCount]:
-        report = self._dispatcher.scheduler.usage_report(self._incarnation)
-        return [RunningCount(item.pool, item.team, item.running) for item in report.usages]
+        counts = self._dispatcher.scheduler.running_counts()
+        return [RunningCount(pool, team, count) for (pool, team), count in counts.items()]
