Let the failure suite wait until the fleet answers again

With permits shared between entries, those that a killed entry held come back once its work has surely ended, 5 to 6 s with a run-time bound of 3 s, while the tests asked for answers within 2.5 s of a kill. Each test now begins only when both pools answer through every entry, polled with a bound of 30 s that fails loudly; the judge counts as before. Entries also get the address of the instance list, without which dead permits never return.

--- a/almondstack/bench/layout.py
+++ b/almondstack/bench/layout.py
@@ -119,6 +119,10 @@
             by_zone[zone].append(self.callers_address(name))
         return by_zone
 
+    def zone_of(self, entry: str) -> str:
+        """Return the zone of an entry."""
+        return self._zones[entry]
+
     def callers_address(self, entry: str) -> str:
         """Return where an entry serves callers."""
         return f"{self._host_of(entry)}:7101"
@@ -142,6 +146,7 @@
             "callers": {"listen": self.callers_address(name), **self._plan.callers},
             "log": {"address": self.log_address},
             "peer_listen": self.peers_address(name),
+            "instance_list": self.list_address,
             **self._plan.sections,
         }
 
--- a/almondstack/testing/small_fleet.py
+++ b/almondstack/testing/small_fleet.py
@@ -14,7 +14,7 @@
 
 from almondstack.bench.caller import Caller, WorkItem
 from almondstack.bench.deployment import Deployment, ExperimentError
-from almondstack.bench.judge import CallerRecord, JudgedRun, events_since, judge, runs_of
+from almondstack.bench.judge import CallerEnd, CallerRecord, JudgedRun, events_since, judge, runs_of
 from almondstack.bench.layout import DeploymentPlan
 from almondstack.bench.processes import ProcessGroup, wait_until
 from almondstack.bench.workload import demo_key
@@ -28,6 +28,7 @@
 _CALLERS = 16
 _KEYS_A_TEAM = 4
 _RUN_BOUND_S = 3.0
+_RECOVERY_S = 30.0
 
 
 def make_small_note() -> ReleaseNote:
@@ -160,7 +161,13 @@
         return judge(records, journals, self._deployment.rules, broken).violations
 
     def restore(self) -> None:
-        """Clear every fault, start what was ended, and wait until all serve."""
+        """Clear every fault, start what was ended, and wait until all answer.
+
+        Explanation
+        -----------
+        Permits of a killed entry come back once its work has surely ended, so
+        an entry may be short of them for longer than a request waits.
+        """
         for name in self._deployment.layout.entry_names:
             if not self._group.is_running(name):
                 self._deployment.start_entry(name)
@@ -177,6 +184,15 @@
             self._deployment.wait_until_serving(name)
         for name in self.upstreams:
             wait_until(functools.partial(self._clear, name), f"upstream {name}")
+        for name in self._deployment.layout.entry_names:
+            for queue in ("scoring", "payments"):
+                work = functools.partial(self._is_answered, name, queue)
+                wait_until(work, f"{queue} through {name}", _RECOVERY_S)
+
+    def _is_answered(self, entry: str, queue: str) -> bool:
+        zone = self._deployment.layout.zone_of(entry)
+        item = self.item(queue=queue, zone=zone, has_id=False, is_idempotent=True)
+        return self.submit_to(entry, item).end is CallerEnd.ANSWERED
 
     def _clear(self, upstream: str) -> bool:
         try:
