Run entries with peers, escrowed permits and relayed state

Cause: each entry held the whole of every bound, heard no revocation but its own, and started only from the log. Change: the daemon wires PeerNode: permits, revocations, usage, connectivity, bootstrap from peers, health remarks by gossip; OnceService starts and stops claims and tickets together.

--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -6,16 +6,23 @@
 from almondstack.core import Metrics, PartLogger, SystemClock, new_incarnation
 from almondstack.dispatch import FairDispatcher
 from almondstack.entry.app import EntryApp
-from almondstack.entry.contract import AlwaysConnected, NoRevocations
+from almondstack.entry.gossip import connect_gossip
 from almondstack.entry.listing import ListWatch
 from almondstack.entry.parts import EntryParts
 from almondstack.entry.server import EntryServer
 from almondstack.entry.settings import EntrySettings
 from almondstack.fold import Fold
-from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter, SnapshotWriter
+from almondstack.log import (
+    FLEET,
+    Bootstrap,
+    Follower,
+    HttpLogClient,
+    RecordWriter,
+    SnapshotWriter,
+)
 from almondstack.model import EntryJoined, EntryLeft
-from almondstack.once import ClaimBook, ClaimFollower, ClaimTable, OnceGuard, TicketBook
-from almondstack.permits import LocalPermits
+from almondstack.once import OnceService
+from almondstack.peers import PeerNode
 
 __all__ = ["EntryDaemon"]
 
@@ -35,8 +42,6 @@
     """
 
     __slots__ = (
-        "_claim_follower",
-        "_claims",
         "_dispatcher",
         "_ended",
         "_fold",
@@ -44,7 +49,9 @@
         "_incarnation",
         "_listing",
         "_metrics",
+        "_once",
         "_parts",
+        "_peers",
         "_server",
         "_settings",
         "_snapshots",
@@ -55,56 +62,51 @@
     def __init__(self, settings: EntrySettings) -> None:
         clock = SystemClock()
         metrics = self._metrics = Metrics(settings.statsd)
+        incarnation = self._incarnation = new_incarnation(settings.node.name)
+        client = HttpLogClient(settings.log, incarnation)
+        fold = self._fold = Fold()
         self._settings = settings
-        self._incarnation = new_incarnation(settings.node.name)
-        client = HttpLogClient(settings.log, self._incarnation)
-        self._fold = Fold()
-        self._follower = Follower(client, self._fold, metrics, clock)
+        self._stopping = threading.Event()
+        self._ended = threading.Event()
+        self._peers = PeerNode(
+            settings.peers, settings.peer_listen, settings.node, incarnation, fold, clock, metrics
+        )
+        bootstrap = Bootstrap(client, fold, metrics, self._peers)
+        self._follower = Follower(client, fold, metrics, clock, bootstrap)
+        position = self._follower.position
         self._writer = RecordWriter(
-            client,
-            FLEET,
-            self._incarnation,
-            settings.log,
-            metrics,
-            clock,
-            position=self._follower.position,
+            client, FLEET, incarnation, settings.log, metrics, clock, position=position
         )
         self._snapshots = SnapshotWriter(
-            client, self._fold, self._incarnation, settings.snapshots, metrics, clock
-        )
-        table = ClaimTable(
-            int(settings.once.window_s * 1000), int(settings.once.clock_error_s * 1000)
+            client, fold, incarnation, settings.snapshots, metrics, clock
         )
-        self._claims = ClaimBook(client, self._incarnation, table, settings.once, clock, metrics)
-        self._claim_follower = ClaimFollower(
-            client, table, self._claims.decide, settings.once, clock, metrics
-        )
-        tickets = TicketBook(self._incarnation, settings.once, clock)
-        self._listing = ListWatch(settings.instance_list, clock, metrics)
+        self._peers.attach(self._follower, self._writer, client)
+        self._once = OnceService(client, incarnation, settings.once, clock, metrics)
+        self._listing = ListWatch(settings.peers.instance_list, clock, metrics)
         self._dispatcher = FairDispatcher(
             settings.dispatch,
             settings.node,
-            self._fold,
-            LocalPermits(self._fold, clock),
+            fold,
+            self._peers.permits,
             clock,
             metrics,
+            usage=self._peers.usage,
             listing=self._listing,
         )
+        connect_gossip(self._dispatcher, self._peers)
         self._parts = EntryParts(
             settings=settings,
-            incarnation=self._incarnation,
-            fold=self._fold,
+            incarnation=incarnation,
+            fold=fold,
             dispatching=self._dispatcher,
-            once=OnceGuard(self._claims, tickets),
-            revocations=NoRevocations(),
-            connectivity=AlwaysConnected(),
+            once=self._once.guard,
+            revocations=self._peers.revocations,
+            connectivity=self._peers.connectivity,
             clock=clock,
             metrics=metrics,
         )
         app = EntryApp(self._parts)
         self._server = EntryServer(settings, app, self._parts.reaper, metrics)
-        self._stopping = threading.Event()
-        self._ended = threading.Event()
 
     def run(self) -> None:
         """Serve until :meth:`stop`."""
@@ -126,16 +128,16 @@
 
     def _start_threads(self) -> None:
         self._metrics.start()
+        self._peers.start()
         self._follower.start()
         self._writer.start()
         self._snapshots.start()
-        self._claims.start()
-        self._claim_follower.start()
+        self._once.start()
         self._listing.start()
         self._dispatcher.start()
-        threading.Thread(target=self._watch_fence, name="fence", daemon=True).start()
         self._parts.hangups.start()
         self._parts.reaper.start()
+        threading.Thread(target=self._watch_fence, name="fence", daemon=True).start()
 
     def _join(self) -> None:
         node = self._settings.node
@@ -162,18 +164,28 @@
         if not is_empty:
             _log.warning("Shut down with %d requests under way.", self._parts.calls.count)
         self._server.stop()
-        self._leave()
-        self._snapshots.stop()
-        for part in (self._claims, self._claim_follower, self._writer, self._follower):
-            part.stop()
         self._dispatcher.stop()
-        self._listing.stop()
-        self._parts.hangups.stop()
-        self._parts.reaper.stop()
-        self._metrics.stop()
+        self._leave()
+        self._stop_threads()
         _log.info("Shut down.")
         self._ended.set()
 
     def _leave(self) -> None:
+        """Hand the permits back and say in the log that this life has ended."""
+        self._peers.leave()
         sequence = self._writer.submit(EntryLeft(self._incarnation))
         self._fold.wait_for_verdict(self._writer.author, sequence, _LEAVE_TIMEOUT_S)
+
+    def _stop_threads(self) -> None:
+        for part in (
+            self._snapshots,
+            self._once,
+            self._writer,
+            self._follower,
+            self._peers,
+            self._listing,
+            self._parts.hangups,
+            self._parts.reaper,
+            self._metrics,
+        ):
+            part.stop()
--- a/almondstack/entry/settings.py
+++ b/almondstack/entry/settings.py
@@ -17,6 +17,7 @@
 from almondstack.dispatch import DispatchSettings
 from almondstack.log import SnapshotSettings
 from almondstack.once import OnceSettings
+from almondstack.peers import PeerSettings
 
 __all__ = ["CallerSettings", "EntrySettings"]
 
@@ -56,8 +57,6 @@
 
     Parameters
     ----------
-    instance_list : str or None
-        Address of the platform's list of instances; None does without it.
     operator_token_file : str or None
         File whose content operators prove to know when they send a
         revocation straight to this entry; None refuses such calls.
@@ -75,7 +74,7 @@
     once: OnceSettings = OnceSettings()
     dispatch: DispatchSettings = DispatchSettings()
     peer_listen: Address = "127.0.0.1:7201"
-    instance_list: Address | None = None
+    peers: PeerSettings = PeerSettings()
     operator_token_file: str | None = None
     statsd: StatsdSettings = StatsdSettings()
     logging: LoggingSettings = LoggingSettings()
--- a/almondstack/entry/tests/test_requests.py
+++ b/almondstack/entry/tests/test_requests.py
@@ -99,7 +99,7 @@
         again = exchange(entry.address, submission(f"Idempotency-Key: {request_id}"))
         assert (again.status, again.header("almondstack-reason")) == (409, "id-claimed")
     with running_entry(ok, log=log, incarnation="entry-2~00") as other:
-        assert wait_until(lambda: other.follower.is_ready)
+        assert wait_until(lambda: other.once.follower.is_ready)
         elsewhere = exchange(other.address, submission(f"Idempotency-Key: {request_id}"))
         assert elsewhere.status == 409
         assert elsewhere.header("almondstack-outcome") == "unknown"
@@ -163,7 +163,7 @@
         with connect(holder.address) as waiting:
             waiting.sendall(submission(f"Idempotency-Key: {request_id}"))
             assert wait_until(lambda: holder.dispatcher.waiting)
-            assert wait_until(lambda: other.claims.holder_of("north", request_id))
+            assert wait_until(lambda: other.once.guard.claims.holder_of("north", request_id))
             cancel = _delete(other.address, request_id)
             assert (cancel.status, cancel.header("almondstack-outcome")) == (200, "not-run")
             assert read_to_end(waiting).header("almondstack-reason") == "cancelled"
--- a/almondstack/once/__init__.py
+++ b/almondstack/once/__init__.py
@@ -4,6 +4,7 @@
 from almondstack.once.follower import ClaimFollower
 from almondstack.once.guard import Hold, OnceGuard
 from almondstack.once.records import Claim, ClaimBatch, ClaimKey, claim_key
+from almondstack.once.service import OnceService
 from almondstack.once.settings import OnceSettings
 from almondstack.once.table import ClaimOwner, ClaimTable
 from almondstack.once.tickets import Ticket, TicketBook, is_ticket, parse_ticket
@@ -18,6 +19,7 @@
     "ClaimTable",
     "Hold",
     "OnceGuard",
+    "OnceService",
     "OnceSettings",
     "Ticket",
     "TicketBook",
--- /dev/null
+++ b/almondstack/once/service.py
@@ -0,0 +1,66 @@
+"""Everything that at most once needs, started and stopped together."""
+
+from almondstack.core import Clock, NullMetrics
+from almondstack.log import LogClient
+from almondstack.once.claims import ClaimBook
+from almondstack.once.follower import ClaimFollower
+from almondstack.once.guard import OnceGuard
+from almondstack.once.settings import OnceSettings
+from almondstack.once.table import ClaimTable
+from almondstack.once.tickets import TicketBook
+
+__all__ = ["OnceService"]
+
+
+class OnceService:
+    """Claims and tickets of one incarnation.
+
+    Parameters
+    ----------
+    client : LogClient
+        The log service.
+    incarnation : str
+        Name of this life of the process.
+    settings : OnceSettings
+        Window, bounds and lifetimes.
+    clock : Clock
+        Checks ages.
+    metrics : NullMetrics
+        Counts claims and failures.
+    """
+
+    __slots__ = ("_claims", "_follower", "_guard")
+
+    def __init__(
+        self,
+        client: LogClient,
+        incarnation: str,
+        settings: OnceSettings,
+        clock: Clock,
+        metrics: NullMetrics,
+    ) -> None:
+        window_ms = int(settings.window_s * 1000)
+        table = ClaimTable(window_ms, int(settings.clock_error_s * 1000))
+        self._claims = ClaimBook(client, incarnation, table, settings, clock, metrics)
+        self._follower = ClaimFollower(client, table, self._claims.decide, settings, clock, metrics)
+        self._guard = OnceGuard(self._claims, TicketBook(incarnation, settings, clock))
+
+    @property
+    def guard(self) -> OnceGuard:
+        """Gives the right to run a request."""
+        return self._guard
+
+    @property
+    def follower(self) -> ClaimFollower:
+        """Follows the claims stream."""
+        return self._follower
+
+    def start(self) -> None:
+        """Start appending and following."""
+        self._claims.start()
+        self._follower.start()
+
+    def stop(self) -> None:
+        """Stop both."""
+        self._claims.stop()
+        self._follower.stop()
--- a/almondstack/testing/entries.py
+++ b/almondstack/testing/entries.py
@@ -23,14 +23,7 @@
 from almondstack.entry.settings import CallerSettings, EntrySettings
 from almondstack.fold import Fold
 from almondstack.log import LogEntry
-from almondstack.once import (
-    ClaimBook,
-    ClaimFollower,
-    ClaimTable,
-    OnceGuard,
-    OnceSettings,
-    TicketBook,
-)
+from almondstack.once import OnceService, OnceSettings
 from almondstack.testing.addresses import free_address
 from almondstack.testing.builders import make_fold
 from almondstack.testing.fake_log import FakeLog, FakeLogClient
@@ -143,18 +136,14 @@
             log=LogServiceSettings(address="127.0.0.1:1"),
             once=once,
         )
-        table = ClaimTable(int(once.window_s * 1000), int(once.clock_error_s * 1000))
         self.client = _PollingLogClient(log)
-        self.claims = ClaimBook(self.client, incarnation, table, once, clock, self.metrics)
-        self.follower = ClaimFollower(
-            self.client, table, self.claims.decide, once, clock, self.metrics
-        )
+        self.once = OnceService(self.client, incarnation, once, clock, self.metrics)
         self.parts = EntryParts(
             settings=self.settings,
             incarnation=incarnation,
             fold=fold,
             dispatching=dispatcher,
-            once=OnceGuard(self.claims, TicketBook(incarnation, once, clock)),
+            once=self.once.guard,
             revocations=NoRevocations(),
             connectivity=AlwaysConnected(),
             clock=clock,
@@ -166,7 +155,7 @@
 
     def start(self) -> None:
         """Start all threads."""
-        for part in (self.claims, self.follower, self.parts.hangups, self.parts.reaper):
+        for part in (self.once, self.parts.hangups, self.parts.reaper):
             part.start()
         self.server.prepare()
         threading.Thread(target=self.server.serve, daemon=True).start()
@@ -174,7 +163,7 @@
     def stop(self) -> None:
         """Stop all threads."""
         self.server.stop()
-        for part in (self.claims, self.follower, self.parts.hangups, self.parts.reaper):
+        for part in (self.once, self.parts.hangups, self.parts.reaper):
             part.stop()
 
 
