--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -69,7 +69,13 @@
         self._stopping = threading.Event()
         self._ended = threading.Event()
         self._peers = PeerNode(
-            settings.peers, settings.peer_listen, settings.node, incarnation, fold, clock, metrics
+            settings.peer_settings,
+            settings.peer_listen,
+            settings.node,
+            incarnation,
+            fold,
+            clock,
+            metrics,
         )
         bootstrap = Bootstrap(client, fold, metrics, self._peers)
         self._follower = Follower(client, fold, metrics, clock, bootstrap)
@@ -82,7 +88,7 @@
         )
         self._peers.attach(self._follower, self._writer, client)
         self._once = OnceService(client, incarnation, settings.once, clock, metrics)
-        self._listing = ListWatch(settings.peers.instance_list, clock, metrics)
+        self._listing = ListWatch(settings.instance_list, clock, metrics)
         self._dispatcher = FairDispatcher(
             settings.dispatch,
             settings.node,
@@ -93,7 +99,7 @@
             usage=self._peers.usage,
             listing=self._listing,
         )
-        connect_gossip(self._dispatcher, self._peers)
+        connect_gossip(self._dispatcher, self._peers, incarnation)
         self._parts = EntryParts(
             settings=settings,
             incarnation=incarnation,
@@ -165,14 +171,16 @@
             _log.warning("Shut down with %d requests under way.", self._parts.calls.count)
         self._server.stop()
         self._dispatcher.stop()
-        self._leave()
+        self._leave(is_empty)
         self._stop_threads()
         _log.info("Shut down.")
         self._ended.set()
 
-    def _leave(self) -> None:
-        """Hand the permits back and say in the log that this life has ended."""
+    def _leave(self, is_empty: bool) -> None:
+        """Return the permits; with work under way the incarnation is left to be fenced."""
         self._peers.leave()
+        if not is_empty:
+            return
         sequence = self._writer.submit(EntryLeft(self._incarnation))
         self._fold.wait_for_verdict(self._writer.author, sequence, _LEAVE_TIMEOUT_S)
 
