Bound what an envelope may hold, and raise levels one at a time

Cause: a record of any author length was remembered, and a LevelRaised far ahead, with no live entry, would have stopped every reader. Change: bounds on author, sequence and kind; only the next level; a test that garbage is refused alike by two readers and stops neither.

--- a/almondstack/fold/tests/test_fold.py
+++ b/almondstack/fold/tests/test_fold.py
@@ -1,9 +1,17 @@
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondstack.core import encode_msgpack
 from almondstack.fold import Fold, Refusal
 from almondstack.model import (
+    FleetState,
     InstancePhase,
     InstanceStepped,
     KeyRevoked,
+    LevelRaised,
     ReleaseApplied,
+    default_registry,
     encode_record,
 )
 from almondstack.testing.builders import make_fold, make_note
@@ -48,3 +56,40 @@
     fold.apply(1, encode_record("operator", 2, KeyRevoked("k1")))
     assert "k1" in fold.state.revoked
     assert "k1" not in fold.state.keys
+
+
+_scalars = st.none() | st.booleans() | st.integers(-(2**63), 2**64 - 1) | st.text(max_size=5)
+_values = st.recursive(
+    _scalars | st.binary(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=8,
+)
+_kinds = st.sampled_from(sorted(default_registry().kinds))
+_bodies = _values.map(encode_msgpack).map(msgspec.Raw)
+_sequences = st.integers(-1, 2**64 - 1)
+_records = st.binary(max_size=60) | st.builds(
+    lambda *fields: encode_msgpack(fields),
+    st.integers(-1, 3),
+    st.sampled_from(("", "operator", "x" * 300)),
+    _sequences,
+    _kinds,
+    _bodies,
+    st.integers(-1, 9),
+)
+
+
+@given(st.lists(_records, max_size=8))
+def test_garbage_is_refused_alike_and_stops_no_reader(records):
+    first, second = make_fold(), make_fold()
+    for offset, data in enumerate(records, start=1):
+        verdict = first.apply(offset, data)
+        assert verdict == second.apply(offset, data)
+    assert first.encode_state() == second.encode_state()
+    assert Fold(msgspec.msgpack.decode(first.encode_state()[0], type=FleetState)).state
+
+
+def test_level_is_raised_one_at_a_time():
+    fold = make_fold()
+    verdict = fold.apply(1, encode_record("operator", 2, LevelRaised(2**62)))
+    assert verdict.refusal is Refusal.LEVEL_NOT_SUPPORTED
+    assert not fold.is_outdated
--- a/almondstack/model/level_records.py
+++ b/almondstack/model/level_records.py
@@ -13,7 +13,7 @@
 
     Explanation
     -----------
-    Refused unless every live entry supports ``level``.
+    Refused unless ``level`` is the next one and every live entry supports it.
     """
 
     level: int
--- a/almondstack/model/records.py
+++ b/almondstack/model/records.py
@@ -17,9 +17,10 @@
 """
 
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
+from msgspec import Meta
 
 from almondstack.core import CodecError, decode_msgpack, encode_msgpack
 
@@ -39,6 +40,8 @@
 
 FORMAT_LEVEL = 1
 REPEAT_WINDOW_RECORDS = 8192
+_AUTHOR_CHARACTERS = 200
+_KIND_CHARACTERS = 64
 
 R = TypeVar("R", bound=type)
 
@@ -80,9 +83,9 @@
     """
 
     level: int
-    author: str
-    sequence: int
-    kind: str
+    author: Annotated[str, Meta(min_length=1, max_length=_AUTHOR_CHARACTERS)]
+    sequence: Annotated[int, Meta(ge=1)]
+    kind: Annotated[str, Meta(min_length=1, max_length=_KIND_CHARACTERS)]
     body: msgspec.Raw
     base: int = 0
 
@@ -109,6 +112,11 @@
         """Highest format level that the process can judge."""
         return self._level
 
+    @property
+    def kinds(self) -> frozenset[str]:
+        """Names of the kinds that the process knows."""
+        return frozenset(self._types)
+
     def add(self, kind: str, type_: type, level: int) -> None:
         """Make ``type_`` the body of ``kind``."""
         self._types[kind] = type_
