Report on the fleet, estimate waves, and write the fleet's pages

almondctl report shows buffer, moves, refusals and waves as table, JSON or a page; waves status and follow show an estimate of the end.

--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -19,6 +19,7 @@
     "almondstack.bench.demo",
     "almondstack.bench.entry_bench",
     "almondstack.bench.fleet_bench",
+    "almondstack.bench.fleet_machine",
     "almondstack.bench.load",
     "almondstack.bench.path_bench",
     "almondstack.bench.slope_fleet",
--- a/almondstack/ctl/commands/__init__.py
+++ b/almondstack/ctl/commands/__init__.py
@@ -1,9 +1,9 @@
 """The commands of ``almondctl``, each in a module of its own."""
 
-from almondstack.ctl import waves
+from almondstack.ctl import report, waves
 from almondstack.ctl.commands import apply as apply_command
 from almondstack.ctl.commands import check, diff, explain, keys, level, status, version, watch
 
 __all__: list[str] = []
 
-_MODULES = (apply_command, check, diff, explain, keys, level, status, version, watch, waves)
+_MODULES = (apply_command, check, diff, explain, keys, level, status, version, watch, report, waves)
--- /dev/null
+++ b/almondstack/ctl/report_page.py
@@ -0,0 +1,76 @@
+"""A report as one HTML page without outside resources, with plots as inline SVG."""
+
+from collections.abc import Iterable
+from html import escape
+from typing import Any
+
+import msgspec
+
+__all__ = ["render_page"]
+
+_BAR_PX = 16
+_LABEL_PX = 300
+_PLOT_PX = 400
+_STYLE = "body{font:14px sans-serif;margin:2em}td,th{padding:2px 10px;text-align:left}"
+
+
+def render_page(report: msgspec.Struct) -> str:
+    """Return the page; every list of the report becomes a table, and counts a plot.
+
+    Examples
+    --------
+    >>> from almondstack.ctl.report import make_report
+    >>> from almondstack.ctl.report_page import render_page
+    >>> from almondstack.testing.builders import make_fold
+    >>> render_page(make_report(make_fold(), 24.0)).count("<svg")
+    2
+    """
+    parts = ["<!doctype html><meta charset=utf-8><title>almondstack report</title>"]
+    parts.append(f"<style>{_STYLE}</style><h1>Fleet report</h1>")
+    for name in report.__struct_fields__:
+        value = getattr(report, name)
+        if isinstance(value, list):
+            parts.append(f"<h2>{escape(name)}</h2>{_section(value)}")
+        else:
+            parts.append(f"<p>{escape(name)}: {escape(str(value))}</p>")
+    return "\n".join(parts)
+
+
+def _section(rows: list[Any]) -> str:
+    if not rows:
+        return "<p>none</p>"
+    names = rows[0].__struct_fields__
+    head = "".join(f"<th>{escape(name)}</th>" for name in names)
+    lines = "".join(_line(getattr(row, name) for name in names) for row in rows)
+    return f"<table><tr>{head}</tr>{lines}</table>{_plot(rows)}"
+
+
+def _line(cells: Iterable[Any]) -> str:
+    return "<tr>" + "".join(f"<td>{escape(str(cell))}</td>" for cell in cells) + "</tr>"
+
+
+def _plot(rows: list[Any]) -> str:
+    bars = [bar for row in rows for bar in _bars(row)]
+    if not bars:
+        return ""
+    most = max(value for _, value in bars) or 1
+    height = _BAR_PX * len(bars) + 4
+    drawn = "".join(_bar(index, label, value / most) for index, (label, value) in enumerate(bars))
+    return f'<svg width="{_LABEL_PX + _PLOT_PX}" height="{height}">{drawn}</svg>'
+
+
+def _bars(row: Any) -> list[tuple[str, float]]:
+    """The label of a row with each number that is worth a bar."""
+    if hasattr(row, "count"):
+        return [(row.what, row.count)]
+    if hasattr(row, "held"):
+        return [(f"held, {row.loss} loss", row.held), (f"needed, {row.loss} loss", row.needed)]
+    return [(f"{row.wave} done", row.done), (f"{row.wave} members", row.members)]
+
+
+def _bar(index: int, label: str, share: float) -> str:
+    top = index * _BAR_PX
+    text = f'<text x="0" y="{top + 12}" font-size="12">{escape(label)}</text>'
+    width = max(share * _PLOT_PX, 1)
+    box = f'<rect x="{_LABEL_PX}" y="{top + 2}" width="{width:.0f}" height="12" fill="#4a7"/>'
+    return text + box
--- a/almondstack/ctl/waves.py
+++ b/almondstack/ctl/waves.py
@@ -9,8 +9,9 @@
 from almondstack.core import SystemClock
 from almondstack.ctl.exits import ExitCode
 from almondstack.ctl.registry import Command, CommandContext, register_command
+from almondstack.ctl.report import operator_view
 from almondstack.ctl.session import OperatorSession
-from almondstack.fleet import due_times
+from almondstack.fleet import DrainEstimates, due_times
 from almondstack.fold.waves import wave_members
 from almondstack.keeper.status import WaveProgress, wave_progress
 from almondstack.model import (
@@ -117,7 +118,7 @@
         started = WaveStarted(_spec(arguments), context.settings.operator)
         return _submit(context, session, arguments.wave, WavePhase.RUNNING, started)
     if action == "status":
-        context.printer.result(WaveReport(wave_progress(session.fold.state)))
+        context.printer.result(WaveReport(_progress(session.fold.state)))
         return ExitCode.OK
     if arguments.wave not in session.fold.state.waves:
         context.printer.progress(f"there is no wave {arguments.wave}")
@@ -158,7 +159,7 @@
     clock = SystemClock()
     shown: WaveProgress | None = None
     while True:
-        progress = next(p for p in wave_progress(session.fold.state) if p.wave == name)
+        progress = next(p for p in _progress(session.fold.state) if p.wave == name)
         if progress != shown:
             shown = progress
             context.printer.line(progress, _progress_text(progress))
@@ -168,9 +169,14 @@
         clock.wait(threading.Event(), _FOLLOW_STEP_S)
 
 
+def _progress(state: FleetState) -> list[WaveProgress]:
+    return wave_progress(operator_view(state), DrainEstimates())
+
+
 def _progress_text(progress: WaveProgress) -> str:
     counts = f"{progress.done}/{progress.members} done, {progress.set_aside} set aside"
-    return f"{progress.wave} {progress.phase}: {counts}, {progress.out} out"
+    left = f", about {progress.remaining_s:.0f} s left" if progress.remaining_s else ""
+    return f"{progress.wave} {progress.phase}: {counts}, {progress.out} out{left}"
 
 
 register_command(Command("waves", "Plan and run maintenance waves.", _add_arguments, _run))
--- a/almondstack/keeper/daemon.py
+++ b/almondstack/keeper/daemon.py
@@ -116,12 +116,13 @@
         silence_s = self._follower.silence_s
         fleet = self._settings.fleet
         seen = self._rounds.tracker.peek(silence_s)
+        view = FleetView(state, seen, fleet)
         return KeeperStatus(
             incarnation=self._incarnation,
             next_offset=self._fold.next_offset,
             log_silence_s=min(silence_s, 1e9),
             is_ready=bool(state.pools) and silence_s < _READY_SILENCE_S,
-            waves=wave_progress(state, FleetView(state, seen, fleet)),
+            waves=wave_progress(view, self._rounds.planner.estimates),
             counters=self._metrics.totals(),
         )
 
--- a/almondstack/keeper/status.py
+++ b/almondstack/keeper/status.py
@@ -6,8 +6,8 @@
 import msgspec
 
 from almondstack.core import NullMetrics, encode_json
-from almondstack.fleet import FleetView, wave_hold_reason
-from almondstack.model import FleetState
+from almondstack.fleet import DrainEstimates, FleetView, remaining_s, wave_hold_reason
+from almondstack.model import WaveState
 
 __all__ = ["KeeperStatus", "StatusApp", "WaveProgress", "wave_progress"]
 
@@ -27,6 +27,8 @@
         Instances in all, done, given up and out of service now.
     hold : str
         Why nothing is taken now; empty if the wave goes on.
+    remaining_s : float
+        Estimate of the time until the wave ends, in seconds; 0 if it does not run.
     """
 
     wave: str
@@ -37,6 +39,7 @@
     set_aside: int
     out: int
     hold: str = ""
+    remaining_s: float = 0.0
 
 
 class KeeperStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,25 +53,32 @@
     counters: dict[str, int]
 
 
-def wave_progress(state: FleetState, view: FleetView | None = None) -> list[WaveProgress]:
-    """Return the progress of each wave, by name."""
-    found = []
-    for name in sorted(state.waves):
-        wave = state.waves[name]
-        out = sum(item.wave == name for item in state.instances.values())
-        found.append(
-            WaveProgress(
-                wave=name,
-                phase=wave.phase,
-                reason=wave.reason,
-                members=len(wave.members),
-                done=len(wave.done),
-                set_aside=len(wave.set_aside),
-                out=out,
-                hold=wave_hold_reason(view, wave) if view is not None else "",
-            )
-        )
-    return found
+def wave_progress(view: FleetView, estimates: DrainEstimates) -> list[WaveProgress]:
+    """Return the progress of each wave, by name.
+
+    Parameters
+    ----------
+    view : FleetView
+        The fleet; without usage reports no reason to hold is given.
+    estimates : DrainEstimates
+        What was learned of run times.
+    """
+    return [_progress(view, view.state.waves[name], estimates) for name in sorted(view.state.waves)]
+
+
+def _progress(view: FleetView, wave: WaveState, estimates: DrainEstimates) -> WaveProgress:
+    out = sum(item.wave == wave.name for item in view.state.instances.values())
+    return WaveProgress(
+        wave=wave.name,
+        phase=wave.phase,
+        reason=wave.reason,
+        members=len(wave.members),
+        done=len(wave.done),
+        set_aside=len(wave.set_aside),
+        out=out,
+        hold=wave_hold_reason(view, wave) if view.seen.reports else "",
+        remaining_s=remaining_s(view, wave, estimates) if wave.is_running else 0.0,
+    )
 
 
 class StatusApp:
