Let a withdrawn instance that never gets empty hold no wave

The long form of the state machine ended with a wave that ran and did not go on: a withdrawn instance that drains without end counted as out, so a pool that no spare backs was never alone. A status of 5xx to an act that was sent, other than 503, counts as a lost reply.

--- a/almondstack/fleet/reserve.py
+++ b/almondstack/fleet/reserve.py
@@ -23,9 +23,10 @@
         The fleet.
     """
 
-    __slots__ = ("_by_rack", "_left", "_least", "_needs", "_spares")
+    __slots__ = ("_by_rack", "_left", "_least", "_needs", "_spares", "_taken")
 
     def __init__(self, view: FleetView) -> None:
+        self._taken: set[str] = set()
         self._left: dict[str, int] = {}
         self._least: dict[str, int] = {}
         self._by_rack: dict[str, dict[str, int]] = {}
@@ -53,6 +54,10 @@
             lack = max(least - (len(sure) - count), 0)
             self._needs[rack] = self._needs.get(rack, 0) + lack
 
+    def is_taken(self, item: InstanceState) -> bool:
+        """Return whether ``item`` was counted as out in this round."""
+        return item.name in self._taken
+
     def may_take(self, item: InstanceState) -> bool:
         """Return whether the spares still cover each rack without ``item``."""
         if item.pool not in self._left:
@@ -69,6 +74,7 @@
 
     def take(self, item: InstanceState) -> None:
         """Count ``item`` as out."""
+        self._taken.add(item.name)
         if item.pool not in self._left:
             self._spares[item.spec.rack] = self._spares.get(item.spec.rack, 0) - 1
             return
--- a/almondstack/fleet/tests/test_steps.py
+++ b/almondstack/fleet/tests/test_steps.py
@@ -13,6 +13,7 @@
     WavePhase,
     WaveSpec,
     WaveStarted,
+    Withdrawn,
     encode_record,
 )
 from almondstack.testing.builders import make_fold, make_note, make_pool
@@ -182,3 +183,14 @@
         version = log.fold.state.instances[name].version
         assert log.submit(InstanceObserved(name, version, InstancePhase.FAILED)) is None
     assert log.fold.state.serving_count("score") == 0
+
+
+def test_withdrawn_instance_that_never_gets_empty_does_not_hold_a_wave():
+    world = _world(spares=0)
+    world.fleet.faults.never_empty.append("m7")
+    assert world.apply(ReleaseNote(withdrawn=Withdrawn(instances=("m7",))))
+    _run(world, 10)
+    _start_wave(world, pools=("match",))
+    _run(world, 200, lambda: world.state.waves["w"].phase is WavePhase.ENDED)
+    assert world.state.waves["w"].phase is WavePhase.ENDED
+    assert world.state.instances["m7"].phase is InstancePhase.DRAINING
--- a/almondstack/fleet/waves.py
+++ b/almondstack/fleet/waves.py
@@ -79,8 +79,24 @@
     policy = view.settings.wave_policy
     if policy == "budget" or (policy == "spares" and reserve.may_take(item)):
         return True
-    is_alone = left + len(view.lost(pool.name)) + 1 >= len(view.owned(pool.name))
-    return is_alone and not _has_young_loss(view, pool.name)
+    return _is_alone(view, item, reserve) and not _has_young_loss(view, pool.name)
+
+
+def _is_alone(view: FleetView, item: InstanceState, reserve: LossReserve) -> bool:
+    """Every other instance that stays in the pool surely serves, or is lost.
+
+    A withdrawn instance may drain without end and holds nothing up.
+    """
+    others = (other for other in view.owned(item.pool) if other.name != item.name)
+    return all(
+        other.is_lost or _serves_on(view, other, reserve)
+        for other in others
+        if not other.is_withdrawn
+    )
+
+
+def _serves_on(view: FleetView, item: InstanceState, reserve: LossReserve) -> bool:
+    return item.is_serving and view.is_surely_well(item) and not reserve.is_taken(item)
 
 
 def _has_young_loss(view: FleetView, pool: str) -> bool:
--- a/almondstack/platform/client.py
+++ b/almondstack/platform/client.py
@@ -37,6 +37,8 @@
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
 _HTTP_GONE = 410
+_HTTP_ERROR = 500
+_HTTP_UNAVAILABLE = 503
 
 
 class PlatformSettings(Settings, frozen=True):
@@ -164,7 +166,12 @@
         return self._decode(self._check(response), ActStatus)
 
     def _call(self, method: str, path: str, body: bytes | None = None) -> bytes:
-        return self._check(self._request(method, path, body))
+        response = self._request(method, path, body)
+        is_unclear = response.status >= _HTTP_ERROR and response.status != _HTTP_UNAVAILABLE
+        if method == "PUT" and is_unclear:
+            self._metrics.count("platform.reply-lost")
+            raise ActReplyLostError(f"status {response.status}")
+        return self._check(response)
 
     def _request(
         self, method: str, path: str, body: bytes | None = None
