--- a/almondstack/bench/bounds.py
+++ b/almondstack/bench/bounds.py
@@ -88,14 +88,14 @@
 
 def _idle_bounds() -> list[Bound]:
     found = {name: points[-1][1] for name, points in fleet_size().items()}
-    bounds = {"% of a core": _CORE_TARGET_PERCENT, "MiB": _MEMORY_TARGET_MIB}
     return [
         Bound(
-            name=f"idle {name} at 740 instances",
-            measured=measured,
-            bound=bounds[name.partition(" ")[2]],
+            name=f"idle {role} {unit} at 740 instances",
+            measured=found[f"{role} {unit}"],
+            bound=bound,
         )
-        for name, measured in found.items()
+        for role in ("entry", "keeper")
+        for unit, bound in (("% of a core", _CORE_TARGET_PERCENT), ("MiB", _MEMORY_TARGET_MIB))
     ]
 
 
