--- a/almondstack/entry/settings.py
+++ b/almondstack/entry/settings.py
@@ -58,8 +58,6 @@
 
     Parameters
     ----------
-    instance_list : str or None
-        Address of the platform's list of instances; None does without it.
     operator_token_file : str or None
         File whose content operators prove to know when they send a
         revocation straight to this entry; None refuses such calls.
