--- a/almondstack/permits/demand.py
+++ b/almondstack/permits/demand.py
@@ -35,6 +35,7 @@
 _HINTED_PEERS = 2
 _EVEN_DIVISOR = 2
 _WIDEN_S = 0.02
+_FLOOR_INTERVAL_S = 5.0
 
 
 class _Asked(msgspec.Struct):
@@ -72,6 +73,7 @@
         "_drawing",
         "_floors",
         "_floors_key",
+        "_floors_s",
         "_incarnation",
         "_observed_s",
         "_rates",
@@ -88,6 +90,7 @@
         self._asked: dict[str, _Asked] = {}
         self._drawing: list[tuple[int, frozenset[str]]] = []
         self._floors: dict[str, int] = {}
+        self._floors_s = clock.monotonic()
         self._floors_key: tuple[int, tuple[str, ...]] = (-1, ())
         self._observed_s = clock.monotonic()
         self._rates: dict[str, int] = {}
@@ -180,7 +183,7 @@
 
     def _wanted(self, state: FleetState, entry: EntryState, table: PermitTable) -> dict[str, int]:
         pending = frozenset().union(*(names for _, names in self._drawing))
-        floors = self._floor_parts(state, entry)
+        floors = self._due_floors(state, entry)
         wanted = {}
         for name in floors.keys() | set(table.resources()):
             item = table.holding(name)
@@ -193,6 +196,20 @@
         has_missed = self._clock.monotonic() - item.missed_s < MISSED_TTL_S
         return max(item.waiting, int(has_missed)) - max(0, item.held - item.used)
 
+    def _due_floors(self, state: FleetState, entry: EntryState) -> dict[str, int]:
+        """Return the floor parts once in an interval, and nothing in between.
+
+        Explanation
+        -----------
+        A wish that only fills a floor must be rare, lest permits move in a
+        circle between entries that nobody asks anything of.
+        """
+        now_s = self._clock.monotonic()
+        if now_s - self._floors_s < _FLOOR_INTERVAL_S:
+            return {}
+        self._floors_s = now_s
+        return self._floor_parts(state, entry)
+
     def _floor_parts(self, state: FleetState, entry: EntryState) -> dict[str, int]:
         live = tuple(item.incarnation for item in state.live_entries())
         if self._floors_key != (state.revision, live):
