--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 bench: $(STAMP)
 	ALMONDSTACK_MACHINE_EXAMPLES=2000 $(BIN)/python -m pytest almondstack/fold/tests/test_machine.py -k no_example
+	ALMONDSTACK_MACHINE_EXAMPLES=2000 $(BIN)/python -m pytest almondstack/permits/tests/test_machine.py -k faults
 	$(BIN)/almondstack-bench bounds
 
 clean:
--- a/almondstack/permits/tests/test_machine.py
+++ b/almondstack/permits/tests/test_machine.py
@@ -1,3 +1,5 @@
+import os
+
 from hypothesis import settings
 from hypothesis.stateful import run_state_machine_as_test
 
@@ -6,10 +8,12 @@
 from almondstack.testing.permit_machine import PermitMachine
 from almondstack.testing.permit_world import NORTH, PermitWorld
 
+_EXAMPLES = int(os.environ.get("ALMONDSTACK_MACHINE_EXAMPLES", "40"))
+
 
 def test_permits_hold_under_faults():
     run_state_machine_as_test(
-        PermitMachine, settings=settings(max_examples=40, stateful_step_count=50)
+        PermitMachine, settings=settings(max_examples=_EXAMPLES, stateful_step_count=50)
     )
 
 
