--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -99,7 +99,7 @@
             usage=self._peers.usage,
             listing=self._listing,
         )
-        connect_gossip(self._dispatcher, self._peers, incarnation)
+        connect_gossip(self._dispatcher, self._peers)
         self._parts = EntryParts(
             settings=settings,
             incarnation=incarnation,
--- a/almondstack/entry/gossip.py
+++ b/almondstack/entry/gossip.py
@@ -18,12 +18,12 @@
     items: tuple[HealthRemark, ...]
 
 
-def connect_gossip(dispatcher: FairDispatcher, peers: PeerNode, incarnation: str) -> None:
+def connect_gossip(dispatcher: FairDispatcher, peers: PeerNode) -> None:
     """Let gossip carry running totals and health remarks of the dispatcher."""
 
     def running() -> list[RunningCount]:
-        report = dispatcher.scheduler.usage_report(incarnation)
-        return [RunningCount(item.pool, item.team, item.running) for item in report.usages]
+        counts = dispatcher.scheduler.running_counts()
+        return [RunningCount(pool, team, count) for (pool, team), count in counts.items()]
 
     def health() -> bytes:
         remarks = dispatcher.health.remarks()[:_MOST_REMARKS]
