Look only at wanted permits between scans

Cause: each tick, ten times a second, planned draws and wishes over every resource: 765 at full size. Change: the table keeps the resources for which calls wait or lately missed; a full scan comes with a new offset or every 5 s.

--- a/almondstack/permits/demand.py
+++ b/almondstack/permits/demand.py
@@ -25,13 +25,13 @@
     is_rate,
 )
 from almondstack.permits.settings import PermitSettings
-from almondstack.permits.table import Holding, PermitTable
+from almondstack.permits.table import MISSED_TTL_S, Holding, PermitTable
 from almondstack.permits.targets import even_part, floor_part
 
 __all__ = ["MISSED_TTL_S", "DemandPlanner", "HolderHints"]
 
-MISSED_TTL_S = 1.0
-_SCAN_INTERVAL_S = 1.0
+_RATE_INTERVAL_S = 1.0
+_SCAN_INTERVAL_S = 5.0
 _HINTED_PEERS = 2
 _EVEN_DIVISOR = 2
 _WIDEN_S = 0.02
@@ -119,7 +119,7 @@
         """Measure the use of rates, about once a second."""
         now_s = self._clock.monotonic()
         elapsed_s = now_s - self._observed_s
-        if elapsed_s < _SCAN_INTERVAL_S:
+        if elapsed_s < _RATE_INTERVAL_S:
             return
         self._observed_s = now_s
         for name in filter(is_rate, table.resources()):
@@ -179,13 +179,13 @@
         if offset != last_offset or now_s - last_s >= _SCAN_INTERVAL_S:
             self._scanned = (offset, now_s)
             return list(bounds_of(state))
-        return [name for name in table.resources() if self._shortage(table.holding(name)) > 0]
+        return [name for name in table.wanting() if self._shortage(table.holding(name)) > 0]
 
     def _wanted(self, state: FleetState, entry: EntryState, table: PermitTable) -> dict[str, int]:
         pending = frozenset().union(*(names for _, names in self._drawing))
         floors = self._due_floors(state, entry)
         wanted = {}
-        for name in floors.keys() | set(table.resources()):
+        for name in floors.keys() | set(table.wanting()):
             item = table.holding(name)
             count = max(self._shortage(item), floors.get(name, 0) - item.held)
             if count > 0 and (name not in pending or name in self._asked):
--- a/almondstack/permits/table.py
+++ b/almondstack/permits/table.py
@@ -13,7 +13,9 @@
 from almondstack.core import Clock
 from almondstack.model import is_rate
 
-__all__ = ["Holding", "PermitTable"]
+__all__ = ["MISSED_TTL_S", "Holding", "PermitTable"]
+
+MISSED_TTL_S = 1.0
 
 
 class Holding:
@@ -66,12 +68,13 @@
     (True, False)
     """
 
-    __slots__ = ("_clock", "_holdings", "_listeners", "_lock")
+    __slots__ = ("_clock", "_holdings", "_listeners", "_lock", "_wanting")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._holdings: dict[str, Holding] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._wanting: set[str] = set()
         self._lock = threading.RLock()
 
     @property
@@ -91,6 +94,16 @@
         with self._lock:
             return list(self._holdings)
 
+    def wanting(self) -> list[str]:
+        """Return the resources for which calls wait, or lately did not find a permit."""
+        oldest_s = self._clock.monotonic() - MISSED_TTL_S
+        with self._lock:
+            for name in list(self._wanting):
+                item = self._holdings[name]
+                if not item.waiting and item.missed_s < oldest_s:
+                    self._wanting.discard(name)
+            return list(self._wanting)
+
     def try_take(self, resources: Iterable[str]) -> bool:
         """Take one permit of each resource, or none at all."""
         with self._lock:
@@ -98,6 +111,7 @@
             for name, item in wanted:
                 if not self._has_free(name, item):
                     item.missed_s = self._clock.monotonic()
+                    self._wanting.add(name)
                     return False
             for name, item in wanted:
                 item.taken += 1
@@ -135,6 +149,8 @@
         with self._lock:
             item = self.holding(resource)
             item.waiting = waiting
+            if waiting:
+                self._wanting.add(resource)
             item.missed_s = float("-inf")
 
     def set_held(self, held: dict[str, int], bursts: dict[str, float] | None = None) -> bool:
