Give waiting callers threads enough for a burst

A call that waits holds a thread; with 128 at an entry, and 256 in the sender, calls behind them waited for a thread where neither urgency nor share counts. Change: 512 threads by default at an entry and in the bench's layout, 1500 in the sender.

--- a/almondstack/bench/layout.py
+++ b/almondstack/bench/layout.py
@@ -55,7 +55,7 @@
     keepers: int = 1
     own_process: tuple[str, ...] = ()
     has_shared_upstream: bool = False
-    callers: dict[str, Any] = msgspec.field(default_factory=lambda: {"threads": 128})
+    callers: dict[str, Any] = msgspec.field(default_factory=lambda: {"threads": 512})
     sections: dict[str, Any] = {}
     keeper_sections: dict[str, Any] = {}
 
--- a/almondstack/bench/sending.py
+++ b/almondstack/bench/sending.py
@@ -13,7 +13,7 @@
 
 __all__ = ["Step", "send_all", "send_closed"]
 
-_THREADS = 256
+_THREADS = 1500
 _START_DELAY_S = 0.2
 
 
--- a/almondstack/entry/settings.py
+++ b/almondstack/entry/settings.py
@@ -45,7 +45,7 @@
     """
 
     listen: Address
-    threads: Annotated[int, Meta(ge=4, le=2000)] = 256
+    threads: Annotated[int, Meta(ge=4, le=4000)] = 512
     waiting_connections: Annotated[int, Meta(ge=1, le=65_536)] = 512
     idle_connections: Annotated[int, Meta(ge=1, le=65_536)] = 1024
     head_timeout_s: PositiveSeconds = 5.0
