Refuse ids that a truncated part of the claims stream may hold

Cause: 2,000 examples of the claims machine found an id that started, whose claim was dropped by the log, and that a newcomer would have claimed again: locate() took records from the oldest kept on as if the window before it were known. Change: a newcomer that starts at the oldest record kept refuses ids made before that record was written, with twice the clock error; the same behind a gap.

--- a/almondstack/once/follower.py
+++ b/almondstack/once/follower.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from almondstack.core import Clock, CodecError, NullMetrics, PartLogger
-from almondstack.log import CLAIMS, LogClient, LogEntry, LogError, LogTruncatedError
+from almondstack.log import CLAIMS, LogBounds, LogClient, LogEntry, LogError, LogTruncatedError
 from almondstack.once.records import ClaimBatch, decode_batch
 from almondstack.once.settings import OnceSettings
 from almondstack.once.table import ClaimTable
@@ -108,7 +108,7 @@
                 high = middle
         self._next_offset = low
         if low > 0:
-            self._table.forget_before(wanted_ms + self._clock_error_ms)
+            self._forget_unread(bounds, wanted_ms)
 
     def poll(self, wait_s: float = 0.0) -> int:
         """Read and fold once; return the number of records.
@@ -123,6 +123,23 @@
             self._take(entry)
         return len(entries)
 
+    def _forget_unread(self, bounds: LogBounds, wanted_ms: int) -> None:
+        """Refuse ids that a record before the first one read may have claimed.
+
+        Explanation
+        -----------
+        Such a record was written before the first one, but for the difference
+        of two clocks, and its ids lie at most one more such difference ahead.
+        """
+        known_from_ms = wanted_ms
+        if self._next_offset == bounds.oldest:
+            is_empty = bounds.oldest == bounds.next_offset
+            known_from_ms = self._now_ms() if is_empty else self._written_ms(bounds.oldest)
+        self._table.forget_before(known_from_ms + 2 * self._clock_error_ms)
+
+    def _now_ms(self) -> int:
+        return int(self._clock.unix() * 1000)
+
     @property
     def _clock_error_ms(self) -> int:
         return int(self._settings.clock_error_s * 1000)
@@ -166,6 +183,6 @@
         """Go on behind a gap; every id made before now can no longer be checked."""
         _log.error("Claims from offset %d on are gone.", self._next_offset)
         self._metrics.count("claims.gaps")
-        self._table.forget_before(int(self._clock.unix() * 1000) + self._clock_error_ms)
+        self._table.forget_before(self._now_ms() + 2 * self._clock_error_ms)
         self._is_ready = False
         self._clock.wait(self._stop, _RETRY_S)
--- a/almondstack/once/tests/test_claims.py
+++ b/almondstack/once/tests/test_claims.py
@@ -4,6 +4,8 @@
 in it must never start again.
 """
 
+import os
+
 import pytest
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
@@ -123,7 +125,7 @@
     def make_new_id(self, number: int) -> None:
         self.ids[number] = make_request_id(self.clock.unix(), number)
 
-    @rule(count=st.integers(0, 3))
+    @rule(count=st.sampled_from([0, 0, 0, 0, 1, 3]))
     def truncate(self, count: int) -> None:
         bounds = self.log.bounds(CLAIMS)
         self.log.truncate(CLAIMS, min(bounds.oldest + count, self.slowest_offset()))
@@ -151,7 +153,7 @@
 
 
 def test_an_id_is_started_at_most_once():
-    run_machine(examples=60, steps=40)
+    run_machine(examples=int(os.environ.get("ALMONDSTACK_MACHINE_EXAMPLES", "60")), steps=50)
 
 
 def _last_claim_wins(self, author, claim, latest_ms):
@@ -182,11 +184,38 @@
 ]
 
 
+def walk_a_repeated_release() -> None:
+    """Walk the machine to a release that is repeated after another entry's claim.
+
+    The machine comes here too seldom in a short run.
+    """
+    machine = ClaimMachine()
+    machine.begin(0, 0)
+    machine.exchange()
+    machine.settle(0, is_run=False)
+    machine.flush(0, "reply lost")
+    machine.catch_up(1)
+    machine.begin(1, 0)
+    machine.flush(1, "none")
+    machine.flush(0, "none")
+    machine.catch_up(1)
+    machine.settle(1, is_run=True)
+    machine.catch_up(0)
+    machine.begin(0, 0)
+    machine.exchange()
+    machine.settle(0, is_run=True)
+
+
+def test_repeated_release_frees_nobody_elses_claim():
+    walk_a_repeated_release()
+
+
 @pytest.mark.parametrize(("owner", "name", "mutant"), MUTATIONS)
 def test_the_machine_catches(monkeypatch, owner, name, mutant):
     monkeypatch.setattr(owner, name, mutant)
     with pytest.raises(Exception, match="."):
-        run_machine(examples=300, steps=40)
+        walk_a_repeated_release()
+        run_machine(examples=600, steps=50)
 
 
 def test_newcomer_refuses_ids_older_than_what_it_read():
@@ -255,3 +284,21 @@
     table.apply(ClaimBatch(1, "entry-1", 1_000_000, [Claim(far_key, 1)], []))
     assert table.owner(far_key) is None
     assert table.horizon_ms == 0
+
+
+def test_newcomer_to_a_truncated_stream_refuses_ids_that_the_lost_part_may_hold():
+    clock = ManualClock()
+    log = FakeLog()
+    first = Entry(log, "entry-1", clock)
+    lost_id = make_request_id(clock.unix(), 1)
+    first.book.begin("north", lost_id)
+    assert first.book.flush()
+    clock.advance(1.0)
+    first.book.begin("north", make_request_id(clock.unix(), 2))
+    assert first.book.flush()
+    log.truncate(CLAIMS, 1)
+    newcomer = Entry(log, "entry-2", clock)
+    newcomer.catch_up()
+    with pytest.raises(RequestError) as caught:
+        newcomer.book.begin("north", lost_id)
+    assert caught.value.reason is Reason.ID_TOO_OLD
