Show peers and ceilings on the status page

Cause: docs/callers.md promised peers and permits in /statusz, which had neither. Conclusion: the page says what the code does.

--- a/almondstack/entry/daemon.py
+++ b/almondstack/entry/daemon.py
@@ -9,6 +9,7 @@
 from almondstack.entry.gossip import connect_gossip
 from almondstack.entry.listing import ListWatch
 from almondstack.entry.parts import EntryParts
+from almondstack.entry.peer_status import peer_status_of
 from almondstack.entry.server import EntryServer
 from almondstack.entry.settings import EntrySettings
 from almondstack.fold import Fold
@@ -110,6 +111,7 @@
             connectivity=self._peers.connectivity,
             clock=clock,
             metrics=metrics,
+            peer_status=lambda: peer_status_of(self._peers, fold),
         )
         app = EntryApp(self._parts)
         self._server = EntryServer(settings, app, self._parts.reaper, metrics)
--- a/almondstack/entry/parts.py
+++ b/almondstack/entry/parts.py
@@ -1,6 +1,7 @@
 """The parts of an entry that its handlers share."""
 
 import threading
+from collections.abc import Callable
 
 from almondstack.core import Clock, NullMetrics, Reason, RequestError
 from almondstack.entry.authentication import Authenticator
@@ -8,6 +9,7 @@
 from almondstack.entry.connections import HangupWatcher, Reaper
 from almondstack.entry.contract import Connectivity, Dispatching, Revocations
 from almondstack.entry.forwarding import Forwarder
+from almondstack.entry.peer_status import PeerStatus
 from almondstack.entry.settings import EntrySettings
 from almondstack.fold import Fold
 from almondstack.once import OnceGuard
@@ -38,6 +40,8 @@
         Measures deadlines.
     metrics : NullMetrics
         Counts outcomes and reasons.
+    peer_status : callable
+        Returns what the status page tells of peers.
     """
 
     __slots__ = (
@@ -53,6 +57,7 @@
         "incarnation",
         "metrics",
         "once",
+        "peer_status",
         "reaper",
         "revocations",
         "settings",
@@ -70,8 +75,10 @@
         connectivity: Connectivity,
         clock: Clock,
         metrics: NullMetrics,
+        peer_status: Callable[[], PeerStatus] = PeerStatus,
     ) -> None:
         self.settings = settings
+        self.peer_status = peer_status
         self.incarnation = incarnation
         self.fold = fold
         self.dispatching = dispatching
--- a/almondstack/entry/status.py
+++ b/almondstack/entry/status.py
@@ -1,6 +1,7 @@
 """``GET /statusz``: what an entry knows about itself."""
 
 from almondstack.entry.parts import EntryParts
+from almondstack.entry.peer_status import PeerStatus
 from almondstack.model import EntryStatus
 
 __all__ = ["StatusPage", "status_of"]
@@ -19,6 +20,8 @@
         Requests that wait, run or are being answered.
     counters : dict of str to int
         Every outcome, refusal and retry reason.
+    peers : PeerStatus
+        Its peers and permits.
     """
 
     region: str
@@ -26,6 +29,7 @@
     is_stopping: bool
     under_way: int
     counters: dict[str, int]
+    peers: PeerStatus
 
 
 def status_of(parts: EntryParts) -> StatusPage:
@@ -41,4 +45,5 @@
         is_stopping=parts.is_stopping,
         under_way=parts.calls.count,
         counters=parts.metrics.totals(),
+        peers=parts.peer_status(),
     )
