Name the first protocol's platform clients provider

The folder almondstack/platform is to hold the adapter for the users' platform, so the clients of the first protocol's control service and instance list move to almondstack/provider. Imports only; no behaviour changes.

--- a/almondstack/bench/layout.py
+++ b/almondstack/bench/layout.py
@@ -14,7 +14,7 @@
 
 from almondstack.core import decode_json
 from almondstack.model import ReleaseNote
-from almondstack.platform import ListedInstance
+from almondstack.provider import ListedInstance
 from almondstack.standin.platform_fleet import FleetSetup, Machine
 from almondstack.standin.platform_recount import PoolBudget
 from almondstack.testing.addresses import loopback_host
--- a/almondstack/bench/slope_fleet.py
+++ b/almondstack/bench/slope_fleet.py
@@ -7,7 +7,7 @@
 from almondstack.bench.slopes import Points, slope_case
 from almondstack.fleet import FleetSettings, Observations, Planner
 from almondstack.fold import Fold
-from almondstack.platform import UsageReport
+from almondstack.provider import UsageReport
 from almondstack.testing.large_fleet import FULL_INSTANCES, make_large_fold
 
 __all__ = ["quiet_observations"]
--- a/almondstack/entry/listing.py
+++ b/almondstack/entry/listing.py
@@ -3,7 +3,7 @@
 import threading
 
 from almondstack.core import Clock, NullMetrics
-from almondstack.platform import HttpInstanceList, InstanceListError, ListedInstance
+from almondstack.provider import HttpInstanceList, InstanceListError, ListedInstance
 
 __all__ = ["ListWatch"]
 
--- a/almondstack/entry/tests/test_listing.py
+++ b/almondstack/entry/tests/test_listing.py
@@ -1,6 +1,6 @@
 from almondstack.core import NullMetrics
 from almondstack.entry.listing import ListWatch
-from almondstack.platform import ListedInstance
+from almondstack.provider import ListedInstance
 from almondstack.testing.clocks import ManualClock
 
 
--- a/almondstack/fleet/acts.py
+++ b/almondstack/fleet/acts.py
@@ -9,7 +9,7 @@
 
 from almondstack.fleet.view import FleetView
 from almondstack.model import FleetState, InstancePhase, InstanceState
-from almondstack.platform import Act, ActKind, act_id
+from almondstack.provider import Act, ActKind, act_id
 
 __all__ = ["is_safe_now", "needed_act", "needed_acts"]
 
--- a/almondstack/fleet/observations.py
+++ b/almondstack/fleet/observations.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from almondstack.platform import ActStatus, UsageReport
+from almondstack.provider import ActStatus, UsageReport
 
 __all__ = ["Observations"]
 
--- a/almondstack/fleet/relief.py
+++ b/almondstack/fleet/relief.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from almondstack.model import Team
-from almondstack.platform import Act, ActKind, PlatformTask, act_id
+from almondstack.provider import Act, ActKind, PlatformTask, act_id
 
 __all__ = ["choose_relief", "team_excess"]
 
--- a/almondstack/fleet/steps.py
+++ b/almondstack/fleet/steps.py
@@ -19,7 +19,7 @@
     InstanceStepped,
     WaveSetAside,
 )
-from almondstack.platform import ActStatus, act_id
+from almondstack.provider import ActStatus, act_id
 
 __all__ = ["next_observation", "next_records"]
 
--- a/almondstack/fleet/tests/test_relief.py
+++ b/almondstack/fleet/tests/test_relief.py
@@ -1,5 +1,5 @@
 from almondstack.fleet import choose_relief
-from almondstack.platform import ActKind, PlatformTask
+from almondstack.provider import ActKind, PlatformTask
 from almondstack.testing.builders import make_team
 
 _TEAMS = {"north": make_team("north"), "south": make_team("south")}
--- a/almondstack/fleet/tests/test_reserve.py
+++ b/almondstack/fleet/tests/test_reserve.py
@@ -1,6 +1,6 @@
 from almondstack.fleet import FleetView, Observations
 from almondstack.fleet.reserve import LossReserve
-from almondstack.platform import UsageReport
+from almondstack.provider import UsageReport
 from almondstack.testing.builders import make_fold
 from almondstack.testing.fleet_notes import fleet_note
 from almondstack.testing.fleet_world import WORLD_SETTINGS
--- a/almondstack/fleet/tracker.py
+++ b/almondstack/fleet/tracker.py
@@ -12,7 +12,7 @@
 from almondstack.core import Clock
 from almondstack.fleet.observations import Observations
 from almondstack.model import FleetState
-from almondstack.platform import ActStatus, ListedInstance, UsageReport, UsageView
+from almondstack.provider import ActStatus, ListedInstance, UsageReport, UsageView
 
 __all__ = ["FleetTracker"]
 
--- /dev/null
+++ b/almondstack/jobs/__init__.py
@@ -0,0 +1,56 @@
+"""Jobs: what callers submit, what is recorded of it, and what may run next."""
+
+from almondstack.jobs.active import ActiveJob, Task, chain_lengths_ms
+from almondstack.jobs.book import JobBook, JobEntry
+from almondstack.jobs.errors import RecordError, SubmissionError, TaskNameError
+from almondstack.jobs.model import (
+    JobState,
+    RunEnd,
+    Step,
+    Submission,
+    TaskKey,
+    TaskRecord,
+    TaskStatus,
+)
+from almondstack.jobs.names import format_step_name, format_task_name, parse_task_name
+from almondstack.jobs.records import (
+    OwnerNotice,
+    RecordKind,
+    decode_progress,
+    decode_state,
+    decode_submission,
+    encode_notice,
+    encode_progress,
+    encode_submission,
+    record_key,
+)
+
+__all__ = [
+    "ActiveJob",
+    "JobBook",
+    "JobEntry",
+    "JobState",
+    "OwnerNotice",
+    "RecordError",
+    "RecordKind",
+    "RunEnd",
+    "Step",
+    "Submission",
+    "SubmissionError",
+    "Task",
+    "TaskKey",
+    "TaskNameError",
+    "TaskRecord",
+    "TaskStatus",
+    "chain_lengths_ms",
+    "decode_progress",
+    "decode_state",
+    "decode_submission",
+    "encode_notice",
+    "encode_progress",
+    "encode_submission",
+    "format_step_name",
+    "format_task_name",
+    "parse_task_name",
+    "record_key",
+]
--- /dev/null
+++ b/almondstack/jobs/active.py
@@ -0,0 +1,336 @@
+"""A job as its owner works on it.
+
+Explanation
+-----------
+All decisions on one job that need neither network nor clock: which tasks may
+start, what an end means, when the job has ended.  Times come in as arguments.
+"""
+
+from collections.abc import Iterator
+
+from almondstack.jobs.model import (
+    JobState,
+    RunEnd,
+    Step,
+    Submission,
+    TaskKey,
+    TaskRecord,
+    TaskStatus,
+)
+from almondstack.jobs.records import encode_progress
+
+__all__ = ["ActiveJob", "Task"]
+
+
+class Task:
+    """One task of an active job.
+
+    Attributes
+    ----------
+    key : TaskKey
+        Which task.
+    step : Step
+        What it asks for.
+    status : TaskStatus
+        Waiting, assigned or done.
+    run, failures, worker, life, checkpoint
+        As in :class:`~almondstack.jobs.model.TaskRecord`.
+    is_confirmed : bool
+        The worker has listed the present run or acknowledged its start.
+    is_stopping : bool
+        A stop of the present run was asked for.
+    assigned_s : float
+        Monotonic time of the assignment, in seconds.
+    waiting_since_s : float
+        Monotonic time since which the task waits for a start, in seconds.
+    failed_on : set of str
+        Workers on which it failed; not recorded.
+    load : int
+        What the worker last said of its use: the tail of a serving task in
+        milliseconds, else thousandths of a core.
+    percent : int
+        Share at which the present run may work, 0 to 100.
+    """
+
+    __slots__ = (
+        "assigned_s",
+        "checkpoint",
+        "failed_on",
+        "failures",
+        "is_confirmed",
+        "is_stopping",
+        "job",
+        "key",
+        "life",
+        "load",
+        "percent",
+        "run",
+        "status",
+        "step",
+        "waiting_since_s",
+        "worker",
+    )
+
+    def __init__(self, job: "ActiveJob", key: TaskKey, step: Step) -> None:
+        self.job = job
+        self.key = key
+        self.step = step
+        self.status = TaskStatus.WAITING
+        self.run = 0
+        self.failures = 0
+        self.worker = ""
+        self.life = 0
+        self.checkpoint = ""
+        self.is_confirmed = False
+        self.is_stopping = False
+        self.assigned_s = 0.0
+        self.waiting_since_s = 0.0
+        self.failed_on: set[str] = set()
+        self.load = 0
+        self.percent = 100
+
+    @property
+    def is_assigned(self) -> bool:
+        """Whether a run may be on a worker."""
+        return self.status is TaskStatus.ASSIGNED
+
+    def record(self) -> TaskRecord:
+        """Return what is stored of the task."""
+        return TaskRecord(
+            self.key,
+            self.status,
+            self.run,
+            self.failures,
+            self.worker if self.is_assigned else "",
+            self.life if self.is_assigned else 0,
+            self.checkpoint,
+        )
+
+    def assign(self, worker: str, life: int, now_s: float) -> None:
+        """Give the task to a worker as its next run."""
+        self.status = TaskStatus.ASSIGNED
+        self.run += 1
+        self.worker = worker
+        self.life = life
+        self.is_confirmed = False
+        self.is_stopping = False
+        self.assigned_s = now_s
+        self.percent = 100
+
+    def release(self, now_s: float) -> None:
+        """Let the task wait for another run."""
+        self.status = TaskStatus.WAITING
+        self.worker = ""
+        self.life = 0
+        self.is_confirmed = False
+        self.is_stopping = False
+        self.waiting_since_s = now_s
+
+
+class ActiveJob:
+    """A job that has not ended, or whose last runs are still being stopped.
+
+    Parameters
+    ----------
+    id : str
+        The job's id.
+    submission : Submission
+        What was accepted.
+    max_attempts : int
+        Runs of one task that may end as failed.
+    """
+
+    __slots__ = (
+        "_chain_ms",
+        "_occurrences",
+        "id",
+        "is_dirty",
+        "max_attempts",
+        "state",
+        "submission",
+    )
+
+    def __init__(self, id: str, submission: Submission, max_attempts: int) -> None:
+        self.id = id
+        self.submission = submission
+        self.max_attempts = max_attempts
+        self.state = JobState.QUEUED
+        self.is_dirty = False
+        self._occurrences: dict[int, list[list[Task]]] = {}
+        self._chain_ms = chain_lengths_ms(submission.steps)
+
+    @property
+    def chain_ms(self) -> int:
+        """Estimated milliseconds of the longest chain of steps."""
+        return max(self._chain_ms, default=0)
+
+    @property
+    def is_open(self) -> bool:
+        """Whether tasks of the job may still be started."""
+        return not self.state.is_final
+
+    def remaining_chain_ms(self, step: int) -> int:
+        """Return the estimated milliseconds from the start of a step to the job's end."""
+        return self._chain_ms[step]
+
+    def steps_of(self, occurrence: int) -> list[list[Task]]:
+        """Return the tasks of an occurrence, step by step; makes them if need be."""
+        found = self._occurrences.get(occurrence)
+        if found is None:
+            found = self._make_occurrence(occurrence)
+            self._occurrences[occurrence] = found
+        return found
+
+    def task(self, key: TaskKey) -> Task | None:
+        """Return a task, or None if the job has none of that key."""
+        if not 0 <= key.occurrence < self.submission.occurrence_count:
+            return None
+        steps = self.steps_of(key.occurrence)
+        if not 0 <= key.step < len(steps) or not 0 <= key.index < len(steps[key.step]):
+            return None
+        return steps[key.step][key.index]
+
+    def tasks(self) -> Iterator[Task]:
+        """Iterate over the tasks that have been made."""
+        for steps in self._occurrences.values():
+            for tasks in steps:
+                yield from tasks
+
+    def assigned(self) -> list[Task]:
+        """Return the tasks that may be on a worker."""
+        return [task for task in self.tasks() if task.is_assigned]
+
+    def restore(self, state: JobState, records: list[TaskRecord]) -> None:
+        """Take over what an owner before has recorded."""
+        self.state = state
+        for record in records:
+            task = self.task(TaskKey(*record.key))
+            if task is None:
+                continue
+            task.status = record.status
+            task.run = record.run
+            task.failures = record.failures
+            task.worker = record.worker
+            task.life = record.life
+            task.checkpoint = record.checkpoint
+
+    def encode(self) -> bytes:
+        """Return the progress record."""
+        records = [task.record() for task in self.tasks() if task.run]
+        return encode_progress(self.state, records)
+
+    def ready_steps(self, now_unix_ms: float) -> Iterator[list[Task]]:
+        """Iterate over the steps whose turn has come and that have a waiting task.
+
+        Parameters
+        ----------
+        now_unix_ms : float
+            Time of day in milliseconds.
+        """
+        if not self.is_open:
+            return
+        for occurrence in range(self.submission.occurrence_count):
+            if self.submission.due_ms(occurrence) > now_unix_ms:
+                break
+            yield from self._ready_steps(self.steps_of(occurrence))
+
+    def next_due_ms(self, now_unix_ms: float) -> int | None:
+        """Return the Unix milliseconds of the next occurrence to come, if any."""
+        for occurrence in range(self.submission.occurrence_count):
+            due_ms = self.submission.due_ms(occurrence)
+            if due_ms > now_unix_ms:
+                return due_ms
+        return None
+
+    def end_run(self, task: Task, end: RunEnd, checkpoint: str, now_s: float) -> None:
+        """Take an end of a task's present run into account."""
+        self.is_dirty = True
+        if checkpoint:
+            task.checkpoint = checkpoint
+        if end is RunEnd.DONE and not task.step.is_long_running:
+            self._finish(task)
+            return
+        if end is RunEnd.FAILED:
+            task.failures += 1
+            task.failed_on.add(task.worker)
+        task.release(now_s)
+        if self._is_hopeless(task):
+            self.state = JobState.FAILED
+
+    def assign(self, tasks: list[Task], workers: list[str], lives: list[int], now_s: float) -> None:
+        """Give tasks of one step to workers; members of a gang get one run number."""
+        first_run = max(task.run for task in tasks)
+        for task, worker, life in zip(tasks, workers, lives, strict=True):
+            if task.step.is_gang:
+                task.run = first_run
+            task.assign(worker, life, now_s)
+        self.is_dirty = True
+        if self.state is JobState.QUEUED:
+            self.state = JobState.RUNNING
+
+    def cancel(self) -> None:
+        """End the job at its caller's wish."""
+        if self.is_open:
+            self.state = JobState.CANCELLED
+            self.is_dirty = True
+
+    def is_over(self) -> bool:
+        """Whether the job has ended and nothing of it may be on a worker."""
+        return self.state.is_final and not any(task.is_assigned for task in self.tasks())
+
+    def _make_occurrence(self, occurrence: int) -> list[list[Task]]:
+        return [
+            [Task(self, TaskKey(occurrence, number, index), step) for index in range(step.count)]
+            for number, step in enumerate(self.submission.steps)
+        ]
+
+    def _ready_steps(self, steps: list[list[Task]]) -> Iterator[list[Task]]:
+        for tasks in steps:
+            if not any(task.status is TaskStatus.WAITING for task in tasks):
+                continue
+            if all(_is_step_done(steps[number]) for number in tasks[0].step.after):
+                yield tasks
+
+    def _finish(self, task: Task) -> None:
+        if task.step.is_gang:
+            steps = self.steps_of(task.key.occurrence)
+            for member in steps[task.key.step]:
+                member.status = TaskStatus.DONE
+        task.status = TaskStatus.DONE
+        if self.is_open and self._is_complete():
+            self.state = JobState.COMPLETED
+
+    def _is_complete(self) -> bool:
+        count = self.submission.occurrence_count
+        if len(self._occurrences) < count:
+            return False
+        return all(task.status is TaskStatus.DONE for task in self.tasks())
+
+    def _is_hopeless(self, task: Task) -> bool:
+        if task.step.is_long_running or not self.is_open:
+            return False
+        if not task.step.is_gang:
+            return task.failures >= self.max_attempts
+        members = self.steps_of(task.key.occurrence)[task.key.step]
+        return sum(member.failures for member in members) >= self.max_attempts
+
+
+def chain_lengths_ms(steps: tuple[Step, ...]) -> list[int]:
+    """Return, for each step, the estimated milliseconds from its start to the last end behind it.
+
+    Examples
+    --------
+    >>> from almondstack.jobs import Step
+    >>> chain_lengths_ms((Step(1, estimate_ms=100), Step(1, estimate_ms=50, after=(0,))))
+    [150, 50]
+    """
+    lengths = [0] * len(steps)
+    for number in reversed(range(len(steps))):
+        lengths[number] += steps[number].estimate_ms
+        for earlier in steps[number].after:
+            lengths[earlier] = max(lengths[earlier], lengths[number])
+    return lengths
+
+
+def _is_step_done(tasks: list[Task]) -> bool:
+    return all(task.status is TaskStatus.DONE for task in tasks)
--- /dev/null
+++ b/almondstack/jobs/book.py
@@ -0,0 +1,163 @@
+"""The book of jobs: what every process knows by following the store."""
+
+import threading
+from collections.abc import Callable
+
+from almondstack.core import PartLogger
+from almondstack.jobs.errors import RecordError
+from almondstack.jobs.model import JobState
+from almondstack.jobs.records import (
+    OwnerNotice,
+    RecordKind,
+    decode_notice,
+    decode_state,
+    decode_submission,
+    split_key,
+)
+
+__all__ = ["JobBook", "JobEntry"]
+
+_log = PartLogger("jobs")
+
+
+class JobEntry:
+    """What is known of one job.
+
+    Attributes
+    ----------
+    queue, account : str
+        Whose job it is.
+    state : JobState
+        As the owner's newest record says.
+    is_cancelled : bool
+        A cancel is in the store.
+    submission : bytes
+        The encoded submission.
+    progress : bytes or None
+        The owner's newest record.
+    """
+
+    __slots__ = ("account", "is_cancelled", "progress", "queue", "state", "submission")
+
+    def __init__(self, submission: bytes) -> None:
+        decoded = decode_submission(submission)
+        self.queue = decoded.queue
+        self.account = decoded.account
+        self.submission = submission
+        self.state = JobState.QUEUED
+        self.is_cancelled = False
+        self.progress: bytes | None = None
+
+    @property
+    def shown_state(self) -> JobState:
+        """The state to show to callers."""
+        if self.is_cancelled and not self.state.is_final:
+            return JobState.CANCELLED
+        return self.state
+
+
+class JobBook:
+    """Folds the records of jobs in their order.
+
+    Explanation
+    -----------
+    The first submission of an id holds; a repeat through another process
+    changes nothing.  Cancels that come before their submission are kept.
+
+    Parameters
+    ----------
+    listener : callable, optional
+        Called with kind and job after a record of a submission or cancel has
+        changed something.
+    """
+
+    __slots__ = ("_cancelled", "_entries", "_listener", "_lock", "_notice")
+
+    def __init__(self, listener: Callable[[RecordKind, str], None] | None = None) -> None:
+        self._entries: dict[str, JobEntry] = {}
+        self._cancelled: set[str] = set()
+        self._notice: OwnerNotice | None = None
+        self._listener = listener
+        self._lock = threading.Lock()
+
+    @property
+    def notice(self) -> OwnerNotice | None:
+        """The owner's newest notice."""
+        return self._notice
+
+    def listen(self, listener: Callable[[RecordKind, str], None] | None) -> None:
+        """Replace the listener."""
+        self._listener = listener
+
+    def entry(self, job: str) -> JobEntry | None:
+        """Return what is known of a job."""
+        return self._entries.get(job)
+
+    def entries(self) -> list[tuple[str, JobEntry]]:
+        """Return all jobs, in the order of their acceptance."""
+        with self._lock:
+            return list(self._entries.items())
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of a queue have started no task."""
+        with self._lock:
+            return sum(
+                entry.queue == queue and entry.shown_state is JobState.QUEUED
+                for entry in self._entries.values()
+            )
+
+    def apply(self, key: str, value: bytes) -> None:
+        """Fold one record; a record that does not decode is logged and passed over."""
+        try:
+            kind, job = split_key(key)
+            is_news = self._apply(kind, job, value)
+        except RecordError as error:
+            _log.warning("A record of the store is passed over. key=%s %s.", key, error)
+            return
+        if is_news and self._listener is not None:
+            self._listener(kind, job)
+
+    def _apply(self, kind: RecordKind, job: str, value: bytes) -> bool:
+        with self._lock:
+            if kind is RecordKind.OWNER:
+                self._notice = decode_notice(value)
+                return False
+            if not value:
+                self._forget(kind, job)
+                return False
+            return _APPLIERS[kind](self, job, value)
+
+    def _forget(self, kind: RecordKind, job: str) -> None:
+        if kind is RecordKind.SUBMISSION:
+            self._entries.pop(job, None)
+        self._cancelled.discard(job)
+
+    def _apply_submission(self, job: str, value: bytes) -> bool:
+        if job in self._entries:
+            return False
+        entry = JobEntry(value)
+        entry.is_cancelled = job in self._cancelled
+        self._entries[job] = entry
+        return True
+
+    def _apply_cancel(self, job: str, value: bytes) -> bool:
+        self._cancelled.add(job)
+        entry = self._entries.get(job)
+        if entry is None or entry.is_cancelled:
+            return False
+        entry.is_cancelled = True
+        return True
+
+    def _apply_progress(self, job: str, value: bytes) -> bool:
+        entry = self._entries.get(job)
+        if entry is not None:
+            entry.state = decode_state(value)
+            entry.progress = value
+        return False
+
+
+_APPLIERS = {
+    RecordKind.SUBMISSION: JobBook._apply_submission,
+    RecordKind.CANCEL: JobBook._apply_cancel,
+    RecordKind.PROGRESS: JobBook._apply_progress,
+}
--- /dev/null
+++ b/almondstack/jobs/records.py
@@ -0,0 +1,150 @@
+"""Records of jobs in the store: their keys and their encoding.
+
+Explanation
+-----------
+A key is one letter for the kind and, but for the owner's record, the job's id.
+The value of a progress record begins with one byte for the state, so that a
+process that only shows states needs to decode nothing else.
+"""
+
+from enum import StrEnum
+
+import msgspec
+
+from almondstack.jobs.errors import RecordError
+from almondstack.jobs.model import JobState, Submission, TaskRecord
+
+__all__ = [
+    "OwnerNotice",
+    "RecordKind",
+    "decode_notice",
+    "decode_progress",
+    "decode_state",
+    "decode_submission",
+    "encode_notice",
+    "encode_progress",
+    "encode_submission",
+    "record_key",
+    "split_key",
+]
+
+
+class RecordKind(StrEnum):
+    """What a record says; the first letter of its key."""
+
+    SUBMISSION = "j"
+    CANCEL = "c"
+    PROGRESS = "p"
+    OWNER = "o"
+
+
+class OwnerNotice(msgspec.Struct, frozen=True, array_like=True):
+    """What the owner tells all processes.
+
+    Parameters
+    ----------
+    owner : str
+        Incarnation of the owning process; empty when it has given back.
+    token : int
+        Its fencing token.
+    waits_ms : dict of str to int
+        For each queue that is full, when callers should come again, in milliseconds.
+    """
+
+    owner: str
+    token: int
+    waits_ms: dict[str, int] = {}
+
+
+_submissions = msgspec.msgpack.Decoder(Submission)
+_tasks = msgspec.msgpack.Decoder(list[TaskRecord])
+_notices = msgspec.msgpack.Decoder(OwnerNotice)
+_encoder = msgspec.msgpack.Encoder()
+
+
+def record_key(kind: RecordKind, job: str = "") -> str:
+    """Return the key of a record."""
+    return kind.value + job
+
+
+def split_key(key: str) -> tuple[RecordKind, str]:
+    """Return the kind and the job of a key.
+
+    Raises
+    ------
+    RecordError
+        The key is of no kind that is known here.
+    """
+    try:
+        return RecordKind(key[:1]), key[1:]
+    except ValueError as error:
+        raise RecordError(f"unknown key {key[:20]!r}") from error
+
+
+def encode_submission(submission: Submission) -> bytes:
+    """Return the value of a submission's record."""
+    return _encoder.encode(submission)
+
+
+def decode_submission(value: bytes) -> Submission:
+    """Return a submission.
+
+    Raises
+    ------
+    RecordError
+        The value does not decode.
+    """
+    return _decode(_submissions, value)
+
+
+def encode_progress(state: JobState, tasks: list[TaskRecord]) -> bytes:
+    """Return the value of a progress record."""
+    return bytes((state,)) + _encoder.encode(tasks)
+
+
+def decode_state(value: bytes) -> JobState:
+    """Return the state that a progress record begins with.
+
+    Raises
+    ------
+    RecordError
+        The value is empty or begins with no state.
+    """
+    try:
+        return JobState(value[0])
+    except (IndexError, ValueError) as error:
+        raise RecordError("a progress record without state") from error
+
+
+def decode_progress(value: bytes) -> list[TaskRecord]:
+    """Return the tasks of a progress record.
+
+    Raises
+    ------
+    RecordError
+        The value does not decode.
+    """
+    return _decode(_tasks, value[1:])
+
+
+def encode_notice(notice: OwnerNotice) -> bytes:
+    """Return the value of the owner's record."""
+    return _encoder.encode(notice)
+
+
+def decode_notice(value: bytes) -> OwnerNotice:
+    """Return the owner's notice.
+
+    Raises
+    ------
+    RecordError
+        The value does not decode.
+    """
+    return _decode(_notices, value)
+
+
+def _decode(decoder, value: bytes):
+    try:
+        return decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise RecordError(str(error)) from error
--- a/almondstack/keeper/actor.py
+++ b/almondstack/keeper/actor.py
@@ -20,7 +20,7 @@
     rank_of,
 )
 from almondstack.model import InstanceState
-from almondstack.platform import Act, ActSupersededError, PlatformClient, PlatformError
+from almondstack.provider import Act, ActSupersededError, PlatformClient, PlatformError
 
 __all__ = ["Actor"]
 
--- a/almondstack/keeper/daemon.py
+++ b/almondstack/keeper/daemon.py
@@ -11,7 +11,7 @@
 from almondstack.keeper.settings import KeeperSettings
 from almondstack.keeper.status import KeeperStatus, StatusApp, wave_progress
 from almondstack.log import FLEET, Follower, HttpLogClient, RecordWriter, SnapshotWriter
-from almondstack.platform import HttpInstanceList, HttpPlatform
+from almondstack.provider import HttpInstanceList, HttpPlatform
 
 __all__ = ["KeeperDaemon"]
 
--- a/almondstack/keeper/rounds.py
+++ b/almondstack/keeper/rounds.py
@@ -12,7 +12,7 @@
 from almondstack.keeper.lessons import Lessons
 from almondstack.log import FLEET, Follower, LogClient, LogError, RecordWriter
 from almondstack.model import FleetState
-from almondstack.platform import (
+from almondstack.provider import (
     InstanceList,
     InstanceListError,
     PlatformClient,
--- a/almondstack/keeper/settings.py
+++ b/almondstack/keeper/settings.py
@@ -11,7 +11,7 @@
 )
 from almondstack.fleet import FleetSettings
 from almondstack.log import SnapshotSettings
-from almondstack.platform import PlatformSettings
+from almondstack.provider import PlatformSettings
 
 __all__ = ["KeeperSettings"]
 
--- a/almondstack/peers/watch.py
+++ b/almondstack/peers/watch.py
@@ -7,7 +7,7 @@
 from almondstack.log import FLEET, LogClient, LogError
 from almondstack.peers.roster import Roster
 from almondstack.permits import RecoveryProposer, StartGuard, gone_incarnations
-from almondstack.platform import HttpInstanceList, InstanceListError, ListedInstance
+from almondstack.provider import HttpInstanceList, InstanceListError, ListedInstance
 
 __all__ = ["PlatformWatch"]
 
--- /dev/null
+++ b/almondstack/placement/__init__.py
@@ -0,0 +1,26 @@
+"""Placement: decisions on who gets which worker, without network, clock or thread."""
+
+from almondstack.placement.choosing import choose_for_gang, choose_worker, is_eligible
+from almondstack.placement.order import objective_s, rank_of
+from almondstack.placement.policies import AccountPolicy, AdvicePolicy, QueuePolicy
+from almondstack.placement.resources import Resources, demand_of
+from almondstack.placement.rounds import Assignment, PoolRound, Usage
+from almondstack.placement.workers import Worker, WorkerInfo
+
+__all__ = [
+    "AccountPolicy",
+    "AdvicePolicy",
+    "Assignment",
+    "PoolRound",
+    "QueuePolicy",
+    "Resources",
+    "Usage",
+    "Worker",
+    "WorkerInfo",
+    "choose_for_gang",
+    "choose_worker",
+    "demand_of",
+    "is_eligible",
+    "objective_s",
+    "rank_of",
+]
--- /dev/null
+++ b/almondstack/placement/order.py
@@ -0,0 +1,48 @@
+"""In which order steps get their workers."""
+
+from almondstack.jobs import ActiveJob, Task
+from almondstack.placement.policies import QueuePolicy
+
+__all__ = ["Rank", "objective_s", "rank_of"]
+
+Rank = tuple[int, bool, int, float]
+
+LATE_FACTOR = 3.0
+"""A job that ends later than this many times its objective is worth nothing."""
+
+_MS = 1000.0
+
+
+def objective_s(job: ActiveJob, policy: QueuePolicy) -> float:
+    """Return the seconds from acceptance within which a job is worth most."""
+    return (policy.stretch * job.chain_ms + policy.objective_ms) / _MS
+
+
+def rank_of(tasks: list[Task], policy: QueuePolicy, now_unix_ms: float) -> Rank:
+    """Return the rank of a step; the lowest gets workers first.
+
+    Explanation
+    -----------
+    Lasting tasks come first, since each second without them costs.  Then come
+    jobs that can still end within their objective, then late ones, then those
+    that are worth nothing any more.  Within each of these, urgent queues come
+    first, then the job with the least time left, which also lets a job that
+    has begun go on before a newer one.
+    """
+    job = tasks[0].job
+    if tasks[0].step.is_long_running:
+        return 0, tasks[0].step.is_filler, policy.urgency, 0.0
+    begun_ms = job.submission.accepted_ms
+    if job.submission.is_scheduled:
+        begun_ms = job.submission.due_ms(tasks[0].key.occurrence)
+    objective = objective_s(job, policy)
+    due_s = begun_ms / _MS + objective
+    remaining_s = job.remaining_chain_ms(tasks[0].key.step) / _MS
+    slack_s = due_s - remaining_s - now_unix_ms / _MS
+    return _lateness(slack_s, objective), False, policy.urgency, slack_s
+
+
+def _lateness(slack_s: float, objective: float) -> int:
+    if slack_s >= 0:
+        return 1
+    return 2 if slack_s >= -(LATE_FACTOR - 1) * objective else 3
--- /dev/null
+++ b/almondstack/placement/resources.py
@@ -0,0 +1,68 @@
+"""Amounts of processor, memory and accelerators."""
+
+from almondstack.jobs import Step
+
+__all__ = ["Resources", "demand_of"]
+
+
+class Resources:
+    """An amount of each resource; may be negative where it is a balance.
+
+    Parameters
+    ----------
+    cpu_millis : int
+        Thousandths of a core.
+    memory_mb : int
+        Megabytes of memory.
+    gpus : int
+        Accelerators.
+
+    Examples
+    --------
+    >>> room = Resources(1000, 512)
+    >>> room.subtract(Resources(400, 256))
+    >>> room.cpu_millis, room.covers(Resources(700, 100))
+    (600, False)
+    """
+
+    __slots__ = ("cpu_millis", "gpus", "memory_mb")
+
+    def __init__(self, cpu_millis: int = 0, memory_mb: int = 0, gpus: int = 0) -> None:
+        self.cpu_millis = cpu_millis
+        self.memory_mb = memory_mb
+        self.gpus = gpus
+
+    def copy(self) -> "Resources":
+        """Return an equal amount that can change by itself."""
+        return Resources(self.cpu_millis, self.memory_mb, self.gpus)
+
+    def add(self, other: "Resources") -> None:
+        """Grow by another amount."""
+        self.cpu_millis += other.cpu_millis
+        self.memory_mb += other.memory_mb
+        self.gpus += other.gpus
+
+    def subtract(self, other: "Resources") -> None:
+        """Shrink by another amount."""
+        self.cpu_millis -= other.cpu_millis
+        self.memory_mb -= other.memory_mb
+        self.gpus -= other.gpus
+
+    def covers(self, other: "Resources") -> bool:
+        """Whether another amount fits in; what the other does not ask for never binds."""
+        return (
+            (other.cpu_millis <= 0 or other.cpu_millis <= self.cpu_millis)
+            and (other.memory_mb <= 0 or other.memory_mb <= self.memory_mb)
+            and (other.gpus <= 0 or other.gpus <= self.gpus)
+        )
+
+
+def demand_of(step: Step) -> Resources:
+    """Return what one task of a step takes of a worker's capacity.
+
+    Explanation
+    -----------
+    A filler's processor time is what others leave, so only its memory counts.
+    """
+    cpu_millis = 0 if step.is_filler else step.cpu_millis
+    return Resources(cpu_millis, step.memory_mb, step.gpus)
--- /dev/null
+++ b/almondstack/placement/rounds.py
@@ -0,0 +1,169 @@
+"""One round of placement over one pool."""
+
+from collections.abc import Callable, Mapping
+
+from almondstack.jobs import Task, TaskStatus
+from almondstack.placement.choosing import choose_for_gang, choose_worker, reserve_for
+from almondstack.placement.policies import AccountPolicy
+from almondstack.placement.resources import Resources, demand_of
+from almondstack.placement.workers import Worker
+
+__all__ = ["Assignment", "PoolRound", "Usage"]
+
+_MOST_RESERVATIONS = 4
+"""Tasks that fit nowhere for which a worker is kept free in one round."""
+
+
+class Usage:
+    """What each client account has running over all pools.
+
+    Parameters
+    ----------
+    policies : mapping of str to AccountPolicy
+        Ceilings; an account that is not in it has none.
+    """
+
+    __slots__ = ("_policies", "_used")
+
+    def __init__(self, policies: Mapping[str, AccountPolicy]) -> None:
+        self._policies = policies
+        self._used: dict[str, Resources] = {}
+
+    def use(self, policies: Mapping[str, AccountPolicy]) -> None:
+        """Go by other ceilings from now on."""
+        self._policies = policies
+
+    def allows(self, account: str, demand: Resources) -> bool:
+        """Whether an account may have that much more running."""
+        policy = self._policies.get(account)
+        return policy is None or policy.allows(self._used.get(account, Resources()), demand)
+
+    def add(self, task: Task) -> None:
+        """Count a task as running."""
+        self._of(task).add(account_demand(task))
+
+    def remove(self, task: Task) -> None:
+        """Count a task as ended."""
+        self._of(task).subtract(account_demand(task))
+
+    def used(self, account: str) -> Resources:
+        """Return what an account has running; not to be changed."""
+        return self._used.get(account, Resources())
+
+    def _of(self, task: Task) -> Resources:
+        return self._used.setdefault(task.job.submission.account, Resources())
+
+
+def account_demand(task: Task) -> Resources:
+    """Return what a task takes of its account's ceiling; a filler's processor counts here."""
+    step = task.step
+    return Resources(step.cpu_millis, step.memory_mb, step.gpus)
+
+
+class Assignment:
+    """Tasks of one step, and a worker for each."""
+
+    __slots__ = ("tasks", "workers")
+
+    def __init__(self, tasks: list[Task], workers: list[Worker]) -> None:
+        self.tasks = tasks
+        self.workers = workers
+
+
+class PoolRound:
+    """Hands out the workers of one pool.
+
+    Parameters
+    ----------
+    workers : list of Worker
+        The workers of the pool that may get new tasks.
+    usage : Usage
+        What the accounts have running; is kept up as tasks are placed.
+    now_s : float
+        Monotonic time in seconds.
+    allowed : callable, optional
+        Narrows the workers for a task's step, where the queue asks for advice;
+        returns None while the advice is not there.
+    """
+
+    __slots__ = ("_allowed", "_blocked", "_now_s", "_reservations", "_usage", "_workers")
+
+    def __init__(
+        self,
+        workers: list[Worker],
+        usage: Usage,
+        now_s: float,
+        allowed: Callable[[Task, list[Worker]], list[Worker] | None] | None = None,
+    ) -> None:
+        self._workers = workers
+        self._usage = usage
+        self._now_s = now_s
+        self._allowed = allowed
+        self._reservations = 0
+        self._blocked: list[Task] = []
+
+    @property
+    def blocked(self) -> list[Task]:
+        """Tasks that found no room, one of each step."""
+        return self._blocked
+
+    def place(self, tasks: list[Task]) -> list[Assignment]:
+        """Place what can be placed of one step; steps come in the order of their rank."""
+        waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
+        if tasks[0].step.is_gang:
+            return self._place_gang(tasks, waiting)
+        return self._place_singles(waiting)
+
+    def _place_gang(self, tasks: list[Task], waiting: list[Task]) -> list[Assignment]:
+        if len(waiting) < len(tasks):
+            return []
+        workers = self._candidates(tasks[0])
+        total = Resources()
+        for task in tasks:
+            total.add(account_demand(task))
+        if not workers or not self._usage.allows(tasks[0].job.submission.account, total):
+            return []
+        chosen = choose_for_gang(tasks, workers)
+        if chosen is None:
+            self._block(tasks[0])
+            return []
+        for task, worker in zip(tasks, chosen, strict=True):
+            self._take(task, worker)
+        return [Assignment(tasks, chosen)]
+
+    def _place_singles(self, waiting: list[Task]) -> list[Assignment]:
+        if not waiting:
+            return []
+        candidates = self._candidates(waiting[0])
+        placed: list[Task] = []
+        chosen: list[Worker] = []
+        for task in waiting:
+            if not self._usage.allows(task.job.submission.account, account_demand(task)):
+                break
+            worker = choose_worker(task, candidates)
+            if worker is None:
+                self._block(task)
+                break
+            self._take(task, worker)
+            placed.append(task)
+            chosen.append(worker)
+        return [Assignment(placed, chosen)] if placed else []
+
+    def _candidates(self, task: Task) -> list[Worker]:
+        if self._allowed is None:
+            return self._workers
+        return self._allowed(task, self._workers) or []
+
+    def _take(self, task: Task, worker: Worker) -> None:
+        worker.put(task)
+        self._usage.add(task)
+
+    def _block(self, task: Task) -> None:
+        """Keep a worker free for a task that fits nowhere, so that smaller ones don't pass it."""
+        self._blocked.append(task)
+        if self._reservations >= _MOST_RESERVATIONS or task.step.is_filler:
+            return
+        worker = reserve_for(task, self._workers)
+        if worker is not None and worker.info.capacity.covers(demand_of(task.step)):
+            self._workers = [other for other in self._workers if other is not worker]
+            self._reservations += 1
--- a/almondstack/platform/__init__.py
+++ b/almondstack/provider/__init__.py
@@ -1,6 +1,6 @@
 """Client side of the platform that owns the instances."""
 
-from almondstack.platform.acts import (
+from almondstack.provider.acts import (
     Act,
     ActKind,
     ActStatus,
@@ -10,15 +10,15 @@
     UsageView,
     act_id,
 )
-from almondstack.platform.client import HttpPlatform, PlatformClient, PlatformSettings
-from almondstack.platform.errors import (
+from almondstack.provider.client import HttpPlatform, PlatformClient, PlatformSettings
+from almondstack.provider.errors import (
     ActExpiredError,
     ActReplyLostError,
     ActSupersededError,
     PlatformError,
     PlatformUnavailableError,
 )
-from almondstack.platform.instance_list import (
+from almondstack.provider.instance_list import (
     HttpInstanceList,
     InstanceList,
     InstanceListError,
--- a/almondstack/platform/acts.py
+++ b/almondstack/provider/acts.py
@@ -45,7 +45,7 @@
 
     Examples
     --------
-    >>> from almondstack.platform import act_id
+    >>> from almondstack.provider import act_id
     >>> act_id("u1", 42)
     'u1@42'
     """
--- a/almondstack/platform/client.py
+++ b/almondstack/provider/client.py
@@ -21,8 +21,8 @@
     decode_json,
     encode_json,
 )
-from almondstack.platform.acts import Act, ActStatus, LeaseRenewal, PlatformTask, UsageView
-from almondstack.platform.errors import (
+from almondstack.provider.acts import Act, ActStatus, LeaseRenewal, PlatformTask, UsageView
+from almondstack.provider.errors import (
     ActExpiredError,
     ActReplyLostError,
     ActSupersededError,
--- a/almondstack/platform/tests/test_client.py
+++ b/almondstack/provider/tests/test_client.py
@@ -5,7 +5,7 @@
 import urllib3
 
 from almondstack.core import NullMetrics, encode_json
-from almondstack.platform import (
+from almondstack.provider import (
     Act,
     ActExpiredError,
     ActKind,
--- a/almondstack/standin/instance_list.py
+++ b/almondstack/standin/instance_list.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from almondstack.platform import ListedInstance
+from almondstack.provider import ListedInstance
 from almondstack.standin.web import Reply, StandinApp, read_body
 
 __all__ = ["InstanceListStandin", "ListFaults"]
--- a/almondstack/standin/platform.py
+++ b/almondstack/standin/platform.py
@@ -18,7 +18,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from almondstack.platform import Act, ActKind, LeaseRenewal
+from almondstack.provider import Act, ActKind, LeaseRenewal
 from almondstack.standin.platform_fleet import FleetFaults, FleetSetup, Machine, PlatformFleet
 from almondstack.standin.platform_recount import Recount
 from almondstack.standin.web import Reply, StandinApp, break_off, read_body
--- a/almondstack/standin/platform_fleet.py
+++ b/almondstack/standin/platform_fleet.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from almondstack.platform import Act, ActKind, ActStatus, PlatformTask, UsageReport, UsageView
+from almondstack.provider import Act, ActKind, ActStatus, PlatformTask, UsageReport, UsageView
 from almondstack.standin.platform_recount import PoolBudget, Recount
 
 __all__ = ["FleetFaults", "FleetSetup", "Machine", "PlatformFleet"]
--- a/almondstack/testing/fleet_mutations.py
+++ b/almondstack/testing/fleet_mutations.py
@@ -12,7 +12,7 @@
 from almondstack.fold import instances
 from almondstack.keeper import actor, rounds
 from almondstack.model import InstancePhase, InstanceState, WaveSetAside, state
-from almondstack.platform import ActKind
+from almondstack.provider import ActKind
 
 __all__ = ["MUTATIONS", "Mutation"]
 
--- a/almondstack/testing/fleet_world.py
+++ b/almondstack/testing/fleet_world.py
@@ -16,7 +16,7 @@
 from almondstack.keeper.rounds import KeeperRounds
 from almondstack.log import FLEET, Follower, RecordWriter
 from almondstack.model import FleetState, ReleaseApplied, ReleaseNote, encode_record
-from almondstack.platform import (
+from almondstack.provider import (
     Act,
     ActExpiredError,
     ActReplyLostError,
