--- /dev/null
+++ b/almondstack/control/__init__.py
@@ -0,0 +1,8 @@
+"""The owner at work: what it hears, decides, writes and orders."""
+
+from almondstack.control.errors import AdviceError, InstanceServiceError
+from almondstack.control.owner import Owner
+from almondstack.control.services import OwnerServices
+from almondstack.control.settings import ControlSettings
+
+__all__ = ["AdviceError", "ControlSettings", "InstanceServiceError", "Owner", "OwnerServices"]
--- /dev/null
+++ b/almondstack/control/journal.py
@@ -0,0 +1,130 @@
+"""The owner's appends: in one sequence, each taken once, or the ownership is over."""
+
+import threading
+import time
+
+from almondstack.control.services import OwnerServices
+from almondstack.jobs import OwnerNotice, RecordKind, encode_notice, record_key
+from almondstack.ownership import (
+    FencedError,
+    Record,
+    StoreError,
+)
+
+__all__ = ["OwnerJournal"]
+
+_RETRY_PAUSE_S = 0.1
+_MOST_BYTES = 1_000_000
+"""Bound on the records of one append; half of what the store takes in one call."""
+
+
+class OwnerJournal:
+    """Writes the records of one ownership.
+
+    Parameters
+    ----------
+    services : OwnerServices
+        The store, and where lines go.
+    incarnation : str
+        Names this process.
+    token : int
+        The owner's fencing token.
+    """
+
+    __slots__ = (
+        "_incarnation",
+        "_is_closed",
+        "_notice",
+        "_sequence",
+        "_services",
+        "_token",
+        "_written_s",
+    )
+
+    def __init__(self, services: OwnerServices, incarnation: str, token: int) -> None:
+        self._services = services
+        self._incarnation = incarnation
+        self._token = token
+        self._sequence = 1
+        self._written_s = time.monotonic()
+        self._notice = OwnerNotice(incarnation, token)
+        self._is_closed = threading.Event()
+
+    @property
+    def written_s(self) -> float:
+        """Monotonic time at which the store last took a record, in seconds."""
+        return self._written_s
+
+    def close(self) -> None:
+        """Give up on an append that is being repeated."""
+        self._is_closed.set()
+
+    def may_extend(self) -> bool:
+        """Whether this owner may still extend leases although the store may be away."""
+        if self._is_closed.is_set():
+            return False
+        return time.monotonic() - self._written_s < self._services.ownership.unsure_s
+
+    def write(self, records: list[Record], waits_ms: dict[str, int]) -> None:
+        """Append records, and a sign of the owner when one is due or has changed.
+
+        Raises
+        ------
+        FencedError
+            Another process owns the jobs, or the journal was closed.
+        """
+        if self._needs_sign(waits_ms):
+            self._notice = OwnerNotice(self._incarnation, self._token, waits_ms)
+            records = [*records, self._sign(self._notice)]
+        while records:
+            part, records = _split(records)
+            self._append(part)
+
+    def release(self) -> None:
+        """Give ownership back; a failure is only logged, since others notice silence too."""
+        self._sequence += 1
+        try:
+            self._services.store.append_owned(
+                [self._sign(OwnerNotice("", self._token))], self._token, self._sequence
+            )
+        except StoreError as error:
+            self._services.events.write("release-failed", token=self._token, error=str(error))
+
+    def _needs_sign(self, waits_ms: dict[str, int]) -> bool:
+        age_s = time.monotonic() - self._written_s
+        return age_s >= self._services.ownership.sign_interval_s or (
+            waits_ms != self._notice.waits_ms
+        )
+
+    def _sign(self, notice: OwnerNotice) -> Record:
+        return Record(record_key(RecordKind.OWNER), encode_notice(notice))
+
+    def _append(self, records: list[Record]) -> None:
+        self._sequence += 1
+        began_s = time.monotonic()
+        is_reported = False
+        while not self._is_closed.is_set():
+            try:
+                self._services.store.append_owned(records, self._token, self._sequence)
+            except FencedError:
+                raise
+            except StoreError as error:
+                if not is_reported:
+                    self._services.events.write("append-retried", error=str(error))
+                is_reported = True
+                self._is_closed.wait(_RETRY_PAUSE_S)
+                continue
+            self._written_s = time.monotonic()
+            self._services.metrics.timing_ms("append.owned", (self._written_s - began_s) * 1000.0)
+            return
+        raise FencedError("the journal is closed")
+
+
+def _split(records: list[Record]) -> tuple[list[Record], list[Record]]:
+    """Return the records that go into one append, and the rest."""
+    size = 0
+    for number, record in enumerate(records):
+        size += len(record.key) + len(record.value)
+        if number and size > _MOST_BYTES:
+            return records[:number], records[number:]
+    return records, []
--- /dev/null
+++ b/almondstack/control/owner.py
@@ -0,0 +1,346 @@
+"""The owner's loop: what it is told, what it decides, what it writes, what it orders."""
+
+import queue
+import threading
+import time
+from functools import singledispatchmethod
+
+from almondstack.control.advisor import Advisor
+from almondstack.control.fleet_rounds import FleetRounds
+from almondstack.control.journal import OwnerJournal
+from almondstack.control.messages import (
+    Looked,
+    LookFailed,
+    Ordered,
+    OrderKind,
+    OrderStatus,
+    StartOrder,
+)
+from almondstack.control.pacing import Pacing
+from almondstack.control.planning import Planner
+from almondstack.control.runs import RunTable
+from almondstack.control.services import OwnerServices
+from almondstack.control.sessions import SessionTable
+from almondstack.jobs import (
+    ActiveJob,
+    RecordError,
+    RecordKind,
+    Task,
+    decode_progress,
+    decode_submission,
+    format_task_name,
+    record_key,
+)
+from almondstack.ownership import FencedError, Record
+
+__all__ = ["JobNews", "Owner"]
+
+_IDLE_WAIT_S = 0.2
+"""How long the loop waits for news before it looks after its clocks."""
+
+_JOBS_FORGOTTEN_A_ROUND = 20
+
+
+class JobNews:
+    """A submission or a cancel that the book has folded."""
+
+    __slots__ = ("job", "kind")
+
+    def __init__(self, kind: RecordKind, job: str) -> None:
+        self.kind = kind
+        self.job = job
+
+
+class Owner:
+    """Decides what runs where for as long as nobody else has claimed the jobs.
+
+    Parameters
+    ----------
+    services : OwnerServices
+        What it works with.
+    incarnation : str
+        Names this process.
+    token : int
+        Its fencing token.
+    """
+
+    __slots__ = (
+        "_advisor",
+        "_fleet",
+        "_inbox",
+        "_is_released",
+        "_journal",
+        "_pacing",
+        "_planner",
+        "_retired",
+        "_services",
+        "_sessions",
+        "_starts",
+        "_table",
+        "_taken_s",
+        "_thread",
+        "_token",
+    )
+
+    def __init__(self, services: OwnerServices, incarnation: str, token: int) -> None:
+        self._services = services
+        self._token = token
+        self._taken_s = time.monotonic()
+        self._inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
+        self._journal = OwnerJournal(services, incarnation, token)
+        self._sessions = SessionTable(services, token, self._inbox.put, self._journal.may_extend)
+        self._table = RunTable(self, services.events, services.metrics)
+        self._advisor = Advisor(services)
+        self._planner = Planner(self._table, self._advisor, services.policies)
+        self._fleet = FleetRounds(self._table, services, token)
+        self._pacing = Pacing(self._table, self._sessions)
+        self._starts: list[Task] = []
+        self._retired: list[tuple[float, str]] = []
+        self._is_released = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the loop still runs."""
+        return self._thread.is_alive()
+
+    def start(self) -> None:
+        """Start the loop."""
+        self._thread.start()
+
+    def release(self) -> None:
+        """Give the jobs back after the present round."""
+        self._is_released.set()
+
+    def abandon(self) -> None:
+        """Stop at once, without a word to the store."""
+        self._is_released.set()
+        self._journal.close()
+
+    def join(self, timeout_s: float) -> None:
+        """Wait for the loop's end."""
+        self._thread.join(timeout_s)
+
+    def start_again(self, task: Task) -> None:
+        """Repeat the start of a task's present run; part of ``Orders``."""
+        self._send_start(task)
+
+    def stop(self, worker: str, name: str, run: int) -> None:
+        """Stop a run; part of ``Orders``."""
+        session = self._sessions.get(worker)
+        if session is not None:
+            session.stop(name, run)
+
+    def _run(self) -> None:
+        self._services.events.write("owner-started", token=self._token)
+        try:
+            self._take_over()
+            while not self._is_released.is_set():
+                self._round()
+            self._journal.release()
+            why = "released"
+        except FencedError as error:
+            why = str(error)
+        finally:
+            self._journal.close()
+            self._services.book.listen(None)
+            self._fleet.close()
+            self._sessions.close()
+        self._services.events.write("owner-ended", token=self._token, why=why)
+
+    def _take_over(self) -> None:
+        book = self._services.book
+        book.listen(lambda kind, job: self._inbox.put(JobNews(kind, job)))
+        runs = 0
+        for job_id, entry in book.entries():
+            if entry.state.is_final and entry.progress is None:
+                continue
+            job = self._load(job_id)
+            if job is None:
+                continue
+            if job.is_over():
+                self._retired.append((time.monotonic(), job_id))
+                continue
+            self._table.inherit(job)
+            runs += len(job.assigned())
+            if not job.is_open:
+                self._table.stop_all(job, time.monotonic())
+        self._services.events.write("state-taken-over", jobs=len(self._table.jobs), runs=runs)
+
+    def _load(self, job_id: str) -> ActiveJob | None:
+        entry = self._services.book.entry(job_id)
+        if entry is None:
+            return None
+        try:
+            submission = decode_submission(entry.submission)
+            records = decode_progress(entry.progress) if entry.progress else []
+        except RecordError as error:
+            self._services.events.write("job-unreadable", job=job_id, error=str(error))
+            return None
+        policy = self._planner.policy_of(submission)
+        job = ActiveJob(job_id, submission, policy.max_attempts)
+        job.restore(entry.state, records)
+        if entry.is_cancelled:
+            job.cancel()
+        return job
+
+    def _round(self) -> None:
+        began_s = time.monotonic()
+        self._drain_inbox()
+        now_s = time.monotonic()
+        self._look_after_workers(now_s)
+        self._table.retry_stops(now_s)
+        self._fleet.round(now_s)
+        self._starts.extend(self._planner.plan(now_s, time.time() * 1000.0))
+        self._commit()
+        self._send_starts()
+        self._pacing.round(now_s)
+        self._sessions.note_busy(self._table)
+        self._services.metrics.timing_ms("owner.round", (time.monotonic() - began_s) * 1000.0)
+        pause_s = self._services.control.round_s - (time.monotonic() - began_s)
+        if pause_s > 0:
+            time.sleep(pause_s)
+
+    def _drain_inbox(self) -> None:
+        try:
+            news = self._inbox.get(timeout=_IDLE_WAIT_S)
+            while True:
+                self._take(news)
+                news = self._inbox.get_nowait()
+        except queue.Empty:
+            return
+
+    @singledispatchmethod
+    def _take(self, news: object) -> None:
+        raise TypeError(type(news).__name__)
+
+    @_take.register
+    def _(self, news: JobNews) -> None:
+        if news.kind is RecordKind.CANCEL:
+            self._cancel(news.job)
+        elif news.job not in self._table.jobs:
+            job = self._load(news.job)
+            if job is not None:
+                self._table.jobs[news.job] = job
+
+    @_take.register
+    def _(self, news: Looked) -> None:
+        worker = self._table.workers.get(news.worker.id)
+        if worker is None or worker.info.life != news.worker.life:
+            return
+        if news.reply.life and worker.info.life and news.reply.life != worker.info.life:
+            self._drop_worker(worker.id, "another life answers")
+            return
+        self._table.note_look(worker, news.sent_s, news.reply, time.monotonic())
+
+    @_take.register
+    def _(self, news: LookFailed) -> None:
+        worker = self._table.workers.get(news.worker.id)
+        if worker is None or worker.info.life != news.worker.life:
+            return
+        if news.status is OrderStatus.GONE:
+            self._drop_worker(worker.id, "another life has its address")
+            return
+        if worker.is_reachable:
+            self._services.events.write("worker-unreachable", worker=worker.id, why=news.status)
+        worker.is_reachable = False
+
+    @_take.register
+    def _(self, news: Ordered) -> None:
+        now_s = time.monotonic()
+        if news.reply.status is OrderStatus.FENCED:
+            self._services.events.write("order-fenced", worker=news.worker.id, task=news.task)
+        if news.kind is OrderKind.START:
+            self._table.note_start(news.worker.id, news.task, news.run, news.reply, now_s)
+        elif news.kind is OrderKind.STOP:
+            self._table.note_stop(news.worker.id, news.task, news.run, news.reply, now_s)
+
+    def _cancel(self, job_id: str) -> None:
+        job = self._table.jobs.get(job_id)
+        if job is None or not job.is_open:
+            return
+        job.cancel()
+        self._services.events.write("job-ended", job=job_id, state="cancelled")
+        self._table.stop_all(job, time.monotonic())
+
+    def _look_after_workers(self, now_s: float) -> None:
+        changes = self._sessions.compare(self._table, now_s)
+        for worker in changes.reborn:
+            self._drop_worker(worker, "it started anew")
+        for worker in changes.adopted:
+            self._table.adopt(worker)
+        for worker_id, session in self._sessions.unreachable(self._table):
+            if now_s > session.lease_end_s:
+                self._table.lose_worker(worker_id, "its lease is over", now_s)
+        self._lose_homeless(now_s)
+
+    def _lose_homeless(self, now_s: float) -> None:
+        """Give up runs on workers that are nowhere, once no lease of theirs can last."""
+        control = self._services.control
+        bound_s = self._services.ownership.unsure_s + control.lease_s * (1 + control.clock_error)
+        if now_s - self._taken_s <= bound_s:
+            return
+        for task in list(self._table.homeless()):
+            self._table.lose_task(task, now_s)
+
+    def _drop_worker(self, worker_id: str, why: str) -> None:
+        self._table.lose_worker(worker_id, why, time.monotonic())
+        self._table.workers.pop(worker_id, None)
+        self._sessions.drop(worker_id)
+
+    def _commit(self) -> None:
+        """Store what has changed; only then do workers hear that ends were seen."""
+        records = [
+            Record(record_key(RecordKind.PROGRESS, job.id), job.encode())
+            for job in self._table.jobs.values()
+            if job.is_dirty
+        ]
+        ends = self._table.take_ends()
+        records.extend(self._forgotten())
+        self._journal.write(records, {})
+        for job in list(self._table.jobs.values()):
+            job.is_dirty = False
+            if job.is_over():
+                del self._table.jobs[job.id]
+                self._retired.append((time.monotonic(), job.id))
+        for worker, number in ends.items():
+            session = self._sessions.get(worker)
+            if session is not None:
+                session.acknowledge(number)
+
+    def _forgotten(self) -> list[Record]:
+        """Return records that drop jobs whose callers have had time to ask."""
+        records = []
+        bound_s = time.monotonic() - self._services.control.keep_final_s
+        while self._retired and self._retired[0][0] < bound_s:
+            _, job = self._retired.pop(0)
+            for kind in (RecordKind.PROGRESS, RecordKind.CANCEL, RecordKind.SUBMISSION):
+                records.append(Record(record_key(kind, job), b""))
+            if len(records) > _JOBS_FORGOTTEN_A_ROUND:
+                break
+        return records
+
+    def _send_starts(self) -> None:
+        """Order what was decided, unless its job has ended while the store was slow."""
+        starts, self._starts = self._starts, []
+        for task in starts:
+            entry = self._services.book.entry(task.job.id)
+            is_wanted = task.job.is_open and entry is not None and not entry.is_cancelled
+            if is_wanted and task.is_assigned:
+                self._send_start(task)
+            elif task.is_assigned:
+                self._table.unplace(task, time.monotonic())
+
+    def _send_start(self, task: Task) -> None:
+        session = self._sessions.get(task.worker)
+        if session is None:
+            return
+        job = task.job
+        name = format_task_name(job.id, task.key)
+        ticket = self._advisor.ticket(task)
+        self._services.events.write(
+            "start", task=name, run=task.run, worker=task.worker, token=self._token
+        )
+        session.set_busy(True)
+        spec = job.submission.spec
+        session.start(StartOrder(name, task.run, spec, task.checkpoint, ticket))
--- /dev/null
+++ b/almondstack/control/pacing.py
@@ -0,0 +1,60 @@
+"""How fast fillers may work beside tasks that serve."""
+
+from almondstack.control.runs import RunTable
+from almondstack.control.sessions import SessionTable
+from almondstack.jobs import Task, format_task_name
+from almondstack.placement import Worker
+from almondstack.placement.pace import next_percent
+
+__all__ = ["Pacing"]
+
+_INTERVAL_S = 0.4
+"""Time between two changes; a worker's figures are of the last half second."""
+
+
+class Pacing:
+    """Slows fillers where a serving task beside them nears its target.
+
+    Parameters
+    ----------
+    table : RunTable
+        What runs where.
+    sessions : SessionTable
+        Takes the orders.
+    """
+
+    __slots__ = ("_paced_s", "_sessions", "_table")
+
+    def __init__(self, table: RunTable, sessions: SessionTable) -> None:
+        self._table = table
+        self._sessions = sessions
+        self._paced_s = 0.0
+
+    def round(self, now_s: float) -> None:
+        """Change what needs a change."""
+        if now_s - self._paced_s < _INTERVAL_S:
+            return
+        self._paced_s = now_s
+        for worker in self._table.workers.values():
+            self._pace_worker(worker)
+
+    def _pace_worker(self, worker: Worker) -> None:
+        tasks = [task for task in worker.tasks if task.is_confirmed and not task.is_stopping]
+        fillers = [task for task in tasks if task.step.is_filler]
+        if not fillers:
+            return
+        shares = [
+            task.load / task.step.target_ms
+            for task in tasks
+            if task.step.target_ms and not task.step.is_filler
+        ]
+        worst = max(shares, default=0.0)
+        for task in fillers:
+            self._set(worker, task, next_percent(task.percent, worst))
+
+    def _set(self, worker: Worker, task: Task, percent: int) -> None:
+        session = self._sessions.get(worker.id)
+        if percent == task.percent or session is None:
+            return
+        task.percent = percent
+        session.pace(format_task_name(task.job.id, task.key), task.run, percent)
--- /dev/null
+++ b/almondstack/control/planning.py
@@ -0,0 +1,96 @@
+"""Rounds of placement over all pools."""
+
+from collections.abc import Callable
+
+from almondstack.control.advisor import Advisor
+from almondstack.control.runs import RunTable
+from almondstack.jobs import Submission, Task
+from almondstack.placement import (
+    Policies,
+    PoolRound,
+    QueuePolicy,
+    Worker,
+    rank_of,
+)
+from almondstack.placement.order import Rank
+
+__all__ = ["Planner"]
+
+
+class Planner:
+    """Assigns waiting tasks to workers, pool by pool.
+
+    Parameters
+    ----------
+    table : RunTable
+        Jobs, workers and runs.
+    advisor : Advisor
+        Narrows the workers of a step where its queue asks for advice.
+    policies : callable
+        Returns the newest policies.
+    """
+
+    __slots__ = ("_advisor", "_policies", "_queues", "_table")
+
+    def __init__(self, table: RunTable, advisor: Advisor, policies: Callable[[], Policies]) -> None:
+        self._table = table
+        self._advisor = advisor
+        self._policies = policies
+        self._queues: dict[str, QueuePolicy] = {}
+
+    def policy_of(self, submission: Submission) -> QueuePolicy:
+        """Return the newest policy of a job's queue, or the one of its acceptance."""
+        found = self._policies().queues.get(submission.queue)
+        if found is not None:
+            self._queues[submission.queue] = found
+            return found
+        kept = self._queues.get(submission.queue)
+        if kept is not None:
+            return kept
+        return QueuePolicy(submission.queue, submission.pool, max_attempts=submission.max_attempts)
+
+    def plan(self, now_s: float, now_unix_ms: float) -> list[Task]:
+        """Assign what can be assigned, and return the tasks whose starts are to be sent."""
+        self._table.usage.use(self._policies().accounts)
+        by_pool = self._ready(now_unix_ms)
+        if not by_pool:
+            return []
+        started: list[Task] = []
+        workers = self._open_workers(now_s)
+        for pool, steps in by_pool.items():
+            steps.sort(key=lambda step: step[0])
+            pool_round = PoolRound(
+                workers.get(pool, []), self._table.usage, now_s, self._advisor.narrow
+            )
+            for _, tasks in steps:
+                started.extend(self._place(pool_round, tasks, now_s))
+        return started
+
+    def _place(self, pool_round: PoolRound, tasks: list[Task], now_s: float) -> list[Task]:
+        placed = []
+        for assignment in pool_round.place(tasks):
+            ids = [worker.id for worker in assignment.workers]
+            lives = [worker.info.life for worker in assignment.workers]
+            tasks[0].job.assign(assignment.tasks, ids, lives, now_s)
+            for task in assignment.tasks:
+                self._table.note_assigned(task)
+            placed.extend(assignment.tasks)
+        return placed
+
+    def _ready(self, now_unix_ms: float) -> dict[str, list[tuple[Rank, list[Task]]]]:
+        by_pool: dict[str, list[tuple[Rank, list[Task]]]] = {}
+        for job in self._table.jobs.values():
+            if not job.is_open:
+                continue
+            policy = self.policy_of(job.submission)
+            for tasks in job.ready_steps(now_unix_ms):
+                rank = rank_of(tasks, policy, now_unix_ms)
+                by_pool.setdefault(policy.pool, []).append((rank, tasks))
+        return by_pool
+
+    def _open_workers(self, now_s: float) -> dict[str, list[Worker]]:
+        by_pool: dict[str, list[Worker]] = {}
+        for worker in self._table.workers.values():
+            if worker.is_open(now_s):
+                by_pool.setdefault(worker.info.pool, []).append(worker)
+        return by_pool
--- /dev/null
+++ b/almondstack/control/runs.py
@@ -0,0 +1,338 @@
+"""What runs where: the owner's table of jobs, workers and runs.
+
+Explanation
+-----------
+Everything here works on what it is told and has neither thread nor network.
+Orders that follow from an event are handed to ``orders``.  A run whose fate is
+not known is settled before its task gets another: the start is repeated, then
+the run is stopped, which also keeps it from ever starting, and only a look
+sent after that stop lets the task wait again.
+"""
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from almondstack.control.messages import (
+    EndedRun,
+    LookReply,
+    OrderReply,
+    OrderStatus,
+    RunningRun,
+)
+from almondstack.core import NullMetrics
+from almondstack.core.events import EventLog
+from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskNameError, format_task_name
+from almondstack.jobs.names import parse_task_name
+from almondstack.placement import Usage, Worker, WorkerInfo
+from almondstack.placement.soundness import Soundness
+
+__all__ = ["Orders", "RunTable"]
+
+_MOST_START_TRIES = 2
+_STOP_RETRY_S = 0.5
+_NO_ROOM_PAUSE_S = 0.3
+"""A worker that said it is full gets nothing new for so long, in seconds."""
+
+
+class Orders(Protocol):
+    """Where the table's orders go."""
+
+    def start_again(self, task: Task) -> None:
+        """Repeat the start of a task's present run."""
+        ...
+
+    def stop(self, worker: str, name: str, run: int) -> None:
+        """Stop a run on a worker."""
+        ...
+
+
+class _Pending:
+    """What is not yet known of a task's present run."""
+
+    __slots__ = ("confirmed_s", "is_unclear", "stop_acked_s", "stop_sent_s", "tries")
+
+    def __init__(self) -> None:
+        self.tries = 1
+        self.is_unclear = False
+        self.confirmed_s: float | None = None
+        self.stop_sent_s: float | None = None
+        self.stop_acked_s: float | None = None
+
+
+class RunTable:
+    """Jobs, workers and the runs between them.
+
+    Parameters
+    ----------
+    orders : Orders
+        Takes the orders that follow from events.
+    events : EventLog
+        Takes a line for each end and each loss.
+    metrics : NullMetrics
+        Counts them.
+    """
+
+    __slots__ = (
+        "_ends",
+        "_events",
+        "_metrics",
+        "_orders",
+        "_pending",
+        "jobs",
+        "soundness",
+        "usage",
+        "workers",
+    )
+
+    def __init__(self, orders: Orders, events: EventLog, metrics: NullMetrics) -> None:
+        self._orders = orders
+        self._events = events
+        self._metrics = metrics
+        self._pending: dict[Task, _Pending] = {}
+        self._ends: dict[str, int] = {}
+        self.jobs: dict[str, ActiveJob] = {}
+        self.workers: dict[str, Worker] = {}
+        self.usage = Usage({})
+        self.soundness = Soundness()
+
+    def inherit(self, job: ActiveJob) -> None:
+        """Take over a job with the runs that are recorded of it."""
+        self.jobs[job.id] = job
+        for task in job.assigned():
+            self.usage.add(task)
+            pending = _Pending()
+            pending.is_unclear = True
+            self._pending[task] = pending
+
+    def adopt(self, worker: Worker) -> None:
+        """Take up a worker, with the runs that are recorded on that life of it."""
+        self.workers[worker.id] = worker
+        for task in self.tasks_on(worker.id):
+            if _is_same_life(task.life, worker.info.life):
+                worker.put(task)
+
+    def tasks_on(self, worker: str) -> list[Task]:
+        """Return the tasks recorded on a worker, whether it is known or not."""
+        return [task for task in self._pending if task.worker == worker]
+
+    def homeless(self) -> Iterator[Task]:
+        """Iterate over tasks whose worker is not known."""
+        for task in self._pending:
+            if task.worker not in self.workers:
+                yield task
+
+    def note_assigned(self, task: Task) -> None:
+        """Follow a run that placement has just assigned."""
+        self._pending[task] = _Pending()
+
+    def unplace(self, task: Task, now_s: float) -> None:
+        """Take back a run whose start was never sent."""
+        self._release(task, RunEnd.LOST, "", now_s, is_counted=False)
+
+    def take_ends(self) -> dict[str, int]:
+        """Return, and forget, the highest end handled for each worker."""
+        ends, self._ends = self._ends, {}
+        return ends
+
+    def stop_all(self, job: ActiveJob, now_s: float) -> None:
+        """Ask for a stop of everything that runs of a job."""
+        for task in job.assigned():
+            self.ask_stop(task, now_s)
+
+    def ask_stop(self, task: Task, now_s: float) -> None:
+        """Ask for a stop of a task's present run, once in a while until it is settled."""
+        pending = self._pending.get(task)
+        if pending is None:
+            return
+        if pending.stop_sent_s is not None and now_s - pending.stop_sent_s < _STOP_RETRY_S:
+            return
+        task.is_stopping = True
+        pending.stop_sent_s = now_s
+        self._orders.stop(task.worker, _name(task), task.run)
+
+    def retry_stops(self, now_s: float) -> None:
+        """Repeat stops that were not acknowledged."""
+        for task, pending in list(self._pending.items()):
+            if task.is_stopping and pending.stop_acked_s is None:
+                self.ask_stop(task, now_s)
+
+    def note_start(self, worker: str, name: str, run: int, reply: OrderReply, now_s: float) -> None:
+        """Take the reply to a start into account."""
+        task = self._find(name, worker, run)
+        if task is None:
+            if reply.status in (OrderStatus.DONE, OrderStatus.UNCLEAR):
+                self._orders.stop(worker, name, run)
+            return
+        pending = self._pending[task]
+        if reply.status is OrderStatus.DONE:
+            self._confirm(task, pending, now_s)
+        elif reply.status is OrderStatus.UNCLEAR:
+            self._settle_unclear(task, pending, now_s)
+        else:
+            self._note_not_started(task, pending, reply.status, now_s)
+
+    def note_stop(self, worker: str, name: str, run: int, reply: OrderReply, now_s: float) -> None:
+        """Take the reply to a stop into account."""
+        task = self._find(name, worker, run)
+        if task is None:
+            return
+        pending = self._pending[task]
+        if reply.status in (OrderStatus.DONE, OrderStatus.OLD_RUN):
+            pending.stop_acked_s = now_s
+
+    def note_look(self, worker: Worker, sent_s: float, reply: LookReply, now_s: float) -> None:
+        """Take what a worker lists into account."""
+        worker.is_reachable = True
+        for ended in reply.ended:
+            self._note_end(worker, ended, now_s)
+        listed = set()
+        for running in reply.running:
+            listed.add((running.task, running.run))
+            self._note_running(worker, running, now_s)
+        for task in worker.tasks:
+            if (_name(task), task.run) not in listed:
+                self._note_missing(task, sent_s, now_s)
+
+    def lose_worker(self, worker: str, why: str, now_s: float) -> None:
+        """Let everything recorded on a worker wait again: nothing of it can run any more."""
+        tasks = self.tasks_on(worker)
+        if tasks:
+            self._events.write("worker-lost", worker=worker, why=why, runs=len(tasks))
+        for task in tasks:
+            self._release(task, RunEnd.LOST, "", now_s)
+
+    def lose_task(self, task: Task, now_s: float) -> None:
+        """Let one task wait again: its run can't be anywhere any more."""
+        self._release(task, RunEnd.LOST, "", now_s)
+
+    def _find(self, name: str, worker: str, run: int) -> Task | None:
+        """Return the task if that is its present run on that worker."""
+        try:
+            job_id, key = parse_task_name(name)
+        except TaskNameError as error:
+            self._events.write("unknown-task", worker=worker, error=str(error))
+            return None
+        job = self.jobs.get(job_id)
+        task = job.task(key) if job is not None else None
+        if task is None or task not in self._pending:
+            return None
+        is_present = task.worker == worker and task.run == run
+        return task if is_present else None
+
+    def _confirm(self, task: Task, pending: _Pending, now_s: float) -> None:
+        if pending.confirmed_s is None:
+            pending.confirmed_s = now_s
+            task.is_confirmed = True
+
+    def _settle_unclear(self, task: Task, pending: _Pending, now_s: float) -> None:
+        if pending.confirmed_s is not None:
+            return
+        pending.is_unclear = True
+        if pending.tries < _MOST_START_TRIES and task.job.is_open and not task.is_stopping:
+            pending.tries += 1
+            self._orders.start_again(task)
+            return
+        self.ask_stop(task, now_s)
+
+    def _note_not_started(
+        self, task: Task, pending: _Pending, status: OrderStatus, now_s: float
+    ) -> None:
+        worker = self.workers.get(task.worker)
+        self._events.write(
+            "start-refused", task=_name(task), run=task.run, worker=task.worker, why=status
+        )
+        if worker is not None and status is OrderStatus.NO_ROOM:
+            worker.set_aside_until_s = now_s + _NO_ROOM_PAUSE_S
+        if worker is not None and status is OrderStatus.REFUSED:
+            self.soundness.note_refusal(worker, now_s)
+        if pending.confirmed_s is not None:
+            return
+        if pending.is_unclear and status is not OrderStatus.GONE:
+            self.ask_stop(task, now_s)
+            return
+        self._release(task, RunEnd.LOST, "", now_s, is_counted=False)
+
+    def _note_end(self, worker: Worker, ended: EndedRun, now_s: float) -> None:
+        self._ends[worker.id] = max(ended.number, self._ends.get(worker.id, 0))
+        task = self._find(ended.task, worker.id, ended.run)
+        if task is None:
+            return
+        self.soundness.note_end(worker, task, ended.end, now_s)
+        self._release(task, ended.end, ended.checkpoint, now_s)
+
+    def _note_running(self, worker: Worker, running: RunningRun, now_s: float) -> None:
+        task = self._find(running.task, worker.id, running.run)
+        if task is None:
+            self._orders.stop(worker.id, running.task, running.run)
+            return
+        worker.put(task)
+        pending = self._pending[task]
+        self._confirm(task, pending, now_s)
+        task.load = running.load
+        if running.checkpoint:
+            task.checkpoint = running.checkpoint
+
+    def _note_missing(self, task: Task, sent_s: float, now_s: float) -> None:
+        pending = self._pending.get(task)
+        if pending is None:
+            return
+        if pending.confirmed_s is not None and pending.confirmed_s < sent_s:
+            self._events.write("run-missing", task=_name(task), run=task.run, worker=task.worker)
+            self._release(task, RunEnd.LOST, "", now_s)
+        elif pending.stop_acked_s is not None and pending.stop_acked_s < sent_s:
+            self._release(task, RunEnd.LOST, "", now_s)
+        elif pending.is_unclear and pending.confirmed_s is None:
+            self.ask_stop(task, now_s)
+
+    def _release(
+        self, task: Task, end: RunEnd, checkpoint: str, now_s: float, *, is_counted: bool = True
+    ) -> None:
+        """Take a run off its worker and let its job take the end into account."""
+        self._pending.pop(task, None)
+        worker = self.workers.get(task.worker)
+        if worker is not None:
+            worker.remove(task)
+        self.usage.remove(task)
+        job = task.job
+        name, run, from_worker = _name(task), task.run, task.worker
+        was_open = job.is_open
+        job.end_run(task, end, checkpoint, now_s)
+        self._metrics.count(f"run.{end}")
+        if is_counted:
+            self._events.write(
+                "run-ended",
+                task=name,
+                run=run,
+                worker=from_worker,
+                end=end,
+                failures=task.failures,
+                took_s=round(now_s - task.assigned_s, 3),
+            )
+        if task.step.is_gang and end is not RunEnd.DONE:
+            self._stop_gang(task, now_s)
+        if was_open and not job.is_open:
+            self._note_job_end(job, now_s)
+
+    def _stop_gang(self, task: Task, now_s: float) -> None:
+        for member in task.job.steps_of(task.key.occurrence)[task.key.step]:
+            if member.is_assigned:
+                self.ask_stop(member, now_s)
+
+    def _note_job_end(self, job: ActiveJob, now_s: float) -> None:
+        self._events.write("job-ended", job=job.id, state=job.state.name.lower())
+        self._metrics.count(f"job.{job.state.name.lower()}")
+        if job.state is not JobState.COMPLETED:
+            self.stop_all(job, now_s)
+
+
+def _name(task: Task) -> str:
+    return format_task_name(task.job.id, task.key)
+
+
+def _is_same_life(recorded: int, present: int) -> bool:
+    return not recorded or not present or recorded == present
+
+
+def is_other_life(one: WorkerInfo, other: WorkerInfo) -> bool:
+    """Whether two descriptions under one id are of different lives of a worker."""
+    return not _is_same_life(one.life, other.life) or one.address != other.address
--- /dev/null
+++ b/almondstack/control/services.py
@@ -0,0 +1,86 @@
+"""What an owner is given to work with."""
+
+from collections.abc import Callable
+
+from almondstack.control.ports import (
+    AdviceService,
+    FleetDirectory,
+    InstanceService,
+    WorkerCallers,
+)
+from almondstack.control.settings import ControlSettings
+from almondstack.core import NullMetrics
+from almondstack.core.events import EventLog
+from almondstack.jobs import JobBook
+from almondstack.ownership import OwnershipSettings, RecordStore
+from almondstack.placement import Policies
+
+__all__ = ["OwnerServices"]
+
+
+class OwnerServices:
+    """The services and settings of an owner.
+
+    Parameters
+    ----------
+    store : RecordStore
+        Where records lie.
+    book : JobBook
+        What this process has folded of them.
+    callers : WorkerCallers
+        Connections to workers.
+    instances : InstanceService
+        Lists, moves and maintains instances.
+    directory : FleetDirectory
+        Registered workers and asked-for waves.
+    advice : AdviceService or None
+        Which workers may run a step, where queues ask for it.
+    policies : callable
+        Returns the newest :class:`~almondstack.placement.Policies`.
+    control, ownership : ControlSettings, OwnershipSettings
+        Times and bounds.
+    events : EventLog
+        Structured lines.
+    metrics : NullMetrics
+        Counters and histograms.
+    """
+
+    __slots__ = (
+        "advice",
+        "book",
+        "callers",
+        "control",
+        "directory",
+        "events",
+        "instances",
+        "metrics",
+        "ownership",
+        "policies",
+        "store",
+    )
+
+    def __init__(
+        self,
+        store: RecordStore,
+        book: JobBook,
+        callers: WorkerCallers,
+        instances: InstanceService,
+        directory: FleetDirectory,
+        advice: AdviceService | None,
+        policies: Callable[[], Policies],
+        control: ControlSettings,
+        ownership: OwnershipSettings,
+        events: EventLog,
+        metrics: NullMetrics,
+    ) -> None:
+        self.store = store
+        self.book = book
+        self.callers = callers
+        self.instances = instances
+        self.directory = directory
+        self.advice = advice
+        self.policies = policies
+        self.control = control
+        self.ownership = ownership
+        self.events = events
+        self.metrics = metrics
--- /dev/null
+++ b/almondstack/control/session.py
@@ -0,0 +1,239 @@
+"""Calls to one worker: orders in their sequence, and looks that keep its lease alive."""
+
+import queue
+import threading
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from almondstack.control.messages import (
+    Looked,
+    LookFailed,
+    LookReply,
+    Ordered,
+    OrderKind,
+    OrderReply,
+    OrderStatus,
+    StartOrder,
+)
+from almondstack.control.ports import WorkerCaller, WorkerCallers
+from almondstack.control.settings import ControlSettings
+from almondstack.core import NullMetrics
+from almondstack.placement import WorkerInfo
+
+__all__ = ["WorkerSession"]
+
+_MS = 1000.0
+
+
+class _Order(NamedTuple):
+    kind: OrderKind
+    task: str
+    run: int
+    start: StartOrder | None = None
+    percent: int = 0
+
+
+class WorkerSession:
+    """Two threads for one life of a worker: one gives orders, one looks.
+
+    Explanation
+    -----------
+    Looks extend the lease of all that runs on the worker, whether or not the
+    owner's loop is held up by the store, for as long as ``may_extend`` allows.
+    An end is listed again until :meth:`acknowledge` says that it is stored.
+
+    Parameters
+    ----------
+    worker : WorkerInfo
+        Which worker.
+    callers : WorkerCallers
+        Makes connections to it.
+    token : int
+        The owner's fencing token.
+    settings : ControlSettings
+        Times.
+    post : callable
+        Takes :class:`Looked`, :class:`LookFailed` and :class:`Ordered`.
+    may_extend : callable
+        Whether leases may still be extended.
+    metrics : NullMetrics
+        Counts and times the calls.
+    """
+
+    __slots__ = (
+        "_acknowledged",
+        "_callers",
+        "_changed",
+        "_clock_at_s",
+        "_clock_ms",
+        "_extended_s",
+        "_is_busy",
+        "_is_closed",
+        "_listed",
+        "_may_extend",
+        "_metrics",
+        "_orders",
+        "_post",
+        "_settings",
+        "_threads",
+        "_token",
+        "worker",
+    )
+
+    def __init__(
+        self,
+        worker: WorkerInfo,
+        callers: WorkerCallers,
+        token: int,
+        settings: ControlSettings,
+        post: Callable[[object], None],
+        may_extend: Callable[[], bool],
+        metrics: NullMetrics,
+    ) -> None:
+        self.worker = worker
+        self._callers = callers
+        self._token = token
+        self._settings = settings
+        self._post = post
+        self._may_extend = may_extend
+        self._metrics = metrics
+        self._clock_ms: int | None = None
+        self._clock_at_s = 0.0
+        self._extended_s = time.monotonic()
+        self._is_busy = False
+        self._is_closed = False
+        self._listed = 0
+        self._acknowledged = 0
+        self._changed = threading.Condition()
+        self._orders: queue.SimpleQueue[_Order | None] = queue.SimpleQueue()
+        self._threads: list[threading.Thread] = []
+
+    @property
+    def lease_end_s(self) -> float:
+        """Monotonic time by which all runs have ended unless a later call extended them."""
+        slack = 1.0 + self._settings.clock_error
+        return self._extended_s + self._settings.lease_s * slack
+
+    def set_busy(self, is_busy: bool) -> None:
+        """Say whether runs may be on the worker; only then is it looked at."""
+        if is_busy == self._is_busy:
+            return
+        with self._changed:
+            self._is_busy = is_busy
+            self._changed.notify_all()
+        if is_busy:
+            self._ensure_looking()
+
+    def acknowledge(self, number: int) -> None:
+        """Say that ends up to ``number`` are stored."""
+        with self._changed:
+            self._acknowledged = max(self._acknowledged, number)
+            self._changed.notify_all()
+
+    def start(self, order: StartOrder) -> None:
+        """Queue a start."""
+        self._submit(_Order(OrderKind.START, order.task, order.run, start=order))
+
+    def stop(self, task: str, run: int) -> None:
+        """Queue a stop."""
+        self._submit(_Order(OrderKind.STOP, task, run))
+
+    def pace(self, task: str, run: int, percent: int) -> None:
+        """Queue a change of a run's share."""
+        self._submit(_Order(OrderKind.PACE, task, run, percent=percent))
+
+    def close(self) -> None:
+        """End both threads; what is on the way may still arrive."""
+        self._orders.put(None)
+        with self._changed:
+            self._is_closed = True
+            self._changed.notify_all()
+
+    def _submit(self, order: _Order) -> None:
+        self._orders.put(order)
+        if not self._threads:
+            self._begin("orders", self._run_orders)
+
+    def _ensure_looking(self) -> None:
+        if not any(thread.name.startswith("looks") for thread in self._threads):
+            self._begin("looks", self._run_looks)
+
+    def _begin(self, name: str, run: Callable[[], None]) -> None:
+        thread = threading.Thread(target=run, name=f"{name}-{self.worker.id}", daemon=True)
+        self._threads.append(thread)
+        thread.start()
+
+    def _run_orders(self) -> None:
+        caller = self._callers.caller(self.worker)
+        while (order := self._orders.get()) is not None and not self._is_closed:
+            began_s = time.monotonic()
+            reply = self._send(caller, order)
+            self._metrics.timing_ms(f"order.{order.kind}", (time.monotonic() - began_s) * _MS)
+            self._metrics.count(f"order.{order.kind}.{reply.status}")
+            self._note_clock(reply.clock_ms)
+            self._post(Ordered(self.worker, order.kind, order.task, order.run, reply))
+        caller.close()
+
+    def _send(self, caller: WorkerCaller, order: _Order) -> OrderReply:
+        if order.kind is OrderKind.STOP:
+            return caller.stop(order.task, order.run, self._token)
+        if order.kind is OrderKind.PACE:
+            return caller.pace(order.task, order.run, order.percent, self._token)
+        if not self._may_extend():
+            return OrderReply(OrderStatus.NOT_SENT)
+        deadline_ms = self._deadline_ms()
+        self._extended_s = time.monotonic()
+        return caller.start(order.start, deadline_ms, self._token)
+
+    def _run_looks(self) -> None:
+        caller = self._callers.caller(self.worker)
+        while self._wait_for_work():
+            if not self._look(caller):
+                time.sleep(self._settings.look_retry_s)
+        caller.close()
+
+    def _wait_for_work(self) -> bool:
+        with self._changed:
+            while not self._is_closed and not self._is_busy:
+                self._changed.wait()
+            if not self._is_closed and self._listed > self._acknowledged:
+                self._changed.wait(self._settings.look_wait_s)
+        return not self._is_closed
+
+    def _look(self, caller: WorkerCaller) -> bool:
+        sent_s = time.monotonic()
+        deadline_ms = self._deadline_ms() if self._may_extend() else None
+        if deadline_ms is not None:
+            self._extended_s = sent_s
+        waits = self._listed <= self._acknowledged
+        wait_s = self._settings.look_wait_s if waits else 0.0
+        reply = caller.look(deadline_ms, self._acknowledged, wait_s, self._token)
+        self._metrics.count(f"look.{reply.status}")
+        if reply.status is not OrderStatus.DONE:
+            self._post(LookFailed(self.worker, reply.status))
+            return False
+        self._note_look(reply)
+        self._post(Looked(self.worker, sent_s, reply))
+        pause_s = self._settings.look_pause_s - (time.monotonic() - sent_s)
+        if pause_s > 0:
+            time.sleep(pause_s)
+        return True
+
+    def _note_look(self, reply: LookReply) -> None:
+        self._note_clock(reply.clock_ms)
+        if reply.ended:
+            self._listed = max(end.number for end in reply.ended)
+
+    def _note_clock(self, clock_ms: int | None) -> None:
+        if clock_ms is not None:
+            self._clock_at_s = time.monotonic()
+            self._clock_ms = clock_ms
+
+    def _deadline_ms(self) -> int:
+        """Return a lease's end by the worker's clock, which is known a little too early."""
+        now_s = time.monotonic()
+        if self._clock_ms is None:
+            return self.worker.clock_ms + int(self._settings.lease_s * _MS)
+        age_s = now_s - self._clock_at_s
+        return self._clock_ms + int((age_s + self._settings.lease_s) * _MS)
--- /dev/null
+++ b/almondstack/control/sessions.py
@@ -0,0 +1,123 @@
+"""The sessions of all workers, kept in step with what is registered."""
+
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from almondstack.control.runs import RunTable, is_other_life
+from almondstack.control.services import OwnerServices
+from almondstack.control.session import WorkerSession
+from almondstack.placement import Worker, WorkerInfo
+
+__all__ = ["Changes", "SessionTable"]
+
+
+class Changes(NamedTuple):
+    """What has changed among the registered workers."""
+
+    reborn: list[str]
+    adopted: list[Worker]
+
+
+class SessionTable:
+    """Holds a session for each worker that is registered or still has runs.
+
+    Parameters
+    ----------
+    services : OwnerServices
+        Directory, callers and settings.
+    token : int
+        The owner's fencing token.
+    post : callable
+        Takes what sessions report.
+    may_extend : callable
+        Whether leases may still be extended.
+    """
+
+    __slots__ = ("_compared_s", "_may_extend", "_post", "_services", "_sessions", "_token")
+
+    def __init__(
+        self,
+        services: OwnerServices,
+        token: int,
+        post: Callable[[object], None],
+        may_extend: Callable[[], bool],
+    ) -> None:
+        self._services = services
+        self._token = token
+        self._post = post
+        self._may_extend = may_extend
+        self._sessions: dict[str, WorkerSession] = {}
+        self._compared_s = 0.0
+
+    def get(self, worker: str) -> WorkerSession | None:
+        """Return the session of a worker."""
+        return self._sessions.get(worker)
+
+    def drop(self, worker: str) -> None:
+        """End the session of a worker that is gone."""
+        session = self._sessions.pop(worker, None)
+        if session is not None:
+            session.close()
+
+    def close(self) -> None:
+        """End all sessions."""
+        for session in self._sessions.values():
+            session.close()
+        self._sessions.clear()
+
+    def compare(self, table: RunTable, now_s: float) -> Changes:
+        """Return what has changed, and open sessions for new workers."""
+        changes = Changes([], [])
+        if now_s - self._compared_s < self._services.control.directory_interval_s:
+            return changes
+        self._compared_s = now_s
+        registered = self._services.directory.workers()
+        for info in registered.values():
+            self._compare_one(table, info, changes)
+        for worker in list(table.workers.values()):
+            if worker.id not in registered:
+                self._leave(table, worker)
+        return changes
+
+    def unreachable(self, table: RunTable) -> Iterator[tuple[str, WorkerSession]]:
+        """Iterate over the workers that do not answer, with their sessions."""
+        for worker_id, session in list(self._sessions.items()):
+            worker = table.workers.get(worker_id)
+            if worker is not None and not worker.is_reachable:
+                yield worker_id, session
+
+    def note_busy(self, table: RunTable) -> None:
+        """Have just those workers looked at on which something may run."""
+        for worker_id, session in self._sessions.items():
+            worker = table.workers.get(worker_id)
+            is_busy = worker is not None and bool(worker.tasks)
+            session.set_busy(is_busy)
+            if worker is not None and not is_busy:
+                worker.is_reachable = True
+
+    def _compare_one(self, table: RunTable, info: WorkerInfo, changes: Changes) -> None:
+        known = table.workers.get(info.id)
+        if known is not None and is_other_life(known.info, info):
+            changes.reborn.append(info.id)
+            return
+        if known is not None:
+            known.refresh(info)
+            return
+        changes.adopted.append(Worker(info))
+        self._sessions[info.id] = WorkerSession(
+            info,
+            self._services.callers,
+            self._token,
+            self._services.control,
+            self._post,
+            self._may_extend,
+            self._services.metrics,
+        )
+
+    def _leave(self, table: RunTable, worker: Worker) -> None:
+        """Give a worker that is no longer registered nothing new; forget it once it is empty."""
+        if worker.tasks:
+            worker.info.is_draining = True
+            return
+        del table.workers[worker.id]
+        self.drop(worker.id)
--- /dev/null
+++ b/almondstack/core/events.py
@@ -0,0 +1,88 @@
+"""Structured log lines: one JSON object for each decision, on standard output.
+
+Explanation
+-----------
+A line is queued and written by a thread of its own, so that a slow reader of
+standard output never holds up a decision.  The queue is bounded and so is the
+number of lines a second; what is left out is counted, and the count is
+written with the next line that goes out.
+"""
+
+import json
+import sys
+import threading
+import time
+from collections import deque
+from typing import TextIO
+
+__all__ = ["EventLog"]
+
+_MOST_WAITING = 2_000
+"""Lines that may wait for the writer; some seconds of a busy process."""
+
+_MOST_LINES_PER_S = 400
+"""Bound on the volume, so that logs can't take the processor from the work."""
+
+_FLUSH_INTERVAL_S = 0.2
+
+
+class EventLog:
+    """Writes events as JSON lines without ever blocking its callers.
+
+    Parameters
+    ----------
+    node : str
+        Name of the instance, in each line.
+    stream : file, optional
+        Where lines go; standard output by default.
+    """
+
+    __slots__ = ("_dropped", "_lines", "_node", "_second", "_stop", "_stream", "_thread", "_used")
+
+    def __init__(self, node: str, stream: TextIO | None = None) -> None:
+        self._node = node
+        self._stream = stream or sys.stdout
+        self._lines: deque[dict[str, object]] = deque()
+        self._dropped = 0
+        self._second = 0
+        self._used = 0
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="events", daemon=True)
+
+    def start(self) -> None:
+        """Start the thread that writes."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Write what waits and stop."""
+        self._stop.set()
+        self._thread.join(timeout=1.0)
+
+    def write(self, event: str, **fields: object) -> None:
+        """Queue one line; an event over the bounds is counted and left out."""
+        now = time.time()
+        if int(now) != self._second:
+            self._second = int(now)
+            self._used = 0
+        if self._used >= _MOST_LINES_PER_S or len(self._lines) >= _MOST_WAITING:
+            self._dropped += 1
+            return
+        self._used += 1
+        line = {"time": round(now, 3), "node": self._node, "event": event, **fields}
+        if self._dropped:
+            line["left_out_before"] = self._dropped
+            self._dropped = 0
+        self._lines.append(line)
+
+    def _run(self) -> None:
+        while not self._stop.wait(_FLUSH_INTERVAL_S):
+            self._flush()
+        self._flush()
+
+    def _flush(self) -> None:
+        lines = []
+        while self._lines:
+            lines.append(json.dumps(self._lines.popleft(), separators=(",", ":"), default=str))
+        if lines:
+            self._stream.write("\n".join(lines) + "\n")
+            self._stream.flush()
--- a/almondstack/jobs/model.py
+++ b/almondstack/jobs/model.py
@@ -1,6 +1,6 @@
 """Jobs as they are submitted, and what is recorded of their tasks."""
 
-from enum import IntEnum
+from enum import IntEnum, StrEnum
 from typing import NamedTuple
 
 import msgspec
@@ -39,12 +39,22 @@
     DONE = 2
 
 
-class RunEnd(IntEnum):
-    """How one run of a task ended."""
+class RunEnd(StrEnum):
+    """How one run of a task ended.
 
-    DONE = 0
-    FAILED = 1
-    INTERRUPTED = 2
+    Explanation
+    -----------
+    ``BROKEN`` means that another member of the gang ended, ``ALONE`` that the
+    other members did not come in time, ``LOST`` that the worker is gone with it.
+    """
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+    LOST = "lost"
 
 
 class TaskKey(NamedTuple):
@@ -133,6 +143,10 @@
         Unix milliseconds of the first occurrence, and the time between two.
     accepted_ms : int
         Unix milliseconds at which a process took the submission.
+    pool : str
+        Pool that the queue was sent to then; holds if the queue is withdrawn.
+    max_attempts : int
+        Runs of one task that may end as failed, as the queue said then.
     """
 
     queue: str
@@ -143,6 +157,8 @@
     first_due_ms: int = 0
     interval_ms: int = 0
     accepted_ms: int = 0
+    pool: str = ""
+    max_attempts: int = 1
 
     @property
     def occurrence_count(self) -> int:
--- /dev/null
+++ b/almondstack/jobs/service.py
@@ -0,0 +1,159 @@
+"""What callers may ask of jobs, on any process."""
+
+import time
+from collections.abc import Callable
+from enum import StrEnum
+
+from almondstack.core import NullMetrics
+from almondstack.core.events import EventLog
+from almondstack.jobs.book import JobBook, JobEntry
+from almondstack.jobs.model import JobState, Submission
+from almondstack.jobs.records import RecordKind, encode_submission, record_key
+from almondstack.ownership.errors import StoreError, StoreRefusedError
+from almondstack.ownership.ports import Record, RecordStore
+
+__all__ = ["JobService", "Verdict"]
+
+_TRY_S = 1.0
+"""Bound on one append; a slow store is asked again with the same record."""
+
+_RETRY_PAUSE_S = 0.05
+_DEFAULT_WAIT_MS = 1_000
+
+
+class Verdict(StrEnum):
+    """What became of a caller's wish."""
+
+    DONE = "done"
+    KNOWN = "known"
+    FULL = "full"
+    UNKNOWN_JOB = "unknown-job"
+    CONFLICT = "conflict"
+    NOT_STORED = "not-stored"
+    UNCLEAR = "unclear"
+
+
+class JobService:
+    """Accepts, cancels and shows jobs.
+
+    Parameters
+    ----------
+    store : RecordStore
+        Where accepted jobs and cancels are stored.
+    book : JobBook
+        What this process has folded.
+    sync : callable
+        Reads to the present end of the store; raises StoreError.
+    events : EventLog
+        Takes a line for each decision.
+    metrics : NullMetrics
+        Counts and times them.
+    """
+
+    __slots__ = ("_book", "_events", "_metrics", "_store", "_sync")
+
+    def __init__(
+        self,
+        store: RecordStore,
+        book: JobBook,
+        sync: Callable[[], None],
+        events: EventLog,
+        metrics: NullMetrics,
+    ) -> None:
+        self._store = store
+        self._book = book
+        self._sync = sync
+        self._events = events
+        self._metrics = metrics
+
+    def submit(self, job: str, submission: Submission, timeout_s: float) -> Verdict:
+        """Store a submission; only ``FULL`` and ``NOT_STORED`` say that it never runs."""
+        entry = self._book.entry(job)
+        if entry is not None:
+            return self._known(job, entry, submission)
+        value = encode_submission(submission)
+        verdict = self._append(Record(record_key(RecordKind.SUBMISSION, job), value), timeout_s)
+        if verdict is Verdict.DONE:
+            self._book.apply(record_key(RecordKind.SUBMISSION, job), value)
+        self._events.write(
+            "job-submitted",
+            job=job,
+            queue=submission.queue,
+            account=submission.account,
+            verdict=verdict,
+        )
+        self._metrics.count(f"submit.{verdict}")
+        return verdict
+
+    def cancel(self, job: str, account: str, timeout_s: float) -> Verdict:
+        """Store a cancel of a job."""
+        entry = self._find(job, account)
+        if isinstance(entry, Verdict):
+            return entry
+        if entry.is_cancelled or entry.state.is_final:
+            return Verdict.DONE
+        record = Record(record_key(RecordKind.CANCEL, job), b"\x01")
+        verdict = self._append(record, timeout_s)
+        if verdict is Verdict.DONE:
+            self._book.apply(record.key, record.value)
+        self._events.write("job-cancelled", job=job, verdict=verdict)
+        return verdict
+
+    def state(self, job: str, account: str) -> JobState | Verdict:
+        """Return the state of a job, or why it is not known."""
+        entry = self._find(job, account)
+        return entry if isinstance(entry, Verdict) else entry.shown_state
+
+    def wait_s(self, queue: str) -> float:
+        """Return after how many seconds a refused caller should come again."""
+        notice = self._book.notice
+        wait_ms = notice.waits_ms.get(queue, _DEFAULT_WAIT_MS) if notice else _DEFAULT_WAIT_MS
+        return wait_ms / 1000.0
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of a queue have started no task."""
+        return self._book.pending(queue)
+
+    def _known(self, job: str, entry: JobEntry, submission: Submission) -> Verdict:
+        is_same = entry.account == submission.account and entry.queue == submission.queue
+        self._events.write("job-repeated", job=job, is_same=is_same)
+        return Verdict.KNOWN if is_same else Verdict.CONFLICT
+
+    def _find(self, job: str, account: str) -> JobEntry | Verdict:
+        entry = self._book.entry(job)
+        if entry is None:
+            try:
+                self._sync()
+            except StoreError as error:
+                self._events.write("lookup-failed", job=job, error=str(error))
+                return Verdict.UNCLEAR
+            entry = self._book.entry(job)
+        if entry is None or (entry.account and entry.account != account):
+            return Verdict.UNKNOWN_JOB
+        return entry
+
+    def _append(self, record: Record, timeout_s: float) -> Verdict:
+        """Append until it is known to be stored, or the time is over."""
+        began_s = time.monotonic()
+        is_unclear = False
+        while True:
+            left_s = timeout_s - (time.monotonic() - began_s)
+            if left_s <= 0:
+                return Verdict.UNCLEAR if is_unclear else Verdict.NOT_STORED
+            try:
+                self._store.append([record], min(left_s, _TRY_S))
+            except StoreRefusedError as error:
+                self._note_failure(record, error, is_unclear)
+                if not is_unclear:
+                    return Verdict.NOT_STORED
+            except StoreError as error:
+                is_unclear = True
+                self._note_failure(record, error, is_unclear)
+            else:
+                self._metrics.timing_ms("append.job", (time.monotonic() - began_s) * 1000.0)
+                return Verdict.DONE
+            time.sleep(_RETRY_PAUSE_S)
+
+    def _note_failure(self, record: Record, error: StoreError, is_unclear: bool) -> None:
+        self._metrics.count("append.failed")
+        self._events.write("append-failed", key=record.key, error=str(error), is_unclear=is_unclear)
--- /dev/null
+++ b/almondstack/ownership/__init__.py
@@ -0,0 +1,28 @@
+"""Who owns the jobs: claims, fencing tokens and take-over by way of the store."""
+
+from almondstack.ownership.errors import (
+    FencedError,
+    HistoryLostError,
+    StoreError,
+    StoreRefusedError,
+    StoreUnclearError,
+)
+from almondstack.ownership.follower import Follower
+from almondstack.ownership.ports import Batch, Record, RecordStore, Snapshot
+from almondstack.ownership.settings import OwnershipSettings
+from almondstack.ownership.vacancy import Vacancy
+
+__all__ = [
+    "Batch",
+    "FencedError",
+    "Follower",
+    "HistoryLostError",
+    "OwnershipSettings",
+    "Record",
+    "RecordStore",
+    "Snapshot",
+    "StoreError",
+    "StoreRefusedError",
+    "StoreUnclearError",
+    "Vacancy",
+]
--- /dev/null
+++ b/almondstack/ownership/follower.py
@@ -0,0 +1,236 @@
+"""Follows the records of jobs, and claims ownership when it is vacant."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+
+from almondstack.core.events import EventLog
+from almondstack.jobs import (
+    JobBook,
+    OwnerNotice,
+    RecordError,
+    RecordKind,
+    encode_notice,
+    record_key,
+)
+from almondstack.jobs.records import decode_notice, split_key
+from almondstack.ownership.errors import HistoryLostError, StoreError
+from almondstack.ownership.ports import Record, RecordStore
+from almondstack.ownership.settings import OwnershipSettings
+from almondstack.ownership.vacancy import Vacancy
+
+__all__ = ["Follower"]
+
+
+class Follower:
+    """Keeps a job book up to date, and takes over when nobody owns the jobs.
+
+    Parameters
+    ----------
+    store : RecordStore
+        Where the records lie.
+    book : JobBook
+        Folds them.
+    settings : OwnershipSettings
+        Times.
+    incarnation : str
+        Names this process.
+    events : EventLog
+        Takes a line for each dependency lost or regained and each claim.
+    take_over : callable
+        Called with the token once ownership is claimed; must not block.
+    """
+
+    __slots__ = (
+        "_book",
+        "_contact_s",
+        "_events",
+        "_incarnation",
+        "_is_loaded",
+        "_is_lost",
+        "_is_owner",
+        "_is_retiring",
+        "_lock",
+        "_offset",
+        "_settings",
+        "_stop",
+        "_store",
+        "_take_over",
+        "_thread",
+        "_tokens",
+        "_vacancy",
+    )
+
+    def __init__(
+        self,
+        store: RecordStore,
+        book: JobBook,
+        settings: OwnershipSettings,
+        incarnation: str,
+        events: EventLog,
+        take_over: Callable[[int], None],
+    ) -> None:
+        self._store = store
+        self._book = book
+        self._settings = settings
+        self._incarnation = incarnation
+        self._events = events
+        self._take_over = take_over
+        self._offset = 0
+        self._tokens: set[int] = set()
+        self._is_loaded = False
+        self._is_lost = False
+        self._is_owner = False
+        self._is_retiring = False
+        self._contact_s = time.monotonic()
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+        self._vacancy = Vacancy(settings.silence_s + random.uniform(0, settings.stagger_s))
+        self._thread = threading.Thread(target=self._run, name="follower", daemon=True)
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the book was complete at some time."""
+        return self._is_loaded
+
+    @property
+    def contact_age_s(self) -> float:
+        """Seconds since the store last answered a read."""
+        return time.monotonic() - self._contact_s
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop to follow."""
+        self._stop.set()
+
+    def retire(self) -> None:
+        """Claim ownership no more; the process is about to end."""
+        self._is_retiring = True
+
+    def yield_ownership(self) -> None:
+        """Follow as one of many again."""
+        self._is_owner = False
+
+    def sync(self) -> None:
+        """Read to the present end of the log in the calling thread.
+
+        Raises
+        ------
+        StoreError
+            The store did not answer as it should.
+        """
+        self._read(0.0)
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            try:
+                self._step()
+            except StoreError as error:
+                self._note_failure(error)
+                self._stop.wait(self._settings.retry_pause_s)
+
+    def _step(self) -> None:
+        if not self._is_loaded:
+            self._load()
+        has_records = self._read(self._settings.wait_s)
+        self._find_own_claim()
+        if self._is_owner:
+            self._stop.wait(self._settings.owner_pace_s)
+            return
+        if not has_records and self._may_claim():
+            self._claim()
+            return
+        self._stop.wait(self._settings.pace_s)
+
+    def _load(self) -> None:
+        with self._lock:
+            snapshot = self._store.snapshot()
+            for record in snapshot.records:
+                self._book.apply(record.key, record.value)
+            self._offset = snapshot.next_offset
+            self._is_loaded = True
+        self._note_contact()
+        self._events.write("book-loaded", records=len(snapshot.records), offset=self._offset)
+
+    def _read(self, wait_s: float) -> bool:
+        try:
+            batch = self._store.read(self._offset, wait_s)
+        except HistoryLostError:
+            self._events.write("history-lost", offset=self._offset)
+            self._is_loaded = False
+            raise
+        with self._lock:
+            self._fold(batch.records, batch.next_offset)
+        self._note_contact()
+        self._vacancy.note_read(time.monotonic(), has_sign=any(map(_is_sign, batch.records)))
+        for record in batch.records:
+            if _is_release(record):
+                self._vacancy.note_release()
+        return bool(batch.records)
+
+    def _fold(self, records: list[Record], next_offset: int) -> None:
+        """Fold what no other thread has folded in the meantime."""
+        first = next_offset - len(records)
+        for record in records[max(0, self._offset - first) :]:
+            self._book.apply(record.key, record.value)
+        self._offset = max(self._offset, next_offset)
+
+    def _find_own_claim(self) -> None:
+        """Own the jobs if the newest notice is a claim of ours whose reply was lost."""
+        notice = self._book.notice
+        if self._is_owner or self._is_retiring or notice is None:
+            return
+        if notice.owner == self._incarnation and notice.token not in self._tokens:
+            self._own(notice.token)
+
+    def _own(self, token: int) -> None:
+        self._tokens.add(token)
+        self._is_owner = True
+        self._vacancy.note_read(time.monotonic(), has_sign=True)
+        self._take_over(token)
+
+    def _may_claim(self) -> bool:
+        return not self._is_retiring and self._vacancy.is_open(time.monotonic())
+
+    def _claim(self) -> None:
+        offset = self._offset
+        token = offset + 1
+        notice = encode_notice(OwnerNotice(self._incarnation, token))
+        is_taken = self._store.claim(offset, Record(record_key(RecordKind.OWNER), notice))
+        self._events.write("ownership-claimed", token=token, is_taken=is_taken)
+        if is_taken:
+            self._own(token)
+
+    def _note_contact(self) -> None:
+        self._contact_s = time.monotonic()
+        if self._is_lost:
+            self._is_lost = False
+            self._events.write("store-regained")
+
+    def _note_failure(self, error: StoreError) -> None:
+        self._vacancy.note_failure()
+        if not self._is_lost:
+            self._is_lost = True
+            self._events.write("store-lost", error=str(error), age_s=round(self.contact_age_s, 2))
+
+
+def _is_sign(record: Record) -> bool:
+    """Whether only an owner writes such a record."""
+    try:
+        kind, _ = split_key(record.key)
+    except RecordError:
+        return False
+    return kind in (RecordKind.PROGRESS, RecordKind.OWNER)
+
+
+def _is_release(record: Record) -> bool:
+    if record.key != record_key(RecordKind.OWNER):
+        return False
+    try:
+        return not decode_notice(record.value).owner
+    except RecordError:
+        return False
--- /dev/null
+++ b/almondstack/ownership/ports.py
@@ -0,0 +1,93 @@
+"""What ownership needs of a store of records."""
+
+from typing import NamedTuple, Protocol
+
+__all__ = ["Batch", "Record", "RecordStore", "Snapshot"]
+
+
+class Record(NamedTuple):
+    """One record: a key, and a value that is empty if the key is dropped."""
+
+    key: str
+    value: bytes
+
+
+class Batch(NamedTuple):
+    """Records read in their order, and the offset behind the last of them."""
+
+    records: list[Record]
+    next_offset: int
+
+
+class Snapshot(NamedTuple):
+    """The newest record of each key, and the offset from which to read on."""
+
+    records: list[Record]
+    next_offset: int
+
+
+class RecordStore(Protocol):
+    """A log of keyed records with conditional and fenced appends."""
+
+    def snapshot(self) -> Snapshot:
+        """Read the newest record of each key.
+
+        Raises
+        ------
+        StoreError
+            The store did not answer as it should.
+        """
+        ...
+
+    def read(self, offset: int, wait_s: float) -> Batch:
+        """Read on from an offset; waits up to ``wait_s`` seconds for a first record.
+
+        Raises
+        ------
+        HistoryLostError
+            The offset has expired.
+        StoreError
+            The store did not answer as it should.
+        """
+        ...
+
+    def append(self, records: list[Record], timeout_s: float) -> None:
+        """Append records of any process.
+
+        Raises
+        ------
+        StoreRefusedError
+            Nothing was stored.
+        StoreUnclearError
+            It may have been stored, or may be within seconds.
+        """
+        ...
+
+    def claim(self, offset: int, record: Record) -> bool:
+        """Append the first record of an owner if the log ends at ``offset``.
+
+        Explanation
+        -----------
+        The owner's token is ``offset + 1``.  Success fences all owners before.
+        Return False if the log ends elsewhere or a later owner is there.
+        """
+        ...
+
+    def append_owned(self, records: list[Record], token: int, sequence: int) -> None:
+        """Append records of the owner with ``token``; ``sequence`` counts its calls from 1.
+
+        Explanation
+        -----------
+        A call may be repeated with the same sequence and records and takes
+        effect once.
+
+        Raises
+        ------
+        FencedError
+            Another owner has claimed the log.
+        StoreRefusedError
+            Nothing was stored.
+        StoreUnclearError
+            It may have been stored.
+        """
+        ...
--- /dev/null
+++ b/almondstack/ownership/settings.py
@@ -0,0 +1,39 @@
+"""Times of ownership."""
+
+from almondstack.core import PositiveSeconds, Settings
+
+__all__ = ["OwnershipSettings"]
+
+
+class OwnershipSettings(Settings, frozen=True):
+    """When a process follows, signs and takes over.
+
+    Parameters
+    ----------
+    silence_s : float
+        Observed silence after which the owner counts as gone, in seconds.
+    stagger_s : float
+        Random addition, so that processes don't all claim at once, in seconds.
+    sign_interval_s : float
+        The owner writes at least this often, in seconds; three signs may be
+        lost before it counts as silent.
+    wait_s : float
+        How long one read waits for a record, in seconds.
+    pace_s, owner_pace_s : float
+        Pause between reads of a follower and of the owner, in seconds; it lets
+        records gather, since each read is paid for.
+    retry_pause_s : float
+        Pause after a failed read, in seconds.
+    unsure_s : float
+        How long an owner that can't write goes on extending leases, in seconds;
+        longer than an ordinary outage of the store.
+    """
+
+    silence_s: PositiveSeconds = 2.0
+    stagger_s: PositiveSeconds = 0.4
+    sign_interval_s: PositiveSeconds = 0.6
+    wait_s: PositiveSeconds = 0.5
+    pace_s: PositiveSeconds = 0.2
+    owner_pace_s: PositiveSeconds = 0.03
+    retry_pause_s: PositiveSeconds = 0.25
+    unsure_s: PositiveSeconds = 10.0
--- a/almondstack/placement/__init__.py
+++ b/almondstack/placement/__init__.py
@@ -2,7 +2,7 @@
 
 from almondstack.placement.choosing import choose_for_gang, choose_worker, is_eligible
 from almondstack.placement.order import objective_s, rank_of
-from almondstack.placement.policies import AccountPolicy, AdvicePolicy, QueuePolicy
+from almondstack.placement.policies import AccountPolicy, AdvicePolicy, Policies, QueuePolicy
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.rounds import Assignment, PoolRound, Usage
 from almondstack.placement.workers import Worker, WorkerInfo
@@ -11,6 +11,7 @@
     "AccountPolicy",
     "AdvicePolicy",
     "Assignment",
+    "Policies",
     "PoolRound",
     "QueuePolicy",
     "Resources",
--- a/almondstack/placement/policies.py
+++ b/almondstack/placement/policies.py
@@ -2,7 +2,7 @@
 
 from almondstack.placement.resources import Resources
 
-__all__ = ["AccountPolicy", "AdvicePolicy", "QueuePolicy"]
+__all__ = ["AccountPolicy", "AdvicePolicy", "Policies", "QueuePolicy"]
 
 
 class AdvicePolicy:
@@ -94,3 +94,31 @@
             and (not ceiling.memory_mb or used.memory_mb + demand.memory_mb <= ceiling.memory_mb)
             and (not ceiling.gpus or used.gpus + demand.gpus <= ceiling.gpus)
         )
+
+
+class Policies:
+    """All of the configuration that placement and fleet go by.
+
+    Parameters
+    ----------
+    version : int
+        Rises with each configuration.
+    queues, accounts : dict
+        Policies by name.
+    pools : dict of str to bool
+        For each pool, whether its instances are off and not paid for.
+    """
+
+    __slots__ = ("accounts", "pools", "queues", "version")
+
+    def __init__(
+        self,
+        version: int = 0,
+        queues: dict[str, QueuePolicy] | None = None,
+        accounts: dict[str, AccountPolicy] | None = None,
+        pools: dict[str, bool] | None = None,
+    ) -> None:
+        self.version = version
+        self.queues = queues or {}
+        self.accounts = accounts or {}
+        self.pools = pools or {}
--- /dev/null
+++ b/almondstack/platform/advice.py
@@ -0,0 +1,45 @@
+"""The platform's advice service."""
+
+import msgspec
+
+from almondstack.control.errors import AdviceError
+from almondstack.platform.http import HttpCaller, NoAnswerError, NotSentError
+from almondstack.platform.wire import AdviceReplyWire
+
+__all__ = ["HttpAdvice"]
+
+_OK = 200
+_TIMEOUT_S = 10.0
+"""A call may name a hundred workers, and the service takes its time for each."""
+
+_reply = msgspec.json.Decoder(AdviceReplyWire)
+
+
+class HttpAdvice:
+    """Asks which workers may run a step; see ``AdviceService``.
+
+    Parameters
+    ----------
+    address : str
+        Numeric address.
+    """
+
+    __slots__ = ("_caller",)
+
+    def __init__(self, address: str) -> None:
+        self._caller = HttpCaller(address)
+
+    def advise(self, step: str, workers: list[str]) -> dict[str, str]:
+        """Return a ticket for each worker that may run the step."""
+        body = msgspec.json.encode({"step": step, "workers": workers})
+        headers = {"Content-Type": "application/json"}
+        try:
+            reply = self._caller.call("POST", "/almondstack/advise", _TIMEOUT_S, body, headers)
+        except (NotSentError, NoAnswerError) as error:
+            raise AdviceError(str(error)) from error
+        if reply.status != _OK:
+            raise AdviceError(f"status {reply.status}")
+        try:
+            return dict(_reply.decode(reply.body).allowed)
+        except msgspec.MsgspecError as error:
+            raise AdviceError(str(error)) from error
--- /dev/null
+++ b/almondstack/platform/directory.py
@@ -0,0 +1,296 @@
+"""What operators and workers have registered in the platform's store."""
+
+import threading
+from collections.abc import Callable
+
+import msgspec
+
+from almondstack.control.messages import WaveRequest
+from almondstack.core.events import EventLog
+from almondstack.ownership import HistoryLostError, Record, StoreError
+from almondstack.placement import Resources, WorkerInfo
+from almondstack.platform.configuration import ConfigurationError, ConfigurationHolder
+from almondstack.platform.store import KeyedTopic, StoreConnection
+from almondstack.platform.wire import ServerWire
+
+__all__ = ["ConfigurationFollower", "StoreDirectory", "TopicFollower"]
+
+_CONFIG_KEY = "config"
+_WAVE_PREFIX = "wave/"
+_READY = "ready"
+_DRAINING = "draining"
+_RETRY_PAUSE_S = 0.2
+_REPORT_TIMEOUT_S = 0.8
+
+_CONFIG_WAIT_S = 1.0
+"""Short enough that a connection that went silent is noticed within the bound on changes."""
+
+_CONFIG_PAUSE_S = 0.02
+_SERVERS_WAIT_S = 1.0
+_SERVERS_PAUSE_S = 0.25
+"""Lets reports of many workers gather, since each read is paid for."""
+
+_server = msgspec.json.Decoder(ServerWire)
+
+
+class TopicFollower:
+    """Reads a keyed topic from its newest records on, in a thread.
+
+    Parameters
+    ----------
+    name : str
+        Names the thread and its log lines.
+    topic : KeyedTopic
+        What is read.
+    take : callable
+        Called with each record in its order.
+    reset : callable
+        Called with the newest records before anything else, and again after
+        history was lost.
+    events : EventLog
+        Takes a line when the topic is lost and regained.
+    wait_s, pause_s : float
+        How long a read waits, and the pause between two, in seconds.
+    """
+
+    __slots__ = (
+        "_events",
+        "_is_lost",
+        "_name",
+        "_pause_s",
+        "_reset",
+        "_stop",
+        "_take",
+        "_thread",
+        "_topic",
+        "_wait_s",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        topic: KeyedTopic,
+        take: Callable[[Record], None],
+        reset: Callable[[list[Record]], None],
+        events: EventLog,
+        wait_s: float,
+        pause_s: float,
+    ) -> None:
+        self._name = name
+        self._topic = topic
+        self._take = take
+        self._reset = reset
+        self._events = events
+        self._wait_s = wait_s
+        self._pause_s = pause_s
+        self._is_lost = False
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start to read."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop to read after the present call."""
+        self._stop.set()
+
+    def _run(self) -> None:
+        offset: int | None = None
+        while not self._stop.is_set():
+            try:
+                offset = self._step(offset)
+            except HistoryLostError:
+                offset = None
+            except StoreError as error:
+                self._note_lost(error)
+                self._stop.wait(_RETRY_PAUSE_S)
+            else:
+                self._note_regained()
+                self._stop.wait(self._pause_s)
+
+    def _step(self, offset: int | None) -> int:
+        if offset is None:
+            snapshot = self._topic.snapshot()
+            self._reset(snapshot.records)
+            return snapshot.next_offset
+        batch = self._topic.read(offset, self._wait_s)
+        for record in batch.records:
+            self._take(record)
+        return batch.next_offset
+
+    def _note_lost(self, error: StoreError) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            self._events.write("topic-lost", topic=self._name, error=str(error))
+
+    def _note_regained(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            self._events.write("topic-regained", topic=self._name)
+
+
+class ConfigurationFollower:
+    """Keeps a :class:`ConfigurationHolder` up to date.
+
+    Parameters
+    ----------
+    connection : StoreConnection
+        The store.
+    holder : ConfigurationHolder
+        Takes what is read.
+    events : EventLog
+        Takes a line for each version and each wave.
+    """
+
+    __slots__ = ("_events", "_follower", "_holder")
+
+    def __init__(
+        self, connection: StoreConnection, holder: ConfigurationHolder, events: EventLog
+    ) -> None:
+        self._holder = holder
+        self._events = events
+        self._follower = TopicFollower(
+            "configuration",
+            KeyedTopic(connection, "keyed.op"),
+            self._take,
+            self._take_all,
+            events,
+            _CONFIG_WAIT_S,
+            _CONFIG_PAUSE_S,
+        )
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._follower.start()
+
+    def stop(self) -> None:
+        """Stop to follow."""
+        self._follower.stop()
+
+    def _take_all(self, records: list[Record]) -> None:
+        for record in records:
+            self._take(record)
+
+    def _take(self, record: Record) -> None:
+        if not record.value:
+            return
+        try:
+            if record.key == _CONFIG_KEY:
+                self._take_configuration(record.value)
+            elif record.key.startswith(_WAVE_PREFIX):
+                number = self._holder.put_wave(record.value)
+                self._events.write("wave-asked", wave=number)
+        except ConfigurationError as error:
+            self._events.write("configuration-unreadable", key=record.key, error=str(error))
+
+    def _take_configuration(self, value: bytes) -> None:
+        version = self._holder.put_configuration(value)
+        if version is not None:
+            self._events.write("configuration-in-force", version=version)
+
+
+class StoreDirectory:
+    """Registered workers, waves and their reports; see ``FleetDirectory``.
+
+    Explanation
+    -----------
+    Only the owner needs the workers, so they are read from :meth:`begin` to
+    :meth:`end`.  A registration that does not decode names no worker to use.
+
+    Parameters
+    ----------
+    connection : StoreConnection
+        The store.
+    holder : ConfigurationHolder
+        Knows the waves.
+    events : EventLog
+        Structured lines.
+    """
+
+    __slots__ = ("_connection", "_events", "_follower", "_holder", "_loaded", "_lock", "_workers")
+
+    def __init__(
+        self, connection: StoreConnection, holder: ConfigurationHolder, events: EventLog
+    ) -> None:
+        self._connection = connection
+        self._holder = holder
+        self._events = events
+        self._workers: dict[str, WorkerInfo] = {}
+        self._lock = threading.Lock()
+        self._loaded = threading.Event()
+        self._follower: TopicFollower | None = None
+
+    def begin(self, timeout_s: float) -> bool:
+        """Start to read the workers; return whether they were read in time."""
+        self._loaded.clear()
+        self._follower = TopicFollower(
+            "workers",
+            KeyedTopic(self._connection, "keyed.servers"),
+            self._take,
+            self._take_all,
+            self._events,
+            _SERVERS_WAIT_S,
+            _SERVERS_PAUSE_S,
+        )
+        self._follower.start()
+        return self._loaded.wait(timeout_s)
+
+    def end(self) -> None:
+        """Stop to read the workers."""
+        if self._follower is not None:
+            self._follower.stop()
+
+    def workers(self) -> dict[str, WorkerInfo]:
+        """Return the registered workers by id."""
+        with self._lock:
+            return dict(self._workers)
+
+    def waves(self) -> list[WaveRequest]:
+        """Return the waves that operators ask for."""
+        return self._holder.waves()
+
+    def report_wave(self, number: int, is_completed: bool) -> None:
+        """Write how far a wave is."""
+        state = "completed" if is_completed else "running"
+        value = msgspec.json.encode({"wave": number, "state": state})
+        topic = KeyedTopic(self._connection, "keyed.status")
+        topic.append([Record(f"{_WAVE_PREFIX}{number}", value)], _REPORT_TIMEOUT_S)
+
+    def _take_all(self, records: list[Record]) -> None:
+        with self._lock:
+            self._workers.clear()
+        for record in records:
+            self._take(record)
+        self._loaded.set()
+
+    def _take(self, record: Record) -> None:
+        info = _worker(record) if record.value else None
+        with self._lock:
+            if info is None:
+                self._workers.pop(record.key, None)
+            else:
+                self._workers[record.key] = info
+
+
+def _worker(record: Record) -> WorkerInfo | None:
+    """Return a registered worker, or None if the record names none to use."""
+    try:
+        wire = _server.decode(record.value)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    if wire.state not in (_READY, _DRAINING) or not wire.address or not wire.pool:
+        return None
+    capacity = Resources(wire.capacity.cpu_millis, wire.capacity.memory_mb, wire.capacity.gpus)
+    return WorkerInfo(
+        record.key,
+        wire.life,
+        wire.pool,
+        wire.address,
+        wire.zone,
+        wire.labels,
+        capacity,
+        wire.state == _DRAINING,
+        wire.remaining_ms,
+        wire.clock_ms,
+    )
--- /dev/null
+++ b/almondstack/platform/http.py
@@ -0,0 +1,84 @@
+"""The one HTTP client of the adapter: persistent connections, typed failures."""
+
+import urllib3
+from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
+
+from almondstack.core import AlmondError, parse_address
+
+__all__ = ["HttpCaller", "HttpReply", "NoAnswerError", "NotSentError"]
+
+_CONNECT_TIMEOUT_S = 0.5
+"""Bound on opening a connection; all peers are within milliseconds."""
+
+
+class NotSentError(AlmondError):
+    """No connection could be opened, so the call can't have been received."""
+
+    code = "not-sent"
+
+
+class NoAnswerError(AlmondError):
+    """The call may have been received, and no whole answer came back."""
+
+    code = "no-answer"
+
+
+class HttpReply:
+    """Status and body of an answer."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
+class HttpCaller:
+    """Calls one address; never repeats a call by itself.
+
+    Parameters
+    ----------
+    address : str
+        Numeric address.
+    connections : int
+        How many connections are kept open.
+    """
+
+    __slots__ = ("_pool", "address")
+
+    def __init__(self, address: str, connections: int = 1) -> None:
+        self.address = address
+        host, port = parse_address(address)
+        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=connections, retries=False)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpReply:
+        """Make one call.
+
+        Raises
+        ------
+        NotSentError
+            It was not received.
+        NoAnswerError
+            It may have been received.
+        """
+        timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        try:
+            response = self._pool.urlopen(
+                method, path, body=body, headers=headers, timeout=timeout, redirect=False
+            )
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise NotSentError(f"{self.address} {type(error).__name__}") from error
+        except (HTTPError, OSError) as error:
+            raise NoAnswerError(f"{self.address} {type(error).__name__}") from error
+        return HttpReply(response.status, response.data)
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
--- /dev/null
+++ b/almondstack/platform/program.py
@@ -0,0 +1,217 @@
+"""The program that runs on each of the platform's machines."""
+
+import argparse
+import os
+import secrets
+import signal
+import sys
+import threading
+import time
+
+from almondstack.control import Owner, OwnerServices
+from almondstack.core import SettingsError, parse_address
+from almondstack.core.events import EventLog
+from almondstack.core.exposition import ExposedMetrics
+from almondstack.jobs import JobBook
+from almondstack.jobs.service import JobService
+from almondstack.ownership import Follower, OwnershipSettings
+from almondstack.platform.advice import HttpAdvice
+from almondstack.platform.configuration import ConfigurationHolder
+from almondstack.platform.directory import ConfigurationFollower, StoreDirectory
+from almondstack.platform.front import FrontServer, JobFront
+from almondstack.platform.instances import HttpInstances
+from almondstack.platform.settings import (
+    PlatformSettings,
+    control_settings,
+    load_platform_settings,
+)
+from almondstack.platform.status import StatusServer
+from almondstack.platform.store import KeyedTopic, StoreConnection
+from almondstack.platform.workers import HttpWorkerCallers
+
+__all__ = ["Program", "main"]
+
+_SETTINGS_VARIABLE = "ALMONDSTACK_CONFIG"
+_WORK_TOPIC = "keyed.work"
+_EXIT_SETTINGS = 2
+_STACK_BYTES = 256 * 1024
+"""Threads only wait and call; hundreds of them must fit into the machine's memory."""
+
+_READY_WITHOUT_STORE_S = 2.0
+"""A process that has not heard the store for so long sends callers elsewhere."""
+
+_LEAVE_NOTICE_S = 2.3
+"""The platform needs two missed looks, one a second, to send no new callers."""
+
+_LEAVE_MARGIN_S = 1.2
+"""Time kept of the grace for closing down."""
+
+_DIRECTORY_WAIT_S = 3.0
+_POLL_S = 0.05
+
+
+class Program:
+    """One process: callers' front, follower, and owner when it is its turn.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+        What the platform says of this machine.
+    settings_path : str
+        File to read again on SIGHUP.
+    """
+
+    def __init__(self, settings: PlatformSettings, settings_path: str) -> None:
+        self._settings = settings
+        self._path = settings_path
+        self._incarnation = f"{settings.node}/{secrets.token_hex(4)}"
+        self._events = EventLog(settings.node)
+        self._metrics = ExposedMetrics()
+        self._connection = StoreConnection(settings.store.address)
+        self._store = KeyedTopic(self._connection, _WORK_TOPIC)
+        self._holder = ConfigurationHolder()
+        self._book = JobBook()
+        self._directory = StoreDirectory(self._connection, self._holder, self._events)
+        self._configuration = ConfigurationFollower(self._connection, self._holder, self._events)
+        self._follower = Follower(
+            self._store,
+            self._book,
+            OwnershipSettings(),
+            self._incarnation,
+            self._events,
+            self._take_over,
+        )
+        service = JobService(
+            self._store, self._book, self._follower.sync, self._events, self._metrics
+        )
+        front = JobFront(self._holder, service, self._metrics)
+        self._front = FrontServer(settings.listen.front, front)
+        self._ready = StatusServer(parse_address(settings.listen.ready), self._render_ready)
+        self._exposed = StatusServer(settings.metrics_address, self._render_metrics)
+        self._owner: Owner | None = None
+        self._leaving = threading.Event()
+        self._reload = threading.Event()
+
+    def run(self) -> int:
+        """Serve until SIGTERM; return the exit code."""
+        signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
+        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        self._events.start()
+        self._events.write("start", zone=self._settings.zone, incarnation=self._incarnation)
+        for server in (self._front, self._ready, self._exposed):
+            server.prepare()
+            threading.Thread(target=server.serve, name="accepts", daemon=True).start()
+        self._configuration.start()
+        self._follower.start()
+        while not self._leaving.wait(_POLL_S * 4):
+            if self._reload.is_set():
+                self._reload.clear()
+                self._reload_settings()
+        self._leave()
+        return 0
+
+    def _take_over(self, token: int) -> None:
+        """Start to own; called by the follower's thread."""
+        threading.Thread(target=self._own, args=(token,), name="owning", daemon=True).start()
+
+    def _own(self, token: int) -> None:
+        owner = Owner(self._owner_services(), self._incarnation, token)
+        self._owner = owner
+        if not self._directory.begin(_DIRECTORY_WAIT_S):
+            self._events.write("workers-unread", waited_s=_DIRECTORY_WAIT_S)
+        owner.start()
+        if self._leaving.is_set():
+            owner.release()
+        while owner.is_alive:
+            owner.join(1.0)
+        self._directory.end()
+        self._follower.yield_ownership()
+        self._owner = None
+
+    def _owner_services(self) -> OwnerServices:
+        control = control_settings(self._settings)
+        instances = self._settings.instances
+        return OwnerServices(
+            store=self._store,
+            book=self._book,
+            callers=HttpWorkerCallers(control.call_timeout_s),
+            instances=HttpInstances(instances.address, self._settings.node) if instances else None,
+            directory=self._directory,
+            advice=HttpAdvice(self._settings.advice) if self._settings.advice else None,
+            policies=self._holder.policies,
+            control=control,
+            ownership=OwnershipSettings(),
+            events=self._events,
+            metrics=self._metrics,
+        )
+
+    def _render_ready(self) -> tuple[int, bytes]:
+        is_ready = (
+            self._holder.configuration is not None
+            and self._follower.is_loaded
+            and self._follower.contact_age_s < _READY_WITHOUT_STORE_S
+            and not self._leaving.is_set()
+        )
+        return (200, b"ready\n") if is_ready else (503, b"not ready\n")
+
+    def _render_metrics(self) -> tuple[int, bytes]:
+        return 200, self._metrics.render()
+
+    def _reload_settings(self) -> None:
+        """Take over what may change while running; a faulty file leaves the old one in force."""
+        try:
+            settings = load_platform_settings(self._path)
+        except SettingsError as error:
+            self._events.write("reload-refused", error=str(error))
+            return
+        self._settings = settings
+        self._connection.move(settings.store.address)
+        self._events.write("reloaded")
+
+    def _leave(self) -> None:
+        """Give back what is owned, answer what has come, and end within the grace."""
+        began_s = time.monotonic()
+        self._events.write("stopping")
+        self._front.is_leaving = True
+        self._follower.retire()
+        owner = self._owner
+        if owner is not None:
+            owner.release()
+        end_s = began_s + self._settings.bounds.grace_s - _LEAVE_MARGIN_S
+        while time.monotonic() < end_s:
+            is_noticed = time.monotonic() - began_s >= _LEAVE_NOTICE_S
+            if is_noticed and not self._front.active:
+                break
+            time.sleep(_POLL_S)
+        self._follower.stop()
+        self._configuration.stop()
+        self._events.write("stopped", active=self._front.active)
+        self._events.stop()
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the program; return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="almondstack.platform", description="almondstack on the platform's machines"
+    )
+    parser.add_argument(
+        "--settings",
+        default=os.environ.get(_SETTINGS_VARIABLE, ""),
+        help=f"settings file; by default the one that {_SETTINGS_VARIABLE} names",
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings file and end; 2 if it is faulty"
+    )
+    options = parser.parse_args(arguments)
+    try:
+        settings = load_platform_settings(options.settings)
+    except SettingsError as error:
+        print(error, file=sys.stderr)
+        return _EXIT_SETTINGS
+    if options.check:
+        return 0
+    threading.stack_size(_STACK_BYTES)
+    # The threads left are daemons in calls of the platform; nothing of theirs is unsaved.
+    code = Program(settings, options.settings).run()
+    sys.stdout.flush()
+    os._exit(code)
--- /dev/null
+++ b/almondstack/platform/settings.py
@@ -0,0 +1,107 @@
+"""The platform's settings file."""
+
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from almondstack.control import ControlSettings
+from almondstack.core import SettingsError, parse_address
+
+__all__ = ["PlatformSettings", "control_settings", "load_platform_settings"]
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    """Addresses to serve at."""
+
+    # Where callers connect.
+    front: str
+    ready: str
+
+
+class _Bounds(msgspec.Struct, frozen=True):
+    """The bounds that the product needs to know; others are for the platform's own use."""
+
+    # Grace between SIGTERM and SIGKILL.
+    grace_s: float = msgspec.field(name="grace-s", default=6.0)
+    # Longest lease of what runs on a worker.
+    lease_ms: float = msgspec.field(name="max-hold-ms", default=6_000)
+    stop_ms: float = msgspec.field(name="stop-ms", default=400)
+    # Within this time two owners must not take turns at one instance; no lease of ours.
+    turn_ms: float = msgspec.field(name="lease-ms", default=3_000)
+    # After this time at work a lasting task no longer counts as away.
+    away_ms: float = msgspec.field(name="notice-ms", default=4_500)
+    # How long a move of an instance between pools takes.
+    move_s: float = msgspec.field(name="migrate-s", default=1.5)
+    # How long ended jobs must be shown.
+    status_s: float = msgspec.field(name="status_s", default=120.0)
+
+
+class _Service(msgspec.Struct, frozen=True):
+    """Where a service of the platform is."""
+
+    address: str
+
+
+class PlatformSettings(msgspec.Struct, frozen=True):
+    """What a process is told of itself and its surroundings.
+
+    Explanation
+    -----------
+    Fields that are not named here are passed over, since the platform may add
+    some at any time.
+    """
+
+    node: str = msgspec.field(name="node-name")
+    zone: str
+    listen: _Listen
+    port_range: tuple[int, int] = msgspec.field(name="port-range")
+    ip: str
+    store: _Service = msgspec.field(name="platform")
+    instances: _Service | None = msgspec.field(name="cloud-api", default=None)
+    advice: str | None = None
+    bounds: _Bounds = _Bounds()
+
+    @property
+    def metrics_address(self) -> tuple[str, int]:
+        """Host and port at which metrics are served."""
+        return self.ip, self.port_range[0]
+
+
+def load_platform_settings(path: str | Path) -> PlatformSettings:
+    """Read and check the platform's settings file.
+
+    Raises
+    ------
+    SettingsError
+        One line that names the file and the path to the fault.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+        content = yaml.safe_load(text)
+        settings = msgspec.convert(content, PlatformSettings, strict=False)
+        _check_addresses(settings)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (yaml.YAMLError, UnicodeDecodeError, msgspec.ValidationError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return settings
+
+
+def control_settings(settings: PlatformSettings) -> ControlSettings:
+    """Return the owner's times, as the platform's bounds ask for."""
+    bounds = settings.bounds
+    return ControlSettings(
+        lease_s=bounds.lease_ms / 1000.0,
+        stop_s=bounds.stop_ms / 1000.0,
+        turn_s=bounds.turn_ms / 1000.0,
+        away_s=bounds.away_ms / 1000.0,
+        move_s=bounds.move_s,
+        keep_final_s=bounds.status_s * 1.25,
+    )
+
+
+def _check_addresses(settings: PlatformSettings) -> None:
+    parse_address(settings.listen.front)
+    parse_address(settings.listen.ready)
+    parse_address(settings.store.address)
--- /dev/null
+++ b/almondstack/platform/store.py
@@ -0,0 +1,212 @@
+"""The platform's metadata store as a log of keyed records."""
+
+import base64
+import binascii
+from urllib.parse import quote
+
+import msgspec
+
+from almondstack.ownership import (
+    Batch,
+    FencedError,
+    HistoryLostError,
+    Record,
+    Snapshot,
+    StoreError,
+    StoreRefusedError,
+    StoreUnclearError,
+)
+from almondstack.platform.http import HttpCaller, HttpReply, NoAnswerError, NotSentError
+from almondstack.platform.wire import AppendReplyWire, NewestWire
+
+__all__ = ["KeyedTopic", "StoreConnection"]
+
+_OK = 200
+_GONE = 410
+_NOT_FOUND = 404
+_CONFLICT = 409
+_CONDITION_FAILED = 412
+_NOTHING_DONE = frozenset({400, 403, 404, 413, 429, 503, 507})
+"""Statuses that say that nothing was stored."""
+
+_PRODUCER = "owner"
+_HEAD_BYTES = 16
+_LENGTH_BYTES = 4
+_READ_TIMEOUT_S = 0.8
+_SNAPSHOT_TIMEOUT_S = 2.0
+_OWNED_TIMEOUT_S = 0.8
+
+_appended = msgspec.json.Decoder(AppendReplyWire)
+_newest = msgspec.json.Decoder(NewestWire)
+
+
+class StoreConnection:
+    """The address of the store, which a reload of the settings may change.
+
+    Parameters
+    ----------
+    address : str
+        Numeric address.
+    """
+
+    __slots__ = ("_caller",)
+
+    _CONNECTIONS = 8
+
+    def __init__(self, address: str) -> None:
+        self._caller = HttpCaller(address, self._CONNECTIONS)
+
+    def move(self, address: str) -> None:
+        """Use another address from now on."""
+        if address != self._caller.address:
+            self._caller = HttpCaller(address, self._CONNECTIONS)
+
+    def read(self, path: str, timeout_s: float) -> HttpReply:
+        """Make a call that changes nothing.
+
+        Raises
+        ------
+        StoreRefusedError
+            The store did not answer with success, nor that records are gone.
+        """
+        try:
+            reply = self._caller.call("GET", path, timeout_s)
+        except (NotSentError, NoAnswerError) as error:
+            raise StoreRefusedError(str(error)) from error
+        if reply.status not in (_OK, _GONE, _NOT_FOUND):
+            raise StoreRefusedError(f"status {reply.status}")
+        return reply
+
+    def write(self, path: str, body: bytes, timeout_s: float) -> HttpReply:
+        """Make a call that may change something.
+
+        Raises
+        ------
+        StoreRefusedError
+            Nothing was done.
+        StoreUnclearError
+            It may have been done, or may be within seconds.
+        """
+        try:
+            reply = self._caller.call("POST", path, timeout_s, body)
+        except NotSentError as error:
+            raise StoreRefusedError(str(error)) from error
+        except NoAnswerError as error:
+            raise StoreUnclearError(str(error)) from error
+        if reply.status in _NOTHING_DONE:
+            raise StoreRefusedError(f"status {reply.status}")
+        if reply.status not in (_OK, _CONFLICT, _CONDITION_FAILED):
+            raise StoreUnclearError(f"status {reply.status}")
+        return reply
+
+
+class KeyedTopic:
+    """Partition 0 of a topic that keeps the newest record of each key; a ``RecordStore``.
+
+    Parameters
+    ----------
+    connection : StoreConnection
+        The store.
+    topic : str
+        The topic's name.
+    """
+
+    __slots__ = ("_connection", "_place")
+
+    def __init__(self, connection: StoreConnection, topic: str) -> None:
+        self._connection = connection
+        self._place = f"topic={topic}&part=0"
+
+    def snapshot(self) -> Snapshot:
+        """Read the newest record of each key; see ``RecordStore``."""
+        records: list[Record] = []
+        first_end: int | None = None
+        after = ""
+        while True:
+            path = f"/almondstack/log-newest?{self._place}{after}"
+            reply = self._connection.read(path, _SNAPSHOT_TIMEOUT_S)
+            if reply.status == _NOT_FOUND:
+                return Snapshot([], 0)
+            page = _decode(_newest, reply.body)
+            records.extend(Record(item.key, _unpack(item.value)) for item in page.items)
+            # Pages are not taken at one moment, so reading goes on where the first one ended.
+            first_end = page.end_offset if first_end is None else first_end
+            if not page.has_more or not page.items:
+                return Snapshot(records, first_end)
+            after = f"&after={quote(page.items[-1].key, safe='')}"
+
+    def read(self, offset: int, wait_s: float) -> Batch:
+        """Read on from an offset; see ``RecordStore``."""
+        path = f"/almondstack/log-read?{self._place}&from={offset}"
+        if wait_s > 0:
+            path += f"&wait-ms={int(wait_s * 1000)}"
+        reply = self._connection.read(path, wait_s + _READ_TIMEOUT_S)
+        if reply.status == _GONE:
+            raise HistoryLostError(f"offset {offset}")
+        if reply.status == _NOT_FOUND:
+            return Batch([], offset)
+        records = _split_records(reply.body)
+        return Batch(records, offset + len(records))
+
+    def append(self, records: list[Record], timeout_s: float) -> None:
+        """Append records of any process; see ``RecordStore``."""
+        reply = self._append("", records, timeout_s)
+        if reply.status != _OK:
+            raise StoreRefusedError(f"status {reply.status}")
+
+    def claim(self, offset: int, record: Record) -> bool:
+        """Append an owner's first record at a known end; see ``RecordStore``."""
+        query = f"&at={offset}&producer-id={_PRODUCER}&epoch={offset + 1}&sequence=1"
+        return self._append(query, [record], _OWNED_TIMEOUT_S).status == _OK
+
+    def append_owned(self, records: list[Record], token: int, sequence: int) -> None:
+        """Append records of the owner; see ``RecordStore``."""
+        query = f"&producer-id={_PRODUCER}&epoch={token}&sequence={sequence}"
+        reply = self._append(query, records, _OWNED_TIMEOUT_S)
+        if reply.status == _OK:
+            return
+        answer = _decode(_appended, reply.body)
+        raise FencedError(f"status {reply.status} {answer.reason}")
+
+    def _append(self, query: str, records: list[Record], timeout_s: float) -> HttpReply:
+        path = f"/almondstack/log-append?{self._place}{query}"
+        body = b"".join(map(_pack_record, records))
+        return self._connection.write(path, body, timeout_s)
+
+
+def _pack_record(record: Record) -> bytes:
+    key = record.key.encode()
+    content = bytes((len(key),)) + key + record.value
+    return len(content).to_bytes(_LENGTH_BYTES, "big") + content
+
+
+def _split_records(body: bytes) -> list[Record]:
+    """Return the records of a read; its head holds offsets that are not needed."""
+    records = []
+    position = _HEAD_BYTES
+    while position + _LENGTH_BYTES <= len(body):
+        length = int.from_bytes(body[position : position + _LENGTH_BYTES], "big")
+        position += _LENGTH_BYTES
+        records.append(_read_record(body[position : position + length]))
+        position += length
+    return records
+
+
+def _read_record(content: bytes) -> Record:
+    key_length = content[0] if content else 0
+    key = content[1 : 1 + key_length].decode("utf-8", errors="replace")
+    return Record(key, content[1 + key_length :])
+
+
+def _unpack(value: str) -> bytes:
+    try:
+        return base64.b64decode(value)
+    except (binascii.Error, ValueError) as error:
+        raise StoreError(f"a value is not in base64: {error}") from error
+
+
+def _decode(decoder, body: bytes):
+    try:
+        return decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise StoreError(f"the store's answer does not decode: {error}") from error
