--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -107,7 +107,7 @@
         self._acknowledged = 0
         self._changed = threading.Condition()
         self._orders: queue.SimpleQueue[_Order | None] = queue.SimpleQueue()
-        self._threads: list[threading.Thread] = []
+        self._threads: dict[str, threading.Thread] = {}
 
     @property
     def lease_end_s(self) -> float:
@@ -123,7 +123,7 @@
             self._is_busy = is_busy
             self._changed.notify_all()
         if is_busy:
-            self._ensure_looking()
+            self._ensure("looks", self._run_looks)
 
     def acknowledge(self, number: int) -> None:
         """Say that ends up to ``number`` are stored."""
@@ -152,16 +152,14 @@
 
     def _submit(self, order: _Order) -> None:
         self._orders.put(order)
-        if not self._threads:
-            self._begin("orders", self._run_orders)
+        self._ensure("orders", self._run_orders)
 
-    def _ensure_looking(self) -> None:
-        if not any(thread.name.startswith("looks") for thread in self._threads):
-            self._begin("looks", self._run_looks)
-
-    def _begin(self, name: str, run: Callable[[], None]) -> None:
+    def _ensure(self, name: str, run: Callable[[], None]) -> None:
+        """Start a thread when it is first needed."""
+        if name in self._threads:
+            return
         thread = threading.Thread(target=run, name=f"{name}-{self.worker.id}", daemon=True)
-        self._threads.append(thread)
+        self._threads[name] = thread
         thread.start()
 
     def _run_orders(self) -> None:
