Maintain instances in waves and move them to where the demand is

A pool gives up what it has too much of to the spare pool, which is not paid for, and gets it back when its queues ask for more; a burst that came at a regular distance is foreseen. Instances of a wave are emptied first, those that are off before the others; that one begins is stored before the order.

--- /dev/null
+++ b/almondstack/capacity/demand.py
@@ -0,0 +1,78 @@
+"""How many cores the queues of a pool ask for."""
+
+from collections import deque
+
+__all__ = ["ArrivalRate", "PoolNeed"]
+
+
+class PoolNeed:
+    """What a pool is asked for now, in thousandths of a core.
+
+    Parameters
+    ----------
+    lasting_millis : int
+        Tasks that run until they are cancelled.
+    running_millis : int
+        Other tasks that run.
+    waiting_millis : int
+        Tasks whose turn has come and that wait for room.
+    arriving_millis : float
+        Work that has come lately, spread over the time in which it came.
+    """
+
+    __slots__ = ("arriving_millis", "lasting_millis", "running_millis", "waiting_millis")
+
+    def __init__(
+        self,
+        lasting_millis: int = 0,
+        running_millis: int = 0,
+        waiting_millis: int = 0,
+        arriving_millis: float = 0.0,
+    ) -> None:
+        self.lasting_millis = lasting_millis
+        self.running_millis = running_millis
+        self.waiting_millis = waiting_millis
+        self.arriving_millis = arriving_millis
+
+    @property
+    def total_millis(self) -> float:
+        """Cores that would let nothing wait."""
+        present = self.running_millis + self.waiting_millis
+        return self.lasting_millis + max(present, self.arriving_millis)
+
+
+class ArrivalRate:
+    """Work that has come within a sliding window, as cores.
+
+    Parameters
+    ----------
+    window_s : float
+        Length of the window in seconds.
+
+    Examples
+    --------
+    >>> rate = ArrivalRate(window_s=2.0)
+    >>> rate.add(10.0, core_ms=4_000.0)
+    >>> rate.millis(10.5), rate.millis(13.0)
+    (2000.0, 0.0)
+    """
+
+    __slots__ = ("_arrivals", "_total_core_ms", "_window_s")
+
+    def __init__(self, window_s: float) -> None:
+        self._window_s = window_s
+        self._arrivals: deque[tuple[float, float]] = deque()
+        self._total_core_ms = 0.0
+
+    def add(self, now_s: float, core_ms: float) -> None:
+        """Note work in milliseconds of one core."""
+        self._arrivals.append((now_s, core_ms))
+        self._total_core_ms += core_ms
+
+    def millis(self, now_s: float) -> float:
+        """Return the thousandths of a core that the work of the window would keep busy."""
+        while self._arrivals and self._arrivals[0][0] < now_s - self._window_s:
+            self._total_core_ms -= self._arrivals.popleft()[1]
+        if not self._arrivals:
+            self._total_core_ms = 0.0
+        return self._total_core_ms / self._window_s
--- /dev/null
+++ b/almondstack/capacity/moves.py
@@ -0,0 +1,168 @@
+"""Which instances go to which pool."""
+
+import math
+
+from almondstack.capacity.demand import PoolNeed
+
+__all__ = ["Candidate", "Move", "PoolState", "plan_moves", "wanted_instances"]
+
+
+class Candidate:
+    """An instance that may be moved.
+
+    Parameters
+    ----------
+    name : str
+        The instance.
+    size_millis : int
+        Its capacity in thousandths of a core.
+    used_millis : int
+        What runs on it.
+    lasting : int
+        Tasks on it that run until they are cancelled.
+    """
+
+    __slots__ = ("lasting", "name", "size_millis", "used_millis")
+
+    def __init__(self, name: str, size_millis: int, used_millis: int = 0, lasting: int = 0) -> None:
+        self.name = name
+        self.size_millis = size_millis
+        self.used_millis = used_millis
+        self.lasting = lasting
+
+
+class PoolState:
+    """A pool with its instances and what it is asked for.
+
+    Parameters
+    ----------
+    name : str
+        The pool.
+    need : PoolNeed
+        What it is asked for.
+    candidates : list of Candidate
+        Its instances that are up and not spoken for.
+    coming : int
+        Instances on their way to it.
+    excess_since_s : float or None
+        Since when it has had more than it wants, in monotonic seconds.
+    foreseen_millis : float
+        What a burst that is due soon will ask for.
+    """
+
+    __slots__ = ("candidates", "coming", "excess_since_s", "foreseen_millis", "name", "need")
+
+    def __init__(
+        self,
+        name: str,
+        need: PoolNeed,
+        candidates: list[Candidate],
+        coming: int = 0,
+        excess_since_s: float | None = None,
+        foreseen_millis: float = 0.0,
+    ) -> None:
+        self.name = name
+        self.need = need
+        self.candidates = candidates
+        self.coming = coming
+        self.excess_since_s = excess_since_s
+        self.foreseen_millis = foreseen_millis
+
+    @property
+    def size(self) -> int:
+        """Instances that it has or will have shortly."""
+        return len(self.candidates) + self.coming
+
+
+class Move:
+    """An instance that should go to a pool."""
+
+    __slots__ = ("instance", "source", "target")
+
+    def __init__(self, instance: str, source: str, target: str) -> None:
+        self.instance = instance
+        self.source = source
+        self.target = target
+
+
+HEADROOM = 1.15
+"""Room beyond the demand, since tasks don't fill instances evenly."""
+
+LEAST_INSTANCES = 2
+"""What a pool keeps without demand: it serves the first second of a burst and survives one loss."""
+
+EXCESS_HOLD_S = 2.0
+"""A pool gives instances away only after having too many for so long; two moves cost as
+much as about two seconds of an instance."""
+
+
+def wanted_instances(state: PoolState, size_millis: int) -> int:
+    """Return how many instances a pool should have.
+
+    Examples
+    --------
+    >>> wanted_instances(PoolState("a", PoolNeed(2_000, 60_000, 20_000), []), 16_000)
+    6
+    >>> wanted_instances(PoolState("a", PoolNeed(), []), 16_000)
+    2
+    """
+    millis = max(state.need.total_millis, state.foreseen_millis + state.need.lasting_millis)
+    return max(LEAST_INSTANCES, math.ceil(HEADROOM * millis / max(1, size_millis)))
+
+
+def plan_moves(
+    pools: list[PoolState], spares: list[Candidate], spare_pool: str, now_s: float
+) -> list[Move]:
+    """Return the moves that bring pools nearer to what they want.
+
+    Explanation
+    -----------
+    Pools that want more are served from the spare pool first, since nothing
+    runs there, then from pools that have too many.  What nobody wants goes to
+    the spare pool, emptiest first; an instance with lasting tasks stays.
+    """
+    size_millis = _common_size(pools, spares)
+    lacks = {pool.name: wanted_instances(pool, size_millis) - pool.size for pool in pools}
+    givers = _givers(pools, lacks, now_s)
+    moves: list[Move] = []
+    for pool in sorted(pools, key=lambda pool: -lacks[pool.name]):
+        for _ in range(max(0, lacks[pool.name])):
+            move = _take(spares, spare_pool, pool.name) or _take_from(givers, pool.name)
+            if move is not None:
+                moves.append(move)
+    for source, candidate in givers:
+        if spare_pool and candidate.used_millis == 0:
+            moves.append(Move(candidate.name, source, spare_pool))
+    return moves
+
+
+def _common_size(pools: list[PoolState], spares: list[Candidate]) -> int:
+    sizes = [candidate.size_millis for pool in pools for candidate in pool.candidates]
+    sizes.extend(candidate.size_millis for candidate in spares)
+    return sum(sizes) // len(sizes) if sizes else 1
+
+
+def _givers(
+    pools: list[PoolState], lacks: dict[str, int], now_s: float
+) -> list[tuple[str, Candidate]]:
+    givers = []
+    for pool in pools:
+        is_held = pool.excess_since_s is not None and now_s - pool.excess_since_s >= EXCESS_HOLD_S
+        if lacks[pool.name] >= 0 or not is_held:
+            continue
+        free = [candidate for candidate in pool.candidates if not candidate.lasting]
+        free.sort(key=lambda candidate: candidate.used_millis)
+        givers.extend((pool.name, candidate) for candidate in free[: -lacks[pool.name]])
+    givers.sort(key=lambda giver: giver[1].used_millis)
+    return givers
+
+
+def _take(spares: list[Candidate], source: str, target: str) -> Move | None:
+    return Move(spares.pop(0).name, source, target) if spares else None
+
+
+def _take_from(givers: list[tuple[str, Candidate]], target: str) -> Move | None:
+    if not givers or givers[0][1].used_millis:
+        return None
+    source, candidate = givers.pop(0)
+    return Move(candidate.name, source, target)
--- /dev/null
+++ b/almondstack/control/balance_rounds.py
@@ -0,0 +1,166 @@
+"""Moves of instances between pools, round by round."""
+
+from almondstack.capacity import (
+    ArrivalRate,
+    BurstForecast,
+    Candidate,
+    Move,
+    PoolNeed,
+    PoolState,
+    plan_moves,
+    wanted_instances,
+)
+from almondstack.control.instance_desk import InstanceDesk
+from almondstack.control.messages import InstanceInfo, InstanceState
+from almondstack.control.planning import Planner
+from almondstack.control.runs import RunTable
+from almondstack.jobs import ActiveJob, TaskStatus
+from almondstack.placement import Policies, Worker
+
+__all__ = ["BalanceRounds"]
+
+_RATE_WINDOW_S = 2.0
+_FORESEEN_AHEAD_S = 2.4
+"""A move takes about one and a half seconds, and a burst begins a little early or late."""
+
+_FORESEEN_FOR_S = 1.5
+"""A burst that has not come so long after it was due is not waited for."""
+
+
+class BalanceRounds:
+    """Follows the demand of each pool and plans moves.
+
+    Parameters
+    ----------
+    table : RunTable
+        Jobs and what runs where.
+    planner : Planner
+        Knows the pool of each job.
+    desk : InstanceDesk
+        Knows which instances may get an order.
+    """
+
+    __slots__ = ("_desk", "_excess_since_s", "_forecasts", "_planner", "_rates", "_table")
+
+    def __init__(self, table: RunTable, planner: Planner, desk: InstanceDesk) -> None:
+        self._table = table
+        self._planner = planner
+        self._desk = desk
+        self._rates: dict[str, ArrivalRate] = {}
+        self._forecasts: dict[str, BurstForecast] = {}
+        self._excess_since_s: dict[str, float] = {}
+
+    def note_job(self, job: ActiveJob, now_s: float) -> None:
+        """Count a job that has just come."""
+        pool = self._planner.policy_of(job.submission).pool
+        core_ms = sum(
+            step.count * step.cpu_millis * step.estimate_ms / 1000.0
+            for step in job.submission.steps
+            if not step.is_long_running
+        )
+        self._rate(pool).add(now_s, core_ms)
+
+    def pools(
+        self, instances: list[InstanceInfo], policies: Policies, taken: set[str], now_s: float
+    ) -> list[PoolState]:
+        """Return the state of each pool that is paid for."""
+        needs = self._needs(policies, now_s)
+        states = []
+        for pool, is_off in policies.pools.items():
+            if is_off:
+                continue
+            candidates, coming = self._members(instances, pool, taken, now_s)
+            forecast = self._forecasts.setdefault(pool, BurstForecast())
+            forecast.note(now_s, needs[pool].total_millis - needs[pool].lasting_millis)
+            states.append(PoolState(pool, needs[pool], candidates, coming))
+        for state in states:
+            state.foreseen_millis = self._foreseen(state.name, now_s)
+            state.excess_since_s = self._note_excess(state, now_s)
+        return states
+
+    def spares(
+        self, instances: list[InstanceInfo], spare_pool: str, taken: set[str], now_s: float
+    ) -> list[Candidate]:
+        """Return the instances of the spare pool that may go anywhere."""
+        return self._members(instances, spare_pool, taken, now_s)[0]
+
+    def plan(
+        self, states: list[PoolState], spares: list[Candidate], spare_pool: str, now_s: float
+    ) -> list[Move]:
+        """Return the moves to make."""
+        moves = plan_moves(states, spares, spare_pool, now_s)
+        return [move for move in moves if self._desk.may_go(move.instance, move.target)]
+
+    def _rate(self, pool: str) -> ArrivalRate:
+        return self._rates.setdefault(pool, ArrivalRate(_RATE_WINDOW_S))
+
+    def _needs(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
+        needs = {
+            pool: PoolNeed(arriving_millis=self._rate(pool).millis(now_s))
+            for pool in policies.pools
+        }
+        for job in self._table.jobs.values():
+            need = needs.get(self._planner.policy_of(job.submission).pool)
+            if need is not None and job.is_open:
+                _add_need(job, need)
+        return needs
+
+    def _members(
+        self, instances: list[InstanceInfo], pool: str, taken: set[str], now_s: float
+    ) -> tuple[list[Candidate], int]:
+        candidates = []
+        coming = 0
+        for info in instances:
+            if info.pool != pool or info.state is InstanceState.DOWN or info.name in taken:
+                continue
+            if info.state is InstanceState.UP and self._desk.is_free(info.name, now_s):
+                candidates.append(_candidate(info, self._table.workers.get(info.worker)))
+            elif info.state is not InstanceState.MAINTENANCE:
+                coming += 1
+        return candidates, coming
+
+    def _foreseen(self, pool: str, now_s: float) -> float:
+        """Return what a burst that is due about now will ask for."""
+        forecast = self._forecasts[pool]
+        periods = [other.period_s for other in self._forecasts.values() if other.period_s]
+        start_s = forecast.next_start_s(min(periods, default=None))
+        if start_s is None or forecast.last is None:
+            return 0.0
+        is_due = start_s - _FORESEEN_AHEAD_S <= now_s <= start_s + _FORESEEN_FOR_S
+        return forecast.last.peak_millis if is_due else 0.0
+
+    def _note_excess(self, state: PoolState, now_s: float) -> float | None:
+        size_millis = max((one.size_millis for one in state.candidates), default=1)
+        if state.size <= wanted_instances(state, size_millis):
+            self._excess_since_s.pop(state.name, None)
+            return None
+        return self._excess_since_s.setdefault(state.name, now_s)
+
+
+def _add_need(job: ActiveJob, need: PoolNeed) -> None:
+    for task in job.tasks():
+        if task.step.is_filler or task.status is TaskStatus.DONE:
+            continue
+        if task.step.is_long_running:
+            need.lasting_millis += task.step.cpu_millis
+        elif task.is_assigned:
+            need.running_millis += task.step.cpu_millis
+    for tasks in job.ready_steps(_ANY_TIME_MS):
+        step = tasks[0].step
+        if not step.is_long_running and not step.is_filler:
+            waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
+            need.waiting_millis += waiting * step.cpu_millis
+
+
+_ANY_TIME_MS = 0.0
+"""Occurrences that are due later do not ask for room yet."""
+
+
+def _candidate(info: InstanceInfo, worker: Worker | None) -> Candidate:
+    tasks = worker.tasks if worker is not None else []
+    return Candidate(
+        info.name,
+        info.cpu_millis,
+        sum(task.step.cpu_millis for task in tasks),
+        sum(task.step.is_long_running for task in tasks),
+    )
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -1,23 +1,158 @@
-"""Waves and moves of instances, round by round."""
+"""What the owner does with instances, round by round."""
 
+from almondstack.capacity import Move
+from almondstack.control.balance_rounds import BalanceRounds
+from almondstack.control.instance_desk import InstanceDesk
+from almondstack.control.lasting import may_interrupt
+from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
+from almondstack.control.wave_rounds import WaveRounds
+from almondstack.jobs import ActiveJob
+from almondstack.ownership import Record
 
 __all__ = ["FleetRounds"]
 
+_INTERVAL_S = 0.15
+"""Time between two looks at pools and waves, in seconds."""
+
+_FAST_LIST_S = 0.4
+"""How often instances are listed while a wave is on, in seconds."""
+
 
 class FleetRounds:
-    """Maintains and moves instances."""
+    """Maintains and moves instances without cutting tasks off.
+
+    Explanation
+    -----------
+    An instance that is to go is first given nothing new; its short tasks end,
+    its lasting ones are moved one at a time; the order follows when it is
+    empty.  After a take-over nothing is ordered for a while, so that two owners
+    don't take turns at one instance.
 
-    __slots__ = ("_services", "_table", "_token")
+    Parameters
+    ----------
+    table : RunTable
+        What runs where.
+    planner : Planner
+        Knows the pool of each job.
+    services : OwnerServices
+        Instances, waves, policies.
+    token : int
+        The owner's fencing token.
+    begun_s : float
+        Monotonic time of the take-over, in seconds.
+    """
 
-    def __init__(self, table: RunTable, services: OwnerServices, token: int) -> None:
+    __slots__ = (
+        "_balance",
+        "_begin_s",
+        "_desk",
+        "_moves",
+        "_rounded_s",
+        "_services",
+        "_table",
+        "_waves",
+    )
+
+    def __init__(
+        self,
+        table: RunTable,
+        planner: Planner,
+        services: OwnerServices,
+        token: int,
+        begun_s: float,
+    ) -> None:
         self._table = table
         self._services = services
-        self._token = token
+        self._desk = InstanceDesk(services, token)
+        self._waves = WaveRounds(services, self._desk)
+        self._balance = BalanceRounds(table, planner, self._desk)
+        self._begin_s = begun_s + services.control.turn_s
+        self._rounded_s = 0.0
+        self._moves: list[Move] = []
 
-    def round(self, now_s: float) -> None:
-        """Do what is due."""
+    def start(self) -> None:
+        """Start to list instances."""
+        self._desk.start()
 
     def close(self) -> None:
         """Give no more orders."""
+        self._desk.close()
+
+    def note_job(self, job: ActiveJob, now_s: float) -> None:
+        """Count a job that has just come."""
+        self._balance.note_job(job, now_s)
+
+    def round(self, now_s: float) -> None:
+        """Decide what is due; :meth:`send` orders it once :meth:`records` are stored."""
+        self._desk.interval_s = (
+            _FAST_LIST_S if self._waves.is_active else self._services.control.instances_interval_s
+        )
+        self._desk.refresh(now_s)
+        if now_s - self._rounded_s < _INTERVAL_S or not self._desk.is_known:
+            return
+        self._rounded_s = now_s
+        if self._desk.is_fenced:
+            return
+        self._decide(now_s)
+
+    def records(self) -> list[Record]:
+        """Return what must be stored before :meth:`send`."""
+        return self._waves.records()
+
+    def send(self) -> None:
+        """Give the orders of this round."""
+        self._waves.send()
+        moves, self._moves = self._moves, []
+        for move in moves:
+            self._services.metrics.count("instance.moves")
+            self._desk.move(move.instance, move.target)
+
+    def _decide(self, now_s: float) -> None:
+        policies = self._services.policies()
+        instances = self._desk.instances()
+        spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
+        workers = self._table.workers
+        states = self._balance.pools(instances, policies, set(), now_s)
+        ranks = {state.name: float(state.size) - _wanted(state) for state in states}
+        may_order = now_s >= self._begin_s
+        emptied: set[str] = set()
+        if may_order:
+            emptied = self._waves.round(instances, workers, spare_pools, ranks, now_s)
+            moves = self._plan_moves(instances, policies, spare_pools, emptied, now_s)
+            emptied |= {move.instance for move in moves}
+            self._moves = [move for move in moves if self._is_empty(move.instance, instances)]
+        self._reserve(instances, emptied, now_s)
+
+    def _plan_moves(self, instances, policies, spare_pools, taken, now_s) -> list[Move]:
+        spare_pool = min(spare_pools, default="")
+        states = self._balance.pools(instances, policies, taken, now_s)
+        spares = self._balance.spares(instances, spare_pool, taken, now_s) if spare_pool else []
+        return self._balance.plan(states, spares, spare_pool, now_s)
+
+    def _is_empty(self, instance: str, instances) -> bool:
+        worker_id = next(info.worker for info in instances if info.name == instance)
+        worker = self._table.workers.get(worker_id)
+        return worker is None or (worker.is_reserved and not worker.tasks)
+
+    def _reserve(self, instances, emptied: set[str], now_s: float) -> None:
+        """Give instances that are to go nothing new, and move their lasting tasks away."""
+        for info in instances:
+            worker = self._table.workers.get(info.worker)
+            if worker is None:
+                continue
+            is_ordered = not self._desk.is_free(info.name, now_s)
+            worker.is_reserved = info.name in emptied or is_ordered
+            if info.name not in emptied:
+                continue
+            for task in worker.tasks:
+                if task.step.is_long_running and may_interrupt(task, now_s):
+                    self._table.ask_stop(task, now_s)
+
+
+def _wanted(state) -> float:
+    from almondstack.capacity import wanted_instances
+
+    size_millis = max((one.size_millis for one in state.candidates), default=1)
+    return float(wanted_instances(state, size_millis))
--- a/almondstack/control/messages.py
+++ b/almondstack/control/messages.py
@@ -65,11 +65,12 @@
 
 
 class RunningRun(NamedTuple):
-    """A run that a worker lists as running."""
+    """A run that a worker lists as running; ``percent`` is 100 when it is fully at work."""
 
     task: str
     run: int
     checkpoint: str
+    percent: int
     load: int
 
 
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -92,7 +92,7 @@
         self._table = RunTable(self, services.events, services.metrics)
         self._advisor = Advisor(services)
         self._planner = Planner(self._table, self._advisor, services.policies)
-        self._fleet = FleetRounds(self._table, services, token)
+        self._fleet = FleetRounds(self._table, self._planner, services, token, self._taken_s)
         self._pacing = Pacing(self._table, self._sessions)
         self._starts: list[Task] = []
         self._retired: list[tuple[float, str]] = []
@@ -135,6 +135,7 @@
         self._services.events.write("owner-started", token=self._token)
         try:
             self._take_over()
+            self._fleet.start()
             while not self._is_released.is_set():
                 self._round()
             self._journal.release()
@@ -194,6 +195,7 @@
         self._starts.extend(self._planner.plan(now_s, time.time() * 1000.0))
         self._commit()
         self._send_starts()
+        self._fleet.send()
         self._pacing.round(now_s)
         self._sessions.note_busy(self._table)
         self._services.metrics.timing_ms("owner.round", (time.monotonic() - began_s) * 1000.0)
@@ -222,6 +224,7 @@
             job = self._load(news.job)
             if job is not None:
                 self._table.jobs[news.job] = job
+                self._fleet.note_job(job, time.monotonic())
 
     @_take.register
     def _(self, news: Looked) -> None:
@@ -296,6 +299,7 @@
             if job.is_dirty
         ]
         ends = self._table.take_ends()
+        records.extend(self._fleet.records())
         records.extend(self._forgotten())
         self._journal.write(records, {})
         for job in list(self._table.jobs.values()):
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -29,6 +29,7 @@
 __all__ = ["Orders", "RunTable"]
 
 _MOST_START_TRIES = 2
+_FULL_PERCENT = 100
 _STOP_RETRY_S = 0.5
 _NO_ROOM_PAUSE_S = 0.3
 """A worker that said it is full gets nothing new for so long, in seconds."""
@@ -269,6 +270,7 @@
         pending = self._pending[task]
         self._confirm(task, pending, now_s)
         task.load = running.load
+        task.is_at_work = running.percent >= _FULL_PERCENT
         if running.checkpoint:
             task.checkpoint = running.checkpoint
 
--- /dev/null
+++ b/almondstack/control/wave_rounds.py
@@ -0,0 +1,162 @@
+"""Maintenance waves, round by round."""
+
+import msgspec
+
+from almondstack.capacity import WaveMember, next_members
+from almondstack.control.instance_desk import InstanceDesk
+from almondstack.control.messages import InstanceInfo, InstanceState, WaveRequest
+from almondstack.control.services import OwnerServices
+from almondstack.jobs import RecordKind, record_key
+from almondstack.ownership import Record
+from almondstack.placement import Worker
+
+__all__ = ["WaveRounds"]
+
+
+class _Wave:
+    """A wave and which of its instances have begun."""
+
+    __slots__ = ("begun", "is_completed", "is_reported", "reporting", "request", "written")
+
+    def __init__(self, request: WaveRequest, begun: set[str]) -> None:
+        self.request = request
+        self.begun = begun
+        self.written = set(begun)
+        self.is_completed = False
+        self.is_reported = False
+        self.reporting = False
+
+
+class WaveRounds:
+    """Brings each instance of a wave into maintenance, no more at once than asked.
+
+    Explanation
+    -----------
+    That an instance begins is stored before the order is given, so that a later
+    owner does not maintain it twice.
+
+    Parameters
+    ----------
+    services : OwnerServices
+        The asked-for waves and what is stored of them.
+    desk : InstanceDesk
+        Takes the orders.
+    """
+
+    __slots__ = ("_desk", "_due", "_services", "_waves")
+
+    def __init__(self, services: OwnerServices, desk: InstanceDesk) -> None:
+        self._services = services
+        self._desk = desk
+        self._waves: dict[int, _Wave] = {}
+        self._due: list[tuple[str, int]] = []
+
+    @property
+    def is_active(self) -> bool:
+        """Whether some wave is not completed."""
+        return any(not wave.is_completed for wave in self._waves.values())
+
+    def round(
+        self,
+        instances: list[InstanceInfo],
+        workers: dict[str, Worker],
+        spare_pools: set[str],
+        pool_ranks: dict[str, float],
+        now_s: float,
+    ) -> set[str]:
+        """Choose what to do, and return the instances that are to be emptied."""
+        self._take_requests()
+        by_name = {info.name: info for info in instances}
+        emptied: set[str] = set()
+        for wave in self._waves.values():
+            if not wave.is_completed:
+                emptied |= self._round_of(wave, by_name, workers, spare_pools, pool_ranks, now_s)
+        return emptied
+
+    def records(self) -> list[Record]:
+        """Return what must be stored before :meth:`send`."""
+        records = []
+        for wave in self._waves.values():
+            if wave.begun == wave.written:
+                continue
+            wave.written = set(wave.begun)
+            key = record_key(RecordKind.WAVE, str(wave.request.number))
+            records.append(Record(key, msgspec.msgpack.encode(sorted(wave.begun))))
+        return records
+
+    def send(self) -> None:
+        """Give the orders of this round, now that they are stored."""
+        due, self._due = self._due, []
+        for instance, number in due:
+            self._desk.maintain(instance, number)
+
+    def _take_requests(self) -> None:
+        for request in self._services.directory.waves():
+            if request.number in self._waves:
+                continue
+            stored = self._services.book.wave_record(str(request.number))
+            begun = set(msgspec.msgpack.decode(stored, type=list[str])) if stored else set()
+            self._waves[request.number] = _Wave(request, begun)
+
+    def _round_of(
+        self,
+        wave: _Wave,
+        by_name: dict[str, InstanceInfo],
+        workers: dict[str, Worker],
+        spare_pools: set[str],
+        pool_ranks: dict[str, float],
+        now_s: float,
+    ) -> set[str]:
+        present = [by_name[name] for name in wave.request.instances if name in by_name]
+        left = [info for info in present if info.name not in wave.begun]
+        down = sum(
+            info.name in wave.begun and info.state is not InstanceState.UP for info in present
+        )
+        self._report(wave, is_completed=not left and not down)
+        members = [
+            _member(info, workers, spare_pools, pool_ranks)
+            for info in left
+            if info.state is InstanceState.UP and self._desk.is_free(info.name, now_s)
+        ]
+        chosen = next_members(members, down, wave.request.most_at_once)
+        room = wave.request.most_at_once - down
+        for member in chosen:
+            if room > 0 and _is_empty(by_name[member.name], workers):
+                room -= 1
+                wave.begun.add(member.name)
+                self._due.append((member.name, wave.request.number))
+        return {member.name for member in chosen}
+
+    def _report(self, wave: _Wave, *, is_completed: bool) -> None:
+        if wave.reporting or (wave.is_reported and not is_completed):
+            return
+        wave.reporting = True
+
+        def note_reported() -> None:
+            wave.reporting = False
+            wave.is_reported = True
+            wave.is_completed = is_completed
+
+        self._desk.report(wave.request.number, is_completed, note_reported)
+
+
+def _member(
+    info: InstanceInfo,
+    workers: dict[str, Worker],
+    spare_pools: set[str],
+    pool_ranks: dict[str, float],
+) -> WaveMember:
+    worker = workers.get(info.worker)
+    tasks = worker.tasks if worker is not None else []
+    return WaveMember(
+        info.name,
+        is_off=info.pool in spare_pools,
+        used_millis=sum(task.step.cpu_millis for task in tasks),
+        lasting=sum(task.step.is_long_running for task in tasks),
+        pool_rank=pool_ranks.get(info.pool, 0.0),
+    )
+
+
+def _is_empty(info: InstanceInfo, workers: dict[str, Worker]) -> bool:
+    worker = workers.get(info.worker)
+    return worker is None or (worker.is_reserved and not worker.tasks)
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -37,6 +37,8 @@
         As in :class:`~almondstack.jobs.model.TaskRecord`.
     is_confirmed : bool
         The worker has listed the present run or acknowledged its start.
+    is_at_work : bool
+        The worker last listed the run as working at its full share.
     is_stopping : bool
         A stop of the present run was asked for.
     assigned_s : float
@@ -57,6 +59,7 @@
         "checkpoint",
         "failed_on",
         "failures",
+        "is_at_work",
         "is_confirmed",
         "is_stopping",
         "job",
@@ -81,6 +84,7 @@
         self.worker = ""
         self.life = 0
         self.checkpoint = ""
+        self.is_at_work = False
         self.is_confirmed = False
         self.is_stopping = False
         self.assigned_s = 0.0
@@ -112,6 +116,7 @@
         self.run += 1
         self.worker = worker
         self.life = life
+        self.is_at_work = False
         self.is_confirmed = False
         self.is_stopping = False
         self.assigned_s = now_s
--- a/almondstack/jobs/book.py
+++ b/almondstack/jobs/book.py
@@ -71,12 +71,13 @@
         changed something.
     """
 
-    __slots__ = ("_cancelled", "_entries", "_listener", "_lock", "_notice")
+    __slots__ = ("_cancelled", "_entries", "_listener", "_lock", "_notice", "_waves")
 
     def __init__(self, listener: Callable[[RecordKind, str], None] | None = None) -> None:
         self._entries: dict[str, JobEntry] = {}
         self._cancelled: set[str] = set()
         self._notice: OwnerNotice | None = None
+        self._waves: dict[str, bytes] = {}
         self._listener = listener
         self._lock = threading.Lock()
 
@@ -98,6 +99,10 @@
         with self._lock:
             return list(self._entries.items())
 
+    def wave_record(self, number: str) -> bytes | None:
+        """Return what the owner has stored of a wave."""
+        return self._waves.get(number)
+
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have started no task."""
         with self._lock:
@@ -122,6 +127,9 @@
             if kind is RecordKind.OWNER:
                 self._notice = decode_notice(value)
                 return False
+            if kind is RecordKind.WAVE:
+                self._waves[job] = value
+                return False
             if not value:
                 self._forget(kind, job)
                 return False
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -2,7 +2,8 @@
 
 Explanation
 -----------
-A key is one letter for the kind and, but for the owner's record, the job's id.
+A key is one letter for the kind and the job's id; a wave's record has its number
+instead, the owner's has nothing.
 The value of a progress record begins with one byte for the state, so that a
 process that only shows states needs to decode nothing else.
 """
@@ -36,6 +37,7 @@
     CANCEL = "c"
     PROGRESS = "p"
     OWNER = "o"
+    WAVE = "w"
 
 
 class OwnerNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -170,4 +170,4 @@
 
 def _running(row: list[str | int | float | None]) -> RunningRun:
     load = row[4] if len(row) >= _RUNNING_FIELDS_WITH_LOAD else 0
-    return RunningRun(str(row[0]), int(row[1]), str(row[2] or ""), int(load or 0))
+    return RunningRun(str(row[0]), int(row[1]), str(row[2] or ""), int(row[3] or 0), int(load or 0))
