Begin claims at a random sequence, and own only what the fold shows

Now claims differ by a random sequence, and no reply makes an owner, only reading the own notice back does; that also finds a claim whose reply was lost.

--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -29,6 +29,8 @@
         Names this process.
     token : int
         The owner's fencing token.
+    sequence : int
+        Number of the append by which it claimed the jobs.
     """
 
     __slots__ = (
@@ -41,11 +43,13 @@
         "_written_s",
     )
 
-    def __init__(self, services: OwnerServices, incarnation: str, token: int) -> None:
+    def __init__(
+        self, services: OwnerServices, incarnation: str, token: int, sequence: int
+    ) -> None:
         self._services = services
         self._incarnation = incarnation
         self._token = token
-        self._sequence = 1
+        self._sequence = sequence
         self._written_s = time.monotonic()
         self._notice = OwnerNotice(incarnation, token)
         self._is_closed = threading.Event()
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -62,6 +62,8 @@
         Names this process.
     token : int
         Its fencing token.
+    sequence : int
+        Number of the append by which it claimed the jobs.
     """
 
     __slots__ = (
@@ -82,12 +84,14 @@
         "_token",
     )
 
-    def __init__(self, services: OwnerServices, incarnation: str, token: int) -> None:
+    def __init__(
+        self, services: OwnerServices, incarnation: str, token: int, sequence: int
+    ) -> None:
         self._services = services
         self._token = token
         self._taken_s = time.monotonic()
         self._inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
-        self._journal = OwnerJournal(services, incarnation, token)
+        self._journal = OwnerJournal(services, incarnation, token, sequence)
         self._sessions = SessionTable(services, token, self._inbox.put, self._journal.may_extend)
         self._table = RunTable(self, services.events, services.metrics)
         self._advisor = Advisor(services)
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -22,6 +22,10 @@
 
 __all__ = ["Follower"]
 
+_MOST_SEQUENCE = 2**40
+"""Claims begin at a random sequence: the store would take two claims of one offset with
+one sequence for a repeat, and answer both with success."""
+
 
 class Follower:
     """Keeps a job book up to date, and takes over when nobody owns the jobs.
@@ -39,7 +43,8 @@
     events : EventLog
         Takes a line for each dependency lost or regained and each claim.
     take_over : callable
-        Called with the token once ownership is claimed; must not block.
+        Called with the token and the sequence of the claim once this process
+        owns the jobs; must not block.
     """
 
     __slots__ = (
@@ -53,12 +58,12 @@
         "_is_retiring",
         "_lock",
         "_offset",
+        "_sequences",
         "_settings",
         "_stop",
         "_store",
         "_take_over",
         "_thread",
-        "_tokens",
         "_vacancy",
     )
 
@@ -69,7 +74,7 @@
         settings: OwnershipSettings,
         incarnation: str,
         events: EventLog,
-        take_over: Callable[[int], None],
+        take_over: Callable[[int, int], None],
     ) -> None:
         self._store = store
         self._book = book
@@ -78,7 +83,7 @@
         self._events = events
         self._take_over = take_over
         self._offset = 0
-        self._tokens: set[int] = set()
+        self._sequences: dict[int, int] = {}
         self._is_loaded = False
         self._is_lost = False
         self._is_owner = False
@@ -180,18 +185,22 @@
         self._offset = max(self._offset, next_offset)
 
     def _find_own_claim(self) -> None:
-        """Own the jobs if the newest notice is a claim of ours whose reply was lost."""
+        """Own the jobs once the newest notice that was read is a claim of ours.
+
+        Explanation
+        -----------
+        The reply to a claim is not trusted: it may be lost, and it may be the
+        reply to another process that made the same claim.
+        """
         notice = self._book.notice
         if self._is_owner or self._is_retiring or notice is None:
             return
-        if notice.owner == self._incarnation and notice.token not in self._tokens:
-            self._own(notice.token)
-
-    def _own(self, token: int) -> None:
-        self._tokens.add(token)
-        self._is_owner = True
-        self._vacancy.note_read(time.monotonic(), has_sign=True)
-        self._take_over(token)
+        if notice.owner != self._incarnation:
+            return
+        sequence = self._sequences.pop(notice.token, None)
+        if sequence is not None:
+            self._is_owner = True
+            self._take_over(notice.token, sequence)
 
     def _may_claim(self) -> bool:
         return not self._is_retiring and self._vacancy.is_open(time.monotonic())
@@ -200,10 +209,10 @@
         offset = self._offset
         token = offset + 1
         notice = encode_notice(OwnerNotice(self._incarnation, token))
-        is_taken = self._store.claim(offset, Record(record_key(RecordKind.OWNER), notice))
+        sequence = random.randrange(_MOST_SEQUENCE)
+        self._sequences[token] = sequence
+        is_taken = self._store.claim(offset, Record(record_key(RecordKind.OWNER), notice), sequence)
         self._events.write("ownership-claimed", token=token, is_taken=is_taken)
-        if is_taken:
-            self._own(token)
 
     def _note_contact(self) -> None:
         self._contact_s = time.monotonic()
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -63,18 +63,19 @@
         """
         ...
 
-    def claim(self, offset: int, record: Record) -> bool:
+    def claim(self, offset: int, record: Record, sequence: int) -> bool:
         """Append the first record of an owner if the log ends at ``offset``.
 
         Explanation
         -----------
         The owner's token is ``offset + 1``.  Success fences all owners before.
+        ``sequence`` is the number of this append; those of the owner follow on.
         Return False if the log ends elsewhere or a later owner is there.
         """
         ...
 
     def append_owned(self, records: list[Record], token: int, sequence: int) -> None:
-        """Append records of the owner with ``token``; ``sequence`` counts its calls from 1.
+        """Append records of the owner with ``token``; ``sequence`` counts on from its claim.
 
         Explanation
         -----------
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -110,12 +110,14 @@
         self._leave()
         return 0
 
-    def _take_over(self, token: int) -> None:
+    def _take_over(self, token: int, sequence: int) -> None:
         """Start to own; called by the follower's thread."""
-        threading.Thread(target=self._own, args=(token,), name="owning", daemon=True).start()
+        threading.Thread(
+            target=self._own, args=(token, sequence), name="owning", daemon=True
+        ).start()
 
-    def _own(self, token: int) -> None:
-        owner = Owner(self._owner_services(), self._incarnation, token)
+    def _own(self, token: int, sequence: int) -> None:
+        owner = Owner(self._owner_services(), self._incarnation, token, sequence)
         self._owner = owner
         if not self._directory.begin(_DIRECTORY_WAIT_S):
             self._events.write("workers-unread", waited_s=_DIRECTORY_WAIT_S)
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -154,9 +154,9 @@
         if reply.status != _OK:
             raise StoreRefusedError(f"status {reply.status}")
 
-    def claim(self, offset: int, record: Record) -> bool:
+    def claim(self, offset: int, record: Record, sequence: int) -> bool:
         """Append an owner's first record at a known end; see ``RecordStore``."""
-        query = f"&at={offset}&producer-id={_PRODUCER}&epoch={offset + 1}&sequence=1"
+        query = f"&at={offset}&producer-id={_PRODUCER}&epoch={offset + 1}&sequence={sequence}"
         return self._append(query, [record], _OWNED_TIMEOUT_S).status == _OK
 
     def append_owned(self, records: list[Record], token: int, sequence: int) -> None:
