Claim a vacant ownership also while submissions come in

The claim is conditional on the end of the log, so records before it do no harm. Besides, a silent owner's address is asked after 0.7 s: a refused connection means that its process is gone. Silence 2.0 -> 1.5 s.

--- /dev/null
+++ b/almondstack/control/admission.py
@@ -0,0 +1,70 @@
+"""What the owner tells all processes of how long new work would wait."""
+
+from almondstack.capacity import PoolState
+from almondstack.control.planning import Planner
+from almondstack.control.runs import RunTable
+from almondstack.jobs import Task, TaskStatus
+from almondstack.placement import Policies
+from almondstack.placement.backlog import Backlog, EstimateCorrection
+from almondstack.placement.order import LATE_BAND, rank_of
+
+__all__ = ["AdmissionRounds", "wait_key"]
+
+
+class AdmissionRounds:
+    """Keeps the waits of each pool and client account.
+
+    Parameters
+    ----------
+    table : RunTable
+        Jobs and what runs where.
+    planner : Planner
+        Knows the policy of each job.
+    """
+
+    __slots__ = ("_planner", "_table", "correction", "waits_ms")
+
+    def __init__(self, table: RunTable, planner: Planner) -> None:
+        self._table = table
+        self._planner = planner
+        self.correction = EstimateCorrection()
+        self.waits_ms: dict[str, int] = {}
+
+    def note_end(self, task: Task, took_ms: float) -> None:
+        """Take the duration of a run that ended well into account."""
+        if not task.step.is_long_running:
+            self.correction.note(task.job.submission.queue, task.step.estimate_ms, took_ms)
+
+    def round(self, states: list[PoolState], policies: Policies, now_unix_ms: float) -> None:
+        """Work the waits out anew."""
+        backlogs = {state.name: Backlog(_room_millis(state)) for state in states}
+        for job in self._table.jobs.values():
+            if not job.is_open or job.submission.is_long_running:
+                continue
+            policy = self._planner.policy_of(job.submission)
+            backlog = backlogs.get(policy.pool)
+            if backlog is None:
+                continue
+            ready = list(job.ready_steps(now_unix_ms))
+            if any(rank_of(tasks, policy, now_unix_ms)[0] >= LATE_BAND for tasks in ready):
+                continue
+            backlog.add(job, self.correction.factor(job.submission.queue))
+            if any(task.status is TaskStatus.WAITING for tasks in ready for task in tasks):
+                backlog.note_waiting()
+        self.waits_ms = {
+            wait_key(pool, account): wait_ms
+            for pool, backlog in backlogs.items()
+            for account, wait_ms in backlog.waits_ms(policies.accounts).items()
+        }
+
+
+def wait_key(pool: str, account: str) -> str:
+    """Return under which name the wait of an account in a pool is told."""
+    return f"{pool}/{account}"
+
+
+def _room_millis(state: PoolState) -> int:
+    sizes = [candidate.size_millis for candidate in state.candidates]
+    size_millis = max(sizes, default=0)
+    room_millis = sum(sizes) + state.coming * size_millis - state.need.lasting_millis
+    return max(room_millis, 0)
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -1,6 +1,9 @@
 """What the owner does with instances, round by round."""
 
+import time
+
 from almondstack.capacity import Move
+from almondstack.control.admission import AdmissionRounds
 from almondstack.control.balance_rounds import BalanceRounds
 from almondstack.control.instance_desk import InstanceDesk
 from almondstack.control.lasting import may_interrupt
@@ -45,6 +48,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_balance",
         "_begin_s",
         "_desk",
@@ -68,10 +72,17 @@
         self._desk = InstanceDesk(services, token)
         self._waves = WaveRounds(services, self._desk)
         self._balance = BalanceRounds(table, planner, self._desk)
+        self._admission = AdmissionRounds(table, planner)
+        table.follow_ends(self._admission.note_end)
         self._begin_s = begun_s + services.control.turn_s
         self._rounded_s = 0.0
         self._moves: list[Move] = []
 
+    @property
+    def waits_ms(self) -> dict[str, int]:
+        """How long new work would wait, by pool and client account."""
+        return self._admission.waits_ms
+
     def start(self) -> None:
         """Start to list instances."""
         self._desk.start()
@@ -115,6 +126,7 @@
         spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
         workers = self._table.workers
         states = self._balance.pools(instances, policies, set(), now_s)
+        self._admission.round(states, policies, time.time() * 1000.0)
         ranks = {state.name: float(state.size) - _wanted(state) for state in states}
         may_order = now_s >= self._begin_s
         emptied: set[str] = set()
--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -51,7 +51,7 @@
         self._token = token
         self._sequence = sequence
         self._written_s = time.monotonic()
-        self._notice = OwnerNotice(incarnation, token)
+        self._notice = OwnerNotice(incarnation, token, services.address)
         self._is_closed = threading.Event()
 
     @property
@@ -78,7 +78,9 @@
             Another process owns the jobs, or the journal was closed.
         """
         if self._needs_sign(waits_ms):
-            self._notice = OwnerNotice(self._incarnation, self._token, waits_ms)
+            self._notice = OwnerNotice(
+                self._incarnation, self._token, self._services.address, waits_ms
+            )
             records = [*records, self._sign(self._notice)]
         while records:
             part, records = _split(records)
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -305,7 +305,7 @@
         ends = self._table.take_ends()
         records.extend(self._fleet.records())
         records.extend(self._forgotten())
-        self._journal.write(records, {})
+        self._journal.write(records, self._fleet.waits_ms)
         for job in list(self._table.jobs.values()):
             job.is_dirty = False
             if job.is_over():
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -12,7 +12,7 @@
     Worker,
     rank_of,
 )
-from almondstack.placement.order import Rank
+from almondstack.placement.fairness import RankedStep, fair_order
 
 __all__ = ["Planner"]
 
@@ -58,11 +58,11 @@
         started: list[Task] = []
         workers = self._open_workers(now_s)
         for pool, steps in by_pool.items():
-            steps.sort(key=lambda step: step[0])
+            ordered = fair_order(steps, self._running_millis(pool), self._policies().accounts)
             pool_round = PoolRound(
                 workers.get(pool, []), self._table.usage, now_s, self._advisor.narrow
             )
-            for _, tasks in steps:
+            for _, tasks in ordered:
                 started.extend(self._place(pool_round, tasks, now_s))
         return started
 
@@ -77,8 +77,8 @@
             placed.extend(assignment.tasks)
         return placed
 
-    def _ready(self, now_unix_ms: float) -> dict[str, list[tuple[Rank, list[Task]]]]:
-        by_pool: dict[str, list[tuple[Rank, list[Task]]]] = {}
+    def _ready(self, now_unix_ms: float) -> dict[str, list[RankedStep]]:
+        by_pool: dict[str, list[RankedStep]] = {}
         for job in self._table.jobs.values():
             if not job.is_open:
                 continue
@@ -88,6 +88,18 @@
                 by_pool.setdefault(policy.pool, []).append((rank, tasks))
         return by_pool
 
+    def _running_millis(self, pool: str) -> dict[str, int]:
+        """Return what each account has running in a pool, but for lasting tasks."""
+        running: dict[str, int] = {}
+        for worker in self._table.workers.values():
+            if worker.info.pool != pool:
+                continue
+            for task in worker.tasks:
+                if not task.step.is_long_running:
+                    account = task.job.submission.account
+                    running[account] = running.get(account, 0) + task.step.cpu_millis
+        return running
+
     def _open_workers(self, now_s: float) -> dict[str, list[Worker]]:
         by_pool: dict[str, list[Worker]] = {}
         for worker in self._table.workers.values():
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -9,7 +9,7 @@
 sent after that stop lets the task wait again.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from almondstack.control.messages import (
@@ -74,6 +74,7 @@
     """
 
     __slots__ = (
+        "_end_follower",
         "_ends",
         "_events",
         "_metrics",
@@ -91,11 +92,16 @@
         self._metrics = metrics
         self._pending: dict[Task, _Pending] = {}
         self._ends: dict[str, int] = {}
+        self._end_follower: Callable[[Task, float], None] | None = None
         self.jobs: dict[str, ActiveJob] = {}
         self.workers: dict[str, Worker] = {}
         self.usage = Usage({})
         self.soundness = Soundness()
 
+    def follow_ends(self, follower: Callable[[Task, float], None]) -> None:
+        """Have a function called with each task that ended well, and its milliseconds."""
+        self._end_follower = follower
+
     def inherit(self, job: ActiveJob) -> None:
         """Take over a job with the runs that are recorded of it."""
         self.jobs[job.id] = job
@@ -259,6 +265,8 @@
         if task is None:
             return
         self.soundness.note_end(worker, task, ended.end, now_s)
+        if ended.end is RunEnd.DONE and self._end_follower is not None:
+            self._end_follower(task, (now_s - task.assigned_s) * 1000.0)
         self._release(task, ended.end, ended.checkpoint, now_s)
 
     def _note_running(self, worker: Worker, running: RunningRun, now_s: float) -> None:
--- a/almondstack/control/services.py
+++ b/almondstack/control/services.py
@@ -25,6 +25,8 @@
     ----------
     store : RecordStore
         Where records lie.
+    address : str
+        Where this process listens for as long as it lives.
     book : JobBook
         What this process has folded of them.
     callers : WorkerCallers
@@ -46,6 +48,7 @@
     """
 
     __slots__ = (
+        "address",
         "advice",
         "book",
         "callers",
@@ -62,6 +65,7 @@
     def __init__(
         self,
         store: RecordStore,
+        address: str,
         book: JobBook,
         callers: WorkerCallers,
         instances: InstanceService,
@@ -74,6 +78,7 @@
         metrics: NullMetrics,
     ) -> None:
         self.store = store
+        self.address = address
         self.book = book
         self.callers = callers
         self.instances = instances
--- a/almondstack/jobs/service.py
+++ b/almondstack/intake/service.py
@@ -6,11 +6,14 @@
 
 from almondstack.core import NullMetrics
 from almondstack.core.events import EventLog
-from almondstack.jobs.book import JobBook, JobEntry
+from almondstack.jobs import JobBook, JobEntry
+from almondstack.jobs.active import chain_lengths_ms
 from almondstack.jobs.model import JobState, Submission
 from almondstack.jobs.records import RecordKind, encode_submission, record_key
 from almondstack.ownership.errors import StoreError, StoreRefusedError
 from almondstack.ownership.ports import Record, RecordStore
+from almondstack.placement import QueuePolicy
+from almondstack.placement.backlog import is_in_time
 
 __all__ = ["JobService", "Verdict"]
 
@@ -18,7 +21,9 @@
 """Bound on one append; a slow store is asked again with the same record."""
 
 _RETRY_PAUSE_S = 0.05
-_DEFAULT_WAIT_MS = 1_000
+
+_MOST_NOTICE_AGE_S = 2.5
+"""What the owner said longer ago says nothing of now, in seconds."""
 
 
 class Verdict(StrEnum):
@@ -66,11 +71,25 @@
         self._events = events
         self._metrics = metrics
 
-    def submit(self, job: str, submission: Submission, timeout_s: float) -> Verdict:
+    def submit(
+        self, job: str, submission: Submission, policy: QueuePolicy, timeout_s: float
+    ) -> Verdict:
         """Store a submission; only ``FULL`` and ``NOT_STORED`` say that it never runs."""
         entry = self._book.entry(job)
         if entry is not None:
             return self._known(job, entry, submission)
+        late_ms = self.excess_wait_ms(submission, policy)
+        if late_ms > 0:
+            self._events.write(
+                "job-refused",
+                job=job,
+                queue=submission.queue,
+                account=submission.account,
+                late_ms=late_ms,
+                notice_age_s=round(self._book.notice_age_s, 2),
+            )
+            self._metrics.count("submit.full")
+            return Verdict.FULL
         value = encode_submission(submission)
         verdict = self._append(Record(record_key(RecordKind.SUBMISSION, job), value), timeout_s)
         if verdict is Verdict.DONE:
@@ -104,11 +123,19 @@
         entry = self._find(job, account)
         return entry if isinstance(entry, Verdict) else entry.shown_state
 
-    def wait_s(self, queue: str) -> float:
-        """Return after how many seconds a refused caller should come again."""
+    def excess_wait_ms(self, submission: Submission, policy: QueuePolicy) -> float:
+        """Return by how much a job that came now would miss its objective, in milliseconds."""
         notice = self._book.notice
-        wait_ms = notice.waits_ms.get(queue, _DEFAULT_WAIT_MS) if notice else _DEFAULT_WAIT_MS
-        return wait_ms / 1000.0
+        if notice is None or submission.is_scheduled or submission.is_long_running:
+            return 0.0
+        if self._book.notice_age_s > _MOST_NOTICE_AGE_S:
+            return 0.0
+        wait_ms = notice.waits_ms.get(f"{policy.pool}/{submission.account}", 0)
+        chain_ms = max(chain_lengths_ms(submission.steps), default=0)
+        objective_ms = policy.stretch * chain_ms + policy.objective_ms
+        if not wait_ms or is_in_time(wait_ms, chain_ms, objective_ms):
+            return 0.0
+        return wait_ms + chain_ms - objective_ms
 
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have started no task."""
--- a/almondstack/jobs/book.py
+++ b/almondstack/jobs/book.py
@@ -1,6 +1,7 @@
 """The book of jobs: what every process knows by following the store."""
 
 import threading
+import time
 from collections.abc import Callable
 
 from almondstack.core import PartLogger
@@ -71,12 +72,13 @@
         changed something.
     """
 
-    __slots__ = ("_cancelled", "_entries", "_listener", "_lock", "_notice", "_waves")
+    __slots__ = ("_cancelled", "_entries", "_listener", "_lock", "_notice", "_notice_s", "_waves")
 
     def __init__(self, listener: Callable[[RecordKind, str], None] | None = None) -> None:
         self._entries: dict[str, JobEntry] = {}
         self._cancelled: set[str] = set()
         self._notice: OwnerNotice | None = None
+        self._notice_s = 0.0
         self._waves: dict[str, bytes] = {}
         self._listener = listener
         self._lock = threading.Lock()
@@ -86,6 +88,11 @@
         """The owner's newest notice."""
         return self._notice
 
+    @property
+    def notice_age_s(self) -> float:
+        """Seconds since the owner's newest notice was read."""
+        return time.monotonic() - self._notice_s
+
     def listen(self, listener: Callable[[RecordKind, str], None] | None) -> None:
         """Replace the listener."""
         self._listener = listener
@@ -126,6 +133,7 @@
         with self._lock:
             if kind is RecordKind.OWNER:
                 self._notice = decode_notice(value)
+                self._notice_s = time.monotonic()
                 return False
             if kind is RecordKind.WAVE:
                 self._waves[job] = value
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -49,12 +49,15 @@
         Incarnation of the owning process; empty when it has given back.
     token : int
         Its fencing token.
+    address : str
+        Where the owner's process listens for as long as it lives.
     waits_ms : dict of str to int
-        For each queue that is full, when callers should come again, in milliseconds.
+        How long new work would wait, in milliseconds, by pool and client account.
     """
 
     owner: str
     token: int
+    address: str = ""
     waits_ms: dict[str, int] = {}
 
 
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -16,6 +16,7 @@
 )
 from almondstack.jobs.records import decode_notice, split_key
 from almondstack.ownership.errors import HistoryLostError, StoreError
+from almondstack.ownership.liveness import is_refused
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.vacancy import Vacancy
@@ -40,6 +41,8 @@
         Times.
     incarnation : str
         Names this process.
+    address : str
+        Numeric address at which this process listens for as long as it lives.
     events : EventLog
         Takes a line for each dependency lost or regained and each claim.
     take_over : callable
@@ -48,6 +51,7 @@
     """
 
     __slots__ = (
+        "_address",
         "_book",
         "_contact_s",
         "_events",
@@ -73,6 +77,7 @@
         book: JobBook,
         settings: OwnershipSettings,
         incarnation: str,
+        address: str,
         events: EventLog,
         take_over: Callable[[int, int], None],
     ) -> None:
@@ -80,6 +85,7 @@
         self._book = book
         self._settings = settings
         self._incarnation = incarnation
+        self._address = address
         self._events = events
         self._take_over = take_over
         self._offset = 0
@@ -141,12 +147,12 @@
     def _step(self) -> None:
         if not self._is_loaded:
             self._load()
-        has_records = self._read(self._settings.wait_s)
+        self._read(self._settings.wait_s)
         self._find_own_claim()
         if self._is_owner:
             self._stop.wait(self._settings.owner_pace_s)
             return
-        if not has_records and self._may_claim():
+        if self._may_claim():
             self._claim()
             return
         self._stop.wait(self._settings.pace_s)
@@ -161,7 +167,7 @@
         self._note_contact()
         self._events.write("book-loaded", records=len(snapshot.records), offset=self._offset)
 
-    def _read(self, wait_s: float) -> bool:
+    def _read(self, wait_s: float) -> None:
         try:
             batch = self._store.read(self._offset, wait_s)
         except HistoryLostError:
@@ -175,7 +181,6 @@
         for record in batch.records:
             if _is_release(record):
                 self._vacancy.note_release()
-        return bool(batch.records)
 
     def _fold(self, records: list[Record], next_offset: int) -> None:
         """Fold what no other thread has folded in the meantime."""
@@ -203,12 +208,27 @@
             self._take_over(notice.token, sequence)
 
     def _may_claim(self) -> bool:
-        return not self._is_retiring and self._vacancy.is_open(time.monotonic())
+        if self._is_retiring:
+            return False
+        now_s = time.monotonic()
+        return self._vacancy.is_open(now_s) or self._is_owner_gone(now_s)
+
+    def _is_owner_gone(self, now_s: float) -> bool:
+        """Whether a silent owner's process does not even listen any more.
+
+        Explanation
+        -----------
+        A claim is safe at any time; this only decides how soon it is worth one.
+        """
+        notice = self._book.notice
+        if notice is None or not self._vacancy.is_doubtful(now_s, self._settings.doubt_s):
+            return False
+        return not notice.address or is_refused(notice.address, self._settings.probe_timeout_s)
 
     def _claim(self) -> None:
         offset = self._offset
         token = offset + 1
-        notice = encode_notice(OwnerNotice(self._incarnation, token))
+        notice = encode_notice(OwnerNotice(self._incarnation, token, self._address))
         sequence = random.randrange(_MOST_SEQUENCE)
         self._sequences[token] = sequence
         is_taken = self._store.claim(offset, Record(record_key(RecordKind.OWNER), notice), sequence)
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -14,6 +14,11 @@
         Observed silence after which the owner counts as gone, in seconds.
     stagger_s : float
         Random addition, so that processes don't all claim at once, in seconds.
+    doubt_s : float
+        Observed silence after which it is asked whether the owner's process
+        still listens, in seconds.
+    probe_timeout_s : float
+        Bound on that question, in seconds.
     sign_interval_s : float
         The owner writes at least this often, in seconds; three signs may be
         lost before it counts as silent.
@@ -29,9 +34,11 @@
         longer than an ordinary outage of the store.
     """
 
-    silence_s: PositiveSeconds = 2.0
-    stagger_s: PositiveSeconds = 0.4
-    sign_interval_s: PositiveSeconds = 0.6
+    silence_s: PositiveSeconds = 1.5
+    stagger_s: PositiveSeconds = 0.3
+    doubt_s: PositiveSeconds = 0.7
+    probe_timeout_s: PositiveSeconds = 0.1
+    sign_interval_s: PositiveSeconds = 0.4
     wait_s: PositiveSeconds = 0.5
     pace_s: PositiveSeconds = 0.2
     owner_pace_s: PositiveSeconds = 0.03
--- a/almondstack/ownership/vacancy.py
+++ b/almondstack/ownership/vacancy.py
@@ -54,6 +54,10 @@
         """Note that the owner has given its jobs back."""
         self._is_released = True
 
+    def is_doubtful(self, now_s: float, doubt_s: float) -> bool:
+        """Whether the owner was silent for ``doubt_s`` seconds of reads that work."""
+        return self._since_s is not None and now_s - self._since_s >= doubt_s
+
     def is_open(self, now_s: float) -> bool:
         """Whether a process that has read everything may claim ownership."""
         if self._since_s is None:
--- a/almondstack/placement/order.py
+++ b/almondstack/placement/order.py
@@ -10,6 +10,9 @@
 LATE_FACTOR = 3.0
 """A job that ends later than this many times its objective is worth nothing."""
 
+LATE_BAND = 2
+"""The first part of a rank from which on a job can't end within its objective any more."""
+
 _MS = 1000.0
 
 
@@ -45,4 +48,4 @@
 def _lateness(slack_s: float, objective: float) -> int:
     if slack_s >= 0:
         return 1
-    return 2 if slack_s >= -(LATE_FACTOR - 1) * objective else 3
+    return LATE_BAND if slack_s >= -(LATE_FACTOR - 1) * objective else LATE_BAND + 1
--- a/almondstack/platform/front.py
+++ b/almondstack/platform/front.py
@@ -9,8 +9,8 @@
 from cheroot.workers.threadpool import ThreadPool
 
 from almondstack.core import NullMetrics, parse_address
+from almondstack.intake import JobService, Verdict
 from almondstack.jobs import JobState, Step, Submission
-from almondstack.jobs.service import JobService, Verdict
 from almondstack.platform.configuration import Configuration, ConfigurationHolder, QueueRoute
 from almondstack.platform.wire import JobWire, StepWire
 
@@ -19,6 +19,7 @@
 _THREADS = 12
 _IDLE_TIMEOUT_S = 30
 _ID_DIGITS = 16
+_BYTE_VALUES = 256
 _HEX = frozenset("0123456789abcdefABCDEF")
 _MOST_WAIT_S = 2.5
 """Longest time for storing a wish, when the caller names no deadline, in seconds."""
@@ -178,11 +179,12 @@
         if fault:
             return Answer(400, {"error": f"{fault}; nothing was stored"})
         submission = _submission(wire, route, account)
-        verdict = self._service.submit(job, submission, _timeout_s(request, route))
+        verdict = self._service.submit(job, submission, route.policy, _timeout_s(request, route))
         if verdict in (Verdict.DONE, Verdict.KNOWN):
             return Answer(200, {})
         if verdict is Verdict.FULL:
-            wait_s = self._service.wait_s(route.policy.name)
+            late_ms = self._service.excess_wait_ms(submission, route.policy)
+            wait_s = late_ms / 1000.0 + _spread_s(job)
             return Answer(429, {"error": "the queue is full; the job was not stored"}, wait_s)
         if verdict is Verdict.UNCLEAR:
             return Answer(504, {"error": "it is not known whether the job was stored"})
@@ -274,6 +276,11 @@
     return Answer(503, {"error": error}, _RETRY_AFTER_OUTAGE_S)
 
 
+def _spread_s(job: str) -> float:
+    """Return up to a second by which refused callers come back one after another."""
+    return int(job[-2:], 16) / _BYTE_VALUES
+
+
 def _is_job_id(text: str) -> bool:
     return len(text) == _ID_DIGITS and _HEX.issuperset(text)
 
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -12,8 +12,8 @@
 from almondstack.core import SettingsError, parse_address
 from almondstack.core.events import EventLog
 from almondstack.core.exposition import ExposedMetrics
+from almondstack.intake import JobService
 from almondstack.jobs import JobBook
-from almondstack.jobs.service import JobService
 from almondstack.ownership import Follower, OwnershipSettings
 from almondstack.platform.advice import HttpAdvice
 from almondstack.platform.configuration import ConfigurationHolder
@@ -78,6 +78,7 @@
             self._book,
             OwnershipSettings(),
             self._incarnation,
+            settings.listen.ready,
             self._events,
             self._take_over,
         )
@@ -135,6 +136,7 @@
         instances = self._settings.instances
         return OwnerServices(
             store=self._store,
+            address=self._settings.listen.ready,
             book=self._book,
             callers=HttpWorkerCallers(control.call_timeout_s),
             instances=HttpInstances(instances.address, self._settings.node) if instances else None,
