--- a/almondstack/capacity/__init__.py
+++ b/almondstack/capacity/__init__.py
@@ -9,12 +9,9 @@
     plan_moves,
     wanted_instances,
 )
-from almondstack.capacity.turns import Burst, BurstForecast
 
 __all__ = [
     "ArrivalRate",
-    "Burst",
-    "BurstForecast",
     "Candidate",
     "Move",
     "PoolNeed",
--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -46,11 +46,9 @@
         Instances on their way to it.
     excess_since_s : float or None
         Since when it has had more than it wants, in monotonic seconds.
-    foreseen_millis : float
-        What a burst that is due soon will ask for.
     """
 
-    __slots__ = ("candidates", "coming", "excess_since_s", "foreseen_millis", "name", "need")
+    __slots__ = ("candidates", "coming", "excess_since_s", "name", "need")
 
     def __init__(
         self,
@@ -59,14 +57,12 @@
         candidates: list[Candidate],
         coming: int = 0,
         excess_since_s: float | None = None,
-        foreseen_millis: float = 0.0,
     ) -> None:
         self.name = name
         self.need = need
         self.candidates = candidates
         self.coming = coming
         self.excess_since_s = excess_since_s
-        self.foreseen_millis = foreseen_millis
 
     @property
     def size(self) -> int:
@@ -91,7 +87,7 @@
 LEAST_INSTANCES = 2
 """What a pool keeps without demand: it serves the first second of a burst and survives one loss."""
 
-EXCESS_HOLD_S = 2.0
+EXCESS_HOLD_S = 2.5
 """A pool gives instances away only after having too many for so long; two moves cost as
 much as about two seconds of an instance."""
 
@@ -106,8 +102,8 @@
     >>> wanted_instances(PoolState("a", PoolNeed(), []), 16_000)
     2
     """
-    millis = max(state.need.total_millis, state.foreseen_millis + state.need.lasting_millis)
-    return max(LEAST_INSTANCES, math.ceil(HEADROOM * millis / max(1, size_millis)))
+    millis = HEADROOM * state.need.total_millis
+    return max(LEAST_INSTANCES, math.ceil(millis / max(1, size_millis)))
 
 
 def plan_moves(
--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -2,7 +2,6 @@
 
 from almondstack.capacity import (
     ArrivalRate,
-    BurstForecast,
     Candidate,
     Move,
     PoolNeed,
@@ -19,12 +18,7 @@
 
 __all__ = ["BalanceRounds"]
 
-_RATE_WINDOW_S = 2.0
-_FORESEEN_AHEAD_S = 2.4
-"""A move takes about one and a half seconds, and a burst begins a little early or late."""
-
-_FORESEEN_FOR_S = 1.5
-"""A burst that has not come so long after it was due is not waited for."""
+_RATE_WINDOW_S = 1.0
 
 
 class BalanceRounds:
@@ -40,14 +34,13 @@
         Knows which instances may get an order.
     """
 
-    __slots__ = ("_desk", "_excess_since_s", "_forecasts", "_planner", "_rates", "_table")
+    __slots__ = ("_desk", "_excess_since_s", "_planner", "_rates", "_table")
 
     def __init__(self, table: RunTable, planner: Planner, desk: InstanceDesk) -> None:
         self._table = table
         self._planner = planner
         self._desk = desk
         self._rates: dict[str, ArrivalRate] = {}
-        self._forecasts: dict[str, BurstForecast] = {}
         self._excess_since_s: dict[str, float] = {}
 
     def note_job(self, job: ActiveJob, now_s: float) -> None:
@@ -70,11 +63,8 @@
             if is_off:
                 continue
             candidates, coming = self._members(instances, pool, taken, now_s)
-            forecast = self._forecasts.setdefault(pool, BurstForecast())
-            forecast.note(now_s, needs[pool].total_millis - needs[pool].lasting_millis)
             states.append(PoolState(pool, needs[pool], candidates, coming))
         for state in states:
-            state.foreseen_millis = self._foreseen(state.name, now_s)
             state.excess_since_s = self._note_excess(state, now_s)
         return states
 
@@ -119,16 +109,6 @@
                 coming += 1
         return candidates, coming
 
-    def _foreseen(self, pool: str, now_s: float) -> float:
-        """Return what a burst that is due about now will ask for."""
-        forecast = self._forecasts[pool]
-        periods = [other.period_s for other in self._forecasts.values() if other.period_s]
-        start_s = forecast.next_start_s(min(periods, default=None))
-        if start_s is None or forecast.last is None:
-            return 0.0
-        is_due = start_s - _FORESEEN_AHEAD_S <= now_s <= start_s + _FORESEEN_FOR_S
-        return forecast.last.peak_millis if is_due else 0.0
-
     def _note_excess(self, state: PoolState, now_s: float) -> float | None:
         size_millis = max((one.size_millis for one in state.candidates), default=1)
         if state.size <= wanted_instances(state, size_millis):
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -2,7 +2,7 @@
 
 import time
 
-from almondstack.capacity import Move
+from almondstack.capacity import Move, PoolState, wanted_instances
 from almondstack.control.admission import AdmissionRounds
 from almondstack.control.balance_rounds import BalanceRounds
 from almondstack.control.instance_desk import InstanceDesk
@@ -57,6 +57,7 @@
         "_services",
         "_table",
         "_waves",
+        "_written",
     )
 
     def __init__(
@@ -77,6 +78,7 @@
         self._begin_s = begun_s + services.control.turn_s
         self._rounded_s = 0.0
         self._moves: list[Move] = []
+        self._written: dict[str, int] = {}
 
     @property
     def waits_ms(self) -> dict[str, int]:
@@ -127,7 +129,8 @@
         workers = self._table.workers
         states = self._balance.pools(instances, policies, set(), now_s)
         self._admission.round(states, policies, time.time() * 1000.0)
-        ranks = {state.name: float(state.size) - _wanted(state) for state in states}
+        self._write_pools(states)
+        ranks = {state.name: float(state.size - _wanted(state)) for state in states}
         may_order = now_s >= self._begin_s
         emptied: set[str] = set()
         if may_order:
@@ -143,6 +146,27 @@
         spares = self._balance.spares(instances, spare_pool, taken, now_s) if spare_pool else []
         return self._balance.plan(states, spares, spare_pool, now_s)
 
+    def _write_pools(self, states: list[PoolState]) -> None:
+        """Write a line when what pools want has changed."""
+        wanted = {state.name: _wanted(state) for state in states}
+        if wanted == self._written:
+            return
+        self._written = wanted
+        self._services.events.write(
+            "pools-want",
+            pools={
+                state.name: {
+                    "size": state.size,
+                    "coming": state.coming,
+                    "wanted": wanted[state.name],
+                    "asked_millis": round(state.need.total_millis),
+                    "arriving_millis": round(state.need.arriving_millis),
+                    "lasting_millis": state.need.lasting_millis,
+                }
+                for state in states
+            },
+        )
+
     def _is_empty(self, instance: str, instances) -> bool:
         worker_id = next(info.worker for info in instances if info.name == instance)
         worker = self._table.workers.get(worker_id)
@@ -163,8 +187,6 @@
                     self._table.ask_stop(task, now_s)
 
 
-def _wanted(state) -> float:
-    from almondstack.capacity import wanted_instances
-
+def _wanted(state: PoolState) -> int:
     size_millis = max((one.size_millis for one in state.candidates), default=1)
-    return float(wanted_instances(state, size_millis))
+    return wanted_instances(state, size_millis)
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -347,7 +347,7 @@
         name = format_task_name(job.id, task.key)
         ticket = self._advisor.ticket(task)
         self._services.events.write(
-            "start", task=name, run=task.run, worker=task.worker, token=self._token
+            "run-ordered", task=name, run=task.run, worker=task.worker, token=self._token
         )
         session.set_busy(True)
         spec = job.submission.spec
--- a/almondstack/placement/fairness.py
+++ b/almondstack/placement/fairness.py
@@ -9,6 +9,10 @@
 __all__ = ["RankedStep", "fair_order"]
 
 RankedStep = tuple[Rank, list[Task]]
+
+_OVER_SHARE = 1.5
+"""An account may ask for so many times its share before its work waits for others'."""
+
 _DEFAULT = AccountPolicy("")
 
 
@@ -21,10 +25,11 @@
 
     Explanation
     -----------
-    Start-time fair queueing over the accounts, within each band of rank (how
-    late, how urgent): what an account has running, and what comes before in
-    its own order, is divided by its weight, and the least goes first.  So an
-    account that sends many times its usual waits behind its own work.
+    Within each band of rank (how late, how urgent) the step with least time
+    left goes first, whoever's it is, as long as its account asks for about its
+    share of all that is asked for.  What an account asks for beyond that comes
+    behind the others' steps, so that one that sends many times its usual waits
+    behind its own work.
 
     Parameters
     ----------
@@ -35,18 +40,27 @@
     accounts : mapping of str to AccountPolicy
         Weights.
     """
-    charged = {name: float(millis) for name, millis in running_millis.items()}
-    keyed = []
+    asked = {name: float(millis) for name, millis in running_millis.items()}
+    charges = []
     for rank, tasks in sorted(steps, key=lambda step: step[0]):
         account = tasks[0].job.submission.account
-        weight = max(accounts.get(account, _DEFAULT).weight, 1e-9)
-        before = charged.get(account, 0.0)
-        keyed.append((rank[:-1], before / weight, rank[-1], rank, tasks))
-        charged[account] = before + _waiting_millis(tasks)
+        before = asked.get(account, 0.0)
+        charges.append((before / _weight(account, accounts), rank, tasks))
+        asked[account] = before + _waiting_millis(tasks)
+    total_weight = sum(_weight(account, accounts) for account in asked)
+    share = _OVER_SHARE * sum(asked.values()) / max(total_weight, _LEAST_WEIGHT)
+    keyed = [(rank[:-1], charge > share, rank[-1], rank, tasks) for charge, rank, tasks in charges]
     keyed.sort(key=lambda entry: entry[:3])
     return [(rank, tasks) for *_, rank, tasks in keyed]
 
 
+_LEAST_WEIGHT = 1e-9
+
+
+def _weight(account: str, accounts: Mapping[str, AccountPolicy]) -> float:
+    return max(accounts.get(account, _DEFAULT).weight, _LEAST_WEIGHT)
+
+
 def _waiting_millis(tasks: list[Task]) -> int:
     waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
     return waiting * tasks[0].step.cpu_millis
