Find out sooner that a worker is gone

Workers that don't answer get no lease, leases last 4.5 s, runs of another life or of a worker that no instance carries any more are given up at once, and an owner without the store extends for 4 s.

--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -7,6 +7,7 @@
 from almondstack.control.balance_rounds import BalanceRounds
 from almondstack.control.instance_desk import InstanceDesk
 from almondstack.control.lasting import may_interrupt
+from almondstack.control.messages import InstanceInfo
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
@@ -22,6 +23,10 @@
 _FAST_LIST_S = 0.4
 """How often instances are listed while a wave is on, in seconds."""
 
+_COVERED_SHARE = 0.8
+"""Share of the registered workers that instances must carry before one that none carries
+counts as gone; some registrations are always older or newer than the list."""
+
 
 class FleetRounds:
     """Maintains and moves instances without cutting tasks off.
@@ -125,6 +130,7 @@
     def _decide(self, now_s: float) -> None:
         policies = self._services.policies()
         instances = self._desk.instances()
+        self._lose_unlisted(instances, now_s)
         spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
         workers = self._table.workers
         states = self._balance.pools(instances, policies, set(), now_s)
@@ -146,6 +152,14 @@
         spares = self._balance.spares(instances, spare_pool, taken, now_s) if spare_pool else []
         return self._balance.plan(states, spares, spare_pool, now_s)
 
+    def _lose_unlisted(self, instances: list[InstanceInfo], now_s: float) -> None:
+        """Compare runs with the instances, if these are known to carry all workers."""
+        listed = {info.worker for info in instances}
+        workers = self._table.workers
+        covered = sum(worker in listed for worker in workers)
+        if workers and covered >= _COVERED_SHARE * len(workers):
+            self._table.lose_unlisted(listed, self._desk.asked_s, now_s)
+
     def _write_pools(self, states: list[PoolState]) -> None:
         """Write a line when what pools want has changed."""
         wanted = {state.name: _wanted(state) for state in states}
--- a/almondstack/control/instance_desk.py
+++ b/almondstack/control/instance_desk.py
@@ -54,6 +54,7 @@
     """
 
     __slots__ = (
+        "_asked_s",
         "_instances",
         "_is_fenced",
         "_is_listing",
@@ -78,6 +79,7 @@
         self._refused_pools: set[tuple[str, str]] = set()
         self._is_fenced = False
         self._is_listing = False
+        self._asked_s = 0.0
         self._listed_s = 0.0
         self._lock = threading.Lock()
         self._tasks: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
@@ -89,6 +91,11 @@
         """Whether the instances were listed at least once."""
         return self._listed_s > 0
 
+    @property
+    def asked_s(self) -> float:
+        """Monotonic time at which the present list was asked for, in seconds."""
+        return self._asked_s
+
     @property
     def is_fenced(self) -> bool:
         """Whether another owner has given orders, so that no more may be given here."""
@@ -171,6 +178,7 @@
             for name, pending in list(self._pending.items()):
                 if pending.replied_s is not None and pending.replied_s <= began_s:
                     del self._pending[name]
+        self._asked_s = began_s
         self._listed_s = time.monotonic()
         self._is_listing = False
 
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -275,7 +275,7 @@
         for worker in changes.reborn:
             self._drop_worker(worker, "it started anew")
         for worker in changes.adopted:
-            self._table.adopt(worker)
+            self._table.adopt(worker, now_s)
         for worker_id, session in self._sessions.unreachable(self._table):
             if now_s > session.lease_end_s:
                 self._table.lose_worker(worker_id, "its lease is over", now_s)
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -111,17 +111,36 @@
             pending.is_unclear = True
             self._pending[task] = pending
 
-    def adopt(self, worker: Worker) -> None:
+    def adopt(self, worker: Worker, now_s: float) -> None:
         """Take up a worker, with the runs that are recorded on that life of it."""
         self.workers[worker.id] = worker
         for task in self.tasks_on(worker.id):
             if _is_same_life(task.life, worker.info.life):
                 worker.put(task)
+            else:
+                self.lose_task(task, now_s)
 
     def tasks_on(self, worker: str) -> list[Task]:
         """Return the tasks recorded on a worker, whether it is known or not."""
         return [task for task in self._pending if task.worker == worker]
 
+    def lose_unlisted(self, listed: set[str], listed_s: float, now_s: float) -> None:
+        """Give up runs on workers that no instance carries any more.
+
+        Parameters
+        ----------
+        listed : set of str
+            The workers that live on some instance.
+        listed_s : float
+            When that list was asked for, in monotonic seconds; later runs don't count.
+        now_s : float
+            Present monotonic time in seconds.
+        """
+        gone = {task.worker for task in self._pending} - listed
+        for worker in gone:
+            if all(task.assigned_s < listed_s for task in self.tasks_on(worker)):
+                self.lose_worker(worker, "its instance carries another worker", now_s)
+
     def homeless(self) -> Iterator[Task]:
         """Iterate over tasks whose worker is not known."""
         for task in self._pending:
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -68,6 +68,7 @@
         "_clock_at_s",
         "_clock_ms",
         "_extended_s",
+        "_is_answering",
         "_is_busy",
         "_is_closed",
         "_listed",
@@ -101,6 +102,7 @@
         self._clock_ms: int | None = None
         self._clock_at_s = 0.0
         self._extended_s = time.monotonic()
+        self._is_answering = True
         self._is_busy = False
         self._is_closed = False
         self._listed = 0
@@ -201,14 +203,18 @@
 
     def _look(self, caller: WorkerCaller) -> bool:
         sent_s = time.monotonic()
-        deadline_ms = self._deadline_ms() if self._may_extend() else None
+        # A worker that did not answer is asked without a new lease, so that it is known
+        # by when everything on it has ended.
+        may_extend = self._is_answering and self._may_extend()
+        deadline_ms = self._deadline_ms() if may_extend else None
         if deadline_ms is not None:
             self._extended_s = sent_s
         waits = self._listed <= self._acknowledged
         wait_s = self._settings.look_wait_s if waits else 0.0
         reply = caller.look(deadline_ms, self._acknowledged, wait_s, self._token)
         self._metrics.count(f"look.{reply.status}")
-        if reply.status is not OrderStatus.DONE:
+        self._is_answering = reply.status is OrderStatus.DONE
+        if not self._is_answering:
             self._post(LookFailed(self.worker, reply.status))
             return False
         self._note_look(reply)
--- a/almondstack/control/settings.py
+++ b/almondstack/control/settings.py
@@ -11,7 +11,8 @@
     Parameters
     ----------
     lease_s : float
-        Longest lease of a run, in seconds; the platform's bound.
+        Lease of a run, in seconds: long enough for another owner to take over,
+        short enough that work on a lost worker soon begins anew.
     clock_error : float
         Share by which a worker's clock may be slow.
     stop_s : float
@@ -47,10 +48,10 @@
     away_s: PositiveSeconds = 4.5
     move_s: PositiveSeconds = 1.5
     round_s: PositiveSeconds = 0.03
-    look_wait_s: PositiveSeconds = 1.5
+    look_wait_s: PositiveSeconds = 1.0
     look_pause_s: PositiveSeconds = 0.08
     look_retry_s: PositiveSeconds = 0.3
-    call_timeout_s: PositiveSeconds = 1.0
+    call_timeout_s: PositiveSeconds = 0.8
     directory_interval_s: PositiveSeconds = 0.25
     instances_interval_s: PositiveSeconds = 1.0
     keep_final_s: PositiveSeconds = 150.0
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -31,7 +31,7 @@
         Pause after a failed read, in seconds.
     unsure_s : float
         How long an owner that can't write goes on extending leases, in seconds;
-        longer than an ordinary outage of the store.
+        with the lease itself this outlasts an ordinary outage of the store.
     """
 
     silence_s: PositiveSeconds = 1.5
@@ -43,4 +43,4 @@
     pace_s: PositiveSeconds = 0.2
     owner_pace_s: PositiveSeconds = 0.03
     retry_pause_s: PositiveSeconds = 0.25
-    unsure_s: PositiveSeconds = 10.0
+    unsure_s: PositiveSeconds = 4.0
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -88,11 +88,15 @@
     return settings
 
 
+_LEASE_S = 4.5
+"""Long enough for a take-over; what sits on a lost worker waits for it to end."""
+
+
 def control_settings(settings: PlatformSettings) -> ControlSettings:
     """Return the owner's times, as the platform's bounds ask for."""
     bounds = settings.bounds
     return ControlSettings(
-        lease_s=bounds.lease_ms / 1000.0,
+        lease_s=min(_LEASE_S, bounds.lease_ms / 1000.0),
         stop_s=bounds.stop_ms / 1000.0,
         turn_s=bounds.turn_ms / 1000.0,
         away_s=bounds.away_ms / 1000.0,
