Let a new owner count with the leases of the one before

A session now begins with what an owner before may have extended, until the worker has seen our token; an owner without the store extends for 2.5 s after the try that was stored. Besides, runs of an owner before are not taken for measured durations: they counted from the process's start (97,140 s) and spoilt the correction of estimates, so that jobs were refused for no reason.

--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -120,8 +120,10 @@
                 is_reported = True
                 self._is_closed.wait(_RETRY_PAUSE_S)
                 continue
-            self._written_s = time.monotonic()
-            self._services.metrics.timing_ms("append.owned", (self._written_s - began_s) * 1000.0)
+            # Others may have read the record since the first try, and count from then.
+            self._written_s = began_s
+            took_ms = (time.monotonic() - began_s) * 1000.0
+            self._services.metrics.timing_ms("append.owned", took_ms)
             return
         raise FencedError("the journal is closed")
 
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -70,6 +70,7 @@
         "_advisor",
         "_fleet",
         "_inbox",
+        "_inherited_s",
         "_is_released",
         "_journal",
         "_pacing",
@@ -92,7 +93,10 @@
         self._taken_s = time.monotonic()
         self._inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
         self._journal = OwnerJournal(services, incarnation, token, sequence)
-        self._sessions = SessionTable(services, token, self._inbox.put, self._journal.may_extend)
+        self._inherited_s = self._taken_s + services.ownership.unsure_s - services.ownership.doubt_s
+        self._sessions = SessionTable(
+            services, token, self._inbox.put, self._journal.may_extend, self._inherited_s
+        )
         self._table = RunTable(self, services.events, services.metrics)
         self._advisor = Advisor(services)
         self._planner = Planner(self._table, self._advisor, services.policies)
@@ -166,7 +170,7 @@
             if job.is_over():
                 self._retired.append((time.monotonic(), job_id))
                 continue
-            self._table.inherit(job)
+            self._table.inherit(job, time.monotonic())
             runs += len(job.assigned())
             if not job.is_open:
                 self._table.stop_all(job, time.monotonic())
@@ -284,8 +288,7 @@
     def _lose_homeless(self, now_s: float) -> None:
         """Give up runs on workers that are nowhere, once no lease of theirs can last."""
         control = self._services.control
-        bound_s = self._services.ownership.unsure_s + control.lease_s * (1 + control.clock_error)
-        if now_s - self._taken_s <= bound_s:
+        if now_s <= self._inherited_s + control.lease_s * (1 + control.clock_error):
             return
         for task in list(self._table.homeless()):
             self._table.lose_task(task, now_s)
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -50,11 +50,19 @@
 class _Pending:
     """What is not yet known of a task's present run."""
 
-    __slots__ = ("confirmed_s", "is_unclear", "stop_acked_s", "stop_sent_s", "tries")
+    __slots__ = (
+        "confirmed_s",
+        "is_inherited",
+        "is_unclear",
+        "stop_acked_s",
+        "stop_sent_s",
+        "tries",
+    )
 
     def __init__(self) -> None:
         self.tries = 1
         self.is_unclear = False
+        self.is_inherited = False
         self.confirmed_s: float | None = None
         self.stop_sent_s: float | None = None
         self.stop_acked_s: float | None = None
@@ -102,13 +110,15 @@
         """Have a function called with each task that ended well, and its milliseconds."""
         self._end_follower = follower
 
-    def inherit(self, job: ActiveJob) -> None:
+    def inherit(self, job: ActiveJob, now_s: float) -> None:
         """Take over a job with the runs that are recorded of it."""
         self.jobs[job.id] = job
         for task in job.assigned():
             self.usage.add(task)
             pending = _Pending()
             pending.is_unclear = True
+            pending.is_inherited = True
+            task.assigned_s = now_s
             self._pending[task] = pending
 
     def adopt(self, worker: Worker, now_s: float) -> None:
@@ -284,7 +294,8 @@
         if task is None:
             return
         self.soundness.note_end(worker, task, ended.end, now_s)
-        if ended.end is RunEnd.DONE and self._end_follower is not None:
+        is_timed = not self._pending[task].is_inherited
+        if is_timed and ended.end is RunEnd.DONE and self._end_follower is not None:
             self._end_follower(task, (now_s - task.assigned_s) * 1000.0)
         self._release(task, ended.end, ended.checkpoint, now_s)
 
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -59,6 +59,8 @@
         Whether leases may still be extended.
     metrics : NullMetrics
         Counts and times the calls.
+    extended_s : float
+        Monotonic time up to which an owner before may have extended its lease, in seconds.
     """
 
     __slots__ = (
@@ -71,6 +73,7 @@
         "_is_answering",
         "_is_busy",
         "_is_closed",
+        "_is_known",
         "_listed",
         "_may_extend",
         "_metrics",
@@ -91,6 +94,7 @@
         post: Callable[[object], None],
         may_extend: Callable[[], bool],
         metrics: NullMetrics,
+        extended_s: float,
     ) -> None:
         self.worker = worker
         self._callers = callers
@@ -101,7 +105,8 @@
         self._metrics = metrics
         self._clock_ms: int | None = None
         self._clock_at_s = 0.0
-        self._extended_s = time.monotonic()
+        self._extended_s = extended_s
+        self._is_known = False
         self._is_answering = True
         self._is_busy = False
         self._is_closed = False
@@ -183,7 +188,7 @@
         if not self._may_extend():
             return OrderReply(OrderStatus.NOT_SENT)
         deadline_ms = self._deadline_ms()
-        self._extended_s = time.monotonic()
+        self._note_extended(time.monotonic())
         return caller.start(order.start, deadline_ms, self._token)
 
     def _run_looks(self) -> None:
@@ -208,7 +213,7 @@
         may_extend = self._is_answering and self._may_extend()
         deadline_ms = self._deadline_ms() if may_extend else None
         if deadline_ms is not None:
-            self._extended_s = sent_s
+            self._note_extended(sent_s)
         waits = self._listed <= self._acknowledged
         wait_s = self._settings.look_wait_s if waits else 0.0
         reply = caller.look(deadline_ms, self._acknowledged, wait_s, self._token)
@@ -217,14 +222,22 @@
         if not self._is_answering:
             self._post(LookFailed(self.worker, reply.status))
             return False
-        self._note_look(reply)
+        self._note_look(reply, sent_s)
         self._post(Looked(self.worker, sent_s, reply))
         pause_s = self._settings.look_pause_s - (time.monotonic() - sent_s)
         if pause_s > 0:
             time.sleep(pause_s)
         return True
 
-    def _note_look(self, reply: LookReply) -> None:
+    def _note_extended(self, sent_s: float) -> None:
+        """Note a lease on its way; an owner before may have sent longer ones."""
+        self._extended_s = max(self._extended_s, sent_s)
+
+    def _note_look(self, reply: LookReply, sent_s: float) -> None:
+        if not self._is_known:
+            # It has seen our token, so nobody before us extends its lease any more.
+            self._is_known = True
+            self._extended_s = sent_s
         self._note_clock(reply.clock_ms)
         if reply.ended:
             self._listed = max(end.number for end in reply.ended)
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -31,9 +31,19 @@
         Takes what sessions report.
     may_extend : callable
         Whether leases may still be extended.
+    inherited_s : float
+        Monotonic time up to which an owner before may have extended leases, in seconds.
     """
 
-    __slots__ = ("_compared_s", "_may_extend", "_post", "_services", "_sessions", "_token")
+    __slots__ = (
+        "_compared_s",
+        "_inherited_s",
+        "_may_extend",
+        "_post",
+        "_services",
+        "_sessions",
+        "_token",
+    )
 
     def __init__(
         self,
@@ -41,11 +51,13 @@
         token: int,
         post: Callable[[object], None],
         may_extend: Callable[[], bool],
+        inherited_s: float,
     ) -> None:
         self._services = services
         self._token = token
         self._post = post
         self._may_extend = may_extend
+        self._inherited_s = inherited_s
         self._sessions: dict[str, WorkerSession] = {}
         self._compared_s = 0.0
 
@@ -112,6 +124,7 @@
             self._post,
             self._may_extend,
             self._services.metrics,
+            self._inherited_s,
         )
 
     def _leave(self, table: RunTable, worker: Worker) -> None:
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -43,4 +43,4 @@
     pace_s: PositiveSeconds = 0.2
     owner_pace_s: PositiveSeconds = 0.03
     retry_pause_s: PositiveSeconds = 0.25
-    unsure_s: PositiveSeconds = 4.0
+    unsure_s: PositiveSeconds = 2.5
