Count only instances with a working worker as a pool's own

An instance that is listed as up but whose worker is not registered, drains, does not answer or is set aside counted towards what its pool wants, so a pool of two such instances got no other.

--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -19,6 +19,8 @@
 __all__ = ["BalanceRounds"]
 
 _RATE_WINDOW_S = 1.0
+_REGISTRATION_S = 3.0
+"""A worker that has not registered so long after its instance came up is not counted on."""
 
 
 class BalanceRounds:
@@ -34,7 +36,7 @@
         Knows which instances may get an order.
     """
 
-    __slots__ = ("_desk", "_excess_since_s", "_planner", "_rates", "_table")
+    __slots__ = ("_desk", "_excess_since_s", "_planner", "_rates", "_table", "_unregistered")
 
     def __init__(self, table: RunTable, planner: Planner, desk: InstanceDesk) -> None:
         self._table = table
@@ -42,6 +44,7 @@
         self._desk = desk
         self._rates: dict[str, ArrivalRate] = {}
         self._excess_since_s: dict[str, float] = {}
+        self._unregistered: dict[str, tuple[str, float]] = {}
 
     def note_job(self, job: ActiveJob, now_s: float) -> None:
         """Count a job that has just come."""
@@ -72,7 +75,7 @@
         self, instances: list[InstanceInfo], spare_pool: str, taken: set[str], now_s: float
     ) -> list[Candidate]:
         """Return the instances of the spare pool that may go anywhere."""
-        return self._members(instances, spare_pool, taken, now_s)[0]
+        return self._members(instances, spare_pool, taken, now_s, is_off=True)[0]
 
     def plan(
         self, states: list[PoolState], spares: list[Candidate], spare_pool: str, now_s: float
@@ -96,19 +99,38 @@
         return needs
 
     def _members(
-        self, instances: list[InstanceInfo], pool: str, taken: set[str], now_s: float
+        self,
+        instances: list[InstanceInfo],
+        pool: str,
+        taken: set[str],
+        now_s: float,
+        *,
+        is_off: bool = False,
     ) -> tuple[list[Candidate], int]:
+        """Return a pool's instances that work, and how many are on their way to it."""
         candidates = []
         coming = 0
         for info in instances:
             if info.pool != pool or info.state is InstanceState.DOWN or info.name in taken:
                 continue
             if info.state is InstanceState.UP and self._desk.is_free(info.name, now_s):
-                candidates.append(_candidate(info, self._table.workers.get(info.worker)))
+                worker = self._table.workers.get(info.worker)
+                if is_off or (worker is not None and _is_usable(worker, now_s)):
+                    candidates.append(_candidate(info, worker))
+                elif worker is None and self._is_expected(info, now_s):
+                    coming += 1
             elif info.state is not InstanceState.MAINTENANCE:
                 coming += 1
         return candidates, coming
 
+    def _is_expected(self, info: InstanceInfo, now_s: float) -> bool:
+        """Whether an instance that is up without a worker may still get one."""
+        name, since_s = self._unregistered.get(info.name, ("", now_s))
+        if name != info.worker:
+            since_s = now_s
+        self._unregistered[info.name] = (info.worker, since_s)
+        return now_s - since_s < _REGISTRATION_S
+
     def _note_excess(self, state: PoolState, now_s: float) -> float | None:
         size_millis = max((one.size_millis for one in state.candidates), default=1)
         if state.size <= wanted_instances(state, size_millis):
@@ -136,6 +158,11 @@
 """Occurrences that are due later do not ask for room yet."""
 
 
+def _is_usable(worker: Worker, now_s: float) -> bool:
+    is_sound = worker.is_reachable and worker.set_aside_until_s <= now_s
+    return is_sound and not worker.info.is_draining
+
+
 def _candidate(info: InstanceInfo, worker: Worker | None) -> Candidate:
     tasks = worker.tasks if worker is not None else []
     return Candidate(
