--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -141,7 +141,7 @@
 def _givers(
     pools: list[PoolState], lacks: dict[str, int], now_s: float
 ) -> list[tuple[str, Candidate]]:
-    givers = []
+    givers: list[tuple[str, Candidate]] = []
     for pool in pools:
         is_held = pool.excess_since_s is not None and now_s - pool.excess_since_s >= EXCESS_HOLD_S
         if lacks[pool.name] >= 0 or not is_held:
--- /dev/null
+++ b/almondstack/capacity/tests/test_capacity.py
@@ -0,0 +1,75 @@
+"""Where instances go when demand moves, and how a wave goes through a pool."""
+
+from almondstack.capacity import (
+    Candidate,
+    PoolNeed,
+    PoolState,
+    WaveMember,
+    next_members,
+    plan_moves,
+)
+
+_SIZE = 16_000
+
+
+def _candidates(pool, count, used=0, lasting=0):
+    return [Candidate(f"{pool}{n}", _SIZE, used, lasting) for n in range(count)]
+
+
+def _pool(name, count, need=None, excess_since_s=None, **fields):
+    return PoolState(
+        name, need or PoolNeed(), _candidates(name, count, **fields), 0, excess_since_s
+    )
+
+
+def _targets(moves):
+    return sorted((move.source, move.target) for move in moves)
+
+
+def test_burst_is_served_from_the_spare_pool_first():
+    hot = _pool("hot", 2, PoolNeed(waiting_millis=80_000))
+    idle = _pool("idle", 4, excess_since_s=0.0)
+    moves = plan_moves([hot, idle], _candidates("spare", 3), "spare", 10.0)
+    assert ("spare", "hot") in _targets(moves)
+    assert _targets(moves).count(("spare", "hot")) == 3
+    assert ("idle", "hot") in _targets(moves)
+
+
+def test_quiet_pools_are_emptied_to_the_least_only_after_a_while():
+    idle = _pool("idle", 6, excess_since_s=9.0)
+    assert plan_moves([idle], [], "spare", 10.0) == []
+    idle.excess_since_s = 0.0
+    assert _targets(plan_moves([idle], [], "spare", 10.0)) == [("idle", "spare")] * 4
+
+
+def test_an_instance_with_lasting_tasks_stays():
+    idle = _pool("idle", 4, excess_since_s=0.0, lasting=1)
+    assert plan_moves([idle], [], "spare", 10.0) == []
+
+
+def test_the_first_second_of_a_burst_counts_what_arrives():
+    hot = _pool("hot", 2, PoolNeed(running_millis=10_000, arriving_millis=96_000.0))
+    moves = plan_moves([hot], _candidates("spare", 9), "spare", 0.0)
+    assert len(moves) == 5
+
+
+def test_without_a_spare_pool_instances_go_only_where_they_are_wanted():
+    idle = _pool("idle", 6, excess_since_s=0.0)
+    assert plan_moves([idle], [], "", 10.0) == []
+
+
+def test_a_wave_begins_with_what_is_off_and_ends_with_lasting_tasks():
+    members = [
+        WaveMember("lasting", lasting=1, used_millis=900),
+        WaveMember("busy", used_millis=100),
+        WaveMember("off", is_off=True),
+        WaveMember("empty"),
+    ]
+    names = [member.name for member in next_members(members, down=0, most_at_once=4)]
+    assert names == ["off", "empty", "busy", "lasting"]
+
+
+def test_a_wave_never_takes_more_than_it_may_and_one_to_empty_ahead():
+    members = [WaveMember(str(number)) for number in range(9)]
+    assert len(next_members(members, down=2, most_at_once=2)) == 1
+    assert len(next_members(members, down=0, most_at_once=2)) == 3
--- a/almondstack/control/advisor.py
+++ b/almondstack/control/advisor.py
@@ -104,10 +104,11 @@
 
     def _answer(self, question: _Question) -> None:
         asked_s = time.monotonic()
+        service = self._services.advice
+        if service is None:
+            return
         try:
-            allowed = self._services.advice.advise(
-                question.step, [worker.id for worker in question.workers]
-            )
+            allowed = service.advise(question.step, [worker.id for worker in question.workers])
         except AdviceError as error:
             self._services.events.write("advice-failed", step=question.step, error=str(error))
             for worker in question.workers:
@@ -117,8 +118,8 @@
         lives = {worker.id: worker.info.life for worker in question.workers}
         with self._lock:
             known = dict(self._tickets.get(question.step, {}))
-            for worker, text in allowed.items():
-                known[worker] = _Ticket(text, lives.get(worker, 0), until_s)
+            for name, text in allowed.items():
+                known[name] = _Ticket(text, lives.get(name, 0), until_s)
             self._tickets[question.step] = known
 
 
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -276,8 +276,8 @@
 
     def _look_after_workers(self, now_s: float) -> None:
         changes = self._sessions.compare(self._table, now_s)
-        for worker in changes.reborn:
-            self._drop_worker(worker, "it started anew")
+        for reborn_id in changes.reborn:
+            self._drop_worker(reborn_id, "it started anew")
         for worker in changes.adopted:
             self._table.adopt(worker, now_s)
         for worker_id, session in self._sessions.unreachable(self._table):
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -185,7 +185,7 @@
             return caller.stop(order.task, order.run, self._token)
         if order.kind is OrderKind.PACE:
             return caller.pace(order.task, order.run, order.percent, self._token)
-        if not self._may_extend():
+        if order.start is None or not self._may_extend():
             return OrderReply(OrderStatus.NOT_SENT)
         deadline_ms = self._deadline_ms()
         self._note_extended(time.monotonic())
--- /dev/null
+++ b/almondstack/control/tests/test_runs.py
@@ -0,0 +1,191 @@
+"""Runs whose fate is unknown, workers that are lost, ends that are seen once."""
+
+import pytest
+
+from almondstack.control.messages import OrderStatus
+from almondstack.jobs import JobState, RunEnd, TaskKey, TaskRecord, TaskStatus, format_task_name
+from almondstack.testing.job_builders import (
+    JOB_ID,
+    assign,
+    ended,
+    look,
+    make_job,
+    make_step,
+    make_table,
+    make_worker,
+    reply,
+    running,
+)
+
+
+@pytest.fixture
+def world():
+    """Return a table with one job of one task that is assigned to one worker."""
+    job, worker = make_job(), make_worker()
+    table = make_table(job, workers=(worker,))
+    task = job.task(TaskKey(0, 0, 0))
+    assign(table, task, worker)
+    return table, worker, task
+
+
+def _name(task):
+    return format_task_name(JOB_ID, task.key)
+
+
+def _start(table, task, status, now_s=0.1):
+    table.note_start(task.worker, _name(task), task.run, reply(status), now_s)
+
+
+def _stop(table, task, now_s):
+    table.note_stop(task.worker, _name(task), task.run, reply(), now_s)
+
+
+def test_an_end_frees_the_worker_and_completes_the_job(world):
+    table, worker, task = world
+    table.note_look(worker, 0.2, look(ended=(ended(task),)), 0.3)
+    assert worker.tasks == [] and worker.free.cpu_millis == 4_000
+    assert task.job.state is JobState.COMPLETED
+    assert table.take_ends() == {"w1": 1} and table.take_ends() == {}
+
+
+def test_an_end_that_is_listed_again_changes_nothing(world):
+    table, worker, task = world
+    end = ended(task, RunEnd.FAILED)
+    for _ in range(3):
+        table.note_look(worker, 0.2, look(ended=(end,)), 0.3)
+    assert task.failures == 1 and task.job.state is JobState.RUNNING
+
+
+def test_a_definite_refusal_lets_the_task_wait_at_once(world):
+    table, _, task = world
+    _start(table, task, OrderStatus.NO_ROOM)
+    assert task.status is TaskStatus.WAITING
+
+
+def test_an_unclear_start_is_repeated_and_then_stopped(world):
+    table, _, task = world
+    _start(table, task, OrderStatus.UNCLEAR)
+    assert table._orders.starts == [task] and table._orders.stops == []
+    _start(table, task, OrderStatus.UNCLEAR)
+    assert table._orders.stops == [("w1", _name(task), 1)]
+    assert task.is_assigned
+
+
+def test_a_refusal_after_an_unclear_try_is_not_taken_for_the_whole_truth(world):
+    table, _, task = world
+    _start(table, task, OrderStatus.UNCLEAR)
+    _start(table, task, OrderStatus.NO_ROOM)
+    assert task.is_assigned and len(table._orders.stops) == 1
+
+
+def test_a_stopped_run_is_given_up_only_by_a_look_sent_after_the_stop(world):
+    table, worker, task = world
+    _start(table, task, OrderStatus.UNCLEAR)
+    _start(table, task, OrderStatus.UNCLEAR)
+    _stop(table, task, now_s=1.0)
+    table.note_look(worker, 0.9, look(), 1.1)
+    assert task.is_assigned
+    table.note_look(worker, 1.2, look(), 1.3)
+    assert task.status is TaskStatus.WAITING
+
+
+def test_a_stop_without_answer_is_repeated(world):
+    table, _, task = world
+    table.ask_stop(task, 0.0)
+    table.retry_stops(0.1)
+    assert len(table._orders.stops) == 1
+    table.retry_stops(0.7)
+    assert len(table._orders.stops) == 2
+
+
+def test_a_confirmed_run_that_is_no_longer_listed_is_lost(world):
+    table, worker, task = world
+    _start(table, task, OrderStatus.DONE, now_s=0.1)
+    table.note_look(worker, 0.05, look(), 0.2)
+    assert task.is_assigned
+    table.note_look(worker, 0.3, look(), 0.4)
+    assert task.status is TaskStatus.WAITING and task.failures == 0
+
+
+def test_a_run_that_nobody_asked_for_is_stopped(world):
+    table, worker, task = world
+    table.lose_worker("w1", "test", 1.0)
+    table.note_look(worker, 2.0, look(running=(running(task)._replace(run=1),)), 2.1)
+    assert table._orders.stops == [("w1", _name(task), 1)]
+
+
+def test_a_job_that_fails_has_its_other_runs_stopped():
+    job, worker = make_job(make_step(2), max_attempts=1), make_worker()
+    table = make_table(job, workers=(worker,))
+    first, second = job.steps_of(0)[0]
+    assign(table, first, worker)
+    assign(table, second, worker)
+    table.note_look(worker, 0.2, look(ended=(ended(first, RunEnd.FAILED),)), 0.3)
+    assert job.state is JobState.FAILED
+    assert [stop[1] for stop in table._orders.stops] == [_name(second)]
+
+
+def test_a_gang_of_which_one_member_is_refused_is_stopped_whole():
+    job, worker = make_job(make_step(2, is_gang=True)), make_worker()
+    table = make_table(job, workers=(worker,))
+    members = job.steps_of(0)[0]
+    worker.put(members[0])
+    worker.put(members[1])
+    job.assign(members, ["w1", "w1"], [1, 1], 0.0)
+    for member in members:
+        table.usage.add(member)
+        table.note_assigned(member)
+    _start(table, members[0], OrderStatus.NO_ROOM)
+    assert [stop[1] for stop in table._orders.stops] == [_name(members[1])]
+
+
+def _inherited(life):
+    job = make_job()
+    record = TaskRecord(TaskKey(0, 0, 0), TaskStatus.ASSIGNED, 3, 0, "w1", life)
+    job.restore(JobState.RUNNING, [record])
+    table = make_table()
+    table.inherit(job, 0.0)
+    return table, job.task(TaskKey(0, 0, 0))
+
+
+def test_an_inherited_run_that_is_listed_goes_on():
+    table, task = _inherited(life=1)
+    worker = make_worker()
+    table.adopt(worker, 0.0)
+    table.note_look(worker, 0.1, look(running=(running(task),)), 0.2)
+    assert task.is_confirmed and worker.tasks == [task]
+
+
+def test_an_inherited_run_that_is_not_listed_is_stopped_before_the_next():
+    table, task = _inherited(life=1)
+    worker = make_worker()
+    table.adopt(worker, 0.0)
+    table.note_look(worker, 0.1, look(), 0.2)
+    assert task.is_assigned and len(table._orders.stops) == 1
+
+
+def test_a_run_on_another_life_of_its_worker_is_lost_at_once():
+    """A rack that had gone dark came back; its lasting tasks began anew 12 s too late."""
+    table, task = _inherited(life=7)
+    table.adopt(make_worker(life=8), 0.0)
+    assert task.status is TaskStatus.WAITING
+
+
+def test_inherited_runs_are_not_taken_for_measured_durations():
+    """They seemed to have taken the process's whole uptime, and spoilt all estimates."""
+    table, task = _inherited(life=1)
+    worker = make_worker()
+    table.adopt(worker, 0.0)
+    seen = []
+    table.follow_ends(lambda task, took_ms: seen.append(took_ms))
+    table.note_look(worker, 0.1, look(ended=(ended(task),)), 0.2)
+    assert task.status is TaskStatus.DONE and seen == []
+
+
+def test_runs_on_workers_that_no_instance_carries_are_lost(world):
+    table, _, task = world
+    table.lose_unlisted({"w1"}, 1.0, 1.1)
+    table.lose_unlisted(set(), 0.0, 1.1)
+    assert task.is_assigned
+    table.lose_unlisted(set(), 1.0, 1.1)
+    assert task.status is TaskStatus.WAITING
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -191,9 +191,9 @@
         if not 0 <= key.occurrence < self.submission.occurrence_count:
             return None
         steps = self.steps_of(key.occurrence)
-        if not 0 <= key.step < len(steps) or not 0 <= key.index < len(steps[key.step]):
+        if not 0 <= key.step < len(steps) or not 0 <= key.member < len(steps[key.step]):
             return None
-        return steps[key.step][key.index]
+        return steps[key.step][key.member]
 
     def tasks(self) -> Iterator[Task]:
         """Iterate over the tasks that have been made."""
@@ -285,7 +285,7 @@
 
     def _make_occurrence(self, occurrence: int) -> list[list[Task]]:
         return [
-            [Task(self, TaskKey(occurrence, number, index), step) for index in range(step.count)]
+            [Task(self, TaskKey(occurrence, number, member), step) for member in range(step.count)]
             for number, step in enumerate(self.submission.steps)
         ]
 
--- a/almondstack/jobs/model.py
+++ b/almondstack/jobs/model.py
@@ -58,11 +58,11 @@
 
 
 class TaskKey(NamedTuple):
-    """Which task of a job: its occurrence, step and index, each from 0."""
+    """Which task of a job: its occurrence, its step and its number there, each from 0."""
 
     occurrence: int
     step: int
-    index: int
+    member: int
 
 
 class Step(msgspec.Struct, frozen=True, array_like=True):
--- a/almondstack/jobs/names.py
+++ b/almondstack/jobs/names.py
@@ -17,7 +17,7 @@
     >>> format_task_name("5c0e7a21d94b36f8", TaskKey(0, 1, 17))
     '5c0e7a21d94b36f8.0.1.17'
     """
-    return f"{job}.{key.occurrence}.{key.step}.{key.index}"
+    return f"{job}.{key.occurrence}.{key.step}.{key.member}"
 
 
 def format_step_name(job: str, occurrence: int, step: int) -> str:
@@ -36,7 +36,7 @@
     Examples
     --------
     >>> parse_task_name("5c0e7a21d94b36f8.0.1.17")
-    ('5c0e7a21d94b36f8', TaskKey(occurrence=0, step=1, index=17))
+    ('5c0e7a21d94b36f8', TaskKey(occurrence=0, step=1, member=17))
     """
     parts = name.split(".")
     if len(parts) != _FIELDS:
--- /dev/null
+++ b/almondstack/jobs/tests/test_active.py
@@ -0,0 +1,128 @@
+"""What may start next, and when a job has ended."""
+
+from almondstack.jobs import JobState, RunEnd, Step, TaskKey, chain_lengths_ms
+from almondstack.jobs.records import decode_progress, decode_state
+from almondstack.testing.job_builders import make_job, make_step
+
+
+def _ready(job, now_ms=0.0):
+    return [tasks[0].key[:2] for tasks in job.ready_steps(now_ms)]
+
+
+def _run(job, key, end=RunEnd.DONE):
+    task = job.task(TaskKey(*key))
+    job.assign([task], ["w"], [1], 0.0)
+    job.end_run(task, end, "", 1.0)
+
+
+def test_a_step_waits_for_all_tasks_of_the_steps_before_it():
+    job = make_job(make_step(2), make_step(after=(0,)))
+    _run(job, (0, 0, 0))
+    assert _ready(job) == [(0, 0)]
+    _run(job, (0, 0, 1))
+    assert _ready(job) == [(0, 1)]
+
+
+def test_a_job_is_completed_with_its_last_task():
+    job = make_job(make_step(2))
+    _run(job, (0, 0, 0))
+    assert job.state is JobState.RUNNING
+    _run(job, (0, 0, 1))
+    assert job.state is JobState.COMPLETED
+
+
+def test_a_job_fails_when_a_task_has_used_its_attempts():
+    job = make_job(max_attempts=2)
+    _run(job, (0, 0, 0), RunEnd.FAILED)
+    assert job.state is JobState.RUNNING
+    _run(job, (0, 0, 0), RunEnd.FAILED)
+    assert job.state is JobState.FAILED
+
+
+def test_interrupted_runs_are_no_attempts():
+    job = make_job(max_attempts=1)
+    for end in (RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.LOST, RunEnd.BROKEN, RunEnd.ALONE):
+        _run(job, (0, 0, 0), end)
+    assert job.state is JobState.RUNNING
+    assert job.task(TaskKey(0, 0, 0)).failures == 0
+
+
+def test_failures_of_a_gang_count_together():
+    job = make_job(make_step(2, is_gang=True), max_attempts=2)
+    _run(job, (0, 0, 0), RunEnd.FAILED)
+    _run(job, (0, 0, 1), RunEnd.FAILED)
+    assert job.state is JobState.FAILED
+
+
+def test_one_end_of_a_gang_stands_for_all():
+    job = make_job(make_step(3, is_gang=True))
+    _run(job, (0, 0, 1))
+    assert job.state is JobState.COMPLETED
+
+
+def test_members_of_a_gang_share_one_run_number():
+    job = make_job(make_step(2, is_gang=True))
+    members = job.steps_of(0)[0]
+    job.assign(members[:1], ["w"], [1], 0.0)
+    job.end_run(members[0], RunEnd.LOST, "", 0.0)
+    job.assign(members, ["w", "x"], [1, 1], 0.0)
+    assert [member.run for member in members] == [2, 2]
+
+
+def test_a_lasting_task_begins_anew_however_it_ends():
+    job = make_job(make_step(is_long_running=True), max_attempts=1)
+    for end in (RunEnd.DONE, RunEnd.FAILED, RunEnd.STOPPED):
+        _run(job, (0, 0, 0), end)
+        assert _ready(job) == [(0, 0)]
+    assert job.state is JobState.RUNNING
+
+
+def test_occurrences_start_when_due_and_may_overlap():
+    job = make_job(occurrences=2, first_due_ms=1_000, interval_ms=500)
+    assert _ready(job, 999.0) == []
+    assert _ready(job, 1_000.0) == [(0, 0)]
+    assert _ready(job, 1_500.0) == [(0, 0), (1, 0)]
+    assert job.next_due_ms(1_000.0) == 1_500
+
+
+def test_a_scheduled_job_is_not_completed_before_its_last_occurrence():
+    job = make_job(occurrences=2, first_due_ms=1_000, interval_ms=500)
+    list(job.ready_steps(1_000.0))
+    _run(job, (0, 0, 0))
+    assert job.state is JobState.RUNNING
+    _run(job, (1, 0, 0))
+    assert job.state is JobState.COMPLETED
+
+
+def test_a_cancelled_job_starts_nothing_and_ends_as_cancelled():
+    job = make_job(make_step(2))
+    _run(job, (0, 0, 0))
+    job.cancel()
+    _run(job, (0, 0, 1))
+    assert _ready(job) == []
+    assert job.state is JobState.CANCELLED
+
+
+def test_what_is_recorded_comes_back():
+    job = make_job(make_step(2, has_checkpoints=True))
+    task = job.task(TaskKey(0, 0, 1))
+    job.assign([task], ["w7"], [42], 0.0)
+    task.checkpoint = "c"
+    value = job.encode()
+    copy = make_job(make_step(2, has_checkpoints=True))
+    copy.restore(decode_state(value), decode_progress(value))
+    restored = copy.task(TaskKey(0, 0, 1))
+    assert (restored.run, restored.worker, restored.life) == (1, "w7", 42)
+    assert restored.checkpoint == "c" and restored.is_assigned
+    assert copy.state is JobState.RUNNING
+
+
+def test_keys_outside_the_job_name_no_task():
+    job = make_job()
+    for key in ((1, 0, 0), (0, 1, 0), (0, 0, 1), (-1, 0, 0)):
+        assert job.task(TaskKey(*key)) is None
+
+
+def test_chains_are_found_in_many_steps_at_once():
+    steps = tuple(Step(1, estimate_ms=10, after=tuple(range(number))) for number in range(200))
+    assert chain_lengths_ms(steps)[0] == 2_000
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -139,12 +139,19 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             try:
-                self._step()
+                self.step()
             except StoreError as error:
                 self._note_failure(error)
                 self._stop.wait(self._settings.retry_pause_s)
 
-    def _step(self) -> None:
+    def step(self) -> None:
+        """Read once, and claim ownership if it is vacant; what the thread does over and over.
+
+        Raises
+        ------
+        StoreError
+            The store did not answer as it should.
+        """
         if not self._is_loaded:
             self._load()
         self._read(self._settings.wait_s)
--- /dev/null
+++ b/almondstack/ownership/tests/test_follower.py
@@ -0,0 +1,129 @@
+"""Who owns the jobs when processes race, replies get lost and the store goes away."""
+
+import pytest
+
+from almondstack.core.events import EventLog
+from almondstack.jobs import JobBook, RecordKind, record_key
+from almondstack.ownership import (
+    FencedError,
+    Follower,
+    OwnershipSettings,
+    Record,
+    StoreRefusedError,
+)
+from almondstack.testing.fake_records import FakeRecordStore
+
+_AT_ONCE = OwnershipSettings(
+    silence_s=1e-9, stagger_s=1e-9, pace_s=1e-9, owner_pace_s=1e-9, wait_s=1e-9
+)
+
+
+def _follower(store, name, settings=_AT_ONCE):
+    owned = []
+    follower = Follower(
+        store,
+        JobBook(),
+        settings,
+        name,
+        "127.0.0.1:1",
+        EventLog("test"),
+        lambda token, sequence: owned.append((token, sequence)),
+    )
+    return follower, owned
+
+
+def _steps(follower, count=3):
+    for _ in range(count):
+        follower.step()
+
+
+def test_one_of_two_that_claim_the_same_end_owns_the_jobs():
+    store = FakeRecordStore()
+    one, own_one = _follower(store, "one")
+    two, own_two = _follower(store, "two")
+    one.step()
+    two.step()
+    _steps(one)
+    assert len(own_one) == 1 and own_two == []
+
+
+def test_two_claims_of_one_end_differ_in_their_sequence():
+    store = FakeRecordStore()
+    claims = []
+    store.claim = lambda offset, record, sequence: claims.append((offset, sequence)) or True
+    for name in ("one", "two"):
+        _follower(store, name)[0].step()
+    assert claims[0][0] == claims[1][0] and claims[0][1] != claims[1][1]
+
+
+def test_a_claim_is_made_although_submissions_keep_coming():
+    store = FakeRecordStore()
+    follower, owned = _follower(store, "one")
+    for number in range(4):
+        store.records.append(Record(record_key(RecordKind.CANCEL, str(number)), b"\x01"))
+        follower.step()
+    assert len(owned) == 1
+
+
+def test_a_claim_whose_reply_was_lost_is_found_by_reading():
+    store = FakeRecordStore()
+    store.loses_replies = 1
+    follower, owned = _follower(store, "one")
+    with pytest.raises(Exception, match="no answer"):
+        follower.step()
+    _steps(follower)
+    assert len(owned) == 1
+
+
+def test_a_reply_alone_makes_no_owner():
+    store = FakeRecordStore()
+    store.claim = lambda offset, record, sequence: True
+    follower, owned = _follower(store, "one")
+    _steps(follower)
+    assert owned == []
+
+
+def test_the_owner_before_is_fenced():
+    store = FakeRecordStore()
+    one, own_one = _follower(store, "one")
+    _steps(one)
+    two, own_two = _follower(store, "two")
+    _steps(two)
+    assert own_two[0][0] > own_one[0][0]
+    token, sequence = own_one[0]
+    with pytest.raises(FencedError):
+        store.append_owned([Record("pj1", b"\x00")], token, sequence + 1)
+
+
+def test_an_outage_of_the_store_lets_nobody_take_over():
+    store = FakeRecordStore()
+    patient = OwnershipSettings(silence_s=3600, doubt_s=3600, pace_s=1e-9, wait_s=1e-9)
+    follower, owned = _follower(store, "one", patient)
+    follower.step()
+    store.is_down = True
+    with pytest.raises(StoreRefusedError):
+        follower.step()
+    store.is_down = False
+    _steps(follower)
+    assert owned == []
+
+
+def test_a_process_that_ends_claims_nothing():
+    follower, owned = _follower(FakeRecordStore(), "one")
+    follower.retire()
+    _steps(follower)
+    assert owned == []
+
+
+def test_expired_history_is_replaced_by_the_newest_records():
+    store = FakeRecordStore()
+    patient = OwnershipSettings(silence_s=3600, doubt_s=3600, pace_s=1e-9, wait_s=1e-9)
+    follower, _ = _follower(store, "one", patient)
+    follower.step()
+    store.records.extend([Record("cj1", b"\x01"), Record("cj2", b"\x01")])
+    store.first_offset = 2
+    with pytest.raises(Exception, match="store-history"):
+        follower.step()
+    assert not follower.is_loaded
+    follower.step()
+    assert follower.is_loaded
--- /dev/null
+++ b/almondstack/placement/tests/test_loads.py
@@ -0,0 +1,145 @@
+"""Loads of heavy days: who gets a worker, who waits, who is refused."""
+
+from almondstack.jobs import RunEnd
+from almondstack.placement import AccountPolicy, PoolRound, Resources, Usage, rank_of
+from almondstack.placement.backlog import Backlog, EstimateCorrection, is_in_time
+from almondstack.placement.fairness import fair_order
+from almondstack.placement.soundness import Soundness
+from almondstack.testing.job_builders import make_job, make_policy, make_step, make_worker
+
+_POLICY = make_policy()
+
+
+def _steps(jobs, now_ms):
+    ready = [tasks for job in jobs for tasks in job.ready_steps(now_ms)]
+    return [(rank_of(tasks, _POLICY, now_ms), tasks) for tasks in ready]
+
+
+def _order(jobs, now_ms, running=None, accounts=None):
+    ordered = fair_order(_steps(jobs, now_ms), running or {}, accounts or {})
+    return [tasks[0].job.id for _, tasks in ordered]
+
+
+def test_burst_the_job_with_least_time_left_goes_first():
+    jobs = [make_job(id="late", accepted_ms=500), make_job(id="early", accepted_ms=0)]
+    assert _order(jobs, 600.0) == ["early", "late"]
+
+
+def test_overload_jobs_that_are_late_already_wait_for_those_that_are_not():
+    jobs = [make_job(id="late", accepted_ms=0), make_job(id="in-time", accepted_ms=5_000)]
+    assert _order(jobs, 5_000.0) == ["in-time", "late"]
+
+
+def test_lasting_tasks_come_before_everything():
+    lasting = make_job(make_step(is_long_running=True), id="lasting")
+    assert _order([make_job(id="short"), lasting], 0.0) == ["lasting", "short"]
+
+
+def test_hot_account_waits_behind_its_own_work():
+    hot = [make_job(id=f"hot{n}", account="hot", accepted_ms=n) for n in range(20)]
+    cold = make_job(id="cold", account="cold", accepted_ms=100)
+    order = _order([*hot, cold], 200.0)
+    assert order.index("cold") <= 16
+    assert order[:15] == [f"hot{n}" for n in range(15)]
+
+
+def test_an_account_of_more_weight_may_ask_for_more():
+    jobs = [make_job(id=f"a{n}", account="a", accepted_ms=n) for n in range(4)]
+    jobs += [make_job(id=f"b{n}", account="b", accepted_ms=50 + n) for n in range(4)]
+    accounts = {"a": AccountPolicy("a", weight=3), "b": AccountPolicy("b", weight=1)}
+    assert _order(jobs, 60.0, accounts=accounts)[:4] == ["a0", "a1", "a2", "a3"]
+
+
+def test_ceiling_the_account_waits_and_others_go_on():
+    usage = Usage({"a": AccountPolicy("a", ceiling=Resources(1_500))})
+    pool = PoolRound([make_worker()], usage, 0.0)
+    first = pool.place(make_job(make_step(3), id="a").steps_of(0)[0])
+    other = pool.place(make_job(make_step(1), id="b", account="b").steps_of(0)[0])
+    assert [len(one.tasks) for one in first + other] == [1, 1]
+
+
+def test_a_large_task_is_not_passed_by_small_ones_for_ever():
+    worker = make_worker(cpu_millis=4_000)
+    usage = Usage({})
+    PoolRound([worker], usage, 0.0).place(make_job(id="now").steps_of(0)[0])
+    pool = PoolRound([worker], usage, 0.0)
+    assert pool.place(make_job(make_step(cpu_millis=4_000), id="large").steps_of(0)[0]) == []
+    assert pool.place(make_job(id="small").steps_of(0)[0]) == []
+
+
+def test_tasks_are_packed_so_that_whole_workers_stay_free():
+    workers = [make_worker("w1"), make_worker("w2")]
+    pool = PoolRound(workers, Usage({}), 0.0)
+    pool.place(make_job(make_step(4)).steps_of(0)[0])
+    assert sorted(len(worker.tasks) for worker in workers) == [0, 4]
+
+
+def test_at_most_so_many_of_a_step_on_one_worker():
+    workers = [make_worker("w1"), make_worker("w2")]
+    pool = PoolRound(workers, Usage({}), 0.0)
+    placed = pool.place(make_job(make_step(4, most_per_worker=1)).steps_of(0)[0])
+    assert [len(one.tasks) for one in placed] == [2]
+
+
+def test_a_required_label_is_kept_and_data_is_preferred():
+    workers = [make_worker("w1", labels=("a", "r1")), make_worker("w2", labels=("b", "r2"))]
+    pool = PoolRound(workers, Usage({}), 0.0)
+    near = pool.place(make_job(make_step(data_rack="r2"), id="near").steps_of(0)[0])
+    labelled = pool.place(make_job(make_step(required_label="a"), id="label").steps_of(0)[0])
+    assert near[0].workers[0].id == "w2" and labelled[0].workers[0].id == "w1"
+
+
+def test_a_gang_starts_whole_or_not_at_all_and_on_one_rack_if_that_matters():
+    workers = [make_worker(f"w{n}", labels=("a", f"r{n // 2}")) for n in range(4)]
+    small = PoolRound(workers[:1], Usage({}), 0.0)
+    gang = make_step(6, is_gang=True, needs_one_rack=True)
+    assert small.place(make_job(gang).steps_of(0)[0]) == []
+    placed = PoolRound(workers, Usage({}), 0.0).place(make_job(gang, id="g").steps_of(0)[0])
+    assert len({worker.info.rack for worker in placed[0].workers}) == 1
+
+
+def test_grey_worker_is_set_aside_after_two_failures_of_different_tasks():
+    worker, soundness = make_worker(), Soundness()
+    for number in range(2):
+        task = make_job(id=str(number)).steps_of(0)[0][0]
+        soundness.note_end(worker, task, RunEnd.FAILED, 10.0)
+    assert not worker.is_open(10.1) and worker.is_open(12.1)
+
+
+def test_poison_a_task_that_fails_everywhere_spoils_no_second_worker():
+    first, second, soundness = make_worker("w1"), make_worker("w2"), Soundness()
+    task = make_job().steps_of(0)[0][0]
+    soundness.note_end(first, task, RunEnd.FAILED, 0.0)
+    task.failed_on.add("w1")
+    soundness.note_end(second, task, RunEnd.FAILED, 0.0)
+    assert second.penalty == 0.0
+
+
+def test_burst_without_a_waiting_task_nobody_is_told_to_wait():
+    backlog = Backlog(room_millis=4_000)
+    backlog.add(make_job(make_step(40)), 1.0)
+    assert backlog.waits_ms({}) == {}
+
+
+def test_hot_account_is_told_to_wait_for_its_own_work_only():
+    backlog = Backlog(room_millis=4_000)
+    hot = make_job(make_step(40), account="hot")
+    cold = make_job(make_step(2), id="c", account="cold")
+    for job in (hot, cold):
+        list(job.ready_steps(0.0))
+        backlog.add(job, 1.0)
+    backlog.note_waiting()
+    waits = backlog.waits_ms({})
+    assert waits["hot"] == 10_500 and waits["cold"] == 1_000
+
+
+def test_a_job_is_refused_only_when_it_would_miss_its_objective():
+    assert is_in_time(wait_ms=400, chain_ms=1_000, objective_ms=1_500)
+    assert not is_in_time(wait_ms=600, chain_ms=1_000, objective_ms=1_500)
+
+
+def test_estimates_of_one_queue_do_not_change_those_of_another():
+    correction = EstimateCorrection()
+    for _ in range(100):
+        correction.note("slow", 100, 300)
+    assert correction.factor("slow") > 2 and correction.factor("other") == 1.0
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -139,7 +139,7 @@
             address=self._settings.listen.ready,
             book=self._book,
             callers=HttpWorkerCallers(control.call_timeout_s),
-            instances=HttpInstances(instances.address, self._settings.node) if instances else None,
+            instances=HttpInstances(instances.address, self._settings.node),
             directory=self._directory,
             advice=HttpAdvice(self._settings.advice) if self._settings.advice else None,
             policies=self._holder.policies,
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -58,7 +58,7 @@
     port_range: tuple[int, int] = msgspec.field(name="port-range")
     ip: str
     store: _Service = msgspec.field(name="platform")
-    instances: _Service | None = msgspec.field(name="cloud-api", default=None)
+    instances: _Service = msgspec.field(name="cloud-api")
     advice: str | None = None
     bounds: _Bounds = _Bounds()
 
--- /dev/null
+++ b/almondstack/platform/tests/test_front.py
@@ -0,0 +1,161 @@
+"""Callers' requests, translated."""
+
+import pytest
+
+from almondstack.core import NullMetrics
+from almondstack.core.events import EventLog
+from almondstack.intake import JobService
+from almondstack.jobs import (
+    JobBook,
+    OwnerNotice,
+    RecordKind,
+    decode_submission,
+    encode_notice,
+    record_key,
+)
+from almondstack.platform.configuration import ConfigurationHolder
+from almondstack.platform.front import JobFront
+from almondstack.platform.tests.builders import JOB, configuration_bytes, job_body, request
+from almondstack.testing.fake_records import FakeRecordStore
+
+
+@pytest.fixture
+def front():
+    """Return a front with a configuration, and its parts."""
+    return _Front()
+
+
+class _Front:
+    def __init__(self):
+        self.store = FakeRecordStore()
+        self.book = JobBook()
+        self.holder = ConfigurationHolder()
+        self.holder.put_configuration(configuration_bytes())
+        service = JobService(self.store, self.book, self._sync, EventLog("test"), NullMetrics())
+        self.front = JobFront(self.holder, service, NullMetrics())
+
+    def _sync(self):
+        for record in self.store.read(0, 0.0).records:
+            self.book.apply(record.key, record.value)
+
+    def ask(self, *args, **kwargs):
+        return self.front.answer(request(*args, **kwargs))
+
+
+def test_a_job_is_stored_before_it_is_accepted(front):
+    assert front.ask("POST", body=job_body()).status == 200
+    (record,) = front.store.records
+    submission = decode_submission(record.value)
+    assert (submission.queue, submission.account, submission.pool) == ("r-1", "t", "pool")
+    assert submission.steps[0].count == 2 and submission.steps[0].cpu_millis == 500
+
+
+def test_a_repeat_of_an_id_remains_one_job(front):
+    for _ in range(2):
+        assert front.ask("POST", body=job_body()).status == 200
+    assert len(front.store.records) == 1
+
+
+def test_states_are_shown_and_unknown_jobs_are_gone(front):
+    assert front.ask("GET").status == 410
+    front.ask("POST", body=job_body())
+    assert front.ask("GET").content == {"state": "queued"}
+    assert front.ask("GET", path="/q/").content == {"pending": 1}
+    assert front.ask("DELETE").status == 200
+    assert front.ask("GET").content == {"state": "cancelled"}
+
+
+def test_a_job_that_another_process_accepted_is_found_in_the_store(front):
+    other = _Front()
+    other.store = front.store
+    other.front._service._store = front.store
+    other.ask("POST", body=job_body())
+    assert front.ask("GET").content == {"state": "queued"}
+
+
+def test_only_the_account_of_a_job_sees_it(front):
+    front.ask("POST", body=job_body())
+    tenants = [{"name": "t", "api-keys": ["k"]}, {"name": "u", "api-keys": ["l"]}]
+    front.holder.put_configuration(configuration_bytes(2, tenants=tenants))
+    assert front.ask("GET", key="l").status == 410
+    assert front.ask("DELETE", key="l").status == 410
+
+
+def test_unknown_routes_keys_and_ids_are_refused(front):
+    assert front.ask("GET", path="/elsewhere/").status == 404
+    assert front.ask("GET", host="other.example").status == 404
+    assert front.ask("GET", key="wrong").status == 401
+    assert front.ask("GET", key=None).status == 401
+    assert front.ask("GET", path="/q/not-an-id").status == 404
+    assert front.ask("PUT").status == 405
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        job_body(steps=[]),
+        job_body(steps=[{"count": 0}]),
+        job_body(steps=[{"count": 1, "after": [0]}]),
+        job_body(steps=[{"count": 1, "after": [1]}, {"count": 1}]),
+        job_body(spec="x" * 5_000),
+        job_body(steps=[{"count": 1, "cpu": -5}]),
+    ],
+)
+def test_bad_bodies_are_named_and_nothing_is_stored(front, body):
+    answer = front.ask("POST", body=body)
+    assert answer.status == 400 and "nothing was stored" in answer.content["error"]
+    assert front.store.records == []
+
+
+def test_an_oversized_body_is_refused(front):
+    assert front.ask("POST", body=b" " * 10_001).status == 413
+
+
+def test_without_configuration_nothing_is_taken(front):
+    front.front = JobFront(ConfigurationHolder(), front.front._service, NullMetrics())
+    answer = front.ask("POST", body=job_body())
+    assert answer.status == 503 and answer.retry_after_s
+
+
+def test_a_store_that_refuses_makes_a_true_not_run(front):
+    front.store.is_down = True
+    answer = front.ask("POST", body=job_body())
+    assert answer.status == 503 and answer.retry_after_s and front.store.records == []
+
+
+def test_a_lost_answer_of_the_store_is_asked_for_again(front):
+    front.store.loses_replies = 1
+    assert front.ask("POST", body=job_body()).status == 200
+
+
+def test_an_unclear_append_is_never_told_as_not_run(front, monkeypatch):
+    front.store.loses_replies = 1_000_000
+    monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
+    assert front.ask("POST", body=job_body()).status == 504
+
+
+def test_burst_a_job_that_would_be_late_is_refused_at_once(front):
+    notice = OwnerNotice("me", 1, "", {"pool/t": 5_000})
+    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    answer = front.ask("POST", body=job_body())
+    assert answer.status == 429 and 3 <= answer.retry_after_s <= 6
+    assert front.store.records == []
+
+
+def test_burst_a_job_with_time_left_is_taken(front):
+    notice = OwnerNotice("me", 1, "", {"pool/t": 1_000, "pool/other": 60_000})
+    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    assert front.ask("POST", body=job_body()).status == 200
+
+
+def test_an_older_configuration_never_comes_back(front):
+    front.holder.put_configuration(configuration_bytes(7, routes=[]))
+    assert front.holder.put_configuration(configuration_bytes(3)) is None
+    assert front.ask("GET", path="/q/").status == 404
+
+
+def test_job_ids_are_sixteen_digits(front):
+    assert front.ask("POST", path=f"/q/{JOB}0", body=job_body()).status == 404
--- /dev/null
+++ b/almondstack/platform/tests/test_store.py
@@ -0,0 +1,96 @@
+"""The store client against a stand-in that speaks the platform's pages."""
+
+import pytest
+
+from almondstack.ownership import (
+    FencedError,
+    HistoryLostError,
+    Record,
+    StoreRefusedError,
+    StoreUnclearError,
+)
+from almondstack.platform.store import KeyedTopic, StoreConnection
+from almondstack.platform.tests.builders import serving
+from almondstack.standin.keyed_store import KeyedStoreStandin
+
+
+@pytest.fixture
+def store():
+    """Serve a store, and give the stand-in and a client of one topic."""
+    standin = KeyedStoreStandin()
+    with serving(standin) as address:
+        yield standin, KeyedTopic(StoreConnection(address), "keyed.work")
+
+
+def _records(*keys):
+    return [Record(key, b"v" + key.encode()) for key in keys]
+
+
+def test_what_is_appended_is_read_in_order(store):
+    _, topic = store
+    topic.append(_records("a", "b"), 1.0)
+    batch = topic.read(0, 0.0)
+    assert batch.records == _records("a", "b") and batch.next_offset == 2
+    assert topic.read(2, 0.01).records == []
+
+
+def test_a_snapshot_holds_the_newest_of_each_key_over_many_pages(store):
+    standin, topic = store
+    for number in range(1_200):
+        standin.put("keyed.work", f"k{number:04}", b"1")
+    standin.put("keyed.work", "k0000", b"2")
+    standin.put("keyed.work", "k0001", b"")
+    snapshot = topic.snapshot()
+    assert len(snapshot.records) == 1_199 and snapshot.next_offset == 1_202
+    assert dict(snapshot.records)["k0000"] == b"2"
+
+
+def test_expired_history_is_told(store):
+    standin, topic = store
+    topic.append(_records("a"), 1.0)
+    standin.expire("keyed.work")
+    with pytest.raises(HistoryLostError):
+        topic.read(0, 0.0)
+
+
+def test_a_claim_holds_only_at_the_end_it_names(store):
+    _, topic = store
+    topic.append(_records("a"), 1.0)
+    assert not topic.claim(0, Record("o", b"1"), 5)
+    assert topic.claim(1, Record("o", b"1"), 5)
+    assert not topic.claim(1, Record("o", b"2"), 6)
+
+
+def test_an_owner_that_was_replaced_is_fenced(store):
+    _, topic = store
+    assert topic.claim(0, Record("o", b"1"), 100)
+    topic.append_owned(_records("p"), 1, 101)
+    assert topic.claim(2, Record("o", b"2"), 7)
+    with pytest.raises(FencedError):
+        topic.append_owned(_records("p"), 1, 102)
+
+
+def test_an_owned_append_whose_answer_was_lost_is_repeated_once(store):
+    standin, topic = store
+    topic.claim(0, Record("o", b"1"), 100)
+    standin.loses_appends = 1
+    with pytest.raises(StoreUnclearError):
+        topic.append_owned(_records("p"), 1, 101)
+    topic.append_owned(_records("p"), 1, 101)
+    assert [key for key, _ in standin.records("keyed.work")] == ["o", "p"]
+
+
+def test_a_refusal_says_that_nothing_was_done(store):
+    standin, topic = store
+    standin.refuses = True
+    with pytest.raises(StoreRefusedError):
+        topic.append(_records("a"), 1.0)
+    assert standin.records("keyed.work") == []
+
+
+def test_a_store_that_does_not_listen_has_done_nothing():
+    from almondstack.testing.addresses import free_address
+
+    topic = KeyedTopic(StoreConnection(free_address()), "keyed.work")
+    with pytest.raises(StoreRefusedError):
+        topic.append(_records("a"), 0.5)
--- /dev/null
+++ b/almondstack/platform/tests/test_workers.py
@@ -0,0 +1,70 @@
+"""The worker client against a stand-in that speaks the platform's pages."""
+
+import pytest
+
+from almondstack.control.messages import OrderStatus, StartOrder
+from almondstack.jobs import RunEnd
+from almondstack.placement import WorkerInfo
+from almondstack.platform.tests.builders import serving
+from almondstack.platform.workers import HttpWorkerCallers
+from almondstack.standin.task_worker import TaskWorkerStandin
+
+_TASK = "5c0e7a21d94b36f8.0.0.0"
+
+
+@pytest.fixture
+def worker():
+    """Serve a worker with room for one run, and give the stand-in and a caller."""
+    standin = TaskWorkerStandin(room=1)
+    with serving(standin) as address:
+        yield standin, HttpWorkerCallers(1.0).caller(WorkerInfo("i-1", 0, "p", address))
+
+
+def _start(caller, run=1, token=5, task=_TASK):
+    return caller.start(StartOrder(task, run, "s", "", ""), 9_000, token).status
+
+
+def test_a_start_is_listed_and_its_end_is_listed_until_seen(worker):
+    standin, caller = worker
+    assert _start(caller) is OrderStatus.DONE
+    listed = caller.look(9_000, 0, 0.0, 5)
+    assert [(run.task, run.run, run.percent) for run in listed.running] == [(_TASK, 1, 100)]
+    assert listed.life == 1_000
+    standin.end(_TASK)
+    for _ in range(2):
+        (end,) = caller.look(9_000, 0, 0.0, 5).ended
+        assert (end.number, end.end) == (1, RunEnd.DONE)
+    assert caller.look(9_000, 1, 0.0, 5).ended == ()
+
+
+def test_refusals_are_told_apart(worker):
+    standin, caller = worker
+    _start(caller)
+    assert _start(caller, task="5c0e7a21d94b36f8.0.0.1") is OrderStatus.NO_ROOM
+    assert _start(caller, token=4) is OrderStatus.FENCED
+    standin.end(_TASK)
+    assert _start(caller) is OrderStatus.OLD_RUN
+    standin.is_unhealthy = True
+    assert _start(caller, run=2) is OrderStatus.REFUSED
+
+
+def test_a_run_that_was_stopped_before_it_came_never_starts(worker):
+    standin, caller = worker
+    assert caller.stop(_TASK, 1, 5).status is OrderStatus.DONE
+    assert _start(caller) is OrderStatus.OLD_RUN
+    assert standin.running == {}
+
+
+def test_a_lost_answer_is_unclear_and_the_repeat_finds_the_run(worker):
+    standin, caller = worker
+    standin.loses_starts = 1
+    assert _start(caller) is OrderStatus.UNCLEAR
+    assert _start(caller) is OrderStatus.DONE
+    assert standin.running == {_TASK: 1}
+
+
+def test_another_life_at_the_address_is_told(worker):
+    standin, caller = worker
+    standin.id = "i-2"
+    assert _start(caller) is OrderStatus.GONE
+    assert caller.look(9_000, 0, 0.0, 5).status is OrderStatus.GONE
--- a/almondstack/platform/wire.py
+++ b/almondstack/platform/wire.py
@@ -7,7 +7,7 @@
 product's own types.
 """
 
-from typing import Annotated
+from typing import Annotated, Any
 
 from msgspec import Meta, Struct, field
 
@@ -167,7 +167,7 @@
 
     clock_ms: int = field(name="clock-ms", default=0)
     life: int = field(name="born", default=0)
-    running: tuple[list[str | int | float | None], ...] = ()
+    running: tuple[list[Any], ...] = ()
     ended: tuple[tuple[int, str, int, str, str], ...] = ()
 
 
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -1,5 +1,7 @@
 """Calls to workers."""
 
+from typing import Any
+
 import msgspec
 
 from almondstack.control.messages import (
@@ -168,6 +170,6 @@
     return LookReply(OrderStatus.DONE, wire.clock_ms, wire.life, running, ended)
 
 
-def _running(row: list[str | int | float | None]) -> RunningRun:
+def _running(row: list[Any]) -> RunningRun:
     load = row[4] if len(row) >= _RUNNING_FIELDS_WITH_LOAD else 0
     return RunningRun(str(row[0]), int(row[1]), str(row[2] or ""), int(row[3] or 0), int(load or 0))
--- /dev/null
+++ b/almondstack/standin/keyed_store.py
@@ -0,0 +1,170 @@
+"""Stand-in for the users' metadata store: one partition of each keyed topic.
+
+Explanation
+-----------
+Speaks what the platform's pages say of appends, reads and newest records, with
+conditions, producer epochs and sequences.  Faults are attributes, switched by
+the test that owns the stand-in.
+"""
+
+import base64
+import threading
+import time
+from typing import Any
+from urllib.parse import unquote
+
+from almondstack.core import encode_json
+from almondstack.standin.web import Reply, StandinApp, break_off, read_body
+
+__all__ = ["KeyedStoreStandin"]
+
+_PAGE = 500
+_POLL_S = 0.005
+_KEPT_REPEATS = 5
+
+
+class _Topic:
+    """Records of a partition, and what its producers have sent."""
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.first = 0
+        self.epoch = -1
+        self.sequence = -1
+        self.replies: dict[int, dict[str, int]] = {}
+
+
+class KeyedStoreStandin(StandinApp):
+    """Answers the store's calls.
+
+    Attributes
+    ----------
+    refuses : bool
+        Every call gets 503.
+    loses_appends : int
+        So many of the next appends are stored and their answers lost.
+    """
+
+    def __init__(self) -> None:
+        self.refuses = False
+        self.loses_appends = 0
+        self._topics: dict[str, _Topic] = {}
+        self._lock = threading.Lock()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Append one record as the platform itself would."""
+        with self._lock:
+            self._topic(topic).records.append((key, value))
+
+    def records(self, topic: str) -> list[tuple[str, bytes]]:
+        """Return all records of a topic."""
+        with self._lock:
+            return list(self._topic(topic).records)
+
+    def expire(self, topic: str) -> None:
+        """Let the history of a topic expire."""
+        with self._lock:
+            found = self._topic(topic)
+            found.first = len(found.records)
+
+    def handle(self, method: str, path: str, query: dict[str, str], environ: Any) -> Reply:
+        """Return the answer to one request."""
+        if self.refuses:
+            return Reply(503)
+        if path == "/almondstack/log-append":
+            return self._append(query, read_body(environ))
+        if path == "/almondstack/log-read":
+            return self._read(query)
+        if path == "/almondstack/log-newest":
+            return self._newest(query)
+        return Reply(404)
+
+    def _topic(self, name: str) -> _Topic:
+        return self._topics.setdefault(name, _Topic())
+
+    def _append(self, query: dict[str, str], body: bytes) -> Reply:
+        with self._lock:
+            reply = self._append_locked(self._topic(query["topic"]), query, _split(body))
+            if reply.status == 200 and self.loses_appends:
+                self.loses_appends -= 1
+                break_off()
+            return reply
+
+    def _append_locked(
+        self, topic: _Topic, query: dict[str, str], records: list[tuple[str, bytes]]
+    ) -> Reply:
+        end = len(topic.records)
+        if "producer-id" in query:
+            epoch, sequence = int(query["epoch"]), int(query["sequence"])
+            if epoch < topic.epoch:
+                return _conflict("fenced", end)
+            if epoch == topic.epoch and sequence in topic.replies:
+                return Reply.of_json(topic.replies[sequence])
+            if epoch == topic.epoch and sequence != topic.sequence + 1:
+                return _conflict("seq", end)
+        if "at" in query and int(query["at"]) != end:
+            return Reply(412, encode_json({"end-offset": end}), "application/json")
+        topic.records.extend(records)
+        answer = {"offset": end, "end-offset": len(topic.records)}
+        if "producer-id" in query:
+            self._note(topic, epoch, sequence, answer)
+        return Reply.of_json(answer)
+
+    def _note(self, topic: _Topic, epoch: int, sequence: int, answer: dict[str, int]) -> None:
+        if epoch != topic.epoch:
+            topic.replies.clear()
+        topic.epoch, topic.sequence = epoch, sequence
+        topic.replies[sequence] = answer
+        for old in [number for number in topic.replies if number <= sequence - _KEPT_REPEATS]:
+            del topic.replies[old]
+
+    def _read(self, query: dict[str, str]) -> Reply:
+        start = int(query["from"])
+        until_s = time.monotonic() + int(query.get("wait-ms", 0)) / 1000.0
+        while True:
+            with self._lock:
+                topic = self._topic(query["topic"])
+                if start < topic.first:
+                    body = encode_json({"first-offset": topic.first})
+                    return Reply(410, body, "application/json")
+                records = topic.records[start:]
+                head = len(topic.records).to_bytes(8, "big") + topic.first.to_bytes(8, "big")
+            if records or time.monotonic() >= until_s:
+                return Reply(200, head + b"".join(map(_join, records)), "application/octet-stream")
+            time.sleep(_POLL_S)
+
+    def _newest(self, query: dict[str, str]) -> Reply:
+        after = unquote(query.get("after", ""))
+        with self._lock:
+            topic = self._topic(query["topic"])
+            newest = {key: value for key, value in topic.records}
+            end = len(topic.records)
+        keys = sorted(key for key, value in newest.items() if value and key > after)
+        items = [
+            {"key": key, "value": base64.b64encode(newest[key]).decode(), "offset": 0}
+            for key in keys[:_PAGE]
+        ]
+        return Reply.of_json({"items": items, "has-more": len(keys) > _PAGE, "end-offset": end})
+
+
+def _conflict(reason: str, end: int) -> Reply:
+    body = encode_json({"reason": reason, "end-offset": end})
+    return Reply(409, body, "application/json")
+
+
+def _split(body: bytes) -> list[tuple[str, bytes]]:
+    records = []
+    position = 0
+    while position < len(body):
+        length = int.from_bytes(body[position : position + 4], "big")
+        content = body[position + 4 : position + 4 + length]
+        key_end = 1 + content[0]
+        records.append((content[1:key_end].decode(), content[key_end:]))
+        position += 4 + length
+    return records
+
+
+def _join(record: tuple[str, bytes]) -> bytes:
+    key = record[0].encode()
+    content = bytes((len(key),)) + key + record[1]
+    return len(content).to_bytes(4, "big") + content
--- /dev/null
+++ b/almondstack/standin/task_worker.py
@@ -0,0 +1,125 @@
+"""Stand-in for one worker of the users' platform, which runs tasks under leases."""
+
+import json
+import threading
+import time
+from typing import Any
+
+from almondstack.core import encode_json
+from almondstack.standin.web import Reply, StandinApp, break_off, read_body
+
+__all__ = ["TaskWorkerStandin"]
+
+_POLL_S = 0.005
+
+
+class TaskWorkerStandin(StandinApp):
+    """Takes starts, stops and looks; a test ends the runs.
+
+    Parameters
+    ----------
+    id : str
+        The worker's id; calls for another get 421.
+    room : int
+        So many runs fit at one time.
+
+    Attributes
+    ----------
+    loses_starts : int
+        So many of the next starts are carried out and their answers lost.
+    is_unhealthy : bool
+        Orders get 503 and are not carried out.
+    born_ms : int
+        Unix milliseconds of its start, in each answer to a look.
+    """
+
+    def __init__(self, id: str = "i-1", room: int = 8) -> None:
+        self.id = id
+        self.room = room
+        self.loses_starts = 0
+        self.is_unhealthy = False
+        self.born_ms = 1_000
+        self._fence = 0
+        self._running: dict[str, int] = {}
+        self._highest: dict[str, int] = {}
+        self._ended: list[list[object]] = []
+        self._numbers = 0
+        self._lock = threading.Lock()
+
+    @property
+    def running(self) -> dict[str, int]:
+        """The run of each task that is here."""
+        with self._lock:
+            return dict(self._running)
+
+    def end(self, task: str, how: str = "done") -> None:
+        """End a task's run."""
+        with self._lock:
+            self._end(task, how)
+
+    def handle(self, method: str, path: str, query: dict[str, str], environ: Any) -> Reply:
+        """Return the answer to one request."""
+        if environ.get("HTTP_X_EXPECT_INSTANCE", self.id) != self.id:
+            return Reply(421)
+        body = json.loads(read_body(environ))
+        if self.is_unhealthy and path != "/almondstack/hold":
+            return Reply(503)
+        handlers = {
+            "/almondstack/run-start": self._start,
+            "/almondstack/run-stop": self._stop,
+            "/almondstack/hold": self._hold,
+            "/almondstack/pace": self._pace,
+        }
+        with self._lock:
+            if body.get("fencing-token", 0) < self._fence:
+                return _answer(409, reason="fence")
+            self._fence = body.get("fencing-token", 0)
+        return handlers[path](body)
+
+    def _start(self, body: dict[str, Any]) -> Reply:
+        task, run = body["task"], body["run"]
+        with self._lock:
+            if self._running.get(task) == run:
+                return _answer(200)
+            if run <= self._highest.get(task, 0):
+                return _answer(409, reason="old")
+            if len(self._running) >= self.room:
+                return _answer(409, reason="room")
+            self._running[task] = run
+            self._highest[task] = run
+        if self.loses_starts:
+            self.loses_starts -= 1
+            break_off()
+        return _answer(200)
+
+    def _stop(self, body: dict[str, Any]) -> Reply:
+        task, run = body["task"], body["run"]
+        with self._lock:
+            self._highest[task] = max(run, self._highest.get(task, 0))
+            if self._running.get(task) == run:
+                self._end(task, "stopped")
+        return _answer(200)
+
+    def _pace(self, body: dict[str, Any]) -> Reply:
+        return _answer(200)
+
+    def _hold(self, body: dict[str, Any]) -> Reply:
+        until_s = time.monotonic() + body.get("wait-ms", 0) / 1000.0
+        while True:
+            with self._lock:
+                self._ended = [end for end in self._ended if end[0] > body["last-seen"]]
+                running = [[task, run, "", 100, 0] for task, run in self._running.items()]
+                ended = list(self._ended)
+            if ended or time.monotonic() >= until_s:
+                return _answer(200, born=self.born_ms, running=running, ended=ended)
+            time.sleep(_POLL_S)
+
+    def _end(self, task: str, how: str) -> None:
+        run = self._running.pop(task)
+        self._numbers += 1
+        self._ended.append([self._numbers, task, run, how, ""])
+
+
+def _answer(status: int, **fields: object) -> Reply:
+    content = {"clock-ms": int(time.monotonic() * 1000), **fields}
+    return Reply(status, encode_json(content), "application/json")
--- a/almondstack/standin/web.py
+++ b/almondstack/standin/web.py
@@ -18,6 +18,8 @@
     404: "404 Not Found",
     409: "409 Conflict",
     410: "410 Gone",
+    412: "412 Precondition Failed",
+    421: "421 Misdirected Request",
     429: "429 Too Many Requests",
     503: "503 Service Unavailable",
 }
--- /dev/null
+++ b/almondstack/testing/fake_records.py
@@ -0,0 +1,85 @@
+"""A store of keyed records in memory, with faults that tests switch."""
+
+from almondstack.ownership import (
+    Batch,
+    FencedError,
+    HistoryLostError,
+    Record,
+    Snapshot,
+    StoreRefusedError,
+    StoreUnclearError,
+)
+
+__all__ = ["FakeRecordStore"]
+
+
+class FakeRecordStore:
+    """Does what ``RecordStore`` promises.
+
+    Attributes
+    ----------
+    is_down : bool
+        Every call is refused.
+    loses_replies : int
+        So many of the next appends are stored and not answered.
+    first_offset : int
+        Older records have expired.
+    """
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        self.is_down = False
+        self.loses_replies = 0
+        self.first_offset = 0
+        self._token = 0
+        self._sequence = 0
+
+    def snapshot(self) -> Snapshot:
+        """Return the newest record of each key."""
+        self._check()
+        newest = {record.key: record for record in self.records}
+        return Snapshot([one for one in newest.values() if one.value], len(self.records))
+
+    def read(self, offset: int, wait_s: float) -> Batch:
+        """Return what lies behind an offset, without waiting."""
+        self._check()
+        if offset < self.first_offset:
+            raise HistoryLostError(f"offset {offset}")
+        return Batch(self.records[offset:], len(self.records))
+
+    def append(self, records: list[Record], timeout_s: float) -> None:
+        """Append records."""
+        self._check()
+        self.records.extend(records)
+        self._maybe_lose_reply()
+
+    def claim(self, offset: int, record: Record, sequence: int) -> bool:
+        """Append an owner's first record at a known end."""
+        self._check()
+        is_repeat = offset + 1 == self._token and sequence == self._sequence
+        if not is_repeat:
+            if offset != len(self.records) or offset + 1 <= self._token:
+                return False
+            self.records.append(record)
+            self._token, self._sequence = offset + 1, sequence
+        self._maybe_lose_reply()
+        return True
+
+    def append_owned(self, records: list[Record], token: int, sequence: int) -> None:
+        """Append records of the owner, once for each sequence."""
+        self._check()
+        if token < self._token or sequence not in (self._sequence, self._sequence + 1):
+            raise FencedError("fenced")
+        if sequence == self._sequence + 1:
+            self.records.extend(records)
+            self._sequence = sequence
+        self._maybe_lose_reply()
+
+    def _check(self) -> None:
+        if self.is_down:
+            raise StoreRefusedError("down")
+
+    def _maybe_lose_reply(self) -> None:
+        if self.loses_replies:
+            self.loses_replies -= 1
+            raise StoreUnclearError("no answer")
--- /dev/null
+++ b/almondstack/testing/job_builders.py
@@ -0,0 +1,113 @@
+"""Builders of jobs, workers and runs for tests."""
+
+from typing import Any
+
+from almondstack.control.messages import (
+    EndedRun,
+    LookReply,
+    OrderReply,
+    OrderStatus,
+    RunningRun,
+)
+from almondstack.control.runs import RunTable
+from almondstack.core import NullMetrics
+from almondstack.core.events import EventLog
+from almondstack.jobs import ActiveJob, RunEnd, Step, Submission, Task, format_task_name
+from almondstack.placement import QueuePolicy, Resources, Worker, WorkerInfo
+
+__all__ = [
+    "RecordingOrders",
+    "assign",
+    "ended",
+    "look",
+    "make_job",
+    "make_policy",
+    "make_step",
+    "make_table",
+    "make_worker",
+    "reply",
+    "running",
+]
+
+JOB_ID = "5c0e7a21d94b36f8"
+
+
+def make_step(count: int = 1, **fields: Any) -> Step:
+    """Return a step whose tasks take one core for a second."""
+    return Step(**{"count": count, "cpu_millis": 1_000, "estimate_ms": 1_000, **fields})
+
+
+def make_job(*steps: Step, id: str = JOB_ID, max_attempts: int = 2, **fields: Any) -> ActiveJob:
+    """Return an active job of one step unless told otherwise."""
+    submission = Submission(
+        **{"queue": "q", "account": "a", "spec": "s", "steps": steps or (make_step(),), **fields}
+    )
+    return ActiveJob(id, submission, max_attempts)
+
+
+def make_worker(id: str = "w1", *, cpu_millis: int = 4_000, **fields: Any) -> Worker:
+    """Return a worker of four cores."""
+    capacity = Resources(cpu_millis, 64_000)
+    defaults = {"life": 1, "pool": "p", "address": "127.0.0.1:1", "capacity": capacity}
+    return Worker(WorkerInfo(id, **{**defaults, **fields}))
+
+
+def make_policy(**fields: Any) -> QueuePolicy:
+    """Return the policy of a queue whose jobs may take one and a half times their work."""
+    return QueuePolicy(**{"name": "q", "pool": "p", "stretch": 1.5, "objective_ms": 500, **fields})
+
+
+class RecordingOrders:
+    """Takes the orders of a run table, and keeps them."""
+
+    def __init__(self) -> None:
+        self.starts: list[Task] = []
+        self.stops: list[tuple[str, str, int]] = []
+
+    def start_again(self, task: Task) -> None:
+        """Keep a repeated start."""
+        self.starts.append(task)
+
+    def stop(self, worker: str, name: str, run: int) -> None:
+        """Keep a stop."""
+        self.stops.append((worker, name, run))
+
+
+def make_table(*jobs: ActiveJob, workers: tuple[Worker, ...] = ()) -> RunTable:
+    """Return a run table with jobs and workers; its orders are ``RecordingOrders``."""
+    table = RunTable(RecordingOrders(), EventLog("test"), NullMetrics())
+    for job in jobs:
+        table.jobs[job.id] = job
+    for worker in workers:
+        table.adopt(worker, 0.0)
+    return table
+
+
+def assign(table: RunTable, task: Task, worker: Worker, now_s: float = 0.0) -> None:
+    """Assign a task as placement would."""
+    worker.put(task)
+    table.usage.add(task)
+    task.job.assign([task], [worker.id], [worker.info.life], now_s)
+    table.note_assigned(task)
+
+
+def reply(status: OrderStatus = OrderStatus.DONE) -> OrderReply:
+    """Return the reply to an order."""
+    return OrderReply(status)
+
+
+def running(task: Task, percent: int = 100) -> RunningRun:
+    """Return a task's present run as a worker lists it."""
+    return RunningRun(format_task_name(task.job.id, task.key), task.run, "", percent, 0)
+
+
+def ended(task: Task, end: RunEnd = RunEnd.DONE, number: int = 1) -> EndedRun:
+    """Return the end of a task's present run as a worker lists it."""
+    return EndedRun(number, format_task_name(task.job.id, task.key), task.run, end, "")
+
+
+def look(
+    *, running: tuple[RunningRun, ...] = (), ended: tuple[EndedRun, ...] = (), life: int = 1
+) -> LookReply:
+    """Return a worker's answer to a look."""
+    return LookReply(OrderStatus.DONE, 0, life, running, ended)
