Share instances among bursts, and take over without a pause

Now pools that lack too much share what there is, late work keeps instances but gets none moved in; the newest notice decides whether jobs are vacant; the time of each order to an instance is stored, so that only instances that were ordered just before wait; a process claims at once what the one before it on its instance owned, and asks a silent owner's address who lives there.

--- a/almondstack/capacity/demand.py
+++ b/almondstack/capacity/demand.py
@@ -18,9 +18,17 @@
         Tasks whose turn has come and that wait for room.
     arriving_millis : float
         Work that has come lately, spread over the time in which it came.
+    late_millis : int
+        Tasks, running or not, of jobs that can't end in time any more.
     """
 
-    __slots__ = ("arriving_millis", "lasting_millis", "running_millis", "waiting_millis")
+    __slots__ = (
+        "arriving_millis",
+        "lasting_millis",
+        "late_millis",
+        "running_millis",
+        "waiting_millis",
+    )
 
     def __init__(
         self,
@@ -28,15 +36,17 @@
         running_millis: int = 0,
         waiting_millis: int = 0,
         arriving_millis: float = 0.0,
+        late_millis: int = 0,
     ) -> None:
         self.lasting_millis = lasting_millis
         self.running_millis = running_millis
         self.waiting_millis = waiting_millis
         self.arriving_millis = arriving_millis
+        self.late_millis = late_millis
 
     @property
     def total_millis(self) -> float:
-        """Cores that would let nothing wait."""
+        """What would let nothing wait that can still end in time."""
         present = self.running_millis + self.waiting_millis
         return self.lasting_millis + max(present, self.arriving_millis)
 
--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -109,26 +109,27 @@
 def plan_moves(
     pools: list[PoolState], spares: list[Candidate], spare_pool: str, now_s: float
 ) -> list[Move]:
-    """Return the moves that bring pools nearer to what they want.
+    """Return the moves that bring pools nearer to what they should have.
 
     Explanation
     -----------
-    Pools that want more are served from the spare pool first, since nothing
-    runs there, then from pools that have too many.  What nobody wants goes to
-    the spare pool, emptiest first; an instance with lasting tasks stays.
+    Pools that lack instances are served from the spare pool first, since
+    nothing runs there, then from pools that have more than they should.  What
+    nobody lacks goes to the spare pool once its pool has had too much for a
+    while; late work keeps instances from that, but gets none moved in for it.
+    An instance with lasting tasks stays.
     """
     size_millis = _common_size(pools, spares)
-    lacks = {pool.name: wanted_instances(pool, size_millis) - pool.size for pool in pools}
-    givers = _givers(pools, lacks, now_s)
+    targets = _targets(pools, len(spares), size_millis)
     moves: list[Move] = []
-    for pool in sorted(pools, key=lambda pool: -lacks[pool.name]):
-        for _ in range(max(0, lacks[pool.name])):
+    givers = _givers(pools, targets)
+    for pool in sorted(pools, key=lambda pool: pool.size - targets[pool.name]):
+        for _ in range(targets[pool.name] - pool.size):
             move = _take(spares, spare_pool, pool.name) or _take_from(givers, pool.name)
             if move is not None:
                 moves.append(move)
-    for source, candidate in givers:
-        if spare_pool and candidate.used_millis == 0:
-            moves.append(Move(candidate.name, source, spare_pool))
+    if spare_pool:
+        moves.extend(_to_spares(pools, givers, size_millis, spare_pool, now_s))
     return moves
 
 
@@ -138,27 +139,56 @@
     return sum(sizes) // len(sizes) if sizes else 1
 
 
-def _givers(
-    pools: list[PoolState], lacks: dict[str, int], now_s: float
-) -> list[tuple[str, Candidate]]:
+def _targets(pools: list[PoolState], spare: int, size_millis: int) -> dict[str, int]:
+    """Return what each pool should have; if there is too little, all get a like share."""
+    wanted = {pool.name: wanted_instances(pool, size_millis) for pool in pools}
+    total = spare + sum(pool.size for pool in pools)
+    beyond = sum(wanted.values()) - LEAST_INSTANCES * len(pools)
+    left = total - LEAST_INSTANCES * len(pools)
+    if beyond <= left or left <= 0:
+        return wanted
+    return {
+        name: LEAST_INSTANCES + math.floor((count - LEAST_INSTANCES) * left / beyond)
+        for name, count in wanted.items()
+    }
+
+
+def _givers(pools: list[PoolState], targets: dict[str, int]) -> list[tuple[str, Candidate]]:
+    """Return the instances that pools can do without, emptiest first."""
     givers: list[tuple[str, Candidate]] = []
     for pool in pools:
-        is_held = pool.excess_since_s is not None and now_s - pool.excess_since_s >= EXCESS_HOLD_S
-        if lacks[pool.name] >= 0 or not is_held:
-            continue
+        excess = pool.size - targets[pool.name]
         free = [candidate for candidate in pool.candidates if not candidate.lasting]
         free.sort(key=lambda candidate: candidate.used_millis)
-        givers.extend((pool.name, candidate) for candidate in free[: -lacks[pool.name]])
+        givers.extend((pool.name, candidate) for candidate in free[: max(0, excess)])
     givers.sort(key=lambda giver: giver[1].used_millis)
     return givers
 
 
+def _to_spares(
+    pools: list[PoolState],
+    givers: list[tuple[str, Candidate]],
+    size_millis: int,
+    spare_pool: str,
+    now_s: float,
+) -> list[Move]:
+    late = {pool.name: math.ceil(pool.need.late_millis / size_millis) for pool in pools}
+    moves = []
+    for pool in pools:
+        if pool.excess_since_s is None or now_s - pool.excess_since_s < EXCESS_HOLD_S:
+            continue
+        own = [candidate for source, candidate in givers if source == pool.name]
+        for candidate in own[: max(0, len(own) - late[pool.name])]:
+            moves.append(Move(candidate.name, pool.name, spare_pool))
+    return moves
+
+
 def _take(spares: list[Candidate], source: str, target: str) -> Move | None:
     return Move(spares.pop(0).name, source, target) if spares else None
 
 
 def _take_from(givers: list[tuple[str, Candidate]], target: str) -> Move | None:
-    if not givers or givers[0][1].used_millis:
+    if not givers:
         return None
     source, candidate = givers.pop(0)
     return Move(candidate.name, source, target)
--- a/almondstack/capacity/tests/test_capacity.py
+++ b/almondstack/capacity/tests/test_capacity.py
@@ -73,3 +73,25 @@
     members = [WaveMember(str(number)) for number in range(9)]
     assert len(next_members(members, down=2, most_at_once=2)) == 1
     assert len(next_members(members, down=0, most_at_once=2)) == 3
+
+
+def test_two_bursts_share_what_there_is():
+    """One pool's backlog held 23 of 30 instances while another's burst got none."""
+    hog = _pool("hog", 23, PoolNeed(waiting_millis=600_000), used=16_000)
+    other = _pool("other", 3, PoolNeed(waiting_millis=200_000))
+    moves = plan_moves([hog, other], [], "spare", 0.0)
+    assert _targets(moves) == [("hog", "other")] * 4
+
+
+def test_late_work_gets_no_instances_but_keeps_those_that_nobody_lacks():
+    late = _pool("late", 6, PoolNeed(late_millis=64_000), excess_since_s=0.0)
+    assert _targets(plan_moves([late], _candidates("spare", 3), "spare", 10.0)) == []
+    late.need.late_millis = 0
+    assert len(plan_moves([late], [], "spare", 10.0)) == 4
+
+
+def test_late_work_gives_way_to_a_burst_elsewhere_at_once():
+    late = _pool("late", 6, PoolNeed(late_millis=90_000))
+    hot = _pool("hot", 2, PoolNeed(waiting_millis=60_000))
+    moves = plan_moves([late, hot], [], "spare", 0.0)
+    assert _targets(moves) == [("late", "hot")] * 3
--- a/almondstack/control/admission.py
+++ b/almondstack/control/admission.py
@@ -6,7 +6,7 @@
 from almondstack.jobs import Task, TaskStatus
 from almondstack.placement import Policies
 from almondstack.placement.backlog import Backlog, EstimateCorrection
-from almondstack.placement.order import LATE_BAND, rank_of
+from almondstack.placement.order import is_late
 
 __all__ = ["AdmissionRounds", "wait_key"]
 
@@ -45,9 +45,9 @@
             backlog = backlogs.get(policy.pool)
             if backlog is None:
                 continue
-            ready = list(job.ready_steps(now_unix_ms))
-            if any(rank_of(tasks, policy, now_unix_ms)[0] >= LATE_BAND for tasks in ready):
+            if is_late(job, policy, now_unix_ms):
                 continue
+            ready = list(job.ready_steps(now_unix_ms))
             backlog.add(job, self.correction.factor(job.submission.queue))
             if any(task.status is TaskStatus.WAITING for tasks in ready for task in tasks):
                 backlog.note_waiting()
--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -1,5 +1,7 @@
 """Moves of instances between pools, round by round."""
 
+import time
+
 from almondstack.capacity import (
     ArrivalRate,
     Candidate,
@@ -15,6 +17,7 @@
 from almondstack.control.runs import RunTable
 from almondstack.jobs import ActiveJob, TaskStatus
 from almondstack.placement import Policies, Worker
+from almondstack.placement.order import is_late
 
 __all__ = ["BalanceRounds"]
 
@@ -88,14 +91,16 @@
         return self._rates.setdefault(pool, ArrivalRate(_RATE_WINDOW_S))
 
     def _needs(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
+        now_unix_ms = time.time() * 1000.0
         needs = {
             pool: PoolNeed(arriving_millis=self._rate(pool).millis(now_s))
             for pool in policies.pools
         }
         for job in self._table.jobs.values():
-            need = needs.get(self._planner.policy_of(job.submission).pool)
+            policy = self._planner.policy_of(job.submission)
+            need = needs.get(policy.pool)
             if need is not None and job.is_open:
-                _add_need(job, need)
+                _add_need(job, need, is_late=is_late(job, policy, now_unix_ms))
         return needs
 
     def _members(
@@ -139,23 +144,35 @@
         return self._excess_since_s.setdefault(state.name, now_s)
 
 
-def _add_need(job: ActiveJob, need: PoolNeed) -> None:
+def _add_need(job: ActiveJob, need: PoolNeed, *, is_late: bool) -> None:
+    running_millis = 0
     for task in job.tasks():
         if task.step.is_filler or task.status is TaskStatus.DONE:
             continue
         if task.step.is_long_running:
             need.lasting_millis += task.step.cpu_millis
         elif task.is_assigned:
-            need.running_millis += task.step.cpu_millis
+            running_millis += task.step.cpu_millis
+    waiting_millis = _waiting_millis(job)
+    if is_late:
+        need.late_millis += running_millis + waiting_millis
+        return
+    need.running_millis += running_millis
+    need.waiting_millis += waiting_millis
+
+
+def _waiting_millis(job: ActiveJob) -> int:
+    """Return what the tasks ask for whose turn has come; later occurrences don't count yet."""
+    waiting_millis = 0
     for tasks in job.ready_steps(_ANY_TIME_MS):
         step = tasks[0].step
         if not step.is_long_running and not step.is_filler:
             waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
-            need.waiting_millis += waiting * step.cpu_millis
+            waiting_millis += waiting * step.cpu_millis
+    return waiting_millis
 
 
 _ANY_TIME_MS = 0.0
-"""Occurrences that are due later do not ask for room yet."""
 
 
 def _is_usable(worker: Worker, now_s: float) -> bool:
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -12,7 +12,7 @@
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
 from almondstack.control.wave_rounds import WaveRounds
-from almondstack.jobs import ActiveJob
+from almondstack.jobs import ActiveJob, RecordKind, record_key
 from almondstack.ownership import Record
 
 __all__ = ["FleetRounds"]
@@ -23,6 +23,9 @@
 _FAST_LIST_S = 0.4
 """How often instances are listed while a wave is on, in seconds."""
 
+_STAMP_BYTES = 8
+"""Size of a stored time of day in milliseconds."""
+
 _COVERED_SHARE = 0.8
 """Share of the registered workers that instances must carry before one that none carries
 counts as gone; some registrations are always older or newer than the list."""
@@ -35,8 +38,8 @@
     -----------
     An instance that is to go is first given nothing new; its short tasks end,
     its lasting ones are moved one at a time; the order follows when it is
-    empty.  After a take-over nothing is ordered for a while, so that two owners
-    don't take turns at one instance.
+    empty.  The time of each order is stored, so that the next owner does not
+    take turns with this one at an instance.
 
     Parameters
     ----------
@@ -48,14 +51,11 @@
         Instances, waves, policies.
     token : int
         The owner's fencing token.
-    begun_s : float
-        Monotonic time of the take-over, in seconds.
     """
 
     __slots__ = (
         "_admission",
         "_balance",
-        "_begin_s",
         "_desk",
         "_moves",
         "_rounded_s",
@@ -71,7 +71,6 @@
         planner: Planner,
         services: OwnerServices,
         token: int,
-        begun_s: float,
     ) -> None:
         self._table = table
         self._services = services
@@ -80,7 +79,6 @@
         self._balance = BalanceRounds(table, planner, self._desk)
         self._admission = AdmissionRounds(table, planner)
         table.follow_ends(self._admission.note_end)
-        self._begin_s = begun_s + services.control.turn_s
         self._rounded_s = 0.0
         self._moves: list[Move] = []
         self._written: dict[str, int] = {}
@@ -117,7 +115,10 @@
 
     def records(self) -> list[Record]:
         """Return what must be stored before :meth:`send`."""
-        return self._waves.records()
+        instances = [*self._waves.due, *(move.instance for move in self._moves)]
+        stamp = int(time.time() * 1000).to_bytes(_STAMP_BYTES, "big")
+        notes = [Record(record_key(RecordKind.INSTANCE, name), stamp) for name in instances]
+        return [*self._waves.records(), *notes]
 
     def send(self) -> None:
         """Give the orders of this round."""
@@ -137,13 +138,10 @@
         self._admission.round(states, policies, time.time() * 1000.0)
         self._write_pools(states)
         ranks = {state.name: float(state.size - _wanted(state)) for state in states}
-        may_order = now_s >= self._begin_s
-        emptied: set[str] = set()
-        if may_order:
-            emptied = self._waves.round(instances, workers, spare_pools, ranks, now_s)
-            moves = self._plan_moves(instances, policies, spare_pools, emptied, now_s)
-            emptied |= {move.instance for move in moves}
-            self._moves = [move for move in moves if self._is_empty(move.instance, instances)]
+        emptied = self._waves.round(instances, workers, spare_pools, ranks, now_s)
+        moves = self._plan_moves(instances, policies, spare_pools, emptied, now_s)
+        emptied |= {move.instance for move in moves}
+        self._moves = [move for move in moves if self._is_empty(move.instance, instances)]
         self._reserve(instances, emptied, now_s)
 
     def _plan_moves(self, instances, policies, spare_pools, taken, now_s) -> list[Move]:
--- a/almondstack/control/instance_desk.py
+++ b/almondstack/control/instance_desk.py
@@ -9,6 +9,7 @@
 from almondstack.control.errors import InstanceServiceError
 from almondstack.control.messages import InstanceInfo, InstanceState, OrderStatus
 from almondstack.control.services import OwnerServices
+from almondstack.jobs import RecordKind
 from almondstack.ownership import StoreError
 
 __all__ = ["InstanceDesk"]
@@ -16,6 +17,9 @@
 _RETRY_S = 0.4
 """Pause before an order to an instance is tried again, in seconds."""
 
+_CLOCK_SLACK_S = 0.5
+"""By so much the times of day of two instances may differ, in seconds."""
+
 _MOST_DELAY_S = 13.0
 """An order without an answer may still be carried out within this time, in seconds."""
 
@@ -67,6 +71,7 @@
         "_tasks",
         "_thread",
         "_token",
+        "_turns_end_s",
         "interval_s",
     )
 
@@ -77,6 +82,8 @@
         self._pending: dict[str, _Pending] = {}
         self._not_before_s: dict[str, float] = {}
         self._refused_pools: set[tuple[str, str]] = set()
+        turn_s = services.control.turn_s + _CLOCK_SLACK_S
+        self._turns_end_s = time.monotonic() + turn_s
         self._is_fenced = False
         self._is_listing = False
         self._asked_s = 0.0
@@ -123,6 +130,8 @@
 
     def is_free(self, instance: str, now_s: float) -> bool:
         """Whether an order to an instance may be given now."""
+        if now_s < self._turns_end_s and self._is_others_turn(instance):
+            return False
         with self._lock:
             if instance in self._pending:
                 return False
@@ -144,6 +153,14 @@
         """Report how far a wave is; calls ``done`` once that is stored."""
         self._tasks.put(lambda: self._report(wave, is_completed, done))
 
+    def _is_others_turn(self, instance: str) -> bool:
+        """Whether an owner before has ordered the instance just before this one took over."""
+        noted = self._services.book.note(RecordKind.INSTANCE, instance)
+        if noted is None:
+            return False
+        age_s = time.time() - int.from_bytes(noted, "big") / 1000.0
+        return age_s < self._services.control.turn_s + _CLOCK_SLACK_S
+
     def _submit(self, order: _Order) -> None:
         if self._is_fenced:
             return
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -100,7 +100,7 @@
         self._table = RunTable(self, services.events, services.metrics)
         self._advisor = Advisor(services)
         self._planner = Planner(self._table, self._advisor, services.policies)
-        self._fleet = FleetRounds(self._table, self._planner, services, token, self._taken_s)
+        self._fleet = FleetRounds(self._table, self._planner, services, token)
         self._pacing = Pacing(self._table, self._sessions)
         self._starts: list[Task] = []
         self._retired: list[tuple[float, str]] = []
--- a/almondstack/control/wave_rounds.py
+++ b/almondstack/control/wave_rounds.py
@@ -73,6 +73,11 @@
                 emptied |= self._round_of(wave, by_name, workers, spare_pools, pool_ranks, now_s)
         return emptied
 
+    @property
+    def due(self) -> list[str]:
+        """The instances that :meth:`send` gives orders to."""
+        return [instance for instance, _ in self._due]
+
     def records(self) -> list[Record]:
         """Return what must be stored before :meth:`send`."""
         records = []
@@ -94,7 +99,7 @@
         for request in self._services.directory.waves():
             if request.number in self._waves:
                 continue
-            stored = self._services.book.wave_record(str(request.number))
+            stored = self._services.book.note(RecordKind.WAVE, str(request.number))
             begun = set(msgspec.msgpack.decode(stored, type=list[str])) if stored else set()
             self._waves[request.number] = _Wave(request, begun)
 
--- a/almondstack/jobs/book.py
+++ b/almondstack/jobs/book.py
@@ -72,14 +72,17 @@
         changed something.
     """
 
-    __slots__ = ("_cancelled", "_entries", "_listener", "_lock", "_notice", "_notice_s", "_waves")
+    __slots__ = ("_cancelled", "_entries", "_listener", "_lock", "_notice", "_notes", "_notice_s")
 
     def __init__(self, listener: Callable[[RecordKind, str], None] | None = None) -> None:
         self._entries: dict[str, JobEntry] = {}
         self._cancelled: set[str] = set()
         self._notice: OwnerNotice | None = None
         self._notice_s = 0.0
-        self._waves: dict[str, bytes] = {}
+        self._notes: dict[RecordKind, dict[str, bytes]] = {
+            RecordKind.WAVE: {},
+            RecordKind.INSTANCE: {},
+        }
         self._listener = listener
         self._lock = threading.Lock()
 
@@ -106,9 +109,9 @@
         with self._lock:
             return list(self._entries.items())
 
-    def wave_record(self, number: str) -> bytes | None:
-        """Return what the owner has stored of a wave."""
-        return self._waves.get(number)
+    def note(self, kind: RecordKind, name: str) -> bytes | None:
+        """Return what an owner has noted of a wave or of an instance."""
+        return self._notes[kind].get(name)
 
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have started no task."""
@@ -135,8 +138,8 @@
                 self._notice = decode_notice(value)
                 self._notice_s = time.monotonic()
                 return False
-            if kind is RecordKind.WAVE:
-                self._waves[job] = value
+            if kind in self._notes:
+                self._notes[kind][job] = value
                 return False
             if not value:
                 self._forget(kind, job)
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -2,8 +2,9 @@
 
 Explanation
 -----------
-A key is one letter for the kind and the job's id; a wave's record has its number
-instead, the owner's has nothing.
+A key is one letter for the kind and the job's id; the record of a wave has its
+number instead, that of an order to an instance the instance's name, and the
+owner's nothing.
 The value of a progress record begins with one byte for the state, so that a
 process that only shows states needs to decode nothing else.
 """
@@ -38,6 +39,7 @@
     PROGRESS = "p"
     OWNER = "o"
     WAVE = "w"
+    INSTANCE = "i"
 
 
 class OwnerNotice(msgspec.Struct, frozen=True, array_like=True):
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -14,9 +14,9 @@
     encode_notice,
     record_key,
 )
-from almondstack.jobs.records import decode_notice, split_key
+from almondstack.jobs.records import split_key
 from almondstack.ownership.errors import HistoryLostError, StoreError
-from almondstack.ownership.liveness import is_refused
+from almondstack.ownership.liveness import ask_incarnation
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.vacancy import Vacancy
@@ -64,6 +64,7 @@
         "_offset",
         "_sequences",
         "_settings",
+        "_started_s",
         "_stop",
         "_store",
         "_take_over",
@@ -95,6 +96,7 @@
         self._is_owner = False
         self._is_retiring = False
         self._contact_s = time.monotonic()
+        self._started_s = time.monotonic()
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._vacancy = Vacancy(settings.silence_s + random.uniform(0, settings.stagger_s))
@@ -185,9 +187,9 @@
             self._fold(batch.records, batch.next_offset)
         self._note_contact()
         self._vacancy.note_read(time.monotonic(), has_sign=any(map(_is_sign, batch.records)))
-        for record in batch.records:
-            if _is_release(record):
-                self._vacancy.note_release()
+        notice = self._book.notice
+        if notice is not None and not notice.owner:
+            self._vacancy.note_release()
 
     def _fold(self, records: list[Record], next_offset: int) -> None:
         """Fold what no other thread has folded in the meantime."""
@@ -228,9 +230,20 @@
         A claim is safe at any time; this only decides how soon it is worth one.
         """
         notice = self._book.notice
-        if notice is None or not self._vacancy.is_doubtful(now_s, self._settings.doubt_s):
+        if notice is None:
+            return False
+        if _node_of(notice.owner) == _node_of(self._incarnation):
+            # The process before this one on the same instance; it can't live any more.
+            return notice.owner != self._incarnation
+        if not self._vacancy.is_doubtful(now_s, self._doubt_s()):
             return False
-        return not notice.address or is_refused(notice.address, self._settings.probe_timeout_s)
+        found = ask_incarnation(notice.address, self._settings.probe_timeout_s)
+        return found is not None and found != notice.owner
+
+    def _doubt_s(self) -> float:
+        """Return the silence after which to ask; short if no owner was ever heard."""
+        is_new = time.monotonic() - self._started_s < self._settings.silence_s
+        return self._settings.new_doubt_s if is_new else self._settings.doubt_s
 
     def _claim(self) -> None:
         offset = self._offset
@@ -263,10 +276,6 @@
     return kind in (RecordKind.PROGRESS, RecordKind.OWNER)
 
 
-def _is_release(record: Record) -> bool:
-    if record.key != record_key(RecordKind.OWNER):
-        return False
-    try:
-        return not decode_notice(record.value).owner
-    except RecordError:
-        return False
+def _node_of(incarnation: str) -> str:
+    """Return the instance that an incarnation names."""
+    return incarnation.rpartition("/")[0]
--- a/almondstack/ownership/liveness.py
+++ b/almondstack/ownership/liveness.py
@@ -1,23 +1,31 @@
-"""Whether a process still listens at its address."""
+"""Which process lives at an address."""
 
-import socket
+import urllib3
+from urllib3.exceptions import HTTPError, NewConnectionError
 
-from almondstack.core import parse_address
+__all__ = ["NOBODY", "ask_incarnation"]
 
-__all__ = ["is_refused"]
+NOBODY = ""
+"""What an instance at which nothing listens is said to run."""
 
 
-def is_refused(address: str, timeout_s: float) -> bool:
-    """Whether the instance answers and says that nothing listens at an address.
+def ask_incarnation(address: str, timeout_s: float) -> str | None:
+    """Return the incarnation that answers at a status address, or None if that is not known.
 
     Explanation
     -----------
-    Silence says nothing: the way may be cut.
+    A refused connection comes from an instance that is up and runs nothing
+    there.  Silence says nothing: the way may be cut.
     """
+    url = f"http://{address}/"
     try:
-        socket.create_connection(parse_address(address), timeout=timeout_s).close()
-    except ConnectionRefusedError:
-        return True
-    except OSError:
-        return False
-    return False
+        response = urllib3.request("GET", url, timeout=timeout_s, retries=False, redirect=False)
+    except NewConnectionError as error:
+        return NOBODY if _is_refusal(error) else None
+    except HTTPError:
+        return None
+    return response.headers.get("X-Incarnation")
+
+
+def _is_refusal(error: NewConnectionError) -> bool:
+    return isinstance(error.__cause__, ConnectionRefusedError)
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -17,6 +17,9 @@
     doubt_s : float
         Observed silence after which it is asked whether the owner's process
         still listens, in seconds.
+    new_doubt_s : float
+        The same for a process that has just started: others may have died with
+        the one before it, in seconds.
     probe_timeout_s : float
         Bound on that question, in seconds.
     sign_interval_s : float
@@ -37,7 +40,8 @@
     silence_s: PositiveSeconds = 1.5
     stagger_s: PositiveSeconds = 0.3
     doubt_s: PositiveSeconds = 0.7
-    probe_timeout_s: PositiveSeconds = 0.1
+    new_doubt_s: PositiveSeconds = 0.15
+    probe_timeout_s: PositiveSeconds = 0.15
     sign_interval_s: PositiveSeconds = 0.4
     wait_s: PositiveSeconds = 0.5
     pace_s: PositiveSeconds = 0.2
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -3,7 +3,7 @@
 import pytest
 
 from almondstack.core.events import EventLog
-from almondstack.jobs import JobBook, RecordKind, record_key
+from almondstack.jobs import JobBook, OwnerNotice, RecordKind, encode_notice, record_key
 from almondstack.ownership import (
     FencedError,
     Follower,
@@ -127,3 +127,39 @@
     assert not follower.is_loaded
     follower.step()
     assert follower.is_loaded
+
+
+def _patient(store, name):
+    settings = OwnershipSettings(
+        silence_s=3600, doubt_s=3600, new_doubt_s=3600, pace_s=1e-9, wait_s=1e-9
+    )
+    return _follower(store, name, settings)
+
+
+def test_a_release_is_claimed_once_and_not_by_one_after_another():
+    """After a release four processes owned the jobs in turn within 0.2 s."""
+    store = FakeRecordStore()
+    owner, owned = _follower(store, "a/1")
+    _steps(owner)
+    token, sequence = owned[0]
+    one, own_one = _patient(store, "b/1")
+    two, own_two = _patient(store, "c/1")
+    for follower in (one, two):
+        follower.step()
+    released = encode_notice(OwnerNotice("", token))
+    store.append_owned([Record(record_key(RecordKind.OWNER), released)], token, sequence + 1)
+    _steps(one)
+    assert len(own_one) == 1
+    _steps(two)
+    assert own_two == []
+
+
+def test_a_process_claims_at_once_what_the_one_before_it_owned():
+    store = FakeRecordStore()
+    owner, _ = _follower(store, "a/1")
+    _steps(owner)
+    other, own_other = _patient(store, "b/1")
+    _steps(other)
+    again, own_again = _patient(store, "a/2")
+    _steps(again)
+    assert own_other == [] and len(own_again) == 1
--- a/almondstack/placement/order.py
+++ b/almondstack/placement/order.py
@@ -3,7 +3,7 @@
 from almondstack.jobs import ActiveJob, Task
 from almondstack.placement.policies import QueuePolicy
 
-__all__ = ["Rank", "objective_s", "rank_of"]
+__all__ = ["LATE_BAND", "Rank", "is_late", "objective_s", "rank_of"]
 
 Rank = tuple[int, bool, int, float]
 
@@ -45,6 +45,12 @@
     return _lateness(slack_s, objective), False, policy.urgency, slack_s
 
 
+def is_late(job: ActiveJob, policy: QueuePolicy, now_unix_ms: float) -> bool:
+    """Whether a job can't end within its objective any more."""
+    ready = job.ready_steps(now_unix_ms)
+    return any(rank_of(tasks, policy, now_unix_ms)[0] >= LATE_BAND for tasks in ready)
+
+
 def _lateness(slack_s: float, objective: float) -> int:
     if slack_s >= 0:
         return 1
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -87,8 +87,12 @@
         )
         front = JobFront(self._holder, service, self._metrics)
         self._front = FrontServer(settings.listen.front, front)
-        self._ready = StatusServer(parse_address(settings.listen.ready), self._render_ready)
-        self._exposed = StatusServer(settings.metrics_address, self._render_metrics)
+        self._ready = StatusServer(
+            parse_address(settings.listen.ready), self._render_ready, self._incarnation
+        )
+        self._exposed = StatusServer(
+            settings.metrics_address, self._render_metrics, self._incarnation
+        )
         self._owner: Owner | None = None
         self._leaving = threading.Event()
         self._reload = threading.Event()
--- a/almondstack/platform/status.py
+++ b/almondstack/platform/status.py
@@ -17,11 +17,19 @@
         Host and port.
     render : callable
         Returns the status and the text.
+    incarnation : str
+        Names this process in a header, so that others can tell who lives here.
     """
 
-    def __init__(self, address: tuple[str, int], render: Callable[[], tuple[int, bytes]]) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        render: Callable[[], tuple[int, bytes]],
+        incarnation: str,
+    ) -> None:
         super().__init__(address, _StatusGateway, server_name="almondstack")
         self.render = render
+        self.incarnation = incarnation
         self.shutdown_timeout = 1
         self.requests = ThreadPool(self, min=1, max=1)
 
@@ -39,5 +47,6 @@
         req.status = b"200 OK" if status == 200 else b"503 Service Unavailable"
         req.outheaders.append((b"Content-Type", b"text/plain; charset=utf-8"))
         req.outheaders.append((b"Content-Length", str(len(text)).encode()))
+        req.outheaders.append((b"X-Incarnation", req.server.incarnation.encode()))
         req.ensure_headers_sent()
         req.write(text)
