--- a/almondstack/control/instance_desk.py
+++ b/almondstack/control/instance_desk.py
@@ -64,6 +64,7 @@
         "_is_listing",
         "_listed_s",
         "_lock",
+        "_maintained",
         "_not_before_s",
         "_pending",
         "_refused_pools",
@@ -81,6 +82,7 @@
         self._instances: dict[str, InstanceInfo] = {}
         self._pending: dict[str, _Pending] = {}
         self._not_before_s: dict[str, float] = {}
+        self._maintained: dict[int, set[str]] = {}
         self._refused_pools: set[tuple[str, str]] = set()
         turn_s = services.control.turn_s + _CLOCK_SLACK_S
         self._turns_end_s = time.monotonic() + turn_s
@@ -141,6 +143,11 @@
         """Whether the service has not refused that pool for the instance."""
         return (instance, pool) not in self._refused_pools
 
+    def maintained(self, wave: int) -> set[str]:
+        """Return the instances whose maintenance for a wave the service has confirmed."""
+        with self._lock:
+            return set(self._maintained.get(wave, ()))
+
     def move(self, instance: str, pool: str) -> None:
         """Order a move."""
         self._submit(_Order(instance, pool, 0))
@@ -228,6 +235,8 @@
             return
         with self._lock:
             pending = self._pending.get(order.instance)
+            if status is OrderStatus.DONE and order.wave:
+                self._maintained.setdefault(order.wave, set()).add(order.instance)
             if status is OrderStatus.DONE and pending is not None:
                 pending.replied_s = now_s
                 return
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -237,7 +237,7 @@
     @_take.register
     def _(self, news: Looked) -> None:
         worker = self._table.workers.get(news.worker.id)
-        if worker is None or worker.info.life != news.worker.life:
+        if worker is None or not self._sessions.is_current(news.worker):
             return
         if news.reply.life and worker.info.life and news.reply.life != worker.info.life:
             self._drop_worker(worker.id, "another life answers")
@@ -247,7 +247,7 @@
     @_take.register
     def _(self, news: LookFailed) -> None:
         worker = self._table.workers.get(news.worker.id)
-        if worker is None or worker.info.life != news.worker.life:
+        if worker is None or not self._sessions.is_current(news.worker):
             return
         if news.status is OrderStatus.GONE:
             self._drop_worker(worker.id, "another life has its address")
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -65,6 +65,11 @@
         """Return the session of a worker."""
         return self._sessions.get(worker)
 
+    def is_current(self, worker: WorkerInfo) -> bool:
+        """Whether the session of that worker was opened for that description of it."""
+        session = self._sessions.get(worker.id)
+        return session is not None and session.worker is worker
+
     def drop(self, worker: str) -> None:
         """End the session of a worker that is gone."""
         session = self._sessions.pop(worker, None)
--- a/almondstack/control/wave_rounds.py
+++ b/almondstack/control/wave_rounds.py
@@ -14,7 +14,7 @@
 
 
 class _Wave:
-    """A wave and which of its instances have begun."""
+    """A wave and which of its instances have begun, as the service has confirmed."""
 
     __slots__ = ("begun", "is_completed", "is_reported", "reporting", "request", "written")
 
@@ -32,8 +32,8 @@
 
     Explanation
     -----------
-    That an instance begins is stored before the order is given, so that a later
-    owner does not maintain it twice.
+    That an instance has begun is stored, so that a later owner does not empty it
+    again.  An order may be repeated: the service takes it once.
 
     Parameters
     ----------
@@ -79,7 +79,7 @@
         return [instance for instance, _ in self._due]
 
     def records(self) -> list[Record]:
-        """Return what must be stored before :meth:`send`."""
+        """Return what has become known since the last call and is to be stored."""
         records = []
         for wave in self._waves.values():
             if wave.begun == wave.written:
@@ -112,11 +112,10 @@
         pool_ranks: dict[str, float],
         now_s: float,
     ) -> set[str]:
+        wave.begun |= self._desk.maintained(wave.request.number)
         present = [by_name[name] for name in wave.request.instances if name in by_name]
         left = [info for info in present if info.name not in wave.begun]
-        down = sum(
-            info.name in wave.begun and info.state is not InstanceState.UP for info in present
-        )
+        down = sum(info.state is InstanceState.MAINTENANCE for info in present)
         self._report(wave, is_completed=not left and not down)
         members = [
             _member(info, workers, spare_pools, pool_ranks)
@@ -128,7 +127,6 @@
         for member in chosen:
             if room > 0 and _is_empty(by_name[member.name], workers):
                 room -= 1
-                wave.begun.add(member.name)
                 self._due.append((member.name, wave.request.number))
         return {member.name for member in chosen}
 
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -133,7 +133,9 @@
         return list(self._tasks)
 
     def refresh(self, info: WorkerInfo) -> None:
-        """Take over what the worker says now."""
+        """Take over what the worker says now; a life that it does not say stays known."""
+        if not info.life:
+            info.life = self.info.life
         self._free.subtract(self.info.capacity)
         self._free.add(info.capacity)
         self.info = info
