Own at once, know the workers beforehand, settle starts without reply

All processes now follow the workers now and then, and the owner signs from its first moment; it orders nothing to instances before the workers were read. A pool without a working instance asked for 37,145 instances, since a size of 1 was assumed. LOST at 73.6 s: two tasks stayed assigned without a reply to their start; why no reply came was not found, and such a start is now settled by a stop after 5 s and logged as start-unanswered. A worker that takes no connection is set aside for a second instead of being tried each 30 ms.

--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -93,7 +93,7 @@
 
 
 def wanted_instances(state: PoolState, size_millis: int) -> int:
-    """Return how many instances a pool should have.
+    """Return how many instances of a size in thousandths of a core a pool should have.
 
     Examples
     --------
@@ -107,7 +107,11 @@
 
 
 def plan_moves(
-    pools: list[PoolState], spares: list[Candidate], spare_pool: str, now_s: float
+    pools: list[PoolState],
+    spares: list[Candidate],
+    spare_pool: str,
+    size_millis: int,
+    now_s: float,
 ) -> list[Move]:
     """Return the moves that bring pools nearer to what they should have.
 
@@ -119,7 +123,6 @@
     while; late work keeps instances from that, but gets none moved in for it.
     An instance with lasting tasks stays.
     """
-    size_millis = _common_size(pools, spares)
     targets = _targets(pools, len(spares), size_millis)
     moves: list[Move] = []
     givers = _givers(pools, targets)
@@ -133,12 +136,6 @@
     return moves
 
 
-def _common_size(pools: list[PoolState], spares: list[Candidate]) -> int:
-    sizes = [candidate.size_millis for pool in pools for candidate in pool.candidates]
-    sizes.extend(candidate.size_millis for candidate in spares)
-    return sum(sizes) // len(sizes) if sizes else 1
-
-
 def _targets(pools: list[PoolState], spare: int, size_millis: int) -> dict[str, int]:
     """Return what each pool should have; if there is too little, all get a like share."""
     wanted = {pool.name: wanted_instances(pool, size_millis) for pool in pools}
--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -19,7 +19,7 @@
 from almondstack.placement import Policies, Worker
 from almondstack.placement.order import is_late
 
-__all__ = ["BalanceRounds"]
+__all__ = ["BalanceRounds", "usual_size_millis"]
 
 _RATE_WINDOW_S = 1.0
 _REGISTRATION_S = 3.0
@@ -64,6 +64,7 @@
     ) -> list[PoolState]:
         """Return the state of each pool that is paid for."""
         needs = self._needs(policies, now_s)
+        size_millis = usual_size_millis(instances)
         states = []
         for pool, is_off in policies.pools.items():
             if is_off:
@@ -71,7 +72,7 @@
             candidates, coming = self._members(instances, pool, taken, now_s)
             states.append(PoolState(pool, needs[pool], candidates, coming))
         for state in states:
-            state.excess_since_s = self._note_excess(state, now_s)
+            state.excess_since_s = self._note_excess(state, size_millis, now_s)
         return states
 
     def spares(
@@ -81,10 +82,15 @@
         return self._members(instances, spare_pool, taken, now_s, is_off=True)[0]
 
     def plan(
-        self, states: list[PoolState], spares: list[Candidate], spare_pool: str, now_s: float
+        self,
+        states: list[PoolState],
+        spares: list[Candidate],
+        spare_pool: str,
+        size_millis: int,
+        now_s: float,
     ) -> list[Move]:
         """Return the moves to make."""
-        moves = plan_moves(states, spares, spare_pool, now_s)
+        moves = plan_moves(states, spares, spare_pool, size_millis, now_s)
         return [move for move in moves if self._desk.may_go(move.instance, move.target)]
 
     def _rate(self, pool: str) -> ArrivalRate:
@@ -136,8 +142,7 @@
         self._unregistered[info.name] = (info.worker, since_s)
         return now_s - since_s < _REGISTRATION_S
 
-    def _note_excess(self, state: PoolState, now_s: float) -> float | None:
-        size_millis = max((one.size_millis for one in state.candidates), default=1)
+    def _note_excess(self, state: PoolState, size_millis: int, now_s: float) -> float | None:
         if state.size <= wanted_instances(state, size_millis):
             self._excess_since_s.pop(state.name, None)
             return None
@@ -175,6 +180,12 @@
 _ANY_TIME_MS = 0.0
 
 
+def usual_size_millis(instances: list[InstanceInfo]) -> int:
+    """Return the capacity of the middle instance, in thousandths of a core."""
+    sizes = sorted(info.cpu_millis for info in instances)
+    return max(1, sizes[len(sizes) // 2]) if sizes else 1
+
+
 def _is_usable(worker: Worker, now_s: float) -> bool:
     is_sound = worker.is_reachable and worker.set_aside_until_s <= now_s
     return is_sound and not worker.info.is_draining
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -4,7 +4,7 @@
 
 from almondstack.capacity import Move, PoolState, wanted_instances
 from almondstack.control.admission import AdmissionRounds
-from almondstack.control.balance_rounds import BalanceRounds
+from almondstack.control.balance_rounds import BalanceRounds, usual_size_millis
 from almondstack.control.instance_desk import InstanceDesk
 from almondstack.control.lasting import may_interrupt
 from almondstack.control.messages import InstanceInfo
@@ -109,7 +109,7 @@
         if now_s - self._rounded_s < _INTERVAL_S or not self._desk.is_known:
             return
         self._rounded_s = now_s
-        if self._desk.is_fenced:
+        if self._desk.is_fenced or not self._services.directory.is_read:
             return
         self._decide(now_s)
 
@@ -135,9 +135,12 @@
         spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
         workers = self._table.workers
         states = self._balance.pools(instances, policies, set(), now_s)
+        size_millis = usual_size_millis(instances)
         self._admission.round(states, policies, time.time() * 1000.0)
-        self._write_pools(states)
-        ranks = {state.name: float(state.size - _wanted(state)) for state in states}
+        self._write_pools(states, size_millis)
+        ranks = {
+            state.name: float(state.size - wanted_instances(state, size_millis)) for state in states
+        }
         emptied = self._waves.round(instances, workers, spare_pools, ranks, now_s)
         moves = self._plan_moves(instances, policies, spare_pools, emptied, now_s)
         emptied |= {move.instance for move in moves}
@@ -148,7 +151,7 @@
         spare_pool = min(spare_pools, default="")
         states = self._balance.pools(instances, policies, taken, now_s)
         spares = self._balance.spares(instances, spare_pool, taken, now_s) if spare_pool else []
-        return self._balance.plan(states, spares, spare_pool, now_s)
+        return self._balance.plan(states, spares, spare_pool, usual_size_millis(instances), now_s)
 
     def _lose_unlisted(self, instances: list[InstanceInfo], now_s: float) -> None:
         """Compare runs with the instances, if these are known to carry all workers."""
@@ -158,9 +161,9 @@
         if workers and covered >= _COVERED_SHARE * len(workers):
             self._table.lose_unlisted(listed, self._desk.asked_s, now_s)
 
-    def _write_pools(self, states: list[PoolState]) -> None:
+    def _write_pools(self, states: list[PoolState], size_millis: int) -> None:
         """Write a line when what pools want has changed."""
-        wanted = {state.name: _wanted(state) for state in states}
+        wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         if wanted == self._written:
             return
         self._written = wanted
@@ -197,8 +200,3 @@
             for task in worker.tasks:
                 if task.step.is_long_running and may_interrupt(task, now_s):
                     self._table.ask_stop(task, now_s)
-
-
-def _wanted(state: PoolState) -> int:
-    size_millis = max((one.size_millis for one in state.candidates), default=1)
-    return wanted_instances(state, size_millis)
--- a/almondstack/control/ports.py
+++ b/almondstack/control/ports.py
@@ -72,6 +72,11 @@
 class FleetDirectory(Protocol):
     """What workers and operators have registered."""
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the registered workers were read at least once."""
+        ...
+
     def workers(self) -> dict[str, WorkerInfo]:
         """Return the workers that are registered now, by id."""
         ...
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -31,6 +31,12 @@
 _MOST_START_TRIES = 2
 _FULL_PERCENT = 100
 _STOP_RETRY_S = 0.5
+_UNANSWERED_S = 5.0
+"""A start whose reply has not come so long after its decision is settled by a stop, in seconds."""
+
+_NO_CONNECTION_PAUSE_S = 1.0
+"""A worker that takes no connection gets nothing new for so long, in seconds."""
+
 _NO_ROOM_PAUSE_S = 0.3
 """A worker that said it is full gets nothing new for so long, in seconds."""
 
@@ -279,6 +285,8 @@
         )
         if worker is not None and status is OrderStatus.NO_ROOM:
             worker.set_aside_until_s = now_s + _NO_ROOM_PAUSE_S
+        if worker is not None and status is OrderStatus.NOT_SENT:
+            worker.set_aside_until_s = now_s + _NO_CONNECTION_PAUSE_S
         if worker is not None and status is OrderStatus.REFUSED:
             self.soundness.note_refusal(worker, now_s)
         if pending.confirmed_s is not None:
@@ -321,9 +329,16 @@
             self._release(task, RunEnd.LOST, "", now_s)
         elif pending.stop_acked_s is not None and pending.stop_acked_s < sent_s:
             self._release(task, RunEnd.LOST, "", now_s)
-        elif pending.is_unclear and pending.confirmed_s is None:
+        elif pending.confirmed_s is None and self._is_overdue(task, pending, now_s):
             self.ask_stop(task, now_s)
 
+    def _is_overdue(self, task: Task, pending: _Pending, now_s: float) -> bool:
+        """Whether the start of a run that is not listed has no reply to wait for any more."""
+        if not pending.is_unclear and now_s - task.assigned_s > _UNANSWERED_S:
+            pending.is_unclear = True
+            self._events.write("start-unanswered", task=_name(task), worker=task.worker)
+        return pending.is_unclear
+
     def _release(
         self, task: Task, end: RunEnd, checkpoint: str, now_s: float, *, is_counted: bool = True
     ) -> None:
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -189,3 +189,15 @@
     assert task.is_assigned
     table.lose_unlisted(set(), 1.0, 1.1)
     assert task.status is TaskStatus.WAITING
+
+
+def test_a_start_that_is_never_answered_is_settled_by_a_stop(world):
+    """Two tasks stayed assigned for 30 s; nothing was due for them any more."""
+    table, worker, task = world
+    table.note_look(worker, 1.0, look(), 1.1)
+    assert table._orders.stops == []
+    table.note_look(worker, 6.0, look(), 6.1)
+    assert len(table._orders.stops) == 1
+    _stop(table, task, now_s=6.2)
+    table.note_look(worker, 6.3, look(), 6.4)
+    assert task.status is TaskStatus.WAITING
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -21,6 +21,7 @@
 """Bound on one append; a slow store is asked again with the same record."""
 
 _RETRY_PAUSE_S = 0.05
+_MOST_RETRY_PAUSE_S = 0.4
 
 _MOST_NOTICE_AGE_S = 2.5
 """What the owner said longer ago says nothing of now, in seconds."""
@@ -163,6 +164,7 @@
         """Append until it is known to be stored, or the time is over."""
         began_s = time.monotonic()
         is_unclear = False
+        pause_s = _RETRY_PAUSE_S
         while True:
             left_s = timeout_s - (time.monotonic() - began_s)
             if left_s <= 0:
@@ -170,17 +172,20 @@
             try:
                 self._store.append([record], min(left_s, _TRY_S))
             except StoreRefusedError as error:
-                self._note_failure(record, error, is_unclear)
+                self._metrics.count("append.refused")
                 if not is_unclear:
+                    self._note_failure(record, error, is_unclear=False)
                     return Verdict.NOT_STORED
             except StoreError as error:
+                self._metrics.count("append.unclear")
+                if not is_unclear:
+                    self._note_failure(record, error, is_unclear=True)
                 is_unclear = True
-                self._note_failure(record, error, is_unclear)
             else:
                 self._metrics.timing_ms("append.job", (time.monotonic() - began_s) * 1000.0)
                 return Verdict.DONE
-            time.sleep(_RETRY_PAUSE_S)
+            time.sleep(pause_s)
+            pause_s = min(2 * pause_s, _MOST_RETRY_PAUSE_S)
 
-    def _note_failure(self, record: Record, error: StoreError, is_unclear: bool) -> None:
-        self._metrics.count("append.failed")
+    def _note_failure(self, record: Record, error: StoreError, *, is_unclear: bool) -> None:
         self._events.write("append-failed", key=record.key, error=str(error), is_unclear=is_unclear)
--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -30,6 +30,8 @@
 _SERVERS_PAUSE_S = 0.25
 """Lets reports of many workers gather, since each read is paid for."""
 
+_IDLE_SERVERS_PAUSE_S = 2.0
+
 _server = msgspec.json.Decoder(ServerWire)
 
 
@@ -57,13 +59,13 @@
         "_events",
         "_is_lost",
         "_name",
-        "_pause_s",
         "_reset",
         "_stop",
         "_take",
         "_thread",
         "_topic",
         "_wait_s",
+        "pause_s",
     )
 
     def __init__(
@@ -82,7 +84,7 @@
         self._reset = reset
         self._events = events
         self._wait_s = wait_s
-        self._pause_s = pause_s
+        self.pause_s = pause_s
         self._is_lost = False
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
@@ -107,7 +109,7 @@
                 self._stop.wait(_RETRY_PAUSE_S)
             else:
                 self._note_regained()
-                self._stop.wait(self._pause_s)
+                self._stop.wait(self.pause_s)
 
     def _step(self, offset: int | None) -> int:
         if offset is None:
@@ -195,8 +197,9 @@
 
     Explanation
     -----------
-    Only the owner needs the workers, so they are read from :meth:`begin` to
-    :meth:`end`.  A registration that does not decode names no worker to use.
+    Only the owner goes by the workers, but all processes follow them, so that a
+    new owner knows them even while the store can't tell.  A registration that
+    does not decode names no worker to use.
 
     Parameters
     ----------
@@ -208,7 +211,7 @@
         Structured lines.
     """
 
-    __slots__ = ("_connection", "_events", "_follower", "_holder", "_loaded", "_lock", "_workers")
+    __slots__ = ("_connection", "_events", "_follower", "_holder", "_is_read", "_lock", "_workers")
 
     def __init__(
         self, connection: StoreConnection, holder: ConfigurationHolder, events: EventLog
@@ -218,28 +221,29 @@
         self._events = events
         self._workers: dict[str, WorkerInfo] = {}
         self._lock = threading.Lock()
-        self._loaded = threading.Event()
-        self._follower: TopicFollower | None = None
-
-    def begin(self, timeout_s: float) -> bool:
-        """Start to read the workers; return whether they were read in time."""
-        self._loaded.clear()
+        self._is_read = False
         self._follower = TopicFollower(
             "workers",
-            KeyedTopic(self._connection, "keyed.servers"),
+            KeyedTopic(connection, "keyed.servers"),
             self._take,
             self._take_all,
-            self._events,
+            events,
             _SERVERS_WAIT_S,
-            _SERVERS_PAUSE_S,
+            _IDLE_SERVERS_PAUSE_S,
         )
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the registered workers were read at least once."""
+        return self._is_read
+
+    def start(self) -> None:
+        """Start to follow the workers."""
         self._follower.start()
-        return self._loaded.wait(timeout_s)
 
-    def end(self) -> None:
-        """Stop to read the workers."""
-        if self._follower is not None:
-            self._follower.stop()
+    def hurry(self, *, is_owner: bool) -> None:
+        """Follow closely while this process owns the jobs, else now and then."""
+        self._follower.pause_s = _SERVERS_PAUSE_S if is_owner else _IDLE_SERVERS_PAUSE_S
 
     def workers(self) -> dict[str, WorkerInfo]:
         """Return the registered workers by id."""
@@ -262,7 +266,7 @@
             self._workers.clear()
         for record in records:
             self._take(record)
-        self._loaded.set()
+        self._is_read = True
 
     def _take(self, record: Record) -> None:
         info = _worker(record) if record.value else None
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -46,7 +46,6 @@
 _LEAVE_MARGIN_S = 1.2
 """Time kept of the grace for closing down."""
 
-_DIRECTORY_WAIT_S = 3.0
 _POLL_S = 0.05
 
 
@@ -107,6 +106,7 @@
             server.prepare()
             threading.Thread(target=server.serve, name="accepts", daemon=True).start()
         self._configuration.start()
+        self._directory.start()
         self._follower.start()
         while not self._leaving.wait(_POLL_S * 4):
             if self._reload.is_set():
@@ -124,14 +124,14 @@
     def _own(self, token: int, sequence: int) -> None:
         owner = Owner(self._owner_services(), self._incarnation, token, sequence)
         self._owner = owner
-        if not self._directory.begin(_DIRECTORY_WAIT_S):
-            self._events.write("workers-unread", waited_s=_DIRECTORY_WAIT_S)
+        # The owner signs from now on, even while the workers can't be read yet.
+        self._directory.hurry(is_owner=True)
         owner.start()
         if self._leaving.is_set():
             owner.release()
         while owner.is_alive:
             owner.join(1.0)
-        self._directory.end()
+        self._directory.hurry(is_owner=False)
         self._follower.yield_ownership()
         self._owner = None
 
