Let a stop that was acknowledged stand

Now the first acknowledgement stands and no stop is asked for again; the next look settles it. The test failed before.

--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -184,7 +184,7 @@
     def ask_stop(self, task: Task, now_s: float) -> None:
         """Ask for a stop of a task's present run, once in a while until it is settled."""
         pending = self._pending.get(task)
-        if pending is None:
+        if pending is None or pending.stop_acked_s is not None:
             return
         if pending.stop_sent_s is not None and now_s - pending.stop_sent_s < _STOP_RETRY_S:
             return
@@ -219,7 +219,8 @@
         if task is None:
             return
         pending = self._pending[task]
-        if reply.status in (OrderStatus.DONE, OrderStatus.OLD_RUN):
+        is_settled = reply.status in (OrderStatus.DONE, OrderStatus.OLD_RUN)
+        if is_settled and pending.stop_acked_s is None:
             pending.stop_acked_s = now_s
 
     def note_look(self, worker: Worker, sent_s: float, reply: LookReply, now_s: float) -> None:
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -201,3 +201,15 @@
     _stop(table, task, now_s=6.2)
     table.note_look(worker, 6.3, look(), 6.4)
     assert task.status is TaskStatus.WAITING
+
+
+def test_looks_that_wait_while_a_stop_is_acknowledged_do_not_go_round_for_ever():
+    """Each look had been sent just before the acknowledgement, and asked for a stop again."""
+    table, task = _inherited(life=1)
+    worker = make_worker()
+    table.adopt(worker, 0.0)
+    for second in range(1, 4):
+        table.note_look(worker, second - 1.0, look(), float(second))
+        if len(table._orders.stops) == second:
+            _stop(table, task, now_s=second + 0.03)
+    assert task.status is TaskStatus.WAITING and len(table._orders.stops) == 1
