Leave the jobs with an owner whose writes are lost, and retry sooner

A follower now asks a silent owner: if it lives and hears the store, it keeps the jobs for up to 4 s of silence. An append is tried again after 0.5 s instead of 0.8 and 1.0 s, then given 1.2 s, since ordinary ones take 10 ms.

--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -13,7 +13,14 @@
 
 __all__ = ["OwnerJournal"]
 
-_RETRY_PAUSE_S = 0.1
+_RETRY_PAUSE_S = 0.05
+
+_FIRST_TRY_S = 0.5
+"""An ordinary append takes some milliseconds, so an answer this late is likely lost."""
+
+_LATER_TRY_S = 1.2
+"""A store that is slow must be given its time in the end, in seconds."""
+
 _MOST_BYTES = 1_000_000
 """Bound on the records of one append; half of what the store takes in one call."""
 
@@ -91,7 +98,10 @@
         self._sequence += 1
         try:
             self._services.store.append_owned(
-                [self._sign(OwnerNotice("", self._token))], self._token, self._sequence
+                [self._sign(OwnerNotice("", self._token))],
+                self._token,
+                self._sequence,
+                _FIRST_TRY_S,
             )
         except StoreError as error:
             self._services.events.write("release-failed", token=self._token, error=str(error))
@@ -109,15 +119,17 @@
         self._sequence += 1
         began_s = time.monotonic()
         is_reported = False
+        timeout_s = _FIRST_TRY_S
         while not self._is_closed.is_set():
             try:
-                self._services.store.append_owned(records, self._token, self._sequence)
+                self._services.store.append_owned(records, self._token, self._sequence, timeout_s)
             except FencedError:
                 raise
             except StoreError as error:
                 if not is_reported:
                     self._services.events.write("append-retried", error=str(error))
                 is_reported = True
+                timeout_s = _LATER_TRY_S
                 self._is_closed.wait(_RETRY_PAUSE_S)
                 continue
             # Others may have read the record since the first try, and count from then.
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -17,8 +17,11 @@
 
 __all__ = ["JobService", "Verdict"]
 
-_TRY_S = 1.0
-"""Bound on one append; a slow store is asked again with the same record."""
+_FIRST_TRY_S = 0.5
+"""An ordinary append takes some milliseconds, so an answer this late is likely lost."""
+
+_LATER_TRY_S = 1.2
+"""A store that is slow must be given its time in the end, in seconds."""
 
 _RETRY_PAUSE_S = 0.05
 _MOST_RETRY_PAUSE_S = 0.4
@@ -165,12 +168,13 @@
         began_s = time.monotonic()
         is_unclear = False
         pause_s = _RETRY_PAUSE_S
+        try_s = _FIRST_TRY_S
         while True:
             left_s = timeout_s - (time.monotonic() - began_s)
             if left_s <= 0:
                 return Verdict.UNCLEAR if is_unclear else Verdict.NOT_STORED
             try:
-                self._store.append([record], min(left_s, _TRY_S))
+                self._store.append([record], min(left_s, try_s))
             except StoreRefusedError as error:
                 self._metrics.count("append.refused")
                 if not is_unclear:
@@ -181,6 +185,7 @@
                 if not is_unclear:
                     self._note_failure(record, error, is_unclear=True)
                 is_unclear = True
+                try_s = _LATER_TRY_S
             else:
                 self._metrics.timing_ms("append.job", (time.monotonic() - began_s) * 1000.0)
                 return Verdict.DONE
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -16,7 +16,7 @@
 )
 from almondstack.jobs.records import split_key
 from almondstack.ownership.errors import HistoryLostError, StoreError
-from almondstack.ownership.liveness import ask_incarnation
+from almondstack.ownership.liveness import ask_liveness
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.vacancy import Vacancy
@@ -220,7 +220,21 @@
         if self._is_retiring:
             return False
         now_s = time.monotonic()
-        return self._vacancy.is_open(now_s) or self._is_owner_gone(now_s)
+        if self._vacancy.is_open(now_s):
+            return not self._is_owner_trying(now_s)
+        return self._is_owner_gone(now_s)
+
+    def _is_owner_trying(self, now_s: float) -> bool:
+        """Whether a silent owner lives and hears the store, so that its writes may come yet."""
+        notice = self._book.notice
+        if notice is None or not notice.owner:
+            return False
+        if self._vacancy.is_doubtful(now_s, self._settings.patience_s):
+            return False
+        found = ask_liveness(notice.address, self._settings.probe_timeout_s)
+        if found is None or found.incarnation != notice.owner:
+            return False
+        return found.contact_age_s < self._settings.doubt_s
 
     def _is_owner_gone(self, now_s: float) -> bool:
         """Whether a silent owner's process does not even listen any more.
@@ -237,8 +251,8 @@
             return notice.owner != self._incarnation
         if not self._vacancy.is_doubtful(now_s, self._doubt_s()):
             return False
-        found = ask_incarnation(notice.address, self._settings.probe_timeout_s)
-        return found is not None and found != notice.owner
+        found = ask_liveness(notice.address, self._settings.probe_timeout_s)
+        return found is not None and found.incarnation != notice.owner
 
     def _doubt_s(self) -> float:
         """Return the silence after which to ask; short if no owner was ever heard."""
--- a/almondstack/ownership/liveness.py
+++ b/almondstack/ownership/liveness.py
@@ -1,16 +1,32 @@
-"""Which process lives at an address."""
+"""Which process lives at a status address, and how it does."""
+
+from typing import NamedTuple
 
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
-__all__ = ["NOBODY", "ask_incarnation"]
+__all__ = ["CONTACT_HEADER", "INCARNATION_HEADER", "NOBODY", "Liveness", "ask_liveness"]
+
+INCARNATION_HEADER = "X-Incarnation"
+CONTACT_HEADER = "X-Store-Contact-Age"
+"""Seconds since the process last heard the store."""
+
+_LONG_AGO_S = 3600.0
+
+
+class Liveness(NamedTuple):
+    """The incarnation that answers, and seconds since it last heard the store."""
 
-NOBODY = ""
+    incarnation: str
+    contact_age_s: float
+
+
+NOBODY = Liveness("", _LONG_AGO_S)
 """What an instance at which nothing listens is said to run."""
 
 
-def ask_incarnation(address: str, timeout_s: float) -> str | None:
-    """Return the incarnation that answers at a status address, or None if that is not known.
+def ask_liveness(address: str, timeout_s: float) -> Liveness | None:
+    """Return who answers at a status address, or None if that is not known.
 
     Explanation
     -----------
@@ -21,11 +37,17 @@
     try:
         response = urllib3.request("GET", url, timeout=timeout_s, retries=False, redirect=False)
     except NewConnectionError as error:
-        return NOBODY if _is_refusal(error) else None
+        return NOBODY if isinstance(error.__cause__, ConnectionRefusedError) else None
     except HTTPError:
         return None
-    return response.headers.get("X-Incarnation")
+    incarnation = response.headers.get(INCARNATION_HEADER)
+    if incarnation is None:
+        return None
+    return Liveness(incarnation, _seconds(response.headers.get(CONTACT_HEADER)))
 
 
-def _is_refusal(error: NewConnectionError) -> bool:
-    return isinstance(error.__cause__, ConnectionRefusedError)
+def _seconds(text: str | None) -> float:
+    try:
+        return float(text) if text else _LONG_AGO_S
+    except ValueError:
+        return _LONG_AGO_S
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -74,7 +74,9 @@
         """
         ...
 
-    def append_owned(self, records: list[Record], token: int, sequence: int) -> None:
+    def append_owned(
+        self, records: list[Record], token: int, sequence: int, timeout_s: float
+    ) -> None:
         """Append records of the owner with ``token``; ``sequence`` counts on from its claim.
 
         Explanation
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -12,6 +12,9 @@
     ----------
     silence_s : float
         Observed silence after which the owner counts as gone, in seconds.
+    patience_s : float
+        The same for an owner that says itself that it hears the store, so that
+        only its writes have trouble, in seconds.
     stagger_s : float
         Random addition, so that processes don't all claim at once, in seconds.
     doubt_s : float
@@ -38,6 +41,7 @@
     """
 
     silence_s: PositiveSeconds = 1.5
+    patience_s: PositiveSeconds = 4.0
     stagger_s: PositiveSeconds = 0.3
     doubt_s: PositiveSeconds = 0.7
     new_doubt_s: PositiveSeconds = 0.15
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -11,6 +11,7 @@
     Record,
     StoreRefusedError,
 )
+from almondstack.ownership.liveness import Liveness
 from almondstack.testing.fake_records import FakeRecordStore
 
 _AT_ONCE = OwnershipSettings(
@@ -163,3 +164,22 @@
     again, own_again = _patient(store, "a/2")
     _steps(again)
     assert own_other == [] and len(own_again) == 1
+
+
+@pytest.mark.parametrize(("age_s", "is_claimed"), [(0.1, False), (5.0, True)])
+def test_an_owner_whose_writes_are_lost_keeps_the_jobs_if_it_hears_the_store(
+    monkeypatch, age_s, is_claimed
+):
+    """While the store lost a third of all writes, three owners followed one another."""
+    store = FakeRecordStore()
+    owner, _ = _follower(store, "a/1")
+    _steps(owner)
+    monkeypatch.setattr(
+        "almondstack.ownership.follower.ask_liveness", lambda *_: Liveness("a/1", age_s)
+    )
+    settings = OwnershipSettings(
+        silence_s=1e-9, stagger_s=1e-9, patience_s=3600, pace_s=1e-9, wait_s=1e-9
+    )
+    other, owned = _follower(store, "b/1", settings)
+    _steps(other)
+    assert bool(owned) is is_claimed
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -87,10 +87,13 @@
         front = JobFront(self._holder, service, self._metrics)
         self._front = FrontServer(settings.listen.front, front)
         self._ready = StatusServer(
-            parse_address(settings.listen.ready), self._render_ready, self._incarnation
+            parse_address(settings.listen.ready),
+            self._render_ready,
+            self._incarnation,
+            self._contact_age_s,
         )
         self._exposed = StatusServer(
-            settings.metrics_address, self._render_metrics, self._incarnation
+            settings.metrics_address, self._render_metrics, self._incarnation, self._contact_age_s
         )
         self._owner: Owner | None = None
         self._leaving = threading.Event()
@@ -162,6 +165,9 @@
         )
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
 
+    def _contact_age_s(self) -> float:
+        return self._follower.contact_age_s
+
     def _render_metrics(self) -> tuple[int, bytes]:
         return 200, self._metrics.render()
 
--- a/almondstack/platform/status.py
+++ b/almondstack/platform/status.py
@@ -5,6 +5,8 @@
 from cheroot.server import Gateway, HTTPServer
 from cheroot.workers.threadpool import ThreadPool
 
+from almondstack.ownership.liveness import CONTACT_HEADER, INCARNATION_HEADER
+
 __all__ = ["StatusServer"]
 
 
@@ -19,6 +21,8 @@
         Returns the status and the text.
     incarnation : str
         Names this process in a header, so that others can tell who lives here.
+    contact_age_s : callable
+        Returns the seconds since the store was last heard, for another header.
     """
 
     def __init__(
@@ -26,10 +30,12 @@
         address: tuple[str, int],
         render: Callable[[], tuple[int, bytes]],
         incarnation: str,
+        contact_age_s: Callable[[], float],
     ) -> None:
         super().__init__(address, _StatusGateway, server_name="almondstack")
         self.render = render
         self.incarnation = incarnation
+        self.contact_age_s = contact_age_s
         self.shutdown_timeout = 1
         self.requests = ThreadPool(self, min=1, max=1)
 
@@ -47,6 +53,8 @@
         req.status = b"200 OK" if status == 200 else b"503 Service Unavailable"
         req.outheaders.append((b"Content-Type", b"text/plain; charset=utf-8"))
         req.outheaders.append((b"Content-Length", str(len(text)).encode()))
-        req.outheaders.append((b"X-Incarnation", req.server.incarnation.encode()))
+        age = f"{req.server.contact_age_s():.2f}"
+        req.outheaders.append((INCARNATION_HEADER.encode(), req.server.incarnation.encode()))
+        req.outheaders.append((CONTACT_HEADER.encode(), age.encode()))
         req.ensure_headers_sent()
         req.write(text)
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -34,7 +34,7 @@
 _LENGTH_BYTES = 4
 _READ_TIMEOUT_S = 0.8
 _SNAPSHOT_TIMEOUT_S = 2.0
-_OWNED_TIMEOUT_S = 0.8
+_CLAIM_TIMEOUT_S = 0.8
 
 _appended = msgspec.json.Decoder(AppendReplyWire)
 _newest = msgspec.json.Decoder(NewestWire)
@@ -157,12 +157,14 @@
     def claim(self, offset: int, record: Record, sequence: int) -> bool:
         """Append an owner's first record at a known end; see ``RecordStore``."""
         query = f"&at={offset}&producer-id={_PRODUCER}&epoch={offset + 1}&sequence={sequence}"
-        return self._append(query, [record], _OWNED_TIMEOUT_S).status == _OK
+        return self._append(query, [record], _CLAIM_TIMEOUT_S).status == _OK
 
-    def append_owned(self, records: list[Record], token: int, sequence: int) -> None:
+    def append_owned(
+        self, records: list[Record], token: int, sequence: int, timeout_s: float
+    ) -> None:
         """Append records of the owner; see ``RecordStore``."""
         query = f"&producer-id={_PRODUCER}&epoch={token}&sequence={sequence}"
-        reply = self._append(query, records, _OWNED_TIMEOUT_S)
+        reply = self._append(query, records, timeout_s)
         if reply.status == _OK:
             return
         answer = _decode(_appended, reply.body)
--- a/almondstack/platform/tests/test_store.py
+++ b/almondstack/platform/tests/test_store.py
@@ -64,10 +64,10 @@
 def test_an_owner_that_was_replaced_is_fenced(store):
     _, topic = store
     assert topic.claim(0, Record("o", b"1"), 100)
-    topic.append_owned(_records("p"), 1, 101)
+    topic.append_owned(_records("p"), 1, 101, 1.0)
     assert topic.claim(2, Record("o", b"2"), 7)
     with pytest.raises(FencedError):
-        topic.append_owned(_records("p"), 1, 102)
+        topic.append_owned(_records("p"), 1, 102, 1.0)
 
 
 def test_an_owned_append_whose_answer_was_lost_is_repeated_once(store):
@@ -75,8 +75,8 @@
     topic.claim(0, Record("o", b"1"), 100)
     standin.loses_appends = 1
     with pytest.raises(StoreUnclearError):
-        topic.append_owned(_records("p"), 1, 101)
-    topic.append_owned(_records("p"), 1, 101)
+        topic.append_owned(_records("p"), 1, 101, 1.0)
+    topic.append_owned(_records("p"), 1, 101, 1.0)
     assert [key for key, _ in standin.records("keyed.work")] == ["o", "p"]
 
 
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -65,7 +65,9 @@
         self._maybe_lose_reply()
         return True
 
-    def append_owned(self, records: list[Record], token: int, sequence: int) -> None:
+    def append_owned(
+        self, records: list[Record], token: int, sequence: int, timeout_s: float = 1.0
+    ) -> None:
         """Append records of the owner, once for each sequence."""
         self._check()
         if token < self._token or sequence not in (self._sequence, self._sequence + 1):
