Claim ownership by the next epoch, not at the end of the log

The store takes a new epoch once, and a claim of the same epoch by another process differs in its random sequence, so the condition on the end is not needed; all before the own notice has been read when the notice is. The test failed before.

--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -24,8 +24,9 @@
 __all__ = ["Follower"]
 
 _MOST_SEQUENCE = 2**40
-"""Claims begin at a random sequence: the store would take two claims of one offset with
-one sequence for a repeat, and answer both with success."""
+"""Claims begin at a random sequence: the store would take two claims of one token with one
+sequence for a repeat, and answer both with success.  Different ones tell them apart, so that
+the store takes the first of them only, however fast other records come."""
 
 
 class Follower:
@@ -260,12 +261,11 @@
         return self._settings.new_doubt_s if is_new else self._settings.doubt_s
 
     def _claim(self) -> None:
-        offset = self._offset
-        token = offset + 1
+        before = self._book.notice
+        token = before.token + 1 if before is not None else 1
         notice = encode_notice(OwnerNotice(self._incarnation, token, self._address))
-        sequence = random.randrange(_MOST_SEQUENCE)
-        self._sequences[token] = sequence
-        is_taken = self._store.claim(offset, Record(record_key(RecordKind.OWNER), notice), sequence)
+        sequence = self._sequences.setdefault(token, random.randrange(1, _MOST_SEQUENCE))
+        is_taken = self._store.claim(token, Record(record_key(RecordKind.OWNER), notice), sequence)
         self._events.write("ownership-claimed", token=token, is_taken=is_taken)
 
     def _note_contact(self) -> None:
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -63,14 +63,14 @@
         """
         ...
 
-    def claim(self, offset: int, record: Record, sequence: int) -> bool:
-        """Append the first record of an owner if the log ends at ``offset``.
+    def claim(self, token: int, record: Record, sequence: int) -> bool:
+        """Append the first record of an owner, if nobody has that token or a later one.
 
         Explanation
         -----------
-        The owner's token is ``offset + 1``.  Success fences all owners before.
-        ``sequence`` is the number of this append; those of the owner follow on.
-        Return False if the log ends elsewhere or a later owner is there.
+        Success fences all owners before.  ``sequence`` is the number of this
+        append; those of the owner follow on.  Return False if another process
+        has the token, which its sequence shows, or a later one.
         """
         ...
 
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -34,7 +34,7 @@
 _LENGTH_BYTES = 4
 _READ_TIMEOUT_S = 0.8
 _SNAPSHOT_TIMEOUT_S = 2.0
-_CLAIM_TIMEOUT_S = 0.8
+_CLAIM_TIMEOUT_S = 1.2
 
 _appended = msgspec.json.Decoder(AppendReplyWire)
 _newest = msgspec.json.Decoder(NewestWire)
@@ -154,9 +154,9 @@
         if reply.status != _OK:
             raise StoreRefusedError(f"status {reply.status}")
 
-    def claim(self, offset: int, record: Record, sequence: int) -> bool:
-        """Append an owner's first record at a known end; see ``RecordStore``."""
-        query = f"&at={offset}&producer-id={_PRODUCER}&epoch={offset + 1}&sequence={sequence}"
+    def claim(self, token: int, record: Record, sequence: int) -> bool:
+        """Append an owner's first record; see ``RecordStore``."""
+        query = f"&producer-id={_PRODUCER}&epoch={token}&sequence={sequence}"
         return self._append(query, [record], _CLAIM_TIMEOUT_S).status == _OK
 
     def append_owned(
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -53,15 +53,15 @@
         self.records.extend(records)
         self._maybe_lose_reply()
 
-    def claim(self, offset: int, record: Record, sequence: int) -> bool:
-        """Append an owner's first record at a known end."""
+    def claim(self, token: int, record: Record, sequence: int) -> bool:
+        """Append an owner's first record unless its token is taken."""
         self._check()
-        is_repeat = offset + 1 == self._token and sequence == self._sequence
+        is_repeat = token == self._token and sequence == self._sequence
         if not is_repeat:
-            if offset != len(self.records) or offset + 1 <= self._token:
+            if token <= self._token:
                 return False
             self.records.append(record)
-            self._token, self._sequence = offset + 1, sequence
+            self._token, self._sequence = token, sequence
         self._maybe_lose_reply()
         return True
 
