Grant the owner before its whole time to extend leases

The new owner took 0.7 s of silence for granted and began runs anew 0.3 s before the old ones had lapsed.

--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -31,9 +31,9 @@
     format_task_name,
     record_key,
 )
-from almondstack.ownership import FencedError, Record
+from almondstack.ownership import FencedError, OwnershipSettings, Record
 
-__all__ = ["JobNews", "Owner"]
+__all__ = ["JobNews", "Owner", "leases_known_from_s"]
 
 _IDLE_WAIT_S = 0.2
 """How long the loop waits for news before it looks after its clocks."""
@@ -93,7 +93,7 @@
         self._taken_s = time.monotonic()
         self._inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
         self._journal = OwnerJournal(services, incarnation, token, sequence)
-        self._inherited_s = self._taken_s + services.ownership.unsure_s - services.ownership.doubt_s
+        self._inherited_s = leases_known_from_s(self._taken_s, services.ownership)
         self._sessions = SessionTable(
             services, token, self._inbox.put, self._journal.may_extend, self._inherited_s
         )
@@ -355,3 +355,19 @@
         session.set_busy(True)
         spec = job.submission.spec
         session.start(StartOrder(name, task.run, spec, task.checkpoint, ticket))
+
+
+def leases_known_from_s(taken_s: float, settings: OwnershipSettings) -> float:
+    """Return until when an owner before may have extended leases, in monotonic seconds.
+
+    Explanation
+    -----------
+    It may have written just before the take-over: a connection that is refused
+    says that a process is gone, but a cut may refuse connections, too.
+
+    Examples
+    --------
+    >>> leases_known_from_s(100.0, OwnershipSettings(unsure_s=2.5))
+    102.5
+    """
+    return taken_s + settings.unsure_s
