--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -89,7 +89,7 @@
                 job=job,
                 queue=submission.queue,
                 account=submission.account,
-                late_ms=late_ms,
+                late_ms=round(late_ms),
                 notice_age_s=round(self._book.notice_age_s, 2),
             )
             self._metrics.count("submit.full")
