Count scheduled jobs that are due, free whole gangs, spare dead workers

Found by reading: a scheduled job's tasks never counted towards what its pool is asked for, since they were looked up at time 0; members of a gang whose one end stood for all kept their room for good once the job was over; a dead worker that had lost its runs was given the next ones at once while it was still registered. Each has a test that failed before.

--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -106,7 +106,7 @@
             policy = self._planner.policy_of(job.submission)
             need = needs.get(policy.pool)
             if need is not None and job.is_open:
-                _add_need(job, need, is_late=is_late(job, policy, now_unix_ms))
+                _add_need(job, need, now_unix_ms, is_late=is_late(job, policy, now_unix_ms))
         return needs
 
     def _members(
@@ -149,7 +149,7 @@
         return self._excess_since_s.setdefault(state.name, now_s)
 
 
-def _add_need(job: ActiveJob, need: PoolNeed, *, is_late: bool) -> None:
+def _add_need(job: ActiveJob, need: PoolNeed, now_unix_ms: float, *, is_late: bool) -> None:
     running_millis = 0
     for task in job.tasks():
         if task.step.is_filler or task.status is TaskStatus.DONE:
@@ -158,7 +158,7 @@
             need.lasting_millis += task.step.cpu_millis
         elif task.is_assigned:
             running_millis += task.step.cpu_millis
-    waiting_millis = _waiting_millis(job)
+    waiting_millis = _waiting_millis(job, now_unix_ms)
     if is_late:
         need.late_millis += running_millis + waiting_millis
         return
@@ -166,10 +166,10 @@
     need.waiting_millis += waiting_millis
 
 
-def _waiting_millis(job: ActiveJob) -> int:
+def _waiting_millis(job: ActiveJob, now_unix_ms: float) -> int:
     """Return what the tasks ask for whose turn has come; later occurrences don't count yet."""
     waiting_millis = 0
-    for tasks in job.ready_steps(_ANY_TIME_MS):
+    for tasks in job.ready_steps(now_unix_ms):
         step = tasks[0].step
         if not step.is_long_running and not step.is_filler:
             waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
@@ -177,9 +177,6 @@
     return waiting_millis
 
 
-_ANY_TIME_MS = 0.0
-
-
 def usual_size_millis(instances: list[InstanceInfo]) -> int:
     """Return the capacity of the middle instance, in thousandths of a core."""
     sizes = sorted(info.cpu_millis for info in instances)
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -205,7 +205,7 @@
         self._send_starts()
         self._fleet.send()
         self._pacing.round(now_s)
-        self._sessions.note_busy(self._table)
+        self._sessions.note_busy(self._table, time.monotonic())
         self._services.metrics.timing_ms("owner.round", (time.monotonic() - began_s) * 1000.0)
         pause_s = self._services.control.round_s - (time.monotonic() - began_s)
         if pause_s > 0:
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -364,11 +364,23 @@
                 failures=task.failures,
                 took_s=round(now_s - task.assigned_s, 3),
             )
-        if task.step.is_gang and end is not RunEnd.DONE:
+        if task.step.is_gang and end is RunEnd.DONE:
+            self._close_gang(task)
+        elif task.step.is_gang:
             self._stop_gang(task, now_s)
         if was_open and not job.is_open:
             self._note_job_end(job, now_s)
 
+    def _close_gang(self, task: Task) -> None:
+        """Take the other members off their workers: one end that is done stands for all."""
+        for member in task.job.steps_of(task.key.occurrence)[task.key.step]:
+            if self._pending.pop(member, None) is None:
+                continue
+            worker = self.workers.get(member.worker)
+            if worker is not None:
+                worker.remove(member)
+            self.usage.remove(member)
+
     def _stop_gang(self, task: Task, now_s: float) -> None:
         for member in task.job.steps_of(task.key.occurrence)[task.key.step]:
             if member.is_assigned:
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -10,6 +10,10 @@
 
 __all__ = ["Changes", "SessionTable"]
 
+_SILENT_PAUSE_S = 3.0
+"""A worker that lost its runs by not answering gets nothing new for so long, in seconds; one
+that is dead is registered for a few seconds more."""
+
 
 class Changes(NamedTuple):
     """What has changed among the registered workers."""
@@ -103,14 +107,21 @@
             if worker is not None and not worker.is_reachable:
                 yield worker_id, session
 
-    def note_busy(self, table: RunTable) -> None:
-        """Have just those workers looked at on which something may run."""
+    def note_busy(self, table: RunTable, now_s: float) -> None:
+        """Have just those workers looked at on which something may run.
+
+        Explanation
+        -----------
+        One that lost its runs by not answering is not looked at any more, so it
+        is tried again after a while.
+        """
         for worker_id, session in self._sessions.items():
             worker = table.workers.get(worker_id)
             is_busy = worker is not None and bool(worker.tasks)
             session.set_busy(is_busy)
-            if worker is not None and not is_busy:
+            if worker is not None and not is_busy and not worker.is_reachable:
                 worker.is_reachable = True
+                worker.set_aside_until_s = now_s + _SILENT_PAUSE_S
 
     def _compare_one(self, table: RunTable, info: WorkerInfo, changes: Changes) -> None:
         known = table.workers.get(info.id)
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -213,3 +213,17 @@
         if len(table._orders.stops) == second:
             _stop(table, task, now_s=second + 0.03)
     assert task.status is TaskStatus.WAITING and len(table._orders.stops) == 1
+
+
+def test_one_end_of_a_gang_frees_the_workers_of_all_its_members():
+    job, worker = make_job(make_step(2, is_gang=True)), make_worker()
+    table = make_table(job, workers=(worker,))
+    members = job.steps_of(0)[0]
+    job.assign(members, ["w1", "w1"], [1, 1], 0.0)
+    for member in members:
+        worker.put(member)
+        table.usage.add(member)
+        table.note_assigned(member)
+    table.note_look(worker, 0.2, look(ended=(ended(members[0]),)), 0.3)
+    assert job.state is JobState.COMPLETED and job.is_over()
+    assert worker.tasks == [] and table.usage.used("a").cpu_millis == 0
--- /dev/null
+++ b/almondstack/control/tests/test_sessions.py
@@ -0,0 +1,40 @@
+"""Which workers are looked at, and what one that did not answer gets."""
+
+from almondstack.control.sessions import SessionTable
+from almondstack.testing.job_builders import make_job, make_table, make_worker
+
+
+class _Session:
+    """Keeps whether the worker is to be looked at."""
+
+    def __init__(self):
+        self.is_busy = None
+
+    def set_busy(self, is_busy):
+        self.is_busy = is_busy
+
+
+def _sessions(worker):
+    sessions = SessionTable(None, 1, lambda news: None, lambda: True, 0.0)
+    sessions._sessions[worker.id] = _Session()
+    return sessions
+
+
+def test_only_workers_with_runs_are_looked_at():
+    worker = make_worker()
+    table = make_table(workers=(worker,))
+    sessions = _sessions(worker)
+    sessions.note_busy(table, 0.0)
+    assert sessions.get("w1").is_busy is False
+    worker.put(make_job().steps_of(0)[0][0])
+    sessions.note_busy(table, 0.0)
+    assert sessions.get("w1").is_busy is True
+
+
+def test_a_worker_that_lost_its_runs_in_silence_is_tried_again_only_after_a_while():
+    """A dead worker that was still registered got the next tasks at once."""
+    worker = make_worker()
+    table = make_table(workers=(worker,))
+    worker.is_reachable = False
+    _sessions(worker).note_busy(table, 10.0)
+    assert not worker.is_open(12.9) and worker.is_open(13.1)
