--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -17,7 +17,7 @@
 
 __all__ = ["FleetRounds"]
 
-_INTERVAL_S = 0.15
+_INTERVAL_S = 0.1
 """Time between two looks at pools and waves, in seconds."""
 
 _FAST_LIST_S = 0.4
--- a/almondstack/control/settings.py
+++ b/almondstack/control/settings.py
@@ -52,6 +52,6 @@
     look_pause_s: PositiveSeconds = 0.08
     look_retry_s: PositiveSeconds = 0.3
     call_timeout_s: PositiveSeconds = 0.8
-    directory_interval_s: PositiveSeconds = 0.25
+    directory_interval_s: PositiveSeconds = 0.1
     instances_interval_s: PositiveSeconds = 1.0
     keep_final_s: PositiveSeconds = 150.0
--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -27,7 +27,7 @@
 
 _CONFIG_PAUSE_S = 0.02
 _SERVERS_WAIT_S = 1.0
-_SERVERS_PAUSE_S = 0.25
+_SERVERS_PAUSE_S = 0.08
 """Lets reports of many workers gather, since each read is paid for."""
 
 _IDLE_SERVERS_PAUSE_S = 2.0
