Maintain no instance whose worker may be at work unregistered

Found by reading: an instance of a wave whose worker had lapsed from the store counted as empty, so its maintenance could have ended running tasks. Only instances without a worker, and those that are off, count as empty without one. The test failed before.

--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -14,6 +14,7 @@
 from almondstack.control.wave_rounds import WaveRounds
 from almondstack.jobs import ActiveJob, RecordKind, record_key
 from almondstack.ownership import Record
+from almondstack.placement import Policies
 
 __all__ = ["FleetRounds"]
 
@@ -147,7 +148,14 @@
         self._moves = [move for move in moves if self._is_empty(move.instance, instances)]
         self._reserve(instances, emptied, now_s)
 
-    def _plan_moves(self, instances, policies, spare_pools, taken, now_s) -> list[Move]:
+    def _plan_moves(
+        self,
+        instances: list[InstanceInfo],
+        policies: Policies,
+        spare_pools: set[str],
+        taken: set[str],
+        now_s: float,
+    ) -> list[Move]:
         spare_pool = min(spare_pools, default="")
         states = self._balance.pools(instances, policies, taken, now_s)
         spares = self._balance.spares(instances, spare_pool, taken, now_s) if spare_pool else []
@@ -182,12 +190,12 @@
             },
         )
 
-    def _is_empty(self, instance: str, instances) -> bool:
+    def _is_empty(self, instance: str, instances: list[InstanceInfo]) -> bool:
         worker_id = next(info.worker for info in instances if info.name == instance)
         worker = self._table.workers.get(worker_id)
         return worker is None or (worker.is_reserved and not worker.tasks)
 
-    def _reserve(self, instances, emptied: set[str], now_s: float) -> None:
+    def _reserve(self, instances: list[InstanceInfo], emptied: set[str], now_s: float) -> None:
         """Give instances that are to go nothing new, and move their lasting tasks away."""
         for info in instances:
             worker = self._table.workers.get(info.worker)
--- a/almondstack/control/tests/test_wave_rounds.py
+++ b/almondstack/control/tests/test_wave_rounds.py
@@ -99,6 +99,17 @@
     assert later_desk.ordered == ["b"]
 
 
+def test_an_instance_whose_worker_is_not_registered_is_not_taken_for_empty(wave):
+    rounds, desk, _ = wave
+    lapsed = [InstanceInfo("a", "p", _UP, "a", "r", 16_000, "i-1")]
+    rounds.round(lapsed, {}, set(), {}, 0.0)
+    rounds.send()
+    assert desk.ordered == []
+    rounds.round(lapsed, {}, {"p"}, {}, 0.0)
+    rounds.send()
+    assert desk.ordered == ["a"]
+
+
 def test_an_instance_that_is_gone_does_not_hold_the_wave_up(wave):
     rounds, desk, _ = wave
     desk.done.add("a")
--- a/almondstack/control/wave_rounds.py
+++ b/almondstack/control/wave_rounds.py
@@ -125,7 +125,7 @@
         chosen = next_members(members, down, wave.request.most_at_once)
         room = wave.request.most_at_once - down
         for member in chosen:
-            if room > 0 and _is_empty(by_name[member.name], workers):
+            if room > 0 and _is_empty(by_name[member.name], workers, spare_pools):
                 room -= 1
                 self._due.append((member.name, wave.request.number))
         return {member.name for member in chosen}
@@ -160,6 +160,9 @@
     )
 
 
-def _is_empty(info: InstanceInfo, workers: dict[str, Worker]) -> bool:
+def _is_empty(info: InstanceInfo, workers: dict[str, Worker], spare_pools: set[str]) -> bool:
+    """Whether nothing can run on an instance; a worker that is not registered may be at work."""
     worker = workers.get(info.worker)
-    return worker is None or (worker.is_reserved and not worker.tasks)
+    if worker is None:
+        return not info.worker or info.pool in spare_pools
+    return worker.is_reserved and not worker.tasks
