--- a/almondstack/platform/tests/test_front.py
+++ b/almondstack/platform/tests/test_front.py
@@ -13,6 +13,7 @@
     encode_notice,
     record_key,
 )
+from almondstack.ownership import StoreUnclearError
 from almondstack.platform.configuration import ConfigurationHolder
 from almondstack.platform.front import JobFront
 from almondstack.platform.tests.builders import JOB, configuration_bytes, job_body, request
@@ -159,3 +160,24 @@
 
 def test_job_ids_are_sixteen_digits(front):
     assert front.ask("POST", path=f"/q/{JOB}0", body=job_body()).status == 404
+
+
+def test_a_job_that_was_refused_as_full_does_not_run_by_an_earlier_attempt(front, monkeypatch):
+    """The first attempt's append may be carried out after another process has refused the id."""
+    monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
+    other = _Front()
+    late = []
+
+    def append_later(records, timeout_s):
+        late.extend(records)
+        raise StoreUnclearError("no answer")
+
+    other.store.append = append_later
+    assert other.ask("POST", body=job_body()).status == 504
+    notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
+    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    answer = front.ask("POST", body=job_body())
+    front.store.records.extend(late)
+    front._sync()
+    entry = front.book.entry(JOB)
+    assert answer.status not in (429, 503) or entry is None or entry.shown_state.is_final
