Refuse a job as full only when no earlier attempt can be stored any more

Cause: an attempt that ended unclear may be carried out by the store seconds later, so a 429 at another process could be untrue. Change: each attempt to store a job carries the job's id as producer and the time as epoch; a refusal first fences earlier epochs of the id, reads to the end of the store and refuses only if the job isn't there. An attempt that another one overtook looks the job up in the same way. Without a fence the caller hears that nothing is known (504).

--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -10,7 +10,7 @@
 from almondstack.jobs.active import chain_lengths_ms
 from almondstack.jobs.model import JobState, Submission
 from almondstack.jobs.records import RecordKind, encode_submission, record_key
-from almondstack.ownership.errors import StoreError, StoreRefusedError
+from almondstack.ownership.errors import FencedError, StoreError, StoreRefusedError
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.placement import QueuePolicy
 from almondstack.placement.backlog import is_in_time
@@ -26,6 +26,9 @@
 _RETRY_PAUSE_S = 0.05
 _MOST_RETRY_PAUSE_S = 0.4
 
+_CLOCK_ALLOWANCE_MS = 500
+"""Clocks of machines differ by less; callers that were refused come back later than this."""
+
 _MOST_NOTICE_AGE_S = 2.5
 """What the owner said longer ago says nothing of now, in seconds."""
 
@@ -84,20 +87,18 @@
             return self._known(job, entry, submission)
         late_ms = self.excess_wait_ms(submission, policy)
         if late_ms > 0:
-            self._events.write(
-                "job-refused",
-                job=job,
-                queue=submission.queue,
-                account=submission.account,
-                late_ms=round(late_ms),
-                notice_age_s=round(self._book.notice_age_s, 2),
+            return self._refuse(job, submission, late_ms, timeout_s)
+        record = Record(record_key(RecordKind.SUBMISSION, job), encode_submission(submission))
+        epoch = _now_ms()
+        try:
+            verdict = self._store_until(
+                lambda try_s: self._store.append_attempt(record, job, epoch, try_s), job, timeout_s
             )
-            self._metrics.count("submit.full")
-            return Verdict.FULL
-        value = encode_submission(submission)
-        verdict = self._append(Record(record_key(RecordKind.SUBMISSION, job), value), timeout_s)
+        except FencedError as error:
+            self._note_failure(job, error, is_unclear=False)
+            return self._found_or(Verdict.NOT_STORED, job, submission)
         if verdict is Verdict.DONE:
-            self._book.apply(record_key(RecordKind.SUBMISSION, job), value)
+            self._book.apply(record.key, record.value)
         self._events.write(
             "job-submitted",
             job=job,
@@ -116,7 +117,9 @@
         if entry.is_cancelled or entry.state.is_final:
             return Verdict.DONE
         record = Record(record_key(RecordKind.CANCEL, job), b"\x01")
-        verdict = self._append(record, timeout_s)
+        verdict = self._store_until(
+            lambda try_s: self._store.append([record], try_s), job, timeout_s
+        )
         if verdict is Verdict.DONE:
             self._book.apply(record.key, record.value)
         self._events.write("job-cancelled", job=job, verdict=verdict)
@@ -145,6 +148,46 @@
         """Return how many jobs of a queue have started no task."""
         return self._book.pending(queue)
 
+    def _refuse(
+        self, job: str, submission: Submission, late_ms: float, timeout_s: float
+    ) -> Verdict:
+        """Refuse a job once no earlier attempt to hand it in can be stored any more."""
+        verdict = self._shut_out(job, submission, timeout_s)
+        self._events.write(
+            "job-refused",
+            job=job,
+            queue=submission.queue,
+            account=submission.account,
+            late_ms=round(late_ms),
+            notice_age_s=round(self._book.notice_age_s, 2),
+            verdict=verdict,
+        )
+        self._metrics.count(f"submit.{verdict}")
+        return verdict
+
+    def _shut_out(self, job: str, submission: Submission, timeout_s: float) -> Verdict:
+        epoch = _now_ms() + _CLOCK_ALLOWANCE_MS
+        try:
+            verdict = self._store_until(
+                lambda try_s: self._store.fence_attempts(job, epoch, try_s), job, timeout_s
+            )
+        except FencedError as error:
+            self._note_failure(job, error, is_unclear=False)
+            return self._found_or(Verdict.UNCLEAR, job, submission)
+        if verdict is not Verdict.DONE:
+            return Verdict.UNCLEAR
+        return self._found_or(Verdict.FULL, job, submission)
+
+    def _found_or(self, verdict: Verdict, job: str, submission: Submission) -> Verdict:
+        """Look for the job behind a fence, in all that is stored; ``verdict`` if it isn't there."""
+        try:
+            self._sync()
+        except StoreError as error:
+            self._events.write("lookup-failed", job=job, error=str(error))
+            return Verdict.UNCLEAR
+        entry = self._book.entry(job)
+        return verdict if entry is None else self._known(job, entry, submission)
+
     def _known(self, job: str, entry: JobEntry, submission: Submission) -> Verdict:
         is_same = entry.account == submission.account and entry.queue == submission.queue
         self._events.write("job-repeated", job=job, is_same=is_same)
@@ -163,8 +206,8 @@
             return Verdict.UNKNOWN_JOB
         return entry
 
-    def _append(self, record: Record, timeout_s: float) -> Verdict:
-        """Append until it is known to be stored, or the time is over."""
+    def _store_until(self, call: Callable[[float], None], job: str, timeout_s: float) -> Verdict:
+        """Repeat a call of the store until it is known to be done, or the time is over."""
         began_s = time.monotonic()
         is_unclear = False
         pause_s = _RETRY_PAUSE_S
@@ -174,16 +217,18 @@
             if left_s <= 0:
                 return Verdict.UNCLEAR if is_unclear else Verdict.NOT_STORED
             try:
-                self._store.append([record], min(left_s, try_s))
+                call(min(left_s, try_s))
+            except FencedError:
+                raise
             except StoreRefusedError as error:
                 self._metrics.count("append.refused")
                 if not is_unclear:
-                    self._note_failure(record, error, is_unclear=False)
+                    self._note_failure(job, error, is_unclear=False)
                     return Verdict.NOT_STORED
             except StoreError as error:
                 self._metrics.count("append.unclear")
                 if not is_unclear:
-                    self._note_failure(record, error, is_unclear=True)
+                    self._note_failure(job, error, is_unclear=True)
                 is_unclear = True
                 try_s = _LATER_TRY_S
             else:
@@ -192,5 +237,9 @@
             time.sleep(pause_s)
             pause_s = min(2 * pause_s, _MOST_RETRY_PAUSE_S)
 
-    def _note_failure(self, record: Record, error: StoreError, *, is_unclear: bool) -> None:
-        self._events.write("append-failed", key=record.key, error=str(error), is_unclear=is_unclear)
+    def _note_failure(self, job: str, error: StoreError, *, is_unclear: bool) -> None:
+        self._events.write("append-failed", job=job, error=str(error), is_unclear=is_unclear)
+
+
+def _now_ms() -> int:
+    return int(time.time() * 1000)
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -63,6 +63,38 @@
         """
         ...
 
+    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
+        """Append a record unless attempts of ``producer`` with this epoch have been fenced.
+
+        Explanation
+        -----------
+        May be repeated with the same arguments and takes effect once.
+
+        Raises
+        ------
+        FencedError
+            A later epoch has been seen; nothing is stored, now or later.
+        StoreRefusedError
+            Nothing was stored.
+        StoreUnclearError
+            It may have been stored, or may be within seconds.
+        """
+        ...
+
+    def fence_attempts(self, producer: str, epoch: int, timeout_s: float) -> None:
+        """Let no attempt of ``producer`` with a lower epoch be stored from now on.
+
+        Raises
+        ------
+        FencedError
+            A later epoch has been seen.
+        StoreRefusedError
+            Nothing was done.
+        StoreUnclearError
+            It may have been done.
+        """
+        ...
+
     def claim(self, token: int, record: Record, sequence: int) -> bool:
         """Append the first record of an owner, if nobody has that token or a later one.
 
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -154,6 +154,15 @@
         if reply.status != _OK:
             raise StoreRefusedError(f"status {reply.status}")
 
+    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
+        """Append a record under an epoch of its own; see ``RecordStore``."""
+        self._append_attempt([record], producer, epoch, timeout_s)
+
+    def fence_attempts(self, producer: str, epoch: int, timeout_s: float) -> None:
+        """Fence lower epochs; see ``RecordStore``."""
+        # A call without records sets the epoch of its producer and stores nothing.
+        self._append_attempt([], producer, epoch, timeout_s)
+
     def claim(self, token: int, record: Record, sequence: int) -> bool:
         """Append an owner's first record; see ``RecordStore``."""
         query = f"&producer-id={_PRODUCER}&epoch={token}&sequence={sequence}"
@@ -163,7 +172,17 @@
         self, records: list[Record], token: int, sequence: int, timeout_s: float
     ) -> None:
         """Append records of the owner; see ``RecordStore``."""
-        query = f"&producer-id={_PRODUCER}&epoch={token}&sequence={sequence}"
+        self._append_fenced(records, _PRODUCER, token, sequence, timeout_s)
+
+    def _append_attempt(
+        self, records: list[Record], producer: str, epoch: int, timeout_s: float
+    ) -> None:
+        self._append_fenced(records, quote(producer, safe=""), epoch, 0, timeout_s)
+
+    def _append_fenced(
+        self, records: list[Record], producer: str, epoch: int, sequence: int, timeout_s: float
+    ) -> None:
+        query = f"&producer-id={producer}&epoch={epoch}&sequence={sequence}"
         reply = self._append(query, records, timeout_s)
         if reply.status == _OK:
             return
--- a/almondstack/platform/tests/test_front.py
+++ b/almondstack/platform/tests/test_front.py
@@ -1,5 +1,7 @@
 """Callers' requests, translated."""
 
+import time
+
 import pytest
 
 from almondstack.core import NullMetrics
@@ -13,11 +15,10 @@
     encode_notice,
     record_key,
 )
-from almondstack.ownership import StoreUnclearError
 from almondstack.platform.configuration import ConfigurationHolder
 from almondstack.platform.front import JobFront
 from almondstack.platform.tests.builders import JOB, configuration_bytes, job_body, request
-from almondstack.testing.fake_records import FakeRecordStore
+from almondstack.testing.fake_records import FakeRecordStore, LateStore
 
 
 @pytest.fixture
@@ -166,18 +167,55 @@
     """The first attempt's append may be carried out after another process has refused the id."""
     monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
     other = _Front()
-    late = []
-
-    def append_later(records, timeout_s):
-        late.extend(records)
-        raise StoreUnclearError("no answer")
-
-    other.store.append = append_later
+    late = LateStore(front.store)
+    other.front._service._store = late
     assert other.ask("POST", body=job_body()).status == 504
     notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
     front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
     answer = front.ask("POST", body=job_body())
-    front.store.records.extend(late)
+    assert answer.status == 429
+    late.carry_out()
     front._sync()
     entry = front.book.entry(JOB)
     assert answer.status not in (429, 503) or entry is None or entry.shown_state.is_final
+
+
+def test_a_job_that_was_stored_meanwhile_is_not_refused_as_full(front):
+    """Another process has accepted it, and this one has not read so far."""
+    other = _Front()
+    other.front._service._store = front.store
+    assert other.ask("POST", body=job_body()).status == 200
+    notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
+    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    assert front.ask("POST", body=job_body()).status == 200
+
+
+def test_a_job_that_was_refused_as_full_is_taken_when_its_caller_comes_back(front, monkeypatch):
+    notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
+    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    answer = front.ask("POST", body=job_body())
+    assert answer.status == 429
+    front.book.apply(record_key(RecordKind.OWNER), encode_notice(OwnerNotice("me", 1, "", {})))
+    back_s = time.time() + answer.retry_after_s
+    monkeypatch.setattr("almondstack.intake.service.time.time", lambda: back_s)
+    assert front.ask("POST", body=job_body()).status == 200
+
+
+def test_without_a_fence_a_full_queue_is_no_refusal(front, monkeypatch):
+    """The store can't shut out an earlier attempt, so nothing is said of it."""
+    monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
+    notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
+    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    front.store.is_down = True
+    assert front.ask("POST", body=job_body()).status == 504
+
+
+def test_an_attempt_that_another_overtook_is_found_in_the_store(front, monkeypatch):
+    """Its clock is behind, so that its own attempt is fenced by the one that was stored."""
+    other = _Front()
+    other.front._service._store = front.store
+    assert other.ask("POST", body=job_body()).status == 200
+    behind_s = time.time() - 60.0
+    monkeypatch.setattr("almondstack.intake.service.time.time", lambda: behind_s)
+    assert front.ask("POST", body=job_body()).status == 200
+    assert len(front.store.records) == 1
--- a/almondstack/platform/tests/test_store.py
+++ b/almondstack/platform/tests/test_store.py
@@ -83,6 +83,28 @@
     assert [key for key, _ in standin.records("keyed.work")] == ["o", "p"]
 
 
+def test_an_attempt_whose_answer_was_lost_is_repeated_once(store):
+    standin, topic = store
+    standin.loses_appends = 1
+    record = Record("ja", b"1")
+    with pytest.raises(StoreUnclearError):
+        topic.append_attempt(record, "a", 5_000, 1.0)
+    topic.append_attempt(record, "a", 5_000, 1.0)
+    assert [key for key, _ in standin.records("keyed.work")] == ["ja"]
+
+
+def test_a_fence_shuts_out_earlier_attempts_of_its_producer_alone(store):
+    standin, topic = store
+    topic.fence_attempts("a", 5_000, 1.0)
+    with pytest.raises(FencedError):
+        topic.append_attempt(Record("ja", b"1"), "a", 4_999, 1.0)
+    topic.append_attempt(Record("jb", b"1"), "b", 4_999, 1.0)
+    topic.append_attempt(Record("ja", b"1"), "a", 6_000, 1.0)
+    with pytest.raises(FencedError):
+        topic.fence_attempts("a", 5_000, 1.0)
+    assert [key for key, _ in standin.records("keyed.work")] == ["jb", "ja"]
+
+
 def test_a_refusal_says_that_nothing_was_done(store):
     standin, topic = store
     standin.refuses = True
--- a/almondstack/standin/keyed_store.py
+++ b/almondstack/standin/keyed_store.py
@@ -23,16 +23,32 @@
 _KEPT_REPEATS = 5
 
 
-class _Topic:
-    """Records of a partition, and what its producers have sent."""
+class _Producer:
+    """What one producer has sent to a partition."""
 
     def __init__(self) -> None:
-        self.records: list[tuple[str, bytes]] = []
-        self.first = 0
         self.epoch = -1
         self.sequence = -1
         self.replies: dict[int, dict[str, int]] = {}
 
+    def note(self, epoch: int, sequence: int, answer: dict[str, int]) -> None:
+        """Take note of an append that was carried out."""
+        if epoch != self.epoch:
+            self.replies.clear()
+        self.epoch, self.sequence = epoch, sequence
+        self.replies[sequence] = answer
+        for old in [number for number in self.replies if number <= sequence - _KEPT_REPEATS]:
+            del self.replies[old]
+
+
+class _Topic:
+    """Records of a partition, and its producers."""
+
+    def __init__(self) -> None:
+        self.records: list[tuple[str, bytes]] = []
+        self.first = 0
+        self.producers: dict[str, _Producer] = {}
+
 
 class KeyedStoreStandin(StandinApp):
     """Answers the store's calls.
@@ -94,30 +110,24 @@
         self, topic: _Topic, query: dict[str, str], records: list[tuple[str, bytes]]
     ) -> Reply:
         end = len(topic.records)
+        producer = None
         if "producer-id" in query:
+            producer = topic.producers.setdefault(query["producer-id"], _Producer())
             epoch, sequence = int(query["epoch"]), int(query["sequence"])
-            if epoch < topic.epoch:
+            if epoch < producer.epoch:
                 return _conflict("fenced", end)
-            if epoch == topic.epoch and sequence in topic.replies:
-                return Reply.of_json(topic.replies[sequence])
-            if epoch == topic.epoch and sequence != topic.sequence + 1:
+            if epoch == producer.epoch and sequence in producer.replies:
+                return Reply.of_json(producer.replies[sequence])
+            if epoch == producer.epoch and sequence != producer.sequence + 1:
                 return _conflict("seq", end)
         if "at" in query and int(query["at"]) != end:
             return Reply(412, encode_json({"end-offset": end}), "application/json")
         topic.records.extend(records)
         answer = {"offset": end, "end-offset": len(topic.records)}
-        if "producer-id" in query:
-            self._note(topic, epoch, sequence, answer)
+        if producer is not None:
+            producer.note(epoch, sequence, answer)
         return Reply.of_json(answer)
 
-    def _note(self, topic: _Topic, epoch: int, sequence: int, answer: dict[str, int]) -> None:
-        if epoch != topic.epoch:
-            topic.replies.clear()
-        topic.epoch, topic.sequence = epoch, sequence
-        topic.replies[sequence] = answer
-        for old in [number for number in topic.replies if number <= sequence - _KEPT_REPEATS]:
-            del topic.replies[old]
-
     def _read(self, query: dict[str, str]) -> Reply:
         start = int(query["from"])
         until_s = time.monotonic() + int(query.get("wait-ms", 0)) / 1000.0
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -10,7 +10,7 @@
     StoreUnclearError,
 )
 
-__all__ = ["FakeRecordStore"]
+__all__ = ["FakeRecordStore", "LateStore"]
 
 
 class FakeRecordStore:
@@ -31,6 +31,7 @@
         self.is_down = False
         self.loses_replies = 0
         self.first_offset = 0
+        self._attempts: dict[str, int] = {}
         self._token = 0
         self._sequence = 0
 
@@ -53,6 +54,21 @@
         self.records.extend(records)
         self._maybe_lose_reply()
 
+    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
+        """Append a record unless its epoch has been fenced."""
+        self._check()
+        is_repeat = self._attempts.get(producer) == epoch
+        self._note_attempt(producer, epoch)
+        if not is_repeat:
+            self.records.append(record)
+        self._maybe_lose_reply()
+
+    def fence_attempts(self, producer: str, epoch: int, timeout_s: float) -> None:
+        """Fence the attempts of a producer with lower epochs."""
+        self._check()
+        self._note_attempt(producer, epoch)
+        self._maybe_lose_reply()
+
     def claim(self, token: int, record: Record, sequence: int) -> bool:
         """Append an owner's first record unless its token is taken."""
         self._check()
@@ -77,6 +93,11 @@
             self._sequence = sequence
         self._maybe_lose_reply()
 
+    def _note_attempt(self, producer: str, epoch: int) -> None:
+        if epoch < self._attempts.get(producer, 0):
+            raise FencedError("fenced")
+        self._attempts[producer] = epoch
+
     def _check(self) -> None:
         if self.is_down:
             raise StoreRefusedError("down")
@@ -85,3 +106,30 @@
         if self.loses_replies:
             self.loses_replies -= 1
             raise StoreUnclearError("no answer")
+
+
+class LateStore:
+    """Answers no attempt, and carries it out later on another store.
+
+    Parameters
+    ----------
+    store : FakeRecordStore
+        Takes the attempts when they are carried out.
+    """
+
+    def __init__(self, store: FakeRecordStore) -> None:
+        self._store = store
+        self._attempts: list[tuple[Record, str, int]] = []
+
+    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
+        """Keep an attempt for later."""
+        self._attempts.append((record, producer, epoch))
+        raise StoreUnclearError("no answer")
+
+    def carry_out(self) -> None:
+        """Carry out what is kept; what has been fenced meanwhile has no effect."""
+        for record, producer, epoch in self._attempts:
+            try:
+                self._store.append_attempt(record, producer, epoch, 1.0)
+            except FencedError:
+                continue
