--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -171,11 +171,11 @@
             verdict = self._store_until(
                 lambda try_s: self._store.fence_attempts(job, epoch, try_s), job, timeout_s
             )
-        except FencedError as error:
-            self._note_failure(job, error, is_unclear=False)
-            return self._found_or(Verdict.UNCLEAR, job, submission)
+        except FencedError:
+            # A later epoch, of another refusal or of an attempt that is stored, fences as well.
+            verdict = Verdict.DONE
         if verdict is not Verdict.DONE:
-            return Verdict.UNCLEAR
+            return verdict
         return self._found_or(Verdict.FULL, job, submission)
 
     def _found_or(self, verdict: Verdict, job: str, submission: Submission) -> Verdict:
