Let a moved instance work for the next owner at once

Ruled out: maintenance, which was over by then. Change: a worker whose life began after the stored time of the last order shows that the order is carried out, and gets tasks. An own order without an answer is closed once its repeat is taken.

--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -201,7 +201,7 @@
             worker = self._table.workers.get(info.worker)
             if worker is None:
                 continue
-            is_ordered = not self._desk.is_free(info.name, now_s)
+            is_ordered = self._desk.is_order_open(info.name, worker.info.life, now_s)
             worker.is_reserved = info.name in emptied or is_ordered
             if info.name not in emptied:
                 continue
--- a/almondstack/control/instance_desk.py
+++ b/almondstack/control/instance_desk.py
@@ -66,6 +66,7 @@
         "_lock",
         "_maintained",
         "_not_before_s",
+        "_open_until_s",
         "_pending",
         "_refused_pools",
         "_services",
@@ -82,6 +83,7 @@
         self._instances: dict[str, InstanceInfo] = {}
         self._pending: dict[str, _Pending] = {}
         self._not_before_s: dict[str, float] = {}
+        self._open_until_s: dict[str, float] = {}
         self._maintained: dict[int, set[str]] = {}
         self._refused_pools: set[tuple[str, str]] = set()
         turn_s = services.control.turn_s + _CLOCK_SLACK_S
@@ -139,6 +141,18 @@
                 return False
             return self._not_before_s.get(instance, 0.0) <= now_s
 
+    def is_order_open(self, instance: str, life_ms: int, now_s: float) -> bool:
+        """Whether an order may still cut off what runs on this life of the instance's worker.
+
+        Explanation
+        -----------
+        A life that began after the order shows that the order is carried out.
+        """
+        if now_s < self._turns_end_s and self._is_others_turn(instance):
+            return life_ms < self._noted_ms(instance) + _CLOCK_SLACK_S * 1000.0
+        with self._lock:
+            return instance in self._pending or self._open_until_s.get(instance, 0.0) > now_s
+
     def may_go(self, instance: str, pool: str) -> bool:
         """Whether the service has not refused that pool for the instance."""
         return (instance, pool) not in self._refused_pools
@@ -162,12 +176,14 @@
 
     def _is_others_turn(self, instance: str) -> bool:
         """Whether an owner before has ordered the instance just before this one took over."""
-        noted = self._services.book.note(RecordKind.INSTANCE, instance)
-        if noted is None:
-            return False
-        age_s = time.time() - int.from_bytes(noted, "big") / 1000.0
+        age_s = time.time() - self._noted_ms(instance) / 1000.0
         return age_s < self._services.control.turn_s + _CLOCK_SLACK_S
 
+    def _noted_ms(self, instance: str) -> int:
+        """Return the Unix milliseconds of the last order to an instance; 0 without one."""
+        noted = self._services.book.note(RecordKind.INSTANCE, instance)
+        return int.from_bytes(noted, "big") if noted is not None else 0
+
     def _submit(self, order: _Order) -> None:
         if self._is_fenced:
             return
@@ -231,10 +247,14 @@
             self._is_fenced = True
         if status is OrderStatus.UNCLEAR:
             self._not_before_s[order.instance] = began_s + _MOST_DELAY_S
+            self._open_until_s[order.instance] = began_s + _MOST_DELAY_S
             self._tasks.put(lambda: self._carry_out(order))
             return
         with self._lock:
             pending = self._pending.get(order.instance)
+            if status is OrderStatus.DONE:
+                # An earlier try that is carried out late finds the order done.
+                self._open_until_s.pop(order.instance, None)
             if status is OrderStatus.DONE and order.wave:
                 self._maintained.setdefault(order.wave, set()).add(order.instance)
             if status is OrderStatus.DONE and pending is not None:
--- /dev/null
+++ b/almondstack/control/tests/test_fleet_rounds.py
@@ -0,0 +1,74 @@
+"""Which instances get nothing new."""
+
+import time
+
+import pytest
+
+from almondstack.control.fleet_rounds import FleetRounds
+from almondstack.control.messages import InstanceInfo, InstanceState, OrderStatus
+from almondstack.control.settings import ControlSettings
+from almondstack.core import NullMetrics
+from almondstack.core.events import EventLog
+from almondstack.jobs import JobBook, RecordKind, record_key
+from almondstack.testing.job_builders import make_table, make_worker
+
+_ORDERED_MS = int(time.time() * 1000)
+
+
+class _Services:
+    """What the rounds use of the owner's services, without a network."""
+
+    def __init__(self):
+        self.book = JobBook()
+        self.control = ControlSettings()
+        self.events = EventLog("test")
+        self.metrics = NullMetrics()
+        self.instances = self
+        self.replies = []
+
+    def move(self, instance, pool, token):
+        """Answer an order as the test has said."""
+        return self.replies.pop(0)
+
+
+@pytest.fixture
+def fleet():
+    """Return the rounds of a new owner, whose instance ``m`` the owner before has ordered."""
+    services = _Services()
+    stamp = _ORDERED_MS.to_bytes(8, "big")
+    services.book.apply(record_key(RecordKind.INSTANCE, "m"), stamp)
+    return services
+
+
+def _is_reserved(services, life_ms, rounds=None, name="m"):
+    worker = make_worker(life=life_ms)
+    rounds = rounds or FleetRounds(make_table(), None, services, 2)
+    rounds._table.workers.clear()
+    rounds._table.adopt(worker, 0.0)
+    info = InstanceInfo(name, "p", InstanceState.UP, "a", "r", 4_000, worker.id)
+    rounds._reserve([info], set(), time.monotonic())
+    return worker.is_reserved
+
+
+def test_burst_an_instance_that_has_moved_works_for_the_next_owner_at_once(fleet):
+    """An owner dies in a burst; what it had moved stood idle (magnolia-pay, trouble-3)."""
+    assert not _is_reserved(fleet, _ORDERED_MS + 1_500)
+
+
+def test_an_order_of_the_owner_before_may_still_arrive(fleet):
+    assert _is_reserved(fleet, _ORDERED_MS - 10_000)
+    assert not _is_reserved(fleet, _ORDERED_MS - 10_000, name="other")
+
+
+def test_an_unclear_order_of_its_own_keeps_an_instance_empty_until_it_is_done(fleet):
+    rounds = FleetRounds(make_table(), None, fleet, 2)
+    desk = rounds._desk
+    fleet.replies = [OrderStatus.UNCLEAR, OrderStatus.DONE]
+    desk.move("n", "q")
+    desk._tasks.get()()
+    assert _is_reserved(fleet, _ORDERED_MS, rounds, "n")
+    desk._tasks.get()()
+    assert _is_reserved(fleet, _ORDERED_MS, rounds, "n")
+    desk._pending.clear()
+    assert not _is_reserved(fleet, _ORDERED_MS, rounds, "n")
+    assert not desk.is_free("n", time.monotonic())
