See a burst of short jobs when it begins

Change: what came in the last 0.4 s counts at its own rate while a burst begins, for jobs whose slack is shorter than a move.

--- a/almondstack/capacity/demand.py
+++ b/almondstack/capacity/demand.py
@@ -1,6 +1,7 @@
 """How many cores the queues of a pool ask for."""
 
 from collections import deque
+from typing import NamedTuple
 
 __all__ = ["ArrivalRate", "PoolNeed"]
 
@@ -51,9 +52,33 @@
         return self.lasting_millis + max(present, self.arriving_millis)
 
 
+_ONSET_SHARE = 0.4
+"""Share of the window that is looked at apart, to see a burst when it begins."""
+
+_ONSET_ARRIVALS = 4
+"""Fewer arrivals than this in that share may be chance."""
+
+_ONSET_FACTOR = 3.0
+"""A burst begins when work comes so many times as fast as in the window's earlier part."""
+
+
+class _Arrival(NamedTuple):
+    """Work that came, when, and whether it can wait for instances to come."""
+
+    at_s: float
+    core_ms: float
+    can_wait: bool
+
+
 class ArrivalRate:
     """Work that has come within a sliding window, as cores.
 
+    Explanation
+    -----------
+    At the beginning of a burst most of the window lies before it.  Work that
+    can't wait for instances to come is then taken at the rate of the window's
+    latest part.
+
     Parameters
     ----------
     window_s : float
@@ -71,18 +96,31 @@
 
     def __init__(self, window_s: float) -> None:
         self._window_s = window_s
-        self._arrivals: deque[tuple[float, float]] = deque()
+        self._arrivals: deque[_Arrival] = deque()
         self._total_core_ms = 0.0
 
-    def add(self, now_s: float, core_ms: float) -> None:
-        """Note work in milliseconds of one core."""
-        self._arrivals.append((now_s, core_ms))
+    def add(self, now_s: float, core_ms: float, *, can_wait: bool = True) -> None:
+        """Note work in milliseconds of one core, and whether it can wait for instances."""
+        self._arrivals.append(_Arrival(now_s, core_ms, can_wait))
         self._total_core_ms += core_ms
 
     def millis(self, now_s: float) -> float:
         """Return the thousandths of a core that the work of the window would keep busy."""
-        while self._arrivals and self._arrivals[0][0] < now_s - self._window_s:
-            self._total_core_ms -= self._arrivals.popleft()[1]
+        while self._arrivals and self._arrivals[0].at_s < now_s - self._window_s:
+            self._total_core_ms -= self._arrivals.popleft().core_ms
         if not self._arrivals:
             self._total_core_ms = 0.0
-        return self._total_core_ms / self._window_s
+        return self._total_core_ms / self._window_s + self._onset_millis(now_s)
+
+    def _onset_millis(self, now_s: float) -> float:
+        """Return what is to be added to the window's rate because a burst begins in it."""
+        recent_s = _ONSET_SHARE * self._window_s
+        recent = [arrival for arrival in self._arrivals if arrival.at_s > now_s - recent_s]
+        hurried = [arrival.core_ms for arrival in recent if not arrival.can_wait]
+        if len(hurried) < _ONSET_ARRIVALS:
+            return 0.0
+        recent_core_ms = sum(arrival.core_ms for arrival in recent)
+        earlier_millis = (self._total_core_ms - recent_core_ms) / (self._window_s - recent_s)
+        if recent_core_ms / recent_s <= _ONSET_FACTOR * earlier_millis:
+            return 0.0
+        return sum(hurried) / recent_s - sum(hurried) / self._window_s
--- a/almondstack/capacity/tests/test_capacity.py
+++ b/almondstack/capacity/tests/test_capacity.py
@@ -1,6 +1,9 @@
 """Where instances go when demand moves, and how a wave goes through a pool."""
 
+import pytest
+
 from almondstack.capacity import (
+    ArrivalRate,
     Candidate,
     PoolNeed,
     PoolState,
@@ -95,3 +98,34 @@
     hot = _pool("hot", 2, PoolNeed(waiting_millis=60_000))
     moves = plan_moves([late, hot], [], "spare", _SIZE, 0.0)
     assert _targets(moves) == [("late", "hot")] * 3
+
+
+def _onset_rate(can_wait):
+    """Return the rate 0.3 s after a burst has begun, with five jobs a tenth of a second."""
+    rate = ArrivalRate(window_s=1.0)
+    for number in range(15):
+        rate.add(10.0 + number * 0.02, core_ms=1_000.0, can_wait=can_wait)
+    return rate.millis(10.3)
+
+
+def test_burst_of_short_jobs_is_seen_when_it_begins():
+    """Short jobs can't wait for instances, so their first tenths of a second must count in full."""
+    assert _onset_rate(can_wait=False) == pytest.approx(37_500.0)
+
+
+def test_burst_of_jobs_that_can_wait_is_followed_at_the_plain_rate():
+    assert _onset_rate(can_wait=True) == pytest.approx(15_000.0)
+
+
+def test_steady_short_jobs_are_not_taken_for_a_burst():
+    rate = ArrivalRate(window_s=1.0)
+    for number in range(100):
+        rate.add(10.0 + number * 0.05, core_ms=1_000.0, can_wait=False)
+    assert rate.millis(14.99) == pytest.approx(20_000.0, rel=0.06)
+
+
+def test_a_few_short_jobs_after_silence_are_not_taken_for_a_burst():
+    rate = ArrivalRate(window_s=1.0)
+    for number in range(3):
+        rate.add(10.0 + number * 0.02, core_ms=1_000.0, can_wait=False)
+    assert rate.millis(10.1) == pytest.approx(3_000.0)
--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -17,7 +17,7 @@
 from almondstack.control.runs import RunTable
 from almondstack.jobs import ActiveJob, TaskStatus
 from almondstack.placement import Policies, Worker
-from almondstack.placement.order import is_late
+from almondstack.placement.order import is_late, objective_s
 
 __all__ = ["BalanceRounds", "usual_size_millis"]
 
@@ -37,27 +37,41 @@
         Knows the pool of each job.
     desk : InstanceDesk
         Knows which instances may get an order.
+    move_s : float
+        How long a move takes, in seconds.
     """
 
-    __slots__ = ("_desk", "_excess_since_s", "_planner", "_rates", "_table", "_unregistered")
+    __slots__ = (
+        "_desk",
+        "_excess_since_s",
+        "_move_s",
+        "_planner",
+        "_rates",
+        "_table",
+        "_unregistered",
+    )
 
-    def __init__(self, table: RunTable, planner: Planner, desk: InstanceDesk) -> None:
+    def __init__(
+        self, table: RunTable, planner: Planner, desk: InstanceDesk, move_s: float
+    ) -> None:
         self._table = table
         self._planner = planner
         self._desk = desk
+        self._move_s = move_s
         self._rates: dict[str, ArrivalRate] = {}
         self._excess_since_s: dict[str, float] = {}
         self._unregistered: dict[str, tuple[str, float]] = {}
 
     def note_job(self, job: ActiveJob, now_s: float) -> None:
         """Count a job that has just come."""
-        pool = self._planner.policy_of(job.submission).pool
+        policy = self._planner.policy_of(job.submission)
         core_ms = sum(
             step.count * step.cpu_millis * step.estimate_ms / 1000.0
             for step in job.submission.steps
             if not step.is_long_running
         )
-        self._rate(pool).add(now_s, core_ms)
+        slack_s = objective_s(job, policy) - job.chain_ms / 1000.0
+        self._rate(policy.pool).add(now_s, core_ms, can_wait=slack_s >= self._move_s)
 
     def pools(
         self, instances: list[InstanceInfo], policies: Policies, taken: set[str], now_s: float
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -77,7 +77,7 @@
         self._services = services
         self._desk = InstanceDesk(services, token)
         self._waves = WaveRounds(services, self._desk)
-        self._balance = BalanceRounds(table, planner, self._desk)
+        self._balance = BalanceRounds(table, planner, self._desk, services.control.move_s)
         self._admission = AdmissionRounds(table, planner)
         table.follow_ends(self._admission.note_end)
         self._rounded_s = 0.0
