Notice settings that change without a signal

Change: its content is compared five times a second; addresses of store, instance service and advice are used at once; a faulty or missing file leaves the old settings in force and is told once. Tests: platform/tests/test_settings.py.

--- a/almondstack/platform/advice.py
+++ b/almondstack/platform/advice.py
@@ -29,6 +29,10 @@
     def __init__(self, address: str) -> None:
         self._caller = HttpCaller(address)
 
+    def use_address(self, address: str) -> None:
+        """Call another address from now on."""
+        self._caller.use_address(address)
+
     def advise(self, step: str, workers: list[str]) -> dict[str, str]:
         """Return a ticket for each worker that may run the step."""
         body = msgspec.json.encode({"step": step, "workers": workers})
--- a/almondstack/platform/http.py
+++ b/almondstack/platform/http.py
@@ -44,12 +44,23 @@
         How many connections are kept open.
     """
 
-    __slots__ = ("_pool", "address")
+    __slots__ = ("_connections", "_pool", "address")
 
     def __init__(self, address: str, connections: int = 1) -> None:
-        self.address = address
+        self._connections = connections
+        self._connect(address)
+
+    def use_address(self, address: str) -> None:
+        """Call another address from now on; calls under way end where they began."""
+        if address != self.address:
+            self._connect(address)
+
+    def _connect(self, address: str) -> None:
         host, port = parse_address(address)
-        self._pool = urllib3.HTTPConnectionPool(host, port, maxsize=connections, retries=False)
+        self.address = address
+        self._pool = urllib3.HTTPConnectionPool(
+            host, port, maxsize=self._connections, retries=False
+        )
 
     def call(
         self,
--- a/almondstack/platform/instances.py
+++ b/almondstack/platform/instances.py
@@ -50,6 +50,10 @@
         self._caller = HttpCaller(address)
         self._holder = holder
 
+    def use_address(self, address: str) -> None:
+        """Call another address from now on."""
+        self._caller.use_address(address)
+
     def instances(self) -> list[InstanceInfo]:
         """Return all instances."""
         found: list[InstanceInfo] = []
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -22,8 +22,8 @@
 from almondstack.platform.instances import HttpInstances
 from almondstack.platform.settings import (
     PlatformSettings,
+    SettingsFile,
     control_settings,
-    load_platform_settings,
 )
 from almondstack.platform.status import StatusServer
 from almondstack.platform.store import KeyedTopic, StoreConnection
@@ -48,25 +48,28 @@
 
 _POLL_S = 0.05
 
+_SETTINGS_POLL_S = 0.2
+"""How often the settings file is looked at, since it may change without a signal."""
+
 
 class Program:
     """One process: callers' front, follower, and owner when it is its turn.
 
     Parameters
     ----------
-    settings : PlatformSettings
-        What the platform says of this machine.
-    settings_path : str
-        File to read again on SIGHUP.
+    file : SettingsFile
+        What the platform says of this machine; looked at again while the process runs.
     """
 
-    def __init__(self, settings: PlatformSettings, settings_path: str) -> None:
-        self._settings = settings
-        self._path = settings_path
+    def __init__(self, file: SettingsFile) -> None:
+        self._file = file
+        settings = file.settings
         self._incarnation = f"{settings.node}/{secrets.token_hex(4)}"
         self._events = EventLog(settings.node)
         self._metrics = ExposedMetrics()
         self._connection = StoreConnection(settings.store.address)
+        self._instances = HttpInstances(settings.instances.address, settings.node)
+        self._advice = HttpAdvice(settings.advice) if settings.advice else None
         self._store = KeyedTopic(self._connection, _WORK_TOPIC)
         self._holder = ConfigurationHolder()
         self._book = JobBook()
@@ -104,17 +107,15 @@
         signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
         signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
         self._events.start()
-        self._events.write("start", zone=self._settings.zone, incarnation=self._incarnation)
+        self._events.write("start", zone=self._file.settings.zone, incarnation=self._incarnation)
         for server in (self._front, self._ready, self._exposed):
             server.prepare()
             threading.Thread(target=server.serve, name="accepts", daemon=True).start()
         self._configuration.start()
         self._directory.start()
         self._follower.start()
-        while not self._leaving.wait(_POLL_S * 4):
-            if self._reload.is_set():
-                self._reload.clear()
-                self._reload_settings()
+        while not self._leaving.wait(_SETTINGS_POLL_S):
+            self._reload_settings()
         self._leave()
         return 0
 
@@ -139,16 +140,16 @@
         self._owner = None
 
     def _owner_services(self) -> OwnerServices:
-        control = control_settings(self._settings)
-        instances = self._settings.instances
+        settings = self._file.settings
+        control = control_settings(settings)
         return OwnerServices(
             store=self._store,
-            address=self._settings.listen.ready,
+            address=settings.listen.ready,
             book=self._book,
             callers=HttpWorkerCallers(control.call_timeout_s),
-            instances=HttpInstances(instances.address, self._settings.node),
+            instances=self._instances,
             directory=self._directory,
-            advice=HttpAdvice(self._settings.advice) if self._settings.advice else None,
+            advice=self._advice,
             policies=self._holder.policies,
             control=control,
             ownership=OwnershipSettings(),
@@ -173,14 +174,26 @@
 
     def _reload_settings(self) -> None:
         """Take over what may change while running; a faulty file leaves the old one in force."""
+        is_signalled = self._reload.is_set()
+        self._reload.clear()
         try:
-            settings = load_platform_settings(self._path)
+            is_changed = self._file.refresh()
         except SettingsError as error:
-            self._events.write("reload-refused", error=str(error))
+            self._events.write("reload-refused", error=str(error), is_signalled=is_signalled)
             return
-        self._settings = settings
-        self._connection.move(settings.store.address)
-        self._events.write("reloaded")
+        if is_changed:
+            self._apply(self._file.settings)
+        if is_changed or is_signalled:
+            self._events.write("reloaded", is_signalled=is_signalled, is_changed=is_changed)
+
+    def _apply(self, settings: PlatformSettings) -> None:
+        """Use new addresses at once; bounds hold from the next ownership on."""
+        self._connection.use_address(settings.store.address)
+        self._instances.use_address(settings.instances.address)
+        if settings.advice and self._advice is not None:
+            self._advice.use_address(settings.advice)
+        elif settings.advice:
+            self._advice = HttpAdvice(settings.advice)
 
     def _leave(self) -> None:
         """Give back what is owned, answer what has come, and end within the grace."""
@@ -191,7 +204,7 @@
         owner = self._owner
         if owner is not None:
             owner.release()
-        end_s = began_s + self._settings.bounds.grace_s - _LEAVE_MARGIN_S
+        end_s = began_s + self._file.settings.bounds.grace_s - _LEAVE_MARGIN_S
         while time.monotonic() < end_s:
             is_noticed = time.monotonic() - began_s >= _LEAVE_NOTICE_S
             if is_noticed and not self._front.active:
@@ -218,7 +231,7 @@
     )
     options = parser.parse_args(arguments)
     try:
-        settings = load_platform_settings(options.settings)
+        file = SettingsFile(options.settings)
     except SettingsError as error:
         print(error, file=sys.stderr)
         return _EXIT_SETTINGS
@@ -226,6 +239,6 @@
         return 0
     threading.stack_size(_STACK_BYTES)
     # The threads left are daemons in calls of the platform; nothing of theirs is unsaved.
-    code = Program(settings, options.settings).run()
+    code = Program(file).run()
     sys.stdout.flush()
     os._exit(code)
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -8,7 +8,7 @@
 from almondstack.control import ControlSettings
 from almondstack.core import SettingsError, parse_address
 
-__all__ = ["PlatformSettings", "control_settings", "load_platform_settings"]
+__all__ = ["PlatformSettings", "SettingsFile", "control_settings", "load_platform_settings"]
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -76,14 +76,66 @@
     SettingsError
         One line that names the file and the path to the fault.
     """
+    return _parse(_read(path), path)
+
+
+class SettingsFile:
+    """The settings file of a process, which may change while it runs, with or without a signal.
+
+    Parameters
+    ----------
+    path : str or Path
+        The file.
+
+    Attributes
+    ----------
+    settings : PlatformSettings
+        What is in force: the last content that was sound.
+    """
+
+    __slots__ = ("_content", "_path", "settings")
+
+    def __init__(self, path: str | Path) -> None:
+        self._path = path
+        content = _read(path)
+        # None while the file can't be read.
+        self._content: bytes | None = content
+        self.settings = _parse(content, path)
+
+    def refresh(self) -> bool:
+        """Take over the file's content if it has changed; return whether it had.
+
+        Raises
+        ------
+        SettingsError
+            The new content is faulty, which is told once; the old settings stay in force.
+        """
+        try:
+            content = _read(self._path)
+        except SettingsError:
+            if self._content is None:
+                return False
+            self._content = None
+            raise
+        if content == self._content:
+            return False
+        self._content = content
+        self.settings = _parse(content, self._path)
+        return True
+
+
+def _read(path: str | Path) -> bytes:
     try:
-        text = Path(path).read_text(encoding="utf-8")
-        content = yaml.safe_load(text)
-        settings = msgspec.convert(content, PlatformSettings, strict=False)
-        _check_addresses(settings)
+        return Path(path).read_bytes()
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
-    except (yaml.YAMLError, UnicodeDecodeError, msgspec.ValidationError) as error:
+
+
+def _parse(content: bytes, path: str | Path) -> PlatformSettings:
+    try:
+        settings = msgspec.convert(yaml.safe_load(content.decode()), PlatformSettings, strict=False)
+        _check_addresses(settings)
+    except (yaml.YAMLError, UnicodeDecodeError, msgspec.ValidationError, SettingsError) as error:
         raise SettingsError(f"{path}: {error}") from error
     return settings
 
@@ -109,3 +161,6 @@
     parse_address(settings.listen.front)
     parse_address(settings.listen.ready)
     parse_address(settings.store.address)
+    parse_address(settings.instances.address)
+    if settings.advice:
+        parse_address(settings.advice)
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -56,10 +56,9 @@
     def __init__(self, address: str) -> None:
         self._caller = HttpCaller(address, self._CONNECTIONS)
 
-    def move(self, address: str) -> None:
-        """Use another address from now on."""
-        if address != self._caller.address:
-            self._caller = HttpCaller(address, self._CONNECTIONS)
+    def use_address(self, address: str) -> None:
+        """Call another address from now on."""
+        self._caller.use_address(address)
 
     def read(self, path: str, timeout_s: float) -> HttpReply:
         """Make a call that changes nothing.
--- a/almondstack/platform/tests/test_settings.py
+++ b/almondstack/platform/tests/test_settings.py
@@ -4,7 +4,7 @@
 
 from almondstack.core import SettingsError
 from almondstack.platform.program import main
-from almondstack.platform.settings import control_settings, load_platform_settings
+from almondstack.platform.settings import SettingsFile, control_settings, load_platform_settings
 from almondstack.platform.tests.builders import settings_text
 
 
@@ -49,3 +49,36 @@
     path.write_text("zone: 1\n")
     assert main(["--settings", str(path), "--check"]) == 2
     assert "settings.yaml" in capsys.readouterr().err
+
+
+def test_a_change_without_a_signal_is_noticed_once(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(settings_text())
+    file = SettingsFile(path)
+    assert not file.refresh()
+    path.write_text(settings_text(platform='{address: "127.0.0.1:77"}'))
+    assert file.refresh() and file.settings.store.address == "127.0.0.1:77"
+    assert not file.refresh()
+
+
+@pytest.mark.parametrize("text", ["zone: [", "zone: 1", settings_text(platform="{address: x}"), ""])
+def test_a_faulty_new_file_leaves_the_old_one_in_force_and_is_told_once(tmp_path, text):
+    path = tmp_path / "settings.yaml"
+    path.write_text(settings_text())
+    file = SettingsFile(path)
+    path.write_text(text)
+    with pytest.raises(SettingsError, match="settings.yaml"):
+        file.refresh()
+    assert file.settings.node == "edge-1" and not file.refresh()
+
+
+def test_a_file_that_is_gone_leaves_the_old_one_in_force(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(settings_text())
+    file = SettingsFile(path)
+    path.unlink()
+    with pytest.raises(SettingsError):
+        file.refresh()
+    assert not file.refresh() and file.settings.zone == "a"
+    path.write_text(settings_text(zone="b"))
+    assert file.refresh() and file.settings.zone == "b"
