--- /dev/null
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -0,0 +1,229 @@
+"""Real owners in a world of faults, against an oracle of what must hold."""
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from almondstack.intake import Verdict
+from almondstack.jobs import JobState, RunEnd, Submission
+from almondstack.testing.job_builders import make_step
+from almondstack.testing.owner_mutations import MUTATIONS
+from almondstack.testing.owner_oracle import RuleBrokenError
+from almondstack.testing.owner_world import OwnerWorld, WorldProcess
+
+_SHAPES = (
+    (make_step(2),),
+    (make_step(1), make_step(2, after=(0,))),
+    (make_step(3, cpu_millis=1_500),),
+    (make_step(2, is_long_running=True),),
+)
+_PROCESSES = st.sampled_from([0, 1])
+_WORKERS = st.sampled_from(["w1", "w2", "w3"])
+_ENDS = (RunEnd.DONE, RunEnd.FAILED)
+_RECOVERY_ROUNDS = 80
+
+
+class OwnerMachine(RuleBasedStateMachine):
+    """Callers, workers, the store and processes do what they like."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = OwnerWorld()
+        self._in_force = self.world.in_force()
+        self._in_force.__enter__()
+
+    @initialize()
+    def begin(self):
+        """One process owns the jobs."""
+        self.world.processes[0].claim()
+
+    @rule(process=_PROCESSES, shape=st.sampled_from(_SHAPES), account=st.sampled_from("ab"))
+    def submit(self, process, shape, account):
+        """A caller hands in a job."""
+        job = f"{len(self.world.oracle.submissions):016x}"
+        now_ms = int(self.world.clock.time() * 1000)
+        submission = Submission(
+            "q", account, f"spec {job}", shape, accepted_ms=now_ms, pool="p", max_attempts=2
+        )
+        verdict = self.world.submit(self.world.processes[process], job, submission)
+        if verdict in (Verdict.NOT_STORED, Verdict.FULL):
+            self.world.oracle.refused.add(job)
+
+    @precondition(lambda self: self.world.oracle.accepted)
+    @rule(process=_PROCESSES, data=st.data())
+    def cancel(self, process, data):
+        """A caller cancels a job."""
+        job = data.draw(st.sampled_from(sorted(self.world.oracle.accepted)))
+        self.world.cancel(self.world.processes[process], job)
+
+    @rule(process=_PROCESSES, order=st.permutations(["w1", "w2", "w3"]))
+    def work(self, process, order):
+        """A process does all that is to be done, as when nothing is wrong."""
+        self._work(self.world.processes[process], order)
+
+    @rule(order=st.permutations(["w1", "w2", "w3"]), end=st.sampled_from(_ENDS))
+    def work_and_end(self, order, end):
+        """Both processes work, one run on each worker ends, and its owner hears of it."""
+        for process in self.world.processes:
+            self._work(process, order)
+        for worker in self.world.workers.values():
+            if worker.running:
+                worker.finish(min(worker.running), end)
+            for process in self.world.processes:
+                process.pump(worker.id)
+
+    @rule(process=_PROCESSES)
+    def read(self, process):
+        """A process follows the store."""
+        self.world.processes[process].follow()
+
+    @rule(process=_PROCESSES)
+    def round(self, process):
+        """An owner decides."""
+        self.world.processes[process].round()
+
+    @rule(process=_PROCESSES, worker=_WORKERS)
+    def pump(self, process, worker):
+        """An owner's calls to one worker are made."""
+        self.world.processes[process].pump(worker)
+
+    @rule(worker=_WORKERS, end=st.sampled_from(_ENDS))
+    def finish(self, worker, end):
+        """A run ends."""
+        found = self.world.workers[worker]
+        if found.running:
+            found.finish(min(found.running), end)
+
+    @rule(worker=_WORKERS, fault=st.sampled_from(["lost", "unanswered", "late"]))
+    def harm_call(self, worker, fault):
+        """The next call to a worker goes wrong."""
+        self.world.workers[worker].fault = fault
+
+    @rule(worker=_WORKERS)
+    def carry_out(self, worker):
+        """Calls that were left for later are carried out."""
+        self.world.workers[worker].carry_out()
+
+    @rule(worker=_WORKERS)
+    def crash(self, worker):
+        """A worker crashes and comes back under its id."""
+        self.world.workers[worker].crash()
+
+    @rule(worker=_WORKERS, is_cut=st.booleans(), is_registered=st.booleans())
+    def cut(self, worker, is_cut, is_registered):
+        """A worker is cut off, or comes back, and its entry may lapse."""
+        self.world.workers[worker].is_cut = is_cut
+        self.world.workers[worker].is_registered = is_registered
+
+    @rule(count=st.integers(1, 3), is_stored=st.booleans())
+    def harm_store(self, count, is_stored):
+        """The next calls to the store are refused, or their answers lost."""
+        if is_stored:
+            self.world.store.loses_replies = count
+        else:
+            self.world.store.refuses = count
+
+    @rule(process=_PROCESSES)
+    def claim(self, process):
+        """A process takes the other for dead, rightly or not."""
+        self._claim(self.world.processes[process])
+
+    @rule(process=_PROCESSES)
+    def overtake(self, process):
+        """A process claims while the other is held up by the store."""
+        self.world.store.refuses = 2
+        self.world.store.meanwhile = lambda: self._claim(self.world.processes[process])
+        self.world.processes[1 - process].round()
+
+    @rule(process=_PROCESSES)
+    def kill(self, process):
+        """A process dies and comes back."""
+        self.world.processes[process].restart()
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 3.0, 6.0]))
+    def pass_time(self, seconds):
+        """Time passes."""
+        self.world.pass_time(seconds)
+
+    def teardown(self):
+        """Let all be well again, and see that every accepted job ends as it should."""
+        try:
+            self._recover()
+        finally:
+            self._in_force.__exit__(None, None, None)
+
+    def _recover(self):
+        world = self.world
+        world.store.refuses = world.store.loses_replies = 0
+        world.store.meanwhile = None
+        for worker in world.workers.values():
+            worker.is_cut, worker.is_registered, worker.fault = False, True, ""
+        fresh = WorldProcess(world, "three")
+        fresh.claim()
+        # Lasting jobs may fill all room for good.
+        for job in sorted(world.oracle.accepted):
+            if world.oracle.submissions[job].is_long_running:
+                world.cancel(fresh, job)
+        for _ in range(_RECOVERY_ROUNDS):
+            self._work(fresh)
+            for worker in world.workers.values():
+                for name in list(worker.running):
+                    worker.finish(name, RunEnd.DONE)
+            world.pass_time(0.4)
+        self._judge_jobs(fresh)
+
+    def _judge_jobs(self, process):
+        process.read()
+        for job in self.world.oracle.accepted:
+            entry = process.book.entry(job)
+            if entry is None:
+                raise RuleBrokenError(f"LOST: {job} was accepted and is not known")
+            if not entry.shown_state.is_final:
+                raise RuleBrokenError(f"LOST: {job} is {entry.shown_state.name} for good")
+            is_lasting = self.world.oracle.submissions[job].is_long_running
+            if is_lasting and entry.shown_state is JobState.COMPLETED:
+                raise RuleBrokenError(f"MIXED: lasting {job} is completed")
+        if self.world.oracle.running:
+            raise RuleBrokenError(f"UNASKED: {sorted(self.world.oracle.running)} run on")
+
+    def _work(self, process, order=("w1", "w2", "w3")):
+        process.follow()
+        for _ in range(2):
+            process.round()
+            for worker in order:
+                process.pump(worker)
+        process.round()
+
+    def _claim(self, process):
+        if process.owner is None:
+            process.claim()
+
+
+def _settings(examples, *, is_search=False):
+    return settings(
+        max_examples=examples,
+        stateful_step_count=40,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate] if is_search else [Phase.generate, Phase.shrink],
+        suppress_health_check=list(HealthCheck),
+    )
+
+
+def test_owners_keep_the_rules():
+    run_state_machine_as_test(OwnerMachine, settings=_settings(150))
+
+
+@pytest.mark.parametrize("name", sorted(MUTATIONS))
+def test_a_faulty_owner_is_caught(name):
+    with MUTATIONS[name](), pytest.raises(BaseException) as caught:
+        run_state_machine_as_test(OwnerMachine, settings=_settings(600, is_search=True))
+    assert "RuleBrokenError" in repr(caught.value) or isinstance(caught.value, RuleBrokenError)
--- /dev/null
+++ b/almondstack/testing/owner_oracle.py
@@ -0,0 +1,151 @@
+"""What must hold of runs and jobs, judged by what workers and the store have seen."""
+
+from collections import defaultdict
+
+from almondstack.jobs import JobState, RecordKind, Submission
+from almondstack.jobs.names import parse_task_name
+from almondstack.jobs.records import decode_state, split_key
+
+__all__ = ["OwnerOracle", "RuleBrokenError"]
+
+_CEILING_ALLOWANCE = 1.1
+"""Share of its ceiling up to which an account may go, beside one task more."""
+
+CANCEL_BOUND_S = 3.0
+"""Time after an acknowledged cancel from which on nothing of the job may be started."""
+
+
+class RuleBrokenError(AssertionError):
+    """A promise was broken; the message says which."""
+
+
+class _End:
+    """An end that a worker listed as done."""
+
+    def __init__(self) -> None:
+        self.is_acknowledged = False
+        self.is_void = False
+        self.was_repeated = False
+
+
+class OwnerOracle:
+    """Judges starts, ends and records as they happen.
+
+    Parameters
+    ----------
+    ceilings : dict of str to int
+        Thousandths of a core that each account may have running.
+    max_attempts : int
+        Failed ends after which a task must not be started again.
+    """
+
+    def __init__(self, ceilings: dict[str, int], max_attempts: int) -> None:
+        self.submissions: dict[str, Submission] = {}
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled_s: dict[str, float] = {}
+        self.running: dict[str, tuple[str, int]] = {}
+        self.done_tasks: set[str] = set()
+        self._ceilings = ceilings
+        self._max_attempts = max_attempts
+        self._done: dict[str, list[_End]] = defaultdict(list)
+        self._failures: dict[str, int] = defaultdict(int)
+        self._noted_failures: dict[str, int] = defaultdict(int)
+
+    def note_start(self, name: str, spec: str, worker: str, life: int, now_s: float) -> None:
+        """Judge a run that has just begun."""
+        job, key = parse_task_name(name)
+        submission = self.submissions.get(job)
+        if submission is None or submission.spec != spec:
+            raise RuleBrokenError(f"UNASKED: {name} with spec {spec!r}")
+        if job in self.refused:
+            raise RuleBrokenError(f"REFUSED: {name} runs, and all attempts were refused")
+        if now_s > self.cancelled_s.get(job, now_s) + CANCEL_BOUND_S:
+            raise RuleBrokenError(f"UNASKED: {name} long after its cancel")
+        if name in self.running:
+            raise RuleBrokenError(f"TWICE: {name} on {worker}, and on {self.running[name]}")
+        self._judge_ends(name)
+        if self._noted_failures[name] >= self._max_attempts:
+            raise RuleBrokenError(f"BUDGET: {name}")
+        for earlier in submission.steps[key.step].after:
+            for member in range(submission.steps[earlier].count):
+                if f"{job}.{key.occurrence}.{earlier}.{member}" not in self.done_tasks:
+                    raise RuleBrokenError(f"ORDER: {name} before step {earlier} is done")
+        self.running[name] = (worker, life)
+        self._judge_ceiling(submission)
+
+    def note_end(self, name: str, how: str) -> _End | None:
+        """Take note of an end that a worker lists; return what follows its acknowledgement."""
+        self.running.pop(name, None)
+        job, key = parse_task_name(name)
+        if how == "failed":
+            self._failures[name] += 1
+        if how != "done" or self.submissions[job].steps[key.step].is_long_running:
+            return None
+        self.done_tasks.add(name)
+        end = _End()
+        self._done[name].append(end)
+        return end
+
+    def note_acknowledged(self, name: str, how: str, end: _End | None) -> None:
+        """Judge that an end was taken note of."""
+        if how == "failed":
+            self._noted_failures[name] += 1
+        if end is None or end.is_void:
+            return
+        end.is_acknowledged = True
+        if end.was_repeated:
+            raise RuleBrokenError(f"TWICE: {name} was started again after an end now noted")
+
+    def note_killed(self, name: str) -> None:
+        """Take note that a run has ended with its worker."""
+        self.running.pop(name, None)
+
+    def judge_record(self, key: str, value: bytes) -> None:
+        """Judge a record that the store has taken."""
+        kind, job = split_key(key)
+        if kind is not RecordKind.PROGRESS or not value:
+            return
+        submission = self.submissions[job]
+        state = decode_state(value)
+        if state is JobState.COMPLETED:
+            for name in _names(job, submission):
+                if name not in self.done_tasks:
+                    raise RuleBrokenError(f"MIXED: {job} is completed without {name}")
+        if state is JobState.FAILED and all(
+            self._failures[name] < self._max_attempts for name in _names(job, submission)
+        ):
+            raise RuleBrokenError(f"LOST: {job} is shown as failed without cause")
+        if state is JobState.CANCELLED and job not in self.cancelled_s:
+            raise RuleBrokenError(f"LOST: {job} is shown as cancelled without cause")
+
+    def _judge_ends(self, name: str) -> None:
+        for end in self._done[name]:
+            if end.is_void:
+                continue
+            if end.is_acknowledged:
+                raise RuleBrokenError(f"TWICE: {name} was started after its end was noted")
+            end.was_repeated = True
+
+    def _judge_ceiling(self, submission: Submission) -> None:
+        ceiling = self._ceilings.get(submission.account)
+        if ceiling is None:
+            return
+        used, largest = 0, 0
+        for name in self.running:
+            job, key = parse_task_name(name)
+            other = self.submissions[job]
+            if other.account == submission.account:
+                used += other.steps[key.step].cpu_millis
+                largest = max(largest, other.steps[key.step].cpu_millis)
+        if used > ceiling * _CEILING_ALLOWANCE + largest:
+            raise RuleBrokenError(f"QUOTA: {submission.account} has {used} running")
+
+
+def _names(job: str, submission: Submission) -> list[str]:
+    return [
+        f"{job}.{occurrence}.{step}.{member}"
+        for occurrence in range(submission.occurrence_count)
+        for step in range(len(submission.steps))
+        for member in range(submission.steps[step].count)
+    ]
