--- a/almondstack/testing/owner_oracle.py
+++ b/almondstack/testing/owner_oracle.py
@@ -6,7 +6,7 @@
 from almondstack.jobs.names import parse_task_name
 from almondstack.jobs.records import decode_state, split_key
 
-__all__ = ["OwnerOracle", "RuleBrokenError"]
+__all__ = ["DoneEnd", "OwnerOracle", "RuleBrokenError"]
 
 _CEILING_ALLOWANCE = 1.1
 """Share of its ceiling up to which an account may go, beside one task more."""
@@ -19,7 +19,7 @@
     """A promise was broken; the message says which."""
 
 
-class _End:
+class DoneEnd:
     """An end that a worker listed as done."""
 
     def __init__(self) -> None:
@@ -48,7 +48,7 @@
         self.done_tasks: set[str] = set()
         self._ceilings = ceilings
         self._max_attempts = max_attempts
-        self._done: dict[str, list[_End]] = defaultdict(list)
+        self._done: dict[str, list[DoneEnd]] = defaultdict(list)
         self._failures: dict[str, int] = defaultdict(int)
         self._noted_failures: dict[str, int] = defaultdict(int)
 
@@ -74,7 +74,7 @@
         self.running[name] = (worker, life)
         self._judge_ceiling(submission)
 
-    def note_end(self, name: str, how: str) -> _End | None:
+    def note_end(self, name: str, how: str) -> DoneEnd | None:
         """Take note of an end that a worker lists; return what follows its acknowledgement."""
         self.running.pop(name, None)
         job, key = parse_task_name(name)
@@ -83,11 +83,11 @@
         if how != "done" or self.submissions[job].steps[key.step].is_long_running:
             return None
         self.done_tasks.add(name)
-        end = _End()
+        end = DoneEnd()
         self._done[name].append(end)
         return end
 
-    def note_acknowledged(self, name: str, how: str, end: _End | None) -> None:
+    def note_acknowledged(self, name: str, how: str, end: DoneEnd | None) -> None:
         """Judge that an end was taken note of."""
         if how == "failed":
             self._noted_failures[name] += 1
