Refuse at once what a silent store can't take

The stamps of test_fleet_rounds are made in its fixture: made at import they were too old when the whole run came to them.

--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -10,16 +10,14 @@
     Record,
     StoreError,
 )
+from almondstack.ownership.tries import try_timeouts_s
 
 __all__ = ["OwnerJournal"]
 
 _RETRY_PAUSE_S = 0.05
 
-_FIRST_TRY_S = 0.5
-"""An ordinary append takes some milliseconds, so an answer this late is likely lost."""
-
-_LATER_TRY_S = 1.2
-"""A store that is slow must be given its time in the end, in seconds."""
+_RELEASE_TIMEOUT_S = 0.5
+"""Giving back is tried once, since others notice silence too."""
 
 _MOST_BYTES = 1_000_000
 """Bound on the records of one append; half of what the store takes in one call."""
@@ -101,7 +99,7 @@
                 [self._sign(OwnerNotice("", self._token))],
                 self._token,
                 self._sequence,
-                _FIRST_TRY_S,
+                _RELEASE_TIMEOUT_S,
             )
         except StoreError as error:
             self._services.events.write("release-failed", token=self._token, error=str(error))
@@ -119,8 +117,9 @@
         self._sequence += 1
         began_s = time.monotonic()
         is_reported = False
-        timeout_s = _FIRST_TRY_S
-        while not self._is_closed.is_set():
+        for timeout_s in try_timeouts_s():
+            if self._is_closed.is_set():
+                break
             try:
                 self._services.store.append_owned(records, self._token, self._sequence, timeout_s)
             except FencedError:
@@ -129,7 +128,6 @@
                 if not is_reported:
                     self._services.events.write("append-retried", error=str(error))
                 is_reported = True
-                timeout_s = _LATER_TRY_S
                 self._is_closed.wait(_RETRY_PAUSE_S)
                 continue
             # Others may have read the record since the first try, and count from then.
--- a/almondstack/control/tests/test_fleet_rounds.py
+++ b/almondstack/control/tests/test_fleet_rounds.py
@@ -12,8 +12,6 @@
 from almondstack.jobs import JobBook, RecordKind, record_key
 from almondstack.testing.job_builders import make_table, make_worker
 
-_ORDERED_MS = int(time.time() * 1000)
-
 
 class _Services:
     """What the rounds use of the owner's services, without a network."""
@@ -25,6 +23,7 @@
         self.metrics = NullMetrics()
         self.instances = self
         self.replies = []
+        self.ordered_ms = int(time.time() * 1000)
 
     def move(self, instance, pool, token):
         """Answer an order as the test has said."""
@@ -35,7 +34,7 @@
 def fleet():
     """Return the rounds of a new owner, whose instance ``m`` the owner before has ordered."""
     services = _Services()
-    stamp = _ORDERED_MS.to_bytes(8, "big")
+    stamp = services.ordered_ms.to_bytes(8, "big")
     services.book.apply(record_key(RecordKind.INSTANCE, "m"), stamp)
     return services
 
@@ -52,12 +51,12 @@
 
 def test_burst_an_instance_that_has_moved_works_for_the_next_owner_at_once(fleet):
     """An owner dies in a burst; what it had moved stood idle (magnolia-pay, trouble-3)."""
-    assert not _is_reserved(fleet, _ORDERED_MS + 1_500)
+    assert not _is_reserved(fleet, fleet.ordered_ms + 1_500)
 
 
 def test_an_order_of_the_owner_before_may_still_arrive(fleet):
-    assert _is_reserved(fleet, _ORDERED_MS - 10_000)
-    assert not _is_reserved(fleet, _ORDERED_MS - 10_000, name="other")
+    assert _is_reserved(fleet, fleet.ordered_ms - 10_000)
+    assert not _is_reserved(fleet, fleet.ordered_ms - 10_000, name="other")
 
 
 def test_an_unclear_order_of_its_own_keeps_an_instance_empty_until_it_is_done(fleet):
@@ -66,9 +65,9 @@
     fleet.replies = [OrderStatus.UNCLEAR, OrderStatus.DONE]
     desk.move("n", "q")
     desk._tasks.get()()
-    assert _is_reserved(fleet, _ORDERED_MS, rounds, "n")
+    assert _is_reserved(fleet, fleet.ordered_ms, rounds, "n")
     desk._tasks.get()()
-    assert _is_reserved(fleet, _ORDERED_MS, rounds, "n")
+    assert _is_reserved(fleet, fleet.ordered_ms, rounds, "n")
     desk._pending.clear()
-    assert not _is_reserved(fleet, _ORDERED_MS, rounds, "n")
+    assert not _is_reserved(fleet, fleet.ordered_ms, rounds, "n")
     assert not desk.is_free("n", time.monotonic())
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -12,16 +12,15 @@
 from almondstack.jobs.records import RecordKind, encode_submission, record_key
 from almondstack.ownership.errors import FencedError, StoreError, StoreRefusedError
 from almondstack.ownership.ports import Record, RecordStore
+from almondstack.ownership.tries import try_timeouts_s
 from almondstack.placement import QueuePolicy
 from almondstack.placement.backlog import is_in_time
 
 __all__ = ["JobService", "Verdict"]
 
-_FIRST_TRY_S = 0.5
-"""An ordinary append takes some milliseconds, so an answer this late is likely lost."""
-
-_LATER_TRY_S = 1.2
-"""A store that is slow must be given its time in the end, in seconds."""
+_SILENT_S = 1.0
+"""A store that this process has not heard for longer is not asked for new jobs, in seconds;
+while it answers, one read follows on another within three quarters of a second."""
 
 _RETRY_PAUSE_S = 0.05
 _MOST_RETRY_PAUSE_S = 0.4
@@ -56,25 +55,29 @@
         What this process has folded.
     sync : callable
         Reads to the present end of the store; raises StoreError.
+    contact_age_s : callable
+        Seconds since this process has last heard the store.
     events : EventLog
         Takes a line for each decision.
     metrics : NullMetrics
         Counts and times them.
     """
 
-    __slots__ = ("_book", "_events", "_metrics", "_store", "_sync")
+    __slots__ = ("_book", "_contact_age_s", "_events", "_metrics", "_store", "_sync")
 
     def __init__(
         self,
         store: RecordStore,
         book: JobBook,
         sync: Callable[[], None],
+        contact_age_s: Callable[[], float],
         events: EventLog,
         metrics: NullMetrics,
     ) -> None:
         self._store = store
         self._book = book
         self._sync = sync
+        self._contact_age_s = contact_age_s
         self._events = events
         self._metrics = metrics
 
@@ -88,6 +91,11 @@
         late_ms = self.excess_wait_ms(submission, policy)
         if late_ms > 0:
             return self._refuse(job, submission, late_ms, timeout_s)
+        silence_s = self._contact_age_s()
+        if silence_s > _SILENT_S:
+            self._events.write("job-not-stored", job=job, store_silence_s=round(silence_s, 2))
+            self._metrics.count("submit.silent")
+            return Verdict.NOT_STORED
         record = Record(record_key(RecordKind.SUBMISSION, job), encode_submission(submission))
         epoch = _now_ms()
         try:
@@ -211,11 +219,10 @@
         began_s = time.monotonic()
         is_unclear = False
         pause_s = _RETRY_PAUSE_S
-        try_s = _FIRST_TRY_S
-        while True:
+        for try_s in try_timeouts_s():
             left_s = timeout_s - (time.monotonic() - began_s)
             if left_s <= 0:
-                return Verdict.UNCLEAR if is_unclear else Verdict.NOT_STORED
+                break
             try:
                 call(min(left_s, try_s))
             except FencedError:
@@ -230,12 +237,12 @@
                 if not is_unclear:
                     self._note_failure(job, error, is_unclear=True)
                 is_unclear = True
-                try_s = _LATER_TRY_S
             else:
                 self._metrics.timing_ms("append.job", (time.monotonic() - began_s) * 1000.0)
                 return Verdict.DONE
             time.sleep(pause_s)
             pause_s = min(2 * pause_s, _MOST_RETRY_PAUSE_S)
+        return Verdict.UNCLEAR if is_unclear else Verdict.NOT_STORED
 
     def _note_failure(self, job: str, error: StoreError, *, is_unclear: bool) -> None:
         self._events.write("append-failed", job=job, error=str(error), is_unclear=is_unclear)
--- a/almondstack/platform/tests/test_front.py
+++ b/almondstack/platform/tests/test_front.py
@@ -33,7 +33,15 @@
         self.book = JobBook()
         self.holder = ConfigurationHolder()
         self.holder.put_configuration(configuration_bytes())
-        service = JobService(self.store, self.book, self._sync, EventLog("test"), NullMetrics())
+        self.silence_s = 0.0
+        service = JobService(
+            self.store,
+            self.book,
+            self._sync,
+            lambda: self.silence_s,
+            EventLog("test"),
+            NullMetrics(),
+        )
         self.front = JobFront(self.holder, service, NullMetrics())
 
     def _sync(self):
@@ -128,6 +136,22 @@
     assert answer.status == 503 and answer.retry_after_s and front.store.records == []
 
 
+def test_outage_a_store_that_is_silent_is_not_asked_to_store_jobs(front):
+    """An append that is never answered would leave the caller without a true answer."""
+    front.silence_s = 1.5
+    answer = front.ask("POST", body=job_body())
+    assert answer.status == 503 and answer.retry_after_s and front.store.records == []
+    front.silence_s = 0.5
+    assert front.ask("POST", body=job_body()).status == 200
+
+
+def test_outage_every_second_answer_lost_is_repeated_within_a_callers_patience(front):
+    """With half of all answers lost, three in a row are still answered in time."""
+    front.store.loses_replies = 3
+    assert front.ask("POST", body=job_body()).status == 200
+    assert len(front.store.records) == 1
+
+
 def test_a_lost_answer_of_the_store_is_asked_for_again(front):
     front.store.loses_replies = 1
     assert front.ask("POST", body=job_body()).status == 200
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -144,7 +144,12 @@
         self.book = JobBook()
         self._offset = 0
         self.service = JobService(
-            self._world.store, self.book, self.read, self._world.events, NullMetrics()
+            self._world.store,
+            self.book,
+            self.read,
+            lambda: 0.0,
+            self._world.events,
+            NullMetrics(),
         )
 
     def read(self) -> None:
