--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from almondstack.control import owner, runs, session
-from almondstack.jobs import RunEnd, active
+from almondstack.jobs import RunEnd, active, book
 from almondstack.placement import rounds
 
 __all__ = ["MUTATIONS"]
@@ -76,6 +76,17 @@
         yield
 
 
+@contextlib.contextmanager
+def _deaf_to_cancels() -> Iterator[None]:
+    """An owner goes by the submissions alone."""
+    is_never = property(lambda self: False, lambda self, value: None)
+    with (
+        mock.patch.object(owner.Owner, "_cancel", _nothing),
+        mock.patch.object(book.JobEntry, "is_cancelled", is_never),
+    ):
+        yield
+
+
 def _patch(target: Any, name: str, value: Any) -> Callable[[], Any]:
     return lambda: mock.patch.object(target, name, value)
 
@@ -100,6 +111,6 @@
     "ceilings are not looked at": _patch(
         rounds.Usage, "allows", lambda _usage, _account, _demand: True
     ),
-    "cancels are not heard": _patch(owner.Owner, "_cancel", _nothing),
+    "cancels are not heard": _deaf_to_cancels,
 }
 """Each fault by its name."""
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -159,7 +159,7 @@
         self._extend(deadline_ms)
         if self._used_millis() + self._millis(order.task) > _CAPACITY_MILLIS:
             return OrderStatus.NO_ROOM
-        self._oracle.note_start(order.task, order.spec, self.id, self.life, self._clock.now_s)
+        self._oracle.note_start(order.task, order.spec, self.id, self.life)
         self.running[order.task] = order.run
         return OrderStatus.DONE
 
@@ -213,12 +213,14 @@
 class WorldCaller:
     """Calls one life of a worker for one owner; see ``WorkerCaller``."""
 
-    def __init__(self, worker: WorldWorker, life: int) -> None:
+    def __init__(self, worker: WorldWorker, life: int, judge_start: Callable[[str], None]) -> None:
         self._worker = worker
         self._life = life
+        self._judge_start = judge_start
 
     def start(self, order: StartOrder, deadline_ms: int, token: int) -> OrderReply:
         """Order a start."""
+        self._judge_start(order.task)
         return self._order(lambda: self._worker.start(order, deadline_ms, token))
 
     def stop(self, task: str, run: int, token: int) -> OrderReply:
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -35,6 +35,7 @@
     encode_notice,
     record_key,
 )
+from almondstack.jobs.records import split_key
 from almondstack.ownership import (
     FencedError,
     OwnershipSettings,
@@ -143,6 +144,7 @@
         self.owner: Owner | None = None
         self.book = JobBook()
         self._offset = 0
+        self._cancels_heard_s: dict[str, float] = {}
         self.service = JobService(
             self._world.store,
             self.book,
@@ -158,6 +160,15 @@
         self._offset = batch.next_offset
         for record in batch.records:
             self.book.apply(record.key, record.value)
+            kind, job = split_key(record.key)
+            if kind is RecordKind.CANCEL:
+                self._cancels_heard_s.setdefault(job, self._world.clock.now_s)
+
+    def judge_start(self, name: str) -> None:
+        """Judge a start that this process orders."""
+        now_s = self._world.clock.now_s
+        heard_s = self._cancels_heard_s.get(name.partition(".")[0], now_s)
+        self._world.oracle.judge_order(name, heard_s, now_s)
 
     def follow(self) -> None:
         """Follow the store, unless it is away."""
@@ -234,13 +245,14 @@
 
     def services(self, process: WorldProcess) -> OwnerServices:
         """Return what an owner of a process works with."""
+        surroundings = _Surroundings(self, process)
         return OwnerServices(
             store=self.store,
             address="127.0.0.1:1",
             book=process.book,
-            callers=_Surroundings(self),
-            instances=_Surroundings(self),
-            directory=_Surroundings(self),
+            callers=surroundings,
+            instances=surroundings,
+            directory=surroundings,
             advice=None,
             policies=lambda: self.policies,
             control=ControlSettings(lease_s=4.5),
@@ -276,8 +288,9 @@
 class _Surroundings:
     """Workers and their directory; instances, waves and moves are not part of this world."""
 
-    def __init__(self, world: OwnerWorld) -> None:
+    def __init__(self, world: OwnerWorld, process: WorldProcess) -> None:
         self._world = world
+        self._process = process
 
     @property
     def is_read(self) -> bool:
@@ -286,7 +299,8 @@
 
     def caller(self, worker: WorkerInfo) -> WorkerCaller:
         """Make a caller; see ``WorkerCallers``."""
-        return WorldCaller(self._world.workers[worker.id], worker.life)
+        found = self._world.workers[worker.id]
+        return WorldCaller(found, worker.life, self._process.judge_start)
 
     def workers(self) -> dict[str, WorkerInfo]:
         """Return the workers that are registered now."""
