--- /dev/null
+++ b/almondstack/control/tests/test_pacing.py
@@ -0,0 +1,70 @@
+"""Fillers give way to tasks that serve."""
+
+import pytest
+
+from almondstack.control.pacing import Pacing
+from almondstack.jobs import TaskKey
+from almondstack.testing.job_builders import assign, make_job, make_step, make_table, make_worker
+
+
+class _Session:
+    """Takes orders as a session does."""
+
+    def __init__(self):
+        self.orders = []
+
+    def pace(self, name, run, percent):
+        self.orders.append(percent)
+
+
+@pytest.fixture
+def world():
+    """Return a serving task and a filler on one worker, the pacing, and the session."""
+    serving = make_job(make_step(is_long_running=True, target_ms=100))
+    filler = make_job(make_step(is_filler=True), id="0" * 16)
+    worker = make_worker()
+    table = make_table(serving, filler, workers=(worker,))
+    tasks = [job.task(TaskKey(0, 0, 0)) for job in (serving, filler)]
+    for task in tasks:
+        assign(table, task, worker)
+        task.is_confirmed = True
+    session = _Session()
+    return tasks, Pacing(table, {worker.id: session}), session
+
+
+def test_a_filler_stops_when_a_serving_task_is_over_its_target(world):
+    (serving, filler), pacing, session = world
+    serving.load = 150
+    pacing.round(1.0)
+    assert session.orders == [0] and filler.percent == 0
+
+
+def test_a_filler_comes_back_step_by_step(world):
+    (serving, filler), pacing, session = world
+    serving.load, filler.percent = 20, 0
+    for number in range(6):
+        pacing.round(1.0 + number)
+    assert session.orders == [25, 50, 75, 100]
+
+
+def test_changes_wait_for_figures_that_show_the_one_before(world):
+    (serving, _), pacing, session = world
+    serving.load = 90
+    pacing.round(1.0)
+    pacing.round(1.2)
+    assert session.orders == [50]
+
+
+def test_a_filler_alone_works_at_its_full_share(world):
+    (serving, filler), pacing, session = world
+    serving.is_stopping = True
+    filler.percent = 50
+    pacing.round(1.0)
+    assert session.orders == [75]
+
+
+def test_a_run_that_is_being_stopped_gets_no_orders(world):
+    (serving, filler), pacing, session = world
+    serving.load, filler.is_stopping = 500, True
+    pacing.round(1.0)
+    assert session.orders == []
