--- a/almondstack/ctl/commands/__init__.py
+++ b/almondstack/ctl/commands/__init__.py
@@ -2,8 +2,31 @@
 
 from almondstack.ctl import report, waves
 from almondstack.ctl.commands import apply as apply_command
-from almondstack.ctl.commands import check, diff, explain, keys, level, status, version, watch
+from almondstack.ctl.commands import (
+    check,
+    diff,
+    explain,
+    keys,
+    level,
+    status,
+    story,
+    version,
+    watch,
+)
 
 __all__: list[str] = []
 
-_MODULES = (apply_command, check, diff, explain, keys, level, status, version, watch, report, waves)
+_MODULES = (
+    apply_command,
+    check,
+    diff,
+    explain,
+    keys,
+    level,
+    status,
+    story,
+    version,
+    watch,
+    report,
+    waves,
+)
