Let the owners' world leave attempts for later, and refuse jobs that come again

REFUSED in the machine now means it: a 429 at one process after an attempt without an answer at another. A mutation that says 429 without shutting earlier attempts out is caught.

--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -1,5 +1,7 @@
 """Real owners in a world of faults, against an oracle of what must hold."""
 
+from unittest import mock
+
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -11,7 +13,7 @@
     run_state_machine_as_test,
 )
 
-from almondstack.intake import Verdict
+from almondstack.intake import JobService, Verdict
 from almondstack.jobs import JobState, RunEnd, Submission
 from almondstack.testing.job_builders import make_step
 from almondstack.testing.owner_mutations import MUTATIONS
@@ -53,9 +55,32 @@
             "q", account, f"spec {job}", shape, accepted_ms=now_ms, pool="p", max_attempts=2
         )
         verdict = self.world.submit(self.world.processes[process], job, submission)
-        if verdict in (Verdict.NOT_STORED, Verdict.FULL):
+        if verdict is Verdict.NOT_STORED:
             self.world.oracle.refused.add(job)
 
+    @precondition(lambda self: self.world.oracle.submissions)
+    @rule(process=_PROCESSES, is_full=st.booleans(), data=st.data())
+    def submit_again(self, process, is_full, data):
+        """A caller hands a job in once more, elsewhere, where its queue may be full."""
+        job = data.draw(st.sampled_from(sorted(self.world.oracle.submissions)))
+        late_ms = 1_000.0 if is_full else 0.0
+        # Callers that were refused come back after a while.
+        self.world.pass_time(1.0)
+        with mock.patch.object(JobService, "excess_wait_ms", lambda *_arguments: late_ms):
+            self.world.submit(
+                self.world.processes[process], job, self.world.oracle.submissions[job]
+            )
+
+    @rule(is_late=st.booleans())
+    def harm_attempts(self, is_late):
+        """The store leaves attempts to hand jobs in for later, or does so no more."""
+        self.world.store.is_late = is_late
+
+    @rule()
+    def carry_out_attempts(self):
+        """The store carries out what it has left for later."""
+        self.world.store.carry_out()
+
     @precondition(lambda self: self.world.oracle.accepted)
     @rule(process=_PROCESSES, data=st.data())
     def cancel(self, process, data):
@@ -163,6 +188,8 @@
         world = self.world
         world.store.refuses = world.store.loses_replies = 0
         world.store.meanwhile = None
+        world.store.is_late = False
+        world.store.carry_out()
         for worker in world.workers.values():
             worker.is_cut, worker.is_registered, worker.fault = False, True, ""
         fresh = WorldProcess(world, "three")
--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -6,6 +6,8 @@
 from unittest import mock
 
 from almondstack.control import owner, runs, session
+from almondstack.intake import Verdict
+from almondstack.intake import service as intake_service
 from almondstack.jobs import RunEnd, active, book
 from almondstack.placement import rounds
 
@@ -112,5 +114,8 @@
         rounds.Usage, "allows", lambda _usage, _account, _demand: True
     ),
     "cancels are not heard": _deaf_to_cancels,
+    "refusals leave earlier attempts in force": _patch(
+        intake_service.JobService, "_shut_out", lambda *_arguments: Verdict.FULL
+    ),
 }
 """Each fault by its name."""
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -42,6 +42,7 @@
     Record,
     StoreError,
     StoreRefusedError,
+    StoreUnclearError,
 )
 from almondstack.placement import (
     AccountPolicy,
@@ -79,11 +80,28 @@
     def __init__(self, clock: WorldClock, oracle: OwnerOracle) -> None:
         super().__init__()
         self.refuses = 0
+        self.is_late = False
+        self._late: list[tuple[Record, str, int]] = []
         self.meanwhile: Callable[[], None] | None = None
         self._clock = clock
         self._oracle = oracle
         self._judged = 0
 
+    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
+        """Append an attempt, or leave it for later without an answer."""
+        if self.is_late:
+            self._late.append((record, producer, epoch))
+            self._clock.sleep(timeout_s)
+            raise StoreUnclearError("no answer")
+        super().append_attempt(record, producer, epoch, timeout_s)
+
+    def carry_out(self) -> None:
+        """Carry out the attempts that were left for later; fenced ones have no effect."""
+        late, self._late = self._late, []
+        for record, producer, epoch in late:
+            with contextlib.suppress(StoreError):
+                super().append_attempt(record, producer, epoch, 1.0)
+
     def _check(self) -> None:
         if self.refuses:
             self.refuses -= 1
@@ -268,6 +286,9 @@
         verdict = process.service.submit(job, self.oracle.submissions[job], policy, 2.0)
         if verdict in (Verdict.DONE, Verdict.KNOWN):
             self.oracle.accepted.add(job)
+            self.oracle.refused.discard(job)
+        if verdict is Verdict.FULL and job not in self.oracle.accepted:
+            self.oracle.refused.add(job)
         return verdict
 
     def cancel(self, process: WorldProcess, job: str) -> None:
