--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -84,7 +84,14 @@
     def submit(
         self, job: str, submission: Submission, policy: QueuePolicy, timeout_s: float
     ) -> Verdict:
-        """Store a submission; only ``FULL`` and ``NOT_STORED`` say that it never runs."""
+        """Store a submission.
+
+        Explanation
+        -----------
+        ``FULL`` says that the job never runs by any attempt so far, ``NOT_STORED``
+        that this attempt has stored nothing.  Each attempt has the time of day as
+        its epoch, so that a refusal can shut earlier ones out.
+        """
         entry = self._book.entry(job)
         if entry is not None:
             return self._known(job, entry, submission)
@@ -174,6 +181,7 @@
         return verdict
 
     def _shut_out(self, job: str, submission: Submission, timeout_s: float) -> Verdict:
+        """Fence earlier attempts; ``FULL`` if none of them has stored the job."""
         epoch = _now_ms() + _CLOCK_ALLOWANCE_MS
         try:
             verdict = self._store_until(
