Order attempts by the log instead of by clocks, and never deny an open attempt

Causes, found by reading the change again: - an attempt's epoch was the time of day; a clock more than half a second ahead made a 429 untrue, and an attempt in the same millisecond as a fence would have been taken for a repeat of it and answered 200 without being stored; - a process whose own attempt had no answer said 503 to the same id when the store had become silent or refused; - two accounts with one id shared a producer, so that one's append could be taken for a repeat of the other's; - a sync read one answer of the store, which holds 1 MB, and called it the end. Change: epochs are twice the offset that the process has read, fences one more than twice the end of the log; the producer names id, queue and account; attempts that are open in this process are remembered; a sync goes on to the end that the store tells. Each has a test that failed before (the sync's with the old loop put back).

--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -207,7 +207,7 @@
         self._judge_jobs(fresh)
 
     def _judge_jobs(self, process):
-        process.read()
+        process.sync()
         for job in self.world.oracle.accepted:
             entry = process.book.entry(job)
             if entry is None:
--- a/almondstack/intake/__init__.py
+++ b/almondstack/intake/__init__.py
@@ -1,5 +1,5 @@
 """What callers may ask of jobs, on any process."""
 
-from almondstack.intake.service import JobService, Verdict
+from almondstack.intake.service import JobService, StoreReader, Verdict
 
-__all__ = ["JobService", "Verdict"]
+__all__ = ["JobService", "StoreReader", "Verdict"]
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -3,9 +3,16 @@
 import time
 from collections.abc import Callable
 from enum import StrEnum
+from typing import Protocol
 
 from almondstack.core import NullMetrics
 from almondstack.core.events import EventLog
+from almondstack.intake.attempts import (
+    UnsettledAttempts,
+    attempt_epoch,
+    attempt_producer,
+    fence_epoch,
+)
 from almondstack.jobs import JobBook, JobEntry
 from almondstack.jobs.active import chain_lengths_ms
 from almondstack.jobs.model import JobState, Submission
@@ -16,7 +23,7 @@
 from almondstack.placement import QueuePolicy
 from almondstack.placement.backlog import is_in_time
 
-__all__ = ["JobService", "Verdict"]
+__all__ = ["JobService", "StoreReader", "Verdict"]
 
 _SILENT_S = 1.0
 """A store that this process has not heard for longer is not asked for new jobs, in seconds;
@@ -25,9 +32,6 @@
 _RETRY_PAUSE_S = 0.05
 _MOST_RETRY_PAUSE_S = 0.4
 
-_CLOCK_ALLOWANCE_MS = 500
-"""Clocks of machines differ by less; callers that were refused come back later than this."""
-
 _MOST_NOTICE_AGE_S = 2.5
 """What the owner said longer ago says nothing of now, in seconds."""
 
@@ -44,6 +48,30 @@
     UNCLEAR = "unclear"
 
 
+class StoreReader(Protocol):
+    """Follows the store into the book."""
+
+    @property
+    def contact_age_s(self) -> float:
+        """Seconds since the store last answered a read."""
+        ...
+
+    @property
+    def next_offset(self) -> int:
+        """The offset up to which the store is folded into the book."""
+        ...
+
+    def sync(self) -> None:
+        """Read to the present end of the store in the calling thread.
+
+        Raises
+        ------
+        StoreError
+            The store did not answer as it should.
+        """
+        ...
+
+
 class JobService:
     """Accepts, cancels and shows jobs.
 
@@ -53,31 +81,28 @@
         Where accepted jobs and cancels are stored.
     book : JobBook
         What this process has folded.
-    sync : callable
-        Reads to the present end of the store; raises StoreError.
-    contact_age_s : callable
-        Seconds since this process has last heard the store.
+    reader : StoreReader
+        Follows the store into the book.
     events : EventLog
         Takes a line for each decision.
     metrics : NullMetrics
         Counts and times them.
     """
 
-    __slots__ = ("_book", "_contact_age_s", "_events", "_metrics", "_store", "_sync")
+    __slots__ = ("_attempts", "_book", "_events", "_metrics", "_reader", "_store")
 
     def __init__(
         self,
         store: RecordStore,
         book: JobBook,
-        sync: Callable[[], None],
-        contact_age_s: Callable[[], float],
+        reader: StoreReader,
         events: EventLog,
         metrics: NullMetrics,
     ) -> None:
         self._store = store
         self._book = book
-        self._sync = sync
-        self._contact_age_s = contact_age_s
+        self._reader = reader
+        self._attempts = UnsettledAttempts()
         self._events = events
         self._metrics = metrics
 
@@ -89,31 +114,22 @@
         Explanation
         -----------
         ``FULL`` says that the job never runs by any attempt so far, ``NOT_STORED``
-        that this attempt has stored nothing.  Each attempt has the time of day as
-        its epoch, so that a refusal can shut earlier ones out.
+        that no attempt of this process has stored it.  The epoch of an attempt is
+        taken first, so that every later refusal fences it.
         """
+        epoch = attempt_epoch(self._reader.next_offset)
         entry = self._book.entry(job)
         if entry is not None:
             return self._known(job, entry, submission)
         late_ms = self.excess_wait_ms(submission, policy)
         if late_ms > 0:
             return self._refuse(job, submission, late_ms, timeout_s)
-        silence_s = self._contact_age_s()
+        silence_s = self._reader.contact_age_s
         if silence_s > _SILENT_S:
             self._events.write("job-not-stored", job=job, store_silence_s=round(silence_s, 2))
             self._metrics.count("submit.silent")
-            return Verdict.NOT_STORED
-        record = Record(record_key(RecordKind.SUBMISSION, job), encode_submission(submission))
-        epoch = _now_ms()
-        try:
-            verdict = self._store_until(
-                lambda try_s: self._store.append_attempt(record, job, epoch, try_s), job, timeout_s
-            )
-        except FencedError as error:
-            self._note_failure(job, error, is_unclear=False)
-            return self._found_or(Verdict.NOT_STORED, job, submission)
-        if verdict is Verdict.DONE:
-            self._book.apply(record.key, record.value)
+            return self._not_stored(job)
+        verdict = self._store_submission(job, submission, epoch, timeout_s)
         self._events.write(
             "job-submitted",
             job=job,
@@ -124,6 +140,30 @@
         self._metrics.count(f"submit.{verdict}")
         return verdict
 
+    def _store_submission(
+        self, job: str, submission: Submission, epoch: int, timeout_s: float
+    ) -> Verdict:
+        record = Record(record_key(RecordKind.SUBMISSION, job), encode_submission(submission))
+        producer = attempt_producer(job, submission)
+        self._attempts.begin(job)
+        try:
+            verdict = self._store_until(
+                lambda try_s: self._store.append_attempt(record, producer, epoch, try_s),
+                job,
+                timeout_s,
+            )
+        except FencedError as error:
+            self._note_failure(job, error, is_unclear=False)
+            self._attempts.settle(job)
+            return self._found_or(self._not_stored(job), job, submission)
+        if verdict is Verdict.DONE:
+            self._attempts.close(job)
+            self._book.apply(record.key, record.value)
+        if verdict is Verdict.NOT_STORED:
+            self._attempts.settle(job)
+            return self._not_stored(job)
+        return verdict
+
     def cancel(self, job: str, account: str, timeout_s: float) -> Verdict:
         """Store a cancel of a job."""
         entry = self._find(job, account)
@@ -182,28 +222,44 @@
 
     def _shut_out(self, job: str, submission: Submission, timeout_s: float) -> Verdict:
         """Fence earlier attempts; ``FULL`` if none of them has stored the job."""
-        epoch = _now_ms() + _CLOCK_ALLOWANCE_MS
+        if not self._is_synced(job):
+            return self._not_stored(job)
+        producer = attempt_producer(job, submission)
+        epoch = fence_epoch(self._reader.next_offset)
         try:
             verdict = self._store_until(
-                lambda try_s: self._store.fence_attempts(job, epoch, try_s), job, timeout_s
+                lambda try_s: self._store.fence_attempts(producer, epoch, try_s), job, timeout_s
             )
         except FencedError:
             # A later epoch, of another refusal or of an attempt that is stored, fences as well.
             verdict = Verdict.DONE
+        if verdict is Verdict.NOT_STORED:
+            return self._not_stored(job)
         if verdict is not Verdict.DONE:
             return verdict
+        self._attempts.close(job)
         return self._found_or(Verdict.FULL, job, submission)
 
+    def _not_stored(self, job: str) -> Verdict:
+        """Return what may be said of a job that this attempt has not stored."""
+        return Verdict.UNCLEAR if self._attempts.is_open(job) else Verdict.NOT_STORED
+
     def _found_or(self, verdict: Verdict, job: str, submission: Submission) -> Verdict:
         """Look for the job behind a fence, in all that is stored; ``verdict`` if it isn't there."""
-        try:
-            self._sync()
-        except StoreError as error:
-            self._events.write("lookup-failed", job=job, error=str(error))
+        if not self._is_synced(job):
             return Verdict.UNCLEAR
         entry = self._book.entry(job)
         return verdict if entry is None else self._known(job, entry, submission)
 
+    def _is_synced(self, job: str) -> bool:
+        """Read to the end of the store; False if it can't be read now."""
+        try:
+            self._reader.sync()
+        except StoreError as error:
+            self._events.write("lookup-failed", job=job, error=str(error))
+            return False
+        return True
+
     def _known(self, job: str, entry: JobEntry, submission: Submission) -> Verdict:
         is_same = entry.account == submission.account and entry.queue == submission.queue
         self._events.write("job-repeated", job=job, is_same=is_same)
@@ -212,10 +268,7 @@
     def _find(self, job: str, account: str) -> JobEntry | Verdict:
         entry = self._book.entry(job)
         if entry is None:
-            try:
-                self._sync()
-            except StoreError as error:
-                self._events.write("lookup-failed", job=job, error=str(error))
+            if not self._is_synced(job):
                 return Verdict.UNCLEAR
             entry = self._book.entry(job)
         if entry is None or (entry.account and entry.account != account):
@@ -254,7 +307,3 @@
 
     def _note_failure(self, job: str, error: StoreError, *, is_unclear: bool) -> None:
         self._events.write("append-failed", job=job, error=str(error), is_unclear=is_unclear)
-
-
-def _now_ms() -> int:
-    return int(time.time() * 1000)
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -113,6 +113,11 @@
         """Seconds since the store last answered a read."""
         return time.monotonic() - self._contact_s
 
+    @property
+    def next_offset(self) -> int:
+        """The offset up to which the log is folded into the book."""
+        return self._offset
+
     def start(self) -> None:
         """Start to follow."""
         self._thread.start()
@@ -137,7 +142,9 @@
         StoreError
             The store did not answer as it should.
         """
-        self._read(0.0)
+        while self._read(0.0):
+            # One answer holds a bounded part of what is there.
+            continue
 
     def _run(self) -> None:
         while not self._stop.is_set():
@@ -177,7 +184,8 @@
         self._note_contact()
         self._events.write("book-loaded", records=len(snapshot.records), offset=self._offset)
 
-    def _read(self, wait_s: float) -> None:
+    def _read(self, wait_s: float) -> bool:
+        """Read once; return whether the log had more than the answer could hold."""
         try:
             batch = self._store.read(self._offset, wait_s)
         except HistoryLostError:
@@ -191,6 +199,7 @@
         notice = self._book.notice
         if notice is not None and not notice.owner:
             self._vacancy.note_release()
+        return batch.next_offset < batch.end_offset
 
     def _fold(self, records: list[Record], next_offset: int) -> None:
         """Fold what no other thread has folded in the meantime."""
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -13,10 +13,11 @@
 
 
 class Batch(NamedTuple):
-    """Records read in their order, and the offset behind the last of them."""
+    """Records read in their order, the offset behind the last of them, and where the log ended."""
 
     records: list[Record]
     next_offset: int
+    end_offset: int
 
 
 class Snapshot(NamedTuple):
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -198,3 +198,13 @@
     follower, owned = _follower(store, "one")
     _steps(follower)
     assert len(owned) == 1
+
+
+def test_a_sync_reads_to_the_end_however_little_one_answer_holds():
+    """A process that lags by more than one answer showed accepted jobs as unknown."""
+    store = FakeRecordStore()
+    follower, _ = _follower(store, "one")
+    store.most_per_read = 2
+    store.records.extend(Record(f"i{number}", b"1") for number in range(7))
+    follower.sync()
+    assert follower.next_offset == 7
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -84,14 +84,7 @@
             self._events,
             self._take_over,
         )
-        service = JobService(
-            self._store,
-            self._book,
-            self._follower.sync,
-            self._contact_age_s,
-            self._events,
-            self._metrics,
-        )
+        service = JobService(self._store, self._book, self._follower, self._events, self._metrics)
         front = JobFront(self._holder, service, self._metrics)
         self._front = FrontServer(settings.listen.front, front)
         self._ready = StatusServer(
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -30,7 +30,10 @@
 """Statuses that say that nothing was stored."""
 
 _PRODUCER = "owner"
-_HEAD_BYTES = 16
+_OFFSET_BYTES = 8
+_HEAD_BYTES = 2 * _OFFSET_BYTES
+"""A read begins with the end of the log and with the first offset that is kept."""
+
 _LENGTH_BYTES = 4
 _READ_TIMEOUT_S = 0.8
 _SNAPSHOT_TIMEOUT_S = 2.0
@@ -143,9 +146,10 @@
         if reply.status == _GONE:
             raise HistoryLostError(f"offset {offset}")
         if reply.status == _NOT_FOUND:
-            return Batch([], offset)
+            return Batch([], offset, offset)
         records = _split_records(reply.body)
-        return Batch(records, offset + len(records))
+        end_offset = int.from_bytes(reply.body[:_OFFSET_BYTES], "big")
+        return Batch(records, offset + len(records), end_offset)
 
     def append(self, records: list[Record], timeout_s: float) -> None:
         """Append records of any process; see ``RecordStore``."""
@@ -201,7 +205,7 @@
 
 
 def _split_records(body: bytes) -> list[Record]:
-    """Return the records of a read; its head holds offsets that are not needed."""
+    """Return the records of a read, behind its head."""
     records = []
     position = _HEAD_BYTES
     while position + _LENGTH_BYTES <= len(body):
--- a/almondstack/platform/tests/test_front.py
+++ b/almondstack/platform/tests/test_front.py
@@ -1,6 +1,5 @@
 """Callers' requests, translated."""
 
-import time
 
 import pytest
 
@@ -15,6 +14,7 @@
     encode_notice,
     record_key,
 )
+from almondstack.ownership import Record
 from almondstack.platform.configuration import ConfigurationHolder
 from almondstack.platform.front import JobFront
 from almondstack.platform.tests.builders import JOB, configuration_bytes, job_body, request
@@ -33,20 +33,28 @@
         self.book = JobBook()
         self.holder = ConfigurationHolder()
         self.holder.put_configuration(configuration_bytes())
-        self.silence_s = 0.0
-        service = JobService(
-            self.store,
-            self.book,
-            self._sync,
-            lambda: self.silence_s,
-            EventLog("test"),
-            NullMetrics(),
-        )
+        self.contact_age_s = 0.0
+        self.next_offset = 0
+        service = JobService(self.store, self.book, self, EventLog("test"), NullMetrics())
         self.front = JobFront(self.holder, service, NullMetrics())
 
-    def _sync(self):
-        for record in self.store.read(0, 0.0).records:
+    def sync(self):
+        """Fold what is stored; part of ``StoreReader``."""
+        batch = self.store.read(self.next_offset, 0.0)
+        for record in batch.records:
             self.book.apply(record.key, record.value)
+        self.next_offset = batch.next_offset
+
+    def sign(self, **waits_ms):
+        """Store a notice of the owner, and read it."""
+        notice = OwnerNotice("me", 1, "", {f"pool/{key}": wait for key, wait in waits_ms.items()})
+        self.store.records.append(Record(record_key(RecordKind.OWNER), encode_notice(notice)))
+        self.sync()
+
+    def share(self, other):
+        """Use the store of another process."""
+        self.store = other.store
+        self.front._service._store = other.store
 
     def ask(self, *args, **kwargs):
         return self.front.answer(request(*args, **kwargs))
@@ -77,8 +85,7 @@
 
 def test_a_job_that_another_process_accepted_is_found_in_the_store(front):
     other = _Front()
-    other.store = front.store
-    other.front._service._store = front.store
+    other.share(front)
     other.ask("POST", body=job_body())
     assert front.ask("GET").content == {"state": "queued"}
 
@@ -138,10 +145,10 @@
 
 def test_outage_a_store_that_is_silent_is_not_asked_to_store_jobs(front):
     """An append that is never answered would leave the caller without a true answer."""
-    front.silence_s = 1.5
+    front.contact_age_s = 1.5
     answer = front.ask("POST", body=job_body())
     assert answer.status == 503 and answer.retry_after_s and front.store.records == []
-    front.silence_s = 0.5
+    front.contact_age_s = 0.5
     assert front.ask("POST", body=job_body()).status == 200
 
 
@@ -187,73 +194,133 @@
     assert front.ask("POST", path=f"/q/{JOB}0", body=job_body()).status == 404
 
 
-def test_a_job_that_was_refused_as_full_does_not_run_by_an_earlier_attempt(front, monkeypatch):
-    """The first attempt's append may be carried out after another process has refused the id."""
-    monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
-    other = _Front()
+def _two_processes():
+    """Return two processes with one store."""
+    first, second = _Front(), _Front()
+    second.share(first)
+    return first, second
+
+
+def _leave_for_later(front):
+    """Have a process's attempts carried out later; returns what carries them out."""
     late = LateStore(front.store)
-    other.front._service._store = late
+    front.front._service._store = late
+    return late
+
+
+@pytest.mark.parametrize("signs", [0, 3])
+def test_a_job_that_was_refused_as_full_does_not_run_by_an_earlier_attempt(monkeypatch, signs):
+    """The first attempt's append may be carried out after another process has refused the id.
+
+    However much the first process has read before that, and whatever its clock says.
+    """
+    monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
+    front, other = _two_processes()
+    for _ in range(signs):
+        other.sign()
+    late = _leave_for_later(other)
     assert other.ask("POST", body=job_body()).status == 504
-    notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
-    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    front.sign(t=60_000)
     answer = front.ask("POST", body=job_body())
     assert answer.status == 429
     late.carry_out()
-    front._sync()
+    front.sync()
     entry = front.book.entry(JOB)
     assert answer.status not in (429, 503) or entry is None or entry.shown_state.is_final
 
 
-def test_a_job_that_was_stored_meanwhile_is_not_refused_as_full(front):
+def test_a_job_that_was_stored_meanwhile_is_not_refused_as_full():
     """Another process has accepted it, and this one has not read so far."""
-    other = _Front()
-    other.front._service._store = front.store
+    front, other = _two_processes()
     assert other.ask("POST", body=job_body()).status == 200
     notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
     front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
     assert front.ask("POST", body=job_body()).status == 200
 
 
-def test_a_job_that_was_refused_as_full_is_taken_when_its_caller_comes_back(front, monkeypatch):
-    notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
-    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
-    answer = front.ask("POST", body=job_body())
-    assert answer.status == 429
-    front.book.apply(record_key(RecordKind.OWNER), encode_notice(OwnerNotice("me", 1, "", {})))
-    back_s = time.time() + answer.retry_after_s
-    monkeypatch.setattr("almondstack.intake.service.time.time", lambda: back_s)
-    assert front.ask("POST", body=job_body()).status == 200
+def test_a_job_that_was_refused_as_full_is_taken_when_its_caller_comes_back():
+    """The owner has signed since, so that a new attempt is later than the refusal."""
+    front, other = _two_processes()
+    front.sign(t=60_000)
+    assert front.ask("POST", body=job_body()).status == 429
+    other.sign()
+    assert other.ask("POST", body=job_body()).status == 200
+    front.sync()
+    assert front.ask("GET").content == {"state": "queued"}
+
+
+def test_a_process_that_has_not_read_beyond_a_refusal_sends_its_caller_away_once_more():
+    front, other = _two_processes()
+    front.sign(t=60_000)
+    assert front.ask("POST", body=job_body()).status == 429
+    answer = other.ask("POST", body=job_body())
+    assert answer.status == 503 and answer.retry_after_s
+    other.sign()
+    assert other.ask("POST", body=job_body()).status == 200
 
 
 @pytest.mark.parametrize(("fault", "status"), [("is_down", 503), ("loses_replies", 504)])
 def test_without_a_fence_a_caller_hears_what_became_of_it(front, monkeypatch, fault, status):
     """A store that refuses makes an outage; one that doesn't answer leaves the job unknown."""
     monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
-    notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
-    front.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    front.sign(t=60_000)
     setattr(front.store, fault, 1_000_000)
     assert front.ask("POST", body=job_body()).status == status
 
 
-def test_an_attempt_that_another_overtook_is_found_in_the_store(front, monkeypatch):
-    """Its clock is behind, so that its own attempt is fenced by the one that was stored."""
-    other = _Front()
-    other.front._service._store = front.store
+def test_a_store_that_can_not_be_read_behind_a_fence_leaves_the_job_unknown(front, monkeypatch):
+    front.sign(t=60_000)
+    fence = front.store.fence_attempts
+
+    def fence_and_go(*arguments):
+        fence(*arguments)
+        front.store.is_down = True
+
+    monkeypatch.setattr(front.store, "fence_attempts", fence_and_go)
+    assert front.ask("POST", body=job_body()).status == 504
+
+
+def test_an_attempt_that_another_overtook_is_found_in_the_store():
+    """It has read less, so that its own attempt is fenced by the one that was stored."""
+    front, other = _two_processes()
+    other.sign()
     assert other.ask("POST", body=job_body()).status == 200
-    behind_s = time.time() - 60.0
-    monkeypatch.setattr("almondstack.intake.service.time.time", lambda: behind_s)
     assert front.ask("POST", body=job_body()).status == 200
-    assert len(front.store.records) == 1
+    assert len(front.store.records) == 2
 
 
-def test_a_job_that_was_refused_as_full_twice_within_a_moment_is_refused_again(front, monkeypatch):
-    """The second process's clock is a little behind that of the first."""
-    other = _Front()
-    other.front._service._store = front.store
-    for each in (front, other):
-        notice = OwnerNotice("me", 1, "", {"pool/t": 60_000})
-        each.book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+def test_a_job_that_was_refused_as_full_twice_within_a_moment_is_refused_again():
+    front, other = _two_processes()
+    front.sign(t=60_000)
+    other.sync()
     assert front.ask("POST", body=job_body()).status == 429
-    behind_s = time.time() - 0.1
-    monkeypatch.setattr("almondstack.intake.service.time.time", lambda: behind_s)
     assert other.ask("POST", body=job_body()).status == 429
+
+
+@pytest.mark.parametrize("fault", ["silent", "down"])
+def test_a_process_with_an_attempt_unanswered_never_says_that_the_job_was_not_stored(
+    front, monkeypatch, fault
+):
+    """Its caller comes back to the same process while the store is away."""
+    monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
+    late = _leave_for_later(front)
+    assert front.ask("POST", body=job_body()).status == 504
+    front.front._service._store = front.store
+    front.contact_age_s = 5.0 if fault == "silent" else 0.0
+    front.store.is_down = True
+    assert front.ask("POST", body=job_body()).status == 504
+    front.contact_age_s, front.store.is_down = 0.0, False
+    late.carry_out()
+    assert front.ask("POST", body=job_body()).status == 200
+    assert len(front.store.records) == 1
+
+
+def test_an_attempt_of_another_account_is_no_repeat():
+    """Two accounts hand the same id in within a moment; neither's append stands for the other's."""
+    front, other = _two_processes()
+    tenants = [{"name": "t", "api-keys": ["k"]}, {"name": "u", "api-keys": ["l"]}]
+    other.holder.put_configuration(configuration_bytes(2, tenants=tenants))
+    assert front.ask("POST", body=job_body()).status == 200
+    other.ask("POST", key="l", body=job_body())
+    accounts = [decode_submission(record.value).account for record in front.store.records]
+    assert accounts == ["t", "u"]
--- a/almondstack/platform/tests/test_store.py
+++ b/almondstack/platform/tests/test_store.py
@@ -119,3 +119,11 @@
     topic = KeyedTopic(StoreConnection(free_address()), "keyed.work")
     with pytest.raises(StoreRefusedError):
         topic.append(_records("a"), 0.5)
+
+
+def test_a_read_tells_where_the_log_ends(store):
+    standin, topic = store
+    for number in range(3):
+        standin.put("keyed.work", f"k{number}", b"1")
+    assert topic.read(1, 0.0).end_offset == 3
+    assert topic.read(3, 0.01).end_offset == 3
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -24,6 +24,8 @@
         So many of the next appends are stored and not answered.
     first_offset : int
         Older records have expired.
+    most_per_read : int
+        Records that one read returns at most.
     """
 
     def __init__(self) -> None:
@@ -31,6 +33,7 @@
         self.is_down = False
         self.loses_replies = 0
         self.first_offset = 0
+        self.most_per_read = 1_000_000
         self._attempts: dict[str, int] = {}
         self._token = 0
         self._sequence = 0
@@ -46,7 +49,8 @@
         self._check()
         if offset < self.first_offset:
             raise HistoryLostError(f"offset {offset}")
-        return Batch(self.records[offset:], len(self.records))
+        records = self.records[offset : offset + self.most_per_read]
+        return Batch(records, offset + len(records), len(self.records))
 
     def append(self, records: list[Record], timeout_s: float) -> None:
         """Append records."""
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -164,21 +164,21 @@
         self._lives += 1
         self.owner: Owner | None = None
         self.book = JobBook()
-        self._offset = 0
+        self.next_offset = 0
         self._cancels_heard_s: dict[str, float] = {}
         self.service = JobService(
-            self._world.store,
-            self.book,
-            self.read,
-            lambda: 0.0,
-            self._world.events,
-            NullMetrics(),
+            self._world.store, self.book, self, self._world.events, NullMetrics()
         )
 
-    def read(self) -> None:
+    @property
+    def contact_age_s(self) -> float:
+        """The store is never silent here; its calls fail one by one."""
+        return 0.0
+
+    def sync(self) -> None:
         """Follow the store to its end."""
-        batch = self._world.store.read(self._offset, 0.0)
-        self._offset = batch.next_offset
+        batch = self._world.store.read(self.next_offset, 0.0)
+        self.next_offset = batch.next_offset
         for record in batch.records:
             self.book.apply(record.key, record.value)
             kind, job = split_key(record.key)
@@ -194,7 +194,7 @@
     def follow(self) -> None:
         """Follow the store, unless it is away."""
         with contextlib.suppress(StoreError):
-            self.read()
+            self.sync()
 
     def claim(self) -> None:
         """Claim the jobs, unless the store does not answer."""
@@ -203,7 +203,7 @@
 
     def _claim(self) -> None:
         """Claim as the follower does, and own once the claim has been read."""
-        self.read()
+        self.sync()
         notice = self.book.notice
         token = notice.token + 1 if notice is not None else 1
         incarnation = f"{self.name}/{self._lives}"
@@ -212,7 +212,7 @@
         )
         if not self._world.store.claim(token, record, 10 * self._lives):
             return
-        self.read()
+        self.sync()
         self.owner = Owner(self._world.services(self), incarnation, token, 10 * self._lives)
         self.owner._take_over()
 
