Keep no worker free for a step whose advice has not come

Cause: a step without any worker allowed was taken for one that finds no room, and a worker was reserved for it in each round.

--- a/almondstack/control/advisor.py
+++ b/almondstack/control/advisor.py
@@ -58,8 +58,8 @@
         self._questions: queue.SimpleQueue[_Question] = queue.SimpleQueue()
         self._thread: threading.Thread | None = None
 
-    def narrow(self, task: Task, workers: list[Worker]) -> list[Worker] | None:
-        """Return the workers that may run a task's step now, or None while that is not known."""
+    def narrow(self, task: Task, workers: list[Worker]) -> list[Worker]:
+        """Return the workers that may run a task's step now; none while that is not known."""
         policy = self._policy(task)
         if policy is None or self._services.advice is None:
             return workers
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -83,7 +83,7 @@
         Monotonic time in seconds.
     allowed : callable, optional
         Narrows the workers for a task's step, where the queue asks for advice;
-        returns None while the advice is not there.
+        returns none while the advice is not there.
     """
 
     __slots__ = ("_allowed", "_blocked", "_now_s", "_reservations", "_usage", "_workers")
@@ -93,7 +93,7 @@
         workers: list[Worker],
         usage: Usage,
         now_s: float,
-        allowed: Callable[[Task, list[Worker]], list[Worker] | None] | None = None,
+        allowed: Callable[[Task, list[Worker]], list[Worker]] | None = None,
     ) -> None:
         self._workers = workers
         self._usage = usage
@@ -142,7 +142,9 @@
                 break
             worker = choose_worker(task, candidates)
             if worker is None:
-                self._block(task)
+                # A step whose advice has not come, or lets no worker run it, waits for no room.
+                if candidates:
+                    self._block(task)
                 break
             self._take(task, worker)
             placed.append(task)
@@ -152,7 +154,7 @@
     def _candidates(self, task: Task) -> list[Worker]:
         if self._allowed is None:
             return self._workers
-        return self._allowed(task, self._workers) or []
+        return self._allowed(task, self._workers)
 
     def _take(self, task: Task, worker: Worker) -> None:
         worker.put(task)
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -143,3 +143,15 @@
     for _ in range(100):
         correction.note("slow", 100, 300)
     assert correction.factor("slow") > 2 and correction.factor("other") == 1.0
+
+
+def test_advice_a_step_that_no_worker_may_run_yet_keeps_no_worker_from_others():
+    """Its queue's advice is on the way; what comes behind it must not wait for that."""
+    advised, plain = make_job(id="advised"), make_job(id="plain")
+
+    def allowed(task, workers):
+        return [] if task.job is advised else workers
+
+    pool = PoolRound([make_worker()], Usage({}), 0.0, allowed)
+    assert pool.place(advised.steps_of(0)[0]) == [] and pool.blocked == []
+    assert len(pool.place(plain.steps_of(0)[0])) == 1
