Order instances side by side, and keep pools as they are until the first work

Change: six threads order, paced to nine tenths of the service's rate; no move is decided while 24 orders are without a reply, so that each decision is fresh; a fleet that has just been started gives nothing away before the first work, or 60 s.

--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -26,9 +26,19 @@
 """A worker that has not registered so long after its instance came up is not counted on."""
 
 
+_SETTLING_S = 60.0
+"""A fleet that nobody has sent work to for so long gives instances away, in seconds."""
+
+
 class BalanceRounds:
     """Follows the demand of each pool and plans moves.
 
+    Explanation
+    -----------
+    Pools of a fleet that has just been started keep what they have until the
+    first work comes: nothing is known yet of who will ask, and a pool that was
+    emptied needs a move before it serves.
+
     Parameters
     ----------
     table : RunTable
@@ -44,9 +54,11 @@
     __slots__ = (
         "_desk",
         "_excess_since_s",
+        "_is_settled",
         "_move_s",
         "_planner",
         "_rates",
+        "_started_s",
         "_table",
         "_unregistered",
     )
@@ -61,9 +73,17 @@
         self._rates: dict[str, ArrivalRate] = {}
         self._excess_since_s: dict[str, float] = {}
         self._unregistered: dict[str, tuple[str, float]] = {}
+        self._is_settled = False
+        self._started_s = time.monotonic()
+
+    def settle(self) -> None:
+        """Say that demand was seen, by this owner or one before, so that excess is known."""
+        self._is_settled = True
 
     def note_job(self, job: ActiveJob, now_s: float) -> None:
         """Count a job that has just come."""
+        if not job.submission.is_long_running:
+            self.settle()
         policy = self._planner.policy_of(job.submission)
         core_ms = sum(
             step.count * step.cpu_millis * step.estimate_ms / 1000.0
@@ -157,7 +177,8 @@
         return now_s - since_s < _REGISTRATION_S
 
     def _note_excess(self, state: PoolState, size_millis: int, now_s: float) -> float | None:
-        if state.size <= wanted_instances(state, size_millis):
+        is_settled = self._is_settled or now_s - self._started_s >= _SETTLING_S
+        if not is_settled or state.size <= wanted_instances(state, size_millis):
             self._excess_since_s.pop(state.name, None)
             return None
         return self._excess_since_s.setdefault(state.name, now_s)
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -90,7 +90,9 @@
         return self._admission.waits_ms
 
     def start(self) -> None:
-        """Start to list instances."""
+        """Start to list instances, after what is stored of the jobs was taken over."""
+        if self._has_history():
+            self._balance.settle()
         self._desk.start()
 
     def close(self) -> None:
@@ -129,6 +131,11 @@
             self._services.metrics.count("instance.moves")
             self._desk.move(move.instance, move.target)
 
+    def _has_history(self) -> bool:
+        """Whether work that ends was handed in before."""
+        is_open = any(not job.submission.is_long_running for job in self._table.jobs.values())
+        return is_open or any(entry.state.is_final for _, entry in self._services.book.entries())
+
     def _decide(self, now_s: float) -> None:
         policies = self._services.policies()
         instances = self._desk.instances()
@@ -145,7 +152,8 @@
         emptied = self._waves.round(instances, workers, spare_pools, ranks, now_s)
         moves = self._plan_moves(instances, policies, spare_pools, emptied, now_s)
         emptied |= {move.instance for move in moves}
-        self._moves = [move for move in moves if self._is_empty(move.instance, instances)]
+        ready = [move for move in moves if self._is_empty(move.instance, instances)]
+        self._moves = ready[: max(0, self._desk.room - len(self._waves.due))]
         self._reserve(instances, emptied, now_s)
 
     def _plan_moves(
--- a/almondstack/control/instance_desk.py
+++ b/almondstack/control/instance_desk.py
@@ -1,4 +1,4 @@
-"""Calls to the instance service, made by a thread of their own."""
+"""Calls to the instance service, made by threads of their own."""
 
 import queue
 import threading
@@ -8,6 +8,7 @@
 
 from almondstack.control.errors import InstanceServiceError
 from almondstack.control.messages import InstanceInfo, InstanceState, OrderStatus
+from almondstack.control.paced_calls import PacedCalls
 from almondstack.control.services import OwnerServices
 from almondstack.jobs import RecordKind
 from almondstack.ownership import StoreError
@@ -20,6 +21,12 @@
 _CLOCK_SLACK_S = 0.5
 """By so much the times of day of two instances may differ, in seconds."""
 
+_ORDER_THREADS = 6
+"""Orders under way at one time: one takes 10 to 20 ms, and a burst needs dozens at once."""
+
+_MOST_OPEN_ORDERS = 24
+"""Orders without a reply beyond which no move is decided, so that none waits long on older ones."""
+
 _MOST_DELAY_S = 13.0
 """An order without an answer may still be carried out within this time, in seconds."""
 
@@ -41,10 +48,11 @@
 
 
 class InstanceDesk:
-    """Knows the instances, and moves and maintains them one call after another.
+    """Knows the instances, and moves and maintains them.
 
     Explanation
     -----------
+    Orders to different instances go side by side; an instance has one at a time.
     What was ordered is shown as done until a list that was fetched after the
     answer says what is so.  An order without an answer is repeated, and its
     instance gets no other order for as long as the first may still arrive.
@@ -67,6 +75,7 @@
         "_maintained",
         "_not_before_s",
         "_open_until_s",
+        "_orders",
         "_pending",
         "_refused_pools",
         "_services",
@@ -95,6 +104,9 @@
         self._lock = threading.Lock()
         self._tasks: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
         self._thread = threading.Thread(target=self._run, name="instances", daemon=True)
+        self._orders = PacedCalls(
+            "instance-orders", _ORDER_THREADS, services.control.instance_orders_per_s
+        )
         self.interval_s = services.control.instances_interval_s
 
     @property
@@ -112,14 +124,23 @@
         """Whether another owner has given orders, so that no more may be given here."""
         return self._is_fenced
 
+    @property
+    def room(self) -> int:
+        """How many more orders can be carried out without waiting long for others."""
+        with self._lock:
+            is_open = sum(pending.replied_s is None for pending in self._pending.values())
+        return max(0, _MOST_OPEN_ORDERS - is_open)
+
     def start(self) -> None:
-        """Start the thread."""
+        """Start the threads."""
         self._thread.start()
+        self._orders.start()
 
     def close(self) -> None:
         """Make no more calls."""
         self._is_fenced = True
         self._tasks.put(None)
+        self._orders.close()
 
     def refresh(self, now_s: float) -> None:
         """Have the instances listed again when the last list is old."""
@@ -189,7 +210,7 @@
             return
         with self._lock:
             self._pending[order.instance] = _Pending(order)
-        self._tasks.put(lambda: self._carry_out(order))
+        self._orders.put(lambda: self._carry_out(order))
 
     def _overlay(self, info: InstanceInfo) -> InstanceInfo:
         pending = self._pending.get(info.name)
@@ -246,9 +267,10 @@
         if status is OrderStatus.FENCED:
             self._is_fenced = True
         if status is OrderStatus.UNCLEAR:
-            self._not_before_s[order.instance] = began_s + _MOST_DELAY_S
-            self._open_until_s[order.instance] = began_s + _MOST_DELAY_S
-            self._tasks.put(lambda: self._carry_out(order))
+            with self._lock:
+                self._not_before_s[order.instance] = began_s + _MOST_DELAY_S
+                self._open_until_s[order.instance] = began_s + _MOST_DELAY_S
+            self._orders.put(lambda: self._carry_out(order))
             return
         with self._lock:
             pending = self._pending.get(order.instance)
@@ -261,10 +283,10 @@
                 pending.replied_s = now_s
                 return
             self._pending.pop(order.instance, None)
-        if status is OrderStatus.INVALID and order.pool:
-            self._refused_pools.add((order.instance, order.pool))
-        retry_s = max(self._not_before_s.get(order.instance, 0.0), now_s + _RETRY_S)
-        self._not_before_s[order.instance] = retry_s
+            if status is OrderStatus.INVALID and order.pool:
+                self._refused_pools.add((order.instance, order.pool))
+            retry_s = max(self._not_before_s.get(order.instance, 0.0), now_s + _RETRY_S)
+            self._not_before_s[order.instance] = retry_s
 
     def _report(self, wave: int, is_completed: bool, done: Callable[[], None]) -> None:
         try:
--- a/almondstack/control/settings.py
+++ b/almondstack/control/settings.py
@@ -37,6 +37,8 @@
         How often the registered workers are compared, in seconds.
     instances_interval_s : float
         How often the instances are listed, in seconds.
+    instance_orders_per_s : float
+        Most orders to instances in a second; the service refuses more from all processes.
     keep_final_s : float
         How long ended jobs are kept for callers, in seconds.
     """
@@ -54,4 +56,5 @@
     call_timeout_s: PositiveSeconds = 0.8
     directory_interval_s: PositiveSeconds = 0.1
     instances_interval_s: PositiveSeconds = 1.0
+    instance_orders_per_s: float = 50.0
     keep_final_s: PositiveSeconds = 150.0
--- a/almondstack/control/tests/test_balance_rounds.py
+++ b/almondstack/control/tests/test_balance_rounds.py
@@ -1,8 +1,39 @@
-"""What a pool is asked for."""
+"""What a pool is asked for, and since when it has too much."""
 
-from almondstack.capacity import PoolNeed
-from almondstack.control.balance_rounds import _add_need
-from almondstack.testing.job_builders import make_job, make_step
+import pytest
+
+from almondstack.capacity import Candidate, PoolNeed, PoolState
+from almondstack.control.balance_rounds import BalanceRounds, _add_need
+from almondstack.control.planning import Planner
+from almondstack.placement import Policies
+from almondstack.testing.job_builders import make_job, make_step, make_table
+
+
+@pytest.fixture
+def rounds():
+    """Return the rounds of an owner that knows of no work yet."""
+    table = make_table()
+    return BalanceRounds(table, Planner(table, None, Policies), None, 1.5)
+
+
+def _excess(rounds, now_s):
+    idle = PoolState("p", PoolNeed(), [Candidate(f"m{n}", 16_000) for n in range(6)])
+    return rounds._note_excess(idle, 16_000, now_s)
+
+
+def test_first_burst_finds_the_pools_as_they_were(rounds):
+    """A fleet is started, and its first burst comes 12 s later (quiet-1 of the grown sites)."""
+    now_s = rounds._started_s + 12.0
+    assert _excess(rounds, now_s) is None
+    rounds.note_job(make_job(make_step(is_long_running=True)), now_s)
+    assert _excess(rounds, now_s) is None
+    rounds.note_job(make_job(), now_s)
+    assert _excess(rounds, now_s) == now_s
+
+
+def test_a_fleet_without_work_gives_instances_away_after_a_while(rounds):
+    now_s = rounds._started_s + 3_600.0
+    assert _excess(rounds, now_s) == now_s
 
 
 def test_a_scheduled_job_asks_for_room_once_it_is_due():
--- a/almondstack/control/tests/test_fleet_rounds.py
+++ b/almondstack/control/tests/test_fleet_rounds.py
@@ -64,9 +64,9 @@
     desk = rounds._desk
     fleet.replies = [OrderStatus.UNCLEAR, OrderStatus.DONE]
     desk.move("n", "q")
-    desk._tasks.get()()
+    desk._orders.run_next()
     assert _is_reserved(fleet, fleet.ordered_ms, rounds, "n")
-    desk._tasks.get()()
+    desk._orders.run_next()
     assert _is_reserved(fleet, fleet.ordered_ms, rounds, "n")
     desk._pending.clear()
     assert not _is_reserved(fleet, fleet.ordered_ms, rounds, "n")
--- a/almondstack/platform/instances.py
+++ b/almondstack/platform/instances.py
@@ -29,6 +29,9 @@
     "busy": OrderStatus.NO_ROOM,
     "wave": OrderStatus.INVALID,
 }
+_CONNECTIONS = 7
+"""Orders go side by side, and beside them the list is read."""
+
 _page = msgspec.json.Decoder(MachinesWire)
 _conflict = msgspec.json.Decoder(ConflictWire)
 
@@ -47,7 +50,7 @@
     __slots__ = ("_caller", "_holder")
 
     def __init__(self, address: str, holder: str) -> None:
-        self._caller = HttpCaller(address)
+        self._caller = HttpCaller(address, _CONNECTIONS)
         self._holder = holder
 
     def use_address(self, address: str) -> None:
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -1,6 +1,7 @@
 """The platform's settings file."""
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 import yaml
@@ -43,6 +44,16 @@
     address: str
 
 
+class _InstanceService(msgspec.Struct, frozen=True):
+    """Where instances are listed and ordered, and how often."""
+
+    address: str
+    # Orders to instances in a second, from all processes together; not only maintenance.
+    orders_per_s: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
+        name="duties-per-s", default=64.0
+    )
+
+
 class PlatformSettings(msgspec.Struct, frozen=True):
     """What a process is told of itself and its surroundings.
 
@@ -58,7 +69,7 @@
     port_range: tuple[int, int] = msgspec.field(name="port-range")
     ip: str
     store: _Service = msgspec.field(name="platform")
-    instances: _Service = msgspec.field(name="cloud-api")
+    instances: _InstanceService = msgspec.field(name="cloud-api")
     advice: str | None = None
     bounds: _Bounds = _Bounds()
 
@@ -144,6 +155,10 @@
 """Long enough for a take-over; what sits on a lost worker waits for it to end."""
 
 
+_ORDERS_SHARE = 0.9
+"""Share of the service's rate that an owner uses; one before it may have orders on the way."""
+
+
 def control_settings(settings: PlatformSettings) -> ControlSettings:
     """Return the owner's times, as the platform's bounds ask for."""
     bounds = settings.bounds
@@ -153,6 +168,7 @@
         turn_s=bounds.turn_ms / 1000.0,
         away_s=bounds.away_ms / 1000.0,
         move_s=bounds.move_s,
+        instance_orders_per_s=_ORDERS_SHARE * settings.instances.orders_per_s,
         keep_final_s=bounds.status_s * 1.25,
     )
 
