Let the fastest processors own the jobs, and say what the owner's rounds cost

Change: a notice names the owner's processor; clearly slower processes leave the first claim to faster ones for 0.5 s; a process one and a half times as fast takes over from a living owner after a second without failure of the store. Sites with equal machines behave as before.

--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -56,7 +56,7 @@
         self._token = token
         self._sequence = sequence
         self._written_s = time.monotonic()
-        self._notice = OwnerNotice(incarnation, token, services.address)
+        self._notice = OwnerNotice(incarnation, token, services.address, {}, services.cores)
         self._is_closed = threading.Event()
 
     @property
@@ -84,7 +84,11 @@
         """
         if self._needs_sign(waits_ms):
             self._notice = OwnerNotice(
-                self._incarnation, self._token, self._services.address, waits_ms
+                self._incarnation,
+                self._token,
+                self._services.address,
+                waits_ms,
+                self._services.cores,
             )
             records = [*records, self._sign(self._notice)]
         while records:
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -18,6 +18,7 @@
 )
 from almondstack.control.pacing import Pacing
 from almondstack.control.planning import Planner
+from almondstack.control.round_report import RoundReport
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
 from almondstack.control.sessions import SessionTable
@@ -75,6 +76,7 @@
         "_journal",
         "_pacing",
         "_planner",
+        "_report",
         "_retired",
         "_services",
         "_sessions",
@@ -102,6 +104,7 @@
         self._planner = Planner(self._table, self._advisor, services.policies)
         self._fleet = FleetRounds(self._table, self._planner, services, token)
         self._pacing = Pacing(self._table, self._sessions)
+        self._report = RoundReport(services.events, services.metrics)
         self._starts: list[Task] = []
         self._retired: list[tuple[float, str]] = []
         self._is_released = threading.Event()
@@ -195,17 +198,24 @@
 
     def _round(self) -> None:
         began_s = time.monotonic()
-        self._drain_inbox()
+        with self._report.part("news"):
+            self._drain_inbox()
         now_s = time.monotonic()
-        self._look_after_workers(now_s)
-        self._table.retry_stops(now_s)
-        self._fleet.round(now_s)
-        self._starts.extend(self._planner.plan(now_s, time.time() * 1000.0))
-        self._commit()
-        self._send_starts()
-        self._fleet.send()
-        self._pacing.round(now_s)
-        self._sessions.note_busy(self._table, time.monotonic())
+        with self._report.part("workers"):
+            self._look_after_workers(now_s)
+            self._table.retry_stops(now_s)
+        with self._report.part("fleet"):
+            self._fleet.round(now_s)
+        with self._report.part("placement"):
+            self._starts.extend(self._planner.plan(now_s, time.time() * 1000.0))
+        with self._report.part("commit"):
+            self._commit()
+        with self._report.part("orders"):
+            self._send_starts()
+            self._fleet.send()
+            self._pacing.round(now_s)
+            self._sessions.note_busy(self._table, time.monotonic())
+        self._report.end_round(len(self._table.jobs), len(self._table.workers))
         self._services.metrics.timing_ms("owner.round", (time.monotonic() - began_s) * 1000.0)
         pause_s = self._services.control.round_s - (time.monotonic() - began_s)
         if pause_s > 0:
--- /dev/null
+++ b/almondstack/control/round_report.py
@@ -0,0 +1,67 @@
+"""What the owner's rounds cost, told once in a while."""
+
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from almondstack.core import NullMetrics
+from almondstack.core.events import EventLog
+
+__all__ = ["RoundReport"]
+
+_INTERVAL_S = 2.0
+"""Time between two lines, in seconds."""
+
+_MS = 1000.0
+
+
+class RoundReport:
+    """Sums up how long each part of the owner's rounds takes.
+
+    Parameters
+    ----------
+    events : EventLog
+        Takes a line, ``owner-load``, every two seconds.
+    metrics : NullMetrics
+        Takes each duration as ``owner.PART``.
+    """
+
+    __slots__ = ("_events", "_longest_ms", "_metrics", "_rounds", "_since_s", "_total_ms")
+
+    def __init__(self, events: EventLog, metrics: NullMetrics) -> None:
+        self._events = events
+        self._metrics = metrics
+        self._reset()
+
+    @contextmanager
+    def part(self, name: str) -> Iterator[None]:
+        """Time what is done within."""
+        began_s = time.monotonic()
+        yield
+        took_ms = (time.monotonic() - began_s) * _MS
+        self._metrics.timing_ms(f"owner.{name}", took_ms)
+        self._total_ms[name] = self._total_ms.get(name, 0.0) + took_ms
+        self._longest_ms[name] = max(took_ms, self._longest_ms.get(name, 0.0))
+
+    def end_round(self, jobs: int, workers: int) -> None:
+        """Count a round, and write a line when one is due."""
+        self._rounds += 1
+        now_s = time.monotonic()
+        if now_s - self._since_s < _INTERVAL_S:
+            return
+        self._events.write(
+            "owner-load",
+            rounds=self._rounds,
+            within_s=round(now_s - self._since_s, 2),
+            jobs=jobs,
+            workers=workers,
+            mean_ms={name: round(ms / self._rounds, 1) for name, ms in self._total_ms.items()},
+            longest_ms={name: round(ms, 1) for name, ms in self._longest_ms.items()},
+        )
+        self._reset()
+
+    def _reset(self) -> None:
+        self._rounds = 0
+        self._since_s = time.monotonic()
+        self._total_ms: dict[str, float] = {}
+        self._longest_ms: dict[str, float] = {}
--- a/almondstack/control/services.py
+++ b/almondstack/control/services.py
@@ -27,6 +27,8 @@
         Where records lie.
     address : str
         Where this process listens for as long as it lives.
+    cores : float
+        Speed of this process's processor, in cores.
     book : JobBook
         What this process has folded of them.
     callers : WorkerCallers
@@ -53,6 +55,7 @@
         "book",
         "callers",
         "control",
+        "cores",
         "directory",
         "events",
         "instances",
@@ -76,6 +79,7 @@
         ownership: OwnershipSettings,
         events: EventLog,
         metrics: NullMetrics,
+        cores: float = 1.0,
     ) -> None:
         self.store = store
         self.address = address
@@ -89,3 +93,4 @@
         self.ownership = ownership
         self.events = events
         self.metrics = metrics
+        self.cores = cores
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -55,12 +55,15 @@
         Where the owner's process listens for as long as it lives.
     waits_ms : dict of str to int
         How long new work would wait, in milliseconds, by pool and client account.
+    cores : float
+        Speed of the owner's processor, in cores; 0 if it does not say.
     """
 
     owner: str
     token: int
     address: str = ""
     waits_ms: dict[str, int] = {}
+    cores: float = 0.0
 
 
 _submissions = msgspec.msgpack.Decoder(Submission)
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -18,6 +18,7 @@
 from almondstack.ownership.errors import HistoryLostError, StoreError
 from almondstack.ownership.liveness import ask_liveness
 from almondstack.ownership.ports import Record, RecordStore
+from almondstack.ownership.preference import Preference
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.vacancy import Vacancy
 
@@ -49,12 +50,15 @@
     take_over : callable
         Called with the token and the sequence of the claim once this process
         owns the jobs; must not block.
+    cores : float
+        Speed of this process's processor, in cores.
     """
 
     __slots__ = (
         "_address",
         "_book",
         "_contact_s",
+        "_cores",
         "_events",
         "_incarnation",
         "_is_loaded",
@@ -63,6 +67,7 @@
         "_is_retiring",
         "_lock",
         "_offset",
+        "_preference",
         "_sequences",
         "_settings",
         "_started_s",
@@ -82,6 +87,7 @@
         address: str,
         events: EventLog,
         take_over: Callable[[int, int], None],
+        cores: float = 1.0,
     ) -> None:
         self._store = store
         self._book = book
@@ -90,6 +96,8 @@
         self._address = address
         self._events = events
         self._take_over = take_over
+        self._cores = cores
+        self._preference = Preference(cores, settings)
         self._offset = 0
         self._sequences: dict[int, int] = {}
         self._is_loaded = False
@@ -197,6 +205,8 @@
         self._note_contact()
         self._vacancy.note_read(time.monotonic(), has_sign=any(map(_is_sign, batch.records)))
         notice = self._book.notice
+        if notice is not None:
+            self._preference.note_notice(notice, time.monotonic())
         if notice is not None and not notice.owner:
             self._vacancy.note_release()
         return batch.next_offset < batch.end_offset
@@ -230,6 +240,11 @@
         if self._is_retiring:
             return False
         now_s = time.monotonic()
+        is_vacant = self._is_vacant(now_s)
+        may_claim = self._preference.may_claim(now_s, is_vacant=is_vacant)
+        return may_claim or self._preference.is_better(now_s)
+
+    def _is_vacant(self, now_s: float) -> bool:
         if self._vacancy.is_open(now_s):
             return not self._is_owner_trying(now_s)
         return self._is_owner_gone(now_s)
@@ -272,7 +287,9 @@
     def _claim(self) -> None:
         before = self._book.notice
         token = before.token + 1 if before is not None else 1
-        notice = encode_notice(OwnerNotice(self._incarnation, token, self._address))
+        notice = encode_notice(
+            OwnerNotice(self._incarnation, token, self._address, {}, self._cores)
+        )
         sequence = self._sequences.setdefault(token, random.randrange(1, _MOST_SEQUENCE))
         is_taken = self._store.claim(token, Record(record_key(RecordKind.OWNER), notice), sequence)
         self._events.write("ownership-claimed", token=token, is_taken=is_taken)
@@ -285,6 +302,7 @@
 
     def _note_failure(self, error: StoreError) -> None:
         self._vacancy.note_failure()
+        self._preference.note_failure(time.monotonic())
         if not self._is_lost:
             self._is_lost = True
             self._events.write("store-lost", error=str(error), age_s=round(self.contact_age_s, 2))
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -23,6 +23,11 @@
     new_doubt_s : float
         The same for a process that has just started: others may have died with
         the one before it, in seconds.
+    slower_waits_s : float
+        How long a process leaves the first claim to clearly faster ones, in seconds.
+    faster_waits_s : float
+        A clearly faster process takes over from a slower owner after hearing it,
+        and the store without a failure, for so long, in seconds.
     probe_timeout_s : float
         Bound on that question, in seconds.
     sign_interval_s : float
@@ -45,6 +50,8 @@
     stagger_s: PositiveSeconds = 0.3
     doubt_s: PositiveSeconds = 0.7
     new_doubt_s: PositiveSeconds = 0.15
+    slower_waits_s: PositiveSeconds = 0.5
+    faster_waits_s: PositiveSeconds = 1.0
     probe_timeout_s: PositiveSeconds = 0.15
     sign_interval_s: PositiveSeconds = 0.4
     wait_s: PositiveSeconds = 0.5
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -19,7 +19,7 @@
 )
 
 
-def _follower(store, name, settings=_AT_ONCE):
+def _follower(store, name, settings=_AT_ONCE, cores=1.0):
     owned = []
     follower = Follower(
         store,
@@ -29,6 +29,7 @@
         "127.0.0.1:1",
         EventLog("test"),
         lambda token, sequence: owned.append((token, sequence)),
+        cores,
     )
     return follower, owned
 
@@ -208,3 +209,44 @@
     store.records.extend(Record(f"i{number}", b"1") for number in range(7))
     follower.sync()
     assert follower.next_offset == 7
+
+
+_LIVING = {"silence_s": 3600, "doubt_s": 3600, "pace_s": 1e-9, "owner_pace_s": 1e-9, "wait_s": 1e-9}
+"""Nobody takes the owner for dead."""
+
+
+def test_heavy_day_a_clearly_faster_process_takes_over_from_a_slow_owner():
+    """The owner ran on half a core, and each burst met late decisions (magnolia-pay-grown)."""
+    store = FakeRecordStore()
+    slow, own_slow = _follower(store, "a/1", cores=0.5)
+    _steps(slow)
+    settings = OwnershipSettings(**_LIVING, faster_waits_s=1e-9)
+    like, own_like = _follower(store, "b/1", settings, cores=0.6)
+    _steps(like)
+    fast, own_fast = _follower(store, "c/1", settings, cores=2.0)
+    _steps(fast, 4)
+    assert own_slow and not own_like and own_fast[0][0] > own_slow[0][0]
+
+
+def test_a_faster_process_that_misses_answers_of_the_store_leaves_a_slow_owner_alone():
+    store = FakeRecordStore()
+    slow, _ = _follower(store, "a/1", cores=0.5)
+    _steps(slow)
+    settings = OwnershipSettings(**_LIVING, faster_waits_s=0.5)
+    fast, own_fast = _follower(store, "c/1", settings, cores=2.0)
+    fast.step()
+    fast._note_failure(StoreRefusedError("away"))
+    _steps(fast)
+    assert own_fast == []
+
+
+def test_slow_processes_leave_the_first_claim_to_faster_ones():
+    store = FakeRecordStore()
+    notice = OwnerNotice("", 3, cores=2.0)
+    store.records.append(Record(record_key(RecordKind.OWNER), encode_notice(notice)))
+    settings = OwnershipSettings(**_LIVING, slower_waits_s=3600)
+    slow, own_slow = _follower(store, "a/1", settings, cores=0.5)
+    _steps(slow)
+    fast, own_fast = _follower(store, "b/1", settings, cores=2.0)
+    _steps(fast)
+    assert own_slow == [] and len(own_fast) == 1
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -83,6 +83,7 @@
             settings.listen.ready,
             self._events,
             self._take_over,
+            settings.limits.cores,
         )
         service = JobService(self._store, self._book, self._follower, self._events, self._metrics)
         front = JobFront(self._holder, service, self._metrics)
@@ -153,6 +154,7 @@
             ownership=OwnershipSettings(),
             events=self._events,
             metrics=self._metrics,
+            cores=settings.limits.cores,
         )
 
     def _render_ready(self) -> tuple[int, bytes]:
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -38,6 +38,20 @@
     status_s: float = msgspec.field(name="status_s", default=120.0)
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    """What the platform gives a process."""
+
+    # Share of a core that the process gets.
+    share: float = msgspec.field(name="cpu-share", default=1.0)
+    # By how much that core is faster than an ordinary one; no number of processors.
+    speed: float = msgspec.field(name="cores", default=1.0)
+
+    @property
+    def cores(self) -> float:
+        """Processor time that the process gets in a second, in ordinary core-seconds."""
+        return self.share * self.speed
+
+
 class _Service(msgspec.Struct, frozen=True):
     """Where a service of the platform is."""
 
@@ -72,6 +86,7 @@
     instances: _InstanceService = msgspec.field(name="cloud-api")
     advice: str | None = None
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
     @property
     def metrics_address(self) -> tuple[str, int]:
