Foresee growing bursts by counts, send no work into a cut zone, keep little of what is over

Changes: jobs are counted and their mean work learned; growth of the rate is carried on until ordered instances work; zones in which several workers don't answer and none was heard since get no work, offer no instances and are asked by two idle workers; at most a quarter of the instances are on their way to the spare pool; of a job that is over only its state, queue and account stay.

--- a/almondstack/capacity/__init__.py
+++ b/almondstack/capacity/__init__.py
@@ -1,6 +1,6 @@
 """How much each pool should have, and which instances move or are maintained for it."""
 
-from almondstack.capacity.demand import ArrivalRate, PoolNeed
+from almondstack.capacity.demand import ArrivalForecast, PoolNeed
 from almondstack.capacity.maintenance import WaveMember, next_members
 from almondstack.capacity.moves import (
     Candidate,
@@ -11,7 +11,7 @@
 )
 
 __all__ = [
-    "ArrivalRate",
+    "ArrivalForecast",
     "Candidate",
     "Move",
     "PoolNeed",
--- a/almondstack/capacity/demand.py
+++ b/almondstack/capacity/demand.py
@@ -1,9 +1,10 @@
 """How many cores the queues of a pool ask for."""
 
+import math
 from collections import deque
 from typing import NamedTuple
 
-__all__ = ["ArrivalRate", "PoolNeed"]
+__all__ = ["ArrivalForecast", "PoolNeed"]
 
 
 class PoolNeed:
@@ -18,7 +19,7 @@
     waiting_millis : int
         Tasks whose turn has come and that wait for room.
     arriving_millis : float
-        Work that has come lately, spread over the time in which it came.
+        What jobs that come are expected to keep busy, from how many came lately.
     late_millis : int
         Tasks, running or not, of jobs that can't end in time any more.
     """
@@ -52,75 +53,98 @@
         return self.lasting_millis + max(present, self.arriving_millis)
 
 
-_ONSET_SHARE = 0.4
-"""Share of the window that is looked at apart, to see a burst when it begins."""
+_WINDOWS_S = (0.5, 1.0, 1.5, 2.0, 3.0)
+"""Times over which jobs are counted, in seconds; the shortest that holds enough of them is used."""
 
-_ONSET_ARRIVALS = 4
-"""Fewer arrivals than this in that share may be chance."""
+_GROWTH_WINDOW_S = 1.0
+"""Growth is looked for between neighbouring windows of at least this length, in seconds."""
 
-_ONSET_FACTOR = 3.0
-"""A burst begins when work comes so many times as fast as in the window's earlier part."""
+_ENOUGH_JOBS = 8
+"""With fewer jobs in a window, its rate is mostly chance."""
+
+_CHANCE = 2.0
+"""A rate has risen if the counts of two windows differ by more than so many standard deviations."""
+
+_MOST_RISE = 1.0
+"""A rate is never expected to rise by more than this many times itself."""
+
+_MEMORY = 0.97
+"""Factor on the weight of earlier jobs in the mean work of a job, for each new one."""
 
 
 class _Arrival(NamedTuple):
-    """Work that came, when, and whether it can wait for instances to come."""
+    """When a job came, and whether it can wait for instances to come."""
 
     at_s: float
-    core_ms: float
     can_wait: bool
 
 
-class ArrivalRate:
-    """Work that has come within a sliding window, as cores.
+class ArrivalForecast:
+    """The cores that the jobs of a queue will keep busy once a move that begins now is over.
 
     Explanation
     -----------
-    At the beginning of a burst most of the window lies before it.  Work that
-    can't wait for instances to come is then taken at the rate of the window's
-    latest part.
+    Jobs are counted rather than their work, which differs so much from job to
+    job that a few large ones would look like a burst; the mean work of a job is
+    learned over many.  Where jobs can't wait for instances and their rate rises,
+    it is taken to rise further at the same pace until instances ordered now work.
 
     Parameters
     ----------
-    window_s : float
-        Length of the window in seconds.
+    lead_s : float
+        Seconds from the order of a move until the instance works.
 
     Examples
     --------
-    >>> rate = ArrivalRate(window_s=2.0)
-    >>> rate.add(10.0, core_ms=4_000.0)
-    >>> rate.millis(10.5), rate.millis(13.0)
-    (2000.0, 0.0)
+    >>> forecast = ArrivalForecast(lead_s=2.0)
+    >>> for tenth in range(30):
+    ...     forecast.add(10.0 + tenth / 10, core_ms=2_000.0)
+    >>> round(forecast.millis(12.95)), forecast.millis(16.0)
+    (20000, 0.0)
     """
 
-    __slots__ = ("_arrivals", "_total_core_ms", "_window_s")
+    __slots__ = ("_arrivals", "_lead_s", "_weight", "_work_ms")
 
-    def __init__(self, window_s: float) -> None:
-        self._window_s = window_s
+    def __init__(self, lead_s: float) -> None:
+        self._lead_s = lead_s
         self._arrivals: deque[_Arrival] = deque()
-        self._total_core_ms = 0.0
+        self._weight = 0.0
+        self._work_ms = 0.0
 
     def add(self, now_s: float, core_ms: float, *, can_wait: bool = True) -> None:
-        """Note work in milliseconds of one core, and whether it can wait for instances."""
-        self._arrivals.append(_Arrival(now_s, core_ms, can_wait))
-        self._total_core_ms += core_ms
+        """Note a job: its work in milliseconds of one core, and whether it can wait."""
+        self._arrivals.append(_Arrival(now_s, can_wait))
+        self._weight = _MEMORY * self._weight + 1.0
+        self._work_ms = _MEMORY * self._work_ms + core_ms
 
     def millis(self, now_s: float) -> float:
-        """Return the thousandths of a core that the work of the window would keep busy."""
-        while self._arrivals and self._arrivals[0].at_s < now_s - self._window_s:
-            self._total_core_ms -= self._arrivals.popleft().core_ms
-        if not self._arrivals:
-            self._total_core_ms = 0.0
-        return self._total_core_ms / self._window_s + self._onset_millis(now_s)
-
-    def _onset_millis(self, now_s: float) -> float:
-        """Return what is to be added to the window's rate because a burst begins in it."""
-        recent_s = _ONSET_SHARE * self._window_s
-        recent = [arrival for arrival in self._arrivals if arrival.at_s > now_s - recent_s]
-        hurried = [arrival.core_ms for arrival in recent if not arrival.can_wait]
-        if len(hurried) < _ONSET_ARRIVALS:
+        """Return the thousandths of a core that are expected to be busy."""
+        while self._arrivals and self._arrivals[0].at_s < now_s - 2 * _WINDOWS_S[-1]:
+            self._arrivals.popleft()
+        window_s, recent = self._recent(now_s)
+        if not recent:
             return 0.0
-        recent_core_ms = sum(arrival.core_ms for arrival in recent)
-        earlier_millis = (self._total_core_ms - recent_core_ms) / (self._window_s - recent_s)
-        if recent_core_ms / recent_s <= _ONSET_FACTOR * earlier_millis:
+        per_s = len(recent) / window_s
+        hurried = sum(not arrival.can_wait for arrival in recent) / len(recent)
+        rise_per_s = min(self._growth(now_s, window_s) * self._lead_s, _MOST_RISE * per_s)
+        return (per_s + hurried * rise_per_s) * self._work_ms / self._weight
+
+    def _recent(self, now_s: float) -> tuple[float, list[_Arrival]]:
+        """Return the shortest window that holds enough jobs, or the longest, and its jobs."""
+        for window_s in _WINDOWS_S:
+            recent = [arrival for arrival in self._arrivals if arrival.at_s > now_s - window_s]
+            if len(recent) >= _ENOUGH_JOBS:
+                break
+        return window_s, recent
+
+    def _growth(self, now_s: float, window_s: float) -> float:
+        """Return by how many jobs a second the rate grows each second; 0 if it may be chance."""
+        span_s = max(window_s, _GROWTH_WINDOW_S)
+        recent = self._count(now_s - span_s)
+        before = self._count(now_s - 2 * span_s) - recent
+        if recent < _ENOUGH_JOBS or recent - before <= _CHANCE * math.sqrt(recent + before):
             return 0.0
-        return sum(hurried) / recent_s - sum(hurried) / self._window_s
+        return (recent - before) / span_s**2
+
+    def _count(self, since_s: float) -> int:
+        return sum(arrival.at_s > since_s for arrival in self._arrivals)
--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -112,6 +112,7 @@
     spare_pool: str,
     size_millis: int,
     now_s: float,
+    most_to_spare: int = 1_000,
 ) -> list[Move]:
     """Return the moves that bring pools nearer to what they should have.
 
@@ -132,7 +133,8 @@
             if move is not None:
                 moves.append(move)
     if spare_pool:
-        moves.extend(_to_spares(pools, givers, size_millis, spare_pool, now_s))
+        to_spares = _to_spares(pools, givers, size_millis, spare_pool, now_s)
+        moves.extend(to_spares[: max(0, most_to_spare)])
     return moves
 
 
--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -3,7 +3,7 @@
 import time
 
 from almondstack.capacity import (
-    ArrivalRate,
+    ArrivalForecast,
     Candidate,
     Move,
     PoolNeed,
@@ -18,10 +18,13 @@
 from almondstack.jobs import ActiveJob, TaskStatus
 from almondstack.placement import Policies, Worker
 from almondstack.placement.order import is_late, objective_s
+from almondstack.placement.zones import doubtful_zones
 
 __all__ = ["BalanceRounds", "usual_size_millis"]
 
-_RATE_WINDOW_S = 1.0
+_MOVE_OVERHEAD_S = 0.5
+"""From the decision on a move to its order, and from its end to the first run, in seconds."""
+
 _REGISTRATION_S = 3.0
 """A worker that has not registered so long after its instance came up is not counted on."""
 
@@ -54,10 +57,10 @@
     __slots__ = (
         "_desk",
         "_excess_since_s",
+        "_forecasts",
         "_is_settled",
-        "_move_s",
+        "_lead_s",
         "_planner",
-        "_rates",
         "_started_s",
         "_table",
         "_unregistered",
@@ -69,8 +72,8 @@
         self._table = table
         self._planner = planner
         self._desk = desk
-        self._move_s = move_s
-        self._rates: dict[str, ArrivalRate] = {}
+        self._lead_s = move_s + _MOVE_OVERHEAD_S
+        self._forecasts: dict[str, ArrivalForecast] = {}
         self._excess_since_s: dict[str, float] = {}
         self._unregistered: dict[str, tuple[str, float]] = {}
         self._is_settled = False
@@ -91,7 +94,8 @@
             if not step.is_long_running
         )
         slack_s = objective_s(job, policy) - job.chain_ms / 1000.0
-        self._rate(policy.pool).add(now_s, core_ms, can_wait=slack_s >= self._move_s)
+        forecast = self._forecasts.setdefault(policy.name, ArrivalForecast(self._lead_s))
+        forecast.add(now_s, core_ms, can_wait=slack_s >= self._lead_s)
 
     def pools(
         self, instances: list[InstanceInfo], policies: Policies, taken: set[str], now_s: float
@@ -111,31 +115,30 @@
 
     def spares(
         self, instances: list[InstanceInfo], spare_pool: str, taken: set[str], now_s: float
-    ) -> list[Candidate]:
-        """Return the instances of the spare pool that may go anywhere."""
-        return self._members(instances, spare_pool, taken, now_s, is_off=True)[0]
+    ) -> tuple[list[Candidate], int]:
+        """Return the instances of the spare pool that may go anywhere, and how many go there."""
+        return self._members(instances, spare_pool, taken, now_s, is_off=True)
 
     def plan(
         self,
         states: list[PoolState],
         spares: list[Candidate],
         spare_pool: str,
+        most_to_spare: int,
         size_millis: int,
         now_s: float,
     ) -> list[Move]:
-        """Return the moves to make."""
-        moves = plan_moves(states, spares, spare_pool, size_millis, now_s)
+        """Return the moves to make, with at most so many to the spare pool."""
+        moves = plan_moves(states, spares, spare_pool, size_millis, now_s, most_to_spare)
         return [move for move in moves if self._desk.may_go(move.instance, move.target)]
 
-    def _rate(self, pool: str) -> ArrivalRate:
-        return self._rates.setdefault(pool, ArrivalRate(_RATE_WINDOW_S))
-
     def _needs(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
         now_unix_ms = time.time() * 1000.0
-        needs = {
-            pool: PoolNeed(arriving_millis=self._rate(pool).millis(now_s))
-            for pool in policies.pools
-        }
+        needs = {pool: PoolNeed() for pool in policies.pools}
+        for queue, forecast in self._forecasts.items():
+            policy = policies.queues.get(queue)
+            if policy is not None and policy.pool in needs:
+                needs[policy.pool].arriving_millis += forecast.millis(now_s)
         for job in self._table.jobs.values():
             policy = self._planner.policy_of(job.submission)
             need = needs.get(policy.pool)
@@ -152,12 +155,20 @@
         *,
         is_off: bool = False,
     ) -> tuple[list[Candidate], int]:
-        """Return a pool's instances that work, and how many are on their way to it."""
+        """Return a pool's instances that work, and how many are on their way to it.
+
+        Explanation
+        -----------
+        Those in a zone that can't be reached count as neither: nobody could use them.
+        """
         candidates = []
         coming = 0
+        doubtful = doubtful_zones(self._table.workers.values())
         for info in instances:
             if info.pool != pool or info.state is InstanceState.DOWN or info.name in taken:
                 continue
+            if info.zone in doubtful:
+                continue
             if info.state is InstanceState.UP and self._desk.is_free(info.name, now_s):
                 worker = self._table.workers.get(info.worker)
                 if is_off or (worker is not None and _is_usable(worker, now_s)):
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -2,7 +2,7 @@
 
 import time
 
-from almondstack.capacity import Move, PoolState, wanted_instances
+from almondstack.capacity import Candidate, Move, PoolState, wanted_instances
 from almondstack.control.admission import AdmissionRounds
 from almondstack.control.balance_rounds import BalanceRounds, usual_size_millis
 from almondstack.control.instance_desk import InstanceDesk
@@ -24,6 +24,10 @@
 _FAST_LIST_S = 0.4
 """How often instances are listed while a wave is on, in seconds."""
 
+_MOST_GOING_SHARE = 0.25
+"""Share of all instances that may be on their way to the spare pool at one time, since a burst
+that begins meanwhile can't have them before they are there and back."""
+
 _STAMP_BYTES = 8
 """Size of a stored time of day in milliseconds."""
 
@@ -166,8 +170,13 @@
     ) -> list[Move]:
         spare_pool = min(spare_pools, default="")
         states = self._balance.pools(instances, policies, taken, now_s)
-        spares = self._balance.spares(instances, spare_pool, taken, now_s) if spare_pool else []
-        return self._balance.plan(states, spares, spare_pool, usual_size_millis(instances), now_s)
+        spares: list[Candidate] = []
+        going = 0
+        if spare_pool:
+            spares, going = self._balance.spares(instances, spare_pool, taken, now_s)
+        most_to_spare = max(1, round(_MOST_GOING_SHARE * len(instances))) - going
+        size_millis = usual_size_millis(instances)
+        return self._balance.plan(states, spares, spare_pool, most_to_spare, size_millis, now_s)
 
     def _lose_unlisted(self, instances: list[InstanceInfo], now_s: float) -> None:
         """Compare runs with the instances, if these are known to carry all workers."""
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -262,6 +262,7 @@
         if news.status is OrderStatus.GONE:
             self._drop_worker(worker.id, "another life has its address")
             return
+        worker.failed_s = time.monotonic()
         if worker.is_reachable:
             self._services.events.write("worker-unreachable", worker=worker.id, why=news.status)
         worker.is_reachable = False
@@ -310,11 +311,7 @@
 
     def _commit(self) -> None:
         """Store what has changed; only then do workers hear that ends were seen."""
-        records = [
-            Record(record_key(RecordKind.PROGRESS, job.id), job.encode())
-            for job in self._table.jobs.values()
-            if job.is_dirty
-        ]
+        records = self._progress()
         ends = self._table.take_ends()
         records.extend(self._fleet.records())
         records.extend(self._forgotten())
@@ -329,6 +326,18 @@
             if session is not None:
                 session.acknowledge(number)
 
+    def _progress(self) -> list[Record]:
+        """Return the records of jobs that have changed; little is kept of one that is over."""
+        records = []
+        for job in self._table.jobs.values():
+            if not job.is_dirty:
+                continue
+            records.append(Record(record_key(RecordKind.PROGRESS, job.id), job.encode()))
+            if job.is_over():
+                remainder = job.encode_remainder()
+                records.append(Record(record_key(RecordKind.SUBMISSION, job.id), remainder))
+        return records
+
     def _forgotten(self) -> list[Record]:
         """Return records that drop jobs whose callers have had time to ask."""
         records = []
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -226,6 +226,7 @@
     def note_look(self, worker: Worker, sent_s: float, reply: LookReply, now_s: float) -> None:
         """Take what a worker lists into account."""
         worker.is_reachable = True
+        worker.heard_s = now_s
         for ended in reply.ended:
             self._note_end(worker, ended, now_s)
         listed = set()
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -214,7 +214,8 @@
         deadline_ms = self._deadline_ms() if may_extend else None
         if deadline_ms is not None:
             self._note_extended(sent_s)
-        waits = self._listed <= self._acknowledged
+        # One that did not answer is asked for an answer at once, to know when it is back.
+        waits = self._is_answering and self._listed <= self._acknowledged
         wait_s = self._settings.look_wait_s if waits else 0.0
         reply = caller.look(deadline_ms, self._acknowledged, wait_s, self._token)
         self._metrics.count(f"look.{reply.status}")
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -7,6 +7,7 @@
 from almondstack.control.services import OwnerServices
 from almondstack.control.session import WorkerSession
 from almondstack.placement import Worker, WorkerInfo
+from almondstack.placement.zones import doubtful_zones
 
 __all__ = ["Changes", "SessionTable"]
 
@@ -15,6 +16,10 @@
 that is dead is registered for a few seconds more."""
 
 
+_ASKED_IN_DOUBT = 2
+"""Idle workers of a zone in doubt that are looked at; each look is paid for."""
+
+
 class Changes(NamedTuple):
     """What has changed among the registered workers."""
 
@@ -113,16 +118,27 @@
         Explanation
         -----------
         One that lost its runs by not answering is not looked at any more, so it
-        is tried again after a while.
+        is tried again after a while.  In a zone from which nobody answers, a few
+        idle ones are looked at, to learn when they can be reached.
         """
+        asked = self._asked_in_doubt(table)
         for worker_id, session in self._sessions.items():
             worker = table.workers.get(worker_id)
             is_busy = worker is not None and bool(worker.tasks)
-            session.set_busy(is_busy)
+            session.set_busy(is_busy or worker_id in asked)
             if worker is not None and not is_busy and not worker.is_reachable:
                 worker.is_reachable = True
                 worker.set_aside_until_s = now_s + _SILENT_PAUSE_S
 
+    def _asked_in_doubt(self, table: RunTable) -> set[str]:
+        """Return idle workers to look at, a few of each zone that is in doubt."""
+        doubtful = doubtful_zones(table.workers.values())
+        asked: dict[str, list[str]] = {zone: [] for zone in doubtful}
+        for worker in table.workers.values():
+            if worker.info.zone in doubtful and not worker.tasks:
+                asked[worker.info.zone].append(worker.id)
+        return {worker for idle in asked.values() for worker in sorted(idle)[:_ASKED_IN_DOUBT]}
+
     def _compare_one(self, table: RunTable, info: WorkerInfo, changes: Changes) -> None:
         known = table.workers.get(info.id)
         if known is not None and is_other_life(known.info, info):
--- a/almondstack/control/tests/test_balance_rounds.py
+++ b/almondstack/control/tests/test_balance_rounds.py
@@ -4,9 +4,10 @@
 
 from almondstack.capacity import Candidate, PoolNeed, PoolState
 from almondstack.control.balance_rounds import BalanceRounds, _add_need
+from almondstack.control.messages import InstanceInfo, InstanceState
 from almondstack.control.planning import Planner
 from almondstack.placement import Policies
-from almondstack.testing.job_builders import make_job, make_step, make_table
+from almondstack.testing.job_builders import make_job, make_step, make_table, make_worker
 
 
 @pytest.fixture
@@ -48,3 +49,30 @@
     need = PoolNeed()
     _add_need(make_job(make_step(2)), need, 0.0, is_late=True)
     assert need.total_millis == 0 and need.late_millis == 2_000
+
+
+class _FreeDesk:
+    """A desk with no order under way."""
+
+    def is_free(self, instance, now_s):
+        """Any instance may get an order."""
+        return True
+
+
+def test_instances_in_a_zone_that_can_not_be_reached_count_for_no_pool():
+    """A cut zone's instances counted as coming, and a burst got no others (trouble-1, 37 s)."""
+    table = make_table()
+    for zone, heard_s, failed_s in (("a", 1.0, 3.0), ("a", 1.0, 3.0), ("b", 3.0, 0.0)):
+        worker = make_worker(f"{zone}{len(table.workers)}", zone=zone)
+        worker.heard_s, worker.failed_s = heard_s, failed_s
+        table.workers[worker.id] = worker
+    rounds = BalanceRounds(table, None, _FreeDesk(), 1.5)
+    listed = [
+        InstanceInfo("m1", "p", InstanceState.MOVING, "a", "r", 4_000, ""),
+        InstanceInfo("m2", "p", InstanceState.MOVING, "b", "r", 4_000, ""),
+        InstanceInfo("m3", "off", InstanceState.UP, "a", "r", 4_000, ""),
+        InstanceInfo("m4", "off", InstanceState.UP, "b", "r", 4_000, ""),
+    ]
+    assert rounds._members(listed, "p", set(), 4.0) == ([], 1)
+    spares, _ = rounds.spares(listed, "off", set(), 4.0)
+    assert [candidate.name for candidate in spares] == ["m4"]
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Iterator
 
+from msgspec import structs
+
 from almondstack.jobs.model import (
     JobState,
     RunEnd,
@@ -17,7 +19,7 @@
     TaskRecord,
     TaskStatus,
 )
-from almondstack.jobs.records import encode_progress
+from almondstack.jobs.records import encode_progress, encode_submission
 
 __all__ = ["ActiveJob", "Task"]
 
@@ -220,10 +222,21 @@
             task.checkpoint = record.checkpoint
 
     def encode(self) -> bytes:
-        """Return the progress record."""
+        """Return the progress record; of a job that is over, only its state is kept."""
+        if self.is_over():
+            return encode_progress(self.state, [])
         records = [task.record() for task in self.tasks() if task.run]
         return encode_progress(self.state, records)
 
+    def encode_remainder(self) -> bytes:
+        """Return what is kept of the submission of a job that is over: whose it was.
+
+        Explanation
+        -----------
+        A process that starts reads all that is stored, over a slow link in seconds.
+        """
+        return encode_submission(structs.replace(self.submission, spec="", steps=()))
+
     def ready_steps(self, now_unix_ms: float) -> Iterator[list[Task]]:
         """Iterate over the steps whose turn has come and that have a waiting task.
 
--- a/almondstack/jobs/tests/test_active.py
+++ b/almondstack/jobs/tests/test_active.py
@@ -1,7 +1,7 @@
 """What may start next, and when a job has ended."""
 
 from almondstack.jobs import JobState, RunEnd, Step, TaskKey, chain_lengths_ms
-from almondstack.jobs.records import decode_progress, decode_state
+from almondstack.jobs.records import decode_progress, decode_state, decode_submission
 from almondstack.testing.job_builders import make_job, make_step
 
 
@@ -126,3 +126,24 @@
 def test_chains_are_found_in_many_steps_at_once():
     steps = tuple(Step(1, estimate_ms=10, after=tuple(range(number))) for number in range(200))
     assert chain_lengths_ms(steps)[0] == 2_000
+
+
+def test_little_is_kept_of_a_job_that_is_over():
+    """After a power failure slow machines read 2,100 records for 3 to 6 s (trouble-1 from 42 s)."""
+    job = make_job(make_step(24), spec="x" * 2_000)
+    for member in range(24):
+        _run(job, (0, 0, member))
+    assert len(job.encode()) + len(job.encode_remainder()) < 60
+    left = make_job(id="left")
+    left.submission = decode_submission(job.encode_remainder())
+    assert (left.submission.queue, left.submission.account) == ("q", "a")
+
+
+def test_a_cancelled_job_keeps_its_runs_until_they_have_ended():
+    job = make_job(make_step(2))
+    task = job.task(TaskKey(0, 0, 1))
+    job.assign([task], ["w7"], [42], 0.0)
+    job.cancel()
+    assert [record.worker for record in decode_progress(job.encode())] == ["w7"]
+    job.end_run(task, RunEnd.STOPPED, "", 1.0)
+    assert decode_progress(job.encode()) == []
--- a/almondstack/jobs/tests/test_book.py
+++ b/almondstack/jobs/tests/test_book.py
@@ -11,7 +11,7 @@
     encode_submission,
     record_key,
 )
-from almondstack.testing.job_builders import make_step
+from almondstack.testing.job_builders import make_job, make_step
 
 
 def _submission(account="a"):
@@ -82,3 +82,13 @@
         book.apply(record_key(RecordKind.SUBMISSION, "j1"), _submission())
         book.apply(record_key(RecordKind.CANCEL, "j1"), b"\x01")
     assert heard == [(RecordKind.SUBMISSION, "j1"), (RecordKind.CANCEL, "j1")]
+
+
+def test_a_newcomer_shows_the_state_of_a_job_of_which_little_is_kept():
+    job = make_job(make_step(), account="a")
+    job.cancel()
+    book = JobBook()
+    book.apply(record_key(RecordKind.SUBMISSION, "j1"), job.encode_remainder())
+    book.apply(record_key(RecordKind.PROGRESS, "j1"), job.encode())
+    assert book.entry("j1").account == "a"
+    assert book.entry("j1").shown_state is JobState.CANCELLED
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -94,12 +94,17 @@
         The last call to it was answered, or none was made.
     penalty : float
         How much worse than others it did lately; 0 is sound.
+    heard_s, failed_s : float
+        Monotonic times at which a call to it was last answered, and last not, in
+        seconds; 0 if never.
     """
 
     __slots__ = (
         "_free",
         "_steps",
         "_tasks",
+        "failed_s",
+        "heard_s",
         "info",
         "is_reachable",
         "is_reserved",
@@ -116,6 +121,8 @@
         self.is_reserved = False
         self.is_reachable = True
         self.penalty = 0.0
+        self.heard_s = 0.0
+        self.failed_s = 0.0
 
     @property
     def id(self) -> str:
