Take over sooner from an owner in a cut zone, and count its silence

Changes: an owner that is silent for 1 s and whose process can't be reached counts as gone; the time since its last record counts for its leases; a zone of which no worker is registered is in doubt; the right to extend leases is measured by a clock that goes on while an instance is suspended.

--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -29,6 +29,9 @@
 """A worker that has not registered so long after its instance came up is not counted on."""
 
 
+_LEAST_UNHEARD = 2
+"""One instance without a registered worker says nothing of its zone."""
+
 _SETTLING_S = 60.0
 """A fleet that nobody has sent work to for so long gives instances away, in seconds."""
 
@@ -163,7 +166,7 @@
         """
         candidates = []
         coming = 0
-        doubtful = doubtful_zones(self._table.workers.values())
+        doubtful = self._doubtful(instances)
         for info in instances:
             if info.pool != pool or info.state is InstanceState.DOWN or info.name in taken:
                 continue
@@ -179,6 +182,17 @@
                 coming += 1
         return candidates, coming
 
+    def _doubtful(self, instances: list[InstanceInfo]) -> set[str]:
+        """Return the zones whose workers can't be reached, or none of which is registered."""
+        zones = doubtful_zones(self._table.workers.values())
+        registered = {worker.info.zone for worker in self._table.workers.values()}
+        unheard = [
+            info.zone
+            for info in instances
+            if info.worker and info.state is InstanceState.UP and info.zone not in registered
+        ]
+        return zones | {zone for zone in unheard if unheard.count(zone) >= _LEAST_UNHEARD}
+
     def _is_expected(self, info: InstanceInfo, now_s: float) -> bool:
         """Whether an instance that is up without a worker may still get one."""
         name, since_s = self._unregistered.get(info.name, ("", now_s))
--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -55,13 +55,13 @@
         self._incarnation = incarnation
         self._token = token
         self._sequence = sequence
-        self._written_s = time.monotonic()
+        self._written_s = _elapsed_s()
         self._notice = OwnerNotice(incarnation, token, services.address, {}, services.cores)
         self._is_closed = threading.Event()
 
     @property
     def written_s(self) -> float:
-        """Monotonic time at which the store last took a record, in seconds."""
+        """When the store last took a record, in seconds of :func:`_elapsed_s`."""
         return self._written_s
 
     def close(self) -> None:
@@ -72,7 +72,7 @@
         """Whether this owner may still extend leases although the store may be away."""
         if self._is_closed.is_set():
             return False
-        return time.monotonic() - self._written_s < self._services.ownership.unsure_s
+        return _elapsed_s() - self._written_s < self._services.ownership.unsure_s
 
     def write(self, records: list[Record], waits_ms: dict[str, int]) -> None:
         """Append records, and a sign of the owner when one is due or has changed.
@@ -109,7 +109,7 @@
             self._services.events.write("release-failed", token=self._token, error=str(error))
 
     def _needs_sign(self, waits_ms: dict[str, int]) -> bool:
-        age_s = time.monotonic() - self._written_s
+        age_s = _elapsed_s() - self._written_s
         return age_s >= self._services.ownership.sign_interval_s or (
             waits_ms != self._notice.waits_ms
         )
@@ -119,7 +119,7 @@
 
     def _append(self, records: list[Record]) -> None:
         self._sequence += 1
-        began_s = time.monotonic()
+        began_s = _elapsed_s()
         is_reported = False
         for timeout_s in try_timeouts_s():
             if self._is_closed.is_set():
@@ -136,12 +136,22 @@
                 continue
             # Others may have read the record since the first try, and count from then.
             self._written_s = began_s
-            took_ms = (time.monotonic() - began_s) * 1000.0
+            took_ms = (_elapsed_s() - began_s) * 1000.0
             self._services.metrics.timing_ms("append.owned", took_ms)
             return
         raise FencedError("the journal is closed")
 
 
+def _elapsed_s() -> float:
+    """Return seconds that go on while the instance is suspended, unlike the monotonic clock.
+
+    Explanation
+    -----------
+    A process that wakes must know that its right to extend leases is over.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _split(records: list[Record]) -> tuple[list[Record], list[Record]]:
     """Return the records that go into one append, and the rest."""
     size = 0
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -65,6 +65,9 @@
         Its fencing token.
     sequence : int
         Number of the append by which it claimed the jobs.
+    heard_s : float, optional
+        Monotonic time after which the owner before has stored nothing, in seconds;
+        the present time by default.
     """
 
     __slots__ = (
@@ -82,20 +85,24 @@
         "_sessions",
         "_starts",
         "_table",
-        "_taken_s",
         "_thread",
         "_token",
     )
 
     def __init__(
-        self, services: OwnerServices, incarnation: str, token: int, sequence: int
+        self,
+        services: OwnerServices,
+        incarnation: str,
+        token: int,
+        sequence: int,
+        heard_s: float | None = None,
     ) -> None:
         self._services = services
         self._token = token
-        self._taken_s = time.monotonic()
+        heard_s = time.monotonic() if heard_s is None else heard_s
         self._inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
         self._journal = OwnerJournal(services, incarnation, token, sequence)
-        self._inherited_s = leases_known_from_s(self._taken_s, services.ownership)
+        self._inherited_s = leases_known_from_s(heard_s, services.ownership)
         self._sessions = SessionTable(
             services, token, self._inbox.put, self._journal.may_extend, self._inherited_s
         )
@@ -376,17 +383,17 @@
         session.start(StartOrder(name, task.run, spec, task.checkpoint, ticket))
 
 
-def leases_known_from_s(taken_s: float, settings: OwnershipSettings) -> float:
+def leases_known_from_s(heard_s: float, settings: OwnershipSettings) -> float:
     """Return until when an owner before may have extended leases, in monotonic seconds.
 
     Explanation
     -----------
-    It may have written just before the take-over: a connection that is refused
-    says that a process is gone, but a cut may refuse connections, too.
+    It extends them for a while after its last write, which was read here at
+    ``heard_s`` at the latest; that it can't be reached proves nothing.
 
     Examples
     --------
     >>> leases_known_from_s(100.0, OwnershipSettings(unsure_s=2.5))
     102.5
     """
-    return taken_s + settings.unsure_s
+    return heard_s + settings.unsure_s
--- a/almondstack/control/tests/test_balance_rounds.py
+++ b/almondstack/control/tests/test_balance_rounds.py
@@ -76,3 +76,13 @@
     assert rounds._members(listed, "p", set(), 4.0) == ([], 1)
     spares, _ = rounds.spares(listed, "off", set(), 4.0)
     assert [candidate.name for candidate in spares] == ["m4"]
+
+
+def test_a_zone_of_which_no_worker_is_registered_offers_nothing():
+    """Entries of a cut zone lapsed, and its instances were moved again and again (trouble-1)."""
+    table = make_table(workers=(make_worker("b1", zone="b"),))
+    rounds = BalanceRounds(table, None, _FreeDesk(), 1.5)
+    up = [InstanceInfo(f"m{n}", "q", InstanceState.UP, "a", "r", 4_000, f"w{n}") for n in (1, 2)]
+    moving = InstanceInfo("m3", "p", InstanceState.MOVING, "a", "r", 4_000, "")
+    assert rounds._members([*up, moving], "p", set(), 4.0) == ([], 0)
+    assert rounds._members([up[0], moving], "p", set(), 4.0) == ([], 1)
--- a/almondstack/control/tests/test_owner.py
+++ b/almondstack/control/tests/test_owner.py
@@ -13,3 +13,13 @@
     settings = OwnershipSettings()
     assert settings.new_doubt_s < settings.doubt_s
     assert leases_known_from_s(10.0, settings) - 10.0 >= settings.unsure_s
+
+
+def test_the_time_in_which_an_owner_was_silent_counts():
+    """A zone was cut with its owner; its runs stood still for 9 s (magnolia-pay-grown, 33.5 s).
+
+    The owner before stored nothing after what was read at 9 s, so it extends no
+    lease after 11.5 s, whenever another takes over.
+    """
+    settings = OwnershipSettings(unsure_s=2.5)
+    assert leases_known_from_s(9.0, settings) == 11.5
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -14,7 +14,7 @@
     encode_notice,
     record_key,
 )
-from almondstack.jobs.records import split_key
+from almondstack.jobs.records import decode_notice, split_key
 from almondstack.ownership.errors import HistoryLostError, StoreError
 from almondstack.ownership.liveness import ask_liveness
 from almondstack.ownership.ports import Record, RecordStore
@@ -60,6 +60,7 @@
         "_contact_s",
         "_cores",
         "_events",
+        "_heard_owner_s",
         "_incarnation",
         "_is_loaded",
         "_is_lost",
@@ -105,6 +106,7 @@
         self._is_owner = False
         self._is_retiring = False
         self._contact_s = time.monotonic()
+        self._heard_owner_s = time.monotonic()
         self._started_s = time.monotonic()
         self._lock = threading.Lock()
         self._stop = threading.Event()
@@ -121,6 +123,17 @@
         """Seconds since the store last answered a read."""
         return time.monotonic() - self._contact_s
 
+    @property
+    def heard_owner_s(self) -> float:
+        """Monotonic time at which the last record of an owner was read, in seconds.
+
+        Explanation
+        -----------
+        Our own claim does not count.  All that the owner before has stored lies
+        before the claim, so it has stored nothing after this time.
+        """
+        return self._heard_owner_s
+
     @property
     def next_offset(self) -> int:
         """The offset up to which the log is folded into the book."""
@@ -189,6 +202,7 @@
                 self._book.apply(record.key, record.value)
             self._offset = snapshot.next_offset
             self._is_loaded = True
+            self._heard_owner_s = time.monotonic()
         self._note_contact()
         self._events.write("book-loaded", records=len(snapshot.records), offset=self._offset)
 
@@ -203,7 +217,10 @@
         with self._lock:
             self._fold(batch.records, batch.next_offset)
         self._note_contact()
-        self._vacancy.note_read(time.monotonic(), has_sign=any(map(_is_sign, batch.records)))
+        signs = [record for record in batch.records if _is_sign(record)]
+        self._vacancy.note_read(time.monotonic(), has_sign=bool(signs))
+        if not all(map(self._is_own_claim, signs)):
+            self._heard_owner_s = time.monotonic()
         notice = self._book.notice
         if notice is not None:
             self._preference.note_notice(notice, time.monotonic())
@@ -218,6 +235,14 @@
             self._book.apply(record.key, record.value)
         self._offset = max(self._offset, next_offset)
 
+    def _is_own_claim(self, record: Record) -> bool:
+        if split_key(record.key)[0] is not RecordKind.OWNER:
+            return False
+        try:
+            return decode_notice(record.value).owner == self._incarnation
+        except RecordError:
+            return False
+
     def _find_own_claim(self) -> None:
         """Own the jobs once the newest notice that was read is a claim of ours.
 
@@ -262,7 +287,7 @@
         return found.contact_age_s < self._settings.doubt_s
 
     def _is_owner_gone(self, now_s: float) -> bool:
-        """Whether a silent owner's process does not even listen any more.
+        """Whether a silent owner's process does not listen any more, or can't be reached.
 
         Explanation
         -----------
@@ -277,7 +302,10 @@
         if not self._vacancy.is_doubtful(now_s, self._doubt_s()):
             return False
         found = ask_liveness(notice.address, self._settings.probe_timeout_s)
-        return found is not None and found.incarnation != notice.owner
+        if found is None:
+            # Cut off or frozen: it can do nothing for the jobs, whichever it is.
+            return self._vacancy.is_doubtful(now_s, self._settings.mute_s)
+        return found.incarnation != notice.owner
 
     def _doubt_s(self) -> float:
         """Return the silence after which to ask; short if no owner was ever heard."""
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -20,6 +20,9 @@
     doubt_s : float
         Observed silence after which it is asked whether the owner's process
         still listens, in seconds.
+    mute_s : float
+        Observed silence after which an owner whose process can't be reached
+        counts as gone, in seconds.
     new_doubt_s : float
         The same for a process that has just started: others may have died with
         the one before it, in seconds.
@@ -49,6 +52,7 @@
     patience_s: PositiveSeconds = 4.0
     stagger_s: PositiveSeconds = 0.3
     doubt_s: PositiveSeconds = 0.7
+    mute_s: PositiveSeconds = 1.0
     new_doubt_s: PositiveSeconds = 0.15
     slower_waits_s: PositiveSeconds = 0.5
     faster_waits_s: PositiveSeconds = 1.0
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -250,3 +250,41 @@
     fast, own_fast = _follower(store, "b/1", settings, cores=2.0)
     _steps(fast)
     assert own_slow == [] and len(own_fast) == 1
+
+
+def _mute_owner(store):
+    notice = OwnerNotice("z/1", 1, "127.0.0.1:1")
+    store.records.append(Record(record_key(RecordKind.OWNER), encode_notice(notice)))
+
+
+def test_a_silent_owner_that_can_not_be_reached_is_gone_sooner(monkeypatch):
+    """A zone was cut with its owner, and others waited 2 s before they asked (trouble-1)."""
+    monkeypatch.setattr("almondstack.ownership.follower.ask_liveness", lambda *_: None)
+    store = FakeRecordStore()
+    _mute_owner(store)
+    patient, own_patient = _follower(
+        store, "a/1", OwnershipSettings(**{**_LIVING, "doubt_s": 1e-9, "mute_s": 3600})
+    )
+    _steps(patient, 4)
+    quick, own_quick = _follower(
+        store, "b/1", OwnershipSettings(**{**_LIVING, "doubt_s": 1e-9, "mute_s": 1e-9})
+    )
+    quick._started_s -= 7200
+    _steps(quick, 4)
+    assert own_patient == [] and len(own_quick) == 1
+
+
+def test_the_owner_before_was_heard_no_later_than_its_last_record():
+    store = FakeRecordStore()
+    follower, _ = _follower(store, "one", OwnershipSettings(**_LIVING))
+    _mute_owner(store)
+    follower.step()
+    heard_s = follower.heard_owner_s
+    store.records.append(Record(record_key(RecordKind.CANCEL, "j"), b"\x01"))
+    claim = encode_notice(OwnerNotice("one", 2))
+    store.records.append(Record(record_key(RecordKind.OWNER), claim))
+    follower.step()
+    assert follower.heard_owner_s == heard_s
+    store.records.append(Record("pj", b"\x00"))
+    follower.step()
+    assert follower.heard_owner_s > heard_s
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -125,7 +125,13 @@
         ).start()
 
     def _own(self, token: int, sequence: int) -> None:
-        owner = Owner(self._owner_services(), self._incarnation, token, sequence)
+        owner = Owner(
+            self._owner_services(),
+            self._incarnation,
+            token,
+            sequence,
+            self._follower.heard_owner_s,
+        )
         self._owner = owner
         # The owner signs from now on, even while the workers can't be read yet.
         self._directory.hurry(is_owner=True)
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -43,6 +43,13 @@
         """Return the world's time in seconds."""
         return self.now_s
 
+    CLOCK_BOOTTIME = 7
+    """Names the clock of :meth:`clock_gettime`, as in the module."""
+
+    def clock_gettime(self, clock: int) -> float:
+        """Return the world's time in seconds; nothing is suspended here."""
+        return self.now_s
+
     def time(self) -> float:
         """Return the world's time of day in Unix seconds."""
         return _EPOCH_S + self.now_s
