--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -1,5 +1,6 @@
 """Moves of instances between pools, round by round."""
 
+import sys
 import time
 
 from almondstack.capacity import (
@@ -136,19 +137,37 @@
         return [move for move in moves if self._desk.may_go(move.instance, move.target)]
 
     def _needs(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
-        now_unix_ms = time.time() * 1000.0
         needs = {pool: PoolNeed() for pool in policies.pools}
         for queue, forecast in self._forecasts.items():
             policy = policies.queues.get(queue)
             if policy is not None and policy.pool in needs:
                 needs[policy.pool].arriving_millis += forecast.millis(now_s)
+        for (pool, account), need in self._needs_by_account().items():
+            if pool in needs:
+                room_millis = self._room_millis(account, policies)
+                needs[pool].lasting_millis += need.lasting_millis
+                needs[pool].running_millis += need.running_millis
+                needs[pool].waiting_millis += min(need.waiting_millis, room_millis)
+                needs[pool].late_millis += need.late_millis
+        return needs
+
+    def _needs_by_account(self) -> dict[tuple[str, str], PoolNeed]:
+        now_unix_ms = time.time() * 1000.0
+        needs: dict[tuple[str, str], PoolNeed] = {}
         for job in self._table.jobs.values():
-            policy = self._planner.policy_of(job.submission)
-            need = needs.get(policy.pool)
-            if need is not None and job.is_open:
+            if job.is_open:
+                policy = self._planner.policy_of(job.submission)
+                need = needs.setdefault((policy.pool, job.submission.account), PoolNeed())
                 _add_need(job, need, now_unix_ms, is_late=is_late(job, policy, now_unix_ms))
         return needs
 
+    def _room_millis(self, account: str, policies: Policies) -> int:
+        """Return how much more an account may have running; more instances would be idle."""
+        policy = policies.accounts.get(account)
+        if policy is None or not policy.ceiling.cpu_millis:
+            return sys.maxsize
+        return max(0, policy.ceiling.cpu_millis - self._table.usage.used(account).cpu_millis)
+
     def _members(
         self,
         instances: list[InstanceInfo],
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -222,7 +222,7 @@
             self._fleet.send()
             self._pacing.round(now_s)
             self._sessions.note_busy(self._table, time.monotonic())
-        self._report.end_round(len(self._table.jobs), len(self._table.workers))
+        self._report.end_round(self._table)
         self._services.metrics.timing_ms("owner.round", (time.monotonic() - began_s) * 1000.0)
         pause_s = self._services.control.round_s - (time.monotonic() - began_s)
         if pause_s > 0:
--- a/almondstack/control/round_report.py
+++ b/almondstack/control/round_report.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from almondstack.control.runs import RunTable
 from almondstack.core import NullMetrics
 from almondstack.core.events import EventLog
 
@@ -43,7 +44,7 @@
         self._total_ms[name] = self._total_ms.get(name, 0.0) + took_ms
         self._longest_ms[name] = max(took_ms, self._longest_ms.get(name, 0.0))
 
-    def end_round(self, jobs: int, workers: int) -> None:
+    def end_round(self, table: RunTable) -> None:
         """Count a round, and write a line when one is due."""
         self._rounds += 1
         now_s = time.monotonic()
@@ -53,8 +54,9 @@
             "owner-load",
             rounds=self._rounds,
             within_s=round(now_s - self._since_s, 2),
-            jobs=jobs,
-            workers=workers,
+            jobs=len(table.jobs),
+            workers=len(table.workers),
+            pools=_pool_uses(table),
             mean_ms={name: round(ms / self._rounds, 1) for name, ms in self._total_ms.items()},
             longest_ms={name: round(ms, 1) for name, ms in self._longest_ms.items()},
         )
@@ -65,3 +67,17 @@
         self._since_s = time.monotonic()
         self._total_ms: dict[str, float] = {}
         self._longest_ms: dict[str, float] = {}
+
+
+def _pool_uses(table: RunTable) -> dict[str, list[int]]:
+    """Return for each pool its workers that answer, their cores, and the cores in use."""
+    uses: dict[str, list[int]] = {}
+    for worker in table.workers.values():
+        if not worker.is_reachable:
+            continue
+        use = uses.setdefault(worker.info.pool, [0, 0, 0])
+        capacity = worker.info.capacity.cpu_millis
+        use[0] += 1
+        use[1] += capacity // 1000
+        use[2] += (capacity - worker.free.cpu_millis) // 1000
+    return uses
--- a/almondstack/control/tests/test_balance_rounds.py
+++ b/almondstack/control/tests/test_balance_rounds.py
@@ -1,13 +1,21 @@
 """What a pool is asked for, and since when it has too much."""
 
+import time
+
 import pytest
 
 from almondstack.capacity import Candidate, PoolNeed, PoolState
 from almondstack.control.balance_rounds import BalanceRounds, _add_need
 from almondstack.control.messages import InstanceInfo, InstanceState
 from almondstack.control.planning import Planner
-from almondstack.placement import Policies
-from almondstack.testing.job_builders import make_job, make_step, make_table, make_worker
+from almondstack.placement import AccountPolicy, Policies, Resources
+from almondstack.testing.job_builders import (
+    make_job,
+    make_policy,
+    make_step,
+    make_table,
+    make_worker,
+)
 
 
 @pytest.fixture
@@ -86,3 +94,20 @@
     moving = InstanceInfo("m3", "p", InstanceState.MOVING, "a", "r", 4_000, "")
     assert rounds._members([*up, moving], "p", set(), 4.0) == ([], 0)
     assert rounds._members([up[0], moving], "p", set(), 4.0) == ([], 1)
+
+
+def test_hot_account_at_its_ceiling_asks_for_no_more_instances():
+    """The pool kept 173 instances, three quarters of them idle, for one account (trouble-3)."""
+    now_ms = int(time.time() * 1000)
+    hot = make_job(make_step(40), account="hot", accepted_ms=now_ms)
+    cold = make_job(make_step(3), id="b" * 16, accepted_ms=now_ms)
+    table = make_table(hot, cold)
+    policies = Policies(
+        1,
+        {"q": make_policy()},
+        {"hot": AccountPolicy("hot", ceiling=Resources(4_000))},
+        {"p": False},
+    )
+    rounds = BalanceRounds(table, Planner(table, None, lambda: policies), None, 1.5)
+    need = rounds._needs(policies, 0.0)["p"]
+    assert need.waiting_millis == 4_000 + 3_000 and need.late_millis == 0
--- a/almondstack/core/events.py
+++ b/almondstack/core/events.py
@@ -12,7 +12,7 @@
 import sys
 import threading
 import time
-from collections import deque
+from collections import Counter, deque
 from typing import TextIO
 
 __all__ = ["EventLog"]
@@ -23,6 +23,13 @@
 _MOST_LINES_PER_S = 400
 """Bound on the volume, so that logs can't take the processor from the work."""
 
+_MOST_RARE_LINES_PER_S = 60
+"""Lines beyond that bound for events of which little was written in the same second, so that
+thousands of runs don't push out the one line that explains them."""
+
+_RARE = 4
+"""An event is rare up to this many lines a second."""
+
 _FLUSH_INTERVAL_S = 0.2
 
 
@@ -45,7 +52,7 @@
         self._lines: deque[dict[str, object]] = deque()
         self._dropped = 0
         self._second = 0
-        self._used = 0
+        self._used: Counter[str] = Counter()
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="events", daemon=True)
 
@@ -63,17 +70,25 @@
         now = time.time()
         if int(now) != self._second:
             self._second = int(now)
-            self._used = 0
-        if self._used >= _MOST_LINES_PER_S or len(self._lines) >= _MOST_WAITING:
+            self._used.clear()
+        if not self._has_room(event):
             self._dropped += 1
             return
-        self._used += 1
+        self._used[event] += 1
         line = {"time": round(now, 3), "node": self._node, "event": event, **fields}
         if self._dropped:
             line["left_out_before"] = self._dropped
             self._dropped = 0
         self._lines.append(line)
 
+    def _has_room(self, event: str) -> bool:
+        if len(self._lines) >= _MOST_WAITING:
+            return False
+        used = self._used.total()
+        if self._used[event] < _RARE:
+            return used < _MOST_LINES_PER_S + _MOST_RARE_LINES_PER_S
+        return used < _MOST_LINES_PER_S
+
     def _run(self) -> None:
         while not self._stop.wait(_FLUSH_INTERVAL_S):
             self._flush()
--- /dev/null
+++ b/almondstack/core/tests/test_events.py
@@ -0,0 +1,33 @@
+"""Which lines are written when there are too many."""
+
+import io
+import json
+
+from almondstack.core.events import EventLog
+
+
+def _written(log, stream):
+    log._flush()
+    return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+
+def test_a_rare_event_is_written_among_thousands_of_others(monkeypatch):
+    """The owner's own lines were missing from the heaviest seconds (trouble-3, 2 to 9 s)."""
+    monkeypatch.setattr("almondstack.core.events.time.time", lambda: 100.5)
+    stream = io.StringIO()
+    log = EventLog("n", stream)
+    for number in range(1_000):
+        log.write("run-ordered", number=number)
+    log.write("owner-started")
+    lines = _written(log, stream)
+    assert len(lines) == 401
+    assert lines[-1]["event"] == "owner-started" and lines[-1]["left_out_before"] == 600
+
+
+def test_the_volume_is_bounded_whatever_the_events(monkeypatch):
+    monkeypatch.setattr("almondstack.core.events.time.time", lambda: 100.5)
+    stream = io.StringIO()
+    log = EventLog("n", stream)
+    for number in range(2_000):
+        log.write(f"event-{number % 700}")
+    assert len(_written(log, stream)) <= 460
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -83,7 +83,8 @@
         Explanation
         -----------
         Accounts share the pool by weight, so each waits for its own work at its
-        own share; an account without work here waits for nothing.
+        own share, or longer if its ceiling allows less than that; an account
+        without work here waits for nothing.
         """
         if not self._has_waiting:
             return {}
@@ -96,8 +97,12 @@
         waits = {}
         for account, weight in weights.items():
             share_millis = max(1.0, self._room_millis * weight / total)
-            wait_ms = self._work_ms[account] * 1000.0 / share_millis
-            waits[account] = _rounded(min(wait_ms, self._total_ms(), _MOST_WAIT_MS))
+            work_ms = self._work_ms[account] * 1000.0
+            wait_ms = min(work_ms / share_millis, self._total_ms())
+            ceiling_millis = _ceiling_millis(account, accounts)
+            if ceiling_millis:
+                wait_ms = max(wait_ms, work_ms / ceiling_millis)
+            waits[account] = _rounded(min(wait_ms, _MOST_WAIT_MS))
         return {account: wait_ms for account, wait_ms in waits.items() if wait_ms}
 
     def _total_ms(self) -> float:
@@ -126,5 +131,10 @@
     return work_ms * _RUNNING_SHARE if task.is_assigned else work_ms
 
 
+def _ceiling_millis(account: str, accounts: Mapping[str, AccountPolicy]) -> int:
+    policy = accounts.get(account)
+    return policy.ceiling.cpu_millis if policy is not None else 0
+
+
 def _rounded(wait_ms: float) -> int:
     return int(wait_ms // _STEP_MS) * _STEP_MS
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -133,6 +133,17 @@
     assert waits["hot"] == 10_500 and waits["cold"] == 1_000
 
 
+def test_hot_account_at_its_ceiling_waits_for_that_and_not_for_the_pool():
+    """A hot account's 200 jobs waited for its ceiling beside idle workers (trouble-3, 10 s)."""
+    backlog = Backlog(room_millis=100_000)
+    hot = make_job(make_step(40), account="hot")
+    list(hot.ready_steps(0.0))
+    backlog.add(hot, 1.0)
+    backlog.note_waiting()
+    accounts = {"hot": AccountPolicy("hot", ceiling=Resources(4_000))}
+    assert backlog.waits_ms(accounts) == {"hot": 10_000}
+
+
 def test_a_job_is_refused_only_when_it_would_miss_its_objective():
     assert is_in_time(wait_ms=400, chain_ms=1_000, objective_ms=1_500)
     assert not is_in_time(wait_ms=600, chain_ms=1_000, objective_ms=1_500)
--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -1,6 +1,7 @@
 """What operators and workers have registered in the platform's store."""
 
 import threading
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -20,6 +21,10 @@
 _READY = "ready"
 _DRAINING = "draining"
 _RETRY_PAUSE_S = 0.2
+_REREAD_AFTER_S = 1.0
+"""After so long without an answer the newest records are read instead of all in between, which
+take seconds over a slow link, in seconds."""
+
 _REPORT_TIMEOUT_S = 0.8
 
 _CONFIG_WAIT_S = 1.0
@@ -57,6 +62,7 @@
 
     __slots__ = (
         "_events",
+        "_failing_since_s",
         "_is_lost",
         "_name",
         "_reset",
@@ -86,6 +92,7 @@
         self._wait_s = wait_s
         self.pause_s = pause_s
         self._is_lost = False
+        self._failing_since_s: float | None = None
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
 
@@ -101,7 +108,7 @@
         offset: int | None = None
         while not self._stop.is_set():
             try:
-                offset = self._step(offset)
+                offset = self.step(None if self._is_behind() else offset)
             except HistoryLostError:
                 offset = None
             except StoreError as error:
@@ -111,7 +118,14 @@
                 self._note_regained()
                 self._stop.wait(self.pause_s)
 
-    def _step(self, offset: int | None) -> int:
+    def step(self, offset: int | None) -> int | None:
+        """Read once from an offset, or the newest records; return where to go on.
+
+        Raises
+        ------
+        StoreError
+            The store did not answer as it should.
+        """
         if offset is None:
             snapshot = self._topic.snapshot()
             self._reset(snapshot.records)
@@ -119,14 +133,22 @@
         batch = self._topic.read(offset, self._wait_s)
         for record in batch.records:
             self._take(record)
-        return batch.next_offset
+        # Where one answer could not hold what is new, only the newest matters.
+        return batch.next_offset if batch.next_offset >= batch.end_offset else None
+
+    def _is_behind(self) -> bool:
+        since_s = self._failing_since_s
+        return since_s is not None and time.monotonic() - since_s > _REREAD_AFTER_S
 
     def _note_lost(self, error: StoreError) -> None:
+        if self._failing_since_s is None:
+            self._failing_since_s = time.monotonic()
         if not self._is_lost:
             self._is_lost = True
             self._events.write("topic-lost", topic=self._name, error=str(error))
 
     def _note_regained(self) -> None:
+        self._failing_since_s = None
         if self._is_lost:
             self._is_lost = False
             self._events.write("topic-regained", topic=self._name)
@@ -262,10 +284,9 @@
         topic.append([Record(f"{_WAVE_PREFIX}{number}", value)], _REPORT_TIMEOUT_S)
 
     def _take_all(self, records: list[Record]) -> None:
+        found = {record.key: _worker(record) for record in records if record.value}
         with self._lock:
-            self._workers.clear()
-        for record in records:
-            self._take(record)
+            self._workers = {id: info for id, info in found.items() if info is not None}
         self._is_read = True
 
     def _take(self, record: Record) -> None:
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -144,6 +144,10 @@
             self._note_clock(reply.clock_ms)
             self._post(Ordered(self.worker, order.kind, order.task, order.run, reply))
 
+    def pump_clock(self) -> None:
+        """Learn the worker's clock, as before a first start."""
+        self._learn_clock(self._callers.caller(self.worker))
+
     def pump_look(self) -> None:
         """Look once, if runs may be there."""
         if self._is_busy and not self._is_closed:
@@ -228,6 +232,12 @@
             self.book.listen(None)
             self.owner = None
 
+    def pump_clock(self, worker: str) -> None:
+        """Let the owner's session of a worker learn its clock."""
+        session = self.owner._sessions.get(worker) if self.owner is not None else None
+        if isinstance(session, _PumpedSession):
+            session.pump_clock()
+
     def pump_orders(self, worker: str) -> None:
         """Let the owner's session of a worker give its orders, and not look."""
         session = self.owner._sessions.get(worker) if self.owner is not None else None
