Add a soak of real processes, and settle runs of a worker that was born anew

The soak (almondstack-bench soak) plays the platform program as separate processes on loopback beside stand-ins of store, workers and instance service; from one seed it pauses, kills, ends, restarts and reloads processes, delays, resets, cuts one way and silences their links to store and workers, crashes workers, lets the store refuse and lose appends. What workers and callers see is judged by the oracle of the owners' state machine: TWICE, ORDER, BUDGET, QUOTA, UNASKED, REFUSED, MIXED, LOST.

Only runs that the earlier life has confirmed are lost at once now; any other stays recorded on the new life until a stop and a look show that it isn't there.

--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -29,6 +29,7 @@
     "almondstack.bench.slope_waves",
     "almondstack.bench.slopes",
     "almondstack.bench.state",
+    "almondstack.standin.soak.command",
 )
 
 
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -257,7 +257,7 @@
         if worker is None or not self._sessions.is_current(news.worker):
             return
         if news.reply.life and worker.info.life and news.reply.life != worker.info.life:
-            self._drop_worker(worker.id, "another life answers")
+            self._drop_reborn(worker.id, news.reply.life)
             return
         self._table.note_look(worker, news.sent_s, news.reply, time.monotonic())
 
@@ -295,9 +295,9 @@
     def _look_after_workers(self, now_s: float) -> None:
         changes = self._sessions.compare(self._table, now_s)
         for reborn_id in changes.reborn:
-            self._drop_worker(reborn_id, "it started anew")
+            self._services.events.write("worker-reborn", worker=reborn_id)
         for worker in changes.adopted:
-            self._table.adopt(worker, now_s)
+            self._table.adopt(worker, now_s, time.time() * 1000.0)
         for worker_id, session in self._sessions.unreachable(self._table):
             if now_s > session.lease_end_s:
                 self._table.lose_worker(worker_id, "its lease is over", now_s)
@@ -308,9 +308,18 @@
         control = self._services.control
         if now_s <= self._inherited_s + control.lease_s * (1 + control.clock_error):
             return
-        for task in list(self._table.homeless()):
+        before_s = now_s - control.lease_s * (1 + control.clock_error)
+        for task in list(self._table.homeless(before_s)):
             self._table.lose_task(task, now_s)
 
+    def _drop_reborn(self, worker_id: str, life: int) -> None:
+        """Drop a worker of which another life answers, until that one has registered."""
+        self._services.events.write("worker-reborn", worker=worker_id, life=life)
+        now_s = time.monotonic()
+        self._table.note_rebirth(worker_id, life, now_s, time.time() * 1000.0)
+        self._table.workers.pop(worker_id, None)
+        self._sessions.drop(worker_id)
+
     def _drop_worker(self, worker_id: str, why: str) -> None:
         self._table.lose_worker(worker_id, why, time.monotonic())
         self._table.workers.pop(worker_id, None)
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -37,6 +37,11 @@
 _NO_CONNECTION_PAUSE_S = 1.0
 """A worker that takes no connection gets nothing new for so long, in seconds."""
 
+_BIRTH_SLACK_MS = 1_000.0
+"""By so much the times of day of a worker and of this process may differ, in milliseconds."""
+
+_MS = 1000.0
+
 _NO_ROOM_PAUSE_S = 0.3
 """A worker that said it is full gets nothing new for so long, in seconds."""
 
@@ -60,6 +65,7 @@
         "confirmed_s",
         "is_inherited",
         "is_unclear",
+        "rehomed_s",
         "stop_acked_s",
         "stop_sent_s",
         "tries",
@@ -70,6 +76,7 @@
         self.is_unclear = False
         self.is_inherited = False
         self.confirmed_s: float | None = None
+        self.rehomed_s: float | None = None
         self.stop_sent_s: float | None = None
         self.stop_acked_s: float | None = None
 
@@ -127,14 +134,39 @@
             task.assigned_s = now_s
             self._pending[task] = pending
 
-    def adopt(self, worker: Worker, now_s: float) -> None:
-        """Take up a worker, with the runs that are recorded on that life of it."""
+    def adopt(self, worker: Worker, now_s: float, now_unix_ms: float) -> None:
+        """Take up a worker, with the runs that are or may be on that life of it."""
         self.workers[worker.id] = worker
+        self.note_rebirth(worker.id, worker.info.life, now_s, now_unix_ms)
         for task in self.tasks_on(worker.id):
-            if _is_same_life(task.life, worker.info.life):
-                worker.put(task)
-            else:
-                self.lose_task(task, now_s)
+            worker.put(task)
+            if self._pending[task].rehomed_s is not None:
+                self.ask_stop(task, now_s)
+
+    def note_rebirth(self, worker: str, life: int, now_s: float, now_unix_ms: float) -> None:
+        """Take into account that a worker lives since ``life``, in Unix milliseconds.
+
+        Explanation
+        -----------
+        A run that its life before has confirmed has ended with it.  Any other may
+        have been started by the new life, which has the same id: it stays recorded
+        there until a stop and a look show that it isn't there any more.
+        """
+        for task in self.tasks_on(worker):
+            if _is_same_life(task.life, life):
+                continue
+            pending = self._pending[task]
+            if pending.confirmed_s is not None:
+                confirmed_ms = now_unix_ms - (now_s - pending.confirmed_s) * _MS
+                if confirmed_ms < life - _BIRTH_SLACK_MS:
+                    self.lose_task(task, now_s)
+                    continue
+            task.life = life
+            task.is_confirmed = False
+            task.job.is_dirty = True
+            pending.confirmed_s = None
+            pending.is_unclear = True
+            pending.rehomed_s = now_s
 
     def tasks_on(self, worker: str) -> list[Task]:
         """Return the tasks recorded on a worker, whether it is known or not."""
@@ -157,10 +189,11 @@
             if all(task.assigned_s < listed_s for task in self.tasks_on(worker)):
                 self.lose_worker(worker, "its instance carries another worker", now_s)
 
-    def homeless(self) -> Iterator[Task]:
-        """Iterate over tasks whose worker is not known."""
-        for task in self._pending:
-            if task.worker not in self.workers:
+    def homeless(self, before_s: float) -> Iterator[Task]:
+        """Iterate over tasks whose worker is not known, nor was reborn since ``before_s``."""
+        for task, pending in self._pending.items():
+            is_recent = pending.rehomed_s is not None and pending.rehomed_s >= before_s
+            if task.worker not in self.workers and not is_recent:
                 yield task
 
     def note_assigned(self, task: Task) -> None:
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -141,12 +141,12 @@
 
     def _compare_one(self, table: RunTable, info: WorkerInfo, changes: Changes) -> None:
         known = table.workers.get(info.id)
-        if known is not None and is_other_life(known.info, info):
-            changes.reborn.append(info.id)
-            return
-        if known is not None:
+        if known is not None and not is_other_life(known.info, info):
             known.refresh(info)
             return
+        if known is not None:
+            changes.reborn.append(info.id)
+            self.drop(info.id)
         changes.adopted.append(Worker(info))
         self._sessions[info.id] = WorkerSession(
             info,
--- /dev/null
+++ b/almondstack/standin/soak/faults.py
@@ -0,0 +1,54 @@
+"""Which faults come when, from one seed."""
+
+import random
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["Fault", "FaultKind", "plan_faults"]
+
+_LONGEST_S = 2.5
+_SHORTEST_S = 0.2
+_MEAN_GAP_S = 0.6
+
+
+class FaultKind(StrEnum):
+    """What is done from outside."""
+
+    PAUSE = "pause"
+    KILL = "kill"
+    TERMINATE = "terminate"
+    RELOAD = "reload"
+    STORE_LINK = "store-link"
+    STORE_RESET = "store-reset"
+    WORKER_LINK = "worker-link"
+    WORKER_RESET = "worker-reset"
+    WORKER_CRASH = "worker-crash"
+    STORE_REFUSES = "store-refuses"
+    STORE_LOSES = "store-loses"
+
+
+class Fault(NamedTuple):
+    """One fault: when it begins and ends, in seconds, and a number that picks whom it meets."""
+
+    begin_s: float
+    end_s: float
+    kind: FaultKind
+    pick: int
+
+
+def plan_faults(seed: int, length_s: float) -> list[Fault]:
+    """Return the faults of a run, in the order in which they begin; they may overlap.
+
+    Examples
+    --------
+    >>> plan_faults(1, 10.0) == plan_faults(1, 10.0) != plan_faults(2, 10.0)
+    True
+    """
+    chance = random.Random(seed)
+    faults = []
+    now_s = 0.0
+    while (now_s := now_s + chance.expovariate(1 / _MEAN_GAP_S)) < length_s:
+        span_s = chance.uniform(_SHORTEST_S, _LONGEST_S)
+        kind = chance.choice(list(FaultKind))
+        faults.append(Fault(now_s, min(now_s + span_s, length_s), kind, chance.randrange(1 << 16)))
+    return faults
--- /dev/null
+++ b/almondstack/standin/soak/proxy.py
@@ -0,0 +1,124 @@
+"""A loopback proxy that delays, cuts and silences connections."""
+
+import contextlib
+import socket
+import struct
+import threading
+import time
+from enum import StrEnum
+
+from almondstack.core import parse_address
+
+__all__ = ["LinkFault", "LoopbackProxy"]
+
+_CHUNK_BYTES = 65_536
+_BACKLOG = 256
+_DELAY_S = 0.3
+_NO_LINGER = struct.pack("ii", 1, 0)
+"""Makes a close reset the connection."""
+
+
+class LinkFault(StrEnum):
+    """What goes wrong on a link."""
+
+    NONE = "none"
+    DELAYED = "delayed"
+    SILENT = "silent"
+    REQUESTS_LOST = "requests-lost"
+    REPLIES_LOST = "replies-lost"
+
+
+_LOST = {
+    True: (LinkFault.SILENT, LinkFault.REQUESTS_LOST),
+    False: (LinkFault.SILENT, LinkFault.REPLIES_LOST),
+}
+"""Faults under which bytes get lost, for requests and for replies."""
+
+
+class LoopbackProxy:
+    """Forwards connections to one address.
+
+    Explanation
+    -----------
+    A connection of which bytes were lost stays silent for good, as a stream with
+    a gap is no stream.
+
+    Parameters
+    ----------
+    target : str
+        Numeric address to forward to.
+    host : str
+        Loopback address to listen at.
+    """
+
+    def __init__(self, target: str, host: str) -> None:
+        self.fault = LinkFault.NONE
+        self._target = parse_address(target)
+        self._listener = socket.create_server((host, 0), backlog=_BACKLOG)
+        self._sockets: set[socket.socket] = set()
+        self._lock = threading.Lock()
+        threading.Thread(target=self._accept, name="proxy", daemon=True).start()
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        with self._lock:
+            open_sockets, self._sockets = self._sockets, set()
+        for one in open_sockets:
+            _reset(one)
+
+    def close(self) -> None:
+        """Accept nothing more, and reset what is open."""
+        self._listener.close()
+        self.reset()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                caller, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._connect, args=(caller,), daemon=True).start()
+
+    def _connect(self, caller: socket.socket) -> None:
+        try:
+            callee = socket.create_connection(self._target, timeout=1.0)
+        except OSError:
+            _reset(caller)
+            return
+        callee.settimeout(None)
+        with self._lock:
+            self._sockets |= {caller, callee}
+        back = threading.Thread(target=self._pump, args=(callee, caller, False), daemon=True)
+        back.start()
+        self._pump(caller, callee, is_request=True)
+
+    def _pump(self, source: socket.socket, sink: socket.socket, is_request: bool) -> None:
+        is_lost = False
+        with contextlib.suppress(OSError):
+            while data := source.recv(_CHUNK_BYTES):
+                is_lost = is_lost or self.fault in _LOST[is_request]
+                if self.fault is LinkFault.DELAYED:
+                    time.sleep(_DELAY_S)
+                if not is_lost:
+                    sink.sendall(data)
+            if not is_lost:
+                sink.shutdown(socket.SHUT_WR)
+        if not is_request:
+            with self._lock:
+                self._sockets -= {source, sink}
+            source.close()
+            sink.close()
+
+
+def _reset(one: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        one.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        one.shutdown(socket.SHUT_RDWR)
+    with contextlib.suppress(OSError):
+        one.close()
--- /dev/null
+++ b/almondstack/standin/soak/run.py
@@ -0,0 +1,224 @@
+"""One run of the soak."""
+
+import signal
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+from almondstack.bench.processes import ProcessGroup, wait_until_ready
+from almondstack.standin.soak.callers import SoakCaller
+from almondstack.standin.soak.faults import Fault, FaultKind, plan_faults
+from almondstack.standin.soak.proxy import LinkFault
+from almondstack.standin.soak.surroundings import Surroundings
+
+__all__ = ["SoakReport", "SoakSettings", "run_soak"]
+
+_PROGRAM = "almondstack.platform"
+_FRONT_PORT, _READY_PORT, _METRICS_PORT = 8340, 8343, 7000
+_POLL_S = 0.02
+_CALM_S = 90.0
+"""Within this time after the last fault every accepted job must have ended, in seconds; a run
+takes less than a second, so that only a job that stands still takes longer."""
+
+_LINK_FAULTS = [fault for fault in LinkFault if fault is not LinkFault.NONE]
+_FINAL = ("completed", "failed", "cancelled")
+
+
+class SoakSettings(NamedTuple):
+    """How large a run is: seconds of faults, processes of the product, workers, callers."""
+
+    length_s: float = 10.0
+    processes: int = 3
+    workers: int = 4
+    callers: int = 4
+
+
+class SoakReport(NamedTuple):
+    """What a run saw."""
+
+    seed: int
+    handed_in: int
+    accepted: int
+    completed: int
+    faults: int
+    broken: list[str]
+
+
+class _Soak:
+    """The processes of a run and the faults that are on."""
+
+    def __init__(
+        self, seed: int, settings: SoakSettings, folder: Path, group: ProcessGroup
+    ) -> None:
+        self.settings = settings
+        self.around = Surroundings(seed, settings.workers, settings.processes)
+        self.judge = self.around.judge
+        self._folder = folder
+        self._group = group
+        self._names = [f"process-{number}" for number in range(settings.processes)]
+        head, _, _ = self.around.host.rpartition(".")
+        self._hosts = [f"{head}.{number + 2}" for number in range(settings.processes)]
+        self.fronts = [f"{host}:{_FRONT_PORT}" for host in self._hosts]
+        self._on: list[Fault] = []
+        self._refusing = 0
+
+    def start(self) -> None:
+        """Start everything and wait until the processes serve."""
+        self.around.start()
+        for number in range(self.settings.processes):
+            self._write_settings(number)
+            self._start(number)
+        for host in self._hosts:
+            wait_until_ready(f"http://{host}:{_READY_PORT}/almondstack/ready")
+
+    def play(self, faults: list[Fault]) -> None:
+        """Let the faults begin and end at their times."""
+        began_s = time.monotonic()
+        waiting = list(faults)
+        while waiting or self._on:
+            now_s = time.monotonic() - began_s
+            for fault in [one for one in self._on if one.end_s <= now_s]:
+                self._on.remove(fault)
+                self._end(fault)
+            while waiting and waiting[0].begin_s <= now_s:
+                self._begin(waiting.pop(0))
+            self._note_ended()
+            time.sleep(_POLL_S)
+
+    def _begin(self, fault: Fault) -> None:
+        self._on.append(fault)
+        number = fault.pick % self.settings.processes
+        worker = fault.pick % self.settings.workers
+        if fault.kind is FaultKind.PAUSE:
+            self._signal(number, signal.SIGSTOP)
+        elif fault.kind is FaultKind.RELOAD:
+            self._signal(number, signal.SIGHUP)
+        elif fault.kind is FaultKind.KILL:
+            self._stop(number, is_killed=True)
+        elif fault.kind is FaultKind.TERMINATE:
+            self._signal(number, signal.SIGTERM)
+        elif fault.kind is FaultKind.STORE_LINK:
+            self.around.store_links[number].fault = _LINK_FAULTS[fault.pick % len(_LINK_FAULTS)]
+        elif fault.kind is FaultKind.STORE_RESET:
+            self.around.store_links[number].reset()
+        elif fault.kind is FaultKind.WORKER_LINK:
+            self.around.worker_links[worker].fault = _LINK_FAULTS[fault.pick % len(_LINK_FAULTS)]
+        elif fault.kind is FaultKind.WORKER_RESET:
+            self.around.worker_links[worker].reset()
+        elif fault.kind is FaultKind.WORKER_CRASH:
+            self.judge.judging(self.around.workers[worker].worker.crash)
+        elif fault.kind is FaultKind.STORE_REFUSES:
+            self._refusing += 1
+            self.around.store.refuses = True
+        elif fault.kind is FaultKind.STORE_LOSES:
+            self.around.store.loses_appends += 1 + fault.pick % 4
+
+    def _end(self, fault: Fault) -> None:
+        number = fault.pick % self.settings.processes
+        if fault.kind is FaultKind.PAUSE:
+            self._signal(number, signal.SIGCONT)
+        elif fault.kind in (FaultKind.KILL, FaultKind.TERMINATE):
+            self._restart(number)
+        elif fault.kind is FaultKind.STORE_LINK:
+            self.around.store_links[number].fault = LinkFault.NONE
+        elif fault.kind is FaultKind.WORKER_LINK:
+            worker = fault.pick % self.settings.workers
+            self.around.worker_links[worker].fault = LinkFault.NONE
+        elif fault.kind is FaultKind.STORE_REFUSES:
+            self._refusing -= 1
+            self.around.store.refuses = self._refusing > 0
+
+    def _start(self, number: int) -> None:
+        path = self._folder / f"{self._names[number]}.yaml"
+        self._group.start(self._names[number], _PROGRAM, "--settings", str(path))
+
+    def _signal(self, number: int, what: signal.Signals) -> None:
+        if self._group.is_running(self._names[number]):
+            self._group.signal(self._names[number], what)
+
+    def _stop(self, number: int, *, is_killed: bool) -> None:
+        name = self._names[number]
+        if not self._group.is_running(name):
+            return
+        self._group.signal(name, signal.SIGCONT)
+        if is_killed:
+            self._group.kill(name)
+        else:
+            self._group.terminate(name)
+
+    def _restart(self, number: int) -> None:
+        """Start a process that was told to end, if no other fault has done so."""
+        if self._group.is_running(self._names[number]):
+            self._stop(number, is_killed=False)
+        self._start(number)
+
+    def _note_ended(self) -> None:
+        """Note processes that have ended though nobody told them to."""
+        told = {
+            fault.pick % self.settings.processes
+            for fault in self._on
+            if fault.kind in (FaultKind.KILL, FaultKind.TERMINATE)
+        }
+        for number, name in enumerate(self._names):
+            if number not in told and not self._group.is_running(name):
+                self.judge.broken.append(f"ENDED: {name} has ended by itself")
+                self._start(number)
+
+    def _write_settings(self, number: int) -> None:
+        host = self._hosts[number]
+        lines = [
+            f"node-name: edge-{number}",
+            "zone: a",
+            f"ip: {host}",
+            f'listen: {{front: "{host}:{_FRONT_PORT}", ready: "{host}:{_READY_PORT}"}}',
+            f"port-range: [{_METRICS_PORT}, {_METRICS_PORT + 15}]",
+            f'platform: {{address: "{self.around.store_links[number].address}"}}',
+            f'cloud-api: {{address: "{self.around.instances_address}"}}',
+        ]
+        (self._folder / f"{self._names[number]}.yaml").write_text("\n".join(lines) + "\n")
+
+
+def run_soak(seed: int, settings: SoakSettings, folder: Path) -> SoakReport:
+    """Play one seed; logs and settings of the processes stay in ``folder``."""
+    faults = plan_faults(seed, settings.length_s)
+    with ProcessGroup(folder) as group:
+        soak = _Soak(seed, settings, folder, group)
+        try:
+            soak.start()
+            callers = [
+                SoakCaller(seed * 1_000 + number, soak.fronts, soak.judge)
+                for number in range(settings.callers)
+            ]
+            for caller in callers:
+                caller.start()
+            soak.play(faults)
+            for caller in callers:
+                caller.stop()
+            completed = _judge_jobs(soak, callers[0])
+        finally:
+            soak.around.close()
+    oracle = soak.judge.oracle
+    return SoakReport(
+        seed,
+        len(oracle.submissions),
+        len(oracle.accepted),
+        completed,
+        len(faults),
+        soak.judge.broken,
+    )
+
+
+def _judge_jobs(soak: _Soak, caller: SoakCaller) -> int:
+    """Wait until every accepted job has ended; return how many are completed."""
+    open_jobs = sorted(soak.judge.oracle.accepted)
+    completed = 0
+    until_s = time.monotonic() + _CALM_S
+    while open_jobs and time.monotonic() < until_s:
+        job = open_jobs.pop(0)
+        state = caller.shown(soak.fronts[len(open_jobs) % len(soak.fronts)], job)
+        completed += state == "completed"
+        if state not in _FINAL:
+            open_jobs.append(job)
+            time.sleep(_POLL_S)
+    soak.judge.broken.extend(f"LOST: {job} was accepted and has not ended" for job in open_jobs)
+    return completed
--- /dev/null
+++ b/almondstack/standin/soak/surroundings.py
@@ -0,0 +1,152 @@
+"""What lies around the processes of the soak: store, workers, instance service."""
+
+import json
+import threading
+import time
+from typing import Any
+
+from almondstack.standin.keyed_store import KeyedStoreStandin
+from almondstack.standin.soak.judge import RealClock, SoakJudge
+from almondstack.standin.soak.proxy import LoopbackProxy
+from almondstack.standin.soak.workers import SoakWorker
+from almondstack.standin.web import Reply, StandinApp, serve
+from almondstack.testing.addresses import loopback_host
+
+__all__ = ["ACCOUNT", "HOST", "KEY", "MAX_ATTEMPTS", "PREFIX", "Surroundings"]
+
+ACCOUNT, KEY = "a", "soak-key"
+HOST, PREFIX = "jobs.example", "/soak/"
+MAX_ATTEMPTS = 8
+_CEILING_MILLIS = 12_000
+_TICK_S = 0.02
+_HEARTBEAT_S = 0.5
+_STORE_THREADS, _WORKER_THREADS = 96, 24
+_STORE_PORT, _INSTANCES_PORT, _WORKERS_PORT = 8101, 8102, 8200
+
+
+class _InstanceService(StandinApp):
+    """Lists one instance for each worker, and moves none."""
+
+    def __init__(self, workers: list[SoakWorker]) -> None:
+        self._workers = workers
+
+    def handle(self, method: str, path: str, query: dict[str, str], environ: Any) -> Reply:
+        """Return the answer to one request."""
+        if method != "GET":
+            return Reply(409, b'{"reason":"busy"}', "application/json")
+        machines = [
+            {
+                "machine": f"m-{one.worker.id}",
+                "pool": "p",
+                "state": "up",
+                "zone": "a",
+                "labels": ["a", "r1"],
+                "capacity": {"cpu": 4_000, "mem-mb": 64_000},
+                "id": one.worker.id,
+            }
+            for one in self._workers
+        ]
+        return Reply.of_json({"machines": machines})
+
+
+class Surroundings:
+    """Serves everything on loopback and keeps time for it.
+
+    Parameters
+    ----------
+    seed : int
+        Seeds the workers.
+    workers, processes : int
+        How many workers, and how many processes of the product.
+    """
+
+    def __init__(self, seed: int, workers: int, processes: int) -> None:
+        self.host = loopback_host()
+        self.judge = SoakJudge({ACCOUNT: _CEILING_MILLIS}, MAX_ATTEMPTS)
+        self.store = KeyedStoreStandin()
+        self._clock = RealClock()
+        self.workers = [
+            SoakWorker(f"w-{number}", self.judge, self._clock, seed + number)
+            for number in range(workers)
+        ]
+        self._servers = [serve(self.store, f"{self.host}:{_STORE_PORT}", _STORE_THREADS)]
+        instances = _InstanceService(self.workers)
+        self._servers.append(serve(instances, f"{self.host}:{_INSTANCES_PORT}", 8))
+        self.worker_links = []
+        for number, worker in enumerate(self.workers):
+            address = f"{self.host}:{_WORKERS_PORT + number}"
+            self._servers.append(serve(worker, address, _WORKER_THREADS))
+            self.worker_links.append(LoopbackProxy(address, self.host))
+        store = f"{self.host}:{_STORE_PORT}"
+        self.store_links = [LoopbackProxy(store, self.host) for _ in range(processes)]
+        self._stop = threading.Event()
+        self._judged = 0
+
+    @property
+    def instances_address(self) -> str:
+        """Where instances are listed."""
+        return f"{self.host}:{_INSTANCES_PORT}"
+
+    def start(self) -> None:
+        """Serve, and write the configuration."""
+        self.store.put("keyed.op", "config", _configuration())
+        for server in self._servers:
+            threading.Thread(target=server.serve, daemon=True).start()
+        threading.Thread(target=self._keep_time, name="time", daemon=True).start()
+
+    def close(self) -> None:
+        """Serve no more."""
+        self._stop.set()
+        for link in [*self.store_links, *self.worker_links]:
+            link.close()
+        for server in self._servers:
+            server.stop()
+
+    def _keep_time(self) -> None:
+        registered_s = 0.0
+        while not self._stop.wait(_TICK_S):
+            self.judge.judging(self._tick)
+            if time.monotonic() - registered_s >= _HEARTBEAT_S:
+                registered_s = time.monotonic()
+                self._register()
+
+    def _tick(self) -> None:
+        self._clock.tick()
+        for worker in self.workers:
+            worker.end_runs()
+        records = self.store.records("keyed.work")
+        for key, value in records[self._judged :]:
+            self._judged += 1
+            self.judge.oracle.judge_record(key, value)
+
+    def _register(self) -> None:
+        for worker, link in zip(self.workers, self.worker_links, strict=True):
+            worker.sequence += 1
+            content = {
+                "service": "p",
+                "address": link.address,
+                "state": "ready",
+                "zone": "a",
+                "labels": ["a", "r1"],
+                "capacity": {"cpu": 4_000, "mem-mb": 64_000},
+                "clock-ms": worker.worker.clock_ms,
+                "born": worker.worker.life,
+                "sequence": worker.sequence,
+            }
+            self.store.put("keyed.servers", worker.worker.id, json.dumps(content).encode())
+
+
+def _configuration() -> bytes:
+    route = {
+        "name": "q",
+        "host": HOST,
+        "path-prefix": PREFIX,
+        "service": "p",
+        "timeout-ms": 3_000,
+        "target-latency-ms": 60_000,
+        "max-attempts": MAX_ATTEMPTS,
+        "stretch": 2.0,
+    }
+    account = {"name": ACCOUNT, "api-keys": [KEY], "maximum": {"cpu": _CEILING_MILLIS}}
+    content = {"version": 1, "routes": [route], "services": [{"name": "p"}], "tenants": [account]}
+    return json.dumps(content).encode()
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -79,7 +79,7 @@
     for job in jobs:
         table.jobs[job.id] = job
     for worker in workers:
-        table.adopt(worker, 0.0)
+        table.adopt(worker, 0.0, 1e15)
     return table
 
 
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -1,7 +1,7 @@
 """Workers of the world around real owners, as the platform's pages describe them."""
 
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Protocol, TypeVar
 
 from almondstack.control.messages import (
     EndedRun,
@@ -16,7 +16,7 @@
 from almondstack.placement import Resources, WorkerInfo
 from almondstack.testing.owner_oracle import DoneEnd, OwnerOracle
 
-__all__ = ["WorldCaller", "WorldClock", "WorldWorker"]
+__all__ = ["WorkerClock", "WorldCaller", "WorldClock", "WorldWorker"]
 
 _EPOCH_S = 1_700_000_000.0
 _CAPACITY_MILLIS = 4_000
@@ -26,6 +26,21 @@
 _Reply = TypeVar("_Reply")
 
 
+class WorkerClock(Protocol):
+    """What a worker needs of a clock."""
+
+    followers: list[Callable[[], None]]
+
+    @property
+    def now_s(self) -> float:
+        """Monotonic time in seconds."""
+        ...
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass."""
+        ...
+
+
 class WorldClock:
     """Stands for the module ``time``.
 
@@ -75,7 +90,7 @@
         The directory shows it.
     """
 
-    def __init__(self, id: str, clock: WorldClock, oracle: OwnerOracle) -> None:
+    def __init__(self, id: str, clock: WorkerClock, oracle: OwnerOracle) -> None:
         self.id = id
         self.life = 1
         self.fault = ""
