Give far too much away sooner

Change: what lies beyond one and a half times of what a pool wants goes after 0.8 s; the rest after 2.5 s as before.

--- a/almondstack/capacity/__init__.py
+++ b/almondstack/capacity/__init__.py
@@ -6,6 +6,7 @@
     Candidate,
     Move,
     PoolState,
+    gross_instances,
     plan_moves,
     wanted_instances,
 )
@@ -17,6 +18,7 @@
     "PoolNeed",
     "PoolState",
     "WaveMember",
+    "gross_instances",
     "next_members",
     "plan_moves",
     "wanted_instances",
--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -4,7 +4,14 @@
 
 from almondstack.capacity.demand import PoolNeed
 
-__all__ = ["Candidate", "Move", "PoolState", "plan_moves", "wanted_instances"]
+__all__ = [
+    "Candidate",
+    "Move",
+    "PoolState",
+    "gross_instances",
+    "plan_moves",
+    "wanted_instances",
+]
 
 
 class Candidate:
@@ -46,9 +53,11 @@
         Instances on their way to it.
     excess_since_s : float or None
         Since when it has had more than it wants, in monotonic seconds.
+    gross_since_s : float or None
+        Since when it has had far more than it wants, in monotonic seconds.
     """
 
-    __slots__ = ("candidates", "coming", "excess_since_s", "name", "need")
+    __slots__ = ("candidates", "coming", "excess_since_s", "gross_since_s", "name", "need")
 
     def __init__(
         self,
@@ -57,12 +66,14 @@
         candidates: list[Candidate],
         coming: int = 0,
         excess_since_s: float | None = None,
+        gross_since_s: float | None = None,
     ) -> None:
         self.name = name
         self.need = need
         self.candidates = candidates
         self.coming = coming
         self.excess_since_s = excess_since_s
+        self.gross_since_s = gross_since_s
 
     @property
     def size(self) -> int:
@@ -92,6 +103,25 @@
 much as about two seconds of an instance."""
 
 
+GROSS_FACTOR = 1.5
+"""A pool that has more than so many times what it wants has far too much."""
+
+GROSS_HOLD_S = 0.8
+"""It gives what lies beyond that away after so long, in seconds: a need that came back would
+hardly be that large."""
+
+
+def gross_instances(wanted: int) -> int:
+    """Return beyond how many instances a pool that wants ``wanted`` has far too much.
+
+    Examples
+    --------
+    >>> gross_instances(2), gross_instances(40)
+    (3, 60)
+    """
+    return math.ceil(GROSS_FACTOR * wanted)
+
+
 def wanted_instances(state: PoolState, size_millis: int) -> int:
     """Return how many instances of a size in thousandths of a core a pool should have.
 
@@ -174,14 +204,22 @@
     late = {pool.name: math.ceil(pool.need.late_millis / size_millis) for pool in pools}
     moves = []
     for pool in pools:
-        if pool.excess_since_s is None or now_s - pool.excess_since_s < EXCESS_HOLD_S:
-            continue
         own = [candidate for source, candidate in givers if source == pool.name]
-        for candidate in own[: max(0, len(own) - late[pool.name])]:
+        spared = min(len(own) - late[pool.name], _releasable(pool, size_millis, now_s))
+        for candidate in own[: max(0, spared)]:
             moves.append(Move(candidate.name, pool.name, spare_pool))
     return moves
 
 
+def _releasable(pool: PoolState, size_millis: int, now_s: float) -> int:
+    """Return how many instances a pool has had too many for long enough."""
+    if pool.excess_since_s is not None and now_s - pool.excess_since_s >= EXCESS_HOLD_S:
+        return pool.size
+    if pool.gross_since_s is not None and now_s - pool.gross_since_s >= GROSS_HOLD_S:
+        return pool.size - gross_instances(wanted_instances(pool, size_millis))
+    return 0
+
+
 def _take(spares: list[Candidate], source: str, target: str) -> Move | None:
     return Move(spares.pop(0).name, source, target) if spares else None
 
--- a/almondstack/capacity/tests/test_capacity.py
+++ b/almondstack/capacity/tests/test_capacity.py
@@ -158,3 +158,13 @@
     moves = plan_moves([idle], [], "spare", _SIZE, 10.0, most_to_spare=5)
     assert _targets(moves) == [("idle", "spare")] * 5
     assert plan_moves([idle], [], "spare", _SIZE, 10.0, most_to_spare=-1) == []
+
+
+def test_burst_that_is_over_leaves_far_too_much_for_a_short_time_only():
+    """A pool had 142 instances and work for 50, for 6 s after its burst (trouble-3, 26 s)."""
+    over = _pool("over", 30, PoolNeed(waiting_millis=8 * _SIZE), excess_since_s=9.0)
+    over.gross_since_s = 9.0
+    assert plan_moves([over], [], "spare", _SIZE, 9.5) == []
+    # It wants ten, half as many more stay for a while.
+    assert len(plan_moves([over], [], "spare", _SIZE, 10.0)) == 30 - 15
+    assert len(plan_moves([over], [], "spare", _SIZE, 12.0)) == 30 - 10
--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -9,6 +9,7 @@
     Move,
     PoolNeed,
     PoolState,
+    gross_instances,
     plan_moves,
     wanted_instances,
 )
@@ -62,6 +63,7 @@
         "_desk",
         "_excess_since_s",
         "_forecasts",
+        "_gross_since_s",
         "_is_settled",
         "_lead_s",
         "_planner",
@@ -79,6 +81,7 @@
         self._lead_s = move_s + _MOVE_OVERHEAD_S
         self._forecasts: dict[str, ArrivalForecast] = {}
         self._excess_since_s: dict[str, float] = {}
+        self._gross_since_s: dict[str, float] = {}
         self._unregistered: dict[str, tuple[str, float]] = {}
         self._is_settled = False
         self._started_s = time.monotonic()
@@ -114,7 +117,11 @@
             candidates, coming = self._members(instances, pool, taken, now_s)
             states.append(PoolState(pool, needs[pool], candidates, coming))
         for state in states:
-            state.excess_since_s = self._note_excess(state, size_millis, now_s)
+            wanted = wanted_instances(state, size_millis)
+            state.excess_since_s = self._note_excess(self._excess_since_s, state, wanted, now_s)
+            state.gross_since_s = self._note_excess(
+                self._gross_since_s, state, gross_instances(wanted), now_s
+            )
         return states
 
     def spares(
@@ -220,12 +227,15 @@
         self._unregistered[info.name] = (info.worker, since_s)
         return now_s - since_s < _REGISTRATION_S
 
-    def _note_excess(self, state: PoolState, size_millis: int, now_s: float) -> float | None:
+    def _note_excess(
+        self, since_s: dict[str, float], state: PoolState, most: int, now_s: float
+    ) -> float | None:
+        """Note in ``since_s`` whether a pool has more than ``most``; return since when."""
         is_settled = self._is_settled or now_s - self._started_s >= _SETTLING_S
-        if not is_settled or state.size <= wanted_instances(state, size_millis):
-            self._excess_since_s.pop(state.name, None)
+        if not is_settled or state.size <= most:
+            since_s.pop(state.name, None)
             return None
-        return self._excess_since_s.setdefault(state.name, now_s)
+        return since_s.setdefault(state.name, now_s)
 
 
 def _add_need(job: ActiveJob, need: PoolNeed, now_unix_ms: float, *, is_late: bool) -> None:
--- a/almondstack/control/tests/test_balance_rounds.py
+++ b/almondstack/control/tests/test_balance_rounds.py
@@ -27,7 +27,7 @@
 
 def _excess(rounds, now_s):
     idle = PoolState("p", PoolNeed(), [Candidate(f"m{n}", 16_000) for n in range(6)])
-    return rounds._note_excess(idle, 16_000, now_s)
+    return rounds._note_excess(rounds._excess_since_s, idle, 2, now_s)
 
 
 def test_first_burst_finds_the_pools_as_they_were(rounds):
