--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -7,6 +7,7 @@
 
 from almondstack.control.advisor import Advisor
 from almondstack.control.fleet_rounds import FleetRounds
+from almondstack.control.job_records import JobRecords
 from almondstack.control.journal import OwnerJournal
 from almondstack.control.messages import (
     Looked,
@@ -23,24 +24,17 @@
 from almondstack.control.services import OwnerServices
 from almondstack.control.sessions import SessionTable
 from almondstack.jobs import (
-    ActiveJob,
-    RecordError,
     RecordKind,
     Task,
-    decode_progress,
-    decode_submission,
     format_task_name,
-    record_key,
 )
-from almondstack.ownership import FencedError, OwnershipSettings, Record
+from almondstack.ownership import FencedError, OwnershipSettings
 
 __all__ = ["JobNews", "Owner", "leases_known_from_s"]
 
 _IDLE_WAIT_S = 0.2
 """How long the loop waits for news before it looks after its clocks."""
 
-_JOBS_FORGOTTEN_A_ROUND = 20
-
 
 class JobNews:
     """A submission or a cancel that the book has folded."""
@@ -79,8 +73,8 @@
         "_journal",
         "_pacing",
         "_planner",
+        "_records",
         "_report",
-        "_retired",
         "_services",
         "_sessions",
         "_starts",
@@ -109,11 +103,11 @@
         self._table = RunTable(self, services.events, services.metrics)
         self._advisor = Advisor(services)
         self._planner = Planner(self._table, self._advisor, services.policies)
+        self._records = JobRecords(services, self._planner)
         self._fleet = FleetRounds(self._table, self._planner, services, token)
         self._pacing = Pacing(self._table, self._sessions)
         self._report = RoundReport(services.events, services.metrics)
         self._starts: list[Task] = []
-        self._retired: list[tuple[float, str]] = []
         self._is_released = threading.Event()
         self._thread = threading.Thread(target=self._run, name="owner", daemon=True)
 
@@ -174,11 +168,11 @@
         for job_id, entry in book.entries():
             if entry.state.is_final and entry.progress is None:
                 continue
-            job = self._load(job_id)
+            job = self._records.load(job_id)
             if job is None:
                 continue
             if job.is_over():
-                self._retired.append((time.monotonic(), job_id))
+                self._records.retire(job_id)
                 continue
             self._table.inherit(job, time.monotonic())
             runs += len(job.assigned())
@@ -186,23 +180,6 @@
                 self._table.stop_all(job, time.monotonic())
         self._services.events.write("state-taken-over", jobs=len(self._table.jobs), runs=runs)
 
-    def _load(self, job_id: str) -> ActiveJob | None:
-        entry = self._services.book.entry(job_id)
-        if entry is None:
-            return None
-        try:
-            submission = decode_submission(entry.submission)
-            records = decode_progress(entry.progress) if entry.progress else []
-        except RecordError as error:
-            self._services.events.write("job-unreadable", job=job_id, error=str(error))
-            return None
-        policy = self._planner.policy_of(submission)
-        job = ActiveJob(job_id, submission, policy.max_attempts)
-        job.restore(entry.state, records)
-        if entry.is_cancelled:
-            job.cancel()
-        return job
-
     def _round(self) -> None:
         began_s = time.monotonic()
         with self._report.part("news"):
@@ -246,7 +223,7 @@
         if news.kind is RecordKind.CANCEL:
             self._cancel(news.job)
         elif news.job not in self._table.jobs:
-            job = self._load(news.job)
+            job = self._records.load(news.job)
             if job is not None:
                 self._table.jobs[news.job] = job
                 self._fleet.note_job(job, time.monotonic())
@@ -327,45 +304,21 @@
 
     def _commit(self) -> None:
         """Store what has changed; only then do workers hear that ends were seen."""
-        records = self._progress()
+        records = self._records.changes(self._table.jobs)
         ends = self._table.take_ends()
         records.extend(self._fleet.records())
-        records.extend(self._forgotten())
+        records.extend(self._records.dropped())
         self._journal.write(records, self._fleet.waits_ms)
         for job in list(self._table.jobs.values()):
             job.is_dirty = False
             if job.is_over():
                 del self._table.jobs[job.id]
-                self._retired.append((time.monotonic(), job.id))
+                self._records.retire(job.id)
         for worker, number in ends.items():
             session = self._sessions.get(worker)
             if session is not None:
                 session.acknowledge(number)
 
-    def _progress(self) -> list[Record]:
-        """Return the records of jobs that have changed; little is kept of one that is over."""
-        records = []
-        for job in self._table.jobs.values():
-            if not job.is_dirty:
-                continue
-            records.append(Record(record_key(RecordKind.PROGRESS, job.id), job.encode()))
-            if job.is_over():
-                remainder = job.encode_remainder()
-                records.append(Record(record_key(RecordKind.SUBMISSION, job.id), remainder))
-        return records
-
-    def _forgotten(self) -> list[Record]:
-        """Return records that drop jobs whose callers have had time to ask."""
-        records = []
-        bound_s = time.monotonic() - self._services.control.keep_final_s
-        while self._retired and self._retired[0][0] < bound_s:
-            _, job = self._retired.pop(0)
-            for kind in (RecordKind.PROGRESS, RecordKind.CANCEL, RecordKind.SUBMISSION):
-                records.append(Record(record_key(kind, job), b""))
-            if len(records) > _JOBS_FORGOTTEN_A_ROUND:
-                break
-        return records
-
     def _send_starts(self) -> None:
         """Order what was decided, unless its job has ended while the store was slow."""
         starts, self._starts = self._starts, []
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -19,11 +19,12 @@
     OrderStatus,
     RunningRun,
 )
+from almondstack.control.pending_runs import PendingRun, is_same_life
 from almondstack.core import NullMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskNameError, format_task_name
 from almondstack.jobs.names import parse_task_name
-from almondstack.placement import Usage, Worker, WorkerInfo
+from almondstack.placement import Usage, Worker
 from almondstack.placement.soundness import Soundness
 
 __all__ = ["Orders", "RunTable"]
@@ -58,29 +59,6 @@
         ...
 
 
-class _Pending:
-    """What is not yet known of a task's present run."""
-
-    __slots__ = (
-        "confirmed_s",
-        "is_inherited",
-        "is_unclear",
-        "rehomed_s",
-        "stop_acked_s",
-        "stop_sent_s",
-        "tries",
-    )
-
-    def __init__(self) -> None:
-        self.tries = 1
-        self.is_unclear = False
-        self.is_inherited = False
-        self.confirmed_s: float | None = None
-        self.rehomed_s: float | None = None
-        self.stop_sent_s: float | None = None
-        self.stop_acked_s: float | None = None
-
-
 class RunTable:
     """Jobs, workers and the runs between them.
 
@@ -111,7 +89,7 @@
         self._orders = orders
         self._events = events
         self._metrics = metrics
-        self._pending: dict[Task, _Pending] = {}
+        self._pending: dict[Task, PendingRun] = {}
         self._ends: dict[str, int] = {}
         self._end_follower: Callable[[Task, float], None] | None = None
         self.jobs: dict[str, ActiveJob] = {}
@@ -128,7 +106,7 @@
         self.jobs[job.id] = job
         for task in job.assigned():
             self.usage.add(task)
-            pending = _Pending()
+            pending = PendingRun()
             pending.is_unclear = True
             pending.is_inherited = True
             task.assigned_s = now_s
@@ -153,7 +131,7 @@
         there until a stop and a look show that it isn't there any more.
         """
         for task in self.tasks_on(worker):
-            if _is_same_life(task.life, life):
+            if is_same_life(task.life, life):
                 continue
             pending = self._pending[task]
             if pending.confirmed_s is not None:
@@ -198,7 +176,7 @@
 
     def note_assigned(self, task: Task) -> None:
         """Follow a run that placement has just assigned."""
-        self._pending[task] = _Pending()
+        self._pending[task] = PendingRun()
 
     def unplace(self, task: Task, now_s: float) -> None:
         """Take back a run whose start was never sent."""
@@ -296,12 +274,12 @@
         is_present = task.worker == worker and task.run == run
         return task if is_present else None
 
-    def _confirm(self, task: Task, pending: _Pending, now_s: float) -> None:
+    def _confirm(self, task: Task, pending: PendingRun, now_s: float) -> None:
         if pending.confirmed_s is None:
             pending.confirmed_s = now_s
             task.is_confirmed = True
 
-    def _settle_unclear(self, task: Task, pending: _Pending, now_s: float) -> None:
+    def _settle_unclear(self, task: Task, pending: PendingRun, now_s: float) -> None:
         if pending.confirmed_s is not None:
             return
         pending.is_unclear = True
@@ -312,7 +290,7 @@
         self.ask_stop(task, now_s)
 
     def _note_not_started(
-        self, task: Task, pending: _Pending, status: OrderStatus, now_s: float
+        self, task: Task, pending: PendingRun, status: OrderStatus, now_s: float
     ) -> None:
         worker = self.workers.get(task.worker)
         self._events.write(
@@ -367,7 +345,7 @@
         elif pending.confirmed_s is None and self._is_overdue(task, pending, now_s):
             self.ask_stop(task, now_s)
 
-    def _is_overdue(self, task: Task, pending: _Pending, now_s: float) -> bool:
+    def _is_overdue(self, task: Task, pending: PendingRun, now_s: float) -> bool:
         """Whether the start of a run that is not listed has no reply to wait for any more."""
         if not pending.is_unclear and now_s - task.assigned_s > _UNANSWERED_S:
             pending.is_unclear = True
@@ -429,12 +407,3 @@
 
 def _name(task: Task) -> str:
     return format_task_name(task.job.id, task.key)
-
-
-def _is_same_life(recorded: int, present: int) -> bool:
-    return not recorded or not present or recorded == present
-
-
-def is_other_life(one: WorkerInfo, other: WorkerInfo) -> bool:
-    """Whether two descriptions under one id are of different lives of a worker."""
-    return not _is_same_life(one.life, other.life) or one.address != other.address
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from almondstack.control.runs import RunTable, is_other_life
+from almondstack.control.pending_runs import is_other_life
+from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
 from almondstack.control.session import WorkerSession
 from almondstack.placement import Worker, WorkerInfo
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -65,6 +65,7 @@
     "almondstack.control.advisor",
     "almondstack.control.fleet_rounds",
     "almondstack.control.instance_desk",
+    "almondstack.control.job_records",
     "almondstack.control.journal",
     "almondstack.control.owner",
     "almondstack.control.session",
