Count a lasting task as at work only while its worker answers

Read in the code: what a worker last said counted as at work for as long as its runs were recorded, also while it was dark. That it is the cause is not shown: in the report three tasks of one step were ended within a second, and their pool was not the one with the dark rack. It stays open until it is seen with logs.

--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -223,5 +223,5 @@
             if info.name not in emptied:
                 continue
             for task in worker.tasks:
-                if task.step.is_long_running and may_interrupt(task, now_s):
+                if task.step.is_long_running and may_interrupt(task, self._table.workers, now_s):
                     self._table.ask_stop(task, now_s)
