Ask a worker that was silent for all its ends

After a look without answer the next one asks for all ends; ends that come twice change nothing. The stand-in let a look that was under way go on in the next life, as no real crash would; a crash now breaks its connections.

--- a/almondstack/control/tests/test_session.py
+++ b/almondstack/control/tests/test_session.py
@@ -33,7 +33,7 @@
 
     def look(self, deadline_ms, last_seen, wait_s, token):
         """Answer with the clock."""
-        self.looks.append((deadline_ms, wait_s))
+        self.looks.append((deadline_ms, last_seen, wait_s))
         return LookReply(self.look_status, _CLOCK_MS, 1, (), ())
 
     def start(self, order, deadline_ms, token):
@@ -48,9 +48,9 @@
     return []
 
 
-def _send_start(worker, news):
+def _session(worker, news):
     registered = WorkerInfo("w", 1, "p", "127.0.0.1:1", clock_ms=_CLOCK_MS - 4_400)
-    session = WorkerSession(
+    return WorkerSession(
         registered,
         worker,
         1,
@@ -60,6 +60,10 @@
         NullMetrics(),
         0.0,
     )
+
+
+def _send_start(worker, news):
+    session = _session(worker, news)
     order = _Order(OrderKind.START, "t", 1, start=StartOrder("t", 1, "s", "", ""))
     return session._send(worker, order)
 
@@ -68,7 +72,7 @@
     """A registration was 4 s old, and a lasting task lapsed 0.6 s after its start (AVAIL)."""
     worker = _Worker()
     assert _send_start(worker, news).status is OrderStatus.DONE
-    assert worker.looks == [(None, 0.0)]
+    assert worker.looks == [(None, 0, 0.0)]
     assert worker.starts[0] >= _CLOCK_MS + _LEASE_MS
 
 
@@ -77,3 +81,15 @@
     worker = _Worker(look=OrderStatus.UNCLEAR)
     assert _send_start(worker, news).status is OrderStatus.NOT_SENT
     assert worker.starts == [] and isinstance(news[0], LookFailed)
+
+
+def test_a_worker_that_was_silent_is_asked_for_all_its_ends(news):
+    """Its next life counts ends anew, and forgot one that nobody had read (soak, seed 6)."""
+    worker = _Worker(look=OrderStatus.UNCLEAR)
+    session = _session(worker, news)
+    session.acknowledge(7)
+    session._look(worker)
+    worker.look_status = OrderStatus.DONE
+    session._look(worker)
+    session._look(worker)
+    assert [last_seen for _, last_seen, _ in worker.looks] == [7, 0, 7]
--- a/almondstack/standin/soak/run.py
+++ b/almondstack/standin/soak/run.py
@@ -107,6 +107,7 @@
             self.around.worker_links[worker].reset()
         elif fault.kind is FaultKind.WORKER_CRASH:
             self.judge.judging(self.around.workers[worker].worker.crash)
+            self.around.worker_links[worker].reset()
         elif fault.kind is FaultKind.STORE_REFUSES:
             self._refusing += 1
             self.around.store.refuses = True
--- a/almondstack/standin/soak/workers.py
+++ b/almondstack/standin/soak/workers.py
@@ -10,7 +10,7 @@
 from almondstack.core import encode_json
 from almondstack.jobs import RunEnd
 from almondstack.standin.soak.judge import RealClock, SoakJudge
-from almondstack.standin.web import Reply, StandinApp, read_body
+from almondstack.standin.web import Reply, StandinApp, break_off, read_body
 from almondstack.testing.owner_worker import WorldWorker
 
 __all__ = ["SoakWorker"]
@@ -61,7 +61,10 @@
         """Return the answer to one request."""
         if environ.get("HTTP_X_EXPECT_INSTANCE", self.worker.id) != self.worker.id:
             return Reply(421)
-        body = json.loads(read_body(environ))
+        content = read_body(environ)
+        if not content:
+            return Reply(400)
+        body = json.loads(content)
         token = body.get("fencing-token", 0)
         if path == "/almondstack/run-start":
             order = StartOrder(body["task"], body["run"], body["spec"], "", "")
@@ -80,8 +83,12 @@
 
     def _look(self, body: dict[str, Any], token: int) -> Reply:
         until_s = time.monotonic() + body.get("wait-ms", 0) / 1000.0
+        life = self.worker.life
         deadline_ms = body.get("deadline-ms")
         while True:
+            if self.worker.life != life:
+                # The life that was called is gone, and its connections with it.
+                break_off()
             look = partial(self.worker.look, deadline_ms, body["last-seen"], token)
             found = self._judge.judging(look)
             if not isinstance(found, LookReply) or found.status is not OrderStatus.DONE:
