Take no early reload for an order to end

The program's first line now passes such a signal over; the settings file is looked at anyway once it runs. The package re-exports nothing any more, so that this line comes before all imports.

--- a/almondstack/platform/__init__.py
+++ b/almondstack/platform/__init__.py
@@ -1,6 +1,7 @@
-"""Adapter to the users' platform: its wire, store, workers, machines and settings file."""
+"""Adapter to the users' platform: its wire, store, workers, machines and settings file.
 
-from almondstack.platform.program import Program, main
-from almondstack.platform.settings import PlatformSettings, load_platform_settings
+Nothing is re-exported: ``python3 -m almondstack.platform`` must come to its first line, which
+takes care of early signals, before anything else is loaded.
+"""
 
-__all__ = ["PlatformSettings", "Program", "load_platform_settings", "main"]
+__all__: list[str] = []
--- a/almondstack/platform/__main__.py
+++ b/almondstack/platform/__main__.py
@@ -1,8 +1,12 @@
-"""Entry point of ``python3 -m almondstack.platform``."""
+"""``python3 -m almondstack.platform``."""
 
+import signal
 import sys
 
-from almondstack.platform.program import main
+# A reload that is asked for while the program still loads must not end it; the settings file is
+# looked at once it runs.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-if __name__ == "__main__":
-    sys.exit(main())
+from almondstack.platform.program import main  # noqa: E402
+
+sys.exit(main())
--- a/almondstack/platform/tests/test_settings.py
+++ b/almondstack/platform/tests/test_settings.py
@@ -1,5 +1,10 @@
 """The platform's settings file."""
 
+import os
+import signal
+import subprocess
+import sys
+
 import pytest
 
 from almondstack.core import SettingsError
@@ -82,3 +87,23 @@
     assert not file.refresh() and file.settings.zone == "a"
     path.write_text(settings_text(zone="b"))
     assert file.refresh() and file.settings.zone == "b"
+
+
+def test_a_reload_that_comes_while_the_program_loads_does_not_end_it(tmp_path):
+    """A process that had just been started was told to reload, and ended (soak, seed 7)."""
+    path = tmp_path / "settings.yaml"
+    path.write_text(settings_text())
+    ready, ready_end = os.pipe()
+    command = [sys.executable, "-X", "importtime", "-m", "almondstack.platform"]
+    process = subprocess.Popen(
+        [*command, "--settings", str(path), "--check"], stderr=ready_end, pass_fds=(ready_end,)
+    )
+    os.close(ready_end)
+    with os.fdopen(ready, errors="replace") as lines:
+        for line in lines:
+            if "urllib3" in line:
+                # Most of the program is still to be loaded.
+                process.send_signal(signal.SIGHUP)
+                break
+        lines.read()
+    assert process.wait(30) == 0
