--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -20,7 +20,7 @@
 from almondstack.jobs import ActiveJob, TaskStatus
 from almondstack.placement import Policies, Worker
 from almondstack.placement.order import is_late, objective_s
-from almondstack.placement.zones import doubtful_zones
+from almondstack.placement.zones import Doubt, find_doubt
 
 __all__ = ["BalanceRounds", "usual_size_millis"]
 
@@ -188,15 +188,15 @@
 
         Explanation
         -----------
-        Those in a zone that can't be reached count as neither: nobody could use them.
+        Those in a zone or rack that can't be reached count as neither: nobody could use them.
         """
         candidates = []
         coming = 0
-        doubtful = self._doubtful(instances)
+        doubt = self._doubt(instances)
         for info in instances:
             if info.pool != pool or info.state is InstanceState.DOWN or info.name in taken:
                 continue
-            if info.zone in doubtful:
+            if doubt.covers(info.zone, info.rack):
                 continue
             if info.state is InstanceState.UP and self._desk.is_free(info.name, now_s):
                 worker = self._table.workers.get(info.worker)
@@ -208,16 +208,17 @@
                 coming += 1
         return candidates, coming
 
-    def _doubtful(self, instances: list[InstanceInfo]) -> set[str]:
-        """Return the zones whose workers can't be reached, or none of which is registered."""
-        zones = doubtful_zones(self._table.workers.values())
+    def _doubt(self, instances: list[InstanceInfo]) -> Doubt:
+        """Return where workers can't be reached, with zones of which none is registered."""
+        doubt = find_doubt(self._table.workers.values())
         registered = {worker.info.zone for worker in self._table.workers.values()}
         unheard = [
             info.zone
             for info in instances
             if info.worker and info.state is InstanceState.UP and info.zone not in registered
         ]
-        return zones | {zone for zone in unheard if unheard.count(zone) >= _LEAST_UNHEARD}
+        zones = {zone for zone in unheard if unheard.count(zone) >= _LEAST_UNHEARD}
+        return doubt._replace(zones=doubt.zones | zones)
 
     def _is_expected(self, info: InstanceInfo, now_s: float) -> bool:
         """Whether an instance that is up without a worker may still get one."""
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -13,7 +13,7 @@
     rank_of,
 )
 from almondstack.placement.fairness import RankedStep, fair_order
-from almondstack.placement.zones import doubtful_zones
+from almondstack.placement.zones import find_doubt
 
 __all__ = ["Planner"]
 
@@ -103,8 +103,8 @@
 
     def _open_workers(self, now_s: float) -> dict[str, list[Worker]]:
         by_pool: dict[str, list[Worker]] = {}
-        doubtful = doubtful_zones(self._table.workers.values())
+        doubt = find_doubt(self._table.workers.values())
         for worker in self._table.workers.values():
-            if worker.is_open(now_s) and worker.info.zone not in doubtful:
+            if worker.is_open(now_s) and not doubt.covers(worker.info.zone, worker.info.rack):
                 by_pool.setdefault(worker.info.pool, []).append(worker)
         return by_pool
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -8,7 +8,7 @@
 from almondstack.control.services import OwnerServices
 from almondstack.control.session import WorkerSession
 from almondstack.placement import Worker, WorkerInfo
-from almondstack.placement.zones import doubtful_zones
+from almondstack.placement.zones import find_doubt
 
 __all__ = ["Changes", "SessionTable"]
 
@@ -18,7 +18,7 @@
 
 
 _ASKED_IN_DOUBT = 2
-"""Idle workers of a zone in doubt that are looked at; each look is paid for."""
+"""Idle workers of a rack in doubt that are looked at; each look is paid for."""
 
 
 class Changes(NamedTuple):
@@ -119,7 +119,7 @@
         Explanation
         -----------
         One that lost its runs by not answering is not looked at any more, so it
-        is tried again after a while.  In a zone from which nobody answers, a few
+        is tried again after a while.  In a zone or rack from which nobody answers, a few
         idle ones are looked at, to learn when they can be reached.
         """
         asked = self._asked_in_doubt(table)
@@ -132,12 +132,13 @@
                 worker.set_aside_until_s = now_s + _SILENT_PAUSE_S
 
     def _asked_in_doubt(self, table: RunTable) -> set[str]:
-        """Return idle workers to look at, a few of each zone that is in doubt."""
-        doubtful = doubtful_zones(table.workers.values())
-        asked: dict[str, list[str]] = {zone: [] for zone in doubtful}
+        """Return idle workers to look at, a few of each rack that is in doubt."""
+        doubt = find_doubt(table.workers.values())
+        asked: dict[tuple[str, str], list[str]] = {}
         for worker in table.workers.values():
-            if worker.info.zone in doubtful and not worker.tasks:
-                asked[worker.info.zone].append(worker.id)
+            place = (worker.info.zone, worker.info.rack)
+            if doubt.covers(*place) and not worker.tasks:
+                asked.setdefault(place, []).append(worker.id)
         return {worker for idle in asked.values() for worker in sorted(idle)[:_ASKED_IN_DOUBT]}
 
     def _compare_one(self, table: RunTable, info: WorkerInfo, changes: Changes) -> None:
--- a/almondstack/placement/tests/test_zones.py
+++ b/almondstack/placement/tests/test_zones.py
@@ -1,11 +1,11 @@
-"""Which availability zones are in doubt."""
+"""Which availability zones and racks are in doubt."""
 
-from almondstack.placement.zones import doubtful_zones
+from almondstack.placement.zones import Doubt, find_doubt
 from almondstack.testing.job_builders import make_worker
 
 
-def _worker(id, zone, heard_s=0.0, failed_s=0.0):
-    worker = make_worker(id, zone=zone)
+def _worker(id, zone, heard_s=0.0, failed_s=0.0, rack=""):
+    worker = make_worker(id, zone=zone, labels=("kind", rack) if rack else ())
     worker.heard_s = heard_s
     worker.failed_s = failed_s
     return worker
@@ -19,7 +19,7 @@
         _worker("idle", "a"),
         _worker("b1", "b", heard_s=11.1),
     ]
-    assert doubtful_zones(workers) == {"a"}
+    assert find_doubt(workers).zones == {"a"}
 
 
 def test_two_workers_that_crash_leave_their_zone_in_use():
@@ -28,15 +28,27 @@
         _worker("a2", "a", heard_s=10.1, failed_s=11.0),
         _worker("a3", "a", heard_s=11.1),
     ]
-    assert doubtful_zones(workers) == set()
+    assert find_doubt(workers) == Doubt()
 
 
 def test_one_worker_that_does_not_answer_says_nothing_of_its_zone():
-    assert doubtful_zones([_worker("a1", "a", 10.0, 11.0), _worker("a2", "a")]) == set()
+    workers = [_worker("a1", "a", 10.0, 11.0), _worker("a2", "a")]
+    assert find_doubt(workers) == Doubt()
 
 
 def test_a_zone_is_trusted_again_once_one_of_its_workers_answers():
     failing = [_worker(f"a{n}", "a", heard_s=10.0, failed_s=11.0) for n in range(3)]
-    assert doubtful_zones(failing) == {"a"}
+    assert find_doubt(failing).zones == {"a"}
     failing[0].heard_s = 12.0
-    assert doubtful_zones(failing) == set()
+    assert find_doubt(failing) == Doubt()
+
+
+def test_dark_rack_in_a_burst_its_idle_workers_get_nothing():
+    """Eight workers of a rack went dark at 13 s, beside others of their zone (trouble-1)."""
+    workers = [
+        _worker("a1", "a", heard_s=10.0, failed_s=11.2, rack="r1"),
+        _worker("a2", "a", heard_s=10.1, failed_s=11.0, rack="r1"),
+        _worker("a3", "a", heard_s=11.1, rack="r2"),
+    ]
+    doubt = find_doubt(workers)
+    assert doubt.covers("a", "r1") and not doubt.covers("a", "r2") and not doubt.covers("a", "")
--- a/almondstack/placement/zones.py
+++ b/almondstack/placement/zones.py
@@ -1,36 +1,55 @@
-"""Availability zones whose workers can't be reached."""
+"""Availability zones and racks whose workers can't be reached."""
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from almondstack.placement.workers import Worker
 
-__all__ = ["doubtful_zones"]
+__all__ = ["Doubt", "find_doubt"]
 
 _LEAST_FAILING = 2
-"""One worker that does not answer says nothing of its zone."""
+"""One worker that does not answer says nothing of its surroundings."""
 
 _BEFORE_REPORT_S = 0.3
 """A failure is reported at least so long after the call that failed was sent, in seconds."""
 
 
-def doubtful_zones(workers: Iterable[Worker]) -> set[str]:
-    """Return the zones in which several workers don't answer and none was heard since.
+class Doubt(NamedTuple):
+    """The zones and racks from which nobody answers."""
+
+    zones: frozenset[str] = frozenset()
+    racks: frozenset[str] = frozenset()
+
+    def covers(self, zone: str, rack: str) -> bool:
+        """Whether what stands in a zone and rack is in doubt."""
+        return zone in self.zones or (bool(rack) and rack in self.racks)
+
+
+def find_doubt(workers: Iterable[Worker]) -> Doubt:
+    """Return the zones and racks in which several workers don't answer and none was heard since.
 
     Explanation
     -----------
-    A zone that is cut off shows in the calls under way when it happens.  New work
-    on its other workers would only be found stuck once their calls time out.  A
-    zone is trusted again as soon as any worker in it answers.
+    A zone that is cut off, or a rack that is dark, shows in the calls under way
+    when it happens.  New work on its other workers would only be found stuck once
+    their calls time out.  It is trusted again as soon as any worker in it answers.
     """
+    workers = list(workers)
+    return Doubt(
+        _silent([(worker.info.zone, worker) for worker in workers]),
+        _silent([(worker.info.rack, worker) for worker in workers if worker.info.rack]),
+    )
+
+
+def _silent(placed: list[tuple[str, Worker]]) -> frozenset[str]:
     heard_s: dict[str, float] = {}
     failed_s: dict[str, list[float]] = {}
-    for worker in workers:
-        zone = worker.info.zone
-        heard_s[zone] = max(worker.heard_s, heard_s.get(zone, 0.0))
+    for place, worker in placed:
+        heard_s[place] = max(worker.heard_s, heard_s.get(place, 0.0))
         if worker.failed_s > worker.heard_s:
-            failed_s.setdefault(zone, []).append(worker.failed_s)
-    return {
-        zone
-        for zone, times_s in failed_s.items()
-        if len(times_s) >= _LEAST_FAILING and heard_s[zone] < min(times_s) - _BEFORE_REPORT_S
-    }
+            failed_s.setdefault(place, []).append(worker.failed_s)
+    return frozenset(
+        place
+        for place, times_s in failed_s.items()
+        if len(times_s) >= _LEAST_FAILING and heard_s[place] < min(times_s) - _BEFORE_REPORT_S
+    )
