--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -1,13 +1,10 @@
 """Moves of instances between pools, round by round."""
 
-import sys
 import time
 
 from almondstack.capacity import (
-    ArrivalForecast,
     Candidate,
     Move,
-    PoolNeed,
     PoolState,
     gross_instances,
     plan_moves,
@@ -16,17 +13,14 @@
 from almondstack.control.instance_desk import InstanceDesk
 from almondstack.control.messages import InstanceInfo, InstanceState
 from almondstack.control.planning import Planner
+from almondstack.control.pool_needs import PoolNeeds
 from almondstack.control.runs import RunTable
-from almondstack.jobs import ActiveJob, TaskStatus
+from almondstack.jobs import ActiveJob
 from almondstack.placement import Policies, Worker
-from almondstack.placement.order import is_late, objective_s
-from almondstack.placement.zones import Doubt, find_doubt
+from almondstack.placement.doubt import Doubt, find_doubt
 
 __all__ = ["BalanceRounds", "usual_size_millis"]
 
-_MOVE_OVERHEAD_S = 0.5
-"""From the decision on a move to its order, and from its end to the first run, in seconds."""
-
 _REGISTRATION_S = 3.0
 """A worker that has not registered so long after its instance came up is not counted on."""
 
@@ -62,11 +56,9 @@
     __slots__ = (
         "_desk",
         "_excess_since_s",
-        "_forecasts",
         "_gross_since_s",
         "_is_settled",
-        "_lead_s",
-        "_planner",
+        "_needs",
         "_started_s",
         "_table",
         "_unregistered",
@@ -76,10 +68,8 @@
         self, table: RunTable, planner: Planner, desk: InstanceDesk, move_s: float
     ) -> None:
         self._table = table
-        self._planner = planner
         self._desk = desk
-        self._lead_s = move_s + _MOVE_OVERHEAD_S
-        self._forecasts: dict[str, ArrivalForecast] = {}
+        self._needs = PoolNeeds(table, planner, move_s)
         self._excess_since_s: dict[str, float] = {}
         self._gross_since_s: dict[str, float] = {}
         self._unregistered: dict[str, tuple[str, float]] = {}
@@ -94,21 +84,13 @@
         """Count a job that has just come."""
         if not job.submission.is_long_running:
             self.settle()
-        policy = self._planner.policy_of(job.submission)
-        core_ms = sum(
-            step.count * step.cpu_millis * step.estimate_ms / 1000.0
-            for step in job.submission.steps
-            if not step.is_long_running
-        )
-        slack_s = objective_s(job, policy) - job.chain_ms / 1000.0
-        forecast = self._forecasts.setdefault(policy.name, ArrivalForecast(self._lead_s))
-        forecast.add(now_s, core_ms, can_wait=slack_s >= self._lead_s)
+        self._needs.note_job(job, now_s)
 
     def pools(
         self, instances: list[InstanceInfo], policies: Policies, taken: set[str], now_s: float
     ) -> list[PoolState]:
         """Return the state of each pool that is paid for."""
-        needs = self._needs(policies, now_s)
+        needs = self._needs.needs(policies, now_s)
         size_millis = usual_size_millis(instances)
         states = []
         for pool, is_off in policies.pools.items():
@@ -143,38 +125,6 @@
         moves = plan_moves(states, spares, spare_pool, size_millis, now_s, most_to_spare)
         return [move for move in moves if self._desk.may_go(move.instance, move.target)]
 
-    def _needs(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
-        needs = {pool: PoolNeed() for pool in policies.pools}
-        for queue, forecast in self._forecasts.items():
-            policy = policies.queues.get(queue)
-            if policy is not None and policy.pool in needs:
-                needs[policy.pool].arriving_millis += forecast.millis(now_s)
-        for (pool, account), need in self._needs_by_account().items():
-            if pool in needs:
-                room_millis = self._room_millis(account, policies)
-                needs[pool].lasting_millis += need.lasting_millis
-                needs[pool].running_millis += need.running_millis
-                needs[pool].waiting_millis += min(need.waiting_millis, room_millis)
-                needs[pool].late_millis += need.late_millis
-        return needs
-
-    def _needs_by_account(self) -> dict[tuple[str, str], PoolNeed]:
-        now_unix_ms = time.time() * 1000.0
-        needs: dict[tuple[str, str], PoolNeed] = {}
-        for job in self._table.jobs.values():
-            if job.is_open:
-                policy = self._planner.policy_of(job.submission)
-                need = needs.setdefault((policy.pool, job.submission.account), PoolNeed())
-                _add_need(job, need, now_unix_ms, is_late=is_late(job, policy, now_unix_ms))
-        return needs
-
-    def _room_millis(self, account: str, policies: Policies) -> int:
-        """Return how much more an account may have running; more instances would be idle."""
-        policy = policies.accounts.get(account)
-        if policy is None or not policy.ceiling.cpu_millis:
-            return sys.maxsize
-        return max(0, policy.ceiling.cpu_millis - self._table.usage.used(account).cpu_millis)
-
     def _members(
         self,
         instances: list[InstanceInfo],
@@ -239,34 +189,6 @@
         return since_s.setdefault(state.name, now_s)
 
 
-def _add_need(job: ActiveJob, need: PoolNeed, now_unix_ms: float, *, is_late: bool) -> None:
-    running_millis = 0
-    for task in job.tasks():
-        if task.step.is_filler or task.status is TaskStatus.DONE:
-            continue
-        if task.step.is_long_running:
-            need.lasting_millis += task.step.cpu_millis
-        elif task.is_assigned:
-            running_millis += task.step.cpu_millis
-    waiting_millis = _waiting_millis(job, now_unix_ms)
-    if is_late:
-        need.late_millis += running_millis + waiting_millis
-        return
-    need.running_millis += running_millis
-    need.waiting_millis += waiting_millis
-
-
-def _waiting_millis(job: ActiveJob, now_unix_ms: float) -> int:
-    """Return what the tasks ask for whose turn has come; later occurrences don't count yet."""
-    waiting_millis = 0
-    for tasks in job.ready_steps(now_unix_ms):
-        step = tasks[0].step
-        if not step.is_long_running and not step.is_filler:
-            waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
-            waiting_millis += waiting * step.cpu_millis
-    return waiting_millis
-
-
 def usual_size_millis(instances: list[InstanceInfo]) -> int:
     """Return the capacity of the middle instance, in thousandths of a core."""
     sizes = sorted(info.cpu_millis for info in instances)
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -12,8 +12,8 @@
     Worker,
     rank_of,
 )
+from almondstack.placement.doubt import find_doubt
 from almondstack.placement.fairness import RankedStep, fair_order
-from almondstack.placement.zones import find_doubt
 
 __all__ = ["Planner"]
 
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -8,7 +8,7 @@
 from almondstack.control.services import OwnerServices
 from almondstack.control.session import WorkerSession
 from almondstack.placement import Worker, WorkerInfo
-from almondstack.placement.zones import find_doubt
+from almondstack.placement.doubt import find_doubt
 
 __all__ = ["Changes", "SessionTable"]
 
--- a/almondstack/control/tests/test_balance_rounds.py
+++ b/almondstack/control/tests/test_balance_rounds.py
@@ -5,9 +5,10 @@
 import pytest
 
 from almondstack.capacity import Candidate, PoolNeed, PoolState
-from almondstack.control.balance_rounds import BalanceRounds, _add_need
+from almondstack.control.balance_rounds import BalanceRounds
 from almondstack.control.messages import InstanceInfo, InstanceState
 from almondstack.control.planning import Planner
+from almondstack.control.pool_needs import PoolNeeds, add_need
 from almondstack.placement import AccountPolicy, Policies, Resources
 from almondstack.testing.job_builders import (
     make_job,
@@ -48,14 +49,14 @@
 def test_a_scheduled_job_asks_for_room_once_it_is_due():
     job = make_job(make_step(3), occurrences=1, first_due_ms=1_000)
     early, due = PoolNeed(), PoolNeed()
-    _add_need(job, early, 999.0, is_late=False)
-    _add_need(job, due, 1_000.0, is_late=False)
+    add_need(job, early, 999.0, is_late=False)
+    add_need(job, due, 1_000.0, is_late=False)
     assert early.total_millis == 0 and due.total_millis == 3_000
 
 
 def test_late_work_is_counted_apart():
     need = PoolNeed()
-    _add_need(make_job(make_step(2)), need, 0.0, is_late=True)
+    add_need(make_job(make_step(2)), need, 0.0, is_late=True)
     assert need.total_millis == 0 and need.late_millis == 2_000
 
 
@@ -108,6 +109,6 @@
         {"hot": AccountPolicy("hot", ceiling=Resources(4_000))},
         {"p": False},
     )
-    rounds = BalanceRounds(table, Planner(table, None, lambda: policies), None, 1.5)
-    need = rounds._needs(policies, 0.0)["p"]
+    needs = PoolNeeds(table, Planner(table, None, lambda: policies), 1.5)
+    need = needs.needs(policies, 0.0)["p"]
     assert need.waiting_millis == 4_000 + 3_000 and need.late_millis == 0
--- a/almondstack/placement/tests/test_zones.py
+++ b/almondstack/placement/tests/test_doubt.py
@@ -1,6 +1,6 @@
 """Which availability zones and racks are in doubt."""
 
-from almondstack.placement.zones import Doubt, find_doubt
+from almondstack.placement.doubt import Doubt, find_doubt
 from almondstack.testing.job_builders import make_worker
 
 
