--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -133,7 +133,8 @@
     2
     """
     millis = HEADROOM * state.need.total_millis
-    return max(LEAST_INSTANCES, math.ceil(millis / max(1, size_millis)))
+    least = max(LEAST_INSTANCES, state.need.least_instances)
+    return max(least, math.ceil(millis / max(1, size_millis)))
 
 
 def plan_moves(
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -1,12 +1,13 @@
 """What each pool is asked for, by its open jobs and by those that come."""
 
+import math
 import sys
 import time
 
 from almondstack.capacity import ArrivalForecast, PoolNeed
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
-from almondstack.jobs import ActiveJob, TaskStatus
+from almondstack.jobs import ActiveJob, Step, TaskStatus
 from almondstack.placement import Policies
 from almondstack.placement.order import is_late, objective_s
 
@@ -63,6 +64,7 @@
                 needs[pool].running_millis += need.running_millis
                 needs[pool].waiting_millis += min(need.waiting_millis, room_millis)
                 needs[pool].late_millis += need.late_millis
+                needs[pool].least_instances = max(needs[pool].least_instances, need.least_instances)
         return needs
 
     def _needs_by_account(self) -> dict[tuple[str, str], PoolNeed]:
@@ -91,6 +93,7 @@
             continue
         if task.step.is_long_running:
             need.lasting_millis += task.step.cpu_millis
+            need.least_instances = max(need.least_instances, _least_instances(task.step))
         elif task.is_assigned:
             running_millis += task.step.cpu_millis
     waiting_millis = _waiting_millis(job, now_unix_ms)
@@ -101,6 +104,13 @@
     need.waiting_millis += waiting_millis
 
 
+def _least_instances(step: Step) -> int:
+    """Return how many instances a step needs if few of its tasks may share one; one is to spare."""
+    if not step.most_per_worker:
+        return 0
+    return math.ceil(step.count / step.most_per_worker) + 1
+
+
 def _waiting_millis(job: ActiveJob, now_unix_ms: float) -> int:
     """Return what the tasks ask for whose turn has come; later occurrences don't count yet."""
     waiting_millis = 0
--- a/almondstack/control/tests/test_balance_rounds.py
+++ b/almondstack/control/tests/test_balance_rounds.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from almondstack.capacity import Candidate, PoolNeed, PoolState
+from almondstack.capacity import Candidate, PoolNeed, PoolState, wanted_instances
 from almondstack.control.balance_rounds import BalanceRounds
 from almondstack.control.messages import InstanceInfo, InstanceState
 from almondstack.control.planning import Planner
@@ -112,3 +112,17 @@
     needs = PoolNeeds(table, Planner(table, None, lambda: policies), 1.5)
     need = needs.needs(policies, 0.0)["p"]
     assert need.waiting_millis == 4_000 + 3_000 and need.late_millis == 0
+
+
+def test_lasting_tasks_of_which_few_may_share_an_instance_keep_enough_of_them():
+    """Two of 24 might share one; a pool of ten let two wait for 20 s beside free room (LOST).
+
+    lbna-almond-grown quiet-1 --seed 745141816802, twice.
+    """
+    step = make_step(24, is_long_running=True, most_per_worker=2)
+    table = make_table(make_job(step, accepted_ms=int(time.time() * 1000)))
+    policies = Policies(1, {"q": make_policy()}, {}, {"p": False})
+    for job in table.jobs.values():
+        job.steps_of(0)
+    need = PoolNeeds(table, Planner(table, None, lambda: policies), 1.5).needs(policies, 0.0)["p"]
+    assert wanted_instances(PoolState("p", need, []), 32_000) == 13
