Acknowledge no end of an earlier life to the next

A worker that is taken up begins without ends to acknowledge. The unit test fails without the change.

--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -115,6 +115,8 @@
     def adopt(self, worker: Worker, now_s: float, now_unix_ms: float) -> None:
         """Take up a worker, with the runs that are or may be on that life of it."""
         self.workers[worker.id] = worker
+        # What was handled of the life before would make this one forget ends unread.
+        self._ends.pop(worker.id, None)
         self.note_rebirth(worker.id, worker.info.life, now_s, now_unix_ms)
         for task in self.tasks_on(worker.id):
             worker.put(task)
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -259,3 +259,11 @@
     table.note_look(worker, 0.2, look(ended=(ended(members[0]),)), 0.3)
     assert job.state is JobState.COMPLETED and job.is_over()
     assert worker.tasks == [] and table.usage.used("a").cpu_millis == 0
+
+
+def test_ends_of_an_earlier_life_are_not_acknowledged_to_the_next(world):
+    """The next life forgot an end that nobody had read, and the task ran twice (soak, seed 6)."""
+    table, worker, task = world
+    table.note_look(worker, 0.2, look(ended=(ended(task, number=7),)), 0.3)
+    table.adopt(make_worker(life=5_000_000), 0.4, now_unix_ms=5_000_100.0)
+    assert table.take_ends() == {}
