Say what was seen only over the connection it was seen on

Cause: the HTTP library opens a new connection by itself when the old one broke between the question whether it is open and the call, so a look could tell a worker's next life what was seen of the one before. A call can now forbid a new connection; the test fails without it. The soak's stand-in let calls that were received before a crash reach the next life, as no crashed machine would; calls belong to the life in which their connection was used first.

--- a/almondstack/platform/http.py
+++ b/almondstack/platform/http.py
@@ -1,6 +1,7 @@
 """The one HTTP client of the adapter: persistent connections, typed failures."""
 
 import urllib3
+from urllib3.connection import HTTPConnection
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from almondstack.core import AlmondError, parse_address
@@ -33,6 +34,18 @@
         self.body = body
 
 
+class _Connection(HTTPConnection):
+    """Opens itself only if the call may go over a new connection."""
+
+    may_open = True
+
+    def connect(self) -> None:
+        """Open the connection."""
+        if not self.may_open:
+            raise NewConnectionError(self, "the call was for the connection before")
+        super().connect()
+
+
 class HttpCaller:
     """Calls one address; never repeats a call by itself.
 
@@ -57,22 +70,27 @@
 
     @property
     def is_connected(self) -> bool:
-        """Whether the next call goes over the connection of the last one.
+        """Whether the connection of the last call is open; for callers with one connection.
 
         Explanation
         -----------
-        A connection that breaks after this was asked makes the call fail; it never
-        lets it go over a new one.
+        It may break after this was asked: only a call with ``may_open=False`` is sure
+        to go over the connection that was asked about.
         """
-        connection = self._pool.pool.queue[-1] if self._pool.pool is not None else None
+        connection = self._last_connection
         return connection is not None and connection.is_connected
 
+    @property
+    def _last_connection(self) -> _Connection | None:
+        return self._pool.pool.queue[-1] if self._pool.pool is not None else None
+
     def _connect(self, address: str) -> None:
         host, port = parse_address(address)
         self.address = address
         self._pool = urllib3.HTTPConnectionPool(
             host, port, maxsize=self._connections, retries=False
         )
+        self._pool.ConnectionCls = _Connection
 
     def call(
         self,
@@ -81,8 +99,9 @@
         timeout_s: float,
         body: bytes | None = None,
         headers: dict[str, str] | None = None,
+        may_open: bool = True,
     ) -> HttpReply:
-        """Make one call.
+        """Make one call, over a new connection only if it may open one.
 
         Raises
         ------
@@ -91,6 +110,11 @@
         NoAnswerError
             It may have been received.
         """
+        connection = self._last_connection
+        if connection is not None:
+            connection.may_open = may_open
+        elif not may_open:
+            raise NotSentError(f"{self.address} is not connected")
         timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
         try:
             response = self._pool.urlopen(
--- a/almondstack/platform/tests/test_workers.py
+++ b/almondstack/platform/tests/test_workers.py
@@ -7,6 +7,7 @@
 from almondstack.control.messages import OrderStatus, StartOrder
 from almondstack.jobs import RunEnd
 from almondstack.placement import WorkerInfo
+from almondstack.platform.http import HttpCaller
 from almondstack.platform.tests.builders import serving
 from almondstack.platform.workers import HttpWorkerCallers
 from almondstack.standin.task_worker import TaskWorkerStandin
@@ -90,3 +91,24 @@
     assert caller._caller.is_connected
     caller._caller._pool.pool.queue[-1].sock.shutdown(socket.SHUT_RDWR)
     assert not caller._caller.is_connected
+
+
+class _BreaksWhenAsked(HttpCaller):
+    """Its connection breaks just after it was found to be open."""
+
+    @property
+    def is_connected(self):
+        found = super().is_connected
+        if found:
+            self._pool.pool.queue[-1].sock.shutdown(socket.SHUT_RDWR)
+        return found
+
+
+def test_what_was_seen_is_never_said_over_a_newer_connection(worker):
+    """The worker was reborn between the question and the call (soak, seeds 2, 5)."""
+    standin, caller = worker
+    caller._caller = _BreaksWhenAsked(caller._caller.address)
+    _start(caller)
+    standin.end(_TASK)
+    assert caller.look(9_000, 1, 0.0, 5).status is OrderStatus.NOT_SENT
+    assert len(caller.look(9_000, 1, 0.0, 5).ended) == 1
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -110,13 +110,14 @@
         anew; what was seen of the one before must not make it forget any.  Ends that
         come twice change nothing.
         """
-        last_seen = last_seen if self._caller.is_connected else 0
+        is_connected = self._caller.is_connected
+        last_seen = last_seen if is_connected else 0
         body: dict[str, object] = {"fencing-token": token, "last-seen": last_seen}
         if deadline_ms is not None:
             body["deadline-ms"] = deadline_ms
         if wait_s > 0:
             body["wait-ms"] = int(wait_s * 1000)
-        reply = self._call("/almondstack/hold", body, wait_s)
+        reply = self._call("/almondstack/hold", body, wait_s, may_open=not is_connected)
         if isinstance(reply, OrderStatus):
             return _failed_look(reply)
         if reply.status != _OK:
@@ -136,11 +137,13 @@
             return OrderReply(reply)
         return _status_of(reply)
 
-    def _call(self, path: str, body: dict[str, object], wait_s: float) -> HttpReply | OrderStatus:
+    def _call(
+        self, path: str, body: dict[str, object], wait_s: float, *, may_open: bool = True
+    ) -> HttpReply | OrderStatus:
+        timeout_s = self._timeout_s + wait_s
+        content = _encoder.encode(body)
         try:
-            return self._caller.call(
-                "POST", path, self._timeout_s + wait_s, _encoder.encode(body), self._headers
-            )
+            return self._caller.call("POST", path, timeout_s, content, self._headers, may_open)
         except NotSentError:
             return OrderStatus.NOT_SENT
         except NoAnswerError:
--- a/almondstack/standin/soak/run.py
+++ b/almondstack/standin/soak/run.py
@@ -110,7 +110,7 @@
         elif fault.kind is FaultKind.WORKER_RESET:
             self.around.worker_links[worker].reset()
         elif fault.kind is FaultKind.WORKER_CRASH:
-            self.judge.judging(self.around.workers[worker].worker.crash)
+            self.around.workers[worker].crash()
             self.around.worker_links[worker].reset()
         elif fault.kind is FaultKind.STORE_REFUSES:
             self._refusing += 1
--- a/almondstack/standin/soak/workers.py
+++ b/almondstack/standin/soak/workers.py
@@ -3,6 +3,7 @@
 import json
 import random
 import time
+from collections.abc import Callable
 from functools import partial
 from typing import Any
 
@@ -29,6 +30,12 @@
 class SoakWorker(StandinApp):
     """One worker: carries out calls, ends runs when their time has come.
 
+    Explanation
+    -----------
+    A call belongs to the life in which its connection was used first.  A crash ends
+    all of them, also those that were received and not yet carried out, as the memory
+    of a machine that crashes holds nothing any more.
+
     Parameters
     ----------
     id : str
@@ -47,6 +54,11 @@
         self._judge = judge
         self._random = random.Random(seed)
         self._ends_s: dict[tuple[str, int], float] = {}
+        self._lives: dict[str, int] = {}
+
+    def crash(self) -> None:
+        """Lose everything and start again under the same id."""
+        self._judge.judging(self.worker.crash)
 
     def end_runs(self) -> None:
         """End the runs whose time has come; called under the judge's lock."""
@@ -66,31 +78,39 @@
             return Reply(400)
         body = json.loads(content)
         token = body.get("fencing-token", 0)
+        connection = environ["REMOTE_PORT"]
         if path == "/almondstack/run-start":
             order = StartOrder(body["task"], body["run"], body["spec"], "", "")
-            return self._order(lambda: self.worker.start(order, body["deadline-ms"], token))
+            start = partial(self.worker.start, order, body["deadline-ms"], token)
+            return self._order(connection, start)
         if path == "/almondstack/run-stop":
-            return self._order(lambda: self.worker.stop(body["task"], body["run"], token))
+            stop = partial(self.worker.stop, body["task"], body["run"], token)
+            return self._order(connection, stop)
         if path == "/almondstack/hold":
-            return self._look(body, token)
+            return self._look(connection, body, token)
         return Reply(404)
 
-    def _order(self, call: Any) -> Reply:
-        reply = self._judge.judging(call)
+    def _carry_out(self, connection: str, call: Callable[[], object]) -> object:
+        """Make a call unless the life that its connection led to is gone."""
+        with self._judge.lock:
+            if self._lives.setdefault(connection, self.worker.life) != self.worker.life:
+                # The number may come back with a connection to the present life.
+                del self._lives[connection]
+                break_off()
+            return self._judge.judging(call)
+
+    def _order(self, connection: str, call: Callable[[], OrderReply]) -> Reply:
+        reply = self._carry_out(connection, call)
         if not isinstance(reply, OrderReply) or reply.status is OrderStatus.DONE:
             return _answer(200, self.worker.clock_ms)
         return _answer(409, self.worker.clock_ms, reason=_REASONS[reply.status])
 
-    def _look(self, body: dict[str, Any], token: int) -> Reply:
+    def _look(self, connection: str, body: dict[str, Any], token: int) -> Reply:
         until_s = time.monotonic() + body.get("wait-ms", 0) / 1000.0
-        life = self.worker.life
         deadline_ms = body.get("deadline-ms")
         while True:
-            if self.worker.life != life:
-                # The life that was called is gone, and its connections with it.
-                break_off()
             look = partial(self.worker.look, deadline_ms, body["last-seen"], token)
-            found = self._judge.judging(look)
+            found = self._carry_out(connection, look)
             if not isinstance(found, LookReply) or found.status is not OrderStatus.DONE:
                 return _answer(409, self.worker.clock_ms, reason="fence")
             if found.ended or time.monotonic() >= until_s:
--- a/almondstack/standin/tests/test_soak.py
+++ b/almondstack/standin/tests/test_soak.py
@@ -1,5 +1,7 @@
 """A short soak of real processes, the seeds that failed once, and its parts."""
 
+import io
+import json
 import socket
 
 import pytest
@@ -7,9 +9,10 @@
 from almondstack.jobs import Submission
 from almondstack.standin.soak import SoakSettings, run_soak
 from almondstack.standin.soak.faults import FaultKind, plan_faults
-from almondstack.standin.soak.judge import SoakJudge
+from almondstack.standin.soak.judge import RealClock, SoakJudge
 from almondstack.standin.soak.proxy import LinkFault, LoopbackProxy
 from almondstack.standin.soak.seeds import FAILED_SEEDS
+from almondstack.standin.soak.workers import SoakWorker
 from almondstack.testing.addresses import loopback_host
 from almondstack.testing.job_builders import make_step
 from almondstack.testing.owner_oracle import RuleBrokenError
@@ -121,5 +124,34 @@
     assert received == b""
 
 
+@pytest.fixture
+def worker():
+    """Give a worker whose first life has a connection to port 4001, and what calls it."""
+    judge = SoakJudge({}, 2)
+    worker = SoakWorker("w-0", judge, RealClock(), seed=1)
+
+    def look(port):
+        body = json.dumps({"last-seen": 9, "fencing-token": 3}).encode()
+        environ = {"REMOTE_PORT": port, "wsgi.input": io.BytesIO(body)}
+        return worker.handle("POST", "/almondstack/hold", {}, environ).status
+
+    assert look("4001") == 200
+    return worker, look
+
+
+def test_a_call_that_a_crash_found_on_its_way_does_not_reach_the_next_life(worker):
+    """The stand-in let it forget ends of the next life (seeds 2 and 5 under load)."""
+    worker, look = worker
+    worker.crash()
+    with pytest.raises(ConnectionResetError):
+        look("4001")
+
+
+def test_a_connection_made_after_a_crash_leads_to_the_next_life(worker):
+    worker, look = worker
+    worker.crash()
+    assert look("4002") == 200
+
+
 def _submission():
     return Submission("q", "a", "s", (make_step(1),))
