End a session once another life of its worker has answered

The calls that the stand-in received show it. A session now ends by itself with the first such answer; two unit tests fail without it.

--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -18,6 +18,7 @@
     StartOrder,
 )
 from almondstack.control.pacing import Pacing
+from almondstack.control.pending_runs import is_same_life
 from almondstack.control.planning import Planner
 from almondstack.control.round_report import RoundReport
 from almondstack.control.runs import RunTable
@@ -233,7 +234,7 @@
         worker = self._table.workers.get(news.worker.id)
         if worker is None or not self._sessions.is_current(news.worker):
             return
-        if news.reply.life and worker.info.life and news.reply.life != worker.info.life:
+        if not is_same_life(worker.info.life, news.reply.life):
             self._drop_reborn(worker.id, news.reply.life)
             return
         self._table.note_look(worker, news.sent_s, news.reply, time.monotonic())
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -16,6 +16,7 @@
     OrderStatus,
     StartOrder,
 )
+from almondstack.control.pending_runs import is_same_life
 from almondstack.control.ports import WorkerCaller, WorkerCallers
 from almondstack.control.settings import ControlSettings
 from almondstack.core import NullMetrics
@@ -42,6 +43,8 @@
     Looks extend the lease of all that runs on the worker, whether or not the
     owner's loop is held up by the store, for as long as ``may_extend`` allows.
     An end is listed again until :meth:`acknowledge` says that it is stored.
+    Once another life of the worker has answered, which counts its ends anew, the
+    session calls no more: what was seen of its own life means nothing there.
 
     Parameters
     ----------
@@ -205,9 +208,20 @@
         if reply.status is not OrderStatus.DONE:
             self._post(LookFailed(self.worker, reply.status))
             return False
+        if self._is_over(reply, time.monotonic()):
+            return False
         self._note_clock(reply.clock_ms)
         return True
 
+    def _is_over(self, reply: LookReply, sent_s: float) -> bool:
+        """Whether another life has answered; then report it, and end."""
+        if is_same_life(self.worker.life, reply.life):
+            return False
+        with self._changed:
+            self._is_closed = True
+        self._post(Looked(self.worker, sent_s, reply))
+        return True
+
     def _run_looks(self) -> None:
         caller = self._callers.caller(self.worker)
         while self._wait_for_work():
@@ -240,6 +254,8 @@
         if not self._is_answering:
             self._post(LookFailed(self.worker, reply.status))
             return False
+        if self._is_over(reply, sent_s):
+            return True
         self._note_look(reply, sent_s)
         self._post(Looked(self.worker, sent_s, reply))
         pause_s = self._settings.look_pause_s - (time.monotonic() - sent_s)
--- a/almondstack/control/tests/test_session.py
+++ b/almondstack/control/tests/test_session.py
@@ -3,6 +3,7 @@
 import pytest
 
 from almondstack.control.messages import (
+    Looked,
     LookFailed,
     LookReply,
     OrderKind,
@@ -17,13 +18,16 @@
 
 _CLOCK_MS = 500_000
 _LEASE_MS = 4_500
+_MOST_LOOKS = 3
+"""No test here needs more; a session that goes on looking fails."""
 
 
 class _Worker:
     """A worker whose calls are kept, and whose looks are answered as the test says."""
 
-    def __init__(self, look=OrderStatus.DONE):
+    def __init__(self, look=OrderStatus.DONE, life=1):
         self.look_status = look
+        self.life = life
         self.starts = []
         self.looks = []
 
@@ -33,14 +37,18 @@
 
     def look(self, deadline_ms, last_seen, wait_s, token):
         """Answer with the clock."""
+        assert len(self.looks) < _MOST_LOOKS
         self.looks.append((deadline_ms, last_seen, wait_s))
-        return LookReply(self.look_status, _CLOCK_MS, 1, (), ())
+        return LookReply(self.look_status, _CLOCK_MS, self.life, (), ())
 
     def start(self, order, deadline_ms, token):
         """Keep the end of the lease."""
         self.starts.append(deadline_ms)
         return OrderReply(OrderStatus.DONE, _CLOCK_MS)
 
+    def close(self):
+        """Nothing is open."""
+
 
 @pytest.fixture
 def news():
@@ -81,3 +89,19 @@
     worker = _Worker(look=OrderStatus.UNCLEAR)
     assert _send_start(worker, news).status is OrderStatus.NOT_SENT
     assert worker.starts == [] and isinstance(news[0], LookFailed)
+
+
+def test_once_another_life_has_answered_it_is_not_told_what_was_seen_before(news):
+    """The second look told it, before the owner could act, and it forgot an end (soak, seed 2)."""
+    worker = _Worker(life=2)
+    session = _session(worker, news)
+    session.acknowledge(29)
+    session._is_busy = True
+    session._run_looks()
+    assert len(worker.looks) == 1 and isinstance(news[0], Looked)
+
+
+def test_nothing_is_started_on_another_life(news):
+    worker = _Worker(life=2)
+    assert _send_start(worker, news).status is OrderStatus.NOT_SENT
+    assert worker.starts == [] and isinstance(news[0], Looked)
