Notice records of jobs that nobody handed in

The soak's thread that keeps time ended with a KeyError when processes of a soak that was killed read the settings of the next one in the same folder and wrote to its store; the run went on without it. The oracle now says which job; the test fails without it.

--- a/almondstack/standin/tests/test_soak.py
+++ b/almondstack/standin/tests/test_soak.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from almondstack.jobs import Submission
+from almondstack.jobs import RecordKind, Submission
+from almondstack.jobs.records import record_key
 from almondstack.standin.soak import SoakSettings, run_soak
 from almondstack.standin.soak.faults import FaultKind, plan_faults
 from almondstack.standin.soak.judge import RealClock, SoakJudge
@@ -61,6 +62,14 @@
     assert judge.broken[0].startswith("MIXED")
 
 
+def test_a_record_of_a_job_that_nobody_handed_in_is_noticed():
+    """The thread that keeps time ended with an error, and the run went on without it."""
+    judge = SoakJudge({}, 2)
+    key = record_key(RecordKind.PROGRESS, "0" * 16)
+    judge.judging(lambda: judge.oracle.judge_record(key, b"x"))
+    assert judge.broken[0].startswith("UNASKED")
+
+
 def test_a_broken_rule_is_kept_and_not_raised():
     judge = SoakJudge({}, 2)
 
--- a/almondstack/testing/owner_oracle.py
+++ b/almondstack/testing/owner_oracle.py
@@ -116,7 +116,9 @@
         kind, job = split_key(key)
         if kind is not RecordKind.PROGRESS or not value:
             return
-        submission = self.submissions[job]
+        submission = self.submissions.get(job)
+        if submission is None:
+            raise RuleBrokenError(f"UNASKED: a record of {job}, which nobody handed in")
         state = decode_state(value)
         if state is JobState.COMPLETED:
             for name in _names(job, submission):
