Make calls to the store while all connections are in use

The client no longer takes an idle connection for granted; a follower goes on after an unforeseen error (line topic-failed); any other thread that one ends is told (thread-failed). Three tests fail without the changes.

--- a/almondstack/core/events.py
+++ b/almondstack/core/events.py
@@ -65,6 +65,22 @@
         self._stop.set()
         self._thread.join(timeout=1.0)
 
+    def report_failed_threads(self) -> None:
+        """Write a line for each thread of the process that an unforeseen error ends from now on.
+
+        Explanation
+        -----------
+        The interpreter writes the trace to standard error all the same.
+        """
+        write_trace = threading.excepthook
+
+        def report(failure: threading.ExceptHookArgs) -> None:
+            name = failure.thread.name if failure.thread is not None else ""
+            self.write("thread-failed", thread=name, error=repr(failure.exc_value))
+            write_trace(failure)
+
+        threading.excepthook = report
+
     def write(self, event: str, **fields: object) -> None:
         """Queue one line; an event over the bounds is counted and left out."""
         now = time.time()
--- a/almondstack/core/tests/test_events.py
+++ b/almondstack/core/tests/test_events.py
@@ -2,6 +2,7 @@
 
 import io
 import json
+import threading
 
 from almondstack.core.events import EventLog
 
@@ -31,3 +32,18 @@
     for number in range(2_000):
         log.write(f"event-{number % 700}")
     assert len(_written(log, stream)) <= 460
+
+
+def test_a_thread_that_an_error_ends_is_told(monkeypatch):
+    """Only a trace on standard error told that a process no longer followed its topic."""
+    traces = []
+    monkeypatch.setattr(threading, "excepthook", traces.append)
+    stream = io.StringIO()
+    log = EventLog("n", stream)
+    log.report_failed_threads()
+    thread = threading.Thread(target=lambda: [][0], name="configuration")
+    thread.start()
+    thread.join()
+    (line,) = _written(log, stream)
+    assert (line["event"], line["thread"]) == ("thread-failed", "configuration")
+    assert "IndexError" in line["error"] and len(traces) == 1
--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -118,6 +118,11 @@
             except StoreError as error:
                 self._note_lost(error)
                 self._stop.wait(_RETRY_PAUSE_S)
+            except Exception as error:
+                # A fault of ours: a process that no longer follows would go by old versions.
+                self._events.write("topic-failed", topic=self._name, error=repr(error))
+                offset = None
+                self._stop.wait(_RETRY_PAUSE_S)
             else:
                 self._note_regained()
                 self._stop.wait(self.pause_s)
--- a/almondstack/platform/http.py
+++ b/almondstack/platform/http.py
@@ -82,7 +82,9 @@
 
     @property
     def _last_connection(self) -> _Connection | None:
-        return self._pool.pool.queue[-1] if self._pool.pool is not None else None
+        """The connection that the next call takes; None if it makes one."""
+        idle = self._pool.pool.queue if self._pool.pool is not None else None
+        return idle[-1] if idle else None
 
     def _connect(self, address: str) -> None:
         host, port = parse_address(address)
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -106,6 +106,7 @@
         signal.signal(signal.SIGTERM, lambda *_: self._leaving.set())
         signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
         self._events.start()
+        self._events.report_failed_threads()
         self._events.write("start", zone=self._file.settings.zone, incarnation=self._incarnation)
         for server in (self._front, self._ready, self._exposed):
             server.prepare()
--- a/almondstack/platform/tests/test_directory.py
+++ b/almondstack/platform/tests/test_directory.py
@@ -73,3 +73,20 @@
     follower = _follower(topic, taken)
     assert follower.step(7) == 9 and taken == [b"7", b"8"]
     assert topic.snapshots == 0
+
+
+def test_an_unforeseen_error_does_not_end_the_thread_that_follows():
+    """It did, and the process went by an old version for good (lbna-almond-grown trouble-3)."""
+    taken = []
+
+    class _Faulty(_Topic):
+        def snapshot(self):
+            if self.snapshots == 0:
+                self.snapshots += 1
+                raise IndexError("list index out of range")
+            follower.stop()
+            return super().snapshot()
+
+    follower = _follower(_Faulty(), taken)
+    follower._run()
+    assert taken == [b"8"]
--- a/almondstack/platform/tests/test_store.py
+++ b/almondstack/platform/tests/test_store.py
@@ -9,6 +9,7 @@
     StoreRefusedError,
     StoreUnclearError,
 )
+from almondstack.platform.http import HttpCaller
 from almondstack.platform.store import KeyedTopic, StoreConnection
 from almondstack.platform.tests.builders import serving
 from almondstack.standin.keyed_store import KeyedStoreStandin
@@ -138,3 +139,14 @@
         topic = KeyedTopic(StoreConnection(address), "keyed.op", most_kb=260)
         batch = topic.read(0, 0.0)
     assert (len(batch.records), batch.next_offset, batch.end_offset) == (1, 1, 3)
+
+
+def test_a_call_is_made_while_all_connections_are_in_use():
+    """The client looked for an idle one and found none: IndexError (lbna-almond-grown)."""
+    with serving(KeyedStoreStandin()) as address:
+        caller = HttpCaller(address)
+        caller.call("GET", "/almondstack/log-newest?topic=keyed.op&part=0", 1.0)
+        in_use = caller._pool._get_conn()
+        reply = caller.call("GET", "/almondstack/log-newest?topic=keyed.op&part=0", 1.0)
+        in_use.close()
+    assert reply.status in (200, 404)
