--- a/almondstack/core/tests/test_events.py
+++ b/almondstack/core/tests/test_events.py
@@ -41,7 +41,7 @@
     stream = io.StringIO()
     log = EventLog("n", stream)
     log.report_failed_threads()
-    thread = threading.Thread(target=lambda: [][0], name="configuration")
+    thread = threading.Thread(target=[].pop, name="configuration")
     thread.start()
     thread.join()
     (line,) = _written(log, stream)
