Start runs only on the life of a worker that has answered the session

A start now goes only over the connection on which the session's own life has answered; a new connection is used for a look first, as already for the first start of a session. Registrations of a life before the one that answered open no session any more: eight sessions in a second were opened for one that was over. Tests of the session, the adapter and the session table fail without it.

--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -296,7 +296,7 @@
         now_s = time.monotonic()
         self._table.note_rebirth(worker_id, life, now_s, time.time() * 1000.0)
         self._table.workers.pop(worker_id, None)
-        self._sessions.drop(worker_id)
+        self._sessions.drop_reborn(worker_id, life)
 
     def _drop_worker(self, worker_id: str, why: str) -> None:
         self._table.lose_worker(worker_id, why, time.monotonic())
--- a/almondstack/control/ports.py
+++ b/almondstack/control/ports.py
@@ -18,8 +18,19 @@
 class WorkerCaller(Protocol):
     """Calls one worker; each thread has a caller of its own."""
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the next call reaches the life that answered the last one."""
+        ...
+
     def start(self, order: StartOrder, deadline_ms: int, token: int) -> OrderReply:
-        """Start a run under a lease that ends at the worker's ``deadline_ms``."""
+        """Start a run under a lease that ends at the worker's ``deadline_ms``.
+
+        Explanation
+        -----------
+        It is not sent unless it reaches the life that answered the last call: one that
+        has just begun knows neither tokens nor stops, and would carry out any.
+        """
         ...
 
     def stop(self, task: str, run: int, token: int) -> OrderReply:
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -190,18 +190,19 @@
             return caller.pace(order.task, order.run, order.percent, self._token)
         if order.start is None or not self._may_extend():
             return OrderReply(OrderStatus.NOT_SENT)
-        if self._clock_ms is None and not self._learn_clock(caller):
+        if not caller.is_connected and not self._meet(caller):
             return OrderReply(OrderStatus.NOT_SENT)
         deadline_ms = self._deadline_ms()
         self._note_extended(time.monotonic())
         return caller.start(order.start, deadline_ms, self._token)
 
-    def _learn_clock(self, caller: WorkerCaller) -> bool:
-        """Ask for the worker's clock, since a registration is seconds old; False if it is mute.
+    def _meet(self, caller: WorkerCaller) -> bool:
+        """Ask which life there is and for its clock; False if it is mute or another one.
 
         Explanation
         -----------
-        A lease that is reckoned from an old clock may be over when it arrives.
+        A registration is seconds old: the life may be over, and a lease that is reckoned
+        from an old clock may be over when it arrives.
         """
         reply = caller.look(None, self._acknowledged, 0.0, self._token)
         self._metrics.count(f"look.{reply.status}")
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -46,6 +46,7 @@
     """
 
     __slots__ = (
+        "_answered_lives",
         "_compared_s",
         "_inherited_s",
         "_may_extend",
@@ -69,6 +70,7 @@
         self._may_extend = may_extend
         self._inherited_s = inherited_s
         self._sessions: dict[str, WorkerSession] = {}
+        self._answered_lives: dict[str, int] = {}
         self._compared_s = 0.0
 
     def get(self, worker: str) -> WorkerSession | None:
@@ -86,6 +88,16 @@
         if session is not None:
             session.close()
 
+    def drop_reborn(self, worker: str, life: int) -> None:
+        """End the session of a worker of which a later life has answered.
+
+        Explanation
+        -----------
+        Until that life has registered, what is registered is of one before.
+        """
+        self._answered_lives[worker] = life
+        self.drop(worker)
+
     def close(self) -> None:
         """End all sessions."""
         for session in self._sessions.values():
@@ -100,7 +112,8 @@
         self._compared_s = now_s
         registered = self._services.directory.workers()
         for info in registered.values():
-            self._compare_one(table, info, changes)
+            if not info.life or info.life >= self._answered_lives.get(info.id, 0):
+                self._compare_one(table, info, changes)
         for worker in list(table.workers.values()):
             if worker.id not in registered:
                 self._leave(table, worker)
--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -298,7 +298,7 @@
     machine.read(process=0)
     machine.round(process=0)
     for worker in _ALL:
-        machine.world.processes[0].pump_clock(worker)
+        machine.world.processes[0].pump_meeting(worker)
         machine.harm_call(worker=worker, fault="unanswered")
         machine.world.processes[0].pump_orders(worker)
         machine.harm_call(worker=worker, fault="")
--- a/almondstack/control/tests/test_session.py
+++ b/almondstack/control/tests/test_session.py
@@ -30,6 +30,7 @@
         self.life = life
         self.starts = []
         self.looks = []
+        self.is_connected = False
 
     def caller(self, worker):
         """Return itself."""
@@ -70,8 +71,9 @@
     )
 
 
-def _send_start(worker, news):
+def _send_start(worker, news, clock_ms=None):
     session = _session(worker, news)
+    session._note_clock(clock_ms)
     order = _Order(OrderKind.START, "t", 1, start=StartOrder("t", 1, "s", "", ""))
     return session._send(worker, order)
 
@@ -102,6 +104,14 @@
 
 
 def test_nothing_is_started_on_another_life(news):
+    """It knows no token, and carries out what an owner that paused still orders (soak, seed 22)."""
     worker = _Worker(life=2)
-    assert _send_start(worker, news).status is OrderStatus.NOT_SENT
+    assert _send_start(worker, news, clock_ms=_CLOCK_MS).status is OrderStatus.NOT_SENT
     assert worker.starts == [] and isinstance(news[0], Looked)
+
+
+def test_a_worker_that_has_answered_over_the_connection_is_not_asked_again(news):
+    worker = _Worker()
+    worker.is_connected = True
+    assert _send_start(worker, news, clock_ms=_CLOCK_MS).status is OrderStatus.DONE
+    assert worker.looks == []
--- a/almondstack/control/tests/test_sessions.py
+++ b/almondstack/control/tests/test_sessions.py
@@ -1,6 +1,10 @@
 """Which workers are looked at, and what one that did not answer gets."""
 
+from types import SimpleNamespace
+
 from almondstack.control.sessions import SessionTable
+from almondstack.control.settings import ControlSettings
+from almondstack.core import NullMetrics
 from almondstack.testing.job_builders import make_job, make_table, make_worker
 
 
@@ -38,3 +42,17 @@
     worker.is_reachable = False
     _sessions(worker).note_busy(table, 10.0)
     assert not worker.is_open(12.9) and worker.is_open(13.1)
+
+
+def test_a_registration_of_a_life_before_the_one_that_answered_opens_no_session():
+    """Eight sessions in a second were opened for a life that was over (soak, seed 22)."""
+    worker = make_worker(life=2)
+    directory = SimpleNamespace(workers=lambda: {worker.id: worker.info})
+    services = SimpleNamespace(
+        control=ControlSettings(), directory=directory, callers=None, metrics=NullMetrics()
+    )
+    sessions = SessionTable(services, 1, lambda news: None, lambda: True, 0.0)
+    sessions.drop_reborn(worker.id, 3)
+    assert sessions.compare(make_table(), 10.0).adopted == []
+    worker.info.life = 3
+    assert [adopted.id for adopted in sessions.compare(make_table(), 20.0).adopted] == [worker.id]
--- a/almondstack/platform/tests/test_workers.py
+++ b/almondstack/platform/tests/test_workers.py
@@ -24,6 +24,8 @@
 
 
 def _start(caller, run=1, token=5, task=_TASK):
+    if not caller.is_connected:
+        caller.look(None, 0, 0.0, token)
     return caller.start(StartOrder(task, run, "s", "", ""), 9_000, token).status
 
 
@@ -112,3 +114,14 @@
     standin.end(_TASK)
     assert caller.look(9_000, 1, 0.0, 5).status is OrderStatus.NOT_SENT
     assert len(caller.look(9_000, 1, 0.0, 5).ended) == 1
+
+
+def test_a_start_never_goes_over_a_new_connection(worker):
+    """An owner that had paused started a run on a life that knew no token (soak, seed 22)."""
+    standin, caller = worker
+    order = StartOrder(_TASK, 1, "s", "", "")
+    assert caller.start(order, 9_000, 5).status is OrderStatus.NOT_SENT
+    caller.look(None, 0, 0.0, 5)
+    caller._caller._pool.pool.queue[-1].close()
+    assert caller.start(order, 9_000, 5).status is OrderStatus.NOT_SENT
+    assert standin.running == {}
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -76,8 +76,13 @@
         self._headers = {"Content-Type": "application/json", "X-Expect-Instance": worker.id}
         self._timeout_s = timeout_s
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the connection of the last call is open; it leads to one life for good."""
+        return self._caller.is_connected
+
     def start(self, order: StartOrder, deadline_ms: int, token: int) -> OrderReply:
-        """Start a run."""
+        """Start a run over the connection of the last call; not sent if it is gone."""
         body: dict[str, object] = {
             "task": order.task,
             "run": order.run,
@@ -89,7 +94,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return self._order("/almondstack/run-start", body)
+        return self._order("/almondstack/run-start", body, may_open=False)
 
     def stop(self, task: str, run: int, token: int) -> OrderReply:
         """Stop a run."""
@@ -110,7 +115,7 @@
         anew; what was seen of the one before must not make it forget any.  Ends that
         come twice change nothing.
         """
-        is_connected = self._caller.is_connected
+        is_connected = self.is_connected
         last_seen = last_seen if is_connected else 0
         body: dict[str, object] = {"fencing-token": token, "last-seen": last_seen}
         if deadline_ms is not None:
@@ -131,8 +136,8 @@
         """Close the connection."""
         self._caller.close()
 
-    def _order(self, path: str, body: dict[str, object]) -> OrderReply:
-        reply = self._call(path, body, 0.0)
+    def _order(self, path: str, body: dict[str, object], *, may_open: bool = True) -> OrderReply:
+        reply = self._call(path, body, 0.0, may_open=may_open)
         if isinstance(reply, OrderStatus):
             return OrderReply(reply)
         return _status_of(reply)
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -252,6 +252,12 @@
         self._worker = worker
         self._life = life
         self._judge_start = judge_start
+        self._is_connected = False
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a call has reached this life; no call ever reaches another."""
+        return self._is_connected
 
     def start(self, order: StartOrder, deadline_ms: int, token: int) -> OrderReply:
         """Order a start."""
@@ -269,6 +275,7 @@
         reply = self._worker.call(
             self._life, lambda: self._worker.look(deadline_ms, last_seen, token), unanswered
         )
+        self._is_connected = reply is not None and reply.status is OrderStatus.DONE
         return gone if reply is None else reply
 
     def pace(self, task: str, run: int, percent: int, token: int) -> OrderReply:
@@ -280,4 +287,5 @@
 
     def _order(self, carried_out: Callable[[], OrderReply]) -> OrderReply:
         reply = self._worker.call(self._life, carried_out, OrderReply(OrderStatus.UNCLEAR))
+        self._is_connected = reply is not None and reply.status is not OrderStatus.UNCLEAR
         return OrderReply(OrderStatus.GONE) if reply is None else reply
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -129,14 +129,20 @@
 class _PumpedSession(WorkerSession):
     """A session without threads: the world makes its calls."""
 
-    __slots__ = ()
+    __slots__ = ("_order_caller",)
 
     def _ensure(self, name: str, run: Callable[[], None]) -> None:
         """Start no thread."""
 
+    def _caller_of_orders(self) -> WorkerCaller:
+        """Return the caller that all orders share, as they share a thread otherwise."""
+        if not hasattr(self, "_order_caller"):
+            self._order_caller = self._callers.caller(self.worker)
+        return self._order_caller
+
     def pump_orders(self) -> None:
         """Give the orders that wait."""
-        caller = self._callers.caller(self.worker)
+        caller = self._caller_of_orders()
         while not self._orders.empty():
             order = self._orders.get()
             if order is None or self._is_closed:
@@ -145,9 +151,9 @@
             self._note_clock(reply.clock_ms)
             self._post(Ordered(self.worker, order.kind, order.task, order.run, reply))
 
-    def pump_clock(self) -> None:
-        """Learn the worker's clock, as before a first start."""
-        self._learn_clock(self._callers.caller(self.worker))
+    def pump_meeting(self) -> None:
+        """Meet the worker, as before a first start."""
+        self._meet(self._caller_of_orders())
 
     def pump_look(self) -> None:
         """Look once, if runs may be there."""
@@ -233,11 +239,11 @@
             self.book.listen(None)
             self.owner = None
 
-    def pump_clock(self, worker: str) -> None:
-        """Let the owner's session of a worker learn its clock."""
+    def pump_meeting(self, worker: str) -> None:
+        """Let the owner's session of a worker meet it, as before a first start."""
         session = self.owner._sessions.get(worker) if self.owner is not None else None
         if isinstance(session, _PumpedSession):
-            session.pump_clock()
+            session.pump_meeting()
 
     def pump_orders(self, worker: str) -> None:
         """Let the owner's session of a worker give its orders, and not look."""
