Let SIGTERM end the bench program as an error does

Processes of a soak that was ended by SIGTERM lived on and read the next one's settings in the same folder. The test fails without the handler.

--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -2,15 +2,18 @@
 
 import argparse
 import importlib
+import signal
 import sys
+from typing import NoReturn
 
 from almondstack import __version__
 from almondstack.bench.commands import BenchCommand, registered_commands
 from almondstack.core import AlmondError
 
-__all__ = ["main"]
+__all__ = ["exit_on_sigterm", "main"]
 
 _EXIT_FAILED = 1
+_EXIT_SIGTERM = 128 + signal.SIGTERM
 
 # Each of these modules registers its subcommands when it is imported.
 _MODULES = (
@@ -38,6 +41,7 @@
     for module in _MODULES:
         importlib.import_module(module)
     arguments = _parser(registered_commands()).parse_args(argv)
+    exit_on_sigterm()
     command = registered_commands()[arguments.command]
     try:
         return command.run(arguments)
@@ -46,6 +50,15 @@
         return _EXIT_FAILED
 
 
+def exit_on_sigterm() -> None:
+    """Let SIGTERM end this program as an exception does, so that what it started ends as well."""
+
+    def end(*_signal: object) -> NoReturn:
+        raise SystemExit(_EXIT_SIGTERM)
+
+    signal.signal(signal.SIGTERM, end)
+
+
 def _parser(commands: dict[str, BenchCommand]) -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="almondstack-bench", description=__doc__, epilog="example: almondstack-bench demo"
--- /dev/null
+++ b/almondstack/bench/tests/test_main.py
@@ -0,0 +1,26 @@
+"""How the program ends."""
+
+import signal
+import subprocess
+import sys
+
+_PROGRAM = """
+import time
+from almondstack.bench.main import exit_on_sigterm
+exit_on_sigterm()
+try:
+    print("ready", flush=True)
+    time.sleep(60.0)
+finally:
+    print("cleaned up", flush=True)
+"""
+
+
+def test_sigterm_lets_the_program_end_what_it_started():
+    """Processes of a soak that was told to end lived on, and wrote into the next one's store."""
+    command = [sys.executable, "-c", _PROGRAM]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        assert process.stdout.readline() == "ready\n"
+        process.terminate()
+        assert process.stdout.read() == "cleaned up\n"
+    assert process.returncode == 128 + signal.SIGTERM
