Wait for a slow store instead of asking it again

Each process now notes how long answers take beyond what they were asked to wait, and while one was slow in the last 2 s it waits for an append's answer as long as the line can be.

--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -10,7 +10,6 @@
     Record,
     StoreError,
 )
-from almondstack.ownership.tries import try_timeouts_s
 
 __all__ = ["OwnerJournal"]
 
@@ -121,7 +120,7 @@
         self._sequence += 1
         began_s = _elapsed_s()
         is_reported = False
-        for timeout_s in try_timeouts_s():
+        for timeout_s in self._services.store.tempo.timeouts_s():
             if self._is_closed.is_set():
                 break
             try:
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -19,7 +19,6 @@
 from almondstack.jobs.records import RecordKind, encode_submission, record_key
 from almondstack.ownership.errors import FencedError, StoreError, StoreRefusedError
 from almondstack.ownership.ports import Record, RecordStore
-from almondstack.ownership.tries import try_timeouts_s
 from almondstack.placement import QueuePolicy
 from almondstack.placement.backlog import is_in_time
 
@@ -280,7 +279,7 @@
         began_s = time.monotonic()
         is_unclear = False
         pause_s = _RETRY_PAUSE_S
-        for try_s in try_timeouts_s():
+        for try_s in self._store.tempo.timeouts_s():
             left_s = timeout_s - (time.monotonic() - began_s)
             if left_s <= 0:
                 break
--- a/almondstack/ownership/__init__.py
+++ b/almondstack/ownership/__init__.py
@@ -10,6 +10,7 @@
 from almondstack.ownership.follower import Follower
 from almondstack.ownership.ports import Batch, Record, RecordStore, Snapshot
 from almondstack.ownership.settings import OwnershipSettings
+from almondstack.ownership.tempo import StoreTempo
 from almondstack.ownership.vacancy import Vacancy
 
 __all__ = [
@@ -23,6 +24,7 @@
     "Snapshot",
     "StoreError",
     "StoreRefusedError",
+    "StoreTempo",
     "StoreUnclearError",
     "Vacancy",
 ]
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple, Protocol
 
+from almondstack.ownership.tempo import StoreTempo
+
 __all__ = ["Batch", "Record", "RecordStore", "Snapshot"]
 
 
@@ -30,6 +32,11 @@
 class RecordStore(Protocol):
     """A log of keyed records with conditional and fenced appends."""
 
+    @property
+    def tempo(self) -> StoreTempo:
+        """How fast it has answered lately."""
+        ...
+
     def snapshot(self) -> Snapshot:
         """Read the newest record of each key.
 
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import time
 from urllib.parse import quote
 
 import msgspec
@@ -14,6 +15,7 @@
     Snapshot,
     StoreError,
     StoreRefusedError,
+    StoreTempo,
     StoreUnclearError,
 )
 from almondstack.platform.http import HttpCaller, HttpReply, NoAnswerError, NotSentError
@@ -50,31 +52,39 @@
     ----------
     address : str
         Numeric address.
+
+    Attributes
+    ----------
+    tempo : StoreTempo
+        How fast it has answered lately.
     """
 
-    __slots__ = ("_caller",)
+    __slots__ = ("_caller", "tempo")
 
     _CONNECTIONS = 8
 
     def __init__(self, address: str) -> None:
         self._caller = HttpCaller(address, self._CONNECTIONS)
+        self.tempo = StoreTempo()
 
     def use_address(self, address: str) -> None:
         """Call another address from now on."""
         self._caller.use_address(address)
 
-    def read(self, path: str, timeout_s: float) -> HttpReply:
-        """Make a call that changes nothing.
+    def read(self, path: str, timeout_s: float, wait_s: float = 0.0) -> HttpReply:
+        """Make a call that changes nothing, and that is answered after ``wait_s`` at the latest.
 
         Raises
         ------
         StoreRefusedError
             The store did not answer with success, nor that records are gone.
         """
+        began_s = time.monotonic()
         try:
             reply = self._caller.call("GET", path, timeout_s)
         except (NotSentError, NoAnswerError) as error:
             raise StoreRefusedError(str(error)) from error
+        self.tempo.note(time.monotonic() - began_s - wait_s)
         if reply.status not in (_OK, _GONE, _NOT_FOUND):
             raise StoreRefusedError(f"status {reply.status}")
         return reply
@@ -89,12 +99,14 @@
         StoreUnclearError
             It may have been done, or may be within seconds.
         """
+        began_s = time.monotonic()
         try:
             reply = self._caller.call("POST", path, timeout_s, body)
         except NotSentError as error:
             raise StoreRefusedError(str(error)) from error
         except NoAnswerError as error:
             raise StoreUnclearError(str(error)) from error
+        self.tempo.note(time.monotonic() - began_s)
         if reply.status in _NOTHING_DONE:
             raise StoreRefusedError(f"status {reply.status}")
         if reply.status not in (_OK, _CONFLICT, _CONDITION_FAILED):
@@ -122,6 +134,11 @@
         self._bound = f"&max-kb={most_kb}" if most_kb is not None else ""
         self._place = f"topic={topic}&part=0"
 
+    @property
+    def tempo(self) -> StoreTempo:
+        """How fast the store has answered lately."""
+        return self._connection.tempo
+
     def snapshot(self) -> Snapshot:
         """Read the newest record of each key; see ``RecordStore``."""
         records: list[Record] = []
@@ -145,7 +162,7 @@
         path = f"/almondstack/log-read?{self._place}&from={offset}{self._bound}"
         if wait_s > 0:
             path += f"&wait-ms={int(wait_s * 1000)}"
-        reply = self._connection.read(path, wait_s + _READ_TIMEOUT_S)
+        reply = self._connection.read(path, wait_s + _READ_TIMEOUT_S, wait_s)
         if reply.status == _GONE:
             raise HistoryLostError(f"offset {offset}")
         if reply.status == _NOT_FOUND:
--- a/almondstack/platform/tests/test_store.py
+++ b/almondstack/platform/tests/test_store.py
@@ -150,3 +150,18 @@
         reply = caller.call("GET", "/almondstack/log-newest?topic=keyed.op&part=0", 1.0)
         in_use.close()
     assert reply.status in (200, 404)
+
+
+def test_what_a_read_was_asked_to_wait_does_not_count_as_slow(store):
+    _, topic = store
+    topic.append(_records("a"), 1.0)
+    topic.read(1, 0.3)
+    assert not topic.tempo.is_slow
+
+
+def test_an_answer_that_takes_long_counts_as_slow(store):
+    standin, topic = store
+    topic.append(_records("a"), 1.0)
+    standin.answer_delay_s = 0.2
+    topic.read(0, 0.0)
+    assert topic.tempo.is_slow
--- a/almondstack/standin/keyed_store.py
+++ b/almondstack/standin/keyed_store.py
@@ -60,10 +60,13 @@
         Every call gets 503.
     loses_appends : int
         So many of the next appends are stored and their answers lost.
+    answer_delay_s : float
+        Every answer comes so much later, in seconds.
     """
 
     def __init__(self) -> None:
         self.refuses = False
+        self.answer_delay_s = 0.0
         self.loses_appends = 0
         self._topics: dict[str, _Topic] = {}
         self._lock = threading.Lock()
@@ -88,6 +91,7 @@
         """Return the answer to one request."""
         if self.refuses:
             return Reply(503)
+        time.sleep(self.answer_delay_s)
         if path == "/almondstack/log-append":
             return self._append(query, read_body(environ))
         if path == "/almondstack/log-read":
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -7,6 +7,7 @@
     Record,
     Snapshot,
     StoreRefusedError,
+    StoreTempo,
     StoreUnclearError,
 )
 
@@ -29,6 +30,7 @@
     """
 
     def __init__(self) -> None:
+        self.tempo = StoreTempo()
         self.records: list[Record] = []
         self.is_down = False
         self.loses_replies = 0
@@ -122,6 +124,7 @@
     """
 
     def __init__(self, store: FakeRecordStore) -> None:
+        self.tempo = StoreTempo()
         self._store = store
         self._attempts: list[tuple[Record, str, int]] = []
 
