Refuse at once what a slow store can't take in a caller's time

An append is not tried while a slow store said within the last second that it takes no more, nor when its answer is expected after the caller's time: the caller gets 503 at once.

--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -281,7 +281,10 @@
         pause_s = _RETRY_PAUSE_S
         for try_s in self._store.tempo.timeouts_s():
             left_s = timeout_s - (time.monotonic() - began_s)
-            if left_s <= 0:
+            expected_s = self._store.tempo.expected_s
+            # What can't be answered in time only makes others wait behind it.
+            if left_s <= expected_s:
+                self._note_hopeless(job, left_s, expected_s)
                 break
             try:
                 call(min(left_s, try_s))
@@ -304,5 +307,17 @@
             pause_s = min(2 * pause_s, _MOST_RETRY_PAUSE_S)
         return Verdict.UNCLEAR if is_unclear else Verdict.NOT_STORED
 
+    def _note_hopeless(self, job: str, left_s: float, expected_s: float) -> None:
+        """Say that an append is not tried, or not again; 'inf' if the store takes no more."""
+        if expected_s <= 0:
+            return
+        self._metrics.count("append.hopeless")
+        self._events.write(
+            "append-hopeless",
+            job=job,
+            left_s=round(left_s, 2),
+            expected_s=str(round(expected_s, 2)),
+        )
+
     def _note_failure(self, job: str, error: StoreError, *, is_unclear: bool) -> None:
         self._events.write("append-failed", job=job, error=str(error), is_unclear=is_unclear)
--- a/almondstack/ownership/tempo.py
+++ b/almondstack/ownership/tempo.py
@@ -1,6 +1,9 @@
 """How fast the store answers, and how long to wait for each answer while an append is repeated."""
 
+import math
+import threading
 import time
+from collections import deque
 from collections.abc import Iterator
 
 __all__ = ["StoreTempo"]
@@ -21,6 +24,10 @@
 _REMEMBERED_S = 2.0
 """Reads that wait in vain tell of the store at least once a second; in seconds."""
 
+_FULL_S = 1.0
+"""So long after a slow store said that it takes no more, callers are not made to wait for it; a
+refusal tells them to come again about then.  In seconds."""
+
 
 class StoreTempo:
     """What the answers of the last seconds say of the store's speed.
@@ -37,20 +44,48 @@
     [2.8, 2.8]
     """
 
-    __slots__ = ("_slow_s",)
+    __slots__ = ("_full_until_s", "_lock", "_slow")
 
     def __init__(self) -> None:
-        self._slow_s: float | None = None
+        self._lock = threading.Lock()
+        self._slow: deque[tuple[float, float]] = deque()
+        self._full_until_s = -math.inf
 
     @property
     def is_slow(self) -> bool:
         """Whether an answer took long in the last seconds."""
-        return self._slow_s is not None and time.monotonic() - self._slow_s < _REMEMBERED_S
+        return self._longest_s() > 0
+
+    @property
+    def expected_s(self) -> float:
+        """How long the answer to an append may take; 0 unless the store is slow, in seconds."""
+        if time.monotonic() < self._full_until_s:
+            return math.inf
+        return self._longest_s()
 
     def note(self, took_s: float) -> None:
         """Note an answer that took so long, beyond what it was asked to wait, in seconds."""
         if took_s > _SLOW_ANSWER_S:
-            self._slow_s = time.monotonic()
+            with self._lock:
+                self._slow.append((time.monotonic(), took_s))
+
+    def note_unanswered(self, took_s: float) -> None:
+        """Note that an append got no answer for so long; while the store is slow it may be late."""
+        if self.is_slow:
+            self.note(took_s)
+
+    def note_refused(self) -> None:
+        """Note that the store took an append not; while it is slow, too many are waiting."""
+        if self.is_slow:
+            self._full_until_s = time.monotonic() + _FULL_S
+
+    def _longest_s(self) -> float:
+        """Return the longest of the slow answers that are remembered."""
+        old_s = time.monotonic() - _REMEMBERED_S
+        with self._lock:
+            while self._slow and self._slow[0][0] < old_s:
+                self._slow.popleft()
+            return max((took_s for _, took_s in self._slow), default=0.0)
 
     def timeouts_s(self) -> Iterator[float]:
         """Yield the seconds to wait for the first answer and for that of each repeat.
--- a/almondstack/ownership/tests/test_tempo.py
+++ b/almondstack/ownership/tests/test_tempo.py
@@ -71,6 +71,19 @@
 
 
 def test_a_slow_answer_is_forgotten_after_a_while(slow, monkeypatch):
-    now_s = slow._slow_s
-    monkeypatch.setattr("almondstack.ownership.tempo.time.monotonic", lambda: now_s + 3.0)
-    assert not slow.is_slow
+    noted_s, _ = slow._slow[0]
+    monkeypatch.setattr("almondstack.ownership.tempo.time.monotonic", lambda: noted_s + 3.0)
+    assert not slow.is_slow and slow.expected_s == 0.0
+
+
+def test_no_append_is_worth_waiting_for_once_a_slow_store_takes_no_more(slow):
+    assert slow.expected_s == _ANSWER_S
+    slow.note_refused()
+    assert slow.expected_s > _DEADLINE_S
+
+
+def test_a_refusal_of_a_quick_store_says_nothing_of_the_next_append():
+    tempo = StoreTempo()
+    tempo.note_refused()
+    tempo.note_unanswered(0.5)
+    assert tempo.expected_s == 0.0 and not tempo.is_slow
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -31,6 +31,9 @@
 _NOTHING_DONE = frozenset({400, 403, 404, 413, 429, 503, 507})
 """Statuses that say that nothing was stored."""
 
+_BUSY = frozenset({429, 503})
+"""Statuses of a store that takes no more for now."""
+
 _PRODUCER = "owner"
 _OFFSET_BYTES = 8
 _HEAD_BYTES = 2 * _OFFSET_BYTES
@@ -105,8 +108,11 @@
         except NotSentError as error:
             raise StoreRefusedError(str(error)) from error
         except NoAnswerError as error:
+            self.tempo.note_unanswered(time.monotonic() - began_s)
             raise StoreUnclearError(str(error)) from error
         self.tempo.note(time.monotonic() - began_s)
+        if reply.status in _BUSY:
+            self.tempo.note_refused()
         if reply.status in _NOTHING_DONE:
             raise StoreRefusedError(f"status {reply.status}")
         if reply.status not in (_OK, _CONFLICT, _CONDITION_FAILED):
--- a/almondstack/platform/tests/builders.py
+++ b/almondstack/platform/tests/builders.py
@@ -58,9 +58,9 @@
     return json.dumps(content).encode()
 
 
-def request(method, path=f"/q/{JOB}", body=b"", key="k", host="jobs.example"):
+def request(method, path=f"/q/{JOB}", body=b"", key="k", host="jobs.example", deadline_s=3.0):
     """Return a caller's request."""
-    return Request(method, host, path, key, 3.0, body)
+    return Request(method, host, path, key, deadline_s, body)
 
 
 def settings_text(store="127.0.0.1:1", **lines):
