--- a/almondstack/ownership/tempo.py
+++ b/almondstack/ownership/tempo.py
@@ -1,6 +1,7 @@
 """How fast the store answers, and how long to wait for each answer while an append is repeated."""
 
 import math
+import random
 import threading
 import time
 from collections import deque
@@ -24,9 +25,10 @@
 _REMEMBERED_S = 2.0
 """Reads that wait in vain tell of the store at least once a second; in seconds."""
 
-_FULL_S = 1.0
-"""So long after a slow store said that it takes no more, callers are not made to wait for it; a
-refusal tells them to come again about then.  In seconds."""
+_FULL_S = (2.0, 4.0)
+"""So long after a slow store said that it takes no more, nothing is handed to it for callers, at
+least and at most: what it takes is left to the owner, without whom nothing goes on.  In seconds;
+chosen by lot, so that not all processes ask again at once."""
 
 
 class StoreTempo:
@@ -63,11 +65,22 @@
             return math.inf
         return self._longest_s()
 
-    def note(self, took_s: float) -> None:
-        """Note an answer that took so long, beyond what it was asked to wait, in seconds."""
-        if took_s > _SLOW_ANSWER_S:
+    def note(self, took_s: float, wait_s: float = 0.0) -> None:
+        """Note an answer that came after ``took_s``, asked to come after ``wait_s`` at the latest.
+
+        Explanation
+        -----------
+        A quick one says that the store is not slow any more.  One that came in between
+        says nothing: what it waited for may have come late.
+        """
+        late_s = took_s - wait_s
+        if late_s > _SLOW_ANSWER_S:
+            with self._lock:
+                self._slow.append((time.monotonic(), late_s))
+        elif late_s >= 0 or took_s <= _SLOW_ANSWER_S:
             with self._lock:
-                self._slow.append((time.monotonic(), took_s))
+                self._slow.clear()
+                self._full_until_s = -math.inf
 
     def note_unanswered(self, took_s: float) -> None:
         """Note that an append got no answer for so long; while the store is slow it may be late."""
@@ -77,7 +90,7 @@
     def note_refused(self) -> None:
         """Note that the store took an append not; while it is slow, too many are waiting."""
         if self.is_slow:
-            self._full_until_s = time.monotonic() + _FULL_S
+            self._full_until_s = time.monotonic() + random.uniform(*_FULL_S)
 
     def _longest_s(self) -> float:
         """Return the longest of the slow answers that are remembered."""
--- a/almondstack/ownership/tests/test_tempo.py
+++ b/almondstack/ownership/tests/test_tempo.py
@@ -76,6 +76,15 @@
     assert not slow.is_slow and slow.expected_s == 0.0
 
 
+def test_a_quick_answer_ends_it_at_once(slow):
+    """Processes refused callers for 2 s after the store was quick again (trouble-2)."""
+    slow.note_refused()
+    slow.note(0.8, wait_s=1.0)
+    assert slow.is_slow
+    slow.note(1.004, wait_s=1.0)
+    assert not slow.is_slow and slow.expected_s == 0.0
+
+
 def test_no_append_is_worth_waiting_for_once_a_slow_store_takes_no_more(slow):
     assert slow.expected_s == _ANSWER_S
     slow.note_refused()
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -87,7 +87,7 @@
             reply = self._caller.call("GET", path, timeout_s)
         except (NotSentError, NoAnswerError) as error:
             raise StoreRefusedError(str(error)) from error
-        self.tempo.note(time.monotonic() - began_s - wait_s)
+        self.tempo.note(time.monotonic() - began_s, wait_s)
         if reply.status not in (_OK, _GONE, _NOT_FOUND):
             raise StoreRefusedError(f"status {reply.status}")
         return reply
