--- a/almondstack/control/balance_rounds.py
+++ b/almondstack/control/balance_rounds.py
@@ -17,7 +17,7 @@
 from almondstack.control.runs import RunTable
 from almondstack.jobs import ActiveJob
 from almondstack.placement import Policies, Worker
-from almondstack.placement.doubt import Doubt, find_doubt
+from almondstack.placement.unreachable import UnreachablePlaces, find_unreachable
 
 __all__ = ["BalanceRounds", "usual_size_millis"]
 
@@ -142,11 +142,11 @@
         """
         candidates = []
         coming = 0
-        doubt = self._doubt(instances)
+        unreachable = self._unreachable(instances)
         for info in instances:
             if info.pool != pool or info.state is InstanceState.DOWN or info.name in taken:
                 continue
-            if doubt.covers(info.zone, info.rack):
+            if unreachable.covers(info.zone, info.rack):
                 continue
             if info.state is InstanceState.UP and self._desk.is_free(info.name, now_s):
                 worker = self._table.workers.get(info.worker)
@@ -158,9 +158,9 @@
                 coming += 1
         return candidates, coming
 
-    def _doubt(self, instances: list[InstanceInfo]) -> Doubt:
+    def _unreachable(self, instances: list[InstanceInfo]) -> UnreachablePlaces:
         """Return where workers can't be reached, with zones of which none is registered."""
-        doubt = find_doubt(self._table.workers.values())
+        unreachable = find_unreachable(self._table.workers.values())
         registered = {worker.info.zone for worker in self._table.workers.values()}
         unheard = [
             info.zone
@@ -168,7 +168,7 @@
             if info.worker and info.state is InstanceState.UP and info.zone not in registered
         ]
         zones = {zone for zone in unheard if unheard.count(zone) >= _LEAST_UNHEARD}
-        return doubt._replace(zones=doubt.zones | zones)
+        return unreachable._replace(zones=unreachable.zones | zones)
 
     def _is_expected(self, info: InstanceInfo, now_s: float) -> bool:
         """Whether an instance that is up without a worker may still get one."""
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -12,8 +12,8 @@
     Worker,
     rank_of,
 )
-from almondstack.placement.doubt import find_doubt
 from almondstack.placement.fairness import RankedStep, fair_order
+from almondstack.placement.unreachable import find_unreachable
 
 __all__ = ["Planner"]
 
@@ -103,8 +103,8 @@
 
     def _open_workers(self, now_s: float) -> dict[str, list[Worker]]:
         by_pool: dict[str, list[Worker]] = {}
-        doubt = find_doubt(self._table.workers.values())
+        unreachable = find_unreachable(self._table.workers.values())
         for worker in self._table.workers.values():
-            if worker.is_open(now_s) and not doubt.covers(worker.info.zone, worker.info.rack):
+            if worker.is_open(now_s) and not unreachable.covers(worker.info.zone, worker.info.rack):
                 by_pool.setdefault(worker.info.pool, []).append(worker)
         return by_pool
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -8,7 +8,7 @@
 from almondstack.control.services import OwnerServices
 from almondstack.control.session import WorkerSession
 from almondstack.placement import Worker, WorkerInfo
-from almondstack.placement.doubt import find_doubt
+from almondstack.placement.unreachable import find_unreachable
 
 __all__ = ["Changes", "SessionTable"]
 
@@ -17,8 +17,8 @@
 that is dead is registered for a few seconds more."""
 
 
-_ASKED_IN_DOUBT = 2
-"""Idle workers of a rack in doubt that are looked at; each look is paid for."""
+_ASKED_WHERE_UNREACHABLE = 2
+"""Idle workers of a rack that can not be reached which are looked at; each look is paid for."""
 
 
 class Changes(NamedTuple):
@@ -135,7 +135,7 @@
         is tried again after a while.  In a zone or rack from which nobody answers, a few
         idle ones are looked at, to learn when they can be reached.
         """
-        asked = self._asked_in_doubt(table)
+        asked = self._asked_where_unreachable(table)
         for worker_id, session in self._sessions.items():
             worker = table.workers.get(worker_id)
             is_busy = worker is not None and bool(worker.tasks)
@@ -144,15 +144,17 @@
                 worker.is_reachable = True
                 worker.set_aside_until_s = now_s + _SILENT_PAUSE_S
 
-    def _asked_in_doubt(self, table: RunTable) -> set[str]:
-        """Return idle workers to look at, a few of each rack that is in doubt."""
-        doubt = find_doubt(table.workers.values())
+    def _asked_where_unreachable(self, table: RunTable) -> set[str]:
+        """Return idle workers to look at, a few of each rack that can not be reached."""
+        unreachable = find_unreachable(table.workers.values())
         asked: dict[tuple[str, str], list[str]] = {}
         for worker in table.workers.values():
             place = (worker.info.zone, worker.info.rack)
-            if doubt.covers(*place) and not worker.tasks:
+            if unreachable.covers(*place) and not worker.tasks:
                 asked.setdefault(place, []).append(worker.id)
-        return {worker for idle in asked.values() for worker in sorted(idle)[:_ASKED_IN_DOUBT]}
+        return {
+            worker for idle in asked.values() for worker in sorted(idle)[:_ASKED_WHERE_UNREACHABLE]
+        }
 
     def _compare_one(self, table: RunTable, info: WorkerInfo, changes: Changes) -> None:
         known = table.workers.get(info.id)
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -1,52 +1,36 @@
 """What callers may ask of jobs, on any process."""
 
-import time
-from collections.abc import Callable
-from enum import StrEnum
 from typing import Protocol
 
 from almondstack.core import NullMetrics
 from almondstack.core.events import EventLog
+from almondstack.intake.appends import PatientAppends
 from almondstack.intake.attempts import (
     UnsettledAttempts,
     attempt_epoch,
     attempt_producer,
     fence_epoch,
 )
+from almondstack.intake.verdicts import Verdict
 from almondstack.jobs import JobBook, JobEntry
 from almondstack.jobs.active import chain_lengths_ms
 from almondstack.jobs.model import JobState, Submission
 from almondstack.jobs.records import RecordKind, encode_submission, record_key
-from almondstack.ownership.errors import FencedError, StoreError, StoreRefusedError
+from almondstack.ownership.errors import FencedError, StoreError
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.placement import QueuePolicy
 from almondstack.placement.backlog import is_in_time
 
-__all__ = ["JobService", "StoreReader", "Verdict"]
+__all__ = ["JobService", "StoreReader"]
 
 _SILENT_S = 1.0
 """A store that this process has not heard for longer is not asked for new jobs, in seconds;
 while it answers, one read follows on another within three quarters of a second."""
 
-_RETRY_PAUSE_S = 0.05
-_MOST_RETRY_PAUSE_S = 0.4
-
 _MOST_NOTICE_AGE_S = 2.5
 """What the owner said longer ago says nothing of now, in seconds."""
 
 
-class Verdict(StrEnum):
-    """What became of a caller's wish."""
-
-    DONE = "done"
-    KNOWN = "known"
-    FULL = "full"
-    UNKNOWN_JOB = "unknown-job"
-    CONFLICT = "conflict"
-    NOT_STORED = "not-stored"
-    UNCLEAR = "unclear"
-
-
 class StoreReader(Protocol):
     """Follows the store into the book."""
 
@@ -88,7 +72,7 @@
         Counts and times them.
     """
 
-    __slots__ = ("_attempts", "_book", "_events", "_metrics", "_reader", "_store")
+    __slots__ = ("_appends", "_attempts", "_book", "_events", "_metrics", "_reader", "_store")
 
     def __init__(
         self,
@@ -101,6 +85,7 @@
         self._store = store
         self._book = book
         self._reader = reader
+        self._appends = PatientAppends(store.tempo, events, metrics)
         self._attempts = UnsettledAttempts()
         self._events = events
         self._metrics = metrics
@@ -146,13 +131,13 @@
         producer = attempt_producer(job, submission)
         self._attempts.begin(job)
         try:
-            verdict = self._store_until(
+            verdict = self._appends.store_until(
                 lambda try_s: self._store.append_attempt(record, producer, epoch, try_s),
                 job,
                 timeout_s,
             )
         except FencedError as error:
-            self._note_failure(job, error, is_unclear=False)
+            self._appends.note_failure(job, error, is_unclear=False)
             self._attempts.settle(job)
             return self._found_or(self._not_stored(job), job, submission)
         if verdict is Verdict.DONE:
@@ -171,7 +156,7 @@
         if entry.is_cancelled or entry.state.is_final:
             return Verdict.DONE
         record = Record(record_key(RecordKind.CANCEL, job), b"\x01")
-        verdict = self._store_until(
+        verdict = self._appends.store_until(
             lambda try_s: self._store.append([record], try_s), job, timeout_s
         )
         if verdict is Verdict.DONE:
@@ -226,7 +211,7 @@
         producer = attempt_producer(job, submission)
         epoch = fence_epoch(self._reader.next_offset)
         try:
-            verdict = self._store_until(
+            verdict = self._appends.store_until(
                 lambda try_s: self._store.fence_attempts(producer, epoch, try_s), job, timeout_s
             )
         except FencedError:
@@ -273,51 +258,3 @@
         if entry is None or (entry.account and entry.account != account):
             return Verdict.UNKNOWN_JOB
         return entry
-
-    def _store_until(self, call: Callable[[float], None], job: str, timeout_s: float) -> Verdict:
-        """Repeat a call of the store until it is known to be done, or the time is over."""
-        began_s = time.monotonic()
-        is_unclear = False
-        pause_s = _RETRY_PAUSE_S
-        for try_s in self._store.tempo.timeouts_s():
-            left_s = timeout_s - (time.monotonic() - began_s)
-            expected_s = self._store.tempo.expected_s
-            # What can't be answered in time only makes others wait behind it.
-            if left_s <= expected_s:
-                self._note_hopeless(job, left_s, expected_s)
-                break
-            try:
-                call(min(left_s, try_s))
-            except FencedError:
-                raise
-            except StoreRefusedError as error:
-                self._metrics.count("append.refused")
-                if not is_unclear:
-                    self._note_failure(job, error, is_unclear=False)
-                    return Verdict.NOT_STORED
-            except StoreError as error:
-                self._metrics.count("append.unclear")
-                if not is_unclear:
-                    self._note_failure(job, error, is_unclear=True)
-                is_unclear = True
-            else:
-                self._metrics.timing_ms("append.job", (time.monotonic() - began_s) * 1000.0)
-                return Verdict.DONE
-            time.sleep(pause_s)
-            pause_s = min(2 * pause_s, _MOST_RETRY_PAUSE_S)
-        return Verdict.UNCLEAR if is_unclear else Verdict.NOT_STORED
-
-    def _note_hopeless(self, job: str, left_s: float, expected_s: float) -> None:
-        """Say that an append is not tried, or not again; 'inf' if the store takes no more."""
-        if expected_s <= 0:
-            return
-        self._metrics.count("append.hopeless")
-        self._events.write(
-            "append-hopeless",
-            job=job,
-            left_s=round(left_s, 2),
-            expected_s=str(round(expected_s, 2)),
-        )
-
-    def _note_failure(self, job: str, error: StoreError, *, is_unclear: bool) -> None:
-        self._events.write("append-failed", job=job, error=str(error), is_unclear=is_unclear)
--- a/almondstack/placement/tests/test_doubt.py
+++ b/almondstack/placement/tests/test_unreachable.py
@@ -1,6 +1,6 @@
-"""Which availability zones and racks are in doubt."""
+"""Which availability zones and racks can not be reached."""
 
-from almondstack.placement.doubt import Doubt, find_doubt
+from almondstack.placement.unreachable import UnreachablePlaces, find_unreachable
 from almondstack.testing.job_builders import make_worker
 
 
@@ -19,7 +19,7 @@
         _worker("idle", "a"),
         _worker("b1", "b", heard_s=11.1),
     ]
-    assert find_doubt(workers).zones == {"a"}
+    assert find_unreachable(workers).zones == {"a"}
 
 
 def test_two_workers_that_crash_leave_their_zone_in_use():
@@ -28,19 +28,19 @@
         _worker("a2", "a", heard_s=10.1, failed_s=11.0),
         _worker("a3", "a", heard_s=11.1),
     ]
-    assert find_doubt(workers) == Doubt()
+    assert find_unreachable(workers) == UnreachablePlaces()
 
 
 def test_one_worker_that_does_not_answer_says_nothing_of_its_zone():
     workers = [_worker("a1", "a", 10.0, 11.0), _worker("a2", "a")]
-    assert find_doubt(workers) == Doubt()
+    assert find_unreachable(workers) == UnreachablePlaces()
 
 
 def test_a_zone_is_trusted_again_once_one_of_its_workers_answers():
     failing = [_worker(f"a{n}", "a", heard_s=10.0, failed_s=11.0) for n in range(3)]
-    assert find_doubt(failing).zones == {"a"}
+    assert find_unreachable(failing).zones == {"a"}
     failing[0].heard_s = 12.0
-    assert find_doubt(failing) == Doubt()
+    assert find_unreachable(failing) == UnreachablePlaces()
 
 
 def test_dark_rack_in_a_burst_its_idle_workers_get_nothing():
@@ -50,5 +50,9 @@
         _worker("a2", "a", heard_s=10.1, failed_s=11.0, rack="r1"),
         _worker("a3", "a", heard_s=11.1, rack="r2"),
     ]
-    doubt = find_doubt(workers)
-    assert doubt.covers("a", "r1") and not doubt.covers("a", "r2") and not doubt.covers("a", "")
+    unreachable = find_unreachable(workers)
+    assert (
+        unreachable.covers("a", "r1")
+        and not unreachable.covers("a", "r2")
+        and not unreachable.covers("a", "")
+    )
--- a/almondstack/placement/doubt.py
+++ b/almondstack/placement/unreachable.py
@@ -5,7 +5,7 @@
 
 from almondstack.placement.workers import Worker
 
-__all__ = ["Doubt", "find_doubt"]
+__all__ = ["UnreachablePlaces", "find_unreachable"]
 
 _LEAST_FAILING = 2
 """One worker that does not answer says nothing of its surroundings."""
@@ -14,18 +14,18 @@
 """A failure is reported at least so long after the call that failed was sent, in seconds."""
 
 
-class Doubt(NamedTuple):
+class UnreachablePlaces(NamedTuple):
     """The zones and racks from which nobody answers."""
 
     zones: frozenset[str] = frozenset()
     racks: frozenset[str] = frozenset()
 
     def covers(self, zone: str, rack: str) -> bool:
-        """Whether what stands in a zone and rack is in doubt."""
+        """Whether what stands in a zone and rack can not be reached."""
         return zone in self.zones or (bool(rack) and rack in self.racks)
 
 
-def find_doubt(workers: Iterable[Worker]) -> Doubt:
+def find_unreachable(workers: Iterable[Worker]) -> UnreachablePlaces:
     """Return the zones and racks in which several workers don't answer and none was heard since.
 
     Explanation
@@ -35,7 +35,7 @@
     their calls time out.  It is trusted again as soon as any worker in it answers.
     """
     workers = list(workers)
-    return Doubt(
+    return UnreachablePlaces(
         _silent([(worker.info.zone, worker) for worker in workers]),
         _silent([(worker.info.rack, worker) for worker in workers if worker.info.rack]),
     )
--- a/almondstack/platform/tests/test_directory.py
+++ b/almondstack/platform/tests/test_topic_follower.py
@@ -1,10 +1,10 @@
-"""What processes follow in the platform's store."""
+"""How a topic of the platform's store is followed."""
 
 import pytest
 
 from almondstack.core.events import EventLog
 from almondstack.ownership import Batch, Record, Snapshot, StoreRefusedError
-from almondstack.platform.directory import TopicFollower
+from almondstack.platform.topic_follower import TopicFollower
 
 
 class _Topic:
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -69,7 +69,7 @@
     "almondstack.control.journal",
     "almondstack.control.owner",
     "almondstack.control.session",
-    "almondstack.intake.service",
+    "almondstack.intake.appends",
     "almondstack.jobs.book",
 )
 """Modules whose time is the world's."""
