--- a/almondstack/ownership/tempo.py
+++ b/almondstack/ownership/tempo.py
@@ -31,6 +31,30 @@
 chosen by lot, so that not all processes ask again at once."""
 
 
+class _Remembered:
+    """How long answers took that came lately."""
+
+    __slots__ = ("_took",)
+
+    def __init__(self) -> None:
+        self._took: deque[tuple[float, float]] = deque()
+
+    def add(self, took_s: float) -> None:
+        """Remember an answer that has just come."""
+        self._took.append((time.monotonic(), took_s))
+
+    def clear(self) -> None:
+        """Forget all."""
+        self._took.clear()
+
+    def longest_s(self) -> float:
+        """Return the longest that is remembered; 0 if there is none, in seconds."""
+        old_s = time.monotonic() - _REMEMBERED_S
+        while self._took and self._took[0][0] < old_s:
+            self._took.popleft()
+        return max((took_s for _, took_s in self._took), default=0.0)
+
+
 class StoreTempo:
     """What the answers of the last seconds say of the store's speed.
 
@@ -38,19 +62,20 @@
     --------
     >>> from itertools import islice
     >>> tempo = StoreTempo()
-    >>> tempo.note(0.004)
+    >>> tempo.note_read(0.004)
     >>> list(islice(tempo.timeouts_s(), 4))
     [0.5, 0.5, 1.2, 1.2]
-    >>> tempo.note(0.312)
+    >>> tempo.note_read(0.312)
     >>> list(islice(tempo.timeouts_s(), 2))
     [2.8, 2.8]
     """
 
-    __slots__ = ("_full_until_s", "_lock", "_slow")
+    __slots__ = ("_full_until_s", "_lock", "_slow_appends", "_slow_reads")
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._slow: deque[tuple[float, float]] = deque()
+        self._slow_appends = _Remembered()
+        self._slow_reads = _Remembered()
         self._full_until_s = -math.inf
 
     @property
@@ -65,40 +90,46 @@
             return math.inf
         return self._longest_s()
 
-    def note(self, took_s: float, wait_s: float = 0.0) -> None:
+    def note_read(self, took_s: float, wait_s: float = 0.0) -> None:
         """Note an answer that came after ``took_s``, asked to come after ``wait_s`` at the latest.
 
         Explanation
         -----------
-        A quick one says that the store is not slow any more.  One that came in between
-        says nothing: what it waited for may have come late.
+        A quick one says that the store itself is not slow any more.  One that came in
+        between says nothing: what it waited for may have come late.
         """
         late_s = took_s - wait_s
-        if late_s > _SLOW_ANSWER_S:
-            with self._lock:
-                self._slow.append((time.monotonic(), late_s))
-        elif late_s >= 0 or took_s <= _SLOW_ANSWER_S:
-            with self._lock:
-                self._slow.clear()
+        with self._lock:
+            if late_s > _SLOW_ANSWER_S:
+                self._slow_reads.add(late_s)
+            elif late_s >= 0 or took_s <= _SLOW_ANSWER_S:
+                self._slow_reads.clear()
                 self._full_until_s = -math.inf
 
+    def note_append(self, took_s: float) -> None:
+        """Note that an append was answered after so long; a quick one ends all doubt."""
+        with self._lock:
+            if took_s > _SLOW_ANSWER_S:
+                self._slow_appends.add(took_s)
+                return
+            self._slow_appends.clear()
+            self._slow_reads.clear()
+            self._full_until_s = -math.inf
+
     def note_unanswered(self, took_s: float) -> None:
         """Note that an append got no answer for so long; while the store is slow it may be late."""
         if self.is_slow:
-            self.note(took_s)
+            self.note_append(took_s)
 
     def note_refused(self) -> None:
-        """Note that the store took an append not; while it is slow, too many are waiting."""
+        """Note that the store did not take an append; while it is slow, too many are waiting."""
         if self.is_slow:
             self._full_until_s = time.monotonic() + random.uniform(*_FULL_S)
 
     def _longest_s(self) -> float:
         """Return the longest of the slow answers that are remembered."""
-        old_s = time.monotonic() - _REMEMBERED_S
         with self._lock:
-            while self._slow and self._slow[0][0] < old_s:
-                self._slow.popleft()
-            return max((took_s for _, took_s in self._slow), default=0.0)
+            return max(self._slow_reads.longest_s(), self._slow_appends.longest_s())
 
     def timeouts_s(self) -> Iterator[float]:
         """Yield the seconds to wait for the first answer and for that of each repeat.
--- a/almondstack/ownership/tests/test_tempo.py
+++ b/almondstack/ownership/tests/test_tempo.py
@@ -52,7 +52,7 @@
 def slow():
     """Return the tempo of a process that has seen a slow answer."""
     tempo = StoreTempo()
-    tempo.note(_ANSWER_S)
+    tempo.note_read(_ANSWER_S)
     return tempo
 
 
@@ -66,12 +66,12 @@
 
 def test_an_answer_that_was_lost_is_soon_asked_for_again():
     tempo = StoreTempo()
-    tempo.note(0.004)
+    tempo.note_read(0.004)
     assert sum(itertools.islice(tempo.timeouts_s(), 2)) <= 1.0
 
 
 def test_a_slow_answer_is_forgotten_after_a_while(slow, monkeypatch):
-    noted_s, _ = slow._slow[0]
+    noted_s, _ = slow._slow_reads._took[0]
     monkeypatch.setattr("almondstack.ownership.tempo.time.monotonic", lambda: noted_s + 3.0)
     assert not slow.is_slow and slow.expected_s == 0.0
 
@@ -79,12 +79,21 @@
 def test_a_quick_answer_ends_it_at_once(slow):
     """Processes refused callers for 2 s after the store was quick again (trouble-2)."""
     slow.note_refused()
-    slow.note(0.8, wait_s=1.0)
+    slow.note_read(0.8, wait_s=1.0)
     assert slow.is_slow
-    slow.note(1.004, wait_s=1.0)
+    slow.note_read(1.004, wait_s=1.0)
     assert not slow.is_slow and slow.expected_s == 0.0
 
 
+def test_what_waits_in_line_when_the_store_is_quick_again_is_still_waited_for(slow):
+    """Repeats after 0.5 s left 75 callers without an answer in that second (trouble-2)."""
+    slow.note_append(2.1)
+    slow.note_read(0.004)
+    assert slow.expected_s == 2.1
+    slow.note_append(0.01)
+    assert slow.expected_s == 0.0
+
+
 def test_no_append_is_worth_waiting_for_once_a_slow_store_takes_no_more(slow):
     assert slow.expected_s == _ANSWER_S
     slow.note_refused()
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -87,7 +87,7 @@
             reply = self._caller.call("GET", path, timeout_s)
         except (NotSentError, NoAnswerError) as error:
             raise StoreRefusedError(str(error)) from error
-        self.tempo.note(time.monotonic() - began_s, wait_s)
+        self.tempo.note_read(time.monotonic() - began_s, wait_s)
         if reply.status not in (_OK, _GONE, _NOT_FOUND):
             raise StoreRefusedError(f"status {reply.status}")
         return reply
@@ -110,9 +110,10 @@
         except NoAnswerError as error:
             self.tempo.note_unanswered(time.monotonic() - began_s)
             raise StoreUnclearError(str(error)) from error
-        self.tempo.note(time.monotonic() - began_s)
         if reply.status in _BUSY:
             self.tempo.note_refused()
+        else:
+            self.tempo.note_append(time.monotonic() - began_s)
         if reply.status in _NOTHING_DONE:
             raise StoreRefusedError(f"status {reply.status}")
         if reply.status not in (_OK, _CONFLICT, _CONDITION_FAILED):
--- a/almondstack/platform/tests/test_front.py
+++ b/almondstack/platform/tests/test_front.py
@@ -327,12 +327,12 @@
 
 def test_a_job_that_a_slow_store_can_not_take_in_time_is_refused_at_once(front):
     """Callers were held to their deadline, 47 of worth in one day (lbna-almond-grown trouble-2)."""
-    front.store.tempo.note(2.4)
+    front.store.tempo.note_append(2.4)
     answer = front.ask("POST", body=job_body(), deadline_s=1.5)
     assert (answer.status, answer.retry_after_s) == (503, 1)
     assert front.store.records == []
 
 
 def test_a_job_that_a_slow_store_can_take_in_time_is_stored(front):
-    front.store.tempo.note(0.4)
+    front.store.tempo.note_append(0.4)
     assert front.ask("POST", body=job_body(), deadline_s=1.5).status == 200
