--- a/almondstack/standin/soak/run.py
+++ b/almondstack/standin/soak/run.py
@@ -19,6 +19,10 @@
 _LOADED_S = 1.0
 """An interpreter starts within a tenth of this, in seconds."""
 
+_READY_S = 60.0
+"""No fault is on yet; interpreters alone took 17 to 20 s to start where thirty processes waited for
+eight cores, in seconds."""
+
 _CALM_S = 90.0
 """Within this time after the last fault every accepted job must have ended, in seconds; a run
 takes less than a second, so that only a job that stands still takes longer."""
@@ -73,7 +77,7 @@
             self._write_settings(number)
             self._start(number)
         for host in self._hosts:
-            wait_until_ready(f"http://{host}:{_READY_PORT}/almondstack/ready")
+            wait_until_ready(f"http://{host}:{_READY_PORT}/almondstack/ready", _READY_S)
 
     def play(self, faults: list[Fault]) -> None:
         """Let the faults begin and end at their times."""
