Test that a slow store makes no refusal untrue, and a start after a pause

Found on the second reading: nothing said that a job of which an attempt may still be carried out gets 504 and not 503 where the store is too slow to be asked again (a mutation that answers 503 is caught), nor what a start is whose connection breaks after the meeting.

--- a/almondstack/control/tests/test_session.py
+++ b/almondstack/control/tests/test_session.py
@@ -115,3 +115,11 @@
     worker.is_connected = True
     assert _send_start(worker, news, clock_ms=_CLOCK_MS).status is OrderStatus.DONE
     assert worker.looks == []
+
+
+def test_a_start_whose_connection_breaks_after_the_meeting_is_told_as_not_sent(news):
+    """The process may be paused between the two calls, and the worker reborn meanwhile."""
+    worker = _Worker()
+    worker.start = lambda order, deadline_ms, token: OrderReply(OrderStatus.NOT_SENT)
+    assert _send_start(worker, news).status is OrderStatus.NOT_SENT
+    assert len(worker.looks) == 1
--- a/almondstack/platform/tests/test_front.py
+++ b/almondstack/platform/tests/test_front.py
@@ -336,3 +336,15 @@
 def test_a_job_that_a_slow_store_can_take_in_time_is_stored(front):
     front.store.tempo.note_append(0.4)
     assert front.ask("POST", body=job_body(), deadline_s=1.5).status == 200
+
+
+def test_a_job_that_an_earlier_attempt_may_store_is_not_refused_by_a_slow_store(front, monkeypatch):
+    """The first attempt may still be carried out: 'not stored' would not be true."""
+    monkeypatch.setattr("almondstack.platform.front._MOST_WAIT_S", 0.2)
+    store = front.store
+    late = _leave_for_later(front)
+    assert front.ask("POST", body=job_body()).status == 504
+    store.tempo.note_append(2.4)
+    assert front.ask("POST", body=job_body(), deadline_s=1.5).status == 504
+    late.carry_out()
+    assert len(store.records) == 1
