Look at a start again when its turn comes; let others pass an order that waits

Cause: a session gave its orders one by one over one connection.

Change: a start carries a question that is asked just before it is sent; one that is no longer wanted is dropped ('unwanted'). Orders behind one that takes over 0.1 s go over a further connection, two more at most, which closes when nothing waits.

Tests, failing before: a meeting of the owner machine (starts wait, their job is cancelled), its mutation, and two of the session.

--- a/almondstack/control/messages.py
+++ b/almondstack/control/messages.py
@@ -32,7 +32,7 @@
 
 
 class OrderStatus(StrEnum):
-    """What became of an order."""
+    """What became of an order; ``UNWANTED`` ones were dropped before they were sent."""
 
     DONE = "done"
     FENCED = "fenced"
@@ -44,6 +44,7 @@
     GONE = "gone"
     INVALID = "invalid"
     NOT_SENT = "not-sent"
+    UNWANTED = "unwanted"
     UNCLEAR = "unclear"
 
 
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -1,5 +1,6 @@
 """The owner's loop: what it is told, what it decides, what it writes, what it orders."""
 
+import functools
 import queue
 import threading
 import time
@@ -324,13 +325,17 @@
         """Order what was decided, unless its job has ended while the store was slow."""
         starts, self._starts = self._starts, []
         for task in starts:
-            entry = self._services.book.entry(task.job.id)
-            is_wanted = task.job.is_open and entry is not None and not entry.is_cancelled
-            if is_wanted and task.is_assigned:
+            if self._is_wanted(task, task.run):
                 self._send_start(task)
             elif task.is_assigned:
                 self._table.unplace(task, time.monotonic())
 
+    def _is_wanted(self, task: Task, run: int) -> bool:
+        """Whether that run of a task is still to be started; sessions ask from their threads."""
+        entry = self._services.book.entry(task.job.id)
+        is_open = task.job.is_open and entry is not None and not entry.is_cancelled
+        return is_open and task.is_assigned and task.run == run and not task.is_stopping
+
     def _send_start(self, task: Task) -> None:
         session = self._sessions.get(task.worker)
         if session is None:
@@ -342,8 +347,8 @@
             "run-ordered", task=name, run=task.run, worker=task.worker, token=self._token
         )
         session.set_busy(True)
-        spec = job.submission.spec
-        session.start(StartOrder(name, task.run, spec, task.checkpoint, ticket))
+        order = StartOrder(name, task.run, job.submission.spec, task.checkpoint, ticket)
+        session.start(order, functools.partial(self._is_wanted, task, task.run))
 
 
 def leases_known_from_s(heard_s: float, settings: OwnershipSettings) -> float:
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -1,5 +1,6 @@
 """Calls to one worker: orders in their sequence, and looks that keep its lease alive."""
 
+import contextlib
 import queue
 import threading
 import time
@@ -27,22 +28,29 @@
 _MS = 1000.0
 
 
+_SPARE_LANES = 2
+"""How many more calls may be under way to one worker whose answer to an order is late."""
+
+
 class _Order(NamedTuple):
     kind: OrderKind
     task: str
     run: int
     start: StartOrder | None = None
+    is_wanted: Callable[[], bool] = lambda: True
     percent: int = 0
 
 
 class WorkerSession:
-    """Two threads for one life of a worker: one gives orders, one looks.
+    """Threads for one life of a worker: one gives orders, one looks.
 
     Explanation
     -----------
     Looks extend the lease of all that runs on the worker, whether or not the
     owner's loop is held up by the store, for as long as ``may_extend`` allows.
     An end is listed again until :meth:`acknowledge` says that it is stored.
+    Orders behind one whose answer is late go over further connections; a start
+    whose turn comes late is sent only if it is still wanted.
     Once another life of the worker has answered, which counts its ends anew, the
     session calls no more: what was seen of its own life means nothing there.
 
@@ -68,6 +76,7 @@
 
     __slots__ = (
         "_acknowledged",
+        "_began_s",
         "_callers",
         "_changed",
         "_clock_at_s",
@@ -117,6 +126,7 @@
         self._acknowledged = 0
         self._changed = threading.Condition()
         self._orders: queue.SimpleQueue[_Order | None] = queue.SimpleQueue()
+        self._began_s: dict[str, float] = {}
         self._threads: dict[str, threading.Thread] = {}
 
     @property
@@ -141,9 +151,9 @@
             self._acknowledged = max(self._acknowledged, number)
             self._changed.notify_all()
 
-    def start(self, order: StartOrder) -> None:
-        """Queue a start."""
-        self._submit(_Order(OrderKind.START, order.task, order.run, start=order))
+    def start(self, order: StartOrder, is_wanted: Callable[[], bool]) -> None:
+        """Queue a start, which is dropped unless ``is_wanted`` says so when its turn comes."""
+        self._submit(_Order(OrderKind.START, order.task, order.run, order, is_wanted))
 
     def stop(self, task: str, run: int) -> None:
         """Queue a stop."""
@@ -153,8 +163,18 @@
         """Queue a change of a run's share."""
         self._submit(_Order(OrderKind.PACE, task, run, percent=percent))
 
+    def relieve(self, now_s: float) -> None:
+        """Open another connection for orders if all that are open wait for a late answer."""
+        if self._orders.empty() or self._is_closed:
+            return
+        began_s = list(self._began_s.values())
+        if not began_s or now_s - max(began_s) < self._settings.order_patience_s:
+            return
+        if len(began_s) <= _SPARE_LANES:
+            self._ensure(f"orders-{len(began_s)}", self._run_spare_orders)
+
     def close(self) -> None:
-        """End both threads; what is on the way may still arrive."""
+        """End all threads; what is on the way may still arrive."""
         self._orders.put(None)
         with self._changed:
             self._is_closed = True
@@ -165,8 +185,8 @@
         self._ensure("orders", self._run_orders)
 
     def _ensure(self, name: str, run: Callable[[], None]) -> None:
-        """Start a thread when it is first needed."""
-        if name in self._threads:
+        """Start a thread unless it runs."""
+        if name in self._threads and self._threads[name].is_alive():
             return
         thread = threading.Thread(target=run, name=f"{name}-{self.worker.id}", daemon=True)
         self._threads[name] = thread
@@ -175,14 +195,30 @@
     def _run_orders(self) -> None:
         caller = self._callers.caller(self.worker)
         while (order := self._orders.get()) is not None and not self._is_closed:
-            began_s = time.monotonic()
-            reply = self._send(caller, order)
-            self._metrics.timing_ms(f"order.{order.kind}", (time.monotonic() - began_s) * _MS)
-            self._metrics.count(f"order.{order.kind}.{reply.status}")
-            self._note_clock(reply.clock_ms)
-            self._post(Ordered(self.worker, order.kind, order.task, order.run, reply))
+            self._give(caller, order)
         caller.close()
 
+    def _run_spare_orders(self) -> None:
+        """Give the orders that wait now."""
+        caller = self._callers.caller(self.worker)
+        with contextlib.suppress(queue.Empty):
+            while (order := self._orders.get_nowait()) is not None and not self._is_closed:
+                self._give(caller, order)
+            # The sign to end is for the thread that stays.
+            self._orders.put(None)
+        caller.close()
+
+    def _give(self, caller: WorkerCaller, order: _Order) -> None:
+        """Give one order and report its reply."""
+        lane = threading.current_thread().name
+        began_s = self._began_s[lane] = time.monotonic()
+        reply = self._send(caller, order)
+        del self._began_s[lane]
+        self._metrics.timing_ms(f"order.{order.kind}", (time.monotonic() - began_s) * _MS)
+        self._metrics.count(f"order.{order.kind}.{reply.status}")
+        self._note_clock(reply.clock_ms)
+        self._post(Ordered(self.worker, order.kind, order.task, order.run, reply))
+
     def _send(self, caller: WorkerCaller, order: _Order) -> OrderReply:
         if order.kind is OrderKind.STOP:
             return caller.stop(order.task, order.run, self._token)
@@ -192,6 +228,8 @@
             return OrderReply(OrderStatus.NOT_SENT)
         if not caller.is_connected and not self._meet(caller):
             return OrderReply(OrderStatus.NOT_SENT)
+        if not order.is_wanted():
+            return OrderReply(OrderStatus.UNWANTED)
         deadline_ms = self._deadline_ms()
         self._note_extended(time.monotonic())
         return caller.start(order.start, deadline_ms, self._token)
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -127,7 +127,7 @@
                 yield worker_id, session
 
     def note_busy(self, table: RunTable, now_s: float) -> None:
-        """Have just those workers looked at on which something may run.
+        """Have just those workers looked at on which something may run, and orders go on.
 
         Explanation
         -----------
@@ -140,6 +140,7 @@
             worker = table.workers.get(worker_id)
             is_busy = worker is not None and bool(worker.tasks)
             session.set_busy(is_busy or worker_id in asked)
+            session.relieve(now_s)
             if worker is not None and not is_busy and not worker.is_reachable:
                 worker.is_reachable = True
                 worker.set_aside_until_s = now_s + _SILENT_PAUSE_S
--- a/almondstack/control/settings.py
+++ b/almondstack/control/settings.py
@@ -33,6 +33,8 @@
         Pause after a look that failed, in seconds.
     call_timeout_s : float
         Bound on a call to a worker, in seconds, without what it waits for.
+    order_patience_s : float
+        An order whose answer takes longer holds up no others, in seconds.
     directory_interval_s : float
         How often the registered workers are compared, in seconds.
     instances_interval_s : float
@@ -54,6 +56,7 @@
     look_pause_s: PositiveSeconds = 0.08
     look_retry_s: PositiveSeconds = 0.3
     call_timeout_s: PositiveSeconds = 0.8
+    order_patience_s: PositiveSeconds = 0.1
     directory_interval_s: PositiveSeconds = 0.1
     instances_interval_s: PositiveSeconds = 1.0
     instance_orders_per_s: float = 50.0
--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -361,6 +361,18 @@
     machine.work(process=0, order=_ALL)
 
 
+def _cancel_while_starts_wait(machine):
+    """Starts wait in the sessions of their workers, and their job is cancelled meanwhile."""
+    _submit(machine)
+    machine.read(process=0)
+    machine.round(process=0)
+    machine.world.cancel(machine.world.processes[1], "0" * 16)
+    machine.read(process=0)
+    machine.round(process=0)
+    machine.pass_time(seconds=4.0)
+    machine.work(process=0, order=_ALL)
+
+
 def _cut_off_what_runs(machine, *, is_registered):
     for worker in machine.world.workers.values():
         if worker.running:
@@ -374,6 +386,7 @@
 _SCRIPTS = {
     "attempts are not counted": _fail_again_and_again,
     "cancels are not heard": _cancel_and_crash,
+    "cancels are not heard by starts that wait": _cancel_while_starts_wait,
     "ceilings are not looked at": _ask_for_more_than_the_ceiling,
     "ends acknowledged before they are stored": _lose_an_owner_that_has_seen_an_end,
     "inherited runs are forgotten": _lose_an_owner_with_runs,
--- a/almondstack/control/tests/test_session.py
+++ b/almondstack/control/tests/test_session.py
@@ -1,5 +1,8 @@
 """Calls to one worker: what the lease of a first start is reckoned from."""
 
+import threading
+import time
+
 import pytest
 
 from almondstack.control.messages import (
@@ -18,6 +21,7 @@
 
 _CLOCK_MS = 500_000
 _LEASE_MS = 4_500
+_PATIENCE_S = 20.0
 _MOST_LOOKS = 3
 """No test here needs more; a session that goes on looking fails."""
 
@@ -74,8 +78,11 @@
 def _send_start(worker, news, clock_ms=None):
     session = _session(worker, news)
     session._note_clock(clock_ms)
-    order = _Order(OrderKind.START, "t", 1, start=StartOrder("t", 1, "s", "", ""))
-    return session._send(worker, order)
+    return session._send(worker, _start())
+
+
+def _start(task="t", is_wanted=lambda: True):
+    return _Order(OrderKind.START, task, 1, StartOrder(task, 1, "s", "", ""), is_wanted)
 
 
 def test_a_first_lease_is_not_reckoned_from_an_old_registration(news):
@@ -123,3 +130,46 @@
     worker.start = lambda order, deadline_ms, token: OrderReply(OrderStatus.NOT_SENT)
     assert _send_start(worker, news).status is OrderStatus.NOT_SENT
     assert len(worker.looks) == 1
+
+
+def test_a_start_that_is_no_longer_wanted_when_its_turn_comes_is_dropped(news):
+    """It waited behind calls without answers, and its job was cancelled meanwhile (UNASKED)."""
+    worker = _Worker()
+    session = _session(worker, news)
+    reply = session._send(worker, _start(is_wanted=lambda: False))
+    assert reply.status is OrderStatus.UNWANTED and worker.starts == []
+
+
+class _MuteFirst(_Worker):
+    """A worker that leaves the first start without an answer until the test is over."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_connected = True
+        self.is_asked = threading.Event()
+        self.may_answer = threading.Event()
+        self.is_relieved = threading.Event()
+
+    def start(self, order, deadline_ms, token):
+        """Answer all but the first start at once."""
+        if order.task == "first":
+            self.is_asked.set()
+            self.may_answer.wait(_PATIENCE_S)
+        elif order.task == "last":
+            self.is_relieved.set()
+        return super().start(order, deadline_ms, token)
+
+
+def test_orders_do_not_wait_behind_one_whose_answer_is_late(news):
+    """Workers that left a third of their orders unanswered held the others up for seconds."""
+    worker = _MuteFirst()
+    session = _session(worker, news)
+    for task in ("first", "second", "last"):
+        session.start(_start(task).start, lambda: True)
+    assert worker.is_asked.wait(_PATIENCE_S)
+    session.relieve(time.monotonic())
+    assert not worker.is_relieved.is_set()
+    session.relieve(time.monotonic() + ControlSettings().order_patience_s)
+    assert worker.is_relieved.wait(_PATIENCE_S)
+    worker.may_answer.set()
+    session.close()
--- a/almondstack/control/tests/test_sessions.py
+++ b/almondstack/control/tests/test_sessions.py
@@ -17,6 +17,9 @@
     def set_busy(self, is_busy):
         self.is_busy = is_busy
 
+    def relieve(self, now_s):
+        """No order waits."""
+
 
 def _sessions(worker):
     sessions = SessionTable(None, 1, lambda news: None, lambda: True, 0.0)
--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -89,6 +89,18 @@
         yield
 
 
+@contextlib.contextmanager
+def _starts_are_sent_whenever_their_turn_comes() -> Iterator[None]:
+    """A start that waited behind other calls is not looked at again."""
+    start = session.WorkerSession.start
+
+    def start_anyway(self: Any, order: Any, _is_wanted: Any) -> None:
+        start(self, order, lambda: True)
+
+    with mock.patch.object(session.WorkerSession, "start", start_anyway):
+        yield
+
+
 def _patch(target: Any, name: str, value: Any) -> Callable[[], Any]:
     return lambda: mock.patch.object(target, name, value)
 
@@ -113,6 +125,7 @@
     "ceilings are not looked at": _patch(
         rounds.Usage, "allows", lambda _usage, _account, _demand: True
     ),
+    "cancels are not heard by starts that wait": _starts_are_sent_whenever_their_turn_comes,
     "cancels are not heard": _deaf_to_cancels,
     "refusals leave earlier attempts in force": _patch(
         intake_service.JobService, "_shut_out", lambda *_arguments: Verdict.FULL
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -15,7 +15,6 @@
 from almondstack.control import sessions as sessions_module
 from almondstack.control.messages import (
     InstanceInfo,
-    Ordered,
     OrderStatus,
     WaveRequest,
 )
@@ -147,9 +146,7 @@
             order = self._orders.get()
             if order is None or self._is_closed:
                 return
-            reply = self._send(caller, order)
-            self._note_clock(reply.clock_ms)
-            self._post(Ordered(self.worker, order.kind, order.task, order.run, reply))
+            self._give(caller, order)
 
     def pump_meeting(self) -> None:
         """Meet the worker, as before a first start."""
