--- a/almondstack/control/admission.py
+++ b/almondstack/control/admission.py
@@ -5,10 +5,10 @@
 from almondstack.control.runs import RunTable
 from almondstack.jobs import Task, TaskStatus
 from almondstack.placement import Policies
-from almondstack.placement.backlog import Backlog, EstimateCorrection
+from almondstack.placement.backlog import Backlog, EstimateCorrection, wait_key
 from almondstack.placement.order import is_late
 
-__all__ = ["AdmissionRounds", "wait_key"]
+__all__ = ["AdmissionRounds"]
 
 
 class AdmissionRounds:
@@ -58,11 +58,6 @@
         }
 
 
-def wait_key(pool: str, account: str) -> str:
-    """Return under which name the wait of an account in a pool is told."""
-    return f"{pool}/{account}"
-
-
 def _room_millis(state: PoolState) -> int:
     sizes = [candidate.size_millis for candidate in state.candidates]
     size_millis = max(sizes, default=0)
--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -9,15 +9,14 @@
     FencedError,
     Record,
     StoreError,
+    StoreRefusedError,
 )
+from almondstack.ownership.signs import is_owner_sign
 
 __all__ = ["OwnerJournal"]
 
 _RETRY_PAUSE_S = 0.05
 
-_RELEASE_TIMEOUT_S = 0.5
-"""Giving back is tried once, since others notice silence too."""
-
 _MOST_BYTES = 1_000_000
 """Bound on the records of one append; half of what the store takes in one call."""
 
@@ -41,8 +40,10 @@
         "_incarnation",
         "_is_closed",
         "_notice",
+        "_refused_s",
         "_sequence",
         "_services",
+        "_signed_s",
         "_token",
         "_written_s",
     )
@@ -55,7 +56,9 @@
         self._token = token
         self._sequence = sequence
         self._written_s = _elapsed_s()
-        self._notice = OwnerNotice(incarnation, token, services.address, {}, services.cores)
+        self._signed_s = self._written_s
+        self._refused_s: float | None = None
+        self._notice = self._make_notice({})
         self._is_closed = threading.Event()
 
     @property
@@ -63,6 +66,12 @@
         """When the store last took a record, in seconds of :func:`_elapsed_s`."""
         return self._written_s
 
+    @property
+    def turned_away_s(self) -> float:
+        """Seconds for which the store has refused each append; 0 if it took the last one."""
+        refused_s = self._refused_s
+        return 0.0 if refused_s is None else _elapsed_s() - refused_s
+
     def close(self) -> None:
         """Give up on an append that is being repeated."""
         self._is_closed.set()
@@ -73,50 +82,60 @@
             return False
         return _elapsed_s() - self._written_s < self._services.ownership.unsure_s
 
-    def write(self, records: list[Record], waits_ms: dict[str, int]) -> None:
+    def write(self, records: list[Record], waits_ms: dict[str, int]) -> int:
         """Append records, and a sign of the owner when one is due or has changed.
 
+        Returns
+        -------
+        int
+            The offset behind the last of them; 0 if there was nothing to append.
+
         Raises
         ------
         FencedError
             Another process owns the jobs, or the journal was closed.
         """
         if self._needs_sign(waits_ms):
-            self._notice = OwnerNotice(
-                self._incarnation,
-                self._token,
-                self._services.address,
-                waits_ms,
-                self._services.cores,
-            )
+            self._notice = self._make_notice(waits_ms)
             records = [*records, self._sign(self._notice)]
+        return self._write(records)
+
+    def _write(self, records: list[Record]) -> int:
+        has_sign = any(map(is_owner_sign, records))
+        end_offset = 0
         while records:
             part, records = _split(records)
-            self._append(part)
+            end_offset = self._append(part)
+        if has_sign:
+            self._signed_s = self._written_s
+        return end_offset
 
-    def release(self) -> None:
-        """Give ownership back; a failure is only logged, since others notice silence too."""
-        self._sequence += 1
-        try:
-            self._services.store.append_owned(
-                [self._sign(OwnerNotice("", self._token))],
-                self._token,
-                self._sequence,
-                _RELEASE_TIMEOUT_S,
-            )
-        except StoreError as error:
-            self._services.events.write("release-failed", token=self._token, error=str(error))
+    def write_last(self, records: list[Record], waits_ms: dict[str, int]) -> int:
+        """Append records and give ownership back with them; see :meth:`write`."""
+        notice = OwnerNotice("", self._token, standby=self._services.requests.standby)
+        return self._write([*records, self._sign(notice)])
 
     def _needs_sign(self, waits_ms: dict[str, int]) -> bool:
-        age_s = _elapsed_s() - self._written_s
+        age_s = _elapsed_s() - self._signed_s
         return age_s >= self._services.ownership.sign_interval_s or (
             waits_ms != self._notice.waits_ms
         )
 
+    def _make_notice(self, waits_ms: dict[str, int]) -> OwnerNotice:
+        return OwnerNotice(
+            self._incarnation,
+            self._token,
+            self._services.address,
+            waits_ms,
+            self._services.cores,
+            self._services.requests_address,
+            self._services.requests.standby,
+        )
+
     def _sign(self, notice: OwnerNotice) -> Record:
         return Record(record_key(RecordKind.OWNER), encode_notice(notice))
 
-    def _append(self, records: list[Record]) -> None:
+    def _append(self, records: list[Record]) -> int:
         self._sequence += 1
         began_s = _elapsed_s()
         is_reported = False
@@ -124,22 +143,33 @@
             if self._is_closed.is_set():
                 break
             try:
-                self._services.store.append_owned(records, self._token, self._sequence, timeout_s)
+                end_offset = self._services.store.append_owned(
+                    records, self._token, self._sequence, timeout_s
+                )
             except FencedError:
                 raise
             except StoreError as error:
                 if not is_reported:
                     self._services.events.write("append-retried", error=str(error))
                 is_reported = True
+                self._note_refusal(error)
                 self._is_closed.wait(_RETRY_PAUSE_S)
                 continue
             # Others may have read the record since the first try, and count from then.
             self._written_s = began_s
+            self._refused_s = None
             took_ms = (_elapsed_s() - began_s) * 1000.0
             self._services.metrics.timing_ms("append.owned", took_ms)
-            return
+            return end_offset
         raise FencedError("the journal is closed")
 
+    def _note_refusal(self, error: StoreError) -> None:
+        """Note since when the store refuses; an append without an answer may be stored."""
+        if not isinstance(error, StoreRefusedError):
+            self._refused_s = None
+        elif self._refused_s is None:
+            self._refused_s = _elapsed_s()
+
 
 def _elapsed_s() -> float:
     """Return seconds that go on while the instance is suspended, unlike the monotonic clock.
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -1,5 +1,6 @@
 """The owner's loop: what it is told, what it decides, what it writes, what it orders."""
 
+import contextlib
 import functools
 import queue
 import threading
@@ -21,11 +22,14 @@
 from almondstack.control.pacing import Pacing
 from almondstack.control.pending_runs import is_same_life
 from almondstack.control.planning import Planner
+from almondstack.control.request_rounds import RequestRounds
 from almondstack.control.round_report import RoundReport
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
 from almondstack.control.sessions import SessionTable
+from almondstack.intake import CancelRequest, SubmissionRequest
 from almondstack.jobs import (
+    ActiveJob,
     RecordKind,
     Task,
     format_task_name,
@@ -77,6 +81,7 @@
         "_planner",
         "_records",
         "_report",
+        "_requests",
         "_services",
         "_sessions",
         "_starts",
@@ -106,6 +111,7 @@
         self._advisor = Advisor(services)
         self._planner = Planner(self._table, self._advisor, services.policies)
         self._records = JobRecords(services, self._planner)
+        self._requests = RequestRounds(services, self._planner)
         self._fleet = FleetRounds(self._table, self._planner, services, token)
         self._pacing = Pacing(self._table, self._sessions)
         self._report = RoundReport(services.events, services.metrics)
@@ -118,6 +124,11 @@
         """Whether the loop still runs."""
         return self._thread.is_alive()
 
+    @property
+    def turned_away_s(self) -> float:
+        """Seconds for which the store has refused all that this owner writes."""
+        return self._journal.turned_away_s
+
     def start(self) -> None:
         """Start the loop."""
         self._thread.start()
@@ -150,19 +161,29 @@
         try:
             self._take_over()
             self._fleet.start()
+            self._services.requests.open(self._token, self._inbox.put)
             while not self._is_released.is_set():
                 self._round()
-            self._journal.release()
+            self._give_back()
             why = "released"
         except FencedError as error:
             why = str(error)
         finally:
+            self._requests.close()
+            self._services.requests.close()
             self._journal.close()
             self._services.book.listen(None)
             self._fleet.close()
             self._sessions.close()
         self._services.events.write("owner-ended", token=self._token, why=why)
 
+    def _give_back(self) -> None:
+        """Store what has come, start nothing any more, and give ownership back with that."""
+        with contextlib.suppress(queue.Empty):
+            while True:
+                self._take(self._inbox.get_nowait())
+        self._commit(is_last=True)
+
     def _take_over(self) -> None:
         book = self._services.book
         book.listen(lambda kind, job: self._inbox.put(JobNews(kind, job)))
@@ -186,6 +207,7 @@
         began_s = time.monotonic()
         with self._report.part("news"):
             self._drain_inbox()
+        self._requests.answer_refusals()
         now_s = time.monotonic()
         with self._report.part("workers"):
             self._look_after_workers(now_s)
@@ -227,8 +249,18 @@
         elif news.job not in self._table.jobs:
             job = self._records.load(news.job)
             if job is not None:
-                self._table.jobs[news.job] = job
-                self._fleet.note_job(job, time.monotonic())
+                self._take_up(job)
+
+    @_take.register
+    def _(self, news: SubmissionRequest) -> None:
+        job = self._requests.submit(news, self._fleet.waits_ms)
+        if job is not None:
+            self._take_up(job)
+
+    @_take.register
+    def _(self, news: CancelRequest) -> None:
+        if self._requests.cancel(news):
+            self._cancel(news.job)
 
     @_take.register
     def _(self, news: Looked) -> None:
@@ -263,6 +295,11 @@
         elif news.kind is OrderKind.STOP:
             self._table.note_stop(news.worker.id, news.task, news.run, news.reply, now_s)
 
+    def _take_up(self, job: ActiveJob) -> None:
+        """Work on a job from now on; its submission is stored, or will be before any start."""
+        self._table.jobs[job.id] = job
+        self._fleet.note_job(job, time.monotonic())
+
     def _cancel(self, job_id: str) -> None:
         job = self._table.jobs.get(job_id)
         if job is None or not job.is_open:
@@ -304,13 +341,15 @@
         self._table.workers.pop(worker_id, None)
         self._sessions.drop(worker_id)
 
-    def _commit(self) -> None:
+    def _commit(self, *, is_last: bool = False) -> None:
         """Store what has changed; only then do workers hear that ends were seen."""
-        records = self._records.changes(self._table.jobs)
+        records = self._requests.records()
+        records.extend(self._records.changes(self._table.jobs))
         ends = self._table.take_ends()
         records.extend(self._fleet.records())
         records.extend(self._records.dropped())
-        self._journal.write(records, self._fleet.waits_ms)
+        write = self._journal.write_last if is_last else self._journal.write
+        self._requests.settle(write(records, self._fleet.waits_ms))
         for job in list(self._table.jobs.values()):
             job.is_dirty = False
             if job.is_over():
--- /dev/null
+++ b/almondstack/control/request_rounds.py
@@ -0,0 +1,188 @@
+"""What callers ask of the owner: stored with its next append, and answered then."""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from almondstack.control.planning import Planner
+from almondstack.control.services import OwnerServices
+from almondstack.intake import CancelRequest, OwnerRequest, Receipt, SubmissionRequest, Verdict
+from almondstack.intake.verdicts import repeat_verdict
+from almondstack.jobs import ActiveJob, RecordKind, encode_submission, record_key
+from almondstack.ownership import Record
+from almondstack.placement.backlog import excess_wait_ms
+
+__all__ = ["RequestRounds"]
+
+_MOST_REFUSALS = 16_384
+"""Refused jobs that are remembered against requests that come late; minutes of a hot account."""
+
+
+class _Refusal(NamedTuple):
+    """A refused request, and by how much its job would have been late."""
+
+    request: SubmissionRequest
+    late_ms: float
+
+
+class RequestRounds:
+    """Takes requests, hands over the records that they need, and answers once those are stored.
+
+    Explanation
+    -----------
+    A refusal is answered once a record of it is stored and all before that record
+    has been read: an attempt to store the job from another process came before it
+    and is known then, or it never comes.  An attempt that comes here only after
+    it, held up on its way, is known by how far its process had read the log.
+
+    Parameters
+    ----------
+    services : OwnerServices
+        The book, and how far it has been read.
+    planner : Planner
+        Knows the policy of each queue.
+    """
+
+    __slots__ = (
+        "_accepted",
+        "_cancelled",
+        "_planner",
+        "_refused",
+        "_refused_offsets",
+        "_repeats",
+        "_services",
+        "_unread",
+    )
+
+    def __init__(self, services: OwnerServices, planner: Planner) -> None:
+        self._services = services
+        self._planner = planner
+        self._accepted: dict[str, SubmissionRequest] = {}
+        self._repeats: list[SubmissionRequest] = []
+        self._cancelled: list[CancelRequest] = []
+        self._refused: list[_Refusal] = []
+        self._unread: list[tuple[int, _Refusal]] = []
+        self._refused_offsets: OrderedDict[str, int] = OrderedDict()
+
+    def submit(self, request: SubmissionRequest, waits_ms: dict[str, int]) -> ActiveJob | None:
+        """Take a submission; return its job if it is accepted with the next append.
+
+        Parameters
+        ----------
+        request : SubmissionRequest
+            The request, which is answered unless it was withdrawn.
+        waits_ms : dict of str to int
+            How long new work would wait, by pool and client account.
+        """
+        if not request.take():
+            return None
+        job, submission = request.job, request.submission
+        entry = self._services.book.entry(job)
+        if entry is not None:
+            request.answer(Receipt(repeat_verdict(submission, entry)))
+            return None
+        if job in self._accepted:
+            self._repeats.append(request)
+            return None
+        if request.read_offset < self._refused_offsets.get(job, 0):
+            request.answer(Receipt(Verdict.NOT_STORED))
+            return None
+        policy = self._planner.policy_of(submission)
+        late_ms = excess_wait_ms(waits_ms, submission, policy)
+        if late_ms > 0:
+            self._refused.append(_Refusal(request, late_ms))
+            return None
+        self._accepted[job] = request
+        return ActiveJob(job, submission, policy.max_attempts)
+
+    def cancel(self, request: CancelRequest) -> bool:
+        """Take a cancel; return whether its job is to be cancelled."""
+        if not request.take():
+            return False
+        entry = self._services.book.entry(request.job)
+        if entry is None and request.job not in self._accepted:
+            request.answer(Receipt(Verdict.UNKNOWN_JOB))
+            return False
+        if entry is not None and (entry.is_cancelled or entry.state.is_final):
+            request.answer(Receipt(Verdict.DONE))
+            return False
+        self._cancelled.append(request)
+        return True
+
+    def records(self) -> list[Record]:
+        """Return what is to be stored for the requests that wait."""
+        return [
+            *map(_refusal_record, self._refused),
+            *map(_submission_record, self._accepted.values()),
+            *map(_cancel_record, self._cancelled),
+        ]
+
+    def settle(self, end_offset: int) -> None:
+        """Answer what is stored now; ``end_offset`` lies behind the records of this round."""
+        accepted, self._accepted = self._accepted, {}
+        for request in accepted.values():
+            self._apply(_submission_record(request))
+            request.answer(Receipt(Verdict.DONE))
+        repeats, self._repeats = self._repeats, []
+        for request in repeats:
+            stored = accepted[request.job].submission
+            request.answer(Receipt(repeat_verdict(request.submission, stored)))
+        cancelled, self._cancelled = self._cancelled, []
+        for cancel in cancelled:
+            self._apply(_cancel_record(cancel))
+            cancel.answer(Receipt(Verdict.DONE))
+        refused, self._refused = self._refused, []
+        for refusal in refused:
+            self._remember(refusal.request.job, end_offset)
+            self._unread.append((end_offset, refusal))
+        self.answer_refusals()
+
+    def answer_refusals(self) -> None:
+        """Answer refusals up to whose record the log has been read."""
+        read_offset = self._services.read_offset()
+        waiting = self._unread
+        self._unread = [item for item in waiting if item[0] > read_offset]
+        for offset, refusal in waiting:
+            if offset <= read_offset:
+                self._answer_refusal(refusal)
+
+    def close(self) -> None:
+        """Say of all that is not settled that it is not known what becomes of it."""
+        requests: list[OwnerRequest] = [
+            *self._accepted.values(),
+            *self._repeats,
+            *self._cancelled,
+            *(refusal.request for refusal in self._refused),
+            *(refusal.request for _, refusal in self._unread),
+        ]
+        for request in requests:
+            request.answer(Receipt(Verdict.UNCLEAR))
+
+    def _answer_refusal(self, refusal: _Refusal) -> None:
+        request = refusal.request
+        entry = self._services.book.entry(request.job)
+        if entry is None:
+            request.answer(Receipt(Verdict.FULL, refusal.late_ms))
+            return
+        request.answer(Receipt(repeat_verdict(request.submission, entry)))
+
+    def _remember(self, job: str, offset: int) -> None:
+        self._refused_offsets.pop(job, None)
+        self._refused_offsets[job] = offset
+        if len(self._refused_offsets) > _MOST_REFUSALS:
+            self._refused_offsets.popitem(last=False)
+
+    def _apply(self, record: Record) -> None:
+        self._services.book.apply(record.key, record.value)
+
+
+def _submission_record(request: SubmissionRequest) -> Record:
+    key = record_key(RecordKind.SUBMISSION, request.job)
+    return Record(key, encode_submission(request.submission))
+
+
+def _cancel_record(request: CancelRequest) -> Record:
+    return Record(record_key(RecordKind.CANCEL, request.job), b"\x01")
+
+
+def _refusal_record(refusal: _Refusal) -> Record:
+    return Record(record_key(RecordKind.REFUSAL, refusal.request.job), b"")
--- a/almondstack/control/services.py
+++ b/almondstack/control/services.py
@@ -11,6 +11,7 @@
 from almondstack.control.settings import ControlSettings
 from almondstack.core import NullMetrics
 from almondstack.core.events import EventLog
+from almondstack.intake import OwnerRequests
 from almondstack.jobs import JobBook
 from almondstack.ownership import OwnershipSettings, RecordStore
 from almondstack.placement import Policies
@@ -43,6 +44,12 @@
         Returns the newest :class:`~almondstack.placement.Policies`.
     control, ownership : ControlSettings, OwnershipSettings
         Times and bounds.
+    requests : OwnerRequests
+        What callers ask of the owner.
+    requests_address : str
+        Where other processes hand such requests on; empty if nowhere.
+    read_offset : callable
+        Returns the offset up to which the records are folded into the book.
     events : EventLog
         Structured lines.
     metrics : NullMetrics
@@ -62,6 +69,9 @@
         "metrics",
         "ownership",
         "policies",
+        "read_offset",
+        "requests",
+        "requests_address",
         "store",
     )
 
@@ -77,9 +87,12 @@
         policies: Callable[[], Policies],
         control: ControlSettings,
         ownership: OwnershipSettings,
+        requests: OwnerRequests,
+        read_offset: Callable[[], int],
         events: EventLog,
         metrics: NullMetrics,
         cores: float = 1.0,
+        requests_address: str = "",
     ) -> None:
         self.store = store
         self.address = address
@@ -91,6 +104,9 @@
         self.policies = policies
         self.control = control
         self.ownership = ownership
+        self.requests = requests
+        self.requests_address = requests_address
+        self.read_offset = read_offset
         self.events = events
         self.metrics = metrics
         self.cores = cores
--- a/almondstack/platform/http.py
+++ b/almondstack/core/http_client.py
@@ -1,4 +1,4 @@
-"""The one HTTP client of the adapter: persistent connections, typed failures."""
+"""The HTTP client of the platform program: persistent connections, typed failures."""
 
 import urllib3
 from urllib3.connection import HTTPConnection
@@ -55,12 +55,20 @@
         Numeric address.
     connections : int
         How many connections are kept open.
+    connect_timeout_s : float
+        Bound on opening one, in seconds.
     """
 
-    __slots__ = ("_connections", "_pool", "address")
+    __slots__ = ("_connect_timeout_s", "_connections", "_pool", "address")
 
-    def __init__(self, address: str, connections: int = 1) -> None:
+    def __init__(
+        self,
+        address: str,
+        connections: int = 1,
+        connect_timeout_s: float = _CONNECT_TIMEOUT_S,
+    ) -> None:
         self._connections = connections
+        self._connect_timeout_s = connect_timeout_s
         self._connect(address)
 
     def use_address(self, address: str) -> None:
@@ -117,7 +125,7 @@
             connection.may_open = may_open
         elif not may_open:
             raise NotSentError(f"{self.address} is not connected")
-        timeout = urllib3.Timeout(connect=min(_CONNECT_TIMEOUT_S, timeout_s), read=timeout_s)
+        timeout = urllib3.Timeout(connect=min(self._connect_timeout_s, timeout_s), read=timeout_s)
         try:
             response = self._pool.urlopen(
                 method, path, body=body, headers=headers, timeout=timeout, redirect=False
--- a/almondstack/intake/__init__.py
+++ b/almondstack/intake/__init__.py
@@ -1,6 +1,29 @@
 """What callers may ask of jobs, on any process."""
 
-from almondstack.intake.service import JobService, StoreReader
-from almondstack.intake.verdicts import Verdict
+from almondstack.intake.errors import OwnerError, OwnerNotReachedError, OwnerUnclearError
+from almondstack.intake.ports import OwnerPort, StoreReader
+from almondstack.intake.requests import (
+    CancelRequest,
+    OwnerRequest,
+    OwnerRequests,
+    Peer,
+    SubmissionRequest,
+)
+from almondstack.intake.service import JobService
+from almondstack.intake.verdicts import Receipt, Verdict
 
-__all__ = ["JobService", "StoreReader", "Verdict"]
+__all__ = [
+    "CancelRequest",
+    "JobService",
+    "OwnerError",
+    "OwnerNotReachedError",
+    "OwnerPort",
+    "OwnerRequest",
+    "OwnerRequests",
+    "OwnerUnclearError",
+    "Peer",
+    "Receipt",
+    "StoreReader",
+    "SubmissionRequest",
+    "Verdict",
+]
--- a/almondstack/intake/attempts.py
+++ b/almondstack/intake/attempts.py
@@ -1,48 +1,13 @@
-"""Attempts to hand jobs in: their order, and which of them may still be stored."""
+"""Attempts to hand jobs in: which of them may still be stored."""
 
 import threading
 
-from almondstack.jobs import Submission
-
-__all__ = ["UnsettledAttempts", "attempt_epoch", "attempt_producer", "fence_epoch"]
+__all__ = ["UnsettledAttempts"]
 
 _MOST_JOBS = 4_096
 """Jobs of which unsettled attempts are kept; the oldest are forgotten first."""
 
 
-def attempt_producer(job: str, submission: Submission) -> str:
-    """Return under which name all attempts to hand a job in are known to the store.
-
-    Explanation
-    -----------
-    An id that two accounts use names two producers, so that an attempt of one
-    is never taken for a repeat of the other's.
-    """
-    return f"{job}/{submission.queue}/{submission.account}"
-
-
-def attempt_epoch(offset: int) -> int:
-    """Return the epoch of an attempt that began when the log was read up to ``offset``.
-
-    Explanation
-    -----------
-    Epochs follow the log, which all processes read alike, and no clock.  Those
-    of attempts are even and those of fences odd, so that none is taken for a
-    repeat of the other.
-
-    Examples
-    --------
-    >>> attempt_epoch(7) < fence_epoch(7) < attempt_epoch(8)
-    True
-    """
-    return 2 * offset
-
-
-def fence_epoch(offset: int) -> int:
-    """Return the epoch that fences all attempts begun before the log ended at ``offset``."""
-    return 2 * offset + 1
-
-
 class UnsettledAttempts:
     """Counts the attempts of this process that are under way or ended without an answer.
 
--- a/almondstack/jobs/book.py
+++ b/almondstack/jobs/book.py
@@ -2,7 +2,9 @@
 
 import threading
 import time
+from collections import OrderedDict
 from collections.abc import Callable
+from typing import NamedTuple
 
 from almondstack.core import PartLogger
 from almondstack.jobs.errors import RecordError
@@ -16,7 +18,10 @@
     split_key,
 )
 
-__all__ = ["JobBook", "JobEntry"]
+__all__ = ["JobBook", "JobEntry", "RefusalMark"]
+
+_MOST_REFUSALS = 4_096
+"""Jobs of which refusals are remembered; the oldest are forgotten first."""
 
 _log = PartLogger("jobs")
 
@@ -57,6 +62,13 @@
         return self.state
 
 
+class RefusalMark(NamedTuple):
+    """What a book knew of refusals of a job: how many, and how often it was filled anew."""
+
+    refusals: int
+    fillings: int
+
+
 class JobBook:
     """Folds the records of jobs in their order.
 
@@ -72,13 +84,27 @@
         changed something.
     """
 
-    __slots__ = ("_cancelled", "_entries", "_listener", "_lock", "_notice", "_notes", "_notice_s")
+    __slots__ = (
+        "_cancelled",
+        "_entries",
+        "_fillings",
+        "_listener",
+        "_lock",
+        "_notes",
+        "_notice",
+        "_notice_s",
+        "_owner_heard_s",
+        "_refusals",
+    )
 
     def __init__(self, listener: Callable[[RecordKind, str], None] | None = None) -> None:
         self._entries: dict[str, JobEntry] = {}
         self._cancelled: set[str] = set()
         self._notice: OwnerNotice | None = None
         self._notice_s = 0.0
+        self._owner_heard_s = 0.0
+        self._refusals: OrderedDict[str, int] = OrderedDict()
+        self._fillings = 0
         self._notes: dict[RecordKind, dict[str, bytes]] = {
             RecordKind.WAVE: {},
             RecordKind.INSTANCE: {},
@@ -96,6 +122,21 @@
         """Seconds since the owner's newest notice was read."""
         return time.monotonic() - self._notice_s
 
+    @property
+    def owner_heard_s(self) -> float:
+        """Monotonic time at which a record of the owner was last read, in seconds."""
+        return self._owner_heard_s
+
+    def refusal_mark(self, job: str) -> RefusalMark:
+        """Return a mark that changes if the job is refused, or if that could be missed."""
+        with self._lock:
+            return RefusalMark(self._refusals.get(job, 0), self._fillings)
+
+    def note_filling(self) -> None:
+        """Note that the newest records are read instead of all: refusals may be missed."""
+        with self._lock:
+            self._fillings += 1
+
     def listen(self, listener: Callable[[RecordKind, str], None] | None) -> None:
         """Replace the listener."""
         self._listener = listener
@@ -136,7 +177,10 @@
         with self._lock:
             if kind is RecordKind.OWNER:
                 self._notice = decode_notice(value)
-                self._notice_s = time.monotonic()
+                self._notice_s = self._owner_heard_s = time.monotonic()
+                return False
+            if kind is RecordKind.REFUSAL:
+                self._note_refusal(job)
                 return False
             if kind in self._notes:
                 self._notes[kind][job] = value
@@ -146,6 +190,11 @@
                 return False
             return _APPLIERS[kind](self, job, value)
 
+    def _note_refusal(self, job: str) -> None:
+        self._refusals[job] = self._refusals.pop(job, 0) + 1
+        if len(self._refusals) > _MOST_REFUSALS:
+            self._refusals.popitem(last=False)
+
     def _forget(self, kind: RecordKind, job: str) -> None:
         if kind is RecordKind.SUBMISSION:
             self._entries.pop(job, None)
@@ -168,6 +217,7 @@
         return True
 
     def _apply_progress(self, job: str, value: bytes) -> bool:
+        self._owner_heard_s = time.monotonic()
         entry = self._entries.get(job)
         if entry is not None:
             entry.state = decode_state(value)
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -5,6 +5,8 @@
 A key is one letter for the kind and the job's id; the record of a wave has its
 number instead, that of an order to an instance the instance's name, and the
 owner's nothing.
+A refusal has no value, so that the store keeps nothing of it: only those hear
+of it who read on, which is all that it is for.
 The value of a progress record begins with one byte for the state, so that a
 process that only shows states needs to decode nothing else.
 """
@@ -38,6 +40,7 @@
     CANCEL = "c"
     PROGRESS = "p"
     OWNER = "o"
+    REFUSAL = "r"
     WAVE = "w"
     INSTANCE = "i"
 
@@ -57,6 +60,10 @@
         How long new work would wait, in milliseconds, by pool and client account.
     cores : float
         Speed of the owner's processor, in cores; 0 if it does not say.
+    requests_address : str
+        Where the owner takes what callers ask of other processes; empty if it takes none.
+    standby : str
+        Incarnation of the process that should own the jobs next; empty if any.
     """
 
     owner: str
@@ -64,6 +71,8 @@
     address: str = ""
     waits_ms: dict[str, int] = {}
     cores: float = 0.0
+    requests_address: str = ""
+    standby: str = ""
 
 
 _submissions = msgspec.msgpack.Decoder(Submission)
--- a/almondstack/ownership/__init__.py
+++ b/almondstack/ownership/__init__.py
@@ -3,6 +3,7 @@
 from almondstack.ownership.errors import (
     FencedError,
     HistoryLostError,
+    LogMovedError,
     StoreError,
     StoreRefusedError,
     StoreUnclearError,
@@ -18,6 +19,7 @@
     "FencedError",
     "Follower",
     "HistoryLostError",
+    "LogMovedError",
     "OwnershipSettings",
     "Record",
     "RecordStore",
--- a/almondstack/ownership/errors.py
+++ b/almondstack/ownership/errors.py
@@ -5,6 +5,7 @@
 __all__ = [
     "FencedError",
     "HistoryLostError",
+    "LogMovedError",
     "StoreError",
     "StoreRefusedError",
     "StoreUnclearError",
@@ -35,6 +36,12 @@
     code = "store-history"
 
 
+class LogMovedError(StoreError):
+    """Records came before one that was meant for the end of the log; it was not stored."""
+
+    code = "log-moved"
+
+
 class FencedError(StoreError):
     """Another process owns the jobs now."""
 
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -16,10 +16,11 @@
 )
 from almondstack.jobs.records import decode_notice, split_key
 from almondstack.ownership.errors import HistoryLostError, StoreError
-from almondstack.ownership.liveness import ask_liveness
+from almondstack.ownership.liveness import Liveness, ask_liveness
 from almondstack.ownership.ports import Record, RecordStore
-from almondstack.ownership.preference import Preference
+from almondstack.ownership.preference import Preference, instance_of
 from almondstack.ownership.settings import OwnershipSettings
+from almondstack.ownership.signs import is_owner_sign
 from almondstack.ownership.vacancy import Vacancy
 
 __all__ = ["Follower"]
@@ -98,7 +99,7 @@
         self._events = events
         self._take_over = take_over
         self._cores = cores
-        self._preference = Preference(cores, settings)
+        self._preference = Preference(cores, settings, instance_of(incarnation))
         self._offset = 0
         self._sequences: dict[int, int] = {}
         self._is_loaded = False
@@ -185,7 +186,9 @@
         """
         if not self._is_loaded:
             self._load()
-        self._read(self._settings.wait_s)
+        if self._read(self._settings.wait_s):
+            # What one answer could not hold comes first: a claim needs all of it anyway.
+            return
         self._find_own_claim()
         if self._is_owner:
             self._stop.wait(self._settings.owner_pace_s)
@@ -193,11 +196,13 @@
         if self._may_claim():
             self._claim()
             return
-        self._stop.wait(self._settings.pace_s)
+        is_close = self._preference.is_standby
+        self._stop.wait(self._settings.owner_pace_s if is_close else self._settings.pace_s)
 
     def _load(self) -> None:
         with self._lock:
             snapshot = self._store.snapshot()
+            self._book.note_filling()
             for record in snapshot.records:
                 self._book.apply(record.key, record.value)
             self._offset = snapshot.next_offset
@@ -217,7 +222,7 @@
         with self._lock:
             self._fold(batch.records, batch.next_offset)
         self._note_contact()
-        signs = [record for record in batch.records if _is_sign(record)]
+        signs = [record for record in batch.records if is_owner_sign(record)]
         self._vacancy.note_read(time.monotonic(), has_sign=bool(signs))
         if not all(map(self._is_own_claim, signs)):
             self._heard_owner_s = time.monotonic()
@@ -249,10 +254,11 @@
         Explanation
         -----------
         The reply to a claim is not trusted: it may be lost, and it may be the
-        reply to another process that made the same claim.
+        reply to another process that made the same claim.  A process that is
+        about to end owns them too, since only the owner can give them back.
         """
         notice = self._book.notice
-        if self._is_owner or self._is_retiring or notice is None:
+        if self._is_owner or notice is None:
             return
         if notice.owner != self._incarnation:
             return
@@ -266,8 +272,12 @@
             return False
         now_s = time.monotonic()
         is_vacant = self._is_vacant(now_s)
-        may_claim = self._preference.may_claim(now_s, is_vacant=is_vacant)
-        return may_claim or self._preference.is_better(now_s)
+        answer_s = self._store.tempo.answer_s
+        may_claim = self._preference.may_claim(
+            now_s, is_vacant=is_vacant, is_new=self._is_new(), answer_s=answer_s
+        )
+        # A slow store has better to do than to change an owner that lives.
+        return may_claim or (not answer_s and self._preference.is_better(now_s))
 
     def _is_vacant(self, now_s: float) -> bool:
         if self._vacancy.is_open(now_s):
@@ -296,7 +306,7 @@
         notice = self._book.notice
         if notice is None:
             return False
-        if _node_of(notice.owner) == _node_of(self._incarnation):
+        if instance_of(notice.owner) == instance_of(self._incarnation):
             # The process before this one on the same instance; it can't live any more.
             return notice.owner != self._incarnation
         if not self._vacancy.is_doubtful(now_s, self._doubt_s()):
@@ -305,12 +315,29 @@
         if found is None:
             # Cut off or frozen: it can do nothing for the jobs, whichever it is.
             return self._vacancy.is_doubtful(now_s, self._settings.mute_s)
-        return found.incarnation != notice.owner
+        return found.incarnation != notice.owner or self._is_cut_off(found)
+
+    def _is_cut_off(self, owner: Liveness) -> bool:
+        """Whether the store that this process hears turns the owner away, or is out of its reach.
+
+        Explanation
+        -----------
+        An owner whose writes get no answer keeps the jobs: they may be stored, and the
+        next one's writes would fare no better.
+        """
+        is_turned_away = owner.turned_away_s >= self._settings.turned_away_s
+        return is_turned_away or owner.contact_age_s >= self._settings.deaf_s
 
     def _doubt_s(self) -> float:
-        """Return the silence after which to ask; short if no owner was ever heard."""
-        is_new = time.monotonic() - self._started_s < self._settings.silence_s
-        return self._settings.new_doubt_s if is_new else self._settings.doubt_s
+        """Return the silence after which to ask."""
+        if self._is_new():
+            return self._settings.new_doubt_s
+        # The standby reads more often, so that it hears each sign sooner.
+        is_standby = self._preference.is_standby
+        return self._settings.standby_doubt_s if is_standby else self._settings.doubt_s
+
+    def _is_new(self) -> bool:
+        return time.monotonic() - self._started_s < self._settings.silence_s
 
     def _claim(self) -> None:
         before = self._book.notice
@@ -334,17 +361,3 @@
         if not self._is_lost:
             self._is_lost = True
             self._events.write("store-lost", error=str(error), age_s=round(self.contact_age_s, 2))
-
-
-def _is_sign(record: Record) -> bool:
-    """Whether only an owner writes such a record."""
-    try:
-        kind, _ = split_key(record.key)
-    except RecordError:
-        return False
-    return kind in (RecordKind.PROGRESS, RecordKind.OWNER)
-
-
-def _node_of(incarnation: str) -> str:
-    """Return the instance that an incarnation names."""
-    return incarnation.rpartition("/")[0]
--- a/almondstack/ownership/liveness.py
+++ b/almondstack/ownership/liveness.py
@@ -5,20 +5,41 @@
 import urllib3
 from urllib3.exceptions import HTTPError, NewConnectionError
 
-__all__ = ["CONTACT_HEADER", "INCARNATION_HEADER", "NOBODY", "Liveness", "ask_liveness"]
+__all__ = [
+    "CONTACT_HEADER",
+    "INCARNATION_HEADER",
+    "NOBODY",
+    "TURNED_AWAY_HEADER",
+    "Liveness",
+    "ask_liveness",
+]
 
 INCARNATION_HEADER = "X-Incarnation"
 CONTACT_HEADER = "X-Store-Contact-Age"
 """Seconds since the process last heard the store."""
 
+TURNED_AWAY_HEADER = "X-Store-Turned-Away"
+"""Seconds for which the store has refused all that the process writes as the owner."""
+
 _LONG_AGO_S = 3600.0
 
 
 class Liveness(NamedTuple):
-    """The incarnation that answers, and seconds since it last heard the store."""
+    """How a process does.
+
+    Parameters
+    ----------
+    incarnation : str
+        Names it.
+    contact_age_s : float
+        Seconds since it last heard the store.
+    turned_away_s : float
+        Seconds for which the store has refused all that it writes as the owner.
+    """
 
     incarnation: str
     contact_age_s: float
+    turned_away_s: float = 0.0
 
 
 NOBODY = Liveness("", _LONG_AGO_S)
@@ -43,11 +64,15 @@
     incarnation = response.headers.get(INCARNATION_HEADER)
     if incarnation is None:
         return None
-    return Liveness(incarnation, _seconds(response.headers.get(CONTACT_HEADER)))
+    return Liveness(
+        incarnation,
+        _seconds(response.headers.get(CONTACT_HEADER), _LONG_AGO_S),
+        _seconds(response.headers.get(TURNED_AWAY_HEADER), 0.0),
+    )
 
 
-def _seconds(text: str | None) -> float:
+def _seconds(text: str | None, unknown_s: float) -> float:
     try:
-        return float(text) if text else _LONG_AGO_S
+        return float(text) if text else unknown_s
     except ValueError:
-        return _LONG_AGO_S
+        return unknown_s
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -71,35 +71,17 @@
         """
         ...
 
-    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
-        """Append a record unless attempts of ``producer`` with this epoch have been fenced.
-
-        Explanation
-        -----------
-        May be repeated with the same arguments and takes effect once.
+    def append_at(self, record: Record, offset: int, timeout_s: float) -> None:
+        """Append a record if the log ends at ``offset`` when its turn comes.
 
         Raises
         ------
-        FencedError
-            A later epoch has been seen; nothing is stored, now or later.
+        LogMovedError
+            The log went on; nothing was stored, nor will be.
         StoreRefusedError
             Nothing was stored.
         StoreUnclearError
-            It may have been stored, or may be within seconds.
-        """
-        ...
-
-    def fence_attempts(self, producer: str, epoch: int, timeout_s: float) -> None:
-        """Let no attempt of ``producer`` with a lower epoch be stored from now on.
-
-        Raises
-        ------
-        FencedError
-            A later epoch has been seen.
-        StoreRefusedError
-            Nothing was done.
-        StoreUnclearError
-            It may have been done.
+            It may have been stored, or may be as long as the log ends there.
         """
         ...
 
@@ -116,13 +98,13 @@
 
     def append_owned(
         self, records: list[Record], token: int, sequence: int, timeout_s: float
-    ) -> None:
-        """Append records of the owner with ``token``; ``sequence`` counts on from its claim.
+    ) -> int:
+        """Append records of the owner with ``token``; return the offset behind them.
 
         Explanation
         -----------
-        A call may be repeated with the same sequence and records and takes
-        effect once.
+        ``sequence`` counts on from its claim.  A call may be repeated with the
+        same sequence and records and takes effect once.
 
         Raises
         ------
--- a/almondstack/ownership/preference.py
+++ b/almondstack/ownership/preference.py
@@ -3,12 +3,26 @@
 from almondstack.jobs import OwnerNotice
 from almondstack.ownership.settings import OwnershipSettings
 
-__all__ = ["Preference"]
+__all__ = ["Preference", "instance_of"]
+
+_STANDBY_ANSWERS = 3
+"""Answers that a standby needs for its claim: it reads, claims, and reads the claim."""
 
 _CLEARLY_FASTER = 1.5
 """Factor between two processors from which on a take-over, which costs a pause, is worth it."""
 
 
+def instance_of(incarnation: str) -> str:
+    """Return the instance that an incarnation names.
+
+    Examples
+    --------
+    >>> instance_of("edge-a-1/5f")
+    'edge-a-1'
+    """
+    return incarnation.rpartition("/")[0]
+
+
 class Preference:
     """Lets the fastest processors own the jobs, where instances differ.
 
@@ -25,6 +39,8 @@
         Speed of this process's processor, in cores.
     settings : OwnershipSettings
         Times.
+    instance : str
+        Name of this process's instance.
 
     Examples
     --------
@@ -36,21 +52,32 @@
     False
     >>> preference.may_claim(20.0, is_vacant=True), preference.may_claim(20.6, is_vacant=True)
     (False, True)
+
+    Where the owner has named a standby, all others leave it the first claim, unless they
+    have only just started, as all may have who died together:
+
+    >>> preference.note_notice(OwnerNotice("a/1", 1, cores=0.5, standby="b/1"), 30.0)
+    >>> preference.may_claim(31.0, is_vacant=False)
+    False
+    >>> preference.may_claim(32.0, is_vacant=True), preference.may_claim(33.0, is_vacant=True)
+    (False, True)
     """
 
     __slots__ = (
         "_cores",
         "_failed_s",
         "_fastest",
+        "_instance",
         "_notice",
         "_noticed_s",
         "_settings",
         "_vacant_s",
     )
 
-    def __init__(self, cores: float, settings: OwnershipSettings) -> None:
+    def __init__(self, cores: float, settings: OwnershipSettings, instance: str = "") -> None:
         self._cores = cores
         self._settings = settings
+        self._instance = instance
         self._fastest = cores
         self._notice: OwnerNotice | None = None
         self._noticed_s = 0.0
@@ -68,13 +95,39 @@
         """Note that the store did not answer as it should."""
         self._failed_s = now_s
 
-    def may_claim(self, now_s: float, *, is_vacant: bool) -> bool:
-        """Whether to claim jobs that nobody owns, if ``is_vacant``."""
+    @property
+    def is_standby(self) -> bool:
+        """Whether the owner has named this instance to own the jobs next."""
+        standby = self._notice.standby if self._notice is not None else ""
+        return bool(standby) and instance_of(standby) == self._instance
+
+    def may_claim(
+        self, now_s: float, *, is_vacant: bool, is_new: bool = False, answer_s: float = 0.0
+    ) -> bool:
+        """Whether to claim jobs that nobody owns.
+
+        Parameters
+        ----------
+        now_s : float
+            Present monotonic time in seconds.
+        is_vacant : bool
+            Nobody owns the jobs.
+        is_new : bool
+            This process has only just started.
+        answer_s : float
+            How long a slow store takes for an answer, in seconds.
+        """
         if not is_vacant:
             self._vacant_s = None
             return False
         if self._vacant_s is None:
             self._vacant_s = now_s
+        if self.is_standby:
+            return True
+        if not is_new and self._notice is not None and self._notice.standby:
+            patience_s = self._settings.standby_waits_s + _STANDBY_ANSWERS * answer_s
+            if now_s - self._vacant_s < patience_s:
+                return False
         if self._fastest < _CLEARLY_FASTER * self._cores:
             return True
         return now_s - self._vacant_s >= self._settings.slower_waits_s
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -23,11 +23,21 @@
     mute_s : float
         Observed silence after which an owner whose process can't be reached
         counts as gone, in seconds.
+    standby_doubt_s : float
+        The same for the process that should own the jobs next, in seconds.
+    turned_away_s : float
+        An owner whose writes the store has refused for so long counts as gone for those
+        who hear the store, in seconds.
+    deaf_s : float
+        So does one that has not heard the store for so long, in seconds.
     new_doubt_s : float
         The same for a process that has just started: others may have died with
         the one before it, in seconds.
     slower_waits_s : float
         How long a process leaves the first claim to clearly faster ones, in seconds.
+    standby_waits_s : float
+        How long all leave the first claim to the process that the owner has named, in
+        seconds, beside the time that three answers of a slow store take.
     faster_waits_s : float
         A clearly faster process takes over from a slower owner after hearing it,
         and the store without a failure, for so long, in seconds.
@@ -53,8 +63,12 @@
     stagger_s: PositiveSeconds = 0.3
     doubt_s: PositiveSeconds = 0.7
     mute_s: PositiveSeconds = 1.0
+    standby_doubt_s: PositiveSeconds = 0.55
+    turned_away_s: PositiveSeconds = 0.3
+    deaf_s: PositiveSeconds = 0.9
     new_doubt_s: PositiveSeconds = 0.15
     slower_waits_s: PositiveSeconds = 0.5
+    standby_waits_s: PositiveSeconds = 0.6
     faster_waits_s: PositiveSeconds = 1.0
     probe_timeout_s: PositiveSeconds = 0.15
     sign_interval_s: PositiveSeconds = 0.4
--- a/almondstack/ownership/tempo.py
+++ b/almondstack/ownership/tempo.py
@@ -90,6 +90,11 @@
             return math.inf
         return self._longest_s()
 
+    @property
+    def answer_s(self) -> float:
+        """How long the slowest answer of the last seconds took; 0 unless the store is slow."""
+        return self._longest_s()
+
     def note_read(self, took_s: float, wait_s: float = 0.0) -> None:
         """Note an answer that came after ``took_s``, asked to come after ``wait_s`` at the latest.
 
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -117,6 +117,67 @@
     assert owned == []
 
 
+def test_a_process_that_ends_gives_back_what_it_had_just_claimed():
+    """Nobody did, and all others waited for its silence (teawa-gangs trouble-2)."""
+    store = FakeRecordStore()
+    follower, owned = _follower(store, "one")
+    follower._load()
+    follower._claim()
+    follower.retire()
+    _steps(follower)
+    assert [token for token, _ in owned] == [1]
+
+
+def _notice(store, **fields):
+    notice = OwnerNotice("a/1", 7, "127.0.0.1:1", **fields)
+    store.records.append(Record(record_key(RecordKind.OWNER), encode_notice(notice)))
+
+
+def _give_back(store, standby):
+    store.records.append(
+        Record(record_key(RecordKind.OWNER), encode_notice(OwnerNotice("", 7, standby=standby)))
+    )
+
+
+def test_slow_store_only_the_standby_claims_what_is_given_back():
+    """Nine claims took nine turns of half a second, and the ninth was the one that counted."""
+    store = FakeRecordStore()
+    followers = {name: _patient(store, name) for name in ("b/1", "c/1", "d/1")}
+    _notice(store, standby="c/1")
+    for follower, _ in followers.values():
+        follower._started_s -= 3600
+        follower.step()
+    _give_back(store, "c/1")
+    claims = []
+    claim = store.claim
+    store.claim = lambda *arguments: claims.append(arguments) or claim(*arguments)
+    for follower, _ in followers.values():
+        _steps(follower, 2)
+    assert len(claims) == 1 and len(followers["c/1"][1]) == 1
+
+
+def test_a_standby_that_does_not_claim_is_not_waited_for_long(monkeypatch):
+    store = FakeRecordStore()
+    follower, owned = _patient(store, "b/1")
+    follower._started_s -= 3600
+    follower.step()
+    _give_back(store, "c/1")
+    _steps(follower)
+    assert owned == []
+    follower._preference._vacant_s -= follower._settings.standby_waits_s
+    _steps(follower)
+    assert len(owned) == 1
+
+
+def test_processes_that_have_just_started_do_not_wait_for_a_standby():
+    """It may have died with the others."""
+    store = FakeRecordStore()
+    follower, owned = _patient(store, "b/1")
+    _give_back(store, "c/1")
+    _steps(follower)
+    assert len(owned) == 1
+
+
 def test_expired_history_is_replaced_by_the_newest_records():
     store = FakeRecordStore()
     patient = OwnershipSettings(silence_s=3600, doubt_s=3600, pace_s=1e-9, wait_s=1e-9)
@@ -186,6 +247,28 @@
     assert bool(owned) is is_claimed
 
 
+@pytest.mark.parametrize(
+    ("owner", "is_claimed"),
+    [
+        (Liveness("a/1", 0.1), False),
+        (Liveness("a/1", 0.1, turned_away_s=0.1), False),
+        (Liveness("a/1", 0.1, turned_away_s=0.5), True),
+        (Liveness("a/1", 2.0), True),
+    ],
+)
+def test_an_owner_that_the_store_turns_away_is_gone_sooner(monkeypatch, owner, is_claimed):
+    """It kept the jobs for 1.5 to 4 s, in which nothing was started."""
+    store = FakeRecordStore()
+    first, _ = _follower(store, "a/1")
+    _steps(first)
+    monkeypatch.setattr("almondstack.ownership.follower.ask_liveness", lambda *_: owner)
+    settings = OwnershipSettings(silence_s=3600, doubt_s=1e-9, pace_s=1e-9, wait_s=1e-9)
+    other, owned = _follower(store, "b/1", settings)
+    other._started_s -= 7200
+    _steps(other, 4)
+    assert bool(owned) is is_claimed
+
+
 def test_a_claim_succeeds_although_a_record_comes_between_read_and_claim():
     """On a slow store each claim at the log's end found a submission there, for 6.7 s."""
     store = FakeRecordStore()
@@ -288,3 +371,17 @@
     store.records.append(Record("pj", b"\x00"))
     follower.step()
     assert follower.heard_owner_s > heard_s
+
+
+def test_slow_link_a_follower_that_is_behind_reads_on_without_a_pause(monkeypatch):
+    store = FakeRecordStore()
+    store.most_per_read = 2
+    store.records.extend(Record(f"cj{number}", b"\x01") for number in range(4))
+    follower, _ = _patient(store, "one")
+    follower._is_loaded = True
+    pauses = []
+    monkeypatch.setattr(follower._stop, "wait", pauses.append)
+    follower.step()
+    assert (follower.next_offset, pauses) == (2, [])
+    follower.step()
+    assert follower.next_offset == 4 and len(pauses) == 1
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Mapping
 
-from almondstack.jobs import ActiveJob, Task, TaskStatus
-from almondstack.placement.policies import AccountPolicy
+from almondstack.jobs import ActiveJob, Submission, Task, TaskStatus, chain_lengths_ms
+from almondstack.placement.policies import AccountPolicy, QueuePolicy
 
-__all__ = ["Backlog", "EstimateCorrection", "is_in_time"]
+__all__ = ["Backlog", "EstimateCorrection", "excess_wait_ms", "is_in_time", "wait_key"]
 
 _STEP_MS = 100
 """Waits are told in steps of this many milliseconds, so that few changes are told."""
@@ -123,6 +123,35 @@
     return wait_ms + chain_ms <= objective_ms
 
 
+def wait_key(pool: str, account: str) -> str:
+    """Return under which name the wait of an account in a pool is told."""
+    return f"{pool}/{account}"
+
+
+def excess_wait_ms(
+    waits_ms: Mapping[str, int], submission: Submission, policy: QueuePolicy
+) -> float:
+    """Return by how much a job that came now would miss its objective, in milliseconds.
+
+    Parameters
+    ----------
+    waits_ms : mapping of str to int
+        How long new work would wait, by :func:`wait_key`.
+    submission : Submission
+        The job.
+    policy : QueuePolicy
+        Of its queue.
+    """
+    if submission.is_scheduled or submission.is_long_running:
+        return 0.0
+    wait_ms = waits_ms.get(wait_key(policy.pool, submission.account), 0)
+    chain_ms = max(chain_lengths_ms(submission.steps), default=0)
+    objective_ms = policy.stretch * chain_ms + policy.objective_ms
+    if not wait_ms or is_in_time(wait_ms, chain_ms, objective_ms):
+        return 0.0
+    return wait_ms + chain_ms - objective_ms
+
+
 def _work_left_ms(task: Task) -> float:
     step = task.step
     if task.status is TaskStatus.DONE or step.is_long_running or step.is_filler:
--- a/almondstack/platform/advice.py
+++ b/almondstack/platform/advice.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from almondstack.control.errors import AdviceError
-from almondstack.platform.http import HttpCaller, NoAnswerError, NotSentError
+from almondstack.core.http_client import HttpCaller, NoAnswerError, NotSentError
 from almondstack.platform.wire import AdviceReplyWire
 
 __all__ = ["HttpAdvice"]
--- a/almondstack/platform/front.py
+++ b/almondstack/platform/front.py
@@ -5,10 +5,11 @@
 import time
 
 import msgspec
-from cheroot.server import Gateway, HTTPServer
+from cheroot.server import Gateway
 from cheroot.workers.threadpool import ThreadPool
 
 from almondstack.core import NullMetrics, parse_address
+from almondstack.core.http_server import QuietServer
 from almondstack.intake import JobService, Verdict
 from almondstack.jobs import JobState, Step, Submission
 from almondstack.platform.configuration import Configuration, ConfigurationHolder, QueueRoute
@@ -179,12 +180,12 @@
         if fault:
             return Answer(400, {"error": f"{fault}; nothing was stored"})
         submission = _submission(wire, route, account)
-        verdict = self._service.submit(job, submission, route.policy, _timeout_s(request, route))
+        receipt = self._service.submit(job, submission, route.policy, _timeout_s(request, route))
+        verdict = receipt.verdict
         if verdict in (Verdict.DONE, Verdict.KNOWN):
             return Answer(200, {})
         if verdict is Verdict.FULL:
-            late_ms = self._service.excess_wait_ms(submission, route.policy)
-            wait_s = late_ms / 1000.0 + _spread_s(job)
+            wait_s = receipt.late_ms / 1000.0 + _spread_s(job)
             return Answer(429, {"error": "the queue is full; the job was not stored"}, wait_s)
         if verdict is Verdict.UNCLEAR:
             return Answer(504, {"error": "it is not known whether the job was stored"})
@@ -193,7 +194,7 @@
         return _outage("the job was not stored")
 
 
-class FrontServer(HTTPServer):
+class FrontServer(QuietServer):
     """Listens for callers, on cheroot.
 
     Parameters
@@ -207,10 +208,9 @@
     """
 
     def __init__(self, address: str, front: JobFront, threads: int = _THREADS) -> None:
-        super().__init__(parse_address(address), _FrontGateway, server_name="almondstack")
+        super().__init__(parse_address(address), _FrontGateway)
         self.front = front
         self.timeout = _IDLE_TIMEOUT_S
-        self.shutdown_timeout = 1
         self.request_queue_size = 256
         self.requests = ThreadPool(self, min=threads, max=threads)
         self.is_leaving = False
@@ -227,9 +227,6 @@
         with self._lock:
             self._active += amount
 
-    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
-        """Drop cheroot's own lines on connections that callers broke off."""
-
 
 class _FrontGateway(Gateway):
     """Reads a request from cheroot and writes the answer."""
--- a/almondstack/platform/instances.py
+++ b/almondstack/platform/instances.py
@@ -6,7 +6,7 @@
 
 from almondstack.control.errors import InstanceServiceError
 from almondstack.control.messages import InstanceInfo, InstanceState, OrderStatus
-from almondstack.platform.http import HttpCaller, HttpReply, NoAnswerError, NotSentError
+from almondstack.core.http_client import HttpCaller, HttpReply, NoAnswerError, NotSentError
 from almondstack.platform.wire import ConflictWire, MachinesWire, MachineWire
 
 __all__ = ["HttpInstances"]
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -1,6 +1,7 @@
 """The program that runs on each of the platform's machines."""
 
 import argparse
+import math
 import os
 import secrets
 import signal
@@ -12,9 +13,10 @@
 from almondstack.core import SettingsError, parse_address
 from almondstack.core.events import EventLog
 from almondstack.core.exposition import ExposedMetrics
-from almondstack.intake import JobService
+from almondstack.intake import JobService, OwnerRequests, Peer
 from almondstack.jobs import JobBook
 from almondstack.ownership import Follower, OwnershipSettings
+from almondstack.ownership.liveness import Liveness
 from almondstack.platform.advice import HttpAdvice
 from almondstack.platform.configuration import ConfigurationHolder
 from almondstack.platform.directory import ConfigurationFollower, StoreDirectory
@@ -28,6 +30,7 @@
 from almondstack.platform.status import StatusServer
 from almondstack.platform.store import KeyedTopic, StoreConnection
 from almondstack.platform.workers import HttpWorkerCallers
+from almondstack.relay import OwnerClient, RelayServer
 
 __all__ = ["Program", "main"]
 
@@ -70,7 +73,7 @@
         self._connection = StoreConnection(settings.store.address)
         self._instances = HttpInstances(settings.instances.address, settings.node)
         self._advice = HttpAdvice(settings.advice) if settings.advice else None
-        self._store = KeyedTopic(self._connection, _WORK_TOPIC)
+        self._store = KeyedTopic(self._connection, _WORK_TOPIC, settings.limits.most_read_kb)
         self._holder = ConfigurationHolder()
         self._book = JobBook()
         self._directory = StoreDirectory(self._connection, self._holder, self._events)
@@ -85,18 +88,24 @@
             self._take_over,
             settings.limits.cores,
         )
-        service = JobService(self._store, self._book, self._follower, self._events, self._metrics)
+        self._requests = OwnerRequests()
+        self._relay = RelayServer(settings.relay_address, self._requests)
+        service = JobService(
+            self._store,
+            self._book,
+            self._follower,
+            OwnerClient(self._book, self._requests, self._describe),
+            self._events,
+            self._metrics,
+        )
         front = JobFront(self._holder, service, self._metrics)
         self._front = FrontServer(settings.listen.front, front)
         self._ready = StatusServer(
             parse_address(settings.listen.ready),
             self._render_ready,
-            self._incarnation,
-            self._contact_age_s,
-        )
-        self._exposed = StatusServer(
-            settings.metrics_address, self._render_metrics, self._incarnation, self._contact_age_s
+            self._liveness,
         )
+        self._exposed = StatusServer(settings.metrics_address, self._render_metrics, self._liveness)
         self._owner: Owner | None = None
         self._leaving = threading.Event()
         self._reload = threading.Event()
@@ -108,7 +117,7 @@
         self._events.start()
         self._events.report_failed_threads()
         self._events.write("start", zone=self._file.settings.zone, incarnation=self._incarnation)
-        for server in (self._front, self._ready, self._exposed):
+        for server in (self._front, self._ready, self._exposed, self._relay):
             server.prepare()
             threading.Thread(target=server.serve, name="accepts", daemon=True).start()
         self._configuration.start()
@@ -136,12 +145,14 @@
         self._owner = owner
         # The owner signs from now on, even while the workers can't be read yet.
         self._directory.hurry(is_owner=True)
+        self._relay.expect_requests(is_owner=True)
         owner.start()
         if self._leaving.is_set():
             owner.release()
         while owner.is_alive:
             owner.join(1.0)
         self._directory.hurry(is_owner=False)
+        self._relay.expect_requests(is_owner=False)
         self._follower.yield_ownership()
         self._owner = None
 
@@ -159,9 +170,12 @@
             policies=self._holder.policies,
             control=control,
             ownership=OwnershipSettings(),
+            requests=self._requests,
+            read_offset=lambda: self._follower.next_offset,
             events=self._events,
             metrics=self._metrics,
             cores=settings.limits.cores,
+            requests_address=settings.relay_address,
         )
 
     def _render_ready(self) -> tuple[int, bytes]:
@@ -173,8 +187,18 @@
         )
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
 
-    def _contact_age_s(self) -> float:
-        return self._follower.contact_age_s
+    def _describe(self) -> Peer:
+        """Return what other processes are told of this one."""
+        cores = self._file.settings.limits.cores
+        # One that is about to end is no standby.
+        age_s = math.inf if self._leaving.is_set() else self._follower.contact_age_s
+        return Peer(self._incarnation, cores, age_s)
+
+    def _liveness(self) -> Liveness:
+        """Return what other processes may ask of this one."""
+        owner = self._owner
+        turned_away_s = owner.turned_away_s if owner is not None else 0.0
+        return Liveness(self._incarnation, self._follower.contact_age_s, turned_away_s)
 
     def _render_metrics(self) -> tuple[int, bytes]:
         return 200, self._metrics.render()
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -38,6 +38,16 @@
     status_s: float = msgspec.field(name="status_s", default=120.0)
 
 
+_KB_PER_MBIT = 1000.0 / 8.0
+
+_MOST_READ_S = 0.15
+"""Time that an answer of the store may take up a machine's link, in seconds; one that is
+held up for longer than a read waits is asked for again, and takes the link up once more."""
+
+_LEAST_READ_KB, _MOST_READ_KB = 32, 1_024
+"""The store brings no more than the latter."""
+
+
 class _Limits(msgspec.Struct, frozen=True):
     """What the platform gives a process."""
 
@@ -45,12 +55,22 @@
     share: float = msgspec.field(name="cpu-share", default=1.0)
     # By how much that core is faster than an ordinary one; no number of processors.
     speed: float = msgspec.field(name="cores", default=1.0)
+    # Speed of the machine's own link, in millions of bits a second.
+    link_mbps: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
+        name="link-mbps", default=1000.0
+    )
 
     @property
     def cores(self) -> float:
         """Processor time that the process gets in a second, in ordinary core-seconds."""
         return self.share * self.speed
 
+    @property
+    def most_read_kb(self) -> int:
+        """Kilobytes that one answer of the store may bring, so that others don't wait for it."""
+        most_kb = self.link_mbps * _KB_PER_MBIT * _MOST_READ_S
+        return max(_LEAST_READ_KB, min(int(most_kb), _MOST_READ_KB))
+
 
 class _Service(msgspec.Struct, frozen=True):
     """Where a service of the platform is."""
@@ -93,6 +113,11 @@
         """Host and port at which metrics are served."""
         return self.ip, self.port_range[0]
 
+    @property
+    def relay_address(self) -> str:
+        """Numeric address at which other processes hand on what callers ask of the owner."""
+        return f"{self.ip}:{self.port_range[0] + 1}"
+
 
 def load_platform_settings(path: str | Path) -> PlatformSettings:
     """Read and check the platform's settings file.
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -7,10 +7,12 @@
 
 import msgspec
 
+from almondstack.core.http_client import HttpCaller, HttpReply, NoAnswerError, NotSentError
 from almondstack.ownership import (
     Batch,
     FencedError,
     HistoryLostError,
+    LogMovedError,
     Record,
     Snapshot,
     StoreError,
@@ -18,7 +20,6 @@
     StoreTempo,
     StoreUnclearError,
 )
-from almondstack.platform.http import HttpCaller, HttpReply, NoAnswerError, NotSentError
 from almondstack.platform.wire import AppendReplyWire, NewestWire
 
 __all__ = ["KeyedTopic", "StoreConnection"]
@@ -184,14 +185,13 @@
         if reply.status != _OK:
             raise StoreRefusedError(f"status {reply.status}")
 
-    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
-        """Append a record under an epoch of its own; see ``RecordStore``."""
-        self._append_attempt([record], producer, epoch, timeout_s)
-
-    def fence_attempts(self, producer: str, epoch: int, timeout_s: float) -> None:
-        """Fence lower epochs; see ``RecordStore``."""
-        # A call without records sets the epoch of its producer and stores nothing.
-        self._append_attempt([], producer, epoch, timeout_s)
+    def append_at(self, record: Record, offset: int, timeout_s: float) -> None:
+        """Append a record at the end of the log; see ``RecordStore``."""
+        reply = self._append(f"&at={offset}", [record], timeout_s)
+        if reply.status == _CONDITION_FAILED:
+            raise LogMovedError(f"it does not end at {offset}")
+        if reply.status != _OK:
+            raise StoreRefusedError(f"status {reply.status}")
 
     def claim(self, token: int, record: Record, sequence: int) -> bool:
         """Append an owner's first record; see ``RecordStore``."""
@@ -200,24 +200,14 @@
 
     def append_owned(
         self, records: list[Record], token: int, sequence: int, timeout_s: float
-    ) -> None:
+    ) -> int:
         """Append records of the owner; see ``RecordStore``."""
-        self._append_fenced(records, _PRODUCER, token, sequence, timeout_s)
-
-    def _append_attempt(
-        self, records: list[Record], producer: str, epoch: int, timeout_s: float
-    ) -> None:
-        self._append_fenced(records, quote(producer, safe=""), epoch, 0, timeout_s)
-
-    def _append_fenced(
-        self, records: list[Record], producer: str, epoch: int, sequence: int, timeout_s: float
-    ) -> None:
-        query = f"&producer-id={producer}&epoch={epoch}&sequence={sequence}"
+        query = f"&producer-id={_PRODUCER}&epoch={token}&sequence={sequence}"
         reply = self._append(query, records, timeout_s)
-        if reply.status == _OK:
-            return
         answer = _decode(_appended, reply.body)
-        raise FencedError(f"status {reply.status} {answer.reason}")
+        if reply.status != _OK:
+            raise FencedError(f"status {reply.status} {answer.reason}")
+        return answer.end_offset or 0
 
     def _append(self, query: str, records: list[Record], timeout_s: float) -> HttpReply:
         path = f"/almondstack/log-append?{self._place}{query}"
--- a/almondstack/platform/tests/test_settings.py
+++ b/almondstack/platform/tests/test_settings.py
@@ -31,6 +31,13 @@
     assert control_settings(settings).lease_s == 1.0
 
 
+@pytest.mark.parametrize(("mbps", "most_kb"), [(1000, 1024), (20, 375), (5, 93), (0.1, 32)])
+def test_an_answer_of_the_store_does_not_take_up_a_slow_link_for_long(tmp_path, mbps, most_kb):
+    """Bursts of answers of 1 MB over 5 Mbit/s held a configuration up (teawa-gangs-grown)."""
+    settings = _load(tmp_path, settings_text(limits=f"{{link-mbps: {mbps}}}"))
+    assert settings.limits.most_read_kb == most_kb
+
+
 @pytest.mark.parametrize(
     ("lines", "fault"),
     [
--- a/almondstack/platform/tests/test_workers.py
+++ b/almondstack/platform/tests/test_workers.py
@@ -5,9 +5,9 @@
 import pytest
 
 from almondstack.control.messages import OrderStatus, StartOrder
+from almondstack.core.http_client import HttpCaller
 from almondstack.jobs import RunEnd
 from almondstack.placement import WorkerInfo
-from almondstack.platform.http import HttpCaller
 from almondstack.platform.tests.builders import serving
 from almondstack.platform.workers import HttpWorkerCallers
 from almondstack.standin.task_worker import TaskWorkerStandin
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -12,9 +12,9 @@
     RunningRun,
     StartOrder,
 )
+from almondstack.core.http_client import HttpCaller, HttpReply, NoAnswerError, NotSentError
 from almondstack.jobs import RunEnd
 from almondstack.placement import WorkerInfo
-from almondstack.platform.http import HttpCaller, HttpReply, NoAnswerError, NotSentError
 from almondstack.platform.wire import ConflictWire, LookReplyWire
 
 __all__ = ["HttpWorkerCallers"]
--- /dev/null
+++ b/almondstack/relay/client.py
@@ -0,0 +1,165 @@
+"""Asks the owner of the jobs, in this process or over HTTP."""
+
+import threading
+import time
+from collections.abc import Callable
+from functools import singledispatch
+
+import msgspec
+
+from almondstack.core.http_client import HttpCaller, HttpReply, NoAnswerError, NotSentError
+from almondstack.intake import (
+    CancelRequest,
+    OwnerNotReachedError,
+    OwnerRequest,
+    OwnerRequests,
+    OwnerUnclearError,
+    Peer,
+    Receipt,
+    SubmissionRequest,
+)
+from almondstack.jobs import JobBook, OwnerNotice
+from almondstack.relay.messages import CancelCall, ReceiptReply, RelayPath, Sender, SubmissionCall
+
+__all__ = ["OwnerClient"]
+
+_OK = 200
+_CONNECTIONS = 4
+_CONNECT_TIMEOUT_S = 0.15
+"""All processes are within milliseconds of each other."""
+
+_ANSWER_MARGIN_S = 0.1
+"""The owner is asked to answer so much earlier than it is given up, in seconds."""
+
+_PAUSE_S = 1.0
+"""An owner that could not be asked is not asked again for so long, in seconds; there is another
+way, which a caller should not come to late."""
+
+_MS = 1000.0
+
+_encoder = msgspec.msgpack.Encoder()
+_replies = msgspec.msgpack.Decoder(ReceiptReply)
+
+
+class OwnerClient:
+    """Asks whichever process owns the jobs; an ``OwnerPort``.
+
+    Parameters
+    ----------
+    book : JobBook
+        Says who owns the jobs.
+    requests : OwnerRequests
+        Takes requests while this process owns them.
+    describe : callable
+        Returns how this process is and hears the store now.
+    """
+
+    __slots__ = (
+        "_book",
+        "_caller",
+        "_describe",
+        "_failed_s",
+        "_failed_token",
+        "_lock",
+        "_requests",
+    )
+
+    def __init__(
+        self, book: JobBook, requests: OwnerRequests, describe: Callable[[], Peer]
+    ) -> None:
+        self._book = book
+        self._requests = requests
+        self._describe = describe
+        self._lock = threading.Lock()
+        self._caller: HttpCaller | None = None
+        self._failed_s = 0.0
+        self._failed_token: int | None = None
+
+    def ask(self, request: OwnerRequest, timeout_s: float) -> Receipt:
+        """Return the owner's receipt; see ``OwnerPort``."""
+        if self._requests.is_open:
+            return self._requests.ask(request, timeout_s)
+        notice = self._book.notice
+        if notice is None or not notice.owner or not notice.requests_address:
+            raise OwnerNotReachedError("nobody owns the jobs")
+        if self._is_doubtful(notice):
+            raise OwnerNotReachedError("the owner could not be asked a moment ago")
+        return self._call(notice, request, timeout_s)
+
+    def _is_doubtful(self, notice: OwnerNotice) -> bool:
+        """Whether this owner has failed lately, or was not heard since it did."""
+        if notice.token != self._failed_token:
+            return False
+        is_recent = time.monotonic() - self._failed_s < _PAUSE_S
+        return is_recent or self._book.owner_heard_s < self._failed_s
+
+    def _call(self, notice: OwnerNotice, request: OwnerRequest, timeout_s: float) -> Receipt:
+        owner_s = max(0.0, timeout_s - _ANSWER_MARGIN_S)
+        path, body = _encode(request, notice.token, owner_s, self._sender())
+        caller = self._caller_of(notice.requests_address)
+        try:
+            reply = caller.call("POST", path, timeout_s, body)
+        except NotSentError as error:
+            self._note_failure(notice)
+            raise OwnerNotReachedError(str(error)) from error
+        except NoAnswerError as error:
+            self._note_failure(notice)
+            raise OwnerUnclearError(str(error)) from error
+        return _receipt(reply)
+
+    def _sender(self) -> Sender:
+        peer = self._describe()
+        return Sender(peer.incarnation, peer.cores, round(peer.store_age_s, 2))
+
+    def _caller_of(self, address: str) -> HttpCaller:
+        with self._lock:
+            if self._caller is None or self._caller.address != address:
+                self._caller = HttpCaller(address, _CONNECTIONS, _CONNECT_TIMEOUT_S)
+            return self._caller
+
+    def _note_failure(self, notice: OwnerNotice) -> None:
+        """Ask this owner no more for a while, and over new connections then."""
+        with self._lock:
+            self._failed_s = time.monotonic()
+            self._failed_token = notice.token
+            caller, self._caller = self._caller, None
+        if caller is not None:
+            caller.close()
+
+
+@singledispatch
+def _encode(
+    request: OwnerRequest, token: int, timeout_s: float, sender: Sender
+) -> tuple[RelayPath, bytes]:
+    """Return where a request goes, and its body."""
+    raise TypeError(type(request).__name__)
+
+
+@_encode.register
+def _(
+    request: SubmissionRequest, token: int, timeout_s: float, sender: Sender
+) -> tuple[RelayPath, bytes]:
+    timeout_ms = int(timeout_s * _MS)
+    call = SubmissionCall(
+        token, timeout_ms, request.job, request.submission, request.read_offset, sender
+    )
+    return RelayPath.SUBMISSION, _encoder.encode(call)
+
+
+@_encode.register
+def _(
+    request: CancelRequest, token: int, timeout_s: float, sender: Sender
+) -> tuple[RelayPath, bytes]:
+    call = CancelCall(token, int(timeout_s * _MS), request.job, sender)
+    return RelayPath.CANCEL, _encoder.encode(call)
+
+
+def _receipt(reply: HttpReply) -> Receipt:
+    """Return what a reply says; any status but success says that the request was not taken."""
+    if reply.status != _OK:
+        raise OwnerNotReachedError(f"status {reply.status}")
+    try:
+        found = _replies.decode(reply.body)
+    except msgspec.MsgspecError as error:
+        raise OwnerUnclearError(f"the reply does not decode: {error}") from error
+    return Receipt(found.verdict, found.late_ms)
--- /dev/null
+++ b/almondstack/relay/server.py
@@ -0,0 +1,107 @@
+"""Takes requests of other processes for the owner in this one."""
+
+import msgspec
+from cheroot.server import Gateway
+from cheroot.workers.threadpool import ThreadPool
+
+from almondstack.core import parse_address
+from almondstack.core.http_server import QuietServer
+from almondstack.intake import (
+    CancelRequest,
+    OwnerNotReachedError,
+    OwnerRequest,
+    OwnerRequests,
+    OwnerUnclearError,
+    Peer,
+    Receipt,
+    SubmissionRequest,
+    Verdict,
+)
+from almondstack.relay.messages import CancelCall, ReceiptReply, RelayPath, SubmissionCall
+
+__all__ = ["RelayServer"]
+
+_LEAST_THREADS = 2
+_OWNER_THREADS = 48
+"""Requests that an owner holds until its next append is answered; each takes a thread."""
+
+_encoder = msgspec.msgpack.Encoder()
+_submissions = msgspec.msgpack.Decoder(SubmissionCall)
+_cancels = msgspec.msgpack.Decoder(CancelCall)
+
+
+class RelayServer(QuietServer):
+    """Listens for other processes.
+
+    Explanation
+    -----------
+    Any status but 200 says that the request was not taken, and won't be.
+
+    Parameters
+    ----------
+    address : str
+        Numeric address.
+    requests : OwnerRequests
+        Takes requests while this process owns the jobs.
+    """
+
+    def __init__(self, address: str, requests: OwnerRequests) -> None:
+        super().__init__(parse_address(address), _RelayGateway)
+        self.owner_requests = requests
+        self.requests = ThreadPool(self, min=_LEAST_THREADS, max=_OWNER_THREADS)
+
+    def expect_requests(self, *, is_owner: bool) -> None:
+        """Have threads enough for an owner, or few."""
+        if is_owner:
+            self.requests.grow(_OWNER_THREADS - _LEAST_THREADS)
+        else:
+            self.requests.shrink(_OWNER_THREADS - _LEAST_THREADS)
+
+
+class _RelayGateway(Gateway):
+    """Reads a call from cheroot and writes the reply."""
+
+    def respond(self) -> None:
+        """Answer one call."""
+        req = self.req
+        status, content = self._answer(req.path.decode("latin-1"), self._body())
+        req.status = status
+        req.outheaders.append((b"Content-Type", b"application/msgpack"))
+        req.outheaders.append((b"Content-Length", str(len(content)).encode()))
+        req.ensure_headers_sent()
+        req.write(content)
+
+    def _body(self) -> bytes:
+        req = self.req
+        length = int(req.inheaders.get(b"Content-Length", 0) or 0)
+        return req.rfile.read(length)
+
+    def _answer(self, path: str, body: bytes) -> tuple[bytes, bytes]:
+        try:
+            receipt = self._receipt(path, body)
+        except msgspec.MsgspecError:
+            return b"400 Bad Request", b""
+        except OwnerNotReachedError:
+            return b"409 Conflict", b""
+        except OwnerUnclearError:
+            receipt = Receipt(Verdict.UNCLEAR)
+        if receipt is None:
+            return b"404 Not Found", b""
+        return b"200 OK", _encoder.encode(ReceiptReply(receipt.verdict, receipt.late_ms))
+
+    def _receipt(self, path: str, body: bytes) -> Receipt | None:
+        """Return the owner's receipt; None if nothing is served at that path."""
+        if path == RelayPath.SUBMISSION:
+            handed_in = _submissions.decode(body)
+            request = SubmissionRequest(handed_in.job, handed_in.submission, handed_in.read_offset)
+            return self._ask(request, handed_in)
+        if path == RelayPath.CANCEL:
+            cancel = _cancels.decode(body)
+            return self._ask(CancelRequest(cancel.job), cancel)
+        return None
+
+    def _ask(self, request: OwnerRequest, call: SubmissionCall | CancelCall) -> Receipt:
+        requests = self.req.server.owner_requests
+        sender = call.sender
+        requests.note_peer(Peer(sender.incarnation, sender.cores, sender.store_age_s))
+        return requests.ask(request, call.timeout_ms / 1000.0, call.token)
--- /dev/null
+++ b/almondstack/relay/tests/test_relay.py
@@ -0,0 +1,159 @@
+"""Requests passed on to the owner in another process, over loopback."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from almondstack.core.http_client import HttpCaller
+from almondstack.intake import (
+    CancelRequest,
+    OwnerNotReachedError,
+    OwnerRequests,
+    OwnerUnclearError,
+    Peer,
+    Receipt,
+    SubmissionRequest,
+    Verdict,
+)
+from almondstack.jobs import JobBook, OwnerNotice, RecordKind, Submission, encode_notice, record_key
+from almondstack.relay import OwnerClient, RelayServer
+from almondstack.testing.addresses import free_address
+from almondstack.testing.job_builders import make_step
+
+_JOB = "5c0e7a21d94b36f8"
+_TOKEN = 7
+
+
+@pytest.fixture
+def owner():
+    """Serve requests for an owner on loopback."""
+    requests = OwnerRequests()
+    server = RelayServer(free_address(), requests)
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    yield requests, "{}:{}".format(*server.bind_addr), server
+    server.stop()
+    thread.join()
+
+
+def _client(address, token=_TOKEN):
+    book = JobBook()
+    _sign(book, address, token)
+    return OwnerClient(book, OwnerRequests(), lambda: Peer("a/1", 2.0, 0.1)), book
+
+
+def _sign(book, address, token=_TOKEN):
+    notice = OwnerNotice("o/1", token, "", {}, 1.0, address)
+    book.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+
+
+def _submission():
+    return SubmissionRequest(_JOB, Submission("q", "a", "spec", (make_step(2),)), 42)
+
+
+def _answering(receipt, seen):
+    def post(request):
+        seen.append(request)
+        request.take()
+        request.answer(receipt)
+
+    return post
+
+
+def test_a_submission_comes_to_the_owner_as_it_was_handed_in(owner):
+    requests, address, _ = owner
+    seen = []
+    requests.open(_TOKEN, _answering(Receipt(Verdict.FULL, 1_250.0), seen))
+    client, _ = _client(address)
+    assert client.ask(_submission(), 5.0) == Receipt(Verdict.FULL, 1_250.0)
+    assert seen[0].submission == _submission().submission
+    assert (seen[0].job, seen[0].read_offset) == (_JOB, 42)
+    assert requests.standby == "a/1"
+
+
+def test_a_cancel_comes_to_the_owner(owner):
+    requests, address, _ = owner
+    seen = []
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), seen))
+    client, _ = _client(address)
+    assert client.ask(CancelRequest(_JOB), 5.0).verdict is Verdict.DONE
+    assert isinstance(seen[0], CancelRequest) and seen[0].job == _JOB
+
+
+def test_an_owner_that_has_ended_takes_nothing(owner):
+    _, address, _ = owner
+    client, _ = _client(address)
+    with pytest.raises(OwnerNotReachedError):
+        client.ask(_submission(), 5.0)
+
+
+def test_where_nothing_listens_nothing_is_taken_and_the_next_caller_is_not_held_up():
+    client, book = _client(free_address())
+    with pytest.raises(OwnerNotReachedError, match="not-sent"):
+        client.ask(_submission(), 5.0)
+    _sign(book, client._book.notice.requests_address)
+    with pytest.raises(OwnerNotReachedError, match="a moment ago"):
+        client.ask(_submission(), 5.0)
+
+
+def test_an_owner_that_does_not_answer_is_asked_again_only_when_it_was_heard(monkeypatch):
+    """A paused process accepts connections and says nothing."""
+    with socket.create_server(("127.0.0.1", 0)) as mute:
+        address = f"127.0.0.1:{mute.getsockname()[1]}"
+        client, book = _client(address)
+        with pytest.raises(OwnerUnclearError):
+            client.ask(_submission(), 0.2)
+        monkeypatch.setattr("almondstack.relay.client._PAUSE_S", 0.0)
+        with pytest.raises(OwnerNotReachedError, match="a moment ago"):
+            client.ask(_submission(), 0.2)
+        time.sleep(0.01)
+        _sign(book, address)
+        with pytest.raises(OwnerUnclearError):
+            client.ask(_submission(), 0.2)
+
+
+def test_an_owner_in_this_process_is_asked_without_the_network():
+    book = JobBook()
+    requests = OwnerRequests()
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
+    client = OwnerClient(book, requests, lambda: Peer("a/1", 2.0, 0.1))
+    assert client.ask(_submission(), 1.0).verdict is Verdict.DONE
+
+
+@pytest.mark.parametrize("path", ["/v1/submissions", "/v1/cancels"])
+def test_what_does_not_decode_is_not_taken(owner, path):
+    requests, address, _ = owner
+    seen = []
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), seen))
+    assert HttpCaller(address).call("POST", path, 5.0, b"\xc1").status == 400
+    assert HttpCaller(address).call("POST", "/v1/elsewhere", 5.0, b"").status == 404
+    assert seen == []
+
+
+def test_an_owner_has_threads_for_many_requests_that_wait(owner):
+    """A slow store lets dozens wait for one append."""
+    requests, address, server = owner
+    waiting = []
+    many = 16
+    all_came = threading.Event()
+
+    def post(request):
+        request.take()
+        waiting.append(request)
+        if len(waiting) == many:
+            all_came.set()
+
+    requests.open(_TOKEN, post)
+    server.expect_requests(is_owner=True)
+    client, _ = _client(address)
+    callers = [threading.Thread(target=client.ask, args=(_submission(), 20.0)) for _ in range(many)]
+    for caller in callers:
+        caller.start()
+    assert all_came.wait(20.0)
+    for request in waiting:
+        request.answer(Receipt(Verdict.DONE))
+    for caller in callers:
+        caller.join()
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -1,9 +1,12 @@
 """A store of keyed records in memory, with faults that tests switch."""
 
+import contextlib
+
 from almondstack.ownership import (
     Batch,
     FencedError,
     HistoryLostError,
+    LogMovedError,
     Record,
     Snapshot,
     StoreRefusedError,
@@ -36,7 +39,6 @@
         self.loses_replies = 0
         self.first_offset = 0
         self.most_per_read = 1_000_000
-        self._attempts: dict[str, int] = {}
         self._token = 0
         self._sequence = 0
 
@@ -60,19 +62,12 @@
         self.records.extend(records)
         self._maybe_lose_reply()
 
-    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
-        """Append a record unless its epoch has been fenced."""
-        self._check()
-        is_repeat = self._attempts.get(producer) == epoch
-        self._note_attempt(producer, epoch)
-        if not is_repeat:
-            self.records.append(record)
-        self._maybe_lose_reply()
-
-    def fence_attempts(self, producer: str, epoch: int, timeout_s: float) -> None:
-        """Fence the attempts of a producer with lower epochs."""
+    def append_at(self, record: Record, offset: int, timeout_s: float) -> None:
+        """Append a record if the log ends at that offset."""
         self._check()
-        self._note_attempt(producer, epoch)
+        if offset != len(self.records):
+            raise LogMovedError(f"it does not end at {offset}")
+        self.records.append(record)
         self._maybe_lose_reply()
 
     def claim(self, token: int, record: Record, sequence: int) -> bool:
@@ -89,7 +84,7 @@
 
     def append_owned(
         self, records: list[Record], token: int, sequence: int, timeout_s: float = 1.0
-    ) -> None:
+    ) -> int:
         """Append records of the owner, once for each sequence."""
         self._check()
         if token < self._token or sequence not in (self._sequence, self._sequence + 1):
@@ -98,11 +93,7 @@
             self.records.extend(records)
             self._sequence = sequence
         self._maybe_lose_reply()
-
-    def _note_attempt(self, producer: str, epoch: int) -> None:
-        if epoch < self._attempts.get(producer, 0):
-            raise FencedError("fenced")
-        self._attempts[producer] = epoch
+        return len(self.records)
 
     def _check(self) -> None:
         if self.is_down:
@@ -115,28 +106,27 @@
 
 
 class LateStore:
-    """Answers no attempt, and carries it out later on another store.
+    """Answers no append at the end of the log, and carries it out later on another store.
 
     Parameters
     ----------
     store : FakeRecordStore
-        Takes the attempts when they are carried out.
+        Takes the appends when they are carried out.
     """
 
     def __init__(self, store: FakeRecordStore) -> None:
         self.tempo = StoreTempo()
         self._store = store
-        self._attempts: list[tuple[Record, str, int]] = []
+        self._late: list[tuple[Record, int]] = []
 
-    def append_attempt(self, record: Record, producer: str, epoch: int, timeout_s: float) -> None:
-        """Keep an attempt for later."""
-        self._attempts.append((record, producer, epoch))
+    def append_at(self, record: Record, offset: int, timeout_s: float) -> None:
+        """Keep an append for later."""
+        self._late.append((record, offset))
         raise StoreUnclearError("no answer")
 
     def carry_out(self) -> None:
-        """Carry out what is kept; what has been fenced meanwhile has no effect."""
-        for record, producer, epoch in self._attempts:
-            try:
-                self._store.append_attempt(record, producer, epoch, 1.0)
-            except FencedError:
-                continue
+        """Carry out what is kept; what the log has passed has no effect."""
+        late, self._late = self._late, []
+        for record, offset in late:
+            with contextlib.suppress(LogMovedError):
+                self._store.append_at(record, offset, 1.0)
--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -5,10 +5,9 @@
 from typing import Any
 from unittest import mock
 
-from almondstack.control import owner, runs, session
-from almondstack.intake import Verdict
-from almondstack.intake import service as intake_service
-from almondstack.jobs import RunEnd, active, book
+from almondstack.control import owner, request_rounds, runs, session
+from almondstack.jobs import RecordKind, RunEnd, active, book
+from almondstack.jobs.records import split_key
 from almondstack.placement import rounds
 
 __all__ = ["MUTATIONS"]
@@ -101,6 +100,31 @@
         yield
 
 
+@contextlib.contextmanager
+def _refusals_are_not_recorded() -> Iterator[None]:
+    """A refusal is answered without a record, so that the log may stay where it is."""
+    all_records = request_rounds.RequestRounds.records
+
+    def records(self: Any) -> list[Any]:
+        return [one for one in all_records(self) if split_key(one.key)[0] is not RecordKind.REFUSAL]
+
+    with mock.patch.object(request_rounds.RequestRounds, "records", records):
+        yield
+
+
+@contextlib.contextmanager
+def _refusals_are_answered_unread() -> Iterator[None]:
+    """A refusal is answered before the log has been read up to its record."""
+
+    def answer(self: Any) -> None:
+        waiting, self._unread = self._unread, []
+        for _, refusal in waiting:
+            self._answer_refusal(refusal)
+
+    with mock.patch.object(request_rounds.RequestRounds, "answer_refusals", answer):
+        yield
+
+
 def _patch(target: Any, name: str, value: Any) -> Callable[[], Any]:
     return lambda: mock.patch.object(target, name, value)
 
@@ -127,8 +151,10 @@
     ),
     "cancels are not heard by starts that wait": _starts_are_sent_whenever_their_turn_comes,
     "cancels are not heard": _deaf_to_cancels,
-    "refusals leave earlier attempts in force": _patch(
-        intake_service.JobService, "_shut_out", lambda *_arguments: Verdict.FULL
+    "refusals leave earlier attempts in force": _refusals_are_not_recorded,
+    "refusals are answered before the log is read": _refusals_are_answered_unread,
+    "refusals are forgotten when requests come late": _patch(
+        request_rounds.RequestRounds, "_remember", _nothing
     ),
 }
 """Each fault by its name."""
