Spread reads while the store turns some away; watch for an overdue configuration

Change: a process that is turned away for the rate spreads its reads of jobs and workers, not those of configurations. The owner's notice says which version it goes by; a process that has not read that version within a second reads it over a connection of its own, and says so ('configuration-overdue').

--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -130,6 +130,7 @@
             self._services.cores,
             self._services.requests_address,
             self._services.requests.standby,
+            self._services.policies().version,
         )
 
     def _sign(self, notice: OwnerNotice) -> Record:
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -64,6 +64,8 @@
         Where the owner takes what callers ask of other processes; empty if it takes none.
     standby : str
         Incarnation of the process that should own the jobs next; empty if any.
+    configuration : int
+        Version of the configuration that the owner goes by.
     """
 
     owner: str
@@ -73,6 +75,7 @@
     cores: float = 0.0
     requests_address: str = ""
     standby: str = ""
+    configuration: int = 0
 
 
 _submissions = msgspec.msgpack.Decoder(Submission)
--- a/almondstack/ownership/__init__.py
+++ b/almondstack/ownership/__init__.py
@@ -10,6 +10,7 @@
 )
 from almondstack.ownership.follower import Follower
 from almondstack.ownership.ports import Batch, Record, RecordStore, Snapshot
+from almondstack.ownership.read_pace import ReadPace
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.tempo import StoreTempo
 from almondstack.ownership.vacancy import Vacancy
@@ -21,6 +22,7 @@
     "HistoryLostError",
     "LogMovedError",
     "OwnershipSettings",
+    "ReadPace",
     "Record",
     "RecordStore",
     "Snapshot",
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -174,7 +174,8 @@
                 self.step()
             except StoreError as error:
                 self._note_failure(error)
-                self._stop.wait(self._settings.retry_pause_s)
+                pause_s = self._settings.retry_pause_s * random.uniform(0.8, 1.2)
+                self._stop.wait(pause_s * self._store.read_pace.factor())
 
     def step(self) -> None:
         """Read once, and claim ownership if it is vacant; what the thread does over and over.
@@ -197,7 +198,8 @@
             self._claim()
             return
         is_close = self._preference.is_standby
-        self._stop.wait(self._settings.owner_pace_s if is_close else self._settings.pace_s)
+        pace_s = self._settings.owner_pace_s if is_close else self._settings.pace_s
+        self._stop.wait(pace_s * self._store.read_pace.factor())
 
     def _load(self) -> None:
         with self._lock:
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple, Protocol
 
+from almondstack.ownership.read_pace import ReadPace
 from almondstack.ownership.tempo import StoreTempo
 
 __all__ = ["Batch", "Record", "RecordStore", "Snapshot"]
@@ -37,6 +38,11 @@
         """How fast it has answered lately."""
         ...
 
+    @property
+    def read_pace(self) -> ReadPace:
+        """How far apart reads should be."""
+        ...
+
     def snapshot(self) -> Snapshot:
         """Read the newest record of each key.
 
--- /dev/null
+++ b/almondstack/ownership/read_pace.py
@@ -0,0 +1,64 @@
+"""How far apart the reads of a process are, so that all processes share the store's rate."""
+
+import threading
+import time
+
+__all__ = ["ReadPace"]
+
+_STEP = 1.5
+"""By this factor reads are spread each time that the store turns one away for its rate."""
+
+_STEP_INTERVAL_S = 0.5
+"""Reads that are turned away within so short a time tell of one overload, in seconds."""
+
+_MOST = 16.0
+_DECAY_PER_S = 0.97
+"""What is left of the factor after each second in which no read was turned away."""
+
+
+class ReadPace:
+    """Spreads reads while the store takes no more of them, and brings them back slowly.
+
+    Explanation
+    -----------
+    Nobody knows how many processes share the stated rate.  Each spreads its reads
+    at a refusal and comes back slowly, as senders do that share a link (additive
+    and multiplicative changes, RFC 5681); what must come in time, configurations
+    above all, is not spread and finds room.
+
+    Examples
+    --------
+    >>> pace = ReadPace()
+    >>> pace.factor(10.0)
+    1.0
+    >>> pace.note_refused(10.0)
+    >>> pace.note_refused(10.1)
+    >>> pace.factor(10.1)
+    1.5
+    >>> pace.note_refused(11.0)
+    >>> pace.factor(11.0) > 2.0, pace.factor(60.0)
+    (True, 1.0)
+    """
+
+    __slots__ = ("_factor", "_lock", "_refused_s", "_stepped_s")
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._factor = 1.0
+        self._refused_s = 0.0
+        self._stepped_s = 0.0
+
+    def factor(self, now_s: float | None = None) -> float:
+        """Return by what to multiply the pause between two reads."""
+        now_s = time.monotonic() if now_s is None else now_s
+        quiet_s = max(0.0, now_s - self._refused_s)
+        return max(1.0, self._factor * _DECAY_PER_S**quiet_s)
+
+    def note_refused(self, now_s: float | None = None) -> None:
+        """Note that the store turned a read away for its rate."""
+        now_s = time.monotonic() if now_s is None else now_s
+        with self._lock:
+            if now_s - self._stepped_s >= _STEP_INTERVAL_S:
+                self._factor = min(_MOST, self.factor(now_s) * _STEP)
+                self._stepped_s = now_s
+            self._refused_s = now_s
--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -15,6 +15,7 @@
 
 __all__ = ["ConfigurationFollower", "StoreDirectory"]
 
+_TOPIC = "keyed.op"
 _CONFIG_KEY = "config"
 _WAVE_PREFIX = "wave/"
 _READY = "ready"
@@ -51,21 +52,23 @@
         Takes a line for each version and each wave.
     """
 
-    __slots__ = ("_events", "_follower", "_holder")
+    __slots__ = ("_connection", "_events", "_follower", "_holder")
 
     def __init__(
         self, connection: StoreConnection, holder: ConfigurationHolder, events: EventLog
     ) -> None:
+        self._connection = connection
         self._holder = holder
         self._events = events
         self._follower = TopicFollower(
             "configuration",
-            KeyedTopic(connection, "keyed.op", _CONFIG_MOST_KB),
+            KeyedTopic(connection, _TOPIC, _CONFIG_MOST_KB),
             self._take,
             self._take_all,
             events,
             _CONFIG_WAIT_S,
             _CONFIG_PAUSE_S,
+            is_urgent=True,
         )
 
     def start(self) -> None:
@@ -76,6 +79,20 @@
         """Stop to follow."""
         self._follower.stop()
 
+    def read_again(self) -> None:
+        """Read the newest records in the calling thread, over a connection of its own.
+
+        Raises
+        ------
+        StoreError
+            The store did not answer as it should.
+        """
+        connection = StoreConnection(self._connection.address)
+        try:
+            self._take_all(KeyedTopic(connection, _TOPIC).snapshot().records)
+        finally:
+            connection.close()
+
     def _take_all(self, records: list[Record]) -> None:
         for record in records:
             self._take(record)
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -19,6 +19,7 @@
 from almondstack.ownership.liveness import Liveness
 from almondstack.platform.advice import HttpAdvice
 from almondstack.platform.configuration import ConfigurationHolder
+from almondstack.platform.configuration_watch import ConfigurationWatch
 from almondstack.platform.directory import ConfigurationFollower, StoreDirectory
 from almondstack.platform.front import FrontServer, JobFront
 from almondstack.platform.instances import HttpInstances
@@ -78,6 +79,9 @@
         self._book = JobBook()
         self._directory = StoreDirectory(self._connection, self._holder, self._events)
         self._configuration = ConfigurationFollower(self._connection, self._holder, self._events)
+        self._watch = ConfigurationWatch(
+            self._book, self._holder, self._configuration.read_again, self._events
+        )
         self._follower = Follower(
             self._store,
             self._book,
@@ -125,6 +129,7 @@
         self._follower.start()
         while not self._leaving.wait(_SETTINGS_POLL_S):
             self._reload_settings()
+            self._watch.check()
         self._leave()
         return 0
 
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -13,6 +13,7 @@
     FencedError,
     HistoryLostError,
     LogMovedError,
+    ReadPace,
     Record,
     Snapshot,
     StoreError,
@@ -32,7 +33,8 @@
 _NOTHING_DONE = frozenset({400, 403, 404, 413, 429, 503, 507})
 """Statuses that say that nothing was stored."""
 
-_BUSY = frozenset({429, 503})
+_TOO_MANY = 429
+_BUSY = frozenset({_TOO_MANY, 503})
 """Statuses of a store that takes no more for now."""
 
 _PRODUCER = "owner"
@@ -61,15 +63,27 @@
     ----------
     tempo : StoreTempo
         How fast it has answered lately.
+    read_pace : ReadPace
+        How far apart reads should be.
     """
 
-    __slots__ = ("_caller", "tempo")
+    __slots__ = ("_caller", "read_pace", "tempo")
 
     _CONNECTIONS = 8
 
     def __init__(self, address: str) -> None:
         self._caller = HttpCaller(address, self._CONNECTIONS)
         self.tempo = StoreTempo()
+        self.read_pace = ReadPace()
+
+    @property
+    def address(self) -> str:
+        """The address that is called."""
+        return self._caller.address
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._caller.close()
 
     def use_address(self, address: str) -> None:
         """Call another address from now on."""
@@ -89,6 +103,8 @@
         except (NotSentError, NoAnswerError) as error:
             raise StoreRefusedError(str(error)) from error
         self.tempo.note_read(time.monotonic() - began_s, wait_s)
+        if reply.status == _TOO_MANY:
+            self.read_pace.note_refused()
         if reply.status not in (_OK, _GONE, _NOT_FOUND):
             raise StoreRefusedError(f"status {reply.status}")
         return reply
@@ -147,6 +163,11 @@
         """How fast the store has answered lately."""
         return self._connection.tempo
 
+    @property
+    def read_pace(self) -> ReadPace:
+        """How far apart reads should be."""
+        return self._connection.read_pace
+
     def snapshot(self) -> Snapshot:
         """Read the newest record of each key; see ``RecordStore``."""
         records: list[Record] = []
--- a/almondstack/platform/topic_follower.py
+++ b/almondstack/platform/topic_follower.py
@@ -1,5 +1,6 @@
 """Reads a keyed topic of the platform's store for as long as the process lives."""
 
+import random
 import threading
 import time
 from collections.abc import Callable
@@ -34,12 +35,15 @@
         Takes a line when the topic is lost and regained.
     wait_s, pause_s : float
         How long a read waits, and the pause between two, in seconds.
+    is_urgent : bool
+        Whether to read on as often while the store turns reads away for its rate.
     """
 
     __slots__ = (
         "_events",
         "_failing_since_s",
         "_is_lost",
+        "_is_urgent",
         "_name",
         "_reset",
         "_stop",
@@ -59,6 +63,8 @@
         events: EventLog,
         wait_s: float,
         pause_s: float,
+        *,
+        is_urgent: bool = False,
     ) -> None:
         self._name = name
         self._topic = topic
@@ -68,6 +74,7 @@
         self._wait_s = wait_s
         self.pause_s = pause_s
         self._is_lost = False
+        self._is_urgent = is_urgent
         self._failing_since_s: float | None = None
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
@@ -89,7 +96,7 @@
                 offset = None
             except StoreError as error:
                 self._note_lost(error)
-                self._stop.wait(_RETRY_PAUSE_S)
+                self._stop.wait(_RETRY_PAUSE_S * random.uniform(0.8, 1.2) * self._spread())
             except Exception as error:
                 # A fault of ours: a process that no longer follows would go by old versions.
                 self._events.write("topic-failed", topic=self._name, error=repr(error))
@@ -97,7 +104,11 @@
                 self._stop.wait(_RETRY_PAUSE_S)
             else:
                 self._note_regained()
-                self._stop.wait(self.pause_s)
+                self._stop.wait(self.pause_s * self._spread())
+
+    def _spread(self) -> float:
+        """Return by what pauses are longer while all processes together read too much."""
+        return 1.0 if self._is_urgent else self._topic.read_pace.factor()
 
     def step(self, offset: int | None) -> int | None:
         """Read once from an offset, or the newest records; return where to go on.
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -7,6 +7,7 @@
     FencedError,
     HistoryLostError,
     LogMovedError,
+    ReadPace,
     Record,
     Snapshot,
     StoreRefusedError,
@@ -34,6 +35,7 @@
 
     def __init__(self) -> None:
         self.tempo = StoreTempo()
+        self.read_pace = ReadPace()
         self.records: list[Record] = []
         self.is_down = False
         self.loses_replies = 0
