Keep connections between processes open, and room for new ones; be unready sooner without the store

And processes of a cut zone, which reach neither owner nor store, were ready for 2 s more and refused 90 callers a second.

Change: 512 idle and 256 waiting connections on all servers; ready and willing to store only 1.2 s after the store was last heard, more where reads are spread.

Test: 40 processes keep their connections (fails with a limit of ten).

--- a/almondstack/core/http_server.py
+++ b/almondstack/core/http_server.py
@@ -4,6 +4,13 @@
 
 __all__ = ["QuietServer"]
 
+_WAITING_CONNECTIONS = 256
+"""Connections that may wait to be accepted; where there is no place for one, its opening
+packet is sent again only after a second."""
+
+_IDLE_CONNECTIONS = 512
+"""Connections that are kept open between requests; each of hundreds of processes has a few."""
+
 
 class QuietServer(HTTPServer):
     """A cheroot server that writes no lines of its own on connections that were broken off.
@@ -19,6 +26,8 @@
     def __init__(self, address: tuple[str, int], gateway: type[Gateway]) -> None:
         super().__init__(address, gateway, server_name="almondstack")
         self.shutdown_timeout = 1
+        self.request_queue_size = _WAITING_CONNECTIONS
+        self.keep_alive_conn_limit = _IDLE_CONNECTIONS
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Drop a line of cheroot."""
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -23,7 +23,8 @@
 
 _SILENT_S = 1.0
 """A store that this process has not heard for longer is not asked for new jobs, in seconds;
-while it answers, one read follows on another within three quarters of a second."""
+while it answers, one read follows on another within three quarters of a second, if reads are
+not spread."""
 
 _MOST_NOTICE_AGE_S = 2.5
 """What the owner said longer ago says nothing of now, in seconds."""
@@ -204,7 +205,8 @@
         job = wanted.job
         late_ms = self._excess_wait_ms(submission, policy)
         silence_s = self._reader.contact_age_s
-        if late_ms > 0 or silence_s > _SILENT_S:
+        most_silence_s = _SILENT_S * self._store.read_pace.factor()
+        if late_ms > 0 or silence_s > most_silence_s:
             return Receipt(self._not_stored(job), late_ms)
         self._attempts.begin(job)
         verdict = self._direct.submit(wanted, timeout_s)
--- a/almondstack/platform/front.py
+++ b/almondstack/platform/front.py
@@ -211,7 +211,6 @@
         super().__init__(parse_address(address), _FrontGateway)
         self.front = front
         self.timeout = _IDLE_TIMEOUT_S
-        self.request_queue_size = 256
         self.requests = ThreadPool(self, min=threads, max=threads)
         self.is_leaving = False
         self._active = 0
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -41,8 +41,9 @@
 _STACK_BYTES = 256 * 1024
 """Threads only wait and call; hundreds of them must fit into the machine's memory."""
 
-_READY_WITHOUT_STORE_S = 2.0
-"""A process that has not heard the store for so long sends callers elsewhere."""
+_READY_WITHOUT_STORE_S = 1.2
+"""A process that has not heard the store for so long sends callers elsewhere, in seconds; longer
+where reads are spread.  The platform needs two seconds more to notice."""
 
 _LEAVE_NOTICE_S = 2.3
 """The platform needs two missed looks, one a second, to send no new callers."""
@@ -184,10 +185,11 @@
         )
 
     def _render_ready(self) -> tuple[int, bytes]:
+        most_age_s = _READY_WITHOUT_STORE_S * self._connection.read_pace.factor()
         is_ready = (
             self._holder.configuration is not None
             and self._follower.is_loaded
-            and self._follower.contact_age_s < _READY_WITHOUT_STORE_S
+            and self._follower.contact_age_s < most_age_s
             and not self._leaving.is_set()
         )
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
--- a/almondstack/relay/server.py
+++ b/almondstack/relay/server.py
@@ -25,6 +25,9 @@
 _OWNER_THREADS = 48
 """Requests that an owner holds until its next append is answered; each takes a thread."""
 
+_IDLE_TIMEOUT_S = 60
+"""A connection between processes is kept for so long without a request, in seconds."""
+
 _encoder = msgspec.msgpack.Encoder()
 _submissions = msgspec.msgpack.Decoder(SubmissionCall)
 _cancels = msgspec.msgpack.Decoder(CancelCall)
@@ -47,6 +50,7 @@
 
     def __init__(self, address: str, requests: OwnerRequests) -> None:
         super().__init__(parse_address(address), _RelayGateway)
+        self.timeout = _IDLE_TIMEOUT_S
         self.owner_requests = requests
         self.requests = ThreadPool(self, min=_LEAST_THREADS, max=_OWNER_THREADS)
 
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -133,6 +133,20 @@
     assert seen == []
 
 
+def test_connections_of_many_processes_stay_open(owner):
+    """Ten were kept; the others were opened anew for each request, and some found no place."""
+    requests, address, _ = owner
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
+    clients = [_client(address)[0] for _ in range(40)]
+    for client in clients:
+        client.ask(_submission(), 5.0)
+    opened = [client._caller._last_connection for client in clients]
+    for client in clients:
+        client.ask(_submission(), 5.0)
+    assert all(connection.is_connected for connection in opened)
+    assert [client._caller._last_connection for client in clients] == opened
+
+
 def test_an_owner_has_threads_for_many_requests_that_wait(owner):
     """A slow store lets dozens wait for one append."""
     requests, address, server = owner
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -118,6 +118,7 @@
 
     def __init__(self, store: FakeRecordStore) -> None:
         self.tempo = StoreTempo()
+        self.read_pace = ReadPace()
         self._store = store
         self._late: list[tuple[Record, int]] = []
 
