Name a standby in another zone; more threads for callers that wait for the owner

And a process has twelve threads for callers, of which a slow store holds each submission for up to a second.

Change: a request says its process's zone, the standby is one in another zone if any is; 24 threads. Test: test_zone_cut_the_standby_is_in_another_zone_if_any_is.

--- a/almondstack/intake/requests.py
+++ b/almondstack/intake/requests.py
@@ -114,16 +114,24 @@
         Speed of its processor, in cores.
     store_age_s : float
         Seconds since it last heard the store.
+    zone : str
+        Its availability zone.
     """
 
     incarnation: str
     cores: float
     store_age_s: float
+    zone: str = ""
 
 
 class OwnerRequests:
     """Where requests wait for the owner, for as long as this process owns the jobs.
 
+    Parameters
+    ----------
+    zone : str, optional
+        Availability zone of this process.
+
     Examples
     --------
     >>> requests = OwnerRequests()
@@ -134,9 +142,10 @@
     'done'
     """
 
-    __slots__ = ("_lock", "_peers", "_post", "_standby", "_token", "_waiting")
+    __slots__ = ("_lock", "_peers", "_post", "_standby", "_token", "_waiting", "_zone")
 
-    def __init__(self) -> None:
+    def __init__(self, zone: str = "") -> None:
+        self._zone = zone
         self._lock = threading.Lock()
         self._post: Callable[[OwnerRequest], None] | None = None
         self._token = 0
@@ -151,12 +160,14 @@
         Explanation
         -----------
         Of those that were heard of lately and hear the store, one with the fastest
-        processor; the same as long as it is one of these.
+        processor; the same as long as it is one of these.  One in another zone, if
+        there is any: zones are cut off as a whole.
         """
         heard_s = time.monotonic() - _FRESH_S
         with self._lock:
             self._peers = {key: item for key, item in self._peers.items() if item[0] >= heard_s}
             able = [peer for _, peer in self._peers.values() if peer.store_age_s < _STORE_HEARD_S]
+            able = [peer for peer in able if peer.zone != self._zone] or able
             most_cores = max((peer.cores for peer in able), default=0.0)
             fastest = sorted(peer.incarnation for peer in able if peer.cores == most_cores)
             if self._standby not in fastest:
--- a/almondstack/intake/tests/test_requests.py
+++ b/almondstack/intake/tests/test_requests.py
@@ -84,6 +84,15 @@
     assert requests.standby == "fast-a/1"
 
 
+def test_zone_cut_the_standby_is_in_another_zone_if_any_is():
+    """Owner and standby were cut off together, and all others left it the first claim."""
+    requests = OwnerRequests("a")
+    requests.note_peer(Peer("near/1", 2.0, 0.1, "a"))
+    assert requests.standby == "near/1"
+    requests.note_peer(Peer("far/1", 0.5, 0.1, "b"))
+    assert requests.standby == "far/1"
+
+
 def test_a_process_that_was_not_heard_of_for_long_is_no_standby(monkeypatch):
     requests = OwnerRequests()
     requests.note_peer(Peer("fast/1", 2.0, 0.1))
--- a/almondstack/platform/front.py
+++ b/almondstack/platform/front.py
@@ -17,7 +17,9 @@
 
 __all__ = ["Answer", "FrontServer", "JobFront", "Request"]
 
-_THREADS = 12
+_THREADS = 24
+"""Requests answered at one time; in a slow store's time most of them wait for the owner."""
+
 _IDLE_TIMEOUT_S = 30
 _ID_DIGITS = 16
 _BYTE_VALUES = 256
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -93,7 +93,7 @@
             self._take_over,
             settings.limits.cores,
         )
-        self._requests = OwnerRequests()
+        self._requests = OwnerRequests(settings.zone)
         self._relay = RelayServer(settings.relay_address, self._requests)
         service = JobService(
             self._store,
@@ -196,10 +196,10 @@
 
     def _describe(self) -> Peer:
         """Return what other processes are told of this one."""
-        cores = self._file.settings.limits.cores
+        settings = self._file.settings
         # One that is about to end is no standby.
         age_s = math.inf if self._leaving.is_set() else self._follower.contact_age_s
-        return Peer(self._incarnation, cores, age_s)
+        return Peer(self._incarnation, settings.limits.cores, age_s, settings.zone)
 
     def _liveness(self) -> Liveness:
         """Return what other processes may ask of this one."""
--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -109,7 +109,7 @@
 
     def _sender(self) -> Sender:
         peer = self._describe()
-        return Sender(peer.incarnation, peer.cores, round(peer.store_age_s, 2))
+        return Sender(peer.incarnation, peer.cores, round(peer.store_age_s, 2), peer.zone)
 
     def _caller_of(self, address: str) -> HttpCaller:
         with self._lock:
--- a/almondstack/relay/messages.py
+++ b/almondstack/relay/messages.py
@@ -23,6 +23,7 @@
     incarnation: str
     cores: float
     store_age_s: float
+    zone: str
 
 
 class SubmissionCall(msgspec.Struct, frozen=True, array_like=True):
--- a/almondstack/relay/server.py
+++ b/almondstack/relay/server.py
@@ -107,5 +107,5 @@
     def _ask(self, request: OwnerRequest, call: SubmissionCall | CancelCall) -> Receipt:
         requests = self.req.server.owner_requests
         sender = call.sender
-        requests.note_peer(Peer(sender.incarnation, sender.cores, sender.store_age_s))
+        requests.note_peer(Peer(sender.incarnation, sender.cores, sender.store_age_s, sender.zone))
         return requests.ask(request, call.timeout_ms / 1000.0, call.token)
