Wait 0.6 s for the owner's answer, and ask none that has fallen silent

When the owner is cut off or loses power, each process held its callers for 1.5 s before it stored their jobs itself.

Change: 0.6 s, as an owner answers within a tenth of a second; an owner of which the store has brought nothing for a second (longer where the store is slow or reads are spread) is not asked. Test: test_power_lost_an_owner_that_the_store_brings_nothing_of_is_not_asked.

--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -32,9 +32,9 @@
 _OWNER_POLL_S = 0.05
 """How often to ask for another owner while the store is slow, in seconds."""
 
-_OWNER_TIMEOUT_S = 1.5
-"""An owner that has not answered by then may be paused; the caller still has time for another
-way then.  In seconds."""
+_OWNER_TIMEOUT_S = 0.6
+"""An owner answers after its next append, within a tenth of a second; one that has not by then
+may be paused or cut off, and the job is soon stored in another way.  In seconds."""
 
 
 class JobService:
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -51,6 +51,9 @@
 _LEAVE_MARGIN_S = 1.2
 """Time kept of the grace for closing down."""
 
+_ANSWERS_BETWEEN_SIGNS = 4.0
+"""Answers of a slow store between two signs of the owner that a process reads, at most."""
+
 _POLL_S = 0.05
 
 _SETTINGS_POLL_S = 0.2
@@ -99,7 +102,7 @@
             self._store,
             self._book,
             self._follower,
-            OwnerClient(self._book, self._requests, self._describe),
+            OwnerClient(self._book, self._requests, self._describe, self._spread),
             self._events,
             self._metrics,
         )
@@ -201,6 +204,11 @@
         age_s = math.inf if self._leaving.is_set() else self._follower.contact_age_s
         return Peer(self._incarnation, settings.limits.cores, age_s, settings.zone)
 
+    def _spread(self) -> float:
+        """Return by what factor answers of the store are further apart than usual."""
+        answer_s = self._connection.tempo.answer_s
+        return self._connection.read_pace.factor() + _ANSWERS_BETWEEN_SIGNS * answer_s
+
     def _liveness(self) -> Liveness:
         """Return what other processes may ask of this one."""
         owner = self._owner
--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -35,6 +35,10 @@
 """An owner that could not be asked is not asked again for so long, in seconds; there is another
 way, which a caller should not come to late."""
 
+_SILENT_S = 1.0
+"""An owner of which the store brought nothing for longer is not asked, in seconds; it writes
+several times a second, and reads may be this far apart unless they are spread."""
+
 _MS = 1000.0
 
 _encoder = msgspec.msgpack.Encoder()
@@ -52,6 +56,8 @@
         Takes requests while this process owns them.
     describe : callable
         Returns how this process is and hears the store now.
+    spread : callable
+        Returns by what factor the store's answers may be further apart than usual.
     """
 
     __slots__ = (
@@ -62,13 +68,19 @@
         "_failed_token",
         "_lock",
         "_requests",
+        "_spread",
     )
 
     def __init__(
-        self, book: JobBook, requests: OwnerRequests, describe: Callable[[], Peer]
+        self,
+        book: JobBook,
+        requests: OwnerRequests,
+        describe: Callable[[], Peer],
+        spread: Callable[[], float],
     ) -> None:
         self._book = book
         self._requests = requests
+        self._spread = spread
         self._describe = describe
         self._lock = threading.Lock()
         self._caller: HttpCaller | None = None
@@ -83,11 +95,14 @@
         if notice is None or not notice.owner or not notice.requests_address:
             raise OwnerNotReachedError("nobody owns the jobs")
         if self._is_doubtful(notice):
-            raise OwnerNotReachedError("the owner could not be asked a moment ago")
+            raise OwnerNotReachedError("the owner is silent, or could not be asked a moment ago")
         return self._call(notice, request, timeout_s)
 
     def _is_doubtful(self, notice: OwnerNotice) -> bool:
-        """Whether this owner has failed lately, or was not heard since it did."""
+        """Whether this owner is silent, has failed lately, or was not heard since it did."""
+        silence_s = time.monotonic() - self._book.owner_heard_s
+        if silence_s > _SILENT_S * self._spread():
+            return True
         if notice.token != self._failed_token:
             return False
         is_recent = time.monotonic() - self._failed_s < _PAUSE_S
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -42,7 +42,7 @@
 def _client(address, token=_TOKEN):
     book = JobBook()
     _sign(book, address, token)
-    return OwnerClient(book, OwnerRequests(), lambda: Peer("a/1", 2.0, 0.1)), book
+    return OwnerClient(book, OwnerRequests(), lambda: Peer("a/1", 2.0, 0.1), lambda: 1.0), book
 
 
 def _sign(book, address, token=_TOKEN):
@@ -115,11 +115,24 @@
             client.ask(_submission(), 0.2)
 
 
+def test_power_lost_an_owner_that_the_store_brings_nothing_of_is_not_asked(owner, monkeypatch):
+    """Each process waited 1.5 s for it while callers' time went by."""
+    requests, address, _ = owner
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
+    client, book = _client(address)
+    assert client.ask(_submission(), 5.0).verdict is Verdict.DONE
+    monkeypatch.setattr(book, "_owner_heard_s", time.monotonic() - 1.5)
+    with pytest.raises(OwnerNotReachedError, match="a moment ago"):
+        client.ask(_submission(), 5.0)
+    client._spread = lambda: 4.0
+    assert client.ask(_submission(), 5.0).verdict is Verdict.DONE
+
+
 def test_an_owner_in_this_process_is_asked_without_the_network():
     book = JobBook()
     requests = OwnerRequests()
     requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
-    client = OwnerClient(book, requests, lambda: Peer("a/1", 2.0, 0.1))
+    client = OwnerClient(book, requests, lambda: Peer("a/1", 2.0, 0.1), lambda: 1.0)
     assert client.ask(_submission(), 1.0).verdict is Verdict.DONE
 
 
