Pause before a submission that others overtook is appended again

Change: 20 ms at first, up to 0.3 s, by lot. Test: test_many_processes_an_append_that_others_overtake_each_time_is_not_tried_without_a_pause.

--- a/almondstack/intake/direct.py
+++ b/almondstack/intake/direct.py
@@ -1,5 +1,6 @@
 """Handing jobs in at the store itself, where the owner can't be asked."""
 
+import random
 import time
 from collections.abc import Callable
 
@@ -20,6 +21,11 @@
 __all__ = ["DirectStorage", "DirectSubmission"]
 
 
+_PAUSE_S, _MOST_PAUSE_S = 0.02, 0.3
+"""First and longest pause before a submission that others overtook is appended again, in seconds
+and on average; each try is a read and an append, of which the store takes so many for all."""
+
+
 class DirectSubmission:
     """A job to store.
 
@@ -104,7 +110,10 @@
         return verdict
 
     def _append(self, wanted: DirectSubmission, try_s: float, until_s: float) -> None:
+        pause_s = _PAUSE_S
         while not self._append_at_end(wanted, try_s):
+            time.sleep(pause_s * random.uniform(0.5, 1.5))
+            pause_s = min(2 * pause_s, _MOST_PAUSE_S)
             if time.monotonic() >= until_s:
                 raise StoreRefusedError("the log went on before each append")
 
--- a/almondstack/platform/tests/test_front.py
+++ b/almondstack/platform/tests/test_front.py
@@ -19,7 +19,7 @@
     encode_notice,
     record_key,
 )
-from almondstack.ownership import Record
+from almondstack.ownership import LogMovedError, Record
 from almondstack.platform.configuration import ConfigurationHolder
 from almondstack.platform.front import JobFront
 from almondstack.platform.tests.builders import JOB, configuration_bytes, job_body, request
@@ -318,6 +318,22 @@
     assert len(front.store.records) == 2
 
 
+def test_many_processes_an_append_that_others_overtake_each_time_is_not_tried_without_a_pause(
+    front, monkeypatch
+):
+    """Hundreds that appended for themselves would use up the store's rate for all."""
+    tries = []
+
+    def always_others(*arguments):
+        tries.append(arguments)
+        raise LogMovedError("others came first")
+
+    monkeypatch.setattr(front.store, "append_at", always_others)
+    answer = front.ask("POST", body=job_body(), deadline_s=0.65)
+    assert answer.status == 503 and answer.retry_after_s
+    assert 2 <= len(tries) <= 20
+
+
 def test_an_attempt_that_another_overtook_is_found_in_the_store():
     """It has read less, so that its own append comes too late and it reads on."""
     front, other = _two_processes()
