Leave it open whether a request was taken where the owner's process answers with a fault

Change: only 400, 404 and 409 say it. Test: test_a_fault_of_the_owners_process_leaves_open_whether_it_has_taken_the_request.

--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -24,6 +24,9 @@
 __all__ = ["OwnerClient"]
 
 _OK = 200
+_NOT_TAKEN = frozenset({400, 404, 409})
+"""Statuses by which the server says that the owner has not taken a request, and won't."""
+
 _CONNECTIONS = 4
 _CONNECT_TIMEOUT_S = 0.15
 """All processes are within milliseconds of each other."""
@@ -170,9 +173,11 @@
 
 
 def _receipt(reply: HttpReply) -> Receipt:
-    """Return what a reply says; any status but success says that the request was not taken."""
-    if reply.status != _OK:
+    """Return what a reply says; an unforeseen status leaves it open whether it was taken."""
+    if reply.status in _NOT_TAKEN:
         raise OwnerNotReachedError(f"status {reply.status}")
+    if reply.status != _OK:
+        raise OwnerUnclearError(f"status {reply.status}")
     try:
         found = _replies.decode(reply.body)
     except msgspec.MsgspecError as error:
--- a/almondstack/relay/server.py
+++ b/almondstack/relay/server.py
@@ -38,7 +38,7 @@
 
     Explanation
     -----------
-    Any status but 200 says that the request was not taken, and won't be.
+    The statuses 400, 404 and 409 say that the request was not taken, and won't be.
 
     Parameters
     ----------
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -146,6 +146,19 @@
     assert seen == []
 
 
+def test_a_fault_of_the_owners_process_leaves_open_whether_it_has_taken_the_request(owner):
+    requests, address, _ = owner
+
+    def post(request):
+        request.take()
+        raise RuntimeError("a fault")
+
+    requests.open(_TOKEN, post)
+    client, _ = _client(address)
+    with pytest.raises(OwnerUnclearError):
+        client.ask(_submission(), 5.0)
+
+
 def test_connections_of_many_processes_stay_open(owner):
     """Ten were kept; the others were opened anew for each request, and some found no place."""
     requests, address, _ = owner
