Move runs that stand still or crawl to another worker

Change: each look's progress is kept by the worker's clock; a run whose rest would take half as long again as the task anew elsewhere is stopped and placed on another worker that has room, at most twice for a task. The end of the stopped run is listed before the next one starts, so nothing runs twice.

--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -15,6 +15,7 @@
 from almondstack.jobs import ActiveJob, RecordKind, record_key
 from almondstack.ownership import Record
 from almondstack.placement import Policies
+from almondstack.placement.backlog import EstimateCorrection
 
 __all__ = ["FleetRounds"]
 
@@ -88,6 +89,11 @@
         self._moves: list[Move] = []
         self._written: dict[str, int] = {}
 
+    @property
+    def correction(self) -> EstimateCorrection:
+        """How callers' estimates relate to what runs take."""
+        return self._admission.correction
+
     @property
     def waits_ms(self) -> dict[str, int]:
         """How long new work would wait, by pool and client account."""
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -27,6 +27,7 @@
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
 from almondstack.control.sessions import SessionTable
+from almondstack.control.stalls import StallRounds
 from almondstack.intake import CancelRequest, SubmissionRequest
 from almondstack.jobs import (
     ActiveJob,
@@ -84,6 +85,7 @@
         "_requests",
         "_services",
         "_sessions",
+        "_stalls",
         "_starts",
         "_table",
         "_thread",
@@ -113,6 +115,13 @@
         self._records = JobRecords(services, self._planner)
         self._requests = RequestRounds(services, self._planner)
         self._fleet = FleetRounds(self._table, self._planner, services, token)
+        self._stalls = StallRounds(
+            self._table,
+            self._planner,
+            self._fleet.correction,
+            services.control.stop_s,
+            services.events,
+        )
         self._pacing = Pacing(self._table, self._sessions)
         self._report = RoundReport(services.events, services.metrics)
         self._starts: list[Task] = []
@@ -212,6 +221,7 @@
         with self._report.part("workers"):
             self._look_after_workers(now_s)
             self._table.retry_stops(now_s)
+            self._stalls.round(now_s)
         with self._report.part("fleet"):
             self._fleet.round(now_s)
         with self._report.part("placement"):
--- a/almondstack/control/pending_runs.py
+++ b/almondstack/control/pending_runs.py
@@ -1,6 +1,7 @@
 """What is not yet known of a run, and which life of a worker it is on."""
 
 from almondstack.placement import WorkerInfo
+from almondstack.placement.progress import Progress
 
 __all__ = ["PendingRun", "is_other_life", "is_same_life"]
 
@@ -16,6 +17,8 @@
         A start may have been carried out, or not.
     is_inherited : bool
         An owner before has started it.
+    progress : Progress
+        How fast it gets on.
     confirmed_s : float or None
         When its worker was heard to have it, in monotonic seconds.
     rehomed_s : float or None
@@ -28,6 +31,7 @@
         "confirmed_s",
         "is_inherited",
         "is_unclear",
+        "progress",
         "rehomed_s",
         "stop_acked_s",
         "stop_sent_s",
@@ -38,6 +42,7 @@
         self.tries = 1
         self.is_unclear = False
         self.is_inherited = False
+        self.progress = Progress()
         self.confirmed_s: float | None = None
         self.rehomed_s: float | None = None
         self.stop_sent_s: float | None = None
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -25,6 +25,7 @@
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskNameError, format_task_name
 from almondstack.jobs.names import parse_task_name
 from almondstack.placement import Usage, Worker
+from almondstack.placement.progress import Progress
 from almondstack.placement.soundness import Soundness
 
 __all__ = ["Orders", "RunTable"]
@@ -176,6 +177,15 @@
             if task.worker not in self.workers and not is_recent:
                 yield task
 
+    def progressing(self) -> Iterator[tuple[Task, Progress]]:
+        """Iterate over runs that end by themselves, on workers that answer, with their progress."""
+        for task, pending in self._pending.items():
+            step = task.step
+            worker = self.workers.get(task.worker)
+            is_judged = not step.is_long_running and not step.is_gang and not step.is_filler
+            if is_judged and worker is not None and worker.is_reachable:
+                yield task, pending.progress
+
     def note_assigned(self, task: Task) -> None:
         """Follow a run that placement has just assigned."""
         self._pending[task] = PendingRun()
@@ -245,7 +255,7 @@
         listed = set()
         for running in reply.running:
             listed.add((running.task, running.run))
-            self._note_running(worker, running, now_s)
+            self._note_running(worker, running, reply.clock_ms / _MS, now_s)
         for task in worker.tasks:
             if (_name(task), task.run) not in listed:
                 self._note_missing(task, sent_s, now_s)
@@ -322,7 +332,9 @@
             self._end_follower(task, (now_s - task.assigned_s) * 1000.0)
         self._release(task, ended.end, ended.checkpoint, now_s)
 
-    def _note_running(self, worker: Worker, running: RunningRun, now_s: float) -> None:
+    def _note_running(
+        self, worker: Worker, running: RunningRun, clock_s: float, now_s: float
+    ) -> None:
         task = self._find(running.task, worker.id, running.run)
         if task is None:
             self._orders.stop(worker.id, running.task, running.run)
@@ -330,6 +342,7 @@
         worker.put(task)
         pending = self._pending[task]
         self._confirm(task, pending, now_s)
+        pending.progress.note(clock_s, running.percent)
         task.load = running.load
         task.is_at_work = running.percent >= _FULL_PERCENT
         if running.checkpoint:
--- a/almondstack/placement/soundness.py
+++ b/almondstack/placement/soundness.py
@@ -43,6 +43,10 @@
         """Note a worker that did not take an order although it had room."""
         self._punish(worker, _REFUSAL_WEIGHT, now_s)
 
+    def note_stall(self, worker: Worker, now_s: float) -> None:
+        """Note a worker on which a run stood still or crawled."""
+        self._punish(worker, _FAILURE_WEIGHT, now_s)
+
     def _punish(self, worker: Worker, weight: float, now_s: float) -> None:
         worker.penalty += weight
         if worker.penalty < _SET_ASIDE_PENALTY:
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -107,7 +107,11 @@
 
 
 def look(
-    *, running: tuple[RunningRun, ...] = (), ended: tuple[EndedRun, ...] = (), life: int = 1
+    *,
+    running: tuple[RunningRun, ...] = (),
+    ended: tuple[EndedRun, ...] = (),
+    life: int = 1,
+    clock_ms: int = 0,
 ) -> LookReply:
     """Return a worker's answer to a look."""
-    return LookReply(OrderStatus.DONE, 0, life, running, ended)
+    return LookReply(OrderStatus.DONE, clock_ms, life, running, ended)
