Keep a ledger of what instances in pools are paid for

The owner counts every instance-second of a pool as lasting, running, spare, excess, coming, leaving, maintained or unusable; the uses add up to the instances. A line `paid-seconds` every two seconds, and the same as counters `paid.USE`.

--- a/almondstack/capacity/__init__.py
+++ b/almondstack/capacity/__init__.py
@@ -10,16 +10,20 @@
     plan_moves,
     wanted_instances,
 )
+from almondstack.capacity.paid_time import PaidInstance, PaidUse, paid_uses
 
 __all__ = [
     "ArrivalForecast",
     "Candidate",
     "Move",
+    "PaidInstance",
+    "PaidUse",
     "PoolNeed",
     "PoolState",
     "WaveMember",
     "gross_instances",
     "next_members",
+    "paid_uses",
     "plan_moves",
     "wanted_instances",
 ]
--- /dev/null
+++ b/almondstack/capacity/paid_time.py
@@ -0,0 +1,73 @@
+"""What the instances of a pool are paid for."""
+
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = ["PaidInstance", "PaidUse", "paid_uses"]
+
+
+class PaidUse(StrEnum):
+    """What a part of an instance serves at a moment."""
+
+    LASTING = "lasting"
+    RUNNING = "running"
+    SPARE = "spare"
+    EXCESS = "excess"
+    COMING = "coming"
+    LEAVING = "leaving"
+    MAINTAINED = "maintained"
+    UNUSABLE = "unusable"
+
+
+class PaidInstance(NamedTuple):
+    """An instance of a pool that is paid for.
+
+    Parameters
+    ----------
+    lasting, running : float
+        Shares of it that tasks take which run until they are cancelled, and other tasks.
+    state : PaidUse or None
+        What its free part is for, if it takes no new work; None if it does.
+    """
+
+    lasting: float = 0.0
+    running: float = 0.0
+    state: PaidUse | None = None
+
+
+def paid_uses(instances: Iterable[PaidInstance], wanted: int) -> dict[PaidUse, float]:
+    """Return how many instances each use takes; the figures add up to their number.
+
+    Explanation
+    -----------
+    Of the instances that take work, the emptiest ones beyond what the pool wants
+    are in excess; what is free on the others is to spare.
+
+    Examples
+    --------
+    >>> instances = [PaidInstance(0.25, 0.5), PaidInstance(), PaidInstance(state=PaidUse.COMING)]
+    >>> {use.value: share for use, share in paid_uses(instances, wanted=2).items()}
+    {'coming': 1.0, 'lasting': 0.25, 'running': 0.5, 'spare': 0.25, 'excess': 1.0}
+    """
+    uses: dict[PaidUse, float] = {}
+    serving = []
+    for instance in instances:
+        if instance.state is None:
+            serving.append(instance)
+        else:
+            _add(uses, instance, instance.state)
+    serving.sort(key=lambda instance: instance.lasting + instance.running, reverse=True)
+    coming = round(uses.get(PaidUse.COMING, 0.0))
+    for number, instance in enumerate(serving):
+        is_wanted = number < wanted - coming
+        _add(uses, instance, PaidUse.SPARE if is_wanted else PaidUse.EXCESS)
+    return uses
+
+
+def _add(uses: dict[PaidUse, float], instance: PaidInstance, rest: PaidUse) -> None:
+    free = max(0.0, 1.0 - instance.lasting - instance.running)
+    parts = {PaidUse.LASTING: instance.lasting, PaidUse.RUNNING: instance.running, rest: free}
+    for use, share in parts.items():
+        if share:
+            uses[use] = uses.get(use, 0.0) + share
--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -8,6 +8,7 @@
 from almondstack.control.instance_desk import InstanceDesk
 from almondstack.control.lasting import may_interrupt
 from almondstack.control.messages import InstanceInfo
+from almondstack.control.paid_rounds import PaidRounds
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
@@ -64,6 +65,7 @@
         "_balance",
         "_desk",
         "_moves",
+        "_paid",
         "_rounded_s",
         "_services",
         "_table",
@@ -84,6 +86,7 @@
         self._waves = WaveRounds(services, self._desk)
         self._balance = BalanceRounds(table, planner, self._desk, services.control.move_s)
         self._admission = AdmissionRounds(table, planner)
+        self._paid = PaidRounds(services.events, services.metrics)
         table.follow_ends(self._admission.note_end)
         self._rounded_s = 0.0
         self._moves: list[Move] = []
@@ -155,10 +158,10 @@
         states = self._balance.pools(instances, policies, set(), now_s)
         size_millis = usual_size_millis(instances)
         self._admission.round(states, policies, time.time() * 1000.0)
-        self._write_pools(states, size_millis)
-        ranks = {
-            state.name: float(state.size - wanted_instances(state, size_millis)) for state in states
-        }
+        wanted = {state.name: wanted_instances(state, size_millis) for state in states}
+        self._write_pools(states, wanted)
+        self._paid.note(instances, states, wanted, workers, now_s)
+        ranks = {state.name: float(state.size - wanted[state.name]) for state in states}
         emptied = self._waves.round(instances, workers, spare_pools, ranks, now_s)
         moves = self._plan_moves(instances, policies, spare_pools, emptied, now_s)
         emptied |= {move.instance for move in moves}
@@ -192,9 +195,8 @@
         if workers and covered >= _COVERED_SHARE * len(workers):
             self._table.lose_unlisted(listed, self._desk.asked_s, now_s)
 
-    def _write_pools(self, states: list[PoolState], size_millis: int) -> None:
+    def _write_pools(self, states: list[PoolState], wanted: dict[str, int]) -> None:
         """Write a line when what pools want has changed."""
-        wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         if wanted == self._written:
             return
         self._written = wanted
--- /dev/null
+++ b/almondstack/control/tests/test_paid_rounds.py
@@ -0,0 +1,69 @@
+"""The ledger of what instances in pools are paid for."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondstack.capacity import PaidInstance, PaidUse, PoolNeed, PoolState, paid_uses
+from almondstack.control.messages import InstanceInfo, InstanceState
+from almondstack.control.paid_rounds import PaidRounds
+from almondstack.core import NullMetrics
+from almondstack.testing.job_builders import make_job, make_step, make_worker
+
+
+class _Lines:
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append(fields)
+
+
+def _instance(name, state=InstanceState.UP, worker=""):
+    return InstanceInfo(name, "p", state, "z", "r", 4_000, worker)
+
+
+_shares = st.floats(0.0, 0.5)
+_instances = st.builds(
+    PaidInstance,
+    _shares,
+    _shares,
+    st.sampled_from([None, PaidUse.COMING, PaidUse.LEAVING, PaidUse.UNUSABLE]),
+)
+
+
+@given(st.lists(_instances, max_size=30), st.integers(0, 40))
+def test_uses_add_up_to_the_instances(instances, wanted):
+    uses = paid_uses(instances, wanted)
+    assert abs(sum(uses.values()) - len(instances)) < 1e-6
+    assert all(share >= 0 for share in uses.values())
+
+
+def test_a_line_says_what_each_instance_second_was_for():
+    lines = _Lines()
+    rounds = PaidRounds(lines, NullMetrics())
+    busy, idle, leaving = make_worker("w1"), make_worker("w2"), make_worker("w3")
+    for task in make_job(make_step(3)).steps_of(0)[0]:
+        busy.put(task)
+    busy.put(make_job(make_step(is_long_running=True), id="l").steps_of(0)[0][0])
+    leaving.is_reserved = True
+    instances = [
+        _instance("i1", worker="w1"),
+        _instance("i2", worker="w2"),
+        _instance("i3", worker="w3"),
+        _instance("i4", InstanceState.MOVING),
+        _instance("i5", InstanceState.MAINTENANCE),
+        _instance("i6", InstanceState.DOWN),
+    ]
+    workers = {worker.id: worker for worker in (busy, idle, leaving)}
+    state = PoolState("p", PoolNeed(), [])
+    for tenth in range(21):
+        rounds.note(instances, [state], {"p": 1}, workers, tenth / 10)
+    (line,) = lines.lines
+    assert line["pools"]["p"] == {
+        "leaving": 2.0,
+        "coming": 2.0,
+        "maintained": 2.0,
+        "lasting": 0.5,
+        "running": 1.5,
+        "excess": 2.0,
+    }
