--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -63,6 +63,7 @@
     __slots__ = (
         "_admission",
         "_balance",
+        "_coming",
         "_desk",
         "_moves",
         "_paid",
@@ -89,6 +90,7 @@
         self._paid = PaidRounds(services.events, services.metrics)
         table.follow_ends(self._admission.note_end)
         self._rounded_s = 0.0
+        self._coming: set[str] = set()
         self._moves: list[Move] = []
         self._written: dict[str, int] = {}
 
@@ -102,6 +104,10 @@
         """How long new work would wait, by pool and client account."""
         return self._admission.waits_ms
 
+    def is_coming(self, pool: str) -> bool:
+        """Whether instances were on their way to a pool in the last round."""
+        return pool in self._coming
+
     def start(self) -> None:
         """Start to list instances, after what is stored of the jobs was taken over."""
         if self._has_history():
@@ -157,6 +163,7 @@
         workers = self._table.workers
         states = self._balance.pools(instances, policies, set(), now_s)
         size_millis = usual_size_millis(instances)
+        self._coming = {state.name for state in states if state.coming}
         self._admission.round(states, policies, time.time() * 1000.0)
         wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         self._write_pools(states, wanted)
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -8,6 +8,7 @@
 from functools import singledispatchmethod
 
 from almondstack.control.advisor import Advisor
+from almondstack.control.delay_rounds import DelayRounds
 from almondstack.control.fleet_rounds import FleetRounds
 from almondstack.control.job_records import JobRecords
 from almondstack.control.journal import OwnerJournal
@@ -73,7 +74,9 @@
 
     __slots__ = (
         "_advisor",
+        "_delays",
         "_fleet",
+        "_heard_s",
         "_inbox",
         "_inherited_s",
         "_is_released",
@@ -105,6 +108,7 @@
         heard_s = time.monotonic() if heard_s is None else heard_s
         self._inbox: queue.SimpleQueue[object] = queue.SimpleQueue()
         self._journal = OwnerJournal(services, incarnation, token, sequence)
+        self._heard_s = heard_s
         self._inherited_s = leases_known_from_s(heard_s, services.ownership)
         self._sessions = SessionTable(
             services, token, self._inbox.put, self._journal.may_extend, self._inherited_s
@@ -122,6 +126,10 @@
             services.control.stop_s,
             services.events,
         )
+        self._delays = DelayRounds(
+            self._table.delays, self._planner, self._fleet, services.events, services.metrics
+        )
+        self._table.follow_job_ends(self._delays.note_job_end)
         self._pacing = Pacing(self._table, self._sessions)
         self._report = RoundReport(services.events, services.metrics)
         self._starts: list[Task] = []
@@ -207,6 +215,7 @@
                 self._records.retire(job_id)
                 continue
             self._table.inherit(job, time.monotonic())
+            self._delays.note_inherited(job, time.monotonic() - self._heard_s)
             runs += len(job.assigned())
             if not job.is_open:
                 self._table.stop_all(job, time.monotonic())
@@ -226,6 +235,7 @@
             self._fleet.round(now_s)
         with self._report.part("placement"):
             self._starts.extend(self._planner.plan(now_s, time.time() * 1000.0))
+            self._delays.note_planned(now_s)
         with self._report.part("commit"):
             self._commit()
         with self._report.part("orders"):
@@ -309,13 +319,14 @@
         """Work on a job from now on; its submission is stored, or will be before any start."""
         self._table.jobs[job.id] = job
         self._fleet.note_job(job, time.monotonic())
+        self._delays.note_taken_up(job, time.time() * 1000.0)
 
     def _cancel(self, job_id: str) -> None:
         job = self._table.jobs.get(job_id)
         if job is None or not job.is_open:
             return
         job.cancel()
-        self._services.events.write("job-ended", job=job_id, state="cancelled")
+        self._delays.note_job_end(job)
         self._table.stop_all(job, time.monotonic())
 
     def _look_after_workers(self, now_s: float) -> None:
@@ -362,7 +373,9 @@
         records.extend(self._fleet.records())
         records.extend(self._records.dropped())
         write = self._journal.write_last if is_last else self._journal.write
+        began_s = time.monotonic()
         self._requests.settle(write(records, self._fleet.waits_ms))
+        self._delays.note_stored(self._starts, time.monotonic() - began_s)
         for job in list(self._table.jobs.values()):
             job.is_dirty = False
             if job.is_over():
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -31,13 +31,25 @@
         Returns the newest policies.
     """
 
-    __slots__ = ("_advisor", "_policies", "_queues", "_table")
+    __slots__ = ("_advisor", "_at_ceiling", "_blocked", "_policies", "_queues", "_table")
 
     def __init__(self, table: RunTable, advisor: Advisor, policies: Callable[[], Policies]) -> None:
         self._table = table
         self._advisor = advisor
         self._policies = policies
         self._queues: dict[str, QueuePolicy] = {}
+        self._blocked: list[tuple[str, Task]] = []
+        self._at_ceiling: list[Task] = []
+
+    @property
+    def blocked(self) -> list[tuple[str, Task]]:
+        """Tasks that found no room in the last round, one of each step, with their pools."""
+        return self._blocked
+
+    @property
+    def at_ceiling(self) -> list[Task]:
+        """Tasks that waited for their account's ceiling in it, one of each step."""
+        return self._at_ceiling
 
     def policy_of(self, submission: Submission) -> QueuePolicy:
         """Return the newest policy of a job's queue, or the one of its acceptance."""
@@ -53,6 +65,7 @@
     def plan(self, now_s: float, now_unix_ms: float) -> list[Task]:
         """Assign what can be assigned, and return the tasks whose starts are to be sent."""
         self._table.usage.use(self._policies().accounts)
+        self._blocked, self._at_ceiling = [], []
         by_pool = self._ready(now_unix_ms)
         if not by_pool:
             return []
@@ -65,6 +78,8 @@
             )
             for _, tasks in ordered:
                 started.extend(self._place(pool_round, tasks, now_s))
+            self._blocked.extend((pool, task) for task in pool_round.blocked)
+            self._at_ceiling.extend(pool_round.at_ceiling)
         return started
 
     def _place(self, pool_round: PoolRound, tasks: list[Task], now_s: float) -> list[Task]:
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
+from almondstack.control.delays import DelayCause, JobDelays
 from almondstack.control.messages import (
     EndedRun,
     LookReply,
@@ -51,6 +52,20 @@
 """A worker that said it is full gets nothing new for so long, in seconds."""
 
 
+_USUAL_FACTOR = 2.0
+"""Estimates are rough: a run is slow from so many times its estimate on."""
+
+_DELAY_CAUSES = {
+    RunEnd.DONE: DelayCause.SLOW_RUNS,
+    RunEnd.FAILED: DelayCause.FAILURES,
+    RunEnd.STOPPED: DelayCause.STOPPED,
+    RunEnd.BROKEN: DelayCause.STOPPED,
+    RunEnd.ALONE: DelayCause.STOPPED,
+    RunEnd.LAPSED: DelayCause.WORKER_LOST,
+    RunEnd.LOST: DelayCause.WORKER_LOST,
+}
+
+
 class Orders(Protocol):
     """Where the table's orders go."""
 
@@ -78,11 +93,13 @@
 
     __slots__ = (
         "_end_follower",
+        "_job_end_follower",
         "_ends",
         "_events",
         "_metrics",
         "_orders",
         "_pending",
+        "delays",
         "jobs",
         "soundness",
         "usage",
@@ -96,6 +113,8 @@
         self._pending: dict[Task, PendingRun] = {}
         self._ends: dict[str, int] = {}
         self._end_follower: Callable[[Task, float], None] | None = None
+        self._job_end_follower: Callable[[ActiveJob], None] | None = None
+        self.delays = JobDelays()
         self.jobs: dict[str, ActiveJob] = {}
         self.workers: dict[str, Worker] = {}
         self.usage = Usage({})
@@ -105,6 +124,10 @@
         """Have a function called with each task that ended well, and its milliseconds."""
         self._end_follower = follower
 
+    def follow_job_ends(self, follower: Callable[[ActiveJob], None]) -> None:
+        """Have a function called with each job that completes or fails."""
+        self._job_end_follower = follower
+
     def inherit(self, job: ActiveJob, now_s: float) -> None:
         """Take over a job with the runs that are recorded of it."""
         self.jobs[job.id] = job
@@ -403,6 +426,7 @@
         job.end_run(task, end, checkpoint, now_s)
         self._metrics.count(f"run.{end}")
         if is_counted:
+            self._note_delay(task, end, now_s)
             self._events.write(
                 "run-ended",
                 task=name,
@@ -419,6 +443,15 @@
         if was_open and not job.is_open:
             self._note_job_end(job, now_s)
 
+    def _note_delay(self, task: Task, end: RunEnd, now_s: float) -> None:
+        """Note by how much a run has held its job up."""
+        took_s = now_s - task.assigned_s
+        if end is RunEnd.DONE:
+            took_s -= _USUAL_FACTOR * task.step.estimate_ms / _MS
+        cause = _DELAY_CAUSES[end]
+        if took_s > 0 and not task.step.is_long_running:
+            self.delays.raise_to(task.job.id, task.key.step, cause, took_s)
+
     def _close_gang(self, task: Task) -> None:
         """Take the other members off their workers: one end that is done stands for all."""
         for member in task.job.steps_of(task.key.occurrence)[task.key.step]:
@@ -435,8 +468,8 @@
                 self.ask_stop(member, now_s)
 
     def _note_job_end(self, job: ActiveJob, now_s: float) -> None:
-        self._events.write("job-ended", job=job.id, state=job.state.name.lower())
-        self._metrics.count(f"job.{job.state.name.lower()}")
+        if self._job_end_follower is not None:
+            self._job_end_follower(job)
         if job.state is not JobState.COMPLETED:
             self.stop_all(job, now_s)
 
--- a/almondstack/ctl/commands/__init__.py
+++ b/almondstack/ctl/commands/__init__.py
@@ -4,6 +4,7 @@
 from almondstack.ctl.commands import apply as apply_command
 from almondstack.ctl.commands import (
     check,
+    day,
     diff,
     explain,
     keys,
@@ -19,6 +20,7 @@
 _MODULES = (
     apply_command,
     check,
+    day,
     diff,
     explain,
     keys,
--- /dev/null
+++ b/almondstack/ctl/day/__init__.py
@@ -0,0 +1,16 @@
+"""What a day cost and why, from the log lines of all processes."""
+
+from almondstack.ctl.day.jobs import DayJob, DayJobs, Outcome
+from almondstack.ctl.day.page import render_day
+from almondstack.ctl.day.report import DayReport, make_day_report
+from almondstack.ctl.day.timeline import Timeline
+
+__all__ = [
+    "DayJob",
+    "DayJobs",
+    "DayReport",
+    "Outcome",
+    "Timeline",
+    "make_day_report",
+    "render_day",
+]
--- a/almondstack/ctl/report_page.py
+++ b/almondstack/ctl/report_page.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-__all__ = ["render_page"]
+__all__ = ["render_page", "render_section", "wrap_page"]
 
 _BAR_PX = 16
 _LABEL_PX = 300
@@ -25,24 +25,31 @@
     >>> render_page(make_report(make_fold(), 24.0)).count("<svg")
     2
     """
-    parts = ["<!doctype html><meta charset=utf-8><title>almondstack report</title>"]
-    parts.append(f"<style>{_STYLE}</style><h1>Fleet report</h1>")
+    parts = []
     for name in report.__struct_fields__:
         value = getattr(report, name)
         if isinstance(value, list):
-            parts.append(f"<h2>{escape(name)}</h2>{_section(value)}")
+            parts.append(f"<h2>{escape(name)}</h2>{render_section(value)}{_plot(value)}")
         else:
             parts.append(f"<p>{escape(name)}: {escape(str(value))}</p>")
-    return "\n".join(parts)
+    return wrap_page("Fleet report", parts)
 
 
-def _section(rows: list[Any]) -> str:
+def wrap_page(title: str, parts: Iterable[str]) -> str:
+    """Return a whole page with a title and parts of HTML."""
+    head = "<!doctype html><meta charset=utf-8><title>almondstack report</title>"
+    style = f"<style>{_STYLE}</style><h1>{escape(title)}</h1>"
+    return "\n".join([head, style, *parts])
+
+
+def render_section(rows: list[Any]) -> str:
+    """Return structs of one type as an HTML table."""
     if not rows:
         return "<p>none</p>"
     names = rows[0].__struct_fields__
     head = "".join(f"<th>{escape(name)}</th>" for name in names)
     lines = "".join(_line(getattr(row, name) for name in names) for row in rows)
-    return f"<table><tr>{head}</tr>{lines}</table>{_plot(rows)}"
+    return f"<table><tr>{head}</tr>{lines}</table>"
 
 
 def _line(cells: Iterable[Any]) -> str:
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -276,6 +276,7 @@
             job=job,
             queue=submission.queue,
             account=submission.account,
+            is_lasting=submission.is_long_running,
             verdict=receipt.verdict,
             is_direct=is_direct,
             late_ms=round(receipt.late_ms),
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -108,7 +108,15 @@
         returns none while the advice is not there.
     """
 
-    __slots__ = ("_allowed", "_blocked", "_now_s", "_reservations", "_usage", "_workers")
+    __slots__ = (
+        "_allowed",
+        "_at_ceiling",
+        "_blocked",
+        "_now_s",
+        "_reservations",
+        "_usage",
+        "_workers",
+    )
 
     def __init__(
         self,
@@ -123,12 +131,18 @@
         self._allowed = allowed
         self._reservations = 0
         self._blocked: list[Task] = []
+        self._at_ceiling: list[Task] = []
 
     @property
     def blocked(self) -> list[Task]:
         """Tasks that found no room, one of each step."""
         return self._blocked
 
+    @property
+    def at_ceiling(self) -> list[Task]:
+        """Tasks whose account may have no more running, one of each step."""
+        return self._at_ceiling
+
     def place(self, tasks: list[Task]) -> list[Assignment]:
         """Place what can be placed of one step; steps come in the order of their rank."""
         waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
@@ -143,7 +157,10 @@
         total = Resources()
         for task in tasks:
             total.add(account_demand(task))
-        if not workers or not self._usage.allows(tasks[0].job.submission.account, total):
+        if not workers:
+            return []
+        if not self._usage.allows(tasks[0].job.submission.account, total):
+            self._at_ceiling.append(tasks[0])
             return []
         chosen = choose_for_gang(tasks, workers)
         if chosen is None:
@@ -161,6 +178,7 @@
         chosen: list[Worker] = []
         for task in waiting:
             if not self._usage.allows(task.job.submission.account, account_demand(task)):
+                self._at_ceiling.append(task)
                 break
             worker = choose_worker(task, candidates)
             if worker is None:
