--- a/almondstack/intake/direct.py
+++ b/almondstack/intake/direct.py
@@ -111,15 +111,18 @@
 
     def _append(self, wanted: DirectSubmission, try_s: float, until_s: float) -> None:
         pause_s = _PAUSE_S
-        while not self._append_at_end(wanted, try_s):
+        while not self._append_at_end(wanted, try_s, until_s):
             time.sleep(pause_s * random.uniform(0.5, 1.5))
             pause_s = min(2 * pause_s, _MOST_PAUSE_S)
             if time.monotonic() >= until_s:
                 raise StoreRefusedError("the log went on before each append")
 
-    def _append_at_end(self, wanted: DirectSubmission, try_s: float) -> bool:
+    def _append_at_end(self, wanted: DirectSubmission, try_s: float, until_s: float) -> bool:
         """Append behind all that is stored; False if other records came first."""
         self._reader.sync()
+        left_s = until_s - time.monotonic()
+        if left_s <= 0:
+            raise StoreRefusedError("the caller's time went by while the log was read")
         # The book, which is looked at next, holds all that lies before it.
         offset = self._reader.next_offset
         entry = self._book.entry(wanted.job)
@@ -128,7 +131,7 @@
         if self._book.refusal_mark(wanted.job) != wanted.mark:
             raise _SettledError(Verdict.NOT_STORED)
         try:
-            self._store.append_at(wanted.record, offset, try_s)
+            self._store.append_at(wanted.record, offset, min(try_s, left_s))
         except LogMovedError:
             return False
         return True
--- a/almondstack/intake/ports.py
+++ b/almondstack/intake/ports.py
@@ -12,8 +12,13 @@
     """Follows the store into the book."""
 
     @property
-    def contact_age_s(self) -> float:
-        """Seconds since the store last answered a read."""
+    def lag_s(self) -> float:
+        """Seconds since this process last knew all that the store held."""
+        ...
+
+    @property
+    def read_gap_s(self) -> float:
+        """How long it may be between two answers of a store that is well, in seconds."""
         ...
 
     @property
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -21,10 +21,9 @@
 
 __all__ = ["JobService"]
 
-_SILENT_S = 1.0
-"""A store that this process has not heard for longer is not asked for new jobs, in seconds;
-while it answers, one read follows on another within three quarters of a second, if reads are
-not spread."""
+_SILENCE_MARGIN_S = 0.3
+"""A store that this process has not heard for so much longer than reads are apart is not asked
+for callers, in seconds."""
 
 _MOST_NOTICE_AGE_S = 2.5
 """What the owner said longer ago says nothing of now, in seconds."""
@@ -152,6 +151,11 @@
         """Return how many jobs of a queue have started no task."""
         return self._book.pending(queue)
 
+    @property
+    def _is_behind(self) -> bool:
+        """Whether this process has lost the store, or does not keep up with it."""
+        return self._reader.lag_s > self._reader.read_gap_s + _SILENCE_MARGIN_S
+
     def _submit_to_owner(
         self, job: str, submission: Submission, timeout_s: float
     ) -> Receipt | None:
@@ -204,9 +208,7 @@
     ) -> Receipt:
         job = wanted.job
         late_ms = self._excess_wait_ms(submission, policy)
-        silence_s = self._reader.contact_age_s
-        most_silence_s = _SILENT_S * self._store.read_pace.factor()
-        if late_ms > 0 or silence_s > most_silence_s:
+        if late_ms > 0 or self._is_behind:
             return Receipt(self._not_stored(job), late_ms)
         self._attempts.begin(job)
         verdict = self._direct.submit(wanted, timeout_s)
@@ -256,6 +258,9 @@
 
     def _is_synced(self, job: str) -> bool:
         """Read to the end of the store; False if it can't be read now."""
+        if self._is_behind:
+            self._metrics.count("lookup.behind")
+            return False
         try:
             self._reader.sync()
         except StoreError as error:
@@ -281,6 +286,6 @@
             is_direct=is_direct,
             late_ms=round(receipt.late_ms),
             owner_age_s=round(time.monotonic() - self._book.owner_heard_s, 2),
-            store_age_s=round(self._reader.contact_age_s, 2),
+            store_age_s=round(self._reader.lag_s, 2),
         )
         self._metrics.count(f"submit.{receipt.verdict}")
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from almondstack.core.events import EventLog
+from almondstack.core.shared_call import CallNotSharedError, SharedCall
 from almondstack.jobs import (
     JobBook,
     OwnerNotice,
@@ -15,7 +16,7 @@
     record_key,
 )
 from almondstack.jobs.records import decode_notice, split_key
-from almondstack.ownership.errors import HistoryLostError, StoreError
+from almondstack.ownership.errors import HistoryLostError, StoreError, StoreRefusedError
 from almondstack.ownership.liveness import Liveness, ask_liveness
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.ownership.preference import Preference, instance_of
@@ -31,6 +32,10 @@
 the store takes the first of them only, however fast other records come."""
 
 
+_SYNC_S = 1.0
+"""A caller waits no longer for this process to read to the end of the log, in seconds."""
+
+
 class Follower:
     """Keeps a job book up to date, and takes over when nobody owns the jobs.
 
@@ -60,6 +65,7 @@
         "_book",
         "_contact_s",
         "_cores",
+        "_current_s",
         "_events",
         "_heard_owner_s",
         "_incarnation",
@@ -75,6 +81,7 @@
         "_started_s",
         "_stop",
         "_store",
+        "_sync",
         "_take_over",
         "_thread",
         "_vacancy",
@@ -107,7 +114,9 @@
         self._is_owner = False
         self._is_retiring = False
         self._contact_s = time.monotonic()
+        self._current_s = time.monotonic()
         self._heard_owner_s = time.monotonic()
+        self._sync = SharedCall(self._read_to_end)
         self._started_s = time.monotonic()
         self._lock = threading.Lock()
         self._stop = threading.Event()
@@ -124,6 +133,22 @@
         """Seconds since the store last answered a read."""
         return time.monotonic() - self._contact_s
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the last read failed."""
+        return self._is_lost
+
+    @property
+    def lag_s(self) -> float:
+        """Seconds since this process last knew all that the store held."""
+        return time.monotonic() - self._current_s
+
+    @property
+    def read_gap_s(self) -> float:
+        """How long it may be between two answers of a store that is well, in seconds."""
+        pace_s = self._settings.pace_s * self._store.read_pace.factor()
+        return self._settings.wait_s + pace_s + self._store.tempo.answer_s
+
     @property
     def heard_owner_s(self) -> float:
         """Monotonic time at which the last record of an owner was read, in seconds.
@@ -157,16 +182,29 @@
         self._is_owner = False
 
     def sync(self) -> None:
-        """Read to the present end of the log in the calling thread.
+        """Read to the present end of the log.
+
+        Explanation
+        -----------
+        All threads that ask share one read at a time: a process that has fallen
+        behind would fill its link with the same records over and over.
 
         Raises
         ------
         StoreError
-            The store did not answer as it should.
+            The store did not answer as it should, or holds too much for now.
         """
+        try:
+            self._sync.run(_SYNC_S)
+        except CallNotSharedError as error:
+            raise StoreRefusedError(str(error)) from error
+
+    def _read_to_end(self) -> None:
+        until_s = time.monotonic() + _SYNC_S
         while self._read(0.0):
             # One answer holds a bounded part of what is there.
-            continue
+            if time.monotonic() >= until_s:
+                raise StoreRefusedError("the end of the log is too far ahead")
 
     def _run(self) -> None:
         while not self._stop.is_set():
@@ -233,7 +271,10 @@
             self._preference.note_notice(notice, time.monotonic())
         if notice is not None and not notice.owner:
             self._vacancy.note_release()
-        return batch.next_offset < batch.end_offset
+        has_more = batch.next_offset < batch.end_offset
+        if not has_more:
+            self._current_s = time.monotonic()
+        return has_more
 
     def _fold(self, records: list[Record], next_offset: int) -> None:
         """Fold what no other thread has folded in the meantime."""
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -1,5 +1,7 @@
 """Who owns the jobs when processes race, replies get lost and the store goes away."""
 
+import threading
+
 import pytest
 
 from almondstack.core.events import EventLog
@@ -385,3 +387,54 @@
     assert (follower.next_offset, pauses) == (2, [])
     follower.step()
     assert follower.next_offset == 4 and len(pauses) == 1
+
+
+def test_lagging_threads_that_ask_together_share_their_reads():
+    """A process that was turned away for a while filled its link with the same records."""
+    store = FakeRecordStore()
+    follower, _ = _follower(store, "one")
+    store.records.extend(Record(f"i{number}", b"1") for number in range(7))
+    reads = []
+    gate = threading.Event()
+    read = store.read
+
+    def slow_read(offset, wait_s):
+        reads.append(offset)
+        gate.wait(10.0)
+        return read(offset, wait_s)
+
+    store.read = slow_read
+    threads = [threading.Thread(target=follower.sync) for _ in range(24)]
+    for thread in threads:
+        thread.start()
+    gate.set()
+    for thread in threads:
+        thread.join(10.0)
+    # One read that was under way, one for those that waited, and one for a thread that came late.
+    assert follower.next_offset == 7 and len(reads) <= 3
+
+
+def test_a_log_that_is_too_far_ahead_holds_no_caller_up(monkeypatch):
+    monkeypatch.setattr("almondstack.ownership.follower._SYNC_S", 1e-9)
+    store = FakeRecordStore()
+    follower, _ = _follower(store, "one")
+    store.most_per_read = 2
+    store.records.extend(Record(f"i{number}", b"1") for number in range(7))
+    with pytest.raises(StoreRefusedError, match="too far ahead"):
+        follower._read_to_end()
+
+
+def test_a_process_that_reads_and_does_not_reach_the_end_is_behind(monkeypatch):
+    """It answered callers as if it knew what the store held."""
+    now_s = [100.0]
+    monkeypatch.setattr("almondstack.ownership.follower.time.monotonic", lambda: now_s[0])
+    store = FakeRecordStore()
+    follower, _ = _follower(store, "one")
+    _steps(follower, 1)
+    store.most_per_read = 1
+    store.records.extend(Record(f"i{number}", b"1") for number in range(3))
+    now_s[0] = 103.0
+    _steps(follower, 2)
+    assert follower.contact_age_s == 0.0 and follower.lag_s == 3.0
+    _steps(follower, 2)
+    assert follower.lag_s == 0.0
--- a/almondstack/platform/front.py
+++ b/almondstack/platform/front.py
@@ -31,6 +31,7 @@
 """Time kept of a caller's deadline for the way back, in seconds."""
 
 _RETRY_AFTER_OUTAGE_S = 1
+_UNAVAILABLE = 503
 
 _STATUS_LINES = {
     200: "200 OK",
@@ -264,7 +265,8 @@
         if answer.retry_after_s is not None:
             seconds = max(1, round(answer.retry_after_s))
             req.outheaders.append((b"Retry-After", str(seconds).encode()))
-        if req.server.is_leaving:
+        if req.server.is_leaving or answer.status == _UNAVAILABLE:
+            # Over a new connection the balancer can send the next try elsewhere.
             req.close_connection = True
         req.ensure_headers_sent()
         req.write(content)
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -23,6 +23,7 @@
 from almondstack.platform.directory import ConfigurationFollower, StoreDirectory
 from almondstack.platform.front import FrontServer, JobFront
 from almondstack.platform.instances import HttpInstances
+from almondstack.platform.readiness import is_current
 from almondstack.platform.settings import (
     PlatformSettings,
     SettingsFile,
@@ -41,10 +42,6 @@
 _STACK_BYTES = 256 * 1024
 """Threads only wait and call; hundreds of them must fit into the machine's memory."""
 
-_READY_WITHOUT_STORE_S = 1.2
-"""A process that has not heard the store for so long sends callers elsewhere, in seconds; longer
-where reads are spread.  The platform needs two seconds more to notice."""
-
 _LEAVE_NOTICE_S = 2.3
 """The platform needs two missed looks, one a second, to send no new callers."""
 
@@ -97,12 +94,14 @@
             settings.limits.cores,
         )
         self._requests = OwnerRequests(settings.zone)
-        self._relay = RelayServer(settings.relay_address, self._requests)
+        self._relay = RelayServer(
+            settings.relay_address, self._requests, lambda: self._book.notice
+        )
         service = JobService(
             self._store,
             self._book,
             self._follower,
-            OwnerClient(self._book, self._requests, self._describe, self._spread),
+            OwnerClient(self._book, self._requests, self._describe, self._spread, self._lag_s),
             self._events,
             self._metrics,
         )
@@ -188,11 +187,10 @@
         )
 
     def _render_ready(self) -> tuple[int, bytes]:
-        most_age_s = _READY_WITHOUT_STORE_S * self._connection.read_pace.factor()
         is_ready = (
             self._holder.configuration is not None
             and self._follower.is_loaded
-            and self._follower.contact_age_s < most_age_s
+            and is_current(self._follower, self._connection.tempo.answer_s)
             and not self._leaving.is_set()
         )
         return (200, b"ready\n") if is_ready else (503, b"not ready\n")
@@ -204,6 +202,10 @@
         age_s = math.inf if self._leaving.is_set() else self._follower.contact_age_s
         return Peer(self._incarnation, settings.limits.cores, age_s, settings.zone)
 
+    def _lag_s(self) -> float:
+        """Return how far this process is behind the store, in seconds."""
+        return self._follower.lag_s
+
     def _spread(self) -> float:
         """Return by what factor answers of the store are further apart than usual."""
         answer_s = self._connection.tempo.answer_s
--- a/almondstack/platform/tests/test_front.py
+++ b/almondstack/platform/tests/test_front.py
@@ -1,5 +1,8 @@
 """Callers' requests, translated."""
 
+import http.client
+import threading
+
 import pytest
 
 from almondstack.core import NullMetrics
@@ -21,8 +24,9 @@
 )
 from almondstack.ownership import LogMovedError, Record
 from almondstack.platform.configuration import ConfigurationHolder
-from almondstack.platform.front import JobFront
+from almondstack.platform.front import FrontServer, JobFront
 from almondstack.platform.tests.builders import JOB, configuration_bytes, job_body, request
+from almondstack.testing.addresses import free_address
 from almondstack.testing.fake_records import FakeRecordStore, LateStore
 
 
@@ -54,7 +58,8 @@
         self.book = JobBook()
         self.holder = ConfigurationHolder()
         self.holder.put_configuration(configuration_bytes())
-        self.contact_age_s = 0.0
+        self.lag_s = 0.0
+        self.read_gap_s = 0.7
         self.next_offset = 0
         self.owner = _Owner()
         service = JobService(
@@ -173,10 +178,10 @@
 
 def test_outage_a_store_that_is_silent_is_not_asked_to_store_jobs(front):
     """An append that is never answered would leave the caller without a true answer."""
-    front.contact_age_s = 1.5
+    front.lag_s = 1.5
     answer = front.ask("POST", body=job_body())
     assert answer.status == 503 and answer.retry_after_s and front.store.records == []
-    front.contact_age_s = 0.5
+    front.lag_s = 0.5
     assert front.ask("POST", body=job_body()).status == 200
 
 
@@ -352,10 +357,10 @@
     late = _leave_for_later(front)
     assert front.ask("POST", body=job_body()).status == 504
     front.use(front.store)
-    front.contact_age_s = 5.0 if fault == "silent" else 0.0
+    front.lag_s = 5.0 if fault == "silent" else 0.0
     front.store.is_down = True
     assert front.ask("POST", body=job_body()).status == 504
-    front.contact_age_s, front.store.is_down = 0.0, False
+    front.lag_s, front.store.is_down = 0.0, False
     late.carry_out()
     assert front.ask("POST", body=job_body()).status == 200
     assert len(front.store.records) == 1
@@ -406,3 +411,38 @@
     assert front.ask("POST", body=job_body(), deadline_s=1.5).status == 504
     late.carry_out()
     assert len(store.records) == 1
+
+
+def test_cut_off_callers_that_are_turned_away_come_back_over_a_new_connection(front):
+    """A connection that stays open brings each further try to the process that is cut off."""
+    server = FrontServer(free_address(), front.front, threads=2)
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        front.lag_s = 5.0
+        assert _post(server, "1" * 16) == (503, "close")
+        front.lag_s = 0.0
+        assert _post(server, "2" * 16) == (200, None)
+    finally:
+        server.stop()
+        thread.join()
+
+
+def _post(server, job):
+    """Hand a job in over loopback; return the status and what becomes of the connection."""
+    connection = http.client.HTTPConnection(*server.bind_addr, timeout=10)
+    wanted = request("POST", path=f"/q/{job}", body=job_body())
+    headers = {"Host": wanted.host, "Authorization": f"Bearer {wanted.key}"}
+    connection.request("POST", wanted.path, wanted.body, headers)
+    response = connection.getresponse()
+    response.read()
+    connection.close()
+    return response.status, response.headers.get("Connection")
+
+
+def test_behind_a_state_that_is_not_known_is_not_looked_up(front):
+    """Lookups of a process that is cut off held all of its threads."""
+    front.lag_s = 5.0
+    front.sync = None
+    assert front.ask("GET").status == 503
--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -19,12 +19,20 @@
     SubmissionRequest,
 )
 from almondstack.jobs import JobBook, OwnerNotice
-from almondstack.relay.messages import CancelCall, ReceiptReply, RelayPath, Sender, SubmissionCall
+from almondstack.relay.messages import (
+    CancelCall,
+    OwnerReply,
+    ReceiptReply,
+    RelayPath,
+    Sender,
+    SubmissionCall,
+)
 
 __all__ = ["OwnerClient"]
 
 _OK = 200
-_NOT_TAKEN = frozenset({400, 404, 409})
+_CONFLICT = 409
+_NOT_TAKEN = frozenset({400, 404, _CONFLICT})
 """Statuses by which the server says that the owner has not taken a request, and won't."""
 
 _CONNECTIONS = 4
@@ -42,10 +50,15 @@
 """An owner of which the store brought nothing for longer is not asked, in seconds; it writes
 several times a second, and reads may be this far apart unless they are spread."""
 
+_MOST_LAG_S = 3.0
+"""A process that has not heard the store for longer hands nothing in, in seconds: it may not know
+of a key that was revoked."""
+
 _MS = 1000.0
 
 _encoder = msgspec.msgpack.Encoder()
 _replies = msgspec.msgpack.Decoder(ReceiptReply)
+_owners = msgspec.msgpack.Decoder(OwnerReply)
 
 
 class OwnerClient:
@@ -61,6 +74,8 @@
         Returns how this process is and hears the store now.
     spread : callable
         Returns by what factor the store's answers may be further apart than usual.
+    lag_s : callable
+        Returns how far this process is behind the store, in seconds.
     """
 
     __slots__ = (
@@ -69,9 +84,11 @@
         "_describe",
         "_failed_s",
         "_failed_token",
+        "_lag_s",
         "_lock",
         "_requests",
         "_spread",
+        "_successor",
     )
 
     def __init__(
@@ -80,15 +97,18 @@
         requests: OwnerRequests,
         describe: Callable[[], Peer],
         spread: Callable[[], float],
+        lag_s: Callable[[], float],
     ) -> None:
         self._book = book
         self._requests = requests
         self._spread = spread
+        self._lag_s = lag_s
         self._describe = describe
         self._lock = threading.Lock()
         self._caller: HttpCaller | None = None
         self._failed_s = 0.0
         self._failed_token: int | None = None
+        self._successor: OwnerReply | None = None
 
     def ask(self, request: OwnerRequest, timeout_s: float) -> Receipt:
         """Return the owner's receipt; see ``OwnerPort``."""
@@ -97,32 +117,50 @@
         notice = self._book.notice
         if notice is None or not notice.owner or not notice.requests_address:
             raise OwnerNotReachedError("nobody owns the jobs")
+        if self._lag_s() > _MOST_LAG_S:
+            raise OwnerNotReachedError("this process has not heard the store for too long")
         if self._is_doubtful(notice):
             raise OwnerNotReachedError("the owner is silent, or could not be asked a moment ago")
-        return self._call(notice, request, timeout_s)
+        owner = self._newest_owner(notice)
+        return self._call(owner, request, timeout_s, may_follow=True)
+
+    def _newest_owner(self, notice: OwnerNotice) -> OwnerReply:
+        """Return the owner of the newest notice, or a later one that another process has named."""
+        owner = OwnerReply(notice.token, notice.requests_address)
+        successor = self._successor
+        return successor if successor is not None and successor.token > owner.token else owner
 
     def _is_doubtful(self, notice: OwnerNotice) -> bool:
         """Whether this owner is silent, has failed lately, or was not heard since it did."""
         silence_s = time.monotonic() - self._book.owner_heard_s
-        if silence_s > _SILENT_S * self._spread():
+        most_silence_s = _SILENT_S * self._spread()
+        # Where the store itself is silent, nothing was to be heard of a living owner either.
+        if silence_s > most_silence_s and self._lag_s() <= most_silence_s:
             return True
         if notice.token != self._failed_token:
             return False
         is_recent = time.monotonic() - self._failed_s < _PAUSE_S
         return is_recent or self._book.owner_heard_s < self._failed_s
 
-    def _call(self, notice: OwnerNotice, request: OwnerRequest, timeout_s: float) -> Receipt:
+    def _call(
+        self, owner: OwnerReply, request: OwnerRequest, timeout_s: float, *, may_follow: bool
+    ) -> Receipt:
+        """Ask an owner; follow once to the one that owns the jobs after it."""
         owner_s = max(0.0, timeout_s - _ANSWER_MARGIN_S)
-        path, body = _encode(request, notice.token, owner_s, self._sender())
-        caller = self._caller_of(notice.requests_address)
+        path, body = _encode(request, owner.token, owner_s, self._sender())
+        caller = self._caller_of(owner.requests_address)
         try:
             reply = caller.call("POST", path, timeout_s, body)
         except NotSentError as error:
-            self._note_failure(notice)
+            self._note_failure(owner.token)
             raise OwnerNotReachedError(str(error)) from error
         except NoAnswerError as error:
-            self._note_failure(notice)
+            self._note_failure(owner.token)
             raise OwnerUnclearError(str(error)) from error
+        successor = _successor(reply, owner) if may_follow else None
+        if successor is not None:
+            self._successor = successor
+            return self._call(successor, request, timeout_s, may_follow=False)
         return _receipt(reply)
 
     def _sender(self) -> Sender:
@@ -135,11 +173,11 @@
                 self._caller = HttpCaller(address, _CONNECTIONS, _CONNECT_TIMEOUT_S)
             return self._caller
 
-    def _note_failure(self, notice: OwnerNotice) -> None:
+    def _note_failure(self, token: int) -> None:
         """Ask this owner no more for a while, and over new connections then."""
         with self._lock:
             self._failed_s = time.monotonic()
-            self._failed_token = notice.token
+            self._failed_token = token
             caller, self._caller = self._caller, None
         if caller is not None:
             caller.close()
@@ -172,6 +210,18 @@
     return RelayPath.CANCEL, _encoder.encode(call)
 
 
+def _successor(reply: HttpReply, owner: OwnerReply) -> OwnerReply | None:
+    """Return the later owner that a process names which does not own the jobs, if it knows one."""
+    if reply.status != _CONFLICT:
+        return None
+    try:
+        found = _owners.decode(reply.body)
+    except msgspec.MsgspecError:
+        # A process of the version before names none.
+        return None
+    return found if found.token > owner.token and found.requests_address else None
+
+
 def _receipt(reply: HttpReply) -> Receipt:
     """Return what a reply says; an unforeseen status leaves it open whether it was taken."""
     if reply.status in _NOT_TAKEN:
--- a/almondstack/relay/messages.py
+++ b/almondstack/relay/messages.py
@@ -7,7 +7,14 @@
 from almondstack.intake import Verdict
 from almondstack.jobs import Submission
 
-__all__ = ["CancelCall", "ReceiptReply", "RelayPath", "Sender", "SubmissionCall"]
+__all__ = [
+    "CancelCall",
+    "OwnerReply",
+    "ReceiptReply",
+    "RelayPath",
+    "Sender",
+    "SubmissionCall",
+]
 
 
 class RelayPath(StrEnum):
@@ -67,3 +74,18 @@
 
     verdict: Verdict
     late_ms: float = 0.0
+
+
+class OwnerReply(msgspec.Struct, frozen=True, array_like=True):
+    """Who owns the jobs now, as a process knows that is asked for another owner.
+
+    Parameters
+    ----------
+    token : int
+        The owner's fencing token; 0 if none is known.
+    requests_address : str
+        Where it takes requests; empty if it takes none.
+    """
+
+    token: int = 0
+    requests_address: str = ""
--- a/almondstack/relay/server.py
+++ b/almondstack/relay/server.py
@@ -1,5 +1,7 @@
 """Takes requests of other processes for the owner in this one."""
 
+from collections.abc import Callable
+
 import msgspec
 from cheroot.server import Gateway
 from cheroot.workers.threadpool import ThreadPool
@@ -17,7 +19,14 @@
     SubmissionRequest,
     Verdict,
 )
-from almondstack.relay.messages import CancelCall, ReceiptReply, RelayPath, SubmissionCall
+from almondstack.jobs import OwnerNotice
+from almondstack.relay.messages import (
+    CancelCall,
+    OwnerReply,
+    ReceiptReply,
+    RelayPath,
+    SubmissionCall,
+)
 
 __all__ = ["RelayServer"]
 
@@ -38,7 +47,8 @@
 
     Explanation
     -----------
-    The statuses 400, 404 and 409 say that the request was not taken, and won't be.
+    The statuses 400, 404 and 409 say that the request was not taken, and won't be;
+    with 409 comes who owns the jobs instead.
 
     Parameters
     ----------
@@ -46,12 +56,20 @@
         Numeric address.
     requests : OwnerRequests
         Takes requests while this process owns the jobs.
+    notice : callable
+        Returns the newest notice of an owner that this process has read.
     """
 
-    def __init__(self, address: str, requests: OwnerRequests) -> None:
+    def __init__(
+        self,
+        address: str,
+        requests: OwnerRequests,
+        notice: Callable[[], OwnerNotice | None],
+    ) -> None:
         super().__init__(parse_address(address), _RelayGateway)
         self.timeout = _IDLE_TIMEOUT_S
         self.owner_requests = requests
+        self.notice = notice
         self.requests = ThreadPool(self, min=_LEAST_THREADS, max=_OWNER_THREADS)
 
     def expect_requests(self, *, is_owner: bool) -> None:
@@ -86,13 +104,19 @@
         except msgspec.MsgspecError:
             return b"400 Bad Request", b""
         except OwnerNotReachedError:
-            return b"409 Conflict", b""
+            return b"409 Conflict", _encoder.encode(self._owner())
         except OwnerUnclearError:
             receipt = Receipt(Verdict.UNCLEAR)
         if receipt is None:
             return b"404 Not Found", b""
         return b"200 OK", _encoder.encode(ReceiptReply(receipt.verdict, receipt.late_ms))
 
+    def _owner(self) -> OwnerReply:
+        notice = self.req.server.notice()
+        if notice is None or not notice.owner:
+            return OwnerReply()
+        return OwnerReply(notice.token, notice.requests_address)
+
     def _receipt(self, path: str, body: bytes) -> Receipt | None:
         """Return the owner's receipt; None if nothing is served at that path."""
         if path == RelayPath.SUBMISSION:
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -30,7 +30,7 @@
 def owner():
     """Serve requests for an owner on loopback."""
     requests = OwnerRequests()
-    server = RelayServer(free_address(), requests)
+    server = RelayServer(free_address(), requests, lambda: None)
     server.prepare()
     thread = threading.Thread(target=server.serve, daemon=True)
     thread.start()
@@ -42,7 +42,13 @@
 def _client(address, token=_TOKEN):
     book = JobBook()
     _sign(book, address, token)
-    return OwnerClient(book, OwnerRequests(), lambda: Peer("a/1", 2.0, 0.1), lambda: 1.0), book
+    return _client_of(book, OwnerRequests()), book
+
+
+def _client_of(book, requests, lag_s=0.0):
+    return OwnerClient(
+        book, requests, lambda: Peer("a/1", 2.0, 0.1), lambda: 1.0, lambda: lag_s
+    )
 
 
 def _sign(book, address, token=_TOKEN):
@@ -132,7 +138,7 @@
     book = JobBook()
     requests = OwnerRequests()
     requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
-    client = OwnerClient(book, requests, lambda: Peer("a/1", 2.0, 0.1), lambda: 1.0)
+    client = _client_of(book, requests)
     assert client.ask(_submission(), 1.0).verdict is Verdict.DONE
 
 
@@ -197,3 +203,54 @@
         request.answer(Receipt(Verdict.DONE))
     for caller in callers:
         caller.join()
+
+
+def test_without_the_store_the_last_known_owner_is_asked(owner, monkeypatch):
+    """Nothing of a living owner is heard where the store turns this process away."""
+    requests, address, _ = owner
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
+    book = JobBook()
+    _sign(book, address)
+    monkeypatch.setattr(book, "_owner_heard_s", time.monotonic() - 2.0)
+    client = _client_of(book, OwnerRequests(), lag_s=2.0)
+    assert client.ask(_submission(), 5.0).verdict is Verdict.DONE
+
+
+def test_without_the_store_for_long_nothing_is_handed_in(owner):
+    """A key may have been revoked that this process still takes."""
+    requests, address, _ = owner
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
+    book = JobBook()
+    _sign(book, address)
+    client = _client_of(book, OwnerRequests(), lag_s=4.0)
+    with pytest.raises(OwnerNotReachedError, match="too long"):
+        client.ask(_submission(), 5.0)
+
+
+def test_an_owner_that_has_been_replaced_names_the_next_one(owner, monkeypatch):
+    requests, address, server = owner
+    later = OwnerRequests()
+    seen = []
+    later.open(_TOKEN + 1, _answering(Receipt(Verdict.DONE), seen))
+    next_server = RelayServer(free_address(), later, lambda: None)
+    next_server.prepare()
+    thread = threading.Thread(target=next_server.serve, daemon=True)
+    thread.start()
+    next_address = "{}:{}".format(*next_server.bind_addr)
+    server.notice = lambda: OwnerNotice("n/1", _TOKEN + 1, "", {}, 1.0, next_address)
+    client, _ = _client(address)
+    assert client.ask(_submission(), 5.0).verdict is Verdict.DONE
+    # The one before is not asked again.
+    monkeypatch.setattr(server, "notice", None)
+    assert client.ask(_submission(), 5.0).verdict is Verdict.DONE
+    assert len(seen) == 2
+    next_server.stop()
+    thread.join()
+
+
+def test_a_process_that_knows_no_later_owner_sends_nobody_on(owner):
+    _, address, server = owner
+    server.notice = lambda: OwnerNotice("o/1", _TOKEN, "", {}, 1.0, address)
+    client, _ = _client(address)
+    with pytest.raises(OwnerNotReachedError, match="409"):
+        client.ask(_submission(), 5.0)
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -187,10 +187,15 @@
         )
 
     @property
-    def contact_age_s(self) -> float:
+    def lag_s(self) -> float:
         """The store is never silent here; its calls fail one by one."""
         return 0.0
 
+    @property
+    def read_gap_s(self) -> float:
+        """Reads are not apart."""
+        return 0.0
+
     def sync(self) -> None:
         """Follow the store to its end."""
         batch = self._world.store.read(self.next_offset, 0.0)
