Start nothing in an availability zone that operators evacuate

Every process follows the requests with the configuration; placement, and each start once more just before it is sent, leave the zone out; its instances count for no pool, so that others come in; lasting tasks leave it one at a time where another zone has room, and stay at work where none has. A request that was removed while history was lost is over. Not done: ramping up cold workers, which have no cold time on this site, and a view for operators.

--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -1,6 +1,7 @@
 """What the owner does with instances, round by round."""
 
 import time
+from collections.abc import Iterator
 
 from almondstack.capacity import Candidate, Move, PoolState, wanted_instances
 from almondstack.control.admission import AdmissionRounds
@@ -13,9 +14,9 @@
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
 from almondstack.control.wave_rounds import WaveRounds
-from almondstack.jobs import ActiveJob, RecordKind, record_key
+from almondstack.jobs import ActiveJob, RecordKind, Task, record_key
 from almondstack.ownership import Record
-from almondstack.placement import Policies
+from almondstack.placement import Policies, Worker, has_room
 from almondstack.placement.backlog import EstimateCorrection
 
 __all__ = ["FleetRounds"]
@@ -161,7 +162,8 @@
         self._lose_unlisted(instances, now_s)
         spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
         workers = self._table.workers
-        states = self._balance.pools(instances, policies, set(), now_s)
+        evacuated = self._evacuated(instances)
+        states = self._balance.pools(instances, policies, evacuated, now_s)
         size_millis = usual_size_millis(instances)
         self._coming = {state.name for state in states if state.coming}
         self._admission.round(states, policies, time.time() * 1000.0)
@@ -169,13 +171,18 @@
         self._write_pools(states, wanted)
         self._paid.note(instances, states, wanted, workers, now_s)
         ranks = {state.name: float(state.size - wanted[state.name]) for state in states}
-        emptied = self._waves.round(instances, workers, spare_pools, ranks, now_s)
+        emptied = self._waves.round(instances, workers, spare_pools, ranks, now_s) | evacuated
         moves = self._plan_moves(instances, policies, spare_pools, emptied, now_s)
         emptied |= {move.instance for move in moves}
         ready = [move for move in moves if self._is_empty(move.instance, instances)]
         self._moves = ready[: max(0, self._desk.room - len(self._waves.due))]
         self._reserve(instances, emptied, now_s)
 
+    def _evacuated(self, instances: list[InstanceInfo]) -> set[str]:
+        """Return the instances of availability zones whose workers are to get nothing more."""
+        zones = self._services.directory.evacuated_zones()
+        return {info.name for info in instances if info.zone in zones}
+
     def _plan_moves(
         self,
         instances: list[InstanceInfo],
@@ -235,8 +242,24 @@
                 continue
             is_ordered = self._desk.is_order_open(info.name, worker.info.life, now_s)
             worker.is_reserved = info.name in emptied or is_ordered
-            if info.name not in emptied:
+            if info.name in emptied:
+                self._move_lasting(worker, now_s)
+
+    def _move_lasting(self, worker: Worker, now_s: float) -> None:
+        """Stop the lasting tasks of a worker that may be away, to have them start elsewhere."""
+        evacuated = self._services.directory.evacuated_zones()
+        is_evacuated = worker.info.zone in evacuated
+        for task in worker.tasks:
+            if not task.step.is_long_running:
                 continue
-            for task in worker.tasks:
-                if task.step.is_long_running and may_interrupt(task, self._table.workers, now_s):
-                    self._table.ask_stop(task, now_s)
+            if is_evacuated and not has_room(task, self._others(task, evacuated), now_s):
+                continue
+            if may_interrupt(task, self._table.workers, now_s):
+                self._table.ask_stop(task, now_s)
+
+    def _others(self, task: Task, evacuated: frozenset[str]) -> Iterator[Worker]:
+        """Iterate over the workers of a task's pool that are outside the evacuated zones."""
+        pool = self._table.workers[task.worker].info.pool
+        for worker in self._table.workers.values():
+            if worker.info.pool == pool and worker.info.zone not in evacuated:
+                yield worker
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -115,7 +115,9 @@
         )
         self._table = RunTable(self, services.events, services.metrics)
         self._advisor = Advisor(services)
-        self._planner = Planner(self._table, self._advisor, services.policies)
+        self._planner = Planner(
+            self._table, self._advisor, services.policies, services.directory.evacuated_zones
+        )
         self._records = JobRecords(services, self._planner)
         self._requests = RequestRounds(services, self._planner)
         self._fleet = FleetRounds(self._table, self._planner, services, token)
@@ -399,7 +401,14 @@
         """Whether that run of a task is still to be started; sessions ask from their threads."""
         entry = self._services.book.entry(task.job.id)
         is_open = task.job.is_open and entry is not None and not entry.is_cancelled
-        return is_open and task.is_assigned and task.run == run and not task.is_stopping
+        is_present = task.is_assigned and task.run == run and not task.is_stopping
+        return is_open and is_present and not self._is_evacuated(task.worker)
+
+    def _is_evacuated(self, worker_id: str) -> bool:
+        """Whether a worker is in an availability zone that gets nothing more."""
+        worker = self._table.workers.get(worker_id)
+        zones = self._services.directory.evacuated_zones()
+        return worker is not None and worker.info.zone in zones
 
     def _send_start(self, task: Task) -> None:
         session = self._sessions.get(task.worker)
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -29,12 +29,29 @@
         Narrows the workers of a step where its queue asks for advice.
     policies : callable
         Returns the newest policies.
+    evacuated_zones : callable, optional
+        Returns the availability zones whose workers get nothing new.
     """
 
-    __slots__ = ("_advisor", "_at_ceiling", "_blocked", "_policies", "_queues", "_table")
-
-    def __init__(self, table: RunTable, advisor: Advisor, policies: Callable[[], Policies]) -> None:
+    __slots__ = (
+        "_advisor",
+        "_at_ceiling",
+        "_blocked",
+        "_evacuated_zones",
+        "_policies",
+        "_queues",
+        "_table",
+    )
+
+    def __init__(
+        self,
+        table: RunTable,
+        advisor: Advisor,
+        policies: Callable[[], Policies],
+        evacuated_zones: Callable[[], frozenset[str]] = frozenset,
+    ) -> None:
         self._table = table
+        self._evacuated_zones = evacuated_zones
         self._advisor = advisor
         self._policies = policies
         self._queues: dict[str, QueuePolicy] = {}
@@ -119,7 +136,11 @@
     def _open_workers(self, now_s: float) -> dict[str, list[Worker]]:
         by_pool: dict[str, list[Worker]] = {}
         unreachable = find_unreachable(self._table.workers.values())
+        evacuated = self._evacuated_zones()
         for worker in self._table.workers.values():
-            if worker.is_open(now_s) and not unreachable.covers(worker.info.zone, worker.info.rack):
-                by_pool.setdefault(worker.info.pool, []).append(worker)
+            info = worker.info
+            if not worker.is_open(now_s) or info.zone in evacuated:
+                continue
+            if not unreachable.covers(info.zone, info.rack):
+                by_pool.setdefault(info.pool, []).append(worker)
         return by_pool
--- a/almondstack/control/ports.py
+++ b/almondstack/control/ports.py
@@ -96,6 +96,10 @@
         """Return the waves that operators ask for."""
         ...
 
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the availability zones whose workers are to get nothing more."""
+        ...
+
     def report_wave(self, number: int, is_completed: bool) -> None:
         """Tell operators how far a wave is.
 
--- a/almondstack/control/stalls.py
+++ b/almondstack/control/stalls.py
@@ -6,7 +6,7 @@
 from almondstack.control.runs import RunTable
 from almondstack.core.events import EventLog
 from almondstack.jobs import Task, format_task_name
-from almondstack.placement import Worker, demand_of, is_eligible
+from almondstack.placement import Worker, has_room
 from almondstack.placement.backlog import EstimateCorrection
 from almondstack.placement.progress import Progress, is_better_elsewhere
 
@@ -64,7 +64,7 @@
             remaining_s = progress.remaining_s
             if remaining_s is None or not self._is_slow(task, progress, remaining_s):
                 continue
-            if any(self._alternatives(task, now_s)):
+            if has_room(task, self._others(task), now_s):
                 self._give_up(task, progress, remaining_s, now_s)
 
     def _is_slow(self, task: Task, progress: Progress, remaining_s: float) -> bool:
@@ -79,14 +79,12 @@
             has_checkpoint=task.step.has_checkpoints,
         )
 
-    def _alternatives(self, task: Task, now_s: float) -> Iterator[Worker]:
+    def _others(self, task: Task) -> Iterator[Worker]:
+        """Iterate over the workers of its pool on which a task has not been slow."""
         pool = self._planner.policy_of(task.job.submission).pool
-        demand = demand_of(task.step)
         for worker in self._table.workers.values():
-            is_other = worker.info.pool == pool and worker.id not in {task.worker, *task.failed_on}
-            if is_other and worker.is_open(now_s) and worker.free.covers(demand):
-                if is_eligible(task, worker):
-                    yield worker
+            if worker.info.pool == pool and worker.id not in {task.worker, *task.failed_on}:
+                yield worker
 
     def _give_up(self, task: Task, progress: Progress, remaining_s: float, now_s: float) -> None:
         self._events.write(
--- a/almondstack/control/tests/test_wave_rounds.py
+++ b/almondstack/control/tests/test_wave_rounds.py
@@ -36,6 +36,10 @@
         self.directory = self
         self.requests = list(requests)
 
+    def evacuated_zones(self) -> frozenset[str]:
+        """No zone is evacuated here."""
+        return frozenset()
+
     def waves(self):
         return self.requests
 
--- a/almondstack/core/tests/test_shared_call.py
+++ b/almondstack/core/tests/test_shared_call.py
@@ -40,9 +40,7 @@
     """Let one thread call, and many more ask meanwhile; return what each was told."""
     shared = SharedCall(call)
     outcomes = []
-    threads = [
-        threading.Thread(target=_ask, args=(shared, outcomes)) for _ in range(_THREADS + 1)
-    ]
+    threads = [threading.Thread(target=_ask, args=(shared, outcomes)) for _ in range(_THREADS + 1)]
     threads[0].start()
     call.began.wait(_PATIENCE_S)
     for thread in threads[1:]:
--- a/almondstack/ctl/day/jobs.py
+++ b/almondstack/ctl/day/jobs.py
@@ -1,5 +1,6 @@
 """The jobs of a day: what became of each, and the one cause that held it up most."""
 
+from collections.abc import Callable
 from enum import StrEnum
 from functools import partial
 
@@ -158,7 +159,7 @@
     def __init__(self) -> None:
         self.jobs: dict[str, DayJob] = {}
         self._zones: dict[str, str] = {}
-        self._handlers = {
+        self._handlers: dict[str, Callable[[LogEvent], None]] = {
             "start": self._note_start,
             "job-submitted": partial(self._note, DayJob.note_try),
             "job-refused": partial(self._note, DayJob.note_try),
@@ -176,7 +177,7 @@
     def _note_start(self, event: LogEvent) -> None:
         self._zones[event.node] = str(event.fields.get("zone", ""))
 
-    def _note(self, note, event: LogEvent) -> None:
+    def _note(self, note: Callable[[DayJob, LogEvent], None], event: LogEvent) -> None:
         if event.job not in self.jobs:
             self.jobs[event.job] = DayJob(event.time_s, self._zones.get(event.node, ""))
         note(self.jobs[event.job], event)
--- a/almondstack/placement/__init__.py
+++ b/almondstack/placement/__init__.py
@@ -1,6 +1,11 @@
 """Placement: decisions on who gets which worker, without network, clock or thread."""
 
-from almondstack.placement.choosing import choose_for_gang, choose_worker, is_eligible
+from almondstack.placement.choosing import (
+    choose_for_gang,
+    choose_worker,
+    has_room,
+    is_eligible,
+)
 from almondstack.placement.order import objective_s, rank_of
 from almondstack.placement.policies import AccountPolicy, AdvicePolicy, Policies, QueuePolicy
 from almondstack.placement.resources import Resources, demand_of
@@ -21,6 +26,7 @@
     "choose_for_gang",
     "choose_worker",
     "demand_of",
+    "has_room",
     "is_eligible",
     "objective_s",
     "rank_of",
--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -6,7 +6,7 @@
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.workers import Worker
 
-__all__ = ["choose_for_gang", "choose_worker", "is_eligible", "reserve_for"]
+__all__ = ["choose_for_gang", "choose_worker", "has_room", "is_eligible", "reserve_for"]
 
 
 def is_eligible(task: Task, worker: Worker) -> bool:
@@ -19,6 +19,15 @@
     return worker.info.capacity.covers(demand_of(step))
 
 
+def has_room(task: Task, workers: Iterable[Worker], now_s: float) -> bool:
+    """Whether one of the workers could take a task now."""
+    demand = demand_of(task.step)
+    return any(
+        worker.is_open(now_s) and worker.free.covers(demand) and is_eligible(task, worker)
+        for worker in workers
+    )
+
+
 def choose_worker(task: Task, workers: Iterable[Worker]) -> Worker | None:
     """Return the best worker that has room for a task now.
 
--- a/almondstack/platform/configuration.py
+++ b/almondstack/platform/configuration.py
@@ -80,13 +80,14 @@
 
 
 class ConfigurationHolder:
-    """Holds the newest configuration and the asked-for waves; never goes back."""
+    """Holds the newest configuration, which never goes back, and what else operators ask for."""
 
-    __slots__ = ("_configuration", "_lock", "_waves")
+    __slots__ = ("_configuration", "_evacuated", "_lock", "_waves")
 
     def __init__(self) -> None:
         self._configuration: Configuration | None = None
         self._waves: dict[int, WaveRequest] = {}
+        self._evacuated: frozenset[str] = frozenset()
         self._lock = threading.Lock()
 
     @property
@@ -104,6 +105,22 @@
         with self._lock:
             return list(self._waves.values())
 
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the availability zones whose workers are to get nothing more."""
+        return self._evacuated
+
+    def evacuate(self, zone: str, *, is_asked: bool) -> bool:
+        """Note that a zone is to be evacuated, or is taken back; return whether that is news."""
+        with self._lock:
+            before = self._evacuated
+            self._evacuated = before | {zone} if is_asked else before - {zone}
+            return self._evacuated != before
+
+    def keep_evacuated(self, zones: frozenset[str]) -> None:
+        """Take back all zones but these."""
+        with self._lock:
+            self._evacuated &= zones
+
     def put_configuration(self, value: bytes) -> int | None:
         """Take a configuration; return its version, or None if a newer one is in force.
 
--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -18,6 +18,7 @@
 _TOPIC = "keyed.op"
 _CONFIG_KEY = "config"
 _WAVE_PREFIX = "wave/"
+_EVACUATION_PREFIX = "evacuate/"
 _READY = "ready"
 _DRAINING = "draining"
 _REPORT_TIMEOUT_S = 0.8
@@ -89,15 +90,26 @@
         """
         connection = StoreConnection(self._connection.address)
         try:
-            self._take_all(KeyedTopic(connection, _TOPIC).snapshot().records)
+            records = KeyedTopic(connection, _TOPIC).snapshot().records
         finally:
             connection.close()
+        for record in records:
+            # Evacuations are taken back, so that only the follower knows their order.
+            if not record.key.startswith(_EVACUATION_PREFIX):
+                self._take(record)
 
     def _take_all(self, records: list[Record]) -> None:
+        asked = [record.key for record in records if record.value]
+        zones = frozenset(filter(None, map(_evacuated_zone, asked)))
+        self._holder.keep_evacuated(zones)
         for record in records:
             self._take(record)
 
     def _take(self, record: Record) -> None:
+        zone = _evacuated_zone(record.key)
+        if zone:
+            self._take_evacuation(zone, is_asked=bool(record.value))
+            return
         if not record.value:
             return
         try:
@@ -114,6 +126,15 @@
         if version is not None:
             self._events.write("configuration-in-force", version=version)
 
+    def _take_evacuation(self, zone: str, *, is_asked: bool) -> None:
+        if self._holder.evacuate(zone, is_asked=is_asked):
+            self._events.write("evacuation-asked" if is_asked else "evacuation-over", zone=zone)
+
+
+def _evacuated_zone(key: str) -> str:
+    """Return the availability zone whose evacuation a key stands for, or an empty text."""
+    return key.removeprefix(_EVACUATION_PREFIX) if key.startswith(_EVACUATION_PREFIX) else ""
+
 
 class StoreDirectory:
     """Registered workers, waves and their reports; see ``FleetDirectory``.
@@ -177,6 +198,10 @@
         """Return the waves that operators ask for."""
         return self._holder.waves()
 
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the availability zones whose workers are to get nothing more."""
+        return self._holder.evacuated_zones()
+
     def report_wave(self, number: int, is_completed: bool) -> None:
         """Write how far a wave is."""
         state = "completed" if is_completed else "running"
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -94,9 +94,7 @@
             settings.limits.cores,
         )
         self._requests = OwnerRequests(settings.zone)
-        self._relay = RelayServer(
-            settings.relay_address, self._requests, lambda: self._book.notice
-        )
+        self._relay = RelayServer(settings.relay_address, self._requests, lambda: self._book.notice)
         service = JobService(
             self._store,
             self._book,
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -46,9 +46,7 @@
 
 
 def _client_of(book, requests, lag_s=0.0):
-    return OwnerClient(
-        book, requests, lambda: Peer("a/1", 2.0, 0.1), lambda: 1.0, lambda: lag_s
-    )
+    return OwnerClient(book, requests, lambda: Peer("a/1", 2.0, 0.1), lambda: 1.0, lambda: lag_s)
 
 
 def _sign(book, address, token=_TOKEN):
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -397,6 +397,10 @@
             if worker.is_registered
         }
 
+    def evacuated_zones(self) -> frozenset[str]:
+        """No zone is evacuated here."""
+        return frozenset()
+
     def waves(self) -> list[WaveRequest]:
         """No wave is asked for."""
         return []
