--- a/almondstack/core/events.py
+++ b/almondstack/core/events.py
@@ -32,6 +32,10 @@
 
 _FLUSH_INTERVAL_S = 0.2
 
+_MOST_BYTES = 4_096
+"""Lines are written in parts of at most so many bytes: a pipe takes that much as a whole or not at
+all (POSIX, PIPE_BUF), so that lines are neither cut nor mixed with those of other processes."""
+
 
 class EventLog:
     """Writes events as JSON lines without ever blocking its callers.
@@ -111,9 +115,18 @@
         self._flush()
 
     def _flush(self) -> None:
-        lines = []
+        part: list[str] = []
+        size = 0
         while self._lines:
-            lines.append(json.dumps(self._lines.popleft(), separators=(",", ":"), default=str))
-        if lines:
-            self._stream.write("\n".join(lines) + "\n")
-            self._stream.flush()
+            line = json.dumps(self._lines.popleft(), separators=(",", ":"), default=str) + "\n"
+            if part and size + len(line) > _MOST_BYTES:
+                self._write_part(part)
+                part, size = [], 0
+            part.append(line)
+            size += len(line)
+        if part:
+            self._write_part(part)
+
+    def _write_part(self, lines: list[str]) -> None:
+        self._stream.write("".join(lines))
+        self._stream.flush()
--- a/almondstack/core/tests/test_events.py
+++ b/almondstack/core/tests/test_events.py
@@ -47,3 +47,30 @@
     (line,) = _written(log, stream)
     assert (line["event"], line["thread"]) == ("thread-failed", "configuration")
     assert "IndexError" in line["error"] and len(traces) == 1
+
+
+class _Pipe(io.StringIO):
+    """Keeps how much came at a time."""
+
+    def __init__(self):
+        super().__init__()
+        self.sizes = [0]
+
+    def write(self, text):
+        """Take a part of a write."""
+        self.sizes[-1] += len(text)
+        return super().write(text)
+
+    def flush(self):
+        """End a write."""
+        self.sizes.append(0)
+
+
+def test_burst_lines_are_written_in_parts_that_a_pipe_takes_as_a_whole():
+    """Of the lines of a busy fifth of a second those beyond eight kilobytes were lost."""
+    pipe = _Pipe()
+    log = EventLog("n", pipe)
+    for number in range(300):
+        log.write("run-ended", task=f"{number:032}", worker="w" * 20)
+    assert len(_written(log, pipe)) == 300
+    assert max(pipe.sizes) <= 4_096 and len(pipe.sizes) > 5
