--- a/almondstack/control/delays.py
+++ b/almondstack/control/delays.py
@@ -9,6 +9,8 @@
 
 from enum import StrEnum
 
+from almondstack.jobs import RunEnd, Task
+
 __all__ = ["DelayCause", "JobDelays"]
 
 
@@ -26,6 +28,22 @@
     SLOW_RUNS = "slow-runs"
 
 
+_USUAL_FACTOR = 2.0
+"""Estimates are rough: a run is slow from so many times its estimate on."""
+
+_MS = 1000.0
+
+_CAUSES = {
+    RunEnd.DONE: DelayCause.SLOW_RUNS,
+    RunEnd.FAILED: DelayCause.FAILURES,
+    RunEnd.STOPPED: DelayCause.STOPPED,
+    RunEnd.BROKEN: DelayCause.STOPPED,
+    RunEnd.ALONE: DelayCause.STOPPED,
+    RunEnd.LAPSED: DelayCause.WORKER_LOST,
+    RunEnd.LOST: DelayCause.WORKER_LOST,
+}
+
+
 class JobDelays:
     """Seconds of delay by job and cause.
 
@@ -57,6 +75,14 @@
         steps = self._jobs.setdefault(job, {})
         steps[step, cause] = max(steps.get((step, cause), 0.0), seconds)
 
+    def note_run(self, task: Task, end: RunEnd, now_s: float) -> None:
+        """Note by how much a run that has ended has held its job up."""
+        took_s = now_s - task.assigned_s
+        if end is RunEnd.DONE:
+            took_s -= _USUAL_FACTOR * task.step.estimate_ms / _MS
+        if took_s > 0 and not task.step.is_long_running:
+            self.raise_to(task.job.id, task.key.step, _CAUSES[end], took_s)
+
     def take(self, job: str) -> dict[DelayCause, float]:
         """Return, and forget, the seconds of a job by cause."""
         causes: dict[DelayCause, float] = {}
--- a/almondstack/control/pending_runs.py
+++ b/almondstack/control/pending_runs.py
@@ -1,9 +1,12 @@
-"""What is not yet known of a run, and which life of a worker it is on."""
+"""What is not yet known of runs, and which life of a worker each is on."""
 
-from almondstack.placement import WorkerInfo
+from collections.abc import Iterator, Mapping
+
+from almondstack.jobs import Task
+from almondstack.placement import Worker, WorkerInfo
 from almondstack.placement.progress import Progress
 
-__all__ = ["PendingRun", "is_other_life", "is_same_life"]
+__all__ = ["PendingRun", "PendingRuns", "is_other_life", "is_same_life"]
 
 
 class PendingRun:
@@ -49,6 +52,62 @@
         self.stop_acked_s: float | None = None
 
 
+class PendingRuns:
+    """The present runs of all tasks, with what is not yet known of each."""
+
+    __slots__ = ("_runs",)
+
+    def __init__(self) -> None:
+        self._runs: dict[Task, PendingRun] = {}
+
+    def __contains__(self, task: object) -> bool:
+        return task in self._runs
+
+    def __getitem__(self, task: Task) -> PendingRun:
+        return self._runs[task]
+
+    def add(self, task: Task) -> PendingRun:
+        """Follow the present run of a task."""
+        pending = self._runs[task] = PendingRun()
+        return pending
+
+    def get(self, task: Task) -> PendingRun | None:
+        """Return what is known of a task's present run, if it has one."""
+        return self._runs.get(task)
+
+    def pop(self, task: Task) -> PendingRun | None:
+        """Follow the run of a task no more."""
+        return self._runs.pop(task, None)
+
+    def items(self) -> list[tuple[Task, PendingRun]]:
+        """Return all tasks with their runs."""
+        return list(self._runs.items())
+
+    def on_worker(self, worker: str) -> list[Task]:
+        """Return the tasks recorded on a worker, whether it is known or not."""
+        return [task for task in self._runs if task.worker == worker]
+
+    def workers(self) -> set[str]:
+        """Return the ids of all workers on which a run is recorded."""
+        return {task.worker for task in self._runs}
+
+    def homeless(self, workers: Mapping[str, Worker], before_s: float) -> Iterator[Task]:
+        """Iterate over tasks whose worker is not known, nor was reborn since ``before_s``."""
+        for task, pending in self._runs.items():
+            is_recent = pending.rehomed_s is not None and pending.rehomed_s >= before_s
+            if task.worker not in workers and not is_recent:
+                yield task
+
+    def progressing(self, workers: Mapping[str, Worker]) -> Iterator[tuple[Task, Progress]]:
+        """Iterate over runs that end by themselves, on workers that answer, with their progress."""
+        for task, pending in self._runs.items():
+            step = task.step
+            worker = workers.get(task.worker)
+            is_judged = not step.is_long_running and not step.is_gang and not step.is_filler
+            if is_judged and worker is not None and worker.is_reachable:
+                yield task, pending.progress
+
+
 def is_same_life(recorded: int, present: int) -> bool:
     """Whether two lives, in Unix milliseconds of their start, may be one; 0 is not known."""
     return not recorded or not present or recorded == present
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterator
 from typing import Protocol
 
-from almondstack.control.delays import DelayCause, JobDelays
+from almondstack.control.delays import JobDelays
 from almondstack.control.messages import (
     EndedRun,
     LookReply,
@@ -20,7 +20,7 @@
     OrderStatus,
     RunningRun,
 )
-from almondstack.control.pending_runs import PendingRun, is_same_life
+from almondstack.control.pending_runs import PendingRun, PendingRuns, is_same_life
 from almondstack.core import NullMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskNameError, format_task_name
@@ -52,20 +52,6 @@
 """A worker that said it is full gets nothing new for so long, in seconds."""
 
 
-_USUAL_FACTOR = 2.0
-"""Estimates are rough: a run is slow from so many times its estimate on."""
-
-_DELAY_CAUSES = {
-    RunEnd.DONE: DelayCause.SLOW_RUNS,
-    RunEnd.FAILED: DelayCause.FAILURES,
-    RunEnd.STOPPED: DelayCause.STOPPED,
-    RunEnd.BROKEN: DelayCause.STOPPED,
-    RunEnd.ALONE: DelayCause.STOPPED,
-    RunEnd.LAPSED: DelayCause.WORKER_LOST,
-    RunEnd.LOST: DelayCause.WORKER_LOST,
-}
-
-
 class Orders(Protocol):
     """Where the table's orders go."""
 
@@ -110,7 +96,7 @@
         self._orders = orders
         self._events = events
         self._metrics = metrics
-        self._pending: dict[Task, PendingRun] = {}
+        self._pending = PendingRuns()
         self._ends: dict[str, int] = {}
         self._end_follower: Callable[[Task, float], None] | None = None
         self._job_end_follower: Callable[[ActiveJob], None] | None = None
@@ -133,11 +119,10 @@
         self.jobs[job.id] = job
         for task in job.assigned():
             self.usage.add(task)
-            pending = PendingRun()
+            task.assigned_s = now_s
+            pending = self._pending.add(task)
             pending.is_unclear = True
             pending.is_inherited = True
-            task.assigned_s = now_s
-            self._pending[task] = pending
 
     def adopt(self, worker: Worker, now_s: float, now_unix_ms: float) -> None:
         """Take up a worker, with the runs that are or may be on that life of it."""
@@ -177,7 +162,7 @@
 
     def tasks_on(self, worker: str) -> list[Task]:
         """Return the tasks recorded on a worker, whether it is known or not."""
-        return [task for task in self._pending if task.worker == worker]
+        return self._pending.on_worker(worker)
 
     def lose_unlisted(self, listed: set[str], listed_s: float, now_s: float) -> None:
         """Give up runs on workers that no instance carries any more.
@@ -191,30 +176,21 @@
         now_s : float
             Present monotonic time in seconds.
         """
-        gone = {task.worker for task in self._pending} - listed
-        for worker in gone:
+        for worker in self._pending.workers() - listed:
             if all(task.assigned_s < listed_s for task in self.tasks_on(worker)):
                 self.lose_worker(worker, "its instance carries another worker", now_s)
 
     def homeless(self, before_s: float) -> Iterator[Task]:
         """Iterate over tasks whose worker is not known, nor was reborn since ``before_s``."""
-        for task, pending in self._pending.items():
-            is_recent = pending.rehomed_s is not None and pending.rehomed_s >= before_s
-            if task.worker not in self.workers and not is_recent:
-                yield task
+        return self._pending.homeless(self.workers, before_s)
 
     def progressing(self) -> Iterator[tuple[Task, Progress]]:
         """Iterate over runs that end by themselves, on workers that answer, with their progress."""
-        for task, pending in self._pending.items():
-            step = task.step
-            worker = self.workers.get(task.worker)
-            is_judged = not step.is_long_running and not step.is_gang and not step.is_filler
-            if is_judged and worker is not None and worker.is_reachable:
-                yield task, pending.progress
+        return self._pending.progressing(self.workers)
 
     def note_assigned(self, task: Task) -> None:
         """Follow a run that placement has just assigned."""
-        self._pending[task] = PendingRun()
+        self._pending.add(task)
 
     def unplace(self, task: Task, now_s: float) -> None:
         """Take back a run whose start was never sent."""
@@ -243,7 +219,7 @@
 
     def retry_stops(self, now_s: float) -> None:
         """Repeat stops that were not acknowledged."""
-        for task, pending in list(self._pending.items()):
+        for task, pending in self._pending.items():
             if task.is_stopping and pending.stop_acked_s is None:
                 self.ask_stop(task, now_s)
 
@@ -415,7 +391,7 @@
         self, task: Task, end: RunEnd, checkpoint: str, now_s: float, *, is_counted: bool = True
     ) -> None:
         """Take a run off its worker and let its job take the end into account."""
-        self._pending.pop(task, None)
+        self._pending.pop(task)
         worker = self.workers.get(task.worker)
         if worker is not None:
             worker.remove(task)
@@ -426,7 +402,7 @@
         job.end_run(task, end, checkpoint, now_s)
         self._metrics.count(f"run.{end}")
         if is_counted:
-            self._note_delay(task, end, now_s)
+            self.delays.note_run(task, end, now_s)
             self._events.write(
                 "run-ended",
                 task=name,
@@ -443,19 +419,10 @@
         if was_open and not job.is_open:
             self._note_job_end(job, now_s)
 
-    def _note_delay(self, task: Task, end: RunEnd, now_s: float) -> None:
-        """Note by how much a run has held its job up."""
-        took_s = now_s - task.assigned_s
-        if end is RunEnd.DONE:
-            took_s -= _USUAL_FACTOR * task.step.estimate_ms / _MS
-        cause = _DELAY_CAUSES[end]
-        if took_s > 0 and not task.step.is_long_running:
-            self.delays.raise_to(task.job.id, task.key.step, cause, took_s)
-
     def _close_gang(self, task: Task) -> None:
         """Take the other members off their workers: one end that is done stands for all."""
         for member in task.job.steps_of(task.key.occurrence)[task.key.step]:
-            if self._pending.pop(member, None) is None:
+            if self._pending.pop(member) is None:
                 continue
             worker = self.workers.get(member.worker)
             if worker is not None:
--- a/almondstack/ctl/report_page.py
+++ b/almondstack/ctl/report_page.py
@@ -11,7 +11,10 @@
 _BAR_PX = 16
 _LABEL_PX = 300
 _PLOT_PX = 400
-_STYLE = "body{font:14px sans-serif;margin:2em}td,th{padding:2px 10px;text-align:left}"
+_STYLE = (
+    "body{font:14px sans-serif;margin:2em}td,th{padding:2px 10px;text-align:left}"
+    "svg{display:block;overflow:visible}"
+)
 
 
 def render_page(report: msgspec.Struct) -> str:
