--- a/almondstack/ctl/day/timeline.py
+++ b/almondstack/ctl/day/timeline.py
@@ -1,7 +1,10 @@
 """How pools, the owner and the ledger of paid time went through a day."""
 
+import contextlib
 from typing import NamedTuple
 
+import msgspec
+
 from almondstack.capacity import PaidUse
 from almondstack.ctl.log_events import LogEvent
 
@@ -17,6 +20,14 @@
     asked_millis: int
 
 
+class _PoolFields(msgspec.Struct):
+    """What a line ``pools-want`` says of a pool."""
+
+    size: int
+    wanted: int
+    asked_millis: int
+
+
 class Timeline:
     """Follows pools and owners through the lines.
 
@@ -38,21 +49,29 @@
         self.owner_ms: list[tuple[float, dict[str, float]]] = []
 
     def note(self, event: LogEvent) -> None:
-        """Take a line into account; lines come in the order of their times."""
-        if event.name == "pools-want":
-            for pool, fields in event.fields.get("pools", {}).items():
-                sample = PoolSample(
-                    event.time_s, fields["size"], fields["wanted"], fields["asked_millis"]
-                )
-                self.pools.setdefault(pool, []).append(sample)
-        elif event.name == "paid-seconds":
-            for pool, uses in event.fields.get("pools", {}).items():
-                self._add(pool, uses)
-        elif event.name == "owner-load":
-            self.owner_ms.append((event.time_s, event.fields.get("mean_ms", {})))
-
-    def _add(self, pool: str, uses: dict[str, float]) -> None:
-        paid_s = self.paid_s.setdefault(pool, {})
-        for name, seconds in uses.items():
-            use = PaidUse(name)
-            paid_s[use] = paid_s.get(use, 0.0) + seconds
+        """Take a line into account; lines come in the order of their times.
+
+        Explanation
+        -----------
+        What a line of another version says that is not understood is passed over.
+        """
+        pools = event.fields.get("pools", {})
+        with contextlib.suppress(msgspec.ValidationError):
+            if event.name == "pools-want":
+                self._note_pools(event.time_s, msgspec.convert(pools, dict[str, _PoolFields]))
+            elif event.name == "paid-seconds":
+                self._note_paid(msgspec.convert(pools, dict[str, dict[PaidUse, float]]))
+            elif event.name == "owner-load":
+                mean_ms = event.fields.get("mean_ms", {})
+                self.owner_ms.append((event.time_s, msgspec.convert(mean_ms, dict[str, float])))
+
+    def _note_pools(self, time_s: float, pools: dict[str, _PoolFields]) -> None:
+        for pool, fields in pools.items():
+            sample = PoolSample(time_s, fields.size, fields.wanted, fields.asked_millis)
+            self.pools.setdefault(pool, []).append(sample)
+
+    def _note_paid(self, pools: dict[str, dict[PaidUse, float]]) -> None:
+        for pool, uses in pools.items():
+            paid_s = self.paid_s.setdefault(pool, {})
+            for use, seconds in uses.items():
+                paid_s[use] = paid_s.get(use, 0.0) + seconds
--- a/almondstack/ctl/tests/test_day.py
+++ b/almondstack/ctl/tests/test_day.py
@@ -130,3 +130,19 @@
 def test_a_file_that_is_not_there_is_named(tmp_path, capsys):
     assert main(["day", str(tmp_path / "none.log")]) == ExitCode.USAGE
     assert "none.log" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    "pools", [7, {"p": 1}, {"p": {"size": "many"}}, {"p": {"unheard-of": 1.0}}]
+)
+@pytest.mark.parametrize("event", ["pools-want", "paid-seconds", "owner-load"])
+def test_lines_of_another_version_are_passed_over(event, pools):
+    lines = [log_line(1.0, "n1", event, pools=pools, mean_ms=pools), job_tried(1.0, "j1")]
+    report, _, timeline = make_day_report(lines)
+    assert report.jobs == 1 and report.paid == [] and timeline.pools == {}
+
+
+def test_a_job_line_without_its_fields_is_taken_as_it_is():
+    lines = [log_line(1.0, "n1", event, job="j1") for event in ("job-submitted", "job-ended")]
+    report, _, _ = make_day_report(lines)
+    assert report.jobs == 1
