--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -340,9 +340,6 @@
         for worker_id, session in self._sessions.unreachable(self._table):
             if now_s > session.lease_end_s:
                 self._table.lose_worker(worker_id, "its lease is over", now_s)
-            else:
-                self._table.abandon_copies(worker_id, session.lease_end_s, now_s)
-        self._table.usage.drop_kept(now_s)
         self._lose_homeless(now_s)
 
     def _lose_homeless(self, now_s: float) -> None:
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -43,9 +43,6 @@
 _BIRTH_SLACK_MS = 1_000.0
 """By so much the times of day of a worker and of this process may differ, in milliseconds."""
 
-_SILENT_S = 1.5
-"""A worker that was not heard for so long is not just slow to answer once, in seconds."""
-
 _MS = 1000.0
 
 _NO_ROOM_PAUSE_S = 0.3
@@ -270,24 +267,6 @@
         for task in tasks:
             self._release(task, RunEnd.LOST, "", now_s)
 
-    def abandon_copies(self, worker: str, until_s: float, now_s: float) -> None:
-        """Let tasks of which copies may run side by side wait again at once.
-
-        Explanation
-        -----------
-        The copy on a worker that does not answer may go on, until ``until_s`` at the
-        latest.  It counts for its account, and the worker gets nothing new, for so long.
-        """
-        silent = self.workers[worker]
-        tasks = [task for task in self.tasks_on(worker) if _may_be_copied(task)]
-        if not tasks or now_s - silent.heard_s < _SILENT_S:
-            return
-        self._events.write("copies-abandoned", worker=worker, runs=len(tasks))
-        silent.set_aside_until_s = max(until_s, silent.set_aside_until_s)
-        for task in tasks:
-            self.usage.keep(task, until_s)
-            self._release(task, RunEnd.LOST, "", now_s)
-
     def lose_task(self, task: Task, now_s: float) -> None:
         """Let one task wait again: its run can't be anywhere any more."""
         self._release(task, RunEnd.LOST, "", now_s)
@@ -441,10 +420,5 @@
             self.stop_all(job, now_s)
 
 
-def _may_be_copied(task: Task) -> bool:
-    step = task.step
-    return step.is_speculative and not step.is_gang and task.job.is_open
-
-
 def _name(task: Task) -> str:
     return format_task_name(task.job.id, task.key)
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -1,7 +1,6 @@
 """One round of placement over one pool."""
 
 from collections.abc import Callable, Mapping
-from typing import NamedTuple
 
 from almondstack.jobs import Task, TaskStatus
 from almondstack.placement.choosing import choose_for_gang, choose_worker, reserve_for
@@ -15,14 +14,6 @@
 """Tasks that fit nowhere for which a worker is kept free in one round."""
 
 
-class _Kept(NamedTuple):
-    """What a copy that is out of reach may take of its account's ceiling, and until when."""
-
-    account: str
-    demand: Resources
-    until_s: float
-
-
 class Usage:
     """What each client account has running over all pools.
 
@@ -32,12 +23,11 @@
         Ceilings; an account that is not in it has none.
     """
 
-    __slots__ = ("_kept", "_policies", "_used")
+    __slots__ = ("_policies", "_used")
 
     def __init__(self, policies: Mapping[str, AccountPolicy]) -> None:
         self._policies = policies
         self._used: dict[str, Resources] = {}
-        self._kept: list[_Kept] = []
 
     def use(self, policies: Mapping[str, AccountPolicy]) -> None:
         """Go by other ceilings from now on."""
@@ -56,18 +46,6 @@
         """Count a task as ended."""
         self._of(task).subtract(account_demand(task))
 
-    def keep(self, task: Task, until_s: float) -> None:
-        """Count a copy of a task that may go on running until a monotonic time, in seconds."""
-        demand = account_demand(task)
-        self._of(task).add(demand)
-        self._kept.append(_Kept(task.job.submission.account, demand, until_s))
-
-    def drop_kept(self, now_s: float) -> None:
-        """Count copies no more that have ended by now."""
-        for kept in [kept for kept in self._kept if kept.until_s <= now_s]:
-            self._used[kept.account].subtract(kept.demand)
-            self._kept.remove(kept)
-
     def used(self, account: str) -> Resources:
         """Return what an account has running; not to be changed."""
         return self._used.get(account, Resources())
