Take jobs that would end late, and refuse those whose end would be worth nothing

For their callers a late end is better than none.

Change: a job is refused when it would end after three times its objective, from when on its end is worth nothing; what waits counts the late work that was taken. Late jobs get workers after all that can end in time, as before.

--- a/almondstack/control/admission.py
+++ b/almondstack/control/admission.py
@@ -6,7 +6,7 @@
 from almondstack.jobs import Task, TaskStatus
 from almondstack.placement import Policies
 from almondstack.placement.backlog import Backlog, EstimateCorrection, wait_key
-from almondstack.placement.order import is_late
+from almondstack.placement.order import is_worthless
 
 __all__ = ["AdmissionRounds"]
 
@@ -45,7 +45,7 @@
             backlog = backlogs.get(policy.pool)
             if backlog is None:
                 continue
-            if is_late(job, policy, now_unix_ms):
+            if is_worthless(job, policy, now_unix_ms):
                 continue
             ready = list(job.ready_steps(now_unix_ms))
             backlog.add(job, self.correction.factor(job.submission.queue))
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from almondstack.jobs import ActiveJob, Submission, Task, TaskStatus, chain_lengths_ms
+from almondstack.placement.order import LATE_FACTOR
 from almondstack.placement.policies import AccountPolicy, QueuePolicy
 
 __all__ = ["Backlog", "EstimateCorrection", "excess_wait_ms", "is_in_time", "wait_key"]
@@ -131,7 +132,12 @@
 def excess_wait_ms(
     waits_ms: Mapping[str, int], submission: Submission, policy: QueuePolicy
 ) -> float:
-    """Return by how much a job that came now would miss its objective, in milliseconds.
+    """Return by how much a job that came now would end too late to be worth anything.
+
+    Explanation
+    -----------
+    A job that would end late is taken all the same: for its caller, a late end is
+    better than none.
 
     Parameters
     ----------
@@ -146,10 +152,10 @@
         return 0.0
     wait_ms = waits_ms.get(wait_key(policy.pool, submission.account), 0)
     chain_ms = max(chain_lengths_ms(submission.steps), default=0)
-    objective_ms = policy.stretch * chain_ms + policy.objective_ms
-    if not wait_ms or is_in_time(wait_ms, chain_ms, objective_ms):
+    last_ms = LATE_FACTOR * (policy.stretch * chain_ms + policy.objective_ms)
+    if not wait_ms or is_in_time(wait_ms, chain_ms, last_ms):
         return 0.0
-    return wait_ms + chain_ms - objective_ms
+    return wait_ms + chain_ms - last_ms
 
 
 def _work_left_ms(task: Task) -> float:
--- a/almondstack/placement/order.py
+++ b/almondstack/placement/order.py
@@ -3,7 +3,15 @@
 from almondstack.jobs import ActiveJob, Task
 from almondstack.placement.policies import QueuePolicy
 
-__all__ = ["LATE_BAND", "Rank", "is_late", "objective_s", "rank_of"]
+__all__ = [
+    "LATE_BAND",
+    "LATE_FACTOR",
+    "Rank",
+    "is_late",
+    "is_worthless",
+    "objective_s",
+    "rank_of",
+]
 
 Rank = tuple[int, bool, int, float]
 
@@ -51,6 +59,12 @@
     return any(rank_of(tasks, policy, now_unix_ms)[0] >= LATE_BAND for tasks in ready)
 
 
+def is_worthless(job: ActiveJob, policy: QueuePolicy, now_unix_ms: float) -> bool:
+    """Whether a job can't end soon enough to be worth anything any more."""
+    ready = job.ready_steps(now_unix_ms)
+    return any(rank_of(tasks, policy, now_unix_ms)[0] > LATE_BAND for tasks in ready)
+
+
 def _lateness(slack_s: float, objective: float) -> int:
     if slack_s >= 0:
         return 1
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -1,9 +1,18 @@
 """Loads of heavy days: who gets a worker, who waits, who is refused."""
 
+import pytest
+
 from almondstack.jobs import RunEnd
 from almondstack.placement import AccountPolicy, PoolRound, Resources, Usage, rank_of
-from almondstack.placement.backlog import Backlog, EstimateCorrection, is_in_time
+from almondstack.placement.backlog import (
+    Backlog,
+    EstimateCorrection,
+    excess_wait_ms,
+    is_in_time,
+    wait_key,
+)
 from almondstack.placement.fairness import fair_order
+from almondstack.placement.order import is_late, is_worthless
 from almondstack.placement.soundness import Soundness
 from almondstack.testing.job_builders import make_job, make_policy, make_step, make_worker
 
@@ -144,11 +153,32 @@
     assert backlog.waits_ms(accounts) == {"hot": 10_000}
 
 
-def test_a_job_is_refused_only_when_it_would_miss_its_objective():
+def test_a_job_is_in_time_if_what_it_waits_leaves_room_for_its_work():
     assert is_in_time(wait_ms=400, chain_ms=1_000, objective_ms=1_500)
     assert not is_in_time(wait_ms=600, chain_ms=1_000, objective_ms=1_500)
 
 
+@pytest.mark.parametrize(
+    ("wait_ms", "excess_ms"), [(0, 0.0), (1_500, 0.0), (5_000, 0.0), (5_600, 600.0)]
+)
+def test_hot_account_a_job_is_refused_only_when_its_end_would_be_worth_nothing(wait_ms, excess_ms):
+    """Of a hot account's jobs those that would end late were refused until their callers left.
+
+    The objective is 1.5 x 1 s + 0.5 s; an end after three times that is worth nothing.
+    """
+    submission = make_job(make_step(2), account="hot").submission
+    waits_ms = {wait_key("p", "hot"): wait_ms}
+    assert excess_wait_ms(waits_ms, submission, make_policy()) == excess_ms
+
+
+def test_late_work_that_was_taken_counts_until_it_is_worthless():
+    policy = make_policy()
+    job = make_job(make_step(2), accepted_ms=0)
+    late, worthless = 4_000.0, 7_000.0
+    assert is_late(job, policy, late) and not is_worthless(job, policy, late)
+    assert is_worthless(job, policy, worthless)
+
+
 def test_estimates_of_one_queue_do_not_change_those_of_another():
     correction = EstimateCorrection()
     for _ in range(100):
