--- a/almondstack/control/tests/test_delay_rounds.py
+++ b/almondstack/control/tests/test_delay_rounds.py
@@ -11,6 +11,7 @@
 from almondstack.jobs import JobState, RunEnd, TaskKey
 from almondstack.placement import AccountPolicy, Policies, Resources
 from almondstack.testing.job_builders import (
+    OpenAdvisor,
     assign,
     ended,
     look,
@@ -46,7 +47,7 @@
         self.worker = make_worker()
         self.table = make_table(self.job, workers=(self.worker,))
         known = Policies(queues={"q": make_policy()}, **policies)
-        self.planner = Planner(self.table, _Advisor(), lambda: known)
+        self.planner = Planner(self.table, OpenAdvisor(), lambda: known)
         self.fleet, self.lines, self.metrics = _Fleet(), _Lines(), NullMetrics()
         self.rounds = DelayRounds(
             self.table.delays, self.planner, self.fleet, self.lines, self.metrics
@@ -61,11 +62,6 @@
         return {cause.value: round(seconds, 2) for cause, seconds in found.items()}
 
 
-class _Advisor:
-    def narrow(self, task, workers):
-        return workers
-
-
 def test_a_step_that_finds_no_room_waits_for_its_pool():
     world = _World()
     for tenth in range(6):
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -16,6 +16,7 @@
 from almondstack.placement import QueuePolicy, Resources, Worker, WorkerInfo
 
 __all__ = [
+    "OpenAdvisor",
     "RecordingOrders",
     "assign",
     "ended",
@@ -57,6 +58,14 @@
     return QueuePolicy(**{"name": "q", "pool": "p", "stretch": 1.5, "objective_ms": 500, **fields})
 
 
+class OpenAdvisor:
+    """Lets every worker run every step."""
+
+    def narrow(self, task: Task, workers: list[Worker]) -> list[Worker]:
+        """Return all of the workers."""
+        return workers
+
+
 class RecordingOrders:
     """Takes the orders of a run table, and keeps them."""
 
