Let an owner that is told to end go on while the store is slow

Change: it gives the jobs back when the store answers as usual, or after half of its grace, and the process ends only once it has.

--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -23,6 +23,7 @@
 from almondstack.platform.directory import ConfigurationFollower, StoreDirectory
 from almondstack.platform.front import FrontServer, JobFront
 from almondstack.platform.instances import HttpInstances
+from almondstack.platform.leaving import is_time_to_hand_over
 from almondstack.platform.readiness import is_current
 from almondstack.platform.settings import (
     PlatformSettings,
@@ -247,20 +248,28 @@
         self._events.write("stopping")
         self._front.is_leaving = True
         self._follower.retire()
-        owner = self._owner
-        if owner is not None:
-            owner.release()
-        end_s = began_s + self._file.settings.bounds.grace_s - _LEAVE_MARGIN_S
-        while time.monotonic() < end_s:
-            is_noticed = time.monotonic() - began_s >= _LEAVE_NOTICE_S
-            if is_noticed and not self._front.active:
+        grace_s = self._file.settings.bounds.grace_s
+        waited_s = 0.0
+        while waited_s < grace_s - _LEAVE_MARGIN_S:
+            is_over = self._hand_over(waited_s, grace_s)
+            if is_over and waited_s >= _LEAVE_NOTICE_S and not self._front.active:
                 break
             time.sleep(_POLL_S)
+            waited_s = time.monotonic() - began_s
         self._follower.stop()
         self._configuration.stop()
         self._events.write("stopped", active=self._front.active)
         self._events.stop()
 
+    def _hand_over(self, waited_s: float, grace_s: float) -> bool:
+        """Have the owner, if there is one, give the jobs back in time; return whether it has."""
+        owner = self._owner
+        if owner is None:
+            return True
+        if is_time_to_hand_over(waited_s, grace_s, is_slow=self._connection.tempo.is_slow):
+            owner.release()
+        return not owner.is_alive
+
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the program; return its exit code."""
