--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -126,13 +126,20 @@
         return int(self._clock.now_s * 1000)
 
     def expire(self) -> None:
-        """End what has no lease any more."""
-        if self.running and self.clock_ms > self._deadline_ms:
-            for _, end in self._ended:
-                if end is not None:
-                    end.is_void = True
-            for name in list(self.running):
-                self._end(name, RunEnd.LAPSED)
+        """End what has no lease any more.
+
+        Explanation
+        -----------
+        The lease is the worker's: it also lapses where all that ran has ended, and
+        an end that nobody has taken note of by then may be followed by a new start.
+        """
+        if self.clock_ms <= self._deadline_ms:
+            return
+        for _, end in self._ended:
+            if end is not None:
+                end.is_void = True
+        for name in list(self.running):
+            self._end(name, RunEnd.LAPSED)
 
     def finish(self, name: str, end: RunEnd) -> None:
         """End a run of its own."""
