Follow the store on after an unexpected error

Any error that the store's client does not raise itself ended the follower's thread, and the process showed old states for the rest of its life. The test fails without the change.

--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -214,6 +214,10 @@
                 self._note_failure(error)
                 pause_s = self._settings.retry_pause_s * random.uniform(0.8, 1.2)
                 self._stop.wait(pause_s * self._store.read_pace.factor())
+            except Exception as error:
+                # A fault of ours: a process that no longer follows would show old states.
+                self._events.write("follower-failed", error=repr(error), offset=self._offset)
+                self._stop.wait(self._settings.retry_pause_s)
 
     def step(self) -> None:
         """Read once, and claim ownership if it is vacant; what the thread does over and over.
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -1,6 +1,7 @@
 """Who owns the jobs when processes race, replies get lost and the store goes away."""
 
 import threading
+import time
 
 import pytest
 
@@ -438,3 +439,25 @@
     assert follower.contact_age_s == 0.0 and follower.lag_s == 3.0
     _steps(follower, 2)
     assert follower.lag_s == 0.0
+
+
+def test_an_unexpected_error_does_not_end_the_thread_that_follows():
+    """It ended with the first one; the process showed old states for the rest of its life."""
+    store = FakeRecordStore()
+    follower, owned = _follower(store, "one")
+    claim = store.claim
+    errors = [ValueError("a fault of ours")]
+
+    def failing_claim(*arguments):
+        if errors:
+            raise errors.pop()
+        return claim(*arguments)
+
+    store.claim = failing_claim
+    follower.start()
+    has_claimed = threading.Event()
+    until_s = time.monotonic() + 5.0
+    while not owned and time.monotonic() < until_s:
+        has_claimed.wait(0.01)
+    follower.stop()
+    assert errors == [] and len(owned) == 1
