Have the soak ask every process for every job, and watch for processes that end afterwards

A job was asked for at one process each, and the last open one always at the first; the line did not say what was shown. Now each process must show each job as ended, and the line says what each showed.

--- a/almondstack/standin/soak/run.py
+++ b/almondstack/standin/soak/run.py
@@ -90,9 +90,21 @@
                 self._end(fault)
             while waiting and waiting[0].begin_s <= now_s:
                 self._begin(waiting.pop(0))
-            self._note_ended()
+            self.note_ended()
             time.sleep(_POLL_S)
 
+    def note_ended(self) -> None:
+        """Note processes that have ended though nobody told them to."""
+        told = {
+            fault.pick % self.settings.processes
+            for fault in self._on
+            if fault.kind in (FaultKind.KILL, FaultKind.TERMINATE)
+        }
+        for number, name in enumerate(self._names):
+            if number not in told and not self._group.is_running(name):
+                self.judge.broken.append(f"ENDED: {name} has ended by itself")
+                self._start(number)
+
     def _begin(self, fault: Fault) -> None:
         self._on.append(fault)
         number = fault.pick % self.settings.processes
@@ -171,18 +183,6 @@
             self._stop(number, is_killed=False)
         self._start(number)
 
-    def _note_ended(self) -> None:
-        """Note processes that have ended though nobody told them to."""
-        told = {
-            fault.pick % self.settings.processes
-            for fault in self._on
-            if fault.kind in (FaultKind.KILL, FaultKind.TERMINATE)
-        }
-        for number, name in enumerate(self._names):
-            if number not in told and not self._group.is_running(name):
-                self.judge.broken.append(f"ENDED: {name} has ended by itself")
-                self._start(number)
-
     def _write_settings(self, number: int) -> None:
         host = self._hosts[number]
         lines = [
@@ -228,16 +228,21 @@
 
 
 def _judge_jobs(soak: _Soak, caller: SoakCaller) -> int:
-    """Wait until every accepted job has ended; return how many are completed."""
+    """Wait until every process shows each accepted job as ended; return how many are completed."""
     open_jobs = sorted(soak.judge.oracle.accepted)
     completed = 0
     until_s = time.monotonic() + _CALM_S
+    shown: dict[str, list[str | None]] = {}
     while open_jobs and time.monotonic() < until_s:
+        soak.note_ended()
         job = open_jobs.pop(0)
-        state = caller.shown(soak.fronts[len(open_jobs) % len(soak.fronts)], job)
-        completed += state == "completed"
-        if state not in _FINAL:
+        shown[job] = states = [caller.shown(front, job) for front in soak.fronts]
+        completed += states.count("completed") == len(states)
+        if not all(state in _FINAL for state in states):
             open_jobs.append(job)
             time.sleep(_POLL_S)
-    soak.judge.broken.extend(f"LOST: {job} was accepted and has not ended" for job in open_jobs)
+    soak.judge.broken.extend(
+        f"LOST: {job} was accepted and has not ended; the processes show {shown.get(job)}"
+        for job in open_jobs
+    )
     return completed
