Look at a worker again after an error has ended its session's thread; take no short rows

A list of runs with a row that was too short raised an error that nothing expected. It ended the thread that looks, the worker counted as reachable, and what ran there stayed open for good. Such an answer counts as none now, and the thread is started again whatever has ended it (the error is reported as thread-failed as before). Both tests fail without the change.

--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -137,12 +137,12 @@
 
     def set_busy(self, is_busy: bool) -> None:
         """Say whether runs may be on the worker; only then is it looked at."""
-        if is_busy == self._is_busy:
-            return
-        with self._changed:
-            self._is_busy = is_busy
-            self._changed.notify_all()
-        if is_busy:
+        if is_busy != self._is_busy:
+            with self._changed:
+                self._is_busy = is_busy
+                self._changed.notify_all()
+        if is_busy and not self._is_closed:
+            # Also where an error has ended it: nobody else learns what becomes of the runs.
             self._ensure("looks", self._run_looks)
 
     def acknowledge(self, number: int) -> None:
--- a/almondstack/control/tests/test_session.py
+++ b/almondstack/control/tests/test_session.py
@@ -173,3 +173,27 @@
     assert worker.is_relieved.wait(_PATIENCE_S)
     worker.may_answer.set()
     session.close()
+
+
+def test_a_worker_is_looked_at_again_after_an_error_has_ended_the_thread(news, monkeypatch):
+    """It was never looked at again, and its runs stayed open for good."""
+    failed = threading.Event()
+    monkeypatch.setattr(threading, "excepthook", lambda _: failed.set())
+    worker = _Worker()
+    look = worker.look
+
+    def failing_look(*arguments):
+        if not failed.is_set():
+            raise IndexError("a fault of ours")
+        return look(*arguments)
+
+    worker.look = failing_look
+    session = _session(worker, news)
+    session.set_busy(True)
+    assert failed.wait(_PATIENCE_S)
+    until_s = time.monotonic() + _PATIENCE_S
+    while not news and time.monotonic() < until_s:
+        session.set_busy(True)
+        time.sleep(0.01)
+    session.close()
+    assert isinstance(news[0], Looked)
--- a/almondstack/platform/tests/test_workers.py
+++ b/almondstack/platform/tests/test_workers.py
@@ -5,7 +5,7 @@
 import pytest
 
 from almondstack.control.messages import OrderStatus, StartOrder
-from almondstack.core.http_client import HttpCaller
+from almondstack.core.http_client import HttpCaller, HttpReply
 from almondstack.jobs import RunEnd
 from almondstack.placement import WorkerInfo
 from almondstack.platform.tests.builders import serving
@@ -86,6 +86,23 @@
     assert caller.look(9_000, 1, 0.0, 5).ended == ()
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"clock-ms":9,"running":[["5c0e7a21d94b36f8.0.0.0"]],"ended":[]}',
+        b'{"clock-ms":9,"running":[["5c0e7a21d94b36f8.0.0.0","x","",1]],"ended":[]}',
+        b'{"clock-ms":9,"running":[],"ended":[[1,"5c0e7a21d94b36f8.0.0.0"]]}',
+        b'{"clock-ms":9,"running":7}',
+        b"[",
+    ],
+)
+def test_a_malformed_list_of_runs_is_no_answer(worker, monkeypatch, body):
+    """A row that was too short ended the thread, and the worker was never looked at again."""
+    _, caller = worker
+    monkeypatch.setattr(HttpCaller, "call", lambda *_: HttpReply(200, body))
+    assert caller.look(9_000, 0, 0.0, 5).status is OrderStatus.UNCLEAR
+
+
 def test_a_connection_that_the_worker_has_closed_is_a_new_one(worker):
     standin, caller = worker
     assert not caller._caller.is_connected
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -129,7 +129,7 @@
             return _failed_look(_status_of(reply).status)
         try:
             return _convert(_looked.decode(reply.body))
-        except (msgspec.MsgspecError, ValueError, TypeError):
+        except (msgspec.MsgspecError, ValueError, TypeError, IndexError):
             return _failed_look(OrderStatus.UNCLEAR)
 
     def close(self) -> None:
