Read as often as before once the store answers a process that it had turned away

The store turned thirteen processes away for eight seconds (429). One of them, of the zone that was cut off at 33.5 s, had spread its reads to one in three seconds, noticed the cut only at 36.5 s, and was ready all the while; with one process of a zone ready the balancer uses all of it, so that its callers got 503 until the cut was over (73 of 85 refused jobs were theirs).

Change: refusals in a row, without an answer between them, count as one step once an answer comes.

--- a/almondstack/ownership/read_pace.py
+++ b/almondstack/ownership/read_pace.py
@@ -26,6 +26,12 @@
     and multiplicative changes, RFC 5681); what must come in time, configurations
     above all, is not spread and finds room.
 
+    Where the rate is short, some reads are answered between those that are turned
+    away.  A store that answers none turns this process away for another reason, and
+    once it answers again there is no cause to read seldom: a process that reads every
+    three seconds notices as late that it is cut off.  So refusals without an answer
+    between them count as one step once there is an answer.
+
     Examples
     --------
     >>> pace = ReadPace()
@@ -38,13 +44,20 @@
     >>> pace.note_refused(11.0)
     >>> pace.factor(11.0) > 2.0, pace.factor(60.0)
     (True, 1.0)
+
+    An answer ends a row of refusals, of which all but the first are forgotten:
+
+    >>> pace.note_answered(11.1)
+    >>> pace.factor(11.1)
+    1.5
     """
 
-    __slots__ = ("_factor", "_lock", "_refused_s", "_stepped_s")
+    __slots__ = ("_factor", "_factor_before", "_lock", "_refused_s", "_stepped_s")
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._factor = 1.0
+        self._factor_before: float | None = None
         self._refused_s = 0.0
         self._stepped_s = 0.0
 
@@ -58,7 +71,20 @@
         """Note that the store turned a read away for its rate."""
         now_s = time.monotonic() if now_s is None else now_s
         with self._lock:
+            if self._factor_before is None:
+                self._factor_before = self.factor(now_s)
             if now_s - self._stepped_s >= _STEP_INTERVAL_S:
                 self._factor = min(_MOST, self.factor(now_s) * _STEP)
                 self._stepped_s = now_s
             self._refused_s = now_s
+
+    def note_answered(self, now_s: float | None = None) -> None:
+        """Note that the store answered a read."""
+        if self._factor_before is None:
+            return
+        now_s = time.monotonic() if now_s is None else now_s
+        with self._lock:
+            before, self._factor_before = self._factor_before, None
+            if before is not None:
+                self._factor = min(self.factor(now_s), before * _STEP)
+                self._refused_s = now_s
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -107,6 +107,7 @@
             self.read_pace.note_refused()
         if reply.status not in (_OK, _GONE, _NOT_FOUND):
             raise StoreRefusedError(f"status {reply.status}")
+        self.read_pace.note_answered()
         return reply
 
     def write(self, path: str, body: bytes, timeout_s: float) -> HttpReply:
