--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -17,11 +17,11 @@
 )
 from almondstack.jobs.records import decode_notice, split_key
 from almondstack.ownership.errors import HistoryLostError, StoreError, StoreRefusedError
-from almondstack.ownership.liveness import Liveness, ask_liveness
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.ownership.preference import Preference, instance_of
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.signs import is_owner_sign
+from almondstack.ownership.silence import OwnerSilence
 from almondstack.ownership.vacancy import Vacancy
 
 __all__ = ["Follower"]
@@ -78,6 +78,7 @@
         "_preference",
         "_sequences",
         "_settings",
+        "_silence",
         "_started_s",
         "_stop",
         "_store",
@@ -121,6 +122,7 @@
         self._lock = threading.Lock()
         self._stop = threading.Event()
         self._vacancy = Vacancy(settings.silence_s + random.uniform(0, settings.stagger_s))
+        self._silence = OwnerSilence(settings, incarnation, self._vacancy, self._preference)
         self._thread = threading.Thread(target=self._run, name="follower", daemon=True)
 
     @property
@@ -318,74 +320,15 @@
         if self._is_retiring:
             return False
         now_s = time.monotonic()
-        is_vacant = self._is_vacant(now_s)
+        is_new = now_s - self._started_s < self._settings.silence_s
+        is_vacant = self._silence.is_vacant(self._book.notice, now_s, is_new=is_new)
         answer_s = self._store.tempo.answer_s
         may_claim = self._preference.may_claim(
-            now_s, is_vacant=is_vacant, is_new=self._is_new(), answer_s=answer_s
+            now_s, is_vacant=is_vacant, is_new=is_new, answer_s=answer_s
         )
         # A slow store has better to do than to change an owner that lives.
         return may_claim or (not answer_s and self._preference.is_better(now_s))
 
-    def _is_vacant(self, now_s: float) -> bool:
-        if self._vacancy.is_open(now_s):
-            return not self._is_owner_trying(now_s)
-        return self._is_owner_gone(now_s)
-
-    def _is_owner_trying(self, now_s: float) -> bool:
-        """Whether a silent owner lives and hears the store, so that its writes may come yet."""
-        notice = self._book.notice
-        if notice is None or not notice.owner:
-            return False
-        if self._vacancy.is_doubtful(now_s, self._settings.patience_s):
-            return False
-        found = ask_liveness(notice.address, self._settings.probe_timeout_s)
-        if found is None or found.incarnation != notice.owner:
-            return False
-        return found.contact_age_s < self._settings.doubt_s
-
-    def _is_owner_gone(self, now_s: float) -> bool:
-        """Whether a silent owner's process does not listen any more, or can't be reached.
-
-        Explanation
-        -----------
-        A claim is safe at any time; this only decides how soon it is worth one.
-        """
-        notice = self._book.notice
-        if notice is None:
-            return False
-        if instance_of(notice.owner) == instance_of(self._incarnation):
-            # The process before this one on the same instance; it can't live any more.
-            return notice.owner != self._incarnation
-        if not self._vacancy.is_doubtful(now_s, self._doubt_s()):
-            return False
-        found = ask_liveness(notice.address, self._settings.probe_timeout_s)
-        if found is None:
-            # Cut off or frozen: it can do nothing for the jobs, whichever it is.
-            return self._vacancy.is_doubtful(now_s, self._settings.mute_s)
-        return found.incarnation != notice.owner or self._is_cut_off(found)
-
-    def _is_cut_off(self, owner: Liveness) -> bool:
-        """Whether the store that this process hears turns the owner away, or is out of its reach.
-
-        Explanation
-        -----------
-        An owner whose writes get no answer keeps the jobs: they may be stored, and the
-        next one's writes would fare no better.
-        """
-        is_turned_away = owner.turned_away_s >= self._settings.turned_away_s
-        return is_turned_away or owner.contact_age_s >= self._settings.deaf_s
-
-    def _doubt_s(self) -> float:
-        """Return the silence after which to ask."""
-        if self._is_new():
-            return self._settings.new_doubt_s
-        # The standby reads more often, so that it hears each sign sooner.
-        is_standby = self._preference.is_standby
-        return self._settings.standby_doubt_s if is_standby else self._settings.doubt_s
-
-    def _is_new(self) -> bool:
-        return time.monotonic() - self._started_s < self._settings.silence_s
-
     def _claim(self) -> None:
         before = self._book.notice
         token = before.token + 1 if before is not None else 1
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -240,7 +240,7 @@
     owner, _ = _follower(store, "a/1")
     _steps(owner)
     monkeypatch.setattr(
-        "almondstack.ownership.follower.ask_liveness", lambda *_: Liveness("a/1", age_s)
+        "almondstack.ownership.silence.ask_liveness", lambda *_: Liveness("a/1", age_s)
     )
     settings = OwnershipSettings(
         silence_s=1e-9, stagger_s=1e-9, patience_s=3600, pace_s=1e-9, wait_s=1e-9
@@ -264,7 +264,7 @@
     store = FakeRecordStore()
     first, _ = _follower(store, "a/1")
     _steps(first)
-    monkeypatch.setattr("almondstack.ownership.follower.ask_liveness", lambda *_: owner)
+    monkeypatch.setattr("almondstack.ownership.silence.ask_liveness", lambda *_: owner)
     settings = OwnershipSettings(silence_s=3600, doubt_s=1e-9, pace_s=1e-9, wait_s=1e-9)
     other, owned = _follower(store, "b/1", settings)
     other._started_s -= 7200
@@ -345,7 +345,7 @@
 
 def test_a_silent_owner_that_can_not_be_reached_is_gone_sooner(monkeypatch):
     """A zone was cut with its owner, and others waited 2 s before they asked (trouble-1)."""
-    monkeypatch.setattr("almondstack.ownership.follower.ask_liveness", lambda *_: None)
+    monkeypatch.setattr("almondstack.ownership.silence.ask_liveness", lambda *_: None)
     store = FakeRecordStore()
     _mute_owner(store)
     patient, own_patient = _follower(
