--- a/almondstack/jobs/progress.py
+++ b/almondstack/jobs/progress.py
@@ -81,7 +81,8 @@
         """Return the number of the worker that a task is on."""
         if not record.worker and not record.life:
             return _NO_WORKER
-        return self._numbers.setdefault((record.worker, record.life), len(self._numbers))
+        life = (record.worker, record.life)
+        return self._numbers.setdefault(life, len(self._numbers))
 
 
 def encode_progress(state: JobState, tasks: Iterable[TaskRecord]) -> bytes:
@@ -99,15 +100,15 @@
         place = (record.key.occurrence, record.key.step)
         step = steps.setdefault(place, _StepTasks(*place, [], [], []))
         _add(step, record, workers)
-    base_life = workers.lives[0][1] if workers.lives else 0
-    return bytes((state,)) + _encoder.encode(
-        _Tasks(
-            base_life,
-            [worker for worker, _ in workers.lives],
-            [life - base_life for _, life in workers.lives],
-            list(steps.values()),
-        )
+    lives = workers.lives
+    base_life = lives[0][1] if lives else 0
+    wire = _Tasks(
+        base_life,
+        [worker for worker, _ in lives],
+        [life - base_life for _, life in lives],
+        list(steps.values()),
     )
+    return bytes((state,)) + _encoder.encode(wire)
 
 
 def _add(step: _StepTasks, record: TaskRecord, workers: _Workers) -> None:
