--- a/almondstack/core/events.py
+++ b/almondstack/core/events.py
@@ -23,6 +23,13 @@
 _MOST_LINES_PER_S = 400
 """Bound on the volume, so that logs can't take the processor from the work."""
 
+_MOST_FREQUENT_LINES_PER_S = 300
+"""Frequent events get no more of these, so that the runs of a burst leave room for the jobs that
+they belong to."""
+
+_FREQUENT = 100
+"""An event is frequent from so many lines a second on."""
+
 _MOST_RARE_LINES_PER_S = 60
 """Lines beyond that bound for events of which little was written in the same second, so that
 thousands of runs don't push out the one line that explains them."""
@@ -105,9 +112,10 @@
         if len(self._lines) >= _MOST_WAITING:
             return False
         used = self._used.total()
-        if self._used[event] < _RARE:
+        own = self._used[event]
+        if own < _RARE:
             return used < _MOST_LINES_PER_S + _MOST_RARE_LINES_PER_S
-        return used < _MOST_LINES_PER_S
+        return used < (_MOST_LINES_PER_S if own < _FREQUENT else _MOST_FREQUENT_LINES_PER_S)
 
     def _run(self) -> None:
         while not self._stop.wait(_FLUSH_INTERVAL_S):
