--- a/almondstack/jobs/progress.py
+++ b/almondstack/jobs/progress.py
@@ -22,9 +22,13 @@
 
 _NO_WORKER = -1
 _FIRST_RUN = 1
+_MOST_MEMBERS = 100_000
+"""A range of more tasks is taken for a fault of its record; no step has nearly as many."""
 
 
 class _OtherTask(msgspec.Struct, frozen=True, array_like=True):
+    """A task that is told in full; its worker is a number."""
+
     member: int
     status: TaskStatus
     run: int
@@ -179,6 +183,8 @@
         return TaskKey(step.occurrence, step.step, member)
 
     for first, count in zip(step.done[::2], step.done[1::2], strict=True):
+        if count > _MOST_MEMBERS:
+            raise ValueError(f"a range of {count} tasks")
         for member in range(first, first + count):
             yield TaskRecord(key(member), TaskStatus.DONE, _FIRST_RUN)
     rows = zip(step.assigned[::3], step.assigned[1::3], step.assigned[2::3], strict=True)
--- a/almondstack/jobs/tests/test_progress.py
+++ b/almondstack/jobs/tests/test_progress.py
@@ -80,6 +80,7 @@
         msgspec.msgpack.encode([0, ["w"], [0], [[0, 0, [], [1, 1, -2], []]]]),
         msgspec.msgpack.encode([0, ["w"], [0], [[0, 0, [1], [], []]]]),
         msgspec.msgpack.encode([0, ["w"], [0], [[0, 0, [], [1, 1], []]]]),
+        msgspec.msgpack.encode([0, [], [], [[0, 0, [0, 2**40], [], []]]]),
     ],
 )
 def test_a_value_that_makes_no_sense_is_an_error_of_the_record(tasks):
