Follow the store as one of many after an owner that could not begin

An error in the making of an owner left its process the owner in its own eyes: it claimed nothing any more. The test fails without the change.

--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -142,6 +142,16 @@
         ).start()
 
     def _own(self, token: int, sequence: int) -> None:
+        """Own the jobs for as long as the store allows, and follow as one of many afterwards."""
+        try:
+            self._run_owner(token, sequence)
+        finally:
+            self._directory.hurry(is_owner=False)
+            self._relay.expect_requests(is_owner=False)
+            self._follower.yield_ownership()
+            self._owner = None
+
+    def _run_owner(self, token: int, sequence: int) -> None:
         owner = Owner(
             self._owner_services(),
             self._incarnation,
@@ -158,10 +168,6 @@
             owner.release()
         while owner.is_alive:
             owner.join(1.0)
-        self._directory.hurry(is_owner=False)
-        self._relay.expect_requests(is_owner=False)
-        self._follower.yield_ownership()
-        self._owner = None
 
     def _owner_services(self) -> OwnerServices:
         settings = self._file.settings
