Leave the next owner only the time that is left, and ask it no more where it failed

An owner that has been replaced names the next one. Both were given the caller's whole time, so that in a slow store an answer could come after the caller's deadline; and a next owner that could not be reached was asked again by each caller, since the pause after a failure went by the owner of the notice. Found in reading; the three tests fail without the change.

--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -119,10 +119,11 @@
             raise OwnerNotReachedError("nobody owns the jobs")
         if self._lag_s() > _MOST_LAG_S:
             raise OwnerNotReachedError("this process has not heard the store for too long")
-        if self._is_doubtful(notice):
-            raise OwnerNotReachedError("the owner is silent, or could not be asked a moment ago")
         owner = self._newest_owner(notice)
-        return self._call(owner, request, timeout_s, may_follow=True)
+        if self._is_doubtful(owner):
+            raise OwnerNotReachedError("the owner is silent, or could not be asked a moment ago")
+        until_s = time.monotonic() + timeout_s
+        return self._call(owner, request, until_s, may_follow=True)
 
     def _newest_owner(self, notice: OwnerNotice) -> OwnerReply:
         """Return the owner of the newest notice, or a later one that another process has named."""
@@ -130,22 +131,23 @@
         successor = self._successor
         return successor if successor is not None and successor.token > owner.token else owner
 
-    def _is_doubtful(self, notice: OwnerNotice) -> bool:
+    def _is_doubtful(self, owner: OwnerReply) -> bool:
         """Whether this owner is silent, has failed lately, or was not heard since it did."""
         silence_s = time.monotonic() - self._book.owner_heard_s
         most_silence_s = _SILENT_S * self._spread()
         # Where the store itself is silent, nothing was to be heard of a living owner either.
         if silence_s > most_silence_s and self._lag_s() <= most_silence_s:
             return True
-        if notice.token != self._failed_token:
+        if owner.token != self._failed_token:
             return False
         is_recent = time.monotonic() - self._failed_s < _PAUSE_S
         return is_recent or self._book.owner_heard_s < self._failed_s
 
     def _call(
-        self, owner: OwnerReply, request: OwnerRequest, timeout_s: float, *, may_follow: bool
+        self, owner: OwnerReply, request: OwnerRequest, until_s: float, *, may_follow: bool
     ) -> Receipt:
-        """Ask an owner; follow once to the one that owns the jobs after it."""
+        """Ask an owner; follow once, if time is left, to the one that owns the jobs after it."""
+        timeout_s = until_s - time.monotonic()
         owner_s = max(0.0, timeout_s - _ANSWER_MARGIN_S)
         path, body = _encode(request, owner.token, owner_s, self._sender())
         caller = self._caller_of(owner.requests_address)
@@ -160,7 +162,8 @@
         successor = _successor(reply, owner) if may_follow else None
         if successor is not None:
             self._successor = successor
-            return self._call(successor, request, timeout_s, may_follow=False)
+            if until_s - time.monotonic() > _ANSWER_MARGIN_S:
+                return self._call(successor, request, until_s, may_follow=False)
         return _receipt(reply)
 
     def _sender(self) -> Sender:
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -4,9 +4,10 @@
 import threading
 import time
 
+import msgspec
 import pytest
 
-from almondstack.core.http_client import HttpCaller
+from almondstack.core.http_client import HttpCaller, HttpReply, NotSentError
 from almondstack.intake import (
     CancelRequest,
     OwnerNotReachedError,
@@ -19,6 +20,7 @@
 )
 from almondstack.jobs import JobBook, OwnerNotice, RecordKind, Submission, encode_notice, record_key
 from almondstack.relay import OwnerClient, RelayServer
+from almondstack.relay.messages import OwnerReply
 from almondstack.testing.addresses import free_address
 from almondstack.testing.job_builders import make_step
 
@@ -252,3 +254,57 @@
     client, _ = _client(address)
     with pytest.raises(OwnerNotReachedError, match="409"):
         client.ask(_submission(), 5.0)
+
+
+class _Replaced:
+    """A connection to an owner that was replaced by one out of reach; keeps how it was asked."""
+
+    asked: list[tuple[str, float]] = []
+
+    def __init__(self, address, *_):
+        self.address = address
+
+    def call(self, method, path, timeout_s, body):
+        """Take a while and name the next owner, at an address that has none."""
+        self.asked.append((self.address, timeout_s))
+        if self.address != "127.0.0.1:1":
+            raise NotSentError("nobody listens")
+        time.sleep(0.2)
+        return HttpReply(409, msgspec.msgpack.encode(OwnerReply(_TOKEN + 1, "127.0.0.1:2")))
+
+    def close(self):
+        """Nothing is open."""
+
+
+@pytest.fixture
+def replaced(monkeypatch):
+    """Give a client of an owner that has been replaced, and what is asked of whom."""
+    monkeypatch.setattr(_Replaced, "asked", [])
+    monkeypatch.setattr("almondstack.relay.client.HttpCaller", _Replaced)
+    client, book = _client("127.0.0.1:1")
+    return client, book, _Replaced.asked
+
+
+def test_the_next_owner_gets_the_time_that_the_one_before_has_left(replaced):
+    """Both got all of the caller's time: in a slow store it was over before the second answered."""
+    client, _, asked = replaced
+    with pytest.raises(OwnerNotReachedError):
+        client.ask(_submission(), 1.0)
+    assert [address for address, _ in asked] == ["127.0.0.1:1", "127.0.0.1:2"]
+    assert asked[1][1] <= 0.8
+
+
+def test_no_time_left_the_next_owner_is_not_asked(replaced):
+    client, _, asked = replaced
+    with pytest.raises(OwnerNotReachedError, match="409"):
+        client.ask(_submission(), 0.25)
+    assert len(asked) == 1
+
+
+def test_a_next_owner_that_can_not_be_reached_is_not_asked_at_once_again(replaced):
+    """Each caller tried to open a connection to it, until its notice was read."""
+    client, _, asked = replaced
+    for _ in range(3):
+        with pytest.raises(OwnerNotReachedError):
+            client.ask(_submission(), 1.0)
+    assert len(asked) == 2
