Keep processes of versions before from owning the jobs after this one

Cause: progress records have a new form. A process of the version before that came to own the jobs amid an update would have passed over every job in it (job-unreadable), stopped its runs as unknown and taken note of their ends without a record; the next owner would have started those tasks again. Found in reading.

Change: a notice begins with a byte for the format, which versions before do not decode. The test fails without the change.

--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -74,6 +74,9 @@
     configuration: int = 0
 
 
+_FORMAT = b"\x02"
+"""Progress is that of :mod:`almondstack.jobs.progress`; before, there was no such byte."""
+
 _submissions = msgspec.msgpack.Decoder(Submission)
 _notices = msgspec.msgpack.Decoder(OwnerNotice)
 _encoder = msgspec.msgpack.Encoder()
@@ -115,8 +118,15 @@
 
 
 def encode_notice(notice: OwnerNotice) -> bytes:
-    """Return the value of the owner's record."""
-    return _encoder.encode(notice)
+    """Return the value of the owner's record.
+
+    Explanation
+    -----------
+    It begins with the format of the records that this owner writes.  Versions
+    that know no formats pass such a notice over and can't own the jobs after it:
+    they could not read what runs, would stop it, and forget its ends.
+    """
+    return _FORMAT + _encoder.encode(notice)
 
 
 def decode_notice(value: bytes) -> OwnerNotice:
@@ -127,7 +137,7 @@
     RecordError
         The value does not decode.
     """
-    return _decode(_notices, value)
+    return _decode(_notices, value.removeprefix(_FORMAT))
 
 
 def _decode(decoder, value: bytes):
--- a/almondstack/jobs/tests/test_progress.py
+++ b/almondstack/jobs/tests/test_progress.py
@@ -5,8 +5,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from almondstack.jobs import JobState, RecordError, TaskKey, TaskRecord, TaskStatus
+from almondstack.jobs import (
+    JobState,
+    OwnerNotice,
+    RecordError,
+    TaskKey,
+    TaskRecord,
+    TaskStatus,
+    encode_notice,
+)
 from almondstack.jobs.progress import decode_progress, decode_state, encode_progress
+from almondstack.jobs.records import decode_notice
 
 _LIVES = st.sampled_from([0, 1_767_810_128_348, 1_767_810_130_001])
 _RECORDS = st.builds(
@@ -70,6 +79,15 @@
     assert decode_progress(bytes(1) + msgspec.msgpack.encode([])) == []
 
 
+def test_update_a_process_of_a_version_before_can_not_own_the_jobs_after_this_one():
+    """It could not read what runs, stopped it and forgot its ends: work would have run twice."""
+    notice = OwnerNotice("a/1", 7)
+    with pytest.raises(msgspec.MsgspecError):
+        msgspec.msgpack.decode(encode_notice(notice), type=OwnerNotice)
+    assert decode_notice(encode_notice(notice)) == notice
+    assert decode_notice(msgspec.msgpack.encode(notice)) == notice
+
+
 @pytest.mark.parametrize(
     "tasks",
     [
