--- a/almondstack/control/fleet_rounds.py
+++ b/almondstack/control/fleet_rounds.py
@@ -260,6 +260,5 @@
     def _others(self, task: Task, evacuated: frozenset[str]) -> Iterator[Worker]:
         """Iterate over the workers of a task's pool that are outside the evacuated zones."""
         pool = self._table.workers[task.worker].info.pool
-        for worker in self._table.workers.values():
-            if worker.info.pool == pool and worker.info.zone not in evacuated:
-                yield worker
+        workers = self._table.workers_of(pool)
+        return (worker for worker in workers if worker.info.zone not in evacuated)
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -157,6 +157,10 @@
             pending.is_unclear = True
             pending.rehomed_s = now_s
 
+    def workers_of(self, pool: str) -> Iterator[Worker]:
+        """Iterate over the workers of a pool."""
+        return (worker for worker in self.workers.values() if worker.info.pool == pool)
+
     def tasks_on(self, worker: str) -> list[Task]:
         """Return the tasks recorded on a worker, whether it is known or not."""
         return self._pending.on_worker(worker)
--- a/almondstack/control/stalls.py
+++ b/almondstack/control/stalls.py
@@ -82,9 +82,8 @@
     def _others(self, task: Task) -> Iterator[Worker]:
         """Iterate over the workers of its pool on which a task has not been slow."""
         pool = self._planner.policy_of(task.job.submission).pool
-        for worker in self._table.workers.values():
-            if worker.info.pool == pool and worker.id not in {task.worker, *task.failed_on}:
-                yield worker
+        avoided = {task.worker, *task.failed_on}
+        return (worker for worker in self._table.workers_of(pool) if worker.id not in avoided)
 
     def _give_up(self, task: Task, progress: Progress, remaining_s: float, now_s: float) -> None:
         self._events.write(
