--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from almondstack.core.http_client import HttpCaller, HttpReply, NotSentError
+from almondstack.core.http_client import HttpCaller, HttpReply, NoAnswerError, NotSentError
 from almondstack.intake import (
     CancelRequest,
     OwnerNotReachedError,
@@ -260,6 +260,7 @@
     """A connection to an owner that was replaced by one out of reach; keeps how it was asked."""
 
     asked: list[tuple[str, float]] = []
+    next_error: Exception = NotSentError("nobody listens")
 
     def __init__(self, address, *_):
         self.address = address
@@ -268,7 +269,7 @@
         """Take a while and name the next owner, at an address that has none."""
         self.asked.append((self.address, timeout_s))
         if self.address != "127.0.0.1:1":
-            raise NotSentError("nobody listens")
+            raise self.next_error
         time.sleep(0.2)
         return HttpReply(409, msgspec.msgpack.encode(OwnerReply(_TOKEN + 1, "127.0.0.1:2")))
 
@@ -294,6 +295,13 @@
     assert asked[1][1] <= 0.8
 
 
+def test_a_next_owner_that_gives_no_answer_may_have_taken_the_request(replaced, monkeypatch):
+    monkeypatch.setattr(_Replaced, "next_error", NoAnswerError("it was killed, or cut off"))
+    client, _, _ = replaced
+    with pytest.raises(OwnerUnclearError):
+        client.ask(_submission(), 1.0)
+
+
 def test_no_time_left_the_next_owner_is_not_asked(replaced):
     client, _, asked = replaced
     with pytest.raises(OwnerNotReachedError, match="409"):
