Keep no delays of jobs that have ended

What ran of a cancelled or failed job ended after it, and its seconds were kept in the owner for good. Found in reading; the test fails without the change.

--- a/almondstack/control/delay_rounds.py
+++ b/almondstack/control/delay_rounds.py
@@ -57,12 +57,13 @@
 
     def note_inherited(self, job: ActiveJob, silent_s: float) -> None:
         """Count for how long nobody has worked on a job that was taken over."""
-        self._delays.add(job.id, 0, DelayCause.NO_OWNER, max(0.0, silent_s))
+        if job.is_open:
+            self._delays.add(job.id, 0, DelayCause.NO_OWNER, max(0.0, silent_s))
 
     def note_taken_up(self, job: ActiveJob, now_unix_ms: float) -> None:
         """Count how long a new job has waited until the round that takes it."""
         waited_s = (now_unix_ms - job.submission.accepted_ms) / _MS
-        if waited_s > _NOTABLE_S:
+        if job.is_open and waited_s > _NOTABLE_S:
             self._delays.add(job.id, 0, DelayCause.STORE, waited_s)
 
     def note_planned(self, now_s: float) -> None:
@@ -84,7 +85,8 @@
         """Count how long starts have waited until they were stored."""
         self._stored_s = took_s if took_s > _NOTABLE_S else 0.0
         if self._stored_s:
-            for job, step in {(task.job.id, task.key.step) for task in starts}:
+            waited = {(task.job.id, task.key.step) for task in starts if task.job.is_open}
+            for job, step in waited:
                 self._delays.add(job, step, DelayCause.STORE, took_s)
 
     def note_job_end(self, job: ActiveJob) -> None:
--- a/almondstack/control/delays.py
+++ b/almondstack/control/delays.py
@@ -76,7 +76,9 @@
         steps[step, cause] = max(steps.get((step, cause), 0.0), seconds)
 
     def note_run(self, task: Task, end: RunEnd, now_s: float) -> None:
-        """Note by how much a run that has ended has held its job up."""
+        """Note by how much a run that ends now has held up its job, if that is still open."""
+        if not task.job.is_open:
+            return
         took_s = now_s - task.assigned_s
         if end is RunEnd.DONE:
             took_s -= _USUAL_FACTOR * task.step.estimate_ms / _MS
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -382,10 +382,11 @@
         job = task.job
         name, run, from_worker = _name(task), task.run, task.worker
         was_open = job.is_open
+        if is_counted:
+            self.delays.note_run(task, end, now_s)
         job.end_run(task, end, checkpoint, now_s)
         self._metrics.count(f"run.{end}")
         if is_counted:
-            self.delays.note_run(task, end, now_s)
             self._events.write(
                 "run-ended",
                 task=name,
--- a/almondstack/control/tests/test_delay_rounds.py
+++ b/almondstack/control/tests/test_delay_rounds.py
@@ -144,3 +144,18 @@
     delays = JobDelays()
     delays.add("j", 0, DelayCause.STORE, 1.0)
     assert delays.take("j") and not delays.take("j")
+
+
+def test_months_on_nothing_is_kept_of_a_job_that_was_told():
+    """What ran of a cancelled job ended after it, and was kept for good."""
+    world = _World()
+    world.plan(0.0)
+    assign(world.table, task := world.job.task(TaskKey(0, 0, 0)), world.worker)
+    world.job.cancel()
+    world.rounds.note_job_end(world.job)
+    world.rounds.note_stored([task], 0.8)
+    world.rounds.note_taken_up(world.job, time.time() * 1000.0 + 9_000.0)
+    world.rounds.note_inherited(world.job, 1.25)
+    end = ended(task, RunEnd.STOPPED)
+    world.table.note_look(world.worker, 4.0, look(ended=(end,)), 4.0)
+    assert not task.is_assigned and world.taken() == {}
