--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -19,7 +19,7 @@
     TaskRecord,
     TaskStatus,
 )
-from almondstack.jobs.progress import encode_progress
+from almondstack.jobs.progress import TaskGroup, encode_progress
 from almondstack.jobs.records import encode_submission
 
 __all__ = ["ActiveJob", "Task"]
@@ -101,18 +101,6 @@
         """Whether a run may be on a worker."""
         return self.status is TaskStatus.ASSIGNED
 
-    def record(self) -> TaskRecord:
-        """Return what is stored of the task."""
-        return TaskRecord(
-            self.key,
-            self.status,
-            self.run,
-            self.failures,
-            self.worker if self.is_assigned else "",
-            self.life if self.is_assigned else 0,
-            "" if self.status is TaskStatus.DONE else self.checkpoint,
-        )
-
     def assign(self, worker: str, life: int, now_s: float) -> None:
         """Give the task to a worker as its next run."""
         self.status = TaskStatus.ASSIGNED
@@ -224,10 +212,13 @@
 
     def encode(self) -> bytes:
         """Return the progress record; of a job that is over, only its state is kept."""
-        if self.is_over():
-            return encode_progress(self.state, [])
-        records = [task.record() for task in self.tasks() if task.run]
-        return encode_progress(self.state, records)
+        return encode_progress(self.state, () if self.is_over() else self._groups())
+
+    def _groups(self) -> Iterator[TaskGroup]:
+        """Iterate over the steps of all occurrences that have been made."""
+        for occurrence, steps in self._occurrences.items():
+            for step, tasks in enumerate(steps):
+                yield occurrence, step, tasks
 
     def encode_remainder(self) -> bytes:
         """Return what is kept of the submission of a job that is over: whose it was.
--- a/almondstack/jobs/progress.py
+++ b/almondstack/jobs/progress.py
@@ -3,63 +3,63 @@
 Explanation
 -----------
 Every process reads every record, and a job's is written anew with each change of
-one of its tasks; in a burst these records are most of what crosses the links.  So
-most tasks take a few bytes each.  The first byte is the state, so that a process
-that only shows states decodes nothing else.  After it come the workers that are
-named, each once, and for each step the tasks that are done at the first run, in
-ranges, those that are assigned and have neither failed nor saved anything, and
-the rest in full.
+one of its tasks; in a burst these records are most of what crosses the links, and
+making them is a good part of what the owner does.  The first byte is the state, so
+that a process that only shows states decodes nothing else.  After it come the
+workers that are named, each once, and for each step its tasks in their order, most
+of them as one small number: nothing was started (nil), done at the first run (0),
+or assigned to the worker of that number, from 1, at the first run.  The rest are
+told in full, and what was not started is left out at the end of a step.
 """
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Protocol
 
 import msgspec
 
 from almondstack.jobs.errors import RecordError
 from almondstack.jobs.model import JobState, TaskKey, TaskRecord, TaskStatus
 
-__all__ = ["decode_progress", "decode_state", "encode_progress"]
+__all__ = ["StoredTask", "TaskGroup", "decode_progress", "decode_state", "encode_progress"]
 
-_NO_WORKER = -1
+_ASSIGNED, _DONE = TaskStatus.ASSIGNED, TaskStatus.DONE
 _FIRST_RUN = 1
-_MOST_MEMBERS = 100_000
-"""A range of more tasks is taken for a fault of its record; no step has nearly as many."""
+_DONE_AT_ONCE = 0
+_NO_WORKER = 0
 
 
-class _OtherTask(msgspec.Struct, frozen=True, array_like=True):
-    """A task that is told in full; its worker is a number."""
+class StoredTask(Protocol):
+    """What is stored of a task; worker and life count only while it is assigned."""
 
-    member: int
     status: TaskStatus
     run: int
     failures: int
-    worker: int
+    worker: str
+    life: int
     checkpoint: str
 
 
-class _StepTasks(msgspec.Struct, array_like=True):
-    """Tasks of one step of one occurrence.
+TaskGroup = tuple[int, int, Sequence[StoredTask]]
+"""An occurrence, a step, and its tasks in their order."""
 
-    Explanation
-    -----------
-    ``done`` holds the first member and the count of each range, ``assigned`` the
-    member, the run and the number of the worker of each task.
-    """
 
-    occurrence: int
-    step: int
-    done: list[int]
-    assigned: list[int]
-    others: list[_OtherTask]
+class _Task(msgspec.Struct, frozen=True, array_like=True):
+    """A task that is told in full; its worker is a number, 0 if it has none."""
+
+    status: TaskStatus
+    run: int
+    failures: int
+    worker: int
+    checkpoint: str
 
 
-class _Tasks(msgspec.Struct, array_like=True):
+class _Tasks(msgspec.Struct, frozen=True, array_like=True):
     """Lives of workers are given as differences from one of them, which are short."""
 
     base_life: int
     worker_ids: list[str]
     worker_lives: list[int]
-    steps: list[_StepTasks]
+    groups: list[tuple[int, int, list[None | int | _Task]]]
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -68,76 +68,44 @@
 """Reads what versions before stored: each task in full."""
 
 
-class _Workers:
-    """Numbers the lives of workers in the order in which they are met."""
-
-    __slots__ = ("_numbers",)
-
-    def __init__(self) -> None:
-        self._numbers: dict[tuple[str, int], int] = {}
-
-    @property
-    def lives(self) -> list[tuple[str, int]]:
-        """The workers, by their numbers."""
-        return list(self._numbers)
-
-    def number(self, record: TaskRecord) -> int:
-        """Return the number of the worker that a task is on."""
-        if not record.worker and not record.life:
-            return _NO_WORKER
-        life = (record.worker, record.life)
-        return self._numbers.setdefault(life, len(self._numbers))
-
-
-def encode_progress(state: JobState, tasks: Iterable[TaskRecord]) -> bytes:
+def encode_progress(state: JobState, groups: Iterable[TaskGroup]) -> bytes:
     """Return the value of a progress record.
 
     Examples
     --------
-    >>> record = TaskRecord(TaskKey(0, 0, 2), TaskStatus.ASSIGNED, 1, 0, "w1", 1_700)
-    >>> decode_progress(encode_progress(JobState.RUNNING, [record])) == [record]
+    >>> record = TaskRecord(TaskKey(0, 0, 0), TaskStatus.ASSIGNED, 1, 0, "w1", 1_700)
+    >>> value = encode_progress(JobState.RUNNING, [(0, 0, [record])])
+    >>> decode_progress(value) == [record]
     True
     """
-    workers = _Workers()
-    steps: dict[tuple[int, int], _StepTasks] = {}
-    for record in tasks:
-        place = (record.key.occurrence, record.key.step)
-        step = steps.setdefault(place, _StepTasks(*place, [], [], []))
-        _add(step, record, workers)
-    lives = workers.lives
-    base_life = lives[0][1] if lives else 0
-    wire = _Tasks(
-        base_life,
-        [worker for worker, _ in lives],
-        [life - base_life for _, life in lives],
-        list(steps.values()),
-    )
-    return bytes((state,)) + _encoder.encode(wire)
-
-
-def _add(step: _StepTasks, record: TaskRecord, workers: _Workers) -> None:
-    number = workers.number(record)
-    member = record.key.member
-    is_plain = not record.failures and not record.checkpoint
-    is_first = record.run == _FIRST_RUN and number == _NO_WORKER
-    if is_plain and is_first and record.status is TaskStatus.DONE:
-        _add_done(step.done, member)
-    elif is_plain and number != _NO_WORKER and record.status is TaskStatus.ASSIGNED:
-        step.assigned.extend((member, record.run, number))
-    else:
-        step.others.append(
-            _OtherTask(
-                member, record.status, record.run, record.failures, number, record.checkpoint
-            )
-        )
-
-
-def _add_done(done: list[int], member: int) -> None:
-    """Add a member to the last range, or begin another one with it."""
-    if done and done[-2] + done[-1] == member:
-        done[-1] += 1
-    else:
-        done.extend((member, 1))
+    numbers: dict[tuple[str, int], int] = {}
+    wire_groups = []
+    for occurrence, step, tasks in groups:
+        rows = [_row(task, numbers) for task in tasks]
+        while rows and rows[-1] is None:
+            rows.pop()
+        if rows:
+            wire_groups.append((occurrence, step, rows))
+    base_life = next(iter(numbers))[1] if numbers else 0
+    ids = [worker for worker, _ in numbers]
+    lives = [life - base_life for _, life in numbers]
+    return bytes((state,)) + _encoder.encode((base_life, ids, lives, wire_groups))
+
+
+def _row(task: StoredTask, numbers: dict[tuple[str, int], int]) -> None | int | _Task:
+    run, status = task.run, task.status
+    if not run:
+        return None
+    number = _NO_WORKER
+    if status is _DONE:
+        if run == _FIRST_RUN and not task.failures:
+            return _DONE_AT_ONCE
+        return _Task(status, run, task.failures, number, "")
+    if status is _ASSIGNED:
+        number = numbers.setdefault((task.worker, task.life), len(numbers) + 1)
+        if run == _FIRST_RUN and not task.failures and not task.checkpoint:
+            return number
+    return _Task(status, run, task.failures, number, task.checkpoint)
 
 
 def decode_state(value: bytes) -> JobState:
@@ -155,7 +123,7 @@
 
 
 def decode_progress(value: bytes) -> list[TaskRecord]:
-    """Return the tasks of a progress record, step by step.
+    """Return the tasks of a progress record that were started.
 
     Raises
     ------
@@ -173,37 +141,28 @@
         wire = _tasks.decode(value[1:])
         lives = [wire.base_life + life for life in wire.worker_lives]
         workers = list(zip(wire.worker_ids, lives, strict=True))
-        return [record for step in wire.steps for record in _records(step, workers)]
-    except (msgspec.MsgspecError, ValueError, IndexError) as error:
+        return list(_records(wire, workers))
+    except (msgspec.MsgspecError, ValueError) as error:
         raise RecordError(str(error)) from error
 
 
-def _records(step: _StepTasks, workers: list[tuple[str, int]]) -> Iterator[TaskRecord]:
-    def key(member: int) -> TaskKey:
-        return TaskKey(step.occurrence, step.step, member)
-
-    for first, count in zip(step.done[::2], step.done[1::2], strict=True):
-        if count > _MOST_MEMBERS:
-            raise ValueError(f"a range of {count} tasks")
-        for member in range(first, first + count):
-            yield TaskRecord(key(member), TaskStatus.DONE, _FIRST_RUN)
-    rows = zip(step.assigned[::3], step.assigned[1::3], step.assigned[2::3], strict=True)
-    for member, run, number in rows:
-        yield TaskRecord(key(member), TaskStatus.ASSIGNED, run, 0, *_worker(workers, number))
-    for task in step.others:
-        yield TaskRecord(
-            key(task.member),
-            task.status,
-            task.run,
-            task.failures,
-            *_worker(workers, task.worker),
-            task.checkpoint,
-        )
+def _records(wire: _Tasks, workers: list[tuple[str, int]]) -> Iterator[TaskRecord]:
+    for occurrence, step, rows in wire.groups:
+        for member, row in enumerate(rows):
+            if row is not None:
+                yield _record(TaskKey(occurrence, step, member), row, workers)
+
+
+def _record(key: TaskKey, row: int | _Task, workers: list[tuple[str, int]]) -> TaskRecord:
+    if row == _DONE_AT_ONCE:
+        return TaskRecord(key, _DONE, _FIRST_RUN)
+    if isinstance(row, int):
+        return TaskRecord(key, _ASSIGNED, _FIRST_RUN, 0, *_worker(workers, row))
+    worker, life = _worker(workers, row.worker) if row.worker != _NO_WORKER else ("", 0)
+    return TaskRecord(key, row.status, row.run, row.failures, worker, life, row.checkpoint)
 
 
 def _worker(workers: list[tuple[str, int]], number: int) -> tuple[str, int]:
-    if number == _NO_WORKER:
-        return "", 0
-    if number < 0:
+    if not 0 < number <= len(workers):
         raise ValueError(f"no worker has the number {number}")
-    return workers[number]
+    return workers[number - 1]
