Replay a burst through the owner's rounds without network

Cause: what a round of the owner costs was known only from plays, mixed with threads and calls.

Change: almondstack-bench owner-burst runs real owners under 50, 200, 500 and 2,000 open jobs on 180 and 740 workers, all answered from memory on a simulated clock, and prints the processor time of a round by its parts. The session without threads that the owners' simulation had moves to a module of its own.

--- a/almondstack/bench/main.py
+++ b/almondstack/bench/main.py
@@ -24,6 +24,7 @@
     "almondstack.bench.fleet_bench",
     "almondstack.bench.fleet_machine",
     "almondstack.bench.load",
+    "almondstack.bench.owner_burst",
     "almondstack.bench.path_bench",
     "almondstack.bench.peers_bench",
     "almondstack.bench.slope_fleet",
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -21,7 +21,6 @@
 from almondstack.control.owner import Owner
 from almondstack.control.ports import WorkerCaller
 from almondstack.control.services import OwnerServices
-from almondstack.control.session import WorkerSession
 from almondstack.control.settings import ControlSettings
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
@@ -54,14 +53,15 @@
 from almondstack.testing.owner_oracle import OwnerOracle
 from almondstack.testing.owner_port import RequestLink, WorldOwnerPort
 from almondstack.testing.owner_worker import WorldCaller, WorldClock, WorldWorker
+from almondstack.testing.pumped_session import PumpedSession
 
-__all__ = ["CEILING_MILLIS", "MAX_ATTEMPTS", "OwnerWorld", "WorldProcess"]
+__all__ = ["CEILING_MILLIS", "MAX_ATTEMPTS", "PATCHED_TIME_MODULES", "OwnerWorld", "WorldProcess"]
 
 CEILING_MILLIS = 3_000
 MAX_ATTEMPTS = 2
 _STORE_TIMEOUT_S = 0.5
 
-_PATCHED_TIME_MODULES = (
+PATCHED_TIME_MODULES = (
     "almondstack.control.advisor",
     "almondstack.control.fleet_controller",
     "almondstack.control.instance_manager",
@@ -139,39 +139,6 @@
         super()._maybe_lose_reply()
 
 
-class _PumpedSession(WorkerSession):
-    """A session without threads; the simulation makes its calls."""
-
-    __slots__ = ("_order_caller",)
-
-    def _ensure_thread(self, name: str, run: Callable[[], None]) -> None:
-        """Do nothing: the simulation starts no threads."""
-
-    def _caller_of_orders(self) -> WorkerCaller:
-        """Return the one caller for all orders; in the product each order thread has its own."""
-        if not hasattr(self, "_order_caller"):
-            self._order_caller = self._callers.caller(self.worker)
-        return self._order_caller
-
-    def pump_orders(self) -> None:
-        """Send the queued orders."""
-        caller = self._caller_of_orders()
-        while not self._orders.empty():
-            order = self._orders.get()
-            if order is None or self._is_closed:
-                return
-            self._execute(caller, order)
-
-    def pump_handshake(self) -> None:
-        """Do the handshake with the worker, as before a first start."""
-        self._handshake(self._caller_of_orders())
-
-    def pump_poll(self) -> None:
-        """Poll once if the worker may have runs."""
-        if self._is_busy and not self._is_closed:
-            self._poll(self._callers.caller(self.worker))
-
-
 class WorldProcess:
     """One process: its job index, its intake, and its owner while it has ownership."""
 
@@ -273,19 +240,19 @@
     def pump_handshake(self, worker: str) -> None:
         """Let the owner's session of a worker do its handshake, as before a first start."""
         session = self.owner._sessions.get(worker) if self.owner is not None else None
-        if isinstance(session, _PumpedSession):
+        if isinstance(session, PumpedSession):
             session.pump_handshake()
 
     def pump_orders(self, worker: str) -> None:
         """Let the owner's session of a worker send its orders, without a poll."""
         session = self.owner._sessions.get(worker) if self.owner is not None else None
-        if isinstance(session, _PumpedSession):
+        if isinstance(session, PumpedSession):
             session.pump_orders()
 
     def pump(self, worker: str) -> None:
         """Let the owner's session of a worker send its orders and poll."""
         session = self.owner._sessions.get(worker) if self.owner is not None else None
-        if isinstance(session, _PumpedSession):
+        if isinstance(session, PumpedSession):
             session.pump_orders()
             session.pump_poll()
 
@@ -319,9 +286,9 @@
     def patched(self) -> Iterator[None]:
         """Replace the clock and the threads of the product code."""
         with contextlib.ExitStack() as stack:
-            for module in _PATCHED_TIME_MODULES:
+            for module in PATCHED_TIME_MODULES:
                 stack.enter_context(mock.patch(f"{module}.time", self.clock))
-            stack.enter_context(mock.patch.object(sessions_module, "WorkerSession", _PumpedSession))
+            stack.enter_context(mock.patch.object(sessions_module, "WorkerSession", PumpedSession))
             stack.enter_context(mock.patch.object(owner_module, "_IDLE_WAIT_S", 0.0))
             stack.enter_context(mock.patch("almondstack.control.journal._RETRY_PAUSE_S", 0.0))
             yield
--- /dev/null
+++ b/almondstack/testing/pumped_session.py
@@ -0,0 +1,41 @@
+"""A worker session without threads, whose calls a simulation makes."""
+
+from collections.abc import Callable
+
+from almondstack.control.ports import WorkerCaller
+from almondstack.control.session import WorkerSession
+
+__all__ = ["PumpedSession"]
+
+
+class PumpedSession(WorkerSession):
+    """A session without threads; the simulation makes its calls."""
+
+    __slots__ = ("_order_caller",)
+
+    def _ensure_thread(self, name: str, run: Callable[[], None]) -> None:
+        """Do nothing: the simulation starts no threads."""
+
+    def _caller_of_orders(self) -> WorkerCaller:
+        """Return the one caller for all orders; in the product each order thread has its own."""
+        if not hasattr(self, "_order_caller"):
+            self._order_caller = self._callers.caller(self.worker)
+        return self._order_caller
+
+    def pump_orders(self) -> None:
+        """Send the queued orders."""
+        caller = self._caller_of_orders()
+        while not self._orders.empty():
+            order = self._orders.get()
+            if order is None or self._is_closed:
+                return
+            self._execute(caller, order)
+
+    def pump_handshake(self) -> None:
+        """Do the handshake with the worker, as before a first start."""
+        self._handshake(self._caller_of_orders())
+
+    def pump_poll(self) -> None:
+        """Poll once if the worker may have runs."""
+        if self._is_busy and not self._is_closed:
+            self._poll(self._callers.caller(self.worker))
