Let a round of the owner cost less for what has not changed

Each round asked each job for its ready steps five times over all tasks, computed the demand of pools twice, looked for unreachable zones once for each pool, compared each waiting task with all workers of a full pool, and parsed the name of each listed run.

Change: a job remembers its ready steps until a run of it starts or ends; the demand is computed once a round; a task that asks at least as much as one for which the pool had no room is not compared again; tasks carry their names. Decisions are the same (test_burst_* in placement and jobs compare them with the search that they replace). The test of a pool's members passes the unreachable zones, as the balancer does now.

--- a/almondstack/control/current_runs.py
+++ b/almondstack/control/current_runs.py
@@ -57,10 +57,11 @@
 class CurrentRuns:
     """The current runs of all tasks, with the state of each."""
 
-    __slots__ = ("_runs",)
+    __slots__ = ("_runs", "_tasks_by_name")
 
     def __init__(self) -> None:
         self._runs: dict[Task, CurrentRun] = {}
+        self._tasks_by_name: dict[str, Task] = {}
 
     def __contains__(self, task: object) -> bool:
         return task in self._runs
@@ -71,14 +72,20 @@
     def add(self, task: Task) -> CurrentRun:
         """Track the current run of a task."""
         current = self._runs[task] = CurrentRun()
+        self._tasks_by_name[task.name] = task
         return current
 
+    def named(self, name: str) -> Task | None:
+        """Return the task of that name if it has a current run."""
+        return self._tasks_by_name.get(name)
+
     def get(self, task: Task) -> CurrentRun | None:
         """Return the state of a task's current run, or None if it has no run."""
         return self._runs.get(task)
 
     def pop(self, task: Task) -> CurrentRun | None:
         """Stop tracking the run of a task, and return its state, or None if it had no run."""
+        self._tasks_by_name.pop(task.name, None)
         return self._runs.pop(task, None)
 
     def items(self) -> list[tuple[Task, CurrentRun]]:
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -34,7 +34,6 @@
     ActiveJob,
     RecordKind,
     Task,
-    format_task_name,
 )
 from almondstack.ownership import FencedError, OwnershipSettings
 
@@ -412,7 +411,7 @@
         if session is None:
             return
         job = task.job
-        name = format_task_name(job.id, task.key)
+        name = task.name
         ticket = self._advisor.ticket(task)
         self._services.events.write(
             "run-ordered", task=name, run=task.run, worker=task.worker, token=self._token
--- a/almondstack/control/pacing.py
+++ b/almondstack/control/pacing.py
@@ -2,7 +2,7 @@
 
 from almondstack.control.runs import RunTable
 from almondstack.control.sessions import SessionTable
-from almondstack.jobs import Task, format_task_name
+from almondstack.jobs import Task
 from almondstack.placement import Worker
 from almondstack.placement.pace import next_percent
 
@@ -57,4 +57,4 @@
         if percent == task.percent or session is None:
             return
         task.percent = percent
-        session.pace(format_task_name(task.job.id, task.key), task.run, percent)
+        session.pace(task.name, task.run, percent)
--- a/almondstack/control/pool_balancer.py
+++ b/almondstack/control/pool_balancer.py
@@ -1,6 +1,7 @@
 """Tracks the demand of pools, and plans moves of instances between them."""
 
 import time
+from collections import Counter
 
 from almondstack.capacity import (
     Candidate,
@@ -93,11 +94,12 @@
         """Return the state of each pool that is paid for."""
         needs = self._needs.needs(policies, now_s)
         size_millis = median_size_millis(instances)
+        unreachable = self._unreachable(instances)
         states = []
         for pool, is_off in policies.pools.items():
             if is_off:
                 continue
-            candidates, coming = self._members(instances, pool, excluded, now_s)
+            candidates, coming = self._members(instances, pool, excluded, unreachable, now_s)
             states.append(PoolState(pool, needs[pool], candidates, coming))
         for state in states:
             wanted = wanted_instances(state, size_millis)
@@ -111,7 +113,8 @@
         self, instances: list[InstanceInfo], spare_pool: str, excluded: set[str], now_s: float
     ) -> tuple[list[Candidate], int]:
         """Return the movable instances of the spare pool, and how many others will be soon."""
-        return self._members(instances, spare_pool, excluded, now_s, is_off=True)
+        unreachable = self._unreachable(instances)
+        return self._members(instances, spare_pool, excluded, unreachable, now_s, is_off=True)
 
     def plan(
         self,
@@ -136,6 +139,7 @@
         instances: list[InstanceInfo],
         pool: str,
         excluded: set[str],
+        unreachable: UnreachableDomains,
         now_s: float,
         *,
         is_off: bool = False,
@@ -151,7 +155,6 @@
         """
         candidates = []
         coming = 0
-        unreachable = self._unreachable(instances)
         for info in instances:
             if info.pool != pool or info.state is InstanceState.DOWN or info.name in excluded:
                 continue
@@ -171,12 +174,12 @@
         """Return the unreachable domains, including zones without any registered worker."""
         unreachable = find_unreachable(self._table.workers.values())
         registered = {worker.info.zone for worker in self._table.workers.values()}
-        unregistered = [
+        unregistered = Counter(
             info.zone
             for info in instances
             if info.worker and info.state is InstanceState.UP and info.zone not in registered
-        ]
-        zones = {zone for zone in unregistered if unregistered.count(zone) >= _MIN_UNREGISTERED}
+        )
+        zones = {zone for zone, count in unregistered.items() if count >= _MIN_UNREGISTERED}
         return unreachable._replace(zones=unreachable.zones | zones)
 
     def _may_still_register(self, info: InstanceInfo, now_s: float) -> bool:
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -30,16 +30,19 @@
         How long a move takes, in seconds.
     """
 
-    __slots__ = ("_forecasts", "_lead_s", "_planner", "_table")
+    __slots__ = ("_computed_s", "_forecasts", "_last_needs", "_lead_s", "_planner", "_table")
 
     def __init__(self, table: RunTable, planner: Planner, move_s: float) -> None:
         self._table = table
         self._planner = planner
         self._lead_s = move_s + _MOVE_OVERHEAD_S
         self._forecasts: dict[str, ArrivalForecast] = {}
+        self._computed_s: float | None = None
+        self._last_needs: dict[str, PoolNeed] = {}
 
     def note_job(self, job: ActiveJob, now_s: float) -> None:
         """Add a new job to the arrival forecast of its queue."""
+        self._computed_s = None
         policy = self._planner.policy_of(job.submission)
         core_ms = sum(
             step.count * step.cpu_millis * step.estimate_ms / 1000.0
@@ -51,7 +54,13 @@
         forecast.add(now_s, core_ms, can_wait=slack_s >= self._lead_s)
 
     def needs(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
-        """Return the present demand of each pool."""
+        """Return the present demand of each pool; computed once for each ``now_s``."""
+        if self._computed_s != now_s or self._last_needs.keys() != policies.pools.keys():
+            self._last_needs = self._compute(policies, now_s)
+            self._computed_s = now_s
+        return self._last_needs
+
+    def _compute(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
         needs = {pool: PoolNeed() for pool in policies.pools}
         for queue, forecast in self._forecasts.items():
             policy = policies.queues.get(queue)
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -24,7 +24,7 @@
 )
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
-from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskNameError, format_task_name
+from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskNameError
 from almondstack.jobs.names import parse_task_name
 from almondstack.placement import Usage, Worker
 from almondstack.placement.progress import Progress
@@ -224,7 +224,7 @@
             return
         task.is_stopping = True
         current.stop_sent_s = now_s
-        self._orders.stop(task.worker, _name(task), task.run)
+        self._orders.stop(task.worker, task.name, task.run)
 
     def retry_stops(self, now_s: float) -> None:
         """Retry the stops that were not acknowledged."""
@@ -268,7 +268,7 @@
             listed.add((running.task, running.run))
             self._note_running(worker, running, reply.clock_ms / _MS_PER_S, now_s)
         for task in worker.tasks:
-            if (_name(task), task.run) not in listed:
+            if (task.name, task.run) not in listed:
                 self._note_missing(task, sent_s, now_s)
 
     def mark_worker_lost(self, worker: str, why: str, now_s: float) -> None:
@@ -285,18 +285,19 @@
 
     def _find(self, name: str, worker: str, run: int) -> Task | None:
         """Return the task if its current run has that number on that worker."""
-        try:
-            job_id, key = parse_task_name(name)
-        except TaskNameError as error:
-            self._events.write("unknown-task", worker=worker, error=str(error))
-            return None
-        job = self.jobs.get(job_id)
-        task = job.task(key) if job is not None else None
-        if task is None or task not in self._runs:
+        task = self._runs.named(name)
+        if task is None:
+            self._report_malformed(worker, name)
             return None
         is_present = task.worker == worker and task.run == run
         return task if is_present else None
 
+    def _report_malformed(self, worker: str, name: str) -> None:
+        try:
+            parse_task_name(name)
+        except TaskNameError as error:
+            self._events.write("unknown-task", worker=worker, error=str(error))
+
     def _confirm(self, task: Task, current: CurrentRun, now_s: float) -> None:
         if current.confirmed_s is None:
             current.confirmed_s = now_s
@@ -317,7 +318,7 @@
     ) -> None:
         worker = self.workers.get(task.worker)
         self._events.write(
-            "start-refused", task=_name(task), run=task.run, worker=task.worker, why=status
+            "start-refused", task=task.name, run=task.run, worker=task.worker, why=status
         )
         if worker is not None and status is OrderStatus.NO_ROOM:
             worker.set_aside_until_s = now_s + _NO_ROOM_PAUSE_S
@@ -364,7 +365,7 @@
         if current is None:
             return
         if current.confirmed_s is not None and current.confirmed_s < sent_s:
-            self._events.write("run-missing", task=_name(task), run=task.run, worker=task.worker)
+            self._events.write("run-missing", task=task.name, run=task.run, worker=task.worker)
             self._release(task, RunEnd.LOST, "", now_s)
         elif current.stop_acked_s is not None and current.stop_acked_s < sent_s:
             self._release(task, RunEnd.LOST, "", now_s)
@@ -375,7 +376,7 @@
         """Whether the start of an unlisted run is unclear or its reply is overdue."""
         if not current.is_unclear and now_s - task.assigned_s > _START_REPLY_TIMEOUT_S:
             current.is_unclear = True
-            self._events.write("start-unanswered", task=_name(task), worker=task.worker)
+            self._events.write("start-unanswered", task=task.name, worker=task.worker)
         return current.is_unclear
 
     def _release(
@@ -388,7 +389,7 @@
             worker.remove(task)
         self.usage.remove(task)
         job = task.job
-        name, run, from_worker = _name(task), task.run, task.worker
+        name, run, from_worker = task.name, task.run, task.worker
         was_open = job.is_open
         if is_counted:
             self.delays.note_run(task, end, now_s)
@@ -431,7 +432,3 @@
             self._job_end_listener(job)
         if job.state is not JobState.COMPLETED:
             self.stop_all(job, now_s)
-
-
-def _name(task: Task) -> str:
-    return format_task_name(task.job.id, task.key)
--- a/almondstack/control/stall_detector.py
+++ b/almondstack/control/stall_detector.py
@@ -5,7 +5,7 @@
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.core.events import EventLog
-from almondstack.jobs import Task, format_task_name
+from almondstack.jobs import Task
 from almondstack.placement import Worker, has_room
 from almondstack.placement.backlog import EstimateCorrection
 from almondstack.placement.progress import Progress, is_better_elsewhere
@@ -89,7 +89,7 @@
     def _stop_run(self, task: Task, progress: Progress, remaining_s: float, now_s: float) -> None:
         self._events.write(
             "run-stalled",
-            task=format_task_name(task.job.id, task.key),
+            task=task.name,
             run=task.run,
             worker=task.worker,
             percent=progress.percent,
--- a/almondstack/control/tests/test_pool_balancer.py
+++ b/almondstack/control/tests/test_pool_balancer.py
@@ -82,19 +82,24 @@
         InstanceInfo("m3", "off", InstanceState.UP, "a", "r", 4_000, ""),
         InstanceInfo("m4", "off", InstanceState.UP, "b", "r", 4_000, ""),
     ]
-    assert balancer._members(listed, "p", set(), 4.0) == ([], 1)
+    assert _members(balancer, listed) == ([], 1)
     spares, _ = balancer.spares(listed, "off", set(), 4.0)
     assert [candidate.name for candidate in spares] == ["m4"]
 
 
+def _members(balancer, instances):
+    """Return the members of pool ``p`` among the instances."""
+    return balancer._members(instances, "p", set(), balancer._unreachable(instances), 4.0)
+
+
 def test_a_zone_without_registered_workers_provides_no_instances():
     """Registrations of an unreachable zone expired, and its instances were moved repeatedly."""
     table = make_table(workers=(make_worker("b1", zone="b"),))
     balancer = PoolBalancer(table, None, _IdleInstanceManager(), 1.5)
     up = [InstanceInfo(f"m{n}", "q", InstanceState.UP, "a", "r", 4_000, f"w{n}") for n in (1, 2)]
     moving = InstanceInfo("m3", "p", InstanceState.MOVING, "a", "r", 4_000, "")
-    assert balancer._members([*up, moving], "p", set(), 4.0) == ([], 0)
-    assert balancer._members([up[0], moving], "p", set(), 4.0) == ([], 1)
+    assert _members(balancer, [*up, moving]) == ([], 0)
+    assert _members(balancer, [up[0], moving]) == ([], 1)
 
 
 def test_hot_account_at_its_ceiling_adds_no_demand():
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -19,6 +19,7 @@
     TaskRecord,
     TaskStatus,
 )
+from almondstack.jobs.names import format_task_name
 from almondstack.jobs.progress import TaskGroup, encode_progress
 from almondstack.jobs.records import encode_submission
 
@@ -32,6 +33,8 @@
     ----------
     key : TaskKey
         Identifies the task in its job.
+    name : str
+        Name by which workers identify the task.
     step : Step
         Its step, with its demand.
     status : TaskStatus
@@ -69,6 +72,7 @@
         "key",
         "life",
         "load",
+        "name",
         "percent",
         "run",
         "status",
@@ -80,6 +84,7 @@
     def __init__(self, job: "ActiveJob", key: TaskKey, step: Step) -> None:
         self.job = job
         self.key = key
+        self.name = format_task_name(job.id, key)
         self.step = step
         self.status = TaskStatus.WAITING
         self.run = 0
@@ -139,6 +144,7 @@
     __slots__ = (
         "_chain_ms",
         "_occurrences",
+        "_ready_by_occurrence",
         "id",
         "is_dirty",
         "max_attempts",
@@ -153,6 +159,8 @@
         self.state = JobState.QUEUED
         self.is_dirty = False
         self._occurrences: dict[int, list[list[Task]]] = {}
+        # Each round asks several times, and most jobs do not change from one to the next.
+        self._ready_by_occurrence: dict[int, list[list[Task]]] = {}
         self._chain_ms = chain_lengths_ms(submission.steps)
 
     @property
@@ -199,6 +207,7 @@
     def restore(self, state: JobState, records: list[TaskRecord]) -> None:
         """Restore the state that a previous owner has recorded."""
         self.state = state
+        self._ready_by_occurrence.clear()
         for record in records:
             task = self.task(TaskKey(*record.key))
             if task is None:
@@ -242,7 +251,7 @@
         for occurrence in range(self.submission.occurrence_count):
             if self.submission.due_ms(occurrence) > now_unix_ms:
                 break
-            yield from self._ready_steps(self.steps_of(occurrence))
+            yield from self._ready_steps_of(occurrence)
 
     def next_due_ms(self, now_unix_ms: float) -> int | None:
         """Return the Unix milliseconds of the next occurrence to come, if any."""
@@ -255,6 +264,7 @@
     def end_run(self, task: Task, end: RunEnd, checkpoint: str, now_s: float) -> None:
         """Update the task and the job for the end of the task's present run."""
         self.is_dirty = True
+        self._ready_by_occurrence.pop(task.key.occurrence, None)
         if checkpoint:
             task.checkpoint = checkpoint
         if end is RunEnd.DONE and not task.step.is_long_running:
@@ -275,6 +285,7 @@
                 task.run = last_run
             task.assign(worker, life, now_s)
         self.is_dirty = True
+        self._ready_by_occurrence.pop(tasks[0].key.occurrence, None)
         if self.state is JobState.QUEUED:
             self.state = JobState.RUNNING
 
@@ -294,12 +305,13 @@
             for number, step in enumerate(self.submission.steps)
         ]
 
-    def _ready_steps(self, steps: list[list[Task]]) -> Iterator[list[Task]]:
-        for tasks in steps:
-            if not any(task.status is TaskStatus.WAITING for task in tasks):
-                continue
-            if all(_is_step_done(steps[number]) for number in tasks[0].step.after):
-                yield tasks
+    def _ready_steps_of(self, occurrence: int) -> list[list[Task]]:
+        """Return the steps that have a waiting task and wait for no other step."""
+        found = self._ready_by_occurrence.get(occurrence)
+        if found is None:
+            found = list(_ready_steps(self.steps_of(occurrence)))
+            self._ready_by_occurrence[occurrence] = found
+        return found
 
     def _finish(self, task: Task) -> None:
         if task.step.is_gang:
@@ -342,5 +354,13 @@
     return lengths
 
 
+def _ready_steps(steps: list[list[Task]]) -> Iterator[list[Task]]:
+    for tasks in steps:
+        if not any(task.status is TaskStatus.WAITING for task in tasks):
+            continue
+        if all(_is_step_done(steps[number]) for number in tasks[0].step.after):
+            yield tasks
+
+
 def _is_step_done(tasks: list[Task]) -> bool:
     return all(task.status is TaskStatus.DONE for task in tasks)
--- a/almondstack/jobs/tests/test_active.py
+++ b/almondstack/jobs/tests/test_active.py
@@ -1,5 +1,8 @@
 """Which steps may start next, and how ends of runs change the state of a job."""
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from almondstack.jobs import JobState, RunEnd, Step, TaskKey, chain_lengths_ms
 from almondstack.jobs.progress import decode_progress, decode_state
 from almondstack.jobs.records import decode_submission
@@ -24,6 +27,29 @@
     assert _ready(job) == [(0, 1)]
 
 
+@given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from(RunEnd)), max_size=30))
+def test_burst_ready_steps_that_are_remembered_equal_those_of_a_new_job(ends):
+    """Each round asks each job for its ready steps; only starts and ends of runs change them."""
+    steps = (make_step(2), make_step(2, after=(0,)), make_step(1, is_gang=True), make_step(1))
+    job = make_job(*steps, max_attempts=5)
+    tasks = [task for step in job.steps_of(0) for task in step]
+    for number, end in ends:
+        task = tasks[number]
+        assert _ready(job) == _ready_of_a_copy(job)
+        if task.is_assigned:
+            job.end_run(task, end, "", 1.0)
+        elif job.is_open and task.key[:2] in _ready(job):
+            job.assign([task], ["w"], [1], 0.0)
+        assert _ready(job) == _ready_of_a_copy(job)
+
+
+def _ready_of_a_copy(job):
+    """Return the ready steps of a job that is restored from the records of another."""
+    copy = make_job(*job.submission.steps, max_attempts=job.max_attempts)
+    copy.restore(job.state, decode_progress(job.encode()))
+    return _ready(copy)
+
+
 def test_a_job_is_completed_with_its_last_task():
     job = make_job(make_step(2))
     _run(job, (0, 0, 0))
--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -11,19 +11,22 @@
 
 def is_eligible(task: Task, worker: Worker) -> bool:
     """Return whether a task may run on a worker once the worker has room."""
+    return _is_allowed(task, worker) and worker.info.capacity.covers(demand_of(task.step))
+
+
+def _is_allowed(task: Task, worker: Worker) -> bool:
+    """Return whether a task may run on a worker, whatever the worker's capacity."""
     step = task.step
     if step.required_label and step.required_label not in worker.info.labels:
         return False
-    if step.most_per_worker and worker.count_of(task) >= step.most_per_worker:
-        return False
-    return worker.info.capacity.covers(demand_of(step))
+    return not step.most_per_worker or worker.count_of(task) < step.most_per_worker
 
 
 def has_room(task: Task, workers: Iterable[Worker], now_s: float) -> bool:
     """Return whether one of the workers could take a task now."""
     demand = demand_of(task.step)
     return any(
-        worker.is_open(now_s) and worker.free.covers(demand) and is_eligible(task, worker)
+        worker.is_open(now_s) and worker.free.covers(demand) and _is_allowed(task, worker)
         for worker in workers
     )
 
@@ -41,7 +44,7 @@
     """
     demand = demand_of(task.step)
     fitting = [
-        worker for worker in workers if worker.free.covers(demand) and is_eligible(task, worker)
+        worker for worker in workers if worker.free.covers(demand) and _is_allowed(task, worker)
     ]
     return min(fitting, key=lambda worker: _preference_key(task, worker), default=None)
 
@@ -72,7 +75,7 @@
     """Return the sort key of a worker; the lowest is preferred."""
     step = task.step
     is_far = bool(step.data_rack) and worker.info.rack != step.data_rack
-    left = worker.free.cpu_millis - demand_of(step).cpu_millis
+    left = worker.free.cpu_millis
     if step.is_filler:
         left = -left
     return worker.id in task.failed_on, worker.penalty, is_far, left, worker.id
--- a/almondstack/placement/resources.py
+++ b/almondstack/placement/resources.py
@@ -56,6 +56,14 @@
             and (other.gpus <= 0 or other.gpus <= self.gpus)
         )
 
+    def is_at_least(self, other: "Resources") -> bool:
+        """Return whether each resource is at least as much as in another amount."""
+        return (
+            self.cpu_millis >= other.cpu_millis
+            and self.memory_mb >= other.memory_mb
+            and self.gpus >= other.gpus
+        )
+
 
 def demand_of(step: Step) -> Resources:
     """Return what one task of a step takes of a worker's capacity.
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from almondstack.jobs import Task, TaskStatus
+from almondstack.jobs import Step, Task, TaskStatus
 from almondstack.placement.choosing import choose_for_gang, choose_to_reserve, choose_worker
 from almondstack.placement.policies import AccountPolicy
 from almondstack.placement.resources import Resources, demand_of
@@ -70,6 +70,11 @@
         self.workers = workers
 
 
+def _is_restricted(step: Step) -> bool:
+    """Return whether a step may run only on some workers, so that others may have room."""
+    return bool(step.required_label or step.most_per_worker)
+
+
 class PoolRound:
     """Assigns tasks to the workers of one pool, step by step.
 
@@ -90,6 +95,7 @@
         "_allowed",
         "_at_ceiling",
         "_blocked",
+        "_demands_without_room",
         "_now_s",
         "_reservations",
         "_usage",
@@ -109,6 +115,7 @@
         self._allowed = allowed
         self._reservations = 0
         self._blocked: list[Task] = []
+        self._demands_without_room: list[Resources] = []
         self._at_ceiling: list[Task] = []
 
     @property
@@ -158,7 +165,7 @@
             if not self._usage.allows(task.job.submission.account, account_demand(task)):
                 self._at_ceiling.append(task)
                 break
-            worker = choose_worker(task, candidates)
+            worker = self._choose(task, candidates)
             if worker is None:
                 # Without candidates, the step lacks advice or an allowed worker rather than room.
                 if candidates:
@@ -169,6 +176,22 @@
             chosen.append(worker)
         return [Assignment(placed, chosen)] if placed else []
 
+    def _choose(self, task: Task, candidates: list[Worker]) -> Worker | None:
+        """Return a worker with room for a task, or None.
+
+        Explanation
+        -----------
+        Room only shrinks within a round, so a task that asks at least as much as an earlier
+        one for which no worker had room need not be compared with the workers again.
+        """
+        demand = demand_of(task.step)
+        if any(demand.is_at_least(without_room) for without_room in self._demands_without_room):
+            return None
+        worker = choose_worker(task, candidates)
+        if worker is None and candidates is self._workers and not _is_restricted(task.step):
+            self._demands_without_room.append(demand)
+        return worker
+
     def _candidates(self, task: Task) -> list[Worker]:
         if self._allowed is None:
             return self._workers
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -1,9 +1,11 @@
 """Placement under load: which steps get workers, wait, or are rejected."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from almondstack.jobs import RunEnd
-from almondstack.placement import AccountPolicy, PoolRound, Resources, Usage, rank_of
+from almondstack.placement import AccountPolicy, PoolRound, Resources, Usage, rank_of, rounds
 from almondstack.placement.backlog import (
     Backlog,
     EstimateCorrection,
@@ -11,6 +13,7 @@
     is_in_time,
     wait_key,
 )
+from almondstack.placement.choosing import choose_worker as _choose
 from almondstack.placement.fairness import fair_order
 from almondstack.placement.order import is_late, is_worthless
 from almondstack.placement.worker_health import WorkerHealth
@@ -76,6 +79,53 @@
     assert pool.place(make_job(id="small").steps_of(0)[0]) == []
 
 
+def test_burst_a_full_pool_is_searched_once_for_all_jobs_that_wait(monkeypatch):
+    """With 500 waiting jobs, each round compared each of them with all workers of the pool."""
+    searches = []
+    monkeypatch.setattr(
+        rounds,
+        "choose_worker",
+        lambda task, workers: searches.append(task) or _choose(task, workers),
+    )
+    workers = [make_worker(f"w{number}", cpu_millis=1_000) for number in range(6)]
+    pool = PoolRound(workers, Usage({}), 0.0)
+    for number in range(6):
+        assert pool.place(make_job(id=f"first{number}").steps_of(0)[0])
+    searches.clear()
+    for number in range(20):
+        assert pool.place(make_job(id=f"job{number}").steps_of(0)[0]) == []
+    assert len(searches) == 1 and len(pool.blocked) == 20
+
+
+def test_burst_smaller_tasks_still_find_room_after_a_large_one_found_none():
+    pool = PoolRound([make_worker(cpu_millis=1_500)], Usage({}), 0.0)
+    large = make_job(make_step(cpu_millis=9_000), id="large")
+    assert pool.place(large.steps_of(0)[0]) == []
+    assert pool.place(make_job(make_step(cpu_millis=500), id="small").steps_of(0)[0])
+
+
+@given(st.lists(st.tuples(st.integers(1, 4), st.integers(1, 4)), max_size=12), st.data())
+def test_burst_the_same_tasks_are_placed_as_by_a_search_for_each(demands, data):
+    """Passing over tasks that can't fit changes no decision."""
+    sizes = data.draw(st.lists(st.integers(1, 6), min_size=1, max_size=4))
+    placed = []
+    for remembers in (True, False):
+        workers = [
+            make_worker(f"w{number}", capacity=Resources(size * 1_000, size * 1_000))
+            for number, size in enumerate(sizes)
+        ]
+        pool = PoolRound(workers, Usage({}), 0.0)
+        chosen = []
+        for number, (cpu, memory) in enumerate(demands):
+            step = make_step(cpu_millis=cpu * 1_000, memory_mb=memory * 1_000)
+            if not remembers:
+                pool._demands_without_room.clear()
+            assignments = pool.place(make_job(step, id=f"job{number}").steps_of(0)[0])
+            chosen.append([worker.id for one in assignments for worker in one.workers])
+        placed.append(chosen)
+    assert placed[0] == placed[1]
+
+
 def test_tasks_are_packed_so_that_whole_workers_stay_free():
     workers = [make_worker("w1"), make_worker("w2")]
     pool = PoolRound(workers, Usage({}), 0.0)
