Let the standby check a silent owner when its silence is long enough

Cause: the standby's read waits for half a second, so a silence of 0.55 s was noted after 0.5 s (too short) and again after 1.06 s.

Change: the read of the standby ends when its next check is due, and a standby takes over from an owner that it can't reach after 0.7 s of silence for 1 s. While the owner writes, it reads as before.

--- a/almondstack/ownership/failure_detector.py
+++ b/almondstack/ownership/failure_detector.py
@@ -54,6 +54,20 @@
             return not self._may_be_writing(notice, now_s)
         return self._has_failed(notice, now_s, is_new=is_new)
 
+    def read_wait_s(self, now_s: float) -> float:
+        """Return for how long the next read may wait for a record, in seconds.
+
+        Explanation
+        -----------
+        The standby's read ends when the owner's silence is long enough for a probe, and soon
+        after each probe.  With the full wait, a standby that has seen half a second of silence
+        checks again only after a whole second.
+        """
+        if not self._claim_priority.is_standby:
+            return self._settings.wait_s
+        remaining_s = self._silence_timer.remaining_s(now_s, self._settings.standby_doubt_s)
+        return min(self._settings.wait_s, max(remaining_s, self._settings.standby_check_s))
+
     def _may_be_writing(self, notice: OwnerNotice | None, now_s: float) -> bool:
         """Whether a silent owner is alive and reads the store, so that it may still write."""
         if notice is None or not notice.owner:
@@ -83,7 +97,7 @@
         found = probe_liveness(notice.address, self._settings.probe_timeout_s)
         if found is None:
             # Partitioned or suspended; in both cases the owner makes no progress.
-            return self._silence_timer.has_lasted(now_s, self._settings.mute_s)
+            return self._silence_timer.has_lasted(now_s, self._mute_s)
         return found.incarnation != notice.owner or self._has_lost_store(found)
 
     def _has_lost_store(self, owner: Liveness) -> bool:
@@ -97,6 +111,12 @@
         is_rejected = owner.turned_away_s >= self._settings.turned_away_s
         return is_rejected or owner.contact_age_s >= self._settings.deaf_s
 
+    @property
+    def _mute_s(self) -> float:
+        """Observed silence after which an unreachable owner is considered failed, in seconds."""
+        is_standby = self._claim_priority.is_standby
+        return self._settings.standby_mute_s if is_standby else self._settings.mute_s
+
     def _probe_after_s(self, *, is_new: bool) -> float:
         """Return the observed silence after which to probe the owner, in seconds."""
         if is_new:
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -245,7 +245,7 @@
         """
         if not self._is_loaded:
             self._load()
-        if self._read(self._settings.wait_s):
+        if self._read(self._failure_detector.read_wait_s(time.monotonic())):
             # A claim needs the whole log; read the rest of it without a pause.
             return
         self._detect_own_claim()
--- a/almondstack/ownership/settings.py
+++ b/almondstack/ownership/settings.py
@@ -30,6 +30,10 @@
         failed, in seconds.
     standby_doubt_s : float
         ``doubt_s`` for the standby, in seconds.
+    standby_mute_s : float
+        ``mute_s`` for the standby, in seconds.
+    standby_check_s : float
+        Interval between checks of a silent owner by the standby, in seconds.
     turned_away_s : float
         An owner whose appends the store has rejected for this long is considered failed
         by processes that can read the store, in seconds.
@@ -69,6 +73,8 @@
     doubt_s: PositiveSeconds = 0.7
     mute_s: PositiveSeconds = 1.0
     standby_doubt_s: PositiveSeconds = 0.55
+    standby_mute_s: PositiveSeconds = 0.7
+    standby_check_s: PositiveSeconds = 0.05
     turned_away_s: PositiveSeconds = 0.3
     deaf_s: PositiveSeconds = 0.9
     new_doubt_s: PositiveSeconds = 0.15
--- a/almondstack/ownership/silence_timer.py
+++ b/almondstack/ownership/silence_timer.py
@@ -58,6 +58,15 @@
         """Whether the owner has been silent for ``for_s`` seconds of successful reads."""
         return self._since_s is not None and now_s - self._since_s >= for_s
 
+    def remaining_s(self, now_s: float, for_s: float) -> float:
+        """Return how much longer the silence has to last until it is ``for_s`` seconds long.
+
+        Explanation
+        -----------
+        Negative once it has lasted longer; ``for_s`` while no silence is being measured.
+        """
+        return for_s if self._since_s is None else self._since_s + for_s - now_s
+
     def is_expired(self, now_s: float) -> bool:
         """Whether the owner has released the jobs, or has been silent for ``silence_s``."""
         if self._since_s is None:
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -369,6 +369,77 @@
     assert own_later == [] and len(own_sooner) == 1
 
 
+@pytest.mark.parametrize(("standby", "bound_s"), [("one/1", 0.95), ("two/1", 3.0)])
+def test_zone_cut_in_a_burst_the_standby_claims_as_soon_as_the_silence_lasts(
+    monkeypatch, standby, bound_s
+):
+    """Each read waited for half a second, so a silence was noted after one, then after two."""
+    clock = _ReadClock()
+    store = _WaitingStore(clock)
+    store.is_claimed = False
+    monkeypatch.setattr("almondstack.ownership.follower.time", clock)
+    monkeypatch.setattr(
+        "almondstack.ownership.failure_detector.probe_liveness", lambda *_: clock.sleep(0.15)
+    )
+    notice = OwnerNotice("zero/1", 1, standby=standby)
+    follower, _ = _follower(store, "one/1", OwnershipSettings(pace_s=1e-9, owner_pace_s=1e-9))
+    clock.sleep(10.0)
+    store.records.append(Record(record_key(RecordKind.OWNER), encode_notice(notice)))
+    follower.step()
+    began_s = clock.monotonic()
+    while not store.is_claimed and clock.monotonic() < began_s + bound_s:
+        follower.step()
+    assert store.is_claimed and clock.monotonic() <= began_s + bound_s
+
+
+def test_a_standby_reads_as_rarely_as_others_while_the_owner_writes(monkeypatch):
+    clock = _ReadClock()
+    store = _WaitingStore(clock)
+    monkeypatch.setattr("almondstack.ownership.follower.time", clock)
+    notice = OwnerNotice("zero/1", 1, standby="one/1")
+    store.records.append(Record(record_key(RecordKind.OWNER), encode_notice(notice)))
+    follower, _ = _follower(store, "one/1", OwnershipSettings(pace_s=1e-9, owner_pace_s=1e-9))
+    follower.step()
+    store.waits_s.clear()
+    for _ in range(10):
+        store.records.append(Record("px", b"\x00"))
+        follower.step()
+    assert store.waits_s == [0.5] * 10
+
+
+class _ReadClock:
+    """Replaces ``time``; only reads of the store and probes take time."""
+
+    def __init__(self):
+        self._now_s = 100.0
+
+    def monotonic(self):
+        return self._now_s
+
+    def sleep(self, seconds):
+        self._now_s += seconds
+
+
+class _WaitingStore(FakeRecordStore):
+    """A store whose reads take as long as they may wait if there is no record."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.is_claimed = False
+        self.waits_s = []
+        self._clock = clock
+
+    def read(self, offset, wait_s):
+        self.waits_s.append(wait_s)
+        if offset >= len(self.records):
+            self._clock.sleep(wait_s)
+        return super().read(offset, wait_s)
+
+    def claim(self, token, record, sequence):
+        self.is_claimed = True
+        return True
+
+
 def test_the_last_owner_record_is_not_a_claim_of_this_process():
     store = FakeRecordStore()
     follower, _ = _follower(store, "one", OwnershipSettings(**_LONG_TIMEOUTS))
