Let a new owner read the registered workers at once

Cause: a process that does not own the jobs reads the workers every 2 s, and a new owner first slept through the pause that was under way.

Change: TopicFollower.change_pause ends a longer pause that is under way; stop ends it as well.

Kept for the time without workers, which the test shows.

--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -190,8 +190,15 @@
         self._follower.start()
 
     def adjust_pause(self, *, is_owner: bool) -> None:
-        """Read the workers often while this process owns the jobs, and rarely otherwise."""
-        self._follower.pause_s = _OWNER_WORKERS_PAUSE_S if is_owner else _FOLLOWER_WORKERS_PAUSE_S
+        """Read the workers often while this process owns the jobs, and rarely otherwise.
+
+        Explanation
+        -----------
+        A new owner reads at once: instances that were moved shortly before have workers that
+        this process does not know yet.
+        """
+        pause_s = _OWNER_WORKERS_PAUSE_S if is_owner else _FOLLOWER_WORKERS_PAUSE_S
+        self._follower.change_pause(pause_s)
 
     def workers(self) -> dict[str, WorkerInfo]:
         """Return the registered workers by id."""
--- a/almondstack/platform/tests/test_topic_follower.py
+++ b/almondstack/platform/tests/test_topic_follower.py
@@ -1,11 +1,16 @@
 """Tests of following a topic of the platform's store."""
 
+import threading
+
 import pytest
 
 from almondstack.core.events import EventLog
 from almondstack.ownership import Batch, ReadBackoff, Record, Snapshot, StoreRefusedError
 from almondstack.platform.topic_follower import TopicFollower
 
+_LONG_S = 60.0
+"""A pause that no test waits for, in seconds."""
+
 
 class _Topic:
     """A topic whose reads return at most two records."""
@@ -95,3 +100,38 @@
     follower = _follower(_Faulty(), applied)
     follower._run()
     assert applied == [b"8"]
+
+
+def test_a_new_owner_reads_the_workers_without_waiting_for_the_pause_of_a_follower(topic):
+    """Instances that had been moved just before a change of owner stood idle for up to 2 s."""
+    reads = []
+    second_read = threading.Event()
+
+    def apply_snapshot(records):
+        reads.append("snapshot")
+
+    def read(offset, wait_s):
+        reads.append(offset)
+        second_read.set()
+        return Batch([], offset, offset)
+
+    topic.read = read
+    follower = TopicFollower(
+        "x", topic, lambda record: None, apply_snapshot, EventLog("test"), 0.0, _LONG_S
+    )
+    follower.start()
+    assert not second_read.wait(0.05)
+    follower.change_pause(_LONG_S / 2)
+    assert second_read.wait(_LONG_S / 4)
+    follower.stop()
+    assert reads == ["snapshot", 9]
+
+
+def test_a_stopped_follower_does_not_finish_its_pause(topic):
+    follower = TopicFollower(
+        "x", topic, lambda record: None, lambda records: None, EventLog("test"), 0.0, _LONG_S
+    )
+    follower.start()
+    follower.stop()
+    follower._thread.join(_LONG_S / 4)
+    assert not follower._thread.is_alive()
--- a/almondstack/platform/topic_follower.py
+++ b/almondstack/platform/topic_follower.py
@@ -51,8 +51,9 @@
         "_stop",
         "_thread",
         "_topic",
+        "_pause_s",
         "_wait_s",
-        "pause_s",
+        "_wake",
     )
 
     def __init__(
@@ -73,7 +74,8 @@
         self._apply_snapshot = apply_snapshot
         self._events = events
         self._wait_s = wait_s
-        self.pause_s = pause_s
+        self._pause_s = pause_s
+        self._wake = threading.Event()
         self._is_lost = False
         self._ignores_throttling = ignores_throttling
         self._failing_since_s: float | None = None
@@ -87,6 +89,14 @@
     def stop(self) -> None:
         """Stop after the current call; does not wait for the thread to end."""
         self._stop.set()
+        self._wake.set()
+
+    def change_pause(self, pause_s: float) -> None:
+        """Change the pause between two reads, in seconds; a longer one in progress ends now."""
+        is_shorter = pause_s < self._pause_s
+        self._pause_s = pause_s
+        if is_shorter:
+            self._wake.set()
 
     def _run(self) -> None:
         offset: int | None = None
@@ -106,7 +116,12 @@
                 self._stop.wait(_RETRY_PAUSE_S)
             else:
                 self._record_success()
-                self._stop.wait(self.pause_s * self._pause_factor())
+                self._pause()
+
+    def _pause(self) -> None:
+        self._wake.wait(self._pause_s * self._pause_factor())
+        if not self._stop.is_set():
+            self._wake.clear()
 
     def _pause_factor(self) -> float:
         """Return the factor on pauses; above 1 while the store rejects reads for its rate limit."""
