--- a/almondstack/bench/owner_burst.py
+++ b/almondstack/bench/owner_burst.py
@@ -29,7 +29,6 @@
     PollReply,
     RunningRun,
     StartOrder,
-    WaveRequest,
 )
 from almondstack.control.owner import Owner
 from almondstack.control.services import OwnerServices
@@ -54,6 +53,7 @@
 from almondstack.testing.owner_worker import WorldClock
 from almondstack.testing.owner_world import PATCHED_TIME_MODULES
 from almondstack.testing.pumped_session import PumpedSession
+from almondstack.testing.still_fleet import StillFleet
 
 __all__ = ["Burst", "OwnerBurst", "RoundCost"]
 
@@ -220,13 +220,14 @@
             yield
 
     def _make_owner(self) -> Owner:
+        fleet = _Services(self._workers)
         services = OwnerServices(
             store=self._store,
             address="127.0.0.1:1",
             index=self._index,
-            callers=_Services(self._workers, self._clock),
-            instances=_Services(self._workers, self._clock),
-            directory=_Services(self._workers, self._clock),
+            callers=fleet,
+            instances=fleet,
+            directory=fleet,
             advice=None,
             policies=lambda: self._policies,
             control=ControlSettings(lease_s=4.5, look_pause_s=_NO_PAUSE_S),
@@ -311,13 +312,11 @@
         """Do nothing: there is no connection."""
 
 
-class _Services:
+class _Services(StillFleet):
     """Directory, instance service and callers of the workers; nothing moves."""
 
-    def __init__(self, workers: dict[str, _Worker], clock: WorldClock) -> None:
+    def __init__(self, workers: dict[str, _Worker]) -> None:
         self._workers = workers
-        self._clock = clock
-        self.is_loaded = True
 
     def caller(self, worker: WorkerInfo) -> _Worker:
         """Return the worker itself."""
@@ -327,17 +326,6 @@
         """Return all workers."""
         return {worker.info.id: worker.info for worker in self._workers.values()}
 
-    def evacuated_zones(self) -> frozenset[str]:
-        """Return an empty set."""
-        return frozenset()
-
-    def waves(self) -> list[WaveRequest]:
-        """Return an empty list."""
-        return []
-
-    def report_wave(self, number: int, is_completed: bool) -> None:
-        """Do nothing: there are no waves."""
-
     def instances(self) -> list[InstanceInfo]:
         """Return an instance for each worker."""
         return [
@@ -353,14 +341,6 @@
             for info in self.workers().values()
         ]
 
-    def move(self, instance: str, pool: str, token: int) -> OrderStatus:
-        """Reject the move."""
-        return OrderStatus.INVALID
-
-    def maintain(self, instance: str, wave: int, token: int) -> OrderStatus:
-        """Reject the maintenance."""
-        return OrderStatus.INVALID
-
 
 _SIZES = ((50, 180), (200, 180), (500, 180), (2_000, 180), (500, 740))
 """Open jobs and workers of the measured bursts."""
--- a/almondstack/core/http_client.py
+++ b/almondstack/core/http_client.py
@@ -144,14 +144,11 @@
 
     def take(self) -> HttpConnection | None:
         """Remove and return an open connection; None if there is none."""
-        while True:
-            try:
-                connection = self._connections.pop()
-            except IndexError:
-                return None
+        while (connection := self._pop()) is not None:
             if connection.is_connected:
                 return connection
             connection.close()
+        return None
 
     def put(self, connection: HttpConnection) -> None:
         """Keep a connection for the next call, or close it."""
@@ -168,6 +165,7 @@
             connection.close()
 
     def _pop(self) -> HttpConnection | None:
+        # Several threads may take connections: the check and the removal have to be one step.
         try:
             return self._connections.pop()
         except IndexError:
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -13,11 +13,6 @@
 
 from almondstack.control import owner as owner_module
 from almondstack.control import sessions as sessions_module
-from almondstack.control.messages import (
-    InstanceInfo,
-    OrderStatus,
-    WaveRequest,
-)
 from almondstack.control.owner import Owner
 from almondstack.control.ports import WorkerCaller
 from almondstack.control.services import OwnerServices
@@ -54,6 +49,7 @@
 from almondstack.testing.owner_port import RequestLink, WorldOwnerPort
 from almondstack.testing.owner_worker import WorldCaller, WorldClock, WorldWorker
 from almondstack.testing.pumped_session import PumpedSession
+from almondstack.testing.still_fleet import StillFleet
 
 __all__ = ["CEILING_MILLIS", "MAX_ATTEMPTS", "PATCHED_TIME_MODULES", "OwnerWorld", "WorldProcess"]
 
@@ -350,18 +346,13 @@
         self.clock.sleep(seconds)
 
 
-class _WorldServices:
-    """Worker callers and directory; instances, waves and moves are not simulated."""
+class _WorldServices(StillFleet):
+    """Worker callers and directory of the simulated workers."""
 
     def __init__(self, world: OwnerWorld, process: WorldProcess) -> None:
         self._world = world
         self._process = process
 
-    @property
-    def is_loaded(self) -> bool:
-        """True: the registered workers are always loaded."""
-        return True
-
     def caller(self, worker: WorkerInfo) -> WorkerCaller:
         """Make a caller; see ``WorkerCallers``."""
         found = self._world.workers[worker.id]
@@ -374,26 +365,3 @@
             for worker in self._world.workers.values()
             if worker.is_registered
         }
-
-    def evacuated_zones(self) -> frozenset[str]:
-        """Return an empty set: no zone is evacuated."""
-        return frozenset()
-
-    def waves(self) -> list[WaveRequest]:
-        """Return an empty list: no wave is requested."""
-        return []
-
-    def report_wave(self, number: int, is_completed: bool) -> None:
-        """Do nothing: there are no waves."""
-
-    def instances(self) -> list[InstanceInfo]:
-        """Return an empty list: there are no instances."""
-        return []
-
-    def move(self, instance: str, pool: str, token: int) -> OrderStatus:
-        """Reject the move: there are no instances."""
-        return OrderStatus.INVALID
-
-    def maintain(self, instance: str, wave: int, token: int) -> OrderStatus:
-        """Reject the maintenance: there are no instances."""
-        return OrderStatus.INVALID
