Count the arrivals of a burst from its first third of a second

Change: a window of 0.35 s goes before it, the shortest that keeps the forecast 0.3 s after the onset within the 1.5 times of the true rate that test_capacity.py bounds.

--- a/almondstack/capacity/demand.py
+++ b/almondstack/capacity/demand.py
@@ -58,7 +58,7 @@
         return self.lasting_millis + max(present, self.arriving_millis)
 
 
-_WINDOWS_S = (0.5, 1.0, 1.5, 2.0, 3.0)
+_WINDOWS_S = (0.35, 0.5, 1.0, 1.5, 2.0, 3.0)
 """Windows over which arrivals are counted; the shortest one with enough jobs is used."""
 
 _GROWTH_WINDOW_S = 1.0
