--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -195,10 +195,11 @@
         Explanation
         -----------
         A new owner reads at once: instances that were moved shortly before have workers that
-        this process does not know yet.
+        this process does not know yet.  It does not space its reads out while the store
+        refuses some for its rate limit, since it has to stop using workers that drain.
         """
         pause_s = _OWNER_WORKERS_PAUSE_S if is_owner else _FOLLOWER_WORKERS_PAUSE_S
-        self._follower.change_pause(pause_s)
+        self._follower.change_pause(pause_s, ignores_throttling=is_owner)
 
     def workers(self) -> dict[str, WorkerInfo]:
         """Return the registered workers by id."""
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import random
 import time
 from urllib.parse import quote
 
@@ -47,6 +48,12 @@
 _SNAPSHOT_TIMEOUT_S = 2.0
 _CLAIM_TIMEOUT_S = 1.2
 
+_PAGE_RETRIES_S = 3.0
+"""Time for which refused pages of a snapshot are read again, in seconds."""
+
+_PAGE_RETRY_PAUSE_S = 0.15
+"""Mean pause before a refused page is read again, in seconds."""
+
 _append_reply_decoder = msgspec.json.Decoder(AppendReplyWire)
 _newest_page_decoder = msgspec.json.Decoder(NewestPageWire)
 
@@ -176,13 +183,20 @@
         return self._connection.read_backoff
 
     def snapshot(self) -> Snapshot:
-        """Read the newest record of each key; see ``RecordStore``."""
+        """Read the newest record of each key; see ``RecordStore``.
+
+        Explanation
+        -----------
+        A later page that the store refuses is read again: if all processes began again
+        with the first page, a store that is short of reads would never serve them all.
+        """
         records: list[Record] = []
         first_end_offset: int | None = None
         page_query = ""
+        until_s = time.monotonic() + _PAGE_RETRIES_S
         while True:
             path = f"/almondstack/log-newest?{self._partition_query}{page_query}"
-            reply = self._connection.read(path, _SNAPSHOT_TIMEOUT_S)
+            reply = self._read_page(path, until_s if page_query else 0.0)
             if reply.status == _NOT_FOUND:
                 return Snapshot([], 0)
             page = _decode(_newest_page_decoder, reply.body)
@@ -194,6 +208,18 @@
                 return Snapshot(records, first_end_offset)
             page_query = f"&after={quote(page.items[-1].key, safe='')}"
 
+    def _read_page(self, path: str, until_s: float) -> HttpReply:
+        """Read one page; repeat a refused read until a monotonic time."""
+        while True:
+            try:
+                return self._connection.read(path, _SNAPSHOT_TIMEOUT_S)
+            except StoreRefusedError:
+                pause_s = _PAGE_RETRY_PAUSE_S * random.uniform(0.5, 1.5)
+                pause_s *= self._connection.read_backoff.factor()
+                if time.monotonic() + pause_s >= until_s:
+                    raise
+                time.sleep(pause_s)
+
     def read(self, offset: int, wait_s: float) -> Batch:
         """Read records from an offset on; see ``RecordStore``."""
         path = f"/almondstack/log-read?{self._partition_query}&from={offset}{self._size_query}"
--- a/almondstack/platform/tests/test_store.py
+++ b/almondstack/platform/tests/test_store.py
@@ -47,6 +47,54 @@
     assert dict(snapshot.records)["k0000"] == b"2"
 
 
+def _refuse_reads(monkeypatch, is_refused):
+    """Have the store refuse the reads for which ``is_refused(number, path)``; return all paths."""
+    paths = []
+    read = StoreConnection.read
+
+    def refusing(connection, path, timeout_s, wait_s=0.0):
+        paths.append(path)
+        if is_refused(len(paths), path):
+            connection.read_backoff.note_refused()
+            raise StoreRefusedError("status 429")
+        return read(connection, path, timeout_s, wait_s)
+
+    monkeypatch.setattr(StoreConnection, "read", refusing)
+    monkeypatch.setattr("almondstack.platform.store._PAGE_RETRY_PAUSE_S", 0.001)
+    return paths
+
+
+def test_three_hundred_processes_a_refused_page_does_not_begin_the_snapshot_again(
+    store, monkeypatch
+):
+    """With 3,000 workers a snapshot has six pages; with half of all reads refused none ended."""
+    standin, topic = store
+    for number in range(1_200):
+        standin.put("keyed.work", f"k{number:04}", b"v")
+    paths = _refuse_reads(monkeypatch, lambda number, path: number % 2 == 0)
+    assert len(topic.snapshot().records) == 1_200
+    assert sum("after=" not in path for path in paths) == 1
+
+
+def test_a_store_that_refuses_everything_ends_a_snapshot_after_a_bounded_time(store, monkeypatch):
+    standin, topic = store
+    for number in range(600):
+        standin.put("keyed.work", f"k{number:04}", b"v")
+    monkeypatch.setattr("almondstack.platform.store._PAGE_RETRIES_S", 0.05)
+    paths = _refuse_reads(monkeypatch, lambda number, path: "after=" in path)
+    with pytest.raises(StoreRefusedError):
+        topic.snapshot()
+    assert len(paths) > 2
+
+
+def test_a_refused_first_page_is_reported_at_once(store, monkeypatch):
+    _, topic = store
+    paths = _refuse_reads(monkeypatch, lambda number, path: True)
+    with pytest.raises(StoreRefusedError):
+        topic.snapshot()
+    assert len(paths) == 1
+
+
 def test_a_read_of_expired_records_raises_history_lost(store):
     standin, topic = store
     topic.append(_records("a"), 1.0)
--- a/almondstack/platform/tests/test_topic_follower.py
+++ b/almondstack/platform/tests/test_topic_follower.py
@@ -135,3 +135,14 @@
     follower.stop()
     follower._thread.join(_LONG_S / 4)
     assert not follower._thread.is_alive()
+
+
+def test_an_owner_reads_the_workers_at_its_own_pace_while_others_space_out_their_reads(topic):
+    """At 300 processes an owner started runs on workers that had drained for 3 s (sweep, DRAIN)."""
+    follower = _follower(topic, [])
+    topic.read_backoff.note_refused()
+    assert follower._pause_factor() > 1.0
+    follower.change_pause(0.08, ignores_throttling=True)
+    assert follower._pause_factor() == 1.0
+    follower.change_pause(2.0)
+    assert follower._pause_factor() > 1.0
--- a/almondstack/platform/topic_follower.py
+++ b/almondstack/platform/topic_follower.py
@@ -91,10 +91,11 @@
         self._stop.set()
         self._wake.set()
 
-    def change_pause(self, pause_s: float) -> None:
+    def change_pause(self, pause_s: float, *, ignores_throttling: bool = False) -> None:
         """Change the pause between two reads, in seconds; a longer one in progress ends now."""
         is_shorter = pause_s < self._pause_s
         self._pause_s = pause_s
+        self._ignores_throttling = ignores_throttling
         if is_shorter:
             self._wake.set()
 
