--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -25,7 +25,7 @@
 from standins.record import Record
 from standins.worker import Start, Worker
 
-__all__ = ["ACCOUNT", "CouldNotRunError", "Node", "Rig", "play", "route"]
+__all__ = ["ACCOUNT", "SERVICE", "CouldNotRunError", "Node", "Rig", "play", "route"]
 
 ROOT = Path(__file__).resolve().parents[2]
 ACCOUNT, KEY = "member-one", "key-of-member-one"
@@ -139,6 +139,10 @@
         self.record.add("machine-added", machine=name, worker=machine.worker.id)
         return machine
 
+    def sound_workers(self) -> list[Worker]:
+        """Return the workers of the machines that are up."""
+        return [item.worker for item in self.machines.machines if item.state == "up"]
+
     def start(self, routes: list[dict[str, Any]]) -> None:
         """Write the configuration, start the processes, and wait until all are ready."""
         content = {
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -109,6 +109,12 @@
         """The worker's clock in milliseconds."""
         return _FIRST_CLOCK_MS + int((time.monotonic() - self._born_s) * 1000 * self._clock_rate)
 
+    @property
+    def used_cpu(self) -> int:
+        """What its runs take, in thousandths of a core."""
+        with self.lock:
+            return sum(run.demand[0] for run in self._runs.values())
+
     def registration(self, service: str, address: str, zone: str, rack: str) -> dict[str, Any]:
         """Return the worker's entry in the registry."""
         self.sequence += 1
