--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,14 +4,13 @@
 import time
 
 from standins.checks import find_stuck
-from standins.rig import SERVICE, CouldNotRunError, Rig, play, route
+from standins.rig import KEY, SERVICE, CouldNotRunError, Rig, play, route
 
 PREFIX = "/kafi706/"
 JOBS = 10
 GAP_S = 1.5
 TASKS, CPU, MEM_MB, WORK_MS = 4, 880, 900, 1_000
 FINISH_S = 14.0
-WATCH_S = 3.0
 
 ENTRY = {
     "service": SERVICE,
@@ -43,7 +42,8 @@
     if not accepted:
         raise CouldNotRunError("no job was accepted")
     time.sleep(FINISH_S)
-    return find_stuck(rig, PREFIX, {job: TASKS for job in accepted}, CPU, WATCH_S)
+    keys = dict.fromkeys(accepted, KEY)
+    return find_stuck(rig, PREFIX, dict.fromkeys(accepted, TASKS), CPU, keys)
 
 
 if __name__ == "__main__":
--- a/review/standins/checks.py
+++ b/review/standins/checks.py
@@ -11,6 +11,7 @@
 
 __all__ = ["find_stuck", "find_twice", "find_unmaintained"]
 
+_WATCH_S = 3.0
 _FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -45,7 +46,7 @@
 
 
 def find_stuck(
-    rig: "Rig", prefix: str, tasks_by_job: dict[str, int], cpu: int, watch_s: float
+    rig: "Rig", prefix: str, tasks_by_job: dict[str, int], cpu: int, keys: dict[str, str]
 ) -> list[str]:
     """Return the breaches of LOST among accepted jobs of one step; call it after ``finish_s``.
 
@@ -53,13 +54,10 @@
     task's turn has come, there is capacity for it twice over, its tenant has under half of
     `maximum`, and under half of the service's capacity is in use.'  The tenant has no maximum.
     """
-    states: dict[str, str] = {}
-    for job in tasks_by_job:
-        answer = next(filter(None, (rig.call(node, "GET", prefix + job) for node in rig.nodes)), None)
-        states[job] = str(answer[1].get("state", answer[0])) if answer is not None else "no answer"
+    states = {job: _state(rig, prefix + job, keys[job]) for job in tasks_by_job}
     watched_s = rig.record.now_s
     has_room = True
-    until_s = time.monotonic() + watch_s
+    until_s = time.monotonic() + _WATCH_S
     while time.monotonic() < until_s:
         workers = rig.sound_workers()
         total = sum(worker.cpu for worker in workers)
@@ -80,12 +78,21 @@
         if has_room and len(done) < tasks and not at_work:
             broken.append(
                 f"LOST: {job} is shown as {states[job]}; from {watched_s:.1f} s on nothing of it "
-                f"runs for {watch_s:.0f} s; {len(done)} of {tasks} tasks have ended done, and the "
+                f"runs for {_WATCH_S:.0f} s; {len(done)} of {tasks} tasks have ended done, and the "
                 "workers have room"
             )
     return broken
 
 
+def _state(rig: "Rig", path: str, key: str) -> str:
+    """Return what the first process that answers says of a job."""
+    for node in rig.nodes:
+        answer = rig.call(node, "GET", path, key=key)
+        if answer is not None:
+            return str(answer[1].get("state", answer[0]))
+    return "no answer"
+
+
 def find_unmaintained(rig: "Rig", wave: int) -> list[str]:
     """Return the breaches of MIXED by the report on a wave.
 
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -20,15 +20,17 @@
 
 from almondstack.standin.keyed_store import KeyedStoreStandin
 from almondstack.standin.web import serve
+from standins.advice import AdviceService
 from standins.link import Link
 from standins.machines import Machine, MachineService
 from standins.record import Record
 from standins.worker import Start, Worker
 
-__all__ = ["ACCOUNT", "SERVICE", "CouldNotRunError", "Node", "Rig", "play", "route"]
+__all__ = ["KEY", "OTHER_KEY", "SERVICE", "CouldNotRunError", "Node", "Rig", "play", "route"]
 
 ROOT = Path(__file__).resolve().parents[2]
-ACCOUNT, KEY = "member-one", "key-of-member-one"
+TENANTS = {"member-one": "key-of-member-one", "member-two": "key-of-member-two"}
+KEY, OTHER_KEY = TENANTS.values()
 HOST = "pule25.example"
 SERVICE = "piedmont"
 ZONES = ("se-a", "se-b", "se-c")
@@ -38,7 +40,8 @@
 _READY_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 8.0
 _WORKER_THREADS, _STORE_THREADS = 16, 96
-_DEADLINE_MS = 3_000
+_TRIES = 5
+_DEADLINE_MS, _TIMEOUT_S = 3_000, 3.0
 _HELD, _BROKEN, _COULD_NOT_RUN = 0, 1, 2
 
 _BOUNDS = {
@@ -109,6 +112,7 @@
         self.links: dict[str, Link] = {}
         self.store = KeyedStoreStandin()
         self.machines = MachineService(record, _MAINTENANCE_S, self._replace_worker)
+        self.advice_address: str | None = None
         self._folder = folder
         self._net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
         self._servers: list[Any] = []
@@ -139,6 +143,10 @@
         self.record.add("machine-added", machine=name, worker=machine.worker.id)
         return machine
 
+    def serve_advice(self, service: AdviceService) -> None:
+        """Serve the advice service; call it before :meth:`start`."""
+        self.advice_address = self._serve(service, 40)
+
     def sound_workers(self) -> list[Worker]:
         """Return the workers of the machines that are up."""
         return [item.worker for item in self.machines.machines if item.state == "up"]
@@ -150,7 +158,9 @@
             "routes": routes,
             "services": [{"name": SERVICE, "rejects-overload": True, "standby": False}],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144},
-            "tenants": [{"name": ACCOUNT, "api-keys": [KEY], "weight": 10}],
+            "tenants": [
+                {"name": name, "api-keys": [key], "weight": 10} for name, key in TENANTS.items()
+            ],
         }
         self.store.put("keyed.op", "config", json.dumps(content).encode())
         threading.Thread(target=self._tick, daemon=True).start()
@@ -207,17 +217,17 @@
         method: str,
         path: str,
         body: dict[str, Any] | None = None,
-        timeout_s: float = _DEADLINE_MS / 1000.0,
+        key: str = KEY,
     ) -> tuple[int, dict[str, Any]] | None:
         """Make a caller's request over a new connection; None if there is no answer in time."""
         headers = {
             "Host": HOST,
-            "Authorization": f"Bearer {KEY}",
+            "Authorization": f"Bearer {key}",
             "X-Request-Deadline": str(_DEADLINE_MS),
             "Content-Type": "application/json",
         }
         content = json.dumps(body).encode() if body is not None else None
-        connection = http.client.HTTPConnection(node.host, node.front_port, timeout=timeout_s)
+        connection = http.client.HTTPConnection(node.host, node.front_port, timeout=_TIMEOUT_S)
         self.record.add("request", node=node.name, method=method, path=path)
         answer = None
         with contextlib.suppress(OSError, http.client.HTTPException, ValueError):
@@ -229,10 +239,10 @@
         self.record.add("answer", node=node.name, method=method, path=path, answer=shown)
         return answer
 
-    def submit(self, prefix: str, job: str, body: dict[str, Any], tries: int = 5) -> bool:
+    def submit(self, prefix: str, job: str, body: dict[str, Any], key: str = KEY) -> bool:
         """Submit a job as a client does, with tries at any node; return whether it is accepted."""
-        for _ in range(tries):
-            answer = self.call(self._random.choice(self.nodes), "POST", prefix + job, body)
+        for _ in range(_TRIES):
+            answer = self.call(self._random.choice(self.nodes), "POST", prefix + job, body, key)
             if answer is not None and answer[0] == 200:
                 return True
             time.sleep(0.5)
@@ -334,6 +344,7 @@
             "heartbeat-ms": int(_HEARTBEAT_S * 1000),
             "bounds": _BOUNDS,
             "orders": "call",
+            "advice": self.advice_address,
             "platform": {"address": node.store_link.address, "form": "log"},
             "cloud-api": {"address": self.machines_address, "duties-per-s": 64.0},
         }
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -5,7 +5,8 @@
 import time
 from typing import Any
 
-from almondstack.standin.web import Reply, StandinApp, read_body
+from almondstack.standin.web import Reply, StandinApp, drop_connection, read_body
+from standins.advice import AdviceService
 from standins.record import Record
 
 __all__ = ["End", "Start", "Worker"]
@@ -75,6 +76,8 @@
         Longest lease.
     clock_rate : float
         Speed of the worker's clock; PROTOCOL allows 0.98.
+    advice : AdviceService, optional
+        Issues the tickets that a start needs.
     """
 
     def __init__(
@@ -86,8 +89,10 @@
         mem_mb: int = 65_536,
         max_hold_ms: int = 10_000,
         clock_rate: float = 1.0,
+        advice: AdviceService | None = None,
     ) -> None:
         self.id = id
+        self.is_gone = False
         self.life = int(time.time() * 1000)
         self.cpu, self.mem_mb = cpu, mem_mb
         self.sequence = 0
@@ -96,6 +101,7 @@
         self._starts = starts
         self._max_hold_ms = max_hold_ms
         self._clock_rate = clock_rate
+        self._advice = advice
         self._born_s = time.monotonic()
         self._token = 0
         self._deadline_ms = 0
@@ -147,8 +153,9 @@
                     self._end(task, "done")
 
     def end_all(self) -> None:
-        """End everything, as when the machine goes down; nothing is listed afterwards."""
+        """End everything, as when the machine goes down; no call is answered afterwards."""
         with self.lock:
+            self.is_gone = True
             now_s = self._record.add("machine-ends-runs", worker=self.id, runs=len(self._runs))
             for run in self._runs.values():
                 run.start.end = End(0, "gone", now_s)
@@ -159,6 +166,8 @@
         if method == "GET":
             return Reply(200)
         content = read_body(environ)
+        if self.is_gone:
+            drop_connection()
         if environ.get("HTTP_X_EXPECT_INSTANCE", self.id) != self.id:
             return Reply(421)
         body = json.loads(content)
@@ -190,6 +199,9 @@
         if body["deadline-ms"] <= self.clock_ms:
             return self._conflict("late")
         self._extend(body["deadline-ms"])
+        step = task.rpartition(".")[0]
+        if self._advice and not self._advice.is_valid(step, self.id, body.get("ticket", "")):
+            return self._conflict("ticket")
         duration_s, demand = _parse_spec(body["spec"])
         if not self._has_room(demand):
             return self._conflict("room")
