--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,61 +1,62 @@
-"""Small tasks end on one worker while the store is down; the worker lists 500 ends at a time."""
+"""A worker is cut off just after it got a task again, after it had nothing to do for a while."""
 
-import threading
 import time
 
 from standins.checks import find_twice
-from standins.rig import CouldNotRunError, Rig, play, route
+from standins.link import LinkState
+from standins.rig import ZONES, CouldNotRunError, Rig, play, route
+from standins.worker import Start
 
 PREFIX = "/kafi706/"
-JOBS, TASKS_PER_JOB = 26, 24
-CPU, MEM_MB = 20, 64
-WORK_MS = 3_000
-OUTAGE_S = 4.0
-SETTLE_S = 20.0
+WORKERS = 6
+CLOCK_RATE = 0.98
+IDLE_S = 75.0
+CUT_AFTER_S = 0.3
+CUT_S = 5.5
+CPU, MEM_MB = 880, 900
+SETTLE_S = 4.0
 
 
 def run(rig: Rig, has_trouble: bool) -> list[str]:
-    """Submit jobs of short tasks, take the store down while they run, and wait for their end."""
-    for number, zone in enumerate(("se-a", "se-b", "se-c")):
-        rig.add_machine(f"m-{number}", zone, f"r1-{number}")
+    """Run a short job on all workers, wait, submit a long task, and cut its worker off."""
+    for number in range(WORKERS):
+        zone = ZONES[number % len(ZONES)]
+        rig.add_machine(f"m-{number}", zone, f"r1-{number}", clock_rate=CLOCK_RATE)
     rig.start([route("r-invoice", PREFIX)])
     time.sleep(3.0)
-    jobs = [rig.job_id() for _ in range(JOBS)]
-    step = {"count": TASKS_PER_JOB, "cpu": CPU, "mem-mb": MEM_MB, "estimate-ms": WORK_MS}
-    body = {"spec": f"work {WORK_MS} {CPU} {MEM_MB}", "steps": [step]}
-    accepted: list[str] = []
-
-    def submit(job: str) -> None:
-        if rig.submit(PREFIX, job, body):
-            accepted.append(job)
-
-    clients = [threading.Thread(target=submit, args=(job,)) for job in jobs]
-    for client in clients:
-        client.start()
-    for client in clients:
-        client.join()
-    if len(accepted) < JOBS:
-        raise CouldNotRunError(f"{len(accepted)} of {JOBS} jobs were accepted")
-    _wait_for_starts(rig)
+    _submit(rig, count=WORKERS, work_ms=500)
+    time.sleep(IDLE_S)
+    known = len(rig.starts)
+    _submit(rig, count=1, work_ms=15_000)
+    start = _next_start(rig, known)
+    time.sleep(CUT_AFTER_S)
     if has_trouble:
-        rig.record.add("store-down", for_s=OUTAGE_S)
-        rig.store.is_unavailable = True
-        time.sleep(OUTAGE_S)
-        rig.store.is_unavailable = False
-        rig.record.add("store-up")
+        rig.record.add("worker-cut", worker=start.worker, for_s=CUT_S)
+        rig.links[start.worker].state = LinkState.SILENT
+    time.sleep(CUT_S)
+    rig.links[start.worker].state = LinkState.OPEN
+    rig.record.add("cut-over")
     time.sleep(SETTLE_S)
-    for job in accepted:
-        rig.call(rig.nodes[0], "GET", PREFIX + job)
     return find_twice(rig.starts)
 
 
-def _wait_for_starts(rig: Rig) -> None:
-    """Wait until all tasks have started; they end later than that."""
-    until_s = time.monotonic() + WORK_MS / 1000.0
-    while len(rig.starts) < JOBS * TASKS_PER_JOB:
+def _submit(rig: Rig, count: int, work_ms: int) -> None:
+    """Submit a job of one step, with one task on a worker at most."""
+    step = {"count": count, "cpu": CPU, "mem-mb": MEM_MB, "estimate-ms": work_ms}
+    step["anti-affinity"] = 1
+    job = rig.job_id()
+    if not rig.submit(PREFIX, job, {"spec": f"work {work_ms} {CPU} {MEM_MB}", "steps": [step]}):
+        raise CouldNotRunError(f"job {job} was not accepted")
+
+
+def _next_start(rig: Rig, known: int) -> Start:
+    """Return the first start after the known ones."""
+    until_s = time.monotonic() + 3.0
+    while len(rig.starts) <= known:
         if time.monotonic() > until_s:
-            raise CouldNotRunError(f"{len(rig.starts)} tasks have started")
-        time.sleep(0.02)
+            raise CouldNotRunError("the long task has not started")
+        time.sleep(0.005)
+    return rig.starts[known]
 
 
 if __name__ == "__main__":
--- a/review/standins/checks.py
+++ b/review/standins/checks.py
@@ -70,7 +70,9 @@
         if states[job] in _FINAL_STATES:
             continue
         if states[job] not in ("queued", "running"):
-            broken.append(f"LOST: {job}: asked for {watched_s:.1f} s after the start: {states[job]}")
+            broken.append(
+                f"LOST: {job}: asked for {watched_s:.1f} s after the start: {states[job]}"
+            )
             continue
         own = [start for start in rig.starts if start.task.startswith(f"{job}.")]
         done = {start.task for start in own if start.end is not None and start.end.how == "done"}
--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -14,6 +14,7 @@
 import threading
 import time
 import tomllib
+import traceback
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -26,7 +27,18 @@
 from standins.record import Record
 from standins.worker import Start, Worker
 
-__all__ = ["KEY", "OTHER_KEY", "SERVICE", "CouldNotRunError", "Node", "Rig", "play", "route"]
+__all__ = [
+    "KEY",
+    "OTHER_KEY",
+    "SERVICE",
+    "TENANTS",
+    "ZONES",
+    "CouldNotRunError",
+    "Node",
+    "Rig",
+    "play",
+    "route",
+]
 
 ROOT = Path(__file__).resolve().parents[2]
 TENANTS = {"member-one": "key-of-member-one", "member-two": "key-of-member-two"}
@@ -153,16 +165,7 @@
 
     def start(self, routes: list[dict[str, Any]]) -> None:
         """Write the configuration, start the processes, and wait until all are ready."""
-        content = {
-            "version": 7,
-            "routes": routes,
-            "services": [{"name": SERVICE, "rejects-overload": True, "standby": False}],
-            "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144},
-            "tenants": [
-                {"name": name, "api-keys": [key], "weight": 10} for name, key in TENANTS.items()
-            ],
-        }
-        self.store.put("keyed.op", "config", json.dumps(content).encode())
+        self.put_configuration(7, routes, dict.fromkeys(TENANTS, 10))
         threading.Thread(target=self._tick, daemon=True).start()
         threading.Thread(target=self._heartbeats, daemon=True).start()
         for node in self.nodes:
@@ -172,6 +175,23 @@
             self._wait_until_ready(node)
         self.record.add("ready", processes=len(self.nodes))
 
+    def put_configuration(
+        self, version: int, routes: list[dict[str, Any]], weights: dict[str, int]
+    ) -> None:
+        """Write a configuration, as the operator does."""
+        content = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": SERVICE, "rejects-overload": True, "standby": False}],
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 262144},
+            "tenants": [
+                {"name": name, "api-keys": [key], "weight": weights[name]}
+                for name, key in TENANTS.items()
+            ],
+        }
+        self.record.add("configuration", version=version, weights=json.dumps(weights))
+        self.store.put("keyed.op", "config", json.dumps(content).encode())
+
     def start_node(self, node: Node) -> None:
         """Start the process of a node with the command of the deploy file."""
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["almondstack"]
@@ -410,6 +430,9 @@
     except CouldNotRunError as error:
         record.add("could-not-run", why=error)
         print(f"could not run: {error}", file=sys.stderr)
+    except Exception:
+        record.add("could-not-run", why=traceback.format_exc())
+        traceback.print_exc()
     finally:
         if rig is not None:
             rig.close()
@@ -434,6 +457,3 @@
         with contextlib.suppress(OSError), socket.socket() as probe:
             probe.bind((host, first + 1))
             return first
-
-
-
