--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -413,6 +413,7 @@
     nodes : int
         Number of processes.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(_COULD_NOT_RUN))
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(case).resolve().parent / "record.txt")
     folder = Path(tempfile.mkdtemp(prefix="almondstack-review-"))
