--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -435,14 +435,19 @@
         record.add("could-not-run", why=traceback.format_exc())
         traceback.print_exc()
     finally:
-        if rig is not None:
-            rig.close()
-        record.write()
-        if os.environ.get("KEEP_FOLDER") != "1":
-            shutil.rmtree(folder, ignore_errors=True)
-        else:
-            print(folder)
-    os._exit(status)
+        try:
+            if rig is not None:
+                rig.close()
+            record.write()
+            if os.environ.get("KEEP_FOLDER") != "1":
+                shutil.rmtree(folder, ignore_errors=True)
+            else:
+                print(folder)
+        except Exception:
+            traceback.print_exc()
+            status = _COULD_NOT_RUN
+        finally:
+            os._exit(status)
 
 
 def _free_port(host: str) -> int:
