--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -127,7 +127,6 @@
         self.advice_address: str | None = None
         self._folder = folder
         self._net = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
-        self._servers: list[Any] = []
         self._machines_by_worker: dict[str, Machine] = {}
         self._silent_workers: set[str] = set()
         self._stop = threading.Event()
@@ -273,7 +272,7 @@
         return f"{self._random.getrandbits(64):016x}"
 
     def close(self) -> None:
-        """End all processes and servers."""
+        """End all processes; the servers end with this one."""
         self._stop.set()
         for node in self.nodes:
             if node.process is not None and node.process.poll() is None:
@@ -289,15 +288,12 @@
             node.store_link.close()
         for link in self.links.values():
             link.close()
-        for server in self._servers:
-            server.stop()
 
     def _serve(self, app: Any, threads: int) -> str:
         host = f"{self._net}.1"
         address = f"{host}:{_free_port(host)}"
         server = serve(app, address, threads)
         server.timeout = 3600
-        self._servers.append(server)
         threading.Thread(target=server.serve, daemon=True).start()
         return address
 
