Print the result of a script of the review also without a terminal

The script ended with os._exit before its output was written when that went to a pipe; exit status and record.txt were right.

--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -443,6 +443,7 @@
             traceback.print_exc()
             status = _COULD_NOT_RUN
         finally:
+            sys.stdout.flush()
             os._exit(status)
 
 
