--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -348,7 +348,7 @@
     """A machine of the fleet with its worker."""
 
     def __init__(self, name, worker):
-        self.name, self.worker = name, worker
+        self.name, self.worker, self.pool = name, worker, worker.pool
         self.state, self.until_s, self.token = "up", 0.0, 0
 
 
@@ -376,11 +376,12 @@
     def tick(self):
         with self._lock:
             for machine in self.machines.values():
-                if machine.state == "upkeep" and time.monotonic() >= machine.until_s:
-                    machine.state = "up"
-                    old = machine.worker
-                    machine.worker = self._lab.replace_worker(old)
-                    self._lab.record.write(f"machines: upkeep of {machine.name} has ended")
+                if machine.state == "up" or time.monotonic() < machine.until_s:
+                    continue
+                self._lab.record.write(f"machines: {machine.state} of {machine.name} has ended")
+                machine.state = "up"
+                is_off = machine.pool in self._lab.off_pools
+                machine.worker = self._lab.replace_worker(machine.worker, machine.pool, is_off)
 
     def handle(self, call, path, query, body):
         time.sleep(0.01)
@@ -400,7 +401,7 @@
                 return 409, {"reason": "fence"}
             machine.token = token
             if path.endswith("machine-move"):
-                return 409, {"reason": "busy"}
+                return self._move(machine, order["pool"], text)
             wave = order["wave"]
             if (wave, machine.name) in self._done:
                 self._lab.record.write(f"machines: {text}: 200, done already")
@@ -413,14 +414,25 @@
             self._lab.remove_worker(machine.worker)
             return 200, {}
 
+    def _move(self, machine, pool, text):
+        if machine.pool == pool:
+            return 200, {}
+        if machine.state != "up":
+            return 409, {"reason": "busy"}
+        self._lab.record.write(f"machines: {text}: 200, from {machine.pool} to {pool}")
+        machine.pool, machine.state = pool, "moving"
+        machine.until_s = time.monotonic() + BOUNDS["migrate-s"]
+        self._lab.remove_worker(machine.worker)
+        return 200, {}
+
     def _row(self, machine):
         worker = machine.worker
         row = {
-            "machine": machine.name, "pool": worker.pool, "state": machine.state,
+            "machine": machine.name, "pool": machine.pool, "state": machine.state,
             "zone": worker.zone, "labels": ["standard", worker.rack],
             "capacity": {"cpu": worker.cpu, "mem-mb": worker.mem_mb, "gpus": 0},
         }  # fmt: skip
-        if machine.state == "up":
+        if machine.state == "up" and worker.is_up:
             row["id"] = worker.id
         return row
 
@@ -551,6 +563,7 @@
         self._temporary = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = self._temporary.name
         self.zones = zones
+        self.off_pools = set()
         self.on_start = lambda worker, task, run, order: None
         self.on_end = lambda worker, task, run, how: None
         self.store = Store(self.record)
@@ -577,7 +590,11 @@
         return worker
 
     def add_machine(self, name, zone, rack, **more):
+        """Add a machine; it has no worker while its pool is off."""
         worker = self.add_worker(zone, rack, **more)
+        if worker.pool in self.off_pools:
+            worker.is_up = False
+            self.workers.pop(worker.id)
         self.machines.add(name, worker)
         return worker
 
@@ -589,10 +606,15 @@
         worker.server.go_silent()
         self.store.put("keyed.servers", worker.id, b"")
 
-    def replace_worker(self, old):
-        worker = self.add_worker(old.zone, old.rack, pool=old.pool, cpu=old.cpu, mem_mb=old.mem_mb)
+    def replace_worker(self, old, pool, is_off):
+        """Return the next worker of a machine; it is up unless the machine's pool is off."""
+        worker = self.add_worker(old.zone, old.rack, pool=pool, cpu=old.cpu, mem_mb=old.mem_mb)
         worker.behave = old.behave
-        self._register(worker)
+        if is_off:
+            worker.is_up = False
+            self.workers.pop(worker.id)
+        else:
+            self._register(worker)
         return worker
 
     def configure(self, routes, tenants, services):
