--- a/review/8/case.py
+++ b/review/8/case.py
@@ -56,7 +56,8 @@
                 process.popen.wait(10)
 
 
-threading.Thread(target=watch_memory, daemon=True).start()
+watcher = threading.Thread(target=watch_memory, daemon=True)
+watcher.start()
 accepted = {}
 
 
@@ -64,7 +65,8 @@
     """Hand a job in, up to five times; return its id if it was accepted."""
     job = job_id()
     for _ in range(5):
-        status, _ = random.choice(lab.processes).call("POST", f"{path}{job}", key, body)
+        process = random.choice(lab.processes)
+        status, _ = process.call("POST", f"{path}{job}", key, body, timeout_s=2.0)
         if status == 200:
             return job
         time.sleep(0.3)
@@ -93,13 +95,18 @@
 lab.record.write(f"end of the traffic; {len(accepted)} small jobs were accepted")
 time.sleep(FINISH_S)
 shown = {}
+asked_until_s = time.monotonic() + 20.0
 for job in accepted:
     for process in lab.processes:
-        status, answer = process.call("GET", f"/match/{job}", "key-1")
+        if time.monotonic() > asked_until_s:
+            break
+        status, answer = process.call("GET", f"/match/{job}", "key-1", timeout_s=0.5)
         if status == 200:
             shown[job] = answer["state"]
+            break
 lost = [job for job in accepted if shown.get(job) != "completed"]
 is_over.set()
+watcher.join(10)
 text = (
     f"{len(lost)} of {len(accepted)} accepted jobs of the other tenant are not completed "
     f"{FINISH_S:.0f} s after the end of the traffic; processes have ended {ended} times, "
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -481,10 +481,13 @@
             "PYTHONPATH": str(ROOT / "target/deps"), "PYTHONDONTWRITEBYTECODE": "1",
             "ALMONDSTACK_CONFIG": str(self.settings),
         }  # fmt: skip
-        log = open(Path(self.lab.folder) / f"{self.name}.log", "ab")
-        self.popen = subprocess.Popen(
-            shlex.split(role["run"]), cwd=ROOT, env=environment, stdout=log, stderr=log
-        )
+        with self.lab.starting:
+            if self.lab.stopped.is_set():
+                return
+            with open(Path(self.lab.folder) / f"{self.name}.log", "ab") as log:
+                self.popen = subprocess.Popen(
+                    shlex.split(role["run"]), cwd=ROOT, env=environment, stdout=log, stderr=log
+                )
         self.lab.record.write(f"{self.name}: started, pid {self.popen.pid}")
 
     def signal(self, number):
@@ -574,6 +577,7 @@
         self.processes = [Process(self, n, zones[n % len(zones)]) for n in range(processes)]
         self.version = 0
         self.stopped = threading.Event()
+        self.starting = threading.Lock()
         timer = threading.Timer(limit_s, self._give_up)
         timer.daemon = True
         timer.start()
@@ -669,7 +673,8 @@
         return None
 
     def close(self):
-        self.stopped.set()
+        with self.starting:
+            self.stopped.set()
         for process in self.processes:
             if process.popen is not None and process.popen.poll() is None:
                 process.popen.send_signal(signal.SIGCONT)
