Let no entry that can't be read hide the others

A worker that leaves got 20 starts later than 2 s; after a restart of each process 10 of 10 accepted jobs never started beside six idle workers.

Cause: the decoder raises RecursionError for such an entry; the reader expected only the decoder's own errors, and the error ended the whole batch, again with each read. The log showed topic-failed with RecursionError and no key.

Change: decode_with gives one error for whatever a decoder raises; all readers of foreign bytes use it. A follower applies each record by itself, and reports and passes over one that fails. registration-unusable says why. The address parser and the settings file had the same gap for ValueError.

--- a/almondstack/core/__init__.py
+++ b/almondstack/core/__init__.py
@@ -2,7 +2,14 @@
 
 from almondstack.core.addresses import parse_address
 from almondstack.core.clock import Clock, SystemClock
-from almondstack.core.codec import decode_json, decode_msgpack, encode_json, encode_msgpack
+from almondstack.core.codec import (
+    DECODING_ERRORS,
+    decode_json,
+    decode_msgpack,
+    decode_with,
+    encode_json,
+    encode_msgpack,
+)
 from almondstack.core.errors import AlmondError, CodecError, RequestError, SettingsError
 from almondstack.core.identifiers import (
     hash_secret,
@@ -33,6 +40,7 @@
 from almondstack.core.tokens import read_token
 
 __all__ = [
+    "DECODING_ERRORS",
     "EXIT_SETTINGS",
     "Address",
     "AlmondError",
@@ -61,6 +69,7 @@
     "decode_json",
     "decode_msgpack",
     "decode_settings",
+    "decode_with",
     "encode_json",
     "encode_msgpack",
     "hash_secret",
--- a/almondstack/core/addresses.py
+++ b/almondstack/core/addresses.py
@@ -7,6 +7,7 @@
 __all__ = ["parse_address"]
 
 _MAX_PORT = 65535
+_MAX_PORT_DIGITS = 5
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -35,6 +36,8 @@
     except ValueError as error:
         raise SettingsError(f"{text!r} is not a numeric IP:PORT address") from error
     is_port = separator and port_text.isascii() and port_text.isdigit()
-    if not is_port or not 0 < int(port_text) <= _MAX_PORT:
+    # Python rejects the conversion of numbers with thousands of digits.
+    is_short = len(port_text) <= _MAX_PORT_DIGITS
+    if not is_port or not is_short or not 0 < int(port_text) <= _MAX_PORT:
         raise SettingsError(f"{text!r} has no port between 1 and {_MAX_PORT}")
     return host, int(port_text)
--- a/almondstack/core/settings.py
+++ b/almondstack/core/settings.py
@@ -15,6 +15,7 @@
 from msgspec import Meta
 
 from almondstack.core.addresses import parse_address
+from almondstack.core.codec import DECODING_ERRORS
 from almondstack.core.errors import CodecError, SettingsError
 
 __all__ = [
@@ -134,7 +135,7 @@
     try:
         settings = msgspec.json.decode(data, type=type_)
         _check_addresses(settings)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, CodecError) as error:
+    except (*DECODING_ERRORS, CodecError) as error:
         raise SettingsError(f"{origin}: {error}") from error
     except SettingsError as error:
         raise SettingsError(f"{origin}: {error.detail}") from error
--- a/almondstack/ctl/log_events.py
+++ b/almondstack/ctl/log_events.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from almondstack.core import DECODING_ERRORS
 from almondstack.ctl.errors import DocumentError
 
 __all__ = ["LogEvent", "LogReader", "read_files"]
@@ -89,7 +90,7 @@
 def _parse(line: str) -> LogEvent | None:
     try:
         fields = msgspec.json.decode(line[line.find("{") :])
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         return None
     if not isinstance(fields, dict):
         return None
--- a/almondstack/jobs/progress.py
+++ b/almondstack/jobs/progress.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+from almondstack.core import CodecError, decode_with
 from almondstack.jobs.errors import RecordError
 from almondstack.jobs.model import JobState, TaskKey, TaskRecord, TaskStatus
 
@@ -131,18 +132,18 @@
         The value does not decode.
     """
     try:
-        return _legacy_tasks.decode(value[1:])
-    except msgspec.MsgspecError:
+        return decode_with(_legacy_tasks, value[1:])
+    except CodecError:
         return _decode(value)
 
 
 def _decode(value: bytes) -> list[TaskRecord]:
     try:
-        wire = _tasks.decode(value[1:])
+        wire = decode_with(_tasks, value[1:])
         lives = [wire.base_life + life for life in wire.worker_lives]
         workers = list(zip(wire.worker_ids, lives, strict=True))
         return list(_records(wire, workers))
-    except (msgspec.MsgspecError, ValueError) as error:
+    except (CodecError, ValueError) as error:
         raise RecordError(str(error)) from error
 
 
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from almondstack.core import CodecError, decode_with
 from almondstack.jobs.errors import RecordError
 from almondstack.jobs.model import Submission
 
@@ -144,6 +145,6 @@
 
 def _decode(decoder, value: bytes):
     try:
-        return decoder.decode(value)
-    except msgspec.MsgspecError as error:
+        return decode_with(decoder, value)
+    except CodecError as error:
         raise RecordError(str(error)) from error
--- a/almondstack/model/records.py
+++ b/almondstack/model/records.py
@@ -22,7 +22,7 @@
 import msgspec
 from msgspec import Meta
 
-from almondstack.core import CodecError, decode_msgpack, encode_msgpack
+from almondstack.core import DECODING_ERRORS, CodecError, decode_msgpack, encode_msgpack
 
 __all__ = [
     "FORMAT_LEVEL",
@@ -166,7 +166,7 @@
             return None
         try:
             return msgspec.msgpack.decode(envelope.body, type=type_)
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             raise CodecError(str(error)) from error
 
 
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -266,7 +266,7 @@
             snapshot = self._store.snapshot()
             self._index.note_resync()
             for record in snapshot.records:
-                self._index.apply(record.key, record.value)
+                self._apply(record)
             self._offset = snapshot.next_offset
             self._is_loaded = True
             self._last_owner_record_s = time.monotonic()
@@ -302,9 +302,17 @@
         """Apply the records that no other thread has applied in the meantime."""
         first = next_offset - len(records)
         for record in records[max(0, self._offset - first) :]:
-            self._index.apply(record.key, record.value)
+            self._apply(record)
         self._offset = max(self._offset, next_offset)
 
+    def _apply(self, record: Record) -> None:
+        """Apply a record; one for which the code has a bug must not hide those after it."""
+        try:
+            self._index.apply(record.key, record.value)
+        except Exception as error:
+            report_error()
+            self._events.write("record-failed", topic="jobs", key=record.key, error=repr(error))
+
     def _is_own_claim(self, record: Record) -> bool:
         if split_key(record.key)[0] is not RecordKind.OWNER:
             return False
--- a/almondstack/peers/frames.py
+++ b/almondstack/peers/frames.py
@@ -16,7 +16,14 @@
 
 import msgspec
 
-from almondstack.core import AlmondError, CodecError, SettingsError, decode_msgpack, encode_msgpack
+from almondstack.core import (
+    DECODING_ERRORS,
+    AlmondError,
+    CodecError,
+    SettingsError,
+    decode_msgpack,
+    encode_msgpack,
+)
 from almondstack.peers.messages import PeerBody
 
 __all__ = [
@@ -167,5 +174,5 @@
 def _decode_body(payload: bytes) -> PeerBody:
     try:
         return msgspec.msgpack.decode(payload, type=PeerBody)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+    except DECODING_ERRORS as error:
         raise FrameRefusedError(FrameRefusal.GARBAGE) from error
--- a/almondstack/platform/advice.py
+++ b/almondstack/platform/advice.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from almondstack.control.errors import AdviceError
+from almondstack.core import CodecError, decode_with
 from almondstack.core.http_client import HttpClient, NoAnswerError, NotSentError
 from almondstack.platform.wire import AdviceReplyWire
 
@@ -50,6 +51,6 @@
         if reply.status != _OK:
             raise AdviceError(f"advice service answered with status {reply.status}")
         try:
-            return dict(_reply_decoder.decode(reply.body).allowed)
-        except msgspec.MsgspecError as error:
+            return dict(decode_with(_reply_decoder, reply.body).allowed)
+        except CodecError as error:
             raise AdviceError(str(error)) from error
--- a/almondstack/platform/configuration.py
+++ b/almondstack/platform/configuration.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from almondstack.control.messages import WaveRequest
-from almondstack.core import AlmondError
+from almondstack.core import AlmondError, CodecError, decode_with
 from almondstack.placement import (
     AccountPolicy,
     AdvicePolicy,
@@ -133,8 +133,8 @@
             The record cannot be decoded.
         """
         try:
-            wire = _configuration_decoder.decode(value)
-        except msgspec.MsgspecError as error:
+            wire = decode_with(_configuration_decoder, value)
+        except CodecError as error:
             raise ConfigurationError(str(error)) from error
         with self._lock:
             current = self._configuration
@@ -152,8 +152,8 @@
             The record cannot be decoded.
         """
         try:
-            wire = _wave_decoder.decode(value)
-        except msgspec.MsgspecError as error:
+            wire = decode_with(_wave_decoder, value)
+        except CodecError as error:
             raise ConfigurationError(str(error)) from error
         wave = WaveRequest(wire.number, wire.instances, wire.duration_s, wire.most_at_once)
         with self._lock:
--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from almondstack.control.messages import WaveRequest
-from almondstack.core import SettingsError, parse_address
+from almondstack.core import AlmondError, CodecError, SettingsError, decode_with, parse_address
 from almondstack.core.events import EventLog
 from almondstack.ownership import Record
 from almondstack.placement import Resources, WorkerInfo
@@ -44,9 +44,18 @@
 _MAX_UNUSABLE_NOTED = 1_000
 """Entries of other writers that are remembered, so that each is logged once."""
 
+_MAX_REASON_CHARACTERS = 200
+"""Length of a reason in an event; it may quote the entry."""
+
 _registration_decoder = msgspec.json.Decoder(WorkerRegistrationWire)
 
 
+class RegistrationError(AlmondError):
+    """An entry among the workers names no worker that can be used."""
+
+    code = "registration"
+
+
 class ConfigurationFollower:
     """Follows the operators' records and updates a :class:`ConfigurationHolder`.
 
@@ -100,18 +109,17 @@
             records = KeyedTopic(connection, _OPERATOR_TOPIC).snapshot().records
         finally:
             connection.close()
-        for record in records:
-            # Evacuations can be cancelled.  Only the follower sees their records in the order
-            # of the log, so they are skipped here.
-            if not record.key.startswith(_EVACUATION_PREFIX):
-                self._apply(record)
+        # Evacuations can be cancelled.  Only the follower sees their records in the order of the
+        # log, so they are skipped here.
+        self._follower.apply_each(
+            record for record in records if not record.key.startswith(_EVACUATION_PREFIX)
+        )
 
     def _apply_snapshot(self, records: list[Record]) -> None:
         requested_keys = [record.key for record in records if record.value]
         zones = frozenset(filter(None, map(_evacuated_zone, requested_keys)))
         self._holder.retain_evacuations(zones)
-        for record in records:
-            self._apply(record)
+        self._follower.apply_each(records)
 
     def _apply(self, record: Record) -> None:
         zone = _evacuated_zone(record.key)
@@ -242,40 +250,56 @@
         topic.append([Record(f"{_WAVE_PREFIX}{number}", value)], _WAVE_REPORT_TIMEOUT_S)
 
     def _apply_snapshot(self, records: list[Record]) -> None:
-        found = {record.key: _parse_worker(record) for record in records if record.value}
+        present = {record.key for record in records if record.value}
         with self._lock:
-            self._workers = {id: info for id, info in found.items() if info is not None}
-            self._unusable &= found.keys()
-        for id, info in found.items():
-            self._note_usable(id, is_usable=info is not None)
+            self._workers = {id: info for id, info in self._workers.items() if id in present}
+            self._unusable &= present
+        self._follower.apply_each(records)
         self._is_read = True
 
-    def _note_usable(self, id: str, *, is_usable: bool) -> None:
+    def _note_unusable(self, record: Record, error: RegistrationError) -> None:
         """Write an event when an entry begins to name no worker that can be used."""
-        if is_usable:
-            self._unusable.discard(id)
-        elif id not in self._unusable and len(self._unusable) < _MAX_UNUSABLE_NOTED:
-            self._unusable.add(id)
-            self._events.write("registration-unusable", worker=id)
+        if record.key in self._unusable or len(self._unusable) >= _MAX_UNUSABLE_NOTED:
+            return
+        self._unusable.add(record.key)
+        self._events.write(
+            "registration-unusable", worker=record.key, why=error.detail, bytes=len(record.value)
+        )
 
     def _apply(self, record: Record) -> None:
-        info = _parse_worker(record) if record.value else None
-        self._note_usable(record.key, is_usable=info is not None or not record.value)
+        info = self._parse(record) if record.value else None
+        if info is not None or not record.value:
+            self._unusable.discard(record.key)
         with self._lock:
             if info is None:
                 self._workers.pop(record.key, None)
             else:
                 self._workers[record.key] = info
 
+    def _parse(self, record: Record) -> WorkerInfo | None:
+        """Return the worker of an entry, or None, with an event, if it names none to use."""
+        try:
+            return _parse_worker(record)
+        except RegistrationError as error:
+            self._note_unusable(record, error)
+            return None
+
 
-def _parse_worker(record: Record) -> WorkerInfo | None:
-    """Return the worker of a registration, or None if the worker cannot be used."""
+def _parse_worker(record: Record) -> WorkerInfo:
+    """Return the worker of a registration.
+
+    Raises
+    ------
+    RegistrationError
+        The entry names no worker that can be used.
+    """
     try:
-        wire = _registration_decoder.decode(record.value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    if wire.state not in (_READY, _DRAINING) or not wire.pool or not _is_address(wire.address):
-        return None
+        wire = decode_with(_registration_decoder, record.value)
+        parse_address(wire.address)
+    except (CodecError, SettingsError) as error:
+        raise RegistrationError(error.detail[:_MAX_REASON_CHARACTERS]) from error
+    if wire.state not in (_READY, _DRAINING) or not wire.pool:
+        raise RegistrationError("its state is unknown or it names no pool")
     capacity = Resources(wire.capacity.cpu_millis, wire.capacity.memory_mb, wire.capacity.gpus)
     return WorkerInfo(
         record.key,
@@ -289,12 +313,3 @@
         wire.remaining_ms,
         wire.clock_ms,
     )
-
-
-def _is_address(text: str) -> bool:
-    """Whether an address can be called; one that can't would fail in the thread that calls it."""
-    try:
-        parse_address(text)
-    except SettingsError:
-        return False
-    return True
--- a/almondstack/platform/instances.py
+++ b/almondstack/platform/instances.py
@@ -6,6 +6,7 @@
 
 from almondstack.control.errors import InstanceServiceError
 from almondstack.control.messages import InstanceInfo, InstanceState, OrderStatus
+from almondstack.core import CodecError, decode_with
 from almondstack.core.http_client import HttpClient, HttpReply, NoAnswerError, NotSentError
 from almondstack.platform.wire import MachinesWire, MachineWire, OrderReplyWire
 
@@ -93,8 +94,8 @@
         if reply.status != _OK:
             raise InstanceServiceError(f"GET {path} was answered with status {reply.status}")
         try:
-            return _page_decoder.decode(reply.body)
-        except msgspec.MsgspecError as error:
+            return decode_with(_page_decoder, reply.body)
+        except CodecError as error:
             raise InstanceServiceError(str(error)) from error
 
     def _order(self, path: str, body: bytes, token: int) -> OrderStatus:
@@ -122,11 +123,10 @@
     if reply.status != _CONFLICT:
         return OrderStatus.UNCLEAR
     try:
-        return _STATUS_BY_REASON.get(
-            _order_reply_decoder.decode(reply.body).reason, OrderStatus.REFUSED
-        )
-    except msgspec.MsgspecError:
+        reason = decode_with(_order_reply_decoder, reply.body).reason
+    except CodecError:
         return OrderStatus.REFUSED
+    return _STATUS_BY_REASON.get(reason, OrderStatus.REFUSED)
 
 
 def _to_instance(wire: MachineWire) -> InstanceInfo:
--- a/almondstack/platform/job_api.py
+++ b/almondstack/platform/job_api.py
@@ -8,7 +8,7 @@
 from cheroot.server import Gateway
 from cheroot.workers.threadpool import ThreadPool
 
-from almondstack.core import LocalMetrics, parse_address
+from almondstack.core import CodecError, LocalMetrics, decode_with, parse_address
 from almondstack.core.http_server import PlatformHttpServer
 from almondstack.intake import JobService, Verdict
 from almondstack.jobs import JobState, Step, Submission
@@ -177,8 +177,8 @@
 
     def _submit(self, request: Request, route: QueueRoute, account: str, job: str) -> Response:
         try:
-            wire = _job_decoder.decode(request.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            wire = decode_with(_job_decoder, request.body)
+        except CodecError as error:
             return Response(400, {"error": f"{error}; nothing was stored"})
         fault = _step_order_error(wire)
         if fault:
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -7,7 +7,7 @@
 import yaml
 
 from almondstack.control import ControlSettings
-from almondstack.core import SettingsError, parse_address
+from almondstack.core import DECODING_ERRORS, SettingsError, parse_address
 
 __all__ = ["PlatformSettings", "SettingsFile", "control_settings", "load_platform_settings"]
 
@@ -188,7 +188,7 @@
     try:
         settings = msgspec.convert(yaml.safe_load(content.decode()), PlatformSettings, strict=False)
         _check_addresses(settings)
-    except (yaml.YAMLError, UnicodeDecodeError, msgspec.ValidationError, SettingsError) as error:
+    except (yaml.YAMLError, *DECODING_ERRORS, SettingsError) as error:
         raise SettingsError(f"{path}: {error}") from error
     return settings
 
--- a/almondstack/platform/store.py
+++ b/almondstack/platform/store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from almondstack.core import CodecError, decode_with
 from almondstack.core.http_client import HttpClient, HttpReply, NoAnswerError, NotSentError
 from almondstack.ownership import (
     Batch,
@@ -307,6 +308,6 @@
 
 def _decode(decoder, body: bytes):
     try:
-        return decoder.decode(body)
-    except msgspec.MsgspecError as error:
+        return decode_with(decoder, body)
+    except CodecError as error:
         raise StoreError(f"the store's answer cannot be decoded: {error}") from error
--- a/almondstack/platform/tests/test_job_api.py
+++ b/almondstack/platform/tests/test_job_api.py
@@ -148,6 +148,7 @@
         b"",
         b"{",
         b"[]",
+        b'{"spec":"s","steps":[{"count":1,"x":' + b"[" * 2_000 + b"]" * 2_000 + b"}]}",
         job_body(steps=[]),
         job_body(steps=[{"count": 0}]),
         job_body(steps=[{"count": 1, "after": [0]}]),
--- a/almondstack/platform/tests/test_registrations.py
+++ b/almondstack/platform/tests/test_registrations.py
@@ -5,7 +5,7 @@
 import pytest
 
 from almondstack.core.events import EventLog
-from almondstack.ownership import Record
+from almondstack.ownership import Batch, ReadBackoff, Record, Snapshot
 from almondstack.platform.configuration import ConfigurationHolder
 from almondstack.platform.directory import StoreDirectory
 from almondstack.platform.store import StoreConnection
@@ -101,3 +101,60 @@
     assert directory._events.names == ["registration-unusable"] * 2
     directory._apply_snapshot([])
     assert directory._unusable == set()
+
+
+_DEPTH = 3_000
+"""Lists within lists; beyond the depth that the decoder of JSON can read."""
+
+
+def _deep_entry():
+    text = json.dumps({**_ENTRY, "notes": "@"})
+    return text.replace('"@"', "[" * _DEPTH + "]" * _DEPTH).encode()
+
+
+def test_an_entry_nested_too_deep_does_not_hide_the_workers_after_it():
+    """Guards against an entry of another writer that ends the reading of all workers (review/6).
+
+    The decoder raised ``RecursionError``; no process read the entries any more, and after a
+    restart of each the system knew no worker: 10 of 10 accepted jobs never started (LOST).
+    """
+    records = [
+        Record("i-0", json.dumps(_ENTRY).encode()),
+        Record("other", _deep_entry()),
+        Record("i-2", json.dumps({**_ENTRY, "state": "draining"}).encode()),
+    ]
+    for is_snapshot in (False, True):
+        directory = StoreDirectory(StoreConnection("127.0.0.1:1"), ConfigurationHolder(), _Events())
+        directory._follower._topic = _Topic(records)
+        directory._follower.read_once(None if is_snapshot else 0)
+        assert sorted(directory.workers()) == ["i-0", "i-2"]
+        assert directory.workers()["i-2"].is_draining
+
+
+def test_an_address_with_thousands_of_digits_is_not_used(directory):
+    """Guards against a port whose conversion raises ``ValueError`` in the reader (review/6)."""
+    _put(directory, {**_ENTRY, "address": "127.0.0.9:" + "8" * 5_000})
+    assert directory.workers() == {}
+
+
+def test_a_snapshot_drops_the_workers_that_it_lacks(directory):
+    _put(directory, _ENTRY, "i-0")
+    directory._apply_snapshot([Record("i-1", json.dumps(_ENTRY).encode())])
+    assert list(directory.workers()) == ["i-1"]
+    assert directory.is_loaded
+
+
+class _Topic:
+    """A topic that holds the given records."""
+
+    def __init__(self, records):
+        self._records = records
+        self.read_backoff = ReadBackoff()
+
+    def snapshot(self):
+        """Return all records."""
+        return Snapshot(self._records, len(self._records))
+
+    def read(self, offset, wait_s):
+        """Return the records from an offset on."""
+        return Batch(self._records[offset:], len(self._records), len(self._records))
--- a/almondstack/platform/tests/test_topic_follower.py
+++ b/almondstack/platform/tests/test_topic_follower.py
@@ -146,3 +146,17 @@
     assert follower._pause_factor() == 1.0
     follower.change_pause(2.0)
     assert follower._pause_factor() > 1.0
+
+
+def test_a_record_with_an_unforeseen_error_does_not_hide_those_after_it(topic):
+    """Guards against one record that keeps all others from being applied (review/6)."""
+    applied = []
+
+    def apply(record):
+        if record.value == b"7":
+            raise IndexError("list index out of range")
+        applied.append(record.value)
+
+    follower = TopicFollower("x", topic, apply, applied.extend, EventLog("test"), 0.0, 0.0)
+    assert follower.read_once(7) == 9
+    assert applied == [b"8"]
--- a/almondstack/platform/topic_follower.py
+++ b/almondstack/platform/topic_follower.py
@@ -3,7 +3,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from almondstack.core.events import EventLog
 from almondstack.core.supervision import report_error
@@ -32,6 +32,7 @@
     apply_snapshot : callable
         Called with the newest record of each key: at the start, if records expired
         before they were read, and when the follower has fallen behind and skips ahead.
+        It passes the records on to :meth:`apply_each`.
     events : EventLog
         Receives an event when reads start to fail and when they succeed again.
     wait_s, pause_s : float
@@ -130,6 +131,23 @@
         """Return the factor on pauses; above 1 while the store rejects reads for its rate limit."""
         return 1.0 if self._ignores_throttling else self._topic.read_backoff.factor()
 
+    def apply_each(self, records: Iterable[Record]) -> None:
+        """Apply records one by one; one that can't be applied is reported and passed over.
+
+        Explanation
+        -----------
+        Operators and other programs write to these topics as well.  A record for which
+        the code has an unforeseen error must not keep those after it from being applied.
+        """
+        for record in records:
+            try:
+                self._apply(record)
+            except Exception as error:
+                report_error()
+                self._events.write(
+                    "record-failed", topic=self._name, key=record.key, error=repr(error)
+                )
+
     def read_once(self, offset: int | None) -> int | None:
         """Read from an offset, or the newest records if it is None; return the next offset.
 
@@ -146,8 +164,7 @@
             self._apply_snapshot(snapshot.records)
             return snapshot.next_offset
         batch = self._topic.read(offset, self._wait_s)
-        for record in batch.records:
-            self._apply(record)
+        self.apply_each(batch.records)
         # If the answer did not contain all new records, the next read skips to the newest ones.
         return batch.next_offset if batch.next_offset >= batch.end_offset else None
 
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -12,6 +12,7 @@
     RunningRun,
     StartOrder,
 )
+from almondstack.core import CodecError, decode_with
 from almondstack.core.http_client import HttpClient, HttpReply, NoAnswerError, NotSentError
 from almondstack.jobs import RunEnd
 from almondstack.placement import WorkerInfo
@@ -132,8 +133,8 @@
         if reply.status != _OK:
             return _failed_reply(_status_of(reply).status)
         try:
-            return _to_poll_reply(_run_list_decoder.decode(reply.body))
-        except (msgspec.MsgspecError, ValueError, TypeError, IndexError):
+            return _to_poll_reply(decode_with(_run_list_decoder, reply.body))
+        except (CodecError, ValueError, TypeError, IndexError):
             return _failed_reply(OrderStatus.UNCLEAR)
 
     def close(self) -> None:
@@ -169,8 +170,8 @@
     if reply.status not in (_OK, _CONFLICT):
         return OrderReply(OrderStatus.UNCLEAR)
     try:
-        decoded = _order_reply_decoder.decode(reply.body) if reply.body else OrderReplyWire()
-    except msgspec.MsgspecError:
+        decoded = decode_with(_order_reply_decoder, reply.body or b"{}")
+    except CodecError:
         return OrderReply(OrderStatus.UNCLEAR)
     if reply.status == _OK:
         return OrderReply(OrderStatus.DONE, decoded.clock_ms)
--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from almondstack.core import CodecError, decode_with
 from almondstack.core.http_client import HttpClient, HttpReply, NoAnswerError, NotSentError
 from almondstack.intake import (
     CancelRequest,
@@ -220,8 +221,8 @@
     if reply.status != _CONFLICT:
         return None
     try:
-        found = _owner_decoder.decode(reply.body)
-    except msgspec.MsgspecError:
+        found = decode_with(_owner_decoder, reply.body)
+    except CodecError:
         # Processes of the previous version send no successor.
         return None
     return found if found.token > owner.token and found.requests_address else None
@@ -234,7 +235,7 @@
     if reply.status != _OK:
         raise OwnerUnclearError(f"the owner's process answered with status {reply.status}")
     try:
-        found = _receipt_decoder.decode(reply.body)
-    except msgspec.MsgspecError as error:
+        found = decode_with(_receipt_decoder, reply.body)
+    except CodecError as error:
         raise OwnerUnclearError(f"reply of the owner is malformed: {error}") from error
     return Receipt(found.verdict, found.late_ms)
--- a/almondstack/relay/server.py
+++ b/almondstack/relay/server.py
@@ -6,7 +6,7 @@
 from cheroot.server import Gateway
 from cheroot.workers.threadpool import ThreadPool
 
-from almondstack.core import parse_address
+from almondstack.core import CodecError, decode_with, parse_address
 from almondstack.core.http_server import PlatformHttpServer
 from almondstack.intake import (
     CancelRequest,
@@ -102,7 +102,7 @@
     def _answer(self, path: str, body: bytes) -> tuple[bytes, bytes]:
         try:
             receipt = self._receipt(path, body)
-        except msgspec.MsgspecError:
+        except CodecError:
             return b"400 Bad Request", b""
         except OwnerNotReachedError:
             return b"409 Conflict", _encoder.encode(self._owner())
@@ -121,13 +121,13 @@
     def _receipt(self, path: str, body: bytes) -> Receipt | None:
         """Return the owner's receipt; None if the path is unknown."""
         if path == RelayPath.SUBMISSION:
-            submission = _submissions.decode(body)
+            submission = decode_with(_submissions, body)
             request = SubmissionRequest(
                 submission.job, submission.submission, submission.read_offset
             )
             return self._ask(request, submission)
         if path == RelayPath.CANCEL:
-            cancel = _cancels.decode(body)
+            cancel = decode_with(_cancels, body)
             return self._ask(CancelRequest(cancel.job), cancel)
         return None
 
