Reserve workers for a task only where it can get room, and size pools by memory too

Cause: each round reserved up to four workers for tasks without room, however few the pool has and for however long. The lasting tasks, which rank first, reserved all three, where other lasting tasks held the room that they waited for. Pools were sized by processor time alone, so memory brought no instance.

A pool wants the instances that its tasks fill by memory or accelerators, within each account's ceiling. owner-load names the reserved workers and counts the steps without room.

--- a/almondstack/capacity/demand.py
+++ b/almondstack/capacity/demand.py
@@ -24,12 +24,18 @@
         Tasks, running or waiting, of jobs that can no longer end in time.
     min_instances : int
         Instances needed for long-running tasks of which only a few may share a worker.
+    filled_instances : float
+        Instances that the present tasks fill by their memory or accelerators.
+    memory_mb : int
+        Memory of the present tasks, in megabytes.
     """
 
     __slots__ = (
         "arriving_millis",
+        "filled_instances",
         "lasting_millis",
         "late_millis",
+        "memory_mb",
         "min_instances",
         "running_millis",
         "waiting_millis",
@@ -43,6 +49,8 @@
         arriving_millis: float = 0.0,
         late_millis: int = 0,
         min_instances: int = 0,
+        filled_instances: float = 0.0,
+        memory_mb: int = 0,
     ) -> None:
         self.lasting_millis = lasting_millis
         self.running_millis = running_millis
@@ -50,6 +58,8 @@
         self.arriving_millis = arriving_millis
         self.late_millis = late_millis
         self.min_instances = min_instances
+        self.filled_instances = filled_instances
+        self.memory_mb = memory_mb
 
     @property
     def total_millis(self) -> float:
--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -114,6 +114,10 @@
 ``EXCESS_HOLD_S`` because demand is unlikely to return to that size."""
 
 
+_SHARE_ROUNDING = 1e-6
+"""Shares of instances are fractions such as a third, whose sum may exceed a whole number a bit."""
+
+
 def large_excess_limit(wanted: int) -> int:
     """Return the number of instances beyond which a pool that wants ``wanted`` has a large excess.
 
@@ -128,15 +132,23 @@
 def wanted_instances(state: PoolState, size_millis: int) -> int:
     """Return how many instances a pool should have, each of ``size_millis`` thousandths of a core.
 
+    Explanation
+    -----------
+    The scarcest resource decides: processor time with some headroom, or whole instances for
+    the memory and the accelerators of the present tasks.
+
     Examples
     --------
     >>> wanted_instances(PoolState("a", PoolNeed(2_000, 60_000, 20_000), []), 16_000)
     6
     >>> wanted_instances(PoolState("a", PoolNeed(), []), 16_000)
     2
+    >>> wanted_instances(PoolState("a", PoolNeed(filled_instances=4.5), []), 16_000)
+    5
     """
     millis = HEADROOM * state.need.total_millis
-    least = max(MIN_INSTANCES, state.need.min_instances)
+    filled = math.ceil(state.need.filled_instances - _SHARE_ROUNDING)
+    least = max(MIN_INSTANCES, state.need.min_instances, filled)
     return max(least, math.ceil(millis / max(1, size_millis)))
 
 
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -261,7 +261,7 @@
             self._fleet.send_orders()
             self._pacing.run_round(now_s)
             self._sessions.update_polling(self._table, time.monotonic())
-        self._report.end_round(self._table)
+        self._report.end_round(self._table, self._planner)
         self._services.metrics.timing_ms("owner.round", (time.monotonic() - began_s) * 1000.0)
         pause_s = self._services.control.round_s - (time.monotonic() - began_s)
         if pause_s > 0:
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -13,6 +13,7 @@
     rank_of,
 )
 from almondstack.placement.fairness import RankedStep, fair_order
+from almondstack.placement.reservations import ReservationLimits, used_share
 from almondstack.placement.unreachable import find_unreachable
 
 __all__ = ["Planner"]
@@ -39,7 +40,9 @@
         "_blocked",
         "_evacuated_zones",
         "_last_policies",
+        "_limits",
         "_policies",
+        "_reservations",
         "_table",
     )
 
@@ -57,12 +60,19 @@
         self._last_policies: dict[str, QueuePolicy] = {}
         self._blocked: list[tuple[str, Task]] = []
         self._at_ceiling: list[Task] = []
+        self._limits = ReservationLimits()
+        self._reservations: dict[str, dict[str, str]] = {}
 
     @property
     def blocked(self) -> list[tuple[str, Task]]:
         """Tasks without room in the last :meth:`plan`, one for each step, with their pools."""
         return self._blocked
 
+    @property
+    def reservations(self) -> dict[str, dict[str, str]]:
+        """Workers reserved in the last :meth:`plan`, with the task of each, by pool."""
+        return self._reservations
+
     @property
     def at_ceiling(self) -> list[Task]:
         """Tasks held back by a ceiling in the last :meth:`plan`, one for each step."""
@@ -87,8 +97,9 @@
         Nothing is assigned before the first configuration: the ceilings are not known.
         """
         self._table.usage.update_policies(self._policies().accounts)
-        self._blocked, self._at_ceiling = [], []
+        self._blocked, self._at_ceiling, self._reservations = [], [], {}
         by_pool = self._ready_steps(now_unix_ms) if self._policies().is_known else {}
+        self._limits.retain(by_pool)
         started = self._place_all(by_pool, now_s) if by_pool else []
         self._advisor.end_round()
         return started
@@ -98,15 +109,30 @@
         workers = self._open_workers_by_pool(now_s)
         for pool, steps in by_pool.items():
             ordered = fair_order(steps, self._running_millis(pool), self._policies().accounts)
-            pool_round = PoolRound(
-                workers.get(pool, []), self._table.usage, now_s, self._advisor.allowed_workers
-            )
+            pool_round = self._pool_round(pool, workers.get(pool, []), now_s)
             for _, tasks in ordered:
                 started.extend(self._place(pool_round, tasks, now_s))
             self._blocked.extend((pool, task) for task in pool_round.blocked)
             self._at_ceiling.extend(pool_round.at_ceiling)
+            self._note_reservations(pool, pool_round, now_s)
         return started
 
+    def _pool_round(self, pool: str, workers: list[Worker], now_s: float) -> PoolRound:
+        may_reserve = self._limits.may_reserve(pool, used_share(workers), now_s)
+        return PoolRound(
+            workers,
+            self._table.usage,
+            now_s,
+            self._advisor.allowed_workers,
+            may_reserve=may_reserve,
+        )
+
+    def _note_reservations(self, pool: str, pool_round: PoolRound, now_s: float) -> None:
+        reserved = {worker.id: task.name for task, worker in pool_round.reservations}
+        self._limits.note_round(pool, bool(reserved), now_s)
+        if reserved:
+            self._reservations[pool] = reserved
+
     def _place(self, pool_round: PoolRound, tasks: list[Task], now_s: float) -> list[Task]:
         placed = []
         for assignment in pool_round.place(tasks):
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -3,12 +3,13 @@
 import math
 import sys
 import time
+from statistics import median_low
 
 from almondstack.capacity import ArrivalForecast, PoolNeed
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.jobs import ActiveJob, Step, TaskStatus
-from almondstack.placement import Policies
+from almondstack.placement import Policies, Resources
 from almondstack.placement.order import is_late, objective_s
 
 __all__ = ["PoolNeeds", "add_need"]
@@ -68,6 +69,8 @@
                 needs[policy.pool].arriving_millis += forecast.millis(now_s)
         for (pool, account), need in self._needs_by_account().items():
             if pool in needs:
+                needs[pool].memory_mb += need.memory_mb
+                needs[pool].filled_instances += self._filled_within_ceiling(need, account, policies)
                 room_millis = self._account_room_millis(account, policies)
                 needs[pool].lasting_millis += need.lasting_millis
                 needs[pool].running_millis += need.running_millis
@@ -78,14 +81,35 @@
 
     def _needs_by_account(self) -> dict[tuple[str, str], PoolNeed]:
         now_unix_ms = time.time() * 1000.0
+        capacity = self._typical_capacity()
         needs: dict[tuple[str, str], PoolNeed] = {}
         for job in self._table.jobs.values():
             if job.is_open:
                 policy = self._planner.policy_of(job.submission)
                 need = needs.setdefault((policy.pool, job.submission.account), PoolNeed())
-                add_need(job, need, now_unix_ms, is_late=is_late(job, policy, now_unix_ms))
+                late = is_late(job, policy, now_unix_ms)
+                add_need(job, need, now_unix_ms, is_late=late, capacity=capacity)
         return needs
 
+    def _typical_capacity(self) -> Resources:
+        """Return the median of each resource over the registered workers; zeros without any."""
+        capacities = [worker.info.capacity for worker in self._table.workers.values()]
+        if not capacities:
+            return Resources()
+        return Resources(
+            median_low(capacity.cpu_millis for capacity in capacities),
+            median_low(capacity.memory_mb for capacity in capacities),
+            median_low(capacity.gpus for capacity in capacities),
+        )
+
+    def _filled_within_ceiling(self, need: PoolNeed, account: str, policies: Policies) -> float:
+        """Return the instances that an account's tasks fill within its ceiling."""
+        policy = policies.accounts.get(account)
+        ceiling_mb = policy.ceiling.memory_mb if policy is not None else 0
+        if not ceiling_mb or need.memory_mb <= ceiling_mb:
+            return need.filled_instances
+        return need.filled_instances * ceiling_mb / need.memory_mb
+
     def _account_room_millis(self, account: str, policies: Policies) -> int:
         """Return how many more thousandths of a core an account may use; more would be idle."""
         policy = policies.accounts.get(account)
@@ -94,8 +118,23 @@
         return max(0, policy.ceiling.cpu_millis - self._table.usage.used(account).cpu_millis)
 
 
-def add_need(job: ActiveJob, need: PoolNeed, now_unix_ms: float, *, is_late: bool) -> None:
-    """Add the demand of a job to that of its pool; late work is counted separately."""
+def add_need(
+    job: ActiveJob,
+    need: PoolNeed,
+    now_unix_ms: float,
+    *,
+    is_late: bool,
+    capacity: Resources | None = None,
+) -> None:
+    """Add the demand of a job to that of its pool; late work is counted separately.
+
+    Explanation
+    -----------
+    With the ``capacity`` of an instance, the instances that the job's tasks fill by other
+    resources than processor time are added as well.
+    """
+    if capacity is not None:
+        _add_filled(job, need, now_unix_ms, capacity, is_late=is_late)
     running_millis = 0
     for task in job.tasks():
         if task.step.is_filler or task.status is TaskStatus.DONE:
@@ -113,6 +152,38 @@
     need.waiting_millis += waiting_millis
 
 
+def _add_filled(
+    job: ActiveJob, need: PoolNeed, now_unix_ms: float, capacity: Resources, *, is_late: bool
+) -> None:
+    """Add the instances that the running tasks and, unless they are late, the waiting ones fill."""
+    for task in job.tasks():
+        if task.is_assigned:
+            _fill(task.step, 1, need, capacity)
+    if is_late:
+        return
+    for tasks in job.ready_steps(now_unix_ms):
+        waiting = sum(task.status is TaskStatus.WAITING for task in tasks)
+        _fill(tasks[0].step, waiting, need, capacity)
+
+
+def _fill(step: Step, count: int, need: PoolNeed, capacity: Resources) -> None:
+    need.memory_mb += count * step.memory_mb
+    need.filled_instances += count * _filled_share(step, capacity)
+
+
+def _filled_share(step: Step, capacity: Resources) -> float:
+    """Return the share of an instance that a task fills by its memory or its accelerators.
+
+    Explanation
+    -----------
+    Of tasks that take 40 of 64 GB, one fits on an instance, so that each fills it whole.
+    One that fits on no instance brings none.
+    """
+    asked = ((step.memory_mb, capacity.memory_mb), (step.gpus, capacity.gpus))
+    fitting = min((whole // part for part, whole in asked if part > 0), default=0)
+    return 1.0 / fitting if fitting else 0.0
+
+
 def _min_instances(step: Step) -> int:
     """Return the instances that a step with ``most_per_worker`` needs, plus one as a reserve."""
     if not step.most_per_worker:
--- a/almondstack/control/round_report.py
+++ b/almondstack/control/round_report.py
@@ -1,9 +1,11 @@
 """Measures how long each part of the owner's rounds takes."""
 
 import time
+from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
 
+from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
@@ -44,7 +46,7 @@
         self._total_ms[name] = self._total_ms.get(name, 0.0) + took_ms
         self._longest_ms[name] = max(took_ms, self._longest_ms.get(name, 0.0))
 
-    def end_round(self, table: RunTable) -> None:
+    def end_round(self, table: RunTable, planner: Planner) -> None:
         """Count a round, and write an event when one is due."""
         self._rounds += 1
         now_s = time.monotonic()
@@ -57,6 +59,8 @@
             jobs=len(table.jobs),
             workers=len(table.workers),
             pools=_pool_uses(table),
+            waiting=_waiting(planner),
+            reserved=planner.reservations,
             mean_ms={name: round(ms / self._rounds, 1) for name, ms in self._total_ms.items()},
             longest_ms={name: round(ms, 1) for name, ms in self._longest_ms.items()},
         )
@@ -69,6 +73,11 @@
         self._longest_ms: dict[str, float] = {}
 
 
+def _waiting(planner: Planner) -> dict[str, int]:
+    """Return for each pool the number of steps for which no worker had room."""
+    return dict(Counter(pool for pool, _ in planner.blocked))
+
+
 def _pool_uses(table: RunTable) -> dict[str, list[int]]:
     """Return for each pool its reachable workers, their cores, and the cores in use."""
     uses: dict[str, list[int]] = {}
--- a/almondstack/control/tests/test_pool_balancer.py
+++ b/almondstack/control/tests/test_pool_balancer.py
@@ -131,3 +131,39 @@
         job.steps_of(0)
     need = PoolNeeds(table, Planner(table, None, lambda: policies), 1.5).needs(policies, 0.0)["p"]
     assert wanted_instances(PoolState("p", need, []), 32_000) == 13
+
+
+def _need(*jobs, accounts=None):
+    worker = make_worker("w1", capacity=Resources(16_000, 64_000))
+    table = make_table(*jobs, workers=(worker,))
+    policies = Policies(1, {"q": make_policy()}, accounts or {}, {"p": False})
+    return PoolNeeds(table, Planner(table, None, lambda: policies), 1.5).needs(policies, 0.0)["p"]
+
+
+def _lasting(count, memory_mb, id):
+    return make_job(
+        make_step(count, cpu_millis=500, memory_mb=memory_mb, is_long_running=True),
+        id=id,
+        accepted_ms=int(time.time() * 1000),
+    )
+
+
+def test_memory_that_is_asked_for_brings_instances():
+    """Guards against a pool that is sized by processor time alone (review/7).
+
+    Four tasks of 40 GB and two of 26 GB need five instances of 64 GB; the pool kept three
+    while seven others stood in the spare pool.
+    """
+    need = _need(_lasting(4, 40_000, "a" * 16), _lasting(2, 26_000, "b" * 16))
+    assert wanted_instances(PoolState("p", need, []), 16_000) == 5
+
+
+def test_memory_beyond_the_ceiling_of_an_account_brings_no_instances():
+    ceiling = AccountPolicy("a", ceiling=Resources(0, 80_000))
+    need = _need(_lasting(10, 40_000, "a" * 16), accounts={"a": ceiling})
+    assert wanted_instances(PoolState("p", need, []), 16_000) == 2
+
+
+def test_tasks_that_fit_on_no_instance_bring_none():
+    need = _need(_lasting(10, 70_000, "a" * 16))
+    assert wanted_instances(PoolState("p", need, []), 16_000) == 2
--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -66,8 +66,20 @@
 
 
 def choose_to_reserve(task: Task, workers: Iterable[Worker]) -> Worker | None:
-    """Return the eligible worker with most free capacity, to reserve for a task without room."""
-    eligible = [worker for worker in workers if is_eligible(task, worker)]
+    """Return the worker to reserve for a task without room, or None if that would be in vain.
+
+    Explanation
+    -----------
+    It is the one with most free capacity of those on which the task fits once the runs that
+    end by themselves have ended.  Where tasks that last take up too much, the task would not
+    get room however long other work is kept off.
+    """
+    demand = demand_of(task.step)
+    eligible = [
+        worker
+        for worker in workers
+        if is_eligible(task, worker) and worker.room_after_short_runs().covers(demand)
+    ]
     return max(eligible, key=lambda worker: worker.free.cpu_millis, default=None)
 
 
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -5,14 +5,12 @@
 from almondstack.jobs import Step, Task, TaskStatus
 from almondstack.placement.choosing import choose_for_gang, choose_to_reserve, choose_worker
 from almondstack.placement.policies import AccountPolicy
+from almondstack.placement.reservations import max_reservations
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.workers import Worker
 
 __all__ = ["Assignment", "PoolRound", "Usage"]
 
-_MAX_RESERVATIONS = 4
-"""Bound on the workers that one round reserves for tasks without room."""
-
 
 class Usage:
     """Running demand of each client account over all pools.
@@ -89,6 +87,8 @@
     allowed : callable, optional
         Returns the workers that may run a task's step, if the queue uses the advice
         service; none while the advice has not arrived.
+    may_reserve : bool, optional
+        Whether workers may be reserved for tasks without room.
     """
 
     __slots__ = (
@@ -97,6 +97,7 @@
         "_blocked",
         "_demands_without_room",
         "_now_s",
+        "_max_reservations",
         "_reservations",
         "_usage",
         "_workers",
@@ -108,12 +109,15 @@
         usage: Usage,
         now_s: float,
         allowed: Callable[[Task, list[Worker]], list[Worker]] | None = None,
+        *,
+        may_reserve: bool = True,
     ) -> None:
         self._workers = workers
         self._usage = usage
         self._now_s = now_s
         self._allowed = allowed
-        self._reservations = 0
+        self._max_reservations = max_reservations(len(workers)) if may_reserve else 0
+        self._reservations: list[tuple[Task, Worker]] = []
         self._blocked: list[Task] = []
         self._demands_without_room: list[Resources] = []
         self._at_ceiling: list[Task] = []
@@ -123,6 +127,11 @@
         """Tasks for which no worker had room, one of each step."""
         return self._blocked
 
+    @property
+    def reservations(self) -> list[tuple[Task, Worker]]:
+        """Tasks without room, each with the worker that got no other task because of it."""
+        return self._reservations
+
     @property
     def at_ceiling(self) -> list[Task]:
         """Tasks whose account has reached its ceiling, one of each step."""
@@ -204,9 +213,9 @@
     def _block(self, task: Task) -> None:
         """Reserve a worker for a task without room, so that smaller tasks can't starve it."""
         self._blocked.append(task)
-        if self._reservations >= _MAX_RESERVATIONS or task.step.is_filler:
+        if len(self._reservations) >= self._max_reservations or task.step.is_filler:
             return
         worker = choose_to_reserve(task, self._workers)
-        if worker is not None and worker.info.capacity.covers(demand_of(task.step)):
+        if worker is not None:
             self._workers = [other for other in self._workers if other is not worker]
-            self._reservations += 1
+            self._reservations.append((task, worker))
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -160,6 +160,14 @@
         """Return how many tasks of the same step and occurrence may be running on it."""
         return self._steps.get(_step_of(task), 0)
 
+    def room_after_short_runs(self) -> Resources:
+        """Return the capacity that is free once all runs but those that last have ended."""
+        room = self.info.capacity.copy()
+        for task in self._tasks:
+            if task.step.is_long_running and not task.is_stopping:
+                room.subtract(demand_of(task.step))
+        return room
+
     def put(self, task: Task) -> None:
         """Add a task and take up its demand; no effect if it is on the worker."""
         if task in self._tasks:
