Keep tasks in memory only for steps that are ready, within a budget

Cause: ActiveJob.ready_steps created every task of every occurrence that was due, and kept those of occurrences that were done. The progress record listed each done task, without regard to the store's limit.

Change: tasks exist for ready steps that are not done: at most 1,000 of a job beside one step, 10,000 of an account, 64 of each job in any case. Done occurrences are ranges. Beyond 10,000 done tasks the record lists ranges too, in a form that the build before can't read; only an owner whose claim says so (format byte 3) writes it, other records are unchanged to the byte.

The mutation of predecessors patches Occurrence._are_done instead of a function that is gone; the machine finds it as before.

--- a/almondstack/control/advice_table.py
+++ b/almondstack/control/advice_table.py
@@ -220,8 +220,7 @@
 
 def _has_waiting(task: Task) -> bool:
     """Whether some task of a task's step still waits for a start."""
-    tasks = task.job.steps_of(task.key.occurrence)[task.key.step]
-    return any(other.status is TaskStatus.WAITING for other in tasks)
+    return any(other.status is TaskStatus.WAITING for other in task.siblings)
 
 
 def _remaining_s(ticket: _Ticket | None, worker: Worker, now_s: float) -> float:
--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -37,6 +37,7 @@
     """
 
     __slots__ = (
+        "_has_ranges",
         "_heartbeat_s",
         "_incarnation",
         "_is_closed",
@@ -58,6 +59,7 @@
         self._written_s = _since_boot_s()
         self._heartbeat_s = self._written_s
         self._refused_since_s: float | None = None
+        self._has_ranges = services.index.notice_has_ranges
         self._notice = self._make_notice({})
         self._is_closed = threading.Event()
 
@@ -66,6 +68,11 @@
         """Start of the last successful append, in seconds since the instance was booted."""
         return self._written_s
 
+    @property
+    def has_ranges(self) -> bool:
+        """Whether the claim of this owner lets it write progress records in the ranged form."""
+        return self._has_ranges
+
     @property
     def turned_away_s(self) -> float:
         """Seconds for which the store has refused each append; 0 if the last one succeeded."""
@@ -141,7 +148,9 @@
         )
 
     def _notice_record(self, notice: OwnerNotice) -> Record:
-        return Record(record_key(RecordKind.OWNER), encode_notice(notice))
+        return Record(
+            record_key(RecordKind.OWNER), encode_notice(notice, has_ranges=self._has_ranges)
+        )
 
     def _append(self, records: list[Record]) -> int:
         self._sequence += 1
--- a/almondstack/control/long_running.py
+++ b/almondstack/control/long_running.py
@@ -23,9 +23,8 @@
     limit = task.step.max_unavailable
     if limit is None:
         return True
-    siblings = task.job.steps_of(task.key.occurrence)[task.key.step]
     unavailable = sum(
-        other is not task and not _is_at_work(other, workers, now_s) for other in siblings
+        other is not task and not _is_at_work(other, workers, now_s) for other in task.siblings
     )
     return unavailable < limit
 
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -45,6 +45,10 @@
 """Maximum wait for an event before a round continues with its time-driven work, in seconds."""
 
 
+_MAX_LOGGED_JOBS = 20
+"""Ids of jobs in one event."""
+
+
 class JobChange:
     """A submission or cancel record that was applied to the job index."""
 
@@ -192,6 +196,7 @@
             self._services.requests.open(self._token, self._inbox.put)
             while not self._is_released.is_set():
                 self._round()
+                self._release_if_ranges_needed()
             self._release_ownership()
             why = "released"
         except FencedError as error:
@@ -211,6 +216,21 @@
             self._sessions.close()
         self._services.events.write("owner-ended", token=self._token, why=why)
 
+    def _release_if_ranges_needed(self) -> None:
+        """Release ownership if a job needs the ranged form, which this owner's claim lacks.
+
+        Explanation
+        -----------
+        Builds without that form must not own the jobs once a record is in it.  The next
+        claim sees the job and says so in its notice, which such builds can't read.
+        """
+        jobs = self._records.lacking_ranges
+        if jobs and not self._is_released.is_set():
+            self._services.events.write(
+                "owner-lacks-ranges", token=self._token, jobs=jobs[:_MAX_LOGGED_JOBS]
+            )
+            self.release()
+
     def _release_ownership(self) -> None:
         """Handle pending events, start no more runs, and release ownership in the last append."""
         with contextlib.suppress(queue.Empty):
@@ -339,7 +359,7 @@
 
     def _activate(self, job: ActiveJob) -> None:
         """Schedule a job from now on; its submission is stored before any of its runs starts."""
-        self._table.jobs[job.id] = job
+        self._table.add_job(job)
         self._fleet.note_job(job, time.monotonic())
         self._delays.note_taken_up(job, time.time() * 1000.0)
 
@@ -389,7 +409,8 @@
     def _commit(self, *, is_last: bool = False) -> None:
         """Store all changes, and only then acknowledge the ends of runs to their workers."""
         records = self._requests.records()
-        records.extend(self._records.changes(self._table.jobs))
+        has_ranges = self._journal.has_ranges
+        records.extend(self._records.changes(self._table.jobs, may_use_ranges=has_ranges))
         ends = self._table.take_ends()
         records.extend(self._fleet.records())
         records.extend(self._records.removals())
@@ -400,7 +421,7 @@
         for job in list(self._table.jobs.values()):
             job.is_dirty = False
             if job.is_over():
-                del self._table.jobs[job.id]
+                self._table.remove_job(job)
                 self._records.schedule_removal(job.id)
         for worker, number in ends.items():
             session = self._sessions.get(worker)
--- a/almondstack/control/round_report.py
+++ b/almondstack/control/round_report.py
@@ -57,6 +57,7 @@
             rounds=self._rounds,
             within_s=round(now_s - self._since_s, 2),
             jobs=len(table.jobs),
+            open_tasks=sum(job.open_tasks for job in table.jobs.values()),
             workers=len(table.workers),
             pools=_pool_uses(table),
             waiting=_waiting(planner),
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -25,7 +25,7 @@
 )
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
-from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskNameError
+from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskBudget, TaskNameError
 from almondstack.jobs.names import parse_task_name
 from almondstack.placement import Usage, Worker
 from almondstack.placement.progress import Progress
@@ -80,6 +80,7 @@
     """
 
     __slots__ = (
+        "_budgets",
         "_end_listener",
         "_ends",
         "_events",
@@ -100,6 +101,7 @@
         self._metrics = metrics
         self._runs = CurrentRuns()
         self._ends: dict[str, int] = {}
+        self._budgets: dict[str, TaskBudget] = {}
         self._end_listener: Callable[[Task, float], None] | None = None
         self._job_end_listener: Callable[[ActiveJob], None] | None = None
         self.delays = JobDelays()
@@ -116,9 +118,19 @@
         """Call a function with each job that completes or fails."""
         self._job_end_listener = listener
 
+    def add_job(self, job: ActiveJob) -> None:
+        """Add a job, whose tasks count in the budget of its client account from now on."""
+        self.jobs[job.id] = job
+        job.use_budget(self._budgets.setdefault(job.submission.account, TaskBudget()))
+
+    def remove_job(self, job: ActiveJob) -> None:
+        """Remove a job that is over."""
+        del self.jobs[job.id]
+        job.close()
+
     def restore_job(self, job: ActiveJob, now_s: float) -> None:
         """Add a job of the previous owner with its recorded runs."""
-        self.jobs[job.id] = job
+        self.add_job(job)
         for task in job.assigned():
             self.usage.add(task)
             task.assigned_s = now_s
@@ -435,7 +447,7 @@
 
     def _close_gang(self, task: Task) -> None:
         """Release the other members: the gang is done when one member ends as done."""
-        for member in task.job.steps_of(task.key.occurrence)[task.key.step]:
+        for member in task.siblings:
             if self._runs.pop(member) is None:
                 continue
             worker = self.workers.get(member.worker)
@@ -444,7 +456,7 @@
             self.usage.remove(member)
 
     def _stop_gang(self, task: Task, now_s: float) -> None:
-        for member in task.job.steps_of(task.key.occurrence)[task.key.step]:
+        for member in task.siblings:
             if member.is_assigned:
                 self.request_stop(member, now_s)
 
--- a/almondstack/control/tests/test_owner.py
+++ b/almondstack/control/tests/test_owner.py
@@ -4,7 +4,10 @@
 
 from almondstack.control.owner import Owner, previous_extension_bound_s
 from almondstack.control.planning import Planner
+from almondstack.jobs import JobState, RunEnd, encode_progress
+from almondstack.jobs.progress import done_rows
 from almondstack.ownership import OwnershipSettings
+from almondstack.testing.job_builders import make_job, make_step
 from almondstack.testing.owner_world import OwnerWorld
 
 
@@ -32,6 +35,28 @@
     assert previous_extension_bound_s(9.0, settings) == 11.5
 
 
+def test_an_owner_whose_claim_lacks_the_ranged_form_gives_the_jobs_back(monkeypatch):
+    """Guards against records that an owner of the build before could read as work not done."""
+    monkeypatch.setattr("almondstack.jobs.active.MAX_LISTED_TASKS", 1)
+    world = OwnerWorld()
+    job = make_job(make_step(2), make_step(after=(0,)))
+    with world.patched():
+        process = world.processes[0]
+        process.claim()
+        owner = process.owner
+        world.oracle.submissions[job.id] = job.submission
+        owner._activate(job)
+        for task in job.steps_of(0)[0]:
+            job.assign([task], ["w"], [1], 0.0)
+            job.end_run(task, RunEnd.DONE, "", 1.0)
+        owner._commit()
+        owner._release_if_ranges_needed()
+        assert owner._is_released.is_set()
+        process.follow()
+        value = world.store.records[-1].value
+        assert value == encode_progress(JobState.RUNNING, [(0, 0, done_rows(2))])
+
+
 def test_an_owner_with_an_unforeseen_error_ends_and_says_so(monkeypatch):
     """Guards against an owner that ends unnoticed, in a process that claims the jobs again.
 
--- a/almondstack/jobs/__init__.py
+++ b/almondstack/jobs/__init__.py
@@ -1,6 +1,6 @@
 """Jobs: submissions, their records in the store, and the state machine that runs them."""
 
-from almondstack.jobs.active import ActiveJob, Task, chain_lengths_ms
+from almondstack.jobs.active import ActiveJob, chain_lengths_ms
 from almondstack.jobs.errors import RecordError, SubmissionError, TaskNameError
 from almondstack.jobs.job_index import JobEntry, JobIndex
 from almondstack.jobs.model import (
@@ -13,7 +13,12 @@
     TaskStatus,
 )
 from almondstack.jobs.names import format_step_name, format_task_name, parse_task_name
-from almondstack.jobs.progress import decode_progress, decode_state, encode_progress
+from almondstack.jobs.progress import (
+    decode_done_occurrences,
+    decode_progress,
+    decode_state,
+    encode_progress,
+)
 from almondstack.jobs.records import (
     OwnerNotice,
     RecordKind,
@@ -22,6 +27,8 @@
     encode_submission,
     record_key,
 )
+from almondstack.jobs.task import Task
+from almondstack.jobs.task_budget import TaskBudget
 
 __all__ = [
     "ActiveJob",
@@ -36,11 +43,13 @@
     "Submission",
     "SubmissionError",
     "Task",
+    "TaskBudget",
     "TaskKey",
     "TaskNameError",
     "TaskRecord",
     "TaskStatus",
     "chain_lengths_ms",
+    "decode_done_occurrences",
     "decode_progress",
     "decode_state",
     "decode_submission",
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -4,9 +4,11 @@
 -----------
 Decides which tasks may start, how the end of a run changes the job, and when the
 job has ended.  It uses neither network nor clock; times are passed as arguments.
+A caller may ask for any number of occurrences, all of them due long ago, so tasks exist
+only for steps that are ready and not done, and only as many as the budget allows.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from msgspec import structs
 
@@ -19,113 +21,23 @@
     TaskRecord,
     TaskStatus,
 )
-from almondstack.jobs.names import format_task_name
-from almondstack.jobs.progress import TaskGroup, encode_progress
+from almondstack.jobs.occurrence import Occurrence
+from almondstack.jobs.progress import (
+    MAX_LISTED_TASKS,
+    TaskGroup,
+    done_rows,
+    encode_progress,
+    encode_ranged_progress,
+)
+from almondstack.jobs.ranges import RangeSet
 from almondstack.jobs.records import encode_submission
+from almondstack.jobs.task import Task
+from almondstack.jobs.task_budget import TaskBudget
 
-__all__ = ["ActiveJob", "Task"]
-
-
-class Task:
-    """One task of an active job.
-
-    Attributes
-    ----------
-    key : TaskKey
-        Identifies the task in its job.
-    name : str
-        Name by which workers identify the task.
-    step : Step
-        Its step, with its demand.
-    status : TaskStatus
-        Waiting, assigned or done.
-    run, failures, worker, life, checkpoint
-        As in :class:`~almondstack.jobs.model.TaskRecord`.
-    is_confirmed : bool
-        The worker has listed the present run or acknowledged its start.
-    is_at_work : bool
-        The worker last listed the run as running at its full share of processor time.
-    is_stopping : bool
-        A stop of the present run was requested.
-    assigned_s : float
-        Monotonic time of the assignment, in seconds.
-    waiting_since_s : float
-        Monotonic time since which the task has waited for a start, in seconds.
-    failed_on : set of str
-        Workers on which it failed or was stopped as too slow; not stored in its record.
-    load : int
-        Load that the worker last reported: the tail latency of a serving task in
-        milliseconds, else the use in thousandths of a core.
-    percent : int
-        Share of processor time that the present run may use, 0 to 100.
-    """
+__all__ = ["ActiveJob"]
 
-    __slots__ = (
-        "assigned_s",
-        "checkpoint",
-        "failed_on",
-        "failures",
-        "is_at_work",
-        "is_confirmed",
-        "is_stopping",
-        "job",
-        "key",
-        "life",
-        "load",
-        "name",
-        "percent",
-        "run",
-        "status",
-        "step",
-        "waiting_since_s",
-        "worker",
-    )
-
-    def __init__(self, job: "ActiveJob", key: TaskKey, step: Step) -> None:
-        self.job = job
-        self.key = key
-        self.name = format_task_name(job.id, key)
-        self.step = step
-        self.status = TaskStatus.WAITING
-        self.run = 0
-        self.failures = 0
-        self.worker = ""
-        self.life = 0
-        self.checkpoint = ""
-        self.is_at_work = False
-        self.is_confirmed = False
-        self.is_stopping = False
-        self.assigned_s = 0.0
-        self.waiting_since_s = 0.0
-        self.failed_on: set[str] = set()
-        self.load = 0
-        self.percent = 100
-
-    @property
-    def is_assigned(self) -> bool:
-        """Whether a run of the task may be on a worker."""
-        return self.status is TaskStatus.ASSIGNED
-
-    def assign(self, worker: str, life: int, now_s: float) -> None:
-        """Start the next run of the task, on a worker."""
-        self.status = TaskStatus.ASSIGNED
-        self.run += 1
-        self.worker = worker
-        self.life = life
-        self.is_at_work = False
-        self.is_confirmed = False
-        self.is_stopping = False
-        self.assigned_s = now_s
-        self.percent = 100
-
-    def release(self, now_s: float) -> None:
-        """Return the task to waiting for another run."""
-        self.status = TaskStatus.WAITING
-        self.worker = ""
-        self.life = 0
-        self.is_confirmed = False
-        self.is_stopping = False
-        self.waiting_since_s = now_s
+_MAX_RECORD_BYTES = 200_000
+"""Largest progress record; the store refuses records of more than 262,144 bytes."""
 
 
 class ActiveJob:
@@ -143,9 +55,13 @@
 
     __slots__ = (
         "_awaits_confirmation",
+        "_budget",
         "_chain_ms",
+        "_done",
+        "_dropped_tasks",
         "_has_begun",
         "_occurrences",
+        "_open_tasks",
         "_ready_by_occurrence",
         "id",
         "is_dirty",
@@ -162,7 +78,11 @@
         self.is_dirty = False
         self._has_begun = False
         self._awaits_confirmation = False
-        self._occurrences: dict[int, list[list[Task]]] = {}
+        self._budget = TaskBudget()
+        self._open_tasks = 0
+        self._dropped_tasks = 0
+        self._done = RangeSet()
+        self._occurrences: dict[int, Occurrence] = {}
         # Each round asks several times, and most jobs do not change from one to the next.
         self._ready_by_occurrence: dict[int, list[list[Task]]] = {}
         self._chain_ms = chain_lengths_ms(submission.steps)
@@ -177,43 +97,82 @@
         """Whether tasks of the job may still be started."""
         return not self.state.is_final
 
+    @property
+    def open_tasks(self) -> int:
+        """Number of its tasks that exist in memory."""
+        return self._open_tasks
+
+    @property
+    def needs_ranges(self) -> bool:
+        """Whether its progress has too many done tasks to list them one by one."""
+        return self._dropped_tasks > MAX_LISTED_TASKS
+
+    def use_budget(self, budget: TaskBudget) -> None:
+        """Count its open tasks in another budget from now on."""
+        self._budget.give_back(self._open_tasks)
+        self._budget = budget
+        self._budget.take(self._open_tasks)
+
+    def close(self) -> None:
+        """Give back the budget of its tasks; the job is not used any more."""
+        self.use_budget(TaskBudget())
+
     def remaining_chain_ms(self, step: int) -> int:
         """Return the estimated milliseconds from the start of a step to the job's end."""
         return self._chain_ms[step]
 
     def steps_of(self, occurrence: int) -> list[list[Task]]:
-        """Return the tasks of an occurrence by step; creates them at the first call."""
-        found = self._occurrences.get(occurrence)
-        if found is None:
-            found = self._make_occurrence(occurrence)
-            self._occurrences[occurrence] = found
-        return found
+        """Return the tasks of an occurrence by step; creates them, whatever the budget."""
+        return self._occurrence(occurrence).all_steps()
 
     def task(self, key: TaskKey) -> Task | None:
         """Return a task, or None if the job has none of that key."""
         if not 0 <= key.occurrence < self.submission.occurrence_count:
             return None
-        steps = self.steps_of(key.occurrence)
-        if not 0 <= key.step < len(steps) or not 0 <= key.member < len(steps[key.step]):
+        steps = self.submission.steps
+        if not 0 <= key.step < len(steps) or not 0 <= key.member < steps[key.step].count:
             return None
-        return steps[key.step][key.member]
+        return self._occurrence(key.occurrence).step(key.step)[key.member]
 
     def tasks(self) -> Iterator[Task]:
-        """Iterate over the tasks that have been created."""
-        for steps in self._occurrences.values():
-            for tasks in steps:
-                yield from tasks
+        """Iterate over the tasks that exist: those of steps that are done do not."""
+        for found in self._occurrences.values():
+            yield from found.tasks()
 
     def assigned(self) -> list[Task]:
         """Return the tasks that may be running on a worker."""
         return [task for task in self.tasks() if task.is_assigned]
 
-    def restore(self, state: JobState, records: list[TaskRecord]) -> None:
-        """Restore the state that a previous owner has recorded."""
+    def restore(
+        self,
+        state: JobState,
+        records: list[TaskRecord],
+        done: Sequence[tuple[int, int]] = (),
+    ) -> None:
+        """Restore the state that a previous owner has recorded.
+
+        Parameters
+        ----------
+        state : JobState
+            State of the job.
+        records : list of TaskRecord
+            Tasks that were started, without those of the occurrences in ``done``.
+        done : sequence of tuple of int
+            Ranges of occurrences that are done: the first, and the one after the last.
+        """
         self.state = state
+        self._done = RangeSet(done)
+        self._dropped_tasks = len(self._done) * sum(step.count for step in self.submission.steps)
         self._awaits_confirmation = state is JobState.QUEUED and bool(records)
-        self._has_begun = state is not JobState.QUEUED and any(map(_has_surely_begun, records))
+        self._has_begun = state is not JobState.QUEUED and (
+            bool(done) or any(map(_has_surely_begun, records))
+        )
         self._ready_by_occurrence.clear()
+        for (occurrence, step), found in _by_step(records).items():
+            if self.task(TaskKey(occurrence, step, 0)) is not None:
+                self._restore_step(occurrence, step, found)
+
+    def _restore_step(self, occurrence: int, step: int, records: list[TaskRecord]) -> None:
         for record in records:
             task = self.task(TaskKey(*record.key))
             if task is None:
@@ -224,16 +183,47 @@
             task.worker = record.worker
             task.life = record.life
             task.checkpoint = record.checkpoint
+        self._drop_if_done(occurrence, step)
 
-    def encode(self) -> bytes:
-        """Return the value of the progress record; for a job that is over, only its state."""
-        return encode_progress(self.state, () if self.is_over() else self._groups())
+    def encode(self, *, may_use_ranges: bool = False) -> bytes:
+        """Return the value of the progress record; for a job that is over, only its state.
+
+        Explanation
+        -----------
+        With ``may_use_ranges`` a job with many done tasks is encoded in a form that builds
+        without it can't read.
+        """
+        value = self._encode(may_use_ranges=may_use_ranges)
+        if len(value) > _MAX_RECORD_BYTES:
+            self._forget_checkpoints()
+            value = self._encode(may_use_ranges=may_use_ranges)
+        return value
+
+    def _encode(self, *, may_use_ranges: bool) -> bytes:
+        if self.is_over():
+            return encode_progress(self.state, ())
+        if may_use_ranges and self.needs_ranges:
+            return encode_ranged_progress(self.state, self._open_groups(), self._done.ranges())
+        return encode_progress(self.state, self._groups())
+
+    def _forget_checkpoints(self) -> None:
+        """Let waiting tasks start from the beginning: the store takes no record of that size."""
+        for task in self.tasks():
+            if task.status is TaskStatus.WAITING:
+                task.checkpoint = ""
 
     def _groups(self) -> Iterator[TaskGroup]:
-        """Iterate over the steps of all occurrences that have been created."""
-        for occurrence, steps in self._occurrences.items():
-            for step, tasks in enumerate(steps):
-                yield occurrence, step, tasks
+        """Iterate over the steps of which a task was started, those that are done among them."""
+        for occurrence in self._done:
+            for number, step in enumerate(self.submission.steps):
+                yield occurrence, number, done_rows(step.count)
+        yield from self._open_groups()
+
+    def _open_groups(self) -> Iterator[TaskGroup]:
+        """Iterate over the steps of the occurrences that are not done."""
+        for occurrence, found in self._occurrences.items():
+            for number, rows in found.rows():
+                yield occurrence, number, rows
 
     def encode_retained_submission(self) -> bytes:
         """Return the submission without spec and steps, to keep for a job that is over.
@@ -254,18 +244,21 @@
         """
         if not self.is_open:
             return
-        for occurrence in range(self.submission.occurrence_count):
-            if self.submission.due_ms(occurrence) > now_unix_ms:
-                break
-            yield from self._ready_steps_of(occurrence)
+        due_count = self.submission.due_count(now_unix_ms)
+        occurrence = self._done.next_missing(0)
+        while occurrence < due_count:
+            ready = self._ready_steps_of(occurrence)
+            if ready is None:
+                return
+            yield from ready
+            occurrence = self._done.next_missing(occurrence + 1)
 
     def next_due_ms(self, now_unix_ms: float) -> int | None:
         """Return the Unix milliseconds of the next occurrence to come, if any."""
-        for occurrence in range(self.submission.occurrence_count):
-            due_ms = self.submission.due_ms(occurrence)
-            if due_ms > now_unix_ms:
-                return due_ms
-        return None
+        due_count = self.submission.due_count(now_unix_ms)
+        if due_count >= self.submission.occurrence_count:
+            return None
+        return self.submission.due_ms(due_count)
 
     def end_run(self, task: Task, end: RunEnd, checkpoint: str, now_s: float) -> None:
         """Update the task and the job for the end of the task's present run."""
@@ -289,9 +282,7 @@
             member.checkpoint = checkpoint
 
     def _sharing_checkpoint(self, task: Task) -> list[Task]:
-        if not task.step.is_gang:
-            return [task]
-        return self.steps_of(task.key.occurrence)[task.key.step]
+        return task.siblings if task.step.is_gang else [task]
 
     def assign(self, tasks: list[Task], workers: list[str], lives: list[int], now_s: float) -> None:
         """Assign tasks of one step to workers; members of a gang get the same run number."""
@@ -344,42 +335,65 @@
         """Return whether the job has ended and none of its tasks may be running on a worker."""
         return self.state.is_final and not any(task.is_assigned for task in self.tasks())
 
-    def _make_occurrence(self, occurrence: int) -> list[list[Task]]:
-        return [
-            [Task(self, TaskKey(occurrence, number, member), step) for member in range(step.count)]
-            for number, step in enumerate(self.submission.steps)
-        ]
-
-    def _ready_steps_of(self, occurrence: int) -> list[list[Task]]:
-        """Return the steps that have a waiting task and wait for no other step."""
-        found = self._ready_by_occurrence.get(occurrence)
+    def _occurrence(self, number: int) -> Occurrence:
+        """Return an occurrence; creates it at the first call, without any task."""
+        found = self._occurrences.get(number)
         if found is None:
-            found = list(_ready_steps(self.steps_of(occurrence)))
-            self._ready_by_occurrence[occurrence] = found
+            found = Occurrence(self, number, self._note_opened, is_done=number in self._done)
+            if number not in self._done:
+                self._occurrences[number] = found
         return found
 
+    def _note_opened(self, count: int) -> None:
+        """Count tasks that were created, or with a negative number, that were dropped."""
+        self._open_tasks += count
+        self._budget.take(count)
+
+    def _may_open(self, count: int) -> bool:
+        return self._budget.may_open(self._open_tasks, count)
+
+    def _ready_steps_of(self, occurrence: int) -> list[list[Task]] | None:
+        """Return the steps that have a waiting task and wait for no other step.
+
+        The result is None if the budget allows no task of the occurrence.
+        """
+        found = self._ready_by_occurrence.get(occurrence)
+        if found is not None:
+            return found
+        steps, is_whole = self._occurrence(occurrence).ready_steps(self._may_open)
+        if is_whole:
+            # A step that had to wait for the budget is looked for again with the next call.
+            self._ready_by_occurrence[occurrence] = steps
+        return steps if is_whole or steps else None
+
+    def _drop_if_done(self, occurrence: int, step: int) -> None:
+        """Forget the tasks of a step, and an occurrence, once all of its tasks are done."""
+        found = self._occurrences.get(occurrence)
+        if found is None or not found.drop_if_done(step):
+            return
+        self._dropped_tasks += self.submission.steps[step].count
+        if found.is_done:
+            del self._occurrences[occurrence]
+            self._done.add(occurrence)
+
     def _finish(self, task: Task) -> None:
         if task.step.is_gang:
-            steps = self.steps_of(task.key.occurrence)
-            for member in steps[task.key.step]:
+            for member in task.siblings:
                 member.status = TaskStatus.DONE
         task.status = TaskStatus.DONE
+        self._drop_if_done(task.key.occurrence, task.key.step)
         if self.is_open and self._is_complete():
             self.state = JobState.COMPLETED
 
     def _is_complete(self) -> bool:
-        count = self.submission.occurrence_count
-        if len(self._occurrences) < count:
-            return False
-        return all(task.status is TaskStatus.DONE for task in self.tasks())
+        return len(self._done) >= self.submission.occurrence_count
 
     def _has_no_attempts_left(self, task: Task) -> bool:
         if task.step.is_long_running or not self.is_open:
             return False
         if not task.step.is_gang:
             return task.failures >= self.max_attempts
-        members = self.steps_of(task.key.occurrence)[task.key.step]
-        return sum(member.failures for member in members) >= self.max_attempts
+        return sum(member.failures for member in task.siblings) >= self.max_attempts
 
 
 def chain_lengths_ms(steps: tuple[Step, ...]) -> list[int]:
@@ -399,19 +413,16 @@
     return lengths
 
 
-def _ready_steps(steps: list[list[Task]]) -> Iterator[list[Task]]:
-    for tasks in steps:
-        if not any(task.status is TaskStatus.WAITING for task in tasks):
-            continue
-        if all(_is_step_done(steps[number]) for number in tasks[0].step.after):
-            yield tasks
+def _by_step(records: list[TaskRecord]) -> dict[tuple[int, int], list[TaskRecord]]:
+    """Return the records by occurrence and step."""
+    found: dict[tuple[int, int], list[TaskRecord]] = {}
+    for record in records:
+        key = TaskKey(*record.key)
+        found.setdefault((key.occurrence, key.step), []).append(record)
+    return found
 
 
 def _has_surely_begun(record: TaskRecord) -> bool:
     """Whether a worker has run a task; its first run may not have been started yet."""
     is_first = record.status is TaskStatus.ASSIGNED and record.run <= 1
     return not is_first or bool(record.failures or record.checkpoint)
-
-
-def _is_step_done(tasks: list[Task]) -> bool:
-    return all(task.status is TaskStatus.DONE for task in tasks)
--- a/almondstack/jobs/job_index.py
+++ b/almondstack/jobs/job_index.py
@@ -9,12 +9,13 @@
 from almondstack.core import PartLogger
 from almondstack.jobs.errors import RecordError
 from almondstack.jobs.model import JobState
-from almondstack.jobs.progress import decode_state
+from almondstack.jobs.progress import MAX_LISTED_TASKS, decode_state
 from almondstack.jobs.records import (
     OwnerNotice,
     RecordKind,
     decode_notice,
     decode_submission,
+    has_ranges,
     split_key,
 )
 
@@ -39,17 +40,28 @@
         The store has a cancel of the job.
     submission : bytes
         The encoded submission.
+    has_many_tasks : bool
+        The job has more tasks than a progress record lists one by one.
     progress : bytes or None
         The owner's newest record of the job.
     """
 
-    __slots__ = ("account", "is_cancelled", "progress", "queue", "state", "submission")
+    __slots__ = (
+        "account",
+        "has_many_tasks",
+        "is_cancelled",
+        "progress",
+        "queue",
+        "state",
+        "submission",
+    )
 
     def __init__(self, submission: bytes) -> None:
         decoded = decode_submission(submission)
         self.queue = decoded.queue
         self.account = decoded.account
         self.submission = submission
+        self.has_many_tasks = decoded.task_count > MAX_LISTED_TASKS
         self.state = JobState.QUEUED
         self.is_cancelled = False
         self.progress: bytes | None = None
@@ -92,6 +104,7 @@
         "_listener",
         "_lock",
         "_notice",
+        "_notice_has_ranges",
         "_notice_s",
         "_owner_record_s",
         "_refusals",
@@ -102,6 +115,7 @@
         self._entries: dict[str, JobEntry] = {}
         self._cancelled: set[str] = set()
         self._notice: OwnerNotice | None = None
+        self._notice_has_ranges = False
         self._notice_s = 0.0
         self._owner_record_s = 0.0
         self._refusals: OrderedDict[str, int] = OrderedDict()
@@ -118,6 +132,20 @@
         """The owner's newest notice."""
         return self._notice
 
+    @property
+    def notice_has_ranges(self) -> bool:
+        """Whether the owner of the newest notice may write progress in the ranged form."""
+        return self._notice_has_ranges
+
+    @property
+    def needs_ranges(self) -> bool:
+        """Whether an open job may come to need progress records in the ranged form."""
+        with self._lock:
+            return any(
+                entry.has_many_tasks and not entry.state.is_final
+                for entry in self._entries.values()
+            )
+
     @property
     def notice_age_s(self) -> float:
         """Seconds since the owner's newest notice was read."""
@@ -180,6 +208,7 @@
         with self._lock:
             if kind is RecordKind.OWNER:
                 self._notice = decode_notice(value)
+                self._notice_has_ranges = has_ranges(value)
                 self._notice_s = self._owner_record_s = time.monotonic()
                 return False
             if kind is RecordKind.REFUSAL:
--- a/almondstack/jobs/model.py
+++ b/almondstack/jobs/model.py
@@ -184,6 +184,21 @@
             return 0
         return self.first_due_ms + occurrence * self.interval_ms
 
+    def due_count(self, now_unix_ms: float) -> int:
+        """Return how many occurrences are due: those of lower numbers."""
+        if not self.is_scheduled:
+            return 1
+        if now_unix_ms < self.first_due_ms:
+            return 0
+        if not self.interval_ms:
+            return self.occurrences
+        return min(self.occurrences, int(now_unix_ms - self.first_due_ms) // self.interval_ms + 1)
+
+    @property
+    def task_count(self) -> int:
+        """How many tasks the job has over all occurrences."""
+        return self.occurrence_count * sum(step.count for step in self.steps)
+
 
 class TaskRecord(msgspec.Struct, array_like=True):
     """The owner's record of one task that was started at least once.
--- a/almondstack/jobs/progress.py
+++ b/almondstack/jobs/progress.py
@@ -10,6 +10,11 @@
 are one small number: nil if never started, 0 if done at the first run, or the
 number of the worker, from 1, if assigned at the first run.  Other tasks are encoded
 in full.  Tasks at the end of a step that were never started are left out.
+
+The ranged form is for jobs with so many done tasks that a byte for each is too much.  It
+lists the ranges of the occurrences that are done, and a step that is done as a whole.  Its second
+byte can't begin any MessagePack value, so that builds without it take the record for
+unreadable and change nothing.
 """
 
 from collections.abc import Iterable, Iterator, Sequence
@@ -21,7 +26,20 @@
 from almondstack.jobs.errors import RecordError
 from almondstack.jobs.model import JobState, TaskKey, TaskRecord, TaskStatus
 
-__all__ = ["StoredTask", "TaskGroup", "decode_progress", "decode_state", "encode_progress"]
+__all__ = [
+    "MAX_LISTED_TASKS",
+    "StoredTask",
+    "TaskGroup",
+    "decode_done_occurrences",
+    "decode_progress",
+    "decode_state",
+    "done_rows",
+    "encode_progress",
+    "encode_ranged_progress",
+]
+
+MAX_LISTED_TASKS = 10_000
+"""Done tasks that a record lists one by one; the ranged form lists ranges instead."""
 
 _ASSIGNED, _DONE = TaskStatus.ASSIGNED, TaskStatus.DONE
 _FIRST_RUN = 1
@@ -63,12 +81,29 @@
     groups: list[tuple[int, int, list[None | int | _Task]]]
 
 
+class _RangedTasks(msgspec.Struct, frozen=True, array_like=True):
+    """The ranged form: a step that is done is the number of its tasks instead of a list."""
+
+    base_life: int
+    worker_ids: list[str]
+    worker_lives: list[int]
+    groups: list[tuple[int, int, list[None | int | _Task] | int]]
+    done: list[tuple[int, int]]
+
+
+_RANGED = b"\xc1"
+"""Second byte of a record in the ranged form; no MessagePack value begins with it."""
+
 _encoder = msgspec.msgpack.Encoder()
+_ranged = msgspec.msgpack.Decoder(_RangedTasks)
 _tasks = msgspec.msgpack.Decoder(_Tasks)
 _legacy_tasks = msgspec.msgpack.Decoder(list[TaskRecord])
 """Decodes records of earlier versions, which encode each task in full."""
 
 
+_DONE_TASK = TaskRecord(TaskKey(0, 0, 0), _DONE, _FIRST_RUN)
+
+
 def encode_progress(state: JobState, groups: Iterable[TaskGroup]) -> bytes:
     """Return the value of a progress record.
 
@@ -80,17 +115,65 @@
     True
     """
     numbers: dict[tuple[str, int], int] = {}
-    wire_groups = []
+    wire_groups = list(_wire_groups(groups, numbers))
+    return bytes((state,)) + _encoder.encode((*_wire_workers(numbers), wire_groups))
+
+
+def encode_ranged_progress(
+    state: JobState, groups: Iterable[TaskGroup], done: Sequence[tuple[int, int]]
+) -> bytes:
+    """Return the value of a progress record in the ranged form.
+
+    Parameters
+    ----------
+    state : JobState
+        State of the job.
+    groups : iterable of TaskGroup
+        The steps of the occurrences that are not done.
+    done : sequence of tuple of int
+        Ranges of occurrences that are done: the first, and the one after the last.
+
+    Examples
+    --------
+    >>> value = encode_ranged_progress(JobState.RUNNING, [(9, 0, done_rows(2))], [(0, 9)])
+    >>> decode_done_occurrences(value), len(decode_progress(value))
+    ([(0, 9)], 2)
+    """
+    numbers: dict[tuple[str, int], int] = {}
+    wire_groups = [
+        (occurrence, step, len(rows) if _is_done(rows) else rows)
+        for occurrence, step, rows in _wire_groups(groups, numbers)
+    ]
+    content = _encoder.encode((*_wire_workers(numbers), wire_groups, list(done)))
+    return bytes((state,)) + _RANGED + content
+
+
+def done_rows(count: int) -> Sequence[StoredTask]:
+    """Return that many tasks which are done."""
+    return (_DONE_TASK,) * count
+
+
+def _is_done(rows: list[None | int | _Task]) -> bool:
+    return all(row == _DONE_AT_FIRST_RUN for row in rows)
+
+
+def _wire_groups(
+    groups: Iterable[TaskGroup], numbers: dict[tuple[str, int], int]
+) -> Iterator[tuple[int, int, list[None | int | _Task]]]:
+    """Iterate over the groups with a started task; adds their workers to ``numbers``."""
     for occurrence, step, tasks in groups:
         rows = [_row(task, numbers) for task in tasks]
         while rows and rows[-1] is None:
             rows.pop()
         if rows:
-            wire_groups.append((occurrence, step, rows))
+            yield occurrence, step, rows
+
+
+def _wire_workers(numbers: dict[tuple[str, int], int]) -> tuple[int, list[str], list[int]]:
+    """Return the base life, the ids, and the lives less the base life."""
     base_life = next(iter(numbers))[1] if numbers else 0
     ids = [worker for worker, _ in numbers]
-    lives = [life - base_life for _, life in numbers]
-    return bytes((state,)) + _encoder.encode((base_life, ids, lives, wire_groups))
+    return base_life, ids, [life - base_life for _, life in numbers]
 
 
 def _row(task: StoredTask, numbers: dict[tuple[str, int], int]) -> None | int | _Task:
@@ -131,24 +214,60 @@
     RecordError
         The value does not decode.
     """
+    if value[1:2] == _RANGED:
+        return _decode_ranged(value)
     try:
         return decode_with(_legacy_tasks, value[1:])
     except CodecError:
         return _decode(value)
 
 
+def decode_done_occurrences(value: bytes) -> list[tuple[int, int]]:
+    """Return the ranges of occurrences that a progress record gives as done as a whole.
+
+    Raises
+    ------
+    RecordError
+        The value does not decode.
+    """
+    if value[1:2] != _RANGED:
+        return []
+    try:
+        return decode_with(_ranged, value[2:]).done
+    except CodecError as error:
+        raise RecordError(str(error)) from error
+
+
+def _decode_ranged(value: bytes) -> list[TaskRecord]:
+    try:
+        wire = decode_with(_ranged, value[2:])
+        groups = [
+            (occurrence, step, [_DONE_AT_FIRST_RUN] * rows if isinstance(rows, int) else rows)
+            for occurrence, step, rows in wire.groups
+        ]
+        return list(_records(groups, _workers(wire)))
+    except (CodecError, ValueError) as error:
+        raise RecordError(str(error)) from error
+
+
 def _decode(value: bytes) -> list[TaskRecord]:
     try:
         wire = decode_with(_tasks, value[1:])
-        lives = [wire.base_life + life for life in wire.worker_lives]
-        workers = list(zip(wire.worker_ids, lives, strict=True))
-        return list(_records(wire, workers))
+        return list(_records(wire.groups, _workers(wire)))
     except (CodecError, ValueError) as error:
         raise RecordError(str(error)) from error
 
 
-def _records(wire: _Tasks, workers: list[tuple[str, int]]) -> Iterator[TaskRecord]:
-    for occurrence, step, rows in wire.groups:
+def _workers(wire: _Tasks | _RangedTasks) -> list[tuple[str, int]]:
+    lives = [wire.base_life + life for life in wire.worker_lives]
+    return list(zip(wire.worker_ids, lives, strict=True))
+
+
+def _records(
+    groups: Iterable[tuple[int, int, Sequence[None | int | _Task]]],
+    workers: list[tuple[str, int]],
+) -> Iterator[TaskRecord]:
+    for occurrence, step, rows in groups:
         for member, row in enumerate(rows):
             if row is not None:
                 yield _record(TaskKey(occurrence, step, member), row, workers)
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -25,6 +25,7 @@
     "decode_submission",
     "encode_notice",
     "encode_submission",
+    "has_ranges",
     "record_key",
     "split_key",
 ]
@@ -80,6 +81,10 @@
 """First byte of a notice: progress records are in the format of :mod:`almondstack.jobs.progress`.
 Notices of earlier versions have no format byte."""
 
+_RANGED_FORMAT = b"\x03"
+"""First byte of a notice: progress records may be in the ranged form as well.  Builds without that
+form can't read the notice, and so can't own the jobs after it."""
+
 _submissions = msgspec.msgpack.Decoder(Submission)
 _notices = msgspec.msgpack.Decoder(OwnerNotice)
 _encoder = msgspec.msgpack.Encoder()
@@ -120,16 +125,28 @@
     return _decode(_submissions, value)
 
 
-def encode_notice(notice: OwnerNotice) -> bytes:
+def encode_notice(notice: OwnerNotice, *, has_ranges: bool = False) -> bytes:
     """Return the value of the owner's record.
 
+    Parameters
+    ----------
+    notice : OwnerNotice
+        The notice.
+    has_ranges : bool
+        Whether this owner may write progress records in the ranged form.
+
     Explanation
     -----------
     The value begins with the format of the records that this owner writes.  Versions
     without formats skip such a notice and so can't become owner after it: they could
     not read which tasks run, would stop them, and would lose the ends of their runs.
     """
-    return _FORMAT + _encoder.encode(notice)
+    return (_RANGED_FORMAT if has_ranges else _FORMAT) + _encoder.encode(notice)
+
+
+def has_ranges(value: bytes) -> bool:
+    """Return whether the owner of a notice may write progress records in the ranged form."""
+    return value.startswith(_RANGED_FORMAT)
 
 
 def decode_notice(value: bytes) -> OwnerNotice:
@@ -140,7 +157,8 @@
     RecordError
         The value does not decode.
     """
-    return _decode(_notices, value.removeprefix(_FORMAT))
+    has_format = value.startswith((_FORMAT, _RANGED_FORMAT))
+    return _decode(_notices, value[1:] if has_format else value)
 
 
 def _decode(decoder, value: bytes):
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -357,7 +357,8 @@
         before = self._index.notice
         token = before.token + 1 if before is not None else 1
         notice = encode_notice(
-            OwnerNotice(self._incarnation, token, self._address, {}, self._cores)
+            OwnerNotice(self._incarnation, token, self._address, {}, self._cores),
+            has_ranges=self._index.needs_ranges,
         )
         sequence = self._sequences.setdefault(token, random.randrange(1, _MAX_FIRST_SEQUENCE))
         is_taken = self._store.claim(token, Record(record_key(RecordKind.OWNER), notice), sequence)
--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from almondstack.control import lease, owner, request_handler, runs, session
-from almondstack.jobs import RecordKind, RunEnd, active, job_index
+from almondstack.jobs import RecordKind, RunEnd, active, job_index, occurrence
 from almondstack.jobs.records import split_key
 from almondstack.placement import rounds
 
@@ -179,7 +179,7 @@
     "unreachable workers count as empty": _unreachable_workers_count_as_empty,
     "inherited runs are dropped": _inherited_runs_are_dropped,
     "steps start before their predecessors are done": _patch(
-        active, "_is_step_done", lambda _tasks: True
+        occurrence.Occurrence, "_are_done", lambda _occurrence, _steps: True
     ),
     "jobs complete with their first task": _patch(active.ActiveJob, "_is_complete", _complete),
     "attempts are not counted": _patch(
--- a/almondstack/testing/shared_forms.py
+++ b/almondstack/testing/shared_forms.py
@@ -15,7 +15,13 @@
 
 from almondstack.intake import Verdict
 from almondstack.jobs import JobState, Step, Submission, TaskKey, TaskRecord, TaskStatus
-from almondstack.jobs.progress import decode_progress, decode_state, encode_progress
+from almondstack.jobs.progress import (
+    decode_done_occurrences,
+    decode_progress,
+    decode_state,
+    encode_progress,
+    encode_ranged_progress,
+)
 from almondstack.jobs.records import (
     OwnerNotice,
     decode_notice,
@@ -65,6 +71,10 @@
     TaskRecord(TaskKey(1, 1, 0), TaskStatus.DONE, 2, 1),
 ]
 _UNCONFIRMED = TaskRecord(TaskKey(0, 0, 0), TaskStatus.ASSIGNED, 1, 0, "i-1", 1_700_000_001_000)
+_DONE_STEP = TaskRecord(TaskKey(20_000, 0, 0), TaskStatus.DONE, 1)
+_RETRIED = TaskRecord(
+    TaskKey(20_000, 1, 0), TaskStatus.ASSIGNED, 2, 1, "i-1", 1_700_000_001_000, "0003"
+)
 _NOTICE = OwnerNotice(
     "edge-1/0a1b", 7, "127.0.0.1:1", {"p/a": 300}, 2.0, "127.0.0.1:2", "edge-2/3c4d", 12
 )
@@ -83,6 +93,20 @@
     return decode_state(value), decode_progress(value)
 
 
+def _encode_ranged(value: tuple[JobState, list[TaskRecord], list[tuple[int, int]]]) -> bytes:
+    state, tasks, done = value
+    groups = [(task.key.occurrence, task.key.step, [task]) for task in tasks]
+    return encode_ranged_progress(state, groups, done)
+
+
+def _decode_ranged(value: bytes) -> tuple[JobState, list[TaskRecord], list[tuple[int, int]]]:
+    return decode_state(value), decode_progress(value), decode_done_occurrences(value)
+
+
+def _encode_ranged_notice(notice: OwnerNotice) -> bytes:
+    return encode_notice(notice, has_ranges=True)
+
+
 def _message(value: Any) -> Sample:
     """Return the sample of a message between processes."""
     return Sample(value, msgspec.msgpack.encode, msgspec.msgpack.Decoder(type(value)).decode)
@@ -95,6 +119,12 @@
         (JobState.QUEUED, [_UNCONFIRMED]), _encode_progress, _decode_progress
     ),
     "progress, over": Sample((JobState.COMPLETED, []), _encode_progress, _decode_progress),
+    "progress, ranged": Sample(
+        (JobState.RUNNING, [_DONE_STEP, _RETRIED], [(0, 20_000), (20_001, 20_003)]),
+        _encode_ranged,
+        _decode_ranged,
+    ),
+    "notice, ranged": Sample(_NOTICE, _encode_ranged_notice, decode_notice),
     "notice": Sample(_NOTICE, encode_notice, decode_notice),
     "notice, released": Sample(OwnerNotice("", 7), encode_notice, decode_notice),
     "wave": Sample(
