Count an instance with an unanswered order as down, and let no replaced owner order

Cause: orders to instances were sent after the commit without asking whether the owner may still act; and the successor took an instance that is listed as up for one without an order, though the time of the order is stored. Tokens apply to each instance separately, so nothing else stops the old order.

Change: each order asks may_extend just before it is sent. Reports on waves ask as well. No record has changed, so builds before and after may own the jobs by turns; the one before still has the fault.

--- a/almondstack/control/errors.py
+++ b/almondstack/control/errors.py
@@ -2,7 +2,7 @@
 
 from almondstack.core import AlmondError
 
-__all__ = ["AdviceError", "InstanceServiceError"]
+__all__ = ["AdviceError", "InstanceServiceError", "NotOwnerError"]
 
 
 class InstanceServiceError(AlmondError):
@@ -15,3 +15,9 @@
     """A call of the advice service failed, or its answer is invalid."""
 
     code = "advice"
+
+
+class NotOwnerError(AlmondError):
+    """Another process may own the jobs by now, so that this one must not act."""
+
+    code = "not-owner"
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -1,7 +1,7 @@
 """Periodic decisions of the owner on instances: moves, maintenance and evacuation."""
 
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from almondstack.capacity import Candidate, Move, PoolState, wanted_instances
 from almondstack.control.admission_waits import AdmissionWaits
@@ -59,6 +59,8 @@
         The instance service, waves, policies and stored records.
     token : int
         The owner's fencing token.
+    may_act : callable, optional
+        Returns whether the owner may still act.
     """
 
     __slots__ = (
@@ -81,10 +83,11 @@
         planner: Planner,
         services: OwnerServices,
         token: int,
+        may_act: Callable[[], bool] = lambda: True,
     ) -> None:
         self._table = table
         self._services = services
-        self._manager = InstanceManager(services, token)
+        self._manager = InstanceManager(services, token, may_act)
         self._waves = WaveController(services, self._manager)
         self._balancer = PoolBalancer(table, planner, self._manager, services.control.move_s)
         self._admission = AdmissionWaits(table, planner)
--- a/almondstack/control/instance_manager.py
+++ b/almondstack/control/instance_manager.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from almondstack.control.errors import InstanceServiceError
+from almondstack.control.errors import InstanceServiceError, NotOwnerError
 from almondstack.control.messages import InstanceInfo, InstanceState, OrderStatus
 from almondstack.control.paced_calls import PacedCalls
 from almondstack.control.services import OwnerServices
@@ -32,6 +32,10 @@
 """An order without an answer may still be executed within this time, in seconds."""
 
 
+_FENCING_STATUSES = frozenset({OrderStatus.DONE, OrderStatus.NO_ROOM})
+"""Answers that show that the service knows this owner's token for the instance."""
+
+
 class _Order(NamedTuple):
     """A move to a pool, or a maintenance for a wave if ``pool`` is empty."""
 
@@ -66,32 +70,44 @@
         The instance service, the wave directory, stored records and the event log.
     token : int
         The owner's fencing token.
+    may_act : callable, optional
+        Returns whether the owner may still act: it is asked just before each order is sent.
     """
 
     __slots__ = (
         "_calls",
+        "_fenced_instances",
         "_instances",
         "_is_fenced",
         "_is_listing",
         "_list_requested_s",
         "_listed_s",
         "_lock",
+        "_may_act",
         "_not_before_s",
         "_orders",
         "_pending",
         "_predecessor_orders_end_s",
+        "_predecessor_orders_ms",
         "_refused_pools",
         "_services",
         "_started_maintenance",
         "_thread",
         "_token",
         "_unclear_until_s",
+        "_unsettled_until_s",
         "interval_s",
     )
 
-    def __init__(self, services: OwnerServices, token: int) -> None:
+    def __init__(
+        self, services: OwnerServices, token: int, may_act: Callable[[], bool] = lambda: True
+    ) -> None:
         self._services = services
         self._token = token
+        self._may_act = may_act
+        self._fenced_instances: set[str] = set()
+        self._predecessor_orders_ms = self._recent_orders_ms()
+        self._unsettled_until_s = time.monotonic() + _MAX_ORDER_DELAY_S
         self._instances: dict[str, InstanceInfo] = {}
         self._pending: dict[str, _Pending] = {}
         self._not_before_s: dict[str, float] = {}
@@ -173,10 +189,34 @@
         ``life_ms`` is the start of the process in Unix milliseconds; a process that
         started after the order shows that the order was executed.
         """
-        if now_s < self._predecessor_orders_end_s and self._is_ordered_by_predecessor(instance):
-            return life_ms < self._last_order_ms(instance) + _CLOCK_TOLERANCE_S * 1000.0
         with self._lock:
-            return instance in self._pending or self._unclear_until_s.get(instance, 0.0) > now_s
+            if instance in self._pending or self._unclear_until_s.get(instance, 0.0) > now_s:
+                return True
+        if not self.may_be_ordered(instance, now_s):
+            return False
+        ordered_ms = self._predecessor_orders_ms[instance]
+        return life_ms < ordered_ms + _CLOCK_TOLERANCE_S * 1000.0
+
+    def may_be_ordered(self, instance: str, now_s: float) -> bool:
+        """Whether an order may still be executed of which this owner knows no answer.
+
+        Explanation
+        -----------
+        An order that a previous owner has stored may be sent or executed late, for example
+        after its process was suspended.  Fencing tokens apply to each instance separately,
+        so it is ruled out only once the service has answered an order of this owner to
+        the same instance.
+        """
+        with self._lock:
+            if self._unclear_until_s.get(instance, 0.0) > now_s:
+                return True
+            if instance in self._fenced_instances or instance in self._pending:
+                return False
+        return instance in self._predecessor_orders_ms and now_s < self._unsettled_until_s
+
+    def predecessor_order_age_s(self, instance: str) -> float:
+        """Return the seconds since the last order of an earlier owner to an instance."""
+        return time.time() - self._predecessor_orders_ms.get(instance, 0) / 1000.0
 
     def may_move(self, instance: str, pool: str) -> bool:
         """Whether the service has not refused this pool for the instance."""
@@ -199,15 +239,26 @@
         """Report whether a wave is completed, with retries; call ``done`` once it is stored."""
         self._calls.put(lambda: self._send_report(wave, is_completed, done))
 
+    def _recent_orders_ms(self) -> dict[str, int]:
+        """Return the Unix milliseconds of the orders that may not have been executed yet.
+
+        Explanation
+        -----------
+        Called before this owner stores any order, so that all of them are of earlier owners.
+        """
+        now_ms = time.time() * 1000.0
+        stored = self._services.index.fleet_records(RecordKind.INSTANCE)
+        orders_ms = {name: int.from_bytes(value, "big") for name, value in stored.items()}
+        return {
+            name: order_ms
+            for name, order_ms in orders_ms.items()
+            if abs(now_ms - order_ms) < _MAX_ORDER_DELAY_S * 1000.0
+        }
+
     def _is_ordered_by_predecessor(self, instance: str) -> bool:
         """Whether an earlier owner sent the instance an order just before this one took over."""
-        age_s = time.time() - self._last_order_ms(instance) / 1000.0
-        return age_s < self._services.control.turn_s + _CLOCK_TOLERANCE_S
-
-    def _last_order_ms(self, instance: str) -> int:
-        """Return the Unix milliseconds of the last stored order to an instance; 0 without one."""
-        stored = self._services.index.fleet_record(RecordKind.INSTANCE, instance)
-        return int.from_bytes(stored, "big") if stored is not None else 0
+        turn_s = self._services.control.turn_s + _CLOCK_TOLERANCE_S
+        return self.predecessor_order_age_s(instance) < turn_s
 
     def _enqueue(self, order: _Order) -> None:
         if self._is_fenced:
@@ -256,17 +307,8 @@
     def _execute(self, order: _Order) -> None:
         if self._is_fenced:
             return
-        service = self._services.instances
         began_s = time.monotonic()
-        try:
-            if order.pool:
-                status = service.move(order.instance, order.pool, self._token)
-            else:
-                status = service.maintain(order.instance, order.wave, self._token)
-        except Exception:
-            # The service may have executed the order, as after a lost answer.
-            report_error()
-            status = OrderStatus.UNCLEAR
+        status = self._send(order)
         self._services.events.write(
             "instance-order",
             instance=order.instance,
@@ -277,6 +319,25 @@
         )
         self._handle_status(order, status, began_s)
 
+    def _send(self, order: _Order) -> OrderStatus:
+        """Send an order unless another process may own the jobs by now."""
+        if not self._may_act():
+            self._services.metrics.count("instance.withheld")
+            return OrderStatus.NOT_SENT
+        service = self._services.instances
+        try:
+            if order.pool:
+                return service.move(order.instance, order.pool, self._token)
+            return service.maintain(order.instance, order.wave, self._token)
+        except Exception:
+            # The service may have executed the order, as after a lost answer.
+            report_error()
+            return OrderStatus.UNCLEAR
+
+    def _check_may_act(self) -> None:
+        if not self._may_act():
+            raise NotOwnerError("another process may own the jobs by now")
+
     def _handle_status(self, order: _Order, status: OrderStatus, began_s: float) -> None:
         now_s = time.monotonic()
         if status is OrderStatus.FENCED:
@@ -289,6 +350,8 @@
             return
         with self._lock:
             pending = self._pending.get(order.instance)
+            if status in _FENCING_STATUSES:
+                self._fenced_instances.add(order.instance)
             if status is OrderStatus.DONE:
                 # An earlier attempt that is executed late finds the order done.
                 self._unclear_until_s.pop(order.instance, None)
@@ -305,8 +368,10 @@
 
     def _send_report(self, wave: int, is_completed: bool, done: Callable[[], None]) -> None:
         try:
+            # A successor may have reported more by now, which a late report would replace.
+            self._check_may_act()
             self._services.directory.report_wave(wave, is_completed)
-        except StoreError as error:
+        except (StoreError, NotOwnerError) as error:
             self._services.events.write("wave-unreported", wave=wave, error=str(error))
             time.sleep(_RETRY_PAUSE_S)
             self._calls.put(lambda: self._send_report(wave, is_completed, done))
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -126,7 +126,9 @@
         )
         self._records = JobRecords(services, self._planner)
         self._requests = RequestHandler(services, self._planner)
-        self._fleet = FleetController(self._table, self._planner, services, token)
+        self._fleet = FleetController(
+            self._table, self._planner, services, token, self._journal.may_extend
+        )
         self._stalls = StallDetector(
             self._table,
             self._planner,
--- a/almondstack/control/tests/test_instance_manager.py
+++ b/almondstack/control/tests/test_instance_manager.py
@@ -14,7 +14,7 @@
 from almondstack.control.settings import ControlSettings
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
-from almondstack.jobs import JobIndex
+from almondstack.jobs import JobIndex, RecordKind, record_key
 
 _WAIT_S = 10.0
 
@@ -156,6 +156,88 @@
     assert not manager.can_order("m", 0.0) and len(reported) == 1
 
 
+def _stored_order(services, instance, age_s):
+    timestamp = int((time.time() - age_s) * 1000).to_bytes(8, "big")
+    services.index.apply(record_key(RecordKind.INSTANCE, instance), timestamp)
+
+
+class _Maintained(_Services):
+    """An instance service that answers with the test's statuses."""
+
+    def __init__(self, *statuses):
+        super().__init__()
+        self.statuses = list(statuses)
+        self.calls = []
+
+    def maintain(self, instance, wave, token):
+        """Answer with the next status."""
+        self.calls.append(instance)
+        return self.statuses.pop(0)
+
+
+def test_an_owner_that_may_not_act_any_more_sends_no_order():
+    """Guards against an owner that wakes up and orders beside its successor (review/10).
+
+    It was suspended while the store's answer to the record of an order was on its way, and
+    began an upkeep beside the one that its successor had begun (LIMIT).
+    """
+    services = _Maintained(OrderStatus.DONE)
+    allowed = [False]
+    manager = InstanceManager(services, 1, lambda: allowed[0])
+    manager.maintain("m", 1)
+    assert manager._orders.run_next() and services.calls == []
+    assert manager.started_maintenance(1) == set()
+    allowed[0] = True
+    assert manager.can_order("m", time.monotonic() + 1.0)
+    manager.maintain("m", 1)
+    assert manager._orders.run_next() and manager.started_maintenance(1) == {"m"}
+
+
+def test_a_report_is_not_written_while_another_process_may_own_the_jobs(monkeypatch):
+    """Guards against a late report that replaces what the successor has reported."""
+    monkeypatch.setattr(instance_manager, "_RETRY_PAUSE_S", 0.0)
+    services = _FailingServices()
+    services.calls["report"] = 1
+    allowed = [False]
+    manager = InstanceManager(services, 1, lambda: allowed[0])
+    manager._send_report(1, False, services.is_reported.set)
+    assert services.calls["report"] == 1 and not services.is_reported.is_set()
+    allowed[0] = True
+    manager._calls.get()()
+    assert services.calls["report"] == 2 and services.is_reported.is_set()
+
+
+def test_an_order_of_the_owner_before_is_open_until_the_service_has_answered_this_one():
+    """Guards against an order that is carried out after its sender was replaced (review/10)."""
+    services = _Maintained(OrderStatus.REFUSED, OrderStatus.DONE)
+    _stored_order(services, "m", age_s=6.0)
+    _stored_order(services, "old", age_s=60.0)
+    manager = InstanceManager(services, 2)
+    now_s = time.monotonic()
+    assert manager.may_be_ordered("m", now_s) and not manager.may_be_ordered("old", now_s)
+    for is_open in (True, False):
+        _stored_order(services, "m", age_s=0.0)
+        manager.maintain("m", 1)
+        assert manager._orders.run_next()
+        assert manager.may_be_ordered("m", now_s) is is_open
+
+
+def test_an_order_of_the_owner_before_is_not_waited_for_without_end():
+    services = _Services()
+    _stored_order(services, "m", age_s=1.0)
+    manager = InstanceManager(services, 2)
+    assert not manager.may_be_ordered("m", time.monotonic() + 60.0)
+
+
+def test_an_unanswered_order_counts_as_open_also_after_a_refusal():
+    """Guards against an order without an answer that is executed after a later one was refused."""
+    services = _Maintained(OrderStatus.UNCLEAR, OrderStatus.REFUSED)
+    manager = InstanceManager(services, 1)
+    manager.maintain("m", 1)
+    assert manager._orders.run_next() and manager._orders.run_next()
+    assert manager.may_be_ordered("m", time.monotonic())
+
+
 def _wait_until(is_done):
     until_s = time.monotonic() + _WAIT_S
     while not is_done():
--- a/almondstack/control/tests/test_wave_controller.py
+++ b/almondstack/control/tests/test_wave_controller.py
@@ -17,6 +17,13 @@
         self.done = set()
         self.reports = []
         self.list_requested_s = 0.0
+        self.possible = set()
+
+    def may_be_ordered(self, instance, now_s):
+        return instance in self.possible
+
+    def predecessor_order_age_s(self, instance):
+        return 1.0
 
     def can_order(self, instance, now_s):
         return instance not in self.ordered
@@ -157,3 +164,36 @@
     _round(controller, a=_UP)
     _round(controller, a=_UP, b=_UP)
     assert manager.ordered == ["b"] and True not in manager.reports
+
+
+def test_an_instance_with_an_order_of_the_owner_before_counts_as_down(wave):
+    """Guards against two upkeeps at once after a change of the owner (review/10, LIMIT).
+
+    The successor found the ordered instance up, began with another one, and the order of the
+    owner before was carried out later.
+    """
+    controller, manager, _ = wave
+    manager.possible = {"b"}
+    manager.can_order = lambda instance, now_s: instance != "b"
+    _round(controller, a=_UP, b=_UP)
+    assert manager.ordered == []
+    manager.can_order = lambda instance, now_s: True
+    _round(controller, a=_UP, b=_UP)
+    assert manager.ordered == ["b"]
+
+
+def test_more_open_orders_than_may_be_down_are_waited_for(wave):
+    controller, manager, _ = wave
+    manager.possible = {"a", "b"}
+    _round(controller, a=_UP, b=_UP)
+    assert manager.ordered == []
+    manager.possible = {"a"}
+    _round(controller, a=_UP, b=_UP)
+    assert manager.ordered == ["a"]
+
+
+def test_an_instance_in_maintenance_leaves_no_room_for_one_with_an_open_order(wave):
+    controller, manager, _ = wave
+    manager.possible = {"b"}
+    _round(controller, a=_IN_MAINTENANCE, b=_UP)
+    assert manager.ordered == []
--- a/almondstack/control/wave_controller.py
+++ b/almondstack/control/wave_controller.py
@@ -37,6 +37,7 @@
         "is_completed",
         "is_reported",
         "is_reporting",
+        "logged_possible",
         "logged_unlisted",
         "request",
         "started",
@@ -53,6 +54,7 @@
         self.is_reported = False
         self.is_reporting = False
         self.logged_unlisted: list[str] = []
+        self.logged_possible: list[str] = []
 
     def note_list(self, names: Container[str], requested_s: float) -> None:
         """Count for each instance how many new lists in a row have lacked it."""
@@ -78,6 +80,9 @@
 
     Explanation
     -----------
+    An instance with an order whose answer this owner does not know, above all one of the
+    previous owner, counts as down until its maintenance is confirmed: the order may be executed
+    at any moment.  It is ordered before others, which settles the matter.
     The instances whose maintenance has started are stored, so that a later owner
     does not drain them again.  An order may be repeated: the service executes it once.
 
@@ -162,22 +167,60 @@
         present = [by_name[name] for name in wave.request.instances if name in by_name]
         remaining = [info for info in present if info.name not in wave.started]
         in_maintenance = sum(info.state is InstanceState.MAINTENANCE for info in present)
+        possible = [info.name for info in remaining if self._may_begin(info, now_s)]
+        self._note_possible(wave, possible)
         wave.note_list(by_name, self._manager.list_requested_s)
         unlisted = wave.unlisted(by_name)
         self._note_unlisted(wave, unlisted, now_s)
         self._report(wave, is_completed=not remaining and not in_maintenance and not unlisted)
+        down = in_maintenance + len(possible)
+        most_at_once = wave.request.most_at_once
+        room = most_at_once - down
         members = [
             _member(info, workers, spare_pools, pool_excess)
             for info in remaining
-            if info.state is InstanceState.UP and self._manager.can_order(info.name, now_s)
+            if info.state is InstanceState.UP
+            and info.name not in possible
+            and self._manager.can_order(info.name, now_s)
         ]
-        chosen = next_members(members, in_maintenance, wave.request.most_at_once)
-        room = wave.request.most_at_once - in_maintenance
-        for member in chosen:
-            if room > 0 and _is_empty(by_name[member.name], workers, spare_pools):
-                room -= 1
-                self._due.append((member.name, wave.request.number))
-        return {member.name for member in chosen}
+        chosen = [member.name for member in next_members(members, down, most_at_once)]
+        if room >= 0:
+            # The order to one that counts as down anyway takes no further room.
+            ready = [name for name in possible if self._manager.can_order(name, now_s)]
+            self._order_empty(wave, ready, len(ready), by_name, workers, spare_pools)
+        self._order_empty(wave, chosen, room, by_name, workers, spare_pools)
+        return {*possible, *chosen}
+
+    def _may_begin(self, info: InstanceInfo, now_s: float) -> bool:
+        """Whether an order without a known answer may begin the maintenance of an instance."""
+        is_up = info.state is InstanceState.UP
+        return is_up and self._manager.may_be_ordered(info.name, now_s)
+
+    def _order_empty(
+        self,
+        wave: _Wave,
+        names: list[str],
+        most: int,
+        by_name: dict[str, InstanceInfo],
+        workers: dict[str, Worker],
+        spare_pools: set[str],
+    ) -> None:
+        """Order the maintenance of the instances on which nothing can run, ``most`` at most."""
+        empty = [name for name in names if _is_empty(by_name[name], workers, spare_pools)]
+        self._due.extend((name, wave.request.number) for name in empty[: max(0, most)])
+
+    def _note_possible(self, wave: _Wave, names: list[str]) -> None:
+        """Write an event when the instances that count as down without being listed so change."""
+        if names == wave.logged_possible:
+            return
+        wave.logged_possible = names
+        ages_s = [round(self._manager.predecessor_order_age_s(name), 3) for name in names]
+        self._services.events.write(
+            "wave-possibly-down",
+            wave=wave.request.number,
+            instances=names[:_MAX_LOGGED_INSTANCES],
+            order_ages_s=ages_s[:_MAX_LOGGED_INSTANCES],
+        )
 
     def _note_unlisted(self, wave: _Wave, unlisted: list[str], now_s: float) -> None:
         """Write an event when the instances that a wave waits to see listed have changed."""
--- a/almondstack/jobs/job_index.py
+++ b/almondstack/jobs/job_index.py
@@ -183,6 +183,11 @@
         """Return the newest value of the record of a wave or an instance, or None."""
         return self._fleet_records[kind].get(name)
 
+    def fleet_records(self, kind: RecordKind) -> dict[str, bytes]:
+        """Return the newest values of the records of all waves or instances, by name."""
+        with self._lock:
+            return dict(self._fleet_records[kind])
+
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue have not started any task."""
         with self._lock:
