Count the longest lease for a life that may take deadlines of the one before

Cause: a deadline is a time of the clock of the life that it was computed for. The next life has the same id, so it takes calls for the former one, and its clock begins anew: it grants the longest lease that it grants at all (6.0 s by its clock, 6.1 s) where the owner counts 4.6 s. Three ways there: the next poll over a new connection, a call that is carried out late, and calls of the owner before. And a start whose answer was lost could be carried out by the next life after the run had been counted as ended.

Why nothing of ours found it: the simulated workers' clock did not begin anew, late calls ended with the life, their lives were numbers (1, 2) that disabled the comparison with the time of confirmation, and a new owner went by a later last write than the product does.

Change: the first poll over a connection carries no deadline. Deadlines without an answer are counted for other lives of the same id for the time in which a call may be late, with the longest lease; those of the owner before for a life that is young and may not be the first. A run with an unanswered start is stopped on the next life before it starts elsewhere. No record or message has changed.

--- a/almondstack/control/current_runs.py
+++ b/almondstack/control/current_runs.py
@@ -16,6 +16,8 @@
     ----------
     tries : int
         Number of starts sent.
+    answers : int
+        Number of starts whose outcome is known; the others may still be carried out.
     is_unclear : bool
         Whether it is unknown if a start was carried out.
     is_inherited : bool
@@ -33,6 +35,7 @@
     """
 
     __slots__ = (
+        "answers",
         "confirmed_s",
         "is_inherited",
         "is_unclear",
@@ -45,6 +48,7 @@
 
     def __init__(self) -> None:
         self.tries = 1
+        self.answers = 0
         self.is_unclear = False
         self.is_inherited = False
         self.progress = Progress()
--- a/almondstack/control/lease.py
+++ b/almondstack/control/lease.py
@@ -3,6 +3,7 @@
 import threading
 from typing import NamedTuple
 
+from almondstack.control.sent_deadlines import longest_hold_s
 from almondstack.control.settings import ControlSettings
 
 __all__ = ["LeaseState", "WorkerLease", "longest_lease_s"]
@@ -25,7 +26,8 @@
 
     Explanation
     -----------
-    ``extended_s`` is when the lease was last extended, in monotonic seconds.
+    ``extended_s`` is when the lease was last extended, and ``end_s`` until when it may last,
+    in monotonic seconds.
     ``deadline_ms`` is the latest deadline sent, by the worker's clock, and
     ``reading_age_s`` the age that the reading of that clock then had; both are None if
     this owner has sent no deadline.
@@ -34,12 +36,14 @@
     extended_s: float
     deadline_ms: int | None
     reading_age_s: float | None
+    end_s: float
 
     def log_fields(self, now_s: float) -> dict[str, float | int | None]:
         """Return the fields for an event that is written now."""
         age_s = self.reading_age_s
         return {
             "lease_age_s": round(now_s - self.extended_s, 3),
+            "lease_over_s": round(now_s - self.end_s, 3),
             "deadline_ms": self.deadline_ms,
             "clock_age_s": round(age_s, 3) if age_s is not None else None,
         }
@@ -64,10 +68,14 @@
     previous_extension_s : float
         Latest monotonic time at which a previous owner may have extended the lease, in
         seconds.
+    former_until_s : float, optional
+        Until when the worker may take a deadline that a previous owner has sent to a former
+        life of it, in monotonic seconds; see :class:`SentDeadlines`.
     """
 
     __slots__ = (
         "_deadline_ms",
+        "_former_until_s",
         "_lock",
         "_own_extension_s",
         "_previous_extension_s",
@@ -78,11 +86,16 @@
     )
 
     def __init__(
-        self, settings: ControlSettings, registered_ms: int, previous_extension_s: float
+        self,
+        settings: ControlSettings,
+        registered_ms: int,
+        previous_extension_s: float,
+        former_until_s: float | None = None,
     ) -> None:
         self._settings = settings
         self._registered_ms = registered_ms
         self._previous_extension_s = previous_extension_s
+        self._former_until_s = former_until_s
         self._own_extension_s: float | None = None
         self._reading: _ClockReading | None = None
         self._deadline_ms: int | None = None
@@ -92,7 +105,10 @@
     @property
     def end_s(self) -> float:
         """Monotonic time by which all runs end unless their lease is renewed later, in seconds."""
-        return self._extended_s + longest_lease_s(self._settings)
+        end_s = self._extended_s + longest_lease_s(self._settings)
+        if self._former_until_s is None:
+            return end_s
+        return max(end_s, self._former_until_s + longest_hold_s(self._settings))
 
     @property
     def _extended_s(self) -> float:
@@ -105,7 +121,7 @@
     def state(self) -> LeaseState:
         """What the lease was last computed from."""
         with self._lock:
-            return LeaseState(self._extended_s, self._deadline_ms, self._reading_age_s)
+            return LeaseState(self._extended_s, self._deadline_ms, self._reading_age_s, self.end_s)
 
     def needs_reading(self, now_s: float) -> bool:
         """Whether a lease that is computed from the last clock reading would be much shorter."""
@@ -145,6 +161,8 @@
     def note_poll(self, now_s: float) -> None:
         """Record an answer to a poll: the worker rejects a previous owner's token from now on."""
         self._previous_extension_s = min(self._previous_extension_s, now_s)
+        if self._former_until_s is not None:
+            self._former_until_s = min(self._former_until_s, now_s)
 
 
 def longest_lease_s(settings: ControlSettings) -> float:
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -393,7 +393,8 @@
             return
         before_s = now_s - longest_lease_s(control)
         for task in list(self._table.orphaned(before_s)):
-            self._table.mark_task_lost(task, now_s)
+            if now_s > self._sessions.lease_end_s(task.worker, task.life):
+                self._table.mark_task_lost(task, now_s)
 
     def _drop_restarted(self, worker_id: str, life: int) -> None:
         """Drop a worker that has restarted, until its new incarnation has registered."""
--- a/almondstack/control/ports.py
+++ b/almondstack/control/ports.py
@@ -105,6 +105,10 @@
         """Return the workers that are registered now, by id."""
         ...
 
+    def may_have_restarted(self, worker: str, life: int) -> bool:
+        """Whether the worker may have had a life before this one, in Unix milliseconds."""
+        ...
+
     def waves(self) -> list[WaveRequest]:
         """Return the waves requested by operators."""
         ...
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -23,6 +23,7 @@
     PollReply,
     RunningRun,
 )
+from almondstack.control.sent_deadlines import MAX_CALL_DELAY_S
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskBudget, TaskNameError
@@ -156,14 +157,14 @@
         -----------
         A run that an earlier incarnation of the worker has confirmed ended with that
         incarnation.  Any other run may have been started by the new incarnation, which
-        has the same id: it stays assigned until a stop and a later poll show that it
-        is not running.
+        has the same id, and so may one of whose starts the outcome is not known: it stays
+        assigned until a stop and a later poll show that it is not running.
         """
         for task in self.tasks_on(worker):
             if is_same_incarnation(task.life, life):
                 continue
             current = self._runs[task]
-            if current.confirmed_s is not None:
+            if current.confirmed_s is not None and not _may_start_again(task, current, now_s):
                 confirmed_ms = now_unix_ms - (now_s - current.confirmed_s) * _MS_PER_S
                 if confirmed_ms < life - _CLOCK_DIFFERENCE_MS:
                     self.mark_task_lost(task, now_s)
@@ -262,6 +263,8 @@
                 self._orders.stop(worker, name, run)
             return
         current = self._runs[task]
+        if reply.status is not OrderStatus.UNCLEAR:
+            current.answers += 1
         if reply.status is OrderStatus.DONE:
             self._confirm(task, current, now_s)
         elif reply.status is OrderStatus.UNCLEAR:
@@ -465,3 +468,14 @@
             self._job_end_listener(job)
         if job.state is not JobState.COMPLETED:
             self.stop_all(job, now_s)
+
+
+def _may_start_again(task: Task, current: CurrentRun, now_s: float) -> bool:
+    """Whether an order to start a run, sent to its worker's former life, may still reach the next.
+
+    Explanation
+    -----------
+    Of the starts of a previous owner the outcome is never known.
+    """
+    is_known = current.answers >= current.tries and not current.is_inherited
+    return not is_known and now_s - task.assigned_s < _START_REPLY_TIMEOUT_S + MAX_CALL_DELAY_S
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -20,6 +20,7 @@
     StartOrder,
 )
 from almondstack.control.ports import WorkerCaller, WorkerCallers
+from almondstack.control.sent_deadlines import SentDeadlines
 from almondstack.control.settings import ControlSettings
 from almondstack.core import LocalMetrics
 from almondstack.core.supervision import report_error
@@ -77,12 +78,18 @@
     last_extension_s : float
         Latest monotonic time at which a previous owner may have extended the worker's
         lease, in seconds; the lease lasts for ``lease_s`` from then on.
+    deadlines : SentDeadlines
+        The deadlines that were sent to this life of the worker and to others.
+    former_until_s : float, optional
+        Until when the worker may take a deadline that a previous owner has sent to a former
+        life of it, in monotonic seconds.
     """
 
     __slots__ = (
         "_orders_began_s",
         "_callers",
         "_changed",
+        "_deadlines",
         "_is_answering",
         "_is_busy",
         "_is_closed",
@@ -109,6 +116,8 @@
         may_extend: Callable[[], bool],
         metrics: LocalMetrics,
         last_extension_s: float,
+        deadlines: SentDeadlines | None = None,
+        former_until_s: float | None = None,
     ) -> None:
         self.worker = worker
         self._callers = callers
@@ -117,7 +126,8 @@
         self._post = post
         self._may_extend = may_extend
         self._metrics = metrics
-        self._lease = WorkerLease(settings, worker.clock_ms, last_extension_s)
+        self._lease = WorkerLease(settings, worker.clock_ms, last_extension_s, former_until_s)
+        self._deadlines = deadlines or SentDeadlines(settings)
         self._is_answering = True
         self._is_busy = False
         self._is_closed = False
@@ -131,12 +141,12 @@
     @property
     def lease_end_s(self) -> float:
         """Monotonic time by which all runs end unless their lease is renewed later, in seconds."""
-        return self._lease.end_s
+        return max(self._lease.end_s, self._deadlines.end_s(self.worker.life))
 
     @property
     def lease_state(self) -> LeaseState:
         """What the lease was last computed from."""
-        return self._lease.state
+        return self._lease.state._replace(end_s=self.lease_end_s)
 
     def set_busy(self, is_busy: bool) -> None:
         """Set whether the worker may have runs; it is polled only while it may."""
@@ -245,11 +255,25 @@
             return OrderReply(OrderStatus.NOT_SENT)
         if not order.is_wanted():
             return OrderReply(OrderStatus.UNWANTED)
+        number = self._deadlines.begin(self.worker.life, time.monotonic())
         deadline_ms = self._lease.extend(time.monotonic())
         age_s = self._lease.state.reading_age_s
         if age_s is not None:
             self._metrics.timing_ms("start.clock_age", age_s * _MS_PER_S)
-        return caller.start(order.start, deadline_ms, self._token)
+        status = OrderStatus.UNCLEAR
+        try:
+            reply = caller.start(order.start, deadline_ms, self._token)
+            status = reply.status
+        finally:
+            self._settle(number, status, self.worker.life)
+        return reply
+
+    def _settle(self, number: int, status: OrderStatus, life: int) -> None:
+        """Note the answer of a life to a call with a deadline, or that there was none."""
+        if status is OrderStatus.UNCLEAR:
+            self._deadlines.leave_open(number)
+        else:
+            self._deadlines.settle(number, life or self.worker.life, time.monotonic())
 
     def _handshake(self, caller: WorkerCaller) -> bool:
         """Read the worker's start time and clock; False if it fails or the worker restarted.
@@ -308,14 +332,15 @@
         sent_s = time.monotonic()
         # Polls do not renew the lease of a worker that did not answer the last one, so that
         # the time by which all its runs have ended is known.
-        may_extend = self._is_answering and self._may_extend()
-        deadline_ms = self._lease.extend(time.monotonic()) if may_extend else None
+        # Nor does the first poll over a new connection: it may lead to another life, of which
+        # the deadline would lie far ahead.
+        may_extend = self._is_answering and caller.is_connected and self._may_extend()
         # A worker that did not answer is to reply at once, which shows when it is reachable;
         # so is one whose lease a previous owner may still extend, which its answer rules out.
-        is_settled = self._is_answering and not self._lease.may_be_extended_by_previous(sent_s)
+        is_settled = may_extend and not self._lease.may_be_extended_by_previous(sent_s)
         waits = is_settled and self._last_listed_end <= self._last_acknowledged_end
         wait_s = self._settings.look_wait_s if waits else 0.0
-        reply = caller.poll(deadline_ms, self._last_acknowledged_end, wait_s, self._token)
+        reply = self._send_poll(caller, wait_s, may_extend=may_extend)
         self._metrics.count(f"look.{reply.status}")
         self._is_answering = reply.status is OrderStatus.DONE
         if not self._is_answering:
@@ -330,6 +355,19 @@
             time.sleep(pause_s)
         return True
 
+    def _send_poll(self, caller: WorkerCaller, wait_s: float, *, may_extend: bool) -> PollReply:
+        if not may_extend:
+            return caller.poll(None, self._last_acknowledged_end, wait_s, self._token)
+        number = self._deadlines.begin(self.worker.life, time.monotonic())
+        deadline_ms = self._lease.extend(time.monotonic())
+        status, life = OrderStatus.UNCLEAR, 0
+        try:
+            reply = caller.poll(deadline_ms, self._last_acknowledged_end, wait_s, self._token)
+            status, life = reply.status, reply.life
+        finally:
+            self._settle(number, status, life)
+        return reply
+
     def _note_poll(self, reply: PollReply) -> None:
         now_s = time.monotonic()
         self._lease.note_poll(now_s)
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -1,10 +1,13 @@
 """The sessions of all workers, reconciled with the registered workers."""
 
+import time
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from almondstack.control.current_runs import is_other_incarnation
+from almondstack.control.lease import longest_lease_s
 from almondstack.control.runs import RunTable
+from almondstack.control.sent_deadlines import MAX_CALL_DELAY_S, SentDeadlines, longest_hold_s
 from almondstack.control.services import OwnerServices
 from almondstack.control.session import WorkerSession
 from almondstack.placement import Worker, WorkerInfo
@@ -16,6 +19,10 @@
 """Time without new runs for a worker whose runs were lost because it did not answer, in
 seconds; a crashed worker stays registered for a few seconds."""
 
+_RESTART_NOTICE_S = 4.0
+"""Time after a worker's start in which an owner may still send deadlines to its former life, in
+seconds: the time-out of a poll, and the difference between the clocks of two instances."""
+
 _MAX_PROBES_PER_RACK = 2
 """Number of idle workers that are polled in each unreachable rack; each poll costs money."""
 
@@ -47,6 +54,7 @@
 
     __slots__ = (
         "_answered_incarnations",
+        "_deadlines",
         "_may_extend",
         "_post",
         "_previous_extension_s",
@@ -71,6 +79,7 @@
         self._previous_extension_s = previous_extension_s
         self._sessions: dict[str, WorkerSession] = {}
         self._answered_incarnations: dict[str, int] = {}
+        self._deadlines: dict[str, SentDeadlines] = {}
         self._reconciled_s = 0.0
 
     def get(self, worker: str) -> WorkerSession | None:
@@ -169,6 +178,7 @@
             changes.restarted.append(info.id)
             self.drop(info.id)
         changes.added.append(Worker(info))
+        former_until_s = self._former_until_s(info.id, info.life)
         self._sessions[info.id] = WorkerSession(
             info,
             self._services.callers,
@@ -178,8 +188,48 @@
             self._may_extend,
             self._services.metrics,
             self._previous_extension_s,
+            self._deadlines_of(info.id),
+            former_until_s,
         )
 
+    def lease_end_s(self, worker: str, life: int) -> float:
+        """Return until when a lease on a worker without a session may last, in monotonic seconds.
+
+        Explanation
+        -----------
+        Counts the calls of the previous owner, and those of this one for other lives of the
+        worker; calls for the given life end with the session that made them.
+        """
+        control = self._services.control
+        end_s = self._previous_extension_s + longest_lease_s(control)
+        former_until_s = self._former_until_s(worker, life)
+        if former_until_s is not None:
+            end_s = max(end_s, former_until_s + longest_hold_s(control))
+        return max(end_s, self._deadlines_of(worker).end_s(life))
+
+    def _deadlines_of(self, worker: str) -> SentDeadlines:
+        """Return what was sent to all lives of a worker."""
+        found = self._deadlines.get(worker)
+        if found is None:
+            found = self._deadlines[worker] = SentDeadlines(self._services.control)
+        return found
+
+    def _former_until_s(self, worker: str, life: int) -> float | None:
+        """Return until when a life may take a deadline that a previous owner sent to another one.
+
+        Explanation
+        -----------
+        None if the life is too old for that, or is known to be the worker's first one.
+        """
+        if not life or not self._services.directory.may_have_restarted(worker, life):
+            return None
+        born_s = time.monotonic() - (time.time() - life / 1000.0)
+        last_sent_s = min(self._previous_extension_s, born_s + _RESTART_NOTICE_S)
+        until_s = last_sent_s + MAX_CALL_DELAY_S
+        # Later than this, an ordinary lease of the previous owner lasts longer anyway.
+        is_young = until_s + longest_hold_s(self._services.control) > self._previous_extension_s
+        return until_s if is_young else None
+
     def _remove_unregistered(self, table: RunTable, worker: Worker) -> None:
         """Drain a worker that is no longer registered, and remove it once it has no runs."""
         if worker.tasks:
--- a/almondstack/control/settings.py
+++ b/almondstack/control/settings.py
@@ -13,6 +13,9 @@
     lease_s : float
         Lease of a run, in seconds: long enough for another owner to take over,
         short enough that work on a lost worker is soon restarted elsewhere.
+    max_hold_s : float
+        Longest lease that a worker grants, whatever deadline it is sent, in seconds of its
+        own clock.
     clock_error : float
         Fraction by which a worker's clock may be slow.
     stop_s : float
@@ -51,6 +54,7 @@
     """
 
     lease_s: PositiveSeconds = 6.0
+    max_hold_s: PositiveSeconds = 6.0
     clock_error: float = 0.02
     stop_s: PositiveSeconds = 0.4
     turn_s: PositiveSeconds = 3.0
--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -386,6 +386,105 @@
         machine.work(process=0, order=_ALL)
 
 
+def _restart_with_a_delayed_call(machine):
+    """Crash a worker with a run while a renewal of its lease is under way, and use it again.
+
+    Its next life is young, so the deadline of that renewal lies far ahead for it.
+    """
+    machine.world.pass_time(100.0)
+    _submit(machine)
+    machine.work(process=0, order=_ALL)
+    worker = _first_busy_worker(machine)
+    machine.inject_call_fault(worker=worker, fault="late")
+    machine.pump(process=0, worker=worker)
+    machine.crash(worker=worker)
+    for _ in range(10):
+        machine.work(process=0, order=_ALL)
+        machine.pass_time(seconds=0.1)
+    return worker
+
+
+def _watch(machine, process):
+    """Let a process work for the time in which it takes the runs on a lost worker for ended."""
+    for _ in range(60):
+        machine.pass_time(seconds=0.1)
+        machine.work(process=process, order=_ALL)
+
+
+def _renew_the_lease_of_a_former_life_late(machine):
+    """Let the next life of a worker carry out a late renewal, and disconnect it then."""
+    worker = _restart_with_a_delayed_call(machine)
+    machine.carry_out(worker=worker)
+    machine.cut_connection(worker=worker, is_disconnected=True, is_registered=True)
+    _watch(machine, process=0)
+
+
+def _poll_the_next_life_over_a_new_connection(machine):
+    """Crash a worker between two polls, and disconnect its next life soon after.
+
+    The next poll is sent for the former life and reaches the next one.
+    """
+    machine.world.pass_time(100.0)
+    _submit(machine)
+    machine.work(process=0, order=_ALL)
+    worker = _first_busy_worker(machine)
+    _use_only(machine, worker)
+    machine.pass_time(seconds=3.0)
+    machine.work(process=0, order=_ALL)
+    machine.crash(worker=worker)
+    machine.pump(process=0, worker=worker)
+    for _ in range(2):
+        machine.work(process=0, order=_ALL)
+        machine.pass_time(seconds=0.1)
+    assert machine.world.workers[worker].running
+    for other in _ALL:
+        machine.cut_connection(worker=other, is_disconnected=other == worker, is_registered=True)
+    _watch(machine, process=0)
+
+
+def _use_only(machine, worker):
+    """Let the registrations of all other workers expire."""
+    for other in _ALL:
+        machine.cut_connection(worker=other, is_disconnected=False, is_registered=other == worker)
+
+
+def _renew_the_lease_of_a_former_life_after_a_change_of_owner(machine):
+    """Let the next life carry out a renewal that the owner before has sent to the former one."""
+    worker = _restart_with_a_delayed_call(machine)
+    machine.read(process=1)
+    machine.kill(process=0)
+    machine.pass_time(seconds=1.0)
+    machine.pass_time(seconds=1.0)
+    machine.carry_out(worker=worker)
+    machine.cut_connection(worker=worker, is_disconnected=True, is_registered=True)
+    machine.claim(process=1)
+    _watch(machine, process=1)
+
+
+def _start_on_the_next_life_late(machine):
+    """Send a start twice, and let the next life carry out the first one."""
+    machine.world.pass_time(100.0)
+    _submit(machine, (make_step(1, is_long_running=True),))
+    machine.read(process=0)
+    machine.round(process=0)
+    for worker in _ALL:
+        machine.world.processes[0].pump_handshake(worker)
+        machine.inject_call_fault(worker=worker, fault="late")
+        machine.world.processes[0].pump_orders(worker)
+        machine.world.workers[worker].fault = ""
+    machine.work(process=0, order=_ALL)
+    machine.work(process=0, order=_ALL)
+    worker = _first_busy_worker(machine)
+    machine.pass_time(seconds=3.0)
+    machine.work(process=0, order=_ALL)
+    machine.crash(worker=worker)
+    for _ in range(5):
+        machine.pass_time(seconds=0.1)
+        machine.work(process=0, order=_ALL)
+    machine.carry_out(worker=worker)
+    _watch(machine, process=0)
+
+
 def _submit_more_than_the_ceiling(machine):
     """Submit more than three times the ceiling of an account."""
     for _ in range(5):
@@ -479,6 +578,12 @@
     "ceilings are not checked": _submit_more_than_the_ceiling,
     "clocks count as exact": _start_after_an_idle_time,
     "cut lists count as whole": _end_more_runs_than_a_list_holds,
+    "deadlines of former lives are not counted": _renew_the_lease_of_a_former_life_late,
+    "deadlines of the owner before for former lives are not counted": (
+        _renew_the_lease_of_a_former_life_after_a_change_of_owner
+    ),
+    "leases are renewed over new connections": _poll_the_next_life_over_a_new_connection,
+    "late starts of former lives are not stopped": _start_on_the_next_life_late,
     "ends are acknowledged before they are stored": _fence_an_owner_that_has_read_an_end,
     "inherited runs are dropped": _replace_an_owner_with_runs,
     "jobs complete with their first task": _end_one_task_of_two,
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -252,6 +252,23 @@
     assert task.status is TaskStatus.WAITING
 
 
+def test_a_confirmed_run_with_an_unanswered_start_is_stopped_on_the_next_life(world):
+    """Guards against a late repeat of a start that the worker's next life carries out (TWICE)."""
+    table, worker, task = world
+    _start(table, task, OrderStatus.UNCLEAR, 0.1)
+    _start(table, task, OrderStatus.DONE, 0.2)
+    table.add_worker(make_worker(life=5_000_000), 8.0, now_unix_ms=5_008_000.0)
+    assert task.is_assigned and len(table._orders.stops) == 1
+
+
+def test_a_late_start_is_not_waited_for_without_end(world):
+    table, worker, task = world
+    _start(table, task, OrderStatus.UNCLEAR, 0.1)
+    _start(table, task, OrderStatus.DONE, 0.2)
+    table.add_worker(make_worker(life=5_000_000), 60.0, now_unix_ms=5_008_000.0)
+    assert task.status is TaskStatus.WAITING
+
+
 def test_a_run_that_a_restarted_worker_may_have_started_is_stopped_first(world):
     """Guards against a task that runs twice after a worker restart.
 
--- a/almondstack/control/tests/test_sessions.py
+++ b/almondstack/control/tests/test_sessions.py
@@ -53,7 +53,9 @@
     Eight were opened within a second (soak, seed 22).
     """
     worker = make_worker(life=2)
-    directory = SimpleNamespace(workers=lambda: {worker.id: worker.info})
+    directory = SimpleNamespace(
+        workers=lambda: {worker.id: worker.info}, may_have_restarted=lambda worker, life: False
+    )
     services = SimpleNamespace(
         control=ControlSettings(), directory=directory, callers=None, metrics=LocalMetrics()
     )
--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -44,6 +44,9 @@
 _MAX_UNUSABLE_NOTED = 1_000
 """Entries of other writers that are remembered, so that each is logged once."""
 
+_MAX_LIVES_NOTED = 20_000
+"""Workers whose first life is remembered; the earliest ones are forgotten first."""
+
 _MAX_REASON_CHARACTERS = 200
 """Length of a reason in an event; it may quote the entry."""
 
@@ -176,6 +179,7 @@
         "_events",
         "_follower",
         "_holder",
+        "_first_lives",
         "_is_read",
         "_lock",
         "_unusable",
@@ -189,6 +193,7 @@
         self._holder = holder
         self._events = events
         self._workers: dict[str, WorkerInfo] = {}
+        self._first_lives: dict[str, int | None] = {}
         self._unusable: set[str] = set()
         self._lock = threading.Lock()
         self._is_read = False
@@ -228,6 +233,17 @@
         with self._lock:
             return dict(self._workers)
 
+    def may_have_restarted(self, worker: str, life: int) -> bool:
+        """Whether the worker may have had a life before this one, in Unix milliseconds.
+
+        Explanation
+        -----------
+        False only if this process has followed the entries since before the worker's first
+        one, and that was of this life.
+        """
+        with self._lock:
+            return self._first_lives.get(worker) != life
+
     def waves(self) -> list[WaveRequest]:
         """Return the maintenance waves that operators requested."""
         return self._holder.waves()
@@ -254,6 +270,8 @@
         with self._lock:
             self._workers = {id: info for id, info in self._workers.items() if id in present}
             self._unusable &= present
+            for id in present:
+                self._note_life(id, None)
         self._follower.apply_each(records)
         self._is_read = True
 
@@ -275,6 +293,16 @@
                 self._workers.pop(record.key, None)
             else:
                 self._workers[record.key] = info
+                self._note_life(record.key, info.life)
+
+    def _note_life(self, id: str, life: int | None) -> None:
+        """Remember the first life of a worker of which this process learns; None if unknown."""
+        if id in self._first_lives:
+            return
+        if len(self._first_lives) >= _MAX_LIVES_NOTED:
+            # An id that is forgotten counts as one that may have restarted.
+            del self._first_lives[next(iter(self._first_lives))]
+        self._first_lives[id] = life
 
     def _parse(self, record: Record) -> WorkerInfo | None:
         """Return the worker of an entry, or None, with an event, if it names none to use."""
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -207,6 +207,7 @@
     bounds = settings.bounds
     return ControlSettings(
         lease_s=min(_MAX_LEASE_S, bounds.lease_ms / 1000.0),
+        max_hold_s=bounds.lease_ms / 1000.0,
         stop_s=bounds.stop_ms / 1000.0,
         turn_s=bounds.turn_ms / 1000.0,
         away_s=bounds.away_ms / 1000.0,
--- a/almondstack/platform/tests/test_registrations.py
+++ b/almondstack/platform/tests/test_registrations.py
@@ -144,6 +144,18 @@
     assert directory.is_loaded
 
 
+def test_a_worker_may_have_restarted_unless_its_first_entry_was_seen(directory):
+    """Guards against a new owner that knows nothing of a worker's former life (TWICE)."""
+    directory._apply_snapshot([Record("i-0", json.dumps({**_ENTRY, "born": 5}).encode())])
+    _put(directory, {**_ENTRY, "born": 7}, "i-1")
+    _put(directory, {**_ENTRY, "born": 8}, "i-2")
+    _put(directory, b"", "i-2")
+    _put(directory, {**_ENTRY, "born": 9}, "i-2")
+    lives = {"i-0": 5, "i-1": 7, "i-2": 9, "i-3": 1}
+    found = {id: directory.may_have_restarted(id, life) for id, life in lives.items()}
+    assert found == {"i-0": True, "i-1": False, "i-2": True, "i-3": True}
+
+
 class _Topic:
     """A topic that holds the given records."""
 
--- a/almondstack/platform/tests/test_settings.py
+++ b/almondstack/platform/tests/test_settings.py
@@ -29,6 +29,7 @@
 def test_a_lease_is_not_longer_than_the_platforms_limit(tmp_path):
     settings = _load(tmp_path, settings_text(bounds="{max-hold-ms: 1000}"))
     assert control_settings(settings).lease_s == 1.0
+    assert control_settings(settings).max_hold_s == 1.0
 
 
 @pytest.mark.parametrize(("mbps", "max_kb"), [(1000, 1024), (20, 375), (5, 93), (0.1, 32)])
--- a/almondstack/standin/soak/checker.py
+++ b/almondstack/standin/soak/checker.py
@@ -27,6 +27,10 @@
         """Monotonic time in seconds."""
         return time.monotonic()
 
+    def time(self) -> float:
+        """Time of day in Unix seconds."""
+        return time.time()
+
     def sleep(self, seconds: float) -> None:
         """Wait for a number of seconds."""
         time.sleep(seconds)
--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -5,10 +5,19 @@
 from typing import Any
 from unittest import mock
 
-from almondstack.control import lease, owner, request_handler, runs, session
+from almondstack.control import (
+    lease,
+    owner,
+    request_handler,
+    runs,
+    sent_deadlines,
+    session,
+    sessions,
+)
 from almondstack.jobs import RecordKind, RunEnd, active, job_index, occurrence
 from almondstack.jobs.records import split_key
 from almondstack.placement import rounds
+from almondstack.testing import owner_worker
 
 __all__ = ["MUTATIONS"]
 
@@ -164,6 +173,16 @@
     return lambda: mock.patch.object(target, name, value)
 
 
+@contextlib.contextmanager
+def _leases_are_renewed_over_new_connections() -> Iterator[None]:
+    """Send deadlines over connections that may lead to another life, and don't count them."""
+    with (
+        mock.patch.object(owner_worker.WorldCaller, "is_connected", True),
+        mock.patch.object(sent_deadlines.SentDeadlines, "end_s", lambda _sent, life: 0.0),
+    ):
+        yield
+
+
 def _complete(_job: Any) -> bool:
     return True
 
@@ -187,6 +206,16 @@
     ),
     "cut lists count as whole": _cut_lists_count_as_whole,
     "clocks count as exact": _clocks_count_as_exact,
+    "deadlines of former lives are not counted": _patch(
+        sent_deadlines.SentDeadlines, "end_s", lambda _sent, life: 0.0
+    ),
+    "deadlines of the owner before for former lives are not counted": _patch(
+        sessions.SessionTable, "_former_until_s", lambda _table, _worker, _life: None
+    ),
+    "late starts of former lives are not stopped": _patch(
+        runs, "_may_start_again", lambda _task, _current, _now_s: False
+    ),
+    "leases are renewed over new connections": _leases_are_renewed_over_new_connections,
     "ceilings are not checked": _patch(
         rounds.Usage, "allows", lambda _usage, _account, _demand: True
     ),
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -21,7 +21,11 @@
 _EPOCH_S = 1_700_000_000.0
 _CAPACITY_MILLIS = 4_000
 _MAX_LEASE_S = 6.0
+"""Longest lease that a worker grants, by its own clock, in seconds."""
+
 _CALL_TIMEOUT_S = 0.8
+_FIRST_CLOCK_MS = 100
+"""What a worker's clock shows at its start: it begins anew with each incarnation."""
 
 MAX_LISTED_ENDS = 500
 """Ended runs that a worker of the platform lists in one reply."""
@@ -39,11 +43,19 @@
         """Monotonic time in seconds."""
         ...
 
+    def time(self) -> float:
+        """Return the time of day in Unix seconds."""
+        ...
+
     def sleep(self, seconds: float) -> None:
         """Wait for a number of seconds."""
         ...
 
 
+def _unix_ms(clock: WorkerClock) -> int:
+    return int(clock.time() * 1000)
+
+
 class WorldClock:
     """Simulated clock that replaces the module ``time``.
 
@@ -85,7 +97,7 @@
     Attributes
     ----------
     life : int
-        Identifies the worker's incarnation; increases with each crash.
+        Unix milliseconds of the start of the worker's incarnation.
     fault : str
         Fault of the next call: "" (none), "lost" (not received), "unanswered"
         (performed, the reply is lost) or "late" (performed by :meth:`carry_out`).
@@ -121,19 +133,20 @@
         self.id = id
         self._clock_rate = clock_rate
         self._max_listed_ends = max_listed_ends
-        self.life = 1
+        self.life = _unix_ms(clock)
         self.fault = ""
         self.is_disconnected = False
         self.is_registered = True
         self.running: dict[str, int] = {}
         self._clock = clock
         self._oracle = oracle
-        self._delayed: list[tuple[int, Callable[[], object]]] = []
+        self._delayed: list[Callable[[], object]] = []
         self._reset()
         # The lease also expires if no call reaches the worker.
         clock.listeners.append(self.expire)
 
     def _reset(self) -> None:
+        self._born_s = self._clock.now_s
         self.running = {}
         self._ended: list[tuple[EndedRun, DoneEnd | None]] = []
         self._ends = 0
@@ -152,7 +165,7 @@
     @property
     def clock_ms(self) -> int:
         """The worker's clock, in milliseconds."""
-        return int(self._clock.now_s * self._clock_rate * 1000)
+        return _FIRST_CLOCK_MS + int((self._clock.now_s - self._born_s) * self._clock_rate * 1000)
 
     def expire(self) -> None:
         """End all runs if the worker's lease has expired.
@@ -180,31 +193,26 @@
         """Lose all runs and state, and restart with the same id."""
         for name in self.running:
             self._oracle.note_killed(name)
-        self.life += 1
+        self.life = max(self.life + 1, _unix_ms(self._clock))
         self._reset()
 
     def carry_out(self) -> None:
-        """Perform the delayed calls that reached the present incarnation."""
+        """Perform the delayed calls; the present incarnation has the id that they name."""
         delayed, self._delayed = self._delayed, []
-        for life, call in delayed:
-            if life == self.life:
-                call()
-
-    def call(
-        self, life: int, carried_out: Callable[[], _Reply], unanswered: _Reply
-    ) -> _Reply | None:
-        """Make a call subject to the injected fault; None if the worker has restarted."""
+        for call in delayed:
+            call()
+
+    def call(self, carried_out: Callable[[], _Reply], unanswered: _Reply) -> _Reply:
+        """Make a call to the present incarnation, subject to the injected fault."""
         if self.is_disconnected:
             self._clock.sleep(_CALL_TIMEOUT_S)
             return unanswered
         fault, self.fault = self.fault, ""
-        if life != self.life:
-            return None
         self.expire()
         if fault == "lost":
             return unanswered
         if fault == "late":
-            self._delayed.append((life, carried_out))
+            self._delayed.append(carried_out)
             return unanswered
         reply = carried_out()
         return unanswered if fault == "unanswered" else reply
@@ -283,21 +291,28 @@
 
 
 class WorldCaller:
-    """Calls one incarnation of a simulated worker for one owner; a ``WorkerCaller``."""
+    """Calls a simulated worker over one connection for one owner; a ``WorkerCaller``.
 
-    def __init__(self, worker: WorldWorker, life: int, judge_start: Callable[[str], None]) -> None:
+    Explanation
+    -----------
+    A connection leads to the incarnation that accepted it, and ends with it.  A new one leads
+    to the present incarnation, which has the same id and so accepts calls for earlier ones.
+    """
+
+    def __init__(self, worker: WorldWorker, judge_start: Callable[[str], None]) -> None:
         self._worker = worker
-        self._life = life
         self._judge_start = judge_start
-        self._is_connected = False
+        self._connected_life: int | None = None
 
     @property
     def is_connected(self) -> bool:
-        """Whether the last call was answered; no call reaches another incarnation."""
-        return self._is_connected
+        """Whether the connection of the last call is open."""
+        return self._connected_life == self._worker.life
 
     def start(self, order: StartOrder, deadline_ms: int, token: int) -> OrderReply:
-        """Send a start."""
+        """Send a start over the connection of the last call."""
+        if not self.is_connected:
+            return OrderReply(OrderStatus.NOT_SENT)
         self._judge_start(order.task)
         return self._order(lambda: self._worker.start(order, deadline_ms, token))
 
@@ -306,14 +321,14 @@
         return self._order(lambda: self._worker.stop(task, run, token))
 
     def poll(self, deadline_ms: int | None, last_seen: int, wait_s: float, token: int) -> PollReply:
-        """Send a poll."""
+        """Send a poll; over a new connection it acknowledges nothing."""
         unanswered = PollReply(OrderStatus.UNCLEAR, 0, 0, (), ())
-        gone = PollReply(OrderStatus.GONE, 0, 0, (), ())
+        last_seen = last_seen if self.is_connected else 0
         reply = self._worker.call(
-            self._life, lambda: self._worker.poll(deadline_ms, last_seen, token), unanswered
+            lambda: self._worker.poll(deadline_ms, last_seen, token), unanswered
         )
-        self._is_connected = reply is not None and reply.status is OrderStatus.DONE
-        return gone if reply is None else reply
+        self._note_answered(is_answered=reply.status is OrderStatus.DONE)
+        return reply
 
     def pace(self, task: str, run: int, percent: int, token: int) -> OrderReply:
         """Do nothing: simulated runs have a fixed speed."""
@@ -323,6 +338,9 @@
         """Do nothing: there is no connection."""
 
     def _order(self, carried_out: Callable[[], OrderReply]) -> OrderReply:
-        reply = self._worker.call(self._life, carried_out, OrderReply(OrderStatus.UNCLEAR))
-        self._is_connected = reply is not None and reply.status is not OrderStatus.UNCLEAR
-        return OrderReply(OrderStatus.GONE) if reply is None else reply
+        reply = self._worker.call(carried_out, OrderReply(OrderStatus.UNCLEAR))
+        self._note_answered(is_answered=reply.status is not OrderStatus.UNCLEAR)
+        return reply
+
+    def _note_answered(self, *, is_answered: bool) -> None:
+        self._connected_life = self._worker.life if is_answered else None
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -28,7 +28,7 @@
     encode_notice,
     record_key,
 )
-from almondstack.jobs.records import split_key
+from almondstack.jobs.records import decode_notice, split_key
 from almondstack.ownership import (
     FencedError,
     OwnershipSettings,
@@ -37,6 +37,7 @@
     StoreRefusedError,
     StoreUnclearError,
 )
+from almondstack.ownership.owner_records import is_written_by_owner
 from almondstack.placement import (
     AccountPolicy,
     Policies,
@@ -71,6 +72,7 @@
     "almondstack.control.journal",
     "almondstack.control.owner",
     "almondstack.control.session",
+    "almondstack.control.sessions",
     "almondstack.intake.append_retries",
     "almondstack.intake.direct",
     "almondstack.intake.service",
@@ -157,6 +159,7 @@
         self.index = JobIndex()
         self.next_offset = 0
         self._cancels_read_s: dict[str, float] = {}
+        self._last_owner_record_s = self._world.clock.now_s
         self.service = JobService(
             self._world.store,
             self.index,
@@ -183,9 +186,20 @@
         for record in batch.records:
             self.index.apply(record.key, record.value)
             kind, job = split_key(record.key)
+            if is_written_by_owner(record) and not self._is_own_claim(record):
+                self._last_owner_record_s = self._world.clock.now_s
             if kind is RecordKind.CANCEL:
                 self._cancels_read_s.setdefault(job, self._world.clock.now_s)
 
+    def _is_own_claim(self, record: Record) -> bool:
+        if split_key(record.key)[0] is not RecordKind.OWNER:
+            return False
+        return decode_notice(record.value).owner == self._incarnation
+
+    @property
+    def _incarnation(self) -> str:
+        return f"{self.name}/{self._restarts}"
+
     def judge_start(self, name: str) -> None:
         """Have the oracle check a start that this process orders."""
         now_s = self._world.clock.now_s
@@ -207,14 +221,20 @@
         self.sync()
         notice = self.index.notice
         token = notice.token + 1 if notice is not None else 1
-        incarnation = f"{self.name}/{self._restarts}"
+        incarnation = self._incarnation
         record = Record(
             record_key(RecordKind.OWNER), encode_notice(OwnerNotice(incarnation, token))
         )
         if not self._world.store.claim(token, record, 10 * self._restarts):
             return
         self.sync()
-        self.owner = Owner(self._world.services(self), incarnation, token, 10 * self._restarts)
+        self.owner = Owner(
+            self._world.services(self),
+            incarnation,
+            token,
+            10 * self._restarts,
+            self._last_owner_record_s,
+        )
         self.owner._take_over()
 
     def round(self) -> None:
@@ -365,7 +385,7 @@
     def caller(self, worker: WorkerInfo) -> WorkerCaller:
         """Make a caller; see ``WorkerCallers``."""
         found = self._world.workers[worker.id]
-        return WorldCaller(found, worker.life, self._process.judge_start)
+        return WorldCaller(found, self._process.judge_start)
 
     def workers(self) -> dict[str, WorkerInfo]:
         """Return the workers that are registered now."""
--- a/almondstack/testing/pumped_session.py
+++ b/almondstack/testing/pumped_session.py
@@ -11,7 +11,7 @@
 class PumpedSession(WorkerSession):
     """A session without threads; the simulation makes its calls."""
 
-    __slots__ = ("_order_caller",)
+    __slots__ = ("_order_caller", "_poll_caller")
 
     def _ensure_thread(self, name: str, run: Callable[[], None]) -> None:
         """Do nothing: the simulation starts no threads."""
@@ -22,6 +22,12 @@
             self._order_caller = self._callers.caller(self.worker)
         return self._order_caller
 
+    def _caller_of_polls(self) -> WorkerCaller:
+        """Return the caller for all polls, whose connection stays open like the product's."""
+        if not hasattr(self, "_poll_caller"):
+            self._poll_caller = self._callers.caller(self.worker)
+        return self._poll_caller
+
     def pump_orders(self) -> None:
         """Send the queued orders."""
         caller = self._caller_of_orders()
@@ -38,4 +44,4 @@
     def pump_poll(self) -> None:
         """Poll once if the worker may have runs."""
         if self._is_busy and not self._is_closed:
-            self._poll(self._callers.caller(self.worker))
+            self._poll(self._caller_of_polls())
--- a/almondstack/testing/still_fleet.py
+++ b/almondstack/testing/still_fleet.py
@@ -13,6 +13,10 @@
         """True: the registered workers are always loaded."""
         return True
 
+    def may_have_restarted(self, worker: str, life: int) -> bool:
+        """True: nothing is known of former lives."""
+        return True
+
     def evacuated_zones(self) -> frozenset[str]:
         """Return an empty set: no zone is evacuated."""
         return frozenset()
--- a/almondstack/testing/tests/test_owner_worker.py
+++ b/almondstack/testing/tests/test_owner_worker.py
@@ -19,13 +19,13 @@
     oracle = OwnerOracle({}, 2)
     oracle.submissions["0" * 16] = Submission("q", "a", "s", (make_step(1),))
     first, second = (WorldWorker(name, clock, oracle) for name in ("w-0", "w-1"))
-    _start(first, clock, run=1)
+    _start(first, run=1)
     first.finish(_TASK, RunEnd.DONE)
     return first, second, clock
 
 
-def _start(worker, clock, run):
-    deadline_ms = int((clock.now_s + _LEASE_S) * 1000)
+def _start(worker, run):
+    deadline_ms = worker.clock_ms + int(_LEASE_S * 1000)
     worker.start(StartOrder(_TASK, run, "s", "", ""), deadline_ms, 1)
 
 
@@ -38,13 +38,13 @@
     """The lease lapsed only where something still ran (seed 3 of the soak, under load)."""
     first, second, clock = workers
     clock.sleep(_LEASE_S + 0.1)
-    _start(second, clock, run=2)
+    _start(second, run=2)
     _note_end(first)
 
 
 def test_a_task_that_starts_again_before_the_lease_is_over_has_started_twice(workers):
     first, second, clock = workers
     clock.sleep(_LEASE_S - 0.1)
-    _start(second, clock, run=2)
+    _start(second, run=2)
     with pytest.raises(RuleBrokenError, match="TWICE"):
         _note_end(first)
