Give work last to a worker that calls for its former life may reach

It can't be told from the lists whether a run that is missing had ended as done, so the fault stays; but while an unanswered call may arrive, other workers with room come first.

--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -176,5 +176,6 @@
             if not worker.is_open(now_s) or info.zone in evacuated:
                 continue
             if not unreachable.covers(info.zone, info.rack):
+                worker.is_unsettled = now_s < worker.unsettled_until_s
                 by_pool.setdefault(info.pool, []).append(worker)
         return by_pool
--- a/almondstack/control/sent_deadlines.py
+++ b/almondstack/control/sent_deadlines.py
@@ -82,6 +82,25 @@
             self._unanswered = [other for other in self._unanswered if other.life != sent.life]
             self._unanswered.append(sent)
 
+    def settled_s(self, life: int) -> float:
+        """Return from when on no call for another life can reach a life; 0 if there are none.
+
+        Explanation
+        -----------
+        Monotonic seconds.  Such a call may also have the worker forget ends of runs, as it
+        says up to which number the ends of the former life were seen.
+        """
+        with self._lock:
+            return max(self._others_s(life), default=0.0)
+
+    def _others_s(self, life: int) -> list[float]:
+        """Return until when each call for another life may be carried out."""
+        return [
+            sent.sent_s + MAX_CALL_DELAY_S
+            for sent in (*self._open.values(), *self._unanswered)
+            if sent.life != life
+        ]
+
     def end_s(self, life: int) -> float:
         """Return until when a lease on a life may last by calls for others; 0 if there are none.
 
@@ -90,12 +109,7 @@
         Monotonic seconds.  A time that has passed says that no such lease is left.
         """
         with self._lock:
-            sent_s = [
-                sent.sent_s
-                for sent in (*self._open.values(), *self._unanswered)
-                if sent.life != life
-            ]
-            ends_s = [max(sent_s) + MAX_CALL_DELAY_S] if sent_s else []
+            ends_s = self._others_s(life)
             if life in self._taken_s:
                 ends_s.append(self._taken_s[life])
         return max(ends_s) + longest_hold_s(self._settings) if ends_s else 0.0
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -177,7 +177,9 @@
         if known is not None:
             changes.restarted.append(info.id)
             self.drop(info.id)
-        changes.added.append(Worker(info))
+        worker = Worker(info)
+        worker.unsettled_until_s = self._deadlines_of(info.id).settled_s(info.life)
+        changes.added.append(worker)
         former_until_s = self._former_until_s(info.id, info.life)
         self._sessions[info.id] = WorkerSession(
             info,
--- a/almondstack/control/tests/test_sent_deadlines.py
+++ b/almondstack/control/tests/test_sent_deadlines.py
@@ -113,6 +113,15 @@
     assert sent.end_s(_LIFE) == 0.0
 
 
+def test_a_life_is_settled_once_no_call_for_another_can_arrive():
+    sent = SentDeadlines(_SETTINGS)
+    number = sent.begin(_LIFE, 100.0)
+    assert sent.settled_s(_NEXT_LIFE) == 100.0 + MAX_CALL_DELAY_S
+    assert sent.settled_s(_LIFE) == 0.0
+    sent.settle(number, _LIFE, 100.5)
+    assert sent.settled_s(_NEXT_LIFE) == 0.0
+
+
 def test_the_life_that_has_answered_for_another_holds_the_longest_lease():
     sent = SentDeadlines(_SETTINGS)
     sent.settle(sent.begin(_LIFE, 100.0), _NEXT_LIFE, 100.4)
--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -37,10 +37,10 @@
     Explanation
     -----------
     The caller passes only workers that may get new tasks.  Workers on which the
-    task failed before come last, then workers with a high penalty, then workers on
-    another rack than the data.  Among the rest the fullest worker with room is
-    taken (best fit), so that whole workers stay free for large tasks and for moves
-    of instances; a filler task goes to the emptiest.
+    task failed before come last, then workers that calls for a former life may reach, then
+    workers with a high penalty, then workers on another rack than the data.  Among the
+    rest the fullest worker with room is taken (best fit), so that whole workers stay free
+    for large tasks and for moves of instances; a filler task goes to the emptiest.
     """
     demand = demand_of(task.step)
     fitting = [
@@ -83,14 +83,15 @@
     return max(eligible, key=lambda worker: worker.free.cpu_millis, default=None)
 
 
-def _preference_key(task: Task, worker: Worker) -> tuple[bool, float, bool, int, str]:
+def _preference_key(task: Task, worker: Worker) -> tuple[bool, bool, float, bool, int, str]:
     """Return the sort key of a worker; the lowest is preferred."""
     step = task.step
     is_far = bool(step.data_rack) and worker.info.rack != step.data_rack
     left = worker.free.cpu_millis
     if step.is_filler:
         left = -left
-    return worker.id in task.failed_on, worker.penalty, is_far, left, worker.id
+    is_failed = worker.id in task.failed_on
+    return is_failed, worker.is_unsettled, worker.penalty, is_far, left, worker.id
 
 
 def _groups(task: Task, workers: list[Worker]) -> list[list[Worker]]:
@@ -136,6 +137,11 @@
     ]
     return min(
         fitting,
-        key=lambda worker: (worker.penalty, left[worker.id].cpu_millis, worker.id),
+        key=lambda worker: (
+            worker.is_unsettled,
+            worker.penalty,
+            left[worker.id].cpu_millis,
+            worker.id,
+        ),
         default=None,
     )
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -133,6 +133,14 @@
     assert sorted(len(worker.tasks) for worker in workers) == [0, 4]
 
 
+def test_a_worker_that_calls_for_a_former_life_may_reach_comes_last():
+    """Guards against ends that such a call has the worker forget before they are read (TWICE)."""
+    first, second = make_worker("w1"), make_worker("w2")
+    first.is_unsettled = True
+    placed = PoolRound([first, second], Usage({}), 0.0).place(make_job(make_step(6)).steps_of(0)[0])
+    assert [worker.id for worker in placed[0].workers] == ["w2"] * 4 + ["w1"] * 2
+
+
 def test_most_per_worker_bounds_the_tasks_of_a_step_on_one_worker():
     workers = [make_worker("w1"), make_worker("w2")]
     pool = PoolRound(workers, Usage({}), 0.0)
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -92,6 +92,10 @@
         A move or maintenance of its instance is planned, so it gets no new tasks.
     is_reachable : bool
         The last call to it was answered, or none was made.
+    unsettled_until_s : float
+        Monotonic time before which calls for a former life of it may reach it, in seconds.
+    is_unsettled : bool
+        That time has not come, so it gets new tasks only if no other worker has room.
     penalty : float
         Decaying sum of recent failures and refusals; 0 is healthy.
     last_answer_s, last_failure_s : float
@@ -106,10 +110,12 @@
         "info",
         "is_reachable",
         "is_reserved",
+        "is_unsettled",
         "last_answer_s",
         "last_failure_s",
         "penalty",
         "set_aside_until_s",
+        "unsettled_until_s",
     )
 
     def __init__(self, info: WorkerInfo) -> None:
@@ -118,6 +124,8 @@
         self._free = info.capacity.copy()
         self._steps: dict[tuple[str, int, int], int] = {}
         self.set_aside_until_s = 0.0
+        self.unsettled_until_s = 0.0
+        self.is_unsettled = False
         self.is_reserved = False
         self.is_reachable = True
         self.penalty = 0.0
