Start a lasting gang again after its end as done

Cause: an end as done closes a gang, which drops the runs of the other members; the step lasts, so it is not finished, and their tasks stayed assigned without a run.

Change: only a gang that doesn't last is closed. The other members of one that lasts are stopped like after any other end, which settles their runs. test_a_lasting_gang_that_has_ended_as_done_starts_again fails on the code before.

--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -441,7 +441,7 @@
                 failures=task.failures,
                 took_s=round(now_s - task.assigned_s, 3),
             )
-        if task.step.is_gang and end is RunEnd.DONE:
+        if task.step.is_gang and end is RunEnd.DONE and not task.step.is_long_running:
             self._close_gang(task)
         elif task.step.is_gang:
             self._stop_gang(task, now_s)
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -354,6 +354,28 @@
     assert task.status is TaskStatus.WAITING and len(table._orders.stops) == 1
 
 
+def test_a_lasting_gang_that_has_ended_as_done_starts_again():
+    """Guards against a lasting gang that is never started again after its end (review/9, LOST).
+
+    The runs of the other members were dropped, and their tasks stayed assigned for good.
+    """
+    step = make_step(2, is_gang=True, is_long_running=True)
+    job, worker = make_job(step), make_worker()
+    table = make_table(job, workers=(worker,))
+    members = job.steps_of(0)[0]
+    job.assign(members, ["w1", "w1"], [1, 1], 0.0)
+    for member in members:
+        worker.put(member)
+        table.usage.add(member)
+        table.note_assigned(member)
+        _start(table, member, OrderStatus.DONE, 0.1)
+    first, second = (ended(member, number=number + 1) for number, member in enumerate(members))
+    table.note_poll(worker, 0.9, look(running=(running(members[1]),), ended=(first,)), 1.0)
+    table.note_poll(worker, 1.1, look(ended=(first, second)), 1.2)
+    assert [member.status for member in members] == [TaskStatus.WAITING] * 2
+    assert worker.tasks == [] and table.usage.used("a").cpu_millis == 0
+
+
 def test_the_end_of_one_gang_member_frees_the_workers_of_all_members():
     job, worker = make_job(make_step(2, is_gang=True)), make_worker()
     table = make_table(job, workers=(worker,))
