Send no start that has waited to a worker that drains

Cause: a start that waits behind unanswered orders was sent if its job was open, whatever the worker had said meanwhile.

Change: a start is no longer wanted on a worker that drains, as in a zone that is evacuated. The test fails on the code before.

--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -445,13 +445,15 @@
         entry = self._services.index.entry(task.job.id)
         is_open = task.job.is_open and entry is not None and not entry.is_cancelled
         is_present = task.is_assigned and task.run == run and not task.is_stopping
-        return is_open and is_present and not self._is_evacuated(task.worker)
+        return is_open and is_present and self._takes_runs(task.worker)
 
-    def _is_evacuated(self, worker_id: str) -> bool:
-        """Whether a worker is in an availability zone that gets no new runs."""
+    def _takes_runs(self, worker_id: str) -> bool:
+        """Whether a worker neither drains nor is in an availability zone that gets no new runs."""
         worker = self._table.workers.get(worker_id)
+        if worker is None:
+            return True
         zones = self._services.directory.evacuated_zones()
-        return worker is not None and worker.info.zone in zones
+        return not worker.info.is_draining and worker.info.zone not in zones
 
     def _send_start(self, task: Task) -> None:
         session = self._sessions.get(task.worker)
--- a/almondstack/control/tests/test_owner.py
+++ b/almondstack/control/tests/test_owner.py
@@ -4,10 +4,17 @@
 
 from almondstack.control.owner import Owner, previous_extension_bound_s
 from almondstack.control.planning import Planner
-from almondstack.jobs import JobState, RunEnd, encode_progress
+from almondstack.jobs import (
+    JobState,
+    RecordKind,
+    RunEnd,
+    encode_progress,
+    encode_submission,
+    record_key,
+)
 from almondstack.jobs.progress import done_rows
 from almondstack.ownership import OwnershipSettings
-from almondstack.testing.job_builders import make_job, make_step
+from almondstack.testing.job_builders import assign, make_job, make_step
 from almondstack.testing.owner_world import OwnerWorld
 
 
@@ -57,6 +64,32 @@
         assert value == encode_progress(JobState.RUNNING, [(0, 0, done_rows(2))])
 
 
+def test_a_start_that_has_waited_is_not_sent_to_a_worker_that_drains():
+    """Guards against starts behind unanswered orders on a worker that leaves (DRAIN).
+
+    They waited for more than 2 s, and were sent whatever the worker had said meanwhile
+    (review/beyond-2/drain.toml: 21, 9 and 3 starts on seeds 1, 2 and 4).
+    """
+    world = OwnerWorld()
+    job = make_job()
+    world.oracle.submissions[job.id] = job.submission
+    with world.patched():
+        process = world.processes[0]
+        process.claim()
+        process.round()
+        owner = process.owner
+        (task,) = job.steps_of(0)[0]
+        worker = next(iter(owner._table.workers.values()))
+        process.index.apply(
+            record_key(RecordKind.SUBMISSION, job.id), encode_submission(job.submission)
+        )
+        owner._activate(job)
+        assign(owner._table, task, worker)
+        assert owner._is_wanted(task, 1)
+        worker.info.is_draining = True
+        assert not owner._is_wanted(task, 1)
+
+
 def test_an_owner_with_an_unforeseen_error_ends_and_says_so(monkeypatch):
     """Guards against an owner that ends unnoticed, in a process that claims the jobs again.
 
