Count only orders of a maintenance as ones that may begin one

An order of a maintenance now has a record of its own beside the other one; the build before skips that key, and its successors go by what it wrote, which is none.

--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -144,9 +144,10 @@
     def records(self) -> list[Record]:
         """Return the records that must be stored before :meth:`send_orders`."""
         instances = [*self._waves.due, *(move.instance for move in self._moves)]
+        keys = [record_key(RecordKind.INSTANCE, name) for name in instances]
+        keys += [record_key(RecordKind.MAINTENANCE, name) for name in self._waves.due]
         timestamp = int(time.time() * 1000).to_bytes(_TIMESTAMP_BYTES, "big")
-        orders = [Record(record_key(RecordKind.INSTANCE, name), timestamp) for name in instances]
-        return [*self._waves.records(), *orders]
+        return [*self._waves.records(), *(Record(key, timestamp) for key in keys)]
 
     def send_orders(self) -> None:
         """Send the orders of this round."""
--- a/almondstack/control/instance_manager.py
+++ b/almondstack/control/instance_manager.py
@@ -87,6 +87,7 @@
         "_not_before_s",
         "_orders",
         "_pending",
+        "_predecessor_maintenance_ms",
         "_predecessor_orders_end_s",
         "_predecessor_orders_ms",
         "_refused_pools",
@@ -94,6 +95,7 @@
         "_started_maintenance",
         "_thread",
         "_token",
+        "_unclear_maintenance",
         "_unclear_until_s",
         "_unsettled_until_s",
         "interval_s",
@@ -106,8 +108,10 @@
         self._token = token
         self._may_act = may_act
         self._fenced_instances: set[str] = set()
-        self._predecessor_orders_ms = self._recent_orders_ms()
+        self._predecessor_orders_ms = self._recent_orders_ms(RecordKind.INSTANCE)
+        self._predecessor_maintenance_ms = self._recent_orders_ms(RecordKind.MAINTENANCE)
         self._unsettled_until_s = time.monotonic() + _MAX_ORDER_DELAY_S
+        self._unclear_maintenance: set[str] = set()
         self._instances: dict[str, InstanceInfo] = {}
         self._pending: dict[str, _Pending] = {}
         self._not_before_s: dict[str, float] = {}
@@ -189,16 +193,14 @@
         ``life_ms`` is the start of the process in Unix milliseconds; a process that
         started after the order shows that the order was executed.
         """
+        if now_s < self._predecessor_orders_end_s and self._is_ordered_by_predecessor(instance):
+            ordered_ms = self._predecessor_orders_ms[instance]
+            return life_ms < ordered_ms + _CLOCK_TOLERANCE_S * 1000.0
         with self._lock:
-            if instance in self._pending or self._unclear_until_s.get(instance, 0.0) > now_s:
-                return True
-        if not self.may_be_ordered(instance, now_s):
-            return False
-        ordered_ms = self._predecessor_orders_ms[instance]
-        return life_ms < ordered_ms + _CLOCK_TOLERANCE_S * 1000.0
+            return instance in self._pending or self._unclear_until_s.get(instance, 0.0) > now_s
 
-    def may_be_ordered(self, instance: str, now_s: float) -> bool:
-        """Whether an order may still be executed of which this owner knows no answer.
+    def may_begin_maintenance(self, instance: str, now_s: float) -> bool:
+        """Whether an order of which this owner knows no answer may still begin a maintenance.
 
         Explanation
         -----------
@@ -208,11 +210,12 @@
         the same instance.
         """
         with self._lock:
-            if self._unclear_until_s.get(instance, 0.0) > now_s:
+            is_unclear = self._unclear_until_s.get(instance, 0.0) > now_s
+            if is_unclear and instance in self._unclear_maintenance:
                 return True
             if instance in self._fenced_instances or instance in self._pending:
                 return False
-        return instance in self._predecessor_orders_ms and now_s < self._unsettled_until_s
+        return instance in self._predecessor_maintenance_ms and now_s < self._unsettled_until_s
 
     def predecessor_order_age_s(self, instance: str) -> float:
         """Return the seconds since the last order of an earlier owner to an instance."""
@@ -239,7 +242,7 @@
         """Report whether a wave is completed, with retries; call ``done`` once it is stored."""
         self._calls.put(lambda: self._send_report(wave, is_completed, done))
 
-    def _recent_orders_ms(self) -> dict[str, int]:
+    def _recent_orders_ms(self, kind: RecordKind) -> dict[str, int]:
         """Return the Unix milliseconds of the orders that may not have been executed yet.
 
         Explanation
@@ -247,7 +250,7 @@
         Called before this owner stores any order, so that all of them are of earlier owners.
         """
         now_ms = time.time() * 1000.0
-        stored = self._services.index.fleet_records(RecordKind.INSTANCE)
+        stored = self._services.index.fleet_records(kind)
         orders_ms = {name: int.from_bytes(value, "big") for name, value in stored.items()}
         return {
             name: order_ms
@@ -344,6 +347,8 @@
             self._is_fenced = True
         if status is OrderStatus.UNCLEAR:
             with self._lock:
+                if order.wave:
+                    self._unclear_maintenance.add(order.instance)
                 self._not_before_s[order.instance] = began_s + _MAX_ORDER_DELAY_S
                 self._unclear_until_s[order.instance] = began_s + _MAX_ORDER_DELAY_S
             self._orders.put(lambda: self._execute(order))
--- a/almondstack/control/tests/test_instance_manager.py
+++ b/almondstack/control/tests/test_instance_manager.py
@@ -156,9 +156,10 @@
     assert not manager.can_order("m", 0.0) and len(reported) == 1
 
 
-def _stored_order(services, instance, age_s):
+def _stored_order(services, instance, age_s, kinds=(RecordKind.INSTANCE, RecordKind.MAINTENANCE)):
     timestamp = int((time.time() - age_s) * 1000).to_bytes(8, "big")
-    services.index.apply(record_key(RecordKind.INSTANCE, instance), timestamp)
+    for kind in kinds:
+        services.index.apply(record_key(kind, instance), timestamp)
 
 
 class _Maintained(_Services):
@@ -214,19 +215,33 @@
     _stored_order(services, "old", age_s=60.0)
     manager = InstanceManager(services, 2)
     now_s = time.monotonic()
-    assert manager.may_be_ordered("m", now_s) and not manager.may_be_ordered("old", now_s)
+    assert manager.may_begin_maintenance("m", now_s) and not manager.may_begin_maintenance(
+        "old", now_s
+    )
     for is_open in (True, False):
         _stored_order(services, "m", age_s=0.0)
         manager.maintain("m", 1)
         assert manager._orders.run_next()
-        assert manager.may_be_ordered("m", now_s) is is_open
+        assert manager.may_begin_maintenance("m", now_s) is is_open
+
+
+def test_a_move_of_the_owner_before_begins_no_maintenance():
+    """Guards against instances that are kept free after each change of owner.
+
+    On teawa-gangs, trouble-3, nearly all instances of a wave had been moved shortly before.
+    """
+    services = _Services()
+    _stored_order(services, "m", age_s=1.0, kinds=[RecordKind.INSTANCE])
+    manager = InstanceManager(services, 2)
+    assert not manager.may_begin_maintenance("m", time.monotonic())
+    assert not manager.can_order("m", time.monotonic())
 
 
 def test_an_order_of_the_owner_before_is_not_waited_for_without_end():
     services = _Services()
     _stored_order(services, "m", age_s=1.0)
     manager = InstanceManager(services, 2)
-    assert not manager.may_be_ordered("m", time.monotonic() + 60.0)
+    assert not manager.may_begin_maintenance("m", time.monotonic() + 60.0)
 
 
 def test_an_unanswered_order_counts_as_open_also_after_a_refusal():
@@ -235,7 +250,7 @@
     manager = InstanceManager(services, 1)
     manager.maintain("m", 1)
     assert manager._orders.run_next() and manager._orders.run_next()
-    assert manager.may_be_ordered("m", time.monotonic())
+    assert manager.may_begin_maintenance("m", time.monotonic())
 
 
 def _wait_until(is_done):
--- a/almondstack/control/tests/test_wave_controller.py
+++ b/almondstack/control/tests/test_wave_controller.py
@@ -19,7 +19,7 @@
         self.list_requested_s = 0.0
         self.possible = set()
 
-    def may_be_ordered(self, instance, now_s):
+    def may_begin_maintenance(self, instance, now_s):
         return instance in self.possible
 
     def predecessor_order_age_s(self, instance):
--- a/almondstack/control/wave_controller.py
+++ b/almondstack/control/wave_controller.py
@@ -194,7 +194,7 @@
     def _may_begin(self, info: InstanceInfo, now_s: float) -> bool:
         """Whether an order without a known answer may begin the maintenance of an instance."""
         is_up = info.state is InstanceState.UP
-        return is_up and self._manager.may_be_ordered(info.name, now_s)
+        return is_up and self._manager.may_begin_maintenance(info.name, now_s)
 
     def _order_empty(
         self,
--- a/almondstack/jobs/job_index.py
+++ b/almondstack/jobs/job_index.py
@@ -123,6 +123,7 @@
         self._fleet_records: dict[RecordKind, dict[str, bytes]] = {
             RecordKind.WAVE: {},
             RecordKind.INSTANCE: {},
+            RecordKind.MAINTENANCE: {},
         }
         self._listener = listener
         self._lock = threading.Lock()
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -3,7 +3,8 @@
 Explanation
 -----------
 A key is one letter for the kind of record, followed by the job's id, the number of
-a wave, or the name of the instance to which an order is given.  The key of the
+a wave, or the name of the instance to which an order is given.  The order of a
+maintenance is recorded under two kinds; builds before the second one skip it.  The key of the
 owner's record is the letter alone.
 A refusal record has no value, so the store keeps nothing of it after it was read:
 only the processes that are reading the log at that time need it.
@@ -41,6 +42,7 @@
     REFUSAL = "r"
     WAVE = "w"
     INSTANCE = "i"
+    MAINTENANCE = "m"
 
 
 class OwnerNotice(msgspec.Struct, frozen=True, array_like=True):
