--- a/almondstack/control/sent_deadlines.py
+++ b/almondstack/control/sent_deadlines.py
@@ -82,6 +82,15 @@
             self._unanswered = [other for other in self._unanswered if other.life != sent.life]
             self._unanswered.append(sent)
 
+    def is_over(self, now_s: float) -> bool:
+        """Whether no lease on any life can last any more by what was sent."""
+        with self._lock:
+            ends_s = [sent.sent_s + MAX_CALL_DELAY_S for sent in self._unanswered]
+            ends_s += self._taken_s.values()
+            return (
+                not self._open and max(ends_s, default=0.0) + longest_hold_s(self._settings) < now_s
+            )
+
     def settled_s(self, life: int) -> float:
         """Return from when on no call for another life can reach a life; 0 if there are none.
 
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -19,6 +19,9 @@
 """Time without new runs for a worker whose runs were lost because it did not answer, in
 seconds; a crashed worker stays registered for a few seconds."""
 
+_MAX_LEFT_WORKERS = 64
+"""Workers without a session of which the deadlines sent are kept without a look."""
+
 _RESTART_NOTICE_S = 4.0
 """Time after a worker's start in which an owner may still send deadlines to its former life, in
 seconds: the time-out of a poll, and the difference between the clocks of two instances."""
@@ -127,6 +130,7 @@
         for worker in list(table.workers.values()):
             if worker.id not in registered:
                 self._remove_unregistered(table, worker)
+        self._forget_sent_deadlines(now_s)
         return changes
 
     def unreachable(self, table: RunTable) -> Iterator[tuple[str, WorkerSession]]:
@@ -216,6 +220,14 @@
             found = self._deadlines[worker] = SentDeadlines(self._services.control)
         return found
 
+    def _forget_sent_deadlines(self, now_s: float) -> None:
+        """Forget what was sent to workers that have left, once most of it is theirs."""
+        if len(self._deadlines) <= 2 * len(self._sessions) + _MAX_LEFT_WORKERS:
+            return
+        for worker in self._deadlines.keys() - self._sessions.keys():
+            if self._deadlines[worker].is_over(now_s):
+                del self._deadlines[worker]
+
     def _former_until_s(self, worker: str, life: int) -> float | None:
         """Return until when a life may take a deadline that a previous owner sent to another one.
 
--- a/almondstack/control/tests/test_sent_deadlines.py
+++ b/almondstack/control/tests/test_sent_deadlines.py
@@ -122,6 +122,15 @@
     assert sent.settled_s(_NEXT_LIFE) == 0.0
 
 
+def test_what_was_sent_is_over_once_no_lease_can_last_by_it():
+    sent = SentDeadlines(_SETTINGS)
+    number = sent.begin(_LIFE, 100.0)
+    assert not sent.is_over(1_000.0)
+    sent.leave_open(number)
+    end_s = sent.end_s(_NEXT_LIFE)
+    assert not sent.is_over(end_s - 0.1) and sent.is_over(end_s + 0.1)
+
+
 def test_the_life_that_has_answered_for_another_holds_the_longest_lease():
     sent = SentDeadlines(_SETTINGS)
     sent.settle(sent.begin(_LIFE, 100.0), _NEXT_LIFE, 100.4)
--- a/almondstack/control/tests/test_sessions.py
+++ b/almondstack/control/tests/test_sessions.py
@@ -64,3 +64,16 @@
     assert sessions.reconcile(make_table(), 10.0).added == []
     worker.info.life = 3
     assert [added.id for added in sessions.reconcile(make_table(), 20.0).added] == [worker.id]
+
+
+def test_what_was_sent_to_workers_that_have_left_is_forgotten():
+    """Guards against an owner that keeps something of each worker that there ever was."""
+    services = SimpleNamespace(control=ControlSettings())
+    sessions = SessionTable(services, 1, lambda event: None, lambda: True, 0.0)
+    for number in range(200):
+        sent = sessions._deadlines_of(f"w{number}")
+        sent.leave_open(sent.begin(1, float(number)))
+    sessions._forget_sent_deadlines(119.9)
+    assert 64 < len(sessions._deadlines) < 200
+    sessions._forget_sent_deadlines(1_000.0)
+    assert len(sessions._deadlines) == 0
