Count late work only within its account's ceiling

Late work holds instances back from the spare pool. The test fails on the code before: 400,000 thousandths instead of 4,000.

--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -75,7 +75,7 @@
                 needs[pool].lasting_millis += need.lasting_millis
                 needs[pool].running_millis += need.running_millis
                 needs[pool].waiting_millis += min(need.waiting_millis, room_millis)
-                needs[pool].late_millis += need.late_millis
+                needs[pool].late_millis += min(need.late_millis, _ceiling_millis(account, policies))
                 needs[pool].min_instances = max(needs[pool].min_instances, need.min_instances)
         return needs
 
@@ -112,10 +112,16 @@
 
     def _account_room_millis(self, account: str, policies: Policies) -> int:
         """Return how many more thousandths of a core an account may use; more would be idle."""
-        policy = policies.accounts.get(account)
-        if policy is None or not policy.ceiling.cpu_millis:
-            return sys.maxsize
-        return max(0, policy.ceiling.cpu_millis - self._table.usage.used(account).cpu_millis)
+        used_millis = self._table.usage.used(account).cpu_millis
+        return max(0, _ceiling_millis(account, policies) - used_millis)
+
+
+def _ceiling_millis(account: str, policies: Policies) -> int:
+    """Return the ceiling of an account in thousandths of a core; a huge number without one."""
+    policy = policies.accounts.get(account)
+    if policy is None or not policy.ceiling.cpu_millis:
+        return sys.maxsize
+    return policy.ceiling.cpu_millis
 
 
 def add_need(
--- a/almondstack/control/tests/test_pool_balancer.py
+++ b/almondstack/control/tests/test_pool_balancer.py
@@ -167,3 +167,10 @@
 def test_tasks_that_fit_on_no_instance_bring_none():
     need = _need(_lasting(10, 70_000, "a" * 16))
     assert wanted_instances(PoolState("p", need, []), 16_000) == 2
+
+
+def test_late_work_beyond_the_ceiling_of_an_account_holds_no_instances():
+    """Guards against a schedule begun long ago that keeps all instances in use (review/8)."""
+    ceiling = AccountPolicy("a", ceiling=Resources(4_000))
+    late = make_job(make_step(400), accepted_ms=1)
+    assert _need(late, accounts={"a": ceiling}).late_millis == 4_000
