--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -105,8 +105,11 @@
     def _filled_within_ceiling(self, need: PoolNeed, account: str, policies: Policies) -> float:
         """Return the instances that an account's tasks fill within its ceiling."""
         policy = policies.accounts.get(account)
-        ceiling_mb = policy.ceiling.memory_mb if policy is not None else 0
-        if not ceiling_mb or need.memory_mb <= ceiling_mb:
+        if policy is None or not policy.ceiling.memory_mb:
+            return need.filled_instances
+        # An operator may write a negative ceiling, below which nothing runs.
+        ceiling_mb = max(0, policy.ceiling.memory_mb)
+        if need.memory_mb <= ceiling_mb:
             return need.filled_instances
         return need.filled_instances * ceiling_mb / need.memory_mb
 
@@ -121,7 +124,7 @@
     policy = policies.accounts.get(account)
     if policy is None or not policy.ceiling.cpu_millis:
         return sys.maxsize
-    return policy.ceiling.cpu_millis
+    return max(0, policy.ceiling.cpu_millis)
 
 
 def add_need(
--- a/almondstack/control/tests/test_pool_balancer.py
+++ b/almondstack/control/tests/test_pool_balancer.py
@@ -174,3 +174,11 @@
     ceiling = AccountPolicy("a", ceiling=Resources(4_000))
     late = make_job(make_step(400), accepted_ms=1)
     assert _need(late, accounts={"a": ceiling}).late_millis == 4_000
+
+
+def test_a_negative_ceiling_does_not_end_the_owner():
+    """Guards against a division by zero for an account that asks for no memory."""
+    ceiling = AccountPolicy("a", ceiling=Resources(-1, -1))
+    late = make_job(make_step(4), accepted_ms=1)
+    need = _need(late, accounts={"a": ceiling})
+    assert (need.late_millis, need.filled_instances) == (0, 0)
