--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -205,16 +205,21 @@
     assert [stop[1] for stop in table._orders.stops] == [_name(second)]
 
 
-def test_all_members_of_a_gang_are_stopped_if_one_is_refused():
-    job, worker = make_job(make_step(2, is_gang=True)), make_worker()
+def _assigned_gang(**fields):
+    """Return a table, a worker, and the two members of a gang that are assigned to it."""
+    job, worker = make_job(make_step(2, is_gang=True, **fields)), make_worker()
     table = make_table(job, workers=(worker,))
     members = job.steps_of(0)[0]
-    worker.put(members[0])
-    worker.put(members[1])
     job.assign(members, ["w1", "w1"], [1, 1], 0.0)
     for member in members:
+        worker.put(member)
         table.usage.add(member)
         table.note_assigned(member)
+    return table, worker, members
+
+
+def test_all_members_of_a_gang_are_stopped_if_one_is_refused():
+    table, _, members = _assigned_gang()
     _start(table, members[0], OrderStatus.NO_ROOM)
     assert [stop[1] for stop in table._orders.stops] == [_name(members[1])]
 
@@ -359,15 +364,8 @@
 
     The runs of the other members were dropped, and their tasks stayed assigned for good.
     """
-    step = make_step(2, is_gang=True, is_long_running=True)
-    job, worker = make_job(step), make_worker()
-    table = make_table(job, workers=(worker,))
-    members = job.steps_of(0)[0]
-    job.assign(members, ["w1", "w1"], [1, 1], 0.0)
+    table, worker, members = _assigned_gang(is_long_running=True)
     for member in members:
-        worker.put(member)
-        table.usage.add(member)
-        table.note_assigned(member)
         _start(table, member, OrderStatus.DONE, 0.1)
     first, second = (ended(member, number=number + 1) for number, member in enumerate(members))
     table.note_poll(worker, 0.9, look(running=(running(members[1]),), ended=(first,)), 1.0)
@@ -377,14 +375,8 @@
 
 
 def test_the_end_of_one_gang_member_frees_the_workers_of_all_members():
-    job, worker = make_job(make_step(2, is_gang=True)), make_worker()
-    table = make_table(job, workers=(worker,))
-    members = job.steps_of(0)[0]
-    job.assign(members, ["w1", "w1"], [1, 1], 0.0)
-    for member in members:
-        worker.put(member)
-        table.usage.add(member)
-        table.note_assigned(member)
+    table, worker, members = _assigned_gang()
+    job = members[0].job
     table.note_poll(worker, 0.2, look(ended=(ended(members[0]),)), 0.3)
     assert job.state is JobState.COMPLETED and job.is_over()
     assert worker.tasks == [] and table.usage.used("a").cpu_millis == 0
