Match answers to orders by the life that gave them, and lives by no clock

Cause: answers to starts and stops were matched by worker id, task and run. One of a former life that was handled after the restart confirmed the run on the next life, whose next poll then counted it as missing while a late start of it could still be carried out. Whether a run had ended with the former life was decided by comparing times of two machines' clocks. Change: an answer counts for the life that gave it only. A run that its life has confirmed ended with it if the next life is later; otherwise it is stopped and polled for first. Tests: calls lose the argument for the time of day; no expectation changed. Two scripted courses let the owner notice that the other workers have left before they go on, and assert that the run is on the worker in question; without that their two mutations were no longer found, as the runs began on another worker. Result: the tests of control/ and jobs/ pass.

--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -353,9 +353,13 @@
         if event.reply.status is OrderStatus.BAD_TICKET:
             self._advisor.drop_ticket(event.task, event.worker.id)
         if event.kind is OrderKind.START:
-            self._table.note_start(event.worker.id, event.task, event.run, event.reply, now_s)
+            self._table.note_start(
+                event.worker.id, event.task, event.run, event.reply, now_s, event.worker.life
+            )
         elif event.kind is OrderKind.STOP:
-            self._table.note_stop(event.worker.id, event.task, event.run, event.reply, now_s)
+            self._table.note_stop(
+                event.worker.id, event.task, event.run, event.reply, now_s, event.worker.life
+            )
         else:
             self._pacing.note_answer(event.task, event.run, event.reply.status)
 
@@ -378,7 +382,7 @@
         for restarted_id in changes.restarted:
             self._services.events.write("worker-reborn", worker=restarted_id)
         for worker in changes.added:
-            self._table.add_worker(worker, now_s, time.time() * 1000.0)
+            self._table.add_worker(worker, now_s)
         for worker_id, session in self._sessions.unreachable(self._table):
             if now_s > session.lease_end_s:
                 self._table.mark_worker_lost(
@@ -400,7 +404,7 @@
         """Drop a worker that has restarted, until its new incarnation has registered."""
         self._services.events.write("worker-reborn", worker=worker_id, life=life)
         now_s = time.monotonic()
-        self._table.note_worker_restart(worker_id, life, now_s, time.time() * 1000.0)
+        self._table.note_worker_restart(worker_id, life, now_s)
         self._table.workers.pop(worker_id, None)
         self._sessions.drop_restarted(worker_id, life)
 
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -47,9 +47,6 @@
 _NO_CONNECTION_PAUSE_S = 1.0
 """Time without new runs for a worker that accepts no connection, in seconds."""
 
-_CLOCK_DIFFERENCE_MS = 1_000.0
-"""Allowed difference between the wall clocks of a worker and this process, in milliseconds."""
-
 _MS_PER_S = 1000.0
 
 _NO_ROOM_PAUSE_S = 0.3
@@ -140,35 +137,35 @@
             current.is_unclear = True
             current.is_inherited = True
 
-    def add_worker(self, worker: Worker, now_s: float, now_unix_ms: float) -> None:
+    def add_worker(self, worker: Worker, now_s: float) -> None:
         """Add a worker with the runs that are or may be on this incarnation of it."""
         self.workers[worker.id] = worker
         self._read_ends.begin_life(worker.id)
-        self.note_worker_restart(worker.id, worker.info.life, now_s, now_unix_ms)
+        self.note_worker_restart(worker.id, worker.info.life, now_s)
         for task in self.tasks_on(worker.id):
             worker.put(task)
             if self._runs[task].restart_noted_s is not None:
                 self.request_stop(task, now_s)
 
-    def note_worker_restart(self, worker: str, life: int, now_s: float, now_unix_ms: float) -> None:
+    def note_worker_restart(self, worker: str, life: int, now_s: float) -> None:
         """Update the runs on a worker whose process started at ``life``, in Unix milliseconds.
 
         Explanation
         -----------
-        A run that an earlier incarnation of the worker has confirmed ended with that
+        A run that a former incarnation of the worker has confirmed ended with that
         incarnation.  Any other run may have been started by the new incarnation, which
         has the same id, and so may one of whose starts the outcome is not known: it stays
-        assigned until a stop and a later poll show that it is not running.
+        assigned until a stop and a later poll show that it is not running.  So does a run
+        of a later incarnation: the news of this one may be old.
         """
         for task in self.tasks_on(worker):
             if is_same_incarnation(task.life, life):
                 continue
             current = self._runs[task]
-            if current.confirmed_s is not None and not _may_start_again(task, current, now_s):
-                confirmed_ms = now_unix_ms - (now_s - current.confirmed_s) * _MS_PER_S
-                if confirmed_ms < life - _CLOCK_DIFFERENCE_MS:
-                    self.mark_task_lost(task, "its worker has restarted", now_s)
-                    continue
+            has_run = current.confirmed_s is not None and task.life < life
+            if has_run and not _may_start_again(task, current, now_s):
+                self.mark_task_lost(task, "its worker has restarted", now_s)
+                continue
             task.life = life
             task.is_confirmed = False
             task.job.is_dirty = True
@@ -254,9 +251,18 @@
             if current.confirmed_s is None and now_s - task.assigned_s > _CONFIRMATION_TIMEOUT_S:
                 task.job.note_not_begun()
 
-    def note_start(self, worker: str, name: str, run: int, reply: OrderReply, now_s: float) -> None:
-        """Handle the reply to a start."""
+    def note_start(
+        self, worker: str, name: str, run: int, reply: OrderReply, now_s: float, life: int = 0
+    ) -> None:
+        """Handle the reply of a life of a worker to a start.
+
+        Explanation
+        -----------
+        A reply of a former life tells nothing of a run that the present one may have started.
+        """
         task = self._find(name, worker, run)
+        if task is not None and not is_same_incarnation(task.life, life):
+            return
         if task is None:
             if reply.status in (OrderStatus.DONE, OrderStatus.UNCLEAR):
                 self._orders.stop(worker, name, run)
@@ -271,10 +277,12 @@
         else:
             self._note_not_started(task, current, reply.status, now_s)
 
-    def note_stop(self, worker: str, name: str, run: int, reply: OrderReply, now_s: float) -> None:
-        """Handle the reply to a stop."""
+    def note_stop(
+        self, worker: str, name: str, run: int, reply: OrderReply, now_s: float, life: int = 0
+    ) -> None:
+        """Handle the reply of a life of a worker to a stop; see :meth:`note_start`."""
         task = self._find(name, worker, run)
-        if task is None:
+        if task is None or not is_same_incarnation(task.life, life):
             return
         current = self._runs[task]
         is_settled = reply.status in (OrderStatus.DONE, OrderStatus.OLD_RUN)
--- a/almondstack/control/tests/owner_scenarios.py
+++ b/almondstack/control/tests/owner_scenarios.py
@@ -147,12 +147,15 @@
     machine.work(process=0, order=_ALL)
     worker = _first_busy_worker(machine)
     _use_only(machine, worker)
+    machine.pass_time(seconds=0.1)
+    machine.work(process=0, order=_ALL)
     machine.inject_call_fault(worker=worker, fault="late")
     machine.pump(process=0, worker=worker)
     machine.crash(worker=worker)
     for _ in range(10):
         machine.work(process=0, order=_ALL)
         machine.pass_time(seconds=0.1)
+    assert machine.world.workers[worker].running
     return worker
 
 
--- a/almondstack/control/tests/test_fleet_controller.py
+++ b/almondstack/control/tests/test_fleet_controller.py
@@ -49,7 +49,7 @@
     worker = make_worker(life=life_ms)
     controller = controller or FleetController(make_table(), None, services, 2)
     controller._table.workers.clear()
-    controller._table.add_worker(worker, 0.0, 1e15)
+    controller._table.add_worker(worker, 0.0)
     info = InstanceInfo(name, "p", InstanceState.UP, "a", "r", 4_000, worker.id)
     controller._reserve([info], set(), time.monotonic())
     return worker.is_reserved
--- a/almondstack/control/tests/test_read_ends.py
+++ b/almondstack/control/tests/test_read_ends.py
@@ -31,7 +31,7 @@
         job = make_job(make_step(2))
         self.table.jobs[job.id] = job
         self.worker = make_worker()
-        self.table.add_worker(self.worker, 0.0, 1e15)
+        self.table.add_worker(self.worker, 0.0)
         self.tasks = [job.task(TaskKey(0, 0, member)) for member in range(2)]
         for task in self.tasks:
             assign(self.table, task, self.worker)
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -236,7 +236,7 @@
 def test_an_inherited_run_that_is_listed_continues():
     table, task = _inherited(life=1)
     worker = make_worker()
-    table.add_worker(worker, 0.0, 1e15)
+    table.add_worker(worker, 0.0)
     table.note_poll(worker, 0.1, look(running=(running(task),)), 0.2)
     assert task.is_confirmed and worker.tasks == [task]
 
@@ -244,7 +244,7 @@
 def test_an_inherited_run_that_is_not_listed_is_stopped_before_the_next():
     table, task = _inherited(life=1)
     worker = make_worker()
-    table.add_worker(worker, 0.0, 1e15)
+    table.add_worker(worker, 0.0)
     table.note_poll(worker, 0.1, look(), 0.2)
     assert task.is_assigned and len(table._orders.stops) == 1
 
@@ -253,7 +253,7 @@
     """Guards against long-running tasks that restart 12 s too late after a rack outage."""
     table, worker, task = world
     _start(table, task, OrderStatus.DONE, 0.1)
-    table.add_worker(make_worker(life=5_000_000), 100.0, now_unix_ms=5_000_100.0)
+    table.add_worker(make_worker(life=5_000_000), 100.0)
     assert task.status is TaskStatus.WAITING
 
 
@@ -262,7 +262,7 @@
     table, worker, task = world
     _start(table, task, OrderStatus.UNCLEAR, 0.1)
     _start(table, task, OrderStatus.DONE, 0.2)
-    table.add_worker(make_worker(life=5_000_000), 8.0, now_unix_ms=5_008_000.0)
+    table.add_worker(make_worker(life=5_000_000), 8.0)
     assert task.is_assigned and len(table._orders.stops) == 1
 
 
@@ -270,7 +270,7 @@
     table, worker, task = world
     _start(table, task, OrderStatus.UNCLEAR, 0.1)
     _start(table, task, OrderStatus.DONE, 0.2)
-    table.add_worker(make_worker(life=5_000_000), 60.0, now_unix_ms=5_008_000.0)
+    table.add_worker(make_worker(life=5_000_000), 60.0)
     assert task.status is TaskStatus.WAITING
 
 
@@ -282,7 +282,7 @@
     """
     table, worker, task = world
     restarted = make_worker(life=5_000_000)
-    table.add_worker(restarted, 0.2, now_unix_ms=5_000_100.0)
+    table.add_worker(restarted, 0.2)
     assert task.is_assigned and restarted.tasks == [task] and task.life == 5_000_000
     assert table._orders.stops == [("w1", _name(task), 1)]
     table.note_poll(restarted, 0.25, look(life=5_000_000), 0.3)
@@ -295,7 +295,7 @@
 def test_an_inherited_run_on_an_earlier_incarnation_is_stopped_first():
     table, task = _inherited(life=7)
     restarted = make_worker(life=8)
-    table.add_worker(restarted, 0.0, 1e15)
+    table.add_worker(restarted, 0.0)
     assert task.is_assigned
     _stop(table, task, 0.1)
     table.note_poll(restarted, 0.2, look(life=8), 0.3)
@@ -304,7 +304,7 @@
 
 def test_a_run_of_a_restarted_worker_is_not_orphaned_before_its_lease_time_has_passed():
     table, task = _inherited(life=7)
-    table.note_worker_restart("w1", 8, 10.0, 1e15)
+    table.note_worker_restart("w1", 8, 10.0)
     assert list(table.orphaned(before_s=9.0)) == []
     assert list(table.orphaned(before_s=11.0)) == [task]
 
@@ -313,7 +313,7 @@
     """Guards against estimates distorted by runs that seem as long as this process's uptime."""
     table, task = _inherited(life=1)
     worker = make_worker()
-    table.add_worker(worker, 0.0, 1e15)
+    table.add_worker(worker, 0.0)
     seen = []
     table.set_end_listener(lambda task, took_ms: seen.append(took_ms))
     table.note_poll(worker, 0.1, look(ended=(ended(task),)), 0.2)
@@ -351,7 +351,7 @@
     """
     table, task = _inherited(life=1)
     worker = make_worker()
-    table.add_worker(worker, 0.0, 1e15)
+    table.add_worker(worker, 0.0)
     for second in range(1, 4):
         table.note_poll(worker, second - 1.0, look(), float(second))
         if len(table._orders.stops) == second:
@@ -389,7 +389,7 @@
     """
     table, worker, task = world
     table.note_poll(worker, 0.2, look(ended=(ended(task, number=7),)), 0.3)
-    table.add_worker(make_worker(life=5_000_000), 0.4, now_unix_ms=5_000_100.0)
+    table.add_worker(make_worker(life=5_000_000), 0.4)
     assert table.take_ends() == {}
 
 
@@ -436,7 +436,7 @@
     """The next run holds room on its worker until that worker has listed its end."""
     table, worker, tasks, ends = _given_up()
     other = make_worker("w2")
-    table.add_worker(other, 1.5, 1e15)
+    table.add_worker(other, 1.5)
     assign(table, tasks[0], other, 1.6)
     table.note_poll(worker, 2.0, look(ended=(ends[0],)), 2.1)
     assert tasks[0].is_assigned and other.tasks == [tasks[0]]
@@ -447,3 +447,26 @@
     tasks[0].job.cancel()
     table.note_poll(worker, 2.0, look(ended=(ends[0],)), 2.1)
     assert tasks[0].job.state is JobState.CANCELLED
+
+
+def test_an_answer_of_a_former_life_confirms_no_run_on_the_next(world):
+    """Guards against a run counted as lost while a late start of it may still be carried out."""
+    table, worker, task = world
+    table.add_worker(make_worker(life=5), 0.2)
+    table.note_start("w1", _name(task), 1, reply(), 0.3, worker.info.life)
+    table.note_poll(table.workers["w1"], 0.4, look(life=5), 0.5)
+    assert task.is_assigned
+    table.note_stop("w1", _name(task), 1, reply(), 0.6, worker.info.life)
+    table.note_poll(table.workers["w1"], 0.7, look(life=5), 0.8)
+    assert task.is_assigned
+
+
+def test_old_news_of_a_former_life_loses_no_run_of_the_present_one():
+    """Guards against a stale registration by which a run counts as ended while it goes on."""
+    job, worker = make_job(), make_worker(life=5)
+    table = make_table(job, workers=(worker,))
+    task = job.task(TaskKey(0, 0, 0))
+    assign(table, task, worker)
+    _start(table, task, OrderStatus.DONE)
+    table.note_worker_restart("w1", 4, 9.0)
+    assert task.is_assigned
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -91,7 +91,7 @@
     for job in jobs:
         table.jobs[job.id] = job
     for worker in workers:
-        table.add_worker(worker, 0.0, 1e15)
+        table.add_worker(worker, 0.0)
     return table
 
 
