Call a worker that has started again with a higher fencing token

Cause: a worker that is back under its old id has seen no fencing token and has the id that calls name, so it carried out calls that were meant for its former life. A late hold carries the former life's last-seen, which had the next one forget ends that nobody had read, and a deadline, which kept its lease; the owner found the run neither running nor ended and started the task again. All lives got one token, so the worker could not tell them apart. Change: before an owner calls a life that calls for a former one may still reach, it claims the next fencing token with its next append, from the same incarnation; the store takes one of two claims of a token, as before. The session of that life uses it, the open sessions keep theirs. The first answer to a poll then rules out every late call: ends, starts, stops, paces, leases. All calls of a session are counted, and none begins once it is closed. Former lives are remembered by name, not by the order of their start times. Requests are taken for each token of the ownership; a standby does not count a raised token as a new owner.

--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -1,11 +1,13 @@
 """Appends of the owner to the record store, each stored exactly once and in sequence."""
 
+import random
 import threading
 import time
 
 from almondstack.control.services import OwnerServices
 from almondstack.jobs import OwnerNotice, RecordKind, encode_notice, record_key
 from almondstack.ownership import (
+    MAX_FIRST_SEQUENCE,
     FencedError,
     Record,
     StoreError,
@@ -41,6 +43,7 @@
         "_heartbeat_s",
         "_incarnation",
         "_is_closed",
+        "_is_token_due",
         "_notice",
         "_refused_since_s",
         "_sequence",
@@ -55,6 +58,7 @@
         self._services = services
         self._incarnation = incarnation
         self._token = token
+        self._is_token_due = False
         self._sequence = sequence
         self._written_s = _since_boot_s()
         self._heartbeat_s = self._written_s
@@ -63,6 +67,11 @@
         self._notice = self._make_notice({})
         self._is_closed = threading.Event()
 
+    @property
+    def token(self) -> int:
+        """Highest fencing token that this owner has claimed."""
+        return self._token
+
     @property
     def written_s(self) -> float:
         """Start of the last successful append, in seconds since the instance was booted."""
@@ -89,6 +98,17 @@
             return False
         return _since_boot_s() - self._written_s < self._services.ownership.unsure_s
 
+    def request_token(self) -> int:
+        """Claim the next fencing token with the next append; return it.
+
+        Explanation
+        -----------
+        The owner and its incarnation stay the same.  The append is refused, and ends this
+        ownership, if another process has claimed that token.
+        """
+        self._is_token_due = True
+        return self._token + 1
+
     def write(self, records: list[Record], waits_ms: dict[str, int]) -> int:
         """Append records, and a heartbeat notice if one is due or the waits have changed.
 
@@ -109,11 +129,22 @@
         FencedError
             Another process owns the jobs, or the journal was closed.
         """
-        if self._needs_heartbeat(waits_ms):
+        if self._is_token_due:
+            self._begin_token()
+            self._notice = self._make_notice(waits_ms)
+            records = [self._notice_record(self._notice), *records]
+        elif self._needs_heartbeat(waits_ms):
             self._notice = self._make_notice(waits_ms)
             records = [*records, self._notice_record(self._notice)]
         return self._write(records)
 
+    def _begin_token(self) -> None:
+        """Number the next appends anew, under the next token."""
+        self._is_token_due = False
+        self._token += 1
+        # As in a claim: of two processes that begin with the same token only one is accepted.
+        self._sequence = random.randrange(MAX_FIRST_SEQUENCE)
+
     def _write(self, records: list[Record]) -> int:
         has_heartbeat = any(map(is_written_by_owner, records))
         end_offset = 0
--- a/almondstack/control/lease.py
+++ b/almondstack/control/lease.py
@@ -3,7 +3,7 @@
 import threading
 from typing import NamedTuple
 
-from almondstack.control.sent_deadlines import longest_hold_s
+from almondstack.control.sent_calls import longest_hold_s
 from almondstack.control.settings import ControlSettings
 
 __all__ = ["LeaseState", "WorkerLease", "longest_lease_s"]
@@ -70,7 +70,7 @@
         seconds.
     former_until_s : float, optional
         Until when the worker may take a deadline that a previous owner has sent to a former
-        life of it, in monotonic seconds; see :class:`SentDeadlines`.
+        life of it, in monotonic seconds; see :class:`SentCalls`.
     """
 
     __slots__ = (
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -38,6 +38,7 @@
     Task,
 )
 from almondstack.ownership import FencedError, OwnershipSettings
+from almondstack.placement import WorkerInfo
 
 __all__ = ["JobChange", "Owner", "previous_extension_bound_s"]
 
@@ -48,6 +49,9 @@
 _MAX_LOGGED_JOBS = 20
 """Ids of jobs in one event."""
 
+_MAX_LOGGED_WORKERS = 20
+"""Ids of workers in one event."""
+
 
 class JobChange:
     """A submission or cancel record that was applied to the job index."""
@@ -379,8 +383,11 @@
 
     def _update_workers(self, now_s: float) -> None:
         changes = self._sessions.reconcile(self._table, now_s)
-        for restarted_id in changes.restarted:
-            self._services.events.write("worker-reborn", worker=restarted_id)
+        for info in changes.restarted:
+            self._services.events.write("worker-reborn", worker=info.id, life=info.life)
+            self._table.note_worker_restart(info.id, info.life, now_s)
+        if changes.awaiting:
+            self._request_token(changes.awaiting)
         for worker in changes.added:
             self._table.add_worker(worker, now_s)
         for worker_id, session in self._sessions.unreachable(self._table):
@@ -400,6 +407,17 @@
             if now_s > self._sessions.lease_end_s(task.worker, task.life):
                 self._table.mark_task_lost(task, "its worker is unknown", now_s)
 
+    def _request_token(self, awaiting: list[WorkerInfo]) -> None:
+        """Claim a higher token, which calls for former lives of these workers don't have."""
+        token = self._journal.request_token()
+        self._services.requests.add_token(token)
+        self._services.events.write(
+            "token-requested",
+            token=token,
+            lives={info.id: info.life for info in awaiting[:_MAX_LOGGED_WORKERS]},
+            workers=len(awaiting),
+        )
+
     def _drop_restarted(self, worker_id: str, life: int) -> None:
         """Drop a worker that has restarted, until its new incarnation has registered."""
         self._services.events.write("worker-reborn", worker=worker_id, life=life)
@@ -424,6 +442,7 @@
         write = self._journal.write_last if is_last else self._journal.write
         began_s = time.monotonic()
         self._requests.answer_stored(write(records, self._fleet.waits_ms))
+        self._sessions.use_token(self._journal.token)
         self._delays.note_stored(self._starts, time.monotonic() - began_s)
         for job in list(self._table.jobs.values()):
             job.is_dirty = False
@@ -464,7 +483,7 @@
         name = task.name
         ticket = self._advisor.ticket(task) or ""
         self._services.events.write(
-            "run-ordered", task=name, run=task.run, worker=task.worker, token=self._token
+            "run-ordered", task=name, run=task.run, worker=task.worker, token=session.token
         )
         session.set_busy(True)
         order = StartOrder(name, task.run, job.submission.spec, task.checkpoint, ticket)
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -24,7 +24,7 @@
     RunningRun,
 )
 from almondstack.control.read_ends import ReadEnds
-from almondstack.control.sent_deadlines import MAX_CALL_DELAY_S
+from almondstack.control.sent_calls import MAX_CALL_DELAY_S
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskBudget, TaskNameError
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -1,6 +1,7 @@
 """Calls to one worker: orders in sequence, and polls that renew leases and list ended runs."""
 
 import contextlib
+import functools
 import queue
 import threading
 import time
@@ -20,7 +21,7 @@
     StartOrder,
 )
 from almondstack.control.ports import WorkerCaller, WorkerCallers
-from almondstack.control.sent_deadlines import SentDeadlines
+from almondstack.control.sent_calls import SentCalls, longest_hold_s
 from almondstack.control.settings import ControlSettings
 from almondstack.core import LocalMetrics
 from almondstack.core.supervision import report_error
@@ -78,8 +79,8 @@
     last_extension_s : float
         Latest monotonic time at which a previous owner may have extended the worker's
         lease, in seconds; the lease lasts for ``lease_s`` from then on.
-    deadlines : SentDeadlines
-        The deadlines that were sent to this life of the worker and to others.
+    calls : SentCalls
+        The calls that were sent to this life of the worker and to others.
     former_until_s : float, optional
         Until when the worker may take a deadline that a previous owner has sent to a former
         life of it, in monotonic seconds.
@@ -88,8 +89,9 @@
     __slots__ = (
         "_orders_began_s",
         "_callers",
+        "_calls",
         "_changed",
-        "_deadlines",
+        "_fenced_s",
         "_is_answering",
         "_is_busy",
         "_is_closed",
@@ -116,7 +118,7 @@
         may_extend: Callable[[], bool],
         metrics: LocalMetrics,
         last_extension_s: float,
-        deadlines: SentDeadlines | None = None,
+        calls: SentCalls | None = None,
         former_until_s: float | None = None,
     ) -> None:
         self.worker = worker
@@ -127,7 +129,8 @@
         self._may_extend = may_extend
         self._metrics = metrics
         self._lease = WorkerLease(settings, worker.clock_ms, last_extension_s, former_until_s)
-        self._deadlines = deadlines or SentDeadlines(settings)
+        self._calls = calls or SentCalls(settings)
+        self._fenced_s: float | None = None
         self._is_answering = True
         self._is_busy = False
         self._is_closed = False
@@ -138,10 +141,24 @@
         self._orders_began_s: dict[str, float] = {}
         self._threads: dict[str, threading.Thread] = {}
 
+    @property
+    def token(self) -> int:
+        """Fencing token of all its calls."""
+        return self._token
+
     @property
     def lease_end_s(self) -> float:
-        """Monotonic time by which all runs end unless their lease is renewed later, in seconds."""
-        return max(self._lease.end_s, self._deadlines.end_s(self.worker.life))
+        """Monotonic time by which all runs end unless their lease is renewed later, in seconds.
+
+        Explanation
+        -----------
+        Once this life has answered a call with this session's token, which is higher than those
+        of calls for its former lives, it takes no more of these.
+        """
+        former_end_s = self._calls.end_s(self.worker.life)
+        if self._fenced_s is not None:
+            former_end_s = min(former_end_s, self._fenced_s + longest_hold_s(self._settings))
+        return max(self._lease.end_s, former_end_s)
 
     @property
     def lease_state(self) -> LeaseState:
@@ -245,9 +262,11 @@
 
     def _send(self, caller: WorkerCaller, order: _Order) -> OrderReply:
         if order.kind is OrderKind.STOP:
-            return caller.stop(order.task, order.run, self._token)
+            stop = functools.partial(caller.stop, order.task, order.run, self._token)
+            return self._call_order(stop, has_deadline=False)
         if order.kind is OrderKind.PACE:
-            return caller.pace(order.task, order.run, order.percent, self._token)
+            pace = functools.partial(caller.pace, order.task, order.run, order.percent, self._token)
+            return self._call_order(pace, has_deadline=False)
         if order.start is None or not self._may_extend():
             return OrderReply(OrderStatus.NOT_SENT)
         is_current = caller.is_connected and not self._lease.needs_reading(time.monotonic())
@@ -255,25 +274,62 @@
             return OrderReply(OrderStatus.NOT_SENT)
         if not order.is_wanted():
             return OrderReply(OrderStatus.UNWANTED)
-        number = self._deadlines.begin(self.worker.life, time.monotonic())
         deadline_ms = self._lease.extend(time.monotonic())
         age_s = self._lease.state.reading_age_s
         if age_s is not None:
             self._metrics.timing_ms("start.clock_age", age_s * _MS_PER_S)
+        start = functools.partial(caller.start, order.start, deadline_ms, self._token)
+        return self._call_order(start, has_deadline=True)
+
+    def _call_order(self, send: Callable[[], OrderReply], *, has_deadline: bool) -> OrderReply:
+        """Send an order, unless the session was closed, and record whether it got an answer."""
+        number = self._begin_call(has_deadline=has_deadline)
+        if number is None:
+            return OrderReply(OrderStatus.NOT_SENT)
         status = OrderStatus.UNCLEAR
         try:
-            reply = caller.start(order.start, deadline_ms, self._token)
+            reply = send()
             status = reply.status
         finally:
             self._settle(number, status, self.worker.life)
         return reply
 
+    def _call_poll(
+        self, caller: WorkerCaller, deadline_ms: int | None, last_seen: int, wait_s: float
+    ) -> PollReply:
+        """Poll, unless the session was closed, and record whether there was an answer."""
+        number = self._begin_call(has_deadline=deadline_ms is not None)
+        if number is None:
+            return PollReply(OrderStatus.NOT_SENT, 0, 0, (), ())
+        status, life = OrderStatus.UNCLEAR, 0
+        try:
+            reply = caller.poll(deadline_ms, last_seen, wait_s, self._token)
+            status, life = reply.status, reply.life
+        finally:
+            self._settle(number, status, life)
+        return reply
+
+    def _begin_call(self, *, has_deadline: bool) -> int | None:
+        """Record a call that is about to be sent; None if the session was closed.
+
+        Explanation
+        -----------
+        Whether the worker's next life needs a higher token is asked once this session is
+        closed, so no call may begin after that.
+        """
+        with self._changed:
+            if self._is_closed:
+                return None
+            return self._calls.begin(
+                self.worker.life, time.monotonic(), self._token, has_deadline=has_deadline
+            )
+
     def _settle(self, number: int, status: OrderStatus, life: int) -> None:
-        """Note the answer of a life to a call with a deadline, or that there was none."""
+        """Note the answer of a life to a call, or that there was none."""
         if status is OrderStatus.UNCLEAR:
-            self._deadlines.leave_open(number)
+            self._calls.leave_open(number)
         else:
-            self._deadlines.settle(number, life or self.worker.life, time.monotonic())
+            self._calls.settle(number, life or self.worker.life, time.monotonic())
 
     def _handshake(self, caller: WorkerCaller) -> bool:
         """Read the worker's start time and clock; False if it fails or the worker restarted.
@@ -284,14 +340,14 @@
         computed from its old clock value may have expired when it arrives.  So may a
         lease computed from the last answer of a worker that has been idle since.
         """
-        reply = caller.poll(None, self._last_acknowledged_end, 0.0, self._token)
+        reply = self._call_poll(caller, None, self._last_acknowledged_end, 0.0)
         self._metrics.count(f"look.{reply.status}")
         if reply.status is not OrderStatus.DONE:
             self._post(PollFailed(self.worker, reply.status))
             return False
         if self._close_if_restarted(reply, time.monotonic()):
             return False
-        self._lease.note_clock(reply.clock_ms, time.monotonic())
+        self._note_answer(reply, time.monotonic())
         return True
 
     def _close_if_restarted(self, reply: PollReply, sent_s: float) -> bool:
@@ -356,21 +412,17 @@
         return True
 
     def _send_poll(self, caller: WorkerCaller, wait_s: float, *, may_extend: bool) -> PollReply:
-        if not may_extend:
-            return caller.poll(None, self._last_acknowledged_end, wait_s, self._token)
-        number = self._deadlines.begin(self.worker.life, time.monotonic())
-        deadline_ms = self._lease.extend(time.monotonic())
-        status, life = OrderStatus.UNCLEAR, 0
-        try:
-            reply = caller.poll(deadline_ms, self._last_acknowledged_end, wait_s, self._token)
-            status, life = reply.status, reply.life
-        finally:
-            self._settle(number, status, life)
-        return reply
+        deadline_ms = self._lease.extend(time.monotonic()) if may_extend else None
+        return self._call_poll(caller, deadline_ms, self._last_acknowledged_end, wait_s)
 
     def _note_poll(self, reply: PollReply) -> None:
-        now_s = time.monotonic()
-        self._lease.note_poll(now_s)
-        self._lease.note_clock(reply.clock_ms, now_s)
+        self._note_answer(reply, time.monotonic())
         if reply.ended:
             self._last_listed_end = max(end.number for end in reply.ended)
+
+    def _note_answer(self, reply: PollReply, now_s: float) -> None:
+        """Note that this life has answered a poll, so that it refuses lower tokens from now on."""
+        if self._fenced_s is None:
+            self._fenced_s = now_s
+        self._lease.note_poll(now_s)
+        self._lease.note_clock(reply.clock_ms, now_s)
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -7,7 +7,7 @@
 from almondstack.control.current_runs import is_other_incarnation
 from almondstack.control.lease import longest_lease_s
 from almondstack.control.runs import RunTable
-from almondstack.control.sent_deadlines import MAX_CALL_DELAY_S, SentDeadlines, longest_hold_s
+from almondstack.control.sent_calls import MAX_CALL_DELAY_S, SentCalls, longest_hold_s
 from almondstack.control.services import OwnerServices
 from almondstack.control.session import WorkerSession
 from almondstack.placement import Worker, WorkerInfo
@@ -34,10 +34,18 @@
 
 
 class WorkerChanges(NamedTuple):
-    """Changes among the registered workers: ids of restarted workers, and added workers."""
+    """Changes among the registered workers.
 
-    restarted: list[str]
+    Explanation
+    -----------
+    ``restarted`` are ids of workers with a new life, and ``added`` the workers that get a session.
+    ``awaiting`` are lives that calls for a former one may reach: they are added once the owner has
+    a higher token.
+    """
+
+    restarted: list[WorkerInfo]
     added: list[Worker]
+    awaiting: list[WorkerInfo]
 
 
 class SessionTable:
@@ -59,8 +67,8 @@
     """
 
     __slots__ = (
-        "_answered_incarnations",
-        "_deadlines",
+        "_calls",
+        "_former_lives",
         "_may_extend",
         "_post",
         "_previous_extension_s",
@@ -84,8 +92,8 @@
         self._may_extend = may_extend
         self._previous_extension_s = previous_extension_s
         self._sessions: dict[str, WorkerSession] = {}
-        self._answered_incarnations: dict[str, int] = {}
-        self._deadlines: dict[str, SentDeadlines] = {}
+        self._former_lives: dict[str, set[int]] = {}
+        self._calls: dict[str, SentCalls] = {}
         self._reconciled_s = 0.0
 
     def get(self, worker: str) -> WorkerSession | None:
@@ -103,17 +111,36 @@
         if session is not None:
             session.close()
 
+    def use_token(self, token: int) -> None:
+        """Use a token of this owner in the sessions that are opened from now on.
+
+        Explanation
+        -----------
+        The open ones keep theirs: of two calls under way to one worker the one with the lower
+        token could arrive last, and would be refused.
+        """
+        self._token = token
+
     def drop_restarted(self, worker: str, life: int) -> None:
-        """Close the session of a worker of which a later incarnation has answered.
+        """Close the session of a worker of which another incarnation has answered.
 
         Explanation
         -----------
-        Until that incarnation has registered, the registration belongs to an earlier
-        one and is ignored.
+        Until that incarnation has registered, the registration belongs to a former
+        one and is ignored.  Lives are not compared by their start times, as the clock of an
+        instance may be set back.
         """
-        self._answered_incarnations[worker] = life
+        session = self._sessions.get(worker)
+        registered = self._services.directory.workers().get(worker)
+        for former in (session.worker if session is not None else None, registered):
+            if former is not None and former.life != life:
+                self._note_former_life(worker, former.life)
+        self._former_lives.get(worker, set()).discard(life)
         self.drop(worker)
 
+    def _note_former_life(self, worker: str, life: int) -> None:
+        self._former_lives.setdefault(worker, set()).add(life)
+
     def acknowledge(self, ends: dict[str, int]) -> None:
         """Acknowledge ended runs that are stored, up to a number for each worker."""
         acknowledged: dict[str, tuple[int, int]] = {}
@@ -137,18 +164,21 @@
 
     def reconcile(self, table: RunTable, now_s: float) -> WorkerChanges:
         """Open sessions for new workers, drop unregistered ones, and return the changes."""
-        changes = WorkerChanges([], [])
+        changes = WorkerChanges([], [], [])
         if now_s - self._reconciled_s < self._services.control.directory_interval_s:
             return changes
         self._reconciled_s = now_s
         registered = self._services.directory.workers()
         for info in registered.values():
-            if not info.life or info.life >= self._answered_incarnations.get(info.id, 0):
-                self._reconcile_worker(table, info, changes)
+            if info.life not in self._former_lives.get(info.id, ()):
+                self._reconcile_worker(table, info, now_s, changes)
         for worker in list(table.workers.values()):
             if worker.id not in registered:
                 self._remove_unregistered(table, worker)
-        self._forget_sent_deadlines(now_s)
+        self._forget_sent_calls(now_s)
+        if changes.awaiting:
+            # They are added with the next round, whose session has the next token.
+            self._reconciled_s = 0.0
         return changes
 
     def unreachable(self, table: RunTable) -> Iterator[tuple[str, WorkerSession]]:
@@ -191,16 +221,28 @@
             for worker in sorted(idle)[:_MAX_PROBES_PER_RACK]
         }
 
-    def _reconcile_worker(self, table: RunTable, info: WorkerInfo, changes: WorkerChanges) -> None:
+    def _reconcile_worker(
+        self, table: RunTable, info: WorkerInfo, now_s: float, changes: WorkerChanges
+    ) -> None:
         known = table.workers.get(info.id)
         if known is not None and not is_other_incarnation(known.info, info):
             known.refresh(info)
             return
         if known is not None:
-            changes.restarted.append(info.id)
+            changes.restarted.append(info)
+            if known.info.life != info.life:
+                self._note_former_life(info.id, known.info.life)
             self.drop(info.id)
+            del table.workers[info.id]
+        if self._calls_of(info.id).needs_higher_token(info.life, self._token, now_s):
+            changes.awaiting.append(info)
+            return
+        self._add_worker(info, changes)
+
+    def _add_worker(self, info: WorkerInfo, changes: WorkerChanges) -> None:
+        """Open a session for a life that no call for a former one with its token may reach."""
         worker = Worker(info)
-        worker.unsettled_until_s = self._deadlines_of(info.id).settled_s(info.life)
+        worker.unsettled_until_s = self._calls_of(info.id).settled_s(info.life)
         changes.added.append(worker)
         former_until_s = self._former_until_s(info.id, info.life)
         self._sessions[info.id] = WorkerSession(
@@ -212,7 +254,7 @@
             self._may_extend,
             self._services.metrics,
             self._previous_extension_s,
-            self._deadlines_of(info.id),
+            self._calls_of(info.id),
             former_until_s,
         )
 
@@ -229,22 +271,23 @@
         former_until_s = self._former_until_s(worker, life)
         if former_until_s is not None:
             end_s = max(end_s, former_until_s + longest_hold_s(control))
-        return max(end_s, self._deadlines_of(worker).end_s(life))
+        return max(end_s, self._calls_of(worker).end_s(life))
 
-    def _deadlines_of(self, worker: str) -> SentDeadlines:
+    def _calls_of(self, worker: str) -> SentCalls:
         """Return what was sent to all lives of a worker."""
-        found = self._deadlines.get(worker)
+        found = self._calls.get(worker)
         if found is None:
-            found = self._deadlines[worker] = SentDeadlines(self._services.control)
+            found = self._calls[worker] = SentCalls(self._services.control)
         return found
 
-    def _forget_sent_deadlines(self, now_s: float) -> None:
+    def _forget_sent_calls(self, now_s: float) -> None:
         """Forget what was sent to workers that have left, once most of it is theirs."""
-        if len(self._deadlines) <= 2 * len(self._sessions) + _MAX_LEFT_WORKERS:
+        if len(self._calls) <= 2 * len(self._sessions) + _MAX_LEFT_WORKERS:
             return
-        for worker in self._deadlines.keys() - self._sessions.keys():
-            if self._deadlines[worker].is_over(now_s):
-                del self._deadlines[worker]
+        for worker in self._calls.keys() - self._sessions.keys():
+            if self._calls[worker].is_over(now_s):
+                del self._calls[worker]
+                self._former_lives.pop(worker, None)
 
     def _former_until_s(self, worker: str, life: int) -> float | None:
         """Return until when a life may take a deadline that a previous owner sent to another one.
--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -285,6 +285,17 @@
         machine.teardown()
 
 
+def test_the_oracle_detects_that_a_late_acknowledgement_hides_an_end():
+    """Guards against a scenario that the fault of issue 50 would pass."""
+    machine = OwnerMachine()
+    with MUTATIONS["former and next lives get one token"](), pytest.raises(RuleBrokenError):
+        try:
+            machine.begin()
+            forget_an_end_by_a_late_acknowledgement(machine)
+        finally:
+            machine.teardown()
+
+
 def test_each_mutation_has_its_scenario():
     assert set(SCENARIOS) == set(MUTATIONS)
 
--- a/almondstack/intake/requests.py
+++ b/almondstack/intake/requests.py
@@ -142,13 +142,13 @@
     'done'
     """
 
-    __slots__ = ("_lock", "_peers", "_post", "_standby", "_token", "_waiting", "_zone")
+    __slots__ = ("_lock", "_peers", "_post", "_standby", "_tokens", "_waiting", "_zone")
 
     def __init__(self, zone: str = "") -> None:
         self._zone = zone
         self._lock = threading.Lock()
         self._post: Callable[[OwnerRequest], None] | None = None
-        self._token = 0
+        self._tokens = range(0)
         self._waiting: set[OwnerRequest] = set()
         self._peers: dict[str, tuple[float, Peer]] = {}
         self._standby = ""
@@ -188,9 +188,19 @@
     def open(self, token: int, post: Callable[[OwnerRequest], None]) -> None:
         """Hand requests to ``post`` from now on, for the owner with that fencing token."""
         with self._lock:
-            self._token = token
+            self._tokens = range(token, token + 1)
             self._post = post
 
+    def add_token(self, token: int) -> None:
+        """Take requests for a higher token of the same owner as well, which it is about to claim.
+
+        Explanation
+        -----------
+        Other processes ask by the token in the newest notice that they have read.
+        """
+        with self._lock:
+            self._tokens = range(self._tokens.start, token + 1)
+
     def close(self) -> None:
         """Accept no more requests, and withdraw those that wait for an answer."""
         with self._lock:
@@ -210,7 +220,7 @@
             The request was taken; its outcome is unknown.
         """
         with self._lock:
-            if self._post is None or token not in (None, self._token):
+            if self._post is None or (token is not None and token not in self._tokens):
                 raise OwnerNotReachedError(f"this process is not the owner with token {token}")
             self._waiting.add(request)
             self._post(request)
--- a/almondstack/intake/tests/test_requests.py
+++ b/almondstack/intake/tests/test_requests.py
@@ -35,6 +35,20 @@
         requests.ask(CancelRequest(_JOB), 1.0, token=6)
 
 
+def test_a_request_for_a_token_that_the_owner_has_raised_is_taken():
+    """Guards against callers turned away because their process has read the older notice."""
+    requests = _open(lambda request: request.answer(Receipt(Verdict.DONE)))
+    requests.add_token(9)
+    for token in (7, 8, 9):
+        assert requests.ask(CancelRequest(_JOB), 1.0, token=token).verdict is Verdict.DONE
+    for token in (6, 10):
+        with pytest.raises(OwnerNotReachedError):
+            requests.ask(CancelRequest(_JOB), 1.0, token=token)
+    requests.open(11, lambda request: request.answer(Receipt(Verdict.DONE)))
+    with pytest.raises(OwnerNotReachedError):
+        requests.ask(CancelRequest(_JOB), 1.0, token=9)
+
+
 def test_a_request_that_is_not_taken_in_time_is_withdrawn():
     waiting = []
     with pytest.raises(OwnerNotReachedError):
--- a/almondstack/ownership/__init__.py
+++ b/almondstack/ownership/__init__.py
@@ -10,12 +10,19 @@
 )
 from almondstack.ownership.follower import Follower
 from almondstack.ownership.latency import StoreLatency
-from almondstack.ownership.ports import Batch, Record, RecordStore, Snapshot
+from almondstack.ownership.ports import (
+    MAX_FIRST_SEQUENCE,
+    Batch,
+    Record,
+    RecordStore,
+    Snapshot,
+)
 from almondstack.ownership.read_backoff import ReadBackoff
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.silence_timer import SilenceTimer
 
 __all__ = [
+    "MAX_FIRST_SEQUENCE",
     "Batch",
     "FencedError",
     "Follower",
--- a/almondstack/ownership/claim_priority.py
+++ b/almondstack/ownership/claim_priority.py
@@ -87,7 +87,8 @@
     def note_notice(self, notice: OwnerNotice, now_s: float) -> None:
         """Take the owner's newest notice into account."""
         self._fastest = max(self._fastest, notice.cores)
-        if self._notice is None or self._notice.token != notice.token:
+        # An owner may raise its own token.
+        if self._notice is None or self._notice.owner != notice.owner:
             self._noticed_s = now_s
         self._notice = notice
 
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -21,18 +21,12 @@
 from almondstack.ownership.errors import HistoryLostError, StoreError, StoreRefusedError
 from almondstack.ownership.failure_detector import OwnerFailureDetector
 from almondstack.ownership.owner_records import is_written_by_owner
-from almondstack.ownership.ports import Record, RecordStore
+from almondstack.ownership.ports import MAX_FIRST_SEQUENCE, Record, RecordStore
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.silence_timer import SilenceTimer
 
 __all__ = ["Follower"]
 
-_MAX_FIRST_SEQUENCE = 2**40
-"""Upper bound of the random sequence number of a claim.  The store would treat two claims with
-the same token and the same sequence number as a repeat and answer both with success.  With
-different sequence numbers it accepts only the first, however fast other records are appended."""
-
-
 _SYNC_TIMEOUT_S = 1.0
 """Limit on the time that a caller waits for a read to the end of the log."""
 
@@ -360,7 +354,7 @@
             OwnerNotice(self._incarnation, token, self._address, {}, self._cores),
             has_ranges=self._index.needs_ranges,
         )
-        sequence = self._sequences.setdefault(token, random.randrange(1, _MAX_FIRST_SEQUENCE))
+        sequence = self._sequences.setdefault(token, random.randrange(1, MAX_FIRST_SEQUENCE))
         is_taken = self._store.claim(token, Record(record_key(RecordKind.OWNER), notice), sequence)
         self._events.write("ownership-claimed", token=token, is_taken=is_taken)
 
--- a/almondstack/ownership/ports.py
+++ b/almondstack/ownership/ports.py
@@ -5,7 +5,13 @@
 from almondstack.ownership.latency import StoreLatency
 from almondstack.ownership.read_backoff import ReadBackoff
 
-__all__ = ["Batch", "Record", "RecordStore", "Snapshot"]
+__all__ = ["MAX_FIRST_SEQUENCE", "Batch", "Record", "RecordStore", "Snapshot"]
+
+MAX_FIRST_SEQUENCE = 2**40
+"""Upper bound of the random sequence number of the first append with a token.  The store would
+treat two of them with the same token and the same sequence number as a repeat and answer both with
+success.  With different sequence numbers it accepts only the first, however fast other records are
+appended."""
 
 
 class Record(NamedTuple):
@@ -109,8 +115,9 @@
 
         Explanation
         -----------
-        ``sequence`` counts up by one from that of the claim.  The call is idempotent:
-        repeats with the same sequence number and records take effect once.
+        ``sequence`` counts up by one from that of the claim.  With a higher token than before
+        it begins at any number, and the call is a claim of that token as well.  The call is
+        idempotent: repeats with the same sequence number and records take effect once.
 
         Raises
         ------
--- a/almondstack/testing/fake_records.py
+++ b/almondstack/testing/fake_records.py
@@ -89,11 +89,12 @@
     ) -> int:
         """Append records of the owner, once for each sequence number."""
         self._check()
-        if token < self._token or sequence not in (self._sequence, self._sequence + 1):
+        is_next = token > self._token or sequence == self._sequence + 1
+        if token < self._token or (not is_next and sequence != self._sequence):
             raise FencedError("fenced")
-        if sequence == self._sequence + 1:
+        if is_next:
             self.records.extend(records)
-            self._sequence = sequence
+            self._token, self._sequence = token, sequence
         self._maybe_lose_reply()
         return len(self.records)
 
--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -10,7 +10,7 @@
     owner,
     request_handler,
     runs,
-    sent_deadlines,
+    sent_calls,
     session,
     sessions,
 )
@@ -178,7 +178,7 @@
     """Send deadlines over connections that may lead to another life, and don't count them."""
     with (
         mock.patch.object(owner_worker.WorldCaller, "is_connected", True),
-        mock.patch.object(sent_deadlines.SentDeadlines, "end_s", lambda _sent, life: 0.0),
+        mock.patch.object(sent_calls.SentCalls, "end_s", lambda _sent, life: 0.0),
     ):
         yield
 
@@ -207,7 +207,10 @@
     "cut lists count as whole": _cut_lists_count_as_whole,
     "clocks count as exact": _clocks_count_as_exact,
     "deadlines of former lives are not counted": _patch(
-        sent_deadlines.SentDeadlines, "end_s", lambda _sent, life: 0.0
+        sent_calls.SentCalls, "end_s", lambda _sent, life: 0.0
+    ),
+    "former and next lives get one token": _patch(
+        sent_calls.SentCalls, "needs_higher_token", lambda *_arguments, **_named: False
     ),
     "deadlines of the owner before for former lives are not counted": _patch(
         sessions.SessionTable, "_former_until_s", lambda _table, _worker, _life: None
--- a/almondstack/testing/owner_port.py
+++ b/almondstack/testing/owner_port.py
@@ -68,7 +68,7 @@
             self._world.link.delay(notice.token, request)
             raise OwnerUnclearError("no answer")
         for other in self._world.processes:
-            if other.owner is not None and other.owner._token == notice.token:
+            if other.has_token(notice.token):
                 receipt = self._deliver(other, _copy(request))
                 if fault == "unanswered":
                     raise OwnerUnclearError("no answer")
