--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -30,6 +30,9 @@
 _PROCESSES = st.sampled_from([0, 1])
 _WORKERS = st.sampled_from(["w1", "w2", "w3"])
 _ENDS = (RunEnd.DONE, RunEnd.FAILED)
+_TIME_SHIFTS_S = st.sampled_from([-1.0, -0.6, 0.0, 0.6, 1.0])
+"""By how much a time of day is ahead: any two of them differ by 2 s at most."""
+
 _RECOVERY_ROUNDS = 80
 
 
@@ -126,6 +129,26 @@
         """An owner makes its pending calls to one worker."""
         self.world.processes[process].pump(worker)
 
+    @rule(process=_PROCESSES, worker=_WORKERS)
+    def pump_late(self, process, worker):
+        """An owner calls one worker, and its loop does not get the answers yet."""
+        self.world.processes[process].pump(worker, is_late=True)
+
+    @rule(process=_PROCESSES)
+    def deliver_answers(self, process):
+        """An owner's loop gets the late answers of workers."""
+        self.world.processes[process].deliver_answers()
+
+    @rule(worker=_WORKERS, shift_s=_TIME_SHIFTS_S)
+    def set_worker_time(self, worker, shift_s):
+        """A worker's time of day jumps; its next life begins by that time."""
+        self.world.workers[worker].time_shift_s = shift_s
+
+    @rule(process=_PROCESSES, shift_s=_TIME_SHIFTS_S)
+    def set_process_time(self, process, shift_s):
+        """A process's time of day jumps."""
+        self.world.processes[process].time_shift_s = shift_s
+
     @rule(worker=_WORKERS, end=st.sampled_from(_ENDS))
     def finish(self, worker, end):
         """A run ends."""
@@ -143,10 +166,15 @@
         """A worker performs its delayed calls."""
         self.world.workers[worker].carry_out()
 
+    @rule(worker=_WORKERS, is_registered_late=st.booleans())
+    def crash(self, worker, is_registered_late=False):
+        """A worker crashes and restarts with the same id, and may be registered anew later."""
+        self.world.workers[worker].crash(is_registered_late=is_registered_late)
+
     @rule(worker=_WORKERS)
-    def crash(self, worker):
-        """A worker crashes and restarts with the same id."""
-        self.world.workers[worker].crash()
+    def register(self, worker):
+        """The directory lists the present life of a worker."""
+        self.world.workers[worker].register()
 
     @rule(worker=_WORKERS, is_disconnected=st.booleans(), is_registered=st.booleans())
     def cut_connection(self, worker, is_disconnected, is_registered):
@@ -209,6 +237,7 @@
         world.deliver_delayed()
         for worker in world.workers.values():
             worker.is_disconnected, worker.is_registered, worker.fault = False, True, ""
+            worker.register()
         fresh = WorldProcess(world, "three")
         fresh.claim()
         # Long-running jobs may use all capacity forever, also those with an unclear verdict.
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -24,6 +24,9 @@
 """Longest lease that a worker grants, by its own clock, in seconds."""
 
 _CALL_TIMEOUT_S = 0.8
+_STALE_REGISTRATION_S = 3.0
+"""How long the directory may list a former life of a worker, in seconds."""
+
 _FIRST_CLOCK_MS = 100
 """What a worker's clock shows at its start: it begins anew with each incarnation."""
 
@@ -52,10 +55,6 @@
         ...
 
 
-def _unix_ms(clock: WorkerClock) -> int:
-    return int(clock.time() * 1000)
-
-
 class WorldClock:
     """Simulated clock that replaces the module ``time``.
 
@@ -97,7 +96,13 @@
     Attributes
     ----------
     life : int
-        Unix milliseconds of the start of the worker's incarnation.
+        Unix milliseconds of the start of the worker's incarnation, by its own time of day.
+    time_shift_s : float
+        By how much its time of day is ahead, in seconds.  A next life may have a lower number
+        than the former one if it was set back.
+    keeps_last_seen : bool
+        Whether the highest ``last-seen`` also holds for later ends of the same life, which
+        are then never listed: another reading of "ends up to last-seen are forgotten".
     fault : str
         Fault of the next call: "" (none), "lost" (not received), "unanswered"
         (performed, the reply is lost) or "late" (performed by :meth:`carry_out`).
@@ -133,13 +138,16 @@
         self.id = id
         self._clock_rate = clock_rate
         self._max_listed_ends = max_listed_ends
-        self.life = _unix_ms(clock)
+        self.time_shift_s = 0.0
+        self.keeps_last_seen = False
+        self._clock = clock
+        self.life = self._unix_ms
         self.fault = ""
         self.is_disconnected = False
         self.is_registered = True
         self.running: dict[str, int] = {}
-        self._clock = clock
         self._oracle = oracle
+        self._former_info: WorkerInfo | None = None
         self._delayed: list[Callable[[], object]] = []
         self._reset()
         # The lease also expires if no call reaches the worker.
@@ -150,18 +158,31 @@
         self.running = {}
         self._ended: list[tuple[EndedRun, DoneEnd | None]] = []
         self._ends = 0
+        self._last_seen = 0
         self._highest_final_run: dict[str, int] = {}
         self._token = 0
         self._deadline_ms = 0
 
     @property
     def info(self) -> WorkerInfo:
-        """The worker's registration."""
+        """What the worker says of itself."""
         capacity = Resources(_CAPACITY_MILLIS, 64_000)
         return WorkerInfo(
             self.id, self.life, "p", f"{self.id}:1", capacity=capacity, clock_ms=self.clock_ms
         )
 
+    @property
+    def registration(self) -> WorkerInfo:
+        """What the directory lists: for some time, it may be what the former life has said."""
+        is_old = self._clock.now_s - self._born_s > _STALE_REGISTRATION_S
+        if self._former_info is None or is_old:
+            return self.info
+        return self._former_info
+
+    @property
+    def _unix_ms(self) -> int:
+        return int((self._clock.time() + self.time_shift_s) * 1000)
+
     @property
     def clock_ms(self) -> int:
         """The worker's clock, in milliseconds."""
@@ -189,13 +210,19 @@
         if name in self.running:
             self._end(name, end)
 
-    def crash(self) -> None:
+    def crash(self, *, is_registered_late: bool = False) -> None:
         """Lose all runs and state, and restart with the same id."""
         for name in self.running:
             self._oracle.note_killed(name)
-        self.life = max(self.life + 1, _unix_ms(self._clock))
+        self._former_info = self.registration if is_registered_late else None
+        present_ms = self._unix_ms
+        self.life = present_ms if present_ms != self.life else present_ms + 1
         self._reset()
 
+    def register(self) -> None:
+        """Have the directory list the present life."""
+        self._former_info = None
+
     def carry_out(self) -> None:
         """Perform the delayed calls; the present incarnation has the id that they name."""
         delayed, self._delayed = self._delayed, []
@@ -261,10 +288,9 @@
         self._token = token
         if deadline_ms is not None:
             self._extend(deadline_ms)
-        for ended, end in self._ended:
-            if ended.number <= last_seen:
-                self._oracle.note_acknowledged(ended.task, ended.end.value, end)
-        self._ended = [entry for entry in self._ended if entry[0].number > last_seen]
+        self._forget_ends(last_seen)
+        if self.keeps_last_seen:
+            self._last_seen = max(self._last_seen, last_seen)
         running = tuple(RunningRun(name, run, "", 100, 0) for name, run in self.running.items())
         ended_runs = tuple(ended for ended, _ in self._ended[: self._max_listed_ends])
         is_whole = len(ended_runs) < self._max_listed_ends
@@ -280,6 +306,13 @@
         self._ends += 1
         ended = EndedRun(self._ends, name, run, how, "")
         self._ended.append((ended, self._oracle.note_end(name, how.value)))
+        self._forget_ends(self._last_seen)
+
+    def _forget_ends(self, last_seen: int) -> None:
+        for ended, end in self._ended:
+            if ended.number <= last_seen:
+                self._oracle.note_acknowledged(ended.task, ended.end.value, end)
+        self._ended = [entry for entry in self._ended if entry[0].number > last_seen]
 
     def _used_millis(self) -> int:
         return sum(map(self._millis, self.running))
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -46,9 +46,11 @@
     WorkerInfo,
 )
 from almondstack.testing.fake_records import FakeRecordStore
+from almondstack.testing.late_answers import LateAnswers
 from almondstack.testing.owner_oracle import OwnerOracle
 from almondstack.testing.owner_port import RequestLink, WorldOwnerPort
 from almondstack.testing.owner_worker import WorldCaller, WorldClock, WorldWorker
+from almondstack.testing.process_time import ProcessTime
 from almondstack.testing.pumped_session import PumpedSession
 from almondstack.testing.still_fleet import StillFleet
 
@@ -144,10 +146,17 @@
 
 
 class WorldProcess:
-    """One process: its job index, its intake, and its owner while it has ownership."""
+    """One process: its job index, its intake, and its owner while it has ownership.
+
+    Attributes
+    ----------
+    time_shift_s : float
+        By how much its time of day is ahead, in seconds.
+    """
 
     def __init__(self, world: "OwnerWorld", name: str) -> None:
         self.name = name
+        self.time_shift_s = 0.0
         self._world = world
         self._restarts = 0
         self.restart()
@@ -158,6 +167,7 @@
         self.owner: Owner | None = None
         self.index = JobIndex()
         self.next_offset = 0
+        self._late_answers = LateAnswers(self._world.clock.monotonic)
         self._cancels_read_s: dict[str, float] = {}
         self._last_owner_record_s = self._world.clock.now_s
         self.service = JobService(
@@ -218,9 +228,13 @@
 
     def claim(self) -> None:
         """Claim ownership, or do nothing if the store does not answer."""
-        with contextlib.suppress(StoreError):
+        with self._own_time(), contextlib.suppress(StoreError):
             self._claim()
 
+    def _own_time(self) -> contextlib.AbstractContextManager[None]:
+        """Make the time of day that of this process."""
+        return self._world.process_time.of_process(self.time_shift_s)
+
     def _claim(self) -> None:
         """Claim as the log follower does, and start an owner once the claim was read."""
         self.sync()
@@ -246,8 +260,10 @@
         """Run one round of the owner; drop the owner if it is fenced."""
         if self.owner is None:
             return
+        self._late_answers.deliver_overdue()
         try:
-            self.owner._round()
+            with self._own_time():
+                self.owner._round()
         except FencedError:
             self.owner._requests.close()
             self.owner._journal.close()
@@ -266,22 +282,46 @@
 
     def pump_handshake(self, worker: str) -> None:
         """Let the owner's session of a worker do its handshake, as before a first start."""
-        session = self.owner._sessions.get(worker) if self.owner is not None else None
-        if isinstance(session, PumpedSession):
+        session = self._session(worker)
+        if session is not None:
             session.pump_handshake()
 
-    def pump_orders(self, worker: str) -> None:
+    def pump_orders(self, worker: str, *, is_late: bool = False) -> None:
         """Let the owner's session of a worker send its orders, without a poll."""
-        session = self.owner._sessions.get(worker) if self.owner is not None else None
-        if isinstance(session, PumpedSession):
+        session = self._session(worker)
+        if session is not None:
+            with self._posting(session, is_late=is_late):
+                session.pump_orders()
+
+    def pump(self, worker: str, *, is_late: bool = False) -> None:
+        """Let the owner's session of a worker send its orders and poll.
+
+        The answers reach the owner at once, or with :meth:`deliver_answers`.
+        """
+        session = self._session(worker)
+        if session is None:
+            return
+        with self._posting(session, is_late=is_late):
             session.pump_orders()
+            if not self._late_answers.has_poll_of(session):
+                session.pump_poll()
+
+    def deliver_answers(self) -> None:
+        """Deliver the late answers of workers to the owner."""
+        self._late_answers.deliver()
 
-    def pump(self, worker: str) -> None:
-        """Let the owner's session of a worker send its orders and poll."""
+    def _session(self, worker: str) -> PumpedSession | None:
         session = self.owner._sessions.get(worker) if self.owner is not None else None
-        if isinstance(session, PumpedSession):
-            session.pump_orders()
-            session.pump_poll()
+        return session if isinstance(session, PumpedSession) else None
+
+    @contextlib.contextmanager
+    def _posting(self, session: PumpedSession, *, is_late: bool) -> Iterator[None]:
+        """Let a session call in this process, and hold its answers back if they are late."""
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._own_time())
+            if is_late:
+                stack.enter_context(self._late_answers.held_back(session))
+            yield
 
 
 class OwnerWorld:
@@ -296,6 +336,7 @@
     def __init__(self) -> None:
         self.caller_timeout_s = 2.0
         self.clock = WorldClock()
+        self.process_time = ProcessTime(self.clock)
         self.oracle = OwnerOracle({"a": CEILING_MILLIS}, MAX_ATTEMPTS)
         self.store = _WorldStore(self.clock, self.oracle)
         self.events = EventLog("world")
@@ -317,7 +358,7 @@
         """Replace the clock and the threads of the product code."""
         with contextlib.ExitStack() as stack:
             for module in PATCHED_TIME_MODULES:
-                stack.enter_context(mock.patch(f"{module}.time", self.clock))
+                stack.enter_context(mock.patch(f"{module}.time", self.process_time))
             stack.enter_context(mock.patch.object(sessions_module, "WorkerSession", PumpedSession))
             stack.enter_context(mock.patch.object(owner_module, "_IDLE_WAIT_S", 0.0))
             stack.enter_context(mock.patch("almondstack.control.journal._RETRY_PAUSE_S", 0.0))
@@ -347,9 +388,10 @@
         """Submit a job, and record its verdict in the oracle."""
         self.oracle.submissions.setdefault(job, submission)
         policy = self.policies.queues[submission.queue]
-        verdict = process.service.submit(
-            job, self.oracle.submissions[job], policy, self.caller_timeout_s
-        ).verdict
+        with self.process_time.of_process(process.time_shift_s):
+            verdict = process.service.submit(
+                job, self.oracle.submissions[job], policy, self.caller_timeout_s
+            ).verdict
         if verdict in (Verdict.DONE, Verdict.KNOWN):
             self.oracle.accepted.add(job)
             self.oracle.refused.discard(job)
@@ -365,7 +407,9 @@
         account = self.oracle.submissions[job].account
         # An unanswered cancel may be stored too, so its job may end as cancelled.
         self.oracle.cancelled_s.setdefault(job, float("inf"))
-        if process.service.cancel(job, account, self.caller_timeout_s) is Verdict.DONE:
+        with self.process_time.of_process(process.time_shift_s):
+            verdict = process.service.cancel(job, account, self.caller_timeout_s)
+        if verdict is Verdict.DONE:
             self.oracle.cancelled_s[job] = min(self.oracle.cancelled_s[job], self.clock.now_s)
 
     def deliver_delayed(self) -> None:
@@ -393,9 +437,9 @@
         return WorldCaller(found, self._process.judge_start)
 
     def workers(self) -> dict[str, WorkerInfo]:
-        """Return the workers that are registered now."""
+        """Return the registrations that the directory lists now."""
         return {
-            worker.id: worker.info
+            worker.id: worker.registration
             for worker in self._world.workers.values()
             if worker.is_registered
         }
--- a/almondstack/testing/pumped_session.py
+++ b/almondstack/testing/pumped_session.py
@@ -1,6 +1,7 @@
 """A worker session without threads, whose calls a simulation makes."""
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 
 from almondstack.control.ports import WorkerCaller
 from almondstack.control.session import WorkerSession
@@ -16,6 +17,20 @@
     def _ensure_thread(self, name: str, run: Callable[[], None]) -> None:
         """Do nothing: the simulation starts no threads."""
 
+    @property
+    def post(self) -> Callable[[object], None]:
+        """What takes the answers of the worker."""
+        return self._post
+
+    @contextlib.contextmanager
+    def posting_to(self, post: Callable[[object], None]) -> Iterator[None]:
+        """Let the answers of the worker go to ``post``."""
+        kept, self._post = self._post, post
+        try:
+            yield
+        finally:
+            self._post = kept
+
     def _caller_of_orders(self) -> WorkerCaller:
         """Return the one caller for all orders; in the product each order thread has its own."""
         if not hasattr(self, "_order_caller"):
