Play late starts also on a next life that was polled before

Cause: a higher fencing token for a next life keeps late starts off only once a call with it has reached that life; the three scenarios had the start arrive first. Change: each of the three is also played with a next life that was polled before (is_known).

--- a/almondstack/control/tests/restart_scenarios.py
+++ b/almondstack/control/tests/restart_scenarios.py
@@ -80,27 +80,25 @@
     _acknowledge(machine, worker)
 
 
-def stop_a_run_before_its_first_start_is_carried_out(machine):
+def stop_a_run_before_its_first_start_is_carried_out(machine, *, is_known=False):
     """Let a worker start again after it was polled without the run that it has stopped."""
     worker = _stop_after_two_starts(machine)
     _poll(machine, worker)
     _start_elsewhere(machine, worker)
-    machine.crash(worker=worker)
-    machine.carry_out(worker=worker)
+    _restart_with_a_late_start(machine, worker, is_known=is_known)
 
 
-def end_a_run_before_its_first_start_is_carried_out(machine):
+def end_a_run_before_its_first_start_is_carried_out(machine, *, is_known=False):
     """Let a worker start again after the end of its run was acknowledged."""
     worker = _start_late(machine)
     machine.work(process=0, order=_ALL)
     machine.finish(worker=worker, end=RunEnd.DONE)
     machine.work(process=0, order=_ALL)
     _acknowledge(machine, worker)
-    machine.crash(worker=worker)
-    machine.carry_out(worker=worker)
+    _restart_with_a_late_start(machine, worker, is_known=is_known)
 
 
-def give_up_a_run_with_an_unclear_start(machine):
+def give_up_a_run_with_an_unclear_start(machine, *, is_known=False):
     """Let a worker start again after the owner has counted its lease as over."""
     worker = _start_late(machine)
     machine.cut_connection(worker=worker, is_disconnected=True, is_registered=True)
@@ -108,7 +106,18 @@
     while not _runs_elsewhere(machine, worker) and machine.world.clock.now_s < until_s:
         machine.pass_time(seconds=0.1)
         machine.work(process=0, order=_ALL)
+    machine.cut_connection(worker=worker, is_disconnected=False, is_registered=True)
+    _restart_with_a_late_start(machine, worker, is_known=is_known)
+
+
+def _restart_with_a_late_start(machine, worker, *, is_known):
+    """Restart a worker, and poll it if its next life is to be known before it gets the start."""
     machine.crash(worker=worker)
+    if is_known:
+        machine.pass_time(seconds=0.2)
+        machine.round(process=0)
+        _poll(machine, worker)
+        _process(machine).pump_handshake(worker)
     machine.carry_out(worker=worker)
 
 
--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -297,11 +297,11 @@
     run_state_machine_as_test(OwnerMachine, settings=_settings(150))
 
 
-def _play(scenario):
+def _play(scenario, **arguments):
     machine = OwnerMachine()
     try:
         machine.begin()
-        scenario(machine)
+        scenario(machine, **arguments)
     finally:
         machine.teardown()
 
@@ -346,11 +346,21 @@
     _play(restart_scenarios.stop_a_run_before_its_first_start_is_carried_out)
 
 
+def test_a_late_start_of_a_stopped_run_is_not_carried_out_by_a_known_next_life():
+    """Guards against the same at a life that was polled before the start arrives (TWICE)."""
+    _play(restart_scenarios.stop_a_run_before_its_first_start_is_carried_out, is_known=True)
+
+
 def test_a_late_start_of_an_ended_run_is_not_carried_out_by_the_next_life():
     """Guards against a late start once the end was forgotten with the worker's life (TWICE)."""
     _play(restart_scenarios.end_a_run_before_its_first_start_is_carried_out)
 
 
+def test_a_late_start_of_an_ended_run_is_not_carried_out_by_a_known_next_life():
+    """Guards against the same at a life that was polled before the start arrives (TWICE)."""
+    _play(restart_scenarios.end_a_run_before_its_first_start_is_carried_out, is_known=True)
+
+
 def test_a_late_start_on_a_worker_given_up_is_not_carried_out_by_the_next_life():
     """Guards against a late start once the lease of the former life is over (TWICE)."""
     _play(restart_scenarios.give_up_a_run_with_an_unclear_start)
@@ -367,6 +377,11 @@
             machine.teardown()
 
 
+def test_a_late_start_on_a_worker_given_up_is_not_carried_out_by_a_known_next_life():
+    """Guards against the same at a life that was polled before the start arrives (TWICE)."""
+    _play(restart_scenarios.give_up_a_run_with_an_unclear_start, is_known=True)
+
+
 def test_each_mutation_has_its_scenario():
     assert set(SCENARIOS) == set(MUTATIONS)
 
