Call a worker that has started again at once if late calls may reach it

Cause: the higher token rules out calls for a former life only from the first call with it on, and a worker without runs got none until its first start. Evidence: the mutation that counts late starts as impossible was no longer found by its scripted course, as the worker refuses them; the late start now comes before the first call there.

--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -84,6 +84,9 @@
     former_until_s : float, optional
         Until when the worker may take a deadline that a previous owner has sent to a former
         life of it, in monotonic seconds.
+    contact_until_s : float, optional
+        Until when calls for a former life of the worker may reach it unless it has answered one
+        of this session, in monotonic seconds.
     """
 
     __slots__ = (
@@ -91,6 +94,7 @@
         "_callers",
         "_calls",
         "_changed",
+        "_contact_until_s",
         "_fenced_s",
         "_is_answering",
         "_is_busy",
@@ -120,6 +124,7 @@
         last_extension_s: float,
         calls: SentCalls | None = None,
         former_until_s: float | None = None,
+        contact_until_s: float = 0.0,
     ) -> None:
         self.worker = worker
         self._callers = callers
@@ -131,6 +136,7 @@
         self._lease = WorkerLease(settings, worker.clock_ms, last_extension_s, former_until_s)
         self._calls = calls or SentCalls(settings)
         self._fenced_s: float | None = None
+        self._contact_until_s = contact_until_s
         self._is_answering = True
         self._is_busy = False
         self._is_closed = False
@@ -165,6 +171,16 @@
         """What the lease was last computed from."""
         return self._lease.state._replace(end_s=self.lease_end_s)
 
+    def needs_contact(self, now_s: float) -> bool:
+        """Whether the worker is to be polled though it has no runs.
+
+        Explanation
+        -----------
+        Its first answer to this session's token ends the time in which it carries out calls for
+        a former life, such as the start of a run that goes on elsewhere.
+        """
+        return self._fenced_s is None and now_s < self._contact_until_s
+
     def set_busy(self, is_busy: bool) -> None:
         """Set whether the worker may have runs; it is polled only while it may."""
         if is_busy != self._is_busy:
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -201,7 +201,7 @@
         for worker_id, session in self._sessions.items():
             worker = table.workers.get(worker_id)
             is_busy = worker is not None and bool(worker.tasks)
-            session.set_busy(is_busy or worker_id in probed)
+            session.set_busy(is_busy or worker_id in probed or session.needs_contact(now_s))
             session.add_connection_if_slow(now_s)
             if worker is not None and not is_busy and not worker.is_reachable:
                 worker.is_reachable = True
@@ -242,7 +242,8 @@
     def _add_worker(self, info: WorkerInfo, changes: WorkerChanges) -> None:
         """Open a session for a life that no call for a former one with its token may reach."""
         worker = Worker(info)
-        worker.unsettled_until_s = self._calls_of(info.id).settled_s(info.life)
+        settled_s = self._calls_of(info.id).settled_s(info.life)
+        worker.unsettled_until_s = settled_s
         changes.added.append(worker)
         former_until_s = self._former_until_s(info.id, info.life)
         self._sessions[info.id] = WorkerSession(
@@ -256,6 +257,7 @@
             self._previous_extension_s,
             self._calls_of(info.id),
             former_until_s,
+            max(settled_s, former_until_s or 0.0),
         )
 
     def lease_end_s(self, worker: str, life: int) -> float:
--- a/almondstack/control/tests/owner_scenarios.py
+++ b/almondstack/control/tests/owner_scenarios.py
@@ -275,10 +275,10 @@
     machine.pass_time(seconds=3.0)
     machine.work(process=0, order=_ALL)
     machine.crash(worker=worker)
+    machine.carry_out(worker=worker)
     for _ in range(5):
         machine.pass_time(seconds=0.1)
         machine.work(process=0, order=_ALL)
-    machine.carry_out(worker=worker)
     _watch(machine, process=0)
 
 
--- a/almondstack/control/tests/test_sent_calls.py
+++ b/almondstack/control/tests/test_sent_calls.py
@@ -92,6 +92,28 @@
     )
 
 
+def test_the_first_answer_ends_the_need_of_a_contact():
+    caller = _Caller(OrderStatus.UNCLEAR, OrderStatus.DONE)
+    services = (caller, 1, _SETTINGS, lambda event: None, lambda: True, LocalMetrics())
+    info = WorkerInfo("w", _LIFE, "p", "127.0.0.1:1")
+    session = WorkerSession(info, *services, 0.0, SentCalls(_SETTINGS), None, 100.0)
+    session._poll(caller)
+    assert session.needs_contact(99.0) and not session.needs_contact(101.0)
+    session._poll(caller)
+    assert not session.needs_contact(99.0)
+
+
+def test_no_call_begins_once_the_session_is_closed():
+    """Guards against a call with the token that the next life gets as well (TWICE)."""
+    sent = SentCalls(_SETTINGS)
+    caller = _Caller(OrderStatus.DONE)
+    session = _session(caller, sent)
+    session.close()
+    assert session._poll(caller) is False and caller.deadlines == []
+    assert session._send(caller, _start_order()).status is OrderStatus.NOT_SENT
+    assert not sent.needs_higher_token(_NEXT_LIFE, 1, time.monotonic())
+
+
 def _start_order():
     return _Order(OrderKind.START, "t", 1, StartOrder("t", 1, "s", "", ""))
 
--- a/almondstack/control/tests/test_sessions.py
+++ b/almondstack/control/tests/test_sessions.py
@@ -13,6 +13,10 @@
 
     def __init__(self):
         self.is_busy = None
+        self.contact_until_s = 0.0
+
+    def needs_contact(self, now_s):
+        return now_s < self.contact_until_s
 
     def set_busy(self, is_busy):
         self.is_busy = is_busy
@@ -38,6 +42,18 @@
     assert sessions.get("w1").is_busy is True
 
 
+def test_a_worker_that_calls_for_its_former_life_may_reach_is_polled_without_runs():
+    """Guards against a late start that it carries out as it has seen no token (TWICE)."""
+    worker = make_worker()
+    table = make_table(workers=(worker,))
+    sessions = _sessions(worker)
+    sessions.get("w1").contact_until_s = 5.0
+    sessions.update_polling(table, 4.9)
+    assert sessions.get("w1").is_busy is True
+    sessions.update_polling(table, 5.1)
+    assert sessions.get("w1").is_busy is False
+
+
 def test_a_worker_whose_runs_were_lost_as_unreachable_gets_runs_only_after_a_pause():
     """Guards against assigning tasks to a crashed worker that is still registered."""
     worker = make_worker()
