Measure the age of an earlier owner's orders by one clock

Change: the index keeps when a fleet record was read, and the owner goes by that.

Measured: the three new tests in control/tests/test_instance_manager.py fail on the code before and pass now; pytest almondstack/control/tests/test_{instance_manager,wave_controller,fleet_controller}.py almondstack/jobs passes.

--- a/almondstack/control/instance_manager.py
+++ b/almondstack/control/instance_manager.py
@@ -20,7 +20,10 @@
 """Pause before a failed order, list or report is repeated, in seconds."""
 
 _CLOCK_TOLERANCE_S = 0.5
-"""Largest difference between the clocks of two instances, in seconds."""
+"""Usual difference between the clocks of two instances, in seconds."""
+
+_CLOCK_DIFFERENCE_S = 5.0
+"""Largest difference between them, in seconds: the time of day of an instance may be set."""
 
 _ORDER_THREADS = 6
 """Orders in flight at one time: one takes 10 to 20 ms, and a burst needs dozens at once."""
@@ -44,6 +47,36 @@
     wave: int
 
 
+class _EarlierOrder(NamedTuple):
+    """An order that an earlier owner has stored.
+
+    Explanation
+    -----------
+    ``ordered_ms`` is the time of day of that owner, in Unix milliseconds, and ``read_s`` when
+    this process read the record, in monotonic seconds.
+    """
+
+    ordered_ms: int
+    read_s: float
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the order, by two clocks that may differ."""
+        return time.time() - self.ordered_ms / 1000.0
+
+    def may_be_younger(self, than_s: float) -> bool:
+        """Whether less than ``than_s`` seconds may have passed since the order was stored.
+
+        Explanation
+        -----------
+        The time since it was read is measured by one clock, and is never longer than that
+        since it was stored.  The two times of day rule out only what a process that has
+        just started has read of long ago.
+        """
+        is_read_lately = time.monotonic() - self.read_s < than_s
+        return is_read_lately and abs(self.age_s) < than_s + _CLOCK_DIFFERENCE_S
+
+
 class _Pending:
     """An order in flight, or answered but not yet shown by the instance list."""
 
@@ -87,9 +120,9 @@
         "_not_before_s",
         "_orders",
         "_pending",
-        "_predecessor_maintenance_ms",
+        "_predecessor_maintenance",
+        "_predecessor_orders",
         "_predecessor_orders_end_s",
-        "_predecessor_orders_ms",
         "_refused_pools",
         "_services",
         "_started_maintenance",
@@ -108,8 +141,8 @@
         self._token = token
         self._may_act = may_act
         self._fenced_instances: set[str] = set()
-        self._predecessor_orders_ms = self._recent_orders_ms(RecordKind.INSTANCE)
-        self._predecessor_maintenance_ms = self._recent_orders_ms(RecordKind.MAINTENANCE)
+        self._predecessor_orders = self._recent_orders(RecordKind.INSTANCE)
+        self._predecessor_maintenance = self._recent_orders(RecordKind.MAINTENANCE)
         self._unsettled_until_s = time.monotonic() + _MAX_ORDER_DELAY_S
         self._unclear_maintenance: set[str] = set()
         self._instances: dict[str, InstanceInfo] = {}
@@ -194,7 +227,7 @@
         started after the order shows that the order was executed.
         """
         if now_s < self._predecessor_orders_end_s and self._is_ordered_by_predecessor(instance):
-            ordered_ms = self._predecessor_orders_ms[instance]
+            ordered_ms = self._predecessor_orders[instance].ordered_ms
             return life_ms < ordered_ms + _CLOCK_TOLERANCE_S * 1000.0
         with self._lock:
             return instance in self._pending or self._unclear_until_s.get(instance, 0.0) > now_s
@@ -215,11 +248,12 @@
                 return True
             if instance in self._fenced_instances or instance in self._pending:
                 return False
-        return instance in self._predecessor_maintenance_ms and now_s < self._unsettled_until_s
+        return instance in self._predecessor_maintenance and now_s < self._unsettled_until_s
 
     def predecessor_order_age_s(self, instance: str) -> float:
         """Return the seconds since the last order of an earlier owner to an instance."""
-        return time.time() - self._predecessor_orders_ms.get(instance, 0) / 1000.0
+        order = self._predecessor_orders.get(instance)
+        return order.age_s if order is not None else time.time()
 
     def may_move(self, instance: str, pool: str) -> bool:
         """Whether the service has not refused this pool for the instance."""
@@ -242,26 +276,29 @@
         """Report whether a wave is completed, with retries; call ``done`` once it is stored."""
         self._calls.put(lambda: self._send_report(wave, is_completed, done))
 
-    def _recent_orders_ms(self, kind: RecordKind) -> dict[str, int]:
-        """Return the Unix milliseconds of the orders that may not have been executed yet.
+    def _recent_orders(self, kind: RecordKind) -> dict[str, _EarlierOrder]:
+        """Return the orders that may not have been executed yet.
 
         Explanation
         -----------
         Called before this owner stores any order, so that all of them are of earlier owners.
         """
-        now_ms = time.time() * 1000.0
         stored = self._services.index.fleet_records(kind)
-        orders_ms = {name: int.from_bytes(value, "big") for name, value in stored.items()}
+        orders = {
+            name: _EarlierOrder(int.from_bytes(record.value, "big"), record.read_s)
+            for name, record in stored.items()
+        }
         return {
-            name: order_ms
-            for name, order_ms in orders_ms.items()
-            if abs(now_ms - order_ms) < _MAX_ORDER_DELAY_S * 1000.0
+            name: order
+            for name, order in orders.items()
+            if order.may_be_younger(_MAX_ORDER_DELAY_S)
         }
 
     def _is_ordered_by_predecessor(self, instance: str) -> bool:
         """Whether an earlier owner sent the instance an order just before this one took over."""
+        order = self._predecessor_orders.get(instance)
         turn_s = self._services.control.turn_s + _CLOCK_TOLERANCE_S
-        return self.predecessor_order_age_s(instance) < turn_s
+        return order is not None and order.may_be_younger(turn_s)
 
     def _enqueue(self, order: _Order) -> None:
         if self._is_fenced:
--- a/almondstack/control/tests/test_instance_manager.py
+++ b/almondstack/control/tests/test_instance_manager.py
@@ -244,6 +244,44 @@
     assert not manager.may_begin_maintenance("m", time.monotonic() + 60.0)
 
 
+def test_an_order_of_the_owner_before_is_waited_for_whatever_its_time_of_day():
+    """Guards against orders of two owners in turn within the lease of an instance (ONE).
+
+    The times of day of two machines differ by 4 s if one was set back and the other ahead; by
+    their difference an order that was stored just now was older than the lease.
+    """
+    for age_s in (-4.0, 4.0):
+        services = _Services()
+        _stored_order(services, "m", age_s=age_s)
+        manager = InstanceManager(services, 2)
+        now_s = time.monotonic()
+        assert not manager.can_order("m", now_s)
+        assert manager.is_order_open("m", 0, now_s)
+        assert manager.can_order("m", now_s + 4.0)
+
+
+def test_an_upkeep_of_the_owner_before_may_begin_whatever_its_time_of_day():
+    """Guards against a second upkeep beside that of a late order (LIMIT): the clocks are 4 s apart.
+
+    The order was stored 10 s ago; by the two clocks it is 14 s old.
+    """
+    services = _Services()
+    _stored_order(services, "m", age_s=14.0)
+    manager = InstanceManager(services, 2)
+    assert manager.may_begin_maintenance("m", time.monotonic())
+
+
+def test_an_order_that_was_read_long_ago_is_not_waited_for(monkeypatch):
+    """The record says nothing about its age if the time of day was set since."""
+    services = _Services()
+    _stored_order(services, "m", age_s=0.0)
+    read_s = time.monotonic()
+    monkeypatch.setattr(instance_manager.time, "monotonic", lambda: read_s + 20.0)
+    manager = InstanceManager(services, 2)
+    assert manager.can_order("m", read_s + 20.0)
+    assert not manager.may_begin_maintenance("m", read_s + 20.0)
+
+
 def test_an_unanswered_order_counts_as_open_also_after_a_refusal():
     """Guards against an order without an answer that is executed after a later one was refused."""
     services = _Maintained(OrderStatus.UNCLEAR, OrderStatus.REFUSED)
--- a/almondstack/jobs/job_index.py
+++ b/almondstack/jobs/job_index.py
@@ -19,7 +19,7 @@
     split_key,
 )
 
-__all__ = ["JobEntry", "JobIndex", "RefusalMark"]
+__all__ = ["FleetRecord", "JobEntry", "JobIndex", "RefusalMark"]
 
 _MAX_REFUSED_JOBS = 4_096
 """Bound on the jobs whose refusals are counted; the least recently refused are evicted first."""
@@ -81,6 +81,18 @@
     resyncs: int
 
 
+class FleetRecord(NamedTuple):
+    """Newest record of a wave or an instance, read at a monotonic time in seconds.
+
+    Explanation
+    -----------
+    It was written before it was read, by however much the clocks of two machines differ.
+    """
+
+    value: bytes
+    read_s: float
+
+
 class JobIndex:
     """Index of jobs that is updated by applying records in the order of the store.
 
@@ -120,7 +132,7 @@
         self._owner_record_s = 0.0
         self._refusals: OrderedDict[str, int] = OrderedDict()
         self._resyncs = 0
-        self._fleet_records: dict[RecordKind, dict[str, bytes]] = {
+        self._fleet_records: dict[RecordKind, dict[str, FleetRecord]] = {
             RecordKind.WAVE: {},
             RecordKind.INSTANCE: {},
             RecordKind.MAINTENANCE: {},
@@ -182,10 +194,11 @@
 
     def fleet_record(self, kind: RecordKind, name: str) -> bytes | None:
         """Return the newest value of the record of a wave or an instance, or None."""
-        return self._fleet_records[kind].get(name)
+        found = self._fleet_records[kind].get(name)
+        return found.value if found is not None else None
 
-    def fleet_records(self, kind: RecordKind) -> dict[str, bytes]:
-        """Return the newest values of the records of all waves or instances, by name."""
+    def fleet_records(self, kind: RecordKind) -> dict[str, FleetRecord]:
+        """Return the newest records of all waves or instances, by name."""
         with self._lock:
             return dict(self._fleet_records[kind])
 
@@ -221,7 +234,7 @@
                 self._count_refusal(job)
                 return False
             if kind in self._fleet_records:
-                self._fleet_records[kind][job] = value
+                self._fleet_records[kind][job] = FleetRecord(value, time.monotonic())
                 return False
             if not value:
                 self._remove(kind, job)
