Forget what was removed from the store while a process had lost its history

Cause: a process whose next records have expired applies the newest record of each key to the index that it has. A job that was removed meanwhile has none, so it stays running there, and its tasks start again once that process owns the jobs (TWICE, UNASKED).

Measured: test_a_job_that_was_removed_while_history_was_lost_is_forgotten fails on the code before and passes now; pytest almondstack/ownership almondstack/jobs almondstack/intake almondstack/control/tests/test_owner.py passes.

--- a/almondstack/jobs/job_index.py
+++ b/almondstack/jobs/job_index.py
@@ -179,6 +179,23 @@
         with self._lock:
             self._resyncs += 1
 
+    def retain(self, keys: set[str]) -> None:
+        """Forget the jobs, cancels and fleet records of which a snapshot has no record.
+
+        Explanation
+        -----------
+        They were removed from the store, and the records that said so have expired.
+        """
+        with self._lock:
+            submitted = _names_of(RecordKind.SUBMISSION, keys)
+            self._entries = {job: entry for job, entry in self._entries.items() if job in submitted}
+            self._cancelled &= _names_of(RecordKind.CANCEL, keys)
+            for kind, records in self._fleet_records.items():
+                named = _names_of(kind, keys)
+                self._fleet_records[kind] = {
+                    name: record for name, record in records.items() if name in named
+                }
+
     def set_listener(self, listener: Callable[[RecordKind, str], None] | None) -> None:
         """Replace the listener."""
         self._listener = listener
@@ -276,6 +293,11 @@
         return False
 
 
+def _names_of(kind: RecordKind, keys: set[str]) -> set[str]:
+    """Return the names in those keys that are of a kind."""
+    return {key.removeprefix(kind) for key in keys if key.startswith(kind)}
+
+
 _APPLIERS = {
     RecordKind.SUBMISSION: JobIndex._apply_submission,
     RecordKind.CANCEL: JobIndex._apply_cancel,
--- a/almondstack/jobs/tests/test_job_index.py
+++ b/almondstack/jobs/tests/test_job_index.py
@@ -92,3 +92,20 @@
     index.apply(record_key(RecordKind.PROGRESS, "j1"), job.encode())
     assert index.entry("j1").account == "a"
     assert index.entry("j1").shown_state is JobState.CANCELLED
+
+
+def test_a_snapshot_drops_what_it_lacks():
+    """Guards against jobs and orders of long ago that a new owner goes on with."""
+    index = _index()
+    index.apply(record_key(RecordKind.SUBMISSION, "j2"), _submission())
+    index.apply(record_key(RecordKind.CANCEL, "j3"), b"\x01")
+    index.apply(record_key(RecordKind.INSTANCE, "m1"), b"\x01")
+    index.apply(record_key(RecordKind.INSTANCE, "m2"), b"\x02")
+    index.retain({record_key(RecordKind.SUBMISSION, "j2"), record_key(RecordKind.INSTANCE, "m2")})
+    assert [job for job, _ in index.entries()] == ["j2"]
+    assert [index.fleet_record(RecordKind.INSTANCE, name) for name in ("m1", "m2")] == [
+        None,
+        b"\x02",
+    ]
+    index.apply(record_key(RecordKind.SUBMISSION, "j3"), _submission())
+    assert not index.entry("j3").is_cancelled
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -261,6 +261,10 @@
             self._index.note_resync()
             for record in snapshot.records:
                 self._apply(record)
+            if not self._is_owner:
+                # Only an owner removes jobs, so it has none that others have removed; those that
+                # it has just stored may be missing in the snapshot.
+                self._index.retain({record.key for record in snapshot.records})
             self._offset = snapshot.next_offset
             self._is_loaded = True
             self._last_owner_record_s = time.monotonic()
--- a/almondstack/ownership/tests/test_follower.py
+++ b/almondstack/ownership/tests/test_follower.py
@@ -6,7 +6,15 @@
 import pytest
 
 from almondstack.core.events import EventLog
-from almondstack.jobs import JobIndex, OwnerNotice, RecordKind, encode_notice, record_key
+from almondstack.jobs import (
+    JobIndex,
+    OwnerNotice,
+    RecordKind,
+    Submission,
+    encode_notice,
+    encode_submission,
+    record_key,
+)
 from almondstack.ownership import (
     FencedError,
     Follower,
@@ -16,6 +24,7 @@
 )
 from almondstack.ownership.liveness import Liveness
 from almondstack.testing.fake_records import FakeRecordStore
+from almondstack.testing.job_builders import make_step
 
 _NO_DELAYS = OwnershipSettings(
     silence_s=1e-9, stagger_s=1e-9, pace_s=1e-9, owner_pace_s=1e-9, wait_s=1e-9
@@ -196,6 +205,32 @@
     assert follower.is_loaded
 
 
+def test_a_job_that_was_removed_while_history_was_lost_is_forgotten():
+    """Guards against a new owner that starts the tasks of a completed job again (TWICE).
+
+    The removal of the job had expired before this process read it, so that the job was still
+    running for it, and for good.
+    """
+    store = FakeRecordStore()
+    settings = OwnershipSettings(silence_s=3600, doubt_s=3600, pace_s=1e-9, wait_s=1e-9)
+    follower, _ = _follower(store, "one", settings)
+    submission = encode_submission(Submission("q", "a", "s", (make_step(),)))
+    for job in ("j1", "j2"):
+        store.records.append(Record(record_key(RecordKind.SUBMISSION, job), submission))
+        store.records.append(Record(record_key(RecordKind.CANCEL, job), b"\x01"))
+        store.records.append(Record(record_key(RecordKind.INSTANCE, job), b"\x01"))
+    follower.step()
+    for kind in (RecordKind.PROGRESS, RecordKind.CANCEL, RecordKind.SUBMISSION):
+        store.records.append(Record(record_key(kind, "j1"), b""))
+    store.first_offset = len(store.records)
+    with pytest.raises(Exception, match="store-history"):
+        follower.step()
+    follower.step()
+    assert [job for job, _ in follower._index.entries()] == ["j2"]
+    assert follower._index.entry("j2").is_cancelled
+    assert sorted(follower._index.fleet_records(RecordKind.INSTANCE)) == ["j1", "j2"]
+
+
 def _follower_with_long_timeouts(store, name):
     settings = OwnershipSettings(
         silence_s=3600, doubt_s=3600, new_doubt_s=3600, pace_s=1e-9, wait_s=1e-9
