Take a worker's first entry for that of its first life only after 17 s without a gap

A worker that is cut off from the store has no entry, but runs and leases; if it starts again under its id, its next life passed for the first one, and deadlines of the owner before for the former life were not counted. The same held after a gap in the entries, and for a worker that was forgotten among 20,000.

Change: an entry counts as of the first life only if the entries were followed without a gap for 17 s.

Measured: the new tests (3 cases) fail on the code before and pass now; pytest almondstack/platform passes.

--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -1,6 +1,7 @@
 """Follows the records of operators and workers in the platform's store."""
 
 import threading
+import time
 
 import msgspec
 
@@ -47,6 +48,10 @@
 _MAX_LIVES_NOTED = 20_000
 """Workers whose first life is remembered; the earliest ones are forgotten first."""
 
+_FORMER_CALLS_S = 17.0
+"""Time in which a call for a former life may be carried out after the last entry of that life, in
+seconds: 13 s from its sending, and the time until the owner notices that the life is over."""
+
 _MAX_REASON_CHARACTERS = 200
 """Length of a reason in an event; it may quote the entry."""
 
@@ -180,6 +185,7 @@
         "_follower",
         "_holder",
         "_first_lives",
+        "_followed_since_s",
         "_is_read",
         "_lock",
         "_unusable",
@@ -197,6 +203,7 @@
         self._unusable: set[str] = set()
         self._lock = threading.Lock()
         self._is_read = False
+        self._followed_since_s: float | None = None
         self._follower = TopicFollower(
             "workers",
             KeyedTopic(connection, "keyed.servers"),
@@ -238,8 +245,9 @@
 
         Explanation
         -----------
-        False only if this process has followed the entries since before the worker's first
-        one, and that was of this life.
+        False only if this process has followed the entries without a gap since long before the
+        worker's first one, and that was of this life.  A worker may lose its entry while it is
+        cut off from the store, and start again then, so one without an entry may have had a life.
         """
         with self._lock:
             return self._first_lives.get(worker) != life
@@ -268,6 +276,7 @@
     def _apply_snapshot(self, records: list[Record]) -> None:
         present = {record.key for record in records if record.value}
         with self._lock:
+            self._followed_since_s = time.monotonic()
             self._workers = {id: info for id, info in self._workers.items() if id in present}
             self._unusable &= present
             for id in present:
@@ -293,15 +302,22 @@
                 self._workers.pop(record.key, None)
             else:
                 self._workers[record.key] = info
-                self._note_life(record.key, info.life)
+                self._note_life(record.key, info.life if self._is_long_followed() else None)
+
+    def _is_long_followed(self) -> bool:
+        """Whether an entry that this process has not seen is of a life that no call can reach."""
+        since_s = self._followed_since_s
+        return since_s is not None and time.monotonic() - since_s >= _FORMER_CALLS_S
 
     def _note_life(self, id: str, life: int | None) -> None:
         """Remember the first life of a worker of which this process learns; None if unknown."""
         if id in self._first_lives:
             return
         if len(self._first_lives) >= _MAX_LIVES_NOTED:
-            # An id that is forgotten counts as one that may have restarted.
+            # An id that is forgotten counts as one that may have restarted, also once its next
+            # entry is read.
             del self._first_lives[next(iter(self._first_lives))]
+            self._followed_since_s = time.monotonic()
         self._first_lives[id] = life
 
     def _parse(self, record: Record) -> WorkerInfo | None:
--- a/almondstack/platform/tests/test_registrations.py
+++ b/almondstack/platform/tests/test_registrations.py
@@ -6,6 +6,7 @@
 
 from almondstack.core.events import EventLog
 from almondstack.ownership import Batch, ReadBackoff, Record, Snapshot
+from almondstack.platform import directory as directory_module
 from almondstack.platform.configuration import ConfigurationHolder
 from almondstack.platform.directory import StoreDirectory
 from almondstack.platform.store import StoreConnection
@@ -144,18 +145,72 @@
     assert directory.is_loaded
 
 
-def test_a_worker_may_have_restarted_unless_its_first_entry_was_seen(directory):
+class _Clock:
+    """Replaces the module ``time``."""
+
+    def __init__(self):
+        self.now_s = 1_000.0
+
+    def monotonic(self):
+        return self.now_s
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """Return the clock of the directory."""
+    clock = _Clock()
+    monkeypatch.setattr(directory_module, "time", clock)
+    return clock
+
+
+def _put_life(directory, id, life):
+    _put(directory, {**_ENTRY, "born": life}, id)
+
+
+def test_a_worker_may_have_restarted_unless_its_first_entry_was_seen(directory, clock):
     """Guards against a new owner that knows nothing of a worker's former life (TWICE)."""
     directory._apply_snapshot([Record("i-0", json.dumps({**_ENTRY, "born": 5}).encode())])
-    _put(directory, {**_ENTRY, "born": 7}, "i-1")
-    _put(directory, {**_ENTRY, "born": 8}, "i-2")
+    clock.now_s += 20.0
+    _put_life(directory, "i-1", 7)
+    _put_life(directory, "i-2", 8)
     _put(directory, b"", "i-2")
-    _put(directory, {**_ENTRY, "born": 9}, "i-2")
+    _put_life(directory, "i-2", 9)
     lives = {"i-0": 5, "i-1": 7, "i-2": 9, "i-3": 1}
     found = {id: directory.may_have_restarted(id, life) for id, life in lives.items()}
     assert found == {"i-0": True, "i-1": False, "i-2": True, "i-3": True}
 
 
+@pytest.mark.parametrize("is_read_again", [False, True])
+def test_a_worker_without_an_entry_may_have_had_a_life_before(directory, clock, is_read_again):
+    """Guards against a process that has just started, or has missed entries, and owns the jobs.
+
+    The worker had lost its entry while it was cut off from the store, and started again then.  A
+    renewal of the owner before is carried out by its next life, whose lease was not counted
+    (TWICE).
+    """
+    directory._apply_snapshot([])
+    if is_read_again:
+        clock.now_s += 20.0
+        directory._apply_snapshot([])
+    clock.now_s += 10.0
+    _put_life(directory, "i-0", 5)
+    clock.now_s += 20.0
+    _put_life(directory, "i-0", 5)
+    _put_life(directory, "i-1", 7)
+    assert directory.may_have_restarted("i-0", 5) and not directory.may_have_restarted("i-1", 7)
+
+
+def test_a_worker_whose_first_life_was_forgotten_may_have_restarted(directory, clock, monkeypatch):
+    """Guards against the next entry of such a worker, which is not its first one."""
+    monkeypatch.setattr(directory_module, "_MAX_LIVES_NOTED", 2)
+    directory._apply_snapshot([])
+    clock.now_s += 20.0
+    for number in range(3):
+        _put_life(directory, f"i-{number}", 5)
+    _put_life(directory, "i-0", 6)
+    assert directory.may_have_restarted("i-0", 6)
+
+
 class _Topic:
     """A topic that holds the given records."""
 
