--- a/almondstack/control/tests/test_pacing.py
+++ b/almondstack/control/tests/test_pacing.py
@@ -4,7 +4,7 @@
 
 from almondstack.control.messages import OrderStatus
 from almondstack.control.pacing import Pacing
-from almondstack.jobs import TaskKey
+from almondstack.jobs import JobState, TaskKey, decode_progress
 from almondstack.testing.job_builders import assign, make_job, make_step, make_table, make_worker
 
 
@@ -91,3 +91,49 @@
     pacing.note_answer(filler.name, filler.run - 1, OrderStatus.UNCLEAR)
     pacing.run_round(2.0)
     assert session.orders == [0]
+
+
+def test_an_order_without_an_answer_is_repeated_when_it_can_not_be_carried_out_any_more(harness):
+    """Guards against a filler that stands still for good, or works on, by a late order.
+
+    PROTOCOL: a call without an answer "may also be executed seconds later, after newer calls".
+    """
+    (serving, filler), pacing, session = harness
+    serving.load = 150
+    pacing.run_round(1.0)
+    pacing.note_answer(filler.name, filler.run, OrderStatus.UNCLEAR)
+    serving.load = 20
+    for number in range(30):
+        pacing.run_round(2.0 + number / 2)
+        pacing.note_answer(filler.name, filler.run, OrderStatus.DONE)
+    assert session.orders == [0, 25, 50, 75, 100, 100]
+
+
+def test_another_run_gets_no_repeated_order(harness):
+    (serving, filler), pacing, session = harness
+    serving.load = 150
+    pacing.run_round(1.0)
+    pacing.note_answer(filler.name, filler.run + 1, OrderStatus.UNCLEAR)
+    for number in range(100):
+        pacing.run_round(2.0 + number)
+    assert session.orders == [0] and pacing._repeats == {}
+
+
+def test_a_run_of_the_owner_before_gets_an_order(harness):
+    """Guards against a filler that stands still for good since the owner before had slowed it.
+
+    PROTOCOL: a task works at the share that the last order said, "100 at the task's start".
+    """
+    (serving, filler), pacing, session = harness
+    serving.load = 20
+    owned = filler.job.encode()
+    job = make_job(make_step(is_filler=True), id="0" * 16)
+    job.restore(JobState.RUNNING, decode_progress(owned), [])
+    restored = job.task(TaskKey(0, 0, 0))
+    restored.is_confirmed = True
+    (worker,) = pacing._table.workers.values()
+    worker.remove(filler)
+    worker.put(restored)
+    for number in range(3):
+        pacing.run_round(1.0 + number)
+    assert session.orders == [100]
--- a/almondstack/jobs/task.py
+++ b/almondstack/jobs/task.py
@@ -43,6 +43,9 @@
         milliseconds, else the use in thousandths of a core.
     percent : int
         Share of processor time that the present run may use, 0 to 100.
+    is_pace_known : bool
+        Whether the present run goes at ``percent`` as far as orders say; a previous owner
+        may have slowed a run that it has started.
     siblings : list of Task
         The tasks of its step in the same occurrence, itself among them.
     """
@@ -54,6 +57,7 @@
         "failures",
         "is_at_work",
         "is_confirmed",
+        "is_pace_known",
         "is_stopping",
         "job",
         "key",
@@ -89,6 +93,7 @@
         self.failed_on: set[str] = set()
         self.load = 0
         self.percent = 100
+        self.is_pace_known = False
 
     @property
     def is_assigned(self) -> bool:
@@ -106,6 +111,7 @@
         self.is_stopping = False
         self.assigned_s = now_s
         self.percent = 100
+        self.is_pace_known = True
 
     def release(self, now_s: float) -> None:
         """Return the task to waiting for another run."""
