Give out a ticket only for the life of the worker that it was made for

Cause: the ticket of a start was found by the worker's id. If the worker restarted between the plan and the order, the start carried the ticket of the former life, which the next one rejects.

Change: AdviceTable.ticket compares the life with that of the task's assignment.

Measured: test_a_ticket_of_a_former_life_is_not_given_out fails on the code before and passes now; the other tests of control/tests/test_advisor.py pass.

--- a/almondstack/control/advice_table.py
+++ b/almondstack/control/advice_table.py
@@ -131,10 +131,10 @@
                 del self._steps[step]
 
     def ticket(self, task: Task, now_s: float) -> str | None:
-        """Return the valid ticket for a task's worker, or None."""
+        """Return the valid ticket for the life of a task's worker, or None."""
         known = self._steps.get(step_name(task))
         ticket = known.tickets.get(task.worker) if known is not None else None
-        if ticket is None or ticket.until_s <= now_s:
+        if ticket is None or ticket.life != task.life or ticket.until_s <= now_s:
             return None
         return ticket.text
 
--- a/almondstack/control/tests/test_advisor.py
+++ b/almondstack/control/tests/test_advisor.py
@@ -325,6 +325,21 @@
     assert advisor.ticket(task) is None
 
 
+def test_a_ticket_of_a_former_life_is_not_given_out(harness):
+    """Guards against a start that the next life of a worker rejects.
+
+    PROTOCOL: the ticket is valid "during this life of the worker".
+    """
+    _, _, advisor = harness
+    task, workers = _task_and_workers()
+    advisor.allowed_workers(task, workers)
+    _fetch_all(advisor)
+    assign(make_table(workers=tuple(workers)), task, workers[0])
+    assert advisor.ticket(task) == "ticket-1"
+    task.life += 1
+    assert advisor.ticket(task) is None
+
+
 def test_the_thread_ends_with_the_ownership():
     services = _Services()
     advisor = Advisor(services)
