Pass over entries of workers that are read after later ones

Cause: the directory took each entry for the newest and ignored its sequence.

Change: EntryOrder passes over a lower sequence of the same life and a life that was replaced, for 13 s. Lives are told apart, not compared by their times, which clock_step sets back.

--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -11,6 +11,7 @@
 from almondstack.ownership import Record
 from almondstack.placement import Resources, WorkerInfo
 from almondstack.platform.configuration import ConfigurationError, ConfigurationHolder
+from almondstack.platform.entry_order import EntryOrder
 from almondstack.platform.store import KeyedTopic, StoreConnection
 from almondstack.platform.topic_follower import TopicFollower
 from almondstack.platform.wire import WorkerRegistrationWire
@@ -167,7 +168,7 @@
     -----------
     Only the owner uses the workers, but all processes follow their registrations, so
     that a new owner has them even while the store is unavailable.  A registration that
-    cannot be decoded is ignored.
+    cannot be decoded is ignored, and so is one that is read after a later one.
 
     Parameters
     ----------
@@ -188,6 +189,7 @@
         "_followed_since_s",
         "_is_read",
         "_lock",
+        "_order",
         "_unusable",
         "_workers",
     )
@@ -204,6 +206,7 @@
         self._lock = threading.Lock()
         self._is_read = False
         self._followed_since_s: float | None = None
+        self._order = EntryOrder()
         self._follower = TopicFollower(
             "workers",
             KeyedTopic(connection, "keyed.servers"),
@@ -294,15 +297,15 @@
         )
 
     def _apply(self, record: Record) -> None:
-        info = self._parse(record) if record.value else None
-        if info is not None or not record.value:
+        wire = self._decode(record) if record.value else None
+        if wire is not None or not record.value:
             self._unusable.discard(record.key)
         with self._lock:
-            if info is None:
+            if wire is None:
                 self._workers.pop(record.key, None)
-            else:
-                self._workers[record.key] = info
-                self._note_life(record.key, info.life if self._is_long_followed() else None)
+            elif self._order.is_next(record.key, wire.life, wire.sequence, time.monotonic()):
+                self._workers[record.key] = _worker_of(record.key, wire)
+                self._note_life(record.key, wire.life if self._is_long_followed() else None)
 
     def _is_long_followed(self) -> bool:
         """Whether an entry that this process has not seen is of a life that no call can reach."""
@@ -320,17 +323,17 @@
             self._followed_since_s = time.monotonic()
         self._first_lives[id] = life
 
-    def _parse(self, record: Record) -> WorkerInfo | None:
-        """Return the worker of an entry, or None, with an event, if it names none to use."""
+    def _decode(self, record: Record) -> WorkerRegistrationWire | None:
+        """Return the entry of a worker, or None, with an event, if it names none to use."""
         try:
-            return _parse_worker(record)
+            return _decode_registration(record.value)
         except RegistrationError as error:
             self._note_unusable(record, error)
             return None
 
 
-def _parse_worker(record: Record) -> WorkerInfo:
-    """Return the worker of a registration.
+def _decode_registration(value: bytes) -> WorkerRegistrationWire:
+    """Return the registration of a worker.
 
     Raises
     ------
@@ -338,15 +341,20 @@
         The entry names no worker that can be used.
     """
     try:
-        wire = decode_with(_registration_decoder, record.value)
+        wire = decode_with(_registration_decoder, value)
         parse_address(wire.address)
     except (CodecError, SettingsError) as error:
         raise RegistrationError(error.detail[:_MAX_REASON_CHARACTERS]) from error
     if wire.state not in (_READY, _DRAINING) or not wire.pool:
         raise RegistrationError("its state is unknown or it names no pool")
+    return wire
+
+
+def _worker_of(id: str, wire: WorkerRegistrationWire) -> WorkerInfo:
+    """Return the worker of a registration."""
     capacity = Resources(wire.capacity.cpu_millis, wire.capacity.memory_mb, wire.capacity.gpus)
     return WorkerInfo(
-        record.key,
+        id,
         wire.life,
         wire.pool,
         wire.address,
--- a/almondstack/platform/tests/test_registrations.py
+++ b/almondstack/platform/tests/test_registrations.py
@@ -211,6 +211,63 @@
     assert directory.may_have_restarted("i-0", 6)
 
 
+def test_an_entry_that_is_read_late_does_not_make_a_draining_worker_ready(directory, clock):
+    """Guards against starts on a worker whose draining was acknowledged (DRAIN).
+
+    PROTOCOL: a call without an answer "may be executed seconds later".
+    """
+    for sequence, state in ((5, "ready"), (7, "draining"), (6, "ready")):
+        _put(directory, {**_ENTRY, "born": 9, "sequence": sequence, "state": state})
+        clock.now_s += 1.0
+    assert directory.workers()["i-1"].is_draining
+    _put(directory, b"")
+    _put(directory, {**_ENTRY, "born": 9, "sequence": 6})
+    assert directory.workers() == {}
+    _put(directory, {**_ENTRY, "born": 9, "sequence": 8})
+    assert not directory.workers()["i-1"].is_draining
+
+
+def test_an_entry_of_a_former_life_is_not_taken_for_that_of_the_next(directory, clock):
+    """Guards against an owner that stops all runs of a worker as ones of a former life (AVAIL).
+
+    The life is the same for each entry, however its time of day compares with that of others.
+    """
+    for life in (5_000, 3_500, 8_000):
+        _put_life(directory, "i-1", life)
+        assert directory.workers()["i-1"].life == life
+    for life in (5_000, 3_500):
+        _put(directory, {**_ENTRY, "born": life, "sequence": 99})
+        assert directory.workers()["i-1"].life == 8_000
+
+
+def test_an_entry_without_the_start_of_its_worker_is_used(directory, clock):
+    for sequence in (7, 1):
+        _put(directory, {**_ENTRY, "sequence": sequence, "clock-ms": sequence})
+    assert directory.workers()["i-1"].clock_ms == 1
+
+
+def test_a_worker_is_not_hidden_for_good_by_a_high_sequence(directory, clock):
+    """Guards against an entry of another writer under the id of a worker (LOST)."""
+    _put(directory, {**_ENTRY, "born": 9, "sequence": 10**9, "service": "other"})
+    clock.now_s += 5.0
+    _put_life(directory, "i-1", 9)
+    assert directory.workers()["i-1"].pool == "other"
+    clock.now_s += 9.0
+    _put_life(directory, "i-1", 9)
+    assert directory.workers()["i-1"].pool == "pool"
+
+
+def test_a_page_that_is_read_before_the_log_is_not_undone_by_it(directory, clock):
+    """Guards against entries of the log that are older than a page of the snapshot.
+
+    PROTOCOL: "Pages are not a snapshot"; the log is read from the end at the first page on.
+    """
+    draining = {**_ENTRY, "born": 9, "sequence": 12, "state": "draining"}
+    directory._apply_snapshot([Record("i-1", json.dumps(draining).encode())])
+    _put(directory, {**_ENTRY, "born": 9, "sequence": 11})
+    assert directory.workers()["i-1"].is_draining
+
+
 class _Topic:
     """A topic that holds the given records."""
 
