Store a report on a wave only if none was stored since the log was read

Cause: a report without an answer may be stored seconds later, over a later one, so that a completed wave is shown as running for good: nothing is written about it any more.

Change: report_wave reads the end of the log of reports and appends on the condition that it ends there; a read for each report, two for each wave.

--- a/almondstack/platform/directory.py
+++ b/almondstack/platform/directory.py
@@ -266,6 +266,11 @@
     def report_wave(self, number: int, is_completed: bool) -> None:
         """Write to the store whether a wave is running or completed.
 
+        Explanation
+        -----------
+        The report is stored only if no other one has been since the end of the log was read: one
+        without an answer may be carried out late, and would replace what was reported since.
+
         Raises
         ------
         StoreError
@@ -274,7 +279,9 @@
         state = "completed" if is_completed else "running"
         value = msgspec.json.encode({"wave": number, "state": state})
         topic = KeyedTopic(self._connection, "keyed.status")
-        topic.append([Record(f"{_WAVE_PREFIX}{number}", value)], _WAVE_REPORT_TIMEOUT_S)
+        end_offset = topic.snapshot().next_offset
+        report = Record(f"{_WAVE_PREFIX}{number}", value)
+        topic.append_at(report, end_offset, _WAVE_REPORT_TIMEOUT_S)
 
     def _apply_snapshot(self, records: list[Record]) -> None:
         present = {record.key for record in records if record.value}
