Show that an answer of a worker's former life that is read late counts for the next

Cause: an answer to an order is matched by worker, task and run. If the thread that has read the answer to a stop stands still while the restart is noted, that answer settles the run on the next life, which was sent no stop yet; a start without an answer is then carried out beside the next run (TWICE).

--- a/almondstack/control/tests/former_life_scenarios.py
+++ b/almondstack/control/tests/former_life_scenarios.py
@@ -6,6 +6,7 @@
 :mod:`almondstack.control.tests.owner_scenarios`.
 """
 
+from almondstack.control.messages import OrderKind
 from almondstack.jobs import RunEnd
 from almondstack.testing.job_builders import make_step
 
@@ -13,6 +14,7 @@
     "carry_out_a_start_after_the_lease",
     "carry_out_a_start_after_the_end",
     "carry_out_a_start_after_the_stop",
+    "read_the_answer_to_a_stop_late",
     "restart_before_the_former_life",
 ]
 
@@ -75,16 +77,7 @@
     Neither of two starts has an answer, so the run is stopped; the worker answers that, and starts
     again before it lists its runs.
     """
-    machine.world.pass_time(_AGE_S)
-    _register(machine, "w1")
-    machine.submit(process=0, shape=(make_step(1),), account="b")
-    _lose_a_start(machine, "w1")
-    machine.round(process=0)
-    machine.world.processes[0].pump_handshake("w1")
-    machine.inject_call_fault(worker="w1", fault="lost")
-    machine.world.processes[0].pump_orders("w1")
-    machine.round(process=0)
-    machine.world.processes[0].pump_orders("w1")
+    _stop_after_two_lost_starts(machine)
     machine.round(process=0)
     machine.crash(worker="w1")
     _register(machine, "w1", "w2", "w3")
@@ -96,6 +89,31 @@
     assert not machine.world.workers["w1"].running
 
 
+def read_the_answer_to_a_stop_late(machine):
+    """Read the answer of a former life to a stop after the restart was noted.
+
+    The thread that has read it stands still meanwhile.  The next life carries out a start before
+    the stop that is meant for it is sent.
+    """
+    _stop_after_two_lost_starts(machine)
+    owner = machine.world.processes[0].owner
+    answer = owner._inbox.get_nowait()
+    assert answer.kind is OrderKind.STOP
+    machine.crash(worker="w1")
+    _register(machine, "w1", "w2", "w3")
+    machine.pass_time(seconds=0.2)
+    machine.round(process=0)
+    owner._inbox.put(answer)
+    machine.round(process=0)
+    machine.pass_time(seconds=0.2)
+    owner._sessions.get("w1").pump_poll()
+    for _ in range(3):
+        machine.round(process=0)
+        for worker in ("w2", "w3"):
+            machine.pump(process=0, worker=worker)
+    machine.carry_out(worker="w1")
+
+
 def restart_before_the_former_life(machine):
     """Let a worker start twice, the second time with an earlier time of day.
 
@@ -117,6 +135,20 @@
     _work(machine, rounds=100)
 
 
+def _stop_after_two_lost_starts(machine):
+    """Have a worker answer the stop of a run of which the first start may be carried out yet."""
+    machine.world.pass_time(_AGE_S)
+    _register(machine, "w1")
+    machine.submit(process=0, shape=(make_step(1),), account="b")
+    _lose_a_start(machine, "w1")
+    machine.round(process=0)
+    machine.world.processes[0].pump_handshake("w1")
+    machine.inject_call_fault(worker="w1", fault="lost")
+    machine.world.processes[0].pump_orders("w1")
+    machine.round(process=0)
+    machine.world.processes[0].pump_orders("w1")
+
+
 def _work(machine, rounds):
     """Let the owner read, schedule and call all workers, for a fifth of a second each time."""
     for _ in range(rounds):
--- a/almondstack/control/tests/test_former_lives.py
+++ b/almondstack/control/tests/test_former_lives.py
@@ -6,6 +6,7 @@
     carry_out_a_start_after_the_end,
     carry_out_a_start_after_the_lease,
     carry_out_a_start_after_the_stop,
+    read_the_answer_to_a_stop_late,
     restart_before_the_former_life,
 )
 from almondstack.control.tests.test_owner_machine import OwnerMachine
@@ -51,6 +52,12 @@
         carry_out_a_start_after_the_stop(machine)
 
 
+def test_an_answer_of_a_former_life_that_is_read_late_does_not_count_for_the_next():
+    """Guards against answers to orders that are matched by worker, task and run alone (TWICE)."""
+    with _machine() as machine:
+        read_the_answer_to_a_stop_late(machine)
+
+
 def test_a_worker_that_starts_again_with_an_earlier_time_is_used():
     """Guards against a worker that is never used since its time of day was set back.
 
