Let an entry without a start time end no life; name no wire field in the simulation

Cause: read when the order of entries was merged: an entry without born, of another writer, counted as the end of the life that was known, whose own next entries were passed over for 13 s then. A docstring of the simulated worker named a field of the wire, which test_boundary.py refuses.

--- a/almondstack/control/pacing.py
+++ b/almondstack/control/pacing.py
@@ -4,7 +4,7 @@
 
 from almondstack.control.messages import OrderStatus
 from almondstack.control.runs import RunTable
-from almondstack.control.sent_deadlines import MAX_CALL_DELAY_S
+from almondstack.control.sent_calls import MAX_CALL_DELAY_S
 from almondstack.control.sessions import SessionTable
 from almondstack.jobs import Task
 from almondstack.placement import Worker
--- a/almondstack/platform/entry_order.py
+++ b/almondstack/platform/entry_order.py
@@ -55,7 +55,8 @@
         worker : str
             Id of the worker.
         life : int
-            Start of the worker, in Unix milliseconds; an entry without it is never late.
+            Start of the worker, in Unix milliseconds; an entry without it is never late, and
+            ends no life.
         sequence : int
             Number of the entry in that life.
         now_s : float
@@ -64,6 +65,8 @@
         newest = self._newest.get(worker)
         if newest is not None and life and self._is_late(worker, newest, life, sequence, now_s):
             return False
+        if not life:
+            return True
         if newest is not None and newest.life != life:
             self._note_end(worker, newest.life, now_s)
         if newest is None and len(self._newest) >= _MAX_WORKERS:
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -101,8 +101,8 @@
         By how much its time of day is ahead, in seconds.  A next life may have a lower number
         than the former one if it was set back.
     keeps_last_seen : bool
-        Whether the highest ``last-seen`` also holds for later ends of the same life, which
-        are then never listed: another reading of "ends up to last-seen are forgotten".
+        Whether the highest ``last number`` also holds for later ends of the same life, which
+        are then never listed: another reading of "ends up to last number are forgotten".
     fault : str
         Fault of the next call: "" (none), "lost" (not received), "unanswered"
         (performed, the reply is lost) or "late" (performed by :meth:`carry_out`).
