Show that starts behind a stop reach a next life that nobody has looked at

An order caller counts as connected after any answer. A stop that is the first order after a restart opens the connection to the next life, and its answer, which names no life, also gives the session a reading of that life's clock.

--- a/almondstack/control/tests/restart_scenarios.py
+++ b/almondstack/control/tests/restart_scenarios.py
@@ -2,8 +2,10 @@
 
 Explanation
 -----------
-In each of them, the first start of a run gets no answer.  The worker may carry it out within
-13 s; a life that begins meanwhile does so too, as it has the id that the call names.
+In most of them, the first start of a run gets no answer.  The worker may carry it out within
+13 s; a life that begins meanwhile does so too, as it has the id that the call names.  In the
+others, which are named for a start behind a stop, no call is late: a stop opens a connection to
+the next life, whose answer does not name its life, and starts for the former one follow over it.
 """
 
 from almondstack.control.tests.owner_scenarios import submit, use_only
@@ -11,10 +13,13 @@
 from almondstack.testing.job_builders import make_step
 
 __all__ = [
+    "compare_the_clocks_after_a_start_behind_a_stop",
     "confirm_a_run_by_an_answer_of_the_former_life",
     "count_a_stop_of_the_former_life",
+    "cut_off_a_worker_after_a_start_behind_a_stop",
     "end_a_run_before_its_first_start_is_carried_out",
     "give_up_a_run_with_an_unclear_start",
+    "list_an_end_after_a_start_behind_a_stop",
     "list_an_end_while_the_next_run_is_planned",
     "list_an_end_while_the_next_run_is_running",
     "list_an_end_while_the_task_waits",
@@ -121,6 +126,65 @@
     machine.carry_out(worker=worker)
 
 
+def compare_the_clocks_after_a_start_behind_a_stop(machine):
+    """Poll the next life, whose clock is 2 s ahead of that of the owner, before it registers."""
+    machine.set_process_time(process=0, shift_s=-1.0)
+    machine.set_worker_time(worker="w1", shift_s=1.0)
+    _start_behind_a_stop(machine)
+    for worker in _ALL:
+        machine.cut_connection(worker=worker, is_disconnected=False, is_registered=True)
+    _poll(machine, "w1")
+    _start_elsewhere(machine, "w1")
+
+
+def cut_off_a_worker_after_a_start_behind_a_stop(machine):
+    """Cut the next life off once it has registered, while it holds a lease."""
+    _start_behind_a_stop(machine)
+    _register(machine)
+    machine.cut_connection(worker="w1", is_disconnected=True, is_registered=True)
+    for _ in range(3):
+        machine.work(process=0, order=_ALL)
+
+
+def list_an_end_after_a_start_behind_a_stop(machine):
+    """Let the run end done behind the cut, and be listed before its lease has lapsed."""
+    _start_behind_a_stop(machine)
+    _register(machine)
+    machine.cut_connection(worker="w1", is_disconnected=True, is_registered=True)
+    machine.finish(worker="w1", end=RunEnd.DONE)
+    for _ in range(2):
+        machine.work(process=0, order=_ALL)
+    machine.cut_connection(worker="w1", is_disconnected=False, is_registered=True)
+    _poll(machine, "w1")
+    _acknowledge(machine, "w1")
+
+
+def _start_behind_a_stop(machine):
+    """Send a stop and a start to a worker that has started again and has not registered anew."""
+    machine.world.pass_time(100.0)
+    use_only(machine, "w1")
+    submit(machine, (make_step(1),))
+    for _ in range(2):
+        machine.work(process=0, order=_ALL)
+    machine.pass_time(seconds=1.0)
+    machine.work(process=0, order=_ALL)
+    machine.crash(worker="w1", is_registered_late=True)
+    machine.world.cancel(machine.world.processes[1], "0" * 16)
+    submit(machine, (make_step(1),))
+    machine.read(process=0)
+    machine.round(process=0)
+    _process(machine).pump_orders("w1")
+    machine.round(process=0)
+
+
+def _register(machine):
+    """Let all workers register, the next life of the first one among them."""
+    for worker in _ALL:
+        machine.cut_connection(worker=worker, is_disconnected=False, is_registered=True)
+        machine.register(worker=worker)
+    machine.pass_time(seconds=0.2)
+
+
 def _process(machine):
     return machine.world.processes[0]
 
--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -382,6 +382,21 @@
     _play(restart_scenarios.give_up_a_run_with_an_unclear_start, is_known=True)
 
 
+def test_a_run_started_behind_a_stop_is_not_taken_for_one_of_the_former_life():
+    """Guards against a run of the next life given up by clocks that are 2 s apart (TWICE)."""
+    _play(restart_scenarios.compare_the_clocks_after_a_start_behind_a_stop)
+
+
+def test_a_lease_taken_by_a_start_behind_a_stop_is_counted_for_the_next_life():
+    """Guards against a run given up while the next life holds a lease (TWICE)."""
+    _play(restart_scenarios.cut_off_a_worker_after_a_start_behind_a_stop)
+
+
+def test_an_end_of_a_run_started_behind_a_stop_is_not_acknowledged_while_the_next_one_runs():
+    """Guards against the same, shown by the end of the run (TWICE)."""
+    _play(restart_scenarios.list_an_end_after_a_start_behind_a_stop)
+
+
 def test_each_mutation_has_its_scenario():
     assert set(SCENARIOS) == set(MUTATIONS)
 
