Let only a poll open a connection to a worker

What callers could see: a task that ran on two workers at once, or again after an end as done (TWICE); no late call is needed for it. Cause: a stop that was the first order after a worker had started again opened a connection to the next life, and its answer names no life. Starts for the former life followed over it without a poll: they ran on the next life with a deadline of the former one's clock, and were counted for the former one, so that the session of the next life counted no lease of theirs. One poll without an answer, as after a cut, gave them up at once; their ends were then listed and acknowledged. Change: stops and paces are sent over a connection that a poll has opened, as starts were; that poll carries neither a deadline nor an acknowledgement and names the life. test_a_run_that_was_stopped_before_its_start_arrived polls first; new tests ask that no order opens a connection, and that a stop to a worker that has restarted is not sent.

--- a/almondstack/control/ports.py
+++ b/almondstack/control/ports.py
@@ -35,11 +35,16 @@
         ...
 
     def stop(self, task: str, run: int, token: int) -> OrderReply:
-        """Stop a run, or prevent it from starting later."""
+        """Stop a run, or prevent it from starting later; sent as :meth:`start` is.
+
+        Explanation
+        -----------
+        Its answer names no life, so it must not open a connection over which starts follow.
+        """
         ...
 
     def pace(self, task: str, run: int, percent: int, token: int) -> OrderReply:
-        """Set the speed of a run, in percent of its full speed."""
+        """Set the speed of a run, in percent of its full speed; sent as :meth:`start` is."""
         ...
 
     def poll(self, deadline_ms: int | None, last_seen: int, wait_s: float, token: int) -> PollReply:
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -277,12 +277,18 @@
         self._post(OrderAnswered(self.worker, order.kind, order.task, order.run, reply))
 
     def _send(self, caller: WorkerCaller, order: _Order) -> OrderReply:
+        """Send an order over a connection that leads to this life of the worker."""
+        if order.kind is OrderKind.START:
+            return self._send_start(caller, order)
+        if not caller.is_connected and not self._handshake(caller):
+            return OrderReply(OrderStatus.NOT_SENT)
         if order.kind is OrderKind.STOP:
-            stop = functools.partial(caller.stop, order.task, order.run, self._token)
-            return self._call_order(stop, has_deadline=False)
-        if order.kind is OrderKind.PACE:
-            pace = functools.partial(caller.pace, order.task, order.run, order.percent, self._token)
-            return self._call_order(pace, has_deadline=False)
+            send = functools.partial(caller.stop, order.task, order.run, self._token)
+        else:
+            send = functools.partial(caller.pace, order.task, order.run, order.percent, self._token)
+        return self._call_order(send, has_deadline=False)
+
+    def _send_start(self, caller: WorkerCaller, order: _Order) -> OrderReply:
         if order.start is None or not self._may_extend():
             return OrderReply(OrderStatus.NOT_SENT)
         is_current = caller.is_connected and not self._lease.needs_reading(time.monotonic())
@@ -352,6 +358,8 @@
 
         Explanation
         -----------
+        Only a poll names the life that answers.  It opens each connection, and carries neither
+        a deadline nor an acknowledgement then; a connection leads to one life.
         A registration is seconds old: the worker may have restarted since, and a lease
         computed from its old clock value may have expired when it arrives.  So may a
         lease computed from the last answer of a worker that has been idle since.
--- a/almondstack/control/tests/test_session.py
+++ b/almondstack/control/tests/test_session.py
@@ -34,6 +34,7 @@
         self.poll_status = poll
         self.life = life
         self.starts = []
+        self.stops = []
         self.polls = []
         self.is_connected = False
 
@@ -52,6 +53,11 @@
         self.starts.append(deadline_ms)
         return OrderReply(OrderStatus.DONE, _CLOCK_MS)
 
+    def stop(self, task, run, token):
+        """Record the stop."""
+        self.stops.append((task, run))
+        return OrderReply(OrderStatus.DONE, _CLOCK_MS)
+
     def close(self):
         """Do nothing: no connection is open."""
 
@@ -105,6 +111,18 @@
     assert worker.starts == [] and isinstance(events[0], PollFailed)
 
 
+def test_a_stop_over_a_new_connection_is_sent_only_after_a_poll(events):
+    """Guards against a stop by which a session goes on with the worker's next life (TWICE)."""
+    worker = _Worker()
+    stop = _Order(OrderKind.STOP, "t", 1)
+    assert _session(worker, events)._send(worker, stop).status is OrderStatus.DONE
+    assert worker.polls == [(None, 0, 0.0)]
+    restarted = _Worker(life=2)
+    session = _session(restarted, events)
+    assert session._send(restarted, stop).status is OrderStatus.NOT_SENT
+    assert restarted.stops == [] and isinstance(events[-1], PollAnswered)
+
+
 def test_a_restarted_worker_gets_no_acknowledgement_of_its_earlier_incarnation(events):
     """Guards against an end that the restarted worker drops although nobody has read it.
 
--- a/almondstack/platform/tests/test_workers.py
+++ b/almondstack/platform/tests/test_workers.py
@@ -55,11 +55,20 @@
 
 def test_a_run_that_was_stopped_before_its_start_arrived_does_not_start(worker):
     standin, caller = worker
+    caller.poll(None, 0, 0.0, 5)
     assert caller.stop(_TASK, 1, 5).status is OrderStatus.DONE
     assert _start(caller) is OrderStatus.OLD_RUN
     assert standin.running == {}
 
 
+def test_no_order_opens_a_connection(worker):
+    """Guards against starts that follow a stop to a life that nobody has polled (TWICE)."""
+    standin, caller = worker
+    assert caller.stop(_TASK, 1, 5).status is OrderStatus.NOT_SENT
+    assert caller.pace(_TASK, 1, 50, 5).status is OrderStatus.NOT_SENT
+    assert standin.running == {}
+
+
 def test_a_lost_answer_is_unclear_and_a_retry_succeeds(worker):
     standin, caller = worker
     standin.start_replies_to_drop = 1
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -98,15 +98,15 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return self._order("/almondstack/run-start", body, may_open=False)
+        return self._order("/almondstack/run-start", body)
 
     def stop(self, task: str, run: int, token: int) -> OrderReply:
-        """Stop a run."""
+        """Stop a run over the connection of the last call; ``NOT_SENT`` if it has closed."""
         body = {"task": task, "run": run, "fencing-token": token}
         return self._order("/almondstack/run-stop", body)
 
     def pace(self, task: str, run: int, percent: int, token: int) -> OrderReply:
-        """Limit a run to a percentage of its full speed."""
+        """Limit a run to a percentage of its full speed; sent as :meth:`stop` is."""
         body = {"task": task, "run": run, "percent": percent, "fencing-token": token}
         return self._order("/almondstack/pace", body)
 
@@ -141,14 +141,14 @@
         """Close the connection."""
         self._caller.close()
 
-    def _order(self, path: str, body: dict[str, object], *, may_open: bool = True) -> OrderReply:
-        reply = self._call(path, body, 0.0, may_open=may_open)
+    def _order(self, path: str, body: dict[str, object]) -> OrderReply:
+        reply = self._call(path, body, 0.0, may_open=False)
         if isinstance(reply, OrderStatus):
             return OrderReply(reply)
         return _status_of(reply)
 
     def _call(
-        self, path: str, body: dict[str, object], wait_s: float, *, may_open: bool = True
+        self, path: str, body: dict[str, object], wait_s: float, *, may_open: bool
     ) -> HttpReply | OrderStatus:
         timeout_s = self._timeout_s + wait_s
         content = _encoder.encode(body)
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -350,7 +350,9 @@
         return self._order(lambda: self._worker.start(order, deadline_ms, token))
 
     def stop(self, task: str, run: int, token: int) -> OrderReply:
-        """Send a stop."""
+        """Send a stop over the connection of the last call."""
+        if not self.is_connected:
+            return OrderReply(OrderStatus.NOT_SENT)
         return self._order(lambda: self._worker.stop(task, run, token))
 
     def poll(self, deadline_ms: int | None, last_seen: int, wait_s: float, token: int) -> PollReply:
