Count a failed run of a gang once, however many members fail in it

Cause: the attempts of a gang were the failed ends of all its members added up.

Reading: PROTOCOL, "`failed` (a task, or a gang, has failed `max-attempts` times)" and "The members of a gang share the same value" of `run`. A gang fails once with each of its runs in which a member fails, whichever it is. BUDGET counts the failed runs of each task; no task has failed in more runs than its gang.

Change: the first failed end of a run is counted, the others of that run are not. A sixth field of a gang's task in a progress record, written only where it is needed, says which run was counted last; builds before skip it and, as before, compare the sum over the members with max-attempts (docs/design/upgrades.md). What an owner of the build before counts itself, it counts as it did.

--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -374,6 +374,18 @@
     assert worker.tasks == [] and table.usage.used("a").cpu_millis == 0
 
 
+def test_a_gang_whose_members_fail_in_one_run_starts_again():
+    """Guards against a gang given up after one of its two attempts (gang-failed, LOST).
+
+    Its members failed on two workers at the same time, and each end counted as an attempt.
+    """
+    table, worker, members = _assigned_gang()
+    ends = [ended(member, RunEnd.FAILED, number + 1) for number, member in enumerate(members)]
+    table.note_poll(worker, 0.2, look(ended=tuple(ends)), 0.3)
+    assert members[0].job.state is JobState.RUNNING
+    assert [member.status for member in members] == [TaskStatus.WAITING] * 2
+
+
 def test_the_end_of_one_gang_member_frees_the_workers_of_all_members():
     table, worker, members = _assigned_gang()
     job = members[0].job
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -50,7 +50,8 @@
     submission : Submission
         The accepted submission.
     max_attempts : int
-        Failed runs of one task, or of one gang, after which the job fails.
+        Failed runs of one task, or of one gang, after which the job fails.  A run of a gang has
+        failed if any of its members has.
     """
 
     __slots__ = (
@@ -205,6 +206,7 @@
             task.worker = record.worker
             task.life = record.life
             task.checkpoint = record.checkpoint
+            task.failed_run = record.failed_run
         self._drop_if_done(occurrence, step)
 
     def encode(self, *, may_use_ranges: bool = False) -> bytes:
@@ -292,12 +294,20 @@
             self._finish(task)
             return
         if end is RunEnd.FAILED:
-            task.failures += 1
-            task.failed_on.add(task.worker)
+            self._count_failure(task)
         task.release(now_s)
         if self._has_no_attempts_left(task):
             self.state = JobState.FAILED
 
+    def _count_failure(self, task: Task) -> None:
+        """Count a failed run: that of a gang once, however many of its members fail in it."""
+        task.failed_on.add(task.worker)
+        if task.step.is_gang:
+            if any(member.failed_run == task.run for member in task.siblings):
+                return
+            task.failed_run = task.run
+        task.failures += 1
+
     def note_checkpoint(self, task: Task, checkpoint: str) -> None:
         """Keep a checkpoint; that of any member of a gang is valid for all of them."""
         for member in self._sharing_checkpoint(task):
--- a/almondstack/jobs/model.py
+++ b/almondstack/jobs/model.py
@@ -212,13 +212,17 @@
     run : int
         Highest run number assigned.
     failures : int
-        Runs that ended as failed.
+        Runs that ended as failed.  A run of a gang counts once, for the member whose failed end
+        was read first, so that the sum over the members is the number of the gang's failed runs.
     worker : str
         Worker of the present run, or empty.
     life : int
         Start of that worker's process in Unix milliseconds, 0 if unknown.
     checkpoint : str
         Checkpoint from which the next run resumes, or empty.
+    failed_run : int
+        Last run of its gang that was counted as failed for this member; 0 if none, or if an
+        earlier build wrote the record.
     """
 
     key: TaskKey
@@ -228,3 +232,4 @@
     worker: str = ""
     life: int = 0
     checkpoint: str = ""
+    failed_run: int = 0
--- a/almondstack/jobs/progress.py
+++ b/almondstack/jobs/progress.py
@@ -56,6 +56,7 @@
     worker: str
     life: int
     checkpoint: str
+    failed_run: int
 
 
 TaskGroup = tuple[int, int, Sequence[StoredTask]]
@@ -72,13 +73,24 @@
     checkpoint: str
 
 
+class _GangTask(_Task, frozen=True, array_like=True):
+    """A task with the last run of its gang that was counted as failed for it.
+
+    Explanation
+    -----------
+    Builds before this field skip it.  It is written only if there is such a run.
+    """
+
+    failed_run: int = 0
+
+
 class _Tasks(msgspec.Struct, frozen=True, array_like=True):
     """The encoded tasks; ``worker_lives`` are differences from ``base_life``, to save bytes."""
 
     base_life: int
     worker_ids: list[str]
     worker_lives: list[int]
-    groups: list[tuple[int, int, list[None | int | _Task]]]
+    groups: list[tuple[int, int, list[None | int | _GangTask]]]
 
 
 class _RangedTasks(msgspec.Struct, frozen=True, array_like=True):
@@ -87,7 +99,7 @@
     base_life: int
     worker_ids: list[str]
     worker_lives: list[int]
-    groups: list[tuple[int, int, list[None | int | _Task] | int]]
+    groups: list[tuple[int, int, list[None | int | _GangTask] | int]]
     done: list[tuple[int, int]]
 
 
@@ -189,7 +201,8 @@
         number = numbers.setdefault((task.worker, task.life), len(numbers) + 1)
         if run == _FIRST_RUN and not task.failures and not task.checkpoint:
             return number
-    return _Task(status, run, task.failures, number, task.checkpoint)
+    fields = status, run, task.failures, number, task.checkpoint
+    return _GangTask(*fields, task.failed_run) if task.failed_run else _Task(*fields)
 
 
 def decode_state(value: bytes) -> JobState:
@@ -264,7 +277,7 @@
 
 
 def _records(
-    groups: Iterable[tuple[int, int, Sequence[None | int | _Task]]],
+    groups: Iterable[tuple[int, int, Sequence[None | int | _GangTask]]],
     workers: list[tuple[str, int]],
 ) -> Iterator[TaskRecord]:
     for occurrence, step, rows in groups:
@@ -273,13 +286,14 @@
                 yield _record(TaskKey(occurrence, step, member), row, workers)
 
 
-def _record(key: TaskKey, row: int | _Task, workers: list[tuple[str, int]]) -> TaskRecord:
+def _record(key: TaskKey, row: int | _GangTask, workers: list[tuple[str, int]]) -> TaskRecord:
     if row == _DONE_AT_FIRST_RUN:
         return TaskRecord(key, _DONE, _FIRST_RUN)
     if isinstance(row, int):
         return TaskRecord(key, _ASSIGNED, _FIRST_RUN, 0, *_worker(workers, row))
     worker, life = _worker(workers, row.worker) if row.worker != _NO_WORKER else ("", 0)
-    return TaskRecord(key, row.status, row.run, row.failures, worker, life, row.checkpoint)
+    fields = row.run, row.failures, worker, life, row.checkpoint, row.failed_run
+    return TaskRecord(key, row.status, *fields)
 
 
 def _worker(workers: list[tuple[str, int]], number: int) -> tuple[str, int]:
--- a/almondstack/jobs/task.py
+++ b/almondstack/jobs/task.py
@@ -24,7 +24,7 @@
         Its step, with its demand.
     status : TaskStatus
         Waiting, assigned or done.
-    run, failures, worker, life, checkpoint
+    run, failures, worker, life, checkpoint, failed_run
         As in :class:`~almondstack.jobs.model.TaskRecord`.
     is_confirmed : bool
         The worker has listed the present run or acknowledged its start.
@@ -54,6 +54,7 @@
         "assigned_s",
         "checkpoint",
         "failed_on",
+        "failed_run",
         "failures",
         "is_at_work",
         "is_confirmed",
@@ -82,6 +83,7 @@
         self.status = TaskStatus.WAITING
         self.run = 0
         self.failures = 0
+        self.failed_run = 0
         self.worker = ""
         self.life = 0
         self.checkpoint = ""
--- a/almondstack/jobs/tests/test_progress.py
+++ b/almondstack/jobs/tests/test_progress.py
@@ -37,6 +37,14 @@
             _LIVES,
             _CHECKPOINTS,
         ),
+        st.builds(
+            TaskRecord,
+            st.just(key),
+            st.just(TaskStatus.WAITING),
+            _RUNS,
+            st.integers(1, 3),
+            failed_run=_RUNS,
+        ),
         st.builds(
             TaskRecord,
             st.just(key),
@@ -70,6 +78,14 @@
     assert decode_progress(value) == [task for group in groups for task in group[2] if task.run]
 
 
+def test_a_field_of_a_task_that_a_later_build_adds_is_skipped():
+    """Guards against a build that takes the records of a later one for unreadable."""
+    row = [TaskStatus.WAITING, 2, 1, 0, "c", 2, "later"]
+    value = bytes((JobState.RUNNING,)) + msgspec.msgpack.encode([0, [], [], [[0, 1, [row]]]])
+    expected = TaskRecord(TaskKey(0, 1, 0), TaskStatus.WAITING, 2, 1, checkpoint="c", failed_run=2)
+    assert decode_progress(value) == [expected]
+
+
 def _burst_records():
     """Return the done tasks of a job, and its running tasks on three workers."""
     done = [TaskRecord(TaskKey(0, 0, member), TaskStatus.DONE, 1) for member in range(5)]
--- a/almondstack/testing/shared_forms.py
+++ b/almondstack/testing/shared_forms.py
@@ -70,6 +70,11 @@
     TaskRecord(TaskKey(1, 0, 1), TaskStatus.WAITING, 2, 1, "", 0, "0002"),
     TaskRecord(TaskKey(1, 1, 0), TaskStatus.DONE, 2, 1),
 ]
+_FAILED_GANG = [
+    TaskRecord(TaskKey(0, 1, 0), TaskStatus.WAITING, 2, 1, "", 0, "0005", 2),
+    TaskRecord(TaskKey(0, 1, 1), TaskStatus.ASSIGNED, 2, 1, "i-1", 1_700_000_001_000, "0005", 1),
+    TaskRecord(TaskKey(0, 1, 2), TaskStatus.ASSIGNED, 2, 0, "i-2", 1_700_000_002_000, "0005"),
+]
 _UNCONFIRMED = TaskRecord(TaskKey(0, 0, 0), TaskStatus.ASSIGNED, 1, 0, "i-1", 1_700_000_001_000)
 _DONE_STEP = TaskRecord(TaskKey(20_000, 0, 0), TaskStatus.DONE, 1)
 _RETRIED = TaskRecord(
@@ -115,6 +120,7 @@
 SAMPLES = {
     "submission": Sample(_SUBMISSION, encode_submission, decode_submission),
     "progress": Sample((JobState.RUNNING, _TASKS), _encode_progress, _decode_progress),
+    "progress, gang": Sample((JobState.RUNNING, _FAILED_GANG), _encode_progress, _decode_progress),
     "progress, unconfirmed": Sample(
         (JobState.QUEUED, [_UNCONFIRMED]), _encode_progress, _decode_progress
     ),
