Start jobs of a queue with advice whose tickets are short

Cause: a ticket was used only while 0.5 s of it was left, counted from the sending of its call, whatever its validity. On the way: a call named no more workers than fit half of the validity, also for a gang that needs more of them at one time; and a service that answers at once was called without a pause.

Change: control/advice_times.py derives all times from the policy. Longer ones count from the sending as before; the margin and the time of renewal are as before where 2 s or more are left. A call names as many workers as a gang has members, if its tickets outlast it; the same tickets are asked for again after 0.1 s at the soonest. Where a ticket expires within a call that names one worker, no call is made and advice-unusable says so once.

--- a/almondstack/control/advice_table.py
+++ b/almondstack/control/advice_table.py
@@ -9,22 +9,21 @@
 
 from typing import NamedTuple
 
+from almondstack.control.advice_times import (
+    calls_ahead,
+    margin_s,
+    most_workers,
+    renewal_s,
+    validity_s,
+)
 from almondstack.jobs import Task, TaskStatus, format_step_name
 from almondstack.placement import AdvicePolicy, Worker, demand_of, is_eligible
 
 __all__ = ["AdviceCall", "AdviceTable", "step_name"]
 
-_MIN_REMAINING_S = 0.5
-"""A ticket that expires sooner than this is not used, in seconds."""
-
-_RENEWAL_S = 1.0
-"""A ticket that expires sooner than this is requested again, in seconds."""
-
-_MAX_WORKERS_PER_CALL = 100
-"""Workers that one call to the advice service may name."""
-
-_MAX_CALL_SHARE = 0.5
-"""Largest part of a ticket's validity that a call may take, so that its tickets can be used."""
+_REPEAT_PAUSE_S = 0.1
+"""Least time from an answer to the next request for the same tickets, in seconds.  Rounds of a
+busy owner are closer than this, so that one of them has used the tickets or had no room."""
 
 _MS_PER_S = 1000.0
 
@@ -35,16 +34,21 @@
     text: str
     life: int
     until_s: float
+    answered_s: float
 
 
 class AdviceCall(NamedTuple):
-    """A call that is due: the workers to name for a step, wanted since ``since_s``."""
+    """A call that is due: the workers to name for a step, wanted since ``since_s``.
+
+    ``needed`` is the number of workers whose tickets have to be valid at one time.
+    """
 
     step: str
     workers: tuple[Worker, ...]
     lives: tuple[int, ...]
     policy: AdvicePolicy
     since_s: float
+    needed: int
 
 
 class _Want(NamedTuple):
@@ -97,15 +101,18 @@
     def __len__(self) -> int:
         return len(self._steps)
 
-    def usable_workers(self, task: Task, workers: list[Worker], now_s: float) -> list[Worker]:
+    def usable_workers(
+        self, task: Task, workers: list[Worker], policy: AdvicePolicy, now_s: float
+    ) -> list[Worker]:
         """Return the workers with a valid ticket for a task's step."""
         known = self._steps.get(step_name(task))
         if known is None:
             return []
+        least_s = margin_s(policy, _needed_together(task))
         return [
             worker
             for worker in workers
-            if _remaining_s(known.tickets.get(worker.id), worker, now_s) > _MIN_REMAINING_S
+            if _remaining_s(known.tickets.get(worker.id), worker, now_s) > least_s
         ]
 
     def want(self, task: Task, workers: list[Worker], policy: AdvicePolicy, now_s: float) -> None:
@@ -159,14 +166,16 @@
                 ahead = want
         return self._call(ahead, [], now_s) if ahead is not None else None
 
-    def note_answer(self, call: AdviceCall, allowed: dict[str, str], sent_s: float) -> None:
+    def note_answer(
+        self, call: AdviceCall, allowed: dict[str, str], sent_s: float, now_s: float
+    ) -> None:
         """Record the tickets of an answer, and the workers that got none."""
         self._answered.add(call.step)
         known = self._steps.setdefault(call.step, _StepAdvice())
-        until_s = sent_s + call.policy.valid_ms / _MS_PER_S
+        until_s = sent_s + validity_s(call.policy, len(call.workers), call.needed)
         for worker, life in zip(call.workers, call.lives, strict=True):
             if worker.id in allowed:
-                known.tickets[worker.id] = _Ticket(allowed[worker.id], life, until_s)
+                known.tickets[worker.id] = _Ticket(allowed[worker.id], life, until_s, now_s)
             else:
                 known.refused.add(worker.id)
 
@@ -179,7 +188,7 @@
         """
         if want.task.step.is_gang or step_name(want.task) not in self._answered:
             return False
-        usable = self.usable_workers(want.task, open_workers, now_s)
+        usable = self.usable_workers(want.task, open_workers, want.policy, now_s)
         return any(is_eligible(want.task, worker) for worker in usable)
 
     def _missing(self, want: _Want, workers: list[Worker], now_s: float) -> list[Worker]:
@@ -188,29 +197,31 @@
         eligible = [worker for worker in workers if is_eligible(want.task, worker)]
         if known is None:
             return eligible
-        renewal_s = min(_RENEWAL_S, want.policy.valid_ms / _MS_PER_S / 2)
+        least_s = renewal_s(want.policy, _needed_together(want.task))
         return [
             worker
             for worker in eligible
             if worker.id not in known.refused
-            and _remaining_s(known.tickets.get(worker.id), worker, now_s) <= renewal_s
+            and not _is_fresh(known.tickets.get(worker.id), worker, least_s, now_s)
         ]
 
     def _is_due_ahead(self, want: _Want, now_s: float) -> bool:
         """Whether tickets for a step without room would still be valid when its turn comes."""
-        if want.position >= _calls_ahead(want.policy, 1):
+        if want.position >= calls_ahead(want.policy, 1):
             return False
         missing = self._missing(want, want.workers, now_s)
-        return bool(missing) and want.position < _calls_ahead(want.policy, len(missing))
+        return bool(missing) and want.position < calls_ahead(want.policy, len(missing))
 
     def _call(self, want: _Want, roomy: list[Worker], now_s: float) -> AdviceCall:
         """Return a call for a step; it names the workers with room first."""
         first = {worker.id for worker in roomy}
         others = self._missing(want, want.workers, now_s)
         named = [*roomy, *(worker for worker in others if worker.id not in first)]
-        named = named[: _most_workers(want.policy)]
+        needed = _needed_together(want.task)
+        named = named[: most_workers(want.policy, needed)]
         lives = tuple(worker.info.life for worker in named)
-        return AdviceCall(step_name(want.task), tuple(named), lives, want.policy, want.since_s)
+        step = step_name(want.task)
+        return AdviceCall(step, tuple(named), lives, want.policy, want.since_s, needed)
 
 
 def step_name(task: Task) -> str:
@@ -230,6 +241,18 @@
     return ticket.until_s - now_s
 
 
+def _is_fresh(ticket: _Ticket | None, worker: Worker, least_s: float, now_s: float) -> bool:
+    """Whether a ticket is valid for long enough, or so new that a round may still use it."""
+    if ticket is None or ticket.life != worker.info.life:
+        return False
+    return ticket.until_s - now_s > least_s or now_s < ticket.answered_s + _REPEAT_PAUSE_S
+
+
+def _needed_together(task: Task) -> int:
+    """Return how many workers may need valid tickets at one time for a task's step to start."""
+    return len(task.siblings) if task.step.is_gang else 1
+
+
 def _open_workers(
     want: _Want, rooms: dict[tuple[str, int, int, int], list[Worker]]
 ) -> list[Worker]:
@@ -240,17 +263,3 @@
     if key not in rooms:
         rooms[key] = [worker for worker in want.workers if worker.free.covers(demand)]
     return rooms[key]
-
-
-def _most_workers(policy: AdvicePolicy) -> int:
-    """Return how many workers a call may name so that its tickets can still be used."""
-    if policy.worker_ms <= 0:
-        return _MAX_WORKERS_PER_CALL
-    longest_ms = policy.valid_ms * _MAX_CALL_SHARE - policy.decision_ms
-    return max(1, min(_MAX_WORKERS_PER_CALL, int(longest_ms / policy.worker_ms)))
-
-
-def _calls_ahead(policy: AdvicePolicy, workers: int) -> int:
-    """Return how many calls can be made before the tickets of the first of them expire."""
-    call_ms = policy.decision_ms + policy.worker_ms * min(workers, _most_workers(policy))
-    return max(1, int((policy.valid_ms - _MIN_REMAINING_S * _MS_PER_S) / max(1, call_ms)))
--- a/almondstack/control/advisor.py
+++ b/almondstack/control/advisor.py
@@ -5,6 +5,7 @@
 import time
 
 from almondstack.control.advice_table import AdviceCall, AdviceTable
+from almondstack.control.advice_times import is_usable
 from almondstack.control.errors import AdviceError
 from almondstack.control.ports import AdviceService
 from almondstack.control.services import OwnerServices
@@ -37,7 +38,15 @@
         The advice service, the policies, metrics and the event log.
     """
 
-    __slots__ = ("_changed", "_is_closed", "_not_before_s", "_services", "_table", "_thread")
+    __slots__ = (
+        "_changed",
+        "_is_closed",
+        "_not_before_s",
+        "_reported",
+        "_services",
+        "_table",
+        "_thread",
+    )
 
     def __init__(self, services: OwnerServices) -> None:
         self._services = services
@@ -45,6 +54,7 @@
         self._changed = threading.Condition()
         self._is_closed = False
         self._not_before_s = 0.0
+        self._reported: dict[str, tuple[int, int, int]] = {}
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
@@ -64,15 +74,19 @@
 
         Explanation
         -----------
-        Returns all workers if the task's queue needs no advice.
+        Returns all workers if the task's queue needs no advice, and none, without any call, if
+        a ticket would have expired before the answer with it can come.
         """
         policy = self._policy(task)
         if policy is None or self._services.advice is None:
             return workers
+        if not is_usable(policy):
+            self._report_unusable(task.job.submission.queue, policy)
+            return []
         now_s = time.monotonic()
         with self._changed:
             self._table.want(task, workers, policy, now_s)
-            return self._table.usable_workers(task, workers, now_s)
+            return self._table.usable_workers(task, workers, policy, now_s)
 
     def end_round(self) -> None:
         """Request from now on what the steps of this round wanted."""
@@ -109,6 +123,21 @@
         queue_policy = self._services.policies().queues.get(task.job.submission.queue)
         return queue_policy.advice if queue_policy is not None else None
 
+    def _report_unusable(self, queue: str, policy: AdvicePolicy) -> None:
+        """Write one line for a queue whose tickets last no longer than a call, and each change."""
+        stated = (policy.decision_ms, policy.worker_ms, policy.valid_ms)
+        if self._reported.get(queue) == stated:
+            return
+        self._reported[queue] = stated
+        self._services.metrics.count("advice.unusable")
+        self._services.events.write(
+            "advice-unusable",
+            queue=queue,
+            decision_ms=policy.decision_ms,
+            worker_ms=policy.worker_ms,
+            valid_ms=policy.valid_ms,
+        )
+
     def _next_call(self) -> AdviceCall | None:
         now_s = time.monotonic()
         return self._table.next_call(now_s) if now_s >= self._not_before_s else None
@@ -142,7 +171,7 @@
             self._not_before_s = time.monotonic() + _RETRY_PAUSE_S
             return
         with self._changed:
-            self._table.note_answer(call, allowed, sent_s)
+            self._table.note_answer(call, allowed, sent_s, time.monotonic())
         self._note_answered(call, len(allowed), sent_s)
 
     def _note_answered(self, call: AdviceCall, allowed: int, sent_s: float) -> None:
--- a/almondstack/control/tests/test_advisor.py
+++ b/almondstack/control/tests/test_advisor.py
@@ -14,6 +14,7 @@
 from almondstack.jobs import TaskKey
 from almondstack.placement import Policies
 from almondstack.placement.policies import AdvicePolicy
+from almondstack.testing.advice_world import AdviceWorld, SimulatedClock
 from almondstack.testing.job_builders import (
     assign,
     make_job,
@@ -365,3 +366,79 @@
         time.sleep(0.01)
     advisor.close()
     assert advisor.allowed_workers(task, workers) == workers[:1] and len(reported) == 1
+
+
+def _world_of_short_tickets(monkeypatch, policy, *jobs, **fields):
+    """Return a world of nine workers, of which three may run nothing."""
+    clock = SimulatedClock()
+    monkeypatch.setattr(advisor_module, "time", clock)
+    workers = [make_worker(f"w{number}") for number in range(9)]
+    world = AdviceWorld(clock, policy, workers, barred=frozenset({"w0", "w1", "w2"}), **fields)
+    world.waiting = list(jobs)
+    return world
+
+
+def _three_jobs():
+    return [make_job(id=f"{number:016x}") for number in range(3)]
+
+
+@pytest.mark.parametrize("round_s", [0.03, 0.2])
+@pytest.mark.parametrize("valid_ms", [225, 240, 300, 600, 1_000, 3_000])
+def test_tickets_that_outlast_a_call_of_one_worker_start_jobs(monkeypatch, valid_ms, round_s):
+    """Guards against a ticket that is never used as it lasts too short (second review).
+
+    With 600 ms none of three jobs started in 35 s, after 147 calls: what is left of a ticket
+    was compared with half a second whatever it is at first.
+    """
+    policy = AdvicePolicy(200, 20, valid_ms)
+    world = _world_of_short_tickets(monkeypatch, policy, *_three_jobs(), round_s=round_s)
+    world.run(35.0)
+    assert len(world.started_s) == 3 and len(world.calls) <= 12
+    assert set(world.outcomes) == {"started"}
+
+
+@pytest.mark.parametrize("valid_ms", [400, 600, 1_000])
+def test_tickets_that_are_issued_before_the_answer_start_jobs(monkeypatch, valid_ms):
+    policy = AdvicePolicy(200, 20, valid_ms)
+    world = _world_of_short_tickets(monkeypatch, policy, *_three_jobs(), issues_first=True)
+    world.run(35.0)
+    assert len(world.started_s) == 3 and set(world.outcomes) == {"started"}
+
+
+@pytest.mark.parametrize("valid_ms", [340, 600, 1_000])
+def test_tickets_that_outlast_a_call_for_its_members_start_a_gang(monkeypatch, valid_ms):
+    """Guards against tickets of a gang that expire one after another, never valid together."""
+    gang = make_job(make_step(6, is_gang=True, cpu_millis=3_000))
+    world = _world_of_short_tickets(monkeypatch, AdvicePolicy(200, 20, valid_ms), gang)
+    world.run(35.0)
+    assert len(world.started_s) == 1 and len(world.calls) <= 4
+
+
+@pytest.mark.parametrize("valid_ms", [0, 150, 220])
+def test_tickets_that_expire_within_a_call_are_reported_and_not_asked_for(monkeypatch, valid_ms):
+    """Guards against calls without end whose tickets are of no use."""
+    policy = AdvicePolicy(200, 20, valid_ms)
+    world = _world_of_short_tickets(monkeypatch, policy, *_three_jobs())
+    world.run(5.0)
+    assert world.calls == [] and not world.started_s
+    stated = {"queue": "q", "decision_ms": 200, "worker_ms": 20, "valid_ms": valid_ms}
+    assert world.events.named("advice-unusable") == [stated]
+    world.policy = AdvicePolicy(200, 20, 600)
+    world.run(5.0)
+    assert len(world.started_s) == 3
+
+
+def test_tickets_that_no_round_can_use_are_asked_for_ten_times_a_second_at_most(monkeypatch):
+    """Guards against calls one after another to a service that answers at once."""
+    world = _world_of_short_tickets(monkeypatch, AdvicePolicy(0, 0, 4), make_job(), round_s=0.2)
+    world.run(10.0)
+    assert not world.started_s and len(world.calls) <= 10 * 10 + 1
+
+
+def test_a_gang_of_a_large_pool_starts_with_tickets_of_one_call(monkeypatch):
+    """Guards against calls that name half of a gang's workers, whose tickets never overlap."""
+    gang = make_job(make_step(70, is_gang=True, cpu_millis=4_000))
+    world = _world_of_short_tickets(monkeypatch, AdvicePolicy(100, 40, 3_000), gang)
+    world.workers = [make_worker(f"v{number}") for number in range(70)]
+    world.run(60.0)
+    assert len(world.started_s) == 1
