Keep the settings in force whatever the YAML library raises

Not refused: `!!timestamp soon`, `!!bool maybe` and `!!int ""`, which raise AttributeError, KeyError and IndexError in the library's conversions.

Cause: the errors of the library were listed one by one.

Change: what it raises for a file is a SettingsError; the settings in force stay.

--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -185,14 +185,30 @@
 
 
 def _parse(content: bytes, path: str | Path) -> PlatformSettings:
+    value = _value_of(content, path)
     try:
-        settings = msgspec.convert(yaml.safe_load(content.decode()), PlatformSettings, strict=False)
+        settings = msgspec.convert(value, PlatformSettings, strict=False)
         _check_addresses(settings)
-    except (yaml.YAMLError, *DECODING_ERRORS, SettingsError) as error:
+    except (*DECODING_ERRORS, SettingsError) as error:
         raise SettingsError(f"{path}: {error}") from error
     return settings
 
 
+def _value_of(content: bytes, path: str | Path) -> object:
+    """Return the value of a YAML document.
+
+    Explanation
+    -----------
+    Besides its own errors the library lets those of its conversions through, which it names
+    nowhere: a ``ValueError`` for a day that doesn't exist, an ``AttributeError``, a ``KeyError``
+    or an ``IndexError`` for a text with the tag of a time, a truth value or an integer.
+    """
+    try:
+        return yaml.safe_load(content.decode())
+    except Exception as error:
+        raise SettingsError(f"{path}: {error or type(error).__name__}") from error
+
+
 _MAX_LEASE_S = 4.5
 """Longest lease of a run, in seconds.  It has to outlast a change of owner, and the runs of a lost
 worker can only be restarted after it expires."""
--- a/almondstack/platform/tests/test_settings.py
+++ b/almondstack/platform/tests/test_settings.py
@@ -74,8 +74,22 @@
     assert not file.refresh()
 
 
-@pytest.mark.parametrize("text", ["zone: [", "zone: 1", settings_text(platform="{address: x}"), ""])
+_INVALID = [
+    "zone: [",
+    "zone: 1",
+    settings_text(platform="{address: x}"),
+    "",
+    settings_text(note="2026-02-30"),
+    settings_text(note="!!timestamp soon"),
+    settings_text(note="!!bool maybe"),
+    settings_text(note='!!int ""'),
+    settings_text(note="[" * 3_000 + "]" * 3_000),
+]
+
+
+@pytest.mark.parametrize("text", _INVALID)
 def test_an_invalid_change_leaves_the_old_settings_in_force_and_raises_once(tmp_path, text):
+    """A value that the YAML library can't convert ended the process (second review)."""
     path = tmp_path / "settings.yaml"
     path.write_text(settings_text())
     file = SettingsFile(path)
