Play restarts under the same id, late calls and cuts in the soak

TWICE is judged further: a start in time, a second after its job was shown as completed, where no process is disturbed. A run that breaks a rule is there all the same, so that one break is not reported at each repeat of the start. Not judged: that clause of TWICE while processes are disturbed, since the soak doesn't track which of them are in touch.

--- a/almondstack/standin/soak/checker.py
+++ b/almondstack/standin/soak/checker.py
@@ -5,10 +5,14 @@
 from collections.abc import Callable
 
 from almondstack.jobs import JobState, Submission
+from almondstack.jobs.names import parse_task_name
 from almondstack.testing.owner_oracle import OwnerOracle, RuleBrokenError
 
 __all__ = ["RealClock", "SoakChecker"]
 
+_SHOWN_SLACK_S = 1.0
+"""Time after a job was shown as completed in which a start may still be under way, in seconds."""
+
 
 class RealClock:
     """Real time, with the interface of the clock of :mod:`almondstack.testing.owner_worker`.
@@ -17,10 +21,16 @@
     ----------
     listeners : list of callable
         Called in order by :meth:`tick`.
+
+    Parameters
+    ----------
+    unix_offset_s : float
+        Difference of its time of day from the real one, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, unix_offset_s: float = 0.0) -> None:
         self.listeners: list[Callable[[], None]] = []
+        self._unix_offset_s = unix_offset_s
 
     @property
     def now_s(self) -> float:
@@ -29,7 +39,7 @@
 
     def time(self) -> float:
         """Time of day in Unix seconds."""
-        return time.time()
+        return time.time() + self._unix_offset_s
 
     def sleep(self, seconds: float) -> None:
         """Wait for a number of seconds."""
@@ -50,9 +60,16 @@
         Held while the oracle or a worker is read or changed.
     broken : list of str
         Broken rules, each with the observed values.
+    trace : list of dict
+        Events at workers that the processes can't log, each with its Unix time.
+    are_processes_undisturbed : bool
+        Whether no fault is injected into the processes or their links to the store.
     """
 
     def __init__(self, ceilings: dict[str, int], max_attempts: int) -> None:
+        self.trace: list[dict[str, object]] = []
+        self.are_processes_undisturbed = False
+        self._shown_completed_s: dict[str, float] = {}
         self.lock = threading.RLock()
         self.oracle = OwnerOracle(ceilings, max_attempts)
         self.broken: list[str] = []
@@ -68,8 +85,14 @@
                 return call()
             except RuleBrokenError as error:
                 self.broken.append(str(error))
+                self.record_event("rule-broken", what=str(error))
                 return None
 
+    def record_event(self, event: str, **fields: object) -> None:
+        """Append an event to :attr:`trace`."""
+        with self.lock:
+            self.trace.append({"t": round(time.time(), 3), "event": event, **fields})
+
     def record_attempt(self, job: str, submission: Submission) -> None:
         """Record that a caller is about to submit a job."""
         with self.lock:
@@ -95,12 +118,26 @@
         with self.lock:
             self._unclear.add(job)
 
+    def check_start_after_completion(self, name: str) -> None:
+        """Check a run that was started by a call in time: its job was not shown as completed.
+
+        Explanation
+        -----------
+        The rule holds for processes that no fault disturbs, and from a second after the job
+        was first shown; the ends of its tasks may have been forgotten with a lease.
+        """
+        with self.lock:
+            shown_s = self._shown_completed_s.get(parse_task_name(name)[0], float("inf"))
+            if self.are_processes_undisturbed and time.monotonic() > shown_s + _SHOWN_SLACK_S:
+                self.broken.append(f"TWICE: {name} was started, its job was shown as completed")
+
     def record_shown_state(self, job: str, state: str) -> None:
         """Check a job state that a process reported: a completed job has run all of its tasks."""
         with self.lock:
             submission = self.oracle.submissions[job]
             if state != JobState.COMPLETED.name.lower():
                 return
+            self._shown_completed_s.setdefault(job, time.monotonic())
             names = [
                 f"{job}.0.{number}.{member}"
                 for number, step in enumerate(submission.steps)
--- a/almondstack/standin/soak/command.py
+++ b/almondstack/standin/soak/command.py
@@ -19,6 +19,8 @@
     parser.add_argument("--workers", type=int, default=defaults.workers)
     parser.add_argument("--callers", type=int, default=defaults.callers)
     parser.add_argument("--other", help="commit whose build runs beside the present one")
+    parser.add_argument("--rebirths", action="store_true", help="workers restart and are cut off")
+    parser.add_argument("--only-rebirths", action="store_true", help="no other faults")
     parser.add_argument("--folder", type=Path, help="folder for the logs of each seed")
 
 
@@ -29,7 +31,13 @@
     folder = arguments.folder or Path(tempfile.mkdtemp(prefix="soak-"))
     other = extract_build(arguments.other, folder / "other") if arguments.other else None
     settings = SoakSettings(
-        arguments.seconds, arguments.processes, arguments.workers, arguments.callers, other
+        arguments.seconds,
+        arguments.processes,
+        arguments.workers,
+        arguments.callers,
+        other,
+        has_faults=not arguments.only_rebirths,
+        has_rebirths=arguments.rebirths or arguments.only_rebirths,
     )
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
--- a/almondstack/standin/soak/faults.py
+++ b/almondstack/standin/soak/faults.py
@@ -4,7 +4,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-__all__ = ["Fault", "FaultKind", "plan_faults"]
+__all__ = ["REBIRTH_KINDS", "Fault", "FaultKind", "plan_faults"]
 
 _MAX_FAULT_S = 2.5
 _MIN_FAULT_S = 0.2
@@ -25,6 +25,14 @@
     WORKER_CRASH = "worker-crash"
     STORE_REFUSES = "store-refuses"
     STORE_LOSES = "store-loses"
+    LATE_CALLS = "late-calls"
+    WORKER_CUT = "worker-cut"
+
+
+REBIRTH_KINDS = (FaultKind.LATE_CALLS, FaultKind.WORKER_CUT)
+"""Kinds that only :func:`almondstack.standin.soak.rebirths.plan_rebirths` schedules."""
+
+_RANDOM_KINDS = [kind for kind in FaultKind if kind not in REBIRTH_KINDS]
 
 
 class Fault(NamedTuple):
@@ -59,7 +67,7 @@
     now_s = 0.0
     while (now_s := now_s + generator.expovariate(1 / _MEAN_GAP_S)) < fault_period_s:
         span_s = generator.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
-        kind = generator.choice(list(FaultKind))
+        kind = generator.choice(_RANDOM_KINDS)
         faults.append(
             Fault(now_s, min(now_s + span_s, fault_period_s), kind, generator.randrange(1 << 16))
         )
--- a/almondstack/testing/owner_worker.py
+++ b/almondstack/testing/owner_worker.py
@@ -125,6 +125,8 @@
         Ended runs that it lists in one reply.
     clock_rate : float
         Rate of its own clock; the platform allows 0.98 to 1.
+    age_s : float
+        Time since the start of its first incarnation, in seconds.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         oracle: OwnerOracle,
         max_listed_ends: int = MAX_LISTED_ENDS,
         clock_rate: float = 1.0,
+        age_s: float = 0.0,
     ) -> None:
         self.id = id
         self._clock_rate = clock_rate
@@ -141,7 +144,7 @@
         self.time_shift_s = 0.0
         self.keeps_last_seen = False
         self._clock = clock
-        self.life = self._unix_ms
+        self.life = self._unix_ms - int(age_s * 1000)
         self.fault = ""
         self.is_disconnected = False
         self.is_registered = True
@@ -150,6 +153,7 @@
         self._former_info: WorkerInfo | None = None
         self._delayed: list[Callable[[], object]] = []
         self._reset()
+        self._born_s -= age_s
         # The lease also expires if no call reaches the worker.
         clock.listeners.append(self.expire)
 
@@ -188,6 +192,11 @@
         """The worker's clock, in milliseconds."""
         return _FIRST_CLOCK_MS + int((self._clock.now_s - self._born_s) * self._clock_rate * 1000)
 
+    @property
+    def listed_ends(self) -> set[EndedRun]:
+        """The ended runs that it lists until a call acknowledges them."""
+        return {ended for ended, _ in self._ended}
+
     def expire(self) -> None:
         """End all runs if the worker's lease has expired.
 
@@ -265,8 +274,9 @@
         self._extend(deadline_ms)
         if self._used_millis() + self._millis(order.task) > _CAPACITY_MILLIS:
             return OrderStatus.NO_ROOM
-        self._oracle.note_start(order.task, order.spec, self.id, self.life)
         self.running[order.task] = order.run
+        # A run that breaks a rule is there all the same.
+        self._oracle.note_start(order.task, order.spec, self.id, self.life)
         return OrderStatus.DONE
 
     def stop(self, name: str, run: int, token: int) -> OrderReply:
