Show that the list of instances gives up runs whose start may still be carried out

Cause: FleetController counts a worker as gone once a list names it for no instance. An instance that is down has no worker in the list, but its worker may come back under its id. A run with a start without an answer is given up at once; the next life carries that start out beside the next run (TWICE).

--- a/almondstack/control/tests/test_former_lives.py
+++ b/almondstack/control/tests/test_former_lives.py
@@ -5,6 +5,7 @@
 from almondstack.control.tests.former_life_scenarios import (
     carry_out_a_start_after_the_end,
     carry_out_a_start_after_the_lease,
+    carry_out_a_start_after_the_list,
     carry_out_a_start_after_the_stop,
     read_the_answer_to_a_stop_late,
     restart_before_the_former_life,
@@ -32,6 +33,16 @@
         carry_out_a_start_after_the_lease(machine)
 
 
+def test_a_late_start_of_a_run_that_the_list_gave_up_starts_no_second_run():
+    """Guards against a worker that comes back under its id after a list without it (TWICE).
+
+    On the bench (same dark) runs are given up 0.13 s after their assignment, by "its instance
+    carries another worker", and the worker is back 1.8 s later.
+    """
+    with _machine() as machine:
+        carry_out_a_start_after_the_list(machine)
+
+
 def test_a_late_start_of_a_run_that_has_ended_starts_it_no_second_time():
     """Guards against a start that the next life carries out after the end was taken note of.
 
