--- a/almondstack/control/tests/former_life_scenarios.py
+++ b/almondstack/control/tests/former_life_scenarios.py
@@ -15,6 +15,7 @@
     "carry_out_a_start_after_the_list",
     "carry_out_a_start_after_the_end",
     "carry_out_a_start_after_the_stop",
+    "carry_out_a_start_of_a_stopped_run",
     "read_the_answer_to_a_stop_late",
     "restart_before_the_former_life",
 ]
@@ -37,8 +38,7 @@
     _register(machine, "w1")
     machine.submit(process=0, shape=(make_step(1),), account="b")
     _lose_a_start(machine, "w1")
-    machine.cut_connection(worker="w1", is_disconnected=True, is_registered=True)
-    _register(machine, "w2", "w3")
+    _register(machine, *_ALL, cut="w1")
     _work_until_a_start(machine)
     machine.crash(worker="w1")
     machine.carry_out(worker="w1")
@@ -53,11 +53,10 @@
     _register(machine, "w1")
     machine.submit(process=0, shape=(make_step(1),), account="b")
     _lose_a_start(machine, "w1")
-    machine.cut_connection(worker="w1", is_disconnected=True, is_registered=True)
+    _register(machine, *_ALL, cut="w1")
     machine.pass_time(seconds=0.2)
     now_s = machine.world.clock.now_s
     machine.world.processes[0].owner._table.mark_unlisted_lost({"w2", "w3"}, now_s, now_s)
-    _register(machine, "w2", "w3")
     _work_until_a_start(machine)
     machine.crash(worker="w1")
     machine.carry_out(worker="w1")
@@ -101,6 +100,23 @@
     machine.carry_out(worker="w1")
 
 
+def carry_out_a_start_of_a_stopped_run(machine):
+    """Let the next life carry out a start of a run that the former life had stopped and not listed.
+
+    The owner has had time to call the next life before.
+    """
+    machine.world.pass_time(_AGE_S)
+    _register(machine, "w1")
+    machine.submit(process=0, shape=(make_step(1),), account="b")
+    _lose_a_start(machine, "w1")
+    _register(machine, "w2", "w3")
+    _work_until_a_start(machine)
+    machine.crash(worker="w1")
+    _register(machine, *_ALL)
+    _work(machine, rounds=5)
+    machine.carry_out(worker="w1")
+
+
 def read_the_answer_to_a_stop_late(machine):
     """Read the answer of a former life to a stop after the restart was noted.
 
@@ -168,11 +184,11 @@
         machine.work(process=0, order=_ALL)
 
 
-def _register(machine, *workers):
-    """Let only these workers have entries; all can be reached."""
+def _register(machine, *workers, cut=""):
+    """Let only these workers have entries; all but one can be reached."""
     for worker in _ALL:
         machine.cut_connection(
-            worker=worker, is_disconnected=False, is_registered=worker in workers
+            worker=worker, is_disconnected=worker == cut, is_registered=worker in workers
         )
 
 
--- a/almondstack/control/tests/test_former_lives.py
+++ b/almondstack/control/tests/test_former_lives.py
@@ -7,6 +7,7 @@
     carry_out_a_start_after_the_lease,
     carry_out_a_start_after_the_list,
     carry_out_a_start_after_the_stop,
+    carry_out_a_start_of_a_stopped_run,
     read_the_answer_to_a_stop_late,
     restart_before_the_former_life,
 )
@@ -53,6 +54,16 @@
         carry_out_a_start_after_the_end(machine)
 
 
+def test_a_late_start_of_a_run_that_was_stopped_starts_no_second_run():
+    """Guards against a start whose run the former life would have rejected (TWICE).
+
+    PROTOCOL: "Any run that is not higher than a run stopped or ended there will also be rejected";
+    the next life "knows nothing of before".
+    """
+    with _machine() as machine:
+        carry_out_a_start_of_a_stopped_run(machine)
+
+
 def test_a_stop_that_a_former_life_has_answered_does_not_count_for_the_next():
     """Guards against a run that is given up by a stop of which its worker knows nothing any more.
 
