Log the first stop of each run

Cause: a stop had no line, so that the logs couldn't tell which order had ended a task at work (KNOWN-RED, AVAIL beside orders without an answer). Change: stop-ordered, once a run, with what is known of its start: whether it was confirmed, how many starts were sent and how many had an answer. No order changes.

--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -235,6 +235,8 @@
             return
         if current.stop_sent_s is not None and now_s - current.stop_sent_s < _STOP_RETRY_S:
             return
+        if current.stop_sent_s is None:
+            self._report_stop(task, current, now_s)
         task.is_stopping = True
         current.stop_sent_s = now_s
         self._orders.stop(task.worker, task.name, task.run)
@@ -357,6 +359,20 @@
         is_present = task.worker == worker and task.run == run
         return task if is_present else None
 
+    def _report_stop(self, task: Task, current: CurrentRun, now_s: float) -> None:
+        """Report the first stop of a run with what is known of its start."""
+        self._events.write(
+            "stop-ordered",
+            task=task.name,
+            run=task.run,
+            worker=task.worker,
+            is_confirmed=current.confirmed_s is not None,
+            is_unclear=current.is_unclear,
+            starts=current.tries,
+            answers=current.answers,
+            age_s=round(now_s - task.assigned_s, 3),
+        )
+
     def _report_malformed(self, worker: str, name: str) -> None:
         try:
             parse_task_name(name)
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -1,5 +1,7 @@
 """Run table: unclear starts, lost and restarted workers, and ends that are listed again."""
 
+from types import SimpleNamespace
+
 import pytest
 from msgspec import structs
 
@@ -506,3 +508,17 @@
     _start(table, task, OrderStatus.DONE)
     table.note_worker_restart("w1", 4, 9.0)
     assert task.is_assigned
+
+
+def test_the_first_stop_of_a_run_is_reported_with_what_is_known_of_its_start(world):
+    """Guards against logs that can't tell why a run was stopped: stops had no line."""
+    table, _, task = world
+    written = []
+    table._events = SimpleNamespace(write=lambda name, **fields: written.append((name, fields)))
+    _start(table, task, OrderStatus.UNCLEAR)
+    _start(table, task, OrderStatus.UNCLEAR, now_s=1.0)
+    table.retry_stops(2.0)
+    assert len(table._orders.stops) == 2
+    (line,) = [fields for name, fields in written if name == "stop-ordered"]
+    assert line["task"] == _name(task) and not line["is_confirmed"] and line["is_unclear"]
+    assert (line["starts"], line["answers"], line["age_s"]) == (2, 0, 1.0)
