Stop no run without an answer early if its step has max-unavailable

Cause: a start without an answer was stopped when its repeat had none either, when the repeat was refused, or when a list lacked the run, even while the repeat was on its way, without regard to max-unavailable. Change: for steps with max-unavailable, the start is sent up to 12 times, and the stop waits until 13 s after the last start known to have no answer, unless the job is over, the worker drains, the start is ruled out, or a repeat was refused and the limit allows a stop (control/unclear_starts.py). Other steps as before. A start that may reach a worker's next life is waited for from the last one known to have no answer, as starts are sent for longer. TWICE: a task still gets another run only after a stop and a later list.

--- a/almondstack/control/current_runs.py
+++ b/almondstack/control/current_runs.py
@@ -20,6 +20,14 @@
         Number of starts whose outcome is known; the others may still be carried out.
     is_unclear : bool
         Whether it is unknown if a start was carried out.
+    unanswered : int
+        Number of starts known to have no answer.
+    unanswered_s : float or None
+        When a start was last found to have no answer, in monotonic seconds.
+    repeated_s : float or None
+        When a start was last sent again, in monotonic seconds.
+    is_refused : bool
+        Whether a start was refused, or dropped as unwanted.
     is_inherited : bool
         Whether a previous owner started the run.
     progress : Progress
@@ -29,8 +37,6 @@
     restart_noted_s : float or None
         When the run was reassigned to a new incarnation of its worker, in monotonic
         seconds.
-    unanswered_s : float or None
-        When it became known that a start has no answer, in monotonic seconds.
     stop_sent_s, stop_acked_s : float or None
         When a stop was last sent, and when one was first acknowledged, in monotonic
         seconds.
@@ -40,12 +46,15 @@
         "answers",
         "confirmed_s",
         "is_inherited",
+        "is_refused",
         "is_unclear",
         "progress",
+        "repeated_s",
         "restart_noted_s",
         "stop_acked_s",
         "stop_sent_s",
         "tries",
+        "unanswered",
         "unanswered_s",
     )
 
@@ -53,14 +62,22 @@
         self.tries = 1
         self.answers = 0
         self.is_unclear = False
+        self.unanswered = 0
+        self.unanswered_s: float | None = None
+        self.repeated_s: float | None = None
+        self.is_refused = False
         self.is_inherited = False
         self.progress = Progress()
         self.confirmed_s: float | None = None
         self.restart_noted_s: float | None = None
-        self.unanswered_s: float | None = None
         self.stop_sent_s: float | None = None
         self.stop_acked_s: float | None = None
 
+    @property
+    def is_start_open(self) -> bool:
+        """Whether a start is queued, or waits for its answer."""
+        return self.tries > self.answers + self.unanswered
+
 
 class CurrentRuns:
     """The current runs of all tasks, with the state of each."""
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -6,8 +6,8 @@
 network.  Orders that follow from an event go to ``orders``.  If it is unknown
 whether a run has started, this is resolved before its task gets another run: the
 start is retried, then the run is stopped, which also prevents it from starting
-later.  The task becomes waiting only after a poll that was sent after that stop
-was acknowledged.
+later (:mod:`almondstack.control.unclear_starts`).  The task becomes waiting only
+after a poll that was sent after that stop was acknowledged.
 """
 
 from collections.abc import Callable, Iterator
@@ -25,6 +25,7 @@
 )
 from almondstack.control.read_ends import ReadEnds
 from almondstack.control.sent_calls import MAX_CALL_DELAY_S
+from almondstack.control.unclear_starts import may_repeat_start, may_stop_unconfirmed
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskBudget, TaskNameError
@@ -35,7 +36,6 @@
 
 __all__ = ["Orders", "RunTable"]
 
-_MAX_START_ATTEMPTS = 2
 _FULL_PERCENT = 100
 _STOP_RETRY_S = 0.5
 _START_REPLY_TIMEOUT_S = 5.0
@@ -389,12 +389,20 @@
         if current.confirmed_s is not None:
             return
         current.is_unclear = True
+        current.unanswered += 1
         current.unanswered_s = now_s
-        if current.tries < _MAX_START_ATTEMPTS and task.job.is_open and not task.is_stopping:
+        self._repeat_or_stop(task, current, OrderStatus.UNCLEAR, now_s)
+
+    def _repeat_or_stop(
+        self, task: Task, current: CurrentRun, status: OrderStatus | None, now_s: float
+    ) -> None:
+        """Send a start again that may have been carried out, or stop the run if that may be."""
+        if may_repeat_start(task, current, status, now_s):
             current.tries += 1
+            current.repeated_s = now_s
             self._orders.retry_start(task)
-            return
-        self.request_stop(task, now_s)
+        elif may_stop_unconfirmed(task, current, self.workers, status, now_s):
+            self.request_stop(task, now_s)
 
     def _note_not_started(
         self, task: Task, current: CurrentRun, status: OrderStatus, now_s: float
@@ -411,8 +419,9 @@
             self.worker_health.record_refusal(worker, now_s)
         if current.confirmed_s is not None:
             return
+        current.is_refused = status is not OrderStatus.NOT_SENT
         if current.is_unclear and status is not OrderStatus.GONE:
-            self.request_stop(task, now_s)
+            self._repeat_or_stop(task, current, status, now_s)
             return
         self._release(task, RunEnd.LOST, "", now_s, is_counted=False)
 
@@ -497,7 +506,7 @@
         elif current.stop_acked_s is not None and current.stop_acked_s < sent_s:
             self._release(task, RunEnd.LOST, "", now_s, why="it was stopped")
         elif current.confirmed_s is None and self._is_overdue(task, current, now_s):
-            self.request_stop(task, now_s)
+            self._repeat_or_stop(task, current, None, now_s)
 
     def _is_overdue(self, task: Task, current: CurrentRun, now_s: float) -> bool:
         """Whether the start of an unlisted run is unclear or its reply is overdue."""
@@ -581,4 +590,5 @@
     Of the starts of a previous owner the outcome is never known.
     """
     is_known = current.answers >= current.tries and not current.is_inherited
-    return not is_known and now_s - task.assigned_s < _START_REPLY_TIMEOUT_S + MAX_CALL_DELAY_S
+    last_s = max(task.assigned_s + _START_REPLY_TIMEOUT_S, current.unanswered_s or 0.0)
+    return not is_known and now_s < last_s + MAX_CALL_DELAY_S
