Compare the length of a body with its limit before it is read

Cause: the body was read by its announced length, or to the end of its chunks, as the first step of a request, before its key and its queue were looked at.

Change: platform/request_body.py reads up to the limit.

--- a/almondstack/platform/job_api.py
+++ b/almondstack/platform/job_api.py
@@ -13,6 +13,7 @@
 from almondstack.intake import JobService, Verdict
 from almondstack.jobs import JobState, Step, Submission
 from almondstack.platform.configuration import Configuration, ConfigurationHolder, QueueRoute
+from almondstack.platform.request_body import read_body
 from almondstack.platform.wire import JobWire, StepWire
 
 __all__ = ["JobApi", "JobApiServer", "Request", "Response"]
@@ -21,6 +22,9 @@
 """Requests handled concurrently; while the store is slow most of them wait for the owner."""
 
 _IDLE_TIMEOUT_S = 30
+_FIRST_MAX_BODY_BYTES = 262_144
+"""Longest body that is read before the first configuration, as in one that names no limit."""
+
 _ID_DIGITS = 16
 _BYTE_VALUES = 256
 _HEX = frozenset("0123456789abcdefABCDEF")
@@ -58,7 +62,10 @@
 
 
 class Request:
-    """A caller's request; ``key`` is its API key, ``deadline_s`` its timeout in seconds."""
+    """A caller's request; ``key`` is its API key, ``deadline_s`` its timeout in seconds.
+
+    ``body`` is None if it was over the limit and has not been kept.
+    """
 
     __slots__ = ("body", "deadline_s", "host", "key", "method", "path")
 
@@ -69,7 +76,7 @@
         path: str,
         key: str | None = None,
         deadline_s: float | None = None,
-        body: bytes = b"",
+        body: bytes | None = b"",
     ) -> None:
         self.method = method
         self.host = host
@@ -114,6 +121,12 @@
         self._service = service
         self._metrics = metrics
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body that is accepted, in bytes."""
+        configuration = self._holder.configuration
+        return configuration.max_body_bytes if configuration is not None else _FIRST_MAX_BODY_BYTES
+
     def handle(self, request: Request) -> Response:
         """Return the response to a request."""
         started_s = time.monotonic()
@@ -152,9 +165,9 @@
         if request.method == "DELETE":
             return self._cancel(job, account, _store_timeout_s(request, route))
         if request.method == "POST":
-            if len(request.body) > configuration.max_body_bytes:
+            if request.body is None or len(request.body) > configuration.max_body_bytes:
                 return Response(413, {"error": "the body is too large; nothing was stored"})
-            return self._submit(request, route, account, job)
+            return self._submit(request, request.body, route, account, job)
         return Response(405, {"error": "no such method"})
 
     def _job_state(self, job: str, account: str) -> Response:
@@ -175,9 +188,11 @@
             return Response(504, {"error": "it is not known whether the cancel was stored"})
         return _unavailable("the cancel was not stored")
 
-    def _submit(self, request: Request, route: QueueRoute, account: str, job: str) -> Response:
+    def _submit(
+        self, request: Request, body: bytes, route: QueueRoute, account: str, job: str
+    ) -> Response:
         try:
-            wire = decode_with(_job_decoder, request.body)
+            wire = decode_with(_job_decoder, body)
         except CodecError as error:
             return Response(400, {"error": f"{error}; nothing was stored"})
         fault = _step_order_error(wire)
@@ -253,8 +268,7 @@
     def _request(self) -> Request:
         req = self.req
         headers = req.inheaders
-        length = int(headers.get(b"Content-Length", 0) or 0)
-        body = req.rfile.read() if req.chunked_read else req.rfile.read(length)
+        body = read_body(req, req.server.api.max_body_bytes)
         return Request(
             req.method.decode("latin-1"),
             _host_name(headers.get(b"Host", b"")),
