Show the course of the record: an end that is acknowledged without its effect

Cause: a run is given up while its worker is away (by the list of instances, its lease or a stop), and the next life of the worker carries its start out. RunTable._note_end drops the end of a run that is not the task's current one and acknowledges it all the same; the task waits, and starts again seconds later. The order of events, the one ordering process and the two workers are those of the users' record.

--- a/almondstack/control/tests/former_life_scenarios.py
+++ b/almondstack/control/tests/former_life_scenarios.py
@@ -11,6 +11,7 @@
 from almondstack.testing.job_builders import make_step
 
 __all__ = [
+    "acknowledge_the_end_of_a_late_start",
     "carry_out_a_start_after_the_lease",
     "carry_out_a_start_after_the_list",
     "carry_out_a_start_after_the_end",
@@ -123,6 +124,39 @@
     machine.carry_out(worker="w1")
 
 
+def acknowledge_the_end_of_a_late_start(machine):
+    """Have the owner read and acknowledge the end of a run that it had given up (issue 50).
+
+    The run's start is carried out by the next life of its worker, while its task waits: its
+    account has as much running as it may.  The next life gets work of others, so it is polled; its
+    lease does not lapse.
+    """
+    machine.world.pass_time(_AGE_S)
+    _register(machine, "w2")
+    machine.submit(process=0, shape=(make_step(1, cpu_millis=2_000),), account="b")
+    _work(machine, rounds=2)
+    _register(machine, "w1", "w2")
+    _work(machine, rounds=1)
+    machine.submit(process=0, shape=(make_step(1, cpu_millis=3_000),), account="a")
+    _lose_a_start(machine, "w1")
+    machine.submit(process=0, shape=(make_step(1, cpu_millis=1_500),), account="a")
+    _register(machine, "w2", cut="w1")
+    machine.pass_time(seconds=0.2)
+    now_s = machine.world.clock.now_s
+    machine.world.processes[0].owner._table.mark_unlisted_lost({"w2"}, now_s, now_s)
+    _work(machine, rounds=3)
+    machine.crash(worker="w1")
+    machine.carry_out(worker="w1")
+    machine.pass_time(seconds=1.0)
+    machine.world.workers["w1"].finish(f"{1:016x}.0.0.0", RunEnd.DONE)
+    _register(machine, "w1", "w2")
+    machine.submit(process=0, shape=(make_step(1, cpu_millis=3_500),), account="b")
+    _work(machine, rounds=8)
+    for job in (0, 2):
+        machine.world.workers["w2"].finish(f"{job:016x}.0.0.0", RunEnd.DONE)
+    _work(machine, rounds=20)
+
+
 def read_the_answer_to_a_stop_late(machine):
     """Read the answer of a former life to a stop after the restart was noted.
 
--- a/almondstack/control/tests/test_former_lives.py
+++ b/almondstack/control/tests/test_former_lives.py
@@ -3,6 +3,7 @@
 import contextlib
 
 from almondstack.control.tests.former_life_scenarios import (
+    acknowledge_the_end_of_a_late_start,
     carry_out_a_start_after_the_end,
     carry_out_a_start_after_the_lease,
     carry_out_a_start_after_the_list,
@@ -67,6 +68,16 @@
         carry_out_a_start_of_a_stopped_run(machine)
 
 
+def test_the_end_of_a_late_start_is_not_acknowledged_without_effect():
+    """Guards against the course of the record of issue 50 (TWICE).
+
+    One process orders a run, gives it up while its worker is away, takes note of its end `done`,
+    which the next life lists, and starts the task on another worker seconds later.
+    """
+    with _machine() as machine:
+        acknowledge_the_end_of_a_late_start(machine)
+
+
 def test_a_stop_that_a_former_life_has_answered_does_not_count_for_the_next():
     """Guards against a run that is given up by a stop of which its worker knows nothing any more.
 
