--- a/almondstack/standin/soak/workers.py
+++ b/almondstack/standin/soak/workers.py
@@ -27,6 +27,11 @@
 _SILENCE_S = 4.0
 """Time after which the connection of a late call is closed; callers wait for less."""
 
+_START, _STOP, _HOLD = _PATHS = (
+    "/almondstack/run-start",
+    "/almondstack/run-stop",
+    "/almondstack/hold",
+)
 _REASONS = {
     OrderStatus.FENCED: "fence",
     OrderStatus.OLD_RUN: "old",
@@ -91,6 +96,8 @@
         self.are_calls_late = False
         self._checker = checker
         self._random = random.Random(seed)
+        # Choices of their own, so that the same polls of a seed are late in each play of it.
+        self._late_choices = {path: random.Random(f"late-{seed}-{path}") for path in _PATHS}
         self._ends_s: dict[tuple[str, int], float] = {}
         self._incarnations: dict[str, int] = {}
         self._long_share = long_share
@@ -145,18 +152,18 @@
         body = json.loads(content)
         token = body.get("fencing-token", 0)
         connection = environ["REMOTE_PORT"]
-        if path == "/almondstack/run-start":
+        if path == _START:
             order = StartOrder(body["task"], body["run"], body["spec"], "", "")
             start = partial(self.worker.start, order, body["deadline-ms"], token)
-            self._delay_some(connection, content, start)
+            self._delay_some(path, connection, content, start)
             return self._execute_order(connection, partial(self._start_in_time, order.task, start))
-        if path == "/almondstack/run-stop":
+        if path == _STOP:
             stop = partial(self.worker.stop, body["task"], body["run"], token)
-            self._delay_some(connection, content, stop)
+            self._delay_some(path, connection, content, stop)
             return self._execute_order(connection, stop)
-        if path == "/almondstack/hold":
+        if path == _HOLD:
             look = partial(self.worker.poll, body.get("deadline-ms"), body["last-seen"], token)
-            self._delay_some(connection, content, look)
+            self._delay_some(path, connection, content, look)
             return self._poll(connection, body, token)
         return Reply(404)
 
@@ -169,15 +176,16 @@
         return reply
 
     def _delay_some(
-        self, connection: str, content: bytes, carried_out: Callable[[], object]
+        self, path: str, connection: str, content: bytes, carried_out: Callable[[], object]
     ) -> None:
         """Keep a share of the calls for later while calls are late, and answer nothing."""
         with self._checker.lock:
-            if not self.are_calls_late or self._random.random() >= _LATE_SHARE:
+            choices = self._late_choices[path]
+            if not self.are_calls_late or choices.random() >= _LATE_SHARE:
                 return
             self._check_connection(connection)
             life = self.worker.life
-            due_s = time.monotonic() + self._random.uniform(_MIN_DELAY_S, _MAX_DELAY_S)
+            due_s = time.monotonic() + choices.uniform(_MIN_DELAY_S, _MAX_DELAY_S)
             self._late_calls.append(_LateCall(due_s, life, content.decode(), carried_out))
         deadline_s = time.monotonic() + _SILENCE_S
         while time.monotonic() < deadline_s and self.worker.life == life:
