Add a test for a stop that only the former life of a worker acknowledged

Cause: RunTable.note_worker_restart leaves stop_acked_s as it is, so a stop that a worker's former life acknowledged settles the run on the next one: add_worker sends no stop to that, and its first poll has the run given up ("it was stopped"). A start of that run without an answer is then carried out by it seconds later. The code is as it was. Result: it fails.

--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -295,6 +295,19 @@
     assert task.status is TaskStatus.WAITING
 
 
+# Guards against issue 50, TWICE: a start without an answer is carried out late by the next life,
+# after its task has run elsewhere; the stop that should prevent it had reached only the former.
+def test_a_stop_that_a_former_life_acknowledged_does_not_settle_a_run_on_the_next(world):
+    table, _, task = world
+    _start(table, task, OrderStatus.UNCLEAR, now_s=0.1)
+    table.request_stop(task, 0.2)
+    _stop(table, task, 0.3)
+    restarted = make_worker(life=8)
+    table.add_worker(restarted, 0.4, 1e15)
+    table.note_poll(restarted, 0.5, look(life=8), 0.6)
+    assert task.is_assigned and len(table._orders.stops) == 2
+
+
 def test_an_inherited_run_on_an_earlier_incarnation_is_stopped_first():
     table, task = _inherited(life=7)
     restarted = make_worker(life=8)
