Take no entry for one of a former life that may be of a later one

Cause: when the answer of a life that nobody had expected was handled, the entry of the worker was taken for one of a former life. If the worker had started once more by then, it was the third life's, which was passed over for good (LOST). Change: only the life of the session that got the answer counts as former; where there is no session, the entry's.

--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -132,9 +132,10 @@
         """
         session = self._sessions.get(worker)
         registered = self._services.directory.workers().get(worker)
-        for former in (session.worker if session is not None else None, registered):
-            if former is not None and former.life != life:
-                self._note_former_life(worker, former.life)
+        # An entry that is neither of this session's life nor of that one may be of a later one.
+        former = session.worker if session is not None else registered
+        if former is not None and former.life != life:
+            self._note_former_life(worker, former.life)
         self._former_lives.get(worker, set()).discard(life)
         self.drop(worker)
 
--- a/almondstack/control/tests/test_sessions.py
+++ b/almondstack/control/tests/test_sessions.py
@@ -82,6 +82,25 @@
     assert [added.id for added in sessions.reconcile(make_table(), 20.0).added] == [worker.id]
 
 
+def test_an_entry_of_a_life_that_another_one_has_replaced_opens_no_session():
+    """Guards against a stale entry by which runs of the present life are stopped."""
+    registered = {}
+    directory = SimpleNamespace(
+        workers=lambda: dict(registered), may_have_restarted=lambda worker, life: False
+    )
+    services = SimpleNamespace(
+        control=ControlSettings(), directory=directory, callers=None, metrics=LocalMetrics()
+    )
+    sessions = SessionTable(services, 1, lambda event: None, lambda: True, 0.0)
+    table = make_table()
+    for number, (life, is_used) in enumerate([(5, True), (4, True), (5, False), (4, False)]):
+        registered["w1"] = make_worker(life=life).info
+        added = sessions.reconcile(table, 10.0 * (number + 1)).added
+        assert [worker.info.life for worker in added] == ([life] if is_used else [])
+        for worker in added:
+            table.add_worker(worker, 0.0)
+
+
 def test_what_was_sent_to_workers_that_have_left_is_forgotten():
     """Guards against an owner that keeps something of each worker that there ever was."""
     services = SimpleNamespace(control=ControlSettings())
