Count the call that was sent last, not the one that failed last

Cause: of alike calls without an answer the one was kept whose time-out came last. A poll that waits times out after an order that was sent later and reset at once, so that calls counted as arrived up to 1.8 s too soon, and leases as too short.

--- a/almondstack/control/sent_calls.py
+++ b/almondstack/control/sent_calls.py
@@ -19,6 +19,11 @@
     token: int
     has_deadline: bool
 
+    @property
+    def kind(self) -> tuple[int, int, bool]:
+        """What calls have in common of which only the last one counts."""
+        return self.life, self.token, self.has_deadline
+
     @property
     def arrives_until_s(self) -> float:
         """Until when it may be carried out if it gets no answer, in monotonic seconds."""
@@ -89,14 +94,10 @@
         """Record that a call got no answer, so that it may still be carried out."""
         with self._lock:
             sent = self._open.pop(number)
-            # Only the last one of a kind counts; a life gets calls with one token only.
-            kind = (sent.life, sent.token, sent.has_deadline)
-            self._unanswered = [
-                other
-                for other in self._unanswered
-                if (other.life, other.token, other.has_deadline) != kind
-            ]
-            self._unanswered.append(sent)
+            # Only the one of a kind that was sent last counts; it need not be the last to fail.
+            alike = [other for other in self._unanswered if other.kind == sent.kind]
+            self._unanswered = [other for other in self._unanswered if other.kind != sent.kind]
+            self._unanswered.append(max((*alike, sent), key=lambda other: other.sent_s))
 
     def needs_higher_token(self, life: int, token: int, now_s: float) -> bool:
         """Whether a life that gets calls with a token may yet carry out calls for another life.
