Share the begin of two scripted courses

Cause: two courses crashed a worker amid a renewal in the same ten lines. Change: one function for both. Result: test_owner_machine.py as before.

--- a/almondstack/control/tests/owner_scenarios.py
+++ b/almondstack/control/tests/owner_scenarios.py
@@ -148,8 +148,8 @@
         machine.work(process=0, order=_ALL)
 
 
-def _restart_with_a_delayed_call(machine):
-    """Crash a worker with a run while a renewal of its lease is under way, and use it again.
+def _crash_amid_a_renewal(machine):
+    """Crash the only worker, which has a run, while a renewal of its lease is under way.
 
     Its next life is young, so the deadline of that renewal lies far ahead for it.
     """
@@ -163,6 +163,12 @@
     machine.inject_call_fault(worker=worker, fault="late")
     machine.pump(process=0, worker=worker)
     machine.crash(worker=worker)
+    return worker
+
+
+def _restart_with_a_delayed_call(machine):
+    """Crash a worker amid a renewal of its lease, and use its next life."""
+    worker = _crash_amid_a_renewal(machine)
     for _ in range(10):
         machine.work(process=0, order=_ALL)
         machine.pass_time(seconds=0.1)
@@ -187,16 +193,7 @@
 
 def _renew_the_lease_of_a_former_life_before_the_first_call(machine):
     """Let the next life of a worker carry out a late renewal before it has seen a higher token."""
-    machine.world.pass_time(100.0)
-    submit(machine)
-    machine.work(process=0, order=_ALL)
-    worker = _first_busy_worker(machine)
-    use_only(machine, worker)
-    machine.pass_time(seconds=0.1)
-    machine.work(process=0, order=_ALL)
-    machine.inject_call_fault(worker=worker, fault="late")
-    machine.pump(process=0, worker=worker)
-    machine.crash(worker=worker)
+    worker = _crash_amid_a_renewal(machine)
     machine.carry_out(worker=worker)
     for _ in range(5):
         if not machine.world.workers[worker].running:
