Split the owner's round, parts and replies out of owner.py and runs.py

Change: owner_round.py runs one round from news to orders, owner_parts.py connects the parts, worker_updates.py and run_orders.py hold what concerns workers and starts, order_replies.py and poll_replies.py what follows from workers' answers; owner.py is the lifecycle.

--- a/almondstack/bench/owner_burst.py
+++ b/almondstack/bench/owner_burst.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from almondstack.bench.commands import bench_command
-from almondstack.control import owner as owner_module
+from almondstack.control import owner_round as owner_round_module
 from almondstack.control import sessions as sessions_module
 from almondstack.control.messages import (
     EndedRun,
@@ -176,15 +176,15 @@
     def _step(self, owner: Owner) -> float:
         """Run one round with its orders and polls, and return its processor time in seconds."""
         self._clock.sleep(_STEP_S)
-        while len(owner._table.jobs) + owner._inbox.qsize() < self._burst.jobs:
-            owner._inbox.put(self._submission())
+        while len(owner.parts.table.jobs) + owner.inbox.qsize() < self._burst.jobs:
+            owner.inbox.put(self._submission())
         for worker in self._workers:
-            session = owner._sessions.get(worker)
+            session = owner.parts.sessions.get(worker)
             if isinstance(session, PumpedSession):
                 session.pump_orders()
                 session.pump_poll()
         began_s = time.process_time()
-        owner._round()
+        owner.rounds.run()
         took_s = time.process_time() - began_s
         self._follow()
         return took_s
@@ -216,7 +216,7 @@
             for module in PATCHED_TIME_MODULES:
                 stack.enter_context(mock.patch(f"{module}.time", self._clock))
             stack.enter_context(mock.patch.object(sessions_module, "WorkerSession", PumpedSession))
-            stack.enter_context(mock.patch.object(owner_module, "_IDLE_WAIT_S", 0.0))
+            stack.enter_context(mock.patch.object(owner_round_module, "_IDLE_WAIT_S", 0.0))
             yield
 
     def _make_owner(self) -> Owner:
@@ -240,9 +240,9 @@
         claim = Record(record_key(RecordKind.OWNER), encode_notice(OwnerNotice("bench/1", 1)))
         self._store.claim(1, claim, _CLAIM_SEQUENCE)
         owner = Owner(services, "bench/1", 1, _CLAIM_SEQUENCE)
-        owner._take_over()
-        owner._fleet._manager._fetch_list()
-        owner._fleet._manager.interval_s = float("inf")
+        owner.take_over()
+        owner.parts.fleet._manager._fetch_list()
+        owner.parts.fleet._manager.interval_s = float("inf")
         return owner
 
 
--- /dev/null
+++ b/almondstack/control/poll_replies.py
@@ -0,0 +1,170 @@
+"""What follows from the lists of running and ended runs in workers' replies to polls."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from almondstack.control.current_runs import CurrentRun
+from almondstack.control.messages import EndedRun, PollReply, RunningRun
+from almondstack.control.order_replies import OrderReplies
+from almondstack.control.read_ends import ReadEnds
+from almondstack.core import LocalMetrics
+from almondstack.core.events import EventLog
+from almondstack.jobs import RunEnd, Task, TaskNameError
+from almondstack.jobs.names import parse_task_name
+from almondstack.placement import Worker
+
+if TYPE_CHECKING:
+    from almondstack.control.runs import Orders, RunTable
+
+__all__ = ["START_REPLY_TIMEOUT_S", "PollReplies"]
+
+START_REPLY_TIMEOUT_S = 5.0
+"""A start without a reply within this time after its assignment is stopped, in seconds."""
+
+_FULL_PERCENT = 100
+_MS_PER_S = 1000.0
+
+
+class PollReplies:
+    """Confirms and releases runs by what workers list.
+
+    Parameters
+    ----------
+    table : RunTable
+        The current runs.
+    order_replies : OrderReplies
+        Repeats or stops the starts of runs that are not listed.
+    orders : Orders
+        Stops runs that are listed and belong to no task.
+    events : EventLog
+        Gets an event for each end that is not of a current run, and each missing run.
+    metrics : LocalMetrics
+        Counts such ends, and lists that are cut short.
+    """
+
+    __slots__ = ("_events", "_metrics", "_order_replies", "_orders", "_table", "ends", "on_done")
+
+    def __init__(
+        self,
+        table: "RunTable",
+        order_replies: OrderReplies,
+        orders: "Orders",
+        events: EventLog,
+        metrics: LocalMetrics,
+    ) -> None:
+        self._table = table
+        self._order_replies = order_replies
+        self._orders = orders
+        self._events = events
+        self._metrics = metrics
+        self.ends = ReadEnds()
+        self.on_done: Callable[[Task, float], None] | None = None
+
+    def note(self, worker: Worker, sent_s: float, reply: PollReply, now_s: float) -> None:
+        """Handle the list of running and ended runs in a worker's reply to a poll."""
+        worker.is_reachable = True
+        worker.last_answer_s = now_s
+        for ended in reply.ended:
+            self._note_end(worker, ended, now_s)
+        listed = set()
+        for running in reply.running:
+            listed.add((running.task, running.run))
+            self._note_running(worker, running, reply.clock_ms / _MS_PER_S, now_s)
+        if not reply.is_whole:
+            # A run that is not listed may be among the ends that follow.
+            self._metrics.count("look.partial")
+            return
+        for task in worker.tasks:
+            if (task.name, task.run) not in listed:
+                self._note_missing(task, sent_s, now_s)
+
+    def _note_end(self, worker: Worker, ended: EndedRun, now_s: float) -> None:
+        is_new = not self.ends.is_read(worker.id, ended.number)
+        missing = self.ends.note(worker.id, ended.number)
+        if missing:
+            self._note_unread_ends(worker, ended.number, missing)
+        task = self._table.find(ended.task, worker.id, ended.run)
+        if task is None:
+            if is_new and ended.end is RunEnd.DONE:
+                self._note_done_of_other_run(worker, ended, now_s)
+            return
+        task.job.note_begun()
+        self._table.worker_health.record_run_end(worker, task, ended.end, now_s)
+        is_timed = not self._table.runs[task].is_inherited
+        if is_timed and ended.end is RunEnd.DONE and self.on_done is not None:
+            self.on_done(task, (now_s - task.assigned_s) * _MS_PER_S)
+        self._table.release(task, ended.end, ended.checkpoint, now_s)
+
+    def _note_unread_ends(self, worker: Worker, number: int, missing: int) -> None:
+        """Report ends that a life of a worker has forgotten before this owner has read them."""
+        self._metrics.count("ends.unread")
+        self._events.write(
+            "ends-unread", worker=worker.id, life=worker.info.life, before=number, count=missing
+        )
+
+    def _note_done_of_other_run(self, worker: Worker, ended: EndedRun, now_s: float) -> None:
+        """Complete a task whose run has ended as done after it was given up, if it still waits.
+
+        Explanation
+        -----------
+        The acknowledgement of this end follows, and after it the task must not start again.
+        """
+        task = self._open_task(ended.task)
+        is_waiting = task is not None and task.job.end_without_run(task)
+        self._metrics.count("ends.not_current")
+        self._events.write(
+            "end-not-current",
+            task=ended.task,
+            run=ended.run,
+            worker=worker.id,
+            life=worker.info.life,
+            number=ended.number,
+            is_completed=is_waiting,
+        )
+        if task is not None and is_waiting and not task.job.is_open:
+            self._table.note_job_end(task.job, now_s)
+
+    def _open_task(self, name: str) -> Task | None:
+        """Return the task of that name if its job is open and its step is not done."""
+        try:
+            job_id, key = parse_task_name(name)
+        except TaskNameError:
+            return None
+        job = self._table.jobs.get(job_id)
+        return job.open_task(key) if job is not None else None
+
+    def _note_running(
+        self, worker: Worker, running: RunningRun, clock_s: float, now_s: float
+    ) -> None:
+        task = self._table.find(running.task, worker.id, running.run)
+        if task is None:
+            self._orders.stop(worker.id, running.task, running.run)
+            return
+        worker.put(task)
+        self._table.confirm(task, now_s)
+        self._table.runs[task].progress.note(clock_s, running.percent)
+        task.load = running.load
+        task.is_at_work = running.percent >= _FULL_PERCENT
+        if running.checkpoint:
+            task.job.note_checkpoint(task, running.checkpoint)
+
+    def _note_missing(self, task: Task, sent_s: float, now_s: float) -> None:
+        """Release a run that its worker surely doesn't have, or resolve its start."""
+        current = self._table.runs.get(task)
+        if current is None:
+            return
+        if current.confirmed_s is not None and current.confirmed_s < sent_s:
+            self._events.write("run-missing", task=task.name, run=task.run, worker=task.worker)
+            self._table.release(task, RunEnd.LOST, "", now_s, why="it is not listed")
+        elif current.stop_acked_s is not None and current.stop_acked_s < sent_s:
+            self._table.release(task, RunEnd.LOST, "", now_s, why="it was stopped")
+        elif current.confirmed_s is None and self._is_overdue(task, current, now_s):
+            self._order_replies.repeat_or_stop(task, current, None, now_s)
+
+    def _is_overdue(self, task: Task, current: CurrentRun, now_s: float) -> bool:
+        """Whether the start of an unlisted run is unclear or its reply is overdue."""
+        if not current.is_unclear and now_s - task.assigned_s > START_REPLY_TIMEOUT_S:
+            current.is_unclear = True
+            current.unanswered_s = now_s
+            self._events.write("start-unanswered", task=task.name, worker=task.worker)
+        return current.is_unclear
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -16,16 +16,10 @@
 from almondstack.control.current_runs import CurrentRun, CurrentRuns, is_same_incarnation
 from almondstack.control.delays import JobDelays
 from almondstack.control.lease import LeaseState
-from almondstack.control.messages import (
-    EndedRun,
-    OrderReply,
-    OrderStatus,
-    PollReply,
-    RunningRun,
-)
-from almondstack.control.read_ends import ReadEnds
+from almondstack.control.messages import OrderReply, PollReply
+from almondstack.control.order_replies import OrderReplies
+from almondstack.control.poll_replies import START_REPLY_TIMEOUT_S, PollReplies
 from almondstack.control.sent_calls import MAX_CALL_DELAY_S
-from almondstack.control.unclear_starts import may_repeat_start, may_stop_unconfirmed
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskBudget, TaskNameError
@@ -36,22 +30,10 @@
 
 __all__ = ["Orders", "RunTable"]
 
-_FULL_PERCENT = 100
 _STOP_RETRY_S = 0.5
-_START_REPLY_TIMEOUT_S = 5.0
-"""A start without a reply within this time after its assignment is stopped, in seconds."""
-
 _CONFIRMATION_TIMEOUT_S = 1.0
 """Time after its assignment in which a run is usually confirmed, in seconds."""
 
-_NO_CONNECTION_PAUSE_S = 1.0
-"""Time without new runs for a worker that accepts no connection, in seconds."""
-
-_MS_PER_S = 1000.0
-
-_NO_ROOM_PAUSE_S = 0.3
-"""Time without new runs for a worker that refused a start as full, in seconds."""
-
 
 class Orders(Protocol):
     """Sends the orders of a run table."""
@@ -80,12 +62,12 @@
 
     __slots__ = (
         "_budgets",
-        "_end_listener",
         "_events",
         "_job_end_listener",
         "_metrics",
+        "_order_replies",
         "_orders",
-        "_read_ends",
+        "_poll_replies",
         "_runs",
         "delays",
         "jobs",
@@ -99,9 +81,9 @@
         self._events = events
         self._metrics = metrics
         self._runs = CurrentRuns()
-        self._read_ends = ReadEnds()
+        self._order_replies = OrderReplies(self, orders, events)
+        self._poll_replies = PollReplies(self, self._order_replies, orders, events, metrics)
         self._budgets: dict[str, TaskBudget] = {}
-        self._end_listener: Callable[[Task, float], None] | None = None
         self._job_end_listener: Callable[[ActiveJob], None] | None = None
         self.delays = JobDelays()
         self.jobs: dict[str, ActiveJob] = {}
@@ -109,9 +91,14 @@
         self.usage = Usage({})
         self.worker_health = WorkerHealth()
 
+    @property
+    def runs(self) -> CurrentRuns:
+        """State of the current run of each task."""
+        return self._runs
+
     def set_end_listener(self, listener: Callable[[Task, float], None]) -> None:
         """Call a function with each completed task and its duration in milliseconds."""
-        self._end_listener = listener
+        self._poll_replies.on_done = listener
 
     def set_job_end_listener(self, listener: Callable[[ActiveJob], None]) -> None:
         """Call a function with each job that completes or fails."""
@@ -140,7 +127,7 @@
     def add_worker(self, worker: Worker, now_s: float) -> None:
         """Add a worker with the runs that are or may be on this incarnation of it."""
         self.workers[worker.id] = worker
-        self._read_ends.begin_life(worker.id)
+        self._poll_replies.ends.begin_life(worker.id)
         self.note_worker_restart(worker.id, worker.info.life, now_s)
         for task in self.tasks_on(worker.id):
             worker.put(task)
@@ -221,11 +208,11 @@
 
     def withdraw(self, task: Task, now_s: float) -> None:
         """Release a run whose start was never sent."""
-        self._release(task, RunEnd.LOST, "", now_s, is_counted=False)
+        self.release(task, RunEnd.LOST, "", now_s, is_counted=False)
 
     def take_ends(self) -> dict[str, int]:
         """Return and clear the highest end number handled for each worker."""
-        return self._read_ends.take_unacknowledged()
+        return self._poll_replies.ends.take_unacknowledged()
 
     def stop_all(self, job: ActiveJob, now_s: float) -> None:
         """Request a stop of all runs of a job."""
@@ -266,52 +253,17 @@
         -----------
         A reply of a former life tells nothing of a run that the present one may have started.
         """
-        task = self._find(name, worker, run)
-        if task is not None and not is_same_incarnation(task.life, life):
-            return
-        if task is None:
-            if reply.status in (OrderStatus.DONE, OrderStatus.UNCLEAR):
-                self._orders.stop(worker, name, run)
-            return
-        current = self._runs[task]
-        if reply.status is not OrderStatus.UNCLEAR:
-            current.answers += 1
-        if reply.status is OrderStatus.DONE:
-            self._confirm(task, current, now_s)
-        elif reply.status is OrderStatus.UNCLEAR:
-            self._resolve_unclear(task, current, now_s)
-        else:
-            self._note_not_started(task, current, reply.status, now_s)
+        self._order_replies.note_start(worker, name, run, reply, now_s, life)
 
     def note_stop(
         self, worker: str, name: str, run: int, reply: OrderReply, now_s: float, life: int = 0
     ) -> None:
         """Handle the reply of a life of a worker to a stop; see :meth:`note_start`."""
-        task = self._find(name, worker, run)
-        if task is None or not is_same_incarnation(task.life, life):
-            return
-        current = self._runs[task]
-        is_settled = reply.status in (OrderStatus.DONE, OrderStatus.OLD_RUN)
-        if is_settled and current.stop_acked_s is None:
-            current.stop_acked_s = now_s
+        self._order_replies.note_stop(worker, name, run, reply, now_s, life)
 
     def note_poll(self, worker: Worker, sent_s: float, reply: PollReply, now_s: float) -> None:
         """Handle the list of running and ended runs in a worker's reply to a poll."""
-        worker.is_reachable = True
-        worker.last_answer_s = now_s
-        for ended in reply.ended:
-            self._note_end(worker, ended, now_s)
-        listed = set()
-        for running in reply.running:
-            listed.add((running.task, running.run))
-            self._note_running(worker, running, reply.clock_ms / _MS_PER_S, now_s)
-        if not reply.is_whole:
-            # A run that is not listed may be among the ends that follow.
-            self._metrics.count("look.partial")
-            return
-        for task in worker.tasks:
-            if (task.name, task.run) not in listed:
-                self._note_missing(task, sent_s, now_s)
+        self._poll_replies.note(worker, sent_s, reply, now_s)
 
     def mark_worker_lost(
         self,
@@ -336,7 +288,7 @@
             details = lease.log_fields(now_s) if lease is not None else {}
             self._events.write("worker-lost", worker=worker, why=why, runs=len(tasks), **details)
         for task in tasks:
-            self._release(task, RunEnd.LOST, "", now_s, why=why)
+            self.release(task, RunEnd.LOST, "", now_s, why=why)
 
     def _may_still_start(self, task: Task, now_s: float) -> bool:
         """Whether a start of a task's current run has no answer and may be carried out yet.
@@ -353,9 +305,9 @@
 
     def mark_task_lost(self, task: Task, why: str, now_s: float) -> None:
         """Release a task whose run can not be running anywhere."""
-        self._release(task, RunEnd.LOST, "", now_s, why=why)
+        self.release(task, RunEnd.LOST, "", now_s, why=why)
 
-    def _find(self, name: str, worker: str, run: int) -> Task | None:
+    def find(self, name: str, worker: str, run: int) -> Task | None:
         """Return the task if its current run has that number on that worker."""
         task = self._runs.named(name)
         if task is None:
@@ -384,144 +336,15 @@
         except TaskNameError as error:
             self._events.write("unknown-task", worker=worker, error=str(error))
 
-    def _confirm(self, task: Task, current: CurrentRun, now_s: float) -> None:
+    def confirm(self, task: Task, now_s: float) -> None:
+        """Note that its worker has a task's current run."""
+        current = self._runs[task]
         if current.confirmed_s is None:
             current.confirmed_s = now_s
             task.is_confirmed = True
             task.job.note_begun()
 
-    def _resolve_unclear(self, task: Task, current: CurrentRun, now_s: float) -> None:
-        if current.confirmed_s is not None:
-            return
-        current.is_unclear = True
-        current.unanswered += 1
-        current.unanswered_s = now_s
-        self._repeat_or_stop(task, current, OrderStatus.UNCLEAR, now_s)
-
-    def _repeat_or_stop(
-        self, task: Task, current: CurrentRun, status: OrderStatus | None, now_s: float
-    ) -> None:
-        """Send a start again that may have been carried out, or stop the run if that may be."""
-        if may_repeat_start(task, current, status, now_s):
-            current.tries += 1
-            current.repeated_s = now_s
-            self._orders.retry_start(task)
-        elif may_stop_unconfirmed(task, current, self.workers, status, now_s):
-            self.request_stop(task, now_s)
-
-    def _note_not_started(
-        self, task: Task, current: CurrentRun, status: OrderStatus, now_s: float
-    ) -> None:
-        worker = self.workers.get(task.worker)
-        self._events.write(
-            "start-refused", task=task.name, run=task.run, worker=task.worker, why=status
-        )
-        if worker is not None and status is OrderStatus.NO_ROOM:
-            worker.set_aside_until_s = now_s + _NO_ROOM_PAUSE_S
-        if worker is not None and status is OrderStatus.NOT_SENT:
-            worker.set_aside_until_s = now_s + _NO_CONNECTION_PAUSE_S
-        if worker is not None and status is OrderStatus.REFUSED:
-            self.worker_health.record_refusal(worker, now_s)
-        if current.confirmed_s is not None:
-            return
-        current.is_refused = status is not OrderStatus.NOT_SENT
-        if current.is_unclear and status is not OrderStatus.GONE:
-            self._repeat_or_stop(task, current, status, now_s)
-            return
-        self._release(task, RunEnd.LOST, "", now_s, is_counted=False)
-
-    def _note_end(self, worker: Worker, ended: EndedRun, now_s: float) -> None:
-        is_new = not self._read_ends.is_read(worker.id, ended.number)
-        missing = self._read_ends.note(worker.id, ended.number)
-        if missing:
-            self._note_unread_ends(worker, ended.number, missing)
-        task = self._find(ended.task, worker.id, ended.run)
-        if task is None:
-            if is_new and ended.end is RunEnd.DONE:
-                self._note_done_of_other_run(worker, ended, now_s)
-            return
-        task.job.note_begun()
-        self.worker_health.record_run_end(worker, task, ended.end, now_s)
-        is_timed = not self._runs[task].is_inherited
-        if is_timed and ended.end is RunEnd.DONE and self._end_listener is not None:
-            self._end_listener(task, (now_s - task.assigned_s) * 1000.0)
-        self._release(task, ended.end, ended.checkpoint, now_s)
-
-    def _note_unread_ends(self, worker: Worker, number: int, missing: int) -> None:
-        """Report ends that a life of a worker has forgotten before this owner has read them."""
-        self._metrics.count("ends.unread")
-        self._events.write(
-            "ends-unread", worker=worker.id, life=worker.info.life, before=number, count=missing
-        )
-
-    def _note_done_of_other_run(self, worker: Worker, ended: EndedRun, now_s: float) -> None:
-        """Complete a task whose run has ended as done after it was given up, if it still waits.
-
-        Explanation
-        -----------
-        The acknowledgement of this end follows, and after it the task must not start again.
-        """
-        task = self._open_task(ended.task)
-        is_waiting = task is not None and task.job.end_without_run(task)
-        self._metrics.count("ends.not_current")
-        self._events.write(
-            "end-not-current",
-            task=ended.task,
-            run=ended.run,
-            worker=worker.id,
-            life=worker.info.life,
-            number=ended.number,
-            is_completed=is_waiting,
-        )
-        if task is not None and is_waiting and not task.job.is_open:
-            self._note_job_end(task.job, now_s)
-
-    def _open_task(self, name: str) -> Task | None:
-        """Return the task of that name if its job is open and its step is not done."""
-        try:
-            job_id, key = parse_task_name(name)
-        except TaskNameError:
-            return None
-        job = self.jobs.get(job_id)
-        return job.open_task(key) if job is not None else None
-
-    def _note_running(
-        self, worker: Worker, running: RunningRun, clock_s: float, now_s: float
-    ) -> None:
-        task = self._find(running.task, worker.id, running.run)
-        if task is None:
-            self._orders.stop(worker.id, running.task, running.run)
-            return
-        worker.put(task)
-        current = self._runs[task]
-        self._confirm(task, current, now_s)
-        current.progress.note(clock_s, running.percent)
-        task.load = running.load
-        task.is_at_work = running.percent >= _FULL_PERCENT
-        if running.checkpoint:
-            task.job.note_checkpoint(task, running.checkpoint)
-
-    def _note_missing(self, task: Task, sent_s: float, now_s: float) -> None:
-        current = self._runs.get(task)
-        if current is None:
-            return
-        if current.confirmed_s is not None and current.confirmed_s < sent_s:
-            self._events.write("run-missing", task=task.name, run=task.run, worker=task.worker)
-            self._release(task, RunEnd.LOST, "", now_s, why="it is not listed")
-        elif current.stop_acked_s is not None and current.stop_acked_s < sent_s:
-            self._release(task, RunEnd.LOST, "", now_s, why="it was stopped")
-        elif current.confirmed_s is None and self._is_overdue(task, current, now_s):
-            self._repeat_or_stop(task, current, None, now_s)
-
-    def _is_overdue(self, task: Task, current: CurrentRun, now_s: float) -> bool:
-        """Whether the start of an unlisted run is unclear or its reply is overdue."""
-        if not current.is_unclear and now_s - task.assigned_s > _START_REPLY_TIMEOUT_S:
-            current.is_unclear = True
-            current.unanswered_s = now_s
-            self._events.write("start-unanswered", task=task.name, worker=task.worker)
-        return current.is_unclear
-
-    def _release(
+    def release(
         self,
         task: Task,
         end: RunEnd,
@@ -563,7 +386,7 @@
         elif task.step.is_gang:
             self._stop_gang(task, now_s)
         if was_open and not job.is_open:
-            self._note_job_end(job, now_s)
+            self.note_job_end(job, now_s)
 
     def _close_gang(self, task: Task) -> None:
         """Release the other members: the gang is done when one member ends as done."""
@@ -580,7 +403,8 @@
             if member.is_assigned:
                 self.request_stop(member, now_s)
 
-    def _note_job_end(self, job: ActiveJob, now_s: float) -> None:
+    def note_job_end(self, job: ActiveJob, now_s: float) -> None:
+        """Report a job that has ended, and stop what is left of one that has failed."""
         if self._job_end_listener is not None:
             self._job_end_listener(job)
         if job.state is not JobState.COMPLETED:
@@ -595,7 +419,7 @@
     Of the starts of a previous owner the outcome is never known.
     """
     is_known = current.answers >= current.tries and not current.is_inherited
-    last_s = max(task.assigned_s + _START_REPLY_TIMEOUT_S, _last_start_s(task, current))
+    last_s = max(task.assigned_s + START_REPLY_TIMEOUT_S, _last_start_s(task, current))
     return not is_known and now_s < last_s + MAX_CALL_DELAY_S
 
 
--- a/almondstack/control/tests/former_life_scenarios.py
+++ b/almondstack/control/tests/former_life_scenarios.py
@@ -63,7 +63,7 @@
     _register(machine, *_ALL, cut="w1")
     machine.pass_time(seconds=0.2)
     now_s = machine.world.clock.now_s
-    machine.world.processes[0].owner._table.mark_unlisted_lost({"w2", "w3"}, now_s, now_s)
+    machine.world.processes[0].owner.parts.table.mark_unlisted_lost({"w2", "w3"}, now_s, now_s)
     _work_until_a_start(machine)
     machine.crash(worker="w1")
     machine.carry_out(worker="w1")
@@ -143,7 +143,7 @@
     _register(machine, "w2", cut="w1")
     machine.pass_time(seconds=0.2)
     now_s = machine.world.clock.now_s
-    machine.world.processes[0].owner._table.mark_unlisted_lost({"w2"}, now_s, now_s)
+    machine.world.processes[0].owner.parts.table.mark_unlisted_lost({"w2"}, now_s, now_s)
     _work(machine, rounds=3)
     machine.crash(worker="w1")
     machine.carry_out(worker="w1")
@@ -165,16 +165,16 @@
     """
     _stop_after_two_lost_starts(machine)
     owner = machine.world.processes[0].owner
-    answer = owner._inbox.get_nowait()
+    answer = owner.inbox.get_nowait()
     assert answer.kind is OrderKind.STOP
     machine.crash(worker="w1")
     _register(machine, "w1", "w2", "w3")
     machine.pass_time(seconds=0.2)
     machine.round(process=0)
-    owner._inbox.put(answer)
+    owner.inbox.put(answer)
     machine.round(process=0)
     machine.pass_time(seconds=0.2)
-    owner._sessions.get("w1").pump_poll()
+    owner.parts.sessions.get("w1").pump_poll()
     for _ in range(3):
         machine.round(process=0)
         for worker in ("w2", "w3"):
@@ -215,7 +215,7 @@
     worker = machine.world.workers["w1"]
     assert worker.running
     worker.crash()
-    machine.world.processes[0].owner._sessions.get("w1").pump_poll()
+    machine.world.processes[0].owner.parts.sessions.get("w1").pump_poll()
     machine.pass_time(seconds=0.5)
     worker.crash()
     _work(machine, rounds=150)
--- a/almondstack/control/tests/restart_scenarios.py
+++ b/almondstack/control/tests/restart_scenarios.py
@@ -230,7 +230,7 @@
 
 def _poll(machine, worker):
     """Poll a worker, as the owner does in place of the thread of polls, and handle the answer."""
-    session = _process(machine).owner._sessions.get(worker)
+    session = _process(machine).owner.parts.sessions.get(worker)
     if session is not None:
         session.set_busy(True)
         session.pump_poll()
--- a/almondstack/control/tests/test_owner.py
+++ b/almondstack/control/tests/test_owner.py
@@ -52,13 +52,13 @@
         process.claim()
         owner = process.owner
         world.oracle.submissions[job.id] = job.submission
-        owner._activate(job)
+        owner.rounds.activate(job)
         for task in job.steps_of(0)[0]:
             job.assign([task], ["w"], [1], 0.0)
             job.end_run(task, RunEnd.DONE, "", 1.0)
-        owner._commit()
-        owner._release_if_ranges_needed()
-        assert owner._is_released.is_set()
+        owner.rounds.commit()
+        owner.release_if_ranges_needed()
+        assert owner.is_released
         process.follow()
         value = world.store.records[-1].value
         assert value == encode_progress(JobState.RUNNING, [(0, 0, done_rows(2))])
@@ -79,15 +79,15 @@
         process.round()
         owner = process.owner
         (task,) = job.steps_of(0)[0]
-        worker = next(iter(owner._table.workers.values()))
+        worker = next(iter(owner.parts.table.workers.values()))
         process.index.apply(
             record_key(RecordKind.SUBMISSION, job.id), encode_submission(job.submission)
         )
-        owner._activate(job)
-        assign(owner._table, task, worker)
-        assert owner._is_wanted(task, 1)
+        owner.rounds.activate(job)
+        assign(owner.parts.table, task, worker)
+        assert owner.parts.orders.is_wanted(task, 1)
         worker.info.is_draining = True
-        assert not owner._is_wanted(task, 1)
+        assert not owner.parts.orders.is_wanted(task, 1)
 
 
 def test_an_owner_with_an_unforeseen_error_ends_and_says_so(monkeypatch):
@@ -104,4 +104,4 @@
         owner.start()
         owner.join(10.0)
     assert owner.has_failed and not owner.is_alive and len(reported) == 1
-    assert owner._journal.may_extend() is False
+    assert owner.parts.journal.may_extend() is False
--- a/almondstack/control/tests/test_tokens.py
+++ b/almondstack/control/tests/test_tokens.py
@@ -42,7 +42,7 @@
     owner = machine.world.processes[0].owner
     worker = _restart_a_busy_worker(machine)
     assert worker.running
-    assert owner._sessions.get(worker.id).token == owner._journal.token == 2
+    assert owner.parts.sessions.get(worker.id).token == owner.parts.journal.token == 2
     late = StartOrder("0" * 16 + ".0.0.0", 9, "spec", "", "")
     assert worker.start(late, 10_000, 1).status is OrderStatus.FENCED
     assert worker.poll(10_000, 100, 1).status is OrderStatus.FENCED
@@ -52,7 +52,7 @@
     """Guards against an owner that turns away processes which have read its raised token."""
     owner = machine.world.processes[0].owner
     _restart_a_busy_worker(machine)
-    assert owner._journal.token == 2 and 2 in owner._services.requests._tokens
+    assert owner.parts.journal.token == 2 and 2 in owner.parts.services.requests._tokens
 
 
 def test_each_further_life_gets_a_higher_token(machine):
@@ -60,7 +60,7 @@
     tokens = []
     for _ in range(3):
         worker = _restart_a_busy_worker(machine)
-        tokens.append(owner._sessions.get(worker.id).token)
+        tokens.append(owner.parts.sessions.get(worker.id).token)
     assert tokens == sorted(tokens) and len(set(tokens)) > 1
 
 
@@ -68,7 +68,7 @@
     first, second = machine.world.processes
     _restart_a_busy_worker(machine)
     second.claim()
-    assert second.owner._token == first.owner._journal.token + 1
+    assert second.owner.token == first.owner.parts.journal.token + 1
     machine.pass_time(seconds=1.0)
     machine.work(process=0, order=_ALL)
     assert first.owner is None
@@ -85,18 +85,18 @@
         machine.pass_time(seconds=0.1)
         machine.work(process=0, order=_ALL)
     owner = machine.world.processes[0].owner
-    assert [owner._sessions.get(worker).token for worker in _ALL] == [2, 1, 1]
+    assert [owner.parts.sessions.get(worker).token for worker in _ALL] == [2, 1, 1]
 
 
 def test_of_a_claim_and_a_raise_of_the_same_token_one_is_refused(machine):
     """Guards against two owners with one token, which no worker could tell apart."""
     first, second = machine.world.processes
     second.follow()
-    first.owner._journal.request_token()
+    first.owner.parts.journal.request_token()
     second._world.store.claim = _Claim(first, second._world.store)
     second.claim()
     assert first.owner is not None and second.owner is None
-    assert first.owner._journal.token == 2
+    assert first.owner.parts.journal.token == 2
 
 
 class _Claim:
--- a/almondstack/platform/tests/test_odd_configurations.py
+++ b/almondstack/platform/tests/test_odd_configurations.py
@@ -76,7 +76,7 @@
     with world.patched():
         process = world.processes[0]
         process.claim()
-        fleet = process.owner._fleet
+        fleet = process.owner.parts.fleet
         fleet._services.directory.waves = holder.waves
         fleet._services.directory.evacuated_zones = holder.evacuated_zones
         instances = [
@@ -86,9 +86,9 @@
         fleet._manager._instances = {info.name: info for info in instances}
         fleet._manager._listed_s = fleet._manager._list_requested_s = world.clock.now_s
         now_ms = int(world.clock.time() * 1000.0)
-        process.owner._activate(make_job(make_step(40), accepted_ms=now_ms, pool="p"))
+        process.owner.rounds.activate(make_job(make_step(40), accepted_ms=now_ms, pool="p"))
         for _ in range(5):
-            process.owner._planner.plan(world.clock.now_s, world.clock.time() * 1000.0)
+            process.owner.parts.planner.plan(world.clock.now_s, world.clock.time() * 1000.0)
             fleet._decide(world.clock.now_s)
             world.pass_time(0.5)
 
--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -7,7 +7,8 @@
 
 from almondstack.control import (
     lease,
-    owner,
+    order_replies,
+    owner_round,
     request_handler,
     runs,
     sent_calls,
@@ -25,32 +26,33 @@
 @contextlib.contextmanager
 def _starts_before_they_are_stored() -> Iterator[None]:
     """Send orders before the planned runs are stored."""
-    commit = owner.Owner._commit
+    commit = owner_round.OwnerRound.commit
 
     def send_first(self: Any) -> None:
-        self._send_starts()
-        for one in self._sessions._sessions.values():
+        self.send_starts()
+        for one in self._parts.sessions._sessions.values():
             one.pump_orders()
         commit(self)
 
-    with mock.patch.object(owner.Owner, "_commit", send_first):
+    with mock.patch.object(owner_round.OwnerRound, "commit", send_first):
         yield
 
 
 @contextlib.contextmanager
 def _ends_acknowledged_before_they_are_stored() -> Iterator[None]:
     """Acknowledge ends to workers before they are stored."""
-    commit = owner.Owner._commit
+    commit = owner_round.OwnerRound.commit
 
     def acknowledge_first(self: Any) -> None:
-        for worker, number in self._table._read_ends._unacknowledged.items():
-            one = self._sessions.get(worker)
+        parts = self._parts
+        for worker, number in parts.table._poll_replies.ends._unacknowledged.items():
+            one = parts.sessions.get(worker)
             if one is not None:
                 one.acknowledge(number)
                 one.pump_poll()
         commit(self)
 
-    with mock.patch.object(owner.Owner, "_commit", acknowledge_first):
+    with mock.patch.object(owner_round.OwnerRound, "commit", acknowledge_first):
         yield
 
 
@@ -94,9 +96,9 @@
     """Return the task of an unclear start to waiting at once."""
 
     def release(self: Any, task: Any, pending: Any, now_s: float) -> None:
-        self._release(task, RunEnd.LOST, "", now_s)
+        self._table.release(task, RunEnd.LOST, "", now_s)
 
-    with mock.patch.object(runs.RunTable, "_resolve_unclear", release):
+    with mock.patch.object(order_replies.OrderReplies, "_resolve_unclear", release):
         yield
 
 
@@ -126,7 +128,7 @@
     """Ignore cancel records and cancel requests."""
     is_never = property(lambda self: False, lambda self, value: None)
     with (
-        mock.patch.object(owner.Owner, "_cancel", _do_nothing),
+        mock.patch.object(owner_round.OwnerRound, "cancel", _do_nothing),
         mock.patch.object(job_index.JobEntry, "is_cancelled", is_never),
     ):
         yield
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterator
 from unittest import mock
 
-from almondstack.control import owner as owner_module
+from almondstack.control import owner_round as owner_round_module
 from almondstack.control import sessions as sessions_module
 from almondstack.control.owner import Owner
 from almondstack.control.ports import WorkerCaller
@@ -73,6 +73,9 @@
     "almondstack.control.job_records",
     "almondstack.control.journal",
     "almondstack.control.owner",
+    "almondstack.control.owner_round",
+    "almondstack.control.run_orders",
+    "almondstack.control.worker_updates",
     "almondstack.control.session",
     "almondstack.control.sessions",
     "almondstack.intake.append_retries",
@@ -219,7 +222,7 @@
     def has_token(self, token: int) -> bool:
         """Whether this process is owner, and that token is one of this ownership."""
         owner = self.owner
-        return owner is not None and owner._token <= token <= owner._journal.token
+        return owner is not None and owner.token <= token <= owner.parts.journal.token
 
     def follow(self) -> None:
         """Read the store to its end, or do nothing if it is unavailable."""
@@ -254,7 +257,7 @@
             10 * self._restarts,
             self._last_owner_record_s,
         )
-        self.owner._take_over()
+        self.owner.take_over()
 
     def round(self) -> None:
         """Run one round of the owner; drop the owner if it is fenced."""
@@ -263,11 +266,11 @@
         self._late_answers.deliver_overdue()
         try:
             with self._own_time():
-                self.owner._round()
+                self.owner.rounds.run()
         except FencedError:
-            self.owner._requests.close()
-            self.owner._journal.close()
-            self.owner._sessions.close()
+            self.owner.parts.requests.close()
+            self.owner.parts.journal.close()
+            self.owner.parts.sessions.close()
             self.index.set_listener(None)
             self.owner = None
 
@@ -275,7 +278,7 @@
         """Pass a request to the owner and run two rounds, with a read of the store in between."""
         if self.owner is None:
             return
-        self.owner._inbox.put(request)
+        self.owner.inbox.put(request)
         self.round()
         self.follow()
         self.round()
@@ -311,7 +314,7 @@
         self._late_answers.deliver()
 
     def _session(self, worker: str) -> PumpedSession | None:
-        session = self.owner._sessions.get(worker) if self.owner is not None else None
+        session = self.owner.parts.sessions.get(worker) if self.owner is not None else None
         return session if isinstance(session, PumpedSession) else None
 
     @contextlib.contextmanager
@@ -360,7 +363,7 @@
             for module in PATCHED_TIME_MODULES:
                 stack.enter_context(mock.patch(f"{module}.time", self.process_time))
             stack.enter_context(mock.patch.object(sessions_module, "WorkerSession", PumpedSession))
-            stack.enter_context(mock.patch.object(owner_module, "_IDLE_WAIT_S", 0.0))
+            stack.enter_context(mock.patch.object(owner_round_module, "_IDLE_WAIT_S", 0.0))
             stack.enter_context(mock.patch("almondstack.control.journal._RETRY_PAUSE_S", 0.0))
             yield
 
--- a/almondstack/testing/tests/test_world_faults.py
+++ b/almondstack/testing/tests/test_world_faults.py
@@ -87,7 +87,7 @@
         process = world.processes[0]
         process.claim()
         process.round()
-        session = process.owner._sessions.get("w1")
+        session = process.owner.parts.sessions.get("w1")
         session.set_busy(True)
         process.pump("w1", is_late=True)
         assert process._late_answers.has_poll_of(session)
