Divide a short fleet between client accounts by weighted max-min

Cause: shares are per pool and round, so one account that floods takes as much of the fleet as its pools have demand.

--- /dev/null
+++ b/almondstack/placement/tests/test_entitlements.py
@@ -0,0 +1,249 @@
+"""Division of a short fleet between client accounts, by the load that each test names."""
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from almondstack.placement import AccountPolicy, Resources
+from almondstack.placement.entitlements import AccountDemand, Entitlements, divide_fairly
+
+_CAPACITY = Resources(100_000, 400_000)
+
+_ROUNDING = 1.0
+"""Granted amounts are whole thousandths of a core and megabytes, rounded down."""
+
+_RELATIVE = 1e-6
+
+
+def _demand(account, cpu=0, memory=0, *, lasting=0, running=0):
+    return AccountDemand(account, Resources(lasting), Resources(running), Resources(cpu, memory))
+
+
+def _names(count):
+    return [f"a{number}" for number in range(count)]
+
+
+_amounts = st.integers(0, 300_000)
+_demands = st.lists(
+    st.tuples(_amounts, st.integers(0, 900_000), st.integers(0, 40_000)), min_size=2, max_size=8
+).map(
+    lambda rows: [
+        _demand(name, cpu, memory, lasting=lasting)
+        for name, (cpu, memory, lasting) in zip(_names(len(rows)), rows, strict=True)
+    ]
+)
+_policies = st.lists(
+    st.tuples(st.floats(0.1, 20.0), st.sampled_from([0, 0, 5_000, 60_000])), min_size=8, max_size=8
+).map(
+    lambda rows: {
+        name: AccountPolicy(name, weight, Resources(ceiling))
+        for name, (weight, ceiling) in zip(_names(8), rows, strict=True)
+    }
+)
+
+
+def _total(demand):
+    return Resources(
+        demand.lasting.cpu_millis + demand.running.cpu_millis + demand.waiting.cpu_millis,
+        demand.lasting.memory_mb + demand.running.memory_mb + demand.waiting.memory_mb,
+    )
+
+
+def _lasting(demands):
+    return sum(demand.lasting.cpu_millis for demand in demands)
+
+
+def test_flood_of_one_account_leaves_the_others_their_whole_demand():
+    """One account sent half of all jobs, and small accounts fared no better than it."""
+    light = [_demand(f"light{number}", 8_000) for number in range(5)]
+    table = divide_fairly([*light, _demand("flood", 900_000)], _CAPACITY, {})
+    assert table.is_short
+    assert [table.covered_share(demand.account) for demand in light] == [1.0] * 5
+    assert table.entitled("flood") == pytest.approx(60_000)
+    assert table.is_beyond("flood", 60_001) and not table.is_beyond("light0", 8_000)
+
+
+def test_quiet_fleet_limits_nobody():
+    table = divide_fairly([_demand("a", 40_000), _demand("b", 60_000)], _CAPACITY, {})
+    assert not table.is_short and table.entitled("a") == math.inf
+    assert table.covered_share("a") == 1.0 and not table.is_beyond("a", 1e12)
+
+
+def test_one_account_is_never_limited():
+    idle = _demand("idle")
+    assert not divide_fairly([_demand("flood", 900_000), idle], _CAPACITY, {}).is_short
+
+
+def test_a_fleet_without_known_instances_limits_nobody():
+    """A new owner has no list of instances yet."""
+    demands = [_demand("a", 900_000), _demand("b", 900_000)]
+    assert not divide_fairly(demands, Resources(), {}).is_short
+    assert not Entitlements().is_short
+
+
+def test_an_account_that_comes_back_gets_its_share_at_once():
+    demands = [_demand("flood", 900_000), _demand("light", 1_000)]
+    accounts = {
+        "heavy": AccountPolicy("heavy", 2.0),
+        "low": AccountPolicy("low", 1.0, Resources(9)),
+    }
+    table = divide_fairly(demands, _CAPACITY, accounts)
+    assert table.entitled("back") == pytest.approx(99_000 / 2)
+    assert table.entitled("heavy") == pytest.approx(99_000)
+    assert table.entitled("low") == 9 and table.covered_share("back") == 1.0
+
+
+def test_a_light_account_may_grow_to_its_share_before_the_next_round():
+    table = divide_fairly([_demand("flood", 900_000), _demand("light", 1_000)], _CAPACITY, {})
+    assert not table.is_beyond("light", 40_000)
+
+
+def test_a_change_of_weights_is_followed_in_the_next_round():
+    demands = [_demand("a", 900_000), _demand("b", 900_000)]
+    before = divide_fairly(demands, _CAPACITY, {})
+    after = divide_fairly(demands, _CAPACITY, {"a": AccountPolicy("a", 3.0)})
+    assert (before.entitled("a"), after.entitled("a")) == (50_000, pytest.approx(75_000))
+    assert after.entitled("b") == pytest.approx(25_000)
+
+
+def test_a_change_of_ceilings_is_followed_in_the_next_round():
+    demands = [_demand("a", 900_000), _demand("b", 900_000)]
+    table = divide_fairly(demands, _CAPACITY, {"a": AccountPolicy("a", 1.0, Resources(10_000))})
+    assert table.entitled("a") == pytest.approx(10_000)
+    assert table.entitled("b") == pytest.approx(90_000)
+    assert table.covered_share("a") == pytest.approx(1 / 90)
+
+
+def test_a_zone_that_is_unreachable_shrinks_all_shares_alike():
+    demands = [_demand("a", 900_000), _demand("b", 900_000)]
+    table = divide_fairly(demands, Resources(66_000, 264_000), {})
+    assert (table.entitled("a"), table.entitled("b")) == (33_000, 33_000)
+
+
+def test_memory_that_runs_out_first_is_divided_by_it():
+    """On a fleet whose tasks ask as large a part of its memory as of its cores."""
+    demands = [_demand("cores", 200_000), _demand("memory", 1_000, 800_000)]
+    table = divide_fairly(demands, _CAPACITY, {})
+    assert table.shares["memory"].granted.memory_mb == pytest.approx(400_000, rel=0.02)
+    assert table.shares["cores"].granted.cpu_millis == pytest.approx(99_500, rel=0.01)
+
+
+def test_lasting_work_is_a_floor_that_counts_against_the_share():
+    demands = [_demand("a", 900_000, lasting=30_000), _demand("b", 900_000)]
+    table = divide_fairly(demands, _CAPACITY, {})
+    assert (table.entitled("a"), table.entitled("b")) == (50_000, 50_000)
+    demands = [_demand("a", 900_000, lasting=70_000), _demand("b", 900_000)]
+    table = divide_fairly(demands, _CAPACITY, {})
+    assert (table.entitled("a"), table.entitled("b")) == (70_000, pytest.approx(30_000))
+
+
+def test_lasting_work_beyond_the_fleet_leaves_nothing_but_does_not_fail():
+    demands = [_demand("a", 900_000, lasting=170_000), _demand("b", 900_000)]
+    table = divide_fairly(demands, _CAPACITY, {})
+    assert table.entitled("a") == 170_000 and table.covered_share("b") == 0.0
+
+
+def test_a_weight_of_zero_and_a_negative_ceiling_do_not_end_the_owner():
+    accounts = {"a": AccountPolicy("a", 0.0), "b": AccountPolicy("b", 1.0, Resources(-1, -1))}
+    demands = [_demand("a", 900_000), _demand("b", 900_000), _demand("c", 60_000)]
+    table = divide_fairly(demands, _CAPACITY, accounts)
+    assert table.entitled("a") == pytest.approx(40_000, rel=1e-3)
+    assert table.entitled("b") == 0 and table.covered_share("c") == 1.0
+
+
+@given(_demands, _policies)
+def test_the_capacity_is_never_exceeded_but_by_lasting_work(demands, policies):
+    shares = divide_fairly(demands, _CAPACITY, policies).shares
+    cpu = sum(share.granted.cpu_millis for share in shares.values())
+    memory = sum(share.granted.memory_mb for share in shares.values())
+    assert cpu <= max(_CAPACITY.cpu_millis, _lasting(demands)) * (1 + _RELATIVE)
+    assert memory <= _CAPACITY.memory_mb * (1 + _RELATIVE)
+
+
+@given(_demands, _policies)
+def test_nobody_is_below_the_lesser_of_demand_and_weighted_share(demands, policies):
+    """The guarantee of DRF, for accounts without lasting work and without a ceiling."""
+    demands = [AccountDemand(demand.account, None, None, demand.waiting) for demand in demands]
+    policies = {name: AccountPolicy(name, one.weight) for name, one in policies.items()}
+    table = divide_fairly(demands, _CAPACITY, policies)
+    whole_weight = sum(policies[demand.account].weight for demand in demands)
+    for demand in demands:
+        share = table.shares.get(demand.account)
+        if share is None or share.covered == 1.0:
+            continue
+        least = policies[demand.account].weight / whole_weight
+        dominant = max(
+            share.granted.cpu_millis / _CAPACITY.cpu_millis,
+            share.granted.memory_mb / _CAPACITY.memory_mb,
+        )
+        assert dominant >= least - _ROUNDING / _CAPACITY.cpu_millis - _RELATIVE
+
+
+@given(_demands, _policies, st.integers(0, 7), st.integers(2, 50))
+def test_no_account_gains_by_asking_for_more_beyond_its_share(demands, policies, which, factor):
+    account = demands[which % len(demands)].account
+    before = divide_fairly(demands, _CAPACITY, policies)
+    if before.covered_share(account) == 1.0:
+        return
+    greedy = [
+        (
+            _demand(
+                demand.account,
+                demand.waiting.cpu_millis * factor,
+                demand.waiting.memory_mb * factor,
+                lasting=demand.lasting.cpu_millis,
+            )
+            if demand.account == account
+            else demand
+        )
+        for demand in demands
+    ]
+    after = divide_fairly(greedy, _CAPACITY, policies)
+    for demand in demands:
+        first, second = (table.shares[demand.account].granted for table in (before, after))
+        if demand.account == account:
+            assert second.cpu_millis <= first.cpu_millis + _ROUNDING
+        else:
+            assert second.cpu_millis >= first.cpu_millis - _ROUNDING
+
+
+@given(_demands, _policies)
+def test_ceilings_hold_but_for_lasting_work(demands, policies):
+    table = divide_fairly(demands, _CAPACITY, policies)
+    for demand in demands:
+        ceiling = policies[demand.account].ceiling.cpu_millis
+        if ceiling and table.is_short:
+            bound = max(ceiling, demand.lasting.cpu_millis)
+            assert table.entitled(demand.account) <= bound + _ROUNDING
+
+
+@given(_demands, _policies)
+def test_what_an_account_leaves_goes_to_the_others(demands, policies):
+    """Work-conserving: whoever is not covered lacks a resource that has run out."""
+    table = divide_fairly(demands, _CAPACITY, policies)
+    if not table.is_short:
+        return
+    granted = [share.granted for share in table.shares.values()]
+    cpu_left = _CAPACITY.cpu_millis - sum(one.cpu_millis for one in granted)
+    memory_left = _CAPACITY.memory_mb - sum(one.memory_mb for one in granted)
+    slack = len(demands) * (_ROUNDING + 1)
+    for demand in demands:
+        share = table.shares.get(demand.account)
+        if share is None or share.asked.cpu_millis <= share.granted.cpu_millis + 1:
+            continue
+        lacks_memory = demand.waiting.memory_mb > 0 and memory_left <= slack
+        assert cpu_left <= slack or lacks_memory
+
+
+@given(_demands, _policies)
+def test_the_entitlement_covers_what_is_granted(demands, policies):
+    table = divide_fairly(demands, _CAPACITY, policies)
+    for demand in demands:
+        assert 0.0 <= table.covered_share(demand.account) <= 1.0
+        share = table.shares.get(demand.account)
+        assert share is None or table.entitled(demand.account) >= share.granted.cpu_millis
+        assert table.entitled(demand.account) >= min(
+            demand.lasting.cpu_millis, _total(demand).cpu_millis
+        )
