Size pools and order steps by entitlements while accounts compete for a short fleet

Cause: pools got an equal proportion of raw demand, so a flood drew instances to its pool; order was fair per pool and round only. Event and metrics.

--- a/almondstack/capacity/demand.py
+++ b/almondstack/capacity/demand.py
@@ -28,11 +28,21 @@
         Instances that the present tasks fill by their memory or accelerators.
     memory_mb : int
         Memory of the present tasks, in megabytes.
+    lasting_filled_instances : float
+        The part of ``filled_instances`` that long-running tasks fill.
+
+    Attributes
+    ----------
+    entitled : PoolNeed or None
+        The part of this demand that its client accounts are entitled to, while they compete
+        for a short fleet; None at other times.
     """
 
     __slots__ = (
         "arriving_millis",
+        "entitled",
         "filled_instances",
+        "lasting_filled_instances",
         "lasting_millis",
         "late_millis",
         "memory_mb",
@@ -51,6 +61,7 @@
         min_instances: int = 0,
         filled_instances: float = 0.0,
         memory_mb: int = 0,
+        lasting_filled_instances: float = 0.0,
     ) -> None:
         self.lasting_millis = lasting_millis
         self.running_millis = running_millis
@@ -60,6 +71,8 @@
         self.min_instances = min_instances
         self.filled_instances = filled_instances
         self.memory_mb = memory_mb
+        self.lasting_filled_instances = lasting_filled_instances
+        self.entitled: PoolNeed | None = None
 
     @property
     def total_millis(self) -> float:
--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -1,88 +1,21 @@
 """Plans moves of instances between pools."""
 
+import functools
 import math
 
-from almondstack.capacity.demand import PoolNeed
+from almondstack.capacity.division import divided_targets, is_short, shortage_donors
+from almondstack.capacity.pool_state import (
+    MIN_INSTANCES,
+    Candidate,
+    PoolState,
+    large_excess_limit,
+    wanted_instances,
+)
 
-__all__ = [
-    "Candidate",
-    "Move",
-    "PoolState",
-    "large_excess_limit",
-    "plan_moves",
-    "wanted_instances",
-]
+__all__ = ["Move", "plan_moves"]
 
-
-class Candidate:
-    """An instance that may be moved.
-
-    Parameters
-    ----------
-    name : str
-        Name of the instance.
-    size_millis : int
-        Its capacity in thousandths of a core.
-    used_millis : int
-        Demand of the tasks on it, in thousandths of a core.
-    long_running_tasks : int
-        Tasks on it that run until they are cancelled.
-    """
-
-    __slots__ = ("long_running_tasks", "name", "size_millis", "used_millis")
-
-    def __init__(
-        self, name: str, size_millis: int, used_millis: int = 0, long_running_tasks: int = 0
-    ) -> None:
-        self.name = name
-        self.size_millis = size_millis
-        self.used_millis = used_millis
-        self.long_running_tasks = long_running_tasks
-
-
-class PoolState:
-    """A pool with its instances and its demand.
-
-    Parameters
-    ----------
-    name : str
-        Name of the pool.
-    need : PoolNeed
-        Its present demand.
-    candidates : list of Candidate
-        Its usable instances without a planned move or maintenance.
-    coming : int
-        Instances that are being moved to it, or whose worker has yet to register.
-    excess_since_s : float or None
-        Monotonic time in seconds since which it has had more instances than it
-        wants; None if it does not.
-    large_excess_since_s : float or None
-        Monotonic time in seconds since which it has had more instances than
-        :func:`large_excess_limit`; None if it does not.
-    """
-
-    __slots__ = ("candidates", "coming", "excess_since_s", "large_excess_since_s", "name", "need")
-
-    def __init__(
-        self,
-        name: str,
-        need: PoolNeed,
-        candidates: list[Candidate],
-        coming: int = 0,
-        excess_since_s: float | None = None,
-        large_excess_since_s: float | None = None,
-    ) -> None:
-        self.name = name
-        self.need = need
-        self.candidates = candidates
-        self.coming = coming
-        self.excess_since_s = excess_since_s
-        self.large_excess_since_s = large_excess_since_s
-
-    @property
-    def size(self) -> int:
-        """Number of its instances, including ``coming``."""
-        return len(self.candidates) + self.coming
+MOVE_S = 1.5
+"""How long a move of an instance takes unless stated otherwise, in seconds."""
 
 
 class Move:
@@ -96,62 +29,15 @@
         self.target = target
 
 
-HEADROOM = 1.15
-"""Factor of capacity over demand, since tasks don't fill instances evenly."""
-
-MIN_INSTANCES = 2
-"""Instances of a pool without demand: they serve the first second of a burst and one may fail."""
-
 EXCESS_HOLD_S = 2.5
 """Time for which a pool must have an excess before it gives instances to the spare pool: moving
 an instance away and back costs about as much as two seconds of the instance."""
 
-LARGE_EXCESS_FACTOR = 1.5
-"""A pool has a large excess if it has more than this multiple of the instances it wants."""
-
 LARGE_EXCESS_HOLD_S = 0.8
 """Time after which a pool gives away its instances beyond the large-excess limit; shorter than
 ``EXCESS_HOLD_S`` because demand is unlikely to return to that size."""
 
 
-_SHARE_ROUNDING = 1e-6
-"""Shares of instances are fractions such as a third, whose sum may exceed a whole number a bit."""
-
-
-def large_excess_limit(wanted: int) -> int:
-    """Return the number of instances beyond which a pool that wants ``wanted`` has a large excess.
-
-    Examples
-    --------
-    >>> large_excess_limit(2), large_excess_limit(40)
-    (3, 60)
-    """
-    return math.ceil(LARGE_EXCESS_FACTOR * wanted)
-
-
-def wanted_instances(state: PoolState, size_millis: int) -> int:
-    """Return how many instances a pool should have, each of ``size_millis`` thousandths of a core.
-
-    Explanation
-    -----------
-    The scarcest resource decides: processor time with some headroom, or whole instances for
-    the memory and the accelerators of the present tasks.
-
-    Examples
-    --------
-    >>> wanted_instances(PoolState("a", PoolNeed(2_000, 60_000, 20_000), []), 16_000)
-    6
-    >>> wanted_instances(PoolState("a", PoolNeed(), []), 16_000)
-    2
-    >>> wanted_instances(PoolState("a", PoolNeed(filled_instances=4.5), []), 16_000)
-    5
-    """
-    millis = HEADROOM * state.need.total_millis
-    filled = math.ceil(state.need.filled_instances - _SHARE_ROUNDING)
-    least = max(MIN_INSTANCES, state.need.min_instances, filled)
-    return max(least, math.ceil(millis / max(1, size_millis)))
-
-
 def plan_moves(
     pools: list[PoolState],
     spares: list[Candidate],
@@ -159,6 +45,7 @@
     size_millis: int,
     now_s: float,
     max_to_spare: int = 1_000,
+    move_s: float = MOVE_S,
 ) -> list[Move]:
     """Return the moves that bring pools closer to their target sizes.
 
@@ -169,7 +56,9 @@
     the spare pool once their pool has had an excess for ``EXCESS_HOLD_S``; those beyond
     :func:`large_excess_limit` already after ``LARGE_EXCESS_HOLD_S``.  Late work holds
     instances back from the spare pool, but no instances are moved in for it.
-    Instances with long-running tasks are not moved.
+    Instances with long-running tasks are not moved.  While client accounts compete for a
+    short fleet, targets and the instances that are given follow
+    :mod:`almondstack.capacity.division`.
 
     Parameters
     ----------
@@ -185,10 +74,13 @@
         Monotonic time in seconds.
     max_to_spare : int
         Bound on the moves to the spare pool.
+    move_s : float
+        How long a move takes, in seconds.
     """
     targets = _targets(pools, len(spares), size_millis)
     moves: list[Move] = []
-    donors = _donors(pools, targets)
+    choose = functools.partial(shortage_donors, move_s=move_s) if is_short(pools) else _donors
+    donors = choose(pools, targets)
     for pool in sorted(pools, key=lambda pool: pool.size - targets[pool.name]):
         for _ in range(targets[pool.name] - pool.size):
             move = _take(spares, spare_pool, pool.name) or _take_from(donors, pool.name)
@@ -206,8 +98,12 @@
     Explanation
     -----------
     In a shortage, each pool gets ``MIN_INSTANCES`` and an equal proportion of its demand
-    beyond that.  If there are too few instances even for the minimum, nothing is reduced.
+    beyond that, unless accounts compete for the fleet.  If there are too few instances even
+    for the minimum, nothing is reduced.
     """
+    if is_short(pools):
+        total = spare + sum(pool.size for pool in pools)
+        return divided_targets(pools, total, size_millis)
     wanted = {pool.name: wanted_instances(pool, size_millis) for pool in pools}
     total = spare + sum(pool.size for pool in pools)
     wanted_above_min = sum(wanted.values()) - MIN_INSTANCES * len(pools)
--- /dev/null
+++ b/almondstack/control/account_demands.py
@@ -0,0 +1,96 @@
+"""Sums up the demand of each client account over all pools."""
+
+from collections.abc import Iterable
+
+from almondstack.jobs import ActiveJob, Step, TaskStatus
+from almondstack.placement import Resources
+from almondstack.placement.entitlements import AccountDemand
+
+__all__ = ["AccountDemands"]
+
+_MIN_ACCOUNTS = 2
+"""Accounts with open jobs from which on they may compete."""
+
+
+class AccountDemands:
+    """Demand of each client account; sums up nothing unless two accounts have open jobs.
+
+    Parameters
+    ----------
+    jobs : iterable of ActiveJob
+        All jobs, only to count the accounts.
+    capacity : Resources
+        Capacity of a typical instance; zeros if none is known.
+    """
+
+    __slots__ = ("_by_account", "_capacity", "_is_competing")
+
+    def __init__(self, jobs: Iterable[ActiveJob], capacity: Resources) -> None:
+        accounts = {job.submission.account for job in jobs if job.is_open}
+        self._is_competing = len(accounts) >= _MIN_ACCOUNTS
+        self._capacity = capacity
+        self._by_account: dict[str, AccountDemand] = {}
+
+    @property
+    def is_competing(self) -> bool:
+        """Whether at least two accounts have open jobs."""
+        return self._is_competing
+
+    def all(self) -> list[AccountDemand]:
+        """Return the demand of each account."""
+        return list(self._by_account.values())
+
+    def add(self, job: ActiveJob, now_unix_ms: float, *, is_late: bool) -> None:
+        """Add the demand of a job; of a job that can't end in time, only its lasting tasks.
+
+        Explanation
+        -----------
+        Fillers are left out, since they use what others leave.
+        """
+        if not self._is_competing:
+            return
+        demand = self._of(job.submission.account)
+        for task in job.tasks():
+            step = task.step
+            if step.is_filler or task.status is TaskStatus.DONE:
+                continue
+            if step.is_long_running:
+                self._add(demand.lasting, step, 1)
+            elif task.is_assigned and not is_late:
+                self._add(demand.running, step, 1)
+        if not is_late:
+            self._add_waiting(job, demand.waiting, now_unix_ms)
+
+    def add_arriving(self, account: str, millis: float) -> None:
+        """Add thousandths of a core that jobs of an account will ask for which are yet to come."""
+        self._of(account).waiting.cpu_millis += round(millis)
+
+    def _add_waiting(self, job: ActiveJob, waiting: Resources, now_unix_ms: float) -> None:
+        for tasks in job.ready_steps(now_unix_ms):
+            step = tasks[0].step
+            if not step.is_long_running and not step.is_filler:
+                self._add(waiting, step, sum(task.status is TaskStatus.WAITING for task in tasks))
+
+    def _add(self, sums: Resources, step: Step, count: int) -> None:
+        sums.cpu_millis += count * step.cpu_millis
+        sums.memory_mb += count * self._filled_mb(step)
+        sums.gpus += count * step.gpus
+
+    def _filled_mb(self, step: Step) -> int:
+        """Return the memory that a task takes up, with the part that it leaves useless.
+
+        Explanation
+        -----------
+        Of tasks that take 40 of 64 GB, one fits on an instance, so that each takes up 64 GB.
+        One that fits on no instance takes up none.
+        """
+        if step.memory_mb <= 0 or self._capacity.memory_mb <= 0:
+            return max(0, step.memory_mb)
+        fitting = self._capacity.memory_mb // step.memory_mb
+        return self._capacity.memory_mb // fitting if fitting else 0
+
+    def _of(self, account: str) -> AccountDemand:
+        found = self._by_account.get(account)
+        if found is None:
+            found = self._by_account[account] = AccountDemand(account)
+        return found
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -5,6 +5,7 @@
 
 from almondstack.capacity import Candidate, Move, PoolState, wanted_instances
 from almondstack.control.admission_waits import AdmissionWaits
+from almondstack.control.entitlement_report import EntitlementReport
 from almondstack.control.instance_manager import InstanceManager
 from almondstack.control.long_running import may_interrupt
 from almondstack.control.messages import InstanceInfo
@@ -18,6 +19,7 @@
 from almondstack.ownership import Record
 from almondstack.placement import Policies, Worker, has_room
 from almondstack.placement.backlog import EstimateCorrection
+from almondstack.placement.entitlements import Entitlements
 
 __all__ = ["FleetController"]
 
@@ -66,11 +68,13 @@
     __slots__ = (
         "_admission",
         "_balancer",
+        "_entitlement_report",
         "_last_round_s",
         "_logged_wanted",
         "_manager",
         "_moves",
         "_paid_time",
+        "_planner",
         "_pools_with_incoming",
         "_services",
         "_table",
@@ -86,12 +90,14 @@
         may_act: Callable[[], bool] = lambda: True,
     ) -> None:
         self._table = table
+        self._planner = planner
         self._services = services
         self._manager = InstanceManager(services, token, may_act)
         self._waves = WaveController(services, self._manager)
         self._balancer = PoolBalancer(table, planner, self._manager, services.control.move_s)
         self._admission = AdmissionWaits(table, planner)
         self._paid_time = PaidTimeRecorder(services.events, services.metrics)
+        self._entitlement_report = EntitlementReport(services.events, services.metrics)
         table.set_end_listener(self._admission.note_end)
         self._last_round_s = 0.0
         self._pools_with_incoming: set[str] = set()
@@ -103,6 +109,11 @@
         """Ratio of measured run times to callers' estimates."""
         return self._admission.correction
 
+    @property
+    def entitlements(self) -> Entitlements:
+        """What each client account may use of the fleet, as of the last round of decisions."""
+        return self._balancer.entitlements
+
     @property
     def waits_ms(self) -> dict[str, int]:
         """Expected wait of new work in milliseconds, by pool and client account."""
@@ -170,6 +181,8 @@
         workers = self._table.workers
         evacuated = self._evacuated_instances(instances)
         states = self._balancer.pools(instances, policies, evacuated, now_s)
+        self._planner.entitlements = self.entitlements
+        self._entitlement_report.note(self.entitlements, now_s)
         size_millis = median_size_millis(instances)
         self._pools_with_incoming = {state.name for state in states if state.coming}
         self._admission.update(states, policies, time.time() * 1000.0)
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -12,6 +12,7 @@
     Worker,
     rank_of,
 )
+from almondstack.placement.entitlements import Entitlements
 from almondstack.placement.fairness import RankedStep, fair_order
 from almondstack.placement.reservations import ReservationLimits, used_share
 from almondstack.placement.unreachable import find_unreachable
@@ -32,6 +33,11 @@
         Returns the newest policies.
     evacuated_zones : callable, optional
         Returns the availability zones whose workers get no new tasks.
+
+    Attributes
+    ----------
+    entitlements : Entitlements
+        What each client account may use of the whole fleet; set before each :meth:`plan`.
     """
 
     __slots__ = (
@@ -44,6 +50,7 @@
         "_policies",
         "_reservations",
         "_table",
+        "entitlements",
     )
 
     def __init__(
@@ -62,6 +69,7 @@
         self._at_ceiling: list[Task] = []
         self._limits = ReservationLimits()
         self._reservations: dict[str, dict[str, str]] = {}
+        self.entitlements = Entitlements()
 
     @property
     def blocked(self) -> list[tuple[str, Task]]:
@@ -107,16 +115,28 @@
     def _place_all(self, by_pool: dict[str, list[RankedStep]], now_s: float) -> list[Task]:
         started: list[Task] = []
         workers = self._open_workers_by_pool(now_s)
+        in_fleet = self._fleet_millis() if self.entitlements.is_short else {}
         for pool, steps in by_pool.items():
-            ordered = fair_order(steps, self._running_millis(pool), self._policies().accounts)
+            ordered = self._ordered(pool, steps, in_fleet)
             pool_round = self._pool_round(pool, workers.get(pool, []), now_s)
             for _, tasks in ordered:
-                started.extend(self._place(pool_round, tasks, now_s))
+                placed = self._place(pool_round, tasks, now_s)
+                if self.entitlements.is_short:
+                    _add_millis(in_fleet, placed)
+                started.extend(placed)
             self._blocked.extend((pool, task) for task in pool_round.blocked)
             self._at_ceiling.extend(pool_round.at_ceiling)
             self._note_reservations(pool, pool_round, now_s)
         return started
 
+    def _ordered(
+        self, pool: str, steps: list[RankedStep], in_fleet: dict[str, int]
+    ) -> list[RankedStep]:
+        accounts = self._policies().accounts
+        if self.entitlements.is_short:
+            return fair_order(steps, {}, accounts, self.entitlements, in_fleet)
+        return fair_order(steps, self._running_millis(pool), accounts)
+
     def _pool_round(self, pool: str, workers: list[Worker], now_s: float) -> PoolRound:
         may_reserve = self._limits.may_reserve(pool, used_share(workers), now_s)
         return PoolRound(
@@ -155,6 +175,13 @@
                 by_pool.setdefault(policy.pool, []).append((rank, tasks))
         return by_pool
 
+    def _fleet_millis(self) -> dict[str, int]:
+        """Return the thousandths of a core in use in all pools by account."""
+        running: dict[str, int] = {}
+        for worker in self._table.workers.values():
+            _add_millis(running, worker.tasks)
+        return running
+
     def _running_millis(self, pool: str) -> dict[str, int]:
         """Return thousandths of a core in use in a pool by account, without long-running tasks."""
         running: dict[str, int] = {}
@@ -179,3 +206,11 @@
                 worker.is_unsettled = now_s < worker.unsettled_until_s
                 by_pool.setdefault(info.pool, []).append(worker)
         return by_pool
+
+
+def _add_millis(millis: dict[str, int], tasks: list[Task]) -> None:
+    """Add the thousandths of a core that tasks other than fillers take, by account."""
+    for task in tasks:
+        if not task.step.is_filler:
+            account = task.job.submission.account
+            millis[account] = millis.get(account, 0) + task.step.cpu_millis
--- a/almondstack/control/pool_balancer.py
+++ b/almondstack/control/pool_balancer.py
@@ -11,13 +11,15 @@
     plan_moves,
     wanted_instances,
 )
+from almondstack.control.fleet_shares import FleetCapacity
 from almondstack.control.instance_manager import InstanceManager
 from almondstack.control.messages import InstanceInfo, InstanceState
 from almondstack.control.planning import Planner
 from almondstack.control.pool_needs import PoolNeeds
 from almondstack.control.runs import RunTable
-from almondstack.jobs import ActiveJob
-from almondstack.placement import Policies, Worker
+from almondstack.jobs import ActiveJob, Task
+from almondstack.placement import Policies, Resources, Worker
+from almondstack.placement.entitlements import Entitlements
 from almondstack.placement.unreachable import UnreachableDomains, find_unreachable
 
 __all__ = ["PoolBalancer", "median_size_millis"]
@@ -30,6 +32,10 @@
 """Instances without registered workers from which on a zone with no registered worker counts as
 unreachable: a single one shows nothing about its zone."""
 
+_UNUSABLE_STATES = frozenset({InstanceState.DOWN, InstanceState.MAINTENANCE})
+
+_MS = 1000.0
+
 _RELEASE_AFTER_S = 60.0
 """Time after which a newly started fleet without demand releases instances, in seconds."""
 
@@ -60,6 +66,7 @@
         "_large_excess_since_s",
         "_has_seen_demand",
         "_manager",
+        "_move_s",
         "_needs",
         "_started_s",
         "_table",
@@ -71,6 +78,7 @@
     ) -> None:
         self._table = table
         self._manager = manager
+        self._move_s = move_s
         self._needs = PoolNeeds(table, planner, move_s)
         self._excess_since_s: dict[str, float] = {}
         self._large_excess_since_s: dict[str, float] = {}
@@ -78,6 +86,11 @@
         self._has_seen_demand = False
         self._started_s = time.monotonic()
 
+    @property
+    def entitlements(self) -> Entitlements:
+        """What each client account may use of the fleet, as of the last :meth:`pools`."""
+        return self._needs.entitlements
+
     def mark_demand_seen(self) -> None:
         """Record that this or an earlier owner has seen demand, so that excess may be released."""
         self._has_seen_demand = True
@@ -92,9 +105,10 @@
         self, instances: list[InstanceInfo], policies: Policies, excluded: set[str], now_s: float
     ) -> list[PoolState]:
         """Return the state of each pool that is paid for."""
-        needs = self._needs.needs(policies, now_s)
-        size_millis = median_size_millis(instances)
         unreachable = self._unreachable(instances)
+        capacity = self._capacity(instances, policies, excluded, unreachable, now_s)
+        needs = self._needs.needs(policies, now_s, capacity)
+        size_millis = median_size_millis(instances)
         states = []
         for pool, is_off in policies.pools.items():
             if is_off:
@@ -131,7 +145,9 @@
         -----------
         Moves that the instance service has refused before are left out.
         """
-        moves = plan_moves(states, spares, spare_pool, size_millis, now_s, max_to_spare)
+        moves = plan_moves(
+            states, spares, spare_pool, size_millis, now_s, max_to_spare, self._move_s
+        )
         return [move for move in moves if self._manager.may_move(move.instance, move.target)]
 
     def _members(
@@ -163,13 +179,61 @@
             if info.state is InstanceState.UP and self._manager.can_order(info.name, now_s):
                 worker = self._table.workers.get(info.worker)
                 if is_off or (worker is not None and _is_usable(worker, now_s)):
-                    candidates.append(_candidate(info, worker))
+                    candidates.append(self._candidate(info, worker, now_s))
                 elif worker is None and self._may_still_register(info, now_s):
                     coming += 1
             elif info.state is not InstanceState.MAINTENANCE:
                 coming += 1
         return candidates, coming
 
+    def _candidate(self, info: InstanceInfo, worker: Worker | None, now_s: float) -> Candidate:
+        tasks = worker.tasks if worker is not None else []
+        candidate = Candidate(
+            info.name,
+            info.cpu_millis,
+            sum(task.step.cpu_millis for task in tasks),
+            sum(task.step.is_long_running for task in tasks),
+        )
+        if worker is not None and self.entitlements.is_short:
+            candidate.ends_in_s = max((_ends_in_s(task, now_s) for task in tasks), default=0.0)
+            candidate.is_draining = worker.is_reserved
+        return candidate
+
+    def _capacity(
+        self,
+        instances: list[InstanceInfo],
+        policies: Policies,
+        excluded: set[str],
+        unreachable: UnreachableDomains,
+        now_s: float,
+    ) -> FleetCapacity:
+        """Return what the usable instances of all pools have, and those that will soon be."""
+        usable = [
+            info
+            for info in instances
+            if info.pool in policies.pools
+            and info.state not in _UNUSABLE_STATES
+            and info.name not in excluded
+            and not unreachable.covers(info.zone, info.rack)
+            and (policies.pools[info.pool] or self._is_serving(info, now_s))
+        ]
+        typical = self._needs.typical_capacity()
+        whole = Resources()
+        for info in usable:
+            worker = self._table.workers.get(info.worker)
+            memory = typical if worker is None else worker.info.capacity
+            whole.add(Resources(info.cpu_millis, memory.memory_mb, memory.gpus))
+        return FleetCapacity(len(usable), whole)
+
+    def _is_serving(self, info: InstanceInfo, now_s: float) -> bool:
+        """Whether an instance that is paid for accepts tasks, or will soon."""
+        if info.state is not InstanceState.UP:
+            return True
+        worker = self._table.workers.get(info.worker)
+        if worker is None:
+            return self._may_still_register(info, now_s)
+        return _is_usable(worker, now_s)
+
     def _unreachable(self, instances: list[InstanceInfo]) -> UnreachableDomains:
         """Return the unreachable domains, including zones without any registered worker."""
         unreachable = find_unreachable(self._table.workers.values())
@@ -212,11 +276,8 @@
     return is_healthy and not worker.info.is_draining
 
 
-def _candidate(info: InstanceInfo, worker: Worker | None) -> Candidate:
-    tasks = worker.tasks if worker is not None else []
-    return Candidate(
-        info.name,
-        info.cpu_millis,
-        sum(task.step.cpu_millis for task in tasks),
-        sum(task.step.is_long_running for task in tasks),
-    )
+def _ends_in_s(task: Task, now_s: float) -> float:
+    """Return when a run should end, in seconds; one that is overdue may take as long again."""
+    if task.step.is_long_running:
+        return 0.0
+    return abs(task.step.estimate_ms / _MS - (now_s - task.assigned_s))
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -6,10 +6,13 @@
 from statistics import median_low
 
 from almondstack.capacity import ArrivalForecast, PoolNeed
+from almondstack.control.account_demands import AccountDemands
+from almondstack.control.fleet_shares import FleetCapacity, FleetShares
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.jobs import ActiveJob, Step, TaskStatus
 from almondstack.placement import Policies, Resources
+from almondstack.placement.entitlements import Entitlements
 from almondstack.placement.order import is_late, objective_s
 
 __all__ = ["PoolNeeds", "add_need"]
@@ -31,7 +34,16 @@
         How long a move takes, in seconds.
     """
 
-    __slots__ = ("_computed_s", "_forecasts", "_last_needs", "_lead_s", "_planner", "_table")
+    __slots__ = (
+        "_computed_s",
+        "_entitlements",
+        "_forecasts",
+        "_last_needs",
+        "_lead_s",
+        "_planner",
+        "_shares",
+        "_table",
+    )
 
     def __init__(self, table: RunTable, planner: Planner, move_s: float) -> None:
         self._table = table
@@ -40,6 +52,13 @@
         self._forecasts: dict[str, ArrivalForecast] = {}
         self._computed_s: float | None = None
         self._last_needs: dict[str, PoolNeed] = {}
+        self._shares = FleetShares()
+        self._entitlements = Entitlements()
+
+    @property
+    def entitlements(self) -> Entitlements:
+        """What each client account may use of the fleet, as of the last :meth:`needs`."""
+        return self._entitlements
 
     def note_job(self, job: ActiveJob, now_s: float) -> None:
         """Add a new job to the arrival forecast of its queue."""
@@ -50,27 +69,60 @@
             for step in job.submission.steps
             if not step.is_long_running
         )
+        self._shares.note_job(policy.name, job.submission.account, core_ms)
         slack_s = objective_s(job, policy) - job.chain_ms / 1000.0
         forecast = self._forecasts.setdefault(policy.name, ArrivalForecast(self._lead_s))
         forecast.add(now_s, core_ms, can_wait=slack_s >= self._lead_s)
 
-    def needs(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
-        """Return the present demand of each pool; computed once for each ``now_s``."""
+    def needs(
+        self, policies: Policies, now_s: float, capacity: FleetCapacity | None = None
+    ) -> dict[str, PoolNeed]:
+        """Return the present demand of each pool; computed once for each ``now_s``.
+
+        Parameters
+        ----------
+        policies : Policies
+            The present policies.
+        now_s : float
+            Monotonic time in seconds.
+        capacity : FleetCapacity, optional
+            What is divided between the client accounts; without it, none is limited.
+        """
         if self._computed_s != now_s or self._last_needs.keys() != policies.pools.keys():
-            self._last_needs = self._compute(policies, now_s)
+            self._last_needs = self._compute(policies, now_s, capacity or FleetCapacity())
             self._computed_s = now_s
         return self._last_needs
 
-    def _compute(self, policies: Policies, now_s: float) -> dict[str, PoolNeed]:
+    def _compute(
+        self, policies: Policies, now_s: float, capacity: FleetCapacity
+    ) -> dict[str, PoolNeed]:
+        arriving = {queue: forecast.millis(now_s) for queue, forecast in self._forecasts.items()}
+        typical = self.typical_capacity()
+        demands = AccountDemands(self._table.jobs.values(), typical)
+        by_account = self._needs_by_account(policies, typical, demands)
+        needs = self._sum_by_pool(by_account, arriving, policies)
+        self._entitlements = self._shares.divide(
+            needs, by_account, demands, arriving, policies, capacity
+        )
+        return needs
+
+    def _sum_by_pool(
+        self,
+        by_account: dict[tuple[str, str], PoolNeed],
+        arriving: dict[str, float],
+        policies: Policies,
+    ) -> dict[str, PoolNeed]:
+        """Return the need of each pool within the ceilings of the accounts."""
         needs = {pool: PoolNeed() for pool in policies.pools}
-        for queue, forecast in self._forecasts.items():
+        for queue, millis in arriving.items():
             policy = policies.queues.get(queue)
             if policy is not None and policy.pool in needs:
-                needs[policy.pool].arriving_millis += forecast.millis(now_s)
-        for (pool, account), need in self._needs_by_account().items():
+                needs[policy.pool].arriving_millis += millis
+        for (pool, account), need in by_account.items():
             if pool in needs:
                 needs[pool].memory_mb += need.memory_mb
                 needs[pool].filled_instances += self._filled_within_ceiling(need, account, policies)
+                needs[pool].lasting_filled_instances += need.lasting_filled_instances
                 room_millis = self._account_room_millis(account, policies)
                 needs[pool].lasting_millis += need.lasting_millis
                 needs[pool].running_millis += need.running_millis
@@ -79,9 +131,11 @@
                 needs[pool].min_instances = max(needs[pool].min_instances, need.min_instances)
         return needs
 
-    def _needs_by_account(self) -> dict[tuple[str, str], PoolNeed]:
+    def _needs_by_account(
+        self, policies: Policies, capacity: Resources, demands: AccountDemands
+    ) -> dict[tuple[str, str], PoolNeed]:
+        """Return the need of each account in each pool; add that of paid pools to ``demands``."""
         now_unix_ms = time.time() * 1000.0
-        capacity = self._typical_capacity()
         needs: dict[tuple[str, str], PoolNeed] = {}
         for job in self._table.jobs.values():
             if job.is_open:
@@ -89,9 +143,11 @@
                 need = needs.setdefault((policy.pool, job.submission.account), PoolNeed())
                 late = is_late(job, policy, now_unix_ms)
                 add_need(job, need, now_unix_ms, is_late=late, capacity=capacity)
+                if not policies.pools.get(policy.pool, True):
+                    demands.add(job, now_unix_ms, is_late=late)
         return needs
 
-    def _typical_capacity(self) -> Resources:
+    def typical_capacity(self) -> Resources:
         """Return the median of each resource over the registered workers; zeros without any."""
         capacities = [worker.info.capacity for worker in self._table.workers.values()]
         if not capacities:
@@ -177,7 +233,10 @@
 
 def _fill(step: Step, count: int, need: PoolNeed, capacity: Resources) -> None:
     need.memory_mb += count * step.memory_mb
-    need.filled_instances += count * _filled_share(step, capacity)
+    filled = count * _filled_share(step, capacity)
+    need.filled_instances += filled
+    if step.is_long_running:
+        need.lasting_filled_instances += filled
 
 
 def _filled_share(step: Step, capacity: Resources) -> float:
--- a/almondstack/placement/entitlements.py
+++ b/almondstack/placement/entitlements.py
@@ -88,6 +88,8 @@
         Thousandths of a core that an account of weight 1 without demand would get.
     accounts : mapping of str to AccountPolicy, optional
         Policies with the weights and ceilings of such accounts.
+    capacity : Resources, optional
+        What was divided.
 
     Examples
     --------
@@ -96,17 +98,24 @@
     (False, inf, 1.0)
     """
 
-    __slots__ = ("_accounts", "_newcomer_millis", "_shares")
+    __slots__ = ("_accounts", "_capacity", "_newcomer_millis", "_shares")
 
     def __init__(
         self,
         shares: Mapping[str, AccountShare] | None = None,
         newcomer_millis: float = math.inf,
         accounts: Mapping[str, AccountPolicy] = _NO_ACCOUNTS,
+        capacity: Resources | None = None,
     ) -> None:
         self._shares = shares or {}
         self._newcomer_millis = newcomer_millis
         self._accounts = accounts
+        self._capacity = capacity or Resources()
+
+    @property
+    def capacity(self) -> Resources:
+        """What was divided between the accounts; the caller must not change it."""
+        return self._capacity
 
     @property
     def is_short(self) -> bool:
@@ -204,7 +213,7 @@
     bounded = [demand for demand in bounded if any(demand.floor) or any(demand.rest)]
     whole = _amounts(capacity)
     if len(bounded) < _MIN_ACCOUNTS or whole[0] <= 0 or _fits(bounded, whole):
-        return Entitlements()
+        return Entitlements(capacity=capacity)
     left = [
         amount - sum(demand.floor[number] for demand in bounded)
         for number, amount in enumerate(whole)
@@ -215,7 +224,7 @@
         demand.account: _share(demand, part, newcomer_millis, accounts.get(demand.account))
         for demand, part in zip(bounded, parts, strict=True)
     }
-    return Entitlements(shares, newcomer_millis, accounts)
+    return Entitlements(shares, newcomer_millis, accounts, capacity)
 
 
 def _amounts(resources: Resources) -> _Amounts:
--- a/almondstack/placement/fairness.py
+++ b/almondstack/placement/fairness.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 
 from almondstack.jobs import Task, TaskStatus
+from almondstack.placement.entitlements import Entitlements
 from almondstack.placement.order import Rank
 from almondstack.placement.policies import MIN_WEIGHT, AccountPolicy
 
@@ -15,11 +16,17 @@
 
 _DEFAULT = AccountPolicy("")
 
+_OPEN_TO_ALL = Entitlements()
+
+_NOTHING_RUNS: Mapping[str, int] = {}
+
 
 def fair_order(
     steps: list[RankedStep],
     running_millis: Mapping[str, int],
     accounts: Mapping[str, AccountPolicy],
+    entitlements: Entitlements = _OPEN_TO_ALL,
+    fleet_millis: Mapping[str, int] = _NOTHING_RUNS,
 ) -> list[RankedStep]:
     """Return steps in the order in which they get workers.
 
@@ -31,6 +38,10 @@
     steps of all accounts within their shares, so that an account that submits many
     times its usual load waits behind its own work.
 
+    While accounts compete for a short fleet, their entitlements in it replace the shares
+    in the pool, and come before the urgency of queues: an account is not served before
+    others because it floods an urgent queue.
+
     Parameters
     ----------
     steps : list of RankedStep
@@ -39,7 +50,14 @@
         Running demand of each account in the pool, in thousandths of a core.
     accounts : mapping of str to AccountPolicy
         Policies with the weights; an account without a policy has weight 1.
+    entitlements : Entitlements, optional
+        What each account may use of the whole fleet.
+    fleet_millis : mapping of str to int, optional
+        Running demand of each account in all pools, in thousandths of a core; used only
+        while the fleet is short.
     """
+    if entitlements.is_short:
+        return _entitled_order(steps, fleet_millis, entitlements)
     asked = {name: float(millis) for name, millis in running_millis.items()}
     charges = []
     for rank, tasks in sorted(steps, key=lambda step: step[0]):
@@ -54,6 +72,23 @@
     return [(rank, tasks) for *_, rank, tasks in keyed]
 
 
+def _entitled_order(
+    steps: list[RankedStep], fleet_millis: Mapping[str, int], entitlements: Entitlements
+) -> list[RankedStep]:
+    """Return steps so that in each band those within their account's entitlement come first."""
+    asked: dict[str, int] = dict(fleet_millis)
+    keyed = []
+    for rank, tasks in sorted(steps, key=lambda step: step[0]):
+        account = tasks[0].job.submission.account
+        before = asked.get(account, 0)
+        is_beyond = not tasks[0].step.is_long_running and entitlements.is_beyond(account, before)
+        keyed.append((rank[0], is_beyond, rank[1:], rank, tasks))
+        if not tasks[0].step.is_filler:
+            asked[account] = before + _waiting_millis(tasks)
+    keyed.sort(key=lambda entry: entry[:3])
+    return [(rank, tasks) for *_, rank, tasks in keyed]
+
+
 def _weight(account: str, accounts: Mapping[str, AccountPolicy]) -> float:
     return accounts.get(account, _DEFAULT).weight
 
