Judge accounts beyond their entitlement by its rate, and keep the waits beyond the owner

Cause: a job is accepted while it would end within three times its objective, so that a flood fills the pool to that edge; the waits are lost with the owner, and processes without it accept everything 2.5 s later.

Machine tests and tests of the new modules: not run yet.

--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -1,11 +1,15 @@
 """Estimates of the waiting time of new work, which the owner publishes for admission."""
 
+import math
+
 from almondstack.capacity import PoolState
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.jobs import Task, TaskStatus
+from almondstack.jobs.admission_state import AdmissionState, wait_key
 from almondstack.placement import Policies
-from almondstack.placement.backlog import Backlog, EstimateCorrection, wait_key
+from almondstack.placement.backlog import Backlog, EstimateCorrection, waits_beyond_ms
+from almondstack.placement.entitlements import Entitlements
 from almondstack.placement.order import is_worthless
 
 __all__ = ["AdmissionWaits"]
@@ -20,23 +24,50 @@
         Jobs, workers and runs.
     planner : Planner
         Provides the policy of each job's queue.
+    last_state : AdmissionState
+        The state that the previous owner has published; used until the first update.
+
+    Attributes
+    ----------
+    correction : EstimateCorrection
+        Ratio of measured run times to callers' estimates.
+    state : AdmissionState
+        The waits, and the accounts whose demand is beyond their entitlement.
     """
 
-    __slots__ = ("_planner", "_table", "correction", "waits_ms")
+    __slots__ = ("_planner", "_table", "correction", "state")
 
-    def __init__(self, table: RunTable, planner: Planner) -> None:
+    def __init__(self, table: RunTable, planner: Planner, last_state: AdmissionState) -> None:
         self._table = table
         self._planner = planner
         self.correction = EstimateCorrection()
-        self.waits_ms: dict[str, int] = {}
+        self.state = last_state
 
     def note_end(self, task: Task, took_ms: float) -> None:
         """Update the correction of estimates with the duration of a completed run."""
         if not task.step.is_long_running:
             self.correction.note(task.job.submission.queue, task.step.estimate_ms, took_ms)
 
-    def update(self, states: list[PoolState], policies: Policies, now_unix_ms: float) -> None:
+    def update(
+        self,
+        states: list[PoolState],
+        policies: Policies,
+        entitlements: Entitlements,
+        now_unix_ms: float,
+    ) -> None:
         """Recompute the waits."""
+        backlogs = self._backlogs(states, now_unix_ms)
+        waits_ms = {
+            wait_key(pool, account): wait_ms
+            for pool, backlog in backlogs.items()
+            for account, wait_ms in backlog.waits_ms(policies.accounts).items()
+        }
+        entitled_millis = self._entitled_millis(backlogs, entitlements)
+        waits_ms |= waits_beyond_ms(waits_ms, backlogs, entitled_millis)
+        self.state = AdmissionState(waits_ms, entitled_millis, expected_ms=self._expected_ms)
+
+    def _backlogs(self, states: list[PoolState], now_unix_ms: float) -> dict[str, Backlog]:
+        """Return the remaining work of each pool."""
         backlogs = {state.name: Backlog(_room_millis(state)) for state in states}
         for job in self._table.jobs.values():
             if not job.is_open or job.submission.is_long_running:
@@ -51,12 +82,42 @@
             backlog.add(job, self.correction.factor(job.submission.queue))
             if any(task.status is TaskStatus.WAITING for tasks in ready for task in tasks):
                 backlog.note_waiting()
-        self.waits_ms = {
-            wait_key(pool, account): wait_ms
-            for pool, backlog in backlogs.items()
-            for account, wait_ms in backlog.waits_ms(policies.accounts).items()
+        return backlogs
+
+    def _expected_ms(self, queue: str, declared_ms: float) -> float:
+        return declared_ms * self.correction.factor(queue)
+
+    def _entitled_millis(
+        self, backlogs: dict[str, Backlog], entitlements: Entitlements
+    ) -> dict[str, int]:
+        """Return the entitlement for work that ends, of each account whose demand is beyond it."""
+        if not entitlements.is_short:
+            return {}
+        accounts = {account for backlog in backlogs.values() for account in backlog.work_ms}
+        beyond = [account for account in accounts if entitlements.covered_share(account) < 1.0]
+        lasting_millis = self._lasting_millis() if beyond else {}
+        return {
+            account: _left_millis(entitlements.entitled(account), lasting_millis.get(account, 0))
+            for account in beyond
+            if not math.isinf(entitlements.entitled(account))
         }
 
+    def _lasting_millis(self) -> dict[str, int]:
+        """Return the demand of long-running tasks that are not fillers, by account."""
+        lasting: dict[str, int] = {}
+        for job in self._table.jobs.values():
+            if not job.is_open or not job.submission.is_long_running:
+                continue
+            steps = (step for step in job.submission.steps if step.is_long_running)
+            millis = sum(step.count * step.cpu_millis for step in steps if not step.is_filler)
+            account = job.submission.account
+            lasting[account] = lasting.get(account, 0) + millis
+        return lasting
+
+
+def _left_millis(entitled: float, lasting_millis: int) -> int:
+    return max(1, round(entitled) - lasting_millis)
+
 
 def _room_millis(state: PoolState) -> int:
     sizes = [candidate.size_millis for candidate in state.candidates]
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -15,9 +15,11 @@
 from almondstack.control.services import OwnerServices
 from almondstack.control.wave_controller import WaveController
 from almondstack.jobs import ActiveJob, RecordKind, Task, record_key
+from almondstack.jobs.admission_state import AdmissionState
 from almondstack.ownership import Record
 from almondstack.placement import Policies, Worker, has_room
 from almondstack.placement.backlog import EstimateCorrection
+from almondstack.placement.entitlements import Entitlements
 
 __all__ = ["FleetController"]
 
@@ -66,6 +68,7 @@
     __slots__ = (
         "_admission",
         "_balancer",
+        "_entitlements",
         "_last_round_s",
         "_logged_wanted",
         "_manager",
@@ -90,7 +93,8 @@
         self._manager = InstanceManager(services, token, may_act)
         self._waves = WaveController(services, self._manager)
         self._balancer = PoolBalancer(table, planner, self._manager, services.control.move_s)
-        self._admission = AdmissionWaits(table, planner)
+        self._admission = AdmissionWaits(table, planner, services.index.admission)
+        self._entitlements = Entitlements()
         self._paid_time = PaidTimeRecorder(services.events, services.metrics)
         table.set_end_listener(self._admission.note_end)
         self._last_round_s = 0.0
@@ -104,9 +108,14 @@
         return self._admission.correction
 
     @property
-    def waits_ms(self) -> dict[str, int]:
-        """Expected wait of new work in milliseconds, by pool and client account."""
-        return self._admission.waits_ms
+    def admission(self) -> AdmissionState:
+        """Expected waits of new work, and the accounts whose demand is beyond their entitlement."""
+        return self._admission.state
+
+    @property
+    def entitlements(self) -> Entitlements:
+        """What each client account may use of the fleet."""
+        return self._entitlements
 
     def has_incoming_instances(self, pool: str) -> bool:
         """Whether instances were on their way to a pool in the last round."""
@@ -172,7 +181,7 @@
         states = self._balancer.pools(instances, policies, evacuated, now_s)
         size_millis = median_size_millis(instances)
         self._pools_with_incoming = {state.name for state in states if state.coming}
-        self._admission.update(states, policies, time.time() * 1000.0)
+        self._admission.update(states, policies, self.entitlements, time.time() * 1000.0)
         wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         self._log_pools(states, wanted)
         self._paid_time.record(instances, states, wanted, workers, now_s)
--- a/almondstack/control/journal.py
+++ b/almondstack/control/journal.py
@@ -4,8 +4,10 @@
 import threading
 import time
 
+from almondstack.control.published_admission import published_entitlements, published_waits_ms
 from almondstack.control.services import OwnerServices
 from almondstack.jobs import OwnerNotice, RecordKind, encode_notice, record_key
+from almondstack.jobs.admission_state import AdmissionState
 from almondstack.ownership import (
     MAX_FIRST_SEQUENCE,
     FencedError,
@@ -64,7 +66,7 @@
         self._heartbeat_s = self._written_s
         self._refused_since_s: float | None = None
         self._has_ranges = services.index.notice_has_ranges
-        self._notice = self._make_notice({})
+        self._notice = self._make_notice(AdmissionState(known_s=0.0))
         self._is_closed = threading.Event()
 
     @property
@@ -109,15 +111,16 @@
         self._is_token_due = True
         return self._token + 1
 
-    def write(self, records: list[Record], waits_ms: dict[str, int]) -> int:
+    def write(self, records: list[Record], admission: AdmissionState) -> int:
         """Append records, and a heartbeat notice if one is due or the waits have changed.
 
         Parameters
         ----------
         records : list of Record
             The records to append.
-        waits_ms : dict of str to int
-            The waits that the owner announces; see :class:`OwnerNotice`.
+        admission : AdmissionState
+            The waits that the owner announces; see :class:`OwnerNotice`.  A state that it has not
+            computed is not announced: other processes know the age of the one before.
 
         Returns
         -------
@@ -131,10 +134,10 @@
         """
         if self._is_token_due:
             self._begin_token()
-            self._notice = self._make_notice(waits_ms)
+            self._notice = self._make_notice(admission)
             records = [self._notice_record(self._notice), *records]
-        elif self._needs_heartbeat(waits_ms):
-            self._notice = self._make_notice(waits_ms)
+        elif self._needs_heartbeat(admission):
+            self._notice = self._make_notice(admission)
             records = [*records, self._notice_record(self._notice)]
         return self._write(records)
 
@@ -155,27 +158,29 @@
             self._heartbeat_s = self._written_s
         return end_offset
 
-    def write_last(self, records: list[Record], waits_ms: dict[str, int]) -> int:
+    def write_last(self, records: list[Record], admission: AdmissionState) -> int:
         """Append records and a release of ownership, which carries no waits; see :meth:`write`."""
         notice = OwnerNotice("", self._token, standby=self._services.requests.standby)
         return self._write([*records, self._notice_record(notice)])
 
-    def _needs_heartbeat(self, waits_ms: dict[str, int]) -> bool:
+    def _needs_heartbeat(self, admission: AdmissionState) -> bool:
         age_s = _since_boot_s() - self._heartbeat_s
         return age_s >= self._services.ownership.sign_interval_s or (
-            waits_ms != self._notice.waits_ms
+            published_waits_ms(admission) != self._notice.waits_ms
         )
 
-    def _make_notice(self, waits_ms: dict[str, int]) -> OwnerNotice:
+    def _make_notice(self, admission: AdmissionState) -> OwnerNotice:
         return OwnerNotice(
             self._incarnation,
             self._token,
             self._services.address,
-            waits_ms,
+            published_waits_ms(admission),
             self._services.cores,
             self._services.requests_address,
             self._services.requests.standby,
             self._services.policies().version,
+            published_entitlements(admission),
+            int(time.time() * 1000),
         )
 
     def _notice_record(self, notice: OwnerNotice) -> Record:
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -317,7 +317,7 @@
 
     @_handle.register
     def _(self, event: SubmissionRequest) -> None:
-        job = self._requests.submit(event, self._fleet.waits_ms)
+        job = self._requests.submit(event, self._fleet.admission)
         if job is not None:
             self._activate(job)
 
@@ -441,7 +441,7 @@
         records.extend(self._records.removals())
         write = self._journal.write_last if is_last else self._journal.write
         began_s = time.monotonic()
-        self._requests.answer_stored(write(records, self._fleet.waits_ms))
+        self._requests.answer_stored(write(records, self._fleet.admission))
         self._sessions.use_token(self._journal.token)
         self._delays.note_stored(self._starts, time.monotonic() - began_s)
         for job in list(self._table.jobs.values()):
--- a/almondstack/control/request_handler.py
+++ b/almondstack/control/request_handler.py
@@ -1,15 +1,20 @@
 """Submissions and cancels of callers, answered once the owner's next append has stored them."""
 
+import time
 from collections import OrderedDict
 from typing import NamedTuple
 
 from almondstack.control.planning import Planner
 from almondstack.control.services import OwnerServices
 from almondstack.intake import CancelRequest, OwnerRequest, Receipt, SubmissionRequest, Verdict
+from almondstack.intake.rejections import report_rejection
 from almondstack.intake.verdicts import repeat_verdict
 from almondstack.jobs import ActiveJob, RecordKind, encode_submission, record_key
+from almondstack.jobs.admission_state import AdmissionState
 from almondstack.ownership import Record
-from almondstack.placement.backlog import excess_wait_ms
+from almondstack.placement import QueuePolicy
+from almondstack.placement.admission import Decision, judge
+from almondstack.placement.return_schedule import ReturnSchedule
 
 __all__ = ["RequestHandler"]
 
@@ -19,10 +24,10 @@
 
 
 class _Refusal(NamedTuple):
-    """A refused request, and by how many milliseconds its job would have been late."""
+    """A refused request, and the decision on it."""
 
     request: SubmissionRequest
-    late_ms: float
+    decision: Decision
 
 
 class RequestHandler:
@@ -52,6 +57,7 @@
         "_planner",
         "_refused",
         "_refused_offsets",
+        "_returns",
         "_services",
     )
 
@@ -64,16 +70,17 @@
         self._refused: list[_Refusal] = []
         self._awaiting_read: list[tuple[int, _Refusal]] = []
         self._refused_offsets: OrderedDict[str, int] = OrderedDict()
+        self._returns = ReturnSchedule()
 
-    def submit(self, request: SubmissionRequest, waits_ms: dict[str, int]) -> ActiveJob | None:
+    def submit(self, request: SubmissionRequest, admission: AdmissionState) -> ActiveJob | None:
         """Handle a submission; return its job if the next append stores it as accepted.
 
         Parameters
         ----------
         request : SubmissionRequest
             The request; it is ignored if its caller has withdrawn it.
-        waits_ms : dict of str to int
-            Estimated wait of new work in milliseconds, by pool and client account.
+        admission : AdmissionState
+            Estimated waits of new work.
         """
         if not request.take():
             return None
@@ -89,10 +96,13 @@
             request.answer(Receipt(Verdict.NOT_STORED))
             return None
         policy = self._planner.policy_of(submission)
-        late_ms = excess_wait_ms(waits_ms, submission, policy)
-        if late_ms > 0:
-            self._refused.append(_Refusal(request, late_ms))
+        decision = self._decide(request, admission, policy)
+        if not decision.is_accepted:
+            self._refused.append(_Refusal(request, decision))
+            report_rejection(self._services, job, submission, policy, decision)
             return None
+        self._returns.release(submission.account, job)
+        admission.note_accepted(submission)
         self._accepted[job] = request
         return ActiveJob(job, submission, policy.max_attempts)
 
@@ -165,11 +175,22 @@
         for request in requests:
             request.answer(Receipt(Verdict.UNCLEAR))
 
+    def _decide(
+        self, request: SubmissionRequest, admission: AdmissionState, policy: QueuePolicy
+    ) -> Decision:
+        """Decide on a submission; a rejected one gets its place in the order of return."""
+        job, account = request.job, request.submission.account
+        now_s = time.monotonic()
+        ahead_ms = self._returns.ahead_ms(account, job, now_s)
+        decision = judge(admission, request.submission, policy, now_s, ahead_ms)
+        return self._returns.reserve(account, job, decision, now_s)
+
     def _answer_refusal(self, refusal: _Refusal) -> None:
         request = refusal.request
         entry = self._services.index.entry(request.job)
         if entry is None:
-            request.answer(Receipt(Verdict.FULL, refusal.late_ms))
+            decision = refusal.decision
+            request.answer(Receipt(Verdict.FULL, decision.late_ms, decision.retry_s))
             return
         request.answer(Receipt(repeat_verdict(request.submission, entry)))
 
--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -22,9 +22,9 @@
     forget_an_end_by_a_late_acknowledgement,
     forget_later_ends_by_a_late_acknowledgement,
 )
-from almondstack.intake import Verdict
-from almondstack.intake import service as intake_service
+from almondstack.intake import Verdict, direct_admission
 from almondstack.jobs import JobState, RunEnd, Submission
+from almondstack.testing.job_builders import make_rejection
 from almondstack.testing.owner_mutations import MUTATIONS
 from almondstack.testing.owner_oracle import RuleBrokenError
 from almondstack.testing.owner_world import OwnerWorld, WorldProcess
@@ -217,8 +217,8 @@
     def resubmit(self, process, job, late_ms):
         """Submit a job again, with an estimate that it would end ``late_ms`` too late."""
         with contextlib.ExitStack() as stack:
-            for module in (request_handler, intake_service):
-                late = mock.patch.object(module, "excess_wait_ms", lambda *_arguments: late_ms)
+            for module in (request_handler, direct_admission):
+                late = mock.patch.object(module, "judge", lambda *_: make_rejection(late_ms))
                 stack.enter_context(late)
             return self.world.submit(process, job, self.world.oracle.submissions[job])
 
--- a/almondstack/control/tests/test_refusals.py
+++ b/almondstack/control/tests/test_refusals.py
@@ -9,7 +9,7 @@
 from almondstack.intake import Verdict
 from almondstack.jobs import Submission
 from almondstack.ownership import StoreRefusedError
-from almondstack.testing.job_builders import make_step
+from almondstack.testing.job_builders import make_rejection, make_step
 from almondstack.testing.owner_world import OwnerWorld
 
 _JOB = "0" * 16
@@ -28,7 +28,7 @@
 @contextlib.contextmanager
 def _full_queue():
     """Estimate for every job that it would end too late."""
-    with mock.patch.object(request_handler, "excess_wait_ms", lambda *_arguments: 1_000.0):
+    with mock.patch.object(request_handler, "judge", lambda *_arguments: make_rejection(1_000.0)):
         yield
 
 
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -7,6 +7,7 @@
 from almondstack.intake.append_retries import AppendRetries
 from almondstack.intake.attempts import UnresolvedAttempts
 from almondstack.intake.direct import DirectStorage, DirectSubmission
+from almondstack.intake.direct_admission import DirectAdmission
 from almondstack.intake.errors import OwnerError, OwnerNotReachedError, OwnerUnclearError
 from almondstack.intake.ports import OwnerPort, StoreReader
 from almondstack.intake.requests import CancelRequest, SubmissionRequest
@@ -17,7 +18,6 @@
 from almondstack.ownership.errors import StoreError
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.placement import QueuePolicy
-from almondstack.placement.backlog import excess_wait_ms
 
 __all__ = ["JobService"]
 
@@ -25,9 +25,6 @@
 """A process whose last read of the whole log is older than the interval between reads by more
 than this does not use the store for callers."""
 
-_MAX_NOTICE_AGE_S = 2.5
-"""Older notices of the owner are not used to predict how late a job would be."""
-
 _OWNER_RETRY_PAUSE_S = 0.05
 """Interval of retries at another owner while the store is slow."""
 
@@ -61,6 +58,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_appends",
         "_attempts",
         "_direct",
@@ -87,6 +85,7 @@
         self._owner = owner
         self._appends = AppendRetries(store.latency, events, metrics)
         self._direct = DirectStorage(store, index, reader, self._appends)
+        self._admission = DirectAdmission(index, events, metrics)
         self._attempts = UnresolvedAttempts()
         self._events = events
         self._metrics = metrics
@@ -217,9 +216,11 @@
         timeout_s: float,
     ) -> Receipt:
         job = wanted.job
-        late_ms = self._excess_wait_ms(submission, policy)
-        if late_ms > 0 or self._is_behind:
-            return Receipt(self._not_stored(job), late_ms)
+        if self._is_behind:
+            return Receipt(self._not_stored(job))
+        decision = self._admission.decide(job, submission, policy)
+        if not decision.is_accepted:
+            return Receipt(self._not_stored(job), decision.late_ms, decision.retry_s)
         self._attempts.begin(job)
         verdict = self._direct.submit(wanted, timeout_s)
         if verdict is Verdict.NOT_STORED:
@@ -240,13 +241,6 @@
         """Return the time-out of a request to the owner, which itself waits for a slow store."""
         return timeout_s if self._store.latency.is_slow else min(_OWNER_TIMEOUT_S, timeout_s)
 
-    def _excess_wait_ms(self, submission: Submission, policy: QueuePolicy) -> float:
-        """Return how late a job would be by the owner's last notice, in milliseconds."""
-        notice = self._index.notice
-        if notice is None or self._index.notice_age_s > _MAX_NOTICE_AGE_S:
-            return 0.0
-        return excess_wait_ms(notice.waits_ms, submission, policy)
-
     def _not_stored(self, job: str) -> Verdict:
         """Return the verdict for a job that this attempt has not stored but others may have."""
         return Verdict.UNCLEAR if self._attempts.may_be_stored(job) else Verdict.NOT_STORED
--- a/almondstack/intake/verdicts.py
+++ b/almondstack/intake/verdicts.py
@@ -19,10 +19,21 @@
 
 
 class Receipt(NamedTuple):
-    """A verdict and, for a refused job, how late it would have been, in milliseconds."""
+    """A verdict and, for a refused job, what its caller is told.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        Outcome of the request.
+    late_ms : float
+        By how much the job would have ended too late, in milliseconds.
+    retry_s : int
+        Seconds after which the caller should return; 0 if the owner has set no time.
+    """
 
     verdict: Verdict
     late_ms: float = 0.0
+    retry_s: int = 0
 
 
 class _HasAccount(Protocol):
--- a/almondstack/jobs/job_index.py
+++ b/almondstack/jobs/job_index.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from almondstack.core import PartLogger
+from almondstack.jobs.admission_state import AdmissionState, state_after
 from almondstack.jobs.errors import RecordError
 from almondstack.jobs.model import JobState
 from almondstack.jobs.progress import MAX_LISTED_TASKS, decode_state
@@ -24,6 +25,8 @@
 _MAX_REFUSED_JOBS = 4_096
 """Bound on the jobs whose refusals are counted; the least recently refused are evicted first."""
 
+_NOTHING_KNOWN = AdmissionState(known_s=0.0)
+
 _log = PartLogger("jobs")
 
 
@@ -110,6 +113,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_cancelled",
         "_entries",
         "_fleet_records",
@@ -117,7 +121,6 @@
         "_lock",
         "_notice",
         "_notice_has_ranges",
-        "_notice_s",
         "_owner_record_s",
         "_refusals",
         "_resyncs",
@@ -128,7 +131,7 @@
         self._cancelled: set[str] = set()
         self._notice: OwnerNotice | None = None
         self._notice_has_ranges = False
-        self._notice_s = 0.0
+        self._admission: AdmissionState | None = None
         self._owner_record_s = 0.0
         self._refusals: OrderedDict[str, int] = OrderedDict()
         self._resyncs = 0
@@ -160,9 +163,9 @@
             )
 
     @property
-    def notice_age_s(self) -> float:
-        """Seconds since the owner's newest notice was read."""
-        return time.monotonic() - self._notice_s
+    def admission(self) -> AdmissionState:
+        """The waits in the last notice that has any, and what was accepted since."""
+        return self._admission or _NOTHING_KNOWN
 
     @property
     def owner_record_s(self) -> float:
@@ -245,7 +248,10 @@
             if kind is RecordKind.OWNER:
                 self._notice = decode_notice(value)
                 self._notice_has_ranges = has_ranges(value)
-                self._notice_s = self._owner_record_s = time.monotonic()
+                self._owner_record_s = time.monotonic()
+                self._admission = state_after(
+                    self._admission, self._notice, self._owner_record_s, time.time()
+                )
                 return False
             if kind is RecordKind.REFUSAL:
                 self._count_refusal(job)
@@ -274,6 +280,8 @@
         entry = JobEntry(value)
         entry.is_cancelled = job in self._cancelled
         self._entries[job] = entry
+        if self._admission is not None and entry.account in self._admission.beyond:
+            self._admission.note_accepted(decode_submission(value))
         return True
 
     def _apply_cancel(self, job: str, value: bytes) -> bool:
--- a/almondstack/jobs/records.py
+++ b/almondstack/jobs/records.py
@@ -67,6 +67,12 @@
         Incarnation of the process that should own the jobs next; empty if any may.
     configuration : int
         Version of the configuration that the owner uses.
+    entitled_millis : dict of str to int or None
+        Thousandths of a core to which an account is entitled, for each account with a wait whose
+        demand is beyond that; None if the notice says nothing of admission, as a claim and a
+        release do.
+    written_unix_ms : int
+        Unix time of writing in milliseconds, by the owner's clock; 0 if not reported.
     """
 
     owner: str
@@ -77,6 +83,8 @@
     requests_address: str = ""
     standby: str = ""
     configuration: int = 0
+    entitled_millis: dict[str, int] | None = None
+    written_unix_ms: int = 0
 
 
 _FORMAT = b"\x02"
--- a/almondstack/jobs/tests/test_shared_forms.py
+++ b/almondstack/jobs/tests/test_shared_forms.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from almondstack.intake import Verdict
 from almondstack.jobs import JobState, TaskKey, TaskRecord, TaskStatus
 from almondstack.jobs.progress import decode_progress, decode_state
 from almondstack.testing.shared_forms import SAMPLES
@@ -49,6 +50,38 @@
     assert (decode_state(value), decode_progress(value)) == (JobState.RUNNING, tasks)
 
 
+class _EarlierNotice(msgspec.Struct, frozen=True, array_like=True):
+    """The notice as builds before the one of admission under contention read it."""
+
+    owner: str
+    token: int
+    address: str = ""
+    waits_ms: dict[str, int] = {}
+    cores: float = 0.0
+    requests_address: str = ""
+    standby: str = ""
+    configuration: int = 0
+
+
+class _EarlierReceipt(msgspec.Struct, frozen=True, array_like=True):
+    """The receipt as those builds read it."""
+
+    verdict: Verdict
+    late_ms: float = 0.0
+
+
+@pytest.mark.parametrize(
+    ("name", "form"),
+    [("notice, admission", _EarlierNotice), ("receipt reply, return", _EarlierReceipt)],
+)
+def test_builds_before_return_times_read_what_they_know(name, form):
+    sample = SAMPLES[name]
+    encoded = sample.encode(sample.value).removeprefix(b"\x02")
+    found = msgspec.msgpack.decode(encoded, type=form)
+    known = {field: getattr(sample.value, field) for field in form.__struct_fields__}
+    assert msgspec.structs.asdict(found) == known
+
+
 @pytest.mark.parametrize("name", ["submission", "notice", "submission call", "receipt reply"])
 def test_a_field_that_a_later_build_adds_is_skipped(name):
     """Guards against a later build whose records this one takes for unreadable."""
--- /dev/null
+++ b/almondstack/placement/admission.py
@@ -0,0 +1,170 @@
+"""Decides whether a submission is accepted, and when its caller should return if it is not.
+
+Explanation
+-----------
+An account that is within its entitlement is accepted while its job's end can be of use
+(:func:`~almondstack.placement.backlog.excess_wait_ms`).  An account whose demand is beyond its
+entitlement of a short fleet is accepted while its job can end within its objective at the rate
+of that entitlement, behind its own work and behind the callers that were told to return.
+
+See Also
+--------
+almondstack.placement.return_schedule : Return times of rejected callers.
+"""
+
+import math
+from enum import StrEnum
+from typing import NamedTuple
+
+from almondstack.jobs import Submission, chain_lengths_ms
+from almondstack.jobs.admission_state import AdmissionState, core_ms, wait_key
+from almondstack.placement.backlog import excess_wait_ms
+from almondstack.placement.order import LATE_FACTOR
+from almondstack.placement.policies import QueuePolicy
+
+__all__ = ["Decision", "RejectionReason", "judge"]
+
+_RESERVED_SHARE = 0.5
+"""Share of the wait that a job may have, up to which it gives way to callers told to return: they
+may not come, and the account's entitlement must not lie idle then."""
+
+_MILLIS = 1000.0
+
+
+class RejectionReason(StrEnum):
+    """Why a submission is rejected."""
+
+    NO_USE = "no-use"
+    BEYOND_ENTITLEMENT = "beyond-entitlement"
+    TOO_LARGE = "too-large"
+
+
+class Decision(NamedTuple):
+    """Decision on a submission, with what it was made from.
+
+    Parameters
+    ----------
+    reason : RejectionReason or None
+        Why it is rejected; None if it is accepted.
+    late_ms : float
+        By how much the job would miss the time by which it must end; 0 if accepted.
+    wait_ms : float
+        How long new work of the account waits in the pool.
+    entitled_millis : float
+        Entitlement in thousandths of a core; infinite if the account is within it.
+    work_ms : float
+        Expected work of the job in milliseconds of one core; 0 if the account is within its
+        entitlement.
+    age_s : float
+        Age of the state that the decision was made from, in seconds.
+    retry_s : int
+        Seconds after which the caller should return; 0 if the job has no place in the order of
+        return.
+    """
+
+    reason: RejectionReason | None = None
+    late_ms: float = 0.0
+    wait_ms: float = 0.0
+    entitled_millis: float = math.inf
+    work_ms: float = 0.0
+    age_s: float = 0.0
+    retry_s: int = 0
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether the submission is accepted."""
+        return self.reason is None
+
+    @property
+    def run_ms(self) -> float:
+        """How long the account's entitlement takes for the job's work, in milliseconds."""
+        return self.work_ms * _MILLIS / self.entitled_millis
+
+
+def judge(
+    state: AdmissionState,
+    submission: Submission,
+    policy: QueuePolicy,
+    now_s: float,
+    ahead_ms: float = 0.0,
+) -> Decision:
+    """Decide on a submission that arrives at the monotonic time ``now_s``.
+
+    Parameters
+    ----------
+    state : AdmissionState
+        The waits and the accounts beyond their entitlement.
+    submission : Submission
+        The job; scheduled and long-running jobs are accepted.
+    policy : QueuePolicy
+        Policy of the job's queue.
+    now_s : float
+        Monotonic time in seconds.
+    ahead_ms : float
+        Work of callers of the account that were told to return before this one, in milliseconds
+        of one core.
+    """
+    if submission.is_scheduled or submission.is_long_running:
+        return Decision()
+    key = wait_key(policy.pool, submission.account)
+    if not state.has_wait(key):
+        return Decision()
+    if math.isinf(state.entitled_millis(submission.account)):
+        return _judge_within(state, submission, policy, now_s)
+    return _judge_beyond(state, submission, policy, now_s, ahead_ms)
+
+
+def _judge_within(
+    state: AdmissionState, submission: Submission, policy: QueuePolicy, now_s: float
+) -> Decision:
+    wait_ms = state.wait_ms(policy.pool, submission.account, now_s)
+    key = wait_key(policy.pool, submission.account)
+    late_ms = excess_wait_ms({key: wait_ms}, submission, policy)
+    reason = RejectionReason.NO_USE if late_ms > 0 else None
+    return Decision(reason, late_ms, wait_ms, age_s=state.age_s(now_s))
+
+
+def _judge_beyond(
+    state: AdmissionState,
+    submission: Submission,
+    policy: QueuePolicy,
+    now_s: float,
+    ahead_ms: float,
+) -> Decision:
+    decision = Decision(
+        wait_ms=state.wait_ms(policy.pool, submission.account, now_s),
+        entitled_millis=state.entitled_millis(submission.account),
+        work_ms=state.expected_ms(submission, core_ms(submission)),
+        age_s=state.age_s(now_s),
+    )
+    room_ms = _room_ms(state, submission, policy, decision.run_ms)
+    if room_ms < 0:
+        return _rejected(decision, RejectionReason.TOO_LARGE, -room_ms)
+    ahead_wait_ms = ahead_ms * _MILLIS / decision.entitled_millis
+    if decision.wait_ms + min(ahead_wait_ms, _RESERVED_SHARE * room_ms) <= room_ms:
+        return decision
+    late_ms = decision.wait_ms + ahead_wait_ms - room_ms
+    return _rejected(decision, RejectionReason.BEYOND_ENTITLEMENT, late_ms)
+
+
+def _room_ms(
+    state: AdmissionState, submission: Submission, policy: QueuePolicy, run_ms: float
+) -> float:
+    """Return how long a job may wait to end in time; negative if it can't even without a wait.
+
+    Explanation
+    -----------
+    Where runs are known to take longer than the objective, no end would be in time: the last
+    useful end counts then, so that a queue whose estimates are too low is not shut out.
+    """
+    declared_ms = max(chain_lengths_ms(submission.steps), default=0)
+    chain_ms = state.expected_ms(submission, declared_ms)
+    due_ms = policy.stretch * declared_ms + policy.objective_ms
+    if chain_ms > due_ms:
+        due_ms *= LATE_FACTOR
+        chain_ms = min(chain_ms, due_ms)
+    return due_ms - max(chain_ms, run_ms)
+
+
+def _rejected(decision: Decision, reason: RejectionReason, late_ms: float) -> Decision:
+    return decision._replace(reason=reason, late_ms=late_ms)
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -3,10 +3,18 @@
 from collections.abc import Mapping
 
 from almondstack.jobs import ActiveJob, Submission, Task, TaskStatus, chain_lengths_ms
+from almondstack.jobs.admission_state import wait_key
 from almondstack.placement.order import LATE_FACTOR
 from almondstack.placement.policies import AccountPolicy, QueuePolicy
 
-__all__ = ["Backlog", "EstimateCorrection", "excess_wait_ms", "is_in_time", "wait_key"]
+__all__ = [
+    "Backlog",
+    "EstimateCorrection",
+    "excess_wait_ms",
+    "is_in_time",
+    "wait_key",
+    "waits_beyond_ms",
+]
 
 _WAIT_STEP_MS = 100
 """Waits are rounded down to a multiple of this, so that small changes are not published."""
@@ -72,6 +80,16 @@
         self._work_ms: dict[str, float] = {}
         self._has_waiting = False
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a ready task finds no worker with room."""
+        return self._has_waiting
+
+    @property
+    def work_ms(self) -> Mapping[str, float]:
+        """Remaining work by client account, in milliseconds of one core."""
+        return self._work_ms
+
     def add(self, job: ActiveJob, factor: float) -> None:
         """Add the remaining work of a job that can still end in time, scaled by ``factor``."""
         work_ms = sum(_work_left_ms(task) for task in job.tasks())
@@ -116,6 +134,38 @@
         return sum(self._work_ms.values()) * 1000.0 / max(1, self._room_millis)
 
 
+def waits_beyond_ms(
+    waits_ms: Mapping[str, int],
+    backlogs: Mapping[str, Backlog],
+    entitled_millis: Mapping[str, int],
+) -> dict[str, int]:
+    """Return the waits of accounts whose demand is beyond their entitlement, in milliseconds.
+
+    Explanation
+    -----------
+    Such an account's work in all pools drains at the rate of its entitlement of the fleet.  Its
+    wait in a pool is that time, or the pool's own wait if that is longer.
+
+    Parameters
+    ----------
+    waits_ms : mapping of str to int
+        Waits by the size of each pool, by :func:`wait_key`.
+    backlogs : mapping of str to Backlog
+        Remaining work by pool.
+    entitled_millis : mapping of str to int
+        Entitlement in thousandths of a core, of each such account.
+    """
+    found = {}
+    pools = [pool for pool, backlog in backlogs.items() if backlog.has_waiting]
+    for account, millis in entitled_millis.items():
+        work_ms = sum(backlog.work_ms.get(account, 0.0) for backlog in backlogs.values())
+        drain_ms = _rounded(min(work_ms * 1000.0 / max(1, millis), _MAX_WAIT_MS))
+        for pool in pools:
+            key = wait_key(pool, account)
+            found[key] = max(drain_ms, waits_ms.get(key, 0))
+    return found
+
+
 def is_in_time(wait_ms: float, chain_ms: float, objective_ms: float) -> bool:
     """Return whether a job that waits ``wait_ms`` can still end within its objective.
 
@@ -129,13 +179,8 @@
     return wait_ms + chain_ms <= objective_ms
 
 
-def wait_key(pool: str, account: str) -> str:
-    """Return the key under which the wait of an account in a pool is published."""
-    return f"{pool}/{account}"
-
-
 def excess_wait_ms(
-    waits_ms: Mapping[str, int], submission: Submission, policy: QueuePolicy
+    waits_ms: Mapping[str, float], submission: Submission, policy: QueuePolicy
 ) -> float:
     """Return the milliseconds by which a job that arrives now would miss its last useful end.
 
@@ -147,8 +192,8 @@
 
     Parameters
     ----------
-    waits_ms : mapping of str to int
-        How long new work would wait, by :func:`wait_key`.
+    waits_ms : mapping of str to float
+        How long new work would wait, in milliseconds, by :func:`wait_key`.
     submission : Submission
         The job.
     policy : QueuePolicy
--- /dev/null
+++ b/almondstack/placement/return_schedule.py
@@ -0,0 +1,140 @@
+"""Return times of rejected callers, in the order in which their calls came.
+
+Explanation
+-----------
+Rejected calls of an account form a virtual queue that is served at the rate of the account's
+entitlement, as in the virtual scheduling form of the generic cell rate algorithm (ITU-T I.371).
+Return times are whole seconds from the call, the form of ``Retry-After`` (RFC 9110, section
+10.2.3).
+"""
+
+import math
+from typing import NamedTuple
+
+from almondstack.placement.admission import Decision, RejectionReason
+
+__all__ = ["ReturnSchedule"]
+
+_MAX_ACCOUNTS = 256
+_MAX_RETURNS = 128
+"""Reservations of one account; later calls get return times without one."""
+
+_MAX_RETRY_S = 60
+"""Longest time after which a caller is told to return, in seconds."""
+
+_GRACE_S = 2.0
+"""How long a reservation is kept after its return time, in seconds."""
+
+_MS = 1000.0
+
+
+class _Return(NamedTuple):
+    """Reservation of a caller: its return time in monotonic seconds, and its job's work."""
+
+    due_s: float
+    work_ms: float
+
+
+class _AccountReturns:
+    """Reservations of one account in order of arrival, and the end of its virtual queue.
+
+    Attributes
+    ----------
+    returns : dict of str to _Return
+        Reservations by job.
+    free_s : float
+        Monotonic time at which the account's entitlement is free after the last of them.
+    last_due_s : float
+        Latest return time that was given.
+    """
+
+    __slots__ = ("free_s", "last_due_s", "returns")
+
+    def __init__(self) -> None:
+        self.returns: dict[str, _Return] = {}
+        self.free_s = 0.0
+        self.last_due_s = 0.0
+
+    def drop_lapsed(self, now_s: float) -> None:
+        """Remove reservations whose callers have not returned."""
+        self.returns = {
+            job: found for job, found in self.returns.items() if found.due_s + _GRACE_S >= now_s
+        }
+
+
+class ReturnSchedule:
+    """Keeps a bounded number of reservations for callers that were told to return.
+
+    Examples
+    --------
+    >>> schedule = ReturnSchedule()
+    >>> rejected = Decision(
+    ...     RejectionReason.BEYOND_ENTITLEMENT, 500.0, entitled_millis=1_000.0, work_ms=2_000.0
+    ... )
+    >>> [schedule.reserve("a", job, rejected, now_s=10.0).retry_s for job in ("1", "2", "3")]
+    [1, 3, 5]
+    >>> schedule.ahead_ms("a", "2", now_s=13.0), schedule.ahead_ms("a", "new", now_s=13.0)
+    (2000.0, 6000.0)
+    """
+
+    __slots__ = ("_accounts",)
+
+    def __init__(self) -> None:
+        self._accounts: dict[str, _AccountReturns] = {}
+
+    def ahead_ms(self, account: str, job: str, now_s: float) -> float:
+        """Return the work reserved ahead of a call, in milliseconds of one core."""
+        found = self._accounts.get(account)
+        if found is None:
+            return 0.0
+        found.drop_lapsed(now_s)
+        total_ms = 0.0
+        for name, reserved in found.returns.items():
+            if name == job:
+                break
+            total_ms += reserved.work_ms
+        return total_ms
+
+    def release(self, account: str, job: str) -> None:
+        """Remove the reservation of a job that is accepted."""
+        found = self._accounts.get(account)
+        if found is not None:
+            found.returns.pop(job, None)
+
+    def reserve(self, account: str, job: str, decision: Decision, now_s: float) -> Decision:
+        """Return a rejection with its return time, and keep a reservation for it.
+
+        Explanation
+        -----------
+        A caller that returns keeps its place.  A later call is told to return no earlier than
+        all before it, and after the time that the account's entitlement takes for theirs.  Only
+        calls that wait for their account's own queue get a place.
+        """
+        if decision.reason is not RejectionReason.BEYOND_ENTITLEMENT:
+            return decision
+        found = self._accounts.get(account) or self._add(account, now_s)
+        due_s = now_s + decision.late_ms / _MS
+        is_new = job not in found.returns
+        if is_new:
+            due_s = max(due_s, found.free_s)
+            found.free_s = min(due_s + decision.run_ms / _MS, now_s + _MAX_RETRY_S)
+            due_s = max(due_s, found.last_due_s)
+        retry_s = min(_MAX_RETRY_S, max(1, math.ceil(due_s - now_s)))
+        found.last_due_s = max(found.last_due_s, now_s + retry_s)
+        if not is_new or len(found.returns) < _MAX_RETURNS:
+            found.returns[job] = _Return(now_s + retry_s, decision.work_ms)
+        return decision._replace(retry_s=retry_s)
+
+    def _add(self, account: str, now_s: float) -> _AccountReturns:
+        if len(self._accounts) >= _MAX_ACCOUNTS:
+            self._drop_idle(now_s)
+        self._accounts[account] = found = _AccountReturns()
+        return found
+
+    def _drop_idle(self, now_s: float) -> None:
+        """Remove accounts without reservations, or else the one that came first."""
+        for found in self._accounts.values():
+            found.drop_lapsed(now_s)
+        self._accounts = {name: found for name, found in self._accounts.items() if found.returns}
+        if len(self._accounts) >= _MAX_ACCOUNTS:
+            del self._accounts[next(iter(self._accounts))]
--- a/almondstack/platform/job_api.py
+++ b/almondstack/platform/job_api.py
@@ -206,13 +206,13 @@
         if verdict in (Verdict.DONE, Verdict.KNOWN):
             return Response(200, {})
         if verdict is Verdict.FULL:
-            wait_s = receipt.late_ms / 1000.0 + _retry_jitter_s(job)
+            wait_s = receipt.retry_s or receipt.late_ms / 1000.0 + _retry_jitter_s(job)
             return Response(429, {"error": "the queue is full; the job was not stored"}, wait_s)
         if verdict is Verdict.UNCLEAR:
             return Response(504, {"error": "it is not known whether the job was stored"})
         if verdict is Verdict.CONFLICT:
             return Response(409, {"error": "another account has a job of that id"})
-        return _unavailable("the job was not stored")
+        return _unavailable("the job was not stored", receipt.retry_s)
 
 
 class JobApiServer(PlatformHttpServer):
@@ -294,8 +294,8 @@
         req.write(content)
 
 
-def _unavailable(error: str) -> Response:
-    return Response(503, {"error": error}, _RETRY_AFTER_OUTAGE_S)
+def _unavailable(error: str, retry_s: int = 0) -> Response:
+    return Response(503, {"error": error}, retry_s or _RETRY_AFTER_OUTAGE_S)
 
 
 def _retry_jitter_s(job: str) -> float:
--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -238,4 +238,4 @@
         found = decode_with(_receipt_decoder, reply.body)
     except CodecError as error:
         raise OwnerUnclearError(f"reply of the owner is malformed: {error}") from error
-    return Receipt(found.verdict, found.late_ms)
+    return Receipt(found.verdict, found.late_ms, found.retry_s)
--- a/almondstack/relay/messages.py
+++ b/almondstack/relay/messages.py
@@ -74,6 +74,7 @@
 
     verdict: Verdict
     late_ms: float = 0.0
+    retry_s: int = 0
 
 
 class OwnerReply(msgspec.Struct, frozen=True, array_like=True):
--- a/almondstack/relay/server.py
+++ b/almondstack/relay/server.py
@@ -110,7 +110,7 @@
             receipt = Receipt(Verdict.UNCLEAR)
         if receipt is None:
             return b"404 Not Found", b""
-        return b"200 OK", _encoder.encode(ReceiptReply(receipt.verdict, receipt.late_ms))
+        return b"200 OK", _encoder.encode(ReceiptReply(*receipt))
 
     def _owner(self) -> OwnerReply:
         notice = self.req.server.notice()
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -14,6 +14,7 @@
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, RunEnd, Step, Submission, Task, format_task_name
 from almondstack.placement import QueuePolicy, Resources, Worker, WorkerInfo
+from almondstack.placement.admission import Decision, RejectionReason
 
 __all__ = [
     "AllowAllAdvisor",
@@ -23,6 +24,7 @@
     "look",
     "make_job",
     "make_policy",
+    "make_rejection",
     "make_step",
     "make_table",
     "make_worker",
@@ -58,6 +60,11 @@
     return QueuePolicy(**{"name": "q", "pool": "p", "stretch": 1.5, "objective_ms": 500, **fields})
 
 
+def make_rejection(late_ms: float) -> Decision:
+    """Return the decision on a job that would end too late by ``late_ms``; accepted if 0."""
+    return Decision(RejectionReason.NO_USE, late_ms) if late_ms > 0 else Decision()
+
+
 class AllowAllAdvisor:
     """Allows every worker to run every step."""
 
--- a/almondstack/testing/owner_world.py
+++ b/almondstack/testing/owner_world.py
@@ -73,10 +73,12 @@
     "almondstack.control.job_records",
     "almondstack.control.journal",
     "almondstack.control.owner",
+    "almondstack.control.request_handler",
     "almondstack.control.session",
     "almondstack.control.sessions",
     "almondstack.intake.append_retries",
     "almondstack.intake.direct",
+    "almondstack.intake.direct_admission",
     "almondstack.intake.service",
     "almondstack.jobs.job_index",
 )
--- a/almondstack/testing/shared_forms.py
+++ b/almondstack/testing/shared_forms.py
@@ -83,6 +83,13 @@
 _NOTICE = OwnerNotice(
     "edge-1/0a1b", 7, "127.0.0.1:1", {"p/a": 300}, 2.0, "127.0.0.1:2", "edge-2/3c4d", 12
 )
+_SHORT_NOTICE = OwnerNotice(
+    "edge-1/0a1b",
+    7,
+    waits_ms={"p/a": 300},
+    entitled_millis={"a": 1_280},
+    written_unix_ms=1_700_000_000_000,
+)
 _SENDER = Sender("edge-2/3c4d", 1.5, 0.25, "a")
 
 
@@ -132,6 +139,7 @@
     ),
     "notice, ranged": Sample(_NOTICE, _encode_ranged_notice, decode_notice),
     "notice": Sample(_NOTICE, encode_notice, decode_notice),
+    "notice, admission": Sample(_SHORT_NOTICE, encode_notice, decode_notice),
     "notice, released": Sample(OwnerNotice("", 7), encode_notice, decode_notice),
     "wave": Sample(
         ["m-1", "m-2"], msgspec.msgpack.encode, msgspec.msgpack.Decoder(list[str]).decode
@@ -139,6 +147,7 @@
     "submission call": _message(SubmissionCall(7, 900, "0" * 16, _SUBMISSION, 1_234, _SENDER)),
     "cancel call": _message(CancelCall(7, 900, "0" * 16, _SENDER)),
     "receipt reply": _message(ReceiptReply(Verdict.FULL, 250.0)),
+    "receipt reply, return": _message(ReceiptReply(Verdict.FULL, 250.0, 3)),
     "owner reply": _message(OwnerReply(8, "127.0.0.1:3")),
 }
 """The samples by name."""
