--- a/almondstack/control/request_handler.py
+++ b/almondstack/control/request_handler.py
@@ -102,7 +102,9 @@
             report_rejection(self._services, job, submission, policy, decision)
             return None
         self._returns.release(submission.account, job)
-        admission.note_accepted(submission)
+        if admission.is_current:
+            # A state that was read is kept by the job index, which adds what is stored.
+            admission.note_accepted(submission)
         self._accepted[job] = request
         return ActiveJob(job, submission, policy.max_attempts)
 
@@ -181,8 +183,8 @@
         """Decide on a submission; a rejected one gets its place in the order of return."""
         job, account = request.job, request.submission.account
         now_s = time.monotonic()
-        ahead_ms = self._returns.ahead_ms(account, job, now_s)
-        decision = judge(admission, request.submission, policy, now_s, ahead_ms)
+        held_ms = self._returns.held_ms(account, job, now_s)
+        decision = judge(admission, request.submission, policy, now_s, held_ms)
         return self._returns.reserve(account, job, decision, now_s)
 
     def _answer_refusal(self, refusal: _Refusal) -> None:
--- a/almondstack/intake/direct_admission.py
+++ b/almondstack/intake/direct_admission.py
@@ -41,8 +41,8 @@
         account = submission.account
         now_s = time.monotonic()
         with self._lock:
-            ahead_ms = self._returns.ahead_ms(account, job, now_s)
-            decision = judge(self._index.admission, submission, policy, now_s, ahead_ms)
+            held_ms = self._returns.held_ms(account, job, now_s)
+            decision = judge(self._index.admission, submission, policy, now_s, held_ms)
             decision = self._returns.reserve(account, job, decision, now_s)
             if decision.is_accepted:
                 self._returns.release(account, job)
--- a/almondstack/placement/admission.py
+++ b/almondstack/placement/admission.py
@@ -24,10 +24,6 @@
 
 __all__ = ["Decision", "RejectionReason", "judge"]
 
-_RESERVED_SHARE = 0.5
-"""Share of the wait that a job may have, up to which it gives way to callers told to return: they
-may not come, and the account's entitlement must not lie idle then."""
-
 _MILLIS = 1000.0
 
 
@@ -86,7 +82,7 @@
     submission: Submission,
     policy: QueuePolicy,
     now_s: float,
-    ahead_ms: float = 0.0,
+    held_ms: float = 0.0,
 ) -> Decision:
     """Decide on a submission that arrives at the monotonic time ``now_s``.
 
@@ -100,9 +96,9 @@
         Policy of the job's queue.
     now_s : float
         Monotonic time in seconds.
-    ahead_ms : float
-        Work of callers of the account that were told to return before this one, in milliseconds
-        of one core.
+    held_ms : float
+        Work for which room is held, of callers of the account that were told to return now, in
+        milliseconds of one core.
     """
     if submission.is_scheduled or submission.is_long_running:
         return Decision()
@@ -111,7 +107,7 @@
         return Decision()
     if math.isinf(state.entitled_millis(submission.account)):
         return _judge_within(state, submission, policy, now_s)
-    return _judge_beyond(state, submission, policy, now_s, ahead_ms)
+    return _judge_beyond(state, submission, policy, now_s, held_ms)
 
 
 def _judge_within(
@@ -129,7 +125,7 @@
     submission: Submission,
     policy: QueuePolicy,
     now_s: float,
-    ahead_ms: float,
+    held_ms: float,
 ) -> Decision:
     decision = Decision(
         wait_ms=state.wait_ms(policy.pool, submission.account, now_s),
@@ -140,10 +136,11 @@
     room_ms = _room_ms(state, submission, policy, decision.run_ms)
     if room_ms < 0:
         return _rejected(decision, RejectionReason.TOO_LARGE, -room_ms)
-    ahead_wait_ms = ahead_ms * _MILLIS / decision.entitled_millis
-    if decision.wait_ms + min(ahead_wait_ms, _RESERVED_SHARE * room_ms) <= room_ms:
+    # Room that is held must not let the entitlement lie idle.
+    held_wait_ms = held_ms * _MILLIS / decision.entitled_millis if decision.wait_ms else 0.0
+    late_ms = decision.wait_ms + held_wait_ms - room_ms
+    if late_ms <= 0:
         return decision
-    late_ms = decision.wait_ms + ahead_wait_ms - room_ms
     return _rejected(decision, RejectionReason.BEYOND_ENTITLEMENT, late_ms)
 
 
--- a/almondstack/placement/return_schedule.py
+++ b/almondstack/placement/return_schedule.py
@@ -25,6 +25,13 @@
 _GRACE_S = 2.0
 """How long a reservation is kept after its return time, in seconds."""
 
+_HELD_S = 1.0
+"""Room is held for callers whose return time is at most so far ahead, in seconds: the unit of
+return times."""
+
+_MAX_COUNTED = 64
+"""Reservations after which the counts of kept and lapsed ones are halved."""
+
 _MS = 1000.0
 
 
@@ -42,24 +49,42 @@
     ----------
     returns : dict of str to _Return
         Reservations by job.
+    kept, lapsed : float
+        Reservations whose callers came back, and those whose callers did not.
     free_s : float
         Monotonic time at which the account's entitlement is free after the last of them.
     last_due_s : float
         Latest return time that was given.
     """
 
-    __slots__ = ("free_s", "last_due_s", "returns")
+    __slots__ = ("free_s", "kept", "lapsed", "last_due_s", "returns")
 
     def __init__(self) -> None:
         self.returns: dict[str, _Return] = {}
         self.free_s = 0.0
         self.last_due_s = 0.0
+        self.kept = 1.0
+        self.lapsed = 0.0
+
+    @property
+    def kept_share(self) -> float:
+        """Share of the callers that come back when told."""
+        return self.kept / (self.kept + self.lapsed)
 
     def drop_lapsed(self, now_s: float) -> None:
         """Remove reservations whose callers have not returned."""
-        self.returns = {
+        kept = {
             job: found for job, found in self.returns.items() if found.due_s + _GRACE_S >= now_s
         }
+        self.lapsed += len(self.returns) - len(kept)
+        self.returns = kept
+
+    def note_return(self) -> None:
+        """Count a caller that came back in time; older counts weigh less and less."""
+        self.kept += 1.0
+        if self.kept + self.lapsed > _MAX_COUNTED:
+            self.kept /= 2.0
+            self.lapsed /= 2.0
 
 
 class ReturnSchedule:
@@ -73,8 +98,8 @@
     ... )
     >>> [schedule.reserve("a", job, rejected, now_s=10.0).retry_s for job in ("1", "2", "3")]
     [1, 3, 5]
-    >>> schedule.ahead_ms("a", "2", now_s=13.0), schedule.ahead_ms("a", "new", now_s=13.0)
-    (2000.0, 6000.0)
+    >>> schedule.held_ms("a", "2", now_s=13.0), schedule.held_ms("a", "new", now_s=13.0)
+    (0.0, 4000.0)
     """
 
     __slots__ = ("_accounts",)
@@ -82,46 +107,58 @@
     def __init__(self) -> None:
         self._accounts: dict[str, _AccountReturns] = {}
 
-    def ahead_ms(self, account: str, job: str, now_s: float) -> float:
-        """Return the work reserved ahead of a call, in milliseconds of one core."""
+    def held_ms(self, account: str, job: str, now_s: float) -> float:
+        """Return the work for which room is held against a call, in milliseconds of one core.
+
+        Explanation
+        -----------
+        A caller that comes back when told gives way to nobody.  Any other gives way to those
+        that are due, by the share of callers that do come back, so that the account's
+        entitlement does not lie idle for callers that have left.
+        """
         found = self._accounts.get(account)
         if found is None:
             return 0.0
         found.drop_lapsed(now_s)
-        total_ms = 0.0
-        for name, reserved in found.returns.items():
-            if name == job:
-                break
-            total_ms += reserved.work_ms
-        return total_ms
+        own = found.returns.get(job)
+        if own is not None and own.due_s <= now_s:
+            return 0.0
+        due = (
+            item.work_ms
+            for name, item in found.returns.items()
+            if item.due_s <= now_s + _HELD_S and name != job
+        )
+        return sum(due) * found.kept_share
 
     def release(self, account: str, job: str) -> None:
         """Remove the reservation of a job that is accepted."""
         found = self._accounts.get(account)
-        if found is not None:
-            found.returns.pop(job, None)
+        if found is not None and found.returns.pop(job, None) is not None:
+            found.note_return()
 
     def reserve(self, account: str, job: str, decision: Decision, now_s: float) -> Decision:
         """Return a rejection with its return time, and keep a reservation for it.
 
         Explanation
         -----------
-        A caller that returns keeps its place.  A later call is told to return no earlier than
-        all before it, and after the time that the account's entitlement takes for theirs.  Only
-        calls that wait for their account's own queue get a place.
+        A caller that returns early keeps its place.  A later call is told to return no earlier
+        than all before it, and after the time that the account's entitlement takes for theirs.
+        Only calls that wait for their account's own queue get a place.
         """
         if decision.reason is not RejectionReason.BEYOND_ENTITLEMENT:
             return decision
         found = self._accounts.get(account) or self._add(account, now_s)
         due_s = now_s + decision.late_ms / _MS
-        is_new = job not in found.returns
-        if is_new:
+        place = found.returns.get(job)
+        if place is not None:
+            due_s = max(due_s, place.due_s)
+        else:
             due_s = max(due_s, found.free_s)
             found.free_s = min(due_s + decision.run_ms / _MS, now_s + _MAX_RETRY_S)
             due_s = max(due_s, found.last_due_s)
         retry_s = min(_MAX_RETRY_S, max(1, math.ceil(due_s - now_s)))
         found.last_due_s = max(found.last_due_s, now_s + retry_s)
-        if not is_new or len(found.returns) < _MAX_RETURNS:
+        if place is not None or len(found.returns) < _MAX_RETURNS:
             found.returns[job] = _Return(now_s + retry_s, decision.work_ms)
         return decision._replace(retry_s=retry_s)
 
