--- a/almondstack/placement/return_schedule.py
+++ b/almondstack/placement/return_schedule.py
@@ -29,9 +29,6 @@
 """Room is held for callers whose return time is at most so far ahead, in seconds: the unit of
 return times."""
 
-_MAX_COUNTED = 64
-"""Reservations after which the counts of kept and lapsed ones are halved."""
-
 _MS = 1000.0
 
 
@@ -49,42 +46,24 @@
     ----------
     returns : dict of str to _Return
         Reservations by job.
-    kept, lapsed : float
-        Reservations whose callers came back, and those whose callers did not.
     free_s : float
         Monotonic time at which the account's entitlement is free after the last of them.
     last_due_s : float
         Latest return time that was given.
     """
 
-    __slots__ = ("free_s", "kept", "lapsed", "last_due_s", "returns")
+    __slots__ = ("free_s", "last_due_s", "returns")
 
     def __init__(self) -> None:
         self.returns: dict[str, _Return] = {}
         self.free_s = 0.0
         self.last_due_s = 0.0
-        self.kept = 1.0
-        self.lapsed = 0.0
-
-    @property
-    def kept_share(self) -> float:
-        """Share of the callers that come back when told."""
-        return self.kept / (self.kept + self.lapsed)
 
     def drop_lapsed(self, now_s: float) -> None:
         """Remove reservations whose callers have not returned."""
-        kept = {
+        self.returns = {
             job: found for job, found in self.returns.items() if found.due_s + _GRACE_S >= now_s
         }
-        self.lapsed += len(self.returns) - len(kept)
-        self.returns = kept
-
-    def note_return(self) -> None:
-        """Count a caller that came back in time; older counts weigh less and less."""
-        self.kept += 1.0
-        if self.kept + self.lapsed > _MAX_COUNTED:
-            self.kept /= 2.0
-            self.lapsed /= 2.0
 
 
 class ReturnSchedule:
@@ -112,9 +91,8 @@
 
         Explanation
         -----------
-        A caller that comes back when told gives way to nobody.  Any other gives way to those
-        that are due, by the share of callers that do come back, so that the account's
-        entitlement does not lie idle for callers that have left.
+        A caller that comes back when told gives way to nobody, any other to those that are due
+        within a second or came late by less than the grace.
         """
         found = self._accounts.get(account)
         if found is None:
@@ -128,13 +106,13 @@
             for name, item in found.returns.items()
             if item.due_s <= now_s + _HELD_S and name != job
         )
-        return sum(due) * found.kept_share
+        return sum(due)
 
     def release(self, account: str, job: str) -> None:
         """Remove the reservation of a job that is accepted."""
         found = self._accounts.get(account)
-        if found is not None and found.returns.pop(job, None) is not None:
-            found.note_return()
+        if found is not None:
+            found.returns.pop(job, None)
 
     def reserve(self, account: str, job: str, decision: Decision, now_s: float) -> Decision:
         """Return a rejection with its return time, and keep a reservation for it.
--- a/almondstack/placement/tests/test_admission.py
+++ b/almondstack/placement/tests/test_admission.py
@@ -58,6 +58,16 @@
     assert told_s == sorted(told_s) and told_s[-1] > told_s[0] + 5.0
 
 
+def test_flood_a_later_call_does_not_return_first_because_times_are_whole_seconds():
+    """Told 2 s at 0.0 for a time of 1.2 s, and then 1 s at 0.9 for 1.85 s, the second came first."""
+    schedule = ReturnSchedule()
+    rejected = Decision(
+        RejectionReason.BEYOND_ENTITLEMENT, 1_200.0, entitled_millis=1_000.0, work_ms=10.0
+    )
+    assert schedule.reserve("a", "1", rejected, 0.0).retry_s == 2
+    assert schedule.reserve("a", "2", rejected._replace(late_ms=950.0), 0.9).retry_s == 2
+
+
 def test_flood_rejected_callers_do_not_return_all_at_once():
     """Before, all who were rejected in one round came back within the same second."""
     told_s = [call.told_s for call in _rejected(_flooded(2)[1]) if call.attempt == 0]
