Hold an account as beyond its entitlement for two seconds, and test changes of owner

Cause: while a flood is rejected its demand falls to its entitlement, and it would be let in by the rule without shortage in the next round (0.1 s), again and again; a new owner would do so at once.

--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -1,6 +1,7 @@
 """Estimates of the waiting time of new work, which the owner publishes for admission."""
 
 import math
+from typing import NamedTuple
 
 from almondstack.capacity import PoolState
 from almondstack.control.planning import Planner
@@ -14,6 +15,17 @@
 
 __all__ = ["AdmissionWaits"]
 
+_HOLD_MS = 2_000.0
+"""How long an account counts as beyond its entitlement after its demand was last beyond it.  While
+it is rejected its demand falls to its entitlement, and it must not be let in again for that."""
+
+
+class _HeldEntitlement(NamedTuple):
+    """Entitlement in thousandths of a core, and the Unix milliseconds until which it counts."""
+
+    millis: int
+    until_ms: float
+
 
 class AdmissionWaits:
     """Estimates how long new work would wait, for each pool and client account.
@@ -35,12 +47,13 @@
         The waits, and the accounts whose demand is beyond their entitlement.
     """
 
-    __slots__ = ("_planner", "_table", "correction", "state")
+    __slots__ = ("_held", "_planner", "_table", "correction", "state")
 
     def __init__(self, table: RunTable, planner: Planner, last_state: AdmissionState) -> None:
         self._table = table
         self._planner = planner
         self.correction = EstimateCorrection()
+        self._held: dict[str, _HeldEntitlement] = {}
         self.state = last_state
 
     def note_end(self, task: Task, took_ms: float) -> None:
@@ -62,7 +75,8 @@
             for pool, backlog in backlogs.items()
             for account, wait_ms in backlog.waits_ms(policies.accounts).items()
         }
-        entitled_millis = self._entitled_millis(backlogs, entitlements)
+        self._hold_entitlements(backlogs, entitlements, now_unix_ms)
+        entitled_millis = {account: held.millis for account, held in self._held.items()}
         waits_ms |= waits_beyond_ms(waits_ms, backlogs, entitled_millis)
         self.state = AdmissionState(waits_ms, entitled_millis, expected_ms=self._expected_ms)
 
@@ -87,20 +101,32 @@
     def _expected_ms(self, queue: str, declared_ms: float) -> float:
         return declared_ms * self.correction.factor(queue)
 
-    def _entitled_millis(
-        self, backlogs: dict[str, Backlog], entitlements: Entitlements
-    ) -> dict[str, int]:
-        """Return the entitlement for work that ends, of each account whose demand is beyond it."""
+    def _hold_entitlements(
+        self, backlogs: dict[str, Backlog], entitlements: Entitlements, now_unix_ms: float
+    ) -> None:
+        """Update the entitlement for work that ends, of each account whose demand is beyond it."""
+        until_ms = now_unix_ms + _HOLD_MS
+        if not self.state.is_current:
+            # The accounts that the previous owner has published.
+            self._held = {
+                account: _HeldEntitlement(millis, until_ms)
+                for account, millis in self.state.beyond.items()
+            }
+        self._held = {
+            account: held for account, held in self._held.items() if held.until_ms > now_unix_ms
+        }
         if not entitlements.is_short:
-            return {}
+            return
         accounts = {account for backlog in backlogs.values() for account in backlog.work_ms}
-        beyond = [account for account in accounts if entitlements.covered_share(account) < 1.0]
-        lasting_millis = self._lasting_millis() if beyond else {}
-        return {
-            account: _left_millis(entitlements.entitled(account), lasting_millis.get(account, 0))
-            for account in beyond
-            if not math.isinf(entitlements.entitled(account))
-        }
+        beyond = {account for account in accounts if entitlements.covered_share(account) < 1.0}
+        lasting_millis = self._lasting_millis() if beyond or self._held else {}
+        for account in beyond | self._held.keys():
+            entitled = entitlements.entitled(account)
+            if math.isinf(entitled):
+                continue
+            millis = max(1, round(entitled) - lasting_millis.get(account, 0))
+            held_ms = until_ms if account in beyond else self._held[account].until_ms
+            self._held[account] = _HeldEntitlement(millis, held_ms)
 
     def _lasting_millis(self) -> dict[str, int]:
         """Return the demand of long-running tasks that are not fillers, by account."""
@@ -115,10 +141,6 @@
         return lasting
 
 
-def _left_millis(entitled: float, lasting_millis: int) -> int:
-    return max(1, round(entitled) - lasting_millis)
-
-
 def _room_millis(state: PoolState) -> int:
     sizes = [candidate.size_millis for candidate in state.candidates]
     size_millis = max(sizes, default=0)
--- a/almondstack/placement/tests/test_admission.py
+++ b/almondstack/placement/tests/test_admission.py
@@ -59,7 +59,7 @@
 
 
 def test_flood_a_later_call_does_not_return_first_because_times_are_whole_seconds():
-    """Told 2 s at 0.0 for a time of 1.2 s, and then 1 s at 0.9 for 1.85 s, the second came first."""
+    """Guards against 2 s told at 0.0 for a time of 1.2 s, and 1 s told at 0.9 for 1.85 s."""
     schedule = ReturnSchedule()
     rejected = Decision(
         RejectionReason.BEYOND_ENTITLEMENT, 1_200.0, entitled_millis=1_000.0, work_ms=10.0
--- a/almondstack/platform/tests/test_job_api.py
+++ b/almondstack/platform/tests/test_job_api.py
@@ -243,6 +243,23 @@
     assert process.store.records == []
 
 
+def test_flood_a_caller_is_told_the_time_that_the_owner_has_set_for_its_place(process):
+    process.owner.receipts.append(Receipt(Verdict.FULL, 3_400.0, 7))
+    assert process.ask("POST", body=job_body()).retry_after_s == 7
+
+
+def test_flood_without_an_owner_callers_are_told_rising_times(process):
+    notice = OwnerNotice("me", 1, "", {"pool/t": 9_000}, entitled_millis={"t": 1_000})
+    process.index.apply(record_key(RecordKind.OWNER), encode_notice(notice))
+    responses = [
+        process.ask("POST", path=f"/q/{number:016x}", body=job_body()) for number in range(4)
+    ]
+    assert [response.status for response in responses] == [503] * 4
+    told_s = [response.retry_after_s for response in responses]
+    assert told_s == sorted(told_s) and told_s[0] >= 2 and told_s[-1] > told_s[0]
+    assert process.store.records == []
+
+
 def test_burst_without_an_owner_a_job_that_would_be_late_is_rejected_at_once(process):
     """The status is 503, not 429: only the owner can rule out that another attempt is stored."""
     process.store_notice(t=60_000)
