--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -79,9 +79,9 @@
 def test_a_submission_reaches_the_owner_unchanged(owner):
     requests, address, _ = owner
     seen = []
-    requests.open(_TOKEN, _answering(Receipt(Verdict.FULL, 1_250.0), seen))
+    requests.open(_TOKEN, _answering(Receipt(Verdict.FULL, 1_250.0, 3), seen))
     client, _ = _client(address)
-    assert client.ask(_submission(), 5.0) == Receipt(Verdict.FULL, 1_250.0)
+    assert client.ask(_submission(), 5.0) == Receipt(Verdict.FULL, 1_250.0, 3)
     assert seen[0].submission == _submission().submission
     assert (seen[0].job, seen[0].read_offset) == (_JOB, 42)
     assert requests.standby == "a/1"
