--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -16,6 +16,7 @@
 from almondstack.control.services import OwnerServices
 from almondstack.control.wave_controller import WaveController
 from almondstack.jobs import ActiveJob, RecordKind, Task, record_key
+from almondstack.jobs.admission_state import AdmissionState
 from almondstack.ownership import Record
 from almondstack.placement import Policies, Worker, has_room
 from almondstack.placement.backlog import EstimateCorrection
@@ -95,7 +96,7 @@
         self._manager = InstanceManager(services, token, may_act)
         self._waves = WaveController(services, self._manager)
         self._balancer = PoolBalancer(table, planner, self._manager, services.control.move_s)
-        self._admission = AdmissionWaits(table, planner)
+        self._admission = AdmissionWaits(table, planner, services.index.admission)
         self._paid_time = PaidTimeRecorder(services.events, services.metrics)
         self._entitlement_report = EntitlementReport(services.events, services.metrics)
         table.set_end_listener(self._admission.note_end)
@@ -109,16 +110,16 @@
         """Ratio of measured run times to callers' estimates."""
         return self._admission.correction
 
+    @property
+    def admission(self) -> AdmissionState:
+        """Expected waits of new work, and the accounts whose demand is beyond their entitlement."""
+        return self._admission.state
+
     @property
     def entitlements(self) -> Entitlements:
         """What each client account may use of the fleet, as of the last round of decisions."""
         return self._balancer.entitlements
 
-    @property
-    def waits_ms(self) -> dict[str, int]:
-        """Expected wait of new work in milliseconds, by pool and client account."""
-        return self._admission.waits_ms
-
     def has_incoming_instances(self, pool: str) -> bool:
         """Whether instances were on their way to a pool in the last round."""
         return pool in self._pools_with_incoming
@@ -185,7 +186,7 @@
         self._entitlement_report.note(self.entitlements, now_s)
         size_millis = median_size_millis(instances)
         self._pools_with_incoming = {state.name for state in states if state.coming}
-        self._admission.update(states, policies, time.time() * 1000.0)
+        self._admission.update(states, policies, self.entitlements, time.time() * 1000.0)
         wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         self._log_pools(states, wanted)
         self._paid_time.record(instances, states, wanted, workers, now_s)
--- a/almondstack/control/owner_round.py
+++ b/almondstack/control/owner_round.py
@@ -127,7 +127,7 @@
         records.extend(parts.records.removals())
         write = parts.journal.write_last if is_last else parts.journal.write
         began_s = time.monotonic()
-        parts.requests.answer_stored(write(records, parts.fleet.waits_ms))
+        parts.requests.answer_stored(write(records, parts.fleet.admission))
         parts.sessions.use_token(parts.journal.token)
         parts.delays.note_stored(self._starts, time.monotonic() - began_s)
         self._forget_ended_jobs()
@@ -172,7 +172,7 @@
 
     @_handle.register
     def _(self, event: SubmissionRequest) -> None:
-        job = self._parts.requests.submit(event, self._parts.fleet.waits_ms)
+        job = self._parts.requests.submit(event, self._parts.fleet.admission)
         if job is not None:
             self.activate(job)
 
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -14,6 +14,8 @@
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, RunEnd, Step, Submission, Task, format_task_name
 from almondstack.placement import QueuePolicy, Resources, Worker, WorkerInfo
+from almondstack.placement.admission import Decision, RejectionReason
+from almondstack.placement.entitlements import AccountShare, Entitlements
 
 __all__ = [
     "AllowAllAdvisor",
@@ -21,8 +23,10 @@
     "assign",
     "ended",
     "look",
+    "make_entitlements",
     "make_job",
     "make_policy",
+    "make_rejection",
     "make_step",
     "make_table",
     "make_worker",
@@ -46,6 +50,23 @@
     return ActiveJob(id, submission, max_attempts)
 
 
+def make_entitlements(
+    entitled_millis: dict[str, int], demand_millis: dict[str, int]
+) -> Entitlements:
+    """Return the entitlements of a short fleet, in thousandths of a core, by account."""
+    return Entitlements(
+        {
+            account: AccountShare(
+                Resources(demand),
+                Resources(min(demand, entitled_millis.get(account, demand))),
+                min(1.0, entitled_millis.get(account, demand) / demand),
+                entitled_millis.get(account, demand),
+            )
+            for account, demand in demand_millis.items()
+        }
+    )
+
+
 def make_worker(id: str = "w1", *, cpu_millis: int = 4_000, **fields: Any) -> Worker:
     """Return a worker of four cores."""
     capacity = Resources(cpu_millis, 64_000)
@@ -58,6 +79,11 @@
     return QueuePolicy(**{"name": "q", "pool": "p", "stretch": 1.5, "objective_ms": 500, **fields})
 
 
+def make_rejection(late_ms: float) -> Decision:
+    """Return the decision on a job that would end too late by ``late_ms``; accepted if 0."""
+    return Decision(RejectionReason.NO_USE, late_ms) if late_ms > 0 else Decision()
+
+
 class AllowAllAdvisor:
     """Allows every worker to run every step."""
 
