--- a/almondstack/capacity/division.py
+++ b/almondstack/capacity/division.py
@@ -33,8 +33,8 @@
     Explanation
     -----------
     Each pool is owed the instances for the part of each account's demand there that the
-    account is entitled to.  What is left beyond that goes to the pools by the rest of their
-    demand.  If less is there than is owed, all are reduced by an equal proportion, but not
+    account is entitled to.  What is left beyond that stays where it is, as far as it is
+    wanted there, and then goes to the pools by the rest of their demand.  If less is there than is owed, all are reduced by an equal proportion, but not
     below ``MIN_INSTANCES`` and what lasting tasks need.
 
     Parameters
@@ -56,7 +56,11 @@
     }
     left = total - sum(owed.values())
     if left >= 0:
-        return _with_part(owed, wanted, left)
+        kept = {
+            pool.name: max(owed[pool.name], min(wanted[pool.name], pool.size)) for pool in pools
+        }
+        targets = _with_part(owed, kept, left)
+        return _with_part(targets, wanted, total - sum(targets.values()))
     left = total - sum(floors.values())
     return owed if left <= 0 else _with_part(floors, owed, left)
 
--- a/almondstack/control/account_demands.py
+++ b/almondstack/control/account_demands.py
@@ -3,15 +3,37 @@
 from collections.abc import Iterable
 
 from almondstack.jobs import ActiveJob, Step, TaskStatus
-from almondstack.placement import Resources
+from almondstack.placement import QueuePolicy, Resources
 from almondstack.placement.entitlements import AccountDemand
+from almondstack.placement.order import pressing_share
 
-__all__ = ["AccountDemands"]
+__all__ = ["AccountDemands", "DeferrableWork"]
 
 _MIN_ACCOUNTS = 2
 """Accounts with open jobs from which on they may compete."""
 
 
+class DeferrableWork:
+    """Waiting demand of an account in a pool that can wait without being late.
+
+    Attributes
+    ----------
+    millis : float
+        Thousandths of a core.
+    filled_instances : float
+        Instances that its tasks fill by their memory.
+    """
+
+    __slots__ = ("filled_instances", "millis")
+
+    def __init__(self) -> None:
+        self.millis = 0.0
+        self.filled_instances = 0.0
+
+
+_NOTHING = DeferrableWork()
+
+
 class AccountDemands:
     """Demand of each client account; sums up nothing unless two accounts have open jobs.
 
@@ -23,13 +45,14 @@
         Capacity of a typical instance; zeros if none is known.
     """
 
-    __slots__ = ("_by_account", "_capacity", "_is_competing")
+    __slots__ = ("_by_account", "_capacity", "_deferrable", "_is_competing")
 
     def __init__(self, jobs: Iterable[ActiveJob], capacity: Resources) -> None:
         accounts = {job.submission.account for job in jobs if job.is_open}
         self._is_competing = len(accounts) >= _MIN_ACCOUNTS
         self._capacity = capacity
         self._by_account: dict[str, AccountDemand] = {}
+        self._deferrable: dict[tuple[str, str], DeferrableWork] = {}
 
     @property
     def is_competing(self) -> bool:
@@ -40,7 +63,13 @@
         """Return the demand of each account."""
         return list(self._by_account.values())
 
-    def add(self, job: ActiveJob, now_unix_ms: float, *, is_late: bool) -> None:
+    def deferrable(self, pool: str, account: str) -> DeferrableWork:
+        """Return the part of an account's waiting demand in a pool that can wait."""
+        return self._deferrable.get((pool, account), _NOTHING)
+
+    def add(
+        self, job: ActiveJob, policy: QueuePolicy, now_unix_ms: float, *, is_late: bool
+    ) -> None:
         """Add the demand of a job; of a job that can't end in time, only its lasting tasks.
 
         Explanation
@@ -59,17 +88,28 @@
             elif task.is_assigned and not is_late:
                 self._add(demand.running, step, 1)
         if not is_late:
-            self._add_waiting(job, demand.waiting, now_unix_ms)
+            self._add_waiting(job, policy, demand.waiting, now_unix_ms)
 
     def add_arriving(self, account: str, millis: float) -> None:
         """Add thousandths of a core that jobs of an account will ask for which are yet to come."""
         self._of(account).waiting.cpu_millis += round(millis)
 
-    def _add_waiting(self, job: ActiveJob, waiting: Resources, now_unix_ms: float) -> None:
+    def _add_waiting(
+        self, job: ActiveJob, policy: QueuePolicy, waiting: Resources, now_unix_ms: float
+    ) -> None:
+        key = policy.pool, job.submission.account
         for tasks in job.ready_steps(now_unix_ms):
             step = tasks[0].step
             if not step.is_long_running and not step.is_filler:
-                self._add(waiting, step, sum(task.status is TaskStatus.WAITING for task in tasks))
+                count = sum(task.status is TaskStatus.WAITING for task in tasks)
+                self._add(waiting, step, count)
+                can_wait = count * (1.0 - pressing_share(tasks, policy, now_unix_ms))
+                self._defer(self._deferrable.setdefault(key, DeferrableWork()), step, can_wait)
+
+    def _defer(self, work: DeferrableWork, step: Step, count: float) -> None:
+        work.millis += count * step.cpu_millis
+        if self._capacity.memory_mb > 0:
+            work.filled_instances += count * self._filled_mb(step) / self._capacity.memory_mb
 
     def _add(self, sums: Resources, step: Step, count: int) -> None:
         sums.cpu_millis += count * step.cpu_millis
--- a/almondstack/control/fleet_shares.py
+++ b/almondstack/control/fleet_shares.py
@@ -10,6 +10,7 @@
 __all__ = ["FleetCapacity", "FleetShares"]
 
 _PoolAccount = tuple[str, str]
+_Millis = dict[_PoolAccount, float]
 
 
 class FleetCapacity:
@@ -75,38 +76,16 @@
         """
         if not demands.is_competing:
             return Entitlements()
-        short = self._short_millis(by_account, demands, arriving_millis, policies)
+        arriving = self._arriving(arriving_millis, policies)
+        asked = _asked_millis(by_account, arriving, demands)
         whole = _dividable(needs, policies, capacity)
         table = divide_fairly(demands.all(), whole, policies.accounts)
         if table.is_short:
-            _set_entitled(needs, by_account, short, table)
+            pressing = _pressing_millis(asked, arriving, demands)
+            parts = _entitled_parts(asked, pressing, table)
+            _set_entitled(needs, by_account, pressing, parts, demands)
         return table
 
-    def _short_millis(
-        self,
-        by_account: Mapping[_PoolAccount, PoolNeed],
-        demands: AccountDemands,
-        arriving_millis: Mapping[str, float],
-        policies: Policies,
-    ) -> dict[_PoolAccount, float]:
-        """Return the demand other than lasting work of each account in each pool.
-
-        Explanation
-        -----------
-        It is what is present or what is forecast, whichever is more; what the forecast adds
-        is counted in ``demands``.
-        """
-        short = {
-            key: float(need.running_millis + need.waiting_millis)
-            for key, need in by_account.items()
-        }
-        for key, millis in self._arriving(arriving_millis, policies).items():
-            more = millis - short.get(key, 0.0)
-            if more > 0:
-                short[key] = millis
-                demands.add_arriving(key[1], more)
-        return short
-
     def _arriving(
         self, arriving_millis: Mapping[str, float], policies: Policies
     ) -> dict[_PoolAccount, float]:
@@ -147,22 +126,77 @@
     )
 
 
+def _asked_millis(
+    by_account: Mapping[_PoolAccount, PoolNeed],
+    arriving: Mapping[_PoolAccount, float],
+    demands: AccountDemands,
+) -> _Millis:
+    """Return the demand other than lasting work of each account in each pool.
+
+    Explanation
+    -----------
+    It is what is present or what is forecast, whichever is more; what the forecast adds is
+    counted in ``demands``.
+    """
+    asked = {
+        key: float(need.running_millis + need.waiting_millis) for key, need in by_account.items()
+    }
+    for key, millis in arriving.items():
+        more = millis - asked.get(key, 0.0)
+        if more > 0:
+            asked[key] = millis
+            demands.add_arriving(key[1], more)
+    return asked
+
+
+def _pressing_millis(
+    asked: _Millis, arriving: Mapping[_PoolAccount, float], demands: AccountDemands
+) -> _Millis:
+    """Return the part of that demand which can't wait; what is forecast is part of it."""
+    return {
+        (pool, account): max(
+            millis - demands.deferrable(pool, account).millis, arriving.get((pool, account), 0.0)
+        )
+        for (pool, account), millis in asked.items()
+    }
+
+
+def _entitled_parts(asked: _Millis, pressing: _Millis, table: Entitlements) -> dict[str, float]:
+    """Return the part of the pressing demand that each account is entitled to, 0 to 1."""
+    asked_sums = _sums_by_account(asked)
+    pressing_sums = _sums_by_account(pressing)
+    parts = {}
+    for account, millis in asked_sums.items():
+        entitled_millis = table.covered_share(account) * millis
+        parts[account] = min(1.0, entitled_millis / max(1.0, pressing_sums[account]))
+    return parts
+
+
+def _sums_by_account(millis: _Millis) -> dict[str, float]:
+    sums: dict[str, float] = {}
+    for (_, account), amount in millis.items():
+        sums[account] = sums.get(account, 0.0) + amount
+    return sums
+
+
 def _set_entitled(
     needs: Mapping[str, PoolNeed],
     by_account: Mapping[_PoolAccount, PoolNeed],
-    short: Mapping[_PoolAccount, float],
-    table: Entitlements,
+    pressing: _Millis,
+    parts: Mapping[str, float],
+    demands: AccountDemands,
 ) -> None:
     """Set the part of each pool's need that its accounts are entitled to."""
     for need in needs.values():
         need.entitled = PoolNeed(need.lasting_millis, min_instances=need.min_instances)
-    for (pool, account), millis in short.items():
+    for (pool, account), millis in pressing.items():
         entitled = needs[pool].entitled if pool in needs else None
         if entitled is not None:
-            entitled.arriving_millis += table.covered_share(account) * millis
+            entitled.arriving_millis += parts[account] * millis
     for (pool, account), need in by_account.items():
         entitled = needs[pool].entitled if pool in needs else None
         if entitled is not None:
             lasting = need.lasting_filled_instances
-            others = need.filled_instances - lasting
-            entitled.filled_instances += lasting + table.covered_share(account) * others
+            can_wait = demands.deferrable(pool, account).filled_instances
+            others = max(0.0, need.filled_instances - lasting - can_wait)
+            entitled.filled_instances += lasting + parts[account] * others
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -144,7 +144,7 @@
                 late = is_late(job, policy, now_unix_ms)
                 add_need(job, need, now_unix_ms, is_late=late, capacity=capacity)
                 if not policies.pools.get(policy.pool, True):
-                    demands.add(job, now_unix_ms, is_late=late)
+                    demands.add(job, policy, now_unix_ms, is_late=late)
         return needs
 
     def typical_capacity(self) -> Resources:
--- a/almondstack/placement/order.py
+++ b/almondstack/placement/order.py
@@ -10,6 +10,7 @@
     "is_late",
     "is_worthless",
     "objective_s",
+    "pressing_share",
     "rank_of",
 ]
 
@@ -65,6 +66,30 @@
     return any(rank_of(tasks, policy, now_unix_ms)[0] > LATE_BAND for tasks in ready)
 
 
+def pressing_share(tasks: list[Task], policy: QueuePolicy, now_unix_ms: float) -> float:
+    """Return the part of a step's demand that must run now for its job to end in time.
+
+    Explanation
+    -----------
+    A job that has to run for 1 s within the next 4 s needs a quarter of its cores on average
+    until then.  The result is 1 for a job without slack and for long-running tasks.
+
+    Parameters
+    ----------
+    tasks : list of Task
+        The tasks of a step that may start now.
+    policy : QueuePolicy
+        Policy of the job's queue.
+    now_unix_ms : float
+        Time of day in milliseconds.
+    """
+    slack_s = rank_of(tasks, policy, now_unix_ms)[-1]
+    remaining_s = tasks[0].job.remaining_chain_ms(tasks[0].key.step) / _MS
+    if slack_s <= 0 or remaining_s <= 0:
+        return 1.0
+    return remaining_s / (remaining_s + slack_s)
+
+
 def _lateness(slack_s: float, objective: float) -> int:
     if slack_s >= 0:
         return 1
