--- a/almondstack/jobs/job_index.py
+++ b/almondstack/jobs/job_index.py
@@ -246,12 +246,7 @@
     def _apply(self, kind: RecordKind, job: str, value: bytes) -> bool:
         with self._lock:
             if kind is RecordKind.OWNER:
-                self._notice = decode_notice(value)
-                self._notice_has_ranges = has_ranges(value)
-                self._owner_record_s = time.monotonic()
-                self._admission = state_after(
-                    self._admission, self._notice, self._owner_record_s, time.time()
-                )
+                self._apply_notice(value)
                 return False
             if kind is RecordKind.REFUSAL:
                 self._count_refusal(job)
@@ -264,6 +259,17 @@
                 return False
             return _APPLIERS[kind](self, job, value)
 
+    def _apply_notice(self, value: bytes) -> None:
+        notice = decode_notice(value)
+        self._owner_record_s = time.monotonic()
+        # A notice that is read again with a snapshot makes nothing newer.
+        if not notice.written_unix_ms or notice != self._notice:
+            self._admission = state_after(
+                self._admission, notice, self._owner_record_s, time.time()
+            )
+        self._notice = notice
+        self._notice_has_ranges = has_ranges(value)
+
     def _count_refusal(self, job: str) -> None:
         self._refusals[job] = self._refusals.pop(job, 0) + 1
         if len(self._refusals) > _MAX_REFUSED_JOBS:
--- a/almondstack/jobs/tests/test_job_index.py
+++ b/almondstack/jobs/tests/test_job_index.py
@@ -1,5 +1,7 @@
 """How records of the store update the index of jobs."""
 
+import msgspec
+
 from almondstack.jobs import (
     JobIndex,
     JobState,
@@ -109,3 +111,16 @@
     ]
     index.apply(record_key(RecordKind.SUBMISSION, "j3"), _submission())
     assert not index.entry("j3").is_cancelled
+
+
+def test_a_notice_that_is_read_again_with_a_snapshot_makes_its_waits_no_newer():
+    index = JobIndex()
+    notice = OwnerNotice("me", 1, "", {"p/a": 9_000}, entitled_millis={}, written_unix_ms=1)
+    value = encode_notice(notice)
+    index.apply(record_key(RecordKind.OWNER), value)
+    first = index.admission
+    index.apply(record_key(RecordKind.OWNER), value)
+    assert index.admission is first
+    newer = msgspec.structs.replace(notice, written_unix_ms=2)
+    index.apply(record_key(RecordKind.OWNER), encode_notice(newer))
+    assert index.admission is not first
