--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -1,5 +1,7 @@
 """Waits of new work under contention, what the owner publishes of them, and a change of owner."""
 
+import math
+
 import pytest
 
 from almondstack.capacity import Candidate, PoolNeed, PoolState
@@ -10,7 +12,6 @@
 from almondstack.jobs import Submission
 from almondstack.jobs.admission_state import AdmissionState
 from almondstack.placement import Policies
-from almondstack.placement.entitlements import Entitlements
 from almondstack.testing.job_builders import (
     AllowAllAdvisor,
     make_job,
@@ -25,6 +26,28 @@
 """An account waits for 8 s with the two cores to which it is entitled."""
 
 
+class _Entitlements:
+    """Entitlements and demand by account that the test sets; the fleet covers the rest."""
+
+    def __init__(self, entitled=None, demand=None):
+        self._entitled = entitled or {}
+        self._demand = demand or {}
+
+    @property
+    def is_short(self):
+        """Whether some account's demand is beyond its entitlement."""
+        return any(self.covered_share(account) < 1.0 for account in self._demand)
+
+    def entitled(self, account):
+        """Return thousandths of a core; infinite if none are set."""
+        return self._entitled.get(account, math.inf)
+
+    def covered_share(self, account):
+        """Return the share of the demand that is covered, from 0 to 1."""
+        demand = self._demand.get(account, 0.0)
+        return min(1.0, self.entitled(account) / demand) if demand else 1.0
+
+
 class _Pools:
     """Two pools of 20 cores in which an account has more work than it is entitled to."""
 
@@ -49,7 +72,7 @@
 
 
 def _short(flood=4_000, light=4_000):
-    return Entitlements({"flood": flood, "light": light}, {"flood": 40_000, "light": 2_000})
+    return _Entitlements({"flood": flood, "light": light}, {"flood": 40_000, "light": 2_000})
 
 
 def test_flood_in_two_pools_the_wait_in_each_is_that_of_all_its_work_at_its_entitlement():
@@ -60,7 +83,7 @@
 
 
 def test_without_a_shortage_the_waits_are_those_of_the_pools():
-    state = _Pools().update(Entitlements())
+    state = _Pools().update(_Entitlements())
     assert state.beyond == {}
     assert state.waits_ms == {"p/flood": 1_100, "other/flood": 1_000, "p/light": 200}
 
@@ -78,16 +101,16 @@
     """While a flood is rejected its demand is within its entitlement, in each second round."""
     pools = _Pools()
     pools.update(_short())
-    within = Entitlements({"flood": 4_000}, {"flood": 3_000, "other": 1.0})
-    covered = Entitlements()
-    assert pools.update(within, 1_000.0).beyond == {"flood": 4_000}
-    assert pools.update(covered, 1_900.0).beyond == {"flood": 4_000}
+    within = _Entitlements({"flood": 3_500, "other": 1}, {"flood": 3_000, "other": 2})
+    covered = _Entitlements()
+    assert pools.update(within, 1_000.0).beyond == {"flood": 3_500}
+    assert pools.update(covered, 1_900.0).beyond == {"flood": 3_500}
     assert pools.update(covered, 2_100.0).beyond == {}
 
 
 def test_owner_lost_the_next_owner_holds_the_accounts_that_the_last_one_has_published():
     pools = _Pools(AdmissionState({"p/flood": 8_000}, {"flood": 4_000}, known_s=0.0))
-    assert pools.update(Entitlements(), 1_000.0).beyond == {"flood": 4_000}
+    assert pools.update(_Entitlements(), 1_000.0).beyond == {"flood": 4_000}
 
 
 def test_a_notice_is_bounded_and_names_the_longest_waits():
