Bound the wait of an account beyond its entitlement by all work of the pool

Change: the wait is no longer than all work of the pool takes, and the size of a job against the entitlement is no reason any more.

--- a/almondstack/placement/admission.py
+++ b/almondstack/placement/admission.py
@@ -32,7 +32,6 @@
 
     NO_USE = "no-use"
     BEYOND_ENTITLEMENT = "beyond-entitlement"
-    TOO_LARGE = "too-large"
 
 
 class Decision(NamedTuple):
@@ -133,21 +132,17 @@
         work_ms=state.expected_ms(submission, core_ms(submission)),
         age_s=state.age_s(now_s),
     )
-    room_ms = _room_ms(state, submission, policy, decision.run_ms)
-    if room_ms < 0:
-        return _rejected(decision, RejectionReason.TOO_LARGE, -room_ms)
+    room_ms = _room_ms(state, submission, policy)
     # Room that is held must not let the entitlement lie idle.
     held_wait_ms = held_ms * _MILLIS / decision.entitled_millis if decision.wait_ms else 0.0
     late_ms = decision.wait_ms + held_wait_ms - room_ms
     if late_ms <= 0:
         return decision
-    return _rejected(decision, RejectionReason.BEYOND_ENTITLEMENT, late_ms)
+    return decision._replace(reason=RejectionReason.BEYOND_ENTITLEMENT, late_ms=late_ms)
 
 
-def _room_ms(
-    state: AdmissionState, submission: Submission, policy: QueuePolicy, run_ms: float
-) -> float:
-    """Return how long a job may wait to end in time; negative if it can't even without a wait.
+def _room_ms(state: AdmissionState, submission: Submission, policy: QueuePolicy) -> float:
+    """Return how long a job may wait to end in time.
 
     Explanation
     -----------
@@ -160,8 +155,4 @@
     if chain_ms > due_ms:
         due_ms *= LATE_FACTOR
         chain_ms = min(chain_ms, due_ms)
-    return due_ms - max(chain_ms, run_ms)
-
-
-def _rejected(decision: Decision, reason: RejectionReason, late_ms: float) -> Decision:
-    return decision._replace(reason=reason, late_ms=late_ms)
+    return due_ms - chain_ms
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -122,15 +122,16 @@
         for account, weight in weights.items():
             share_millis = max(1.0, self._room_millis * weight / total)
             work_ms = self._work_ms[account] * 1000.0
-            wait_ms = min(work_ms / share_millis, self._total_ms())
+            wait_ms = min(work_ms / share_millis, self.total_ms)
             ceiling_millis = _ceiling_millis(account, accounts)
             if ceiling_millis:
                 wait_ms = max(wait_ms, work_ms / ceiling_millis)
             waits[account] = _rounded(min(wait_ms, _MAX_WAIT_MS))
         return {account: wait_ms for account, wait_ms in waits.items() if wait_ms}
 
-    def _total_ms(self) -> float:
-        """Return how long all of the work keeps the pool busy: a bound on the wait for a share."""
+    @property
+    def total_ms(self) -> float:
+        """How long all of the work keeps the pool busy: a bound on the wait for a share."""
         return sum(self._work_ms.values()) * 1000.0 / max(1, self._room_millis)
 
 
@@ -143,8 +144,8 @@
 
     Explanation
     -----------
-    Such an account's work in all pools drains at the rate of its entitlement of the fleet.  Its
-    wait in a pool is that time, or the pool's own wait if that is longer.
+    Such an account's work in all pools drains at the rate of its entitlement of the fleet, or
+    faster where the others leave room: no longer than all of the work in the pool takes.
 
     Parameters
     ----------
@@ -156,13 +157,13 @@
         Entitlement in thousandths of a core, of each such account.
     """
     found = {}
-    pools = [pool for pool, backlog in backlogs.items() if backlog.has_waiting]
+    short = {pool: backlog for pool, backlog in backlogs.items() if backlog.has_waiting}
     for account, millis in entitled_millis.items():
         work_ms = sum(backlog.work_ms.get(account, 0.0) for backlog in backlogs.values())
-        drain_ms = _rounded(min(work_ms * 1000.0 / max(1, millis), _MAX_WAIT_MS))
-        for pool in pools:
+        drain_ms = min(work_ms * 1000.0 / max(1, millis), _MAX_WAIT_MS)
+        for pool, backlog in short.items():
             key = wait_key(pool, account)
-            found[key] = max(drain_ms, waits_ms.get(key, 0))
+            found[key] = max(_rounded(min(drain_ms, backlog.total_ms)), waits_ms.get(key, 0))
     return found
 
 
