Hand threads only requests that have arrived, and bound what clients hold

Cause: heads had no limit, so that trailers behind a chunked body, which cheroot reads as the next request, header sections and request lines filled the memory; a chunk was read whole by each thread; a connection that was idle or half sent held a thread; any number of connections was kept; names of metrics held methods that clients made up; the relay address read a call of any length. Change: the thread that accepts connections reads them as bytes arrive and hands a request to a thread once its head, then its body, is complete. Heads, lines of chunks, trailers and framing are bounded, bodies share a budget (503 "nothing was stored", Retry-After), head and body have deadlines, the connection that waited longest makes room beyond a limit. Unknown keys and queues are refused before the body is read. A refusal with unread bytes ends our side, drops what comes for 2 s and then closes. Refusals are counted by reason and logged once in 10 s for each. Settings `http-limits` are optional.

--- a/almondstack/core/http_server.py
+++ b/almondstack/core/http_server.py
@@ -1,33 +1,169 @@
-"""Base class of the HTTP servers of the platform program."""
+"""Base classes of the HTTP servers of the platform program.
+
+Explanation
+-----------
+cheroot serves each request in a thread of a bounded pool.  These classes add what is needed
+towards clients that keep to no limit; see docs/design/untrusted-clients.md.
+"""
+
+import threading
+from collections import OrderedDict
+from typing import Any
 
 from cheroot.server import Gateway, HTTPServer
 
-__all__ = ["PlatformHttpServer"]
+from almondstack.core.client_guard import ClientGuard, Refusal
+from almondstack.core.request_bodies import RequestBody
+from almondstack.core.server_connection import ServerConnection
+
+__all__ = ["BodyGateway", "PlatformHttpServer"]
 
 _ACCEPT_BACKLOG = 256
 """Connections that may wait to be accepted.  When the backlog is full, the client retransmits its
 SYN only after a second."""
 
-_MAX_IDLE_CONNECTIONS = 512
-"""Connections that are kept open between requests; each of hundreds of processes holds a few."""
+_MAX_HEAD_BYTES = 32_768
 
 
 class PlatformHttpServer(HTTPServer):
-    """A cheroot server without cheroot's own log lines, such as those on broken connections.
+    """A cheroot server that bounds what its clients can hold.
+
+    Explanation
+    -----------
+    cheroot's own log lines, such as those on broken connections, are not written.
 
     Parameters
     ----------
     address : tuple of str and int
         Host and port.
-    gateway : type of Gateway
+    gateway : type of BodyGateway
         Answers each request.
+    guard : ClientGuard, optional
+        Limits on the clients, shared with the other servers of the process.
+
+    Attributes
+    ----------
+    guard : ClientGuard
+        Limits on the clients.
     """
 
-    def __init__(self, address: tuple[str, int], gateway: type[Gateway]) -> None:
+    ConnectionClass = ServerConnection
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        gateway: type["BodyGateway"],
+        guard: ClientGuard | None = None,
+    ) -> None:
         super().__init__(address, gateway, server_name="almondstack")
+        self.guard = guard or ClientGuard()
         self.shutdown_timeout = 1
         self.request_queue_size = _ACCEPT_BACKLOG
-        self.keep_alive_conn_limit = _MAX_IDLE_CONNECTIONS
+        self.keep_alive_conn_limit = self.guard.limits.max_connections
+        self._active = 0
+        self._lock = threading.Lock()
+        self._open: set[ServerConnection] = set()
+        # Connections that wait for their client; the one that has waited longest comes first.
+        self._waiting: OrderedDict[ServerConnection, None] = OrderedDict()
+
+    @property
+    def active(self) -> int:
+        """Number of requests whose head was read and that have no answer yet."""
+        return self._active
+
+    @property
+    def max_request_header_size(self) -> int:  # type: ignore[override]
+        """Longest request line and header section together, in bytes; read by cheroot."""
+        return _MAX_HEAD_BYTES
+
+    def count_active(self, change: int) -> None:
+        """Add 1 for a request that starts, or -1 for one that has ended."""
+        with self._lock:
+            self._active += change
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Count and log that a client of this server was refused."""
+        self.guard.refuse(refusal, self.bind_addr[1])
+
+    def process_conn(self, conn: ServerConnection) -> None:
+        """Read what has arrived on a connection; called by the thread that accepts them."""
+        self._waiting.pop(conn, None)
+        if conn not in self._open:
+            self._admit(conn)
+        try:
+            is_ready = conn.receive()
+        except OSError:
+            conn.close()
+            return
+        self._pass_on(conn, is_ready=is_ready)
+
+    def put_conn(self, conn: ServerConnection) -> None:
+        """Take a connection back from a thread of the pool."""
+        self._pass_on(conn, is_ready=conn.is_request_ready())
+
+    def forget(self, conn: ServerConnection) -> None:
+        """Note that a connection is closed."""
+        self._waiting.pop(conn, None)
+        self._open.discard(conn)
 
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Discard a log line of cheroot."""
+
+    def _pass_on(self, conn: ServerConnection, *, is_ready: bool) -> None:
+        """Give a connection to a thread of the pool, or wait for its client."""
+        if is_ready:
+            self.requests.put(conn)
+            return
+        self._waiting[conn] = None
+        super().put_conn(conn)
+
+    def _admit(self, conn: ServerConnection) -> None:
+        """Count a new connection; beyond the limit, end the one that has waited longest."""
+        self._open.add(conn)
+        if len(self._open) <= self.guard.limits.max_connections:
+            return
+        self.refuse(Refusal.CONNECTIONS)
+        try:
+            longest_waiting, _ = self._waiting.popitem(last=False)
+        except KeyError:
+            longest_waiting = conn
+        # Its close is seen like one by the client, once the present events are dealt with.
+        longest_waiting.interrupt()
+
+
+class BodyGateway(Gateway):
+    """Reads the body of a request without waiting for it, then answers the request."""
+
+    def respond(self) -> None:
+        """Answer a request, unless its body is still to come."""
+        body = self.req.conn.body
+        if body is None:
+            body = self.req.conn.start_body(self.req, self.max_body_bytes)
+            if not body.is_settled and self.refuse_head():
+                return
+        if body.is_settled:
+            self.answer(body)
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body that is read, in bytes."""
+        return 0
+
+    def refuse_head(self) -> bool:
+        """Answer a request whose body need not be read; return whether it was one."""
+        return False
+
+    def answer(self, body: RequestBody) -> None:
+        """Answer a request whose body was read or refused."""
+        raise NotImplementedError
+
+    def send(self, status: bytes, headers: list[tuple[bytes, bytes]], content: bytes) -> None:
+        """Send an answer; the connection is closed after it if the body was not read to its end."""
+        request: Any = self.req
+        request.status = status
+        request.outheaders.extend(headers)
+        request.outheaders.append((b"Content-Length", str(len(content)).encode()))
+        if not request.conn.body.is_ended:
+            request.close_connection = True
+        request.ensure_headers_sent()
+        request.write(content)
--- a/almondstack/entry/sockets.py
+++ b/almondstack/entry/sockets.py
@@ -12,6 +12,8 @@
 import ssl
 from typing import Any
 
+from almondstack.core.socket_files import SocketWriter
+
 __all__ = ["SocketReader", "SocketWriter", "make_socket_file"]
 
 
@@ -56,28 +58,6 @@
             self._source.is_paused = False
 
 
-class SocketWriter:
-    """Writes to a socket without a buffer.
-
-    Parameters
-    ----------
-    sock : socket.socket
-        The connection; its timeout bounds each write.
-    """
-
-    __slots__ = ("_socket",)
-
-    bytes_written = 0
-
-    def __init__(self, sock: socket.socket) -> None:
-        self._socket = sock
-
-    def write(self, data: bytes) -> int:
-        """Send all of ``data``; return its length in bytes."""
-        self._socket.sendall(data)
-        return len(data)
-
-
 def make_socket_file(
     sock: socket.socket, mode: str = "rb", bufsize: int = io.DEFAULT_BUFFER_SIZE
 ) -> SocketReader | SocketWriter:
--- a/almondstack/intake/requests.py
+++ b/almondstack/intake/requests.py
@@ -14,6 +14,10 @@
 _MAX_PEER_AGE_S = 3.0
 """A process that has sent no request for longer can't be the standby."""
 
+_MAX_PEERS = 1_024
+"""Processes that are noted, so that made-up names of processes don't fill the memory; the one
+that has sent no request for longest is forgotten first."""
+
 _MAX_STORE_AGE_S = 0.7
 """Nor can a process that the store has not answered for this long."""
 
@@ -178,6 +182,9 @@
     def note_peer(self, peer: Peer) -> None:
         """Note that another process has forwarded a request."""
         with self._lock:
+            self._peers.pop(peer.incarnation, None)
+            while len(self._peers) >= _MAX_PEERS:
+                del self._peers[next(iter(self._peers))]
             self._peers[peer.incarnation] = (time.monotonic(), peer)
 
     @property
--- a/almondstack/intake/tests/test_requests.py
+++ b/almondstack/intake/tests/test_requests.py
@@ -112,3 +112,10 @@
     requests.note_peer(Peer("fast/1", 2.0, 0.1))
     monkeypatch.setattr("almondstack.intake.requests._MAX_PEER_AGE_S", 0.0)
     assert requests.standby == ""
+
+
+def test_made_up_processes_are_forgotten_oldest_first():
+    requests = OwnerRequests()
+    for number in range(5_000):
+        requests.note_peer(Peer(f"p/{number}", 1.0, 0.1))
+    assert len(requests._peers) <= 1_024 and "p/4999" in requests._peers
--- a/almondstack/platform/configuration.py
+++ b/almondstack/platform/configuration.py
@@ -49,7 +49,7 @@
         The decoded configuration record.
     """
 
-    __slots__ = ("_accounts_by_key", "_routes", "max_body_bytes", "policies")
+    __slots__ = ("_accounts_by_key", "_routes", "limits", "policies")
 
     def __init__(self, wire: ConfigurationWire) -> None:
         self._routes: dict[str, list[QueueRoute]] = {}
@@ -59,7 +59,7 @@
         for routes in self._routes.values():
             routes.sort(key=lambda route: -len(route.prefix))
         self._accounts_by_key = {key: tenant.name for tenant in wire.tenants for key in tenant.keys}
-        self.max_body_bytes = wire.limits.max_body_bytes
+        self.limits = wire.limits
         self.policies = Policies(
             wire.version,
             {route.name: _queue_policy(route) for route in wire.routes},
--- a/almondstack/platform/job_api.py
+++ b/almondstack/platform/job_api.py
@@ -1,20 +1,19 @@
 """HTTP API for callers: translates their requests into calls of :class:`JobService`."""
 
 import json
-import threading
 import time
 
 import msgspec
-from cheroot.server import Gateway
 from cheroot.workers.threadpool import ThreadPool
 
 from almondstack.core import CodecError, LocalMetrics, decode_with, parse_address
-from almondstack.core.http_server import PlatformHttpServer
+from almondstack.core.client_guard import ClientGuard
+from almondstack.core.http_server import BodyGateway, PlatformHttpServer
+from almondstack.core.request_bodies import BodyFault, RequestBody
 from almondstack.intake import JobService, Verdict
 from almondstack.jobs import JobState, Step, Submission
 from almondstack.platform.configuration import Configuration, ConfigurationHolder, QueueRoute
-from almondstack.platform.request_body import read_body
-from almondstack.platform.wire import JobWire, StepWire
+from almondstack.platform.wire import JobWire, LimitsWire, StepWire
 
 __all__ = ["JobApi", "JobApiServer", "Request", "Response"]
 
@@ -22,8 +21,14 @@
 """Requests handled concurrently; while the store is slow most of them wait for the owner."""
 
 _IDLE_TIMEOUT_S = 30
-_FIRST_MAX_BODY_BYTES = 262_144
-"""Longest body that is read before the first configuration, as in one that names no limit."""
+_FIRST_LIMITS = LimitsWire()
+"""Limits before the first configuration, as in one that names none."""
+
+_HEAD_FACTOR = 2
+"""Longest head that is read, as a multiple of the longest header section: the limit of the
+configuration leaves open how header sections are counted, and request lines come on top."""
+
+_MIN_HEAD_BYTES = 32_768
 
 _ID_DIGITS = 16
 _BYTE_VALUES = 256
@@ -58,6 +63,10 @@
     JobState.FAILED: "failed",
     JobState.CANCELLED: "cancelled",
 }
+_METHODS = frozenset(("DELETE", "GET", "POST"))
+_OTHER_METHOD = "other"
+"""Stands for all other methods in the names of metrics, which are kept for good."""
+
 _job_decoder = msgspec.json.Decoder(JobWire)
 
 
@@ -124,18 +133,53 @@
     @property
     def max_body_bytes(self) -> int:
         """Longest body that is accepted, in bytes."""
+        return self._limits.max_body_bytes
+
+    @property
+    def max_head_bytes(self) -> int:
+        """Longest request line and header section together that are read, in bytes."""
+        return max(_MIN_HEAD_BYTES, self._limits.max_header_bytes * _HEAD_FACTOR)
+
+    @property
+    def _limits(self) -> LimitsWire:
         configuration = self._holder.configuration
-        return configuration.max_body_bytes if configuration is not None else _FIRST_MAX_BODY_BYTES
+        return configuration.limits if configuration is not None else _FIRST_LIMITS
 
     def handle(self, request: Request) -> Response:
         """Return the response to a request."""
         started_s = time.monotonic()
         response = self._handle(request)
-        self._metrics.count(f"answer.{request.method}.{response.status}")
-        self._metrics.timing_ms(f"answer.{request.method}", (time.monotonic() - started_s) * 1000.0)
+        self._record(request, response, started_s)
         return response
 
+    def refuse_head(self, request: Request) -> Response | None:
+        """Return the response to a request that is refused whatever its body is, else None."""
+        started_s = time.monotonic()
+        admission = self._admit(request)
+        if not isinstance(admission, Response):
+            return None
+        self._record(request, admission, started_s)
+        return admission
+
+    def refuse_body(self, request: Request, fault: BodyFault) -> Response:
+        """Return the response to a request whose body was not read to its end."""
+        response = _BODY_REFUSALS[fault]
+        self._record(request, response, time.monotonic())
+        return response
+
+    def _record(self, request: Request, response: Response, started_s: float) -> None:
+        method = request.method if request.method in _METHODS else _OTHER_METHOD
+        self._metrics.count(f"answer.{method}.{response.status}")
+        self._metrics.timing_ms(f"answer.{method}", (time.monotonic() - started_s) * 1000.0)
+
     def _handle(self, request: Request) -> Response:
+        admission = self._admit(request)
+        if isinstance(admission, Response):
+            return admission
+        return self._handle_admitted(request, *admission)
+
+    def _admit(self, request: Request) -> Response | tuple[Configuration, QueueRoute, str]:
+        """Return configuration, route and account of a request, or its refusal."""
         configuration = self._holder.configuration
         if configuration is None:
             return _unavailable("no configuration yet; nothing was stored")
@@ -145,12 +189,17 @@
         account = configuration.account_of(request.key) if request.key else None
         if account is None and not route.is_public:
             return Response(401, {"error": "unknown key"})
+        return configuration, route, account or ""
+
+    def _handle_admitted(
+        self, request: Request, configuration: Configuration, route: QueueRoute, account: str
+    ) -> Response:
         rest = request.path[len(route.prefix) :]
         if not rest and request.method == "GET":
             return Response(200, {"pending": self._service.pending(route.policy.name)})
         if not _is_job_id(rest):
             return Response(404, {"error": "no such job"})
-        return self._handle_job(request, configuration, route, account or "", rest)
+        return self._handle_job(request, configuration, route, account, rest)
 
     def _handle_job(
         self,
@@ -165,8 +214,8 @@
         if request.method == "DELETE":
             return self._cancel(job, account, _store_timeout_s(request, route))
         if request.method == "POST":
-            if request.body is None or len(request.body) > configuration.max_body_bytes:
-                return Response(413, {"error": "the body is too large; nothing was stored"})
+            if request.body is None or len(request.body) > configuration.limits.max_body_bytes:
+                return _BODY_REFUSALS[BodyFault.TOO_LARGE]
             return self._submit(request, request.body, route, account, job)
         return Response(405, {"error": "no such method"})
 
@@ -226,6 +275,8 @@
         Handles the requests.
     threads : int
         Requests handled concurrently.
+    guard : ClientGuard, optional
+        Limits on the callers.
 
     Attributes
     ----------
@@ -233,42 +284,54 @@
         Whether each response closes its connection.
     """
 
-    def __init__(self, address: str, api: JobApi, threads: int = _THREADS) -> None:
-        super().__init__(parse_address(address), _JobApiGateway)
+    def __init__(
+        self,
+        address: str,
+        api: JobApi,
+        threads: int = _THREADS,
+        guard: ClientGuard | None = None,
+    ) -> None:
+        super().__init__(parse_address(address), _JobApiGateway, guard)
         self.api = api
         self.timeout = _IDLE_TIMEOUT_S
         self.requests = ThreadPool(self, min=threads, max=threads)
         self.is_shutting_down = False
-        self._active = 0
-        self._lock = threading.Lock()
 
     @property
-    def active(self) -> int:
-        """Number of requests being handled."""
-        return self._active
-
-    def count_active(self, change: int) -> None:
-        """Add 1 for a request that starts, or -1 for one that has ended."""
-        with self._lock:
-            self._active += change
+    def max_request_header_size(self) -> int:  # type: ignore[override]
+        """Longest request line and header section together, in bytes; read by cheroot."""
+        return self.api.max_head_bytes
 
 
-class _JobApiGateway(Gateway):
+class _JobApiGateway(BodyGateway):
     """Reads a request from cheroot and writes the response."""
 
-    def respond(self) -> None:
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body that is read, in bytes."""
+        return self.req.server.api.max_body_bytes
+
+    def refuse_head(self) -> bool:
+        """Refuse an unknown key or queue before the body has come."""
+        response = self.req.server.api.refuse_head(self._request(None))
+        if response is None:
+            return False
+        self._write(response)
+        return True
+
+    def answer(self, body: RequestBody) -> None:
         """Handle one request."""
-        server = self.req.server
-        server.count_active(1)
-        try:
-            self._write(server.api.handle(self._request()))
-        finally:
-            server.count_active(-1)
-
-    def _request(self) -> Request:
+        api = self.req.server.api
+        if body.fault in (None, BodyFault.TOO_LARGE):
+            # Only a submission needs its body, so that other requests may have any.
+            content = body.content if body.fault is None else None
+            self._write(api.handle(self._request(content)))
+            return
+        self._write(api.refuse_body(self._request(None), body.fault))
+
+    def _request(self, body: bytes | None) -> Request:
         req = self.req
         headers = req.inheaders
-        body = read_body(req, req.server.api.max_body_bytes)
         return Request(
             req.method.decode("latin-1"),
             _host_name(headers.get(b"Host", b"")),
@@ -280,24 +343,28 @@
 
     def _write(self, response: Response) -> None:
         req = self.req
-        content = json.dumps(response.content).encode()
-        req.status = _STATUS_LINES[response.status].encode()
-        req.outheaders.append((b"Content-Type", b"application/json"))
-        req.outheaders.append((b"Content-Length", str(len(content)).encode()))
+        headers = [(b"Content-Type", b"application/json")]
         if response.retry_after_s is not None:
             seconds = max(1, round(response.retry_after_s))
-            req.outheaders.append((b"Retry-After", str(seconds).encode()))
+            headers.append((b"Retry-After", str(seconds).encode()))
         if req.server.is_shutting_down or response.status == _UNAVAILABLE:
             # The load balancer can send a retry over a new connection to another process.
             req.close_connection = True
-        req.ensure_headers_sent()
-        req.write(content)
+        status = _STATUS_LINES[response.status].encode()
+        self.send(status, headers, json.dumps(response.content).encode())
 
 
 def _unavailable(error: str) -> Response:
     return Response(503, {"error": error}, _RETRY_AFTER_OUTAGE_S)
 
 
+_BODY_REFUSALS = {
+    BodyFault.TOO_LARGE: Response(413, {"error": "the body is too large; nothing was stored"}),
+    BodyFault.MALFORMED: Response(400, {"error": "the body is malformed; nothing was stored"}),
+    BodyFault.NOT_HELD: _unavailable("too many bodies are being received; nothing was stored"),
+}
+
+
 def _retry_jitter_s(job: str) -> float:
     """Return a delay below 1 s, derived from the job's id, that spreads callers' retries."""
     return int(job[-2:], 16) / _BYTE_VALUES
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -12,6 +12,7 @@
 
 from almondstack.control import Owner, OwnerServices
 from almondstack.core import SettingsError, parse_address
+from almondstack.core.client_guard import ClientGuard
 from almondstack.core.events import EventLog
 from almondstack.core.prometheus_metrics import PrometheusMetrics
 from almondstack.core.supervision import SupervisedThread
@@ -103,9 +104,7 @@
             settings.limits.cores,
         )
         self._requests = OwnerRequests(settings.zone)
-        self._relay_server = RelayServer(
-            settings.relay_address, self._requests, lambda: self._index.notice
-        )
+        guard = ClientGuard(settings.http_limits, self._metrics, self._events.write)
         service = JobService(
             self._store,
             self._index,
@@ -121,14 +120,22 @@
             self._metrics,
         )
         api = JobApi(self._holder, service, self._metrics)
-        self._job_api_server = JobApiServer(settings.listen.front, api)
+        self._relay_server = RelayServer(
+            settings.relay_address,
+            self._requests,
+            lambda: self._index.notice,
+            guard,
+            lambda: api.max_body_bytes,
+        )
+        self._job_api_server = JobApiServer(settings.listen.front, api, guard=guard)
         self._readiness_server = StatusServer(
             parse_address(settings.listen.ready),
             self._render_readiness,
             self._liveness,
+            guard,
         )
         self._metrics_server = StatusServer(
-            settings.metrics_address, self._render_metrics, self._liveness
+            settings.metrics_address, self._render_metrics, self._liveness, guard
         )
         self._owner: Owner | None = None
         self._exit_code = 0
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -8,6 +8,7 @@
 
 from almondstack.control import ControlSettings
 from almondstack.core import DECODING_ERRORS, SettingsError, parse_address
+from almondstack.core.client_guard import HttpLimits
 
 __all__ = ["PlatformSettings", "SettingsFile", "control_settings", "load_platform_settings"]
 
@@ -60,6 +61,8 @@
     link_mbps: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
         name="link-mbps", default=1000.0
     )
+    # Memory of the process; the default is that of the smallest machine.
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(name="memory-mb", default=200.0)
 
     @property
     def cores(self) -> float:
@@ -73,6 +76,33 @@
         return max(_MIN_READ_KB, min(int(max_kb), _MAX_READ_KB))
 
 
+_MIN_HELD_MB = 2.0
+_HELD_FRACTION = 1.0 / 8.0
+_MB = 1_000_000
+
+
+class _HttpLimits(msgspec.Struct, frozen=True):
+    """Limits on clients; no client that keeps to the documented limits meets the defaults."""
+
+    # Open connections to one address.
+    max_connections: Annotated[int, msgspec.Meta(ge=16, le=4_096)] = msgspec.field(
+        name="max-connections", default=900
+    )
+    # Time for the head of a request, from its first byte on.
+    header_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
+        name="header-timeout-ms", default=6_000
+    )
+    # Time for the body of a request.
+    body_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
+        name="body-timeout-ms", default=10_000
+    )
+    # Kilobytes of all bodies being received, beyond the first 16 of each; by default an eighth
+    # of the memory of the process.
+    max_held_kb: Annotated[int, msgspec.Meta(gt=0)] | None = msgspec.field(
+        name="max-held-kb", default=None
+    )
+
+
 class _Service(msgspec.Struct, frozen=True):
     """Address of a service of the platform."""
 
@@ -107,6 +137,19 @@
     advice: str | None = None
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    http: _HttpLimits = msgspec.field(name="http-limits", default=_HttpLimits())
+
+    @property
+    def http_limits(self) -> HttpLimits:
+        """Limits on the clients of the HTTP servers."""
+        held_mb = max(_MIN_HELD_MB, self.limits.memory_mb * _HELD_FRACTION)
+        held_kb = self.http.max_held_kb
+        return HttpLimits(
+            max_connections=self.http.max_connections,
+            head_timeout_s=self.http.header_timeout_ms / 1000.0,
+            body_timeout_s=self.http.body_timeout_ms / 1000.0,
+            max_held_bytes=int(held_mb * _MB) if held_kb is None else held_kb * 1_000,
+        )
 
     @property
     def metrics_address(self) -> tuple[str, int]:
--- a/almondstack/platform/status.py
+++ b/almondstack/platform/status.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Callable
 
-from cheroot.server import Gateway
 from cheroot.workers.threadpool import ThreadPool
 
-from almondstack.core.http_server import PlatformHttpServer
+from almondstack.core.client_guard import ClientGuard
+from almondstack.core.http_server import BodyGateway, PlatformHttpServer
+from almondstack.core.request_bodies import RequestBody
 from almondstack.ownership.liveness import (
     CONTACT_HEADER,
     INCARNATION_HEADER,
@@ -28,6 +29,8 @@
     liveness : callable
         Returns the state of this process, which is sent in headers so that other processes can
         check it.
+    guard : ClientGuard, optional
+        Limits on the clients.
     """
 
     def __init__(
@@ -35,28 +38,25 @@
         address: tuple[str, int],
         render: Callable[[], tuple[int, bytes]],
         liveness: Callable[[], Liveness],
+        guard: ClientGuard | None = None,
     ) -> None:
-        super().__init__(address, _StatusGateway)
+        super().__init__(address, _StatusGateway, guard)
         self.render = render
         self.liveness = liveness
         self.requests = ThreadPool(self, min=1, max=1)
 
 
-class _StatusGateway(Gateway):
+class _StatusGateway(BodyGateway):
     """Writes the rendered text and the liveness headers."""
 
-    def respond(self) -> None:
+    def answer(self, _body: RequestBody) -> None:
         """Answer one request."""
-        req = self.req
-        status, text = req.server.render()
-        req.status = b"200 OK" if status == 200 else b"503 Service Unavailable"
-        req.outheaders.append((b"Content-Type", b"text/plain; charset=utf-8"))
-        req.outheaders.append((b"Content-Length", str(len(text)).encode()))
-        liveness = req.server.liveness()
-        req.outheaders.append((INCARNATION_HEADER.encode(), liveness.incarnation.encode()))
-        req.outheaders.append((CONTACT_HEADER.encode(), f"{liveness.contact_age_s:.2f}".encode()))
-        req.outheaders.append(
-            (TURNED_AWAY_HEADER.encode(), f"{liveness.turned_away_s:.2f}".encode())
-        )
-        req.ensure_headers_sent()
-        req.write(text)
+        status, text = self.req.server.render()
+        liveness = self.req.server.liveness()
+        headers = [
+            (b"Content-Type", b"text/plain; charset=utf-8"),
+            (INCARNATION_HEADER.encode(), liveness.incarnation.encode()),
+            (CONTACT_HEADER.encode(), f"{liveness.contact_age_s:.2f}".encode()),
+            (TURNED_AWAY_HEADER.encode(), f"{liveness.turned_away_s:.2f}".encode()),
+        ]
+        self.send(b"200 OK" if status == 200 else b"503 Service Unavailable", headers, text)
--- a/almondstack/platform/tests/test_settings.py
+++ b/almondstack/platform/tests/test_settings.py
@@ -129,3 +129,17 @@
                 break
         lines.read()
     assert process.wait(30) == 0
+
+
+def test_limits_on_clients_follow_the_memory_of_the_machine(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(settings_text(limits="{memory-mb: 400}"))
+    limits = load_platform_settings(path).http_limits
+    assert limits.max_held_bytes == 50_000_000 and limits.head_timeout_s == 6.0
+
+
+def test_limits_on_clients_can_be_set(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(settings_text(**{"http-limits": "{max-held-kb: 9, header-timeout-ms: 500}"}))
+    limits = load_platform_settings(path).http_limits
+    assert (limits.max_held_bytes, limits.head_timeout_s) == (9_000, 0.5)
--- a/almondstack/relay/messages.py
+++ b/almondstack/relay/messages.py
@@ -1,6 +1,7 @@
 """Messages between processes and the owner: MessagePack bodies of HTTP requests and replies."""
 
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 
@@ -17,6 +18,9 @@
 ]
 
 
+_Name = Annotated[str, msgspec.Meta(max_length=1_000)]
+
+
 class RelayPath(StrEnum):
     """HTTP path of each kind of call."""
 
@@ -27,10 +31,10 @@
 class Sender(msgspec.Struct, frozen=True, array_like=True):
     """The process that sends a call; fields as in :class:`~almondstack.intake.Peer`."""
 
-    incarnation: str
+    incarnation: _Name
     cores: float
     store_age_s: float
-    zone: str
+    zone: _Name
 
 
 class SubmissionCall(msgspec.Struct, frozen=True, array_like=True):
--- a/almondstack/relay/server.py
+++ b/almondstack/relay/server.py
@@ -3,11 +3,12 @@
 from collections.abc import Callable
 
 import msgspec
-from cheroot.server import Gateway
 from cheroot.workers.threadpool import ThreadPool
 
 from almondstack.core import CodecError, decode_with, parse_address
-from almondstack.core.http_server import PlatformHttpServer
+from almondstack.core.client_guard import ClientGuard
+from almondstack.core.http_server import BodyGateway, PlatformHttpServer
+from almondstack.core.request_bodies import RequestBody
 from almondstack.intake import (
     CancelRequest,
     OwnerNotReachedError,
@@ -38,6 +39,12 @@
 _IDLE_TIMEOUT_S = 60
 """Connections between processes are closed after this time without a request."""
 
+_MAX_CALL_BYTES = 1_048_576
+"""Longest call that is read, unless callers may send longer jobs."""
+
+_CALL_FACTOR = 4
+"""Bytes of a call for each byte of the job in it, at most: a call names each field of a step."""
+
 _encoder = msgspec.msgpack.Encoder()
 _submissions = msgspec.msgpack.Decoder(SubmissionCall)
 _cancels = msgspec.msgpack.Decoder(CancelCall)
@@ -59,6 +66,10 @@
         Accepts requests while this process owns the jobs.
     notice : callable
         Returns the newest notice of an owner that this process has read.
+    guard : ClientGuard, optional
+        Limits on the clients.
+    max_job_bytes : callable, optional
+        Returns the length of the longest job that callers may send, in bytes.
     """
 
     def __init__(
@@ -66,8 +77,11 @@
         address: str,
         requests: OwnerRequests,
         notice: Callable[[], OwnerNotice | None],
+        guard: ClientGuard | None = None,
+        max_job_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
-        super().__init__(parse_address(address), _RelayGateway)
+        super().__init__(parse_address(address), _RelayGateway, guard)
+        self.max_job_bytes = max_job_bytes
         self.timeout = _IDLE_TIMEOUT_S
         self.owner_requests = requests
         self.notice = notice
@@ -81,23 +95,20 @@
             self.requests.shrink(_MAX_THREADS - _MIN_THREADS)
 
 
-class _RelayGateway(Gateway):
+class _RelayGateway(BodyGateway):
     """Reads a call from a cheroot connection and writes the reply."""
 
-    def respond(self) -> None:
-        """Answer one call."""
-        req = self.req
-        status, content = self._answer(req.path.decode("latin-1"), self._body())
-        req.status = status
-        req.outheaders.append((b"Content-Type", b"application/msgpack"))
-        req.outheaders.append((b"Content-Length", str(len(content)).encode()))
-        req.ensure_headers_sent()
-        req.write(content)
-
-    def _body(self) -> bytes:
-        req = self.req
-        length = int(req.inheaders.get(b"Content-Length", 0) or 0)
-        return req.rfile.read(length)
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest call that is read, in bytes."""
+        return max(_MAX_CALL_BYTES, self.req.server.max_job_bytes() * _CALL_FACTOR)
+
+    def answer(self, body: RequestBody) -> None:
+        """Answer one call; a call that was not read to its end is not accepted."""
+        status, content = b"400 Bad Request", b""
+        if body.fault is None:
+            status, content = self._answer(self.req.path.decode("latin-1"), body.content)
+        self.send(status, [(b"Content-Type", b"application/msgpack")], content)
 
     def _answer(self, path: str, body: bytes) -> tuple[bytes, bytes]:
         try:
