--- a/almondstack/platform/tests/test_untrusted_clients.py
+++ b/almondstack/platform/tests/test_untrusted_clients.py
@@ -121,7 +121,7 @@
     _check_large_chunks(process, key, 200)
 
 
-@pytest.mark.parametrize("key", ["k", ""])
+@pytest.mark.parametrize("key", ["k", "wrong", ""])
 def test_large_chunks_do_not_fill_the_memory_before_a_configuration(unconfigured_process, key):
     _check_large_chunks(unconfigured_process, key, 503)
 
