--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -11,6 +11,7 @@
 from almondstack.control.current_runs import is_same_incarnation
 from almondstack.control.delay_recorder import DelayRecorder
 from almondstack.control.fleet_controller import FleetController
+from almondstack.control.interference_monitor import InterferenceMonitor
 from almondstack.control.job_records import JobRecords
 from almondstack.control.journal import OwnerJournal
 from almondstack.control.lease import longest_lease_s
@@ -125,8 +126,13 @@
         )
         self._table = RunTable(self, services.events, services.metrics)
         self._advisor = Advisor(services)
+        monitor = InterferenceMonitor(events=services.events, metrics=services.metrics)
         self._planner = Planner(
-            self._table, self._advisor, services.policies, services.directory.evacuated_zones
+            self._table,
+            self._advisor,
+            services.policies,
+            services.directory.evacuated_zones,
+            monitor.interference,
         )
         self._records = JobRecords(services, self._planner)
         self._requests = RequestHandler(services, self._planner)
@@ -144,7 +150,7 @@
             self._table.delays, self._planner, self._fleet, services.events, services.metrics
         )
         self._table.set_job_end_listener(self._delays.note_job_end)
-        self._pacing = Pacing(self._table, self._sessions)
+        self._pacing = Pacing(self._table, self._sessions, monitor)
         self._report = RoundReport(services.events, services.metrics)
         self._starts: list[Task] = []
         self._has_failed = False
--- a/almondstack/control/pacing.py
+++ b/almondstack/control/pacing.py
@@ -2,13 +2,14 @@
 
 from typing import NamedTuple
 
+from almondstack.control.interference_monitor import InterferenceMonitor, is_serving
 from almondstack.control.messages import OrderStatus
 from almondstack.control.runs import RunTable
 from almondstack.control.sent_calls import MAX_CALL_DELAY_S
 from almondstack.control.sessions import SessionTable
 from almondstack.jobs import Task
 from almondstack.placement import Worker
-from almondstack.placement.pace import next_percent
+from almondstack.placement.pace import next_percents
 
 __all__ = ["Pacing"]
 
@@ -36,19 +37,37 @@
     percentage is sent once more when that time is over.  A run that a previous owner has
     started gets an order in any case, since that owner may have paced it.
 
+    Which fillers disturb is learned from the same figures; while that is not known, all fillers
+    of a worker are slowed alike.
+
     Parameters
     ----------
     table : RunTable
         Workers and their runs.
     sessions : SessionTable
         Sends the orders to workers.
+    monitor : InterferenceMonitor, optional
+        Learns which kinds of task disturb each other; one of its own by default.
     """
 
-    __slots__ = ("_last_round_s", "_repeats", "_sessions", "_table", "_unanswered", "_unsettled")
-
-    def __init__(self, table: RunTable, sessions: SessionTable) -> None:
+    __slots__ = (
+        "_last_round_s",
+        "_monitor",
+        "_repeats",
+        "_sessions",
+        "_slowed",
+        "_table",
+        "_unanswered",
+        "_unsettled",
+    )
+
+    def __init__(
+        self, table: RunTable, sessions: SessionTable, monitor: InterferenceMonitor | None = None
+    ) -> None:
         self._table = table
         self._sessions = sessions
+        self._monitor = monitor or InterferenceMonitor()
+        self._slowed: set[str] = set()
         self._last_round_s = 0.0
         self._unsettled: dict[str, int] = {}
         self._unanswered: dict[str, int] = {}
@@ -65,6 +84,7 @@
         """Adjust the percentage of each filler, at most once within the interval."""
         if now_s - self._last_round_s < _INTERVAL_S:
             return
+        self._note_samples(now_s)
         self._last_round_s = now_s
         for worker in self._table.workers.values():
             self._pace_worker(worker, now_s)
@@ -81,24 +101,49 @@
             self._repeats[name] = _Repeat(run, now_s + MAX_CALL_DELAY_S)
         self._unanswered.clear()
 
+    def _note_samples(self, now_s: float) -> None:
+        """Note the figures of workers that have answered since the last round.
+
+        Explanation
+        -----------
+        Figures of a worker on which a filler was slowed in the last round cover some time
+        before that, too.
+        """
+        for worker in self._table.workers.values():
+            is_new = worker.last_answer_s > self._last_round_s
+            if is_new and worker.id not in self._slowed:
+                self._note_sample(worker, now_s)
+        self._slowed.clear()
+        self._monitor.update(now_s)
+
+    def _note_sample(self, worker: Worker, now_s: float) -> None:
+        tasks = worker.tasks
+        if any(is_serving(task) for task in tasks) and all(
+            self._is_pace_sure(task) for task in tasks if task.step.is_filler
+        ):
+            self._monitor.note_worker(worker, now_s)
+
+    def _is_pace_sure(self, task: Task) -> bool:
+        """Whether the run goes at its percentage, and no earlier order can change that."""
+        is_settled = task.is_pace_known and self._unsettled.get(task.name) != task.run
+        return is_settled and task.name not in self._repeats
+
     def _pace_worker(self, worker: Worker, now_s: float) -> None:
         tasks = [task for task in worker.tasks if task.is_confirmed and not task.is_stopping]
         fillers = [task for task in tasks if task.step.is_filler]
         if not fillers:
             return
-        load_ratios = [
-            task.load / task.step.target_ms
-            for task in tasks
-            if task.step.target_ms and not task.step.is_filler
-        ]
-        worst = max(load_ratios, default=0.0)
-        for task in fillers:
-            self._set_percent(worker, task, next_percent(task.percent, worst), now_s)
+        serving = [task for task in tasks if is_serving(task)]
+        percents = next_percents(fillers, serving, self._monitor.interference)
+        for task, percent in zip(fillers, percents, strict=True):
+            self._set_percent(worker, task, percent, now_s)
 
     def _set_percent(self, worker: Worker, task: Task, percent: int, now_s: float) -> None:
         session = self._sessions.get(worker.id)
         if session is None or (percent == task.percent and self._is_settled(task, now_s)):
             return
+        if percent < task.percent:
+            self._slowed.add(worker.id)
         task.percent = percent
         task.is_pace_known = True
         session.pace(task.name, task.run, percent)
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -12,12 +12,17 @@
     Worker,
     rank_of,
 )
+from almondstack.placement.choosing import Preference
 from almondstack.placement.fairness import RankedStep, fair_order
+from almondstack.placement.interference import Interference
 from almondstack.placement.reservations import ReservationLimits, used_share
 from almondstack.placement.unreachable import find_unreachable
 
 __all__ = ["Planner"]
 
+_DISTURBANCE_DIGITS = 1
+"""Decimal places to which disturbances are compared: below these the room decides."""
+
 
 class Planner:
     """Assigns waiting tasks to workers, pool by pool.
@@ -32,6 +37,8 @@
         Returns the newest policies.
     evacuated_zones : callable, optional
         Returns the availability zones whose workers get no new tasks.
+    interference : Interference, optional
+        Which kinds of task disturb each other on one worker; nothing known by default.
     """
 
     __slots__ = (
@@ -39,6 +46,7 @@
         "_at_ceiling",
         "_blocked",
         "_evacuated_zones",
+        "_interference",
         "_last_policies",
         "_limits",
         "_policies",
@@ -52,8 +60,10 @@
         advisor: Advisor,
         policies: Callable[[], Policies],
         evacuated_zones: Callable[[], frozenset[str]] = frozenset,
+        interference: Interference | None = None,
     ) -> None:
         self._table = table
+        self._interference = interference or Interference()
         self._evacuated_zones = evacuated_zones
         self._advisor = advisor
         self._policies = policies
@@ -125,8 +135,17 @@
             now_s,
             self._advisor.allowed_workers,
             may_reserve=may_reserve,
+            preferences=self._preferences(),
         )
 
+    def _preferences(self) -> tuple[Preference, ...]:
+        """Return the preferences among workers with room: none while no disturbance is known."""
+        return (self._disturbance_on,) if self._interference.harmful else ()
+
+    def _disturbance_on(self, task: Task, worker: Worker) -> float:
+        """Return the disturbance expected if a task joins those on a worker, rounded."""
+        return round(self._interference.penalty(task, worker.tasks), _DISTURBANCE_DIGITS)
+
     def _note_reservations(self, pool: str, pool_round: PoolRound, now_s: float) -> None:
         reserved = {worker.id: task.name for task, worker in pool_round.reservations}
         self._limits.note_round(pool, bool(reserved), now_s)
--- /dev/null
+++ b/almondstack/control/tests/test_interference_monitor.py
@@ -0,0 +1,171 @@
+"""What pacing learns of fillers beside serving tasks, under load and after failures."""
+
+import io
+import json
+import time
+
+import pytest
+
+from almondstack.control.interference_monitor import InterferenceMonitor
+from almondstack.control.pacing import Pacing
+from almondstack.control.planning import Planner
+from almondstack.core.events import EventLog
+from almondstack.placement import Policies, Resources
+from almondstack.placement.interference import Finding, Interference, Pair
+from almondstack.testing.disturbance_world import DisturbanceWorld
+from almondstack.testing.job_builders import (
+    AllowAllAdvisor,
+    make_job,
+    make_policy,
+    make_step,
+    make_worker,
+)
+
+_BESIDE = ["scan calm", "scan calm", "calm", "scan", "", "calm"]
+_AMOUNTS = {"scan": 0.8, "calm": 0.0}
+
+
+def _world(**fields):
+    return DisturbanceWorld(dict(_AMOUNTS), _BESIDE, **fields)
+
+
+def _without_learning(monkeypatch):
+    monkeypatch.setattr(Interference, "note_sample", lambda *_: False)
+
+
+def test_two_filler_kinds_beside_serving_tasks_the_harmful_one_is_found():
+    world = _world()
+    world.run(10.0)
+    interference = world.monitor.interference
+    assert interference.disturbance("web", "scan") == pytest.approx(0.8, abs=0.15)
+    assert interference.disturbance("web", "calm") == 0.0
+    assert world.metrics.total("interference.learned") >= 1
+
+
+@pytest.mark.parametrize("noise", [0.03, 0.1])
+@pytest.mark.parametrize("base", [0.3, 0.45, 0.55])
+def test_fillers_do_as_much_work_or_more_while_serving_tasks_are_protected_as_before(
+    base, noise, monkeypatch
+):
+    known = _world(base=base, noise=noise)
+    known.run(60.0)
+    _without_learning(monkeypatch)
+    alike = _world(base=base, noise=noise)
+    alike.run(60.0)
+    assert known.monitor.interference.harmful and not alike.monitor.interference.harmful
+    assert known.over_target_s <= alike.over_target_s
+    assert known.work_s["calm"] >= alike.work_s["calm"]
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_amounts_that_flip_every_few_seconds_leave_serving_tasks_protected_as_before(
+    seed, monkeypatch
+):
+    worlds = []
+    for is_known in (True, False):
+        if not is_known:
+            _without_learning(monkeypatch)
+        world = _world(base=0.45, seed=seed)
+        for _ in range(20):
+            world.run(5.0)
+            amounts = world.amounts
+            amounts["scan"], amounts["calm"] = amounts["calm"], amounts["scan"]
+        worlds.append(world)
+    known, alike = worlds
+    # Each flip may be noticed one round later on each of the workers with both kinds.
+    assert known.over_target_s <= alike.over_target_s + 20 * 2 * 0.4
+
+
+def test_a_harmful_filler_does_not_stand_still_for_good():
+    """Guards against a finding that keeps a filler from the speed at which it would be tested."""
+    world = DisturbanceWorld({"scan": 2.5}, ["scan scan scan", "", "scan"], base=0.4)
+    world.run(20.0)
+    world.amounts["scan"] = 0.0
+    world.run(30.0)
+    assert all(filler.percent == 100 for tasks in world.fillers.values() for filler in tasks)
+
+
+def test_a_new_owner_knows_nothing_and_paces_all_fillers_alike():
+    world = _world()
+    world.run(10.0)
+    world.pacing = Pacing(world.table, world.pacing._sessions)
+    for worker, tasks in world.fillers.items():
+        world.serving[worker].load = 900
+        for task in tasks:
+            task.percent = 100
+    world.pacing.run_round(world.now_s + 1.0)
+    assert {task.percent for tasks in world.fillers.values() for task in tasks} == {50}
+
+
+def test_a_worker_whose_figures_are_missing_gives_no_sample():
+    world = _world()
+    for worker in world.table.workers.values():
+        worker.last_answer_s = 2.0
+        for task in worker.tasks:
+            task.load = 300
+    world.serving["w4"].load = 0
+    world.fillers["w0"][0].load = 0
+    world.pacing.run_round(2.0)
+    assert world.metrics.total("interference.samples") == len(_BESIDE) - 2
+
+
+def test_a_worker_that_does_not_answer_or_has_restarted_gives_no_sample():
+    world = _world()
+    world.run(4.0)
+    before = world.metrics.total("interference.samples")
+    workers = list(world.table.workers.values())
+    for worker in workers[1:]:
+        worker.last_answer_s = world.now_s + 0.1
+    world.table.note_worker_restart("w1", 2, world.now_s)
+    world.pacing.run_round(world.now_s + 0.5)
+    # w0 has not answered, w1 has restarted.
+    assert world.metrics.total("interference.samples") == before + len(workers) - 2
+
+
+def test_a_worker_with_a_filler_of_unknown_speed_gives_no_sample():
+    """Guards against blaming a kind for the tail that a speed of an earlier owner causes."""
+    world = _world()
+    for tasks in world.fillers.values():
+        for task in tasks:
+            task.is_pace_known = False
+    world.run(0.4)
+    assert world.metrics.total("interference.samples") == _BESIDE.count("")
+
+
+def test_a_harmful_filler_is_planned_apart_while_there_is_room_and_beside_when_there_is_none():
+    world = _world()
+    world.run(10.0)
+    # Room for one more filler apart from serving tasks; that worker is not the emptiest.
+    spare = make_worker("spare", capacity=Resources(1_000, 64_000))
+    world.table.add_worker(spare, world.now_s)
+    planner = Planner(
+        world.table,
+        AllowAllAdvisor(),
+        lambda: Policies(1, {"q": make_policy()}),
+        interference=world.monitor.interference,
+    )
+    for number in range(2):
+        step = make_step(is_filler=True, image="scan", memory_mb=40_000)
+        world.table.add_job(make_job(step, id=f"{900 + number:016x}", pool="p"))
+    first, second = planner.plan(world.now_s, time.time() * 1000)
+    assert first.worker == "spare" and second.worker in world.serving
+
+
+def test_lines_name_the_pair_and_the_evidence_and_are_bounded():
+    stream = io.StringIO()
+    events = EventLog("test", stream)
+    interference = Interference()
+    monitor = InterferenceMonitor(interference, events)
+    pairs = {Pair("web", f"scan{number}"): Finding(0.8, 0.1, 9.25, 11.0) for number in range(50)}
+    for number in range(20):
+        # Found and lost in turn.
+        interference._findings = {}
+        interference._harmful = pairs if number % 2 else {}
+        monitor.update(100.0 + number / 10)
+    events.start()
+    events.stop()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert len(lines) == 8
+    assert lines[0]["event"] == "interference-learned"
+    assert (lines[0]["disturber"], lines[0]["disturbed"]) == ("scan0", "web")
+    assert (lines[0]["increase"], lines[0]["samples_with"]) == (0.8, 9.2)
--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -1,12 +1,22 @@
 """Selects a worker for a task, or workers for the tasks of a gang."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from almondstack.jobs import Task
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.workers import Worker
 
-__all__ = ["choose_for_gang", "choose_to_reserve", "choose_worker", "has_room", "is_eligible"]
+__all__ = [
+    "Preference",
+    "choose_for_gang",
+    "choose_to_reserve",
+    "choose_worker",
+    "has_room",
+    "is_eligible",
+]
+
+Preference = Callable[[Task, Worker], float]
+"""Returns how little a worker suits a task; among workers with room, the lowest is preferred."""
 
 
 def is_eligible(task: Task, worker: Worker) -> bool:
@@ -31,22 +41,23 @@
     )
 
 
-def choose_worker(task: Task, workers: Iterable[Worker]) -> Worker | None:
+def choose_worker(task: Task, workers: Iterable[Worker], *preferences: Preference) -> Worker | None:
     """Return the best worker that has room for a task now, or None if there is none.
 
     Explanation
     -----------
     The caller passes only workers that may get new tasks.  Workers on which the
     task failed before come last, then workers that calls for a former life may reach, then
-    workers with a high penalty, then workers on another rack than the data.  Among the
-    rest the fullest worker with room is taken (best fit), so that whole workers stay free
+    workers with a high penalty, then workers on another rack than the data, then those with
+    the higher value of each of ``preferences`` in turn, of which there are none by default.
+    Among the rest the fullest worker with room is taken (best fit), so that whole workers stay free
     for large tasks and for moves of instances; a filler task goes to the emptiest.
     """
     demand = demand_of(task.step)
     fitting = [
         worker for worker in workers if worker.free.covers(demand) and _is_allowed(task, worker)
     ]
-    return min(fitting, key=lambda worker: _preference_key(task, worker), default=None)
+    return min(fitting, key=lambda worker: _preference_key(task, worker, preferences), default=None)
 
 
 def choose_for_gang(tasks: list[Task], workers: list[Worker]) -> list[Worker] | None:
@@ -83,7 +94,9 @@
     return max(eligible, key=lambda worker: worker.free.cpu_millis, default=None)
 
 
-def _preference_key(task: Task, worker: Worker) -> tuple[bool, bool, float, bool, int, str]:
+def _preference_key(
+    task: Task, worker: Worker, preferences: tuple[Preference, ...]
+) -> tuple[bool, bool, float, bool, tuple[float, ...], int, str]:
     """Return the sort key of a worker; the lowest is preferred."""
     step = task.step
     is_far = bool(step.data_rack) and worker.info.rack != step.data_rack
@@ -91,7 +104,8 @@
     if step.is_filler:
         left = -left
     is_failed = worker.id in task.failed_on
-    return is_failed, worker.is_unsettled, worker.penalty, is_far, left, worker.id
+    preferred = tuple(preference(task, worker) for preference in preferences)
+    return is_failed, worker.is_unsettled, worker.penalty, is_far, preferred, left, worker.id
 
 
 def _groups(task: Task, workers: list[Worker]) -> list[list[Worker]]:
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable, Mapping
 
 from almondstack.jobs import Step, Task, TaskStatus
-from almondstack.placement.choosing import choose_for_gang, choose_to_reserve, choose_worker
+from almondstack.placement.choosing import (
+    Preference,
+    choose_for_gang,
+    choose_to_reserve,
+    choose_worker,
+)
 from almondstack.placement.policies import AccountPolicy
 from almondstack.placement.reservations import max_reservations
 from almondstack.placement.resources import Resources, demand_of
@@ -89,6 +94,8 @@
         service; none while the advice has not arrived.
     may_reserve : bool, optional
         Whether workers may be reserved for tasks without room.
+    preferences : tuple of Preference, optional
+        Preferences among the workers that have room for a task; none by default.
     """
 
     __slots__ = (
@@ -98,6 +105,7 @@
         "_demands_without_room",
         "_now_s",
         "_max_reservations",
+        "_preferences",
         "_reservations",
         "_usage",
         "_workers",
@@ -111,8 +119,10 @@
         allowed: Callable[[Task, list[Worker]], list[Worker]] | None = None,
         *,
         may_reserve: bool = True,
+        preferences: tuple[Preference, ...] = (),
     ) -> None:
         self._workers = workers
+        self._preferences = preferences
         self._usage = usage
         self._now_s = now_s
         self._allowed = allowed
@@ -196,7 +206,7 @@
         demand = demand_of(task.step)
         if any(demand.is_at_least(without_room) for without_room in self._demands_without_room):
             return None
-        worker = choose_worker(task, candidates)
+        worker = choose_worker(task, candidates, *self._preferences)
         if worker is None and candidates is self._workers and not _is_restricted(task.step):
             self._demands_without_room.append(demand)
         return worker
