Send the pace again of a run that a worker's next life may have started

Cause: a run whose start had no answer is kept when its worker restarts, since a late start may reach the next life. That life starts it at full speed, while the owner took it for slowed to its former percentage and sent no order: a filler worked on beside a serving task over its target. Change: the pace of such a run counts as not known, so that the next round sends it.

--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -170,6 +170,8 @@
                 continue
             task.life = life
             task.is_confirmed = False
+            # If the next life has started it, it goes at full speed.
+            task.is_pace_known = False
             task.job.is_dirty = True
             current.confirmed_s = None
             current.is_unclear = True
--- a/almondstack/control/tests/test_pacing.py
+++ b/almondstack/control/tests/test_pacing.py
@@ -5,7 +5,15 @@
 from almondstack.control.messages import OrderStatus
 from almondstack.control.pacing import Pacing
 from almondstack.jobs import JobState, TaskKey, decode_progress
-from almondstack.testing.job_builders import assign, make_job, make_step, make_table, make_worker
+from almondstack.testing.job_builders import (
+    assign,
+    look,
+    make_job,
+    make_step,
+    make_table,
+    make_worker,
+    running,
+)
 
 
 class _Session:
@@ -137,3 +145,24 @@
     for number in range(3):
         pacing.run_round(1.0 + number)
     assert session.orders == [100]
+
+
+def test_a_run_that_the_next_life_of_its_worker_has_started_is_slowed_again(harness):
+    """Guards against a filler at full speed that its owner takes for one that stands still.
+
+    PROTOCOL: a call without an answer "may also be executed seconds later"; a task works at the
+    share that the last order said, "100 at the task's start".
+    """
+    (serving, filler), pacing, session = harness
+    serving.load = 150
+    pacing.run_round(1.0)
+    table = pacing._table
+    (worker,) = table.workers.values()
+    worker.info.life = 2
+    # No start of it has an answer, so that a late one may have reached the next life.
+    table.note_worker_restart(worker.id, 2, 1.5)
+    assert not filler.is_confirmed
+    table.note_poll(worker, 1.6, look(running=(running(serving), running(filler)), life=2), 1.7)
+    serving.load = 150
+    pacing.run_round(2.0)
+    assert session.orders == [0, 0]
