Limit the rise of a harmful filler by what the figures of its worker show

Cause: a poll of a worker on which no run ends waits for a second, so that pacing saw the same figures two or three times; a harmful filler rose by 25 percent each time. Change: pacing remembers the percentages that the last figures show; a harmful filler rises only by the room that is left beyond these.

--- a/almondstack/control/pacing.py
+++ b/almondstack/control/pacing.py
@@ -9,7 +9,7 @@
 from almondstack.control.sessions import SessionTable
 from almondstack.jobs import Task
 from almondstack.placement import Worker
-from almondstack.placement.pace import next_percents
+from almondstack.placement.pace import FIGURES_COVER_S, PacedFiller, next_percents
 
 __all__ = ["Pacing"]
 
@@ -31,6 +31,13 @@
     at_s: float
 
 
+class _RunKey(NamedTuple):
+    """A run of a task."""
+
+    task: str
+    run: int
+
+
 class Pacing:
     """Slows down fillers when the load of a serving task on the same worker nears its target.
 
@@ -59,6 +66,7 @@
         "_next_sample",
         "_repeats",
         "_sessions",
+        "_shown",
         "_slowed",
         "_table",
         "_unanswered",
@@ -73,6 +81,7 @@
         self._monitor = monitor or InterferenceMonitor()
         self._slowed: set[str] = set()
         self._next_sample = 0
+        self._shown: dict[str, dict[_RunKey, int]] = {}
         self._last_round_s = 0.0
         self._unsettled: dict[str, int] = {}
         self._unanswered: dict[str, int] = {}
@@ -89,12 +98,18 @@
         """Adjust the percentage of each filler, at most once within the interval."""
         if now_s - self._last_round_s < _INTERVAL_S:
             return
-        self._note_samples(self._last_round_s, now_s)
-        self._last_round_s = now_s
+        self._note_samples(now_s)
         for worker in self._table.workers.values():
             self._pace_worker(worker, now_s)
+        self._last_round_s = now_s
         self._unsettled.clear()
         self._plan_repeats(now_s)
+        if len(self._shown) > len(self._table.workers):
+            self._shown = {
+                worker: shown
+                for worker, shown in self._shown.items()
+                if worker in self._table.workers
+            }
 
     def _plan_repeats(self, now_s: float) -> None:
         """Repeat the orders without an answer once they can't be carried out any more."""
@@ -106,7 +121,7 @@
             self._repeats[name] = _Repeat(run, now_s + MAX_CALL_DELAY_S)
         self._unanswered.clear()
 
-    def _note_samples(self, last_round_s: float, now_s: float) -> None:
+    def _note_samples(self, now_s: float) -> None:
         """Note the figures of workers that have answered since the last round.
 
         Explanation
@@ -115,12 +130,14 @@
         before that, too.
         """
         for worker in self._next_sampled():
-            is_new = worker.last_answer_s > last_round_s
-            if is_new and worker.id not in self._slowed:
+            if self._has_new_figures(worker) and worker.id not in self._slowed:
                 self._monitor.note_worker(worker, self._is_pace_sure, now_s)
         self._slowed.clear()
         self._monitor.update(now_s)
 
+    def _has_new_figures(self, worker: Worker) -> bool:
+        return worker.last_answer_s > self._last_round_s
+
     def _next_sampled(self) -> list[Worker]:
         """Return the workers whose turn it is to give a sample: all of a small fleet."""
         workers = list(self._table.workers.values())
@@ -140,11 +157,23 @@
         fillers = [task for task in tasks if task.step.is_filler]
         if not fillers:
             return
+        if self._has_new_figures(worker):
+            self._note_shown(worker, fillers, now_s)
+        shown = self._shown.get(worker.id, {})
+        paced = [PacedFiller(task, shown.get(_RunKey(task.name, task.run), 0)) for task in fillers]
         serving = [task for task in tasks if is_serving(task)]
-        percents = next_percents(fillers, serving, self._monitor.interference, now_s)
+        percents = next_percents(paced, serving, self._monitor.interference)
         for task, percent in zip(fillers, percents, strict=True):
             self._set_percent(worker, task, percent, now_s)
 
+    def _note_shown(self, worker: Worker, fillers: list[Task], now_s: float) -> None:
+        """Note the percentages whose effect the new figures of a worker show."""
+        self._shown[worker.id] = {
+            _RunKey(task.name, task.run): task.percent
+            for task in fillers
+            if now_s - task.assigned_s >= FIGURES_COVER_S
+        }
+
     def _set_percent(self, worker: Worker, task: Task, percent: int, now_s: float) -> None:
         session = self._sessions.get(worker.id)
         if session is None or (percent == task.percent and self._is_settled(task, now_s)):
--- a/almondstack/control/tests/test_interference_monitor.py
+++ b/almondstack/control/tests/test_interference_monitor.py
@@ -45,21 +45,40 @@
     assert world.metrics.total("interference.learned") >= 1
 
 
+def _play(monkeypatch, seconds, **fields):
+    """Return a world after some time, and the same one in which nothing is learned."""
+    known = _world(**fields)
+    known.run(seconds)
+    with monkeypatch.context() as patch:
+        _without_learning(patch)
+        alike = _world(**fields)
+        alike.run(seconds)
+    assert known.metrics.total("interference.learned")
+    assert not alike.metrics.total("interference.learned")
+    return known, alike
+
+
 @pytest.mark.parametrize("noise", [0.03, 0.1])
 @pytest.mark.parametrize("base", [0.3, 0.45, 0.55])
 def test_fillers_do_as_much_work_or_more_while_serving_tasks_are_protected_as_before(
     base, noise, monkeypatch
 ):
-    known = _world(base=base, noise=noise)
-    known.run(60.0)
-    _without_learning(monkeypatch)
-    alike = _world(base=base, noise=noise)
-    alike.run(60.0)
-    assert known.monitor.interference.harmful and not alike.monitor.interference.harmful
+    known, alike = _play(monkeypatch, 60.0, base=base, noise=noise)
     assert known.over_target_s <= alike.over_target_s
     assert known.work_s["calm"] >= alike.work_s["calm"]
 
 
+@pytest.mark.parametrize("noise", [0.03, 0.1])
+@pytest.mark.parametrize("base", [0.3, 0.45, 0.55])
+def test_with_figures_every_1_5_s_serving_tasks_are_over_their_target_for_less_time(
+    base, noise, monkeypatch
+):
+    """A poll of a worker on which no run ends waits for a second."""
+    known, alike = _play(monkeypatch, 60.0, base=base, noise=noise, answer_every=3)
+    assert known.over_target_s < alike.over_target_s
+    assert known.work_s["calm"] >= alike.work_s["calm"]
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_amounts_that_flip_every_few_seconds_leave_serving_tasks_protected_as_before(
     seed, monkeypatch
--- a/almondstack/placement/pace.py
+++ b/almondstack/placement/pace.py
@@ -1,9 +1,11 @@
 """Throttles filler tasks that run beside serving tasks."""
 
+from typing import NamedTuple
+
 from almondstack.jobs import Task
-from almondstack.placement.interference import Interference, kind_of, work_share
+from almondstack.placement.interference import Interference, kind_of
 
-__all__ = ["FIGURES_COVER_S", "latency_ratio", "next_percent", "next_percents"]
+__all__ = ["FIGURES_COVER_S", "PacedFiller", "latency_ratio", "next_percent", "next_percents"]
 
 FIGURES_COVER_S = 0.5
 """Time that the load figures of a worker cover, in seconds."""
@@ -51,8 +53,23 @@
     return task.load / task.step.target_ms
 
 
+class PacedFiller(NamedTuple):
+    """A filler, with the percentage at which it worked when its worker last gave figures.
+
+    Parameters
+    ----------
+    task : Task
+        The filler.
+    shown : int
+        The percentage whose effect the figures show; 0 for a run that they don't cover.
+    """
+
+    task: Task
+    shown: int
+
+
 def next_percents(
-    fillers: list[Task], serving: list[Task], interference: Interference, now_s: float
+    fillers: list[PacedFiller], serving: list[Task], interference: Interference
 ) -> list[int]:
     """Return the share of processor time that each filler on a worker may use next, in percent.
 
@@ -62,83 +79,85 @@
 
     * While no serving task is over its target, a filler that disturbs none of them keeps its
       share, as long as slowing the others that are known to disturb is enough.
-    * A filler that is known to disturb speeds up only so far that the tail latency stays
-      below the one from which fillers are slowed.  So does one that has just started, at full
-      speed, and whose effect the figures don't show yet.
+    * A filler that is known to disturb speeds up, or starts, only so far that the tail latency
+      expected stays below the one from which fillers are slowed.  It is that of the last
+      figures, with the increase by what has changed since.
 
     While nothing is known, and while a serving task is over its target, there is no exception.
     """
     worst = max((latency_ratio(task) for task in serving), default=0.0)
-    percents = [next_percent(task.percent, worst) for task in fillers]
+    percents = [next_percent(filler.task.percent, worst) for filler in fillers]
     if worst >= 1.0 or not interference.is_known:
         return percents
     if worst >= _SLOW_DOWN_FROM:
         return _spare_harmless(fillers, serving, percents, interference)
-    starts = [0 if _is_new(filler, now_s) else filler.percent for filler in fillers]
-    rises = [percent - start for start, percent in zip(starts, percents, strict=True)]
-    limited = _limit_rises(fillers, serving, rises, interference)
-    return [start + rise for start, rise in zip(starts, limited, strict=True)]
-
-
-def _is_new(filler: Task, now_s: float) -> bool:
-    """Whether the figures of a filler's worker don't show its effect yet."""
-    return now_s - filler.assigned_s < FIGURES_COVER_S
+    return _limit_rises(fillers, serving, percents, interference)
 
 
 def _spare_harmless(
-    fillers: list[Task], serving: list[Task], percents: list[int], interference: Interference
+    fillers: list[PacedFiller],
+    serving: list[Task],
+    percents: list[int],
+    interference: Interference,
 ) -> list[int]:
     """Return the shares with those of harmless fillers unchanged, if the others explain enough."""
-    is_spared = [_is_harmless(filler, serving, interference) for filler in fillers]
-    slowed = [task for task, spared in zip(fillers, is_spared, strict=True) if not spared]
-    if not all(_is_relieved(task, slowed, interference) for task in serving):
+    is_spared = [_is_harmless(filler.task, serving, interference) for filler in fillers]
+    slowed = [filler for filler, spared in zip(fillers, is_spared, strict=True) if not spared]
+    shown = [filler.shown for filler in slowed]
+    if not all(
+        latency_ratio(task) - _increase(task, slowed, shown, interference) < _SLOW_DOWN_FROM
+        for task in serving
+    ):
         return percents
     return [
-        filler.percent if spared else percent
+        filler.task.percent if spared else percent
         for filler, spared, percent in zip(fillers, is_spared, percents, strict=True)
     ]
 
 
-def _is_harmless(filler: Task, serving: list[Task], interference: Interference) -> bool:
-    kind = kind_of(filler)
-    return all(interference.is_harmless(kind_of(task), kind) for task in serving)
-
-
-def _is_relieved(task: Task, slowed: list[Task], interference: Interference) -> bool:
-    """Whether a serving task's tail latency is low enough once some fillers stand still."""
-    kind = kind_of(task)
-    relief = sum(
-        interference.disturbance(kind, kind_of(filler)) * work_share(filler) for filler in slowed
-    )
-    return latency_ratio(task) - relief < _SLOW_DOWN_FROM
-
-
 def _limit_rises(
-    fillers: list[Task], serving: list[Task], rises: list[int], interference: Interference
+    fillers: list[PacedFiller],
+    serving: list[Task],
+    percents: list[int],
+    interference: Interference,
 ) -> list[int]:
-    """Return the rises in percent, with those of disturbing fillers limited."""
+    """Return the shares with the rises of disturbing fillers since the figures limited."""
+    bases = [min(filler.shown, percent) for filler, percent in zip(fillers, percents, strict=True)]
+    rises = [percent - base for percent, base in zip(percents, bases, strict=True)]
     scale = min(
         (_possible_part(task, fillers, rises, interference) for task in serving), default=1.0
     )
     return [
-        int(rise * scale) if _disturbs(filler, serving, interference) else rise
-        for filler, rise in zip(fillers, rises, strict=True)
+        base + (int(rise * scale) if _disturbs(filler.task, serving, interference) else rise)
+        for filler, base, rise in zip(fillers, bases, rises, strict=True)
     ]
 
 
-def _disturbs(filler: Task, serving: list[Task], interference: Interference) -> bool:
-    kind = kind_of(filler)
-    return any(interference.disturbance(kind_of(task), kind) > 0 for task in serving)
-
-
 def _possible_part(
-    task: Task, fillers: list[Task], rises: list[int], interference: Interference
+    task: Task, fillers: list[PacedFiller], rises: list[int], interference: Interference
 ) -> float:
     """Return the part of all rises, 0 to 1, for which a serving task's tail latency has room."""
-    kind = kind_of(task)
-    increase = sum(
-        interference.disturbance(kind, kind_of(filler)) * rise / _FULL_PERCENT
-        for filler, rise in zip(fillers, rises, strict=True)
-    )
+    increase = _increase(task, fillers, rises, interference)
     room = _SLOW_DOWN_FROM - latency_ratio(task)
     return 1.0 if increase <= room else room / increase
+
+
+def _increase(
+    task: Task, fillers: list[PacedFiller], percents: list[int], interference: Interference
+) -> float:
+    """Return by how much fillers at these shares raise a serving task's tail latency ratio."""
+    kind = kind_of(task)
+    return sum(
+        interference.disturbance(kind, kind_of(filler.task)) * percent / _FULL_PERCENT
+        for filler, percent in zip(fillers, percents, strict=True)
+    )
+
+
+def _is_harmless(filler: Task, serving: list[Task], interference: Interference) -> bool:
+    kind = kind_of(filler)
+    return all(interference.is_harmless(kind_of(task), kind) for task in serving)
+
+
+def _disturbs(filler: Task, serving: list[Task], interference: Interference) -> bool:
+    kind = kind_of(filler)
+    return any(interference.disturbance(kind_of(task), kind) > 0 for task in serving)
--- a/almondstack/placement/tests/test_interference.py
+++ b/almondstack/placement/tests/test_interference.py
@@ -10,7 +10,7 @@
 from almondstack.placement.choosing import choose_worker
 from almondstack.placement.disturbance_preference import DisturbancePreference
 from almondstack.placement.interference import Interference
-from almondstack.placement.pace import next_percent, next_percents
+from almondstack.placement.pace import PacedFiller, next_percent, next_percents
 from almondstack.placement.regression import DecayingRegression
 from almondstack.testing.job_builders import make_job, make_step, make_worker
 
@@ -254,22 +254,27 @@
 _LEARNED = _learned()
 
 
-def _next(shares, loads, interference, now_s=10.0):
-    fillers = [
-        _filler(str(number), image, percent) for number, (image, percent) in enumerate(shares)
-    ]
+def _next(shares, loads, interference, shown=None):
+    """Return the next percentages; the figures show the present ones unless others are given."""
+    tasks = [_filler(str(number), image, percent) for number, (image, percent) in enumerate(shares)]
+    shown = shown or [percent for _, percent in shares]
+    fillers = [PacedFiller(task, percent) for task, percent in zip(tasks, shown, strict=False)]
     serving = [_serving(f"s{number}", load) for number, load in enumerate(loads)]
-    return next_percents(fillers, serving, interference, now_s)
+    return next_percents(fillers, serving, interference)
 
 
-@given(_fillers, st.lists(st.integers(0, 200), max_size=3), st.sampled_from([0.1, 10.0]))
-def test_pacing_is_never_weaker_than_without_knowledge(shares, loads, now_s):
+@given(
+    _fillers,
+    st.lists(st.integers(0, 200), max_size=3),
+    st.lists(_percents, min_size=5, max_size=5),
+)
+def test_pacing_is_never_weaker_than_without_knowledge(shares, loads, shown):
     """Only a harmless filler may keep its share, and only below the target."""
     worst = max(loads, default=0) / 100
     alike = [next_percent(percent, worst) for _, percent in shares]
     assert _next(shares, loads, Interference()) == alike
     for (image, percent), plain, known in zip(
-        shares, alike, _next(shares, loads, _LEARNED, now_s), strict=True
+        shares, alike, _next(shares, loads, _LEARNED, shown), strict=True
     ):
         is_kept = image == _CALM and worst < 1.0 and known == percent
         assert known <= plain or is_kept
@@ -300,7 +305,16 @@
 def test_a_harmful_filler_that_has_just_started_is_slowed_before_its_effect_is_seen():
     """A run starts at full speed, and its worker's figures are over the last half second."""
     shares = [(_HARMFUL, 100), (_CALM, 100)]
-    assert _next(shares, [70], Interference(), now_s=0.1) == [100, 100]
-    harmful, calm = _next(shares, [70], _LEARNED, now_s=0.1)
+    assert _next(shares, [70], Interference(), shown=[0, 0]) == [100, 100]
+    harmful, calm = _next(shares, [70], _LEARNED, shown=[0, 0])
     assert calm == 100 and 0.7 + harmful / 100 * 0.6 == pytest.approx(0.85, abs=0.02)
-    assert _next(shares, [70], _LEARNED, now_s=0.6) == [100, 100]
+    assert _next(shares, [70], _LEARNED) == [100, 100]
+
+
+def test_a_harmful_filler_does_not_speed_up_again_and_again_by_the_same_figures():
+    """A worker without a run that ends gives new figures only once a second."""
+    percents = [(_HARMFUL, 0)]
+    for _ in range(4):
+        (percent,) = _next(percents, [50], _LEARNED, shown=[0])
+        percents = [(_HARMFUL, percent)]
+    assert 0.5 + percent / 100 * 0.6 == pytest.approx(0.85, abs=0.02)
--- a/almondstack/testing/disturbance_world.py
+++ b/almondstack/testing/disturbance_world.py
@@ -38,6 +38,8 @@
         Standard deviation of a figure, in the same unit.
     seed : int
         Seed of the noise.
+    answer_every : int
+        Rounds between two answers of a worker.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         base: float = 0.3,
         noise: float = 0.03,
         seed: int = 1,
+        answer_every: int = 1,
     ) -> None:
         self.amounts, self.base, self.noise = amounts, base, noise
         self.metrics = LocalMetrics()
@@ -65,14 +68,17 @@
         self.over_target_s = 0.0
         self.work_s = dict.fromkeys(amounts, 0.0)
         self._random = random.Random(seed)
+        self._answer_every = answer_every
 
     def run(self, seconds: float) -> None:
         """Let time pass."""
         end_s = self.now_s + seconds
         while self.now_s < end_s:
             self.now_s += _ROUND_S
-            for worker in self.table.workers.values():
-                self._report(worker)
+            round_number = round(self.now_s / _ROUND_S)
+            for number, worker in enumerate(self.table.workers.values()):
+                is_answering = (round_number + number) % self._answer_every == 0
+                self._pass_round(worker, is_answering=is_answering)
             self.pacing.run_round(self.now_s)
 
     def _fill(self, worker: Worker, images: list[str]) -> None:
@@ -90,15 +96,20 @@
         task.is_confirmed = True
         return task
 
-    def _report(self, worker: Worker) -> None:
-        """Set the figures that a worker reports, and count what callers notice."""
+    def _pass_round(self, worker: Worker, *, is_answering: bool) -> None:
+        """Count what callers notice of a worker in one round, and report its figures."""
         ratio = self.base + self._random.gauss(0.0, self.noise)
         for filler in self.fillers[worker.id]:
             share = filler.percent / 100
-            filler.load = 10 * filler.percent
             ratio += self.amounts[filler.step.image] * share
             self.work_s[filler.step.image] += share * _ROUND_S
-        self.serving[worker.id].load = max(1, round(ratio * _TARGET_MS))
-        worker.last_answer_s = self.now_s
         if ratio > 1.0:
             self.over_target_s += _ROUND_S
+        if is_answering:
+            self._report(worker, ratio)
+
+    def _report(self, worker: Worker, ratio: float) -> None:
+        for filler in self.fillers[worker.id]:
+            filler.load = 10 * filler.percent
+        self.serving[worker.id].load = max(1, round(ratio * _TARGET_MS))
+        worker.last_answer_s = self.now_s
