Raise a filler beside a serving task only by figures that are new

Cause: a poll of a worker on which no run ends waits for a second, and pacing works every 0.4 s, so that a filler rose by 75 percent by one figure and was at full speed before its effect was seen. Change: a rise waits for figures that are newer than the last round; slowing does not wait, nor do fillers without a serving task beside them. Two tests of pacing took a worker's figures for new in each round without saying so: they now have the worker answer before each round, and expect the same orders as before; a new test holds to the wait.

--- a/almondstack/control/pacing.py
+++ b/almondstack/control/pacing.py
@@ -104,11 +104,13 @@
         self._last_round_s = now_s
         self._unsettled.clear()
         self._plan_repeats(now_s)
-        if len(self._shown) > len(self._table.workers):
+        self._forget_gone_workers()
+
+    def _forget_gone_workers(self) -> None:
+        workers = self._table.workers
+        if len(self._shown) > len(workers):
             self._shown = {
-                worker: shown
-                for worker, shown in self._shown.items()
-                if worker in self._table.workers
+                worker: shown for worker, shown in self._shown.items() if worker in workers
             }
 
     def _plan_repeats(self, now_s: float) -> None:
@@ -157,12 +159,15 @@
         fillers = [task for task in tasks if task.step.is_filler]
         if not fillers:
             return
-        if self._has_new_figures(worker):
+        has_new_figures = self._has_new_figures(worker)
+        if has_new_figures:
             self._note_shown(worker, fillers, now_s)
         shown = self._shown.get(worker.id, {})
         paced = [PacedFiller(task, shown.get(_RunKey(task.name, task.run), 0)) for task in fillers]
         serving = [task for task in tasks if is_serving(task)]
-        percents = next_percents(paced, serving, self._monitor.interference)
+        percents = next_percents(
+            paced, serving, self._monitor.interference, has_new_figures=has_new_figures
+        )
         for task, percent in zip(fillers, percents, strict=True):
             self._set_percent(worker, task, percent, now_s)
 
--- a/almondstack/control/tests/test_pacing.py
+++ b/almondstack/control/tests/test_pacing.py
@@ -41,6 +41,12 @@
     return tasks, Pacing(table, {worker.id: session}), session
 
 
+def _answer(pacing, now_s):
+    """Have the workers answer a poll."""
+    for worker in pacing._table.workers.values():
+        worker.last_answer_s = now_s
+
+
 def test_a_filler_stops_when_a_serving_task_is_over_its_target(harness):
     (serving, filler), pacing, session = harness
     serving.load = 150
@@ -52,10 +58,31 @@
     (serving, filler), pacing, session = harness
     serving.load, filler.percent = 20, 0
     for number in range(6):
+        _answer(pacing, 1.0 + number)
         pacing.run_round(1.0 + number)
     assert session.orders == [25, 50, 75, 100]
 
 
+def test_a_filler_does_not_speed_up_twice_by_the_same_figures(harness):
+    """Guards against a filler that is at full speed again before its effect is seen.
+
+    A poll of a worker on which no run ends waits for a second; three rounds of pacing saw the
+    same figures, and raised the filler by 75 percent.
+    """
+    (serving, filler), pacing, session = harness
+    serving.load, filler.percent = 20, 0
+    _answer(pacing, 1.0)
+    for number in range(3):
+        pacing.run_round(1.0 + number / 2)
+    assert session.orders == [25]
+    _answer(pacing, 2.1)
+    pacing.run_round(2.5)
+    assert session.orders == [25, 50]
+    serving.load = 150
+    pacing.run_round(3.0)
+    assert session.orders == [25, 50, 0]
+
+
 def test_a_change_waits_until_the_load_shows_the_effect_of_the_last_one(harness):
     (serving, _), pacing, session = harness
     serving.load = 90
@@ -112,6 +139,7 @@
     pacing.note_answer(filler.name, filler.run, OrderStatus.UNCLEAR)
     serving.load = 20
     for number in range(30):
+        _answer(pacing, 2.0 + number / 2)
         pacing.run_round(2.0 + number / 2)
         pacing.note_answer(filler.name, filler.run, OrderStatus.DONE)
     assert session.orders == [0, 25, 50, 75, 100, 100]
--- a/almondstack/placement/pace.py
+++ b/almondstack/placement/pace.py
@@ -69,13 +69,19 @@
 
 
 def next_percents(
-    fillers: list[PacedFiller], serving: list[Task], interference: Interference
+    fillers: list[PacedFiller],
+    serving: list[Task],
+    interference: Interference,
+    *,
+    has_new_figures: bool,
 ) -> list[int]:
     """Return the share of processor time that each filler on a worker may use next, in percent.
 
     Explanation
     -----------
-    It is that of :func:`next_percent`, with two exceptions for what is known of the kinds:
+    It is that of :func:`next_percent`, but a filler beside a serving task speeds up only by
+    figures that were not used before: they show the effect of the last step.  There are two
+    exceptions for what is known of the kinds:
 
     * While no serving task is over its target, a filler that disturbs none of them keeps its
       share, as long as slowing the others that are known to disturb is enough.
@@ -87,6 +93,11 @@
     """
     worst = max((latency_ratio(task) for task in serving), default=0.0)
     percents = [next_percent(filler.task.percent, worst) for filler in fillers]
+    if serving and not has_new_figures:
+        percents = [
+            min(percent, filler.task.percent)
+            for percent, filler in zip(percents, fillers, strict=True)
+        ]
     if worst >= 1.0 or not interference.is_known:
         return percents
     if worst >= _SLOW_DOWN_FROM:
