--- a/almondstack/platform/configuration.py
+++ b/almondstack/platform/configuration.py
@@ -13,9 +13,16 @@
     QueuePolicy,
     Resources,
 )
-from almondstack.platform.wire import ConfigurationWire, RouteWire, TenantWire, WaveWire
+from almondstack.platform.wire import AdviceWire, ConfigurationWire, RouteWire, TenantWire, WaveWire
 
-__all__ = ["Configuration", "ConfigurationError", "ConfigurationHolder", "QueueRoute"]
+__all__ = [
+    "Configuration",
+    "ConfigurationError",
+    "ConfigurationHolder",
+    "QueueRoute",
+    "advice_policy",
+    "decode_configuration",
+]
 
 _configuration_decoder = msgspec.json.Decoder(ConfigurationWire)
 _wave_decoder = msgspec.json.Decoder(WaveWire)
@@ -27,6 +34,20 @@
     code = "configuration"
 
 
+def decode_configuration(value: bytes) -> ConfigurationWire:
+    """Return a decoded configuration record.
+
+    Raises
+    ------
+    ConfigurationError
+        The record cannot be decoded.
+    """
+    try:
+        return decode_with(_configuration_decoder, value)
+    except CodecError as error:
+        raise ConfigurationError(error.detail) from error
+
+
 class QueueRoute:
     """Host and path prefix of a queue, with its policy and its request timeout."""
 
@@ -132,10 +153,7 @@
         ConfigurationError
             The record cannot be decoded.
         """
-        try:
-            wire = decode_with(_configuration_decoder, value)
-        except CodecError as error:
-            raise ConfigurationError(str(error)) from error
+        wire = decode_configuration(value)
         with self._lock:
             current = self._configuration
             if current is not None and wire.version <= current.policies.version:
@@ -161,10 +179,13 @@
         return wire.number
 
 
+def advice_policy(wire: AdviceWire) -> AdvicePolicy:
+    """Return the timing of the advice service for a queue."""
+    return AdvicePolicy(wire.decision_ms, wire.worker_ms, wire.valid_ms)
+
+
 def _queue_policy(wire: RouteWire) -> QueuePolicy:
-    advice = None
-    if wire.advice is not None:
-        advice = AdvicePolicy(wire.advice.decision_ms, wire.advice.worker_ms, wire.advice.valid_ms)
+    advice = advice_policy(wire.advice) if wire.advice is not None else None
     return QueuePolicy(
         wire.name,
         wire.pool,
