Hold the check of path prefixes to requests that exist

Cause: three of 25 mutations by hand of the check were missed; one showed that a prefix without a slash at its start was let pass if it was empty, though no job's path matches it. Change: such a prefix is a fault; tests of what gives no finding.

--- a/almondstack/platform/configuration_check.py
+++ b/almondstack/platform/configuration_check.py
@@ -145,7 +145,7 @@
 
 
 def _can_begin_path(prefix: str) -> bool:
-    return (not prefix or prefix.startswith("/")) and _is_latin(prefix)
+    return prefix.startswith("/") and _is_latin(prefix)
 
 
 def _is_latin(text: str) -> bool:
--- a/almondstack/platform/tests/test_configuration_check.py
+++ b/almondstack/platform/tests/test_configuration_check.py
@@ -85,8 +85,17 @@
     assert check_bytes(configuration_bytes()) == []
 
 
-def test_a_queue_may_have_two_addresses():
-    assert check_bytes(configuration_bytes(routes=[_route(), _route(host="b")])) == []
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"routes": [_route(), _route(host="b")]},
+        {"routes": [_route(), _route(name="all", **{"path-prefix": "/"})]},
+        {"routes": [_route(public=True)], "tenants": []},
+    ],
+)
+def test_what_is_allowed_gives_no_finding(fields):
+    """Two addresses of one queue, a prefix within another, a queue without keys."""
+    assert check_bytes(configuration_bytes(**fields)) == []
 
 
 @pytest.mark.parametrize(
@@ -113,6 +122,7 @@
         ({"routes": [_route(host="Jobs.example")]}, "$.routes[0].host"),
         ({"routes": [_route(host="jobs.example:80")]}, "$.routes[0].host"),
         ({"routes": [_route(**{"path-prefix": "q/"})]}, "$.routes[0].path-prefix"),
+        ({"routes": [_route(**{"path-prefix": ""})]}, "$.routes[0].path-prefix"),
         (
             {"routes": [_route(), _route(name="o", **{"path-prefix": "/q/ab"})]},
             "$.routes[1].path-prefix",
