--- a/almondstack/control/owner_parts.py
+++ b/almondstack/control/owner_parts.py
@@ -5,6 +5,7 @@
 from almondstack.control.advisor import Advisor
 from almondstack.control.delay_recorder import DelayRecorder
 from almondstack.control.fleet_controller import FleetController
+from almondstack.control.interference_monitor import InterferenceMonitor
 from almondstack.control.job_records import JobRecords
 from almondstack.control.journal import OwnerJournal
 from almondstack.control.pacing import Pacing
@@ -69,8 +70,13 @@
         self.advisor = Advisor(services)
         self.orders = RunOrders(services, self.sessions, self.advisor)
         self.table = self.orders.table
+        monitor = InterferenceMonitor(events=services.events, metrics=services.metrics)
         self.planner = Planner(
-            self.table, self.advisor, services.policies, services.directory.evacuated_zones
+            self.table,
+            self.advisor,
+            services.policies,
+            services.directory.evacuated_zones,
+            monitor.interference,
         )
         self.records = JobRecords(services, self.planner)
         self.requests = RequestHandler(services, self.planner)
@@ -86,7 +92,7 @@
             self.table.delays, self.planner, self.fleet, services.events, services.metrics
         )
         self.table.set_job_end_listener(self.delays.note_job_end)
-        self.pacing = Pacing(self.table, self.sessions)
+        self.pacing = Pacing(self.table, self.sessions, monitor)
 
     def close(self) -> None:
         """Answer all open requests, accept no more, and end all calls to workers."""
--- a/almondstack/control/planning.py
+++ b/almondstack/control/planning.py
@@ -12,8 +12,11 @@
     Worker,
     rank_of,
 )
+from almondstack.placement.choosing import Preference
+from almondstack.placement.disturbance_preference import DisturbancePreference
 from almondstack.placement.entitlements import Entitlements
 from almondstack.placement.fairness import RankedStep, fair_order
+from almondstack.placement.interference import Interference
 from almondstack.placement.reservations import ReservationLimits, used_share
 from almondstack.placement.unreachable import find_unreachable
 
@@ -33,6 +36,8 @@
         Returns the newest policies.
     evacuated_zones : callable, optional
         Returns the availability zones whose workers get no new tasks.
+    interference : Interference, optional
+        Which kinds of task disturb each other on one worker; nothing known by default.
 
     Attributes
     ----------
@@ -45,6 +50,7 @@
         "_at_ceiling",
         "_blocked",
         "_evacuated_zones",
+        "_interference",
         "_last_policies",
         "_limits",
         "_policies",
@@ -59,8 +65,10 @@
         advisor: Advisor,
         policies: Callable[[], Policies],
         evacuated_zones: Callable[[], frozenset[str]] = frozenset,
+        interference: Interference | None = None,
     ) -> None:
         self._table = table
+        self._interference = interference or Interference()
         self._evacuated_zones = evacuated_zones
         self._advisor = advisor
         self._policies = policies
@@ -145,8 +153,15 @@
             now_s,
             self._advisor.allowed_workers,
             may_reserve=may_reserve,
+            preferences=self._preferences(),
         )
 
+    def _preferences(self) -> tuple[Preference, ...]:
+        """Return the preferences among workers with room: none while no disturbance is known."""
+        if not self._interference.is_known:
+            return ()
+        return (DisturbancePreference(self._interference),)
+
     def _note_reservations(self, pool: str, pool_round: PoolRound, now_s: float) -> None:
         reserved = {worker.id: task.name for task, worker in pool_round.reservations}
         self._limits.note_round(pool, bool(reserved), now_s)
--- a/almondstack/control/tests/test_pacing.py
+++ b/almondstack/control/tests/test_pacing.py
@@ -5,7 +5,15 @@
 from almondstack.control.messages import OrderStatus
 from almondstack.control.pacing import Pacing
 from almondstack.jobs import JobState, TaskKey, decode_progress
-from almondstack.testing.job_builders import assign, make_job, make_step, make_table, make_worker
+from almondstack.testing.job_builders import (
+    assign,
+    look,
+    make_job,
+    make_step,
+    make_table,
+    make_worker,
+    running,
+)
 
 
 class _Session:
@@ -33,6 +41,12 @@
     return tasks, Pacing(table, {worker.id: session}), session
 
 
+def _answer(pacing, now_s):
+    """Have the workers answer a poll."""
+    for worker in pacing._table.workers.values():
+        worker.last_answer_s = now_s
+
+
 def test_a_filler_stops_when_a_serving_task_is_over_its_target(harness):
     (serving, filler), pacing, session = harness
     serving.load = 150
@@ -44,10 +58,31 @@
     (serving, filler), pacing, session = harness
     serving.load, filler.percent = 20, 0
     for number in range(6):
+        _answer(pacing, 1.0 + number)
         pacing.run_round(1.0 + number)
     assert session.orders == [25, 50, 75, 100]
 
 
+def test_a_filler_does_not_speed_up_twice_by_the_same_figures(harness):
+    """Guards against a filler that is at full speed again before its effect is seen.
+
+    A poll of a worker on which no run ends waits for a second; three rounds of pacing saw the
+    same figures, and raised the filler by 75 percent.
+    """
+    (serving, filler), pacing, session = harness
+    serving.load, filler.percent = 20, 0
+    _answer(pacing, 1.0)
+    for number in range(3):
+        pacing.run_round(1.0 + number / 2)
+    assert session.orders == [25]
+    _answer(pacing, 2.1)
+    pacing.run_round(2.5)
+    assert session.orders == [25, 50]
+    serving.load = 150
+    pacing.run_round(3.0)
+    assert session.orders == [25, 50, 0]
+
+
 def test_a_change_waits_until_the_load_shows_the_effect_of_the_last_one(harness):
     (serving, _), pacing, session = harness
     serving.load = 90
@@ -104,6 +139,7 @@
     pacing.note_answer(filler.name, filler.run, OrderStatus.UNCLEAR)
     serving.load = 20
     for number in range(30):
+        _answer(pacing, 2.0 + number / 2)
         pacing.run_round(2.0 + number / 2)
         pacing.note_answer(filler.name, filler.run, OrderStatus.DONE)
     assert session.orders == [0, 25, 50, 75, 100, 100]
@@ -137,3 +173,24 @@
     for number in range(3):
         pacing.run_round(1.0 + number)
     assert session.orders == [100]
+
+
+def test_a_run_that_the_next_life_of_its_worker_has_started_is_slowed_again(harness):
+    """Guards against a filler at full speed that its owner takes for one that stands still.
+
+    PROTOCOL: a call without an answer "may also be executed seconds later"; a task works at the
+    share that the last order said, "100 at the task's start".
+    """
+    (serving, filler), pacing, session = harness
+    serving.load = 150
+    pacing.run_round(1.0)
+    table = pacing._table
+    (worker,) = table.workers.values()
+    worker.info.life = 2
+    # No start of it has an answer, so that a late one may have reached the next life.
+    table.note_worker_restart(worker.id, 2, 1.5)
+    assert not filler.is_confirmed
+    table.note_poll(worker, 1.6, look(running=(running(serving), running(filler)), life=2), 1.7)
+    serving.load = 150
+    pacing.run_round(2.0)
+    assert session.orders == [0, 0]
--- a/almondstack/placement/pace.py
+++ b/almondstack/placement/pace.py
@@ -1,6 +1,14 @@
 """Throttles filler tasks that run beside serving tasks."""
 
-__all__ = ["next_percent"]
+from typing import NamedTuple
+
+from almondstack.jobs import Task
+from almondstack.placement.interference import Interference, kind_of
+
+__all__ = ["FIGURES_COVER_S", "PacedFiller", "latency_ratio", "next_percent", "next_percents"]
+
+FIGURES_COVER_S = 0.5
+"""Time that the load figures of a worker cover, in seconds."""
 
 _SLOW_DOWN_FROM = 0.85
 """Tail latency of a serving task, as a share of its target, from which fillers are slowed."""
@@ -38,3 +46,129 @@
     if worst < _SPEED_UP_BELOW:
         return min(_FULL_PERCENT, percent + _STEP_UP_PERCENT)
     return percent
+
+
+def latency_ratio(task: Task) -> float:
+    """Return the tail latency of a serving task as a share of its target; 0 if not reported."""
+    return task.load / task.step.target_ms
+
+
+class PacedFiller(NamedTuple):
+    """A filler, with the percentage at which it worked when its worker last gave figures.
+
+    Parameters
+    ----------
+    task : Task
+        The filler.
+    shown : int
+        The percentage whose effect the figures show; 0 for a run that they don't cover.
+    """
+
+    task: Task
+    shown: int
+
+
+def next_percents(
+    fillers: list[PacedFiller],
+    serving: list[Task],
+    interference: Interference,
+    *,
+    has_new_figures: bool,
+) -> list[int]:
+    """Return the share of processor time that each filler on a worker may use next, in percent.
+
+    Explanation
+    -----------
+    It is that of :func:`next_percent`, but a filler beside a serving task speeds up only by
+    figures that were not used before: they show the effect of the last step.  There are two
+    exceptions for what is known of the kinds:
+
+    * While no serving task is over its target, a filler that disturbs none of them keeps its
+      share, as long as slowing the others that are known to disturb is enough.
+    * A filler that is known to disturb speeds up, or starts, only so far that the tail latency
+      expected stays below the one from which fillers are slowed.  It is that of the last
+      figures, with the increase by what has changed since.
+
+    While nothing is known, and while a serving task is over its target, there is no exception.
+    """
+    worst = max((latency_ratio(task) for task in serving), default=0.0)
+    percents = [next_percent(filler.task.percent, worst) for filler in fillers]
+    if serving and not has_new_figures:
+        percents = [
+            min(percent, filler.task.percent)
+            for percent, filler in zip(percents, fillers, strict=True)
+        ]
+    if worst >= 1.0 or not interference.is_known:
+        return percents
+    if worst >= _SLOW_DOWN_FROM:
+        return _spare_harmless(fillers, serving, percents, interference)
+    return _limit_rises(fillers, serving, percents, interference)
+
+
+def _spare_harmless(
+    fillers: list[PacedFiller],
+    serving: list[Task],
+    percents: list[int],
+    interference: Interference,
+) -> list[int]:
+    """Return the shares with those of harmless fillers unchanged, if the others explain enough."""
+    is_spared = [_is_harmless(filler.task, serving, interference) for filler in fillers]
+    slowed = [filler for filler, spared in zip(fillers, is_spared, strict=True) if not spared]
+    shown = [filler.shown for filler in slowed]
+    if not all(
+        latency_ratio(task) - _increase(task, slowed, shown, interference) < _SLOW_DOWN_FROM
+        for task in serving
+    ):
+        return percents
+    return [
+        filler.task.percent if spared else percent
+        for filler, spared, percent in zip(fillers, is_spared, percents, strict=True)
+    ]
+
+
+def _limit_rises(
+    fillers: list[PacedFiller],
+    serving: list[Task],
+    percents: list[int],
+    interference: Interference,
+) -> list[int]:
+    """Return the shares with the rises of disturbing fillers since the figures limited."""
+    bases = [min(filler.shown, percent) for filler, percent in zip(fillers, percents, strict=True)]
+    rises = [percent - base for percent, base in zip(percents, bases, strict=True)]
+    scale = min(
+        (_possible_part(task, fillers, rises, interference) for task in serving), default=1.0
+    )
+    return [
+        base + (int(rise * scale) if _disturbs(filler.task, serving, interference) else rise)
+        for filler, base, rise in zip(fillers, bases, rises, strict=True)
+    ]
+
+
+def _possible_part(
+    task: Task, fillers: list[PacedFiller], rises: list[int], interference: Interference
+) -> float:
+    """Return the part of all rises, 0 to 1, for which a serving task's tail latency has room."""
+    increase = _increase(task, fillers, rises, interference)
+    room = _SLOW_DOWN_FROM - latency_ratio(task)
+    return 1.0 if increase <= room else room / increase
+
+
+def _increase(
+    task: Task, fillers: list[PacedFiller], percents: list[int], interference: Interference
+) -> float:
+    """Return by how much fillers at these shares raise a serving task's tail latency ratio."""
+    kind = kind_of(task)
+    return sum(
+        interference.disturbance(kind, kind_of(filler.task)) * percent / _FULL_PERCENT
+        for filler, percent in zip(fillers, percents, strict=True)
+    )
+
+
+def _is_harmless(filler: Task, serving: list[Task], interference: Interference) -> bool:
+    kind = kind_of(filler)
+    return all(interference.is_harmless(kind_of(task), kind) for task in serving)
+
+
+def _disturbs(filler: Task, serving: list[Task], interference: Interference) -> bool:
+    kind = kind_of(filler)
+    return any(interference.disturbance(kind_of(task), kind) > 0 for task in serving)
