Learn the run times of tasks as a distribution for each queue

Cause: declared estimates are off by up to nine tenths on one customer's queues, and elsewhere three tasks in a hundred take seven times as long as usual. One mean ratio a queue (EstimateCorrection) says nothing of either, and objective and slack read the raw declaration.

Change: placement.RunTimes learns, for each queue, a decaying line of log(time) on log(declaration) and a histogram of residuals; the declaration is the prior. RunPredictions sets the predicted times of open jobs: objective, slack and lateness use chains of medians, backlog and the forecast of arrivals means, the stall detector the 0.99 quantile. A new owner, and queues without estimates, decide as before. EstimateCorrection is gone: Backlog.add takes no factor, FleetController.correction is FleetController.run_times. Tests that used them call the new ones with the same bounds.

--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -3,9 +3,9 @@
 from almondstack.capacity import PoolState
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
-from almondstack.jobs import Task, TaskStatus
+from almondstack.jobs import TaskStatus
 from almondstack.placement import Policies
-from almondstack.placement.backlog import Backlog, EstimateCorrection, wait_key
+from almondstack.placement.backlog import Backlog, wait_key
 from almondstack.placement.order import is_worthless
 
 __all__ = ["AdmissionWaits"]
@@ -22,19 +22,13 @@
         Provides the policy of each job's queue.
     """
 
-    __slots__ = ("_planner", "_table", "correction", "waits_ms")
+    __slots__ = ("_planner", "_table", "waits_ms")
 
     def __init__(self, table: RunTable, planner: Planner) -> None:
         self._table = table
         self._planner = planner
-        self.correction = EstimateCorrection()
         self.waits_ms: dict[str, int] = {}
 
-    def note_end(self, task: Task, took_ms: float) -> None:
-        """Update the correction of estimates with the duration of a completed run."""
-        if not task.step.is_long_running:
-            self.correction.note(task.job.submission.queue, task.step.estimate_ms, took_ms)
-
     def update(self, states: list[PoolState], policies: Policies, now_unix_ms: float) -> None:
         """Recompute the waits."""
         backlogs = {state.name: Backlog(_room_millis(state)) for state in states}
@@ -48,7 +42,7 @@
             if is_worthless(job, policy, now_unix_ms):
                 continue
             ready = list(job.ready_steps(now_unix_ms))
-            backlog.add(job, self.correction.factor(job.submission.queue))
+            backlog.add(job)
             if any(task.status is TaskStatus.WAITING for tasks in ready for task in tasks):
                 backlog.note_waiting()
         self.waits_ms = {
--- a/almondstack/control/delays.py
+++ b/almondstack/control/delays.py
@@ -29,7 +29,7 @@
 
 
 _SLOW_FACTOR = 2.0
-"""A run is slow beyond this multiple of its estimate; estimates are rough."""
+"""A run is slow beyond this multiple of the median of its kind."""
 
 _MS = 1000.0
 
@@ -81,7 +81,7 @@
             return
         took_s = now_s - task.assigned_s
         if end is RunEnd.DONE:
-            took_s -= _SLOW_FACTOR * task.step.estimate_ms / _MS
+            took_s -= _SLOW_FACTOR * task.job.median_ms(task.key.step) / _MS
         if took_s > 0 and not task.step.is_long_running:
             self.raise_to(task.job.id, task.key.step, _CAUSES[end], took_s)
 
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -11,13 +11,13 @@
 from almondstack.control.paid_time_recorder import PaidTimeRecorder
 from almondstack.control.planning import Planner
 from almondstack.control.pool_balancer import PoolBalancer, median_size_millis
+from almondstack.control.run_predictions import RunPredictions
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
 from almondstack.control.wave_controller import WaveController
 from almondstack.jobs import ActiveJob, RecordKind, Task, record_key
 from almondstack.ownership import Record
-from almondstack.placement import Policies, Worker, has_room
-from almondstack.placement.backlog import EstimateCorrection
+from almondstack.placement import Policies, RunTimes, Worker, has_room
 
 __all__ = ["FleetController"]
 
@@ -72,6 +72,7 @@
         "_moves",
         "_paid_time",
         "_pools_with_incoming",
+        "_predictions",
         "_services",
         "_table",
         "_waves",
@@ -92,16 +93,17 @@
         self._balancer = PoolBalancer(table, planner, self._manager, services.control.move_s)
         self._admission = AdmissionWaits(table, planner)
         self._paid_time = PaidTimeRecorder(services.events, services.metrics)
-        table.set_end_listener(self._admission.note_end)
+        self._predictions = RunPredictions(table, services.events, services.metrics)
+        table.set_end_listener(self._predictions.note_end)
         self._last_round_s = 0.0
         self._pools_with_incoming: set[str] = set()
         self._moves: list[Move] = []
         self._logged_wanted: dict[str, int] = {}
 
     @property
-    def correction(self) -> EstimateCorrection:
-        """Ratio of measured run times to callers' estimates."""
-        return self._admission.correction
+    def run_times(self) -> RunTimes:
+        """What was learned of the times that tasks take."""
+        return self._predictions.run_times
 
     @property
     def waits_ms(self) -> dict[str, int]:
@@ -123,7 +125,8 @@
         self._manager.close()
 
     def note_job(self, job: ActiveJob, now_s: float) -> None:
-        """Count a new job in the demand of its pool."""
+        """Predict the times of a new job's tasks, and count it in the demand of its pool."""
+        self._predictions.predict(job)
         self._balancer.note_job(job, now_s)
 
     def run_round(self, now_s: float) -> None:
@@ -165,6 +168,7 @@
     def _decide(self, now_s: float) -> None:
         policies = self._services.policies()
         instances = self._manager.instances()
+        self._predictions.run_round(now_s)
         self._lose_unlisted_workers(instances, now_s)
         spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
         workers = self._table.workers
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -136,7 +136,7 @@
         self._stalls = StallDetector(
             self._table,
             self._planner,
-            self._fleet.correction,
+            self._fleet.run_times,
             services.control.stop_s,
             services.events,
         )
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -46,8 +46,8 @@
         self._computed_s = None
         policy = self._planner.policy_of(job.submission)
         core_ms = sum(
-            step.count * step.cpu_millis * step.estimate_ms / 1000.0
-            for step in job.submission.steps
+            step.count * step.cpu_millis * job.mean_ms(number) / 1000.0
+            for number, step in enumerate(job.submission.steps)
             if not step.is_long_running
         )
         slack_s = objective_s(job, policy) - job.chain_ms / 1000.0
--- a/almondstack/control/tests/test_stall_detector.py
+++ b/almondstack/control/tests/test_stall_detector.py
@@ -6,8 +6,7 @@
 from almondstack.control.stall_detector import StallDetector
 from almondstack.core.events import EventLog
 from almondstack.jobs import RunEnd, TaskKey, TaskStatus
-from almondstack.placement import Policies
-from almondstack.placement.backlog import EstimateCorrection
+from almondstack.placement import Policies, RunTimes
 from almondstack.testing.job_builders import (
     assign,
     ended,
@@ -34,8 +33,9 @@
         assign(self.table, self.task, self.workers[0])
         policies = Policies(queues={"q": make_policy()})
         planner = Planner(self.table, None, lambda: policies)
+        self.run_times = RunTimes()
         self.detector = StallDetector(
-            self.table, planner, EstimateCorrection(), _STOP_S, EventLog("test")
+            self.table, planner, self.run_times, _STOP_S, EventLog("test")
         )
 
     def report(self, now_s, percent):
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -61,6 +61,8 @@
         "_done",
         "_dropped_tasks",
         "_has_begun",
+        "_mean_ms",
+        "_median_ms",
         "_occurrences",
         "_open_tasks",
         "_ready_by_occurrence",
@@ -86,12 +88,15 @@
         self._occurrences: dict[int, Occurrence] = {}
         # Each round asks several times, and most jobs do not change from one to the next.
         self._ready_by_occurrence: dict[int, list[list[Task]]] = {}
-        self._chain_ms = chain_lengths_ms(submission.steps)
+        declared_ms = [float(step.estimate_ms) for step in submission.steps]
+        self._median_ms: Sequence[float] = declared_ms
+        self._mean_ms: Sequence[float] = declared_ms
+        self._chain_ms = chain_lengths_ms(submission.steps, declared_ms)
 
     @property
-    def chain_ms(self) -> int:
-        """Estimated milliseconds of the longest chain of steps."""
-        return max(self._chain_ms, default=0)
+    def chain_ms(self) -> float:
+        """Predicted milliseconds of the longest chain of steps."""
+        return max(self._chain_ms, default=0.0)
 
     @property
     def is_open(self) -> bool:
@@ -118,8 +123,28 @@
         """Give back the budget of its tasks; the job is not used any more."""
         self.use_budget(TaskBudget())
 
-    def remaining_chain_ms(self, step: int) -> int:
-        """Return the estimated milliseconds from the start of a step to the job's end."""
+    def predict(self, median_ms: Sequence[float], mean_ms: Sequence[float]) -> None:
+        """Replace the predicted times of a task of each step; at first they are the declared ones.
+
+        Parameters
+        ----------
+        median_ms, mean_ms : sequence of float
+            Median and mean time of a task of each step, in milliseconds.
+        """
+        self._median_ms = median_ms
+        self._mean_ms = mean_ms
+        self._chain_ms = chain_lengths_ms(self.submission.steps, median_ms)
+
+    def median_ms(self, step: int) -> float:
+        """Return the median time of a task of a step, in milliseconds."""
+        return self._median_ms[step]
+
+    def mean_ms(self, step: int) -> float:
+        """Return the mean time of a task of a step, in milliseconds."""
+        return self._mean_ms[step]
+
+    def remaining_chain_ms(self, step: int) -> float:
+        """Return the predicted milliseconds from the start of a step to the job's end."""
         return self._chain_ms[step]
 
     def steps_of(self, occurrence: int) -> list[list[Task]]:
@@ -428,18 +453,29 @@
         return sum(member.failures for member in task.siblings) >= self.max_attempts
 
 
-def chain_lengths_ms(steps: tuple[Step, ...]) -> list[int]:
-    """Return, for each step, the estimated milliseconds of the longest chain that starts with it.
+def chain_lengths_ms(
+    steps: tuple[Step, ...], task_ms: Sequence[float] | None = None
+) -> list[float]:
+    """Return, for each step, the milliseconds of the longest chain that starts with it.
+
+    Parameters
+    ----------
+    steps : tuple of Step
+        The steps of a job.
+    task_ms : sequence of float, optional
+        Time of a task of each step, in milliseconds; by default as declared.
 
     Examples
     --------
     >>> from almondstack.jobs import Step
     >>> chain_lengths_ms((Step(1, estimate_ms=100), Step(1, estimate_ms=50, after=(0,))))
-    [150, 50]
+    [150.0, 50.0]
     """
-    lengths = [0] * len(steps)
+    if task_ms is None:
+        task_ms = [step.estimate_ms for step in steps]
+    lengths = [0.0] * len(steps)
     for number in reversed(range(len(steps))):
-        lengths[number] += steps[number].estimate_ms
+        lengths[number] += task_ms[number]
         for earlier in steps[number].after:
             lengths[earlier] = max(lengths[earlier], lengths[number])
     return lengths
--- a/almondstack/placement/__init__.py
+++ b/almondstack/placement/__init__.py
@@ -10,6 +10,7 @@
 from almondstack.placement.policies import AccountPolicy, AdvicePolicy, Policies, QueuePolicy
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.rounds import Assignment, PoolRound, Usage
+from almondstack.placement.run_times import RunTimes
 from almondstack.placement.workers import Worker, WorkerInfo
 
 __all__ = [
@@ -20,6 +21,7 @@
     "PoolRound",
     "QueuePolicy",
     "Resources",
+    "RunTimes",
     "Usage",
     "Worker",
     "WorkerInfo",
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -6,7 +6,7 @@
 from almondstack.placement.order import LATE_FACTOR
 from almondstack.placement.policies import AccountPolicy, QueuePolicy
 
-__all__ = ["Backlog", "EstimateCorrection", "excess_wait_ms", "is_in_time", "wait_key"]
+__all__ = ["Backlog", "excess_wait_ms", "is_in_time", "wait_key"]
 
 _WAIT_STEP_MS = 100
 """Waits are rounded down to a multiple of this, so that small changes are not published."""
@@ -16,46 +16,6 @@
 """On average, half of the work of a running task remains."""
 
 
-class EstimateCorrection:
-    """Tracks, per queue, the ratio of actual run times to the callers' estimates.
-
-    Explanation
-    -----------
-    The ratio is a decaying average over successful runs; it starts at 1.
-
-    Examples
-    --------
-    >>> correction = EstimateCorrection()
-    >>> for _ in range(50):
-    ...     correction.note("q", estimate_ms=1_000, took_ms=2_000)
-    >>> round(correction.factor("q"), 1)
-    1.9
-    """
-
-    __slots__ = ("_sums",)
-
-    _PRIOR_MS = 5_000.0
-    _DECAY = 0.995
-
-    def __init__(self) -> None:
-        self._sums: dict[str, tuple[float, float]] = {}
-
-    def note(self, queue: str, estimate_ms: float, took_ms: float) -> None:
-        """Add a run that ended successfully; a run without an estimate is ignored."""
-        if estimate_ms <= 0:
-            return
-        estimated, taken = self._sums.get(queue, (self._PRIOR_MS, self._PRIOR_MS))
-        self._sums[queue] = (
-            estimated * self._DECAY + estimate_ms,
-            taken * self._DECAY + took_ms,
-        )
-
-    def factor(self, queue: str) -> float:
-        """Return the factor by which an estimate of the queue is to be multiplied."""
-        estimated, taken = self._sums.get(queue, (1.0, 1.0))
-        return taken / estimated
-
-
 class Backlog:
     """Remaining work in one pool by client account, in milliseconds of one core.
 
@@ -72,11 +32,11 @@
         self._work_ms: dict[str, float] = {}
         self._has_waiting = False
 
-    def add(self, job: ActiveJob, factor: float) -> None:
-        """Add the remaining work of a job that can still end in time, scaled by ``factor``."""
+    def add(self, job: ActiveJob) -> None:
+        """Add the predicted remaining work of a job that can still end in time."""
         work_ms = sum(_work_left_ms(task) for task in job.tasks())
         account = job.submission.account
-        self._work_ms[account] = self._work_ms.get(account, 0.0) + work_ms * factor
+        self._work_ms[account] = self._work_ms.get(account, 0.0) + work_ms
 
     def note_waiting(self) -> None:
         """Record that a ready task finds no worker with room."""
@@ -168,7 +128,7 @@
     step = task.step
     if task.status is TaskStatus.DONE or step.is_long_running or step.is_filler:
         return 0.0
-    work_ms = step.cpu_millis * step.estimate_ms / 1000.0
+    work_ms = step.cpu_millis * task.job.mean_ms(task.key.step) / 1000.0
     return work_ms * _REMAINING_RUN_SHARE if task.is_assigned else work_ms
 
 
--- /dev/null
+++ b/almondstack/placement/run_times.py
@@ -0,0 +1,263 @@
+"""Learns how long tasks take, as a distribution for each queue.
+
+Explanation
+-----------
+The logarithm of the time that a run takes is a linear function of the logarithm of what its
+caller has declared, plus a residual.  Line and residuals are learned from the runs that ended as
+done, with exponential decay: the line within tens of runs, the residuals over some hundreds, so
+that rare long tasks stay in the quantiles.  Where declarations say little, the slope of the line
+falls, and the prediction is the learned centre; where they are good it stays near 1.
+
+The declaration is the prior.  It counts as a few runs that took just what was declared, so that
+it stands alone before the first run, and hardly matters after a dozen.
+"""
+
+import math
+from array import array
+from collections import OrderedDict
+
+__all__ = ["RunTimes"]
+
+_MAX_KINDS = 256
+"""Bound on the queues that are remembered; the least recently used is forgotten first."""
+
+_PRIOR_RUNS = 3.0
+"""Number of runs for which the declaration counts among the residuals."""
+
+_LINE_PRIOR_RUNS = 1.0
+"""The same in the line, which would otherwise approach steady times from one side for long."""
+
+_LINE_DECAY = 0.97
+"""Factor on the weight of all earlier runs in the line for each new one."""
+
+_RESIDUAL_RUNS = 200.0
+"""Number of runs over which residuals are counted."""
+
+_FIRST_RUNS = 8.0
+"""The same before the first run; it grows with each."""
+
+_SLOPE_PRIOR = 0.25
+"""Weight of a slope of 1, in squared units of the logarithm."""
+
+_MAX_SLOPE = 1.5
+_MAX_PULL = 1.0
+"""Bound on the residual by which one run moves the line: a task that takes seven times as long
+as usual is part of the tail and says little of the centre."""
+
+_BIN_WIDTH = 0.125
+_HALF_BINS = 32
+"""Residuals are counted in bins of this width, up to this number on each side of 0."""
+
+_MAX_WEIGHT = 1e6
+"""Weight of the newest residual at which all weights are scaled down."""
+
+_BINS = 2 * _HALF_BINS + 1
+_CENTRES = tuple((number - _HALF_BINS) * _BIN_WIDTH for number in range(_BINS))
+_RATIOS = tuple(math.exp(centre) for centre in _CENTRES)
+
+
+class RunTimes:
+    """Predicts the run times of tasks from the callers' declarations and from past runs.
+
+    Explanation
+    -----------
+    The times are those that the owner sees, from the assignment of a run to the poll that lists
+    its end.  A declaration of 0 is none: nothing is learned from it, and the prediction is 0.
+
+    Examples
+    --------
+    >>> times = RunTimes()
+    >>> times.expected_ms("q", 500), times.quantile_ms("q", 500, 0.99)
+    (500.0, 500.0)
+    >>> for _ in range(12):
+    ...     times.note("q", declared_ms=1_000, took_ms=2_000)
+    >>> 1_800 < times.quantile_ms("q", 1_000, 0.5) < 2_200
+    True
+    >>> times.expected_ms("other", 1_000)
+    1000.0
+    """
+
+    __slots__ = ("_kinds",)
+
+    def __init__(self) -> None:
+        self._kinds: OrderedDict[str, _Kind] = OrderedDict()
+
+    @property
+    def queues(self) -> list[str]:
+        """The queues of which runs are known, those with the newest runs last."""
+        return list(self._kinds)
+
+    def note(self, queue: str, declared_ms: float, took_ms: float) -> None:
+        """Add a run of a queue that ended as done.
+
+        Parameters
+        ----------
+        queue : str
+            The kind of task.
+        declared_ms : float
+            What its caller has declared, in milliseconds.
+        took_ms : float
+            What it took, in milliseconds.
+        """
+        if declared_ms <= 0 or took_ms <= 0:
+            return
+        kind = self._kinds.get(queue)
+        if kind is None:
+            kind = self._kinds[queue] = _Kind(math.log(declared_ms))
+        kind.note(math.log(declared_ms), math.log(took_ms))
+        self._kinds.move_to_end(queue)
+        if len(self._kinds) > _MAX_KINDS:
+            self._kinds.popitem(last=False)
+
+    def expected_ms(self, queue: str, declared_ms: float) -> float:
+        """Return the mean time of a task, in milliseconds: what adds up to a backlog."""
+        kind = self._kinds.get(queue)
+        if kind is None or declared_ms <= 0:
+            return float(max(0.0, declared_ms))
+        return kind.centre_ms(declared_ms) * kind.mean_ratio()
+
+    def quantile_ms(self, queue: str, declared_ms: float, quantile: float) -> float:
+        """Return the time within which a share of such tasks ends, in milliseconds.
+
+        Parameters
+        ----------
+        queue : str
+            The kind of task.
+        declared_ms : float
+            What the caller has declared, in milliseconds.
+        quantile : float
+            That share, between 0 and 1.
+        """
+        kind = self._kinds.get(queue)
+        if kind is None or declared_ms <= 0:
+            return float(max(0.0, declared_ms))
+        return kind.centre_ms(declared_ms) * kind.ratio_at(quantile)
+
+    def factor(self, queue: str) -> float:
+        """Return the mean ratio of the times of a queue's tasks to what is declared."""
+        kind = self._kinds.get(queue)
+        if kind is None:
+            return 1.0
+        return self.expected_ms(queue, kind.typical_ms) / kind.typical_ms
+
+    def runs(self, queue: str) -> int:
+        """Return how many runs of a queue were noted since it was last forgotten."""
+        kind = self._kinds.get(queue)
+        return kind.runs if kind is not None else 0
+
+    def typical_ms(self, queue: str) -> float:
+        """Return the geometric mean of what is declared in a queue, in milliseconds."""
+        kind = self._kinds.get(queue)
+        return kind.typical_ms if kind is not None else 0.0
+
+    def slope(self, queue: str) -> float:
+        """Return how far times follow declarations: 1 in proportion, 0 not at all."""
+        kind = self._kinds.get(queue)
+        return kind.slope if kind is not None else 1.0
+
+
+class _Kind:
+    """The line and the residuals of one queue, in logarithms of milliseconds."""
+
+    __slots__ = (
+        "_covariance",
+        "_mean_ratio",
+        "_mean_x",
+        "_mean_y",
+        "_newest_weight",
+        "_ratios",
+        "_residuals",
+        "_variance",
+        "_weight",
+        "runs",
+    )
+
+    def __init__(self, log_declared: float) -> None:
+        self.runs = 0
+        self._weight = _LINE_PRIOR_RUNS
+        self._mean_x = self._mean_y = log_declared
+        self._variance = self._covariance = 0.0
+        self._residuals = array("d", bytes(8 * _BINS))
+        self._residuals[_HALF_BINS] = _PRIOR_RUNS
+        self._newest_weight = 1.0
+        # Most predictions are asked for more often than runs end.
+        self._ratios: dict[float, float] = {}
+        self._mean_ratio: float | None = None
+
+    @property
+    def slope(self) -> float:
+        """Slope of the line."""
+        slope = (self._covariance + _SLOPE_PRIOR) / (self._variance + _SLOPE_PRIOR)
+        return min(max(slope, 0.0), _MAX_SLOPE)
+
+    @property
+    def typical_ms(self) -> float:
+        """Geometric mean of the declarations, in milliseconds."""
+        return math.exp(self._mean_x)
+
+    def note(self, log_declared: float, log_took: float) -> None:
+        """Add a run."""
+        self.runs += 1
+        before = self._line_at(log_declared)
+        pull = min(max(log_took - before, -_MAX_PULL), _MAX_PULL)
+        self._fit(log_declared, before + pull)
+        self._count(log_took - self._line_at(log_declared))
+
+    def centre_ms(self, declared_ms: float) -> float:
+        """Return the time on the line, in milliseconds."""
+        return math.exp(self._line_at(math.log(declared_ms)))
+
+    def mean_ratio(self) -> float:
+        """Return the mean ratio of a time to that on the line."""
+        if self._mean_ratio is None:
+            weighted = sum(map(float.__mul__, self._residuals, _RATIOS))
+            self._mean_ratio = weighted / sum(self._residuals)
+        return self._mean_ratio
+
+    def ratio_at(self, quantile: float) -> float:
+        """Return the quantile of the ratio of a time to that on the line."""
+        ratio = self._ratios.get(quantile)
+        if ratio is None:
+            ratio = self._ratios[quantile] = math.exp(self._residual_at(quantile))
+        return ratio
+
+    def _line_at(self, log_declared: float) -> float:
+        return self._mean_y + self.slope * (log_declared - self._mean_x)
+
+    def _fit(self, x: float, y: float) -> None:
+        """Update the decaying means and moments by a point (West, CACM 1979)."""
+        earlier = self._weight * _LINE_DECAY
+        self._weight = earlier + 1.0
+        off_x, off_y = x - self._mean_x, y - self._mean_y
+        share = earlier / self._weight
+        self._variance = self._variance * _LINE_DECAY + share * off_x * off_x
+        self._covariance = self._covariance * _LINE_DECAY + share * off_x * off_y
+        self._mean_x += off_x / self._weight
+        self._mean_y += off_y / self._weight
+
+    def _count(self, residual: float) -> None:
+        """Add a residual to the histogram; those from before the line was known soon fade."""
+        decay = 1.0 - 1.0 / min(_RESIDUAL_RUNS, _FIRST_RUNS + self.runs)
+        self._newest_weight /= decay
+        if self._newest_weight > _MAX_WEIGHT:
+            self._rescale()
+        number = round(residual / _BIN_WIDTH) + _HALF_BINS
+        self._residuals[min(max(number, 0), _BINS - 1)] += self._newest_weight
+        self._ratios.clear()
+        self._mean_ratio = None
+
+    def _rescale(self) -> None:
+        """Divide all weights by that of the newest residual: weights grow instead of decaying."""
+        newest = self._newest_weight
+        self._residuals = array("d", [weight / newest for weight in self._residuals])
+        self._newest_weight = 1.0
+
+    def _residual_at(self, quantile: float) -> float:
+        """Return a quantile of the residuals; within a bin they count as evenly spread."""
+        sought = quantile * sum(self._residuals)
+        below = 0.0
+        for weight, centre in zip(self._residuals, _CENTRES, strict=True):
+            if weight and below + weight >= sought:
+                return centre + _BIN_WIDTH * ((sought - below) / weight - 0.5)
+            below += weight
+        return _CENTRES[-1]
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -5,10 +5,17 @@
 from hypothesis import strategies as st
 
 from almondstack.jobs import RunEnd
-from almondstack.placement import AccountPolicy, PoolRound, Resources, Usage, rank_of, rounds
+from almondstack.placement import (
+    AccountPolicy,
+    PoolRound,
+    Resources,
+    RunTimes,
+    Usage,
+    rank_of,
+    rounds,
+)
 from almondstack.placement.backlog import (
     Backlog,
-    EstimateCorrection,
     excess_wait_ms,
     is_in_time,
     wait_key,
@@ -184,7 +191,7 @@
 
 def test_burst_without_a_waiting_task_no_wait_is_published():
     backlog = Backlog(room_millis=4_000)
-    backlog.add(make_job(make_step(40)), 1.0)
+    backlog.add(make_job(make_step(40)))
     assert backlog.waits_ms({}) == {}
 
 
@@ -194,7 +201,7 @@
     cold = make_job(make_step(2), id="c", account="cold")
     for job in (hot, cold):
         list(job.ready_steps(0.0))
-        backlog.add(job, 1.0)
+        backlog.add(job)
     backlog.note_waiting()
     waits = backlog.waits_ms({})
     assert waits["hot"] == 10_500 and waits["cold"] == 1_000
@@ -205,7 +212,7 @@
     backlog = Backlog(room_millis=100_000)
     hot = make_job(make_step(40), account="hot")
     list(hot.ready_steps(0.0))
-    backlog.add(hot, 1.0)
+    backlog.add(hot)
     backlog.note_waiting()
     accounts = {"hot": AccountPolicy("hot", ceiling=Resources(4_000))}
     assert backlog.waits_ms(accounts) == {"hot": 10_000}
@@ -238,7 +245,7 @@
 
 
 def test_estimates_of_one_queue_do_not_change_those_of_another():
-    correction = EstimateCorrection()
+    correction = RunTimes()
     for _ in range(100):
         correction.note("slow", 100, 300)
     assert correction.factor("slow") > 2 and correction.factor("other") == 1.0
