Measure the speed of workers, and give slow ones fewer tasks

Change: placement.WorkerSpeeds compares the runs on each worker with the median of their kind, relative to the pool. A worker is slow if several runs say so beyond the usual spread; it then gets no task that ends by itself, later one, two and four as a trial, and is forgotten within seconds. Where more than a third of a pool is slow it is only placed last. The stall detector moves runs off workers known to be slow by its present rule, no more than others have room for; elsewhere a run is stopped only against the 0.99 quantile of its kind. Runs of slow workers teach RunTimes nothing. Events worker-slow and worker-normal, counters, a level.

--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -14,6 +14,7 @@
 from almondstack.control.run_predictions import RunPredictions
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
+from almondstack.control.speed_monitor import SpeedMonitor
 from almondstack.control.wave_controller import WaveController
 from almondstack.jobs import ActiveJob, RecordKind, Task, record_key
 from almondstack.ownership import Record
@@ -31,6 +32,7 @@
 """Share of all instances that may be moving to the spare pool at one time: a burst that begins
 meanwhile can use them only after they have moved there and back."""
 
+_MS_PER_S = 1000.0
 _TIMESTAMP_BYTES = 8
 """Size of a stored Unix time in milliseconds."""
 
@@ -74,6 +76,7 @@
         "_pools_with_incoming",
         "_predictions",
         "_services",
+        "_speed_monitor",
         "_table",
         "_waves",
     )
@@ -94,7 +97,10 @@
         self._admission = AdmissionWaits(table, planner)
         self._paid_time = PaidTimeRecorder(services.events, services.metrics)
         self._predictions = RunPredictions(table, services.events, services.metrics)
-        table.set_end_listener(self._predictions.note_end)
+        self._speed_monitor = SpeedMonitor(
+            table, self._predictions.run_times, services.events, services.metrics
+        )
+        table.set_end_listener(self._note_run_end)
         self._last_round_s = 0.0
         self._pools_with_incoming: set[str] = set()
         self._moves: list[Move] = []
@@ -105,6 +111,11 @@
         """What was learned of the times that tasks take."""
         return self._predictions.run_times
 
+    @property
+    def speed_monitor(self) -> SpeedMonitor:
+        """Judges the speeds of workers."""
+        return self._speed_monitor
+
     @property
     def waits_ms(self) -> dict[str, int]:
         """Expected wait of new work in milliseconds, by pool and client account."""
@@ -160,6 +171,12 @@
             self._services.metrics.count("instance.moves")
             self._manager.move(move.instance, move.target)
 
+    def _note_run_end(self, task: Task, took_ms: float) -> None:
+        """Learn from a run that ended as done; those of slow workers say little of their kind."""
+        self._speed_monitor.note_end(task, took_ms, task.assigned_s + took_ms / _MS_PER_S)
+        if not self._speed_monitor.speeds.was_slow_since(task.worker, task.assigned_s):
+            self._predictions.note_end(task, took_ms)
+
     def _has_past_work(self) -> bool:
         """Whether jobs other than long-running ones were submitted before this owner started."""
         is_open = any(not job.submission.is_long_running for job in self._table.jobs.values())
--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -137,6 +137,7 @@
             self._table,
             self._planner,
             self._fleet.run_times,
+            self._fleet.speed_monitor.speeds,
             services.control.stop_s,
             services.events,
         )
@@ -274,6 +275,7 @@
             self._update_workers(now_s)
             self._table.retry_stops(now_s)
             self._table.note_unbegun(now_s)
+            self._fleet.speed_monitor.run_round(now_s)
             self._stalls.run_round(now_s)
         with self._report.part("fleet"):
             self._fleet.run_round(now_s)
--- a/almondstack/control/run_predictions.py
+++ b/almondstack/control/run_predictions.py
@@ -6,7 +6,7 @@
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, Task
-from almondstack.placement import RunTimes
+from almondstack.placement import RunTimes, tells_time
 
 __all__ = ["RunPredictions"]
 
@@ -55,7 +55,7 @@
 
     def note_end(self, task: Task, took_ms: float) -> None:
         """Learn from a run that ended as done."""
-        if not _tells_time(task):
+        if not tells_time(task):
             return
         self.run_times.note(task.job.submission.queue, task.step.estimate_ms, took_ms)
         self._noted += 1
@@ -97,19 +97,6 @@
         self._noted = 0
 
 
-def _tells_time(task: Task) -> bool:
-    """Whether the run of a task that is done tells how long such tasks take.
-
-    Explanation
-    -----------
-    A filler goes at the pace that others leave it, and a run that may have resumed from a
-    checkpoint did only the rest of its task.
-    """
-    step = task.step
-    is_resumed = step.has_checkpoints and task.run > 1
-    return not (step.is_long_running or step.is_filler or is_resumed)
-
-
 def _figures(times: RunTimes, queue: str) -> dict[str, float]:
     """Return what is known of a queue: quantiles as ratios to its typical declaration."""
     typical_ms = times.typical_ms(queue)
--- a/almondstack/placement/__init__.py
+++ b/almondstack/placement/__init__.py
@@ -10,7 +10,8 @@
 from almondstack.placement.policies import AccountPolicy, AdvicePolicy, Policies, QueuePolicy
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.rounds import Assignment, PoolRound, Usage
-from almondstack.placement.run_times import RunTimes
+from almondstack.placement.run_times import RunTimes, tells_time
+from almondstack.placement.worker_speed import WorkerSpeeds
 from almondstack.placement.workers import Worker, WorkerInfo
 
 __all__ = [
@@ -25,6 +26,7 @@
     "Usage",
     "Worker",
     "WorkerInfo",
+    "WorkerSpeeds",
     "choose_for_gang",
     "choose_worker",
     "demand_of",
@@ -32,4 +34,5 @@
     "is_eligible",
     "objective_s",
     "rank_of",
+    "tells_time",
 ]
--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -6,7 +6,14 @@
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.workers import Worker
 
-__all__ = ["choose_for_gang", "choose_to_reserve", "choose_worker", "has_room", "is_eligible"]
+__all__ = [
+    "choose_for_gang",
+    "choose_to_reserve",
+    "choose_worker",
+    "has_room",
+    "is_eligible",
+    "room_count",
+]
 
 
 def is_eligible(task: Task, worker: Worker) -> bool:
@@ -26,11 +33,24 @@
     """Return whether one of the workers could take a task now."""
     demand = demand_of(task.step)
     return any(
-        worker.is_open(now_s) and worker.free.covers(demand) and _is_allowed(task, worker)
+        worker.is_open(now_s)
+        and worker.free.covers(demand)
+        and worker.takes(task)
+        and _is_allowed(task, worker)
         for worker in workers
     )
 
 
+def room_count(task: Task, workers: Iterable[Worker], now_s: float) -> int:
+    """Return how many tasks like this one the workers could take now at their usual speed."""
+    demand = demand_of(task.step)
+    return sum(
+        worker.free.times_covers(demand)
+        for worker in workers
+        if worker.is_open(now_s) and worker.slowness <= 1.0 and _is_allowed(task, worker)
+    )
+
+
 def choose_worker(task: Task, workers: Iterable[Worker]) -> Worker | None:
     """Return the best worker that has room for a task now, or None if there is none.
 
@@ -38,13 +58,18 @@
     -----------
     The caller passes only workers that may get new tasks.  Workers on which the
     task failed before come last, then workers that calls for a former life may reach, then
-    workers with a high penalty, then workers on another rack than the data.  Among the
+    slow workers, then workers with a high penalty, then workers on another rack than the
+    data.  A slow worker gets no more tasks than its trial allows.  Among the
     rest the fullest worker with room is taken (best fit), so that whole workers stay free
     for large tasks and for moves of instances; a filler task goes to the emptiest.
     """
     demand = demand_of(task.step)
     fitting = [
-        worker for worker in workers if worker.free.covers(demand) and _is_allowed(task, worker)
+        worker
+        for worker in workers
+        if worker.free.covers(demand)
+        and (worker.max_runs is None or worker.takes(task))
+        and _is_allowed(task, worker)
     ]
     return min(fitting, key=lambda worker: _preference_key(task, worker), default=None)
 
@@ -78,12 +103,14 @@
     eligible = [
         worker
         for worker in workers
-        if is_eligible(task, worker) and worker.room_after_short_runs().covers(demand)
+        if is_eligible(task, worker)
+        and worker.takes(task)
+        and worker.room_after_short_runs().covers(demand)
     ]
     return max(eligible, key=lambda worker: worker.free.cpu_millis, default=None)
 
 
-def _preference_key(task: Task, worker: Worker) -> tuple[bool, bool, float, bool, int, str]:
+def _preference_key(task: Task, worker: Worker) -> tuple[bool, bool, float, float, bool, int, str]:
     """Return the sort key of a worker; the lowest is preferred."""
     step = task.step
     is_far = bool(step.data_rack) and worker.info.rack != step.data_rack
@@ -91,7 +118,15 @@
     if step.is_filler:
         left = -left
     is_failed = worker.id in task.failed_on
-    return is_failed, worker.is_unsettled, worker.penalty, is_far, left, worker.id
+    return (
+        is_failed,
+        worker.is_unsettled,
+        worker.slowness,
+        worker.penalty,
+        is_far,
+        left,
+        worker.id,
+    )
 
 
 def _groups(task: Task, workers: list[Worker]) -> list[list[Worker]]:
@@ -112,19 +147,25 @@
 def _fit_all(tasks: list[Task], workers: list[Worker]) -> list[Worker] | None:
     left = {worker.id: worker.free.copy() for worker in workers}
     counts = {worker.id: worker.count_of(tasks[0]) for worker in workers}
+    added = dict.fromkeys(left, 0)
     chosen = []
     for task in tasks:
-        worker = _fit_one(task, workers, left, counts)
+        worker = _fit_one(task, workers, left, counts, added)
         if worker is None:
             return None
         left[worker.id].subtract(demand_of(task.step))
         counts[worker.id] += 1
+        added[worker.id] += 1
         chosen.append(worker)
     return chosen
 
 
 def _fit_one(
-    task: Task, workers: list[Worker], left: dict[str, Resources], counts: dict[str, int]
+    task: Task,
+    workers: list[Worker],
+    left: dict[str, Resources],
+    counts: dict[str, int],
+    added: dict[str, int],
 ) -> Worker | None:
     step = task.step
     demand = demand_of(step)
@@ -132,6 +173,7 @@
         worker
         for worker in workers
         if left[worker.id].covers(demand)
+        and worker.takes(task, added[worker.id])
         and (not step.required_label or step.required_label in worker.info.labels)
         and (not step.most_per_worker or counts[worker.id] < step.most_per_worker)
     ]
@@ -139,6 +181,7 @@
         fitting,
         key=lambda worker: (
             worker.is_unsettled,
+            worker.slowness,
             worker.penalty,
             left[worker.id].cpu_millis,
             worker.id,
--- a/almondstack/placement/resources.py
+++ b/almondstack/placement/resources.py
@@ -56,6 +56,25 @@
             and (other.gpus <= 0 or other.gpus <= self.gpus)
         )
 
+    def times_covers(self, other: "Resources") -> int:
+        """Return how many times another amount fits in; 0 if that needs nothing.
+
+        Examples
+        --------
+        >>> Resources(4_000, 1_000).times_covers(Resources(1_000, 300))
+        3
+        """
+        counts = [
+            whole // part
+            for part, whole in (
+                (other.cpu_millis, self.cpu_millis),
+                (other.memory_mb, self.memory_mb),
+                (other.gpus, self.gpus),
+            )
+            if part > 0
+        ]
+        return max(0, min(counts, default=0))
+
     def is_at_least(self, other: "Resources") -> bool:
         """Return whether each resource is at least as much as in another amount."""
         return (
--- a/almondstack/placement/run_times.py
+++ b/almondstack/placement/run_times.py
@@ -16,7 +16,9 @@
 from array import array
 from collections import OrderedDict
 
-__all__ = ["RunTimes"]
+from almondstack.jobs import Task
+
+__all__ = ["RunTimes", "tells_time"]
 
 _MAX_KINDS = 256
 """Bound on the queues that are remembered; the least recently used is forgotten first."""
@@ -48,6 +50,14 @@
 _HALF_BINS = 32
 """Residuals are counted in bins of this width, up to this number on each side of 0."""
 
+_ONE_DEVIATION = 0.8413
+"""The quantile that is one standard deviation above the mean of a normal distribution."""
+
+_MIN_SPREAD = 0.25
+_UNKNOWN_SPREAD = 0.8
+"""Least standard deviation, and that of declarations of which no runs tell."""
+
+_MIN_SPREAD_RUNS = 12
 _MAX_WEIGHT = 1e6
 """Weight of the newest residual at which all weights are scaled down."""
 
@@ -145,6 +155,11 @@
         kind = self._kinds.get(queue)
         return kind.runs if kind is not None else 0
 
+    def spread(self, queue: str) -> float:
+        """Return the standard deviation of the logarithm of times, without the long tail."""
+        kind = self._kinds.get(queue)
+        return kind.spread() if kind is not None else _UNKNOWN_SPREAD
+
     def typical_ms(self, queue: str) -> float:
         """Return the geometric mean of what is declared in a queue, in milliseconds."""
         kind = self._kinds.get(queue)
@@ -156,6 +171,19 @@
         return kind.slope if kind is not None else 1.0
 
 
+def tells_time(task: Task) -> bool:
+    """Return whether the run of a task that is done tells how long such tasks take.
+
+    Explanation
+    -----------
+    A filler goes at the pace that others leave it, and a run that may have resumed from a
+    checkpoint did only the rest of its task.
+    """
+    step = task.step
+    is_resumed = step.has_checkpoints and task.run > 1
+    return not (step.is_long_running or step.is_filler or is_resumed)
+
+
 class _Kind:
     """The line and the residuals of one queue, in logarithms of milliseconds."""
 
@@ -167,6 +195,7 @@
         "_newest_weight",
         "_ratios",
         "_residuals",
+        "_spread",
         "_variance",
         "_weight",
         "runs",
@@ -183,6 +212,7 @@
         # Most predictions are asked for more often than runs end.
         self._ratios: dict[float, float] = {}
         self._mean_ratio: float | None = None
+        self._spread: float | None = None
 
     @property
     def slope(self) -> float:
@@ -214,6 +244,17 @@
             self._mean_ratio = weighted / sum(self._residuals)
         return self._mean_ratio
 
+    def spread(self) -> float:
+        """Return the standard deviation of the logarithm of times, without the long tail."""
+        if self._spread is None:
+            self._spread = self._compute_spread()
+        return self._spread
+
+    def _compute_spread(self) -> float:
+        if self.runs < _MIN_SPREAD_RUNS:
+            return _UNKNOWN_SPREAD
+        return max(_MIN_SPREAD, self._residual_at(_ONE_DEVIATION) - self._residual_at(0.5))
+
     def ratio_at(self, quantile: float) -> float:
         """Return the quantile of the ratio of a time to that on the line."""
         ratio = self._ratios.get(quantile)
@@ -244,7 +285,7 @@
         number = round(residual / _BIN_WIDTH) + _HALF_BINS
         self._residuals[min(max(number, 0), _BINS - 1)] += self._newest_weight
         self._ratios.clear()
-        self._mean_ratio = None
+        self._mean_ratio = self._spread = None
 
     def _rescale(self) -> None:
         """Divide all weights by that of the newest residual: weights grow instead of decaying."""
--- /dev/null
+++ b/almondstack/placement/tests/test_worker_speed.py
@@ -0,0 +1,214 @@
+"""Slow workers get fewer tasks, then trial tasks, and are used again within seconds."""
+
+import random
+
+import pytest
+
+from almondstack.placement import PoolRound, Usage, WorkerSpeeds
+from almondstack.placement.choosing import choose_to_reserve, choose_worker, has_room
+from almondstack.placement.spare_room import SpareRoom
+from almondstack.placement.worker_speed import _MAX_RUNS, RunSpeed
+from almondstack.testing.job_builders import make_job, make_step, make_worker
+
+_STEP_S = 0.2
+_SPREAD = 0.4
+
+
+class _Pool:
+    """Workers that each have some runs, which are looked at five times a second."""
+
+    def __init__(self, count=18, runs=4, racks=6):
+        self.workers = {
+            f"w{number:02}": make_worker(f"w{number:02}", labels=("k", f"r{number % racks}"))
+            for number in range(count)
+        }
+        self.speeds = WorkerSpeeds()
+        self.factors = dict.fromkeys(self.workers, 1.0)
+        self.changes = []
+        self.now_s = 10.0
+        self._runs = runs
+        self._random = random.Random(1)
+
+    def slow_down(self, workers, factor=5.0):
+        self.factors.update(dict.fromkeys(workers, factor))
+
+    def pass_time(self, seconds):
+        """Have each worker tell of its runs, as many as it is allowed, and judge them."""
+        for _ in range(round(seconds / _STEP_S)):
+            self.now_s += _STEP_S
+            for id, worker in self.workers.items():
+                runs = self._runs if worker.max_runs is None else worker.max_runs
+                for number in range(runs):
+                    ratio = self.factors[id] * self._random.lognormvariate(0.0, _SPREAD)
+                    speed = RunSpeed(id, f"{id}/{number}", ratio, _SPREAD)
+                    self.speeds.note_run(speed, self.now_s)
+            self.changes += self.speeds.update(self.workers, self.now_s)
+
+    @property
+    def slow(self):
+        return sorted(self.speeds.slow_workers)
+
+
+def _place(workers, count, **fields):
+    """Return the ids of the workers that get the tasks of a job."""
+    tasks = make_job(make_step(count, **fields)).steps_of(0)[0]
+    placed = PoolRound(list(workers), Usage({}), 0.0).place(tasks)
+    return [worker.id for one in placed for worker in one.workers]
+
+
+def test_a_sixth_of_a_pool_turns_five_times_slower_for_six_seconds():
+    pool = _Pool()
+    slow = ["w03", "w07", "w11"]
+    pool.pass_time(3.0)
+    assert pool.slow == []
+    pool.slow_down(slow)
+    pool.pass_time(0.6)
+    assert pool.slow == slow and all(pool.speeds.factor(id) > 2.0 for id in slow)
+    pool.pass_time(5.4)
+    assert pool.slow == slow
+    pool.slow_down(slow, factor=1.0)
+    pool.pass_time(6.0)
+    assert pool.slow == [] and all(worker.max_runs is None for worker in pool.workers.values())
+    assert {change.worker for change in pool.changes} == set(slow)
+
+
+def test_a_worker_that_stays_slow_gets_few_trial_tasks():
+    pool = _Pool()
+    pool.slow_down(["w03"])
+    pool.pass_time(1.0)
+    allowed = []
+    for _ in range(100):
+        pool.pass_time(_STEP_S)
+        allowed.append(pool.workers["w03"].max_runs)
+    assert None not in allowed and allowed.count(0) > 0.8 * len(allowed)
+
+
+def test_ordinary_spread_makes_no_worker_slow():
+    pool = _Pool(count=60)
+    pool.pass_time(30.0)
+    assert pool.changes == []
+
+
+def test_a_whole_rack_turns_slow_and_the_other_racks_are_preferred():
+    pool = _Pool(racks=6)
+    rack = [id for id, worker in pool.workers.items() if worker.info.rack == "r2"]
+    pool.slow_down(rack)
+    pool.pass_time(1.0)
+    assert pool.slow == rack
+    assert not set(_place(pool.workers.values(), 12)) & set(rack)
+
+
+def test_half_of_a_pool_turns_slow_and_still_gets_tasks_where_others_have_no_room():
+    pool = _Pool(count=18, racks=2)
+    rack = [id for id, worker in pool.workers.items() if worker.info.rack == "r1"]
+    pool.slow_down(rack)
+    pool.pass_time(1.0)
+    assert _place(pool.workers.values(), 36).count("w01") == 0
+    assert len(_place(pool.workers.values(), 36)) == 36
+
+
+def test_a_whole_pool_turns_slow_and_stays_in_use():
+    pool = _Pool()
+    pool.slow_down(pool.workers)
+    pool.pass_time(5.0)
+    assert pool.slow == [] and pool.changes == []
+
+
+def test_one_slow_task_condemns_no_worker():
+    pool = _Pool(runs=1)
+    pool.slow_down(["w03"], factor=50.0)
+    pool.pass_time(5.0)
+    assert pool.slow == []
+
+
+def test_three_tasks_in_a_hundred_that_take_seven_times_as_long_condemn_no_worker():
+    pool = _Pool(count=30, runs=6)
+    source = random.Random(2)
+    for step in range(100):
+        for id in pool.workers:
+            ratio = 7.0 if source.random() < 0.03 else source.lognormvariate(0.0, _SPREAD)
+            run = RunSpeed(id, f"{id}/{step % 6}/{step // 6}", ratio, _SPREAD)
+            pool.speeds.note_run(run, 10.0 + step / 5)
+        pool.changes += pool.speeds.update(pool.workers, 10.0 + step / 5)
+    assert pool.changes == []
+
+
+def test_a_worker_that_is_slow_alone_in_its_pool_is_not_compared():
+    pool = _Pool(count=1)
+    pool.slow_down(["w00"])
+    pool.pass_time(3.0)
+    assert pool.slow == []
+
+
+def test_a_slow_worker_without_runs_is_tried_and_forgotten_within_seconds():
+    pool = _Pool()
+    pool.slow_down(["w03"])
+    pool.pass_time(1.0)
+    assert pool.workers["w03"].max_runs == 0
+    allowed = []
+    for _ in range(40):
+        pool.now_s += _STEP_S
+        pool.speeds.update(pool.workers, pool.now_s)
+        allowed.append(pool.workers["w03"].max_runs)
+    assert 1 in allowed and allowed[-1] is None and pool.slow == []
+
+
+def test_a_worker_that_goes_on_a_little_slow_is_not_on_trial_for_long():
+    pool = _Pool()
+    pool.slow_down(["w03"])
+    pool.pass_time(1.0)
+    pool.slow_down(["w03"], factor=1.7)
+    allowed = []
+    for _ in range(100):
+        pool.pass_time(_STEP_S)
+        allowed.append(pool.workers["w03"].max_runs)
+    assert None in allowed[:50] and None in allowed[50:]
+
+
+def test_a_worker_that_restarts_under_its_id_starts_as_normal():
+    pool = _Pool()
+    pool.slow_down(["w03"])
+    pool.pass_time(1.0)
+    assert pool.slow == ["w03"]
+    pool.workers["w03"] = make_worker("w03", life=2)
+    pool.speeds.update(pool.workers, pool.now_s)
+    assert pool.slow == [] and pool.workers["w03"].max_runs is None
+
+
+def test_workers_that_are_gone_are_forgotten_and_runs_are_bounded():
+    pool = _Pool(count=3, runs=50)
+    pool.pass_time(1.0)
+    assert len(pool.speeds._records["w00"].runs) == _MAX_RUNS
+    assert pool.speeds.update({}, pool.now_s) == [] and not pool.speeds._records
+
+
+@pytest.mark.parametrize("is_gang", [False, True])
+def test_a_slow_worker_gets_nothing_while_others_have_room_then_trial_tasks(is_gang):
+    fast, slow = make_worker("w2"), make_worker("w1")
+    slow.slowness, slow.max_runs = 5.0, 1
+    assert set(_place([slow, fast], 4, is_gang=is_gang)) == {"w2"}
+    fast, slow = make_worker("w2"), make_worker("w1")
+    slow.slowness, slow.max_runs = 5.0, 1
+    assert _place([slow, fast], 5, is_gang=is_gang).count("w1") == 1
+    assert len(_place([slow], 8, is_gang=is_gang)) == 0
+
+
+def test_tasks_that_last_are_not_bound_by_a_trial():
+    slow = make_worker()
+    slow.slowness, slow.max_runs = 5.0, 0
+    lasting = make_job(make_step(is_long_running=True)).steps_of(0)[0][0]
+    short = make_job(id="short").steps_of(0)[0][0]
+    assert choose_worker(lasting, [slow]) is slow
+    assert choose_worker(short, [slow]) is None and not has_room(short, [slow], 0.0)
+    assert choose_to_reserve(short, [slow]) is None
+
+
+def test_room_for_moved_tasks_counts_each_of_them_once():
+    workers = [make_worker("w1"), make_worker("w2")]
+    workers[1].slowness = 5.0
+    task = make_job(make_step(cpu_millis=2_000)).steps_of(0)[0][0]
+    spare = SpareRoom(workers, 0.0)
+    for _ in range(2):
+        assert spare.has_room(task, "p") and not spare.has_room(task, "other")
+        spare.note_moving("p")
+    assert not spare.has_room(task, "p")
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -96,6 +96,11 @@
         Monotonic time before which calls for a former life of it may reach it, in seconds.
     is_unsettled : bool
         That time has not come, so it gets new tasks only if no other worker has room.
+    slowness : float
+        By how much its runs are slower than elsewhere in its pool; 1 is normal or not known.
+    max_runs : int or None
+        Bound on the tasks that end by themselves it may have at a time while it is slow or on
+        trial; None is no bound.
     penalty : float
         Decaying sum of recent failures and refusals; 0 is healthy.
     last_answer_s, last_failure_s : float
@@ -113,8 +118,10 @@
         "is_unsettled",
         "last_answer_s",
         "last_failure_s",
+        "max_runs",
         "penalty",
         "set_aside_until_s",
+        "slowness",
         "unsettled_until_s",
     )
 
@@ -128,6 +135,8 @@
         self.is_unsettled = False
         self.is_reserved = False
         self.is_reachable = True
+        self.slowness = 1.0
+        self.max_runs: int | None = None
         self.penalty = 0.0
         self.last_answer_s = 0.0
         self.last_failure_s = 0.0
@@ -164,6 +173,12 @@
             and self.set_aside_until_s <= now_s
         )
 
+    def takes(self, task: Task, more: int = 0) -> bool:
+        """Return whether its bound on tasks that end allows a task, and ``more`` before it."""
+        if self.max_runs is None or task.step.is_long_running:
+            return True
+        return self._short_runs() + more < self.max_runs
+
     def count_of(self, task: Task) -> int:
         """Return how many tasks of the same step and occurrence may be running on it."""
         return self._steps.get(_step_of(task), 0)
@@ -176,6 +191,9 @@
                 room.subtract(demand_of(task.step))
         return room
 
+    def _short_runs(self) -> int:
+        return sum(not task.step.is_long_running for task in self._tasks)
+
     def put(self, task: Task) -> None:
         """Add a task and take up its demand; no effect if it is on the worker."""
         if task in self._tasks:
