Test what is reported of slow workers, and which runs they held up

Cause: the events and counters of slow workers, and the question whether a worker was slow during a run, had no test.

Change: a test of each; RecordingEvents in the builders replaces a copy in one test module.

--- a/almondstack/control/tests/test_run_predictions.py
+++ b/almondstack/control/tests/test_run_predictions.py
@@ -12,6 +12,7 @@
 from almondstack.placement.backlog import Backlog
 from almondstack.placement.order import is_late
 from almondstack.testing.job_builders import (
+    RecordingEvents,
     assign,
     ended,
     look,
@@ -23,19 +24,9 @@
 )
 
 
-class _Events:
-    """Keeps the events that are written."""
-
-    def __init__(self):
-        self.lines = []
-
-    def write(self, event, **fields):
-        self.lines.append((event, fields))
-
-
 def _predictions(*jobs, workers=()):
     table = make_table(*jobs, workers=workers)
-    return RunPredictions(table, _Events(), LocalMetrics()), table
+    return RunPredictions(table, RecordingEvents(), LocalMetrics()), table
 
 
 def _teach(predictions, took_ms, runs=30, **fields):
--- a/almondstack/control/tests/test_stall_detector.py
+++ b/almondstack/control/tests/test_stall_detector.py
@@ -12,6 +12,7 @@
 from almondstack.jobs import RunEnd, TaskKey, TaskStatus
 from almondstack.placement import Policies, RunTimes, WorkerSpeeds
 from almondstack.testing.job_builders import (
+    RecordingEvents,
     assign,
     ended,
     look,
@@ -144,7 +145,8 @@
         for _ in range(200):
             took_ms = 100 * _USUAL_TENTHS * source.lognormvariate(0.0, 0.4)
             run_times.note("q", 100 * _USUAL_TENTHS, took_ms)
-        self.monitor = SpeedMonitor(self.table, run_times, EventLog("test"), LocalMetrics())
+        self.events = RecordingEvents()
+        self.monitor = SpeedMonitor(self.table, run_times, self.events, LocalMetrics())
         self.detector = StallDetector(
             self.table,
             Planner(self.table, None, lambda: policies),
@@ -154,9 +156,9 @@
             EventLog("test"),
         )
 
-    def play(self, tenths):
+    def play(self, tenths, first=0):
         """Have all workers report their runs for some tenths of a second."""
-        for tenth in range(tenths):
+        for tenth in range(first, first + tenths):
             now_s = tenth / 10
             for worker in self.workers:
                 listed = []
@@ -209,3 +211,19 @@
     pool = _BusyPool()
     pool.play(2)
     assert all(worker.slowness == 1.0 for worker in pool.workers)
+
+
+def test_a_worker_that_turns_slow_and_normal_again_is_reported_once_each():
+    pool = _BusyPool(spare=0)
+    pool.speeds["w2"] = 0.3
+    pool.play(15)
+    pool.speeds["w2"] = 1.0
+    pool.play(40, first=15)
+    lines = pool.events.lines
+    assert [(event, fields["worker"]) for event, fields in lines if "worker-" in event] == [
+        ("worker-slow", "w2"),
+        ("worker-normal", "w2"),
+    ]
+    assert lines[0][1]["factor"] >= 2.0 and lines[0][1]["runs"] == 4
+    metrics = pool.monitor._metrics
+    assert metrics.total("worker.slow") == metrics.total("worker.normal") == 1
--- a/almondstack/placement/tests/test_worker_speed.py
+++ b/almondstack/placement/tests/test_worker_speed.py
@@ -212,3 +212,14 @@
         assert spare.has_room(task, "p") and not spare.has_room(task, "other")
         spare.note_moving("p")
     assert not spare.has_room(task, "p")
+
+
+def test_runs_that_a_slow_worker_held_up_are_told_from_later_ones():
+    pool = _Pool()
+    pool.slow_down(["w03"])
+    pool.pass_time(2.0)
+    assert pool.speeds.was_slow_since("w03", 0.0) and not pool.speeds.was_slow_since("w04", 0.0)
+    pool.slow_down(["w03"], factor=1.0)
+    pool.pass_time(6.0)
+    assert pool.speeds.was_slow_since("w03", 11.0)
+    assert not pool.speeds.was_slow_since("w03", pool.now_s - 0.1)
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "AllowAllAdvisor",
+    "RecordingEvents",
     "RecordingOrders",
     "assign",
     "ended",
@@ -69,6 +70,18 @@
         """Do nothing: no ticket is needed."""
 
 
+class RecordingEvents(EventLog):
+    """Keeps the events that are written, with their fields."""
+
+    def __init__(self) -> None:
+        super().__init__("test")
+        self.lines: list[tuple[str, dict[str, object]]] = []
+
+    def write(self, event: str, **fields: object) -> None:
+        """Keep an event."""
+        self.lines.append((event, fields))
+
+
 class RecordingOrders:
     """Records the orders of a run table."""
 
