--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -6,10 +6,10 @@
 from almondstack.capacity import PoolState
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
-from almondstack.jobs import Task, TaskStatus
+from almondstack.jobs import TaskStatus
 from almondstack.jobs.admission_state import AdmissionState, wait_key
-from almondstack.placement import Policies
-from almondstack.placement.backlog import Backlog, EstimateCorrection, waits_beyond_ms
+from almondstack.placement import Policies, RunTimes
+from almondstack.placement.backlog import Backlog, waits_beyond_ms
 from almondstack.placement.entitlements import Entitlements
 from almondstack.placement.order import is_worthless
 
@@ -38,29 +38,30 @@
         Provides the policy of each job's queue.
     last_state : AdmissionState
         The state that the previous owner has published; used until the first update.
+    run_times : RunTimes
+        What was learned of the times that tasks take.
 
     Attributes
     ----------
-    correction : EstimateCorrection
-        Ratio of measured run times to callers' estimates.
     state : AdmissionState
         The waits, and the accounts whose demand is beyond their entitlement.
     """
 
-    __slots__ = ("_held", "_planner", "_table", "correction", "state")
+    __slots__ = ("_held", "_planner", "_run_times", "_table", "state")
 
-    def __init__(self, table: RunTable, planner: Planner, last_state: AdmissionState) -> None:
+    def __init__(
+        self,
+        table: RunTable,
+        planner: Planner,
+        last_state: AdmissionState,
+        run_times: RunTimes,
+    ) -> None:
         self._table = table
         self._planner = planner
-        self.correction = EstimateCorrection()
+        self._run_times = run_times
         self._held: dict[str, _HeldEntitlement] = {}
         self.state = last_state
 
-    def note_end(self, task: Task, took_ms: float) -> None:
-        """Update the correction of estimates with the duration of a completed run."""
-        if not task.step.is_long_running:
-            self.correction.note(task.job.submission.queue, task.step.estimate_ms, took_ms)
-
     def update(
         self,
         states: list[PoolState],
@@ -78,7 +79,9 @@
         self._hold_entitlements(backlogs, entitlements, now_unix_ms)
         entitled_millis = {account: held.millis for account, held in self._held.items()}
         waits_ms |= waits_beyond_ms(waits_ms, backlogs, entitled_millis)
-        self.state = AdmissionState(waits_ms, entitled_millis, expected_ms=self._expected_ms)
+        self.state = AdmissionState(
+            waits_ms, entitled_millis, expected_ms=self._run_times.expected_ms
+        )
 
     def _backlogs(self, states: list[PoolState], now_unix_ms: float) -> dict[str, Backlog]:
         """Return the remaining work of each pool."""
@@ -93,14 +96,11 @@
             if is_worthless(job, policy, now_unix_ms):
                 continue
             ready = list(job.ready_steps(now_unix_ms))
-            backlog.add(job, self.correction.factor(job.submission.queue))
+            backlog.add(job)
             if any(task.status is TaskStatus.WAITING for tasks in ready for task in tasks):
                 backlog.note_waiting()
         return backlogs
 
-    def _expected_ms(self, queue: str, declared_ms: float) -> float:
-        return declared_ms * self.correction.factor(queue)
-
     def _hold_entitlements(
         self, backlogs: dict[str, Backlog], entitlements: Entitlements, now_unix_ms: float
     ) -> None:
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -12,14 +12,15 @@
 from almondstack.control.paid_time_recorder import PaidTimeRecorder
 from almondstack.control.planning import Planner
 from almondstack.control.pool_balancer import PoolBalancer, median_size_millis
+from almondstack.control.run_predictions import RunPredictions
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
+from almondstack.control.speed_monitor import SpeedMonitor
 from almondstack.control.wave_controller import WaveController
 from almondstack.jobs import ActiveJob, RecordKind, Task, record_key
 from almondstack.jobs.admission_state import AdmissionState
 from almondstack.ownership import Record
-from almondstack.placement import Policies, Worker, has_room
-from almondstack.placement.backlog import EstimateCorrection
+from almondstack.placement import Policies, RunTimes, Worker, has_room
 from almondstack.placement.entitlements import Entitlements
 
 __all__ = ["FleetController"]
@@ -34,6 +35,7 @@
 """Share of all instances that may be moving to the spare pool at one time: a burst that begins
 meanwhile can use them only after they have moved there and back."""
 
+_MS_PER_S = 1000.0
 _TIMESTAMP_BYTES = 8
 """Size of a stored Unix time in milliseconds."""
 
@@ -77,7 +79,9 @@
         "_paid_time",
         "_planner",
         "_pools_with_incoming",
+        "_predictions",
         "_services",
+        "_speed_monitor",
         "_table",
         "_waves",
     )
@@ -96,19 +100,30 @@
         self._manager = InstanceManager(services, token, may_act)
         self._waves = WaveController(services, self._manager)
         self._balancer = PoolBalancer(table, planner, self._manager, services.control.move_s)
-        self._admission = AdmissionWaits(table, planner, services.index.admission)
         self._paid_time = PaidTimeRecorder(services.events, services.metrics)
         self._entitlement_report = EntitlementReport(services.events, services.metrics)
-        table.set_end_listener(self._admission.note_end)
+        self._predictions = RunPredictions(table, services.events, services.metrics)
+        self._admission = AdmissionWaits(
+            table, planner, services.index.admission, self._predictions.run_times
+        )
+        self._speed_monitor = SpeedMonitor(
+            table, self._predictions.run_times, services.events, services.metrics
+        )
+        table.set_end_listener(self._note_run_end)
         self._last_round_s = 0.0
         self._pools_with_incoming: set[str] = set()
         self._moves: list[Move] = []
         self._logged_wanted: dict[str, int] = {}
 
     @property
-    def correction(self) -> EstimateCorrection:
-        """Ratio of measured run times to callers' estimates."""
-        return self._admission.correction
+    def run_times(self) -> RunTimes:
+        """What was learned of the times that tasks take."""
+        return self._predictions.run_times
+
+    @property
+    def speed_monitor(self) -> SpeedMonitor:
+        """Judges the speeds of workers."""
+        return self._speed_monitor
 
     @property
     def admission(self) -> AdmissionState:
@@ -135,7 +150,8 @@
         self._manager.close()
 
     def note_job(self, job: ActiveJob, now_s: float) -> None:
-        """Count a new job in the demand of its pool."""
+        """Predict the times of a new job's tasks, and count it in the demand of its pool."""
+        self._predictions.predict(job)
         self._balancer.note_job(job, now_s)
 
     def run_round(self, now_s: float) -> None:
@@ -169,6 +185,12 @@
             self._services.metrics.count("instance.moves")
             self._manager.move(move.instance, move.target)
 
+    def _note_run_end(self, task: Task, took_ms: float) -> None:
+        """Learn from a run that ended as done; those of slow workers say little of their kind."""
+        self._speed_monitor.note_end(task, took_ms, task.assigned_s + took_ms / _MS_PER_S)
+        if not self._speed_monitor.speeds.was_slow_since(task.worker, task.assigned_s):
+            self._predictions.note_end(task, took_ms)
+
     def _has_past_work(self) -> bool:
         """Whether jobs other than long-running ones were submitted before this owner started."""
         is_open = any(not job.submission.is_long_running for job in self._table.jobs.values())
@@ -177,6 +199,7 @@
     def _decide(self, now_s: float) -> None:
         policies = self._services.policies()
         instances = self._manager.instances()
+        self._predictions.run_round(now_s)
         self._lose_unlisted_workers(instances, now_s)
         spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
         workers = self._table.workers
--- a/almondstack/control/owner_parts.py
+++ b/almondstack/control/owner_parts.py
@@ -84,7 +84,8 @@
         self.stalls = StallDetector(
             self.table,
             self.planner,
-            self.fleet.correction,
+            self.fleet.run_times,
+            self.fleet.speed_monitor.speeds,
             services.control.stop_s,
             services.events,
         )
--- a/almondstack/control/owner_round.py
+++ b/almondstack/control/owner_round.py
@@ -74,6 +74,7 @@
             self._workers.run_round(now_s)
             parts.table.retry_stops(now_s)
             parts.table.note_unbegun(now_s)
+            parts.fleet.speed_monitor.run_round(now_s)
             parts.stalls.run_round(now_s)
         with self._report.part("fleet"):
             parts.fleet.run_round(now_s)
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -9,7 +9,7 @@
 from almondstack.intake import Verdict
 from almondstack.jobs import Submission
 from almondstack.jobs.admission_state import AdmissionState
-from almondstack.placement import Policies
+from almondstack.placement import Policies, RunTimes
 from almondstack.placement.entitlements import Entitlements
 from almondstack.testing.job_builders import (
     AllowAllAdvisor,
@@ -40,7 +40,7 @@
         ]
         self.table = make_table(*jobs)
         planner = Planner(self.table, AllowAllAdvisor(), lambda: self.policies)
-        self.waits = AdmissionWaits(self.table, planner, last_state)
+        self.waits = AdmissionWaits(self.table, planner, last_state, RunTimes())
 
     def update(self, entitlements, now_ms=0.0):
         """Recompute the waits; return the state."""
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "AllowAllAdvisor",
+    "RecordingEvents",
     "RecordingOrders",
     "assign",
     "ended",
@@ -95,6 +96,18 @@
         """Do nothing: no ticket is needed."""
 
 
+class RecordingEvents(EventLog):
+    """Keeps the events that are written, with their fields."""
+
+    def __init__(self) -> None:
+        super().__init__("test")
+        self.lines: list[tuple[str, dict[str, object]]] = []
+
+    def write(self, event: str, **fields: object) -> None:
+        """Keep an event."""
+        self.lines.append((event, fields))
+
+
 class RecordingOrders:
     """Records the orders of a run table."""
 
