--- a/almondstack/control/tests/test_interference_monitor.py
+++ b/almondstack/control/tests/test_interference_monitor.py
@@ -256,7 +256,7 @@
         process.claim()
         owner = process.owner
     assert owner.parts.planner._interference is owner.parts.pacing._monitor.interference
-    assert owner.parts.pacing._monitor._metrics is owner._services.metrics
+    assert owner.parts.pacing._monitor._metrics is owner.parts.services.metrics
 
 
 def test_a_harmful_filler_is_planned_apart_while_there_is_room_and_beside_when_there_is_none():
