Size pools of a short fleet by what can still be served in time, and hold needs for a moment

Cause: pools sized by all waiting demand got instances for work that could wait or that a moved instance would come too late for, and short swings of the forecast moved instances back and forth. Change: what a pool keeps is the entitled demand that can't wait, what it gets only what an instance ordered now can still serve; both hold for a moment (capacity/target_hold.py); instances that nobody is owed stay where they are wanted.

--- a/almondstack/capacity/__init__.py
+++ b/almondstack/capacity/__init__.py
@@ -2,6 +2,7 @@
 
 from almondstack.capacity.arrival_mix import ArrivalMix
 from almondstack.capacity.demand import ArrivalForecast, PoolNeed
+from almondstack.capacity.division import held_need
 from almondstack.capacity.maintenance import WaveMember, next_members
 from almondstack.capacity.moves import Move, plan_moves
 from almondstack.capacity.paid_time import PaidInstance, PaidUse, paid_uses
@@ -13,6 +14,7 @@
     large_excess_limit,
     wanted_instances,
 )
+from almondstack.capacity.target_hold import HeldNeed, TargetHold
 
 __all__ = [
     "HEADROOM",
@@ -21,11 +23,14 @@
     "ArrivalMix",
     "Candidate",
     "Move",
+    "HeldNeed",
     "PaidInstance",
     "PaidUse",
     "PoolNeed",
     "PoolState",
+    "TargetHold",
     "WaveMember",
+    "held_need",
     "large_excess_limit",
     "next_members",
     "paid_uses",
--- a/almondstack/capacity/division.py
+++ b/almondstack/capacity/division.py
@@ -2,23 +2,25 @@
 
 import math
 
+from almondstack.capacity.demand import PoolNeed
 from almondstack.capacity.pool_state import (
     MIN_INSTANCES,
     Candidate,
     PoolState,
     wanted_instances,
 )
+from almondstack.capacity.target_hold import HeldNeed
 
-__all__ = ["divided_targets", "is_short", "shortage_donors"]
+__all__ = ["divided_targets", "held_need", "is_short", "shortage_donors"]
 
 _SETTLED_SHARE = 0.05
 """A pool that has more than its target by no more than this share of it gives no instance."""
 
-_LARGE_DIFFERENCE = 1.25
+_LARGE_DIFFERENCE = 1.1
 """Instances whose runs last longer than a move are drained only down to this multiple of the
 target: until they are empty, they serve neither pool."""
 
-_MAX_MOVING_SHARE = 0.33
+_MAX_MOVING_SHARE = 0.4
 """Share of all instances that may be draining or moving in a shortage at one time."""
 
 
@@ -33,9 +35,11 @@
     Explanation
     -----------
     Each pool is owed the instances for the part of each account's demand there that the
-    account is entitled to.  What is left beyond that stays where it is, as far as it is
-    wanted there, and then goes to the pools by the rest of their demand.  If less is there than is owed, all are reduced by an equal proportion, but not
-    below ``MIN_INSTANCES`` and what lasting tasks need.
+    account is entitled to and that can't wait; it gets more only for what an instance that is
+    ordered now can still serve in time.  What is left stays where it is, as far as it is
+    wanted there, and then goes to the pools by the rest of their demand.  If less is there than
+    is owed, all are reduced by an equal proportion, but not below ``MIN_INSTANCES`` and what
+    lasting tasks need.
 
     Parameters
     ----------
@@ -92,9 +96,20 @@
     return donors[: max(1, math.floor(_MAX_MOVING_SHARE * total) - moving)]
 
 
+def held_need(need: PoolNeed, size_millis: int) -> HeldNeed:
+    """Return how many instances a pool needs for what its accounts are entitled to."""
+    kept = _instances(need.entitled or need, size_millis)
+    return HeldNeed(kept, min(kept, _instances(need.reachable or need, size_millis)))
+
+
 def _owed(pool: PoolState, size_millis: int) -> int:
-    need = pool.need if pool.need.entitled is None else pool.need.entitled
-    return wanted_instances(PoolState(pool.name, need, []), size_millis)
+    """Return what a pool keeps of its instances, or the lesser number up to which it gets more."""
+    held = pool.held or held_need(pool.need, size_millis)
+    return min(held.kept, max(pool.size, held.reached))
+
+
+def _instances(need: PoolNeed, size_millis: int) -> int:
+    return wanted_instances(PoolState("", need, []), size_millis)
 
 
 def _floor(pool: PoolState, size_millis: int) -> int:
--- a/almondstack/capacity/pool_state.py
+++ b/almondstack/capacity/pool_state.py
@@ -3,6 +3,7 @@
 import math
 
 from almondstack.capacity.demand import PoolNeed
+from almondstack.capacity.target_hold import HeldNeed
 
 __all__ = [
     "HEADROOM",
@@ -91,9 +92,22 @@
     large_excess_since_s : float or None
         Monotonic time in seconds since which it has had more instances than
         :func:`large_excess_limit`; None if it does not.
+
+    Attributes
+    ----------
+    held : HeldNeed or None
+        Instances that it has needed for a moment while the fleet is short.
     """
 
-    __slots__ = ("candidates", "coming", "excess_since_s", "large_excess_since_s", "name", "need")
+    __slots__ = (
+        "candidates",
+        "coming",
+        "excess_since_s",
+        "held",
+        "large_excess_since_s",
+        "name",
+        "need",
+    )
 
     def __init__(
         self,
@@ -110,6 +124,7 @@
         self.coming = coming
         self.excess_since_s = excess_since_s
         self.large_excess_since_s = large_excess_since_s
+        self.held: HeldNeed | None = None
 
     @property
     def size(self) -> int:
--- a/almondstack/control/account_demands.py
+++ b/almondstack/control/account_demands.py
@@ -2,19 +2,21 @@
 
 from collections.abc import Iterable
 
-from almondstack.jobs import ActiveJob, Step, TaskStatus
+from almondstack.jobs import ActiveJob, Step, Task, TaskStatus
 from almondstack.placement import QueuePolicy, Resources
 from almondstack.placement.entitlements import AccountDemand
-from almondstack.placement.order import pressing_share
+from almondstack.placement.order import pressing_share, slack_s
 
-__all__ = ["AccountDemands", "DeferrableWork"]
+__all__ = ["AccountDemands", "PoolAmount", "WaitingParts"]
+
+_MS = 1000.0
 
 _MIN_ACCOUNTS = 2
 """Accounts with open jobs from which on they may compete."""
 
 
-class DeferrableWork:
-    """Waiting demand of an account in a pool that can wait without being late.
+class PoolAmount:
+    """A demand in one pool.
 
     Attributes
     ----------
@@ -31,7 +33,25 @@
         self.filled_instances = 0.0
 
 
-_NOTHING = DeferrableWork()
+class WaitingParts:
+    """Parts of the waiting demand of an account in a pool.
+
+    Attributes
+    ----------
+    can_wait : PoolAmount
+        What need not run now for its jobs to end in time.
+    too_soon : PoolAmount
+        Of the rest, what is late before an instance that is ordered now is in service.
+    """
+
+    __slots__ = ("can_wait", "too_soon")
+
+    def __init__(self) -> None:
+        self.can_wait = PoolAmount()
+        self.too_soon = PoolAmount()
+
+
+_NO_PARTS = WaitingParts()
 
 
 class AccountDemands:
@@ -43,16 +63,19 @@
         All jobs, only to count the accounts.
     capacity : Resources
         Capacity of a typical instance; zeros if none is known.
+    lead_s : float
+        Seconds from the order of a move until the instance is in service.
     """
 
-    __slots__ = ("_by_account", "_capacity", "_deferrable", "_is_competing")
+    __slots__ = ("_by_account", "_capacity", "_is_competing", "_lead_s", "_parts")
 
-    def __init__(self, jobs: Iterable[ActiveJob], capacity: Resources) -> None:
+    def __init__(self, jobs: Iterable[ActiveJob], capacity: Resources, lead_s: float) -> None:
         accounts = {job.submission.account for job in jobs if job.is_open}
         self._is_competing = len(accounts) >= _MIN_ACCOUNTS
         self._capacity = capacity
+        self._lead_s = lead_s
         self._by_account: dict[str, AccountDemand] = {}
-        self._deferrable: dict[tuple[str, str], DeferrableWork] = {}
+        self._parts: dict[tuple[str, str], WaitingParts] = {}
 
     @property
     def is_competing(self) -> bool:
@@ -63,9 +86,9 @@
         """Return the demand of each account."""
         return list(self._by_account.values())
 
-    def deferrable(self, pool: str, account: str) -> DeferrableWork:
-        """Return the part of an account's waiting demand in a pool that can wait."""
-        return self._deferrable.get((pool, account), _NOTHING)
+    def waiting_parts(self, pool: str, account: str) -> WaitingParts:
+        """Return the parts of an account's waiting demand in a pool; not to be changed."""
+        return self._parts.get((pool, account), _NO_PARTS)
 
     def add(
         self, job: ActiveJob, policy: QueuePolicy, now_unix_ms: float, *, is_late: bool
@@ -103,13 +126,22 @@
             if not step.is_long_running and not step.is_filler:
                 count = sum(task.status is TaskStatus.WAITING for task in tasks)
                 self._add(waiting, step, count)
-                can_wait = count * (1.0 - pressing_share(tasks, policy, now_unix_ms))
-                self._defer(self._deferrable.setdefault(key, DeferrableWork()), step, can_wait)
-
-    def _defer(self, work: DeferrableWork, step: Step, count: float) -> None:
-        work.millis += count * step.cpu_millis
+                slack = slack_s(tasks, policy, now_unix_ms)
+                parts = self._parts.setdefault(key, WaitingParts())
+                self._split(parts, tasks[0], count, slack)
+
+    def _split(self, parts: WaitingParts, task: Task, count: int, slack: float) -> None:
+        """Add ``count`` waiting tasks of a step that has ``slack`` seconds of slack."""
+        remaining_s = task.job.remaining_chain_ms(task.key.step) / _MS
+        pressing = count * pressing_share(remaining_s, slack)
+        self._count(parts.can_wait, task.step, count - pressing)
+        if slack < self._lead_s:
+            self._count(parts.too_soon, task.step, pressing)
+
+    def _count(self, amount: PoolAmount, step: Step, tasks: float) -> None:
+        amount.millis += tasks * step.cpu_millis
         if self._capacity.memory_mb > 0:
-            work.filled_instances += count * self._filled_mb(step) / self._capacity.memory_mb
+            amount.filled_instances += tasks * self._filled_mb(step) / self._capacity.memory_mb
 
     def _add(self, sums: Resources, step: Step, count: int) -> None:
         sums.cpu_millis += count * step.cpu_millis
--- a/almondstack/control/pool_balancer.py
+++ b/almondstack/control/pool_balancer.py
@@ -7,6 +7,8 @@
     Candidate,
     Move,
     PoolState,
+    TargetHold,
+    held_need,
     large_excess_limit,
     plan_moves,
     wanted_instances,
@@ -65,6 +67,7 @@
         "_excess_since_s",
         "_large_excess_since_s",
         "_has_seen_demand",
+        "_hold",
         "_manager",
         "_move_s",
         "_needs",
@@ -84,6 +87,7 @@
         self._large_excess_since_s: dict[str, float] = {}
         self._unregistered: dict[str, tuple[str, float]] = {}
         self._has_seen_demand = False
+        self._hold = TargetHold()
         self._started_s = time.monotonic()
 
     @property
@@ -121,8 +125,17 @@
             state.large_excess_since_s = self._track_excess(
                 self._large_excess_since_s, state, large_excess_limit(wanted), now_s
             )
+        self._hold_needs(states, size_millis, now_s)
         return states
 
+    def _hold_needs(self, states: list[PoolState], size_millis: int, now_s: float) -> None:
+        if not self.entitlements.is_short:
+            self._hold.clear()
+            return
+        for state in states:
+            need = held_need(state.need, size_millis)
+            state.held = self._hold.note(state.name, need, now_s)
+
     def spares(
         self, instances: list[InstanceInfo], spare_pool: str, excluded: set[str], now_s: float
     ) -> tuple[list[Candidate], int]:
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -98,7 +98,7 @@
     ) -> dict[str, PoolNeed]:
         arriving = {queue: forecast.millis(now_s) for queue, forecast in self._forecasts.items()}
         typical = self.typical_capacity()
-        demands = AccountDemands(self._table.jobs.values(), typical)
+        demands = AccountDemands(self._table.jobs.values(), typical, self._lead_s)
         by_account = self._needs_by_account(policies, typical, demands)
         needs = self._sum_by_pool(by_account, arriving, policies)
         self._entitlements = self._shares.divide(
--- a/almondstack/placement/order.py
+++ b/almondstack/placement/order.py
@@ -12,6 +12,7 @@
     "objective_s",
     "pressing_share",
     "rank_of",
+    "slack_s",
 ]
 
 Rank = tuple[int, bool, int, float]
@@ -66,28 +67,29 @@
     return any(rank_of(tasks, policy, now_unix_ms)[0] > LATE_BAND for tasks in ready)
 
 
-def pressing_share(tasks: list[Task], policy: QueuePolicy, now_unix_ms: float) -> float:
-    """Return the part of a step's demand that must run now for its job to end in time.
+def slack_s(tasks: list[Task], policy: QueuePolicy, now_unix_ms: float) -> float:
+    """Return how long a step may wait without its job being late, in seconds."""
+    return rank_of(tasks, policy, now_unix_ms)[-1]
 
-    Explanation
-    -----------
-    A job that has to run for 1 s within the next 4 s needs a quarter of its cores on average
-    until then.  The result is 1 for a job without slack and for long-running tasks.
+
+def pressing_share(remaining_s: float, slack: float) -> float:
+    """Return the part of a job's demand that must run now for it to end in time.
 
     Parameters
     ----------
-    tasks : list of Task
-        The tasks of a step that may start now.
-    policy : QueuePolicy
-        Policy of the job's queue.
-    now_unix_ms : float
-        Time of day in milliseconds.
+    remaining_s : float
+        Seconds from the start of its present step to its end.
+    slack : float
+        Seconds that it may wait without being late.
+
+    Examples
+    --------
+    >>> pressing_share(1.0, 3.0), pressing_share(1.0, 0.0)
+    (0.25, 1.0)
     """
-    slack_s = rank_of(tasks, policy, now_unix_ms)[-1]
-    remaining_s = tasks[0].job.remaining_chain_ms(tasks[0].key.step) / _MS
-    if slack_s <= 0 or remaining_s <= 0:
+    if slack <= 0 or remaining_s <= 0:
         return 1.0
-    return remaining_s / (remaining_s + slack_s)
+    return remaining_s / (remaining_s + slack)
 
 
 def _lateness(slack_s: float, objective: float) -> int:
--- a/almondstack/placement/tests/test_entitlements.py
+++ b/almondstack/placement/tests/test_entitlements.py
@@ -6,8 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from almondstack.placement import AccountPolicy, Resources
+from almondstack.placement import AccountPolicy, Resources, rank_of
 from almondstack.placement.entitlements import AccountDemand, Entitlements, divide_fairly
+from almondstack.placement.fairness import fair_order
+from almondstack.testing.job_builders import make_job, make_policy, make_step
 
 _CAPACITY = Resources(100_000, 400_000)
 
@@ -247,3 +249,55 @@
         assert table.entitled(demand.account) >= min(
             demand.lasting.cpu_millis, _total(demand).cpu_millis
         )
+
+
+_POLICY = make_policy()
+
+
+def _short_table():
+    return divide_fairly([_demand("flood", 900_000), _demand("light", 90_000)], _CAPACITY, {})
+
+
+def _order(jobs, now_ms, running=None, table=None):
+    ready = [tasks for job in jobs for tasks in job.ready_steps(now_ms)]
+    steps = [(rank_of(tasks, _POLICY, now_ms), tasks) for tasks in ready]
+    ordered = fair_order(steps, {}, {}, table or _short_table(), running or {})
+    return [tasks[0].job.id for _, tasks in ordered]
+
+
+def test_order_an_account_that_runs_beyond_its_share_elsewhere_comes_last():
+    """What an account runs in other pools was never weighed."""
+    jobs = [make_job(id=name, account=name, accepted_ms=n) for n, name in enumerate(["flood", "b"])]
+    assert _order(jobs, 10.0) == ["flood", "b"]
+    assert _order(jobs, 10.0, {"flood": 50_001}) == ["b", "flood"]
+
+
+def test_order_what_is_ahead_in_line_counts():
+    flood = [
+        make_job(make_step(20), id=f"flood{n}", account="flood", accepted_ms=n) for n in range(4)
+    ]
+    light = make_job(id="light", account="light", accepted_ms=50)
+    order = _order([*flood, light], 60.0)
+    assert order == ["flood0", "flood1", "flood2", "light", "flood3"]
+
+
+def test_order_late_work_within_its_share_comes_after_work_in_time():
+    late = make_job(id="late", account="light", accepted_ms=0)
+    in_time = make_job(id="in-time", account="flood", accepted_ms=5_000)
+    assert _order([late, in_time], 5_000.0, {"flood": 90_000}) == ["in-time", "late"]
+
+
+def test_order_long_running_tasks_come_first_whatever_runs():
+    lasting = make_job(make_step(is_long_running=True), id="lasting", account="flood")
+    short = make_job(id="short", account="light")
+    assert _order([short, lasting], 0.0, {"flood": 90_000}) == ["lasting", "short"]
+
+
+def test_order_without_a_shortage_is_that_of_shares_in_the_pool():
+    jobs = [make_job(id=f"hot{n}", account="hot", accepted_ms=n) for n in range(20)]
+    jobs.append(make_job(id="cold", account="cold", accepted_ms=100))
+    ready = [tasks for job in jobs for tasks in job.ready_steps(200.0)]
+    steps = [(rank_of(tasks, _POLICY, 200.0), tasks) for tasks in ready]
+    before = [tasks[0].job.id for _, tasks in fair_order(steps, {"hot": 9_000}, {})]
+    after = fair_order(steps, {"hot": 9_000}, {}, Entitlements(), {"hot": 9**9})
+    assert [tasks[0].job.id for _, tasks in after] == before
--- a/almondstack/testing/short_fleet.py
+++ b/almondstack/testing/short_fleet.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Mapping
+from typing import Any
 
 from almondstack.capacity import Move
 from almondstack.control.messages import InstanceInfo, InstanceState
@@ -92,8 +93,10 @@
         }
         is_off = {**dict.fromkeys(pools, False), _SPARE_POOL: True}
         self.policies = Policies(1, queues, dict(accounts or {}), is_off)
-        self.planner = Planner(self.table, AllowAllAdvisor(), lambda: self.policies)
-        self.balancer = PoolBalancer(self.table, self.planner, IdleInstanceManager(), _MOVE_S)
+        advisor: Any = AllowAllAdvisor()
+        manager: Any = IdleInstanceManager()
+        self.planner = Planner(self.table, advisor, lambda: self.policies)
+        self.balancer = PoolBalancer(self.table, self.planner, manager, _MOVE_S)
         self.balancer.mark_demand_seen()
         self._instances: dict[str, InstanceInfo] = {}
         self._arrivals: dict[str, float] = {}
