--- a/almondstack/control/account_demands.py
+++ b/almondstack/control/account_demands.py
@@ -1,6 +1,6 @@
 """Sums up the demand of each client account over all pools."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 from almondstack.jobs import ActiveJob, Step, Task, TaskStatus
 from almondstack.placement import QueuePolicy, Resources
@@ -55,12 +55,12 @@
 
 
 class AccountDemands:
-    """Demand of each client account; sums up nothing unless two accounts have open jobs.
+    """Demand of each client account over all pools.
 
     Parameters
     ----------
-    jobs : iterable of ActiveJob
-        All jobs, only to count the accounts.
+    accounts : collection of str
+        The accounts with open jobs.
     capacity : Resources
         Capacity of a typical instance; zeros if none is known.
     lead_s : float
@@ -69,8 +69,7 @@
 
     __slots__ = ("_by_account", "_capacity", "_is_competing", "_lead_s", "_parts")
 
-    def __init__(self, jobs: Iterable[ActiveJob], capacity: Resources, lead_s: float) -> None:
-        accounts = {job.submission.account for job in jobs if job.is_open}
+    def __init__(self, accounts: Collection[str], capacity: Resources, lead_s: float) -> None:
         self._is_competing = len(accounts) >= _MIN_ACCOUNTS
         self._capacity = capacity
         self._lead_s = lead_s
@@ -99,8 +98,6 @@
         -----------
         Fillers are left out, since they use what others leave.
         """
-        if not self._is_competing:
-            return
         demand = self._of(job.submission.account)
         for task in job.tasks():
             step = task.step
--- a/almondstack/control/fleet_shares.py
+++ b/almondstack/control/fleet_shares.py
@@ -7,7 +7,7 @@
 from almondstack.placement import Policies, Resources
 from almondstack.placement.entitlements import Entitlements, divide_fairly
 
-__all__ = ["FleetCapacity", "FleetShares"]
+__all__ = ["FleetCapacity", "FleetShares", "may_be_short"]
 
 _PoolAccount = tuple[str, str]
 _Millis = dict[_PoolAccount, float]
@@ -74,8 +74,6 @@
         capacity : FleetCapacity
             What there is to divide.
         """
-        if not demands.is_competing:
-            return Entitlements()
         arriving = self._arriving(arriving_millis, policies)
         asked = _asked_millis(by_account, arriving, demands)
         whole = _dividable(needs, policies, capacity)
@@ -103,6 +101,22 @@
         return arriving
 
 
+def may_be_short(
+    needs: Mapping[str, PoolNeed], policies: Policies, capacity: FleetCapacity
+) -> bool:
+    """Return whether the pools that are paid for ask for more than the fleet has.
+
+    Explanation
+    -----------
+    It costs little, so that a fleet that covers its demand computes no shares.
+    """
+    paid = [need for pool, need in needs.items() if not policies.pools[pool]]
+    whole = _dividable(needs, policies, capacity)
+    usable = whole.cpu_millis / max(1.0, capacity.resources.cpu_millis / HEADROOM)
+    lacks_cores = sum(need.total_millis for need in paid) > whole.cpu_millis
+    return lacks_cores or sum(need.filled_instances for need in paid) > usable * capacity.instances
+
+
 def _dividable(
     needs: Mapping[str, PoolNeed], policies: Policies, capacity: FleetCapacity
 ) -> Resources:
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -7,7 +7,7 @@
 
 from almondstack.capacity import ArrivalForecast, PoolNeed
 from almondstack.control.account_demands import AccountDemands
-from almondstack.control.fleet_shares import FleetCapacity, FleetShares
+from almondstack.control.fleet_shares import FleetCapacity, FleetShares, may_be_short
 from almondstack.control.planning import Planner
 from almondstack.control.runs import RunTable
 from almondstack.jobs import ActiveJob, Step, TaskStatus
@@ -98,14 +98,28 @@
     ) -> dict[str, PoolNeed]:
         arriving = {queue: forecast.millis(now_s) for queue, forecast in self._forecasts.items()}
         typical = self.typical_capacity()
-        demands = AccountDemands(self._table.jobs.values(), typical, self._lead_s)
-        by_account = self._needs_by_account(policies, typical, demands)
+        late_jobs: set[str] = set()
+        now_unix_ms = time.time() * 1000.0
+        by_account = self._needs_by_account(typical, now_unix_ms, late_jobs)
         needs = self._sum_by_pool(by_account, arriving, policies)
-        self._entitlements = self._shares.divide(
-            needs, by_account, demands, arriving, policies, capacity
-        )
+        self._entitlements = Entitlements()
+        demands = AccountDemands({account for _, account in by_account}, typical, self._lead_s)
+        if demands.is_competing and may_be_short(needs, policies, capacity):
+            self._add_demands(demands, policies, now_unix_ms, late_jobs)
+            self._entitlements = self._shares.divide(
+                needs, by_account, demands, arriving, policies, capacity
+            )
         return needs
 
+    def _add_demands(
+        self, demands: AccountDemands, policies: Policies, now_unix_ms: float, late_jobs: set[str]
+    ) -> None:
+        """Add the jobs of the pools that are paid for."""
+        for job in self._table.jobs.values():
+            policy = self._planner.policy_of(job.submission)
+            if job.is_open and not policies.pools.get(policy.pool, True):
+                demands.add(job, policy, now_unix_ms, is_late=job.id in late_jobs)
+
     def _sum_by_pool(
         self,
         by_account: dict[tuple[str, str], PoolNeed],
@@ -132,10 +146,9 @@
         return needs
 
     def _needs_by_account(
-        self, policies: Policies, capacity: Resources, demands: AccountDemands
+        self, capacity: Resources, now_unix_ms: float, late_jobs: set[str]
     ) -> dict[tuple[str, str], PoolNeed]:
-        """Return the need of each account in each pool; add that of paid pools to ``demands``."""
-        now_unix_ms = time.time() * 1000.0
+        """Return the need of each account in each pool; add the jobs that are late to a set."""
         needs: dict[tuple[str, str], PoolNeed] = {}
         for job in self._table.jobs.values():
             if job.is_open:
@@ -143,8 +156,8 @@
                 need = needs.setdefault((policy.pool, job.submission.account), PoolNeed())
                 late = is_late(job, policy, now_unix_ms)
                 add_need(job, need, now_unix_ms, is_late=late, capacity=capacity)
-                if not policies.pools.get(policy.pool, True):
-                    demands.add(job, policy, now_unix_ms, is_late=late)
+                if late:
+                    late_jobs.add(job.id)
         return needs
 
     def typical_capacity(self) -> Resources:
