--- a/almondstack/control/account_demands.py
+++ b/almondstack/control/account_demands.py
@@ -99,14 +99,11 @@
         Fillers are left out, since they use what others leave.
         """
         demand = self._of(job.submission.account)
-        for task in job.tasks():
-            step = task.step
-            if step.is_filler or task.status is TaskStatus.DONE:
-                continue
+        for step, count in _held_tasks(job):
             if step.is_long_running:
-                self._add(demand.lasting, step, 1)
-            elif task.is_assigned and not is_late:
-                self._add(demand.running, step, 1)
+                self._add(demand.lasting, step, count)
+            elif not is_late:
+                self._add(demand.running, step, count)
         if not is_late:
             self._add_waiting(job, policy, demand.waiting, now_unix_ms)
 
@@ -163,3 +160,18 @@
         if found is None:
             found = self._by_account[account] = AccountDemand(account)
         return found
+
+
+def _held_tasks(job: ActiveJob) -> list[tuple[Step, int]]:
+    """Return each step with the number of its tasks that run or last, without fillers."""
+    steps = job.submission.steps
+    counts = [0] * len(steps)
+    for task in job.tasks():
+        is_lasting = task.step.is_long_running and task.status is not TaskStatus.DONE
+        if task.status is TaskStatus.ASSIGNED or is_lasting:
+            counts[task.key.step] += 1
+    return [
+        (step, count)
+        for step, count in zip(steps, counts, strict=True)
+        if count and not step.is_filler
+    ]
