--- a/almondstack/control/fleet_shares.py
+++ b/almondstack/control/fleet_shares.py
@@ -7,7 +7,7 @@
 from almondstack.placement import Policies, Resources
 from almondstack.placement.entitlements import Entitlements, divide_fairly
 
-__all__ = ["FleetCapacity", "FleetShares"]
+__all__ = ["FleetCapacity", "FleetShares", "may_be_short"]
 
 _PoolAccount = tuple[str, str]
 _Millis = dict[_PoolAccount, float]
@@ -74,8 +74,6 @@
         capacity : FleetCapacity
             What there is to divide.
         """
-        if not demands.is_competing:
-            return Entitlements()
         arriving = self._arriving(arriving_millis, policies)
         asked = _asked_millis(by_account, arriving, demands)
         whole = _dividable(needs, policies, capacity)
@@ -84,6 +82,7 @@
             pressing = _pressing_millis(asked, arriving, demands)
             parts = _entitled_parts(asked, pressing, table)
             _set_entitled(needs, by_account, pressing, parts, demands)
+            _set_reachable(needs, by_account, arriving, parts, demands)
         return table
 
     def _arriving(
@@ -102,6 +101,22 @@
         return arriving
 
 
+def may_be_short(
+    needs: Mapping[str, PoolNeed], policies: Policies, capacity: FleetCapacity
+) -> bool:
+    """Return whether the pools that are paid for ask for more than the fleet has.
+
+    Explanation
+    -----------
+    It costs little, so that a fleet that covers its demand computes no shares.
+    """
+    paid = [need for pool, need in needs.items() if not policies.pools[pool]]
+    whole = _dividable(needs, policies, capacity)
+    usable = whole.cpu_millis / max(1.0, capacity.resources.cpu_millis / HEADROOM)
+    lacks_cores = sum(need.total_millis for need in paid) > whole.cpu_millis
+    return lacks_cores or sum(need.filled_instances for need in paid) > usable * capacity.instances
+
+
 def _dividable(
     needs: Mapping[str, PoolNeed], policies: Policies, capacity: FleetCapacity
 ) -> Resources:
@@ -155,7 +170,8 @@
     """Return the part of that demand which can't wait; what is forecast is part of it."""
     return {
         (pool, account): max(
-            millis - demands.deferrable(pool, account).millis, arriving.get((pool, account), 0.0)
+            millis - demands.waiting_parts(pool, account).can_wait.millis,
+            arriving.get((pool, account), 0.0),
         )
         for (pool, account), millis in asked.items()
     }
@@ -197,6 +213,34 @@
         entitled = needs[pool].entitled if pool in needs else None
         if entitled is not None:
             lasting = need.lasting_filled_instances
-            can_wait = demands.deferrable(pool, account).filled_instances
+            can_wait = demands.waiting_parts(pool, account).can_wait.filled_instances
             others = max(0.0, need.filled_instances - lasting - can_wait)
             entitled.filled_instances += lasting + parts[account] * others
+
+
+def _set_reachable(
+    needs: Mapping[str, PoolNeed],
+    by_account: Mapping[_PoolAccount, PoolNeed],
+    arriving: Mapping[_PoolAccount, float],
+    parts: Mapping[str, float],
+    demands: AccountDemands,
+) -> None:
+    """Set the part of each pool's entitled need that instances ordered now can still serve."""
+    for need in needs.values():
+        need.reachable = PoolNeed(need.lasting_millis, min_instances=need.min_instances)
+    reached = dict(arriving)
+    for (pool, account), need in by_account.items():
+        waiting = demands.waiting_parts(pool, account)
+        lost = waiting.can_wait.millis + waiting.too_soon.millis
+        millis = need.running_millis + need.waiting_millis - lost
+        reached[pool, account] = max(millis, arriving.get((pool, account), 0.0))
+        reachable = needs[pool].reachable if pool in needs else None
+        if reachable is not None:
+            lasting = need.lasting_filled_instances
+            lost = waiting.can_wait.filled_instances + waiting.too_soon.filled_instances
+            others = max(0.0, need.filled_instances - lasting - lost)
+            reachable.filled_instances += lasting + parts[account] * others
+    for (pool, account), millis in reached.items():
+        reachable = needs[pool].reachable if pool in needs else None
+        if reachable is not None:
+            reachable.arriving_millis += parts[account] * millis
