Call Backlog.add without a factor in the test of accounts of weight 0

Cause: the factor has gone with EstimateCorrection; the test still passed one and failed with a TypeError.

Change: the call; the bounds are the same.

Ran: almondstack/platform/tests/test_odd_configurations.py and almondstack/placement.

--- a/almondstack/platform/tests/test_odd_configurations.py
+++ b/almondstack/platform/tests/test_odd_configurations.py
@@ -98,7 +98,7 @@
     backlog = Backlog(1_000)
     job = make_job(make_step(4), account="a")
     job.steps_of(0)
-    backlog.add(job, 1.0)
+    backlog.add(job)
     backlog.note_waiting()
     waits_ms = backlog.waits_ms({"a": AccountPolicy("a", weight=0.0)})
     assert 3_800 <= waits_ms["a"] <= 4_000
