Count the instances that a pool is to get in the wait of accounts beyond their entitlement

Change: the wait counts present room until a move's time has passed, and the target size after it. Accounts within their entitlement wait as before.

--- a/almondstack/capacity/__init__.py
+++ b/almondstack/capacity/__init__.py
@@ -4,7 +4,7 @@
 from almondstack.capacity.demand import ArrivalForecast, PoolNeed
 from almondstack.capacity.division import held_need
 from almondstack.capacity.maintenance import WaveMember, next_members
-from almondstack.capacity.moves import Move, plan_moves
+from almondstack.capacity.moves import Move, plan_moves, target_sizes
 from almondstack.capacity.paid_time import PaidInstance, PaidUse, paid_uses
 from almondstack.capacity.pool_state import (
     HEADROOM,
@@ -35,5 +35,6 @@
     "next_members",
     "paid_uses",
     "plan_moves",
+    "target_sizes",
     "wanted_instances",
 ]
--- a/almondstack/capacity/moves.py
+++ b/almondstack/capacity/moves.py
@@ -12,7 +12,7 @@
     wanted_instances,
 )
 
-__all__ = ["Move", "plan_moves"]
+__all__ = ["Move", "plan_moves", "target_sizes"]
 
 MOVE_S = 1.5
 """How long a move of an instance takes unless stated otherwise, in seconds."""
@@ -77,7 +77,7 @@
     move_s : float
         How long a move takes, in seconds.
     """
-    targets = _targets(pools, len(spares), size_millis)
+    targets = target_sizes(pools, len(spares), size_millis)
     moves: list[Move] = []
     choose = functools.partial(shortage_donors, move_s=move_s) if is_short(pools) else _donors
     donors = choose(pools, targets)
@@ -92,7 +92,7 @@
     return moves
 
 
-def _targets(pools: list[PoolState], spare: int, size_millis: int) -> dict[str, int]:
+def target_sizes(pools: list[PoolState], spare: int, size_millis: int) -> dict[str, int]:
     """Return the target size of each pool.
 
     Explanation
@@ -100,6 +100,15 @@
     In a shortage, each pool gets ``MIN_INSTANCES`` and an equal proportion of its demand
     beyond that, unless accounts compete for the fleet.  If there are too few instances even
     for the minimum, nothing is reduced.
+
+    Parameters
+    ----------
+    pools : list of PoolState
+        All pools that are paid for.
+    spare : int
+        Instances of the spare pool that can be moved.
+    size_millis : int
+        Capacity of an instance in thousandths of a core.
     """
     if is_short(pools):
         total = spare + sum(pool.size for pool in pools)
--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -1,6 +1,7 @@
 """Estimates of the waiting time of new work, which the owner publishes for admission."""
 
 import math
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from almondstack.capacity import PoolState
@@ -15,6 +16,8 @@
 
 __all__ = ["AdmissionWaits"]
 
+_MS_PER_S = 1000.0
+
 _HOLD_MS = 2_000.0
 """How long an account counts as beyond its entitlement after its demand was last beyond it.  While
 it is rejected its demand falls to its entitlement, and it must not be let in again for that."""
@@ -40,6 +43,8 @@
         The state that the previous owner has published; used until the first update.
     run_times : RunTimes
         What was learned of the times that tasks take.
+    move_s : float
+        How long a move of an instance to a pool takes, in seconds.
 
     Attributes
     ----------
@@ -47,7 +52,7 @@
         The waits, and the accounts whose demand is beyond their entitlement.
     """
 
-    __slots__ = ("_held", "_planner", "_run_times", "_table", "state")
+    __slots__ = ("_held", "_lead_ms", "_planner", "_run_times", "_table", "state")
 
     def __init__(
         self,
@@ -55,10 +60,12 @@
         planner: Planner,
         last_state: AdmissionState,
         run_times: RunTimes,
+        move_s: float = 0.0,
     ) -> None:
         self._table = table
         self._planner = planner
         self._run_times = run_times
+        self._lead_ms = move_s * _MS_PER_S
         self._held: dict[str, _HeldEntitlement] = {}
         self.state = last_state
 
@@ -68,9 +75,24 @@
         policies: Policies,
         entitlements: Entitlements,
         now_unix_ms: float,
+        targets: Mapping[str, int] | None = None,
     ) -> None:
-        """Recompute the waits."""
-        backlogs = self._backlogs(states, now_unix_ms)
+        """Recompute the waits.
+
+        Parameters
+        ----------
+        states : list of PoolState
+            The pools that are paid for.
+        policies : Policies
+            Weights and ceilings.
+        entitlements : Entitlements
+            What each client account may use of the fleet.
+        now_unix_ms : float
+            Unix time in milliseconds.
+        targets : mapping of str to int, optional
+            Instances that each pool is to have; as many as now by default.
+        """
+        backlogs = self._backlogs(states, targets or {}, now_unix_ms)
         waits_ms = {
             wait_key(pool, account): wait_ms
             for pool, backlog in backlogs.items()
@@ -78,14 +100,19 @@
         }
         self._hold_entitlements(backlogs, entitlements, now_unix_ms)
         entitled_millis = {account: held.millis for account, held in self._held.items()}
-        waits_ms |= waits_beyond_ms(waits_ms, backlogs, entitled_millis)
+        waits_ms |= waits_beyond_ms(backlogs, entitled_millis)
         self.state = AdmissionState(
             waits_ms, entitled_millis, expected_ms=self._run_times.expected_ms
         )
 
-    def _backlogs(self, states: list[PoolState], now_unix_ms: float) -> dict[str, Backlog]:
+    def _backlogs(
+        self, states: list[PoolState], targets: Mapping[str, int], now_unix_ms: float
+    ) -> dict[str, Backlog]:
         """Return the remaining work of each pool."""
-        backlogs = {state.name: Backlog(_room_millis(state)) for state in states}
+        backlogs = {
+            state.name: _empty_backlog(state, targets.get(state.name, 0), self._lead_ms)
+            for state in states
+        }
         for job in self._table.jobs.values():
             if not job.is_open or job.submission.is_long_running:
                 continue
@@ -141,6 +168,14 @@
         return lasting
 
 
+def _empty_backlog(state: PoolState, target: int, lead_ms: float) -> Backlog:
+    """Return a backlog without work for a pool that is to have ``target`` instances."""
+    room_millis = _room_millis(state)
+    size_millis = max((candidate.size_millis for candidate in state.candidates), default=0)
+    growth_millis = max(0, target - state.size) * size_millis
+    return Backlog(room_millis, room_millis + growth_millis, lead_ms)
+
+
 def _room_millis(state: PoolState) -> int:
     sizes = [candidate.size_millis for candidate in state.candidates]
     size_millis = max(sizes, default=0)
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -104,7 +104,11 @@
         self._entitlement_report = EntitlementReport(services.events, services.metrics)
         self._predictions = RunPredictions(table, services.events, services.metrics)
         self._admission = AdmissionWaits(
-            table, planner, services.index.admission, self._predictions.run_times
+            table,
+            planner,
+            services.index.admission,
+            self._predictions.run_times,
+            services.control.move_s,
         )
         self._speed_monitor = SpeedMonitor(
             table, self._predictions.run_times, services.events, services.metrics
@@ -209,7 +213,9 @@
         self._entitlement_report.note(self.entitlements, now_s)
         size_millis = median_size_millis(instances)
         self._pools_with_incoming = {state.name for state in states if state.coming}
-        self._admission.update(states, policies, self.entitlements, time.time() * 1000.0)
+        self._admission.update(
+            states, policies, self.entitlements, time.time() * 1000.0, self._balancer.targets
+        )
         wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         self._log_pools(states, wanted)
         self._paid_time.record(instances, states, wanted, workers, now_s)
--- a/almondstack/control/pool_balancer.py
+++ b/almondstack/control/pool_balancer.py
@@ -11,6 +11,7 @@
     held_need,
     large_excess_limit,
     plan_moves,
+    target_sizes,
     wanted_instances,
 )
 from almondstack.control.fleet_shares import FleetCapacity
@@ -73,6 +74,7 @@
         "_needs",
         "_started_s",
         "_table",
+        "_targets",
         "_unregistered",
     )
 
@@ -88,6 +90,7 @@
         self._unregistered: dict[str, tuple[str, float]] = {}
         self._has_seen_demand = False
         self._hold = TargetHold()
+        self._targets: dict[str, int] = {}
         self._started_s = time.monotonic()
 
     @property
@@ -95,6 +98,11 @@
         """What each client account may use of the fleet, as of the last :meth:`pools`."""
         return self._needs.entitlements
 
+    @property
+    def targets(self) -> dict[str, int]:
+        """Target size of each pool in instances, as of the last :meth:`plan`."""
+        return self._targets
+
     def mark_demand_seen(self) -> None:
         """Record that this or an earlier owner has seen demand, so that excess may be released."""
         self._has_seen_demand = True
@@ -158,6 +166,7 @@
         -----------
         Moves that the instance service has refused before are left out.
         """
+        self._targets = target_sizes(states, len(spares), size_millis)
         moves = plan_moves(
             states, spares, spare_pool, size_millis, now_s, max_to_spare, self._move_s
         )
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -21,6 +21,7 @@
 )
 from almondstack.testing.owner_world import OwnerWorld
 
+_MOVE_S = 1.5
 _NOTHING_KNOWN = AdmissionState(known_s=0.0)
 _FLOODED = AdmissionState({"p/flood": 8_000}, {"flood": 2_000})
 """An account waits for 8 s with the two cores to which it is entitled."""
@@ -40,12 +41,12 @@
         ]
         self.table = make_table(*jobs)
         planner = Planner(self.table, AllowAllAdvisor(), lambda: self.policies)
-        self.waits = AdmissionWaits(self.table, planner, last_state, RunTimes())
+        self.waits = AdmissionWaits(self.table, planner, last_state, RunTimes(), _MOVE_S)
 
-    def update(self, entitlements, now_ms=0.0):
+    def update(self, entitlements, now_ms=0.0, targets=None):
         """Recompute the waits; return the state."""
         states = [PoolState(name, PoolNeed(), [Candidate("i", 20_000)]) for name in ("p", "other")]
-        self.waits.update(states, self.policies, entitlements, now_ms)
+        self.waits.update(states, self.policies, entitlements, now_ms, targets)
         return self.waits.state
 
 
@@ -66,6 +67,14 @@
     assert state.waits_ms.get("p/light", 0) <= 1_100
 
 
+def test_flood_the_wait_counts_the_instances_that_the_pool_is_to_get():
+    """At the begin of a burst a pool was taken for as small as it was, and callers rejected."""
+    pools = _Pools(light_tasks=180)
+    assert pools.update(_short()).waits_ms["p/flood"] == 10_000
+    waits_ms = pools.update(_short(), targets={"p": 4}).waits_ms
+    assert waits_ms["p/flood"] == 3_600
+
+
 def test_without_a_shortage_the_waits_are_those_of_the_pools():
     state = _Pools().update(Entitlements())
     assert state.beyond == {}
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -30,12 +30,18 @@
     ----------
     room_millis : int
         Capacity of the pool for tasks that are not long-running, in thousandths of a core.
+    planned_millis : int, optional
+        The same once the instances that it is to get are in service; as now by default.
+    lead_ms : float, optional
+        Milliseconds until then.
     """
 
-    __slots__ = ("_has_waiting", "_room_millis", "_work_ms")
+    __slots__ = ("_has_waiting", "_lead_ms", "_planned_millis", "_room_millis", "_work_ms")
 
-    def __init__(self, room_millis: int) -> None:
+    def __init__(self, room_millis: int, planned_millis: int = 0, lead_ms: float = 0.0) -> None:
         self._room_millis = room_millis
+        self._planned_millis = max(room_millis, planned_millis)
+        self._lead_ms = lead_ms
         self._work_ms: dict[str, float] = {}
         self._has_waiting = False
 
@@ -93,9 +99,24 @@
         """How long all of the work keeps the pool busy: a bound on the wait for a share."""
         return sum(self._work_ms.values()) * 1000.0 / max(1, self._room_millis)
 
+    @property
+    def planned_total_ms(self) -> float:
+        """How long all of the work keeps the pool busy, which grows as planned meanwhile.
+
+        Examples
+        --------
+        >>> backlog = Backlog(1_000, planned_millis=4_000, lead_ms=2_000)
+        >>> backlog._work_ms["a"] = 10_000
+        >>> backlog.total_ms, backlog.planned_total_ms
+        (10000.0, 4000.0)
+        """
+        if self.total_ms <= self._lead_ms:
+            return self.total_ms
+        part = self._room_millis / max(1, self._planned_millis)
+        return self._lead_ms + (self.total_ms - self._lead_ms) * part
+
 
 def waits_beyond_ms(
-    waits_ms: Mapping[str, int],
     backlogs: Mapping[str, Backlog],
     entitled_millis: Mapping[str, int],
 ) -> dict[str, int]:
@@ -104,12 +125,11 @@
     Explanation
     -----------
     Such an account's work in all pools drains at the rate of its entitlement of the fleet, or
-    faster where the others leave room: no longer than all of the work in the pool takes.
+    faster where the others leave room: no longer than all of the work in the pool takes, with
+    the instances that it is to get.
 
     Parameters
     ----------
-    waits_ms : mapping of str to int
-        Waits by the size of each pool, by :func:`wait_key`.
     backlogs : mapping of str to Backlog
         Remaining work by pool.
     entitled_millis : mapping of str to int
@@ -121,8 +141,8 @@
         work_ms = sum(backlog.work_ms.get(account, 0.0) for backlog in backlogs.values())
         drain_ms = min(work_ms * 1000.0 / max(1, millis), _MAX_WAIT_MS)
         for pool, backlog in short.items():
-            key = wait_key(pool, account)
-            found[key] = max(_rounded(min(drain_ms, backlog.total_ms)), waits_ms.get(key, 0))
+            wait_ms = min(drain_ms, backlog.planned_total_ms)
+            found[wait_key(pool, account)] = _rounded(wait_ms)
     return found
 
 
