--- a/almondstack/capacity/division.py
+++ b/almondstack/capacity/division.py
@@ -16,7 +16,7 @@
 _SETTLED_SHARE = 0.05
 """A pool that has more than its target by no more than this share of it gives no instance."""
 
-_LARGE_DIFFERENCE = 1.1
+_LARGE_DIFFERENCE = 1.25
 """Instances whose runs last longer than a move are drained only down to this multiple of the
 target: until they are empty, they serve neither pool."""
 
--- a/almondstack/capacity/target_hold.py
+++ b/almondstack/capacity/target_hold.py
@@ -5,7 +5,7 @@
 
 __all__ = ["KEPT_S", "REACHED_S", "HeldNeed", "TargetHold"]
 
-KEPT_S = 0.5
+KEPT_S = 0.3
 """Time for which a pool keeps instances that it has needed, in seconds: forecasts of arrivals
 change by a third within tenths of a second."""
 
--- a/almondstack/placement/__init__.py
+++ b/almondstack/placement/__init__.py
@@ -6,6 +6,7 @@
     has_room,
     is_eligible,
 )
+from almondstack.placement.entitlements import AccountDemand, Entitlements, divide_fairly
 from almondstack.placement.order import objective_s, rank_of
 from almondstack.placement.policies import AccountPolicy, AdvicePolicy, Policies, QueuePolicy
 from almondstack.placement.resources import Resources, demand_of
@@ -13,9 +14,11 @@
 from almondstack.placement.workers import Worker, WorkerInfo
 
 __all__ = [
+    "AccountDemand",
     "AccountPolicy",
     "AdvicePolicy",
     "Assignment",
+    "Entitlements",
     "Policies",
     "PoolRound",
     "QueuePolicy",
@@ -26,6 +29,7 @@
     "choose_for_gang",
     "choose_worker",
     "demand_of",
+    "divide_fairly",
     "has_room",
     "is_eligible",
     "objective_s",
