--- a/almondstack/placement/__init__.py
+++ b/almondstack/placement/__init__.py
@@ -7,6 +7,7 @@
     is_eligible,
 )
 from almondstack.placement.disturbance_preference import DisturbancePreference
+from almondstack.placement.entitlements import AccountDemand, Entitlements, divide_fairly
 from almondstack.placement.interference import Interference
 from almondstack.placement.order import objective_s, rank_of
 from almondstack.placement.policies import AccountPolicy, AdvicePolicy, Policies, QueuePolicy
@@ -17,11 +18,13 @@
 from almondstack.placement.workers import Worker, WorkerInfo
 
 __all__ = [
+    "AccountDemand",
     "AccountPolicy",
     "AdvicePolicy",
     "Assignment",
     "DisturbancePreference",
     "Interference",
+    "Entitlements",
     "Policies",
     "PoolRound",
     "QueuePolicy",
@@ -34,6 +37,7 @@
     "choose_for_gang",
     "choose_worker",
     "demand_of",
+    "divide_fairly",
     "has_room",
     "is_eligible",
     "objective_s",
