Give pools all that they are owed, and count later steps in the backlog

Cause: a pool got instances only for what one that is ordered now can still serve in time, and lagged behind its burst; the backlog counted only tasks of ready steps, so that jobs of several steps waited longer than admission thought.

--- a/almondstack/capacity/demand.py
+++ b/almondstack/capacity/demand.py
@@ -36,8 +36,6 @@
     entitled : PoolNeed or None
         The part of this demand that its client accounts are entitled to, while they compete
         for a short fleet; None at other times.
-    reachable : PoolNeed or None
-        The part of ``entitled`` that an instance which is ordered now can still serve in time.
     """
 
     __slots__ = (
@@ -49,7 +47,6 @@
         "late_millis",
         "memory_mb",
         "min_instances",
-        "reachable",
         "running_millis",
         "waiting_millis",
     )
@@ -76,7 +73,6 @@
         self.memory_mb = memory_mb
         self.lasting_filled_instances = lasting_filled_instances
         self.entitled: PoolNeed | None = None
-        self.reachable: PoolNeed | None = None
 
     @property
     def total_millis(self) -> float:
--- a/almondstack/capacity/division.py
+++ b/almondstack/capacity/division.py
@@ -35,11 +35,10 @@
     Explanation
     -----------
     Each pool is owed the instances for the part of each account's demand there that the
-    account is entitled to and that can't wait; it gets more only for what an instance that is
-    ordered now can still serve in time.  What is left stays where it is, as far as it is
-    wanted there, and then goes to the pools by the rest of their demand.  If less is there than
-    is owed, all are reduced by an equal proportion, but not below ``MIN_INSTANCES`` and what
-    lasting tasks need.
+    account is entitled to and that can't wait.  What is left stays where it is, as far as it
+    is wanted there, and then goes to the pools by the rest of their demand.  If less is there
+    than is owed, all are reduced by an equal proportion, but not below ``MIN_INSTANCES`` and
+    what lasting tasks need.
 
     Parameters
     ----------
@@ -99,11 +98,11 @@
 def held_need(need: PoolNeed, size_millis: int) -> HeldNeed:
     """Return how many instances a pool needs for what its accounts are entitled to."""
     kept = _instances(need.entitled or need, size_millis)
-    return HeldNeed(kept, min(kept, _instances(need.reachable or need, size_millis)))
+    return HeldNeed(kept, kept)
 
 
 def _owed(pool: PoolState, size_millis: int) -> int:
-    """Return what a pool keeps of its instances, or the lesser number up to which it gets more."""
+    """Return what a pool is owed; one that has needed more for a moment only gets no more yet."""
     held = pool.held or held_need(pool.need, size_millis)
     return min(held.kept, max(pool.size, held.reached))
 
--- a/almondstack/capacity/target_hold.py
+++ b/almondstack/capacity/target_hold.py
@@ -37,7 +37,7 @@
 
 
 class TargetHold:
-    """Returns the most that pools needed to keep, and the least that they could still use.
+    """Returns the most that pools needed lately, and the least that they needed just now.
 
     Explanation
     -----------
--- a/almondstack/control/account_demands.py
+++ b/almondstack/control/account_demands.py
@@ -40,15 +40,12 @@
     ----------
     can_wait : PoolAmount
         What need not run now for its jobs to end in time.
-    too_soon : PoolAmount
-        Of the rest, what is late before an instance that is ordered now is in service.
     """
 
-    __slots__ = ("can_wait", "too_soon")
+    __slots__ = ("can_wait",)
 
     def __init__(self) -> None:
         self.can_wait = PoolAmount()
-        self.too_soon = PoolAmount()
 
 
 _NO_PARTS = WaitingParts()
@@ -63,16 +60,13 @@
         The accounts with open jobs.
     capacity : Resources
         Capacity of a typical instance; zeros if none is known.
-    lead_s : float
-        Seconds from the order of a move until the instance is in service.
     """
 
-    __slots__ = ("_by_account", "_capacity", "_is_competing", "_lead_s", "_parts")
+    __slots__ = ("_by_account", "_capacity", "_is_competing", "_parts")
 
-    def __init__(self, accounts: Collection[str], capacity: Resources, lead_s: float) -> None:
+    def __init__(self, accounts: Collection[str], capacity: Resources) -> None:
         self._is_competing = len(accounts) >= _MIN_ACCOUNTS
         self._capacity = capacity
-        self._lead_s = lead_s
         self._by_account: dict[str, AccountDemand] = {}
         self._parts: dict[tuple[str, str], WaitingParts] = {}
 
@@ -129,8 +123,6 @@
         remaining_s = task.job.remaining_chain_ms(task.key.step) / _MS
         pressing = count * pressing_share(remaining_s, slack)
         self._count(parts.can_wait, task.step, count - pressing)
-        if slack < self._lead_s:
-            self._count(parts.too_soon, task.step, pressing)
 
     def _count(self, amount: PoolAmount, step: Step, tasks: float) -> None:
         amount.millis += tasks * step.cpu_millis
--- a/almondstack/control/fleet_shares.py
+++ b/almondstack/control/fleet_shares.py
@@ -82,7 +82,6 @@
             pressing = _pressing_millis(asked, arriving, demands)
             parts = _entitled_parts(asked, pressing, table)
             _set_entitled(needs, by_account, pressing, parts, demands)
-            _set_reachable(needs, by_account, arriving, parts, demands)
         return table
 
     def _arriving(
@@ -216,31 +215,3 @@
             can_wait = demands.waiting_parts(pool, account).can_wait.filled_instances
             others = max(0.0, need.filled_instances - lasting - can_wait)
             entitled.filled_instances += lasting + parts[account] * others
-
-
-def _set_reachable(
-    needs: Mapping[str, PoolNeed],
-    by_account: Mapping[_PoolAccount, PoolNeed],
-    arriving: Mapping[_PoolAccount, float],
-    parts: Mapping[str, float],
-    demands: AccountDemands,
-) -> None:
-    """Set the part of each pool's entitled need that instances ordered now can still serve."""
-    for need in needs.values():
-        need.reachable = PoolNeed(need.lasting_millis, min_instances=need.min_instances)
-    reached = dict(arriving)
-    for (pool, account), need in by_account.items():
-        waiting = demands.waiting_parts(pool, account)
-        lost = waiting.can_wait.millis + waiting.too_soon.millis
-        millis = need.running_millis + need.waiting_millis - lost
-        reached[pool, account] = max(millis, arriving.get((pool, account), 0.0))
-        reachable = needs[pool].reachable if pool in needs else None
-        if reachable is not None:
-            lasting = need.lasting_filled_instances
-            lost = waiting.can_wait.filled_instances + waiting.too_soon.filled_instances
-            others = max(0.0, need.filled_instances - lasting - lost)
-            reachable.filled_instances += lasting + parts[account] * others
-    for (pool, account), millis in reached.items():
-        reachable = needs[pool].reachable if pool in needs else None
-        if reachable is not None:
-            reachable.arriving_millis += parts[account] * millis
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -103,7 +103,7 @@
         by_account = self._needs_by_account(typical, now_unix_ms, late_jobs)
         needs = self._sum_by_pool(by_account, arriving, policies)
         self._entitlements = Entitlements()
-        demands = AccountDemands({account for _, account in by_account}, typical, self._lead_s)
+        demands = AccountDemands({account for _, account in by_account}, typical)
         if demands.is_competing and may_be_short(needs, policies, capacity):
             self._add_demands(demands, policies, now_unix_ms, late_jobs)
             self._entitlements = self._shares.divide(
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -187,6 +187,11 @@
         for found in self._occurrences.values():
             yield from found.tasks()
 
+    def unopened_steps(self) -> Iterator[int]:
+        """Iterate over the numbers of the steps that have no tasks yet, of occurrences that do."""
+        for found in self._occurrences.values():
+            yield from found.unopened_steps()
+
     def assigned(self) -> list[Task]:
         """Return the tasks that may be running on a worker."""
         return [task for task in self.tasks() if task.is_assigned]
--- a/almondstack/jobs/occurrence.py
+++ b/almondstack/jobs/occurrence.py
@@ -54,6 +54,12 @@
         for tasks in self._open_steps.values():
             yield from tasks
 
+    def unopened_steps(self) -> Iterator[int]:
+        """Iterate over the numbers of the steps that are neither open nor done."""
+        for number in range(len(self._job.submission.steps)):
+            if number not in self._open_steps and number not in self._done_steps:
+                yield number
+
     def all_steps(self) -> list[list[Task]]:
         """Return the tasks of all steps, which opens them."""
         return [self.step(number) for number in range(len(self._job.submission.steps))]
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -58,6 +58,7 @@
     def add(self, job: ActiveJob) -> None:
         """Add the predicted remaining work of a job that can still end in time."""
         work_ms = sum(_work_left_ms(task) for task in job.tasks())
+        work_ms += sum(_step_work_ms(job, number) for number in job.unopened_steps())
         account = job.submission.account
         self._work_ms[account] = self._work_ms.get(account, 0.0) + work_ms
 
@@ -197,6 +198,14 @@
     return work_ms * _REMAINING_RUN_SHARE if task.is_assigned else work_ms
 
 
+def _step_work_ms(job: ActiveJob, number: int) -> float:
+    """Return the work of a step of which no task exists yet, in milliseconds of one core."""
+    step = job.submission.steps[number]
+    if step.is_long_running or step.is_filler:
+        return 0.0
+    return step.count * step.cpu_millis * job.mean_ms(number) / 1000.0
+
+
 def _ceiling_millis(account: str, accounts: Mapping[str, AccountPolicy]) -> int:
     policy = accounts.get(account)
     return policy.ceiling.cpu_millis if policy is not None else 0
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -261,3 +261,13 @@
     pool = PoolRound([make_worker()], Usage({}), 0.0, allowed)
     assert pool.place(advised.steps_of(0)[0]) == [] and pool.blocked == []
     assert len(pool.place(plain.steps_of(0)[0])) == 1
+
+
+def test_burst_the_later_steps_of_waiting_jobs_count_in_the_wait_of_new_work():
+    """Only ready steps have tasks; a queue of jobs of three steps was taken for a third of it."""
+    job = make_job(make_step(2), make_step(3, after=(0,)), make_step(1, after=(1,)))
+    assert len(list(job.ready_steps(0.0))) == 1
+    backlog = Backlog(1_000)
+    backlog.add(job)
+    backlog.note_waiting()
+    assert backlog.waits_ms({}) == {"a": 6_000}
