--- a/almondstack/platform/tests/test_client_limits.py
+++ b/almondstack/platform/tests/test_client_limits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from almondstack.core import LocalMetrics
+from almondstack.core import LocalMetrics, parse_address
 from almondstack.core.client_guard import ClientGuard, HttpLimits
 from almondstack.platform.job_api import JobApiServer
 from almondstack.platform.tests.builders import JOB, configuration_bytes, job_body
@@ -60,7 +60,7 @@
         for connection, data in zip(idle, [b"", b"POST", _head(), _job(500)[:-9]], strict=True):
             connection.sendall(data)
         assert exchange(address, _job(500)).status == 200
-        assert server.requests.idle == _THREADS
+        assert wait_until(lambda: server.requests.idle == _THREADS)
         for connection in idle:
             connection.close()
 
@@ -97,11 +97,47 @@
 def test_a_refusal_is_read_by_a_client_that_is_still_sending():
     """Guards against an answer that is lost in a reset."""
     with _serving() as (_, address, _), connect(address) as connection:
-        connection.sendall(_head("Content-Length: 900000", key="x") + b" " * 900_000)
+        connection.sendall(_head("Content-Length: 900000", key="x"))
+        connection.recv(1, socket.MSG_PEEK)
+        for _ in range(3):
+            connection.sendall(b" " * 300_000)
+            time.sleep(_SOON_S / 4.0)
         response = read_to_end(connection)
     assert response.status == 401 and not response.is_reset
 
 
+def test_a_client_that_goes_on_sending_after_a_refusal_is_cut_off(monkeypatch):
+    monkeypatch.setattr("almondstack.core.server_connection._LINGER_S", 60.0)
+    with _serving() as (_, address, _), connect(address) as connection:
+        connection.sendall(_head("Content-Length: 10000000000", key="x"))
+        with pytest.raises(OSError):
+            for _ in range(200):
+                connection.sendall(b" " * 100_000)
+
+
+def test_a_client_that_reads_no_answers_is_dropped_before_a_thread_waits_for_it():
+    requests = _head(method="GET", path="/q/") * 20
+    with _serving(write_timeout_s=60.0) as (server, address, metrics):
+        server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8_192)
+        with socket.socket() as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            connection.connect(parse_address(address))
+            connection.setblocking(False)
+            assert wait_until(lambda: _is_dropped(connection, requests))
+        assert metrics.total("client-refused.unread-answers") == 1
+
+
+def _is_dropped(connection, data):
+    """Send data if there is room; return whether the server has closed the connection."""
+    try:
+        connection.send(data)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return False
+
+
 def test_a_refused_request_whose_body_has_come_keeps_its_connection():
     refused = _head("Content-Length: 2", key="x") + b"{}"
     with _serving() as (_, address, _):
