Accept accounts beyond their entitlement while an end is of use to their callers

Cause: rejecting what can't end within its objective served callers worse. In the order of placement what can end in time comes first anyway, so that a late job takes only what is left. Change: the last useful end is the bound for all accounts; an account beyond its entitlement waits behind its own work at the rate of its entitlement.

--- a/almondstack/placement/admission.py
+++ b/almondstack/placement/admission.py
@@ -2,10 +2,11 @@
 
 Explanation
 -----------
-An account that is within its entitlement is accepted while its job's end can be of use
+A submission is accepted while its job's end can be of use to its caller.  An account that is
+within its entitlement waits as the pool's other work has it
 (:func:`~almondstack.placement.backlog.excess_wait_ms`).  An account whose demand is beyond its
-entitlement of a short fleet is accepted while its job can end within its objective at the rate
-of that entitlement, behind its own work and behind the callers that were told to return.
+entitlement of a short fleet waits behind its own work at the rate of that entitlement, and
+behind its callers that were told to return.
 
 See Also
 --------
@@ -142,17 +143,12 @@
 
 
 def _room_ms(state: AdmissionState, submission: Submission, policy: QueuePolicy) -> float:
-    """Return how long a job may wait to end in time.
+    """Return how long a job may wait for its end to be of use, in milliseconds.
 
     Explanation
     -----------
-    Where runs are known to take longer than the objective, no end would be in time: the last
-    useful end counts then, so that a queue whose estimates are too low is not shut out.
+    Never negative: a queue whose runs take longer than declared is not shut out.
     """
     declared_ms = max(chain_lengths_ms(submission.steps), default=0)
-    chain_ms = state.expected_ms(submission, declared_ms)
-    due_ms = policy.stretch * declared_ms + policy.objective_ms
-    if chain_ms > due_ms:
-        due_ms *= LATE_FACTOR
-        chain_ms = min(chain_ms, due_ms)
-    return due_ms - chain_ms
+    last_ms = LATE_FACTOR * (policy.stretch * declared_ms + policy.objective_ms)
+    return last_ms - min(state.expected_ms(submission, declared_ms), last_ms)
