Probe the owner during an outage of the store, and replace a lost one sooner after it

Change: processes probe the owner once a second while their reads fail; one that has ended or does not answer is replaced after 0.15 s or 0.4 s of silence, unless a record of it is read.

--- a/almondstack/ownership/failure_detector.py
+++ b/almondstack/ownership/failure_detector.py
@@ -3,6 +3,7 @@
 from almondstack.jobs import OwnerNotice
 from almondstack.ownership.claim_priority import ClaimPriority, instance_of
 from almondstack.ownership.liveness import Liveness, probe_liveness
+from almondstack.ownership.outage_probes import OutageProbes
 from almondstack.ownership.settings import OwnershipSettings
 from almondstack.ownership.silence_timer import SilenceTimer
 
@@ -24,7 +25,7 @@
         Tells whether this process is the standby.
     """
 
-    __slots__ = ("_claim_priority", "_incarnation", "_settings", "_silence_timer")
+    __slots__ = ("_claim_priority", "_incarnation", "_outage_probes", "_settings", "_silence_timer")
 
     def __init__(
         self,
@@ -37,6 +38,15 @@
         self._incarnation = incarnation
         self._silence_timer = silence_timer
         self._claim_priority = claim_priority
+        self._outage_probes = OutageProbes(settings)
+
+    def note_read(self, *, has_owner_record: bool) -> None:
+        """Note a successful read, and whether it returned a record of the owner."""
+        self._outage_probes.note_read(has_owner_record=has_owner_record)
+
+    def note_failed_read(self, notice: OwnerNotice | None, now_s: float) -> None:
+        """Note a failed read; the owner is probed while they go on."""
+        self._outage_probes.note_failed_read(notice, now_s)
 
     def is_vacant(self, notice: OwnerNotice | None, now_s: float, *, is_new: bool) -> bool:
         """Whether no process owns the jobs, as far as this process can determine.
@@ -54,18 +64,25 @@
             return not self._may_be_writing(notice, now_s)
         return self._has_failed(notice, now_s, is_new=is_new)
 
-    def read_wait_s(self, now_s: float) -> float:
+    def read_wait_s(self, notice: OwnerNotice | None, now_s: float) -> float:
         """Return for how long the next read may wait for a record, in seconds.
 
         Explanation
         -----------
-        The standby's read ends when the owner's silence is long enough for a probe, and soon
-        after each probe.  With the full wait, a standby that has seen half a second of silence
-        checks again only after a whole second.
+        The read of the standby, or of a process that suspects the owner since an outage, ends
+        when the owner's silence is long enough for a probe, and soon after each probe.  With
+        the full wait, a standby that has seen half a second of silence checks again only after
+        a whole second.
         """
-        if not self._claim_priority.is_standby:
+        doubt_s = self._suspected_after_s(notice)
+        if doubt_s is None and not self._claim_priority.is_standby:
             return self._settings.wait_s
-        remaining_s = self._silence_timer.remaining_s(now_s, self._settings.standby_doubt_s)
+        if doubt_s is None:
+            doubt_s = self._settings.standby_doubt_s
+        elif not self._silence_timer.is_measuring:
+            # The silence is measured from the end of this read on.
+            return self._settings.standby_check_s
+        remaining_s = self._silence_timer.remaining_s(now_s, doubt_s)
         return min(self._settings.wait_s, max(remaining_s, self._settings.standby_check_s))
 
     def _may_be_writing(self, notice: OwnerNotice | None, now_s: float) -> bool:
@@ -92,12 +109,15 @@
         if instance_of(notice.owner) == instance_of(self._incarnation):
             # An earlier process on the same instance, which must have ended.
             return notice.owner != self._incarnation
-        if not self._silence_timer.has_lasted(now_s, self._probe_after_s(is_new=is_new)):
+        suspected_s = self._suspected_after_s(notice)
+        probe_after_s = self._probe_after_s(is_new=is_new) if suspected_s is None else suspected_s
+        if not self._silence_timer.has_lasted(now_s, probe_after_s):
             return False
         found = probe_liveness(notice.address, self._settings.probe_timeout_s)
         if found is None:
             # Partitioned or suspended; in both cases the owner makes no progress.
-            return self._silence_timer.has_lasted(now_s, self._mute_s)
+            mute_s = self._mute_s if suspected_s is None else self._settings.sign_interval_s
+            return self._silence_timer.has_lasted(now_s, mute_s)
         return found.incarnation != notice.owner or self._has_lost_store(found)
 
     def _has_lost_store(self, owner: Liveness) -> bool:
@@ -111,6 +131,10 @@
         is_rejected = owner.turned_away_s >= self._settings.turned_away_s
         return is_rejected or owner.contact_age_s >= self._settings.deaf_s
 
+    def _suspected_after_s(self, notice: OwnerNotice | None) -> float | None:
+        """Return the silence after which to probe an owner suspected since an outage; or None."""
+        return None if notice is None else self._outage_probes.needed_silence_s(notice)
+
     @property
     def _mute_s(self) -> float:
         """Observed silence after which an unreachable owner is considered failed, in seconds."""
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -241,7 +241,7 @@
         """
         if not self._is_loaded:
             self._load()
-        if self._read(self._failure_detector.read_wait_s(time.monotonic())):
+        if self._read(self._failure_detector.read_wait_s(self._index.notice, time.monotonic())):
             # A claim needs the whole log; read the rest of it without a pause.
             return
         self._detect_own_claim()
@@ -284,6 +284,7 @@
         self._note_contact()
         owner_records = [record for record in batch.records if is_written_by_owner(record)]
         self._silence_timer.note_read(time.monotonic(), has_owner_record=bool(owner_records))
+        self._failure_detector.note_read(has_owner_record=bool(owner_records))
         if not all(map(self._is_own_claim, owner_records)):
             self._last_owner_record_s = time.monotonic()
         notice = self._index.notice
@@ -371,6 +372,8 @@
     def _note_failure(self, error: StoreError) -> None:
         self._silence_timer.note_failure()
         self._claim_priority.note_failure(time.monotonic())
+        if not self._is_owner:
+            self._failure_detector.note_failed_read(self._index.notice, time.monotonic())
         if not self._is_store_lost:
             self._is_store_lost = True
             self._events.write("store-lost", error=str(error), age_s=round(self.contact_age_s, 2))
--- a/almondstack/ownership/silence_timer.py
+++ b/almondstack/ownership/silence_timer.py
@@ -54,6 +54,11 @@
         """Note that the owner has released the jobs."""
         self._is_released = True
 
+    @property
+    def is_measuring(self) -> bool:
+        """Whether a read has succeeded since the last one that failed."""
+        return self._since_s is not None
+
     def has_lasted(self, now_s: float, for_s: float) -> bool:
         """Whether the owner has been silent for ``for_s`` seconds of successful reads."""
         return self._since_s is not None and now_s - self._since_s >= for_s
