Clear a suspicion of an outage when the owner answers, and guard its probe

Cause (review): a live owner that had not answered one probe in an outage was probed at each read after it, and replaced after 0.45 s if it had not read the store since; a process that had just started waited longer to probe than without a suspicion; an unforeseen error in the probe would have ended the follower's thread. Change: a matching answer clears the suspicion, the lesser of both silences counts, the probe is guarded. Tests for the first and the last.

--- a/almondstack/ownership/failure_detector.py
+++ b/almondstack/ownership/failure_detector.py
@@ -110,7 +110,9 @@
             # An earlier process on the same instance, which must have ended.
             return notice.owner != self._incarnation
         suspected_s = self._suspected_after_s(notice)
-        probe_after_s = self._probe_after_s(is_new=is_new) if suspected_s is None else suspected_s
+        probe_after_s = self._probe_after_s(is_new=is_new)
+        if suspected_s is not None:
+            probe_after_s = min(probe_after_s, suspected_s)
         if not self._silence_timer.has_lasted(now_s, probe_after_s):
             return False
         found = probe_liveness(notice.address, self._settings.probe_timeout_s)
@@ -118,6 +120,10 @@
             # Partitioned or suspended; in both cases the owner makes no progress.
             mute_s = self._mute_s if suspected_s is None else self._settings.sign_interval_s
             return self._silence_timer.has_lasted(now_s, mute_s)
+        if suspected_s is not None and found.incarnation == notice.owner:
+            # It is alive after all, and has had no time to read the store since the outage.
+            self._outage_probes.clear()
+            return False
         return found.incarnation != notice.owner or self._has_lost_store(found)
 
     def _has_lost_store(self, owner: Liveness) -> bool:
--- a/almondstack/ownership/follower.py
+++ b/almondstack/ownership/follower.py
@@ -369,11 +369,18 @@
             self._is_store_lost = False
             self._events.write("store-regained")
 
+    def _probe_owner(self) -> None:
+        """Probe the owner while reads fail; an unforeseen error must not end the thread."""
+        try:
+            self._failure_detector.note_failed_read(self._index.notice, time.monotonic())
+        except Exception:
+            report_error()
+
     def _note_failure(self, error: StoreError) -> None:
         self._silence_timer.note_failure()
         self._claim_priority.note_failure(time.monotonic())
         if not self._is_owner:
-            self._failure_detector.note_failed_read(self._index.notice, time.monotonic())
+            self._probe_owner()
         if not self._is_store_lost:
             self._is_store_lost = True
             self._events.write("store-lost", error=str(error), age_s=round(self.contact_age_s, 2))
--- a/almondstack/ownership/outage_probes.py
+++ b/almondstack/ownership/outage_probes.py
@@ -39,7 +39,7 @@
         """Note a successful read; a record of the owner shows that it is alive."""
         self._failing_since_s = None
         if has_owner_record:
-            self._owner = ""
+            self.clear()
 
     def note_failed_read(self, notice: OwnerNotice | None, now_s: float) -> None:
         """Probe the owner if the outage lasts and a probe is due."""
@@ -52,11 +52,15 @@
         self._probed_s = now_s
         found = probe_liveness(notice.address, self._settings.probe_timeout_s)
         if found is not None and found.incarnation == notice.owner:
-            self._owner = ""
+            self.clear()
             return
         self._owner = notice.owner
         self._is_ended = found is not None
 
+    def clear(self) -> None:
+        """Forget what the probes have shown: the owner is alive."""
+        self._owner = ""
+
     def needed_silence_s(self, notice: OwnerNotice) -> float | None:
         """Return how long a suspected owner must be silent to be probed again, in seconds.
 
--- a/almondstack/ownership/tests/test_outage_probes.py
+++ b/almondstack/ownership/tests/test_outage_probes.py
@@ -1,5 +1,7 @@
 """An outage of the store in which the owner is lost: who notices, and how soon after it."""
 
+import threading
+
 import pytest
 
 from almondstack.core.events import EventLog
@@ -130,3 +132,21 @@
     outage.store.is_down = True
     outage.run(0.5)
     assert outage.probes == 0
+
+
+def test_an_owner_that_answers_again_after_an_outage_is_waited_for_as_before(monkeypatch):
+    """One probe was lost in the outage; the owner has not read the store since."""
+    outage = _Outage(monkeypatch, None)
+    outage.lose_store()
+    outage._answer = Liveness(_OWNER, 1.2)
+    probes = outage.probes
+    assert outage.run(5.0) >= OwnershipSettings().doubt_s
+    assert outage.probes <= probes + 3
+
+
+def test_an_unforeseen_error_of_a_probe_does_not_end_the_follower(monkeypatch):
+    outage = _Outage(monkeypatch, None)
+    monkeypatch.setattr(threading, "excepthook", lambda _: None)
+    monkeypatch.setattr("almondstack.ownership.outage_probes.probe_liveness", lambda *_: 1 / 0)
+    outage.lose_store()
+    assert outage.run(5.0) >= OwnershipSettings().mute_s and outage.store.is_claimed
