Stop runs of no use on instances that another pool is owed

Change: while accounts compete for a short fleet, such runs on instances that are to move are stopped; their tasks run later. Lasting tasks are left alone.

--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -22,6 +22,7 @@
 from almondstack.ownership import Record
 from almondstack.placement import Policies, RunTimes, Worker, has_room
 from almondstack.placement.entitlements import Entitlements
+from almondstack.placement.order import is_past_use
 
 __all__ = ["FleetController"]
 
@@ -225,6 +226,8 @@
         )
         moves = self._plan_moves(instances, policies, spare_pools, draining, now_s)
         draining |= {move.instance for move in moves}
+        if self.entitlements.is_short:
+            self._stop_useless_runs(moves, instances, now_s)
         ready = [move for move in moves if self._is_empty(move.instance, instances)]
         self._moves = ready[: max(0, self._manager.remaining_orders - len(self._waves.due))]
         self._reserve(instances, draining, now_s)
@@ -296,6 +299,19 @@
             if info.name in draining:
                 self._move_long_running(worker, now_s)
 
+    def _stop_useless_runs(
+        self, moves: list[Move], instances: list[InstanceInfo], now_s: float
+    ) -> None:
+        """Stop runs whose ends are of no use any more on instances that another pool is owed."""
+        now_unix_ms = time.time() * 1000.0
+        workers = {info.name: info.worker for info in instances}
+        for move in moves:
+            worker = self._table.workers.get(workers[move.instance])
+            for task in worker.tasks if worker is not None else ():
+                policy = self._planner.policy_of(task.job.submission)
+                if not task.step.is_long_running and is_past_use(task, policy, now_unix_ms):
+                    self._table.request_stop(task, now_s)
+
     def _move_long_running(self, worker: Worker, now_s: float) -> None:
         """Stop a worker's long-running tasks, as far as allowed, so that they start elsewhere."""
         evacuated = self._services.directory.evacuated_zones()
--- a/almondstack/control/tests/test_fleet_controller.py
+++ b/almondstack/control/tests/test_fleet_controller.py
@@ -4,13 +4,23 @@
 
 import pytest
 
+from almondstack.capacity import Move
 from almondstack.control.fleet_controller import FleetController
 from almondstack.control.messages import InstanceInfo, InstanceState, OrderStatus
+from almondstack.control.planning import Planner
 from almondstack.control.settings import ControlSettings
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import JobIndex, RecordKind, record_key
-from almondstack.testing.job_builders import assign, make_job, make_step, make_table, make_worker
+from almondstack.placement import Policies
+from almondstack.testing.job_builders import (
+    AllowAllAdvisor,
+    assign,
+    make_job,
+    make_step,
+    make_table,
+    make_worker,
+)
 
 
 class _Services:
@@ -79,6 +89,24 @@
     assert not manager.can_order("n", time.monotonic())
 
 
+def test_flood_an_instance_that_another_pool_is_owed_ends_runs_that_are_of_no_use(services):
+    """A pool drained for seconds, one long run an instance, while another waited for them."""
+    now_ms = time.time() * 1000.0
+    old, new = (
+        make_job(make_step(), id=str(number), accepted_ms=int(accepted_ms))
+        for number, accepted_ms in enumerate((now_ms - 60_000.0, now_ms))
+    )
+    worker = make_worker()
+    table = make_table(old, new, workers=[worker])
+    for job in (old, new):
+        assign(table, job.steps_of(0)[0][0], worker)
+    planner = Planner(table, AllowAllAdvisor(), Policies)
+    controller = FleetController(table, planner, services, 2)
+    info = InstanceInfo("m", "p", InstanceState.UP, "a", "r", 4_000, worker.id)
+    controller._stop_useless_runs([Move("m", "p", "q")], [info], time.monotonic())
+    assert [name for _, name, _ in table._orders.stops] == [old.steps_of(0)[0][0].name]
+
+
 def _two_workers(services, other_zone="b"):
     """Evacuate zone ``a``; return two workers and a long-running task on the first, in ``a``."""
     services.zones = frozenset({"a"})
--- a/almondstack/placement/order.py
+++ b/almondstack/placement/order.py
@@ -8,6 +8,7 @@
     "LATE_FACTOR",
     "Rank",
     "is_late",
+    "is_past_use",
     "is_worthless",
     "objective_s",
     "pressing_share",
@@ -45,9 +46,7 @@
     job = tasks[0].job
     if tasks[0].step.is_long_running:
         return 0, tasks[0].step.is_filler, policy.urgency, 0.0
-    released_ms = job.submission.accepted_ms
-    if job.submission.is_scheduled:
-        released_ms = job.submission.due_ms(tasks[0].key.occurrence)
+    released_ms = _released_ms(tasks[0])
     objective = objective_s(job, policy)
     due_s = released_ms / _MS + objective
     remaining_s = job.remaining_chain_ms(tasks[0].key.step) / _MS
@@ -92,6 +91,20 @@
     return remaining_s / (remaining_s + slack)
 
 
+def is_past_use(task: Task, policy: QueuePolicy, now_unix_ms: float) -> bool:
+    """Return whether a task's job should have ended so long ago that its end is of no use."""
+    last_s = LATE_FACTOR * objective_s(task.job, policy)
+    return now_unix_ms / _MS > _released_ms(task) / _MS + last_s
+
+
+def _released_ms(task: Task) -> float:
+    """Return when a task's occurrence was due, or its job accepted, in Unix milliseconds."""
+    submission = task.job.submission
+    if submission.is_scheduled:
+        return submission.due_ms(task.key.occurrence)
+    return submission.accepted_ms
+
+
 def _lateness(slack_s: float, objective: float) -> int:
     if slack_s >= 0:
         return 1
