Let work wait in pools without room

Cause: with room 0 the part of the planned instances was 0, so that the wait of an account beyond its entitlement was the time of a move however much work there was: a pool without usable instances admitted a flood without bound. Without a usable instance the size of those that come or are planned counted as 0. Change: the room is at least 1 in that part, as in the total; the median size of the fleet counts where a pool has no usable instance. Result: of the six cases of the two new tests none passes before, all pass now.

--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Mapping
+from statistics import median_low
 from typing import NamedTuple
 
 from almondstack.capacity import PoolState
@@ -109,8 +110,11 @@
         self, states: list[PoolState], targets: Mapping[str, int], now_unix_ms: float
     ) -> dict[str, Backlog]:
         """Return the remaining work of each pool."""
+        median_millis = _median_millis(states)
         backlogs = {
-            state.name: _empty_backlog(state, targets.get(state.name, 0), self._lead_ms)
+            state.name: _empty_backlog(
+                state, targets.get(state.name, 0), self._lead_ms, median_millis
+            )
             for state in states
         }
         for job in self._table.jobs.values():
@@ -168,16 +172,21 @@
         return lasting
 
 
-def _empty_backlog(state: PoolState, target: int, lead_ms: float) -> Backlog:
+def _empty_backlog(state: PoolState, target: int, lead_ms: float, median_millis: int) -> Backlog:
     """Return a backlog without work for a pool that is to have ``target`` instances."""
-    room_millis = _room_millis(state)
-    size_millis = max((candidate.size_millis for candidate in state.candidates), default=0)
+    size_millis = max((each.size_millis for each in state.candidates), default=median_millis)
+    room_millis = _room_millis(state, size_millis)
     growth_millis = max(0, target - state.size) * size_millis
     return Backlog(room_millis, room_millis + growth_millis, lead_ms)
 
 
-def _room_millis(state: PoolState) -> int:
-    sizes = [candidate.size_millis for candidate in state.candidates]
-    size_millis = max(sizes, default=0)
-    room_millis = sum(sizes) + state.coming * size_millis - state.need.lasting_millis
+def _room_millis(state: PoolState, size_millis: int) -> int:
+    usable_millis = sum(candidate.size_millis for candidate in state.candidates)
+    room_millis = usable_millis + state.coming * size_millis - state.need.lasting_millis
     return max(room_millis, 0)
+
+
+def _median_millis(states: list[PoolState]) -> int:
+    """Return the median size of the usable instances of all pools; 0 if there are none."""
+    sizes = [candidate.size_millis for state in states for candidate in state.candidates]
+    return median_low(sizes) if sizes else 0
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -43,9 +43,14 @@
         planner = Planner(self.table, AllowAllAdvisor(), lambda: self.policies)
         self.waits = AdmissionWaits(self.table, planner, last_state, RunTimes(), _MOVE_S)
 
-    def update(self, entitlements, now_ms=0.0, targets=None):
-        """Recompute the waits; return the state."""
+    def update(self, entitlements, now_ms=0.0, targets=None, coming=None):
+        """Recompute the waits; return the state.
+
+        With ``coming`` no instance of the first pool is usable, and so many are coming.
+        """
         states = [PoolState(name, PoolNeed(), [Candidate("i", 20_000)]) for name in ("p", "other")]
+        if coming is not None:
+            states[0] = PoolState("p", PoolNeed(), [], coming)
         self.waits.update(states, self.policies, entitlements, now_ms, targets)
         return self.waits.state
 
@@ -75,6 +80,18 @@
     assert waits_ms["p/flood"] == 3_600
 
 
+@pytest.mark.parametrize(
+    ("coming", "target", "wait_ms"), [(0, 0, 10_000), (0, 4, 3_900), (1, 0, 10_000), (1, 4, 3_600)]
+)
+def test_flood_instances_that_are_to_come_to_a_pool_without_usable_ones_count(
+    coming, target, wait_ms
+):
+    """Of 20 cores each, the median of the fleet; 200 core-seconds wait in the pool."""
+    pools = _Pools(light_tasks=180)
+    state = pools.update(_short(), targets={"p": target}, coming=coming)
+    assert state.waits_ms["p/flood"] == wait_ms
+
+
 def test_without_a_shortage_the_waits_are_those_of_the_pools():
     state = _Pools().update(Entitlements())
     assert state.beyond == {}
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -113,7 +113,7 @@
         """
         if self.total_ms <= self._lead_ms:
             return self.total_ms
-        part = self._room_millis / max(1, self._planned_millis)
+        part = max(1, self._room_millis) / max(1, self._planned_millis)
         return self._lead_ms + (self.total_ms - self._lead_ms) * part
 
 
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -19,6 +19,7 @@
     excess_wait_ms,
     is_in_time,
     wait_key,
+    waits_beyond_ms,
 )
 from almondstack.placement.choosing import choose_worker as _choose
 from almondstack.placement.fairness import fair_order
@@ -271,3 +272,16 @@
     backlog.add(job)
     backlog.note_waiting()
     assert backlog.waits_ms({}) == {"a": 6_000}
+
+
+@pytest.mark.parametrize(("planned_millis", "wait_ms"), [(0, 60_000), (4_000, 11_400)])
+def test_beyond_its_entitlement_an_account_waits_for_its_work_in_a_pool_without_room(
+    planned_millis, wait_ms
+):
+    """The wait was the time of a move, however much work there was: a flood had no bound."""
+    backlog = Backlog(0, planned_millis, lead_ms=1_500.0)
+    job = make_job(make_step(40))
+    list(job.ready_steps(0.0))
+    backlog.add(job)
+    backlog.note_waiting()
+    assert waits_beyond_ms({"p": backlog}, {"a": 1}) == {wait_key("p", "a"): wait_ms}
