Answer repeats of stored jobs as such without the owner, and release places after storage

The place of an accepted caller was released before the store had answered: if that failed, the caller had lost it. Change: before a direct rejection the process reads the log (shared read); a stored job is answered as a repeat, with no rejection logged or counted; without that read the answer is that of a process that is behind. The place is released once the job is stored or known.

--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -6,9 +6,11 @@
 from almondstack.control.admission_waits import AdmissionWaits
 from almondstack.control.planning import Planner
 from almondstack.control.published_admission import published_entitlements, published_waits_ms
-from almondstack.intake import Verdict
+from almondstack.intake import Receipt, Verdict
+from almondstack.intake.direct import DirectStorage
 from almondstack.jobs import Submission
 from almondstack.jobs.admission_state import AdmissionState
+from almondstack.ownership import StoreRefusedError
 from almondstack.placement import Policies, RunTimes
 from almondstack.placement.entitlements import Entitlements
 from almondstack.testing.job_builders import (
@@ -220,6 +222,70 @@
     assert 3 <= verdicts.count(Verdict.DONE) <= 6
 
 
+def _leave_an_unread_job(world):
+    """Store a job by the owner, and lose the owner before the second process has read that."""
+    job = next(_JOBS)
+    _set_wait(world, 100)
+    assert _submit(world, 0, "flood", job) is Verdict.DONE
+    assert world.processes[1].index.entry(job) is None
+    _lose_owner(world)
+    return job
+
+
+def _set_wait(world, wait_ms):
+    """Let the flood wait so long for the owner, which does not publish it yet."""
+    state = AdmissionState({"p/flood": wait_ms}, {"flood": 2_000})
+    world.processes[0].owner.parts.fleet._admission.state = state
+
+
+def test_owner_lost_a_repeat_of_a_stored_job_is_not_rejected(world):
+    """It was answered 503 by a process that had not read the job yet."""
+    job = _leave_an_unread_job(world)
+    assert _submit(world, 1, "flood", job) is Verdict.KNOWN
+    assert world.processes[1].service._metrics.total("admission.beyond-entitlement") == 0
+
+
+def test_owner_lost_another_accounts_repeat_of_a_stored_job_conflicts(world):
+    job = _leave_an_unread_job(world)
+    world.oracle.submissions.pop(job)
+    other = Submission("q", "flood2", "spec", (make_step(1),), pool="p", max_attempts=2)
+    world.processes[1].index._admission = AdmissionState(
+        {"p/flood2": 14_000}, {"flood2": 2_000}, known_s=world.clock.now_s
+    )
+    assert world.submit(world.processes[1], job, other) is Verdict.CONFLICT
+
+
+def test_owner_lost_a_rejection_that_can_not_read_the_log_tells_no_time(world, monkeypatch):
+    """It answers as a process that is behind does: for its own attempt alone."""
+    process, job = world.processes[1], _leave_an_unread_job(world)
+
+    def fail(*_arguments):
+        raise StoreRefusedError("store unavailable")
+
+    monkeypatch.setattr(world.store, "read", fail)
+    receipt = process.service.submit(
+        job, world.oracle.submissions[job], world.policies.queues["q"], world.caller_timeout_s
+    )
+    assert receipt == Receipt(Verdict.NOT_STORED)
+
+
+def test_owner_lost_a_caller_keeps_its_place_until_its_job_is_stored(world, monkeypatch):
+    """A caller that returned when told lost its place if the store failed just then."""
+    _lose_owner(world)
+    process, job = world.processes[1], next(_JOBS)
+    returns = process.service._admission._returns
+    assert _submit(world, 1, "flood", job) is Verdict.NOT_STORED
+    process.index._admission = AdmissionState(
+        {"p/flood": 100}, {"flood": 2_000}, known_s=world.clock.now_s
+    )
+    with monkeypatch.context() as patches:
+        patches.setattr(DirectStorage, "submit", lambda *_given: Verdict.NOT_STORED)
+        assert _submit(world, 1, "flood", job) is Verdict.NOT_STORED
+    assert job in returns._accounts["flood"].returns
+    assert _submit(world, 1, "flood", job) is Verdict.DONE
+    assert job not in returns._accounts["flood"].returns
+
+
 def test_owner_lost_an_attempt_that_may_be_stored_is_not_answered_as_not_run(world):
     job = next(_JOBS)
     world.caller_timeout_s = 0.2
--- a/almondstack/intake/direct_admission.py
+++ b/almondstack/intake/direct_admission.py
@@ -43,9 +43,15 @@
         with self._lock:
             held_ms = self._returns.held_ms(account, job, now_s)
             decision = judge(self._index.admission, submission, policy, now_s, held_ms)
-            decision = self._returns.reserve(account, job, decision, now_s)
-            if decision.is_accepted:
-                self._returns.release(account, job)
-                return decision
+            return self._returns.reserve(account, job, decision, now_s)
+
+    def report(
+        self, job: str, submission: Submission, policy: QueuePolicy, decision: Decision
+    ) -> None:
+        """Log and count a rejection that its caller is told."""
         report_rejection(self, job, submission, policy, decision)
-        return decision
+
+    def release(self, job: str, submission: Submission) -> None:
+        """Give up a caller's place in the order of return once its job is stored."""
+        with self._lock:
+            self._returns.release(submission.account, job)
--- a/almondstack/intake/service.py
+++ b/almondstack/intake/service.py
@@ -18,6 +18,7 @@
 from almondstack.ownership.errors import StoreError
 from almondstack.ownership.ports import Record, RecordStore
 from almondstack.placement import QueuePolicy
+from almondstack.placement.admission import Decision
 
 __all__ = ["JobService"]
 
@@ -220,7 +221,7 @@
             return Receipt(self._not_stored(job))
         decision = self._admission.decide(job, submission, policy)
         if not decision.is_accepted:
-            return Receipt(self._not_stored(job), decision.late_ms, decision.retry_s)
+            return self._reject_directly(wanted, submission, policy, decision)
         self._attempts.begin(job)
         verdict = self._direct.submit(wanted, timeout_s)
         if verdict is Verdict.NOT_STORED:
@@ -228,8 +229,28 @@
             return Receipt(self._not_stored(job))
         if verdict is not Verdict.UNCLEAR:
             self._attempts.clear(job)
+            self._admission.release(job, submission)
         return Receipt(verdict)
 
+    def _reject_directly(
+        self,
+        wanted: DirectSubmission,
+        submission: Submission,
+        policy: QueuePolicy,
+        decision: Decision,
+    ) -> Receipt:
+        """Answer a rejected submission, whose job another process may have stored already."""
+        job = wanted.job
+        if not self._read_to_end(job):
+            return Receipt(self._not_stored(job))
+        entry = self._index.entry(job)
+        if entry is not None:
+            self._attempts.clear(job)
+            self._admission.release(job, submission)
+            return Receipt(wanted.stored_verdict(entry))
+        self._admission.report(job, submission, policy, decision)
+        return Receipt(self._not_stored(job), decision.late_ms, decision.retry_s)
+
     def _cancel_at_owner(self, job: str, timeout_s: float) -> Verdict:
         try:
             return self._owner.ask(CancelRequest(job), self._owner_timeout_s(timeout_s)).verdict
