Keep the hold of accounts beyond their entitlement in monotonic time

Cause: the 2 s hold was kept in Unix time, so that a clock that was set back held an account for as long, and one that was set on ended the hold. Change: AdmissionWaits.update gets the monotonic time of the round as well.

--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -19,16 +19,16 @@
 
 _MS_PER_S = 1000.0
 
-_HOLD_MS = 2_000.0
+_HOLD_S = 2.0
 """How long an account counts as beyond its entitlement after its demand was last beyond it.  While
 it is rejected its demand falls to its entitlement, and it must not be let in again for that."""
 
 
 class _HeldEntitlement(NamedTuple):
-    """Entitlement in thousandths of a core, and the Unix milliseconds until which it counts."""
+    """Entitlement in thousandths of a core, and the monotonic time until which it counts."""
 
     millis: int
-    until_ms: float
+    until_s: float
 
 
 class AdmissionWaits:
@@ -75,6 +75,7 @@
         states: list[PoolState],
         policies: Policies,
         entitlements: Entitlements,
+        now_s: float,
         now_unix_ms: float,
         targets: Mapping[str, int] | None = None,
     ) -> None:
@@ -88,8 +89,10 @@
             Weights and ceilings.
         entitlements : Entitlements
             What each client account may use of the fleet.
+        now_s : float
+            Monotonic time in seconds.
         now_unix_ms : float
-            Unix time in milliseconds.
+            Unix time in milliseconds, for the times of jobs.
         targets : mapping of str to int, optional
             Instances that each pool is to have; as many as now by default.
         """
@@ -99,7 +102,7 @@
             for pool, backlog in backlogs.items()
             for account, wait_ms in backlog.waits_ms(policies.accounts).items()
         }
-        self._hold_entitlements(backlogs, entitlements, now_unix_ms)
+        self._hold_entitlements(backlogs, entitlements, now_s)
         entitled_millis = {account: held.millis for account, held in self._held.items()}
         waits_ms |= waits_beyond_ms(backlogs, entitled_millis)
         self.state = AdmissionState(
@@ -133,19 +136,17 @@
         return backlogs
 
     def _hold_entitlements(
-        self, backlogs: dict[str, Backlog], entitlements: Entitlements, now_unix_ms: float
+        self, backlogs: dict[str, Backlog], entitlements: Entitlements, now_s: float
     ) -> None:
         """Update the entitlement for work that ends, of each account whose demand is beyond it."""
-        until_ms = now_unix_ms + _HOLD_MS
+        until_s = now_s + _HOLD_S
         if not self.state.is_current:
             # The accounts that the previous owner has published.
             self._held = {
-                account: _HeldEntitlement(millis, until_ms)
+                account: _HeldEntitlement(millis, until_s)
                 for account, millis in self.state.beyond.items()
             }
-        self._held = {
-            account: held for account, held in self._held.items() if held.until_ms > now_unix_ms
-        }
+        self._held = {account: held for account, held in self._held.items() if held.until_s > now_s}
         if not entitlements.is_short:
             return
         accounts = {account for backlog in backlogs.values() for account in backlog.work_ms}
@@ -156,8 +157,8 @@
             if math.isinf(entitled):
                 continue
             millis = max(1, round(entitled) - lasting_millis.get(account, 0))
-            held_ms = until_ms if account in beyond else self._held[account].until_ms
-            self._held[account] = _HeldEntitlement(millis, held_ms)
+            held_s = until_s if account in beyond else self._held[account].until_s
+            self._held[account] = _HeldEntitlement(millis, held_s)
 
     def _lasting_millis(self) -> dict[str, int]:
         """Return the demand of long-running tasks that are not fillers, by account."""
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -214,7 +214,12 @@
         size_millis = median_size_millis(instances)
         self._pools_with_incoming = {state.name for state in states if state.coming}
         self._admission.update(
-            states, policies, self.entitlements, time.time() * 1000.0, self._balancer.targets
+            states,
+            policies,
+            self.entitlements,
+            now_s,
+            time.time() * 1000.0,
+            self._balancer.targets,
         )
         wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         self._log_pools(states, wanted)
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -45,7 +45,7 @@
         planner = Planner(self.table, AllowAllAdvisor(), lambda: self.policies)
         self.waits = AdmissionWaits(self.table, planner, last_state, RunTimes(), _MOVE_S)
 
-    def update(self, entitlements, now_ms=0.0, targets=None, coming=None):
+    def update(self, entitlements, now_s=0.0, targets=None, coming=None, unix_ms=0.0):
         """Recompute the waits; return the state.
 
         With ``coming`` no instance of the first pool is usable, and so many are coming.
@@ -53,7 +53,7 @@
         states = [PoolState(name, PoolNeed(), [Candidate("i", 20_000)]) for name in ("p", "other")]
         if coming is not None:
             states[0] = PoolState("p", PoolNeed(), [], coming)
-        self.waits.update(states, self.policies, entitlements, now_ms, targets)
+        self.waits.update(states, self.policies, entitlements, now_s, unix_ms, targets)
         return self.waits.state
 
 
@@ -115,14 +115,23 @@
     pools.update(_short())
     within = make_entitlements({"flood": 4_000}, {"flood": 3_000, "other": 1})
     covered = Entitlements()
-    assert pools.update(within, 1_000.0).beyond == {"flood": 4_000}
-    assert pools.update(covered, 1_900.0).beyond == {"flood": 4_000}
-    assert pools.update(covered, 2_100.0).beyond == {}
+    assert pools.update(within, 1.0).beyond == {"flood": 4_000}
+    assert pools.update(covered, 1.9).beyond == {"flood": 4_000}
+    assert pools.update(covered, 2.1).beyond == {}
+
+
+@pytest.mark.parametrize("unix_ms", [-9_000.0, 9_000.0])
+def test_a_clock_that_jumps_does_not_change_how_long_an_account_counts_as_beyond(unix_ms):
+    """A clock that was set back held an account for as long."""
+    pools, covered = _Pools(), Entitlements()
+    pools.update(_short(), 100.0)
+    assert pools.update(covered, 101.9, unix_ms=unix_ms).beyond == {"flood": 4_000}
+    assert pools.update(covered, 102.1, unix_ms=unix_ms).beyond == {}
 
 
 def test_owner_lost_the_next_owner_holds_the_accounts_that_the_last_one_has_published():
     pools = _Pools(AdmissionState({"p/flood": 8_000}, {"flood": 4_000}, known_s=0.0))
-    assert pools.update(Entitlements(), 1_000.0).beyond == {"flood": 4_000}
+    assert pools.update(Entitlements(), 1.0).beyond == {"flood": 4_000}
 
 
 def test_a_notice_is_bounded_and_names_the_longest_waits():
