Bound for how long a state that was only read is gone by

Cause: without the owner accounts within their entitlement were judged by the last state however old it was, where before the rule on entitlements it counted for 2.5 s. A new owner whose instance service gives no list computes no state, and held accounts by the entitlements of the previous one without end. Change: an aged state says nothing of accounts within their entitlement after 2.5 s; those beyond go on by it with its age. A new owner goes by the last state for 5 s, and then by none.

--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -23,6 +23,11 @@
 """How long an account counts as beyond its entitlement after its demand was last beyond it.  While
 it is rejected its demand falls to its entitlement, and it must not be let in again for that."""
 
+_LAST_STATE_S = 5.0
+"""How long a new owner goes by the state of the previous one, until it can compute its own."""
+
+_NOTHING_KNOWN = AdmissionState(known_s=0.0)
+
 
 class _HeldEntitlement(NamedTuple):
     """Entitlement in thousandths of a core, and the monotonic time until which it counts."""
@@ -41,11 +46,14 @@
     planner : Planner
         Provides the policy of each job's queue.
     last_state : AdmissionState
-        The state that the previous owner has published; used until the first update.
+        The state that the previous owner has published; used for a few seconds until the first
+        update.
     run_times : RunTimes
         What was learned of the times that tasks take.
     move_s : float
         How long a move of an instance to a pool takes, in seconds.
+    started_s : float
+        Monotonic time at which the owner has taken over, in seconds.
 
     Attributes
     ----------
@@ -53,7 +61,7 @@
         The waits, and the accounts whose demand is beyond their entitlement.
     """
 
-    __slots__ = ("_held", "_lead_ms", "_planner", "_run_times", "_table", "state")
+    __slots__ = ("_held", "_lead_ms", "_planner", "_run_times", "_started_s", "_table", "state")
 
     def __init__(
         self,
@@ -62,14 +70,28 @@
         last_state: AdmissionState,
         run_times: RunTimes,
         move_s: float = 0.0,
+        started_s: float = 0.0,
     ) -> None:
         self._table = table
         self._planner = planner
         self._run_times = run_times
         self._lead_ms = move_s * _MS_PER_S
+        self._started_s = started_s
         self._held: dict[str, _HeldEntitlement] = {}
         self.state = last_state
 
+    def state_at(self, now_s: float) -> AdmissionState:
+        """Return the state to go by at the monotonic time ``now_s``.
+
+        Explanation
+        -----------
+        Without a list of the instances there is no update, and the accounts that the previous
+        owner has published would be held without end.
+        """
+        if self.state.is_current or now_s < self._started_s + _LAST_STATE_S:
+            return self.state
+        return _NOTHING_KNOWN
+
     def update(
         self,
         states: list[PoolState],
@@ -144,7 +166,7 @@
             # The accounts that the previous owner has published.
             self._held = {
                 account: _HeldEntitlement(millis, until_s)
-                for account, millis in self.state.beyond.items()
+                for account, millis in self.state_at(now_s).beyond.items()
             }
         self._held = {account: held for account, held in self._held.items() if held.until_s > now_s}
         if not entitlements.is_short:
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -109,6 +109,7 @@
             services.index.admission,
             self._predictions.run_times,
             services.control.move_s,
+            time.monotonic(),
         )
         self._speed_monitor = SpeedMonitor(
             table, self._predictions.run_times, services.events, services.metrics
@@ -132,7 +133,7 @@
     @property
     def admission(self) -> AdmissionState:
         """Expected waits of new work, and the accounts whose demand is beyond their entitlement."""
-        return self._admission.state
+        return self._admission.state_at(time.monotonic())
 
     @property
     def entitlements(self) -> Entitlements:
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -134,6 +134,11 @@
     assert pools.update(Entitlements(), 1.0).beyond == {"flood": 4_000}
 
 
+def test_owner_lost_the_next_owner_does_not_hold_accounts_of_a_state_that_it_goes_by_no_longer():
+    pools = _Pools(AdmissionState({"p/flood": 8_000}, {"flood": 4_000}, known_s=0.0))
+    assert pools.update(Entitlements(), 5.1).beyond == {}
+
+
 def test_a_notice_is_bounded_and_names_the_longest_waits():
     waits_ms = {f"p/a{number}": number * 100 for number in range(1_000)}
     state = AdmissionState(waits_ms, {f"a{number}": number for number in range(1_000)})
@@ -210,6 +215,23 @@
     assert _submit(world, 1, "light") is Verdict.DONE
 
 
+def test_owner_lost_the_next_owner_without_a_list_of_instances_goes_by_the_last_waits_for_seconds(
+    world,
+):
+    """An account was held by its old entitlement for as long as there was no list."""
+    _set_wait(world, 60_000)
+    world.processes[0].round()
+    world.processes[1].follow()
+    _lose_owner(world)
+    world.processes[1].claim()
+    for _ in range(8):
+        world.pass_time(0.5)
+        world.processes[1].round()
+        assert _submit(world, 1, "flood") is Verdict.FULL
+    world.pass_time(1.0)
+    assert _submit(world, 1, "flood") is Verdict.DONE
+
+
 def test_owner_lost_amid_a_flood_a_process_without_owner_goes_on_by_the_last_waits(world):
     """Before, it accepted all after 2.5 s; what it answers concerns its own attempt."""
     _lose_owner(world)
--- a/almondstack/placement/admission.py
+++ b/almondstack/placement/admission.py
@@ -27,6 +27,9 @@
 
 _MILLIS = 1000.0
 
+_MAX_AGE_S = 2.5
+"""Age from which a state that was only read says nothing of accounts within their entitlement."""
+
 
 class RejectionReason(StrEnum):
     """Why a submission is rejected."""
@@ -113,11 +116,14 @@
 def _judge_within(
     state: AdmissionState, submission: Submission, policy: QueuePolicy, now_s: float
 ) -> Decision:
+    age_s = state.age_s(now_s)
+    if age_s > _MAX_AGE_S:
+        return Decision(age_s=age_s)
     wait_ms = state.wait_ms(policy.pool, submission.account, now_s)
     key = wait_key(policy.pool, submission.account)
     late_ms = excess_wait_ms({key: wait_ms}, submission, policy)
     reason = RejectionReason.NO_USE if late_ms > 0 else None
-    return Decision(reason, late_ms, wait_ms, age_s=state.age_s(now_s))
+    return Decision(reason, late_ms, wait_ms, age_s=age_s)
 
 
 def _judge_beyond(
--- a/almondstack/placement/tests/test_admission.py
+++ b/almondstack/placement/tests/test_admission.py
@@ -218,6 +218,20 @@
     assert 0.7 * 20 * _ENTITLED_PER_S <= accepted <= 1.05 * 20 * _ENTITLED_PER_S
 
 
+@pytest.mark.parametrize(("now_s", "is_accepted"), [(0.0, False), (2.5, False), (2.6, True)])
+def test_owner_lost_an_aged_state_says_nothing_of_accounts_within_their_entitlement(
+    now_s, is_accepted
+):
+    """They were rejected for a minute, by waits that nobody had computed anew."""
+    decision = _judge(_state(60_000, known_s=0.0), now_s=now_s)
+    assert decision.is_accepted is is_accepted
+    assert not _judge(_state(60_000, 4_000, known_s=0.0), now_s=now_s).is_accepted
+
+
+def test_within_its_entitlement_the_state_that_the_owner_has_computed_does_not_age():
+    assert not _judge(_state(60_000), now_s=99.0).is_accepted
+
+
 def test_owner_lost_an_account_that_the_state_does_not_name_is_accepted():
     assert _judge(_state(60_000, 1, known_s=0.0), account="light").is_accepted
 
