Test mechanisms of admission that tests passed without

Cause: no test failed if FleetController passed no targets to AdmissionWaits.update, if RequestHandler or DirectAdmission released no place, or if RequestHandler added nothing that it had accepted to the wait; the load of the tests had its own copy of that sequence. Change: a test of each in the simulation of owners; the load submits through RequestHandler.

--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -4,6 +4,7 @@
 
 from almondstack.capacity import Candidate, PoolNeed, PoolState
 from almondstack.control.admission_waits import AdmissionWaits
+from almondstack.control.messages import InstanceInfo, InstanceState
 from almondstack.control.planning import Planner
 from almondstack.control.published_admission import published_entitlements, published_waits_ms
 from almondstack.intake import Receipt, Verdict
@@ -189,6 +190,47 @@
     assert _submit(world, 1, "light") is Verdict.DONE
 
 
+def _owner_returns(world):
+    return world.processes[0].owner.parts.requests._returns._accounts["flood"].returns
+
+
+def test_flood_what_the_owner_accepts_between_two_computations_is_added_to_the_wait(world):
+    _set_wait(world, 6_000)
+    verdicts = [_submit(world, 0, "flood") for _ in range(10)]
+    # The wait may be 7.7 s, and each job takes the two cores half a second.
+    assert verdicts == [Verdict.DONE] * 4 + [Verdict.FULL] * 6
+
+
+def test_flood_the_owner_holds_no_room_for_a_caller_whose_job_it_has_accepted(world):
+    job = next(_JOBS)
+    _set_wait(world, 7_800)
+    assert _submit(world, 0, "flood", job) is Verdict.FULL
+    _set_wait(world, 7_600)
+    assert _submit(world, 0, "flood", next(_JOBS)) is Verdict.FULL
+    world.pass_time(1.0)
+    assert _submit(world, 0, "flood", job) is Verdict.DONE
+    assert job not in _owner_returns(world)
+
+
+def test_flood_the_waits_are_computed_with_the_instances_that_each_pool_is_to_have(
+    world, monkeypatch
+):
+    updates = []
+    monkeypatch.setattr(AdmissionWaits, "update", lambda _self, *given: updates.append(given))
+    fleet = world.processes[0].owner.parts.fleet
+    fleet._manager._instances = {
+        name: InstanceInfo(name, "p", InstanceState.UP, "a", "r", 4_000, f"w{number}")
+        for number, name in enumerate(["m", "n"], 1)
+    }
+    now_s = world.clock.now_s
+    fleet._manager._listed_s = fleet._manager._list_requested_s = now_s
+    fleet._balancer._targets = {"p": 7}
+    fleet._decide(now_s)
+    states, _, _, given_s, _, targets = updates[0]
+    assert [state.name for state in states] == ["p"] and given_s == now_s
+    assert targets == {"p": 7}
+
+
 def test_flood_changed_entitlements_alone_cost_no_append(world):
     before = _notices(world)
     world.processes[0].owner.parts.fleet._admission.state = AdmissionState(
--- a/almondstack/placement/tests/test_admission.py
+++ b/almondstack/placement/tests/test_admission.py
@@ -41,7 +41,7 @@
 
 
 def _rejected(calls):
-    return [call for call in calls if not call.decision.is_accepted]
+    return [call for call in calls if not call.is_accepted]
 
 
 def _flooded(rate, comes_back_s=returns_when_told, quiet_s=0.0):
@@ -89,9 +89,9 @@
     later = [call for call in calls if call.at_s > 103.0]
     new = [call for call in later if call.attempt == 0]
     back = [call for call in later if call.attempt == 1]
-    accepted = [call for call in back if call.decision.is_accepted]
+    accepted = [call for call in back if call.is_accepted]
     assert len(accepted) >= 0.7 * len(back)
-    assert sum(call.decision.is_accepted for call in new) <= 0.1 * len(new)
+    assert sum(call.is_accepted for call in new) <= 0.1 * len(new)
 
 
 @pytest.mark.parametrize("rate", [1, 5])
@@ -105,7 +105,7 @@
     load.play(3.0, 2)
     first, later = _rejected([call for call in load.calls if call.attempt == 0])[-2:]
     early = load.call(first.job, "flood", 1)
-    assert not early.decision.is_accepted
+    assert not early.is_accepted
     assert first.told_s <= early.told_s < first.told_s + 1.0 and early.told_s <= later.told_s + 1.0
 
 
--- a/almondstack/testing/admission_load.py
+++ b/almondstack/testing/admission_load.py
@@ -2,17 +2,25 @@
 
 Explanation
 -----------
-The judgement and the order of return are product code.  The flooding account's accepted work
-drains in order at the rate of its entitlement; that of the light accounts does not wait.
+Submissions are handled by the owner's :class:`~almondstack.control.request_handler.RequestHandler`,
+whose records are taken as stored at once.  The flooding account's accepted work drains in order
+at the rate of its entitlement; that of the light accounts does not wait.
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
-
-from almondstack.jobs import Submission
+from typing import NamedTuple, cast
+from unittest import mock
+
+from almondstack.control import request_handler
+from almondstack.control.planning import Planner
+from almondstack.control.request_handler import RequestHandler
+from almondstack.control.services import OwnerServices
+from almondstack.core import LocalMetrics
+from almondstack.core.events import EventLog
+from almondstack.intake import Receipt, SubmissionRequest, Verdict
+from almondstack.jobs import JobIndex, Submission
 from almondstack.jobs.admission_state import AdmissionState, core_ms, wait_key
-from almondstack.placement.admission import Decision, judge
-from almondstack.placement.return_schedule import ReturnSchedule
+from almondstack.placement import QueuePolicy
 from almondstack.testing.job_builders import make_job, make_policy, make_step
 
 __all__ = ["AdmissionLoad", "Call", "returns_when_told"]
@@ -24,18 +32,23 @@
 
 
 class Call(NamedTuple):
-    """One call: its job, account, time in seconds, number of earlier attempts, and decision."""
+    """One call: its job, account, time in seconds, number of earlier attempts, and receipt."""
 
     job: str
     account: str
     at_s: float
     attempt: int
-    decision: Decision
+    receipt: Receipt
+
+    @property
+    def is_accepted(self) -> bool:
+        """Whether the job is stored."""
+        return self.receipt.verdict is Verdict.DONE
 
     @property
     def told_s(self) -> float:
         """Time at which its caller was told to return."""
-        return self.at_s + self.decision.retry_s
+        return self.at_s + self.receipt.retry_s
 
 
 def returns_when_told(call: Call) -> float | None:
@@ -43,6 +56,38 @@
     return call.told_s
 
 
+class _Services:
+    """The owner's services that handling a submission needs; all of the log has been read."""
+
+    def __init__(self) -> None:
+        self.index = JobIndex()
+        self.events = EventLog("load")
+        self.metrics = LocalMetrics()
+
+    def read_offset(self) -> int:
+        """Return the offset up to which the log has been read."""
+        return 0
+
+
+class _OneQueue:
+    """A planner with one queue."""
+
+    def policy_of(self, _submission: Submission) -> QueuePolicy:
+        """Return the policy of the queue."""
+        return make_policy()
+
+
+class _Clock:
+    """Monotonic clock that shows the time of a load."""
+
+    def __init__(self, load: "AdmissionLoad") -> None:
+        self._load = load
+
+    def monotonic(self) -> float:
+        """Return the simulated time in seconds."""
+        return self._load.now_s
+
+
 class AdmissionLoad:
     """Submits a flood of one account beside the usual jobs of others, on a simulated clock.
 
@@ -68,9 +113,8 @@
     ) -> None:
         self.calls: list[Call] = []
         self.ends_s: dict[str, float] = {}
-        self.policy = make_policy()
-        self.schedule = ReturnSchedule()
         self.now_s = 100.0
+        self._handler = RequestHandler(cast(OwnerServices, _Services()), cast(Planner, _OneQueue()))
         self._entitled_millis = entitled_millis
         self._comes_back_s = comes_back_s
         self._returns: list[tuple[float, str, int]] = []
@@ -102,22 +146,22 @@
     def call(self, job: str, account: str, attempt: int = 0) -> Call:
         """Submit a job of one task that takes a core for a second; it has 2 s to end."""
         submission = make_job(make_step(), account=account).submission
-        call = Call(job, account, self.now_s, attempt, self._decide(job, submission))
+        call = Call(job, account, self.now_s, attempt, self._submit(job, submission))
         self.calls.append(call)
-        if call.decision.is_accepted and account == "flood":
+        if call.is_accepted and account == "flood":
             self._work_ms += core_ms(submission)
             self.ends_s[job] = max(1.0, self._work_ms / self._entitled_millis)
-        if not call.decision.is_accepted:
+        if not call.is_accepted:
             back_s = self._comes_back_s(call)
             if back_s is not None:
                 self._returns.append((back_s, job, attempt + 1))
         return call
 
-    def _decide(self, job: str, submission: Submission) -> Decision:
-        account = submission.account
-        held_ms = self.schedule.held_ms(account, job, self.now_s)
-        decision = judge(self._state, submission, self.policy, self.now_s, held_ms)
-        if decision.is_accepted:
-            self.schedule.release(account, job)
-            self._state.note_accepted(submission)
-        return self.schedule.reserve(account, job, decision, self.now_s)
+    def _submit(self, job: str, submission: Submission) -> Receipt:
+        request = SubmissionRequest(job, submission, read_offset=0)
+        with mock.patch.object(request_handler, "time", _Clock(self)):
+            self._handler.submit(request, self._state)
+            self._handler.answer_stored(end_offset=0)
+        receipt = request.receipt
+        assert receipt is not None
+        return receipt
