--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -110,6 +110,7 @@
             services.index.admission,
             self._predictions.run_times,
             services.control.move_s,
+            time.monotonic(),
         )
         self._speed_monitor = SpeedMonitor(
             table, self._predictions.run_times, services.events, services.metrics
@@ -133,7 +134,7 @@
     @property
     def admission(self) -> AdmissionState:
         """Expected waits of new work, and the accounts whose demand is beyond their entitlement."""
-        return self._admission.state
+        return self._admission.state_at(time.monotonic())
 
     @property
     def entitlements(self) -> Entitlements:
@@ -215,7 +216,12 @@
         size_millis = median_size_millis(instances)
         self._pools_with_incoming = {state.name for state in states if state.coming}
         self._admission.update(
-            states, policies, self.entitlements, time.time() * 1000.0, self._balancer.targets
+            states,
+            policies,
+            self.entitlements,
+            now_s,
+            time.time() * 1000.0,
+            self._balancer.targets,
         )
         wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         self._log_pools(states, wanted)
--- a/almondstack/placement/tests/test_admission.py
+++ b/almondstack/placement/tests/test_admission.py
@@ -22,6 +22,13 @@
 
 _KEY = wait_key("p", "a")
 
+_REJECTED = Decision(
+    RejectionReason.BEYOND_ENTITLEMENT, 500.0, entitled_millis=1_000.0, work_ms=1_000.0
+)
+"""Half a second late, of a job that takes the account's entitlement a second."""
+
+_EARLY_S = (0.25, 0.5, 0.75, 1.0, 3.25)
+
 
 def _state(wait_ms, entitled_millis=None, **fields):
     entitled = {} if entitled_millis is None else {"a": entitled_millis}
@@ -34,7 +41,7 @@
 
 
 def _rejected(calls):
-    return [call for call in calls if not call.decision.is_accepted]
+    return [call for call in calls if not call.is_accepted]
 
 
 def _flooded(rate, comes_back_s=returns_when_told, quiet_s=0.0):
@@ -82,9 +89,9 @@
     later = [call for call in calls if call.at_s > 103.0]
     new = [call for call in later if call.attempt == 0]
     back = [call for call in later if call.attempt == 1]
-    accepted = [call for call in back if call.decision.is_accepted]
+    accepted = [call for call in back if call.is_accepted]
     assert len(accepted) >= 0.7 * len(back)
-    assert sum(call.decision.is_accepted for call in new) <= 0.1 * len(new)
+    assert sum(call.is_accepted for call in new) <= 0.1 * len(new)
 
 
 @pytest.mark.parametrize("rate", [1, 5])
@@ -98,10 +105,54 @@
     load.play(3.0, 2)
     first, later = _rejected([call for call in load.calls if call.attempt == 0])[-2:]
     early = load.call(first.job, "flood", 1)
-    assert not early.decision.is_accepted
+    assert not early.is_accepted
     assert first.told_s <= early.told_s < first.told_s + 1.0 and early.told_s <= later.told_s + 1.0
 
 
+def _full_schedule(works_ms, now_s=0.0):
+    """Return a schedule in which one job after the other was rejected, half a second late."""
+    schedule = ReturnSchedule()
+    for number, work_ms in enumerate(works_ms):
+        schedule.reserve("a", str(number), _REJECTED._replace(work_ms=work_ms), now_s)
+    return schedule
+
+
+def test_flood_a_caller_who_keeps_returning_early_keeps_its_place():
+    """Each early call moved its own place, and those told later came first."""
+    schedule = _full_schedule([3_000.0, 1_000.0])
+    told_s = [now_s + schedule.reserve("a", "1", _REJECTED, now_s).retry_s for now_s in _EARLY_S]
+    assert told_s == [4.25, 4.5, 4.75, 4.0, 4.25]
+    assert schedule.held_ms("a", "1", 4.0) == 0.0
+
+
+def test_flood_the_virtual_queue_ends_with_its_callers():
+    """Return times of a minute were told though all before had left or were accepted."""
+    accepted, left = _full_schedule([50_000.0]), _full_schedule([50_000.0])
+    accepted.release("a", "0")
+    assert accepted.reserve("a", "new", _REJECTED, 0.5).retry_s == 1
+    assert left.reserve("a", "new", _REJECTED, 2.0).retry_s == 49
+    assert _full_schedule([50_000.0]).reserve("a", "new", _REJECTED, 3.5).retry_s == 1
+
+
+def test_flood_no_room_is_held_for_a_renewed_place_that_has_lapsed():
+    """It stands behind later ones that have not lapsed yet."""
+    schedule = _full_schedule([9_000.0, 1_000.0])
+    renewed = schedule.reserve("a", "0", _REJECTED._replace(work_ms=9_000.0), 1.0)
+    assert renewed.retry_s == 1
+    assert schedule.held_ms("a", "new", 3.9) == 9_000.0
+    assert schedule.held_ms("a", "new", 4.5) == 0.0
+    assert schedule.held_ms("a", "0", 9.5) == 1_000.0
+
+
+def test_flood_the_account_that_was_least_recently_rejected_is_forgotten_first():
+    schedule = ReturnSchedule()
+    for number in range(256):
+        schedule.reserve(f"a{number}", "j", _REJECTED, 0.0)
+    schedule.reserve("a0", "j", _REJECTED, 0.1)
+    schedule.reserve("new", "j", _REJECTED, 0.2)
+    assert "a0" in schedule._accounts and "a1" not in schedule._accounts
+
+
 def test_a_job_larger_than_the_entitlement_is_accepted_where_others_leave_room():
     """Its work takes the entitlement longer than its objective, but the pool has no backlog."""
     assert _judge(_state(0, 4_000), make_step(20)).is_accepted
@@ -153,8 +204,11 @@
 
 
 def test_owner_lost_a_flood_is_accepted_at_the_rate_of_its_entitlement_however_old_the_state():
-    """Before, all were accepted once the notice was 2.5 s old."""
-    state, submission = _state(3_000, 4_000, known_s=0.0), make_job().submission
+    """Before, all were accepted once the notice was 2.5 s old.
+
+    The wait is at its bound at first, so that no filling of the queue adds to the rate.
+    """
+    state, submission = _state(5_000, 4_000, known_s=0.0), make_job().submission
     accepted = 0
     for number in range(200):
         decision = judge(state, submission, make_policy(), number / 10.0)
@@ -164,6 +218,20 @@
     assert 0.7 * 20 * _ENTITLED_PER_S <= accepted <= 1.05 * 20 * _ENTITLED_PER_S
 
 
+@pytest.mark.parametrize(("now_s", "is_accepted"), [(0.0, False), (2.5, False), (2.6, True)])
+def test_owner_lost_an_aged_state_says_nothing_of_accounts_within_their_entitlement(
+    now_s, is_accepted
+):
+    """They were rejected for a minute, by waits that nobody had computed anew."""
+    decision = _judge(_state(60_000, known_s=0.0), now_s=now_s)
+    assert decision.is_accepted is is_accepted
+    assert not _judge(_state(60_000, 4_000, known_s=0.0), now_s=now_s).is_accepted
+
+
+def test_within_its_entitlement_the_state_that_the_owner_has_computed_does_not_age():
+    assert not _judge(_state(60_000), now_s=99.0).is_accepted
+
+
 def test_owner_lost_an_account_that_the_state_does_not_name_is_accepted():
     assert _judge(_state(60_000, 1, known_s=0.0), account="light").is_accepted
 
@@ -191,11 +259,8 @@
 
 def test_the_schedule_keeps_bounded_state():
     schedule = ReturnSchedule()
-    rejected = Decision(
-        RejectionReason.BEYOND_ENTITLEMENT, 500.0, entitled_millis=1_000.0, work_ms=100.0
-    )
     for account in range(600):
-        schedule.reserve(f"a{account}", "j", rejected, 0.0)
-    retries_s = [schedule.reserve("a", str(job), rejected, 0.0).retry_s for job in range(2_000)]
+        schedule.reserve(f"a{account}", "j", _REJECTED, 0.0)
+    retries_s = [schedule.reserve("a", str(job), _REJECTED, 0.0).retry_s for job in range(2_000)]
     assert retries_s == sorted(retries_s) and retries_s[-1] == 60
     assert len(schedule._accounts) <= 256 and len(schedule._accounts["a"].returns) <= 128
