Bound lasting work by the ceiling of its account

Cause: divide_fairly took all lasting tasks of an account as its floor, also those that wait behind its ceiling and can never start, and the needs of pools counted them too. An account with a ceiling of 10 cores that asked for 1,000 lasting ones was entitled to 1,000 of a fleet of 160 cores, the others to 0.

Change: the floor is max(running, min(asked, ceiling)) for each resource. AccountDemand and PoolNeed tell apart the lasting work that runs. The lasting need of a pool is bounded alike, in cores by what runs or the ceiling, in memory as the instances that the account's other tasks fill.

The property test test_ceilings_hold_but_for_lasting_work stated the fault as an exception. Its successor allows only lasting work that runs to be beyond the ceiling, draws how much runs, and checks what is asked and granted too; test_the_entitlement_covers_what_is_granted has the same floor.

--- a/almondstack/capacity/demand.py
+++ b/almondstack/capacity/demand.py
@@ -30,6 +30,8 @@
         Memory of the present tasks, in megabytes.
     lasting_filled_instances : float
         The part of ``filled_instances`` that long-running tasks fill.
+    lasting_running_millis : int
+        The part of ``lasting_millis`` that runs.
 
     Attributes
     ----------
@@ -44,6 +46,7 @@
         "filled_instances",
         "lasting_filled_instances",
         "lasting_millis",
+        "lasting_running_millis",
         "late_millis",
         "memory_mb",
         "min_instances",
@@ -62,6 +65,7 @@
         filled_instances: float = 0.0,
         memory_mb: int = 0,
         lasting_filled_instances: float = 0.0,
+        lasting_running_millis: int = 0,
     ) -> None:
         self.lasting_millis = lasting_millis
         self.running_millis = running_millis
@@ -72,6 +76,7 @@
         self.filled_instances = filled_instances
         self.memory_mb = memory_mb
         self.lasting_filled_instances = lasting_filled_instances
+        self.lasting_running_millis = lasting_running_millis
         self.entitled: PoolNeed | None = None
 
     @property
--- a/almondstack/control/account_demands.py
+++ b/almondstack/control/account_demands.py
@@ -93,11 +93,12 @@
         Fillers are left out, since they use what others leave.
         """
         demand = self._of(job.submission.account)
-        for step, count in _held_tasks(job):
+        for step, held, running in _held_tasks(job):
             if step.is_long_running:
-                self._add(demand.lasting, step, count)
+                self._add(demand.lasting, step, held)
+                self._add(demand.lasting_running, step, running)
             elif not is_late:
-                self._add(demand.running, step, count)
+                self._add(demand.running, step, running)
         if not is_late:
             self._add_waiting(job, policy, demand.waiting, now_unix_ms)
 
@@ -154,16 +155,18 @@
         return found
 
 
-def _held_tasks(job: ActiveJob) -> list[tuple[Step, int]]:
-    """Return each step with the number of its tasks that run or last, without fillers."""
+def _held_tasks(job: ActiveJob) -> list[tuple[Step, int, int]]:
+    """Return each step but fillers, how many of its tasks run or last, and how many run."""
     steps = job.submission.steps
-    counts = [0] * len(steps)
+    held = [0] * len(steps)
+    running = [0] * len(steps)
     for task in job.tasks():
+        is_running = task.status is TaskStatus.ASSIGNED
         is_lasting = task.step.is_long_running and task.status is not TaskStatus.DONE
-        if task.status is TaskStatus.ASSIGNED or is_lasting:
-            counts[task.key.step] += 1
+        held[task.key.step] += is_running or is_lasting
+        running[task.key.step] += is_running
     return [
-        (step, count)
-        for step, count in zip(steps, counts, strict=True)
-        if count and not step.is_filler
+        (step, held[number], running[number])
+        for number, step in enumerate(steps)
+        if held[number] and not step.is_filler
     ]
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -135,10 +135,11 @@
         for (pool, account), need in by_account.items():
             if pool in needs:
                 needs[pool].memory_mb += need.memory_mb
-                needs[pool].filled_instances += self._filled_within_ceiling(need, account, policies)
-                needs[pool].lasting_filled_instances += need.lasting_filled_instances
+                filled = self._filled_within_ceiling(need, account, policies)
+                needs[pool].filled_instances += filled
+                needs[pool].lasting_filled_instances += min(need.lasting_filled_instances, filled)
                 room_millis = self._account_room_millis(account, policies)
-                needs[pool].lasting_millis += need.lasting_millis
+                needs[pool].lasting_millis += _lasting_within_ceiling(need, account, policies)
                 needs[pool].running_millis += need.running_millis
                 needs[pool].waiting_millis += min(need.waiting_millis, room_millis)
                 needs[pool].late_millis += min(need.late_millis, _ceiling_millis(account, policies))
@@ -196,6 +197,12 @@
     return max(0, policy.ceiling.cpu_millis)
 
 
+def _lasting_within_ceiling(need: PoolNeed, account: str, policies: Policies) -> int:
+    """Return the lasting demand that runs or that the account's ceiling leaves room for."""
+    within_millis = min(need.lasting_millis, _ceiling_millis(account, policies))
+    return max(need.lasting_running_millis, within_millis)
+
+
 def add_need(
     job: ActiveJob,
     need: PoolNeed,
@@ -219,6 +226,7 @@
             continue
         if task.step.is_long_running:
             need.lasting_millis += task.step.cpu_millis
+            need.lasting_running_millis += task.step.cpu_millis if task.is_assigned else 0
             need.min_instances = max(need.min_instances, _min_instances(task.step))
         elif task.is_assigned:
             running_millis += task.step.cpu_millis
--- a/almondstack/control/tests/test_fleet_shares.py
+++ b/almondstack/control/tests/test_fleet_shares.py
@@ -5,10 +5,19 @@
 import pytest
 
 from almondstack.control import pool_needs
+from almondstack.control.account_demands import AccountDemands
 from almondstack.control.entitlement_report import EntitlementReport
 from almondstack.core import LocalMetrics
 from almondstack.placement import AccountPolicy, Resources
 from almondstack.placement.entitlements import AccountDemand, Entitlements, divide_fairly
+from almondstack.testing.job_builders import (
+    assign,
+    make_job,
+    make_policy,
+    make_step,
+    make_table,
+    make_worker,
+)
 from almondstack.testing.short_fleet import SettableTime, ShortFleet
 
 _LIGHT = [f"light{number}" for number in range(4)]
@@ -111,6 +120,17 @@
     assert not fleet.balancer.entitlements.is_short
 
 
+def test_lasting_work_that_runs_is_part_of_all_lasting_work():
+    job = make_job(make_step(3, is_long_running=True))
+    worker = make_worker()
+    assign(make_table(job, workers=(worker,)), job.steps_of(0)[0][0], worker)
+    demands = AccountDemands({"a", "b"}, Resources())
+    demands.add(job, make_policy(), 0.0, is_late=False)
+    (demand,) = demands.all()
+    assert (demand.lasting.cpu_millis, demand.lasting_running.cpu_millis) == (3_000, 1_000)
+    assert demand.running.cpu_millis == demand.waiting.cpu_millis == 0
+
+
 class _Events:
     """Keeps the events that are written."""
 
--- a/almondstack/control/tests/test_pool_balancer.py
+++ b/almondstack/control/tests/test_pool_balancer.py
@@ -11,6 +11,7 @@
 from almondstack.control.pool_needs import PoolNeeds, add_need
 from almondstack.placement import AccountPolicy, Policies, Resources
 from almondstack.testing.job_builders import (
+    assign,
     make_job,
     make_policy,
     make_step,
@@ -176,6 +177,28 @@
     assert _need(late, accounts={"a": ceiling}).late_millis == 4_000
 
 
+def test_lasting_work_beyond_the_ceiling_of_an_account_brings_no_instances():
+    """An account with a ceiling of 10 cores asked for 1,000 lasting ones, and a pool grew."""
+    ceiling = AccountPolicy("a", ceiling=Resources(10_000))
+    assert _need(_lasting(2_000, 10, "a" * 16), accounts={"a": ceiling}).lasting_millis == 10_000
+
+
+def test_lasting_work_that_runs_beyond_a_ceiling_keeps_its_instances():
+    """A ceiling was lowered, and what runs is not stopped."""
+    lasting = _lasting(40, 10, "a" * 16)
+    worker = make_worker("w1", cpu_millis=32_000)
+    for task in lasting.steps_of(0)[0][:30]:
+        assign(make_table(lasting, workers=(worker,)), task, worker)
+    ceiling = AccountPolicy("a", ceiling=Resources(10_000))
+    assert _need(lasting, accounts={"a": ceiling}).lasting_millis == 15_000
+
+
+def test_lasting_work_beyond_a_ceiling_in_memory_is_no_floor():
+    ceiling = AccountPolicy("a", ceiling=Resources(0, 80_000))
+    need = _need(_lasting(10, 40_000, "a" * 16), accounts={"a": ceiling})
+    assert need.lasting_filled_instances == 2.0
+
+
 def test_a_negative_ceiling_does_not_end_the_owner():
     """Guards against a division by zero for an account that asks for no memory."""
     ceiling = AccountPolicy("a", ceiling=Resources(-1, -1))
--- a/almondstack/placement/entitlements.py
+++ b/almondstack/placement/entitlements.py
@@ -25,15 +25,18 @@
     account : str
         Name of the account.
     lasting : Resources
-        Long-running tasks, running or not: they are covered before all other work.
+        Long-running tasks, running or not: they are covered before all other work, as far as
+        the account's ceiling allows.
     running : Resources
         Other running tasks of jobs that can still end within their objective.
     waiting : Resources
         Ready tasks of such jobs that wait for room, and those of jobs expected to arrive.
         Late work is no part of it.
+    lasting_running : Resources
+        The part of ``lasting`` that runs; it is covered whatever the ceiling.
     """
 
-    __slots__ = ("account", "lasting", "running", "waiting")
+    __slots__ = ("account", "lasting", "lasting_running", "running", "waiting")
 
     def __init__(
         self,
@@ -41,11 +44,13 @@
         lasting: Resources | None = None,
         running: Resources | None = None,
         waiting: Resources | None = None,
+        lasting_running: Resources | None = None,
     ) -> None:
         self.account = account
         self.lasting = lasting or Resources()
         self.running = running or Resources()
         self.waiting = waiting or Resources()
+        self.lasting_running = lasting_running or Resources()
 
 
 class AccountShare:
@@ -158,7 +163,8 @@
     Parameters
     ----------
     floor, rest : tuple of float
-        Lasting work, and what the ceiling leaves of the other work.
+        Lasting work that runs or that the ceiling leaves room for, and what the ceiling leaves
+        of the other work.
     weight : float
         Weight of the account.
     allowed : float
@@ -187,9 +193,10 @@
     Explanation
     -----------
     Weighted max-min over the dominant resource of each account: "Dominant Resource Fairness"
-    (DRF; Ghodsi et al., NSDI 2011).  Ceilings are upper bounds.  Lasting work is covered
-    first and counts against its account's share.  The result limits nobody if fewer than two
-    accounts have demand, if the fleet covers all of it, or if no capacity is known.
+    (DRF; Ghodsi et al., NSDI 2011).  Ceilings are upper bounds but for lasting work that runs
+    already.  Lasting work is covered first and counts against its account's share.  The result
+    limits nobody if fewer than two accounts have demand, if the fleet covers all of it, or if
+    no capacity is known.
 
     Parameters
     ----------
@@ -240,11 +247,22 @@
     policy = accounts.get(demand.account)
     if policy is None:
         return _BoundedDemand(demand.account, floor, rest, 1.0)
-    part = _part_below(_amounts(policy.ceiling), floor, rest)
+    ceiling = _amounts(policy.ceiling)
+    floor = _floor_below(ceiling, floor, _amounts(demand.lasting_running))
+    part = _part_below(ceiling, floor, rest)
     within = (part * rest[0], part * rest[1], part * rest[2])
     return _BoundedDemand(demand.account, floor, within, policy.weight, part)
 
 
+def _floor_below(ceiling: _Amounts, lasting: _Amounts, running: _Amounts) -> _Amounts:
+    """Return the lasting work that runs or is within a ceiling; 0 in it is no bound."""
+    cpu, memory, gpus = (
+        max(held, min(asked, bound)) if bound else asked
+        for bound, asked, held in zip(ceiling, lasting, running, strict=True)
+    )
+    return cpu, memory, gpus
+
+
 def _part_below(ceiling: _Amounts, floor: _Amounts, rest: _Amounts) -> float:
     """Return the part of ``rest`` that a ceiling leaves room for; 0 in a ceiling is no bound."""
     part = 1.0
--- a/almondstack/placement/tests/test_entitlements.py
+++ b/almondstack/placement/tests/test_entitlements.py
@@ -19,8 +19,14 @@
 _RELATIVE = 1e-6
 
 
-def _demand(account, cpu=0, memory=0, *, lasting=0, running=0):
-    return AccountDemand(account, Resources(lasting), Resources(running), Resources(cpu, memory))
+def _demand(account, cpu=0, memory=0, *, lasting=0, running=0, lasting_running=0):
+    return AccountDemand(
+        account,
+        Resources(lasting),
+        Resources(running),
+        Resources(cpu, memory),
+        Resources(lasting_running),
+    )
 
 
 def _names(count):
@@ -29,11 +35,15 @@
 
 _amounts = st.integers(0, 300_000)
 _demands = st.lists(
-    st.tuples(_amounts, st.integers(0, 900_000), st.integers(0, 40_000)), min_size=2, max_size=8
+    st.tuples(
+        _amounts, st.integers(0, 900_000), st.integers(0, 40_000), st.sampled_from([0, 0, 0.5, 1.0])
+    ),
+    min_size=2,
+    max_size=8,
 ).map(
     lambda rows: [
-        _demand(name, cpu, memory, lasting=lasting)
-        for name, (cpu, memory, lasting) in zip(_names(len(rows)), rows, strict=True)
+        _demand(name, cpu, memory, lasting=lasting, lasting_running=int(part * lasting))
+        for name, (cpu, memory, lasting, part) in zip(_names(len(rows)), rows, strict=True)
     ]
 )
 _policies = st.lists(
@@ -46,13 +56,6 @@
 )
 
 
-def _total(demand):
-    return Resources(
-        demand.lasting.cpu_millis + demand.running.cpu_millis + demand.waiting.cpu_millis,
-        demand.lasting.memory_mb + demand.running.memory_mb + demand.waiting.memory_mb,
-    )
-
-
 def _lasting(demands):
     return sum(demand.lasting.cpu_millis for demand in demands)
 
@@ -147,6 +150,30 @@
     assert table.entitled("a") == 170_000 and table.covered_share("b") == 0.0
 
 
+def _flooded_by_lasting(running):
+    """Return the table of an account of which a ceiling of 10 cores bounds 1,000 lasting ones."""
+    accounts = {"big": AccountPolicy("big", 1.0, Resources(10_000))}
+    demands = [
+        _demand("big", lasting=1_000_000, lasting_running=running),
+        _demand("a", 60_000),
+        _demand("b", 70_000),
+    ]
+    return divide_fairly(demands, _CAPACITY, accounts)
+
+
+def test_ceiling_lasting_work_beyond_it_takes_nothing_from_the_others():
+    """An account asked for 1,000 lasting cores, and the others were entitled to nothing."""
+    table = _flooded_by_lasting(0)
+    assert table.entitled("big") == 10_000
+    assert (table.entitled("a"), table.entitled("b")) == (45_000, 45_000)
+
+
+def test_ceiling_lasting_work_that_runs_beyond_it_is_covered():
+    """A ceiling was lowered, and what runs is not stopped."""
+    table = _flooded_by_lasting(30_000)
+    assert table.entitled("big") == 30_000 and table.entitled("a") == 35_000
+
+
 def test_a_weight_of_zero_and_a_negative_ceiling_do_not_end_the_owner():
     accounts = {"a": AccountPolicy("a", 0.0), "b": AccountPolicy("b", 1.0, Resources(-1, -1))}
     demands = [_demand("a", 900_000), _demand("b", 900_000), _demand("c", 60_000)]
@@ -196,6 +223,7 @@
                 demand.waiting.cpu_millis * factor,
                 demand.waiting.memory_mb * factor,
                 lasting=demand.lasting.cpu_millis,
+                lasting_running=demand.lasting_running.cpu_millis,
             )
             if demand.account == account
             else demand
@@ -212,13 +240,15 @@
 
 
 @given(_demands, _policies)
-def test_ceilings_hold_but_for_lasting_work(demands, policies):
+def test_ceilings_hold_but_for_lasting_work_that_runs(demands, policies):
     table = divide_fairly(demands, _CAPACITY, policies)
     for demand in demands:
         ceiling = policies[demand.account].ceiling.cpu_millis
         if ceiling and table.is_short:
-            bound = max(ceiling, demand.lasting.cpu_millis)
+            bound = max(ceiling, demand.lasting_running.cpu_millis)
             assert table.entitled(demand.account) <= bound + _ROUNDING
+            share = table.shares.get(demand.account)
+            assert share is None or share.granted.cpu_millis <= share.asked.cpu_millis <= bound
 
 
 @given(_demands, _policies)
@@ -246,9 +276,10 @@
         assert 0.0 <= table.covered_share(demand.account) <= 1.0
         share = table.shares.get(demand.account)
         assert share is None or table.entitled(demand.account) >= share.granted.cpu_millis
-        assert table.entitled(demand.account) >= min(
-            demand.lasting.cpu_millis, _total(demand).cpu_millis
-        )
+        lasting = demand.lasting.cpu_millis
+        ceiling = policies[demand.account].ceiling.cpu_millis or lasting
+        floor = max(demand.lasting_running.cpu_millis, min(lasting, ceiling))
+        assert table.entitled(demand.account) >= floor
 
 
 _POLICY = make_policy()
