Split a step at the entitlement of its account

Cause: a step counted as within the entitlement, whole, if its account was below it before. One step of 400 tasks each second in an urgent queue took all of a pool ahead of accounts that use a quarter of it.

Change: the tasks of a step are within until what the account runs and has ahead in line exceeds its entitlement; the rest is ordered with the work beyond. Gangs and long-running steps stay whole. PoolRound doesn't try a later part of a step that found no room, so that a step is blocked once and reserves one worker. Without a shortage the order is that of before.

--- a/almondstack/control/tests/test_fleet_shares.py
+++ b/almondstack/control/tests/test_fleet_shares.py
@@ -8,7 +8,7 @@
 from almondstack.control.account_demands import AccountDemands
 from almondstack.control.entitlement_report import EntitlementReport
 from almondstack.core import LocalMetrics
-from almondstack.placement import AccountPolicy, Resources
+from almondstack.placement import AccountPolicy, QueuePolicy, Resources
 from almondstack.placement.entitlements import AccountDemand, Entitlements, divide_fairly
 from almondstack.testing.job_builders import (
     assign,
@@ -66,6 +66,31 @@
     assert flooded >= _LEAST_SHARE * quiet
 
 
+def _light_beside(clock, giant_tasks):
+    """Return the jobs in time of an account that uses a quarter of its pool, of 300.
+
+    The other account's queue is more urgent.
+    """
+    clock.now_s = 1_000.0
+    fleet = ShortFleet({"a": 10}, 0, clock)
+    for urgency, queue in enumerate(["urgent", "a"]):
+        policy = QueuePolicy(queue, "a", urgency=urgency, stretch=1.5, objective_ms=2_000)
+        fleet.policies.queues[queue] = policy
+    chance = random.Random(1)
+    for number in range(150):
+        for _ in range(2):
+            fleet.submit("a", "light", chance.randint(600, 1_400), 2)
+        if giant_tasks and number % 10 == 5:
+            fleet.submit("urgent", "flood", 2_000, giant_tasks)
+        fleet.run_round()
+    return fleet.in_time["light"]
+
+
+def test_flood_of_steps_with_many_tasks_leaves_light_accounts_their_share(clock):
+    """A step of 400 tasks each second left a light account 65 of 300 jobs in time."""
+    assert _light_beside(clock, 400) >= _LEAST_SHARE * _light_beside(clock, 0)
+
+
 def test_quiet_fleet_takes_the_paths_without_entitlements(clock):
     fleet = _play(clock, 0, rounds=60)
     assert not fleet.balancer.entitlements.is_short
--- a/almondstack/placement/fairness.py
+++ b/almondstack/placement/fairness.py
@@ -40,7 +40,9 @@
 
     While accounts compete for a short fleet, their entitlements in it replace the shares
     in the pool, and come before the urgency of queues: an account is not served before
-    others because it floods an urgent queue.
+    others because it floods an urgent queue.  A step that only begins within the entitlement
+    of its account is returned in two parts, the rest with the steps beyond it; a gang is not
+    split.
 
     Parameters
     ----------
@@ -81,14 +83,37 @@
     for rank, tasks in sorted(steps, key=lambda step: step[0]):
         account = tasks[0].job.submission.account
         before = asked.get(account, 0)
-        is_beyond = not tasks[0].step.is_long_running and entitlements.is_beyond(account, before)
-        keyed.append((rank[0], is_beyond, rank[1:], rank, tasks))
+        within, beyond = _split(tasks, entitlements.entitled(account) - before)
+        if within:
+            keyed.append((rank[0], False, rank[1:], rank, within))
+        if beyond:
+            keyed.append((rank[0], True, rank[1:], rank, beyond))
         if not tasks[0].step.is_filler:
             asked[account] = before + _waiting_millis(tasks)
     keyed.sort(key=lambda entry: entry[:3])
     return [(rank, tasks) for *_, rank, tasks in keyed]
 
 
+def _split(tasks: list[Task], left_millis: float) -> tuple[list[Task], list[Task]]:
+    """Return the tasks of a step that are within an entitlement of which that much is left.
+
+    Explanation
+    -----------
+    The first task beyond it still counts as within, so that no entitlement is too small for
+    a task.  Long-running tasks are never beyond.
+    """
+    step = tasks[0].step
+    if step.is_long_running:
+        return tasks, []
+    if left_millis < 0:
+        return [], tasks
+    if step.is_gang or step.is_filler or _waiting_millis(tasks) - step.cpu_millis <= left_millis:
+        return tasks, []
+    waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
+    count = int(left_millis // step.cpu_millis) + 1
+    return waiting[:count], waiting[count:]
+
+
 def _weight(account: str, accounts: Mapping[str, AccountPolicy]) -> float:
     return accounts.get(account, _DEFAULT).weight
 
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -73,11 +73,20 @@
         self.workers = workers
 
 
+_StepKey = tuple[str, int, int]
+"""Job, occurrence and step."""
+
+
 def _is_restricted(step: Step) -> bool:
     """Return whether a step may run only on some workers, so that others may have room."""
     return bool(step.required_label or step.most_per_worker)
 
 
+def _step_key(task: Task) -> _StepKey:
+    """Return what identifies the step of a task in a round."""
+    return task.job.id, task.key.occurrence, task.key.step
+
+
 class PoolRound:
     """Assigns tasks to the workers of one pool, step by step.
 
@@ -107,6 +116,7 @@
         "_max_reservations",
         "_preferences",
         "_reservations",
+        "_stopped",
         "_usage",
         "_workers",
     )
@@ -131,6 +141,7 @@
         self._blocked: list[Task] = []
         self._demands_without_room: list[Resources] = []
         self._at_ceiling: list[Task] = []
+        self._stopped: set[_StepKey] = set()
 
     @property
     def blocked(self) -> list[Task]:
@@ -148,7 +159,13 @@
         return self._at_ceiling
 
     def place(self, tasks: list[Task]) -> list[Assignment]:
-        """Place the waiting tasks of one step; steps must be passed in the order of their rank."""
+        """Place the waiting tasks of one step; steps must be passed in the order of their rank.
+
+        Explanation
+        -----------
+        A step may be passed in parts.  What could not be placed of an earlier part is not tried
+        again, since room only shrinks within a round.
+        """
         waiting = [task for task in tasks if task.status is TaskStatus.WAITING]
         if tasks[0].step.is_gang:
             return self._place_gang(tasks, waiting)
@@ -175,7 +192,7 @@
         return [Assignment(tasks, chosen)]
 
     def _place_singles(self, waiting: list[Task]) -> list[Assignment]:
-        if not waiting:
+        if not waiting or _step_key(waiting[0]) in self._stopped:
             return []
         candidates = self._candidates(waiting[0])
         placed: list[Task] = []
@@ -193,6 +210,8 @@
             self._take(task, worker)
             placed.append(task)
             chosen.append(worker)
+        if len(placed) < len(waiting):
+            self._stopped.add(_step_key(waiting[0]))
         return [Assignment(placed, chosen)] if placed else []
 
     def _choose(self, task: Task, candidates: list[Worker]) -> Worker | None:
--- a/almondstack/placement/tests/test_entitlements.py
+++ b/almondstack/placement/tests/test_entitlements.py
@@ -289,11 +289,18 @@
     return divide_fairly([_demand("flood", 900_000), _demand("light", 90_000)], _CAPACITY, {})
 
 
-def _order(jobs, now_ms, running=None, table=None):
+def _ordered(jobs, now_ms, running=None):
+    """Return the job and the number of tasks of each step, or part of one, in their order."""
     ready = [tasks for job in jobs for tasks in job.ready_steps(now_ms)]
     steps = [(rank_of(tasks, _POLICY, now_ms), tasks) for tasks in ready]
-    ordered = fair_order(steps, {}, {}, table or _short_table(), running or {})
-    return [tasks[0].job.id for _, tasks in ordered]
+    ordered = [tasks for _, tasks in fair_order(steps, {}, {}, _short_table(), running or {})]
+    placed = [task for tasks in ordered for task in tasks]
+    assert len(placed) == len(set(placed)) == sum(map(len, ready))
+    return [(tasks[0].job.id, len(tasks)) for tasks in ordered]
+
+
+def _order(jobs, now_ms, running=None):
+    return [job for job, _ in _ordered(jobs, now_ms, running)]
 
 
 def test_order_an_account_that_runs_beyond_its_share_elsewhere_comes_last():
@@ -308,8 +315,36 @@
         make_job(make_step(20), id=f"flood{n}", account="flood", accepted_ms=n) for n in range(4)
     ]
     light = make_job(id="light", account="light", accepted_ms=50)
-    order = _order([*flood, light], 60.0)
-    assert order == ["flood0", "flood1", "flood2", "light", "flood3"]
+    order = _ordered([*flood, light], 60.0)
+    within = [("flood0", 20), ("flood1", 20), ("flood2", 11)]
+    assert order == [*within, ("light", 1), ("flood2", 9), ("flood3", 20)]
+
+
+def _giant(**fields):
+    """Return the order of a step of 400 cores, of which 50 are within, and of a later one."""
+    step = make_step(400, **fields)
+    jobs = [make_job(step, id="giant", account="flood"), make_job(id="light", account="light")]
+    return _ordered(jobs, 0.0, {"flood": 30_000, "light": 1_000})
+
+
+def test_order_a_step_of_many_tasks_is_split_at_the_entitlement():
+    """A step of 400 tasks went whole before light accounts, since it began within."""
+    assert _giant() == [("giant", 21), ("light", 1), ("giant", 379)]
+
+
+def test_order_gangs_and_long_running_steps_are_not_split():
+    assert _giant(is_gang=True) == [("giant", 400), ("light", 1)]
+    assert _giant(is_long_running=True) == [("giant", 400), ("light", 1)]
+
+
+def test_order_of_a_split_step_only_waiting_tasks_count():
+    job = make_job(make_step(100), id="half", account="flood")
+    for task in job.steps_of(0)[0][:70]:
+        job.assign([task], ["w"], [1], 0.0)
+    (tasks,) = job.ready_steps(0.0)
+    steps = [(rank_of(tasks, _POLICY, 0.0), tasks)]
+    ordered = fair_order(steps, {}, {}, _short_table(), {"flood": 40_000})
+    assert [len(part) for _, part in ordered] == [11, 19]
 
 
 def test_order_late_work_within_its_share_comes_after_work_in_time():
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -39,6 +39,17 @@
     return [tasks[0].job.id for _, tasks in ordered]
 
 
+def test_a_step_that_is_placed_in_parts_is_blocked_once():
+    """Each part without room would reserve a worker."""
+    job = make_job(make_step(12))
+    pool_round = PoolRound([make_worker(f"w{n}") for n in range(2)], Usage({}), 0.0)
+    (tasks,) = job.ready_steps(0.0)
+    parts = [tasks[:3], tasks[3:10], tasks[10:]]
+    placed = [sum(len(one.tasks) for one in pool_round.place(part)) for part in parts]
+    assert placed == [3, 5, 0]
+    assert pool_round.blocked == [tasks[8]]
+
+
 def test_burst_the_job_with_the_least_slack_comes_first():
     jobs = [make_job(id="late", accepted_ms=500), make_job(id="early", accepted_ms=0)]
     assert _order(jobs, 600.0) == ["early", "late"]
