Test a watch and lost appends without the clock

Both failed once; the bounds hung on the machine's speed. Change: records come until the watch ends; pauses are counted on a clock that only sleeps advance. The checks are the same.

--- a/almondstack/ctl/tests/test_commands.py
+++ b/almondstack/ctl/tests/test_commands.py
@@ -249,13 +249,21 @@
 
 
 def test_watch_stops_after_the_given_count(harness):
-    timer = threading.Timer(0.2, harness.join)
-    timer.start()
-    code, line = harness.run("watch", "--count", "1", "--seconds", "5")
-    timer.join()
+    is_over = threading.Event()
+    joining = threading.Thread(target=_join_until, args=(harness, is_over))
+    joining.start()
+    code, line = harness.run("watch", "--count", "1", "--seconds", "30")
+    is_over.set()
+    joining.join()
     assert code == ExitCode.OK and line["verdict"] == "repeated"
 
 
+def _join_until(harness, is_over):
+    """Join again and again, so that a command that starts slowly sees a record as well."""
+    while not is_over.wait(0.2):
+        harness.join()
+
+
 def _team(name: str) -> dict:
     return msgspec.to_builtins(make_team(name))
 
--- a/almondstack/platform/tests/test_job_api.py
+++ b/almondstack/platform/tests/test_job_api.py
@@ -36,6 +36,19 @@
     return _Process()
 
 
+class _SleepClock:
+    """Replaces ``time``; only sleeps take time."""
+
+    def __init__(self):
+        self._now_s = 0.0
+
+    def monotonic(self):
+        return self._now_s
+
+    def sleep(self, seconds):
+        self._now_s += seconds
+
+
 class _Owner:
     """Returns the test's receipts or raises its failures; unreachable by default."""
 
@@ -356,6 +369,7 @@
         raise LogMovedError("another append came first")
 
     monkeypatch.setattr(process.store, "append_at", lose_every_race)
+    monkeypatch.setattr("almondstack.intake.direct.time", _SleepClock())
     response = process.ask("POST", body=job_body(), deadline_s=0.65)
     assert response.status == 503 and response.retry_after_s
     assert 2 <= len(tries) <= 20
