Use a slow worker at once when no other has room

Cause: max_runs was a strict bound, 0 for up to 4 s after each slow trial, and the hold was prolonged as long as slow runs were listed. With the normal workers full, jobs waited although slow ones stood empty.

Change: the bound is a preference. choose_worker, gangs and reservations take workers within their bounds first, and else the least slow one on which the task fits; a gang is first sought within the bounds on all racks. has_room, for moving runs, stays strict. A hold ends by time whatever runs are listed.

--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -64,19 +64,20 @@
     task failed before come last, then workers that calls for a former life may reach, then
     slow workers, then workers with a high penalty, then workers on another rack than the
     data, then those with the higher value of each of ``preferences`` in turn, of which there
-    are none by default.  A slow worker gets no more tasks than its trial allows.  Among the
-    rest the fullest worker with room is taken (best fit), so that whole workers stay free
-    for large tasks and for moves of instances; a filler task goes to the emptiest.
+    are none by default.  A slow worker gets more tasks than its trial allows only if no
+    worker within its bound has room.  Among the rest the fullest worker with room is taken
+    (best fit), so that whole workers stay free for large tasks and for moves of instances; a
+    filler task goes to the emptiest.
     """
     demand = demand_of(task.step)
     fitting = [
-        worker
-        for worker in workers
-        if worker.free.covers(demand)
-        and (worker.max_runs is None or worker.takes(task))
-        and _is_allowed(task, worker)
+        worker for worker in workers if worker.free.covers(demand) and _is_allowed(task, worker)
     ]
-    return min(fitting, key=lambda worker: _preference_key(task, worker, preferences), default=None)
+    return min(
+        _within_bounds(task, fitting),
+        key=lambda worker: _preference_key(task, worker, preferences),
+        default=None,
+    )
 
 
 def choose_for_gang(tasks: list[Task], workers: list[Worker]) -> list[Worker] | None:
@@ -86,12 +87,16 @@
     -----------
     If the step prefers one rack or names the rack of its data, the racks are tried
     one by one: the data's rack first, then by ascending free capacity.  All workers
-    together are tried last, or at once for other steps.
+    together are tried last, or at once for other steps.  Slow workers get more than their
+    trial allows only if the gang does not fit otherwise.
     """
-    for group in _groups(tasks[0], workers):
-        chosen = _fit_all(tasks, group)
-        if chosen is not None:
-            return chosen
+    groups = _groups(tasks[0], workers)
+    is_bounded = any(worker.max_runs is not None for worker in workers)
+    for is_strict in (True, False) if is_bounded else (False,):
+        for group in groups:
+            chosen = _fit_all(tasks, group, is_strict)
+            if chosen is not None:
+                return chosen
     return None
 
 
@@ -102,17 +107,28 @@
     -----------
     It is the one with most free capacity of those on which the task fits once the runs that
     end by themselves have ended.  Where tasks that last take up too much, the task would not
-    get room however long other work is kept off.
+    get room however long other work is kept off.  A slow worker that has the tasks of its
+    trial is reserved only if there is no other.
     """
     demand = demand_of(task.step)
     eligible = [
         worker
         for worker in workers
-        if is_eligible(task, worker)
-        and worker.takes(task)
-        and worker.room_after_short_runs().covers(demand)
+        if is_eligible(task, worker) and worker.room_after_short_runs().covers(demand)
     ]
-    return max(eligible, key=lambda worker: worker.free.cpu_millis, default=None)
+    preferred = _within_bounds(task, eligible)
+    return max(preferred, key=lambda worker: worker.free.cpu_millis, default=None)
+
+
+def _within_bounds(
+    task: Task, workers: list[Worker], added: dict[str, int] | None = None
+) -> list[Worker]:
+    """Return the workers whose bound on tasks allows one more, or all if there is none."""
+    if all(worker.max_runs is None for worker in workers):
+        return workers
+    more = added or {}
+    within = [worker for worker in workers if worker.takes(task, more.get(worker.id, 0))]
+    return within or workers
 
 
 def _preference_key(
@@ -153,14 +169,14 @@
     return [workers]
 
 
-def _fit_all(tasks: list[Task], workers: list[Worker]) -> list[Worker] | None:
+def _fit_all(tasks: list[Task], workers: list[Worker], is_strict: bool) -> list[Worker] | None:
     left = {worker.id: worker.free.copy() for worker in workers}
     counts = {worker.id: worker.count_of(tasks[0]) for worker in workers}
     added = dict.fromkeys(left, 0)
     chosen = []
     for task in tasks:
         worker = _fit_one(task, workers, left, counts, added)
-        if worker is None:
+        if worker is None or (is_strict and not worker.takes(task, added[worker.id])):
             return None
         left[worker.id].subtract(demand_of(task.step))
         counts[worker.id] += 1
@@ -182,12 +198,11 @@
         worker
         for worker in workers
         if left[worker.id].covers(demand)
-        and worker.takes(task, added[worker.id])
         and (not step.required_label or step.required_label in worker.info.labels)
         and (not step.most_per_worker or counts[worker.id] < step.most_per_worker)
     ]
     return min(
-        fitting,
+        _within_bounds(task, fitting, added),
         key=lambda worker: (
             worker.is_unsettled,
             worker.slowness,
--- a/almondstack/placement/worker_speed.py
+++ b/almondstack/placement/worker_speed.py
@@ -45,7 +45,7 @@
 
 _HOLD_S = 1.0
 _MAX_HOLD_S = 4.0
-"""Time without new runs until the next trial: at first, and at most, in seconds."""
+"""Time until the next trial: at first, and at most, in seconds."""
 
 _PATIENCE_S = 4.0
 """Longest step of a trial in seconds; a worker that got no task in it counts as normal then."""
@@ -125,9 +125,10 @@
     Explanation
     -----------
     :meth:`update` writes ``slowness`` and ``max_runs`` of each worker, which placement reads.
-    A worker that turns slow gets no task that ends by itself for a second, then one at a time
-    as a trial, then two and four while their runs are as fast as elsewhere.  A slow trial
-    begins the wait anew, twice as long.
+    A worker that turns slow is held for a second, then gets one task that ends by itself at a
+    time as a trial, then two and four while their runs are as fast as elsewhere.  A slow trial
+    begins the hold anew, twice as long.  A task for which no worker within its bound has room
+    goes to the least slow one that has.
 
     Examples
     --------
@@ -318,12 +319,9 @@
         self._since_s = now_s
 
     def _wait(self, factor: float, now_s: float) -> None:
-        """Let a trial begin once the runs are fast again, or are gone for long enough."""
+        """Let a trial begin after the time of the hold, also if earlier runs are still listed."""
         if self.runs:
             self.factor = max(factor, 1.0)
-        is_slow = bool(self.runs) and factor >= SLOW_FACTOR
-        if is_slow and self._newest_s() > self._since_s:
-            self._since_s = self._newest_s()
         if now_s - self._since_s >= self._hold_s:
             self._begin_step(1, now_s)
 
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -99,8 +99,8 @@
     slowness : float
         By how much its runs are slower than elsewhere in its pool; 1 is normal or not known.
     max_runs : int or None
-        Bound on the tasks that end by themselves it may have at a time while it is slow or on
-        trial; None is no bound.
+        Bound on the tasks that end by themselves it should have at a time while it is slow or
+        on trial, exceeded only if no other worker has room; None is no bound.
     penalty : float
         Decaying sum of recent failures and refusals; 0 is healthy.
     last_answer_s, last_failure_s : float
