Decide on preferences once per search, and build no key for none

Cause: the sort key built a tuple by a generator for each of 740 workers also without preferences, looked up the step for each, and the disturbance preference built the task's kind for each worker.

Change: a preference takes the task and returns a ranking of workers, or None if it does not apply: a kind without known pairs. The key takes () then. Disturbances are kept by kind, and the kind is built once. Labels and most-per-worker are looked at only for steps that have them.

The test of the preference follows its new signature; a new one counts how often kinds are built, and fails before.

--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -2,22 +2,29 @@
 
 from collections.abc import Callable, Iterable
 
-from almondstack.jobs import Task
+from almondstack.jobs import Step, Task
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.workers import Worker
 
 __all__ = [
     "Preference",
+    "Ranking",
     "choose_for_gang",
     "choose_to_reserve",
     "choose_worker",
     "has_room",
     "is_eligible",
+    "is_restricted",
     "room_count",
 ]
 
-Preference = Callable[[Task, Worker], float]
-"""Returns how little a worker suits a task; among workers with room, the lowest is preferred."""
+Ranking = Callable[[Worker], float]
+"""Returns how little a worker suits; among workers with room, the lowest is preferred."""
+
+Preference = Callable[[Task], Ranking | None]
+"""Returns the ranking of workers for a task, or None if all suit it alike."""
+
+_Key = tuple[bool, bool, float, float, bool, tuple[float, ...], int, str]
 
 
 def is_eligible(task: Task, worker: Worker) -> bool:
@@ -25,6 +32,11 @@
     return _is_allowed(task, worker) and worker.info.capacity.covers(demand_of(task.step))
 
 
+def is_restricted(step: Step) -> bool:
+    """Return whether a step may run only on some workers, so that others may have room."""
+    return bool(step.required_label or step.most_per_worker)
+
+
 def _is_allowed(task: Task, worker: Worker) -> bool:
     """Return whether a task may run on a worker, whatever the worker's capacity."""
     step = task.step
@@ -70,14 +82,10 @@
     filler task goes to the emptiest.
     """
     demand = demand_of(task.step)
-    fitting = [
-        worker for worker in workers if worker.free.covers(demand) and _is_allowed(task, worker)
-    ]
-    return min(
-        _within_bounds(task, fitting),
-        key=lambda worker: _preference_key(task, worker, preferences),
-        default=None,
-    )
+    fitting = [worker for worker in workers if worker.free.covers(demand)]
+    if is_restricted(task.step):
+        fitting = [worker for worker in fitting if _is_allowed(task, worker)]
+    return min(_within_bounds(task, fitting), key=_preference_key(task, preferences), default=None)
 
 
 def choose_for_gang(tasks: list[Task], workers: list[Worker]) -> list[Worker] | None:
@@ -131,27 +139,36 @@
     return within or workers
 
 
-def _preference_key(
-    task: Task, worker: Worker, preferences: tuple[Preference, ...]
-) -> tuple[bool, bool, float, float, bool, tuple[float, ...], int, str]:
-    """Return the sort key of a worker; the lowest is preferred."""
-    step = task.step
-    is_far = bool(step.data_rack) and worker.info.rack != step.data_rack
-    left = worker.free.cpu_millis
-    if step.is_filler:
-        left = -left
-    is_failed = worker.id in task.failed_on
-    preferred = tuple(preference(task, worker) for preference in preferences)
-    return (
-        is_failed,
-        worker.is_unsettled,
-        worker.slowness,
-        worker.penalty,
-        is_far,
-        preferred,
-        left,
-        worker.id,
-    )
+def _preference_key(task: Task, preferences: tuple[Preference, ...]) -> Callable[[Worker], _Key]:
+    """Return the function that returns the sort key of a worker; the lowest is preferred."""
+    failed_on = task.failed_on
+    data_rack = task.step.data_rack
+    sign = -1 if task.step.is_filler else 1
+    rank = _ranks(task, preferences)
+
+    def key(worker: Worker) -> _Key:
+        return (
+            worker.id in failed_on,
+            worker.is_unsettled,
+            worker.slowness,
+            worker.penalty,
+            bool(data_rack) and worker.info.rack != data_rack,
+            rank(worker) if rank is not None else (),
+            sign * worker.free.cpu_millis,
+            worker.id,
+        )
+
+    return key
+
+
+def _ranks(
+    task: Task, preferences: tuple[Preference, ...]
+) -> Callable[[Worker], tuple[float, ...]] | None:
+    """Return the function that ranks a worker by each preference, or None if none applies."""
+    rankings = [ranking for preference in preferences if (ranking := preference(task)) is not None]
+    if not rankings:
+        return None
+    return lambda worker: tuple([ranking(worker) for ranking in rankings])
 
 
 def _groups(task: Task, workers: list[Worker]) -> list[list[Worker]]:
--- a/almondstack/placement/disturbance_preference.py
+++ b/almondstack/placement/disturbance_preference.py
@@ -1,6 +1,7 @@
 """Prefers the workers on which a task and those beside it disturb each other least."""
 
 from almondstack.jobs import Task
+from almondstack.placement.choosing import Ranking
 from almondstack.placement.interference import Interference, kind_of
 from almondstack.placement.workers import Worker
 
@@ -11,7 +12,7 @@
 
 
 class DisturbancePreference:
-    """Returns the disturbance to expect of a task on a worker; used in one round of placement.
+    """Ranks workers by the disturbance to expect of a task there, in one round of placement.
 
     Explanation
     -----------
@@ -28,14 +29,29 @@
 
     def __init__(self, interference: Interference) -> None:
         self._interference = interference
-        self._known: dict[tuple[str, str], tuple[int, float]] = {}
-
-    def __call__(self, task: Task, worker: Worker) -> float:
-        """Return the expected disturbance as a share of the targets, rounded."""
-        key = worker.id, kind_of(task)
-        known = self._known.get(key)
-        if known is not None and known[0] == worker.task_count:
-            return known[1]
-        value = round(self._interference.penalty(task, worker.tasks), _DIGITS)
-        self._known[key] = worker.task_count, value
+        self._known: dict[str, dict[str, tuple[int, float]]] = {}
+
+    def __call__(self, task: Task) -> Ranking | None:
+        """Return the expected disturbance as a share of the targets, rounded, by worker.
+
+        Returns
+        -------
+        callable or None
+            None if nothing is known of the task's kind.
+        """
+        kind = kind_of(task)
+        if not self._interference.concerns(kind):
+            return None
+        known = self._known.setdefault(kind, {})
+        return lambda worker: self._disturbance(task, worker, known)
+
+    def _disturbance(
+        self, task: Task, worker: Worker, known: dict[str, tuple[int, float]]
+    ) -> float:
+        count = worker.task_count
+        last = known.get(worker.id)
+        if last is not None and last[0] == count:
+            return last[1]
+        value = round(self._interference.penalty(task, worker.tasks), _DIGITS) if count else 0.0
+        known[worker.id] = count, value
         return value
--- a/almondstack/placement/interference.py
+++ b/almondstack/placement/interference.py
@@ -307,6 +307,10 @@
         finding = self._findings.get(kind, {}).get(beside)
         return finding is not None and finding.is_harmless
 
+    def concerns(self, kind: str) -> bool:
+        """Return whether a kind clearly disturbs another or is disturbed by one."""
+        return kind in self._caused or kind in self._suffered
+
     def penalty(self, task: Task, worker_tasks: Iterable[Task]) -> float:
         """Return the disturbance expected if a task joins others on a worker.
 
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable, Mapping
 
-from almondstack.jobs import Step, Task, TaskStatus
+from almondstack.jobs import Task, TaskStatus
 from almondstack.placement.choosing import (
     Preference,
     choose_for_gang,
     choose_to_reserve,
     choose_worker,
+    is_restricted,
 )
 from almondstack.placement.policies import AccountPolicy
 from almondstack.placement.reservations import max_reservations
@@ -73,11 +74,6 @@
         self.workers = workers
 
 
-def _is_restricted(step: Step) -> bool:
-    """Return whether a step may run only on some workers, so that others may have room."""
-    return bool(step.required_label or step.most_per_worker)
-
-
 class PoolRound:
     """Assigns tasks to the workers of one pool, step by step.
 
@@ -207,7 +203,7 @@
         if any(demand.is_at_least(without_room) for without_room in self._demands_without_room):
             return None
         worker = choose_worker(task, candidates, *self._preferences)
-        if worker is None and candidates is self._workers and not _is_restricted(task.step):
+        if worker is None and candidates is self._workers and not is_restricted(task.step):
             self._demands_without_room.append(demand)
         return worker
 
--- a/almondstack/placement/tests/test_interference.py
+++ b/almondstack/placement/tests/test_interference.py
@@ -9,7 +9,7 @@
 from almondstack.placement import PoolRound, Resources, Usage
 from almondstack.placement.choosing import choose_worker
 from almondstack.placement.disturbance_preference import DisturbancePreference
-from almondstack.placement.interference import Interference
+from almondstack.placement.interference import Interference, kind_of
 from almondstack.placement.pace import PacedFiller, next_percent, next_percents
 from almondstack.placement.regression import DecayingRegression
 from almondstack.testing.job_builders import make_job, make_step, make_worker
@@ -198,9 +198,26 @@
 def test_a_task_placed_in_the_same_round_counts():
     preference, worker = DisturbancePreference(_learned()), make_worker()
     filler = _filler("f", _HARMFUL)
-    assert preference(filler, worker) == 0.0
+    ranking = preference(filler)
+    assert ranking(worker) == 0.0
     worker.put(_serving())
-    assert preference(filler, worker) == 0.6
+    assert ranking(worker) == preference(filler)(worker) == 0.6
+
+
+def test_without_knowledge_of_a_kind_no_worker_is_ranked(monkeypatch):
+    """Guards the cost of a search among many workers."""
+    kinds = []
+    monkeypatch.setattr(
+        "almondstack.placement.disturbance_preference.kind_of",
+        lambda task: kinds.append(task) or kind_of(task),
+    )
+    preference = DisturbancePreference(_learned())
+    assert preference(_filler("calm", _CALM)) is None
+    assert preference(_filler("harmful", _HARMFUL)) is not None
+    workers = [make_worker(f"w{number}") for number in range(50)]
+    kinds.clear()
+    assert choose_worker(_filler("f", _HARMFUL), workers, preference) is not None
+    assert len(kinds) == 1
 
 
 def test_a_harmful_filler_is_placed_at_once_beside_others_when_there_is_no_other_room():
