Learn the times of runs that declare nothing as a kind of their own

Cause: runs with a declaration of 0 were left out, so that their queue was predicted as 0 for good: no chain, no backlog, no work.

Change: they are a kind of their own in their queue, with its median, mean and quantiles; the first time stands for the declaration. Bounded as the others. Fillers and tasks that last without a declaration stay at 0.

--- a/almondstack/control/run_predictions.py
+++ b/almondstack/control/run_predictions.py
@@ -5,7 +5,7 @@
 from almondstack.control.runs import RunTable
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
-from almondstack.jobs import ActiveJob, Task
+from almondstack.jobs import ActiveJob, Step, Task
 from almondstack.placement import RunTimes, tells_time
 
 __all__ = ["RunPredictions"]
@@ -64,10 +64,16 @@
     def predict(self, job: ActiveJob) -> None:
         """Predict the times of a job's tasks."""
         times, queue = self.run_times, job.submission.queue
-        declared = [step.estimate_ms for step in job.submission.steps]
+        steps = job.submission.steps
         job.predict(
-            [times.quantile_ms(queue, declared_ms, _MEDIAN) for declared_ms in declared],
-            [times.expected_ms(queue, declared_ms) for declared_ms in declared],
+            [
+                times.quantile_ms(queue, step.estimate_ms, _MEDIAN) if _has_time(step) else 0.0
+                for step in steps
+            ],
+            [
+                times.expected_ms(queue, step.estimate_ms) if _has_time(step) else 0.0
+                for step in steps
+            ],
         )
 
     def run_round(self, now_s: float) -> None:
@@ -97,6 +103,16 @@
         self._noted = 0
 
 
+def _has_time(step: Step) -> bool:
+    """Whether a time can be expected of a step: declared, or that of runs that end by themselves.
+
+    Explanation
+    -----------
+    What is learned of runs without a declaration says nothing of fillers and tasks that last.
+    """
+    return step.estimate_ms > 0 or not (step.is_long_running or step.is_filler)
+
+
 def _figures(times: RunTimes, queue: str) -> dict[str, float]:
     """Return what is known of a queue: quantiles as ratios to its typical declaration."""
     typical_ms = times.typical_ms(queue)
--- a/almondstack/control/speed_monitor.py
+++ b/almondstack/control/speed_monitor.py
@@ -75,7 +75,7 @@
 
     def _note(self, task: Task, took_ms: float, now_s: float) -> None:
         median_ms = task.job.median_ms(task.key.step)
-        if median_ms <= 0 or task.failed_on:
+        if task.step.estimate_ms <= 0 or median_ms <= 0 or task.failed_on:
             return
         spread = self._run_times.spread(task.job.submission.queue)
         self.speeds.note_run(RunSpeed(task.worker, task.name, took_ms / median_ms, spread), now_s)
--- a/almondstack/control/tests/test_run_predictions.py
+++ b/almondstack/control/tests/test_run_predictions.py
@@ -66,6 +66,17 @@
     assert 27_000 < backlog.waits_ms({})["a"] < 34_000
 
 
+def test_jobs_that_declare_nothing_are_predicted_from_the_runs_that_ended():
+    short = make_step(4, estimate_ms=0)
+    job = make_job(short, make_step(after=(0,), is_filler=True, estimate_ms=0))
+    predictions, _ = _predictions(job)
+    _teach(predictions, 3_000, estimate_ms=0)
+    predictions.predict(job)
+    assert job.median_ms(0) == pytest.approx(3_000, rel=0.1)
+    assert job.mean_ms(0) == pytest.approx(3_000, rel=0.1)
+    assert job.median_ms(1) == job.mean_ms(1) == 0.0
+
+
 def test_burst_open_jobs_are_predicted_anew_in_turn():
     jobs = [make_job(id=f"{number:016x}") for number in range(_JOBS_PER_ROUND + 1)]
     predictions, _ = _predictions(*jobs)
--- a/almondstack/placement/run_times.py
+++ b/almondstack/placement/run_times.py
@@ -72,7 +72,8 @@
     Explanation
     -----------
     The times are those that the owner sees, from the assignment of a run to the poll that lists
-    its end.  A declaration of 0 is none: nothing is learned from it, and the prediction is 0.
+    its end.  A declaration of 0 is none: such runs are a kind of their own in their queue, whose
+    mean and quantiles are predicted from its first run on, and 0 before.
 
     Examples
     --------
@@ -85,16 +86,20 @@
     True
     >>> times.expected_ms("other", 1_000)
     1000.0
+    >>> times.note("undeclared", declared_ms=0, took_ms=2_000)
+    >>> round(times.quantile_ms("undeclared", 0, 0.5))
+    2000
     """
 
-    __slots__ = ("_kinds",)
+    __slots__ = ("_kinds", "_undeclared")
 
     def __init__(self) -> None:
         self._kinds: OrderedDict[str, _Kind] = OrderedDict()
+        self._undeclared: OrderedDict[str, _Kind] = OrderedDict()
 
     @property
     def queues(self) -> list[str]:
-        """The queues of which runs are known, those with the newest runs last."""
+        """The queues of which runs with a declaration are known, the newest runs last."""
         return list(self._kinds)
 
     def note(self, queue: str, declared_ms: float, took_ms: float) -> None:
@@ -105,25 +110,25 @@
         queue : str
             The kind of task.
         declared_ms : float
-            What its caller has declared, in milliseconds.
+            What its caller has declared, in milliseconds; 0 if nothing.
         took_ms : float
             What it took, in milliseconds.
         """
-        if declared_ms <= 0 or took_ms <= 0:
+        if took_ms <= 0:
             return
-        kind = self._kinds.get(queue)
-        if kind is None:
-            kind = self._kinds[queue] = _Kind(math.log(declared_ms))
-        kind.note(math.log(declared_ms), math.log(took_ms))
-        self._kinds.move_to_end(queue)
-        if len(self._kinds) > _MAX_KINDS:
-            self._kinds.popitem(last=False)
+        if declared_ms > 0:
+            _note(self._kinds, queue, declared_ms, took_ms)
+        else:
+            _note(self._undeclared, queue, self._undeclared_ms(queue) or took_ms, took_ms)
 
     def expected_ms(self, queue: str, declared_ms: float) -> float:
         """Return the mean time of a task, in milliseconds: what adds up to a backlog."""
-        kind = self._kinds.get(queue)
-        if kind is None or declared_ms <= 0:
-            return float(max(0.0, declared_ms))
+        if declared_ms <= 0:
+            kind, declared_ms = self._undeclared.get(queue), self._undeclared_ms(queue)
+        else:
+            kind = self._kinds.get(queue)
+        if kind is None:
+            return float(declared_ms)
         return kind.centre_ms(declared_ms) * kind.mean_ratio()
 
     def quantile_ms(self, queue: str, declared_ms: float, quantile: float) -> float:
@@ -138,9 +143,12 @@
         quantile : float
             That share, between 0 and 1.
         """
-        kind = self._kinds.get(queue)
-        if kind is None or declared_ms <= 0:
-            return float(max(0.0, declared_ms))
+        if declared_ms <= 0:
+            kind, declared_ms = self._undeclared.get(queue), self._undeclared_ms(queue)
+        else:
+            kind = self._kinds.get(queue)
+        if kind is None:
+            return float(declared_ms)
         return kind.centre_ms(declared_ms) * kind.ratio_at(quantile)
 
     def factor(self, queue: str) -> float:
@@ -151,7 +159,7 @@
         return self.expected_ms(queue, kind.typical_ms) / kind.typical_ms
 
     def runs(self, queue: str) -> int:
-        """Return how many runs of a queue were noted since it was last forgotten."""
+        """Return how many declared runs of a queue were noted since it was last forgotten."""
         kind = self._kinds.get(queue)
         return kind.runs if kind is not None else 0
 
@@ -170,6 +178,22 @@
         kind = self._kinds.get(queue)
         return kind.slope if kind is not None else 1.0
 
+    def _undeclared_ms(self, queue: str) -> float:
+        """Return the time that stands for the declaration where there is none; 0 if unknown."""
+        kind = self._undeclared.get(queue)
+        return kind.typical_ms if kind is not None else 0.0
+
+
+def _note(kinds: OrderedDict[str, "_Kind"], queue: str, declared_ms: float, took_ms: float) -> None:
+    """Add a run to the kind of a queue, and forget the kind that was longest without runs."""
+    kind = kinds.get(queue)
+    if kind is None:
+        kind = kinds[queue] = _Kind(math.log(declared_ms))
+    kind.note(math.log(declared_ms), math.log(took_ms))
+    kinds.move_to_end(queue)
+    if len(kinds) > _MAX_KINDS:
+        kinds.popitem(last=False)
+
 
 def tells_time(task: Task) -> bool:
     """Return whether the run of a task that is done tells how long such tasks take.
