Show a change of one of several addresses of a queue

Cause: the difference of two configurations was by name, so that of routes with one name only the last was compared.

Change: routes of which several have one name, in either version, are told apart by host and path prefix as well; a sole route keeps its place by name, so that a change of its host is shown as one.

Two test cases fail before.

--- a/almondstack/platform/configuration_diff.py
+++ b/almondstack/platform/configuration_diff.py
@@ -1,12 +1,13 @@
 """What differs between two versions of the configuration."""
 
+from collections import Counter
 from collections.abc import Iterator
 from typing import Any
 
 import msgspec
 
 from almondstack.core import encode_json
-from almondstack.platform.wire import ConfigurationWire, TenantWire
+from almondstack.platform.wire import ConfigurationWire, RouteWire, TenantWire
 
 __all__ = ["Change", "diff_configurations"]
 
@@ -19,7 +20,8 @@
     Parameters
     ----------
     place : str
-        Section, name of the entry and field.
+        Section, name of the entry, its host and path prefix if several routes have the name,
+        and field.
     before, after : str
         The values in JSON, empty if there is none; of keys, only how many are only in this one.
     """
@@ -32,6 +34,10 @@
 def diff_configurations(before: ConfigurationWire, after: ConfigurationWire) -> list[Change]:
     """Return what differs, by section and by name of the entries, whatever their order.
 
+    Explanation
+    -----------
+    Routes of which several have one name are told apart by host and path prefix.
+
     Examples
     --------
     >>> from almondstack.platform.wire import ServiceWire
@@ -50,17 +56,31 @@
 def _diff_entries(
     section: str, before: tuple[Any, ...], after: tuple[Any, ...]
 ) -> Iterator[Change]:
-    # Of entries with one name, the last is in force.
-    old = {entry.name: entry for entry in before}
-    new = {entry.name: entry for entry in after}
-    for name in sorted(old.keys() | new.keys()):
-        place = f"{section} {name}"
-        if name not in new:
+    # Of entries with one key, the last is in force.
+    several = _names_of_several(before) | _names_of_several(after)
+    old = {_key_of(entry, several): entry for entry in before}
+    new = {_key_of(entry, several): entry for entry in after}
+    for key in sorted(old.keys() | new.keys()):
+        place = " ".join((section, *key))
+        if key not in new:
             yield Change(place, "present", "")
-        elif name not in old:
+        elif key not in old:
             yield Change(place, "", "present")
         else:
-            yield from _diff_fields(place, old[name], new[name])
+            yield from _diff_fields(place, old[key], new[key])
+
+
+def _names_of_several(entries: tuple[Any, ...]) -> set[str]:
+    """Return the names that several routes have: they are addresses of one queue."""
+    counts = Counter(entry.name for entry in entries if isinstance(entry, RouteWire))
+    return {name for name, count in counts.items() if count > 1}
+
+
+def _key_of(entry: Any, several: set[str]) -> tuple[str, ...]:
+    """Return the name of an entry, and its host and path prefix if other routes have the name."""
+    if isinstance(entry, RouteWire) and entry.name in several:
+        return entry.name, entry.host, entry.path_prefix
+    return (entry.name,)
 
 
 def _diff_fields(place: str, before: msgspec.Struct, after: msgspec.Struct) -> Iterator[Change]:
--- a/almondstack/platform/tests/test_configuration_check.py
+++ b/almondstack/platform/tests/test_configuration_check.py
@@ -8,8 +8,13 @@
 
 from almondstack.ctl import ExitCode
 from almondstack.platform.almondctl import main
-from almondstack.platform.configuration import ConfigurationError, ConfigurationHolder
+from almondstack.platform.configuration import (
+    ConfigurationError,
+    ConfigurationHolder,
+    decode_configuration,
+)
 from almondstack.platform.configuration_check import Severity, check_bytes
+from almondstack.platform.configuration_diff import diff_configurations
 from almondstack.platform.tests.builders import configuration_bytes
 
 _JOB = "5c0e7a21d94b36f8"
@@ -219,6 +224,35 @@
     assert "routes r-1 priority" in capsys.readouterr().out
 
 
+def _changes(before, after):
+    found = diff_configurations(
+        decode_configuration(configuration_bytes(4, routes=before)),
+        decode_configuration(configuration_bytes(4, routes=after)),
+    )
+    return [(change.place, change.before, change.after) for change in found]
+
+
+@pytest.mark.parametrize("number", [0, 1])
+def test_a_change_of_one_of_several_addresses_of_a_queue_is_shown(number):
+    before = [_route(name="q", host=host, **{"path-prefix": "/q/"}) for host in ("a", "b")]
+    after = list(before)
+    after[number] = {**after[number], "host": "c"}
+    assert sorted(_changes(before, after)) == [
+        (f"routes q {before[number]['host']} /q/", "present", ""),
+        ("routes q c /q/", "", "present"),
+    ]
+    assert _changes(before, before[::-1]) == []
+    assert _changes(before, before[:1]) == [("routes q b /q/", "present", "")]
+    after[number] = {**before[number], "priority": 7}
+    place = f"routes q {before[number]['host']} /q/ priority"
+    assert _changes(before, after) == [(place, str(before[number]["priority"]), "7")]
+
+
+def test_a_change_of_the_only_address_of_a_queue_is_shown_by_field():
+    before, after = [_route(name="q", host="a")], [_route(name="q", host="b")]
+    assert _changes(before, after) == [("routes q host", '"a"', '"b"')]
+
+
 @pytest.mark.parametrize("version", [3, 4])
 def test_a_version_that_is_not_above_the_one_in_force_is_a_fault(version, write, capsys):
     before = write("before.json", configuration_bytes(4))
