Bound the integers of a configuration, and check it by taking it up

Cause: the decoder takes an integer of any length, which passed the check; a process failed to convert it to a float: the timeout when it took the configuration up, the target later.

Change: integers of configurations and waves, and amounts of resources, are of 64 bits with sign, so that check and process refuse longer ones with their place. The check makes a Configuration as well, and a failure there is a fault.

The property test and the new cases fail on the code before.

--- a/almondstack/platform/configuration_check.py
+++ b/almondstack/platform/configuration_check.py
@@ -9,6 +9,7 @@
 from almondstack.control.advice_times import is_usable
 from almondstack.core import DECODING_ERRORS
 from almondstack.platform.configuration import (
+    Configuration,
     ConfigurationError,
     advice_policy,
     decode_configuration,
@@ -51,7 +52,8 @@
 
     Explanation
     -----------
-    It is decoded as the platform program decodes it: one that this can't decode is a fault.
+    It is taken up as the platform program does: one that it can't decode, or can't make a
+    configuration of, is a fault.
 
     Examples
     --------
@@ -63,6 +65,10 @@
         wire = decode_configuration(data)
     except ConfigurationError as error:
         return [_undecodable(error.detail)]
+    try:
+        Configuration(wire)
+    except (ArithmeticError, ValueError) as error:
+        return [_fault("$", f"no process can take it up: {error}")]
     return sorted([*check_configuration(wire), *_unread_fields(data)])
 
 
--- a/almondstack/platform/tests/test_configuration_check.py
+++ b/almondstack/platform/tests/test_configuration_check.py
@@ -3,10 +3,13 @@
 import json
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from almondstack.ctl import ExitCode
+from almondstack.jobs.admission_state import wait_key
+from almondstack.placement import Resources, objective_s
+from almondstack.placement.backlog import excess_wait_ms
 from almondstack.platform.almondctl import main
 from almondstack.platform.configuration import (
     ConfigurationError,
@@ -16,6 +19,7 @@
 from almondstack.platform.configuration_check import Severity, check_bytes
 from almondstack.platform.configuration_diff import diff_configurations
 from almondstack.platform.tests.builders import configuration_bytes
+from almondstack.testing.job_builders import make_job
 
 _JOB = "5c0e7a21d94b36f8"
 _ROUTE = json.loads(configuration_bytes())["routes"][0]
@@ -47,12 +51,28 @@
 
 
 _TEXTS = st.sampled_from(["", "q", "/q", "/q/", "/q/ab", "A:1", "a", "\u20ac", " k", "p"])
-_NUMBERS = st.sampled_from([-1, 0, 1, 5_000, 2**62])
+_NUMBERS = st.sampled_from([-1, 0, 1, 5_000, 2**62, -(2**63), 2**63, 2**64, -(10**25), 10**400])
 _ROUTES = st.fixed_dictionaries(
     {"name": _TEXTS, "host": _TEXTS, "path-prefix": _TEXTS, "service": st.just("p")},
-    optional={"timeout-ms": st.one_of(_NUMBERS, st.text(max_size=1)), "stretch": st.floats()},
+    optional={
+        "timeout-ms": st.one_of(_NUMBERS, st.text(max_size=1)),
+        "stretch": st.floats(),
+        "target-latency-ms": _NUMBERS,
+        "priority": _NUMBERS,
+        "max-attempts": _NUMBERS,
+        "advice": st.dictionaries(
+            st.sampled_from(["decision-ms", "period-ms", "valid-ms"]), _NUMBERS
+        ),
+    },
+)
+_TENANTS = st.fixed_dictionaries(
+    {"name": _TEXTS},
+    optional={
+        "api-keys": st.lists(_TEXTS),
+        "weight": st.one_of(_NUMBERS, st.floats()),
+        "maximum": st.dictionaries(st.sampled_from(["cpu", "mem-mb", "gpus"]), _NUMBERS),
+    },
 )
-_TENANTS = st.fixed_dictionaries({"name": _TEXTS}, optional={"api-keys": st.lists(_TEXTS)})
 _DOCUMENTS = st.one_of(
     st.binary(max_size=20),
     st.fixed_dictionaries(
@@ -61,12 +81,73 @@
             "routes": st.lists(_ROUTES, max_size=3),
             "services": st.just([{"name": "p"}]),
             "tenants": st.lists(_TENANTS, max_size=3),
+            "limits": st.dictionaries(
+                st.sampled_from(["max-header-bytes", "max-body-bytes"]), _NUMBERS
+            ),
         },
     ).map(lambda document: json.dumps(document).encode()),
 )
 
 
+def _use(policies):
+    """Compute with the figures of a configuration as an owner does."""
+    job = make_job()
+    for policy in policies.queues.values():
+        objective_s(job, policy)
+        excess_wait_ms({wait_key(policy.pool, "a"): 1.0}, job.submission, policy)
+    for account in policies.accounts.values():
+        assert account.allows(Resources(1, 1, 1), Resources(1, 1, 1)) in (True, False)
+        assert 1.0 / account.weight > 0.0
+
+
+_BIG = 10**400
+
+
+@pytest.mark.parametrize("value", [_BIG, -_BIG, 2**63, -(2**63) - 1])
+@pytest.mark.parametrize(
+    ("fields", "place"),
+    [
+        (lambda value: {"version": value}, "$.version"),
+        (lambda value: {"routes": [_route(**{"timeout-ms": value})]}, "$.routes[0].timeout-ms"),
+        (
+            lambda value: {"routes": [_route(**{"target-latency-ms": value})]},
+            "$.routes[0].target-latency-ms",
+        ),
+        (lambda value: {"routes": [_route(priority=value)]}, "$.routes[0].priority"),
+        (
+            lambda value: {"routes": [_route(advice={"valid-ms": value})]},
+            "$.routes[0].advice.valid-ms",
+        ),
+        (lambda value: {"limits": {"max-body-bytes": value}}, "$.limits.max-body-bytes"),
+        (
+            lambda value: {"tenants": [{**_TENANT, "maximum": {"cpu": value}}]},
+            "$.tenants[0].maximum.cpu",
+        ),
+    ],
+)
+def test_an_integer_that_no_process_accepts_is_a_fault(fields, place, value):
+    data = json.dumps({**json.loads(configuration_bytes()), **fields(value)}).encode()
+    assert [(one.severity, one.place) for one in check_bytes(data)] == [(Severity.FAULT, place)]
+    assert _accepted(data) is None
+
+
+def test_a_wave_whose_integers_no_process_accepts_is_refused():
+    with pytest.raises(ConfigurationError):
+        ConfigurationHolder().put_wave(b'{"wave": 1, "machines": [], "maximum": %d}' % _BIG)
+
+
+def test_what_a_process_can_not_make_a_configuration_of_is_a_fault(monkeypatch):
+    def fail(_wire):
+        raise OverflowError("too large")
+
+    monkeypatch.setattr("almondstack.platform.configuration.QueueRoute", fail)
+    assert [one.severity for one in check_bytes(configuration_bytes())] == [Severity.FAULT]
+
+
 @given(_DOCUMENTS)
+@example(configuration_bytes(routes=[_route(**{"timeout-ms": _BIG})]))
+@example(configuration_bytes(routes=[_route(**{"target-latency-ms": _BIG})]))
+@example(configuration_bytes(tenants=[{**_TENANT, "maximum": {"cpu": _BIG}}]))
 def test_what_passes_is_what_a_process_accepts_and_every_entry_can_match(data):
     found = check_bytes(data)
     configuration = _accepted(data)
@@ -75,6 +156,7 @@
         return
     if any(finding.severity is Severity.FAULT for finding in found):
         return
+    _use(configuration.policies)
     document = json.loads(data)
     for route in document.get("routes", []):
         path = route["path-prefix"] + _JOB
--- a/almondstack/platform/wire.py
+++ b/almondstack/platform/wire.py
@@ -28,6 +28,8 @@
 
 _Count = Annotated[int, Meta(ge=0, le=1_000_000_000)]
 _MAX_TASKS = 10_000
+# An integer that an operator writes: a longer one can not be converted to a float.
+_Integer = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
 
 
 class StepWire(Struct, frozen=True):
@@ -71,10 +73,10 @@
 class AdviceWire(Struct, frozen=True):
     """Timing of the advice service and of its tickets."""
 
-    decision_ms: int = field(name="decision-ms", default=0)
+    decision_ms: _Integer = field(name="decision-ms", default=0)
     # Processing time for each worker named in a call; not a period, despite the name.
-    worker_ms: int = field(name="period-ms", default=0)
-    valid_ms: int = field(name="valid-ms", default=0)
+    worker_ms: _Integer = field(name="period-ms", default=0)
+    valid_ms: _Integer = field(name="valid-ms", default=0)
 
 
 class RouteWire(Struct, frozen=True):
@@ -85,12 +87,12 @@
     path_prefix: str = field(name="path-prefix")
     # The pool whose workers run the queue's tasks.
     pool: str = field(name="service")
-    timeout_ms: int = field(name="timeout-ms", default=3_000)
+    timeout_ms: _Integer = field(name="timeout-ms", default=3_000)
     # A job's objective is its longest chain of work times ``stretch``, plus this.
-    objective_ms: int = field(name="target-latency-ms", default=0)
+    objective_ms: _Integer = field(name="target-latency-ms", default=0)
     # 0 is the most urgent.
-    urgency: int = field(name="priority", default=0)
-    max_attempts: int = field(name="max-attempts", default=1)
+    urgency: _Integer = field(name="priority", default=0)
+    max_attempts: _Integer = field(name="max-attempts", default=1)
     stretch: float = 1.0
     is_public: bool = field(name="public", default=False)
     advice: AdviceWire | None = None
@@ -107,16 +109,16 @@
 class LimitsWire(Struct, frozen=True):
     """Size limits of callers' requests."""
 
-    max_header_bytes: int = field(name="max-header-bytes", default=16_384)
-    max_body_bytes: int = field(name="max-body-bytes", default=262_144)
+    max_header_bytes: _Integer = field(name="max-header-bytes", default=16_384)
+    max_body_bytes: _Integer = field(name="max-body-bytes", default=262_144)
 
 
 class ResourcesWire(Struct, frozen=True):
     """An amount of resources; 0 means none or, in a limit, unlimited."""
 
-    cpu_millis: int = field(name="cpu", default=0)
-    memory_mb: int = field(name="mem-mb", default=0)
-    gpus: int = 0
+    cpu_millis: _Integer = field(name="cpu", default=0)
+    memory_mb: _Integer = field(name="mem-mb", default=0)
+    gpus: _Integer = 0
 
 
 class TenantWire(Struct, frozen=True):
@@ -132,7 +134,7 @@
 class ConfigurationWire(Struct, frozen=True):
     """The whole configuration."""
 
-    version: int
+    version: _Integer
     routes: tuple[RouteWire, ...] = ()
     services: tuple[ServiceWire, ...] = ()
     limits: LimitsWire = LimitsWire()
@@ -245,11 +247,11 @@
 class WaveWire(Struct, frozen=True):
     """A maintenance wave that an operator requested."""
 
-    number: int = field(name="wave")
+    number: _Integer = field(name="wave")
     instances: tuple[str, ...] = field(name="machines")
     duration_s: float = field(name="duration-s", default=0.0)
     # How many instances may be in maintenance at the same time.
-    most_at_once: int = field(name="maximum", default=1)
+    most_at_once: _Integer = field(name="maximum", default=1)
 
 
 class AdviceReplyWire(Struct, frozen=True):
