Tell spare room apart by most-per-worker and by fillers

Cause: the counts of a round were kept by pool, amounts and label only, so that a task got the count of another step, whose tasks per worker are bounded or whose processor time counts differently.

Change: the key has the bound with the step and occurrence that it counts, and whether the task is a filler.

Measured: the two new tests fail before, in one order of asking, and pass now.

--- a/almondstack/placement/spare_room.py
+++ b/almondstack/placement/spare_room.py
@@ -33,7 +33,7 @@
         self._workers = workers
         self._now_s = now_s
         self._taken: Counter[str] = Counter()
-        self._counts: dict[tuple[str, int, int, int, str], int] = {}
+        self._counts: dict[tuple[object, ...], int] = {}
 
     def note_moving(self, pool: str) -> None:
         """Count a task that is being moved within a pool."""
@@ -41,10 +41,19 @@
 
     def has_room(self, task: Task, pool: str) -> bool:
         """Return whether there is room for a task in a pool beside those being moved."""
-        step = task.step
-        key = pool, step.cpu_millis, step.memory_mb, step.gpus, step.required_label
+        key = pool, *_kind_of_room(task)
         count = self._counts.get(key)
         if count is None:
             members = (worker for worker in self._workers if worker.info.pool == pool)
             count = self._counts[key] = room_count(task, members, self._now_s)
         return count > self._taken[pool]
+
+
+def _kind_of_room(task: Task) -> tuple[object, ...]:
+    """Return what decides how often a task like this one fits on the workers."""
+    step = task.step
+    needs = step.cpu_millis, step.memory_mb, step.gpus, step.is_filler, step.required_label
+    if not step.most_per_worker:
+        return needs
+    # The bound counts the tasks of the same step and occurrence.
+    return *needs, step.most_per_worker, task.job.id, task.key.occurrence, task.key.step
--- a/almondstack/placement/tests/test_worker_speed.py
+++ b/almondstack/placement/tests/test_worker_speed.py
@@ -305,6 +305,29 @@
     assert not spare.has_room(task, "p")
 
 
+def test_room_for_moved_tasks_is_told_apart_by_most_per_worker():
+    worker = make_worker("w1")
+    spread = make_job(make_step(2, most_per_worker=1), id="spread").steps_of(0)[0]
+    other = make_job(make_step(2, most_per_worker=1), id="other").steps_of(0)[0]
+    plain = make_job(id="plain").steps_of(0)[0]
+    worker.put(spread[0])
+    for order in ([plain, spread, other], [spread, other, plain]):
+        spare = SpareRoom([worker], 0.0)
+        rooms = {tasks[0].job.id: spare.has_room(tasks[-1], "p") for tasks in order}
+        assert rooms == {"plain": True, "spread": False, "other": True}
+
+
+def test_room_for_moved_fillers_is_told_apart_from_that_for_others():
+    worker = make_worker("w1")
+    _fill(worker)
+    plain = make_job(make_step(memory_mb=1), id="plain").steps_of(0)[0][0]
+    filler = make_job(make_step(memory_mb=1, is_filler=True), id="filler").steps_of(0)[0][0]
+    for order in ([plain, filler], [filler, plain]):
+        spare = SpareRoom([worker], 0.0)
+        rooms = {task.job.id: spare.has_room(task, "p") for task in order}
+        assert rooms == {"plain": False, "filler": True}
+
+
 def test_runs_that_a_slow_worker_held_up_are_told_from_later_ones():
     pool = _Pool()
     pool.slow_down(["w03"])
