Guard the estimates of the regression against overflow

Cause: sums that overflow gave estimates that are not numbers; with an infinite sum of squares alone the deviation fell to the least one, since max(0, nan) is 0, so that a wild value looked certain.

Change: a value that is not finite is 0 with an infinite error, and the deviation is infinite if the squares are not finite.

Measured: the four new test cases fail before and pass now; a guard of the estimates alone left the one with results of 1e200 failing.

--- a/almondstack/placement/regression.py
+++ b/almondstack/placement/regression.py
@@ -91,12 +91,17 @@
         self._square += result * result
 
     def estimates(self) -> list[Estimate]:
-        """Return the coefficient of each column; with too few samples the errors are infinite."""
+        """Return the coefficient of each column; without a finite result the error is infinite.
+
+        Explanation
+        -----------
+        That is so with too few samples, and where sums of products have overflowed.
+        """
         inverse = _inverse(self._with_prior())
         values = [_dot(row, self._products) for row in inverse]
         deviation = self._deviation(values)
         return [
-            Estimate(value, deviation * math.sqrt(max(0.0, inverse[column][column])))
+            _estimate(value, deviation * math.sqrt(max(0.0, inverse[column][column])))
             for column, value in enumerate(values)
         ]
 
@@ -115,9 +120,18 @@
             value * _dot(row, values) for value, row in zip(values, self._rows, strict=True)
         )
         squares = self._square - 2 * _dot(values, self._products) + fitted
+        if not math.isfinite(squares):
+            return math.inf
         return max(_MIN_DEVIATION, math.sqrt(max(0.0, squares) / freedom))
 
 
+def _estimate(value: float, error: float) -> Estimate:
+    """Return an estimate; 0 with an infinite error if the value is not finite."""
+    if not math.isfinite(value):
+        return Estimate(0.0, math.inf)
+    return Estimate(value, error if math.isfinite(error) else math.inf)
+
+
 def _dot(first: list[float], second: list[float]) -> float:
     return sum(one * other for one, other in zip(first, second, strict=True))
 
--- a/almondstack/placement/tests/test_interference.py
+++ b/almondstack/placement/tests/test_interference.py
@@ -166,6 +166,16 @@
         assert abs(estimates[column].value - amount) <= bound
 
 
+@pytest.mark.parametrize("result", [1e200, 1e308, math.inf, math.nan])
+def test_results_that_overflow_leave_estimates_finite_with_infinite_errors(result):
+    regression = DecayingRegression()
+    column = regression.add_column()
+    for number in range(20):
+        regression.add({column: number % 2}, result)
+    assert all(math.isfinite(value) for value, _ in regression.estimates())
+    assert all(error == math.inf for _, error in regression.estimates())
+
+
 @given(st.integers(0, 4), st.lists(st.tuples(st.integers(1, 4), st.floats(0, 1)), max_size=30))
 def test_forgetting_a_regressor_leaves_the_others_as_if_it_had_not_been(removed, samples):
     whole, other = DecayingRegression(), DecayingRegression()
