Sum a job's expected work and chain over its steps in admission

Cause: the expectation of a task, which is not in proportion to what is declared, was applied to a whole job's declared work and chain.

Change: the state gives the expected time of a task of each step; work is their sum by count and cores, and the chain is that of these times. Fillers and tasks that last without a declaration count as 0.

Measured with an expectation of 30 x sqrt(declared): ten tasks of 300 ms and two of 900 ms on half a core were 1,308 ms of work before and are 3,900 now. The three new tests fail before.

--- a/almondstack/jobs/admission_state.py
+++ b/almondstack/jobs/admission_state.py
@@ -1,7 +1,7 @@
 """What is known at one moment of the waits of new work, for decisions on admission."""
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from almondstack.jobs.model import Submission
 from almondstack.jobs.records import OwnerNotice
@@ -17,8 +17,15 @@
     return f"{pool}/{account}"
 
 
-def core_ms(submission: Submission) -> float:
-    """Return the declared work of a job that runs once, in milliseconds of one core.
+def core_ms(submission: Submission, task_ms: Sequence[float] | None = None) -> float:
+    """Return the work of a job that runs once, in milliseconds of one core.
+
+    Parameters
+    ----------
+    submission : Submission
+        The job.
+    task_ms : sequence of float, optional
+        Time of a task of each step, in milliseconds; by default as declared.
 
     Examples
     --------
@@ -26,8 +33,14 @@
     >>> core_ms(Submission("q", "a", "", (Step(3, cpu_millis=500, estimate_ms=100),)))
     150.0
     """
-    steps = (step for step in submission.steps if not step.is_long_running and not step.is_filler)
-    return sum(step.count * step.cpu_millis * step.estimate_ms for step in steps) / _MILLIS
+    if task_ms is None:
+        task_ms = [step.estimate_ms for step in submission.steps]
+    works = (
+        step.count * step.cpu_millis * time_ms
+        for step, time_ms in zip(submission.steps, task_ms, strict=True)
+        if not step.is_long_running and not step.is_filler
+    )
+    return sum(works) / _MILLIS
 
 
 def _declared_ms(_queue: str, declared_ms: float) -> float:
@@ -54,7 +67,7 @@
         Monotonic time at which the state was read, in seconds; None for the state that this
         process has computed as the owner.
     expected_ms : callable, optional
-        Returns the expected milliseconds for a queue and declared milliseconds.
+        Returns the expected milliseconds of a task for a queue and declared milliseconds.
     """
 
     __slots__ = ("_accepted_ms", "_entitled_millis", "_expected_ms", "_known_s", "_waits_ms")
@@ -108,16 +121,33 @@
         entitled = self._entitled_millis.get(account)
         return math.inf if entitled is None else max(1.0, float(entitled))
 
-    def expected_ms(self, submission: Submission, declared_ms: float) -> float:
-        """Return the expected milliseconds of declared milliseconds of a job."""
-        return self._expected_ms(submission.queue, declared_ms)
+    def task_ms(self, submission: Submission) -> list[float]:
+        """Return the expected time of a task of each step of a job, in milliseconds.
+
+        Explanation
+        -----------
+        Expectations are those of tasks: they are not in proportion to what is declared, so that
+        sums are of expectations.  A filler or a task that lasts without a declaration has none.
+        """
+        return [
+            (
+                self._expected_ms(submission.queue, step.estimate_ms)
+                if step.estimate_ms or not (step.is_filler or step.is_long_running)
+                else 0.0
+            )
+            for step in submission.steps
+        ]
+
+    def work_ms(self, submission: Submission) -> float:
+        """Return the expected work of a job that runs once, in milliseconds of one core."""
+        return core_ms(submission, self.task_ms(submission))
 
     def note_accepted(self, submission: Submission) -> None:
         """Add a job that was accepted after the waits were computed."""
         account = submission.account
         if account not in self._entitled_millis or submission.is_scheduled:
             return
-        work_ms = self.expected_ms(submission, core_ms(submission))
+        work_ms = self.work_ms(submission)
         self._accepted_ms[account] = self._accepted_ms.get(account, 0.0) + work_ms
 
 
--- a/almondstack/placement/admission.py
+++ b/almondstack/placement/admission.py
@@ -18,7 +18,7 @@
 from typing import NamedTuple
 
 from almondstack.jobs import Submission, chain_lengths_ms
-from almondstack.jobs.admission_state import AdmissionState, core_ms, wait_key
+from almondstack.jobs.admission_state import AdmissionState, wait_key
 from almondstack.placement.backlog import excess_wait_ms
 from almondstack.placement.order import LATE_FACTOR
 from almondstack.placement.policies import QueuePolicy
@@ -130,7 +130,7 @@
     decision = Decision(
         wait_ms=state.wait_ms(policy.pool, submission.account, now_s),
         entitled_millis=state.entitled_millis(submission.account),
-        work_ms=state.expected_ms(submission, core_ms(submission)),
+        work_ms=state.work_ms(submission),
         age_s=state.age_s(now_s),
     )
     room_ms = _room_ms(state, submission, policy)
@@ -151,4 +151,5 @@
     """
     declared_ms = max(chain_lengths_ms(submission.steps), default=0)
     last_ms = LATE_FACTOR * (policy.stretch * declared_ms + policy.objective_ms)
-    return last_ms - min(state.expected_ms(submission, declared_ms), last_ms)
+    expected_ms = max(chain_lengths_ms(submission.steps, state.task_ms(submission)), default=0)
+    return last_ms - min(expected_ms, last_ms)
--- a/almondstack/placement/tests/test_admission.py
+++ b/almondstack/placement/tests/test_admission.py
@@ -10,6 +10,7 @@
 from almondstack.jobs.records import OwnerNotice
 from almondstack.placement.admission import Decision, RejectionReason, judge
 from almondstack.placement.backlog import excess_wait_ms
+from almondstack.placement.order import LATE_FACTOR
 from almondstack.placement.return_schedule import ReturnSchedule
 from almondstack.testing.admission_load import AdmissionLoad, returns_when_told
 from almondstack.testing.job_builders import make_job, make_policy, make_step
@@ -143,6 +144,38 @@
     assert not _judge(_state(6_000, 4_000, expected_ms=lambda _queue, ms: 3.0 * ms)).is_accepted
 
 
+def _root_ms(_queue, declared_ms):
+    """Tasks that declare a hundred times as much take ten times as long; without, 400 ms."""
+    return 30.0 * declared_ms**0.5 if declared_ms else 400.0
+
+
+def test_a_jobs_expected_work_is_the_sum_of_that_of_its_tasks():
+    steps = make_step(10, estimate_ms=100), make_step(2, estimate_ms=900, cpu_millis=500)
+    state = _state(1_000, 1_000, expected_ms=_root_ms)
+    assert _judge(state, *steps).work_ms == 10 * 300.0 + 2 * 900.0 * 0.5
+    state.note_accepted(make_job(*steps).submission)
+    assert state.wait_ms("p", "a", 0.0) == 1_000.0 + 3_900.0
+
+
+def test_a_jobs_expected_chain_is_the_sum_of_that_of_its_steps():
+    """Four steps of a declared 100 ms take 300 ms each, not 600 ms together."""
+    chain = [
+        make_step(estimate_ms=100, after=(number - 1,) if number else ()) for number in range(4)
+    ]
+    # The last useful end is LATE_FACTOR times 1.5 x 400 ms + 500 ms.
+    last_ms = LATE_FACTOR * 1_100.0
+    assert _judge(_state(last_ms - 1_200.0, 4_000, expected_ms=_root_ms), *chain).is_accepted
+    late = _judge(_state(last_ms - 1_150.0, 4_000, expected_ms=_root_ms), *chain)
+    assert late.late_ms == pytest.approx(50.0)
+
+
+def test_the_expected_work_of_tasks_without_a_declaration_counts():
+    state = _state(1_000, 1_000, expected_ms=_root_ms)
+    assert _judge(state, make_step(3, estimate_ms=0)).work_ms == 1_200.0
+    filler = make_step(3, estimate_ms=0, is_filler=True)
+    assert _judge(state, filler).work_ms == 0.0
+
+
 def test_owner_lost_a_wait_shrinks_with_its_age_and_rises_with_what_is_accepted():
     state, submission = _state(3_000, 4_000, known_s=10.0), make_job().submission
     assert state.wait_ms("p", "a", 11.0) == 2_000.0
