--- a/almondstack/placement/tests/test_interference.py
+++ b/almondstack/placement/tests/test_interference.py
@@ -9,7 +9,7 @@
 from almondstack.placement import PoolRound, Resources, Usage
 from almondstack.placement.choosing import choose_worker
 from almondstack.placement.disturbance_preference import DisturbancePreference
-from almondstack.placement.interference import Interference
+from almondstack.placement.interference import Interference, kind_of
 from almondstack.placement.pace import PacedFiller, next_percent, next_percents
 from almondstack.placement.regression import DecayingRegression
 from almondstack.testing.job_builders import make_job, make_step, make_worker
@@ -166,6 +166,16 @@
         assert abs(estimates[column].value - amount) <= bound
 
 
+@pytest.mark.parametrize("result", [1e200, 1e308, math.inf, math.nan])
+def test_results_that_overflow_leave_estimates_finite_with_infinite_errors(result):
+    regression = DecayingRegression()
+    column = regression.add_column()
+    for number in range(20):
+        regression.add({column: number % 2}, result)
+    assert all(math.isfinite(value) for value, _ in regression.estimates())
+    assert all(error == math.inf for _, error in regression.estimates())
+
+
 @given(st.integers(0, 4), st.lists(st.tuples(st.integers(1, 4), st.floats(0, 1)), max_size=30))
 def test_forgetting_a_regressor_leaves_the_others_as_if_it_had_not_been(removed, samples):
     whole, other = DecayingRegression(), DecayingRegression()
@@ -198,9 +208,26 @@
 def test_a_task_placed_in_the_same_round_counts():
     preference, worker = DisturbancePreference(_learned()), make_worker()
     filler = _filler("f", _HARMFUL)
-    assert preference(filler, worker) == 0.0
+    ranking = preference(filler)
+    assert ranking(worker) == 0.0
     worker.put(_serving())
-    assert preference(filler, worker) == 0.6
+    assert ranking(worker) == preference(filler)(worker) == 0.6
+
+
+def test_without_knowledge_of_a_kind_no_worker_is_ranked(monkeypatch):
+    """Guards the cost of a search among many workers."""
+    kinds = []
+    monkeypatch.setattr(
+        "almondstack.placement.disturbance_preference.kind_of",
+        lambda task: kinds.append(task) or kind_of(task),
+    )
+    preference = DisturbancePreference(_learned())
+    assert preference(_filler("calm", _CALM)) is None
+    assert preference(_filler("harmful", _HARMFUL)) is not None
+    workers = [make_worker(f"w{number}") for number in range(50)]
+    kinds.clear()
+    assert choose_worker(_filler("f", _HARMFUL), workers, preference) is not None
+    assert len(kinds) == 1
 
 
 def test_a_harmful_filler_is_placed_at_once_beside_others_when_there_is_no_other_room():
