Divide fairly where weights are far apart

Cause: progressive filling subtracted the rates of claims that are met one after the other, so that rates of small weights were lost in the rounding errors of large ones, and what was left of a sum stood for claims.

Change: weights count relative to the largest of the accounts with demand, at least a millionth; a use that falls below a millionth of its peak is summed up anew; nobody is entitled to more than the fleet by its weight.

--- a/almondstack/placement/entitlements.py
+++ b/almondstack/placement/entitlements.py
@@ -14,6 +14,9 @@
 _MIN_ACCOUNTS = 2
 """Accounts with demand from which on they compete."""
 
+_MIN_RELATIVE_WEIGHT = 1e-6
+"""Least weight relative to the largest one: far smaller ones would be lost in rounding."""
+
 _NO_ACCOUNTS: Mapping[str, AccountPolicy] = {}
 
 
@@ -145,7 +148,8 @@
         share = self._shares.get(account)
         if share is not None:
             return share.entitled_millis
-        return _newcomer_share(self._newcomer_millis, self._accounts.get(account))
+        most_millis = self._capacity.cpu_millis or math.inf
+        return _newcomer_share(self._newcomer_millis, most_millis, self._accounts.get(account))
 
     def covered_share(self, account: str) -> float:
         """Return the part of an account's short work that it is entitled to run, 0 to 1."""
@@ -228,7 +232,9 @@
     parts = _parts(bounded, whole, left)
     newcomer_millis = _newcomer_level(bounded, whole, left) * whole[0]
     shares = {
-        demand.account: _share(demand, part, newcomer_millis, accounts.get(demand.account))
+        demand.account: _share(
+            demand, part, _newcomer_share(newcomer_millis, whole[0], accounts.get(demand.account))
+        )
         for demand, part in zip(bounded, parts, strict=True)
     }
     return Entitlements(shares, newcomer_millis, accounts, capacity)
@@ -283,11 +289,20 @@
 def _parts(
     bounded: Sequence[_BoundedDemand], whole: _Amounts, left: Sequence[float]
 ) -> list[float]:
-    claims = [Claim(demand.weight, demand.floor, demand.rest, whole) for demand in bounded]
+    largest = max(demand.weight for demand in bounded)
+    claims = [
+        Claim(_relative(demand.weight, largest), demand.floor, demand.rest, whole)
+        for demand in bounded
+    ]
     fill(claims, left)
     return [claim.part for claim in claims]
 
 
+def _relative(weight: float, largest: float) -> float:
+    """Return a weight relative to the largest one, in a range that rounding allows."""
+    return max(_MIN_RELATIVE_WEIGHT, weight / largest)
+
+
 def _newcomer_level(
     bounded: Sequence[_BoundedDemand], whole: _Amounts, left: Sequence[float]
 ) -> float:
@@ -296,9 +311,7 @@
     return _parts([*bounded, newcomer], whole, left)[-1]
 
 
-def _share(
-    demand: _BoundedDemand, part: float, newcomer_millis: float, policy: AccountPolicy | None
-) -> AccountShare:
+def _share(demand: _BoundedDemand, part: float, newcomer_millis: float) -> AccountShare:
     asked = Resources(
         *(math.floor(held + more) for held, more in zip(demand.floor, demand.rest, strict=True))
     )
@@ -310,15 +323,15 @@
     )
     entitled_millis = demand.floor[0] + part * demand.rest[0]
     if part >= 1.0:
-        entitled_millis = max(entitled_millis, _newcomer_share(newcomer_millis, policy))
+        entitled_millis = max(entitled_millis, newcomer_millis)
     return AccountShare(asked, granted, part * demand.allowed, entitled_millis)
 
 
-def _newcomer_share(millis: float, policy: AccountPolicy | None) -> float:
-    """Return what an account of a policy gets where one of weight 1 gets ``millis``."""
+def _newcomer_share(millis: float, most_millis: float, policy: AccountPolicy | None) -> float:
+    """Return what an account of a policy gets of ``most_millis``, if weight 1 gets ``millis``."""
     if policy is None:
         return millis
-    share = millis * policy.weight
+    share = min(most_millis, millis * policy.weight)
     if policy.ceiling.cpu_millis:
         share = min(share, max(0, policy.ceiling.cpu_millis))
     return share
--- a/almondstack/placement/policies.py
+++ b/almondstack/placement/policies.py
@@ -79,7 +79,8 @@
         Name of the account.
     weight : float
         Relative share when capacity is short; at least ``MIN_WEIGHT``, so that an account
-        with a weight of 0 or less still gets what the others leave.
+        with a weight of 0 or less still gets what the others leave.  Where a short fleet is
+        divided, it counts as at least a millionth of the largest.
     ceiling : Resources
         Bound on the demand of its running tasks over all workers; 0 is no bound.
     """
--- a/almondstack/placement/water_filling.py
+++ b/almondstack/placement/water_filling.py
@@ -8,6 +8,11 @@
 """A resource whose use rises slower than this with the level is in use by no open claim."""
 
 
+_MAX_FALL = 1e-6
+"""The use of a resource is summed up anew once less than this part of its peak is left: what was
+subtracted from a far larger sum has left rounding errors in it."""
+
+
 class Claim:
     """A demand for several resources that is met in proportion.
 
@@ -88,7 +93,7 @@
 class _Filling:
     """The level that is reached, and what is left of each resource."""
 
-    __slots__ = ("_claims", "_left", "_level", "_open", "_rates")
+    __slots__ = ("_claims", "_left", "_level", "_open", "_peaks", "_rates")
 
     def __init__(self, claims: Sequence[Claim], left: Sequence[float]) -> None:
         self._claims = claims
@@ -96,6 +101,7 @@
         self._level = 0.0
         self._open: set[Claim] = set()
         self._rates = [0.0] * len(self._left)
+        self._peaks = list(self._rates)
 
     def raise_to(self, level: float) -> None:
         """Raise the level; claims on a resource that runs out before are closed there."""
@@ -112,6 +118,7 @@
         self._open.add(claim)
         for resource, rate in enumerate(claim.rates):
             self._rates[resource] += rate
+            self._peaks[resource] = max(self._peaks[resource], self._rates[resource])
 
     def finish(self, claim: Claim) -> None:
         """Close a claim that is met in full."""
@@ -119,6 +126,10 @@
         self._open.discard(claim)
         for resource, rate in enumerate(claim.rates):
             self._rates[resource] -= rate
+        if any(
+            rate < _MAX_FALL * peak for rate, peak in zip(self._rates, self._peaks, strict=True)
+        ):
+            self._sum_up()
 
     def _next_end(self, level: float) -> tuple[float, int | None]:
         """Return the level up to which all resources last, and the first that ends before."""
@@ -140,9 +151,13 @@
             if not claim.is_closed and claim.rates[resource] > 0:
                 claim.close(claim.part_at(self._level))
                 self._open.discard(claim)
+        self._sum_up()
+
+    def _sum_up(self) -> None:
         self._rates = [
             sum(claim.rates[number] for claim in self._open) for number in range(len(self._left))
         ]
+        self._peaks = list(self._rates)
 
 
 def fill(claims: Sequence[Claim], left: Sequence[float]) -> None:
