Leave demand of pools that are off out of the division

Cause: the demand of an account in pools that are off was part of what it asks and of what presses, but not of the demand that is divided, so that its part in the other pools was diluted. Its lasting work there was subtracted from what admission counts with.

Change: FleetShares.divide goes by the needs in pools that are paid for; AdmissionWaits subtracts lasting work in these only.

Both new tests fail without the change.

--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -1,7 +1,7 @@
 """Estimates of the waiting time of new work, which the owner publishes for admission."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from typing import NamedTuple
 
 from almondstack.capacity import PoolState
@@ -146,7 +146,7 @@
             return
         accounts = {account for backlog in backlogs.values() for account in backlog.work_ms}
         beyond = {account for account in accounts if entitlements.covered_share(account) < 1.0}
-        lasting_millis = self._lasting_millis() if beyond or self._held else {}
+        lasting_millis = self._lasting_millis(backlogs) if beyond or self._held else {}
         for account in beyond | self._held.keys():
             entitled = entitlements.entitled(account)
             if math.isinf(entitled):
@@ -155,12 +155,14 @@
             held_ms = until_ms if account in beyond else self._held[account].until_ms
             self._held[account] = _HeldEntitlement(millis, held_ms)
 
-    def _lasting_millis(self) -> dict[str, int]:
-        """Return the demand of long-running tasks that are not fillers, by account."""
+    def _lasting_millis(self, pools: Container[str]) -> dict[str, int]:
+        """Return the demand of long-running tasks but fillers in some pools, by account."""
         lasting: dict[str, int] = {}
         for job in self._table.jobs.values():
             if not job.is_open or not job.submission.is_long_running:
                 continue
+            if self._planner.policy_of(job.submission).pool not in pools:
+                continue
             steps = (step for step in job.submission.steps if step.is_long_running)
             millis = sum(step.count * step.cpu_millis for step in steps if not step.is_filler)
             account = job.submission.account
--- a/almondstack/control/fleet_shares.py
+++ b/almondstack/control/fleet_shares.py
@@ -64,7 +64,8 @@
         needs : mapping of str to PoolNeed
             Need of each pool.
         by_account : mapping of tuple to PoolNeed
-            Need of each account in each pool, by pool and account.
+            Need of each account in each pool, by pool and account; that in pools that are off
+            takes nothing of the fleet and doesn't count.
         demands : AccountDemands
             Demand of each account over all pools.
         arriving_millis : mapping of str to float
@@ -74,14 +75,15 @@
         capacity : FleetCapacity
             What there is to divide.
         """
+        paid = _paid_needs(by_account, policies)
         arriving = self._arriving(arriving_millis, policies)
-        asked = _asked_millis(by_account, arriving, demands)
+        asked = _asked_millis(paid, arriving, demands)
         whole = _dividable(needs, policies, capacity)
         table = divide_fairly(demands.all(), whole, policies.accounts)
         if table.is_short:
             pressing = _pressing_millis(asked, arriving, demands)
             parts = _entitled_parts(asked, pressing, table)
-            _set_entitled(needs, by_account, pressing, parts, demands)
+            _set_entitled(needs, paid, pressing, parts, demands)
         return table
 
     def _arriving(
@@ -140,6 +142,13 @@
     )
 
 
+def _paid_needs(
+    by_account: Mapping[_PoolAccount, PoolNeed], policies: Policies
+) -> dict[_PoolAccount, PoolNeed]:
+    """Return the needs in pools that are paid for."""
+    return {key: need for key, need in by_account.items() if not policies.pools.get(key[0], True)}
+
+
 def _asked_millis(
     by_account: Mapping[_PoolAccount, PoolNeed],
     arriving: Mapping[_PoolAccount, float],
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -90,6 +90,16 @@
     assert pools.update(_short()).beyond == {"flood": 1_000}
 
 
+def test_flood_lasting_work_of_a_pool_that_is_off_uses_nothing_of_the_entitlement():
+    pools = _Pools()
+    pools.policies.queues["s"] = make_policy(name="s", pool="off")
+    lasting = make_job(
+        make_step(3, is_long_running=True), id="4", account="flood", queue="s", pool="off"
+    )
+    pools.table.jobs["4"] = lasting
+    assert pools.update(_short()).beyond == {"flood": 4_000}
+
+
 def test_flood_an_account_whose_demand_fell_to_its_entitlement_is_not_let_in_at_once():
     """While a flood is rejected its demand is within its entitlement, in each second round."""
     pools = _Pools()
--- a/almondstack/control/tests/test_fleet_shares.py
+++ b/almondstack/control/tests/test_fleet_shares.py
@@ -4,11 +4,13 @@
 
 import pytest
 
+from almondstack.capacity import PoolNeed
 from almondstack.control import pool_needs
 from almondstack.control.account_demands import AccountDemands
 from almondstack.control.entitlement_report import EntitlementReport
+from almondstack.control.fleet_shares import FleetCapacity, FleetShares
 from almondstack.core import LocalMetrics
-from almondstack.placement import AccountPolicy, QueuePolicy, Resources
+from almondstack.placement import AccountPolicy, Policies, QueuePolicy, Resources
 from almondstack.placement.entitlements import AccountDemand, Entitlements, divide_fairly
 from almondstack.testing.job_builders import (
     assign,
@@ -156,6 +158,34 @@
     assert demand.running.cpu_millis == demand.waiting.cpu_millis == 0
 
 
+def _entitled_need(off_millis=0, arriving_millis=0.0):
+    """Return the part of pool p's need to which its accounts are entitled, and the table."""
+    policies = Policies(1, {"q": make_policy()}, {}, {"p": False, "off": True})
+    demands = AccountDemands({"a", "flood"}, Resources())
+    for account, tasks in (("a", 10), ("flood", 200)):
+        job = make_job(make_step(tasks, estimate_ms=1_000), account=account)
+        demands.add(job, make_policy(), -3_000.0, is_late=False)
+    by_account = {
+        ("p", "flood"): PoolNeed(waiting_millis=200_000),
+        ("p", "a"): PoolNeed(waiting_millis=10_000),
+        ("off", "flood"): PoolNeed(waiting_millis=off_millis),
+        ("off", "standby"): PoolNeed(waiting_millis=off_millis),
+    }
+    needs = {"p": PoolNeed(waiting_millis=210_000), "off": PoolNeed()}
+    shares = FleetShares()
+    shares.note_job("q", "a", 1_000.0)
+    capacity = FleetCapacity(7, Resources(112_000))
+    table = shares.divide(needs, by_account, demands, {"q": arriving_millis}, policies, capacity)
+    return needs["p"].entitled, table
+
+
+def test_demand_in_pools_that_are_off_dilutes_no_part():
+    """An account's demand in a standby pool halved what its other pool was owed."""
+    with_off, _ = _entitled_need(1_000_000)
+    without, _ = _entitled_need()
+    assert with_off.total_millis == without.total_millis > 0
+
+
 class _Events:
     """Keeps the events that are written."""
 
