Go by the learned median for the end of runs that hold an instance

Cause: PoolBalancer took the caller's estimate for the time of a run, and the absolute difference to it, so that a run just beyond its estimate seemed to end now and its instance was given at once.

Change: what is left of the median of the step; a run beyond it counts as long again as it has run. Tests also cover ends_in_s and is_draining of the candidates, which nothing noticed when they were not set.

Measured: with estimates, with abs(), with is_draining always False and with ends_in_s never set, at least one of the new tests fails for each.

--- a/almondstack/control/pool_balancer.py
+++ b/almondstack/control/pool_balancer.py
@@ -302,4 +302,6 @@
     """Return when a run should end, in seconds; one that is overdue may take as long again."""
     if task.step.is_long_running:
         return 0.0
-    return abs(task.step.estimate_ms / _MS - (now_s - task.assigned_s))
+    elapsed_s = now_s - task.assigned_s
+    left_s = task.job.median_ms(task.key.step) / _MS - elapsed_s
+    return left_s if left_s > 0 else elapsed_s
--- a/almondstack/control/tests/test_pool_balancer.py
+++ b/almondstack/control/tests/test_pool_balancer.py
@@ -12,6 +12,7 @@
 from almondstack.placement import AccountPolicy, Policies, Resources
 from almondstack.testing.job_builders import (
     assign,
+    make_entitlements,
     make_job,
     make_policy,
     make_step,
@@ -103,6 +104,48 @@
     assert _members(balancer, [up[0], moving]) == ([], 1)
 
 
+def _candidate(balancer, tasks, now_s, *, is_reserved=False):
+    """Return the candidate of an instance of a short fleet on which tasks run since second 0."""
+    worker = make_worker("w1")
+    worker.is_reserved = is_reserved
+    for task in tasks:
+        assign(balancer._table, task, worker)
+    info = InstanceInfo("m1", "p", InstanceState.UP, "a", "r", 4_000, "w1")
+    return balancer._candidate(info, worker, now_s)
+
+
+@pytest.fixture
+def short_balancer(balancer):
+    """Return the balancer of a fleet for which accounts compete."""
+    balancer._needs._entitlements = make_entitlements({"a": 1_000}, {"a": 9_000, "b": 1_000})
+    return balancer
+
+
+def test_candidates_of_a_short_fleet_tell_whether_they_drain(short_balancer):
+    assert _candidate(short_balancer, [], 1.0, is_reserved=True).is_draining
+    assert not _candidate(short_balancer, [], 1.0).is_draining
+
+
+def test_candidates_of_a_short_fleet_end_with_their_last_run(short_balancer):
+    job = make_job(make_step(estimate_ms=2_000), make_step(estimate_ms=5_000))
+    tasks = [step[0] for step in job.steps_of(0)]
+    assert _candidate(short_balancer, tasks, 1.0).ends_in_s == pytest.approx(4.0)
+    assert _candidate(short_balancer, [], 1.0).ends_in_s == 0.0
+
+
+def test_the_end_of_a_run_goes_by_the_median_and_not_by_the_estimate(short_balancer):
+    job = make_job(make_step(estimate_ms=60_000))
+    job.predict([3_000.0], [3_000.0])
+    assert _candidate(short_balancer, job.steps_of(0)[0], 1.0).ends_in_s == pytest.approx(2.0)
+
+
+def test_an_overdue_run_does_not_seem_to_end_now(short_balancer):
+    """A run just beyond its estimate was taken for one that is about to end."""
+    tasks = make_job(make_step(estimate_ms=3_000)).steps_of(0)[0]
+    candidate = _candidate(short_balancer, tasks, 3.1)
+    assert candidate.ends_in_s == pytest.approx(3.1)
+
+
 def test_hot_account_at_its_ceiling_adds_no_demand():
     """The pool kept 173 instances, three quarters of them idle, for one account."""
     now_ms = int(time.time() * 1000)
