--- a/almondstack/control/tests/test_fleet_shares.py
+++ b/almondstack/control/tests/test_fleet_shares.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from almondstack.capacity import PoolNeed
+from almondstack.capacity import PoolNeed, held_need
 from almondstack.control import pool_needs
 from almondstack.control.account_demands import AccountDemands
 from almondstack.control.entitlement_report import EntitlementReport
@@ -179,6 +179,35 @@
     return needs["p"].entitled, table
 
 
+def test_jobs_that_are_forecast_are_part_of_the_demand_that_is_divided():
+    _, present = _entitled_need()
+    _, table = _entitled_need(arriving_millis=50_000.0)
+    assert present.shares["a"].asked.cpu_millis == 10_000
+    assert table.shares["a"].asked.cpu_millis == 50_000
+
+
+def _states(fleet, now_s):
+    instances = list(fleet._instances.values())
+    return {
+        state.name: state for state in fleet.balancer.pools(instances, fleet.policies, set(), now_s)
+    }
+
+
+def test_needs_of_pools_are_held_for_a_moment(clock):
+    """A moment's fall of a forecast would take instances that go back at once."""
+    fleet = _short_fleet(clock)
+    fleet.run_round()
+    before = _states(fleet, clock.now_s)["a"].held.kept
+    first = [job for job in fleet.table.jobs.values() if job.submission.account == "first"]
+    for job in first[2:]:
+        fleet.table.remove_job(job)
+    fleet.balancer._needs._forecasts.clear()
+    state = _states(fleet, clock.now_s + 0.1)["a"]
+    assert fleet.balancer.entitlements.is_short
+    assert held_need(state.need, 16_000).kept < before == state.held.kept
+    assert _states(fleet, clock.now_s + 0.5)["a"].held.kept < before
+
+
 def test_demand_in_pools_that_are_off_dilutes_no_part():
     """An account's demand in a standby pool halved what its other pool was owed."""
     with_off, _ = _entitled_need(1_000_000)
--- a/almondstack/placement/tests/test_entitlements.py
+++ b/almondstack/placement/tests/test_entitlements.py
@@ -397,6 +397,15 @@
     assert _order([short, lasting], 0.0, {"flood": 90_000}) == ["lasting", "short"]
 
 
+def test_order_long_running_tasks_are_never_beyond():
+    """A lasting step of an account beyond its entitlement came after those of others."""
+    jobs = [
+        make_job(make_step(is_long_running=True), id=account, account=account)
+        for account in ("flood", "light")
+    ]
+    assert _order(jobs, 0.0, {"flood": 90_000}) == ["flood", "light"]
+
+
 def test_order_without_a_shortage_is_that_of_shares_in_the_pool():
     jobs = [make_job(id=f"hot{n}", account="hot", accepted_ms=n) for n in range(20)]
     jobs.append(make_job(id="cold", account="cold", accepted_ms=100))
