Go on accepting when descriptors run out, and derive the connections from their limit

Cause: accept(2) raised EMFILE out of cheroot's _run before _expire; serve() restarted it at once. The accepting thread spun, deadlines stopped and no address answered. Four addresses of 900 connections by default exceed a usual limit of 1,024 descriptors. Change: on EMFILE, ENFILE, ENOBUFS and ENOMEM the connection that has waited longest at the address with most waiting ones is ended, the accepting thread pauses for 10 ms and goes on. Without max-connections each address gets a quarter of the soft limit less a reserve of a quarter of it, at most 500 descriptors.

--- a/almondstack/core/client_guard.py
+++ b/almondstack/core/client_guard.py
@@ -5,12 +5,16 @@
 from collections import Counter
 from collections.abc import Callable
 from enum import StrEnum
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from almondstack.core.byte_budget import ByteBudget
 from almondstack.core.metrics import LocalMetrics
 
+if TYPE_CHECKING:
+    from almondstack.core.http_server import PlatformHttpServer
+
 __all__ = ["ClientGuard", "HttpLimits", "Refusal"]
 
 _LINE_INTERVAL_S = 10.0
@@ -86,9 +90,20 @@
         Limits on the clients.
     budget : ByteBudget
         Bounds the bytes that bodies hold.
+    servers : list of PlatformHttpServer
+        The servers that accept connections.
     """
 
-    __slots__ = ("_counts", "_lock", "_metrics", "_next_line_s", "_write_line", "budget", "limits")
+    __slots__ = (
+        "_counts",
+        "_lock",
+        "_metrics",
+        "_next_line_s",
+        "_write_line",
+        "budget",
+        "limits",
+        "servers",
+    )
 
     def __init__(
         self,
@@ -98,6 +113,7 @@
     ) -> None:
         self.limits = limits or HttpLimits()
         self.budget = ByteBudget(self.limits.max_held_bytes)
+        self.servers: list[PlatformHttpServer] = []
         self._metrics = metrics or LocalMetrics()
         self._write_line = write_line
         self._counts: Counter[Refusal] = Counter()
--- a/almondstack/core/http_server.py
+++ b/almondstack/core/http_server.py
@@ -6,10 +6,14 @@
 towards clients that keep to no limit; see docs/design/untrusted-clients.md.
 """
 
+import errno
+import socket
 import threading
+import time
 from collections import OrderedDict
 from typing import Any
 
+from cheroot.connections import ConnectionManager
 from cheroot.server import Gateway, HTTPServer
 
 from almondstack.core.client_guard import ClientGuard, Refusal
@@ -24,6 +28,25 @@
 
 _MAX_HEAD_BYTES = 32_768
 
+_EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+"""Errors of accept(2) that say that the process or the machine has no room for a connection."""
+
+_EXHAUSTION_PAUSE_S = 0.01
+"""Pause of the accepting thread after a connection that could not be accepted, in seconds."""
+
+
+class _Connections(ConnectionManager):
+    """Goes on when no connection can be accepted for want of descriptors or memory."""
+
+    def _from_server_socket(self, server_socket: socket.socket) -> ServerConnection | None:
+        try:
+            return super()._from_server_socket(server_socket)  # type: ignore[misc]
+        except OSError as error:
+            if error.errno not in _EXHAUSTED:
+                raise
+        self.server.make_room()
+        return None
+
 
 class PlatformHttpServer(HTTPServer):
     """A cheroot server that bounds what its clients can hold.
@@ -85,6 +108,22 @@
         """Count and log that a client of this server was refused."""
         self.guard.refuse(refusal, self.bind_addr[1])
 
+    def prepare(self) -> None:
+        """Listen on the address and start the threads of the pool."""
+        super().prepare()
+        manager: ConnectionManager = self._connections  # type: ignore[has-type]
+        manager.close()
+        self._connections = _Connections(self)
+        self.guard.servers.append(self)
+
+    def make_room(self) -> None:
+        """End the longest wait at the address with most, since no connection can be accepted."""
+        self.refuse(Refusal.CONNECTIONS)
+        fullest = max(self.guard.servers, key=lambda server: server.waiting_count)
+        fullest.end_longest_waiting()
+        # Another thread may have to close the connection.
+        time.sleep(_EXHAUSTION_PAUSE_S)
+
     def process_conn(self, conn: ServerConnection) -> None:
         """Read what has arrived on a connection; called by the thread that accepts them."""
         self._waiting.pop(conn, None)
@@ -123,12 +162,27 @@
         if len(self._open) <= self.guard.limits.max_connections:
             return
         self.refuse(Refusal.CONNECTIONS)
+        if not self.end_longest_waiting():
+            conn.interrupt()
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of connections that wait for their client."""
+        return len(self._waiting)
+
+    def end_longest_waiting(self) -> bool:
+        """End the connection that has waited longest; return False if none waits.
+
+        Explanation
+        -----------
+        The end is seen like a close by the client, once the present events are dealt with.
+        """
         try:
             longest_waiting, _ = self._waiting.popitem(last=False)
         except KeyError:
-            longest_waiting = conn
-        # Its close is seen like one by the client, once the present events are dealt with.
+            return False
         longest_waiting.interrupt()
+        return True
 
 
 class BodyGateway(Gateway):
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -1,5 +1,6 @@
 """Reads and validates the platform's settings file."""
 
+import resource
 from pathlib import Path
 from typing import Annotated
 
@@ -78,15 +79,22 @@
 
 _MIN_HELD_MB = 2.0
 _HELD_FRACTION = 1.0 / 8.0
+_ADDRESSES = 4
+_MIN_CONNECTIONS = 16
+_MAX_CONNECTIONS = 900
+_MAX_RESERVED_DESCRIPTORS = 500
+_RESERVED_FRACTION = 4
+"""The store, calls to workers and files get at least one in so many descriptors, up to 500."""
+
 _MB = 1_000_000
 
 
 class _HttpLimits(msgspec.Struct, frozen=True):
     """Limits on clients; no client that keeps to the documented limits meets the defaults."""
 
-    # Open connections to one address.
-    max_connections: Annotated[int, msgspec.Meta(ge=16, le=4_096)] = msgspec.field(
-        name="max-connections", default=900
+    # Open connections to one address; by default derived from the limit on descriptors.
+    max_connections: Annotated[int, msgspec.Meta(ge=16, le=4_096)] | None = msgspec.field(
+        name="max-connections", default=None
     )
     # Time for the head of a request, from its first byte on.
     header_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
@@ -145,7 +153,7 @@
         held_mb = max(_MIN_HELD_MB, self.limits.memory_mb * _HELD_FRACTION)
         held_kb = self.http.max_held_kb
         return HttpLimits(
-            max_connections=self.http.max_connections,
+            max_connections=self.http.max_connections or default_max_connections(),
             head_timeout_s=self.http.header_timeout_ms / 1000.0,
             body_timeout_s=self.http.body_timeout_ms / 1000.0,
             max_held_bytes=int(held_mb * _MB) if held_kb is None else held_kb * 1_000,
@@ -162,6 +170,16 @@
         return f"{self.ip}:{self.port_range[0] + 1}"
 
 
+def default_max_connections() -> int:
+    """Return how many connections each address may have open within the limit on descriptors."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return _MAX_CONNECTIONS
+    reserved = min(_MAX_RESERVED_DESCRIPTORS, limit // _RESERVED_FRACTION)
+    share = (limit - reserved) // _ADDRESSES
+    return max(_MIN_CONNECTIONS, min(share, _MAX_CONNECTIONS))
+
+
 def load_platform_settings(path: str | Path) -> PlatformSettings:
     """Read and validate the platform's settings file.
 
--- a/almondstack/platform/tests/real_process.py
+++ b/almondstack/platform/tests/real_process.py
@@ -96,7 +96,14 @@
 
 
 @contextmanager
-def running_process(folder, *, has_configuration=True, **configuration):
+def running_process(
+    folder,
+    *,
+    has_configuration=True,
+    http_limits=_HTTP_LIMITS,
+    max_descriptors=None,
+    **configuration,
+):
     """Start a process and yield it once it answers; it is killed at the end."""
     host = loopback_host()
     store = KeyedStoreStandin()
@@ -115,12 +122,15 @@
             **{
                 "port-range": f"[{metrics_port}, {metrics_port + 1}]",
                 "cloud-api": f'{{address: "{free_address()}"}}',
-                "http-limits": _HTTP_LIMITS,
+                "http-limits": http_limits,
             },
         )
     )
     with ProcessGroup(folder) as group:
-        group.start(_NAME, "almondstack.platform", "--settings", str(path))
+        command = ["almondstack.platform", "--settings", str(path)]
+        if max_descriptors is not None:
+            command = ["almondstack.testing.limited_descriptors", str(max_descriptors), *command]
+        group.start(_NAME, *command)
         process = RealProcess(group, [front, ready, metrics, f"{host}:{metrics_port + 1}"])
         assert process.is_job_answered(200 if has_configuration else 503)
         yield process
--- a/almondstack/platform/tests/test_settings.py
+++ b/almondstack/platform/tests/test_settings.py
@@ -1,6 +1,7 @@
 """Tests of reading and reloading the platform's settings file."""
 
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -143,3 +144,16 @@
     path.write_text(settings_text(**{"http-limits": "{max-held-kb: 9, header-timeout-ms: 500}"}))
     limits = load_platform_settings(path).http_limits
     assert (limits.max_held_bytes, limits.head_timeout_s) == (9_000, 0.5)
+
+
+@pytest.mark.parametrize(
+    ("limit", "expected"),
+    [(64, 16), (256, 48), (1_024, 192), (4_100, 900), (resource.RLIM_INFINITY, 900)],
+)
+def test_connections_of_all_addresses_leave_descriptors_to_the_program(
+    tmp_path, monkeypatch, limit, expected
+):
+    monkeypatch.setattr(resource, "getrlimit", lambda _: (limit, limit))
+    path = tmp_path / "settings.yaml"
+    path.write_text(settings_text())
+    assert load_platform_settings(path).http_limits.max_connections == expected
--- a/almondstack/platform/tests/test_untrusted_clients.py
+++ b/almondstack/platform/tests/test_untrusted_clients.py
@@ -10,6 +10,7 @@
 
 import functools
 import itertools
+from contextlib import ExitStack
 
 import pytest
 
@@ -178,6 +179,36 @@
         _check(process)
 
 
+_DESCRIPTOR_LIMIT = 256
+
+
+@pytest.mark.parametrize("max_connections", [None, 900])
+def test_half_sent_heads_do_not_use_up_the_descriptors_for_good(tmp_path, max_connections):
+    """With 900 connections an address the process runs out of descriptors, else it must not."""
+    limits = "header-timeout-ms: 60000"
+    if max_connections is not None:
+        limits += f", max-connections: {max_connections}"
+    with ExitStack() as stack:
+        process = stack.enter_context(
+            running_process(
+                tmp_path,
+                limits={},
+                http_limits=f"{{{limits}}}",
+                max_descriptors=_DESCRIPTOR_LIMIT,
+            )
+        )
+        highest = 0
+        for address in (process.ready, process.metrics, process.relay, process.front):
+            crowd = ClientCrowd(address, 100, lambda: iter([_HALF_SENT["request-line"]]))
+            stack.enter_context(crowd).wait_until_sent(_SENDING_TIMEOUT_S)
+            highest = max(highest, process.descriptors)
+        is_answered = process.is_job_answered()
+        print(f"highest={highest} is_answered={is_answered}")
+        assert process.is_alive and is_answered
+        if max_connections is None:
+            assert highest < _DESCRIPTOR_LIMIT
+
+
 def test_names_of_methods_without_end_do_not_fill_the_memory(process):
     """Guards against a counter for each name that a client makes up."""
 
