Bound the time for which a relayed call waits, and keep no request that failed

Cause: timeout_ms of a call had no bound; Event.wait raised OverflowError after the request was posted, and OwnerRequests kept it in _waiting. Change: 0 to 10,000 ms in the message, 400 otherwise; a client asks for at most that; a request is removed from _waiting in any case.

--- a/almondstack/intake/requests.py
+++ b/almondstack/intake/requests.py
@@ -226,14 +226,12 @@
         OwnerUnclearError
             The request was taken; its outcome is unknown.
         """
-        with self._lock:
-            if self._post is None or (token is not None and token not in self._tokens):
-                raise OwnerNotReachedError(f"this process is not the owner with token {token}")
-            self._waiting.add(request)
-            self._post(request)
-        receipt = request.wait(timeout_s)
-        with self._lock:
-            self._waiting.discard(request)
+        try:
+            self._hand_over(request, token)
+            receipt = request.wait(timeout_s)
+        finally:
+            with self._lock:
+                self._waiting.discard(request)
         if receipt is not None:
             return receipt
         if request.withdraw():
@@ -241,3 +239,11 @@
                 f"the owner has not taken the request within {timeout_s:.2f} s"
             )
         raise OwnerUnclearError(f"the owner has not answered within {timeout_s:.2f} s")
+
+    def _hand_over(self, request: OwnerRequest, token: int | None) -> None:
+        """Post a request to the owner, unless the owner has another fencing token."""
+        with self._lock:
+            if self._post is None or (token is not None and token not in self._tokens):
+                raise OwnerNotReachedError(f"this process is not the owner with token {token}")
+            self._waiting.add(request)
+            self._post(request)
--- a/almondstack/intake/tests/test_requests.py
+++ b/almondstack/intake/tests/test_requests.py
@@ -119,3 +119,15 @@
     for number in range(5_000):
         requests.note_peer(Peer(f"p/{number}", 1.0, 0.1))
     assert len(requests._peers) <= 1_024 and "p/4999" in requests._peers
+
+
+@pytest.mark.parametrize("is_posted", [True, False])
+def test_a_request_that_fails_unforeseen_waits_no_longer(is_posted):
+    def post(_):
+        if not is_posted:
+            raise RuntimeError("unexpected")
+
+    requests = _open(post)
+    with pytest.raises(OverflowError if is_posted else RuntimeError):
+        requests.ask(CancelRequest(_JOB), 1e18)
+    assert not requests._waiting
--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -21,6 +21,7 @@
 )
 from almondstack.jobs import JobIndex, OwnerNotice
 from almondstack.relay.messages import (
+    MAX_TIMEOUT_MS,
     CancelCall,
     OwnerReply,
     ReceiptReply,
@@ -201,9 +202,8 @@
 def _(
     request: SubmissionRequest, token: int, timeout_s: float, sender: Sender
 ) -> tuple[RelayPath, bytes]:
-    timeout_ms = int(timeout_s * _MS)
     call = SubmissionCall(
-        token, timeout_ms, request.job, request.submission, request.read_offset, sender
+        token, _timeout_ms(timeout_s), request.job, request.submission, request.read_offset, sender
     )
     return RelayPath.SUBMISSION, _encoder.encode(call)
 
@@ -212,10 +212,14 @@
 def _(
     request: CancelRequest, token: int, timeout_s: float, sender: Sender
 ) -> tuple[RelayPath, bytes]:
-    call = CancelCall(token, int(timeout_s * _MS), request.job, sender)
+    call = CancelCall(token, _timeout_ms(timeout_s), request.job, sender)
     return RelayPath.CANCEL, _encoder.encode(call)
 
 
+def _timeout_ms(timeout_s: float) -> int:
+    return min(int(timeout_s * _MS), MAX_TIMEOUT_MS)
+
+
 def _successor(reply: HttpReply, owner: OwnerReply) -> OwnerReply | None:
     """Return the later owner that a 409 reply names; None if it names none."""
     if reply.status != _CONFLICT:
--- a/almondstack/relay/messages.py
+++ b/almondstack/relay/messages.py
@@ -9,6 +9,7 @@
 from almondstack.jobs import Submission
 
 __all__ = [
+    "MAX_TIMEOUT_MS",
     "CancelCall",
     "OwnerReply",
     "ReceiptReply",
@@ -19,6 +20,10 @@
 
 
 _Name = Annotated[str, msgspec.Meta(max_length=1_000)]
+MAX_TIMEOUT_MS = 10_000
+"""Longest time for which a call may wait; several times the deadline of a caller's request."""
+
+_TimeoutMs = Annotated[int, msgspec.Meta(ge=0, le=MAX_TIMEOUT_MS)]
 
 
 class RelayPath(StrEnum):
@@ -45,7 +50,7 @@
     token : int
         Fencing token of the owner that the call is for.
     timeout_ms : int
-        How long the sender waits for the receipt, in milliseconds.
+        How long the sender waits for the receipt, in milliseconds; 10,000 at most.
     job : str
         The job's id.
     submission : Submission
@@ -57,7 +62,7 @@
     """
 
     token: int
-    timeout_ms: int
+    timeout_ms: _TimeoutMs
     job: str
     submission: Submission
     read_offset: int
@@ -68,7 +73,7 @@
     """A call to cancel a job; fields as in :class:`SubmissionCall`."""
 
     token: int
-    timeout_ms: int
+    timeout_ms: _TimeoutMs
     job: str
     sender: Sender
 
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -27,7 +27,7 @@
     record_key,
 )
 from almondstack.relay import OwnerClient, RelayServer
-from almondstack.relay.messages import OwnerReply
+from almondstack.relay.messages import CancelCall, OwnerReply, RelayPath, Sender
 from almondstack.testing.addresses import free_address
 from almondstack.testing.job_builders import make_step
 
@@ -159,6 +159,17 @@
     assert seen == []
 
 
+@pytest.mark.parametrize("timeout_ms", [-1, 10_001, 2**62])
+def test_a_call_with_a_time_out_of_bounds_is_not_accepted(owner, timeout_ms):
+    requests, address, _ = owner
+    seen = []
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), seen))
+    call = CancelCall(_TOKEN, timeout_ms, _JOB, Sender("p/1", 1.0, 0.0, "a"))
+    body = msgspec.msgpack.encode(call)
+    assert HttpClient(address).call("POST", RelayPath.CANCEL, 5.0, body).status == 400
+    assert seen == []
+
+
 def test_an_error_in_the_owners_process_leaves_the_outcome_unclear(owner):
     requests, address, _ = owner
 
