Count no time of a thread against a client, and report errors of handlers

Cause: the phase of a connection and its deadline stood while a thread had the request, so that close() counted served requests as head-time or body-time; communicate() took any OSError or TimeoutError of a handler for one of the socket, and closed without an answer. Change: a phase HANDLING from the hand-over to a thread on; errors of the socket are translated where it is written or ended (ClientGoneError, UnreadAnswerError); others are reported (report_error) and answered 500. Result: core/tests/test_http_server.py fails 5 of 5 before and passes after.

--- a/almondstack/core/http_server.py
+++ b/almondstack/core/http_server.py
@@ -151,6 +151,7 @@
     def _pass_on(self, conn: ServerConnection, *, is_ready: bool) -> None:
         """Give a connection to a thread of the pool, or wait for its client."""
         if is_ready:
+            conn.start_handling()
             self.requests.put(conn)
             return
         self._waiting[conn] = None
--- a/almondstack/core/server_connection.py
+++ b/almondstack/core/server_connection.py
@@ -25,7 +25,13 @@
     KnownLengthBody,
     RequestBody,
 )
-from almondstack.core.socket_files import ReceiveBuffer, SocketWriter
+from almondstack.core.socket_files import (
+    ClientGoneError,
+    ReceiveBuffer,
+    SocketWriter,
+    UnreadAnswerError,
+)
+from almondstack.core.supervision import report_error
 
 if TYPE_CHECKING:
     from almondstack.core.http_server import PlatformHttpServer
@@ -56,6 +62,7 @@
     IDLE = auto()
     HEAD = auto()
     BODY = auto()
+    HANDLING = auto()
     LINGERING = auto()
 
 
@@ -140,6 +147,10 @@
         max_bytes = self.server.max_request_header_size + _HEAD_MARGIN_BYTES
         return self.rfile.has_head() or len(self.rfile) >= max_bytes
 
+    def start_handling(self) -> None:
+        """Note that a thread goes on with a request: its time is no longer the client's."""
+        self._phase = _Phase.HANDLING
+
     def start_body(self, request: HTTPRequest, max_bytes: int) -> RequestBody:
         """Begin to read the body of the present request; return it with what has arrived.
 
@@ -167,12 +178,12 @@
             return False
         try:
             return self._go_on()
-        except TimeoutError:
+        except UnreadAnswerError:
             self.server.refuse(Refusal.UNREAD_ANSWERS)
-        except OSError:
+        except ClientGoneError:
             pass
-        except Exception as error:
-            self.server.error_log(repr(error), traceback=True)
+        except Exception:
+            report_error()
             self._report_failure()
         return False
 
@@ -241,11 +252,18 @@
             return True
         if not is_unread:
             return False
-        self.socket.shutdown(socket.SHUT_WR)
+        self._end_answers()
         self._enter(_Phase.LINGERING, _LINGER_S)
         self._drop()
         return True
 
+    def _end_answers(self) -> None:
+        """End the server's side of the connection."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise ClientGoneError(*error.args) from error
+
     def _finish_request(self) -> None:
         body, self.body = self.body, None
         if body is not None:
@@ -257,7 +275,7 @@
     def _drop(self) -> None:
         self._dropped_bytes += self.rfile.drop()
         if self._dropped_bytes > _MAX_DROPPED_BYTES:
-            raise ConnectionAbortedError("the client goes on sending after a refusal")
+            raise ClientGoneError("the client goes on sending after a refusal")
 
 
 def _make_file(sock: socket.socket, mode: str, _size: int) -> ReceiveBuffer | SocketWriter:
--- a/almondstack/core/socket_files.py
+++ b/almondstack/core/socket_files.py
@@ -4,7 +4,7 @@
 import re
 import socket
 
-__all__ = ["ReceiveBuffer", "SocketWriter"]
+__all__ = ["ClientGoneError", "ReceiveBuffer", "SocketWriter", "UnreadAnswerError"]
 
 _HEAD_END = re.compile(rb"\n\r?\n")
 """End of a head; lines that end without CR are left to the parser, which refuses them."""
@@ -12,6 +12,14 @@
 _HEAD_END_BYTES = 3
 
 
+class ClientGoneError(OSError):
+    """The client has closed the connection, or it has failed."""
+
+
+class UnreadAnswerError(OSError):
+    """The client did not read an answer in time."""
+
+
 class ReceiveBuffer:
     """The bytes that have been received and not been read yet.
 
@@ -108,6 +116,19 @@
         self._socket = sock
 
     def write(self, data: bytes) -> int:
-        """Send all of ``data``; return its length in bytes."""
-        self._socket.sendall(data)
+        """Send all of ``data``; return its length in bytes.
+
+        Raises
+        ------
+        UnreadAnswerError
+            The client did not read it in time.
+        ClientGoneError
+            The connection has failed.
+        """
+        try:
+            self._socket.sendall(data)
+        except TimeoutError as error:
+            raise UnreadAnswerError(*error.args) from error
+        except OSError as error:
+            raise ClientGoneError(*error.args) from error
         return len(data)
--- /dev/null
+++ b/almondstack/core/tests/test_http_server.py
@@ -0,0 +1,74 @@
+"""What the server counts, reports and answers around the handler of a request."""
+
+import threading
+import time
+from contextlib import contextmanager
+
+import pytest
+from cheroot.workers.threadpool import ThreadPool
+
+from almondstack.core import LocalMetrics
+from almondstack.core.client_guard import ClientGuard, HttpLimits, Refusal
+from almondstack.core.http_server import BodyGateway, PlatformHttpServer
+from almondstack.testing.addresses import loopback_host
+from almondstack.testing.raw_http import exchange, wait_until
+
+_LIMIT_S = 0.2
+
+
+class _Gateway(BodyGateway):
+    """Has the server's handler answer each request."""
+
+    max_body_bytes = 10_000
+
+    def answer(self, body):
+        """Answer with the length of the body."""
+        self.req.server.handle()
+        self.send(b"200 OK", [], str(len(body.content)).encode())
+
+
+@contextmanager
+def _serving(handle):
+    """Serve with one thread that calls ``handle``; yields the server, its address, its metrics."""
+    metrics = LocalMetrics()
+    limits = HttpLimits(head_timeout_s=_LIMIT_S, body_timeout_s=_LIMIT_S)
+    server = PlatformHttpServer((loopback_host(), 0), _Gateway, ClientGuard(limits, metrics))
+    server.handle = handle
+    server.timeout = 30
+    server.requests = ThreadPool(server, min=1, max=1)
+    server.prepare()
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    try:
+        yield server, "{}:{}".format(*server.bind_addr), metrics
+    finally:
+        server.stop()
+        thread.join()
+
+
+def _request(body=b"{}"):
+    fields = b"Host: a\r\nConnection: close\r\nContent-Length: %d" % len(body)
+    return b"POST / HTTP/1.1\r\n%b\r\n\r\n%b" % (fields, body)
+
+
+def _refusals(metrics):
+    return [refusal for refusal in Refusal if metrics.total(f"client-refused.{refusal}")]
+
+
+def test_the_time_that_a_thread_takes_is_not_counted_against_the_client():
+    with _serving(lambda: time.sleep(2.0 * _LIMIT_S)) as (server, address, metrics):
+        assert exchange(address, _request()).status == 200
+        assert wait_until(lambda: not server.active)
+        assert not _refusals(metrics)
+
+
+@pytest.mark.parametrize("kind", [ValueError, PermissionError, TimeoutError, ConnectionResetError])
+def test_an_unforeseen_error_of_a_handler_is_reported_and_answered(monkeypatch, kind):
+    def fail():
+        raise kind("unexpected")
+
+    reported = []
+    monkeypatch.setattr(threading, "excepthook", lambda found: reported.append(found.exc_type))
+    with _serving(fail) as (_, address, metrics):
+        assert exchange(address, _request()).status == 500
+        assert reported == [kind] and not _refusals(metrics)
