Give calls between processes a budget of bytes of their own

Cause: the relay shared the callers' budget and answered 400 when it was full. Change: the relay has a budget of the same size; a body that can't be held gets 503, which a client takes for not accepted. Result: the two new tests fail before (400 for both) and pass after; tests of relay pass.

--- a/almondstack/core/http_server.py
+++ b/almondstack/core/http_server.py
@@ -68,6 +68,8 @@
     ----------
     guard : ClientGuard
         Limits on the clients.
+    budget : ByteBudget
+        Bounds the bytes that bodies hold; that of the guard unless a server has its own.
     """
 
     ConnectionClass = ServerConnection
@@ -80,6 +82,7 @@
     ) -> None:
         super().__init__(address, gateway, server_name="almondstack")
         self.guard = guard or ClientGuard()
+        self.budget = self.guard.budget
         self.shutdown_timeout = 1
         self.request_queue_size = _ACCEPT_BACKLOG
         self.keep_alive_conn_limit = self.guard.limits.max_connections
--- a/almondstack/core/server_connection.py
+++ b/almondstack/core/server_connection.py
@@ -162,7 +162,7 @@
             Longest body, in bytes.
         """
         max_line_bytes = self.server.max_request_header_size
-        limits = BodyLimits(max_bytes, max_line_bytes, self.server.guard.budget)
+        limits = BodyLimits(max_bytes, max_line_bytes, self.server.budget)
         length = int(request.inheaders.get(b"Content-Length", 0) or 0)
         body: RequestBody = (
             ChunkedBody(limits) if request.chunked_read else KnownLengthBody(length, limits)
--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -34,7 +34,8 @@
 
 _OK = 200
 _CONFLICT = 409
-_NOT_TAKEN = frozenset({400, 404, _CONFLICT})
+_UNAVAILABLE = 503
+_NOT_TAKEN = frozenset({400, 404, _CONFLICT, _UNAVAILABLE})
 """Statuses with which the server reports that the request was not accepted, and will not be."""
 
 _CONNECTIONS = 4
--- a/almondstack/relay/server.py
+++ b/almondstack/relay/server.py
@@ -6,9 +6,10 @@
 from cheroot.workers.threadpool import ThreadPool
 
 from almondstack.core import CodecError, decode_with, parse_address
+from almondstack.core.byte_budget import ByteBudget
 from almondstack.core.client_guard import ClientGuard
 from almondstack.core.http_server import BodyGateway, PlatformHttpServer
-from almondstack.core.request_bodies import RequestBody
+from almondstack.core.request_bodies import BodyFault, RequestBody
 from almondstack.intake import (
     CancelRequest,
     OwnerNotReachedError,
@@ -55,7 +56,7 @@
 
     Explanation
     -----------
-    The statuses 400, 404 and 409 mean that the request was not accepted, and will not be;
+    The statuses 400, 404, 409 and 503 mean that the request was not accepted, and will not be;
     the body of a 409 names the current owner.
 
     Parameters
@@ -81,6 +82,8 @@
         max_job_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
         super().__init__(parse_address(address), _RelayGateway, guard)
+        # Bodies of callers must not keep calls of other processes out.
+        self.budget = ByteBudget(self.guard.limits.max_held_bytes)
         self.max_job_bytes = max_job_bytes
         self.timeout = _IDLE_TIMEOUT_S
         self.owner_requests = requests
@@ -106,7 +109,9 @@
     def answer(self, body: RequestBody) -> None:
         """Answer one call; a call that was not read to its end is not accepted."""
         status, content = b"400 Bad Request", b""
-        if body.fault is None:
+        if body.fault is BodyFault.NOT_HELD:
+            status = b"503 Service Unavailable"
+        elif body.fault is None:
             status, content = self._answer(self.req.path.decode("latin-1"), body.content)
         self.send(status, [(b"Content-Type", b"application/msgpack")], content)
 
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from almondstack.core.byte_budget import ByteBudget
 from almondstack.core.http_client import HttpClient, HttpReply, NoAnswerError, NotSentError
 from almondstack.intake import (
     CancelRequest,
@@ -170,6 +171,30 @@
     assert seen == []
 
 
+def _long_submission():
+    return SubmissionRequest(_JOB, Submission("q", "a", "s" * 40_000, (make_step(2),)), 42)
+
+
+def test_bodies_of_callers_keep_no_call_out(owner):
+    requests, address, server = owner
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
+    assert server.guard.budget.reserve(server.guard.limits.max_held_bytes)
+    client, _ = _client(address)
+    assert client.ask(_long_submission(), 5.0).verdict == Verdict.DONE
+
+
+def test_a_call_that_can_not_be_held_is_not_accepted(owner):
+    requests, address, server = owner
+    seen = []
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), seen))
+    server.budget = ByteBudget(0)
+    assert HttpClient(address).call("POST", RelayPath.CANCEL, 5.0, b"a" * 40_000).status == 503
+    client, _ = _client(address)
+    with pytest.raises(OwnerNotReachedError):
+        client.ask(_long_submission(), 5.0)
+    assert seen == []
+
+
 def test_an_error_in_the_owners_process_leaves_the_outcome_unclear(owner):
     requests, address, _ = owner
 
