Answer each request that was read whole before a process ends

Cause: a request that waited for a thread was not in active, and the process went on accepting between its last look and its end. Change: a request counts when it is put into the queue; the process stops reading at the callers' and the relay's address, looks once more and waits for what was read, within the grace period less its margin. Not run: a real process under load with SIGTERM.

--- a/almondstack/core/http_server.py
+++ b/almondstack/core/http_server.py
@@ -94,7 +94,7 @@
 
     @property
     def active(self) -> int:
-        """Number of requests whose head was read and that have no answer yet."""
+        """Number of requests whose head was read and that have no answer yet, queued ones too."""
         return self._active
 
     @property
@@ -119,6 +119,20 @@
         self._connections = _Connections(self)
         self.guard.servers.append(self)
 
+    def stop_accepting(self) -> None:
+        """Read nothing more; each request that was read whole is in :attr:`active` on return.
+
+        Explanation
+        -----------
+        Requests that were handed to the threads are still answered.  A request whose body is
+        still to come is dropped with its connection at the latest when the process ends.
+        """
+        self.ready = False
+        # Wakes the accepting thread.
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self._connections.stop()
+        self.socket.close()
+
     def make_room(self) -> None:
         """End the longest wait at the address with most, since no connection can be accepted."""
         self.refuse(Refusal.CONNECTIONS)
--- a/almondstack/core/server_connection.py
+++ b/almondstack/core/server_connection.py
@@ -103,6 +103,7 @@
         self._phase = _Phase.IDLE
         self._deadline_s = time.time() + server.timeout
         self._request: _ServerRequest | None = None
+        self._is_counted = False
         self._dropped_bytes = 0
 
     @property
@@ -148,8 +149,11 @@
         return self.rfile.has_head() or len(self.rfile) >= max_bytes
 
     def start_handling(self) -> None:
-        """Note that a thread goes on with a request: its time is no longer the client's."""
+        """Note that a thread goes on with a request, or will: its time isn't the client's."""
         self._phase = _Phase.HANDLING
+        if not self._is_counted:
+            self._is_counted = True
+            self.server.count_active(1)
 
     def start_body(self, request: HTTPRequest, max_bytes: int) -> RequestBody:
         """Begin to read the body of the present request; return it with what has arrived.
@@ -231,7 +235,6 @@
             if not request.ready:
                 self.server.refuse(Refusal.HEAD)
                 return self._end(is_kept=False, is_unread=True)
-            self.server.count_active(1)
         request.respond()
         body = self.body
         if body is None:
@@ -268,8 +271,9 @@
         body, self.body = self.body, None
         if body is not None:
             body.release()
-        request, self._request = self._request, None
-        if request is not None and request.ready:
+        self._request = None
+        if self._is_counted:
+            self._is_counted = False
             self.server.count_active(-1)
 
     def _drop(self) -> None:
--- a/almondstack/core/tests/test_http_server.py
+++ b/almondstack/core/tests/test_http_server.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 
 import pytest
 from cheroot.workers.threadpool import ThreadPool
@@ -11,7 +11,7 @@
 from almondstack.core.client_guard import ClientGuard, HttpLimits, Refusal
 from almondstack.core.http_server import BodyGateway, PlatformHttpServer
 from almondstack.testing.addresses import loopback_host
-from almondstack.testing.raw_http import exchange, wait_until
+from almondstack.testing.raw_http import connect, exchange, read_to_end, wait_until
 
 _LIMIT_S = 0.2
 
@@ -72,3 +72,32 @@
     with _serving(fail) as (_, address, metrics):
         assert exchange(address, _request()).status == 500
         assert reported == [kind] and not _refusals(metrics)
+
+
+def test_requests_that_wait_for_a_thread_are_active():
+    may_go_on = threading.Event()
+    with _serving(may_go_on.wait) as (server, address, _), ExitStack() as stack:
+        stack.callback(may_go_on.set)
+        connections = [stack.enter_context(connect(address)) for _ in range(3)]
+        for connection in connections:
+            connection.sendall(_request())
+        assert wait_until(lambda: server.active == len(connections))
+        may_go_on.set()
+        assert [read_to_end(connection).status for connection in connections] == [200] * 3
+        assert wait_until(lambda: server.active == 0)
+
+
+def test_requests_that_were_read_are_answered_after_the_last_was_accepted():
+    may_go_on = threading.Event()
+    with _serving(may_go_on.wait) as (server, address, _), ExitStack() as stack:
+        stack.callback(may_go_on.set)
+        connections = [stack.enter_context(connect(address)) for _ in range(3)]
+        for connection in connections:
+            connection.sendall(_request())
+        assert wait_until(lambda: server.active == len(connections))
+        server.stop_accepting()
+        with pytest.raises(OSError):
+            connect(address)
+        may_go_on.set()
+        assert [read_to_end(connection).status for connection in connections] == [200] * 3
+        server.ready = True
--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -305,11 +305,26 @@
                 break
             time.sleep(_SHUTDOWN_POLL_S)
             waited_s = time.monotonic() - started_s
+        self._finish_requests(started_s + grace_s - _SHUTDOWN_MARGIN_S)
         self._follower.stop()
         self._configuration_follower.stop()
         self._events.write("stopped", active=self._job_api_server.active)
         self._events.stop()
 
+    def _finish_requests(self, until_s: float) -> None:
+        """Stop reading requests, then wait until those that were read have their answers.
+
+        Parameters
+        ----------
+        until_s : float
+            Monotonic time of the end of the wait, in seconds.
+        """
+        servers = (self._job_api_server, self._relay_server)
+        for server in servers:
+            server.stop_accepting()
+        while any(server.active for server in servers) and time.monotonic() < until_s:
+            time.sleep(_SHUTDOWN_POLL_S)
+
     def _hand_over(self, waited_s: float, grace_s: float) -> bool:
         """Have the owner release the jobs when due; return whether no owner runs here."""
         owner = self._owner
--- a/almondstack/platform/tests/test_program.py
+++ b/almondstack/platform/tests/test_program.py
@@ -1,6 +1,7 @@
 """Tests of unexpected errors in the program's threads."""
 
 import threading
+import time
 from unittest import mock
 
 import pytest
@@ -86,3 +87,30 @@
     for name in ("_job_api_server", "_readiness_server", "_metrics_server"):
         monkeypatch.setattr(program, name, mock.MagicMock())
     assert program.run() == 1
+
+
+class _BusyServer:
+    """A server in which a request was read when accepting ends; notes what is asked of it."""
+
+    def __init__(self):
+        self.seen = []
+        self._queued = [0, 2, 1]
+
+    def stop_accepting(self):
+        """Note it."""
+        self.seen.append("stop")
+
+    @property
+    def active(self):
+        """Number of requests, one less each time."""
+        found = self._queued.pop() if self._queued else 0
+        self.seen.append(found)
+        return found
+
+
+def test_requests_that_were_read_before_accepting_ended_are_waited_for(program, monkeypatch):
+    servers = _BusyServer(), _BusyServer()
+    monkeypatch.setattr(program, "_job_api_server", servers[0])
+    monkeypatch.setattr(program, "_relay_server", servers[1])
+    program._finish_requests(time.monotonic() + 60.0)
+    assert all(server.seen[0] == "stop" and server.seen[1:4] == [1, 2, 0] for server in servers)
