Read short chunks that have arrived in one call

Cause: a call for each line and each piece of data of a chunk; 262,144 bytes in chunks of one byte took the accepting thread 812 ms (839 ms with an empty extension). Change: chunks that are buffered whole and inside the limits are found in the buffer in one loop. Result, one run each beside other load: 122 ms in chunks of one byte, 126 ms with an empty extension, 8 ms in chunks of 16 bytes (49 before). The test of calls fails before and passes after; core tests pass.

--- a/almondstack/core/request_bodies.py
+++ b/almondstack/core/request_bodies.py
@@ -23,6 +23,7 @@
 """Bytes of framing for each byte of a chunked body, at most; chunks of one byte need 5."""
 
 _CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
+_SIZE_LINE = re.compile(rb"[ \t\r\v\f]*([0-9A-Fa-f]{1,16})[ \t\r\v\f]*(?:;[^\n]*)?\r\n")
 _CRLF = b"\r\n"
 
 
@@ -194,11 +195,49 @@
         """Read what is buffered of the body."""
         is_advanced = True
         while is_advanced and not self.is_settled:
-            is_advanced = self._take_data(buffer) if self._is_in_data else self._take_line(buffer)
+            if self._stage is _Stage.SIZE:
+                self._take_whole_chunks(buffer)
+            is_advanced = self._take_step(buffer)
 
-    @property
-    def _is_in_data(self) -> bool:
-        return self._stage is _Stage.DATA
+    def _take_step(self, buffer: ReceiveBuffer) -> bool:
+        """Read data of a chunk or one line; return False if more must arrive for that."""
+        if self.is_settled:
+            return False
+        return self._take_data(buffer) if self._stage is _Stage.DATA else self._take_line(buffer)
+
+    def _take_whole_chunks(self, buffer: ReceiveBuffer) -> None:
+        """Read the chunks in front that are buffered whole and inside the limits.
+
+        Explanation
+        -----------
+        Spares calls for each chunk when chunks are short.  Whatever is not plain stays buffered.
+        """
+        data = buffer.peek()
+        room = self._limits.max_bytes - len(self._content)
+        pieces = []
+        position = 0
+        while line := _SIZE_LINE.match(data, position):
+            start = line.end()
+            size = int(line[1], 16)
+            end = start + size
+            if start - position > self._limits.max_line_bytes:
+                break
+            if not 0 < size <= room or not data.startswith(_CRLF, end):
+                break
+            pieces.append(data[start:end])
+            room -= size
+            position = end + len(_CRLF)
+        if position:
+            buffer.skip(position)
+            self._hold_chunks(b"".join(pieces), position)
+
+    def _hold_chunks(self, data: bytes, size: int) -> None:
+        """Hold the data of whole chunks that took ``size`` bytes with their framing."""
+        self._framing_remaining -= size - len(data)
+        if self._framing_remaining < 0:
+            self._fail(BodyFault.TOO_LARGE)
+            return
+        self._hold(data)
 
     def _take_data(self, buffer: ReceiveBuffer) -> bool:
         data = buffer.read(self._chunk_remaining)
--- a/almondstack/core/socket_files.py
+++ b/almondstack/core/socket_files.py
@@ -89,6 +89,15 @@
         end = self._buffer.find(b"\n", 0, size)
         return None if end < 0 else self.read(end + 1)
 
+    def peek(self) -> bytes:
+        """Return all buffered bytes; they stay buffered."""
+        return bytes(self._buffer)
+
+    def skip(self, size: int) -> None:
+        """Drop the first ``size`` buffered bytes."""
+        del self._buffer[:size]
+        self._scanned = 0
+
     def drop(self) -> int:
         """Drop all buffered bytes; return their number."""
         return len(self.read(len(self._buffer)))
--- a/almondstack/core/tests/test_request_bodies.py
+++ b/almondstack/core/tests/test_request_bodies.py
@@ -110,3 +110,25 @@
         client.sendall(head[at : at + 1])
         buffer.receive(1)
     assert buffer.has_head()
+
+
+def test_short_chunks_that_have_arrived_are_read_without_a_call_for_each(link, monkeypatch):
+    lines = []
+    read_line = ReceiveBuffer.read_whole_line
+    monkeypatch.setattr(
+        ReceiveBuffer,
+        "read_whole_line",
+        lambda buffer, size: lines.append(size) or read_line(buffer, size),
+    )
+    body = _feed(ChunkedBody(_limits()), link, b"1\r\na\r\n" * 1_000 + b"0\r\n\r\n")
+    assert body.is_ended and body.content == b"a" * 1_000 and len(lines) == 2
+
+
+@pytest.mark.parametrize("size", [1, 100])
+def test_short_chunks_are_bounded_like_long_ones(link, size):
+    chunk = b"%x\r\n%b\r\n" % (size, b"a" * size)
+    chunks = _MAX_BYTES // size
+    body = ChunkedBody(_limits())
+    _feed(body, link, *[chunk * 100] * (chunks // 100))
+    assert not body.is_settled and len(body.content) == _MAX_BYTES
+    assert _feed(body, link, chunk).fault is BodyFault.TOO_LARGE
