--- a/almondstack/platform/tests/test_client_limits.py
+++ b/almondstack/platform/tests/test_client_limits.py
@@ -199,6 +199,25 @@
         assert _is_refused(metrics, reason) and server.active == 0
 
 
+@pytest.mark.parametrize("data", [b"GET /" + b"a" * 1_000, _job(1_000)])
+def test_a_request_that_trickles_is_dropped_at_its_deadline(data):
+    """Guards against a deadline that each byte renews."""
+    limits = {"head_timeout_s": 2.0 * _SOON_S, "body_timeout_s": 2.0 * _SOON_S}
+    is_body = data.startswith(b"POST")
+    with _serving(**limits) as (_, address, metrics), connect(address) as connection:
+        connection.sendall(data[:-500])
+        pieces = iter(data[-500:-1])
+        assert wait_until(lambda: _trickle(connection, next(pieces, None)))
+        assert _is_refused(metrics, "body-time" if is_body else "head-time")
+
+
+def _trickle(connection, byte):
+    """Send a byte; return whether the server has closed the connection."""
+    assert byte is not None, "the connection outlived its deadline"
+    time.sleep(_SOON_S / 10.0)
+    return _is_dropped(connection, bytes([byte]))
+
+
 def test_the_connection_that_waited_longest_makes_room_for_a_new_one():
     with _serving(max_connections=2) as (_, address, metrics), connect(address) as first:
         first.sendall(b"GET")
