Leave time for answers to callers that never pause while a process stops

Cause: a process with requests at each look went on reading until the time of its end, and ended with requests that had been read.

--- a/almondstack/platform/program.py
+++ b/almondstack/platform/program.py
@@ -55,6 +55,10 @@
 _SHUTDOWN_MARGIN_S = 1.2
 """Part of the grace period reserved for the final shutdown, in seconds."""
 
+_ANSWERS_S = 1.5
+"""Part of the grace period reserved before that for answers to requests that were read, in
+seconds: callers that never pause must not be read until the end."""
+
 _ANSWERS_PER_HEARTBEAT = 4.0
 """Between reading two heartbeats of the owner, a process gets at most this many answers of a slow
 store."""
@@ -299,31 +303,39 @@
         self._follower.stop_claiming()
         grace_s = self._file.settings.bounds.grace_s
         waited_s = 0.0
-        while waited_s < grace_s - _SHUTDOWN_MARGIN_S:
+        accepting_s = max(_DRAIN_NOTICE_S, grace_s - _SHUTDOWN_MARGIN_S - _ANSWERS_S)
+        while waited_s < min(accepting_s, grace_s - _SHUTDOWN_MARGIN_S):
             is_handed_over = self._hand_over(waited_s, grace_s)
             if is_handed_over and waited_s >= _DRAIN_NOTICE_S and not self._job_api_server.active:
                 break
             time.sleep(_SHUTDOWN_POLL_S)
             waited_s = time.monotonic() - started_s
-        self._finish_requests(started_s + grace_s - _SHUTDOWN_MARGIN_S)
+        self._finish_requests(started_s, grace_s)
         self._follower.stop()
         self._configuration_follower.stop()
         self._events.write("stopped", active=self._job_api_server.active)
         self._events.stop()
 
-    def _finish_requests(self, until_s: float) -> None:
+    def _finish_requests(self, started_s: float, grace_s: float) -> None:
         """Stop reading requests, then wait until those that were read have their answers.
 
         Parameters
         ----------
-        until_s : float
-            Monotonic time of the end of the wait, in seconds.
+        started_s : float
+            Monotonic time of SIGTERM, in seconds.
+        grace_s : float
+            Seconds from SIGTERM to SIGKILL.
         """
         servers = (self._job_api_server, self._relay_server)
         for server in servers:
             server.stop_accepting()
-        while any(server.active for server in servers) and time.monotonic() < until_s:
+        waited_s = time.monotonic() - started_s
+        while waited_s < grace_s - _SHUTDOWN_MARGIN_S:
+            is_handed_over = self._hand_over(waited_s, grace_s)
+            if is_handed_over and not any(server.active for server in servers):
+                break
             time.sleep(_SHUTDOWN_POLL_S)
+            waited_s = time.monotonic() - started_s
 
     def _hand_over(self, waited_s: float, grace_s: float) -> bool:
         """Have the owner release the jobs when due; return whether no owner runs here."""
--- a/almondstack/platform/tests/real_process.py
+++ b/almondstack/platform/tests/real_process.py
@@ -21,6 +21,7 @@
 _NAME = "process"
 _ANSWER_TIMEOUT_S = 25.0
 _ATTEMPT_TIMEOUT_S = 10.0
+_STOP_TIMEOUT_S = 60.0
 _POLL_S = 0.05
 _STORE_THREADS = 16
 _KB = 1024
@@ -62,6 +63,12 @@
         """Number of open file descriptors."""
         return len(os.listdir(f"/proc/{self._group.pid(_NAME)}/fd"))
 
+    def stop(self) -> list[str]:
+        """Stop the process with SIGTERM; return the log lines on its end."""
+        self._group.signal(_NAME, signal.SIGTERM)
+        self._group.wait(_NAME, _STOP_TIMEOUT_S)
+        return [line for line in self._group.output(_NAME).splitlines() if '"stopped"' in line]
+
     def is_answered(self, address: str, status: int, **fields) -> bool:
         """Send one ordinary request until its answer has this status, or the time is over."""
         deadline_s = time.monotonic() + _ANSWER_TIMEOUT_S
--- a/almondstack/platform/tests/test_program.py
+++ b/almondstack/platform/tests/test_program.py
@@ -112,5 +112,5 @@
     servers = _BusyServer(), _BusyServer()
     monkeypatch.setattr(program, "_job_api_server", servers[0])
     monkeypatch.setattr(program, "_relay_server", servers[1])
-    program._finish_requests(time.monotonic() + 60.0)
+    program._finish_requests(time.monotonic(), 60.0)
     assert all(server.seen[0] == "stop" and server.seen[1:4] == [1, 2, 0] for server in servers)
--- a/almondstack/platform/tests/test_untrusted_clients.py
+++ b/almondstack/platform/tests/test_untrusted_clients.py
@@ -10,11 +10,12 @@
 
 import functools
 import itertools
+import json
 from contextlib import ExitStack
 
 import pytest
 
-from almondstack.platform.tests.builders import JOB
+from almondstack.platform.tests.builders import JOB, job_body
 from almondstack.platform.tests.real_process import running_process
 from almondstack.testing.client_crowd import ClientCrowd
 
@@ -209,6 +210,24 @@
             assert highest < _DESCRIPTOR_LIMIT
 
 
+def test_callers_that_never_pause_get_answers_to_all_that_was_read_before_a_stop(tmp_path):
+    """Several crowds, since each renews one connection at a time."""
+    script = functools.partial(_whole_job, itertools.count(1_000))
+    with ExitStack() as stack:
+        process = stack.enter_context(running_process(tmp_path, limits={}))
+        for _ in range(8):
+            stack.enter_context(ClientCrowd(process.front, 7, script, is_renewed=True))
+        assert process.is_job_answered()
+        lines = process.stop()
+    assert [json.loads(line)["active"] for line in lines] == [0]
+
+
+def _whole_job(numbers):
+    body = job_body()
+    fields = f"Content-Length: {len(body)}", "Connection: close"
+    yield _head(*fields, path=f"/q/{next(numbers):016x}") + body
+
+
 def test_names_of_methods_without_end_do_not_fill_the_memory(process):
     """Guards against a counter for each name that a client makes up."""
 
