--- a/almondstack/core/server_connection.py
+++ b/almondstack/core/server_connection.py
@@ -25,7 +25,13 @@
     KnownLengthBody,
     RequestBody,
 )
-from almondstack.core.socket_files import ReceiveBuffer, SocketWriter
+from almondstack.core.socket_files import (
+    ClientGoneError,
+    ReceiveBuffer,
+    SocketWriter,
+    UnreadAnswerError,
+)
+from almondstack.core.supervision import report_error
 
 if TYPE_CHECKING:
     from almondstack.core.http_server import PlatformHttpServer
@@ -56,6 +62,7 @@
     IDLE = auto()
     HEAD = auto()
     BODY = auto()
+    HANDLING = auto()
     LINGERING = auto()
 
 
@@ -96,6 +103,7 @@
         self._phase = _Phase.IDLE
         self._deadline_s = time.time() + server.timeout
         self._request: _ServerRequest | None = None
+        self._is_counted = False
         self._dropped_bytes = 0
 
     @property
@@ -140,6 +148,13 @@
         max_bytes = self.server.max_request_header_size + _HEAD_MARGIN_BYTES
         return self.rfile.has_head() or len(self.rfile) >= max_bytes
 
+    def start_handling(self) -> None:
+        """Note that a thread goes on with a request, or will: its time isn't the client's."""
+        self._phase = _Phase.HANDLING
+        if not self._is_counted:
+            self._is_counted = True
+            self.server.count_active(1)
+
     def start_body(self, request: HTTPRequest, max_bytes: int) -> RequestBody:
         """Begin to read the body of the present request; return it with what has arrived.
 
@@ -151,7 +166,7 @@
             Longest body, in bytes.
         """
         max_line_bytes = self.server.max_request_header_size
-        limits = BodyLimits(max_bytes, max_line_bytes, self.server.guard.budget)
+        limits = BodyLimits(max_bytes, max_line_bytes, self.server.budget)
         length = int(request.inheaders.get(b"Content-Length", 0) or 0)
         body: RequestBody = (
             ChunkedBody(limits) if request.chunked_read else KnownLengthBody(length, limits)
@@ -167,12 +182,12 @@
             return False
         try:
             return self._go_on()
-        except TimeoutError:
+        except UnreadAnswerError:
             self.server.refuse(Refusal.UNREAD_ANSWERS)
-        except OSError:
+        except ClientGoneError:
             pass
-        except Exception as error:
-            self.server.error_log(repr(error), traceback=True)
+        except Exception:
+            report_error()
             self._report_failure()
         return False
 
@@ -220,7 +235,6 @@
             if not request.ready:
                 self.server.refuse(Refusal.HEAD)
                 return self._end(is_kept=False, is_unread=True)
-            self.server.count_active(1)
         request.respond()
         body = self.body
         if body is None:
@@ -241,23 +255,31 @@
             return True
         if not is_unread:
             return False
-        self.socket.shutdown(socket.SHUT_WR)
+        self._end_answers()
         self._enter(_Phase.LINGERING, _LINGER_S)
         self._drop()
         return True
 
+    def _end_answers(self) -> None:
+        """End the server's side of the connection."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            raise ClientGoneError(*error.args) from error
+
     def _finish_request(self) -> None:
         body, self.body = self.body, None
         if body is not None:
             body.release()
-        request, self._request = self._request, None
-        if request is not None and request.ready:
+        self._request = None
+        if self._is_counted:
+            self._is_counted = False
             self.server.count_active(-1)
 
     def _drop(self) -> None:
         self._dropped_bytes += self.rfile.drop()
         if self._dropped_bytes > _MAX_DROPPED_BYTES:
-            raise ConnectionAbortedError("the client goes on sending after a refusal")
+            raise ClientGoneError("the client goes on sending after a refusal")
 
 
 def _make_file(sock: socket.socket, mode: str, _size: int) -> ReceiveBuffer | SocketWriter:
--- a/almondstack/platform/tests/real_process.py
+++ b/almondstack/platform/tests/real_process.py
@@ -21,6 +21,7 @@
 _NAME = "process"
 _ANSWER_TIMEOUT_S = 25.0
 _ATTEMPT_TIMEOUT_S = 10.0
+_STOP_TIMEOUT_S = 60.0
 _POLL_S = 0.05
 _STORE_THREADS = 16
 _KB = 1024
@@ -62,6 +63,12 @@
         """Number of open file descriptors."""
         return len(os.listdir(f"/proc/{self._group.pid(_NAME)}/fd"))
 
+    def stop(self) -> list[str]:
+        """Stop the process with SIGTERM; return the log lines on its end."""
+        self._group.signal(_NAME, signal.SIGTERM)
+        self._group.wait(_NAME, _STOP_TIMEOUT_S)
+        return [line for line in self._group.output(_NAME).splitlines() if '"stopped"' in line]
+
     def is_answered(self, address: str, status: int, **fields) -> bool:
         """Send one ordinary request until its answer has this status, or the time is over."""
         deadline_s = time.monotonic() + _ANSWER_TIMEOUT_S
@@ -96,7 +103,14 @@
 
 
 @contextmanager
-def running_process(folder, *, has_configuration=True, **configuration):
+def running_process(
+    folder,
+    *,
+    has_configuration=True,
+    http_limits=_HTTP_LIMITS,
+    max_descriptors=None,
+    **configuration,
+):
     """Start a process and yield it once it answers; it is killed at the end."""
     host = loopback_host()
     store = KeyedStoreStandin()
@@ -115,12 +129,15 @@
             **{
                 "port-range": f"[{metrics_port}, {metrics_port + 1}]",
                 "cloud-api": f'{{address: "{free_address()}"}}',
-                "http-limits": _HTTP_LIMITS,
+                "http-limits": http_limits,
             },
         )
     )
     with ProcessGroup(folder) as group:
-        group.start(_NAME, "almondstack.platform", "--settings", str(path))
+        command = ["almondstack.platform", "--settings", str(path)]
+        if max_descriptors is not None:
+            command = ["almondstack.testing.limited_descriptors", str(max_descriptors), *command]
+        group.start(_NAME, *command)
         process = RealProcess(group, [front, ready, metrics, f"{host}:{metrics_port + 1}"])
         assert process.is_job_answered(200 if has_configuration else 503)
         yield process
--- a/almondstack/relay/client.py
+++ b/almondstack/relay/client.py
@@ -21,6 +21,7 @@
 )
 from almondstack.jobs import JobIndex, OwnerNotice
 from almondstack.relay.messages import (
+    MAX_TIMEOUT_MS,
     CancelCall,
     OwnerReply,
     ReceiptReply,
@@ -33,7 +34,8 @@
 
 _OK = 200
 _CONFLICT = 409
-_NOT_TAKEN = frozenset({400, 404, _CONFLICT})
+_UNAVAILABLE = 503
+_NOT_TAKEN = frozenset({400, 404, _CONFLICT, _UNAVAILABLE})
 """Statuses with which the server reports that the request was not accepted, and will not be."""
 
 _CONNECTIONS = 4
@@ -201,9 +203,8 @@
 def _(
     request: SubmissionRequest, token: int, timeout_s: float, sender: Sender
 ) -> tuple[RelayPath, bytes]:
-    timeout_ms = int(timeout_s * _MS)
     call = SubmissionCall(
-        token, timeout_ms, request.job, request.submission, request.read_offset, sender
+        token, _timeout_ms(timeout_s), request.job, request.submission, request.read_offset, sender
     )
     return RelayPath.SUBMISSION, _encoder.encode(call)
 
@@ -212,10 +213,14 @@
 def _(
     request: CancelRequest, token: int, timeout_s: float, sender: Sender
 ) -> tuple[RelayPath, bytes]:
-    call = CancelCall(token, int(timeout_s * _MS), request.job, sender)
+    call = CancelCall(token, _timeout_ms(timeout_s), request.job, sender)
     return RelayPath.CANCEL, _encoder.encode(call)
 
 
+def _timeout_ms(timeout_s: float) -> int:
+    return min(int(timeout_s * _MS), MAX_TIMEOUT_MS)
+
+
 def _successor(reply: HttpReply, owner: OwnerReply) -> OwnerReply | None:
     """Return the later owner that a 409 reply names; None if it names none."""
     if reply.status != _CONFLICT:
--- a/almondstack/relay/tests/test_relay.py
+++ b/almondstack/relay/tests/test_relay.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from almondstack.core.byte_budget import ByteBudget
 from almondstack.core.http_client import HttpClient, HttpReply, NoAnswerError, NotSentError
 from almondstack.intake import (
     CancelRequest,
@@ -27,7 +28,7 @@
     record_key,
 )
 from almondstack.relay import OwnerClient, RelayServer
-from almondstack.relay.messages import OwnerReply
+from almondstack.relay.messages import CancelCall, OwnerReply, RelayPath, Sender
 from almondstack.testing.addresses import free_address
 from almondstack.testing.job_builders import make_step
 
@@ -159,6 +160,41 @@
     assert seen == []
 
 
+@pytest.mark.parametrize("timeout_ms", [-1, 10_001, 2**62])
+def test_a_call_with_a_time_out_of_bounds_is_not_accepted(owner, timeout_ms):
+    requests, address, _ = owner
+    seen = []
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), seen))
+    call = CancelCall(_TOKEN, timeout_ms, _JOB, Sender("p/1", 1.0, 0.0, "a"))
+    body = msgspec.msgpack.encode(call)
+    assert HttpClient(address).call("POST", RelayPath.CANCEL, 5.0, body).status == 400
+    assert seen == []
+
+
+def _long_submission():
+    return SubmissionRequest(_JOB, Submission("q", "a", "s" * 40_000, (make_step(2),)), 42)
+
+
+def test_bodies_of_callers_keep_no_call_out(owner):
+    requests, address, server = owner
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), []))
+    assert server.guard.budget.reserve(server.guard.limits.max_held_bytes)
+    client, _ = _client(address)
+    assert client.ask(_long_submission(), 5.0).verdict == Verdict.DONE
+
+
+def test_a_call_that_can_not_be_held_is_not_accepted(owner):
+    requests, address, server = owner
+    seen = []
+    requests.open(_TOKEN, _answering(Receipt(Verdict.DONE), seen))
+    server.budget = ByteBudget(0)
+    assert HttpClient(address).call("POST", RelayPath.CANCEL, 5.0, b"a" * 40_000).status == 503
+    client, _ = _client(address)
+    with pytest.raises(OwnerNotReachedError):
+        client.ask(_long_submission(), 5.0)
+    assert seen == []
+
+
 def test_an_error_in_the_owners_process_leaves_the_outcome_unclear(owner):
     requests, address, _ = owner
 
