Explain the check of a configuration where it needed a second reading

Change: docstrings, named constants with units, one function split, _names_of_several is _shared_names. No behaviour changes.

--- a/almondstack/platform/config_command.py
+++ b/almondstack/platform/config_command.py
@@ -42,7 +42,13 @@
 
 
 def _compare(data: bytes, before: bytes, path: str) -> tuple[list[Finding], list[Change]]:
-    """Return the faults and changes that only the configuration in force shows."""
+    """Compare a configuration with the one in force, which was read from ``path``.
+
+    Returns
+    -------
+    tuple of list of Finding and list of Change
+        Faults that the configuration alone does not show, and what differs.
+    """
     try:
         old = decode_configuration(before)
     except ConfigurationError as error:
@@ -50,13 +56,16 @@
     try:
         new = decode_configuration(data)
     except ConfigurationError:
-        # It is among the findings on the document itself.
+        # The check of the document alone has found it.
         return [], []
-    faults = []
-    if new.version <= old.version:
-        says = f"is not above the version in force, {old.version}: it would be ignored"
-        faults.append(Finding(Severity.FAULT, "$.version", says))
-    return faults, diff_configurations(old, new)
+    return _check_version(old.version, new.version), diff_configurations(old, new)
+
+
+def _check_version(old: int, new: int) -> list[Finding]:
+    if new > old:
+        return []
+    says = f"is not above the version in force, {old}: it would be ignored"
+    return [Finding(Severity.FAULT, "$.version", says)]
 
 
 def _read(path: str) -> bytes:
--- a/almondstack/platform/configuration_check.py
+++ b/almondstack/platform/configuration_check.py
@@ -19,6 +19,8 @@
 __all__ = ["Finding", "Severity", "check_bytes", "check_configuration"]
 
 _JOB_ID_DIGITS = 16
+"""A job's id is this many hexadecimal digits; its path is the prefix of its route and the id."""
+
 _HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
 
 
@@ -52,8 +54,8 @@
 
     Explanation
     -----------
-    It is taken up as the platform program does: one that it can't decode, or can't make a
-    configuration of, is a fault.
+    The platform program's own code decodes it and builds its configuration; what fails there is
+    a fault.
 
     Examples
     --------
@@ -85,7 +87,7 @@
 
 
 def _undecodable(detail: str) -> Finding:
-    """Return the fault of a decoder's message, which ends in the place."""
+    """Return the fault for a decoder's message, which ends in the place."""
     says, _, place = detail.rpartition(" - at `")
     if not says:
         return Finding(Severity.FAULT, "$", detail)
@@ -101,6 +103,7 @@
 
 
 def _check_names(wire: ConfigurationWire) -> Iterator[Finding]:
+    """Find entries of one name, of which only the last is used."""
     for section in ("routes", "services", "tenants"):
         first: dict[str, tuple[str, msgspec.Struct]] = {}
         for number, item in enumerate(getattr(wire, section)):
@@ -118,6 +121,7 @@
 
 
 def _check_matches(wire: ConfigurationWire) -> Iterator[Finding]:
+    """Find routes that match no request, or that take jobs of another route."""
     first: dict[tuple[str, str], str] = {}
     for number, route in enumerate(wire.routes):
         place = f"$.routes[{number}]"
@@ -136,7 +140,13 @@
 def _check_overlap(
     place: str, route: RouteWire, places: dict[tuple[str, str], str]
 ) -> Iterator[Finding]:
-    """Find routes whose jobs a longer prefix takes: it ends in digits with which ids begin."""
+    """Find a route whose prefix is that of another and some digits.
+
+    Explanation
+    -----------
+    The longest prefix that matches counts, so that the other route loses the jobs whose ids begin
+    with these digits.
+    """
     for length in range(1, min(_JOB_ID_DIGITS, len(route.path_prefix)) + 1):
         shorter, digits = route.path_prefix[:-length], route.path_prefix[-length:]
         if not _HEX_DIGITS.issuperset(digits):
@@ -247,6 +257,7 @@
 
 
 def _unread_in(place: str, value: object, kind: msgspec.inspect.Type) -> Iterator[Finding]:
+    """Find fields of a value that its type has not, in all that it contains."""
     if isinstance(kind, msgspec.inspect.UnionType):
         for member in kind.types:
             yield from _unread_in(place, value, member)
--- a/almondstack/platform/configuration_diff.py
+++ b/almondstack/platform/configuration_diff.py
@@ -12,6 +12,7 @@
 __all__ = ["Change", "diff_configurations"]
 
 _KEYS = "keys"
+"""Field of an account whose values are secrets: only their number is shown."""
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -56,10 +57,10 @@
 def _diff_entries(
     section: str, before: tuple[Any, ...], after: tuple[Any, ...]
 ) -> Iterator[Change]:
-    # Of entries with one key, the last is in force.
-    several = _names_of_several(before) | _names_of_several(after)
-    old = {_key_of(entry, several): entry for entry in before}
-    new = {_key_of(entry, several): entry for entry in after}
+    # The last of several entries with the same key is in force, and replaces the others here too.
+    shared_names = _shared_names(before) | _shared_names(after)
+    old = {_key_of(entry, shared_names): entry for entry in before}
+    new = {_key_of(entry, shared_names): entry for entry in after}
     for key in sorted(old.keys() | new.keys()):
         place = " ".join((section, *key))
         if key not in new:
@@ -70,15 +71,15 @@
             yield from _diff_fields(place, old[key], new[key])
 
 
-def _names_of_several(entries: tuple[Any, ...]) -> set[str]:
+def _shared_names(entries: tuple[Any, ...]) -> set[str]:
     """Return the names that several routes have: they are addresses of one queue."""
     counts = Counter(entry.name for entry in entries if isinstance(entry, RouteWire))
     return {name for name, count in counts.items() if count > 1}
 
 
-def _key_of(entry: Any, several: set[str]) -> tuple[str, ...]:
+def _key_of(entry: Any, shared_names: set[str]) -> tuple[str, ...]:
     """Return the name of an entry, and its host and path prefix if other routes have the name."""
-    if isinstance(entry, RouteWire) and entry.name in several:
+    if isinstance(entry, RouteWire) and entry.name in shared_names:
         return entry.name, entry.host, entry.path_prefix
     return (entry.name,)
 
--- a/almondstack/platform/settings.py
+++ b/almondstack/platform/settings.py
@@ -77,8 +77,14 @@
 
 
 _MIN_HELD_MB = 2.0
+"""Megabytes of bodies that a process may hold however little memory it has."""
+
 _HELD_FRACTION = 1.0 / 8.0
+"""Part of the memory of a process that bodies may take, unless the settings say how much."""
+
+_KB = 1_000
 _MB = 1_000_000
+_MS_PER_S = 1000.0
 
 
 class _HttpLimits(msgspec.Struct, frozen=True):
@@ -96,8 +102,8 @@
     body_timeout_ms: Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
         name="body-timeout-ms", default=10_000
     )
-    # Kilobytes of all bodies being received, beyond the first 16 of each; by default an eighth
-    # of the memory of the process.
+    # Kilobytes of all bodies being received, beyond the first 16 KiB of each; by default an
+    # eighth of the memory of the process.
     max_held_kb: Annotated[int, msgspec.Meta(gt=0)] | None = msgspec.field(
         name="max-held-kb", default=None
     )
@@ -146,9 +152,9 @@
         held_kb = self.http.max_held_kb
         return HttpLimits(
             max_connections=self.http.max_connections,
-            head_timeout_s=self.http.header_timeout_ms / 1000.0,
-            body_timeout_s=self.http.body_timeout_ms / 1000.0,
-            max_held_bytes=int(held_mb * _MB) if held_kb is None else held_kb * 1_000,
+            head_timeout_s=self.http.header_timeout_ms / _MS_PER_S,
+            body_timeout_s=self.http.body_timeout_ms / _MS_PER_S,
+            max_held_bytes=int(held_mb * _MB) if held_kb is None else held_kb * _KB,
         )
 
     @property
--- a/almondstack/platform/wire.py
+++ b/almondstack/platform/wire.py
@@ -28,7 +28,7 @@
 
 _Count = Annotated[int, Meta(ge=0, le=1_000_000_000)]
 _MAX_TASKS = 10_000
-# An integer that an operator writes: a longer one can not be converted to a float.
+# An integer that an operator writes: one of many more digits overflows when converted to a float.
 _Integer = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
 
 
