Name units and attributes of the simulated fleets

Cause: bare numbers (10 a percent, a quarter of the instances, buffer sizes) and public attributes without a word on their meaning. Change: constants with units, an Attributes section. No behaviour changes.

--- a/almondstack/testing/client_crowd.py
+++ b/almondstack/testing/client_crowd.py
@@ -12,8 +12,14 @@
 __all__ = ["ClientCrowd"]
 
 _PIECE_BYTES = 65_536
+"""Bytes that are sent or received at a time."""
+
 _SELECT_S = 0.05
+"""Time after which the crowd checks whether it is to stop, in seconds."""
+
 _SMALL_BUFFER_BYTES = 4_096
+"""Receive buffer of a client that reads no answers, so that few answers fill it."""
+
 _RENEWAL_PAUSE_S = 0.005
 """Pause before a connection is replaced: bounds the rate of a renewed crowd."""
 
@@ -42,7 +48,7 @@
 
 
 class ClientCrowd:
-    """A fixed number of connections to one address, served by one thread.
+    """Connections to one address, opened together and driven by one thread.
 
     Parameters
     ----------
@@ -72,8 +78,10 @@
         self._is_renewed = is_renewed
         self._is_reading = is_reading
         self._read_event = selectors.EVENT_READ if is_reading else 0
+        # Connections that have sent all and read nothing; they only stay open.
         self._silent: list[_Member] = []
         self._selector = selectors.DefaultSelector()
+        # How many connections have yet to send all or to be closed; replacements count as well.
         self._sending = count
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="crowd", daemon=True)
--- a/almondstack/testing/disturbance_world.py
+++ b/almondstack/testing/disturbance_world.py
@@ -12,7 +12,13 @@
 __all__ = ["DisturbanceWorld"]
 
 _TARGET_MS = 1_000
+"""Target of the tail latency of each serving task."""
+
 _ROUND_S = 0.5
+"""Time between two rounds, in seconds."""
+
+_LOAD_PER_PERCENT = 10
+"""Load of a filler, in thousandths of a core, for each percent of its speed."""
 
 
 class _Session:
@@ -40,6 +46,16 @@
         Seed of the noise.
     answer_every : int
         Rounds between two answers of a worker.
+
+    Attributes
+    ----------
+    serving, fillers : dict
+        The serving task and the fillers of each worker.
+    over_target_s, longest_over_target_s : float
+        Time with a tail latency over the target, summed up over all workers, and the longest
+        such time of one worker.
+    work_s : dict of str to float
+        Seconds at full speed that the fillers of each image have run.
     """
 
     def __init__(
@@ -118,6 +134,6 @@
 
     def _report(self, worker: Worker, ratio: float) -> None:
         for filler in self.fillers[worker.id]:
-            filler.load = 10 * filler.percent
+            filler.load = _LOAD_PER_PERCENT * filler.percent
         self.serving[worker.id].load = max(1, round(ratio * _TARGET_MS))
         worker.last_answer_s = self.now_s
--- a/almondstack/testing/short_fleet.py
+++ b/almondstack/testing/short_fleet.py
@@ -27,6 +27,11 @@
 """Time between two rounds, in seconds."""
 
 _MOVE_S = 1.5
+"""How long the move of an empty instance takes, in seconds."""
+
+_MAX_MOVING_DIVISOR = 4
+"""At most one of this many instances moves at a time."""
+
 _SPARE_POOL = "off"
 _OBJECTIVE_MS = 2_000
 _STRETCH = 1.5
@@ -127,7 +132,7 @@
         self.balancer.note_job(job, self._clock.now_s)
 
     def lose(self, instances: int) -> None:
-        """Have that many instances go down, with what runs on them."""
+        """Mark the first ``instances`` instances as down; the runs on them are lost."""
         for name in list(self._instances)[:instances]:
             info = self._instances[name]
             self._instances[name] = info._replace(state=InstanceState.DOWN, worker="")
@@ -185,7 +190,7 @@
         states = self.balancer.pools(listed, self.policies, set(), now_s)
         self.planner.entitlements = self.balancer.entitlements
         spares, incoming = self.balancer.spares(listed, _SPARE_POOL, set(), now_s)
-        bound = max(1, len(listed) // 4) - incoming
+        bound = max(1, len(listed) // _MAX_MOVING_DIVISOR) - incoming
         moves = self.balancer.plan(states, spares, _SPARE_POOL, bound, _SIZE_MILLIS, now_s)
         draining = {self._instances[move.instance].worker for move in moves}
         for worker in self.table.workers.values():
