Measure the time limits on clients by the monotonic clock

Cause: the deadlines of a connection's phases were Unix times, so a step of the time of day ahead by more than the limit ended every connection and counted it as overdue; a step back lengthened the limits. Change: deadlines are monotonic; the Unix time that cheroot asks for is derived when it asks. Measured: with a step of an hour ahead a kept connection was closed without an answer; it now gets 200 (the new test fails on the code before). After a step back cheroot itself checks late by the step; that is left.

--- a/almondstack/core/server_connection.py
+++ b/almondstack/core/server_connection.py
@@ -101,7 +101,7 @@
         sock.settimeout(server.guard.limits.write_timeout_s)
         self.body: RequestBody | None = None
         self._phase = _Phase.IDLE
-        self._deadline_s = time.time() + server.timeout
+        self._deadline_s = time.monotonic() + server.timeout
         self._request: _ServerRequest | None = None
         self._is_counted = False
         self._dropped_bytes = 0
@@ -113,14 +113,15 @@
         Explanation
         -----------
         cheroot closes a connection that no thread has when this is longer ago than the
-        time-out, so that it is derived from the deadline of the connection's present phase.
+        time-out, so that it is derived from the deadline of the connection's present phase.  A
+        step of the time of day changes no deadline.
         """
-        return self._deadline_s - self.server.timeout
+        return time.time() + self._deadline_s - time.monotonic() - self.server.timeout
 
     @last_used.setter
-    def last_used(self, now_s: float) -> None:
+    def last_used(self, _now_s: float) -> None:
         if self._phase is _Phase.IDLE:
-            self._deadline_s = now_s + self.server.timeout
+            self._deadline_s = time.monotonic() + self.server.timeout
 
     def receive(self) -> bool:
         """Read what has arrived; return whether a thread can go on with a request.
@@ -208,7 +209,7 @@
 
     @property
     def _is_overdue(self) -> bool:
-        return time.time() >= self._deadline_s
+        return time.monotonic() >= self._deadline_s
 
     def _is_writable(self) -> bool:
         """Whether the client has read enough of earlier answers for one more to be sent."""
@@ -218,7 +219,7 @@
 
     def _enter(self, phase: _Phase, timeout_s: float) -> None:
         self._phase = phase
-        self._deadline_s = time.time() + timeout_s
+        self._deadline_s = time.monotonic() + timeout_s
 
     def _report_failure(self) -> None:
         """Answer a request that the server has failed to handle."""
--- a/almondstack/core/tests/test_http_server.py
+++ b/almondstack/core/tests/test_http_server.py
@@ -62,6 +62,22 @@
         assert not _refusals(metrics)
 
 
+def test_a_step_of_the_time_of_day_ends_no_connection(monkeypatch):
+    read_time, readings = time.time, []
+
+    def stepped_time():
+        readings.append(read_time() + 3600.0)
+        return readings[-1]
+
+    with _serving(lambda: None) as (_, address, _), connect(address) as connection:
+        connection.sendall(_request().replace(b"Connection: close\r\n", b""))
+        assert connection.recv(65_536).startswith(b"HTTP/1.1 200")
+        monkeypatch.setattr(time, "time", stepped_time)
+        assert wait_until(lambda: len(readings) > 2)
+        connection.sendall(_request())
+        assert read_to_end(connection).status == 200
+
+
 @pytest.mark.parametrize("kind", [ValueError, PermissionError, TimeoutError, ConnectionResetError])
 def test_an_unforeseen_error_of_a_handler_is_reported_and_answered(monkeypatch, kind):
     def fail():
