Name the states of a worker's trial, and explain filling and run times

A reader met _wait, _try, _end and _hold of a worker's record, _MAX_FALL and _segments of the filling, and _count, _fit and _Kind of the run times without a word on the states, the level or the moments behind them; tells_time read as a clock, and _newcomer_level and _newcomer_share had each other's units.

The private names now say what they do, constants that shared a docstring have their own with units, attributes are documented, and module heads name the method. tells_time is is_run_time_sample. No behaviour changes.

--- a/almondstack/control/run_predictions.py
+++ b/almondstack/control/run_predictions.py
@@ -6,7 +6,7 @@
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, Step, Task
-from almondstack.placement import RunTimes, tells_time
+from almondstack.placement import RunTimes, is_run_time_sample
 
 __all__ = ["RunPredictions"]
 
@@ -55,7 +55,7 @@
 
     def note_end(self, task: Task, took_ms: float) -> None:
         """Learn from a run that ended as done."""
-        if not tells_time(task):
+        if not is_run_time_sample(task):
             return
         self.run_times.note(task.job.submission.queue, task.step.estimate_ms, took_ms)
         self._noted += 1
--- a/almondstack/control/speed_monitor.py
+++ b/almondstack/control/speed_monitor.py
@@ -4,7 +4,7 @@
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import Task
-from almondstack.placement import RunTimes, tells_time
+from almondstack.placement import RunTimes, is_run_time_sample
 from almondstack.placement.progress import Progress
 from almondstack.placement.worker_speed import RunSpeed, SpeedChange, WorkerSpeeds
 
@@ -54,7 +54,7 @@
 
     def note_end(self, task: Task, took_ms: float, now_s: float) -> None:
         """Note the time of a run that ended as done."""
-        if tells_time(task) and not task.step.is_gang:
+        if is_run_time_sample(task) and not task.step.is_gang:
             self._note(task, took_ms, now_s)
 
     def run_round(self, now_s: float) -> None:
--- a/almondstack/placement/__init__.py
+++ b/almondstack/placement/__init__.py
@@ -13,7 +13,7 @@
 from almondstack.placement.policies import AccountPolicy, AdvicePolicy, Policies, QueuePolicy
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.rounds import Assignment, PoolRound, Usage
-from almondstack.placement.run_times import RunTimes, tells_time
+from almondstack.placement.run_times import RunTimes, is_run_time_sample
 from almondstack.placement.worker_speed import WorkerSpeeds
 from almondstack.placement.workers import Worker, WorkerInfo
 
@@ -42,5 +42,5 @@
     "is_eligible",
     "objective_s",
     "rank_of",
-    "tells_time",
+    "is_run_time_sample",
 ]
--- a/almondstack/placement/entitlements.py
+++ b/almondstack/placement/entitlements.py
@@ -1,4 +1,10 @@
-"""What each client account may use of the whole fleet while it is short of capacity."""
+"""What each client account may use of the whole fleet while it is short of capacity.
+
+Explanation
+-----------
+Work of an account has two parts: long-running tasks (``lasting``), which are covered first, and
+all other work.  Amounts are demands of tasks, not what they really use.
+"""
 
 import math
 from collections.abc import Mapping, Sequence
@@ -10,9 +16,10 @@
 __all__ = ["AccountDemand", "AccountShare", "Entitlements", "divide_fairly"]
 
 _Amounts = tuple[float, float, float]
+"""Thousandths of a core, megabytes of memory, GPUs."""
 
 _MIN_ACCOUNTS = 2
-"""Accounts with demand from which on they compete."""
+"""Number of accounts with demand from which on accounts compete."""
 
 _MIN_RELATIVE_WEIGHT = 1e-6
 """Least weight relative to the largest one: far smaller ones would be lost in rounding."""
@@ -64,14 +71,15 @@
     asked : Resources
         Its demand within its ceiling.
     granted : Resources
-        The part of it that the fleet can cover; over all accounts at most the capacity, if
-        the lasting work alone is not more.
+        The part of it that the fleet can cover; over all accounts at most the capacity, unless
+        the long-running tasks alone are more.
     covered : float
-        The part that is granted of its demand other than lasting work, with or without its
-        ceiling, 0 to 1.
+        The part, 0 to 1, that is granted of all its demand other than long-running tasks,
+        including what is beyond its ceiling.
     entitled_millis : float
-        Thousandths of a core that it may use before others' work goes first: what is granted,
-        or the share of a newcomer if it asks for less than that.
+        Thousandths of a core of the whole fleet up to which its work goes before that of
+        accounts beyond their entitlement: what is granted, or if that covers all its demand,
+        at least what it would get as a newcomer.
     """
 
     __slots__ = ("asked", "covered", "entitled_millis", "granted")
@@ -93,7 +101,8 @@
     shares : mapping of str to AccountShare, optional
         Shares of the accounts with demand; empty if the fleet is not short.
     newcomer_millis : float, optional
-        Thousandths of a core that an account of weight 1 without demand would get.
+        Thousandths of a core that a newcomer (an account without demand so far) of weight 1
+        would get if it asked for the whole fleet.
     accounts : mapping of str to AccountPolicy, optional
         Policies with the weights and ceilings of such accounts.
     capacity : Resources, optional
@@ -149,10 +158,10 @@
         if share is not None:
             return share.entitled_millis
         most_millis = self._capacity.cpu_millis or math.inf
-        return _newcomer_share(self._newcomer_millis, most_millis, self._accounts.get(account))
+        return _newcomer_millis(self._newcomer_millis, most_millis, self._accounts.get(account))
 
     def covered_share(self, account: str) -> float:
-        """Return the part of an account's short work that it is entitled to run, 0 to 1."""
+        """Return the part of an account's demand but long-running tasks that is covered, 0 to 1."""
         share = self._shares.get(account)
         return share.covered if share is not None else 1.0
 
@@ -166,13 +175,16 @@
 
     Parameters
     ----------
-    floor, rest : tuple of float
-        Lasting work that runs or that the ceiling leaves room for, and what the ceiling leaves
-        of the other work.
+    account : str
+        Name of the account.
+    floor : tuple of float
+        Long-running tasks that run or that the ceiling leaves room for.
+    rest : tuple of float
+        The part of the other work that the ceiling leaves room for.
     weight : float
         Weight of the account.
     allowed : float
-        The part of the other work that the ceiling leaves, 0 to 1.
+        That part, 0 to 1.
     """
 
     __slots__ = ("account", "allowed", "floor", "rest", "weight")
@@ -197,10 +209,10 @@
     Explanation
     -----------
     Weighted max-min over the dominant resource of each account: "Dominant Resource Fairness"
-    (DRF; Ghodsi et al., NSDI 2011).  Ceilings are upper bounds but for lasting work that runs
-    already.  Lasting work is covered first and counts against its account's share.  The result
-    limits nobody if fewer than two accounts have demand, if the fleet covers all of it, or if
-    no capacity is known.
+    (DRF; Ghodsi et al., NSDI 2011).  Ceilings are upper bounds, except for long-running tasks
+    that run already.  Long-running tasks are covered first and count against their account's
+    share.  No account is limited if fewer than two accounts have demand, if the fleet covers all
+    of it, or if no capacity is known.
 
     Parameters
     ----------
@@ -208,7 +220,7 @@
         Demand of each account over all pools, one for each account.
     capacity : Resources
         What tasks can use of the whole fleet; a resource of which there is nothing bounds
-        nobody.
+        no account.
     accounts : mapping of str to AccountPolicy
         Policies with weights and ceilings; an account without a policy has weight 1.
 
@@ -223,17 +235,17 @@
     bounded = [_bounded(demand, accounts) for demand in demands]
     bounded = [demand for demand in bounded if any(demand.floor) or any(demand.rest)]
     whole = _amounts(capacity)
-    if len(bounded) < _MIN_ACCOUNTS or whole[0] <= 0 or _fits(bounded, whole):
+    if len(bounded) < _MIN_ACCOUNTS or whole[0] <= 0 or _covers_all(bounded, whole):
         return Entitlements(capacity=capacity)
     left = [
         amount - sum(demand.floor[number] for demand in bounded)
         for number, amount in enumerate(whole)
     ]
     parts = _parts(bounded, whole, left)
-    newcomer_millis = _newcomer_level(bounded, whole, left) * whole[0]
+    newcomer_millis = _newcomer_part(bounded, whole, left) * whole[0]
     shares = {
-        demand.account: _share(
-            demand, part, _newcomer_share(newcomer_millis, whole[0], accounts.get(demand.account))
+        demand.account: _account_share(
+            demand, part, _newcomer_millis(newcomer_millis, whole[0], accounts.get(demand.account))
         )
         for demand, part in zip(bounded, parts, strict=True)
     }
@@ -254,14 +266,14 @@
     if policy is None:
         return _BoundedDemand(demand.account, floor, rest, 1.0)
     ceiling = _amounts(policy.ceiling)
-    floor = _floor_below(ceiling, floor, _amounts(demand.lasting_running))
-    part = _part_below(ceiling, floor, rest)
+    floor = _lasting_within(ceiling, floor, _amounts(demand.lasting_running))
+    part = _part_within(ceiling, floor, rest)
     within = (part * rest[0], part * rest[1], part * rest[2])
     return _BoundedDemand(demand.account, floor, within, policy.weight, part)
 
 
-def _floor_below(ceiling: _Amounts, lasting: _Amounts, running: _Amounts) -> _Amounts:
-    """Return the lasting work that runs or is within a ceiling; 0 in it is no bound."""
+def _lasting_within(ceiling: _Amounts, lasting: _Amounts, running: _Amounts) -> _Amounts:
+    """Return the long-running tasks that run or that a ceiling has room for; 0 is no bound."""
     cpu, memory, gpus = (
         max(held, min(asked, bound)) if bound else asked
         for bound, asked, held in zip(ceiling, lasting, running, strict=True)
@@ -269,7 +281,7 @@
     return cpu, memory, gpus
 
 
-def _part_below(ceiling: _Amounts, floor: _Amounts, rest: _Amounts) -> float:
+def _part_within(ceiling: _Amounts, floor: _Amounts, rest: _Amounts) -> float:
     """Return the part of ``rest`` that a ceiling leaves room for; 0 in a ceiling is no bound."""
     part = 1.0
     for bound, held, more in zip(ceiling, floor, rest, strict=True):
@@ -278,7 +290,7 @@
     return max(0.0, part)
 
 
-def _fits(bounded: Sequence[_BoundedDemand], whole: _Amounts) -> bool:
+def _covers_all(bounded: Sequence[_BoundedDemand], whole: _Amounts) -> bool:
     asked = [
         sum(demand.floor[number] + demand.rest[number] for demand in bounded)
         for number in range(len(whole))
@@ -291,27 +303,27 @@
 ) -> list[float]:
     largest = max(demand.weight for demand in bounded)
     claims = [
-        Claim(_relative(demand.weight, largest), demand.floor, demand.rest, whole)
+        Claim(_relative_weight(demand.weight, largest), demand.floor, demand.rest, whole)
         for demand in bounded
     ]
     fill(claims, left)
     return [claim.part for claim in claims]
 
 
-def _relative(weight: float, largest: float) -> float:
+def _relative_weight(weight: float, largest: float) -> float:
     """Return a weight relative to the largest one, in a range that rounding allows."""
     return max(_MIN_RELATIVE_WEIGHT, weight / largest)
 
 
-def _newcomer_level(
+def _newcomer_part(
     bounded: Sequence[_BoundedDemand], whole: _Amounts, left: Sequence[float]
 ) -> float:
-    """Return the share of the fleet that one more account of weight 1 would get, 0 to 1."""
+    """Return the part of the whole fleet that one more account of weight 1 would get, 0 to 1."""
     newcomer = _BoundedDemand("", (0.0, 0.0, 0.0), whole, 1.0)
     return _parts([*bounded, newcomer], whole, left)[-1]
 
 
-def _share(demand: _BoundedDemand, part: float, newcomer_millis: float) -> AccountShare:
+def _account_share(demand: _BoundedDemand, part: float, newcomer_millis: float) -> AccountShare:
     asked = Resources(
         *(math.floor(held + more) for held, more in zip(demand.floor, demand.rest, strict=True))
     )
@@ -327,8 +339,18 @@
     return AccountShare(asked, granted, part * demand.allowed, entitled_millis)
 
 
-def _newcomer_share(millis: float, most_millis: float, policy: AccountPolicy | None) -> float:
-    """Return what an account of a policy gets of ``most_millis``, if weight 1 gets ``millis``."""
+def _newcomer_millis(millis: float, most_millis: float, policy: AccountPolicy | None) -> float:
+    """Return what a newcomer with a policy would get, in thousandths of a core.
+
+    Parameters
+    ----------
+    millis : float
+        What a newcomer of weight 1 would get.
+    most_millis : float
+        What the whole fleet has.
+    policy : AccountPolicy or None
+        Policy with the weight and the ceiling; None is weight 1 without a ceiling.
+    """
     if policy is None:
         return millis
     share = min(most_millis, millis * policy.weight)
--- a/almondstack/placement/run_times.py
+++ b/almondstack/placement/run_times.py
@@ -18,7 +18,7 @@
 
 from almondstack.jobs import Task
 
-__all__ = ["RunTimes", "tells_time"]
+__all__ = ["RunTimes", "is_run_time_sample"]
 
 _MAX_KINDS = 256
 """Bound on the queues that are remembered; the least recently used is forgotten first."""
@@ -27,39 +27,48 @@
 """Number of runs for which the declaration counts among the residuals."""
 
 _LINE_PRIOR_RUNS = 1.0
-"""The same in the line, which would otherwise approach steady times from one side for long."""
+"""Number of runs for which it counts in the line.  With as many as among the residuals, the line
+would approach steady times from one side for long."""
 
 _LINE_DECAY = 0.97
 """Factor on the weight of all earlier runs in the line for each new one."""
 
 _RESIDUAL_RUNS = 200.0
-"""Number of runs over which residuals are counted."""
+"""Number of runs over which residuals decay."""
 
-_FIRST_RUNS = 8.0
-"""The same before the first run; it grows with each."""
+_MIN_RESIDUAL_RUNS = 8.0
+"""That number before the first run; it grows by 1 with each run, up to ``_RESIDUAL_RUNS``."""
 
 _SLOPE_PRIOR = 0.25
 """Weight of a slope of 1, in squared units of the logarithm."""
 
 _MAX_SLOPE = 1.5
-_MAX_PULL = 1.0
-"""Bound on the residual by which one run moves the line: a task that takes seven times as long
-as usual is part of the tail and says little of the centre."""
+"""Bound on the slope of the line."""
+
+_MAX_RESIDUAL = 1.0
+"""Bound on the residual by which one run moves the line, in units of the logarithm: a task that
+takes seven times as long as usual is part of the tail and says little of the centre."""
 
 _BIN_WIDTH = 0.125
+"""Width of the bins in which residuals are counted, in units of the logarithm."""
+
 _HALF_BINS = 32
-"""Residuals are counted in bins of this width, up to this number on each side of 0."""
+"""Number of bins on each side of that around 0."""
 
 _ONE_DEVIATION = 0.8413
 """The quantile that is one standard deviation above the mean of a normal distribution."""
 
 _MIN_SPREAD = 0.25
+"""Least standard deviation of the logarithm of times."""
+
 _UNKNOWN_SPREAD = 0.8
-"""Least standard deviation, and that of declarations of which no runs tell."""
+"""The standard deviation that is assumed while too few runs are known."""
 
 _MIN_SPREAD_RUNS = 12
+"""Number of runs from which on it is learned."""
+
 _MAX_WEIGHT = 1e6
-"""Weight of the newest residual at which all weights are scaled down."""
+"""Weight of a new residual at which all weights are scaled down."""
 
 _BINS = 2 * _HALF_BINS + 1
 _CENTRES = tuple((number - _HALF_BINS) * _BIN_WIDTH for number in range(_BINS))
@@ -94,8 +103,8 @@
     __slots__ = ("_kinds", "_undeclared")
 
     def __init__(self) -> None:
-        self._kinds: OrderedDict[str, _Kind] = OrderedDict()
-        self._undeclared: OrderedDict[str, _Kind] = OrderedDict()
+        self._kinds: OrderedDict[str, _QueueModel] = OrderedDict()
+        self._undeclared: OrderedDict[str, _QueueModel] = OrderedDict()
 
     @property
     def queues(self) -> list[str]:
@@ -117,9 +126,9 @@
         if took_ms <= 0:
             return
         if declared_ms > 0:
-            _note(self._kinds, queue, declared_ms, took_ms)
+            _note_run(self._kinds, queue, declared_ms, took_ms)
         else:
-            _note(self._undeclared, queue, self._undeclared_ms(queue) or took_ms, took_ms)
+            _note_run(self._undeclared, queue, self._undeclared_ms(queue) or took_ms, took_ms)
 
     def expected_ms(self, queue: str, declared_ms: float) -> float:
         """Return the mean time of a task, in milliseconds: what adds up to a backlog."""
@@ -179,23 +188,25 @@
         return kind.slope if kind is not None else 1.0
 
     def _undeclared_ms(self, queue: str) -> float:
-        """Return the time that stands for the declaration where there is none; 0 if unknown."""
+        """Return the time to use as the declaration where there is none; 0 if unknown."""
         kind = self._undeclared.get(queue)
         return kind.typical_ms if kind is not None else 0.0
 
 
-def _note(kinds: OrderedDict[str, "_Kind"], queue: str, declared_ms: float, took_ms: float) -> None:
+def _note_run(
+    kinds: OrderedDict[str, "_QueueModel"], queue: str, declared_ms: float, took_ms: float
+) -> None:
     """Add a run to the kind of a queue, and forget the kind that was longest without runs."""
     kind = kinds.get(queue)
     if kind is None:
-        kind = kinds[queue] = _Kind(math.log(declared_ms))
+        kind = kinds[queue] = _QueueModel(math.log(declared_ms))
     kind.note(math.log(declared_ms), math.log(took_ms))
     kinds.move_to_end(queue)
     if len(kinds) > _MAX_KINDS:
         kinds.popitem(last=False)
 
 
-def tells_time(task: Task) -> bool:
+def is_run_time_sample(task: Task) -> bool:
     """Return whether the run of a task that is done tells how long such tasks take.
 
     Explanation
@@ -208,15 +219,27 @@
     return not (step.is_long_running or step.is_filler or is_resumed)
 
 
-class _Kind:
-    """The line and the residuals of one queue, in logarithms of milliseconds."""
+class _QueueModel:
+    """The line and the residuals of one queue, in logarithms of milliseconds.
+
+    Explanation
+    -----------
+    The line is kept as decaying means and central moments of x, the logarithm of the declaration,
+    and y, that of the time.  Residuals are kept as a histogram.  Instead of decaying all of its
+    weights with each run, the weight of the next residual grows.
+
+    Attributes
+    ----------
+    runs : int
+        Number of runs that were noted.
+    """
 
     __slots__ = (
         "_covariance",
         "_mean_ratio",
         "_mean_x",
         "_mean_y",
-        "_newest_weight",
+        "_next_weight",
         "_ratios",
         "_residuals",
         "_spread",
@@ -232,7 +255,7 @@
         self._variance = self._covariance = 0.0
         self._residuals = array("d", bytes(8 * _BINS))
         self._residuals[_HALF_BINS] = _PRIOR_RUNS
-        self._newest_weight = 1.0
+        self._next_weight = 1.0
         # Most predictions are asked for more often than runs end.
         self._ratios: dict[float, float] = {}
         self._mean_ratio: float | None = None
@@ -252,10 +275,10 @@
     def note(self, log_declared: float, log_took: float) -> None:
         """Add a run."""
         self.runs += 1
-        before = self._line_at(log_declared)
-        pull = min(max(log_took - before, -_MAX_PULL), _MAX_PULL)
-        self._fit(log_declared, before + pull)
-        self._count(log_took - self._line_at(log_declared))
+        predicted = self._line_at(log_declared)
+        bounded = min(max(log_took - predicted, -_MAX_RESIDUAL), _MAX_RESIDUAL)
+        self._update_line(log_declared, predicted + bounded)
+        self._add_residual(log_took - self._line_at(log_declared))
 
     def centre_ms(self, declared_ms: float) -> float:
         """Return the time on the line, in milliseconds."""
@@ -289,7 +312,7 @@
     def _line_at(self, log_declared: float) -> float:
         return self._mean_y + self.slope * (log_declared - self._mean_x)
 
-    def _fit(self, x: float, y: float) -> None:
+    def _update_line(self, x: float, y: float) -> None:
         """Update the decaying means and moments by a point (West, CACM 1979)."""
         earlier = self._weight * _LINE_DECAY
         self._weight = earlier + 1.0
@@ -300,22 +323,22 @@
         self._mean_x += off_x / self._weight
         self._mean_y += off_y / self._weight
 
-    def _count(self, residual: float) -> None:
-        """Add a residual to the histogram; those from before the line was known soon fade."""
-        decay = 1.0 - 1.0 / min(_RESIDUAL_RUNS, _FIRST_RUNS + self.runs)
-        self._newest_weight /= decay
-        if self._newest_weight > _MAX_WEIGHT:
+    def _add_residual(self, residual: float) -> None:
+        """Add a residual to the histogram; those of the first runs, of a rough line, decay fast."""
+        decay = 1.0 - 1.0 / min(_RESIDUAL_RUNS, _MIN_RESIDUAL_RUNS + self.runs)
+        self._next_weight /= decay
+        if self._next_weight > _MAX_WEIGHT:
             self._rescale()
         number = round(residual / _BIN_WIDTH) + _HALF_BINS
-        self._residuals[min(max(number, 0), _BINS - 1)] += self._newest_weight
+        self._residuals[min(max(number, 0), _BINS - 1)] += self._next_weight
         self._ratios.clear()
         self._mean_ratio = self._spread = None
 
     def _rescale(self) -> None:
-        """Divide all weights by that of the newest residual: weights grow instead of decaying."""
-        newest = self._newest_weight
-        self._residuals = array("d", [weight / newest for weight in self._residuals])
-        self._newest_weight = 1.0
+        """Divide all weights by that of the next residual, which must not overflow."""
+        scale = self._next_weight
+        self._residuals = array("d", [weight / scale for weight in self._residuals])
+        self._next_weight = 1.0
 
     def _residual_at(self, quantile: float) -> float:
         """Return a quantile of the residuals; within a bin they count as evenly spread."""
--- a/almondstack/placement/water_filling.py
+++ b/almondstack/placement/water_filling.py
@@ -1,4 +1,11 @@
-"""Raises the shares of competing claims evenly until they are met or a resource runs out."""
+"""Divides resources between weighted claims: max-min over dominant shares, by progressive filling.
+
+Explanation
+-----------
+All claims rise with one *level*.  At a level, the dominant share of each open claim (the largest
+share that it has of any resource) is the level times its weight.  A claim is closed once it is
+met in full or a resource that it uses runs out.
+"""
 
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -6,12 +13,12 @@
 __all__ = ["Claim", "fill"]
 
 _MIN_RATE = 1e-12
-"""A resource whose use rises slower than this with the level is in use by no open claim."""
-
+"""Least rate of use of a resource: below it there are only rounding errors, and no open claim
+uses it."""
 
-_MAX_FALL = 1e-6
-"""The use of a resource is summed up anew once less than this part of its peak is left: what was
-subtracted from a far larger sum has left rounding errors in it."""
+_MIN_REMAINING_SHARE = 1e-6
+"""The rate of use of a resource is summed up anew once it is below this share of its peak, since
+subtractions from a far larger sum leave rounding errors."""
 
 
 class _Segment(NamedTuple):
@@ -22,9 +29,9 @@
     level : float
         The level at which it begins.
     part : float
-        The part of the claim's rest that is met there.
+        The part of the claim's rest that is met at that level, 0 to 1.
     slope : float
-        Rise of that part for each unit of the level.
+        By how much that part rises for each unit of the level.
     """
 
     level: float
@@ -37,9 +44,9 @@
 
     Explanation
     -----------
-    What is held already, ``floor``, is met whatever the level.  ``rest`` is met by the part
-    that brings the claim's dominant share to ``level * weight``: the largest share of a
-    resource that floor and the part of the rest take, of the resources that the rest asks for.
+    ``floor`` is what the claim holds already; it is met whatever the level.  Of ``rest``, the
+    part is met that brings the claim's dominant share to ``level * weight``.  The dominant share
+    is that of floor and met part together, over the resources that the rest asks for.
 
     Parameters
     ----------
@@ -53,8 +60,13 @@
 
     Attributes
     ----------
+    rest : sequence of float
+        As passed.
+    uses : list of bool
+        Whether the claim competes for each resource: its rest asks for some, and there is some.
     segments : list of _Segment
-        The part that is met, as a function of the level; empty if it is met at once.
+        The part that is met, as a function of the level, in order of the level; empty if the
+        claim is met at once.
     end : float
         Level at which the part reaches 1.
     part : float
@@ -101,7 +113,7 @@
         self.is_closed = True
 
     def enter(self, segment: _Segment) -> list[float]:
-        """Go on in a segment; return the change of the use of each resource by level."""
+        """Go on in a segment; return the changes of ``rates``."""
         before = self.rates
         self.rates = [
             more * segment.slope if is_used else 0.0
@@ -119,7 +131,21 @@
 
 
 def _segments(shares: Sequence[tuple[float, float]], weight: float) -> list[_Segment]:
-    """Return the part that is met by level, of a claim with these shares of held and of rest."""
+    """Return the segments of a claim, in order of the level.
+
+    Explanation
+    -----------
+    A resource's share is ``held + part * more``, a line over the part.  The dominant share is
+    the highest line at each part.  From the line that is highest at part 0, each step goes on to
+    the steeper line that crosses the present one first; of several, to the steepest.
+
+    Parameters
+    ----------
+    shares : sequence of tuple
+        For each resource, what the floor and what the rest takes of it, as shares.
+    weight : float
+        Weight of the claim.
+    """
     if not shares:
         return []
     found: list[_Segment] = []
@@ -138,7 +164,13 @@
 
 
 class _Filling:
-    """The level that is reached, and what is left of each resource."""
+    """The level that is reached, what is left of each resource, and how fast it is used.
+
+    Explanation
+    -----------
+    Rates are sums over the open claims, for each resource, per unit of the level.  Peaks are the
+    highest rates since the rates were last summed up.
+    """
 
     __slots__ = ("_claims", "_left", "_level", "_open", "_peaks", "_rates")
 
@@ -151,14 +183,14 @@
         self._peaks = list(self._rates)
 
     def raise_to(self, level: float) -> None:
-        """Raise the level; claims on a resource that runs out before are closed there."""
+        """Raise the level; where a resource runs out on the way, close the claims on it there."""
         while True:
-            at, resource = self._next_end(level)
+            at, resource = self._next_exhausted(level)
             self._advance(at)
             if resource is None:
                 return
             self._left[resource] = 0.0
-            self._close_users(resource)
+            self._close_claims_on(resource)
 
     def enter(self, claim: Claim, segment: _Segment) -> None:
         """Let a claim take part in one of its segments from the present level on."""
@@ -166,7 +198,7 @@
         for resource, change in enumerate(claim.enter(segment)):
             self._rates[resource] += change
             self._peaks[resource] = max(self._peaks[resource], self._rates[resource])
-        self._sum_up_if_small()
+        self._sum_up_if_inexact()
 
     def finish(self, claim: Claim) -> None:
         """Close a claim that is met in full."""
@@ -174,10 +206,10 @@
         self._open.discard(claim)
         for resource, rate in enumerate(claim.rates):
             self._rates[resource] -= rate
-        self._sum_up_if_small()
+        self._sum_up_if_inexact()
 
-    def _next_end(self, level: float) -> tuple[float, int | None]:
-        """Return the level up to which all resources last, and the first that ends before."""
+    def _next_exhausted(self, level: float) -> tuple[float, int | None]:
+        """Return where the first resource runs out, and which; ``level`` and None if none does."""
         found: int | None = None
         for resource, rate in enumerate(self._rates):
             if rate > _MIN_RATE and self._left[resource] < rate * (level - self._level):
@@ -191,17 +223,17 @@
         for resource, rate in enumerate(self._rates):
             self._left[resource] = max(0.0, self._left[resource] - rate * step)
 
-    def _close_users(self, resource: int) -> None:
+    def _close_claims_on(self, resource: int) -> None:
         for claim in self._claims:
             if not claim.is_closed and claim.uses[resource]:
                 claim.close(claim.part_at(self._level))
                 self._open.discard(claim)
         self._sum_up()
 
-    def _sum_up_if_small(self) -> None:
-        """Sum up anew the rates of which little is left."""
+    def _sum_up_if_inexact(self) -> None:
+        """Sum up the rates anew if one has fallen so far that rounding errors count."""
         rates = zip(self._rates, self._peaks, strict=True)
-        if any(rate < _MAX_FALL * peak for rate, peak in rates):
+        if any(rate < _MIN_REMAINING_SHARE * peak for rate, peak in rates):
             self._sum_up()
 
     def _sum_up(self) -> None:
@@ -216,8 +248,8 @@
 
     Explanation
     -----------
-    All claims rise with one level.  When a resource runs out, the claims that use it stay
-    where they are, and the others go on: progressive filling, as in "Dominant Resource
+    When a resource runs out, the claims that use it stay where they are, and the others go on:
+    progressive filling, as in "Dominant Resource
     Fairness" (Ghodsi et al., NSDI 2011), with floors and weights.
 
     Parameters
@@ -241,6 +273,7 @@
         for claim in open_claims
         for segment in claim.segments
     ]
+    # Of events at one level, ends come last: a claim enters its segments before it is met.
     events += [(claim.end, True, claim, None) for claim in open_claims]
     events.sort(key=lambda event: event[:2])
     for level, _, claim, segment in events:
--- a/almondstack/placement/worker_speed.py
+++ b/almondstack/placement/worker_speed.py
@@ -1,11 +1,11 @@
-"""Measures how fast workers are, from their runs against what such runs usually take.
+"""Measures how fast workers are by comparing their runs with what such runs usually take.
 
 Explanation
 -----------
-Each run on a worker is evidence: the ratio of its time, or of the time that its progress points
-to, to the median of its kind.  Ratios are compared within a pool, so that a pool that is slow as
+Each run on a worker is evidence: its time, or the time that its progress points to, divided by
+the median of its kind.  These ratios are compared within a pool, so that a pool that is slow as
 a whole goes on.  One task may be slow by itself; a worker is slow only if several runs say so
-beyond the spread that is usual for their kinds.  All of it is forgotten within seconds.
+beyond the spread that is usual for their kinds.  Runs are forgotten within seconds.
 """
 
 import math
@@ -30,31 +30,36 @@
 """Least sum of deviations, in standard deviations of such a sum; chance alone reaches it once in
 some ten thousand checks."""
 
-_TRIAL_EVIDENCE = 2.0
-"""The same for the runs of a trial to be slow: the worker was slow a moment ago."""
+_MIN_TRIAL_EVIDENCE = 2.0
+"""The same while a worker is on trial; less is needed, as it was slow a moment ago."""
 
 _MAX_DEVIATION = 2.5
-"""Bound on the deviation of one run, so that one long task condemns no worker."""
+"""Bound on the deviation of one run, in standard deviations, so that one long task does not make
+its worker count as slow."""
 
 _MAX_RATIO = 100.0
+"""Upper bound on the ratio of one run; its inverse is the lower bound."""
+
 _MEMORY_S = 1.5
 """Time for which a run counts after it was last noted, in seconds."""
 
 _MAX_RUNS = 16
 """Runs remembered of one worker."""
 
-_HOLD_S = 1.0
+_FIRST_HOLD_S = 1.0
+"""Time for which a slow worker gets no tasks before its first trial, in seconds."""
+
 _MAX_HOLD_S = 4.0
-"""Time until the next trial: at first, and at most, in seconds."""
+"""Bound on that time, which doubles with each trial that was slow, in seconds."""
 
-_PATIENCE_S = 4.0
-"""Longest step of a trial in seconds; a worker that got no task in it counts as normal then."""
+_MAX_STEP_S = 4.0
+"""Longest step of a trial in seconds; if no run was noted in it, the worker counts as normal."""
 
-_FULL_TRIAL = 4
-"""Tasks at a time in the last step of a trial."""
+_LAST_STEP_RUNS = 4
+"""Bound on the tasks at a time in the last step of a trial."""
 
 _MAX_LIMITED_SHARE = 1 / 3
-"""If more of a pool's workers are slow, they all get tasks: the pool needs them."""
+"""If a larger part of a pool's workers is slow, none of them is limited: the pool needs them."""
 
 
 class RunSpeed:
@@ -148,7 +153,7 @@
     __slots__ = ("_records", "_slow_until_s")
 
     def __init__(self) -> None:
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, _WorkerRecord] = {}
         self._slow_until_s: dict[str, float] = {}
 
     @property
@@ -161,7 +166,7 @@
         run.noted_s = now_s
         record = self._records.get(run.worker)
         if record is None:
-            record = self._records[run.worker] = _Record()
+            record = self._records[run.worker] = _WorkerRecord()
         record.note(run)
 
     def factor(self, worker: str) -> float:
@@ -184,11 +189,11 @@
         Parameters
         ----------
         workers : mapping of str to Worker
-            The registered workers by id; others, and other lives of them, are forgotten.
+            The registered workers by id; others, and earlier incarnations, are forgotten.
         now_s : float
             Present monotonic time in seconds.
         """
-        self._retain(workers, now_s)
+        self._forget_outdated(workers, now_s)
         changes: list[SpeedChange] = []
         pool_ratios = self._pool_ratios(workers)
         for id, record in self._records.items():
@@ -204,15 +209,16 @@
                 )
             if was_held or record.is_held:
                 self._slow_until_s[id] = now_s
-        self._write(workers)
+        self._update_workers(workers)
         return changes
 
-    def _retain(self, workers: Mapping[str, Worker], now_s: float) -> None:
+    def _forget_outdated(self, workers: Mapping[str, Worker], now_s: float) -> None:
+        """Forget workers that are gone, earlier incarnations of the others, and old runs."""
         for id in self._slow_until_s.keys() - workers.keys():
             del self._slow_until_s[id]
         for id in list(self._records):
             worker = workers.get(id)
-            if worker is None or not self._records[id].is_of_life(worker.info.life):
+            if worker is None or not self._records[id].is_of_incarnation(worker.info.life):
                 del self._records[id]
                 if worker is not None:
                     worker.slowness, worker.max_runs = 1.0, None
@@ -231,38 +237,52 @@
                 by_pool.setdefault(workers[id].info.pool, []).append(record.ratio())
         return {pool: max(1.0, median_low(ratios)) for pool, ratios in by_pool.items()}
 
-    def _write(self, workers: Mapping[str, Worker]) -> None:
+    def _update_workers(self, workers: Mapping[str, Worker]) -> None:
         """Write what placement reads, with limits only where enough other workers are left."""
         limited = _count_by_pool(workers[id] for id in self.slow_workers)
         sizes = _count_by_pool(workers.values()) if limited else {}
         for id, record in self._records.items():
             worker = workers[id]
             pool = worker.info.pool
-            is_few = limited.get(pool, 0) <= _MAX_LIMITED_SHARE * sizes.get(pool, 0)
+            may_limit = limited.get(pool, 0) <= _MAX_LIMITED_SHARE * sizes.get(pool, 0)
             worker.slowness = record.factor
-            worker.max_runs = record.max_runs if is_few else None
+            worker.max_runs = record.max_runs if may_limit else None
+
 
+class _WorkerRecord:
+    """Evidence on one worker, and the step of its trial.
+
+    Explanation
+    -----------
+    A worker is normal (``max_runs`` is None), held (0), or on trial (1, 2, then 4).
 
-class _Record:
-    """Evidence on one worker, and the step of its trial."""
+    Attributes
+    ----------
+    runs : OrderedDict of str to RunSpeed
+        The newest run of each task, the one last noted at the end.
+    factor : float
+        By how much the worker is slower than its pool; 1 is normal or not known.
+    max_runs : int or None
+        Bound on the tasks that end by themselves that it should have at a time; None is no bound.
+    """
 
-    __slots__ = ("_hold_s", "_life", "_since_s", "factor", "max_runs", "runs")
+    __slots__ = ("_hold_s", "_life", "_step_began_s", "factor", "max_runs", "runs")
 
     def __init__(self) -> None:
         self.runs: OrderedDict[str, RunSpeed] = OrderedDict()
         self.factor = 1.0
         self.max_runs: int | None = None
         self._life: int | None = None
-        self._since_s = 0.0
-        self._hold_s = _HOLD_S
+        self._step_began_s = 0.0
+        self._hold_s = _FIRST_HOLD_S
 
     @property
     def is_held(self) -> bool:
         """Whether the worker is slow or on trial."""
         return self.max_runs is not None
 
-    def is_of_life(self, life: int) -> bool:
-        """Return whether the evidence is on that life of the worker."""
+    def is_of_incarnation(self, life: int) -> bool:
+        """Return whether the evidence is on that incarnation of the worker; the first one binds."""
         if self._life is None:
             self._life = life
         return self._life == life
@@ -293,12 +313,12 @@
             is_clear = factor >= _PREFERENCE_FACTOR and self._is_clear(pool_ratio)
             self.factor = factor if is_clear else 1.0
             if self.factor >= SLOW_FACTOR:
-                self._hold(now_s)
+                self._begin_hold(now_s)
         elif self.max_runs == 0:
-            self._wait(factor, now_s)
+            self._continue_hold(factor, now_s)
         else:
-            is_slow = factor >= SLOW_FACTOR and self._deviation(pool_ratio) >= _TRIAL_EVIDENCE
-            self._try(factor, is_slow, now_s)
+            is_slow = factor >= SLOW_FACTOR and self._deviation(pool_ratio) >= _MIN_TRIAL_EVIDENCE
+            self._judge_trial(factor, is_slow, now_s)
 
     def _is_clear(self, pool_ratio: float) -> bool:
         """Whether several runs deviate from the pool by more than chance explains."""
@@ -314,44 +334,44 @@
         total = sum(min(deviation, _MAX_DEVIATION) for deviation in deviations)
         return total / math.sqrt(max(1, len(self.runs)))
 
-    def _hold(self, now_s: float) -> None:
+    def _begin_hold(self, now_s: float) -> None:
         self.max_runs = 0
-        self._since_s = now_s
+        self._step_began_s = now_s
 
-    def _wait(self, factor: float, now_s: float) -> None:
+    def _continue_hold(self, factor: float, now_s: float) -> None:
         """Let a trial begin after the time of the hold, also if earlier runs are still listed."""
         if self.runs:
             self.factor = max(factor, 1.0)
-        if now_s - self._since_s >= self._hold_s:
-            self._begin_step(1, now_s)
+        if now_s - self._step_began_s >= self._hold_s:
+            self._begin_trial_step(1, now_s)
 
-    def _try(self, factor: float, is_slow: bool, now_s: float) -> None:
+    def _judge_trial(self, factor: float, is_slow: bool, now_s: float) -> None:
         """Allow more tasks if those of this step were fast, none if they were slow."""
         if is_slow:
             self.factor = factor
             self._hold_s = min(2.0 * self._hold_s, _MAX_HOLD_S)
-            self._hold(now_s)
-        elif self._newest_s() > self._since_s:
-            self._pass_step(now_s)
-        elif now_s - self._since_s >= _PATIENCE_S:
-            self._end()
-
-    def _pass_step(self, now_s: float) -> None:
-        if self.max_runs is not None and self.max_runs < _FULL_TRIAL:
-            self._begin_step(2 * self.max_runs, now_s)
+            self._begin_hold(now_s)
+        elif self._newest_s() > self._step_began_s:
+            self._end_step(now_s)
+        elif now_s - self._step_began_s >= _MAX_STEP_S:
+            self._end_trial()
+
+    def _end_step(self, now_s: float) -> None:
+        if self.max_runs is not None and self.max_runs < _LAST_STEP_RUNS:
+            self._begin_trial_step(2 * self.max_runs, now_s)
         else:
-            self._end()
+            self._end_trial()
 
-    def _begin_step(self, max_runs: int, now_s: float) -> None:
+    def _begin_trial_step(self, max_runs: int, now_s: float) -> None:
         """Begin a step of the trial; only runs that are noted from now on count in it."""
         self.max_runs = max_runs
         self.runs.clear()
-        self._since_s = now_s
+        self._step_began_s = now_s
 
-    def _end(self) -> None:
+    def _end_trial(self) -> None:
         self.max_runs = None
         self.factor = 1.0
-        self._hold_s = _HOLD_S
+        self._hold_s = _FIRST_HOLD_S
 
     def _newest_s(self) -> float:
         return next(reversed(self.runs.values())).noted_s if self.runs else 0.0
