Explain the evidence of interference, and reservations of callers

Constants of the interference model read as one broken sentence ("... or the time"), _Return and returns named what the glossary calls a reservation, free_s was the end of the virtual queue, and reserve changed due_s three times in a row.

Each constant says what it bounds and in which unit, the queue step has the name enqueue, and factors of 1000 say which units they convert. The test of bounded state follows the renamed attribute. No behaviour changes.

--- a/almondstack/control/account_demands.py
+++ b/almondstack/control/account_demands.py
@@ -9,7 +9,7 @@
 
 __all__ = ["AccountDemands", "PoolAmount", "WaitingParts"]
 
-_MS = 1000.0
+_MS_PER_S = 1000.0
 
 _MIN_ACCOUNTS = 2
 """Accounts with open jobs from which on they may compete."""
@@ -121,7 +121,7 @@
 
     def _split(self, parts: WaitingParts, task: Task, count: int, slack: float) -> None:
         """Add ``count`` waiting tasks of a step that has ``slack`` seconds of slack."""
-        remaining_s = task.job.remaining_chain_ms(task.key.step) / _MS
+        remaining_s = task.job.remaining_chain_ms(task.key.step) / _MS_PER_S
         pressing = count * pressing_share(remaining_s, slack)
         self._count(parts.can_wait, task.step, count - pressing)
 
--- a/almondstack/control/pool_balancer.py
+++ b/almondstack/control/pool_balancer.py
@@ -37,7 +37,7 @@
 
 _UNUSABLE_STATES = frozenset({InstanceState.DOWN, InstanceState.MAINTENANCE})
 
-_MS = 1000.0
+_MS_PER_S = 1000.0
 
 _RELEASE_AFTER_S = 60.0
 """Time after which a newly started fleet without demand releases instances, in seconds."""
@@ -303,5 +303,5 @@
     if task.step.is_long_running:
         return 0.0
     elapsed_s = now_s - task.assigned_s
-    left_s = task.job.median_ms(task.key.step) / _MS - elapsed_s
+    left_s = task.job.median_ms(task.key.step) / _MS_PER_S - elapsed_s
     return left_s if left_s > 0 else elapsed_s
--- a/almondstack/intake/rejections.py
+++ b/almondstack/intake/rejections.py
@@ -11,7 +11,7 @@
 
 __all__ = ["report_rejection"]
 
-_MS = 1000.0
+_MS_PER_S = 1000.0
 
 
 class _Reports(Protocol):
@@ -50,4 +50,4 @@
     )
     reports.metrics.count(f"admission.{reason}")
     if decision.retry_s:
-        reports.metrics.timing_ms("admission.retry-after", decision.retry_s * _MS)
+        reports.metrics.timing_ms("admission.retry-after", decision.retry_s * _MS_PER_S)
--- a/almondstack/jobs/admission_state.py
+++ b/almondstack/jobs/admission_state.py
@@ -1,4 +1,4 @@
-"""What is known at one moment of the waits of new work, for decisions on admission."""
+"""Waits of new work, and accounts beyond their entitlement, as of one moment: for admission."""
 
 import math
 from collections.abc import Callable, Mapping, Sequence
@@ -8,8 +8,8 @@
 
 __all__ = ["AdmissionState", "core_ms", "state_after", "wait_key"]
 
-_MS = 1000.0
-_MILLIS = 1000.0
+_MS_PER_S = 1000.0
+_MILLIS_PER_CORE = 1000.0
 
 
 def wait_key(pool: str, account: str) -> str:
@@ -40,7 +40,7 @@
         for step, time_ms in zip(submission.steps, task_ms, strict=True)
         if not step.is_long_running and not step.is_filler
     )
-    return sum(works) / _MILLIS
+    return sum(works) / _MILLIS_PER_CORE
 
 
 def _declared_ms(_queue: str, declared_ms: float) -> float:
@@ -64,8 +64,9 @@
         Thousandths of a core that an account may use of the whole fleet, for each account whose
         demand is beyond that.
     known_s : float or None
-        Monotonic time at which the state was read, in seconds; None for the state that this
-        process has computed as the owner.
+        Monotonic time from which the age of the state counts, in seconds: when it was read, or
+        written if that was long before.  None for the state that this process has computed as
+        the owner, which does not age.
     expected_ms : callable, optional
         Returns the expected milliseconds of a task for a queue and declared milliseconds.
     """
@@ -113,8 +114,10 @@
         wait_ms = self._waits_ms.get(wait_key(pool, account))
         if wait_ms is None:
             return 0.0
-        added_ms = self._accepted_ms.get(account, 0.0) * _MILLIS / self.entitled_millis(account)
-        return max(0.0, wait_ms + added_ms - self.age_s(now_s) * _MS)
+        added_ms = (
+            self._accepted_ms.get(account, 0.0) * _MILLIS_PER_CORE / self.entitled_millis(account)
+        )
+        return max(0.0, wait_ms + added_ms - self.age_s(now_s) * _MS_PER_S)
 
     def entitled_millis(self, account: str) -> float:
         """Return an account's entitlement in thousandths of a core; infinite if it is within it."""
@@ -127,7 +130,7 @@
         Explanation
         -----------
         Expectations are those of tasks: they are not in proportion to what is declared, so that
-        sums are of expectations.  A filler or a task that lasts without a declaration has none.
+        sums are of expectations.  A filler or long-running task without a declaration has none.
         """
         return [
             (
@@ -175,5 +178,5 @@
         return state
     age_s = 0.0
     if state is None and notice.written_unix_ms:
-        age_s = max(0.0, now_unix_s - notice.written_unix_ms / _MS)
+        age_s = max(0.0, now_unix_s - notice.written_unix_ms / _MS_PER_S)
     return AdmissionState(notice.waits_ms, notice.entitled_millis, now_s - age_s)
--- a/almondstack/placement/admission.py
+++ b/almondstack/placement/admission.py
@@ -3,7 +3,7 @@
 Explanation
 -----------
 A submission is accepted while its job's end can be of use to its caller.  An account that is
-within its entitlement waits as the pool's other work has it
+within its entitlement waits as long as all new work of its in the pool
 (:func:`~almondstack.placement.backlog.excess_wait_ms`).  An account whose demand is beyond its
 entitlement of a short fleet waits behind its own work at the rate of that entitlement, and
 behind its callers that were told to return.
@@ -25,14 +25,23 @@
 
 __all__ = ["Decision", "RejectionReason", "judge"]
 
-_MILLIS = 1000.0
+_MILLIS_PER_CORE = 1000.0
 
 _MAX_AGE_S = 2.5
-"""Age from which a state that was only read says nothing of accounts within their entitlement."""
+"""Age in seconds from which a state that was read from a notice says nothing of accounts within
+their entitlement."""
 
 
 class RejectionReason(StrEnum):
-    """Why a submission is rejected."""
+    """Why a submission is rejected.
+
+    Attributes
+    ----------
+    NO_USE
+        The job would end too late to be of use to its caller, without regard to entitlements.
+    BEYOND_ENTITLEMENT
+        The same at the rate of the entitlement of its account, whose demand is beyond it.
+    """
 
     NO_USE = "no-use"
     BEYOND_ENTITLEMENT = "beyond-entitlement"
@@ -77,7 +86,7 @@
     @property
     def run_ms(self) -> float:
         """How long the account's entitlement takes for the job's work, in milliseconds."""
-        return self.work_ms * _MILLIS / self.entitled_millis
+        return self.work_ms * _MILLIS_PER_CORE / self.entitled_millis
 
 
 def judge(
@@ -139,16 +148,18 @@
         work_ms=state.work_ms(submission),
         age_s=state.age_s(now_s),
     )
-    room_ms = _room_ms(state, submission, policy)
-    # Room that is held must not let the entitlement lie idle.
-    held_wait_ms = held_ms * _MILLIS / decision.entitled_millis if decision.wait_ms else 0.0
-    late_ms = decision.wait_ms + held_wait_ms - room_ms
+    longest_wait_ms = _longest_wait_ms(state, submission, policy)
+    # With nothing ahead of the job, room held for absent callers would leave the entitlement idle.
+    held_wait_ms = (
+        held_ms * _MILLIS_PER_CORE / decision.entitled_millis if decision.wait_ms else 0.0
+    )
+    late_ms = decision.wait_ms + held_wait_ms - longest_wait_ms
     if late_ms <= 0:
         return decision
     return decision._replace(reason=RejectionReason.BEYOND_ENTITLEMENT, late_ms=late_ms)
 
 
-def _room_ms(state: AdmissionState, submission: Submission, policy: QueuePolicy) -> float:
+def _longest_wait_ms(state: AdmissionState, submission: Submission, policy: QueuePolicy) -> float:
     """Return how long a job may wait for its end to be of use, in milliseconds.
 
     Explanation
--- a/almondstack/placement/interference.py
+++ b/almondstack/placement/interference.py
@@ -1,4 +1,4 @@
-"""Learns which kinds of task slow down serving tasks on the same worker.
+"""Learns which kinds of task raise the tail latency of serving tasks on the same worker.
 
 Explanation
 -----------
@@ -22,25 +22,28 @@
 """Time in which a sample loses half of its weight, in seconds."""
 
 _MIN_SAMPLES = 3.0
-"""Weight of samples with a kind beside, and of samples without it, that a finding needs."""
+"""Number of samples, decayed by age, that a finding needs with the kind beside, and without it."""
 
 _MIN_WORKERS = 2
-"""Workers on which a kind was seen beside a serving kind ..."""
+"""Number of workers on which a kind must be seen beside a serving kind for a finding, unless it was
+seen for ``_MIN_SPAN_S``."""
 
 _MIN_SPAN_S = 2.0
-"""... or the time over which it was seen on one, in seconds, that a finding needs."""
+"""Time between the first and the last sample with a kind beside that is enough on one worker, in
+seconds."""
 
 _MIN_INCREASE = 0.1
 """Least increase of the tail latency, as a share of the target, that is of any concern."""
 
-_ERRORS = 2.0
-"""Standard errors by which an increase must differ from zero or from the least one."""
+_MIN_STANDARD_ERRORS = 2.0
+"""Number of standard errors by which an increase must differ from 0 to be harmful, and stay below
+``_MIN_INCREASE`` to be harmless."""
 
 _MAX_RATIO = 3.0
-"""Higher ratios of tail latency and target count as this one, so that no sample decides alone."""
+"""Bound on the ratio of tail latency and target, so that no sample decides alone."""
 
 _FORGET_WEIGHT = 0.3
-"""Weight of the samples with a kind beside below which the kind is forgotten."""
+"""Number of samples, decayed by age, below which a kind is forgotten."""
 
 _MAX_KINDS_BESIDE = 16
 """Kinds beside one serving kind that are told apart; samples with others are left out."""
@@ -82,12 +85,12 @@
     @property
     def is_harmful(self) -> bool:
         """Whether the increase is clearly one, and large enough to be of concern."""
-        return self.increase >= max(_MIN_INCREASE, _ERRORS * self.error)
+        return self.increase >= max(_MIN_INCREASE, _MIN_STANDARD_ERRORS * self.error)
 
     @property
     def is_harmless(self) -> bool:
         """Whether the increase is clearly too small to be of concern."""
-        return self.increase + _ERRORS * self.error < _MIN_INCREASE
+        return self.increase + _MIN_STANDARD_ERRORS * self.error < _MIN_INCREASE
 
 
 def kind_of(task: Task) -> str:
@@ -101,7 +104,15 @@
 
 
 class _KindBeside:
-    """A kind beside a serving kind: its column, and where and when it was seen."""
+    """A kind beside a serving kind: its column, and where and when it was seen.
+
+    Attributes
+    ----------
+    column : int
+        Its column in the regression of the serving kind.
+    weight : float
+        Number of samples with it, each decayed by its age.
+    """
 
     __slots__ = ("_first_s", "_last_s", "_workers", "column", "weight")
 
@@ -119,6 +130,7 @@
         return len(self._workers) >= _MIN_WORKERS or is_lasting
 
     def note(self, worker: str, share: float, now_s: float) -> None:
+        """Count a sample with the kind beside, at ``share`` of full speed."""
         self.weight += min(1.0, share)
         self._last_s = now_s
         if len(self._workers) < _MIN_WORKERS:
@@ -194,7 +206,8 @@
 
     Explanation
     -----------
-    A new one knows nothing.  Times are monotonic seconds, passed as arguments.
+    A new instance knows nothing.  Times are monotonic seconds, passed as arguments.  Of many
+    serving kinds, each :meth:`update` estimates some in turn, so that its cost is bounded.
 
     Examples
     --------
@@ -272,7 +285,7 @@
             kind: findings for kind, findings in self._findings.items() if kind in self._kinds
         }
         self._estimate()
-        self._arrange()
+        self._index_harmful()
 
     def _estimate(self) -> None:
         """Compute the findings of the serving kinds whose turn it is."""
@@ -284,8 +297,8 @@
             if serving is not None:
                 self._findings[kind] = serving.findings()
 
-    def _arrange(self) -> None:
-        """Arrange the harmful pairs by each of their kinds."""
+    def _index_harmful(self) -> None:
+        """Index the harmful pairs by the kind that disturbs and by the kind that is disturbed."""
         self._caused, self._suffered = {}, {}
         for pair, finding in self.harmful.items():
             self._caused.setdefault(pair.disturber, {})[pair.disturbed] = finding.increase
@@ -325,10 +338,10 @@
         if caused is None and suffered is None:
             return 0.0
         kinds = [kind_of(other) for other in worker_tasks]
-        return _total(caused, kinds) + _total(suffered, kinds)
+        return _sum_of_increases(caused, kinds) + _sum_of_increases(suffered, kinds)
 
 
-def _total(increases: Mapping[str, float] | None, kinds: list[str]) -> float:
+def _sum_of_increases(increases: Mapping[str, float] | None, kinds: list[str]) -> float:
     if increases is None:
         return 0.0
     return sum(increases.get(kind, 0.0) for kind in kinds)
--- a/almondstack/placement/order.py
+++ b/almondstack/placement/order.py
@@ -24,12 +24,12 @@
 LATE_BAND = 2
 """From this first element of a rank on, a job can no longer end within its objective."""
 
-_MS = 1000.0
+_MS_PER_S = 1000.0
 
 
 def objective_s(job: ActiveJob, policy: QueuePolicy) -> float:
     """Return the time from acceptance in which a job should end, in seconds."""
-    return (policy.stretch * job.chain_ms + policy.objective_ms) / _MS
+    return (policy.stretch * job.chain_ms + policy.objective_ms) / _MS_PER_S
 
 
 def rank_of(tasks: list[Task], policy: QueuePolicy, now_unix_ms: float) -> Rank:
@@ -48,9 +48,9 @@
         return 0, tasks[0].step.is_filler, policy.urgency, 0.0
     released_ms = _released_ms(tasks[0])
     objective = objective_s(job, policy)
-    due_s = released_ms / _MS + objective
-    remaining_s = job.remaining_chain_ms(tasks[0].key.step) / _MS
-    slack_s = due_s - remaining_s - now_unix_ms / _MS
+    due_s = released_ms / _MS_PER_S + objective
+    remaining_s = job.remaining_chain_ms(tasks[0].key.step) / _MS_PER_S
+    slack_s = due_s - remaining_s - now_unix_ms / _MS_PER_S
     return _lateness(slack_s, objective), False, policy.urgency, slack_s
 
 
@@ -94,7 +94,7 @@
 def is_past_use(task: Task, policy: QueuePolicy, now_unix_ms: float) -> bool:
     """Return whether a task's job should have ended so long ago that its end is of no use."""
     last_s = LATE_FACTOR * objective_s(task.job, policy)
-    return now_unix_ms / _MS > _released_ms(task) / _MS + last_s
+    return now_unix_ms / _MS_PER_S > _released_ms(task) / _MS_PER_S + last_s
 
 
 def _released_ms(task: Task) -> float:
--- a/almondstack/placement/return_schedule.py
+++ b/almondstack/placement/return_schedule.py
@@ -16,47 +16,50 @@
 __all__ = ["ReturnSchedule"]
 
 _MAX_ACCOUNTS = 256
-_MAX_RETURNS = 128
-"""Reservations of one account; later calls get return times without one."""
+"""Accounts with reservations; those of the account rejected least recently are dropped first."""
+
+_MAX_RESERVATIONS = 128
+"""Bound on the reservations of one account; later calls get return times without one."""
 
 _MAX_RETRY_S = 60
 """Longest time after which a caller is told to return, in seconds."""
 
-_GRACE_S = 2.0
+_KEPT_AFTER_DUE_S = 2.0
 """How long a reservation is kept after its return time, in seconds."""
 
-_HELD_S = 1.0
-"""Room is held for callers whose return time is at most so far ahead, in seconds: the unit of
-return times."""
+_HELD_AHEAD_S = 1.0
+"""Room is held for callers whose return time is at most this far ahead, in seconds: return times
+are whole seconds."""
 
-_MS = 1000.0
+_MS_PER_S = 1000.0
 
 
-class _Return(NamedTuple):
+class _Reservation(NamedTuple):
     """Reservation of a caller: its return time in monotonic seconds, and its job's work."""
 
     due_s: float
     work_ms: float
 
 
-class _AccountReturns:
+class _AccountReservations:
     """Reservations of one account, and the end of its virtual queue.
 
     Attributes
     ----------
-    returns : dict of str to _Return
-        Reservations by job, in order of their return times; renewed ones come last.
-    free_s : float
-        Monotonic time at which the account's entitlement is free after the last call.
+    reservations : dict of str to _Reservation
+        By job, in order of their return times; renewed ones come last.
+    queue_end_s : float
+        Monotonic time, in seconds, at which the account's entitlement has served the work of all
+        rejected calls: the end of the virtual queue.
     last_due_s : float
-        Latest return time that was given.
+        Latest return time that was given, in monotonic seconds.
     """
 
-    __slots__ = ("free_s", "last_due_s", "returns")
+    __slots__ = ("queue_end_s", "last_due_s", "reservations")
 
     def __init__(self) -> None:
-        self.returns: dict[str, _Return] = {}
-        self.free_s = 0.0
+        self.reservations: dict[str, _Reservation] = {}
+        self.queue_end_s = 0.0
         self.last_due_s = 0.0
 
     def drop_lapsed(self, now_s: float) -> None:
@@ -64,23 +67,39 @@
 
         Explanation
         -----------
-        Without reservations the virtual queue is empty.
+        Once no reservation is left, the virtual queue is empty.
         """
-        while self.returns:
-            first = next(iter(self.returns))
-            if not _is_lapsed(self.returns[first], now_s):
+        while self.reservations:
+            first = next(iter(self.reservations))
+            if not _is_lapsed(self.reservations[first], now_s):
                 return
-            del self.returns[first]
-        self.free_s = self.last_due_s = now_s
+            del self.reservations[first]
+        self.queue_end_s = self.last_due_s = now_s
+
+    def enqueue(self, due_s: float, run_s: float, now_s: float) -> float:
+        """Add a call to the virtual queue, and return its return time, no earlier than ``due_s``.
+
+        Parameters
+        ----------
+        due_s : float
+            Monotonic time at which the job could be accepted if no other call were before it.
+        run_s : float
+            Seconds that the account's entitlement takes for its work.
+        now_s : float
+            Monotonic time in seconds.
+        """
+        due_s = max(due_s, self.queue_end_s)
+        self.queue_end_s = min(due_s + run_s, now_s + _MAX_RETRY_S)
+        return max(due_s, self.last_due_s)
 
-    def take_place(self, job: str, now_s: float) -> _Return | None:
-        """Remove and return the reservation of a job, or None if there is none."""
-        place = self.returns.pop(job, None)
+    def pop_reservation(self, job: str, now_s: float) -> _Reservation | None:
+        """Remove and return the reservation of a job; None if it has none that counts."""
+        place = self.reservations.pop(job, None)
         return None if place is None or _is_lapsed(place, now_s) else place
 
 
-def _is_lapsed(place: _Return, now_s: float) -> bool:
-    return place.due_s + _GRACE_S < now_s
+def _is_lapsed(place: _Reservation, now_s: float) -> bool:
+    return place.due_s + _KEPT_AFTER_DUE_S < now_s
 
 
 class ReturnSchedule:
@@ -101,7 +120,7 @@
     __slots__ = ("_accounts",)
 
     def __init__(self) -> None:
-        self._accounts: dict[str, _AccountReturns] = {}
+        self._accounts: dict[str, _AccountReservations] = {}
 
     def held_ms(self, account: str, job: str, now_s: float) -> float:
         """Return the work for which room is held against a call, in milliseconds of one core.
@@ -109,60 +128,57 @@
         Explanation
         -----------
         A caller that comes back when told gives way to nobody, any other to those that are due
-        within a second or came late by less than the grace.
+        within a second or came late by less than the time for which a reservation is kept.
         """
         found = self._accounts.get(account)
         if found is None:
             return 0.0
         found.drop_lapsed(now_s)
-        own = found.returns.get(job)
+        own = found.reservations.get(job)
         if own is not None and own.due_s <= now_s and not _is_lapsed(own, now_s):
             return 0.0
-        first_s, last_s = now_s - _GRACE_S, now_s + _HELD_S
-        due = (
-            item.work_ms
-            for name, item in found.returns.items()
-            if first_s <= item.due_s <= last_s and name != job
+        first_s, last_s = now_s - _KEPT_AFTER_DUE_S, now_s + _HELD_AHEAD_S
+        return sum(
+            place.work_ms
+            for other, place in found.reservations.items()
+            if first_s <= place.due_s <= last_s and other != job
         )
-        return sum(due)
 
     def release(self, account: str, job: str) -> None:
         """Remove the reservation of a job that is accepted."""
         found = self._accounts.get(account)
         if found is not None:
-            found.returns.pop(job, None)
+            found.reservations.pop(job, None)
 
     def reserve(self, account: str, job: str, decision: Decision, now_s: float) -> Decision:
         """Return a rejection with its return time, and keep a reservation for it.
 
         Explanation
         -----------
-        A caller that returns early keeps its place.  A later call is told to return no earlier
+        A caller that reservations early keeps its place.  A later call is told to return no earlier
         than all before it, and after the time that the account's entitlement takes for theirs.
         Only calls that wait for their account's own queue get a place.
         """
         if decision.reason is not RejectionReason.BEYOND_ENTITLEMENT:
             return decision
-        found = self._account(account)
+        found = self._renewed(account)
         found.drop_lapsed(now_s)
-        early = found.returns.get(job)
+        early = found.reservations.get(job)
         if early is not None and early.due_s > now_s:
             return decision._replace(retry_s=_retry_s(early.due_s, now_s))
-        due_s = now_s + decision.late_ms / _MS
-        place = found.take_place(job, now_s)
-        if place is None:
-            due_s = max(due_s, found.free_s)
-            found.free_s = min(due_s + decision.run_ms / _MS, now_s + _MAX_RETRY_S)
-            due_s = max(due_s, found.last_due_s)
+        due_s = now_s + decision.late_ms / _MS_PER_S
+        if found.pop_reservation(job, now_s) is None:
+            # The work of a caller with a reservation is in the queue already.
+            due_s = found.enqueue(due_s, decision.run_ms / _MS_PER_S, now_s)
         retry_s = _retry_s(due_s, now_s)
         found.last_due_s = max(found.last_due_s, now_s + retry_s)
-        if len(found.returns) < _MAX_RETURNS:
-            found.returns[job] = _Return(now_s + retry_s, decision.work_ms)
+        if len(found.reservations) < _MAX_RESERVATIONS:
+            found.reservations[job] = _Reservation(now_s + retry_s, decision.work_ms)
         return decision._replace(retry_s=retry_s)
 
-    def _account(self, account: str) -> _AccountReturns:
+    def _renewed(self, account: str) -> _AccountReservations:
         """Return the reservations of an account, which is then the last to be removed."""
-        found = self._accounts.pop(account, None) or _AccountReturns()
+        found = self._accounts.pop(account, None) or _AccountReservations()
         if len(self._accounts) >= _MAX_ACCOUNTS:
             del self._accounts[next(iter(self._accounts))]
         self._accounts[account] = found
--- a/almondstack/placement/tests/test_admission.py
+++ b/almondstack/placement/tests/test_admission.py
@@ -296,4 +296,4 @@
         schedule.reserve(f"a{account}", "j", _REJECTED, 0.0)
     retries_s = [schedule.reserve("a", str(job), _REJECTED, 0.0).retry_s for job in range(2_000)]
     assert retries_s == sorted(retries_s) and retries_s[-1] == 60
-    assert len(schedule._accounts) <= 256 and len(schedule._accounts["a"].returns) <= 128
+    assert len(schedule._accounts) <= 256 and len(schedule._accounts["a"].reservations) <= 128
