Say which figures a filler's percentage belongs to, and what can wait

PacedFiller.shown, WaitingParts with its one attribute and the nested flags is_told of the interference monitor needed a second reading, and the pacing's limits had no words for what is enough.

shown is figures_percent, AccountDemands.can_wait returns the amount itself, and _has_figures decides whether a task's figures count. A test that bounds the memory of the pacing follows the renamed attribute. No behaviour changes.

--- a/almondstack/control/account_demands.py
+++ b/almondstack/control/account_demands.py
@@ -7,12 +7,12 @@
 from almondstack.placement.entitlements import AccountDemand
 from almondstack.placement.order import pressing_share, slack_s
 
-__all__ = ["AccountDemands", "PoolAmount", "WaitingParts"]
+__all__ = ["AccountDemands", "PoolAmount"]
 
 _MS_PER_S = 1000.0
 
 _MIN_ACCOUNTS = 2
-"""Accounts with open jobs from which on they may compete."""
+"""Number of accounts with open jobs from which on accounts may compete."""
 
 
 class PoolAmount:
@@ -33,22 +33,7 @@
         self.filled_instances = 0.0
 
 
-class WaitingParts:
-    """Parts of the waiting demand of an account in a pool.
-
-    Attributes
-    ----------
-    can_wait : PoolAmount
-        What need not run now for its jobs to end in time.
-    """
-
-    __slots__ = ("can_wait",)
-
-    def __init__(self) -> None:
-        self.can_wait = PoolAmount()
-
-
-_NO_PARTS = WaitingParts()
+_NOTHING = PoolAmount()
 
 
 class AccountDemands:
@@ -62,13 +47,13 @@
         Capacity of a typical instance; zeros if none is known.
     """
 
-    __slots__ = ("_by_account", "_capacity", "_is_competing", "_parts")
+    __slots__ = ("_by_account", "_capacity", "_is_competing", "_can_wait")
 
     def __init__(self, accounts: Collection[str], capacity: Resources) -> None:
         self._is_competing = len(accounts) >= _MIN_ACCOUNTS
         self._capacity = capacity
         self._by_account: dict[str, AccountDemand] = {}
-        self._parts: dict[tuple[str, str], WaitingParts] = {}
+        self._can_wait: dict[tuple[str, str], PoolAmount] = {}
 
     @property
     def is_competing(self) -> bool:
@@ -79,14 +64,17 @@
         """Return the demand of each account."""
         return list(self._by_account.values())
 
-    def waiting_parts(self, pool: str, account: str) -> WaitingParts:
-        """Return the parts of an account's waiting demand in a pool; not to be changed."""
-        return self._parts.get((pool, account), _NO_PARTS)
+    def can_wait(self, pool: str, account: str) -> PoolAmount:
+        """Return what of an account's waiting demand in a pool need not run now to end in time.
+
+        The caller must not change it.
+        """
+        return self._can_wait.get((pool, account), _NOTHING)
 
     def add(
         self, job: ActiveJob, policy: QueuePolicy, now_unix_ms: float, *, is_late: bool
     ) -> None:
-        """Add the demand of a job; of a job that can't end in time, only its lasting tasks.
+        """Add the demand of a job; of a job that can't end in time, only long-running tasks.
 
         Explanation
         -----------
@@ -103,7 +91,7 @@
             self._add_waiting(job, policy, demand.waiting, now_unix_ms)
 
     def add_arriving(self, account: str, millis: float) -> None:
-        """Add thousandths of a core that jobs of an account will ask for which are yet to come."""
+        """Add the demand of an account's jobs that are yet to come, in thousandths of a core."""
         self._of(account).waiting.cpu_millis += round(millis)
 
     def _add_waiting(
@@ -116,16 +104,16 @@
                 count = sum(task.status is TaskStatus.WAITING for task in tasks)
                 self._add(waiting, step, count)
                 slack = slack_s(tasks, policy, now_unix_ms)
-                parts = self._parts.setdefault(key, WaitingParts())
-                self._split(parts, tasks[0], count, slack)
+                can_wait = self._can_wait.setdefault(key, PoolAmount())
+                self._add_can_wait(can_wait, tasks[0], count, slack)
 
-    def _split(self, parts: WaitingParts, task: Task, count: int, slack: float) -> None:
-        """Add ``count`` waiting tasks of a step that has ``slack`` seconds of slack."""
+    def _add_can_wait(self, can_wait: PoolAmount, task: Task, count: int, slack: float) -> None:
+        """Add what can wait of ``count`` tasks of a step that has ``slack`` seconds of slack."""
         remaining_s = task.job.remaining_chain_ms(task.key.step) / _MS_PER_S
         pressing = count * pressing_share(remaining_s, slack)
-        self._count(parts.can_wait, task.step, count - pressing)
+        self._add_amount(can_wait, task.step, count - pressing)
 
-    def _count(self, amount: PoolAmount, step: Step, tasks: float) -> None:
+    def _add_amount(self, amount: PoolAmount, step: Step, tasks: float) -> None:
         amount.millis += tasks * step.cpu_millis
         if self._capacity.memory_mb > 0:
             amount.filled_instances += tasks * self._filled_mb(step) / self._capacity.memory_mb
@@ -136,7 +124,7 @@
         sums.gpus += count * step.gpus
 
     def _filled_mb(self, step: Step) -> int:
-        """Return the memory that a task takes up, with the part that it leaves useless.
+        """Return the memory that a task takes up, with its part of what fits no other such task.
 
         Explanation
         -----------
@@ -156,7 +144,12 @@
 
 
 def _held_tasks(job: ActiveJob) -> list[tuple[Step, int, int]]:
-    """Return each step but fillers, how many of its tasks run or last, and how many run."""
+    """Return each step but fillers, with two numbers of its tasks: those held, and those that run.
+
+    Explanation
+    -----------
+    Held are the tasks that run, and of long-running steps also those that wait.
+    """
     steps = job.submission.steps
     held = [0] * len(steps)
     running = [0] * len(steps)
--- a/almondstack/control/fleet_shares.py
+++ b/almondstack/control/fleet_shares.py
@@ -10,7 +10,10 @@
 __all__ = ["FleetCapacity", "FleetShares", "may_be_short"]
 
 _PoolAccount = tuple[str, str]
+"""A pool and an account."""
+
 _Millis = dict[_PoolAccount, float]
+"""Demand of accounts in pools, in thousandths of a core."""
 
 
 class FleetCapacity:
@@ -37,7 +40,13 @@
 
 
 class FleetShares:
-    """Computes what each client account is entitled to, over the fleet and in each pool."""
+    """Computes what each client account is entitled to, over the fleet and in each pool.
+
+    Explanation
+    -----------
+    The only state is the mix of accounts in the recent arrivals of each queue, by which the
+    forecast demand of a queue is attributed to accounts.
+    """
 
     __slots__ = ("_mixes",)
 
@@ -78,11 +87,11 @@
         paid = _paid_needs(by_account, policies)
         arriving = self._arriving(arriving_millis, policies)
         asked = _asked_millis(paid, arriving, demands)
-        whole = _dividable(needs, policies, capacity)
+        whole = _divided_resources(needs, policies, capacity)
         table = divide_fairly(demands.all(), whole, policies.accounts)
         if table.is_short:
             pressing = _pressing_millis(asked, arriving, demands)
-            parts = _entitled_parts(asked, pressing, table)
+            parts = _covered_pressing(asked, pressing, table)
             _set_entitled(needs, paid, pressing, parts, demands)
         return table
 
@@ -109,16 +118,16 @@
 
     Explanation
     -----------
-    It costs little, so that a fleet that covers its demand computes no shares.
+    This check is cheap; a fleet that covers its demand computes no shares.
     """
     paid = [need for pool, need in needs.items() if not policies.pools[pool]]
-    whole = _dividable(needs, policies, capacity)
+    whole = _divided_resources(needs, policies, capacity)
     usable = whole.cpu_millis / max(1.0, capacity.resources.cpu_millis / HEADROOM)
     lacks_cores = sum(need.total_millis for need in paid) > whole.cpu_millis
     return lacks_cores or sum(need.filled_instances for need in paid) > usable * capacity.instances
 
 
-def _dividable(
+def _divided_resources(
     needs: Mapping[str, PoolNeed], policies: Policies, capacity: FleetCapacity
 ) -> Resources:
     """Return what accounts can use of the fleet.
@@ -154,7 +163,7 @@
     arriving: Mapping[_PoolAccount, float],
     demands: AccountDemands,
 ) -> _Millis:
-    """Return the demand other than lasting work of each account in each pool.
+    """Return the demand of each account in each pool, without long-running tasks.
 
     Explanation
     -----------
@@ -175,17 +184,17 @@
 def _pressing_millis(
     asked: _Millis, arriving: Mapping[_PoolAccount, float], demands: AccountDemands
 ) -> _Millis:
-    """Return the part of that demand which can't wait; what is forecast is part of it."""
+    """Return the part of that demand which can't wait; at least what is forecast."""
     return {
         (pool, account): max(
-            millis - demands.waiting_parts(pool, account).can_wait.millis,
+            millis - demands.can_wait(pool, account).millis,
             arriving.get((pool, account), 0.0),
         )
         for (pool, account), millis in asked.items()
     }
 
 
-def _entitled_parts(asked: _Millis, pressing: _Millis, table: Entitlements) -> dict[str, float]:
+def _covered_pressing(asked: _Millis, pressing: _Millis, table: Entitlements) -> dict[str, float]:
     """Return the part of the pressing demand that each account is entitled to, 0 to 1."""
     asked_sums = _sums_by_account(asked)
     pressing_sums = _sums_by_account(pressing)
@@ -221,6 +230,6 @@
         entitled = needs[pool].entitled if pool in needs else None
         if entitled is not None:
             lasting = need.lasting_filled_instances
-            can_wait = demands.waiting_parts(pool, account).can_wait.filled_instances
+            can_wait = demands.can_wait(pool, account).filled_instances
             others = max(0.0, need.filled_instances - lasting - can_wait)
             entitled.filled_instances += lasting + parts[account] * others
--- a/almondstack/control/interference_monitor.py
+++ b/almondstack/control/interference_monitor.py
@@ -12,10 +12,10 @@
 __all__ = ["InterferenceMonitor", "is_serving"]
 
 _REPORT_INTERVAL_S = 10.0
-"""Least time between two lines on one pair, in seconds."""
+"""Least time between two events on one pair, in seconds."""
 
-_MAX_LINES = 8
-"""Lines in one report interval."""
+_MAX_EVENTS = 8
+"""Events in one report interval."""
 
 
 def is_serving(task: Task) -> bool:
@@ -53,35 +53,30 @@
     def note_worker(
         self, worker: Worker, is_pace_sure: Callable[[Task], bool], now_s: float
     ) -> None:
-        """Note a sample for each serving kind on a worker, if its figures tell enough.
+        """Note a sample for each serving kind on a worker, unless figures of a task are missing.
 
         Parameters
         ----------
         worker : Worker
             A worker that has answered since the last sample.
         is_pace_sure : callable
-            Returns whether a filler goes at the percentage that is known of it.
+            Returns whether a filler surely works at its known percentage.
         now_s : float
             Present monotonic time in seconds.
         """
         ratios: dict[str, list[float]] = {}
         shares: dict[str, float] = {}
-        # Some workers omit the figures of a task.
         for task in worker.tasks:
-            if task.step.is_filler:
-                share = work_share(task)
-                is_told = _is_steady(task, now_s) and is_pace_sure(task)
-                is_told = is_told and (task.load > 0 or not task.percent)
-            elif task.step.target_ms:
-                share = 1.0
-                is_told = _is_steady(task, now_s) and task.load > 0
-                ratios.setdefault(kind_of(task), []).append(latency_ratio(task))
-            else:
+            if not (task.step.is_filler or task.step.target_ms):
                 continue
-            if not is_told:
+            # Some workers omit the figures of a task: what runs beside the others is not known.
+            if not _has_figures(task, is_pace_sure, now_s):
                 return
             kind = kind_of(task)
-            shares[kind] = shares.get(kind, 0.0) + share
+            is_filler = task.step.is_filler
+            shares[kind] = shares.get(kind, 0.0) + (work_share(task) if is_filler else 1.0)
+            if not is_filler:
+                ratios.setdefault(kind, []).append(latency_ratio(task))
         self._note_ratios(worker, ratios, shares, now_s)
 
     def _note_ratios(
@@ -108,7 +103,7 @@
         }
         for pair in sorted(harmful.keys() - self._known):
             self._metrics.count("interference.learned")
-            if pair not in self._reported_s and len(self._reported_s) < _MAX_LINES:
+            if pair not in self._reported_s and len(self._reported_s) < _MAX_EVENTS:
                 self._reported_s[pair] = now_s
                 self._report(pair, harmful[pair])
         self._known = frozenset(harmful)
@@ -127,7 +122,16 @@
         )
 
 
+def _has_figures(task: Task, is_pace_sure: Callable[[Task], bool], now_s: float) -> bool:
+    """Whether the last figures of a worker tell how fast a task runs, and of which load."""
+    if not _is_steady(task, now_s):
+        return False
+    if task.step.is_filler:
+        return is_pace_sure(task) and (task.load > 0 or not task.percent)
+    return task.load > 0
+
+
 def _is_steady(task: Task, now_s: float) -> bool:
-    """Whether the last figures of a worker cover a run for the whole of their time."""
+    """Whether a run went on for the whole time that the last figures of its worker cover."""
     is_listed = task.is_confirmed and not task.is_stopping
     return is_listed and now_s - task.assigned_s >= FIGURES_COVER_S
--- a/almondstack/control/pacing.py
+++ b/almondstack/control/pacing.py
@@ -61,12 +61,12 @@
     """
 
     __slots__ = (
+        "_figures_percents",
         "_last_round_s",
         "_monitor",
         "_next_sample",
         "_repeats",
         "_sessions",
-        "_shown",
         "_slowed",
         "_table",
         "_unanswered",
@@ -81,7 +81,7 @@
         self._monitor = monitor or InterferenceMonitor()
         self._slowed: set[str] = set()
         self._next_sample = 0
-        self._shown: dict[str, dict[_RunKey, int]] = {}
+        self._figures_percents: dict[str, dict[_RunKey, int]] = {}
         self._last_round_s = 0.0
         self._unsettled: dict[str, int] = {}
         self._unanswered: dict[str, int] = {}
@@ -108,9 +108,11 @@
 
     def _forget_gone_workers(self) -> None:
         workers = self._table.workers
-        if len(self._shown) > len(workers):
-            self._shown = {
-                worker: shown for worker, shown in self._shown.items() if worker in workers
+        if len(self._figures_percents) > len(workers):
+            self._figures_percents = {
+                worker: percents
+                for worker, percents in self._figures_percents.items()
+                if worker in workers
             }
 
     def _plan_repeats(self, now_s: float) -> None:
@@ -161,9 +163,9 @@
             return
         has_new_figures = self._has_new_figures(worker)
         if has_new_figures:
-            self._note_shown(worker, fillers, now_s)
-        shown = self._shown.get(worker.id, {})
-        paced = [PacedFiller(task, shown.get(_RunKey(task.name, task.run), 0)) for task in fillers]
+            self._note_figures_percents(worker, fillers, now_s)
+        known = self._figures_percents.get(worker.id, {})
+        paced = [PacedFiller(task, known.get(_RunKey(task.name, task.run), 0)) for task in fillers]
         serving = [task for task in tasks if is_serving(task)]
         percents = next_percents(
             paced, serving, self._monitor.interference, has_new_figures=has_new_figures
@@ -171,9 +173,9 @@
         for task, percent in zip(fillers, percents, strict=True):
             self._set_percent(worker, task, percent, now_s)
 
-    def _note_shown(self, worker: Worker, fillers: list[Task], now_s: float) -> None:
+    def _note_figures_percents(self, worker: Worker, fillers: list[Task], now_s: float) -> None:
         """Note the percentages whose effect the new figures of a worker show."""
-        self._shown[worker.id] = {
+        self._figures_percents[worker.id] = {
             _RunKey(task.name, task.run): task.percent
             for task in fillers
             if now_s - task.assigned_s >= FIGURES_COVER_S
--- a/almondstack/control/tests/test_interference_monitor.py
+++ b/almondstack/control/tests/test_interference_monitor.py
@@ -177,7 +177,7 @@
     for worker in ("w0", "w1"):
         del world.table.workers[worker]
     world.run(0.5)
-    assert world.pacing._shown.keys() <= world.table.workers.keys()
+    assert world.pacing._figures_percents.keys() <= world.table.workers.keys()
 
 
 def test_a_worker_with_a_filler_of_unknown_speed_gives_no_sample():
--- a/almondstack/placement/pace.py
+++ b/almondstack/placement/pace.py
@@ -14,8 +14,11 @@
 """Tail latency of a serving task, as a share of its target, from which fillers are slowed."""
 
 _SPEED_UP_BELOW = 0.6
+"""The same share, below which fillers are sped up."""
+
 _FULL_PERCENT = 100
 _STEP_UP_PERCENT = 25
+"""By how much a filler is sped up in one step, in percent of full speed."""
 
 
 def next_percent(percent: int, worst: float) -> int:
@@ -60,12 +63,12 @@
     ----------
     task : Task
         The filler.
-    shown : int
+    figures_percent : int
         The percentage whose effect the figures show; 0 for a run that they don't cover.
     """
 
     task: Task
-    shown: int
+    figures_percent: int
 
 
 def next_percents(
@@ -111,12 +114,17 @@
     percents: list[int],
     interference: Interference,
 ) -> list[int]:
-    """Return the shares with those of harmless fillers unchanged, if the others explain enough."""
+    """Return ``percents``, but the present share of each harmless filler, if that is enough.
+
+    Explanation
+    -----------
+    It is enough if no serving task would be over the limit without the fillers that are slowed.
+    """
     is_spared = [_is_harmless(filler.task, serving, interference) for filler in fillers]
     slowed = [filler for filler, spared in zip(fillers, is_spared, strict=True) if not spared]
-    shown = [filler.shown for filler in slowed]
+    percents_then = [filler.figures_percent for filler in slowed]
     if not all(
-        latency_ratio(task) - _increase(task, slowed, shown, interference) < _SLOW_DOWN_FROM
+        latency_ratio(task) - _increase(task, slowed, percents_then, interference) < _SLOW_DOWN_FROM
         for task in serving
     ):
         return percents
@@ -132,8 +140,16 @@
     percents: list[int],
     interference: Interference,
 ) -> list[int]:
-    """Return the shares with the rises of disturbing fillers since the figures limited."""
-    bases = [min(filler.shown, percent) for filler, percent in zip(fillers, percents, strict=True)]
+    """Return ``percents``, less for disturbing fillers where latency would exceed the limit.
+
+    Explanation
+    -----------
+    A rise counts from the share whose effect the figures show.  All rises are scaled by one part.
+    """
+    bases = [
+        min(filler.figures_percent, percent)
+        for filler, percent in zip(fillers, percents, strict=True)
+    ]
     rises = [percent - base for percent, base in zip(percents, bases, strict=True)]
     scale = min(
         (_possible_part(task, fillers, rises, interference) for task in serving), default=1.0
