Split the fleet's decisions and the release of a run at their steps

The steps have names, release documents its parameters, the order of all calls is as it was. No behaviour changes.

--- a/almondstack/capacity/division.py
+++ b/almondstack/capacity/division.py
@@ -37,8 +37,8 @@
     Each pool is owed the instances for the part of each account's demand there that the
     account is entitled to and that can't wait.  What is left stays where it is, as far as it
     is wanted there, and then goes to the pools by the rest of their demand.  If less is there
-    than is owed, all are reduced by an equal proportion, but not below ``MIN_INSTANCES`` and
-    what lasting tasks need.
+    than is owed, all pools get less in equal proportion, but not below ``MIN_INSTANCES`` and
+    what long-running tasks need.
 
     Parameters
     ----------
@@ -52,7 +52,7 @@
     wanted = {pool.name: wanted_instances(pool, size_millis) for pool in pools}
     if sum(wanted.values()) <= total:
         return wanted
-    floors = {pool.name: _floor(pool, size_millis) for pool in pools}
+    floors = {pool.name: _min_size(pool, size_millis) for pool in pools}
     owed = {
         pool.name: min(wanted[pool.name], max(floors[pool.name], _owed(pool, size_millis)))
         for pool in pools
@@ -62,10 +62,10 @@
         kept = {
             pool.name: max(owed[pool.name], min(wanted[pool.name], pool.size)) for pool in pools
         }
-        targets = _with_part(owed, kept, left)
-        return _with_part(targets, wanted, total - sum(targets.values()))
+        targets = _with_divided(owed, kept, left)
+        return _with_divided(targets, wanted, total - sum(targets.values()))
     left = total - sum(floors.values())
-    return owed if left <= 0 else _with_part(floors, owed, left)
+    return owed if left <= 0 else _with_divided(floors, owed, left)
 
 
 def shortage_donors(
@@ -88,7 +88,7 @@
     move_s : float
         How long a move takes, in seconds.
     """
-    donors = [donor for pool in pools for donor in _given(pool, targets[pool.name], move_s)]
+    donors = [donor for pool in pools for donor in _donors_of(pool, targets[pool.name], move_s)]
     donors.sort(key=lambda donor: _drain_order(donor[1]))
     total = sum(pool.size for pool in pools)
     moving = sum(pool.coming for pool in pools)
@@ -96,13 +96,13 @@
 
 
 def held_need(need: PoolNeed, size_millis: int) -> HeldNeed:
-    """Return how many instances a pool needs for what its accounts are entitled to."""
+    """Return the instances that a pool needs now for its accounts' entitlements, not yet held."""
     kept = _instances(need.entitled or need, size_millis)
     return HeldNeed(kept, kept)
 
 
 def _owed(pool: PoolState, size_millis: int) -> int:
-    """Return what a pool is owed; one that has needed more for a moment only gets no more yet."""
+    """Return the instances that a pool is owed, where a need of a moment brings no more of them."""
     held = pool.held or held_need(pool.need, size_millis)
     return min(held.kept, max(pool.size, held.reached))
 
@@ -111,14 +111,14 @@
     return wanted_instances(PoolState("", need, []), size_millis)
 
 
-def _floor(pool: PoolState, size_millis: int) -> int:
+def _min_size(pool: PoolState, size_millis: int) -> int:
     """Return the instances that a pool keeps whatever others are owed."""
     lasting = math.ceil(pool.need.lasting_millis / max(1, size_millis))
     filled = math.ceil(pool.need.lasting_filled_instances)
     return max(MIN_INSTANCES, pool.need.min_instances, lasting, filled)
 
 
-def _with_part(least: dict[str, int], most: dict[str, int], left: int) -> dict[str, int]:
+def _with_divided(least: dict[str, int], most: dict[str, int], left: int) -> dict[str, int]:
     """Return ``least`` with ``left`` instances divided in proportion to what lacks to ``most``."""
     lacking = sum(most.values()) - sum(least.values())
     part = min(1.0, left / max(1, lacking))
@@ -128,19 +128,19 @@
     }
 
 
-def _given(pool: PoolState, target: int, move_s: float) -> list[tuple[str, Candidate]]:
+def _donors_of(pool: PoolState, target: int, move_s: float) -> list[tuple[str, Candidate]]:
     """Return the instances that a pool gives, those to be drained first at the beginning."""
     free = [candidate for candidate in pool.candidates if not candidate.long_running_tasks]
     free.sort(key=_drain_order)
     given: list[tuple[str, Candidate]] = []
     for candidate in free:
-        if len(given) >= _most_given(pool, candidate, target, move_s):
+        if len(given) >= _max_donors(pool, candidate, target, move_s):
             break
         given.append((pool.name, candidate))
     return given
 
 
-def _most_given(pool: PoolState, candidate: Candidate, target: int, move_s: float) -> int:
+def _max_donors(pool: PoolState, candidate: Candidate, target: int, move_s: float) -> int:
     """Return how many instances a pool may give if that one is among them."""
     excess = pool.size - target
     if candidate.is_draining:
--- a/almondstack/control/fleet_controller.py
+++ b/almondstack/control/fleet_controller.py
@@ -203,40 +203,54 @@
         return is_open or any(entry.state.is_final for _, entry in self._services.index.entries())
 
     def _decide(self, now_s: float) -> None:
+        """Decide on maintenance and moves from the instances that are listed now."""
         policies = self._services.policies()
         instances = self._manager.instances()
         self._predictions.run_round(now_s)
         self._lose_unlisted_workers(instances, now_s)
-        spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
-        workers = self._table.workers
         evacuated = self._evacuated_instances(instances)
         states = self._balancer.pools(instances, policies, evacuated, now_s)
+        self._hand_on(states, policies, now_s)
+        spare_pools = {pool for pool, is_off in policies.pools.items() if is_off}
+        draining = self._run_waves(instances, states, spare_pools, now_s) | evacuated
+        moves = self._plan_moves(instances, policies, spare_pools, draining, now_s)
+        draining |= {move.instance for move in moves}
+        if self.entitlements.is_short:
+            self._stop_useless_runs(moves, instances, now_s)
+        ready = [move for move in moves if self._is_empty(move.instance, instances)]
+        self._moves = ready[: max(0, self._manager.remaining_orders - len(self._waves.due))]
+        self._reserve(instances, draining, now_s)
+
+    def _hand_on(self, states: list[PoolState], policies: Policies, now_s: float) -> None:
+        """Hand the entitlements and the states of the pools on to placement and admission."""
         self._planner.entitlements = self.entitlements
         self._entitlement_report.note(self.entitlements, now_s)
-        size_millis = median_size_millis(instances)
         self._pools_with_incoming = {state.name for state in states if state.coming}
+        # The targets are those of the last round, since moves are planned later in this one.
         self._admission.update(
             states,
             policies,
             self.entitlements,
             now_s,
-            time.time() * 1000.0,
+            time.time() * _MS_PER_S,
             self._balancer.targets,
         )
+
+    def _run_waves(
+        self,
+        instances: list[InstanceInfo],
+        states: list[PoolState],
+        spare_pools: set[str],
+        now_s: float,
+    ) -> set[str]:
+        """Report the sizes of pools, run the maintenance waves, and return what they drain."""
+        workers = self._table.workers
+        size_millis = median_size_millis(instances)
         wanted = {state.name: wanted_instances(state, size_millis) for state in states}
         self._log_pools(states, wanted)
         self._paid_time.record(instances, states, wanted, workers, now_s)
         pool_excess = {state.name: float(state.size - wanted[state.name]) for state in states}
-        draining = (
-            self._waves.run_round(instances, workers, spare_pools, pool_excess, now_s) | evacuated
-        )
-        moves = self._plan_moves(instances, policies, spare_pools, draining, now_s)
-        draining |= {move.instance for move in moves}
-        if self.entitlements.is_short:
-            self._stop_useless_runs(moves, instances, now_s)
-        ready = [move for move in moves if self._is_empty(move.instance, instances)]
-        self._moves = ready[: max(0, self._manager.remaining_orders - len(self._waves.due))]
-        self._reserve(instances, draining, now_s)
+        return self._waves.run_round(instances, workers, spare_pools, pool_excess, now_s)
 
     def _evacuated_instances(self, instances: list[InstanceInfo]) -> set[str]:
         """Return the instances in evacuated availability zones."""
@@ -308,7 +322,7 @@
     def _stop_useless_runs(
         self, moves: list[Move], instances: list[InstanceInfo], now_s: float
     ) -> None:
-        """Stop runs whose ends are of no use any more on instances that another pool is owed."""
+        """Stop runs whose ends are of no use any more on instances that other pools wait for."""
         now_unix_ms = time.time() * 1000.0
         workers = {info.name: info.worker for info in instances}
         for move in moves:
--- a/almondstack/control/pool_needs.py
+++ b/almondstack/control/pool_needs.py
@@ -149,7 +149,7 @@
     def _needs_by_account(
         self, capacity: Resources, now_unix_ms: float, late_jobs: set[str]
     ) -> dict[tuple[str, str], PoolNeed]:
-        """Return the need of each account in each pool; add the jobs that are late to a set."""
+        """Return the need of each account in each pool; add late jobs to ``late_jobs``."""
         needs: dict[tuple[str, str], PoolNeed] = {}
         for job in self._table.jobs.values():
             if job.is_open:
@@ -198,7 +198,7 @@
 
 
 def _lasting_within_ceiling(need: PoolNeed, account: str, policies: Policies) -> int:
-    """Return the lasting demand that runs or that the account's ceiling leaves room for."""
+    """Return the demand of long-running tasks that run or that the ceiling leaves room for."""
     within_millis = min(need.lasting_millis, _ceiling_millis(account, policies))
     return max(need.lasting_running_millis, within_millis)
 
--- a/almondstack/control/run_predictions.py
+++ b/almondstack/control/run_predictions.py
@@ -108,7 +108,7 @@
 
     Explanation
     -----------
-    What is learned of runs without a declaration says nothing of fillers and tasks that last.
+    What is learned of runs without a declaration says nothing of fillers and long-running tasks.
     """
     return step.estimate_ms > 0 or not (step.is_long_running or step.is_filler)
 
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -356,15 +356,26 @@
         is_counted: bool = True,
         why: str = "it was listed",
     ) -> None:
-        """Remove a run from its worker and record its end in the job."""
-        current = self._runs.pop(task)
-        if current is not None and current.confirmed_s is None:
-            task.job.note_not_begun()
-        worker = self.workers.get(task.worker)
-        if worker is not None:
-            worker.remove(task)
-        self.usage.remove(task)
+        """Remove a run from its worker and record its end in the job.
+
+        Parameters
+        ----------
+        task : Task
+            The task whose current run ends.
+        end : RunEnd
+            How it ended.
+        checkpoint : str
+            Where the next run may resume; empty if nowhere.
+        now_s : float
+            Monotonic time in seconds.
+        is_counted : bool, optional
+            Whether the run is reported and counts in the delays; not one that never started.
+        why : str, optional
+            How the end is known, for the event.
+        """
+        self._remove(task)
         job = task.job
+        # The end of the run changes these.
         name, run, from_worker, life = task.name, task.run, task.worker, task.life
         was_open = job.is_open
         if is_counted:
@@ -383,13 +394,28 @@
                 failures=task.failures,
                 took_s=round(now_s - task.assigned_s, 3),
             )
-        if task.step.is_gang and end is RunEnd.DONE and not task.step.is_long_running:
-            self._close_gang(task)
-        elif task.step.is_gang:
-            self._stop_gang(task, now_s)
+        if task.step.is_gang:
+            self._end_gang(task, end, now_s)
         if was_open and not job.is_open:
             self.note_job_end(job, now_s)
 
+    def _remove(self, task: Task) -> None:
+        """Remove a run from the current runs, its worker and the usage of its account."""
+        current = self._runs.pop(task)
+        if current is not None and current.confirmed_s is None:
+            task.job.note_not_begun()
+        worker = self.workers.get(task.worker)
+        if worker is not None:
+            worker.remove(task)
+        self.usage.remove(task)
+
+    def _end_gang(self, task: Task, end: RunEnd, now_s: float) -> None:
+        """Release or stop the other members of a gang of which one run has ended."""
+        if end is RunEnd.DONE and not task.step.is_long_running:
+            self._close_gang(task)
+        else:
+            self._stop_gang(task, now_s)
+
     def _close_gang(self, task: Task) -> None:
         """Release the other members: the gang is done when one member ends as done."""
         for member in task.siblings:
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -201,7 +201,7 @@
 
 
 def _owner_returns(world):
-    return world.processes[0].owner.parts.requests._returns._accounts["flood"].returns
+    return world.processes[0].owner.parts.requests._returns._accounts["flood"].reservations
 
 
 def test_flood_what_the_owner_accepts_between_two_computations_is_added_to_the_wait(world):
@@ -364,9 +364,9 @@
     with monkeypatch.context() as patches:
         patches.setattr(DirectStorage, "submit", lambda *_given: Verdict.NOT_STORED)
         assert _submit(world, 1, "flood", job) is Verdict.NOT_STORED
-    assert job in returns._accounts["flood"].returns
+    assert job in returns._accounts["flood"].reservations
     assert _submit(world, 1, "flood", job) is Verdict.DONE
-    assert job not in returns._accounts["flood"].returns
+    assert job not in returns._accounts["flood"].reservations
 
 
 def test_owner_lost_an_attempt_that_may_be_stored_is_not_answered_as_not_run(world):
--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -114,7 +114,7 @@
     Explanation
     -----------
     It is the one with most free capacity of those on which the task fits once the runs that
-    end by themselves have ended.  Where tasks that last take up too much, the task would not
+    end by themselves have ended.  Where long-running tasks take up too much, the task would not
     get room however long other work is kept off.  A slow worker that has the tasks of its
     trial is reserved only if there is no other.
     """
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -189,7 +189,7 @@
         return self._steps.get(_step_of(task), 0)
 
     def room_after_short_runs(self) -> Resources:
-        """Return the capacity that is free once all runs but those that last have ended."""
+        """Return the capacity that is free once all runs but long-running ones have ended."""
         room = self.info.capacity.copy()
         for task in self._tasks:
             if task.step.is_long_running and not task.is_stopping:
