Have tests name the failure they guard against, and split the fair order

Test docstrings told what once happened ("Before, ...", "It was answered 503"), so that a reader couldn't tell the failure from the behaviour; fair_order held two orders; a few docstrings of waits, speeds, stalls and outages needed a second reading.

Each of these test docstrings now names the failure or the case with its numbers, the order by shares of the pool has its own function, and conversions have named constants. No test's steps change, and no behaviour.

--- a/almondstack/capacity/tests/test_division.py
+++ b/almondstack/capacity/tests/test_division.py
@@ -39,14 +39,14 @@
 
 
 def test_flood_in_one_pool_is_owed_its_share_and_not_a_proportion_of_its_demand():
-    """One pool kept 101 to 131 instances for a flood while another, which asked 119, had 13."""
+    """Guards against 101 to 131 instances for a flood beside 13 for a pool that asked for 119."""
     flooded = _pool("flooded", 26, _need(400, 10))
     burst = _pool("burst", 4, _need(22, 20))
     assert _targets(flooded, burst) == {"flooded": 10, "burst": 20}
 
 
 def test_burst_a_pool_gets_what_it_is_owed_although_its_first_jobs_will_be_late():
-    """What comes after them finds the instances; a pool that got none for late work lagged."""
+    """Guards against a pool that lags behind its burst: later jobs need the instances."""
     flooded = _pool("flooded", 26, _need(400, 10))
     burst = _pool("burst", 4, _need(22, 20))
     burst.held = HeldNeed(20, 20)
@@ -60,7 +60,7 @@
 
 
 def test_instances_that_nobody_is_owed_stay_where_they_are_wanted():
-    """Moves for demand that waits anyway cost more than they brought."""
+    """Guards against moves for demand that waits anyway: they cost more than they bring."""
     flooded = _pool("flooded", 20, _need(400, 10))
     other = _pool("other", 10, _need(400, 5))
     assert _targets(flooded, other) == {"flooded": 20, "other": 10}
@@ -77,7 +77,7 @@
 
 
 def test_less_than_is_owed_is_reduced_alike_but_not_below_lasting_work():
-    """A zone is lost, and the entitlements are those of a moment ago."""
+    """The case of a lost zone, while entitlements still count its instances."""
     lasting = _pool("lasting", 9, _need(10, 8, lasting=6))
     other = _pool("other", 9, _need(40, 20))
     targets = _targets(lasting, other)
@@ -104,7 +104,7 @@
 
 
 def test_an_instance_that_drains_goes_on_draining():
-    """Draining that is begun and given up again serves neither pool."""
+    """Guards against draining that is begun and given up again, which serves neither pool."""
     burst = _pool("burst", 19, _need(30, 20), ends_in_s=9.0)
     flooded = _pool("flooded", 11, _need(400, 10), ends_in_s=9.0)
     flooded.candidates[7].is_draining = True
--- a/almondstack/control/admission_waits.py
+++ b/almondstack/control/admission_waits.py
@@ -85,8 +85,8 @@
 
         Explanation
         -----------
-        Without a list of the instances there is no update, and the accounts that the previous
-        owner has published would be held without end.
+        Without a list of the instances there is no update.  The accounts that the previous owner
+        has published would count as beyond their entitlement without end.
         """
         if self.state.is_current or now_s < self._started_s + _LAST_STATE_S:
             return self.state
@@ -160,10 +160,15 @@
     def _hold_entitlements(
         self, backlogs: dict[str, Backlog], entitlements: Entitlements, now_s: float
     ) -> None:
-        """Update the entitlement for work that ends, of each account whose demand is beyond it."""
+        """Update the entitlements to hold, without the part that long-running tasks use.
+
+        Explanation
+        -----------
+        They are those of the accounts whose demand is, or was a moment ago, beyond them.
+        """
         until_s = now_s + _HOLD_S
         if not self.state.is_current:
-            # The accounts that the previous owner has published.
+            # Until the first update, the state is that of the previous owner.
             self._held = {
                 account: _HeldEntitlement(millis, until_s)
                 for account, millis in self.state_at(now_s).beyond.items()
--- a/almondstack/control/entitlement_report.py
+++ b/almondstack/control/entitlement_report.py
@@ -12,10 +12,10 @@
 """Least time between two events, in seconds."""
 
 _NOTABLE_CHANGE = 0.1
-"""Change of the covered share of an account that is reported."""
+"""Least change of the covered share of an account that is reported, of 0 to 1."""
 
 _MAX_LOGGED_ACCOUNTS = 10
-"""Accounts in one event: those that ask for most."""
+"""Bound on the accounts in one event: those that ask for most."""
 
 
 class EntitlementReport:
--- a/almondstack/control/speed_monitor.py
+++ b/almondstack/control/speed_monitor.py
@@ -1,4 +1,4 @@
-"""Feeds the speeds of workers from their runs, and reports workers that turn slow or normal."""
+"""Measures the speeds of workers from their runs, and reports those that turn slow or normal."""
 
 from almondstack.control.runs import RunTable
 from almondstack.core import LocalMetrics
@@ -11,12 +11,13 @@
 __all__ = ["SpeedMonitor"]
 
 _INTERVAL_S = 0.3
-"""Time between two looks at the runs, in seconds."""
+"""Time between two checks of the runs, in seconds."""
 
 _MAX_REPORTED = 20
-"""Workers reported in one look."""
+"""Bound on the events of one check."""
 
 _MS_PER_S = 1000.0
+_FULL_PERCENT = 100.0
 
 
 class SpeedMonitor:
@@ -24,9 +25,9 @@
 
     Explanation
     -----------
-    A run that is listed tells by its progress over the last second, one that ended as done by
-    its time.  A task that was already slow or failed elsewhere tells nothing of its worker, nor
-    does one that its caller has declared no time for.
+    A run that its worker lists is measured by its progress over the last second, a run that
+    ended as done by its time.  Left out are tasks that were slow or failed elsewhere, and those
+    without a declared time: they say nothing about their worker.
 
     Parameters
     ----------
@@ -40,7 +41,7 @@
         Counts these, and has the number of slow workers.
     """
 
-    __slots__ = ("_events", "_looked_s", "_metrics", "_run_times", "_table", "speeds")
+    __slots__ = ("_events", "_checked_s", "_metrics", "_run_times", "_table", "speeds")
 
     def __init__(
         self, table: RunTable, run_times: RunTimes, events: EventLog, metrics: LocalMetrics
@@ -49,7 +50,7 @@
         self._run_times = run_times
         self._events = events
         self._metrics = metrics
-        self._looked_s: float | None = None
+        self._checked_s: float | None = None
         self.speeds = WorkerSpeeds()
 
     def note_end(self, task: Task, took_ms: float, now_s: float) -> None:
@@ -58,10 +59,10 @@
             self._note(task, took_ms, now_s)
 
     def run_round(self, now_s: float) -> None:
-        """Look at the runs, and judge the workers, if that is due."""
-        if self._looked_s is not None and now_s - self._looked_s < _INTERVAL_S:
+        """Check the runs and the speeds of the workers, if that is due."""
+        if self._checked_s is not None and now_s - self._checked_s < _INTERVAL_S:
             return
-        self._looked_s = now_s
+        self._checked_s = now_s
         for task, progress in self._table.runs_with_progress():
             duration_s = _duration_s(progress)
             if duration_s is not None and not task.is_stopping:
@@ -94,6 +95,6 @@
 def _duration_s(progress: Progress) -> float | None:
     """Return the seconds that a whole run would take at its present speed; None if unknown."""
     remaining_s = progress.remaining_s
-    if remaining_s is None or progress.percent >= 100:
+    if remaining_s is None or progress.percent >= _FULL_PERCENT:
         return None
-    return remaining_s * 100.0 / (100 - progress.percent)
+    return remaining_s * _FULL_PERCENT / (_FULL_PERCENT - progress.percent)
--- a/almondstack/control/stall_detector.py
+++ b/almondstack/control/stall_detector.py
@@ -81,12 +81,12 @@
             return
         spare = self._spare_room(now_s)
         for task, progress in behind:
-            if self._has_place(task, progress, spare, now_s):
+            if self._may_move(task, progress, spare, now_s):
                 spare.note_moving(self._pool_of(task))
                 self._stop_run(task, progress, now_s)
 
     def _is_behind(self, task: Task, progress: Progress) -> bool:
-        """Whether a run is slow for a usual task of its kind."""
+        """Whether a usual task of its kind would end sooner if it started elsewhere now."""
         remaining_s = progress.remaining_s
         if remaining_s is None or task.is_stopping:
             return False
@@ -100,7 +100,7 @@
             has_checkpoint=task.step.has_checkpoints,
         )
 
-    def _has_place(self, task: Task, progress: Progress, spare: SpareRoom, now_s: float) -> bool:
+    def _may_move(self, task: Task, progress: Progress, spare: SpareRoom, now_s: float) -> bool:
         """Whether a run that is behind is to go on elsewhere, and another worker has room.
 
         Explanation
@@ -122,7 +122,7 @@
         return spare
 
     def _is_stalled(self, task: Task, progress: Progress) -> bool:
-        """Whether a run is slow for the longest tasks of its kind."""
+        """Whether even one of the longest tasks of its kind would end sooner elsewhere."""
         return is_better_elsewhere(
             progress.remaining_s or 0.0,
             self._longest_s(task),
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -69,14 +69,14 @@
 
 
 def test_flood_the_wait_is_no_longer_than_all_work_of_the_pool_takes():
-    """Callers were rejected while the pool would soon have been idle."""
+    """Guards against rejecting callers while the pool is soon idle."""
     state = _Pools().update(_short())
     assert (state.waits_ms["p/flood"], state.waits_ms["other/flood"]) == (1_100, 1_000)
     assert state.waits_ms.get("p/light", 0) <= 1_100
 
 
 def test_flood_the_wait_counts_the_instances_that_the_pool_is_to_get():
-    """At the begin of a burst a pool was taken for as small as it was, and callers rejected."""
+    """Guards against rejecting callers by the size that a pool has at the start of a burst."""
     pools = _Pools(light_tasks=180)
     assert pools.update(_short()).waits_ms["p/flood"] == 10_000
     waits_ms = pools.update(_short(), targets={"p": 4}).waits_ms
@@ -121,7 +121,7 @@
 
 
 def test_flood_an_account_whose_demand_fell_to_its_entitlement_is_not_let_in_at_once():
-    """While a flood is rejected its demand is within its entitlement, in each second round."""
+    """Guards against letting a flood in every other round: its demand falls when it is rejected."""
     pools = _Pools()
     pools.update(_short())
     within = make_entitlements({"flood": 4_000}, {"flood": 3_000, "other": 1})
@@ -133,7 +133,7 @@
 
 @pytest.mark.parametrize("unix_ms", [-9_000.0, 9_000.0])
 def test_a_clock_that_jumps_does_not_change_how_long_an_account_counts_as_beyond(unix_ms):
-    """A clock that was set back held an account for as long."""
+    """Guards against holding an account for as long as the clock was set back."""
     pools, covered = _Pools(), Entitlements()
     pools.update(_short(), 100.0)
     assert pools.update(covered, 101.9, unix_ms=unix_ms).beyond == {"flood": 4_000}
@@ -258,7 +258,7 @@
 
 
 def test_owner_lost_amid_a_flood_the_next_owner_begins_with_the_last_waits(world):
-    """Before, admission was wide open after each change of owner."""
+    """Guards against accepting every submission after a change of owner."""
     _lose_owner(world)
     world.pass_time(2.0)
     world.processes[1].claim()
@@ -270,7 +270,7 @@
 def test_owner_lost_the_next_owner_without_a_list_of_instances_goes_by_the_last_waits_for_seconds(
     world,
 ):
-    """An account was held by its old entitlement for as long as there was no list."""
+    """Guards against holding an account by its old entitlement while there is no list."""
     _set_wait(world, 60_000)
     world.processes[0].round()
     world.processes[1].follow()
@@ -285,7 +285,7 @@
 
 
 def test_owner_lost_amid_a_flood_a_process_without_owner_goes_on_by_the_last_waits(world):
-    """Before, it accepted all after 2.5 s; what it answers concerns its own attempt."""
+    """Guards against accepting all after 2.5 s; what it answers concerns its own attempt."""
     _lose_owner(world)
     world.pass_time(4.0)
     assert _submit(world, 1, "flood") is Verdict.NOT_STORED
@@ -306,7 +306,7 @@
 
 
 def _leave_an_unread_job(world):
-    """Store a job by the owner, and lose the owner before the second process has read that."""
+    """Have the owner store a job, and lose it before the second process has read that."""
     job = next(_JOBS)
     _set_wait(world, 100)
     assert _submit(world, 0, "flood", job) is Verdict.DONE
@@ -322,7 +322,7 @@
 
 
 def test_owner_lost_a_repeat_of_a_stored_job_is_not_rejected(world):
-    """It was answered 503 by a process that had not read the job yet."""
+    """Guards against a 503 from a process that has not read the job yet."""
     job = _leave_an_unread_job(world)
     assert _submit(world, 1, "flood", job) is Verdict.KNOWN
     assert world.processes[1].service._metrics.total("admission.beyond-entitlement") == 0
@@ -353,7 +353,7 @@
 
 
 def test_owner_lost_a_caller_keeps_its_place_until_its_job_is_stored(world, monkeypatch):
-    """A caller that returned when told lost its place if the store failed just then."""
+    """Guards against losing the place of a caller that returns in time while the store fails."""
     _lose_owner(world)
     process, job = world.processes[1], next(_JOBS)
     returns = process.service._admission._returns
--- a/almondstack/control/tests/test_fleet_controller.py
+++ b/almondstack/control/tests/test_fleet_controller.py
@@ -90,7 +90,7 @@
 
 
 def test_flood_an_instance_that_another_pool_is_owed_ends_runs_that_are_of_no_use(services):
-    """A pool drained for seconds, one long run an instance, while another waited for them."""
+    """Guards against instances that drain for seconds, each for one run of no use."""
     now_ms = time.time() * 1000.0
     old, new = (
         make_job(make_step(), id=str(number), accepted_ms=int(accepted_ms))
--- a/almondstack/control/tests/test_fleet_shares.py
+++ b/almondstack/control/tests/test_fleet_shares.py
@@ -89,7 +89,7 @@
 
 
 def test_flood_of_steps_with_many_tasks_leaves_light_accounts_their_share(clock):
-    """A step of 400 tasks each second left a light account 65 of 300 jobs in time."""
+    """Guards against 65 of 300 jobs in time of a light account beside steps of 400 tasks."""
     assert _light_beside(clock, 400) >= _LEAST_SHARE * _light_beside(clock, 0)
 
 
@@ -194,7 +194,7 @@
 
 
 def test_needs_of_pools_are_held_for_a_moment(clock):
-    """A moment's fall of a forecast would take instances that go back at once."""
+    """Guards against a short fall of a forecast that takes instances which go back at once."""
     fleet = _short_fleet(clock)
     fleet.run_round()
     before = _states(fleet, clock.now_s)["a"].held.kept
@@ -209,7 +209,7 @@
 
 
 def test_demand_in_pools_that_are_off_dilutes_no_part():
-    """An account's demand in a standby pool halved what its other pool was owed."""
+    """Guards against demand in a standby pool that halves what the account's other pool is owed."""
     with_off, _ = _entitled_need(1_000_000)
     without, _ = _entitled_need()
     assert with_off.total_millis == without.total_millis > 0
--- a/almondstack/control/tests/test_planning.py
+++ b/almondstack/control/tests/test_planning.py
@@ -28,7 +28,7 @@
 
 
 def test_shortage_what_a_round_starts_in_one_pool_counts_in_the_next():
-    """An account would start its whole entitlement in each pool in one round."""
+    """Guards against an account that starts its whole entitlement in each pool in one round."""
     queues = {"q": make_policy(), "r": make_policy(name="r", pool="other")}
     now_ms = time.time() * 1000
     jobs = [
--- a/almondstack/control/tests/test_pool_balancer.py
+++ b/almondstack/control/tests/test_pool_balancer.py
@@ -140,7 +140,7 @@
 
 
 def test_an_overdue_run_does_not_seem_to_end_now(short_balancer):
-    """A run just beyond its estimate was taken for one that is about to end."""
+    """Guards against taking a run just beyond its estimate for one that is about to end."""
     tasks = make_job(make_step(estimate_ms=3_000)).steps_of(0)[0]
     candidate = _candidate(short_balancer, tasks, 3.1)
     assert candidate.ends_in_s == pytest.approx(3.1)
@@ -221,13 +221,13 @@
 
 
 def test_lasting_work_beyond_the_ceiling_of_an_account_brings_no_instances():
-    """An account with a ceiling of 10 cores asked for 1,000 lasting ones, and a pool grew."""
+    """Guards against a pool that grows as an account with a ceiling of 10 cores asks for 1,000."""
     ceiling = AccountPolicy("a", ceiling=Resources(10_000))
     assert _need(_lasting(2_000, 10, "a" * 16), accounts={"a": ceiling}).lasting_millis == 10_000
 
 
 def test_lasting_work_that_runs_beyond_a_ceiling_keeps_its_instances():
-    """A ceiling was lowered, and what runs is not stopped."""
+    """The case of a ceiling that was lowered: what runs is not stopped."""
     lasting = _lasting(40, 10, "a" * 16)
     worker = make_worker("w1", cpu_millis=32_000)
     for task in lasting.steps_of(0)[0][:30]:
--- a/almondstack/ownership/failure_detector.py
+++ b/almondstack/ownership/failure_detector.py
@@ -69,10 +69,10 @@
 
         Explanation
         -----------
-        The read of the standby, or of a process that suspects the owner since an outage, ends
-        when the owner's silence is long enough for a probe, and soon after each probe.  With
-        the full wait, a standby that has seen half a second of silence checks again only after
-        a whole second.
+        Two kinds of process read for a shorter time than ``wait_s``: the standby, and one that
+        suspects the owner since an outage.  Their read ends when the owner's silence is long
+        enough for a probe, and soon after each probe.  With the full wait, a standby that has
+        seen half a second of silence would check again only after a whole second.
         """
         doubt_s = self._suspected_after_s(notice)
         if doubt_s is None and not self._claim_priority.is_standby:
@@ -138,7 +138,13 @@
         return is_rejected or owner.contact_age_s >= self._settings.deaf_s
 
     def _suspected_after_s(self, notice: OwnerNotice | None) -> float | None:
-        """Return the silence after which to probe an owner suspected since an outage; or None."""
+        """Return the silence in seconds after which to probe an owner suspected since an outage.
+
+        Returns
+        -------
+        float or None
+            None if there is no such suspicion.
+        """
         return None if notice is None else self._outage_probes.needed_silence_s(notice)
 
     @property
--- a/almondstack/ownership/outage_probes.py
+++ b/almondstack/ownership/outage_probes.py
@@ -1,4 +1,4 @@
-"""Probes the owner while the store does not answer, so that one that has ended is known after."""
+"""Probes the owner during an outage of the store, so that an owner lost in it is replaced soon."""
 
 from almondstack.jobs import OwnerNotice
 from almondstack.ownership.liveness import probe_liveness
@@ -15,10 +15,10 @@
 
     Explanation
     -----------
-    An outage shows nothing about the owner, and its silence is measured anew afterwards.  A
-    process that does not listen any more, or that does not answer either, need not be waited
-    for as long as one that may only have lost the store.  The findings hold until a record of
-    the owner is read.
+    An outage shows nothing about the owner, so that its silence is measured anew afterwards.
+    The probes shorten that wait: an owner that has ended, or does not answer either, need not be
+    waited for as long as one that may only have lost the store.  The findings hold until a
+    record of the owner is read.
 
     Parameters
     ----------
--- a/almondstack/ownership/tests/test_outage_probes.py
+++ b/almondstack/ownership/tests/test_outage_probes.py
@@ -98,7 +98,7 @@
 def test_an_owner_lost_in_an_outage_is_replaced_as_soon_as_the_store_is_back(
     monkeypatch, answer, bound_s
 ):
-    """Its silence was measured anew, and callers' jobs waited for more than a second more."""
+    """Guards against callers' jobs that wait a second more while its silence is measured anew."""
     outage = _Outage(monkeypatch, answer)
     outage.lose_store()
     assert not outage.store.is_claimed
@@ -135,7 +135,7 @@
 
 
 def test_an_owner_that_answers_again_after_an_outage_is_waited_for_as_before(monkeypatch):
-    """One probe was lost in the outage; the owner has not read the store since."""
+    """The case of a lost probe, before the owner has had time to read the store."""
     outage = _Outage(monkeypatch, None)
     outage.lose_store()
     outage._answer = Liveness(_OWNER, 1.2)
--- a/almondstack/placement/backlog.py
+++ b/almondstack/placement/backlog.py
@@ -15,6 +15,8 @@
     "waits_beyond_ms",
 ]
 
+_MILLIS_PER_CORE = 1000.0
+
 _WAIT_STEP_MS = 100
 """Waits are rounded down to a multiple of this, so that small changes are not published."""
 
@@ -31,9 +33,10 @@
     room_millis : int
         Capacity of the pool for tasks that are not long-running, in thousandths of a core.
     planned_millis : int, optional
-        The same once the instances that it is to get are in service; as now by default.
+        That capacity once the instances that the pool is to get are in service; at least
+        ``room_millis``, which is also the default.
     lead_ms : float, optional
-        Milliseconds until then.
+        Milliseconds until these instances are in service.
     """
 
     __slots__ = ("_has_waiting", "_lead_ms", "_planned_millis", "_room_millis", "_work_ms")
@@ -87,7 +90,7 @@
         waits = {}
         for account, weight in weights.items():
             share_millis = max(1.0, self._room_millis * weight / total)
-            work_ms = self._work_ms[account] * 1000.0
+            work_ms = self._work_ms[account] * _MILLIS_PER_CORE
             wait_ms = min(work_ms / share_millis, self.total_ms)
             ceiling_millis = _ceiling_millis(account, accounts)
             if ceiling_millis:
@@ -97,12 +100,12 @@
 
     @property
     def total_ms(self) -> float:
-        """How long all of the work keeps the pool busy: a bound on the wait for a share."""
-        return sum(self._work_ms.values()) * 1000.0 / max(1, self._room_millis)
+        """Milliseconds for which all work keeps the pool busy: a bound on each account's wait."""
+        return sum(self._work_ms.values()) * _MILLIS_PER_CORE / max(1, self._room_millis)
 
     @property
     def planned_total_ms(self) -> float:
-        """How long all of the work keeps the pool busy, which grows as planned meanwhile.
+        """Milliseconds for which all work keeps the pool busy if it grows as planned.
 
         Examples
         --------
@@ -125,9 +128,9 @@
 
     Explanation
     -----------
-    Such an account's work in all pools drains at the rate of its entitlement of the fleet, or
-    faster where the others leave room: no longer than all of the work in the pool takes, with
-    the instances that it is to get.
+    The wait is the time in which the account's work in all pools drains at the rate of its
+    entitlement.  It is no longer than all work in the pool takes with the instances that the
+    pool is to get, since others may leave room.
 
     Parameters
     ----------
@@ -140,7 +143,7 @@
     short = {pool: backlog for pool, backlog in backlogs.items() if backlog.has_waiting}
     for account, millis in entitled_millis.items():
         work_ms = sum(backlog.work_ms.get(account, 0.0) for backlog in backlogs.values())
-        drain_ms = min(work_ms * 1000.0 / max(1, millis), _MAX_WAIT_MS)
+        drain_ms = min(work_ms * _MILLIS_PER_CORE / max(1, millis), _MAX_WAIT_MS)
         for pool, backlog in short.items():
             wait_ms = min(drain_ms, backlog.planned_total_ms)
             found[wait_key(pool, account)] = _rounded(wait_ms)
@@ -194,7 +197,7 @@
     step = task.step
     if task.status is TaskStatus.DONE or step.is_long_running or step.is_filler:
         return 0.0
-    work_ms = step.cpu_millis * task.job.mean_ms(task.key.step) / 1000.0
+    work_ms = step.cpu_millis * task.job.mean_ms(task.key.step) / _MILLIS_PER_CORE
     return work_ms * _REMAINING_RUN_SHARE if task.is_assigned else work_ms
 
 
@@ -203,7 +206,7 @@
     step = job.submission.steps[number]
     if step.is_long_running or step.is_filler:
         return 0.0
-    return step.count * step.cpu_millis * job.mean_ms(number) / 1000.0
+    return step.count * step.cpu_millis * job.mean_ms(number) / _MILLIS_PER_CORE
 
 
 def _ceiling_millis(account: str, accounts: Mapping[str, AccountPolicy]) -> int:
--- a/almondstack/placement/disturbance_preference.py
+++ b/almondstack/placement/disturbance_preference.py
@@ -8,7 +8,7 @@
 __all__ = ["DisturbancePreference"]
 
 _DIGITS = 1
-"""Decimal places to which disturbances are compared: below these the room decides."""
+"""Decimal places to which disturbances are compared; among equal ones the free room decides."""
 
 
 class DisturbancePreference:
@@ -16,8 +16,8 @@
 
     Explanation
     -----------
-    A worker only gets more tasks within a round, so that its result for a kind holds until
-    their number changes.
+    Within a round, tasks are only added to a worker.  The result for a kind is therefore kept
+    until the number of its tasks changes.
 
     Parameters
     ----------
--- a/almondstack/placement/fairness.py
+++ b/almondstack/placement/fairness.py
@@ -1,4 +1,4 @@
-"""Orders steps by fair shares of the client accounts when a pool is short of capacity."""
+"""Orders the steps of a pool by fair shares of the client accounts."""
 
 from collections.abc import Mapping
 
@@ -10,6 +10,7 @@
 __all__ = ["RankedStep", "fair_order"]
 
 RankedStep = tuple[Rank, list[Task]]
+"""A step's rank, and its tasks."""
 
 _SHARE_FACTOR = 1.5
 """An account's demand beyond this multiple of its share waits for other accounts' work."""
@@ -60,12 +61,22 @@
     """
     if entitlements.is_short:
         return _entitled_order(steps, fleet_millis, entitlements)
+    return _shared_order(steps, running_millis, accounts)
+
+
+def _shared_order(
+    steps: list[RankedStep],
+    running_millis: Mapping[str, int],
+    accounts: Mapping[str, AccountPolicy],
+) -> list[RankedStep]:
+    """Return steps so that in each band those near their account's share of the pool come first."""
     asked = {name: float(millis) for name, millis in running_millis.items()}
     charges = []
     for rank, tasks in sorted(steps, key=lambda step: step[0]):
         account = tasks[0].job.submission.account
         before = asked.get(account, 0.0)
-        charges.append((before / _weight(account, accounts), rank, tasks))
+        per_weight = before / _weight(account, accounts)
+        charges.append((per_weight, rank, tasks))
         asked[account] = before + _waiting_millis(tasks)
     total_weight = sum(_weight(account, accounts) for account in asked)
     share = _SHARE_FACTOR * sum(asked.values()) / max(total_weight, MIN_WEIGHT)
--- a/almondstack/placement/spare_room.py
+++ b/almondstack/placement/spare_room.py
@@ -41,7 +41,7 @@
 
     def has_room(self, task: Task, pool: str) -> bool:
         """Return whether there is room for a task in a pool beside those being moved."""
-        key = pool, *_kind_of_room(task)
+        key = pool, *_fit_key(task)
         count = self._counts.get(key)
         if count is None:
             members = (worker for worker in self._workers if worker.info.pool == pool)
@@ -49,7 +49,7 @@
         return count > self._taken[pool]
 
 
-def _kind_of_room(task: Task) -> tuple[object, ...]:
+def _fit_key(task: Task) -> tuple[object, ...]:
     """Return what decides how often a task like this one fits on the workers."""
     step = task.step
     needs = step.cpu_millis, step.memory_mb, step.gpus, step.is_filler, step.required_label
--- a/almondstack/placement/tests/test_admission.py
+++ b/almondstack/placement/tests/test_admission.py
@@ -77,7 +77,7 @@
 
 
 def test_flood_rejected_callers_do_not_return_all_at_once():
-    """Before, all who were rejected in one round came back within the same second."""
+    """Guards against all callers rejected in one round coming back within the same second."""
     told_s = [call.told_s for call in _rejected(_flooded(2)[1]) if call.attempt == 0]
     by_second = Counter(int(second) for second in told_s)
     assert max(by_second.values()) <= 2 * _ENTITLED_PER_S
@@ -119,7 +119,7 @@
 
 
 def test_flood_a_caller_who_keeps_returning_early_keeps_its_place():
-    """Each early call moved its own place, and those told later came first."""
+    """Guards against an early call that moves its own place behind later ones."""
     schedule = _full_schedule([3_000.0, 1_000.0])
     told_s = [now_s + schedule.reserve("a", "1", _REJECTED, now_s).retry_s for now_s in _EARLY_S]
     assert told_s == [4.25, 4.5, 4.75, 4.0, 4.25]
@@ -127,7 +127,7 @@
 
 
 def test_flood_the_virtual_queue_ends_with_its_callers():
-    """Return times of a minute were told though all before had left or were accepted."""
+    """Guards against return times of a minute once all callers have left or were accepted."""
     accepted, left = _full_schedule([50_000.0]), _full_schedule([50_000.0])
     accepted.release("a", "0")
     assert accepted.reserve("a", "new", _REJECTED, 0.5).retry_s == 1
@@ -237,7 +237,7 @@
 
 
 def test_owner_lost_a_flood_is_accepted_at_the_rate_of_its_entitlement_however_old_the_state():
-    """Before, all were accepted once the notice was 2.5 s old.
+    """Guards against accepting all once the notice is 2.5 s old.
 
     The wait is at its bound at first, so that no filling of the queue adds to the rate.
     """
@@ -255,7 +255,7 @@
 def test_owner_lost_an_aged_state_says_nothing_of_accounts_within_their_entitlement(
     now_s, is_accepted
 ):
-    """They were rejected for a minute, by waits that nobody had computed anew."""
+    """Guards against rejecting them for a minute by waits that nobody computes anew."""
     decision = _judge(_state(60_000, known_s=0.0), now_s=now_s)
     assert decision.is_accepted is is_accepted
     assert not _judge(_state(60_000, 4_000, known_s=0.0), now_s=now_s).is_accepted
--- a/almondstack/placement/tests/test_entitlements.py
+++ b/almondstack/placement/tests/test_entitlements.py
@@ -159,7 +159,7 @@
 @pytest.mark.parametrize("large", [1e6, 1e7, 1e12, 1e18, 1e50, 1e308])
 @pytest.mark.parametrize("small", [-1.0, 0.0, 1.0])
 def test_weights_that_are_far_apart_leave_small_ones_what_is_over(small, large):
-    """Small weights were lost in rounding: 74 of 90 cores, none, or more than the fleet."""
+    """Guards against rounding of small weights: 74 of 90 cores, none, or more than the fleet."""
     accounts = {"large": AccountPolicy("large", large), "small": AccountPolicy("small", small)}
     demands = [_demand("large", 10_000), _demand("small", 900_000)]
     table = divide_fairly(demands, _CAPACITY, accounts)
@@ -178,7 +178,7 @@
 
 
 def test_filling_sums_up_anew_once_a_far_larger_claim_is_met():
-    """What was left of the sum was rounding errors of the larger claim."""
+    """Guards against a sum of which only rounding errors of the larger claim are left."""
     large, small = Claim(1e7, (0.0,), (1e4,), (1e5,)), Claim(1e-9, (0.0,), (9e5,), (1e5,))
     fill([large, small], [1e5])
     assert (large.part, small.part) == (1.0, pytest.approx(0.1))
@@ -196,14 +196,14 @@
 
 
 def test_ceiling_lasting_work_beyond_it_takes_nothing_from_the_others():
-    """An account asked for 1,000 lasting cores, and the others were entitled to nothing."""
+    """Guards against 1,000 cores of long-running tasks that leave the others no entitlement."""
     table = _flooded_by_lasting(0)
     assert table.entitled("big") == 10_000
     assert (table.entitled("a"), table.entitled("b")) == (45_000, 45_000)
 
 
 def test_ceiling_lasting_work_that_runs_beyond_it_is_covered():
-    """A ceiling was lowered, and what runs is not stopped."""
+    """The case of a ceiling that was lowered: what runs is not stopped."""
     table = _flooded_by_lasting(30_000)
     assert table.entitled("big") == 30_000 and table.entitled("a") == 35_000
 
@@ -345,7 +345,7 @@
 
 
 def test_order_an_account_that_runs_beyond_its_share_elsewhere_comes_last():
-    """What an account runs in other pools was never weighed."""
+    """Guards against leaving out what an account runs in other pools."""
     jobs = [make_job(id=name, account=name, accepted_ms=n) for n, name in enumerate(["flood", "b"])]
     assert _order(jobs, 10.0) == ["flood", "b"]
     assert _order(jobs, 10.0, {"flood": 50_001}) == ["b", "flood"]
@@ -369,7 +369,7 @@
 
 
 def test_order_a_step_of_many_tasks_is_split_at_the_entitlement():
-    """A step of 400 tasks went whole before light accounts, since it began within."""
+    """Guards against a whole step of 400 tasks before light accounts, as it begins within."""
     assert _giant() == [("giant", 21), ("light", 1), ("giant", 379)]
 
 
@@ -401,7 +401,7 @@
 
 
 def test_order_long_running_tasks_are_never_beyond():
-    """A lasting step of an account beyond its entitlement came after those of others."""
+    """Guards against a long-running step that comes last as its account is beyond."""
     jobs = [
         make_job(make_step(is_long_running=True), id=account, account=account)
         for account in ("flood", "light")
--- a/almondstack/placement/tests/test_loads.py
+++ b/almondstack/placement/tests/test_loads.py
@@ -276,7 +276,7 @@
 
 
 def test_burst_the_later_steps_of_waiting_jobs_count_in_the_wait_of_new_work():
-    """Only ready steps have tasks; a queue of jobs of three steps was taken for a third of it."""
+    """Guards against counting a third of the work of jobs of three steps: one of them has tasks."""
     job = make_job(make_step(2), make_step(3, after=(0,)), make_step(1, after=(1,)))
     assert len(list(job.ready_steps(0.0))) == 1
     backlog = Backlog(1_000)
@@ -289,7 +289,7 @@
 def test_beyond_its_entitlement_an_account_waits_for_its_work_in_a_pool_without_room(
     planned_millis, wait_ms
 ):
-    """The wait was the time of a move, however much work there was: a flood had no bound."""
+    """Guards against a wait of one move's time however much work there is: a flood has no bound."""
     backlog = Backlog(0, planned_millis, lead_ms=1_500.0)
     job = make_job(make_step(40))
     list(job.ready_steps(0.0))
