Say measurement and limit where docstrings said tell, nobody and condemn

Docstrings of worker speeds and admission used figures of speech (a run tells of its worker, a task condemns it, a caller gives way to nobody) that a reader has to translate.

They now use measurement, report, room and limit; two tests are renamed accordingly, with the same steps. No behaviour changes.

--- a/almondstack/control/interference_monitor.py
+++ b/almondstack/control/interference_monitor.py
@@ -123,7 +123,7 @@
 
 
 def _has_figures(task: Task, is_pace_sure: Callable[[Task], bool], now_s: float) -> bool:
-    """Whether the last figures of a worker tell how fast a task runs, and of which load."""
+    """Whether the speed and the load of a task are known for the time of its worker's figures."""
     if not _is_steady(task, now_s):
         return False
     if task.step.is_filler:
--- a/almondstack/jobs/admission_state.py
+++ b/almondstack/jobs/admission_state.py
@@ -161,9 +161,9 @@
 
     Explanation
     -----------
-    A claim and a release say nothing of admission: the state known before goes on to age.  So
-    does it with a notice of an owner of an older build that has no waits, which looks like a
-    claim.  The first notice that a process reads may have been written long ago.
+    A claim and a release contain no state: the state known before stays and ages.  The same
+    holds for a notice without waits of an owner of an older build, which looks like a claim.
+    The first notice that a process reads may have been written long ago.
 
     Parameters
     ----------
--- a/almondstack/placement/entitlements.py
+++ b/almondstack/placement/entitlements.py
@@ -94,7 +94,7 @@
 
 
 class Entitlements:
-    """The share of each client account in the fleet; limits nobody unless the fleet is short.
+    """The share of each client account in the fleet; no limits unless the fleet is short.
 
     Parameters
     ----------
--- a/almondstack/placement/return_schedule.py
+++ b/almondstack/placement/return_schedule.py
@@ -127,8 +127,9 @@
 
         Explanation
         -----------
-        A caller that comes back when told gives way to nobody, any other to those that are due
-        within a second or came late by less than the time for which a reservation is kept.
+        No room is held against a caller that comes back when told.  Against any other, room is
+        held for callers that are due within a second, or late by less than the time for which a
+        reservation is kept.
         """
         found = self._accounts.get(account)
         if found is None:
--- a/almondstack/placement/run_times.py
+++ b/almondstack/placement/run_times.py
@@ -207,7 +207,7 @@
 
 
 def is_run_time_sample(task: Task) -> bool:
-    """Return whether the run of a task that is done tells how long such tasks take.
+    """Return whether the run of a task that is done shows how long such tasks take.
 
     Explanation
     -----------
--- a/almondstack/placement/tests/test_interference.py
+++ b/almondstack/placement/tests/test_interference.py
@@ -88,7 +88,7 @@
 
 
 @given(st.floats(0.01, 50.0))
-def test_a_single_noisy_sample_condemns_nobody(ratio):
+def test_a_single_noisy_sample_makes_no_finding(ratio):
     interference = Interference()
     now_s = _feed(interference, {_HARMFUL: 0.0, _CALM: 0.0})
     interference.note_sample("web", "w9", {"new": 1.0}, ratio, now_s)
--- a/almondstack/placement/tests/test_worker_speed.py
+++ b/almondstack/placement/tests/test_worker_speed.py
@@ -33,7 +33,7 @@
         self.factors.update(dict.fromkeys(workers, factor))
 
     def pass_time(self, seconds):
-        """Have each worker tell of its runs, as many as it is allowed, and judge them."""
+        """Have each worker report as many runs as it is allowed, and update the speeds."""
         for _ in range(round(seconds / _STEP_S)):
             self.now_s += _STEP_S
             for id, worker in self.workers.items():
@@ -155,7 +155,7 @@
     assert pool.slow == [] and pool.changes == []
 
 
-def test_one_slow_task_condemns_no_worker():
+def test_one_slow_task_makes_no_worker_slow():
     pool = _Pool(runs=1)
     pool.slow_down(["w03"], factor=50.0)
     pool.pass_time(5.0)
--- a/almondstack/placement/worker_speed.py
+++ b/almondstack/placement/worker_speed.py
@@ -24,7 +24,7 @@
 """From this multiple on, other workers are preferred; a worker below it is as good as any."""
 
 _MIN_RUNS = 3
-"""Runs that must tell of a worker before it counts as slow."""
+"""Number of measured runs that a worker needs to count as slow."""
 
 _MIN_EVIDENCE = 4.0
 """Least sum of deviations, in standard deviations of such a sum; chance alone reaches it once in
@@ -63,7 +63,7 @@
 
 
 class RunSpeed:
-    """What one run tells of the speed of its worker.
+    """A measurement of the speed of a worker by one of its runs.
 
     Parameters
     ----------
@@ -106,7 +106,7 @@
     factor : float
         By how much it is slower than its pool.
     runs : int
-        Runs that tell so.
+        Number of runs that were compared.
     pool_ratio : float
         Median ratio of the pool's workers.
     """
@@ -162,7 +162,7 @@
         return [id for id, record in self._records.items() if record.is_held]
 
     def note_run(self, run: RunSpeed, now_s: float) -> None:
-        """Note what a run tells, at a monotonic time in seconds."""
+        """Note the measurement of a run, at a monotonic time in seconds."""
         run.noted_s = now_s
         record = self._records.get(run.worker)
         if record is None:
@@ -288,7 +288,7 @@
         return self._life == life
 
     def note(self, run: RunSpeed) -> None:
-        """Note what a run tells."""
+        """Note the measurement of a run; it replaces the one before of the same task."""
         self.runs[run.task] = run
         self.runs.move_to_end(run.task)
         if len(self.runs) > _MAX_RUNS:
