--- a/almondstack/control/run_predictions.py
+++ b/almondstack/control/run_predictions.py
@@ -6,7 +6,7 @@
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, Step, Task
-from almondstack.placement import RunTimes, tells_time
+from almondstack.placement import RunTimes, is_run_time_sample
 
 __all__ = ["RunPredictions"]
 
@@ -55,7 +55,7 @@
 
     def note_end(self, task: Task, took_ms: float) -> None:
         """Learn from a run that ended as done."""
-        if not tells_time(task):
+        if not is_run_time_sample(task):
             return
         self.run_times.note(task.job.submission.queue, task.step.estimate_ms, took_ms)
         self._noted += 1
@@ -108,7 +108,7 @@
 
     Explanation
     -----------
-    What is learned of runs without a declaration says nothing of fillers and tasks that last.
+    What is learned of runs without a declaration says nothing of fillers and long-running tasks.
     """
     return step.estimate_ms > 0 or not (step.is_long_running or step.is_filler)
 
