Publish no wait without the entitlement at whose rate it was computed

Cause: a notice names at most 256 waits and 256 entitlements, each the largest; with more accounts beyond their entitlement a wait at an entitled rate could be published alone, and other processes judged its account as within its entitlement. Change: such waits are left out, so that the account is admitted as without a shortage. The bound on residuals of run times is stated as it acts (2.7 times, not seven), and a property without a user is gone. Measured: with 300 accounts the new test fails on the code before (waits of 44 accounts without entitlement).

--- a/almondstack/control/published_admission.py
+++ b/almondstack/control/published_admission.py
@@ -8,7 +8,7 @@
 import heapq
 from collections.abc import Mapping
 
-from almondstack.jobs.admission_state import AdmissionState
+from almondstack.jobs.admission_state import AdmissionState, wait_key
 
 __all__ = ["published_entitlements", "published_waits_ms"]
 
@@ -21,10 +21,19 @@
 
 
 def published_waits_ms(state: AdmissionState) -> dict[str, int]:
-    """Return the waits to publish, in milliseconds; none of a state that was only read."""
+    """Return the waits to publish, in milliseconds; none of a state that was only read.
+
+    Explanation
+    -----------
+    A wait at the rate of an entitlement that is left out would be read as one of an account that
+    is within its entitlement.
+    """
     if not state.is_current:
         return {}
-    return _largest(state.waits_ms)
+    left_out = state.beyond.keys() - _largest(state.beyond).keys()
+    endings = tuple(wait_key("", account) for account in left_out)
+    waits_ms = state.waits_ms.items()
+    return _largest({key: wait_ms for key, wait_ms in waits_ms if not key.endswith(endings)})
 
 
 def published_entitlements(state: AdmissionState) -> dict[str, int] | None:
--- a/almondstack/control/tests/test_admission_waits.py
+++ b/almondstack/control/tests/test_admission_waits.py
@@ -158,6 +158,14 @@
     assert len(published_entitlements(state)) == 256
 
 
+def test_a_notice_has_no_wait_at_the_rate_of_an_entitlement_that_it_leaves_out():
+    """Guards against rejecting an account as if it were within its entitlement."""
+    waits_ms = {f"p/a{number}": 1_000_000 - number for number in range(300)}
+    state = AdmissionState(waits_ms, {f"a{number}": number for number in range(300)})
+    published = published_waits_ms(state)
+    assert {key.removeprefix("p/") for key in published} == set(published_entitlements(state))
+
+
 def test_a_state_that_was_only_read_is_not_published():
     """Guards against a state whose age starts anew with each owner."""
     state = AdmissionState({"p/a": 100}, {"a": 1}, known_s=1.0)
--- a/almondstack/placement/regression.py
+++ b/almondstack/placement/regression.py
@@ -54,11 +54,6 @@
         """Number of samples, each decayed by its age."""
         return self._rows[_CONSTANT][_CONSTANT]
 
-    @property
-    def column_count(self) -> int:
-        """Number of columns with that of the constant term."""
-        return len(self._rows)
-
     def add_column(self) -> int:
         """Add a regressor that was zero in all samples so far, and return its column."""
         for row in self._rows:
--- a/almondstack/placement/run_times.py
+++ b/almondstack/placement/run_times.py
@@ -47,7 +47,7 @@
 
 _MAX_RESIDUAL = 1.0
 """Bound on the residual by which one run moves the line, in units of the logarithm: a task that
-takes seven times as long as usual is part of the tail and says little of the centre."""
+takes more than 2.7 times as long as usual is part of the tail."""
 
 _BIN_WIDTH = 0.125
 """Width of the bins in which residuals are counted, in units of the logarithm."""
