--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A job of 3,000 small tasks stops on an idle fleet and never goes on."""
+"""A job of 3,000 small tasks stops on an idle fleet and never goes on; nor do jobs after it."""
 
 import sys
 import time
@@ -11,52 +11,87 @@
 FINISH_S, WATCHED_S = 14.0, 3.0
 """The rule's times."""
 
-SEEN_S = 45.0
-"""Time after the hand-in for which the case looks on, in seconds."""
+ORDINARY_AFTER_S, SEEN_S = 10, 45
+"""When the second job comes, and for how long the case looks on, in seconds from the first."""
 
 ROUND_TRIP_S = 0.0028
 """Twice the 1.4 ms between two zones of the sheet; each call to a worker takes that long."""
 
-MANY, FEW, CPU, TASK_MS = 3_000, 300, 4, 1_000
+MANY, FEW = 3_000, 300
+SMALL = {"cpu": 4, "mem-mb": 1, "estimate-ms": 1000}
+ORDINARY = {"count": 2, "cpu": 1000, "mem-mb": 10, "estimate-ms": 500}
+
+
+class Watch:
+    """Notes for how long nothing of a job has run while the fleet had room for it."""
+
+    def __init__(self, world, job, step):
+        self._world, self._job, self._step = world, job, step
+        self._idle_since_s = None
+        self.is_broken = False
+
+    @property
+    def is_done(self):
+        """Whether all tasks have ended as done."""
+        return self._world.done_tasks(self._job) == self._step["count"]
+
+    def look(self, name, may_judge):
+        """Record the state of the job, and whether it breaks the rule."""
+        world, now_s = self._world, time.monotonic()
+        used, whole = world.used_cpu()
+        workers = [worker for worker in world.workers.values() if worker is not None]
+        running = sum(
+            task.name.startswith(self._job + ".")
+            for worker in workers
+            for task in list(worker.running.values())
+        )
+        done = world.done_tasks(self._job)
+        world.recorder.write(
+            f"{name}: {done} of {self._step['count']} tasks done, {running} running; "
+            f"fleet uses {used} of {whole}"
+        )
+        has_room = used < whole / 2 and whole - used >= 2 * self._step["cpu"]
+        is_idle = may_judge and not self.is_done and running == 0 and has_room
+        self._idle_since_s = (self._idle_since_s or now_s) if is_idle else None
+        if self._idle_since_s and now_s - self._idle_since_s > WATCHED_S and not self.is_broken:
+            self.is_broken = True
+            world.recorder.write(f"LOST: for 3 s nothing of the {name} runs, on an idle fleet")
 
 
 def case(folder, has_trouble):
-    """Hand one job in, and watch it; return the exit code."""
+    """Hand one job in, then an ordinary one, and watch both; return the exit code."""
     world = World(folder, machines=4, route={"target-latency-ms": 600_000})
     world.log_runs = False
     world.link_s = ROUND_TRIP_S
-    count = MANY if has_trouble else FEW
-    step = {"count": count, "cpu": CPU, "mem-mb": 1, "estimate-ms": TASK_MS}
+    large = {"count": MANY if has_trouble else FEW, **SMALL}
+    jobs = {}
     try:
         world.start_processes(3)
         time.sleep(4.0)
-        job = job_id()
-        if world.hand_in(job, {"spec": "small tasks", "steps": [step]}) != 200:
-            return 2
+        began_s = time.monotonic()
+        plan = (("large job", large, 0), ("ordinary job", ORDINARY, ORDINARY_AFTER_S))
+        for name, step, at_s in plan:
+            while time.monotonic() < began_s + at_s:
+                time.sleep(0.5)
+                for other, (_, watch) in jobs.items():
+                    watch.look(other, may_judge=False)
+            job = job_id()
+            if world.hand_in(job, {"spec": name, "steps": [step]}) != 200:
+                return 2
+            jobs[name] = job, Watch(world, job, step)
         handed_in_s = time.monotonic()
-        idle_since_s = None
-        is_broken = False
-        while time.monotonic() - handed_in_s < SEEN_S:
+        while time.monotonic() - began_s < SEEN_S:
             time.sleep(0.5)
-            used, whole = world.used_cpu()
-            running = sum(len(worker.running) for worker in world.workers.values() if worker)
-            done = world.done_tasks(job)
-            world.recorder.write(
-                f"{done} of {count} tasks done, {running} running; fleet uses {used} of {whole}"
-            )
-            if done == count:
+            may_judge = time.monotonic() - handed_in_s > FINISH_S
+            for name, (_, watch) in jobs.items():
+                watch.look(name, may_judge)
+            if all(watch.is_done for _, watch in jobs.values()):
                 break
-            now_s = time.monotonic()
-            has_room = used < whole / 2 and whole - used >= 2 * CPU
-            is_idle = running == 0 and has_room and now_s - handed_in_s > FINISH_S
-            idle_since_s = (idle_since_s or now_s) if is_idle else None
-            if idle_since_s and now_s - idle_since_s > WATCHED_S and not is_broken:
-                is_broken = True
-                world.recorder.write("LOST: for 3 s nothing of the job runs, on an idle fleet")
-        state = world.state(job)
-        if is_broken:
+        time.sleep(1.0)
+        states = [world.state(job) for job, _ in jobs.values()]
+        if any(watch.is_broken for _, watch in jobs.values()):
             return 1
-        return 0 if state == "completed" else 2
+        return 0 if all(state == "completed" for state in states) else 2
     finally:
         world.close()
 
