--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -64,7 +64,7 @@
             self._file.write(f"{self.now_s:8.3f}  {text}\n")
 
 
-def serve(host, handle):
+def serve(host, handle, port=0):
     """Serve ``handle(method, path, query, headers, body)`` -> (status, bytes) on a free port.
 
     The handler may return None: the connection is then closed without an answer.
@@ -104,7 +104,7 @@
         def handle_error(self, *_arguments):
             """Ignore connections that their clients have broken."""
 
-    server = Server((host, 0), Handler)
+    server = Server((host, port), Handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
     return server, f"{host}:{server.server_address[1]}"
 
@@ -230,9 +230,9 @@
 class Worker:
     """One life of a machine."""
 
-    def __init__(self, world, name):
+    def __init__(self, world, name, id=None, port=0):
         self.world = world
-        self.id = f"{name}-{random.randrange(16**6):06x}"
+        self.id = id or f"{name}-{random.randrange(16**6):06x}"
         self.born = int(time.time() * 1000)
         self._began_s = time.monotonic()
         self.machine = name
@@ -246,7 +246,7 @@
         self._sequence = 0
         self.is_gone = False
         self.state = "ready"
-        self._server, self.address = serve(world.host, self.handle)
+        self._server, self.address = serve(world.host, self.handle, port)
 
     @property
     def clock_ms(self):
@@ -424,7 +424,7 @@
             name = f"m-{number:02d}"
             self.pools[name] = SERVICE if number < machines else SPARE
             self.states[name] = "up"
-            self.workers[name] = Worker(self, name)
+            self.workers[name] = self.make_worker(name)
         self._server, self.cloud_address = serve(self.host, self.handle_cloud)
         self.processes, self.ends_by_itself = {}, []
         self._temporary = tempfile.TemporaryDirectory(prefix="review-3-")
@@ -459,6 +459,10 @@
                     if worker is not None and not worker.is_gone:
                         worker.register()
 
+    def make_worker(self, name):
+        """Return a new worker on a machine."""
+        return Worker(self, name)
+
     # Tasks
 
     def step_of(self, name):
@@ -585,7 +589,7 @@
         threading.Timer(span_s, self._bring_up, (name,)).start()
 
     def _bring_up(self, name):
-        worker = Worker(self, name)
+        worker = self.make_worker(name)
         with self.lock:
             if name not in self.pools:
                 return
