--- a/review/beyond-3/limit/case.py
+++ b/review/beyond-3/limit/case.py
@@ -4,7 +4,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-3"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "standins-3"))
 
 from world import World, main  # noqa: E402
 
--- /dev/null
+++ b/review/beyond-3/mixed/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
