--- a/review/13/case.py
+++ b/review/13/case.py
@@ -71,6 +71,7 @@
         port = int(worker.address.split(":")[1])
         with self.lock:
             self.workers[name] = None
+            self.states[name] = "down"
             self.crashed = True
         self.recorder.write(f"worker {id} crashes")
         worker.leave()
@@ -78,6 +79,7 @@
         again = LateWorker(self, name, id, port)
         with self.lock:
             self.workers[name] = again
+            self.states[name] = "up"
         self.recorder.write(f"worker {id} starts again, born {again.born}")
         time.sleep(LATE_AFTER_S)
         for sent_s, fields in self.late[:1]:
