--- a/almondstack/control/poll_replies.py
+++ b/almondstack/control/poll_replies.py
@@ -7,6 +7,7 @@
 from almondstack.control.messages import EndedRun, PollReply, RunningRun
 from almondstack.control.order_replies import OrderReplies
 from almondstack.control.read_ends import ReadEnds
+from almondstack.control.sent_calls import MAX_CALL_DELAY_S
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import RunEnd, Task, TaskNameError
@@ -66,16 +67,17 @@
         worker.last_answer_s = now_s
         for ended in reply.ended:
             self._note_end(worker, ended, now_s)
-        listed = set()
+        listed = {(running.task, running.run) for running in reply.running}
+        self._note_former_runs(worker, reply, now_s)
         for running in reply.running:
-            listed.add((running.task, running.run))
             self._note_running(worker, running, reply.clock_ms / _MS_PER_S, now_s)
         if not reply.is_whole:
             # A run that is not listed may be among the ends that follow.
             self._metrics.count("look.partial")
             return
         for task in worker.tasks:
-            if (task.name, task.run) not in listed:
+            # A former run, carried out late, is to end before its task gets another one.
+            if (task.name, task.run) not in listed and task.name not in worker.former_tasks:
                 self._note_missing(task, sent_s, now_s)
 
     def _note_end(self, worker: Worker, ended: EndedRun, now_s: float) -> None:
@@ -102,14 +104,55 @@
             "ends-unread", worker=worker.id, life=worker.info.life, before=number, count=missing
         )
 
+    def _note_former_runs(self, worker: Worker, reply: PollReply, now_s: float) -> None:
+        """Note the tasks of which a worker lists a run that is not the present one."""
+        known = worker.former_tasks
+        former = set()
+        for running in reply.running:
+            if self._is_present(worker, running):
+                continue
+            former.add(running.task)
+            task = self._open_task(running.task)
+            if task is None:
+                continue
+            task.open_starts.note(worker.id, now_s + MAX_CALL_DELAY_S)
+            self._table.held_tasks.add(task)
+            if running.task not in known:
+                self._report_former_run(worker, task, running)
+        worker.former_tasks = frozenset(former)
+
+    def _is_present(self, worker: Worker, running: RunningRun) -> bool:
+        """Whether a listed run is the present one of its task."""
+        task = self._table.runs.named(running.task)
+        return task is not None and task.worker == worker.id and task.run == running.run
+
+    def _report_former_run(self, worker: Worker, task: Task, running: RunningRun) -> None:
+        """Report that a worker runs an earlier run of a task, or one of another owner."""
+        self._metrics.count("run.former_listed")
+        self._events.write(
+            "former-run-listed",
+            task=task.name,
+            run=running.run,
+            current=task.run,
+            worker=worker.id,
+            current_worker=task.worker,
+            life=worker.info.life,
+        )
+
     def _note_done_of_other_run(self, worker: Worker, ended: EndedRun, now_s: float) -> None:
         """Complete a task whose run has ended as done after it was given up, if it still waits.
 
         Explanation
         -----------
         The acknowledgement of this end follows, and after it the task must not start again.
+        A task whose present run the same worker has not confirmed is completed, too.
         """
         task = self._open_task(ended.task)
+        if task is not None and self._is_unconfirmed_on(task, worker):
+            self._table.release(
+                task, RunEnd.DONE, ended.checkpoint, now_s, why="an earlier run is done"
+            )
+            return
         is_waiting = task is not None and task.job.end_without_run(task)
         self._metrics.count("ends.not_current")
         self._events.write(
@@ -124,6 +167,13 @@
         if task is not None and is_waiting and not task.job.is_open:
             self._table.note_job_end(task.job, now_s)
 
+    def _is_unconfirmed_on(self, task: Task, worker: Worker) -> bool:
+        """Whether a worker has not confirmed the present run of a task that ends by itself."""
+        current = self._table.runs.get(task)
+        if current is None or task.worker != worker.id or current.confirmed_s is not None:
+            return False
+        return not task.step.is_gang and not task.step.is_long_running
+
     def _open_task(self, name: str) -> Task | None:
         """Return the task of that name if its job is open and its step is not done."""
         try:
--- a/almondstack/control/pool_balancer.py
+++ b/almondstack/control/pool_balancer.py
@@ -209,7 +209,7 @@
         return candidates, coming
 
     def _candidate(self, info: InstanceInfo, worker: Worker | None, now_s: float) -> Candidate:
-        tasks = worker.tasks if worker is not None else []
+        tasks = worker.tasks + self._awaiting(worker, now_s) if worker is not None else []
         candidate = Candidate(
             info.name,
             info.cpu_millis,
@@ -221,6 +221,10 @@
             candidate.is_draining = worker.is_reserved
         return candidate
 
+    def _awaiting(self, worker: Worker, now_s: float) -> list[Task]:
+        """Return the waiting tasks that may run on no other worker."""
+        return self._table.held_tasks.by_worker(now_s).get(worker.id, [])
+
     def _capacity(
         self,
         instances: list[InstanceInfo],
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -15,11 +15,17 @@
 
 from almondstack.control.current_runs import CurrentRun, CurrentRuns, is_same_incarnation
 from almondstack.control.delays import JobDelays
+from almondstack.control.held_tasks import HeldTasks
+from almondstack.control.late_starts import (
+    bound_inherited,
+    may_reach_lost_worker,
+    may_reach_next_life,
+    note_open_starts,
+)
 from almondstack.control.lease import LeaseState
 from almondstack.control.messages import OrderReply, PollReply
 from almondstack.control.order_replies import OrderReplies
-from almondstack.control.poll_replies import START_REPLY_TIMEOUT_S, PollReplies
-from almondstack.control.sent_calls import MAX_CALL_DELAY_S
+from almondstack.control.poll_replies import PollReplies
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskBudget, TaskNameError
@@ -70,6 +76,7 @@
         "_poll_replies",
         "_runs",
         "delays",
+        "held_tasks",
         "jobs",
         "usage",
         "worker_health",
@@ -86,6 +93,7 @@
         self._budgets: dict[str, TaskBudget] = {}
         self._job_end_listener: Callable[[ActiveJob], None] | None = None
         self.delays = JobDelays()
+        self.held_tasks = HeldTasks()
         self.jobs: dict[str, ActiveJob] = {}
         self.workers: dict[str, Worker] = {}
         self.usage = Usage({})
@@ -117,6 +125,10 @@
     def restore_job(self, job: ActiveJob, now_s: float) -> None:
         """Add a job of the previous owner with its recorded runs."""
         self.add_job(job)
+        for task in job.tasks():
+            if task.open_starts:
+                bound_inherited(task, now_s)
+                self.held_tasks.add(task)
         for task in job.assigned():
             self.usage.add(task)
             task.assigned_s = now_s
@@ -152,7 +164,7 @@
                 continue
             current = self._runs[task]
             has_run = current.confirmed_s is not None and task.life < life
-            if has_run and not _may_start_again(task, current, now_s):
+            if has_run and not may_reach_next_life(task, current, now_s):
                 self.mark_task_lost(task, "its worker has restarted", now_s)
                 continue
             task.life = life
@@ -210,6 +222,7 @@
 
     def withdraw(self, task: Task, now_s: float) -> None:
         """Release a run whose start was never sent."""
+        self._runs[task].tries = 0
         self.release(task, RunEnd.LOST, "", now_s, is_counted=False)
 
     def take_ends(self) -> dict[str, int]:
@@ -284,27 +297,20 @@
         answer: such runs are kept until that can't arrive any more.
         """
         tasks = self.tasks_on(worker)
-        if may_return:
-            tasks = [task for task in tasks if not self._may_still_start(task, now_s)]
+        if not may_return:
+            for task in tasks:
+                # The id does not come back, so no start can reach it.
+                self._runs[task].tries = self._runs[task].answers
+        else:
+            tasks = [
+                task for task in tasks if not may_reach_lost_worker(task, self._runs[task], now_s)
+            ]
         if tasks:
             details = lease.log_fields(now_s) if lease is not None else {}
             self._events.write("worker-lost", worker=worker, why=why, runs=len(tasks), **details)
         for task in tasks:
             self.release(task, RunEnd.LOST, "", now_s, why=why)
 
-    def _may_still_start(self, task: Task, now_s: float) -> bool:
-        """Whether a start of a task's current run has no answer and may be carried out yet.
-
-        Explanation
-        -----------
-        Which starts of a previous owner have an answer is not known; they count as answered.
-        A task that lasts has to be at work again within seconds, and is not kept.
-        """
-        current = self._runs[task]
-        if current.is_inherited or task.step.is_long_running or current.answers >= current.tries:
-            return False
-        return now_s < _last_start_s(task, current) + MAX_CALL_DELAY_S
-
     def mark_task_lost(self, task: Task, why: str, now_s: float) -> None:
         """Release a task whose run can not be running anywhere."""
         self.release(task, RunEnd.LOST, "", now_s, why=why)
@@ -373,6 +379,9 @@
         why : str, optional
             How the end is known, for the event.
         """
+        current = self._runs.get(task)
+        if current is not None and (end is not RunEnd.DONE or task.step.is_long_running):
+            self._note_open_starts(task, current, now_s)
         self._remove(task)
         job = task.job
         # The end of the run changes these.
@@ -399,6 +408,24 @@
         if was_open and not job.is_open:
             self.note_job_end(job, now_s)
 
+    def _note_open_starts(self, task: Task, current: CurrentRun, now_s: float) -> None:
+        """Note and report that a start of a run that is given up may still be carried out."""
+        until_s = note_open_starts(task, current, now_s)
+        if until_s is None:
+            return
+        self.held_tasks.add(task)
+        self._metrics.count("run.start_open")
+        self._events.write(
+            "start-may-arrive",
+            task=task.name,
+            run=task.run,
+            worker=task.worker,
+            life=task.life,
+            starts=current.tries,
+            answers=current.answers,
+            left_s=round(until_s - now_s, 3),
+        )
+
     def _remove(self, task: Task) -> None:
         """Remove a run from the current runs, its worker and the usage of its account."""
         current = self._runs.pop(task)
@@ -437,20 +464,3 @@
             self._job_end_listener(job)
         if job.state is not JobState.COMPLETED:
             self.stop_all(job, now_s)
-
-
-def _may_start_again(task: Task, current: CurrentRun, now_s: float) -> bool:
-    """Whether an order to start a run, sent to its worker's former life, may still reach the next.
-
-    Explanation
-    -----------
-    Of the starts of a previous owner the outcome is never known.
-    """
-    is_known = current.answers >= current.tries and not current.is_inherited
-    last_s = max(task.assigned_s + START_REPLY_TIMEOUT_S, _last_start_s(task, current))
-    return not is_known and now_s < last_s + MAX_CALL_DELAY_S
-
-
-def _last_start_s(task: Task, current: CurrentRun) -> float:
-    """Return when a start of a run was last sent, or found to have no answer."""
-    return max(task.assigned_s, current.unanswered_s or 0.0, current.repeated_s or 0.0)
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -199,10 +199,13 @@
         workers are polled to detect when it is reachable again.
         """
         probed = self._probed_where_unreachable(table)
+        awaited = table.held_tasks.by_worker(now_s)
         for worker_id, session in self._sessions.items():
             worker = table.workers.get(worker_id)
             is_busy = worker is not None and bool(worker.tasks)
-            session.set_busy(is_busy or worker_id in probed or session.needs_contact(now_s))
+            is_watched = worker is not None and bool(worker.former_tasks)
+            is_polled = is_busy or is_watched or worker_id in probed or worker_id in awaited
+            session.set_busy(is_polled or session.needs_contact(now_s))
             session.add_connection_if_slow(now_s)
             if worker is not None and not is_busy and not worker.is_reachable:
                 worker.is_reachable = True
--- a/almondstack/control/tests/restart_scenarios.py
+++ b/almondstack/control/tests/restart_scenarios.py
@@ -19,10 +19,14 @@
     "cut_off_a_worker_after_a_start_behind_a_stop",
     "end_a_run_before_its_first_start_is_carried_out",
     "give_up_a_run_with_an_unclear_start",
+    "list_an_earlier_run_in_the_next_life",
     "list_an_end_after_a_start_behind_a_stop",
     "list_an_end_while_the_next_run_is_planned",
     "list_an_end_while_the_next_run_is_running",
     "list_an_end_while_the_task_waits",
+    "list_the_end_of_an_earlier_run_in_the_next_life",
+    "lose_a_worker_that_has_an_earlier_start",
+    "restart_a_worker_that_has_an_earlier_start",
     "stop_a_run_before_its_first_start_is_carried_out",
 ]
 
@@ -115,6 +119,73 @@
     _restart_with_a_late_start(machine, worker, is_known=is_known)
 
 
+def lose_a_worker_that_has_an_earlier_start(machine):
+    """Let the machine of a worker with a second run be down, then carry out the first start.
+
+    Its next life does that before the owner has called it (review/13).
+    """
+    worker = _run_again_after_a_stop(machine)
+    _use_all(machine)
+    machine.cut_connection(worker=worker, is_disconnected=True, is_registered=False)
+    machine.pass_time(seconds=0.2)
+    now_s = machine.world.clock.now_s
+    _process(machine).owner.parts.table.mark_unlisted_lost({"w2", "w3"}, now_s, now_s)
+    for _ in range(3):
+        machine.work(process=0, order=_ALL)
+    machine.cut_connection(worker=worker, is_disconnected=False, is_registered=True)
+    _restart_with_a_late_start(machine, worker, is_known=False)
+
+
+def restart_a_worker_that_has_an_earlier_start(machine):
+    """Restart a worker with a second run; the next life carries out the first run's start."""
+    worker = _run_again_after_a_stop(machine)
+    _use_all(machine)
+    _restart(machine, worker)
+    _poll(machine, worker)
+    _start_elsewhere(machine, worker)
+    machine.carry_out(worker=worker)
+
+
+def list_an_earlier_run_in_the_next_life(machine):
+    """Let the next life list the first run, which it has carried out before it was called."""
+    worker = _run_again_after_a_stop(machine)
+    _use_all(machine)
+    _restart_with_a_late_start(machine, worker, is_known=False)
+    _process(machine).owner.parts.sessions.get(worker).pump_poll()
+    for _ in range(3):
+        machine.round(process=0)
+        _poll(machine, worker)
+        _start_elsewhere(machine, worker)
+
+
+def list_the_end_of_an_earlier_run_in_the_next_life(machine):
+    """Let the first run end as done in the next life, where the second one is not confirmed."""
+    worker = _run_again_after_a_stop(machine)
+    _use_all(machine)
+    _restart_with_a_late_start(machine, worker, is_known=False)
+    machine.finish(worker=worker, end=RunEnd.DONE)
+    for _ in range(5):
+        machine.pass_time(seconds=0.2)
+        machine.work(process=0, order=_ALL)
+    _acknowledge(machine, worker)
+
+
+def _run_again_after_a_stop(machine):
+    """Stop a run of which a start may be late, and start the next one there; return the worker."""
+    worker = _stop_after_two_starts(machine)
+    use_only(machine, worker)
+    for _ in range(5):
+        machine.pass_time(seconds=0.2)
+        machine.work(process=0, order=_ALL)
+    assert list(machine.world.workers[worker].running.values()) == [2]
+    return worker
+
+
+def _use_all(machine):
+    for worker in _ALL:
+        machine.cut_connection(worker=worker, is_disconnected=False, is_registered=True)
+
+
 def _restart_with_a_late_start(machine, worker, *, is_known):
     """Restart a worker, and poll it if its next life is to be known before it gets the start."""
     machine.crash(worker=worker)
--- a/almondstack/control/tests/test_owner_machine.py
+++ b/almondstack/control/tests/test_owner_machine.py
@@ -366,6 +366,26 @@
     _play(restart_scenarios.give_up_a_run_with_an_unclear_start)
 
 
+def test_a_late_start_of_an_earlier_run_on_a_worker_off_the_list_starts_no_second_run():
+    """Guards against a task started elsewhere while an earlier run may start (TWICE, review/13)."""
+    _play(restart_scenarios.lose_a_worker_that_has_an_earlier_start)
+
+
+def test_a_late_start_of_an_earlier_run_on_a_restarted_worker_starts_no_second_run():
+    """Guards against the same, once the restart of the worker is known (TWICE, review/13)."""
+    _play(restart_scenarios.restart_a_worker_that_has_an_earlier_start)
+
+
+def test_an_earlier_run_that_the_next_life_lists_keeps_its_task_from_starting_elsewhere():
+    """Guards against a task given up by a list that has an earlier run of it (TWICE)."""
+    _play(restart_scenarios.list_an_earlier_run_in_the_next_life)
+
+
+def test_the_end_of_an_earlier_run_in_the_next_life_completes_its_task():
+    """Guards against a start after an end as done that was acknowledged (TWICE)."""
+    _play(restart_scenarios.list_the_end_of_an_earlier_run_in_the_next_life)
+
+
 def test_the_oracle_detects_that_a_late_acknowledgement_hides_an_end():
     """Guards against a scenario that the fault of issue 50 would pass."""
     machine = OwnerMachine()
--- a/almondstack/jobs/__init__.py
+++ b/almondstack/jobs/__init__.py
@@ -13,6 +13,7 @@
     TaskStatus,
 )
 from almondstack.jobs.names import format_step_name, format_task_name, parse_task_name
+from almondstack.jobs.open_starts import OpenStarts
 from almondstack.jobs.progress import (
     decode_done_occurrences,
     decode_progress,
@@ -35,6 +36,7 @@
     "JobEntry",
     "JobIndex",
     "JobState",
+    "OpenStarts",
     "OwnerNotice",
     "RecordError",
     "RecordKind",
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -8,6 +8,7 @@
 only for steps that are ready and not done, and only as many as the budget allows.
 """
 
+import math
 from collections.abc import Iterator, Sequence
 
 from msgspec import structs
@@ -237,6 +238,8 @@
             task.life = record.life
             task.checkpoint = record.checkpoint
             task.failed_run = record.failed_run
+            for worker in record.open_workers:
+                task.open_starts.note(worker, math.inf)
         self._drop_if_done(occurrence, step)
 
     def encode(self, *, may_use_ranges: bool = False) -> bytes:
--- a/almondstack/jobs/model.py
+++ b/almondstack/jobs/model.py
@@ -223,6 +223,9 @@
     failed_run : int
         Last run of its gang that was counted as failed for this member; 0 if none, or if an
         earlier build wrote the record.
+    open_workers : tuple of str
+        Workers that may yet carry out a start of an earlier run; none if an earlier build wrote
+        the record.
     """
 
     key: TaskKey
@@ -233,3 +236,4 @@
     life: int = 0
     checkpoint: str = ""
     failed_run: int = 0
+    open_workers: tuple[str, ...] = ()
--- a/almondstack/jobs/progress.py
+++ b/almondstack/jobs/progress.py
@@ -58,6 +58,11 @@
     checkpoint: str
     failed_run: int
 
+    @property
+    def open_workers(self) -> tuple[str, ...]:
+        """Workers that may yet carry out a start of an earlier run."""
+        ...
+
 
 TaskGroup = tuple[int, int, Sequence[StoredTask]]
 """An occurrence, a step, and the tasks of the step in order."""
@@ -84,13 +89,24 @@
     failed_run: int = 0
 
 
+class _HeldTask(_GangTask, frozen=True, array_like=True):
+    """A task with the workers that may yet carry out a start of an earlier run of it.
+
+    Explanation
+    -----------
+    Builds before this field skip it.  It is written only if there are such workers.
+    """
+
+    open_workers: tuple[str, ...] = ()
+
+
 class _Tasks(msgspec.Struct, frozen=True, array_like=True):
     """The encoded tasks; ``worker_lives`` are differences from ``base_life``, to save bytes."""
 
     base_life: int
     worker_ids: list[str]
     worker_lives: list[int]
-    groups: list[tuple[int, int, list[None | int | _GangTask]]]
+    groups: list[tuple[int, int, list[None | int | _HeldTask]]]
 
 
 class _RangedTasks(msgspec.Struct, frozen=True, array_like=True):
@@ -99,7 +115,7 @@
     base_life: int
     worker_ids: list[str]
     worker_lives: list[int]
-    groups: list[tuple[int, int, list[None | int | _GangTask] | int]]
+    groups: list[tuple[int, int, list[None | int | _HeldTask] | int]]
     done: list[tuple[int, int]]
 
 
@@ -202,6 +218,8 @@
         if run == _FIRST_RUN and not task.failures and not task.checkpoint:
             return number
     fields = status, run, task.failures, number, task.checkpoint
+    if task.open_workers:
+        return _HeldTask(*fields, task.failed_run, task.open_workers)
     return _GangTask(*fields, task.failed_run) if task.failed_run else _Task(*fields)
 
 
@@ -277,7 +295,7 @@
 
 
 def _records(
-    groups: Iterable[tuple[int, int, Sequence[None | int | _GangTask]]],
+    groups: Iterable[tuple[int, int, Sequence[None | int | _HeldTask]]],
     workers: list[tuple[str, int]],
 ) -> Iterator[TaskRecord]:
     for occurrence, step, rows in groups:
@@ -286,13 +304,13 @@
                 yield _record(TaskKey(occurrence, step, member), row, workers)
 
 
-def _record(key: TaskKey, row: int | _GangTask, workers: list[tuple[str, int]]) -> TaskRecord:
+def _record(key: TaskKey, row: int | _HeldTask, workers: list[tuple[str, int]]) -> TaskRecord:
     if row == _DONE_AT_FIRST_RUN:
         return TaskRecord(key, _DONE, _FIRST_RUN)
     if isinstance(row, int):
         return TaskRecord(key, _ASSIGNED, _FIRST_RUN, 0, *_worker(workers, row))
     worker, life = _worker(workers, row.worker) if row.worker != _NO_WORKER else ("", 0)
-    fields = row.run, row.failures, worker, life, row.checkpoint, row.failed_run
+    fields = row.run, row.failures, worker, life, row.checkpoint, row.failed_run, row.open_workers
     return TaskRecord(key, row.status, *fields)
 
 
--- a/almondstack/jobs/task.py
+++ b/almondstack/jobs/task.py
@@ -4,6 +4,7 @@
 
 from almondstack.jobs.model import Step, TaskKey, TaskStatus
 from almondstack.jobs.names import format_task_name
+from almondstack.jobs.open_starts import OpenStarts
 
 if TYPE_CHECKING:
     from almondstack.jobs.active import ActiveJob
@@ -38,6 +39,8 @@
         Monotonic time since which the task has waited for a start, in seconds.
     failed_on : set of str
         Workers on which it failed or was stopped as too slow; not stored in its record.
+    open_starts : OpenStarts
+        Starts of its earlier runs that may still be carried out.
     load : int
         Load that the worker last reported: the tail latency of a serving task in
         milliseconds, else the use in thousandths of a core.
@@ -65,6 +68,7 @@
         "life",
         "load",
         "name",
+        "open_starts",
         "percent",
         "run",
         "siblings",
@@ -93,6 +97,7 @@
         self.assigned_s = 0.0
         self.waiting_since_s = 0.0
         self.failed_on: set[str] = set()
+        self.open_starts = OpenStarts()
         self.load = 0
         self.percent = 100
         self.is_pace_known = False
@@ -102,9 +107,15 @@
         """Whether a run of the task may be on a worker."""
         return self.status is TaskStatus.ASSIGNED
 
+    @property
+    def open_workers(self) -> tuple[str, ...]:
+        """The workers that may carry out a start of an earlier run, as stored in its record."""
+        return self.open_starts.noted
+
     def assign(self, worker: str, life: int, now_s: float) -> None:
         """Start the next run of the task, on a worker."""
         self.status = TaskStatus.ASSIGNED
+        self.open_starts.forget_past(now_s)
         self.run += 1
         self.worker = worker
         self.life = life
@@ -118,6 +129,7 @@
     def release(self, now_s: float) -> None:
         """Return the task to waiting for another run."""
         self.status = TaskStatus.WAITING
+        self.open_starts.forget_past(now_s)
         self.worker = ""
         self.life = 0
         self.is_confirmed = False
--- a/almondstack/jobs/tests/test_progress.py
+++ b/almondstack/jobs/tests/test_progress.py
@@ -54,6 +54,7 @@
             st.just(""),
             st.just(0),
             _CHECKPOINTS,
+            open_workers=st.sampled_from([(), ("i-02619b542f",)]),
         ),
     )
 
@@ -80,12 +81,22 @@
 
 def test_a_field_of_a_task_that_a_later_build_adds_is_skipped():
     """Guards against a build that takes the records of a later one for unreadable."""
-    row = [TaskStatus.WAITING, 2, 1, 0, "c", 2, "later"]
+    row = [TaskStatus.WAITING, 2, 1, 0, "c", 2, ["w1"], "later"]
     value = bytes((JobState.RUNNING,)) + msgspec.msgpack.encode([0, [], [], [[0, 1, [row]]]])
-    expected = TaskRecord(TaskKey(0, 1, 0), TaskStatus.WAITING, 2, 1, checkpoint="c", failed_run=2)
+    fields = {"checkpoint": "c", "failed_run": 2, "open_workers": ("w1",)}
+    expected = TaskRecord(TaskKey(0, 1, 0), TaskStatus.WAITING, 2, 1, **fields)
     assert decode_progress(value) == [expected]
 
 
+def test_open_starts_are_no_change_for_a_build_before_them():
+    """Guards against a record that the build before can't read; it knows six fields of a task."""
+    fields = {"checkpoint": "c", "failed_run": 2, "open_workers": ("w1", "w2")}
+    record = TaskRecord(TaskKey(0, 0, 0), TaskStatus.WAITING, 2, 1, **fields)
+    value = encode_progress(JobState.RUNNING, [(0, 0, [record])])
+    _, _, _, groups = msgspec.msgpack.decode(value[1:])
+    assert groups[0][2][0] == [TaskStatus.WAITING, 2, 1, 0, "c", 2, ["w1", "w2"]]
+
+
 def _burst_records():
     """Return the done tasks of a job, and its running tasks on three workers."""
     done = [TaskRecord(TaskKey(0, 0, member), TaskStatus.DONE, 1) for member in range(5)]
--- a/almondstack/placement/choosing.py
+++ b/almondstack/placement/choosing.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from almondstack.jobs import Step, Task
+from almondstack.placement.open_starts import workers_beside_open_starts
 from almondstack.placement.resources import Resources, demand_of
 from almondstack.placement.workers import Worker
 
@@ -88,7 +89,7 @@
     return min(_within_bounds(task, fitting), key=_preference_key(task, preferences), default=None)
 
 
-def choose_for_gang(tasks: list[Task], workers: list[Worker]) -> list[Worker] | None:
+def choose_for_gang(tasks: list[Task], workers: list[Worker], now_s: float) -> list[Worker] | None:
     """Return a worker for each task of a gang, or None while not all fit at once.
 
     Explanation
@@ -102,7 +103,7 @@
     is_bounded = any(worker.max_runs is not None for worker in workers)
     for is_strict in (True, False) if is_bounded else (False,):
         for group in groups:
-            chosen = _fit_all(tasks, group, is_strict)
+            chosen = _fit_all(tasks, group, now_s, is_strict=is_strict)
             if chosen is not None:
                 return chosen
     return None
@@ -186,13 +187,16 @@
     return [workers]
 
 
-def _fit_all(tasks: list[Task], workers: list[Worker], is_strict: bool) -> list[Worker] | None:
+def _fit_all(
+    tasks: list[Task], workers: list[Worker], now_s: float, *, is_strict: bool
+) -> list[Worker] | None:
     left = {worker.id: worker.free.copy() for worker in workers}
     counts = {worker.id: worker.count_of(tasks[0]) for worker in workers}
     added = dict.fromkeys(left, 0)
     chosen = []
     for task in tasks:
-        worker = _fit_one(task, workers, left, counts, added)
+        suitable = workers_beside_open_starts(task, workers, now_s)
+        worker = _fit_one(task, suitable, left, counts, added)
         if worker is None or (is_strict and not worker.takes(task, added[worker.id])):
             return None
         left[worker.id].subtract(demand_of(task.step))
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -10,6 +10,7 @@
     choose_worker,
     is_restricted,
 )
+from almondstack.placement.open_starts import workers_beside_open_starts
 from almondstack.placement.policies import AccountPolicy
 from almondstack.placement.reservations import max_reservations
 from almondstack.placement.resources import Resources, demand_of
@@ -179,9 +180,10 @@
         if not self._usage.allows(tasks[0].job.submission.account, total):
             self._at_ceiling.append(tasks[0])
             return []
-        chosen = choose_for_gang(tasks, workers)
+        chosen = choose_for_gang(tasks, workers, self._now_s)
         if chosen is None:
-            self._block(tasks[0])
+            if not any(task.open_starts.workers(self._now_s) for task in tasks):
+                self._block(tasks[0])
             return []
         for task, worker in zip(tasks, chosen, strict=True):
             self._take(task, worker)
@@ -194,20 +196,24 @@
         placed: list[Task] = []
         chosen: list[Worker] = []
         for task in waiting:
+            suitable = workers_beside_open_starts(task, candidates, self._now_s)
+            if suitable is not candidates and choose_worker(task, suitable) is None:
+                # It waits for one worker; the others of its step need not.
+                continue
             if not self._usage.allows(task.job.submission.account, account_demand(task)):
                 self._at_ceiling.append(task)
+                self._stopped.add(_step_key(task))
                 break
-            worker = self._choose(task, candidates)
+            worker = self._choose(task, suitable)
             if worker is None:
                 # Without candidates, the step lacks advice or an allowed worker rather than room.
                 if candidates:
                     self._block(task)
+                self._stopped.add(_step_key(task))
                 break
             self._take(task, worker)
             placed.append(task)
             chosen.append(worker)
-        if len(placed) < len(waiting):
-            self._stopped.add(_step_key(waiting[0]))
         return [Assignment(placed, chosen)] if placed else []
 
     def _choose(self, task: Task, candidates: list[Worker]) -> Worker | None:
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -103,6 +103,9 @@
         on trial, exceeded only if no other worker has room; None is no bound.
     penalty : float
         Decaying sum of recent failures and refusals; 0 is healthy.
+    former_tasks : frozenset of str
+        Names of the tasks of which it has last listed a run that is not the present one; such
+        a run is being stopped.
     last_answer_s, last_failure_s : float
         Monotonic times of the last answered and the last failed call to it, in
         seconds; 0 if there was none.
@@ -112,6 +115,7 @@
         "_free",
         "_steps",
         "_tasks",
+        "former_tasks",
         "info",
         "is_reachable",
         "is_reserved",
@@ -138,6 +142,7 @@
         self.slowness = 1.0
         self.max_runs: int | None = None
         self.penalty = 0.0
+        self.former_tasks: frozenset[str] = frozenset()
         self.last_answer_s = 0.0
         self.last_failure_s = 0.0
 
--- a/almondstack/testing/advice_world.py
+++ b/almondstack/testing/advice_world.py
@@ -142,7 +142,7 @@
         """Assign the waiting tasks of a job's first step to allowed workers."""
         tasks = [task for task in job.steps_of(0)[0] if task.status is TaskStatus.WAITING]
         allowed = self.advisor.allowed_workers(tasks[0], self.workers)
-        chosen = _choose(tasks, allowed)
+        chosen = _choose(tasks, allowed, self.clock.now_s)
         if not chosen:
             return []
         lives = [worker.info.life for worker in chosen]
@@ -172,9 +172,9 @@
         return self.clock.now_s <= issued_s + self.policy.valid_ms / _MS_PER_S
 
 
-def _choose(tasks: list[Task], allowed: list[Worker]) -> list[Worker] | None:
+def _choose(tasks: list[Task], allowed: list[Worker], now_s: float) -> list[Worker] | None:
     """Return a worker for each task, or None if there is none for some task."""
     if tasks[0].step.is_gang:
-        return choose_for_gang(tasks, allowed)
+        return choose_for_gang(tasks, allowed, now_s)
     chosen = [worker for task in tasks if (worker := choose_worker(task, allowed)) is not None]
     return chosen if len(chosen) == len(tasks) else None
--- a/almondstack/testing/owner_mutations.py
+++ b/almondstack/testing/owner_mutations.py
@@ -93,9 +93,10 @@
 
 @contextlib.contextmanager
 def _unclear_starts_count_as_not_started() -> Iterator[None]:
-    """Return the task of an unclear start to waiting at once."""
+    """Return the task of an unclear start to waiting at once, as if the start had an answer."""
 
     def release(self: Any, task: Any, pending: Any, now_s: float) -> None:
+        pending.answers = pending.tries
         self._table.release(task, RunEnd.LOST, "", now_s)
 
     with mock.patch.object(order_replies.OrderReplies, "_resolve_unclear", release):
@@ -218,7 +219,7 @@
         sessions.SessionTable, "_former_until_s", lambda _table, _worker, _life: None
     ),
     "late starts of former lives are not stopped": _patch(
-        runs, "_may_start_again", lambda _task, _current, _now_s: False
+        runs, "may_reach_next_life", lambda _task, _current, _now_s: False
     ),
     "leases are renewed over new connections": _leases_are_renewed_over_new_connections,
     "ceilings are not checked": _patch(
--- a/almondstack/testing/shared_forms.py
+++ b/almondstack/testing/shared_forms.py
@@ -75,6 +75,9 @@
     TaskRecord(TaskKey(0, 1, 1), TaskStatus.ASSIGNED, 2, 1, "i-1", 1_700_000_001_000, "0005", 1),
     TaskRecord(TaskKey(0, 1, 2), TaskStatus.ASSIGNED, 2, 0, "i-2", 1_700_000_002_000, "0005"),
 ]
+_HELD = TaskRecord(
+    TaskKey(0, 0, 0), TaskStatus.WAITING, 2, 1, checkpoint="0002", open_workers=("i-1", "i-2")
+)
 _UNCONFIRMED = TaskRecord(TaskKey(0, 0, 0), TaskStatus.ASSIGNED, 1, 0, "i-1", 1_700_000_001_000)
 _DONE_STEP = TaskRecord(TaskKey(20_000, 0, 0), TaskStatus.DONE, 1)
 _RETRIED = TaskRecord(
@@ -128,6 +131,7 @@
     "submission": Sample(_SUBMISSION, encode_submission, decode_submission),
     "progress": Sample((JobState.RUNNING, _TASKS), _encode_progress, _decode_progress),
     "progress, gang": Sample((JobState.RUNNING, _FAILED_GANG), _encode_progress, _decode_progress),
+    "progress, held": Sample((JobState.RUNNING, [_HELD]), _encode_progress, _decode_progress),
     "progress, unconfirmed": Sample(
         (JobState.QUEUED, [_UNCONFIRMED]), _encode_progress, _decode_progress
     ),
