--- a/almondstack/control/current_runs.py
+++ b/almondstack/control/current_runs.py
@@ -18,6 +18,9 @@
         Number of starts sent.
     answers : int
         Number of starts whose outcome is known; the others may still be carried out.
+    sent_s : float or None
+        When a start was last sent, in monotonic seconds; None while the first one is queued, and
+        for the start of a previous owner.
     is_unclear : bool
         Whether it is unknown if a start was carried out.
     unanswered : int
@@ -51,6 +54,7 @@
         "progress",
         "repeated_s",
         "restart_noted_s",
+        "sent_s",
         "stop_acked_s",
         "stop_sent_s",
         "tries",
@@ -61,6 +65,7 @@
     def __init__(self) -> None:
         self.tries = 1
         self.answers = 0
+        self.sent_s: float | None = None
         self.is_unclear = False
         self.unanswered = 0
         self.unanswered_s: float | None = None
--- a/almondstack/control/late_starts.py
+++ b/almondstack/control/late_starts.py
@@ -34,6 +34,9 @@
         return True
     is_known = current.answers >= current.tries and not current.is_inherited
     last_s = max(task.assigned_s + START_REPLY_TIMEOUT_S, _last_start_s(task, current))
+    if current.is_start_open and current.sent_s is None and not current.is_inherited:
+        # The news that it is being sent may be on its way.
+        last_s = now_s
     return not is_known and now_s < last_s + MAX_CALL_DELAY_S
 
 
@@ -81,4 +84,5 @@
 
 def _last_start_s(task: Task, current: CurrentRun) -> float:
     """Return when a start of a run was last sent, or found to have no answer."""
-    return max(task.assigned_s, current.unanswered_s or 0.0, current.repeated_s or 0.0)
+    times_s = (current.sent_s, current.unanswered_s, current.repeated_s)
+    return max(task.assigned_s, *(time_s or 0.0 for time_s in times_s))
--- a/almondstack/control/messages.py
+++ b/almondstack/control/messages.py
@@ -19,6 +19,7 @@
     "OrderAnswered",
     "RunningRun",
     "StartOrder",
+    "StartSent",
     "WaveRequest",
 ]
 
@@ -58,6 +59,15 @@
     ticket: str
 
 
+class StartSent(NamedTuple):
+    """A start that was queued is sent to a worker now, at a monotonic time in seconds."""
+
+    worker: WorkerInfo
+    task: str
+    run: int
+    sent_s: float
+
+
 class OrderReply(NamedTuple):
     """Status of an order, and the worker's clock in milliseconds if the reply has it."""
 
--- a/almondstack/control/owner_round.py
+++ b/almondstack/control/owner_round.py
@@ -17,6 +17,7 @@
     OrderStatus,
     PollAnswered,
     PollFailed,
+    StartSent,
 )
 from almondstack.control.owner_parts import OwnerParts
 from almondstack.control.round_report import RoundReport
@@ -208,6 +209,10 @@
             )
         worker.is_reachable = False
 
+    @_handle.register
+    def _(self, event: StartSent) -> None:
+        self._parts.table.note_start_sent(event.worker.id, event.task, event.run, event.sent_s)
+
     @_handle.register
     def _(self, event: OrderAnswered) -> None:
         parts = self._parts
--- a/almondstack/control/poll_replies.py
+++ b/almondstack/control/poll_replies.py
@@ -20,7 +20,7 @@
 __all__ = ["START_REPLY_TIMEOUT_S", "PollReplies"]
 
 START_REPLY_TIMEOUT_S = 5.0
-"""A start without a reply within this time after its assignment is stopped, in seconds."""
+"""A start without a reply within this time after it was sent is stopped, in seconds."""
 
 _FULL_PERCENT = 100
 _MS_PER_S = 1000.0
@@ -211,10 +211,27 @@
         elif current.confirmed_s is None and self._is_overdue(task, current, now_s):
             self._order_replies.repeat_or_stop(task, current, None, now_s)
 
+    def _report_unanswered(self, task: Task, current: CurrentRun, now_s: float) -> None:
+        sent_s = current.sent_s
+        self._events.write(
+            "start-unanswered",
+            task=task.name,
+            worker=task.worker,
+            age_s=round(now_s - task.assigned_s, 3),
+            sent_age_s=round(now_s - sent_s, 3) if sent_s is not None else None,
+        )
+
     def _is_overdue(self, task: Task, current: CurrentRun, now_s: float) -> bool:
-        """Whether the start of an unlisted run is unclear or its reply is overdue."""
-        if not current.is_unclear and now_s - task.assigned_s > START_REPLY_TIMEOUT_S:
+        """Whether the start of an unlisted run is unclear or its reply is overdue.
+
+        Explanation
+        -----------
+        A start that still waits to be sent is not overdue, however long it does.
+        """
+        sent_s = max(task.assigned_s, current.sent_s or 0.0)
+        is_late = now_s - sent_s > START_REPLY_TIMEOUT_S
+        if not current.is_unclear and is_late and not self._orders.is_start_waiting(task):
             current.is_unclear = True
             current.unanswered_s = now_s
-            self._events.write("start-unanswered", task=task.name, worker=task.worker)
+            self._report_unanswered(task, current, now_s)
         return current.is_unclear
--- a/almondstack/control/run_orders.py
+++ b/almondstack/control/run_orders.py
@@ -4,7 +4,7 @@
 import time
 
 from almondstack.control.advisor import Advisor
-from almondstack.control.messages import StartOrder
+from almondstack.control.messages import OrderReply, OrderStatus, StartOrder
 from almondstack.control.runs import RunTable
 from almondstack.control.services import OwnerServices
 from almondstack.control.sessions import SessionTable
@@ -49,6 +49,11 @@
         if session is not None:
             session.stop(name, run)
 
+    def is_start_waiting(self, task: Task) -> bool:
+        """Whether a start of a task's current run waits to be sent."""
+        session = self._sessions.get(task.worker)
+        return session is not None and session.is_start_waiting(task.name, task.run)
+
     def send_starts(self, starts: list[Task]) -> None:
         """Send planned starts, except those whose job or ticket has ended since the plan."""
         for task in starts:
@@ -75,6 +80,10 @@
     def _send_start(self, task: Task) -> None:
         session = self._sessions.get(task.worker)
         if session is None:
+            # Its worker has left since the plan.
+            reply = OrderReply(OrderStatus.NOT_SENT)
+            now_s = time.monotonic()
+            self.table.note_start(task.worker, task.name, task.run, reply, now_s, task.life)
             return
         job = task.job
         name = task.name
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -52,6 +52,10 @@
         """Stop a run on a worker."""
         ...
 
+    def is_start_waiting(self, task: Task) -> bool:
+        """Whether a start of a task's current run waits to be sent."""
+        ...
+
 
 class RunTable:
     """Jobs, workers and the current runs of tasks on workers.
@@ -259,6 +263,12 @@
             if current.confirmed_s is None and now_s - task.assigned_s > _CONFIRMATION_TIMEOUT_S:
                 task.job.note_not_begun()
 
+    def note_start_sent(self, worker: str, name: str, run: int, sent_s: float) -> None:
+        """Note when a start left the queue of orders to its worker, in monotonic seconds."""
+        task = self.find(name, worker, run)
+        if task is not None:
+            self._runs[task].sent_s = sent_s
+
     def note_start(
         self, worker: str, name: str, run: int, reply: OrderReply, now_s: float, life: int = 0
     ) -> None:
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -1,12 +1,9 @@
 """Calls to one worker: orders in sequence, and polls that renew leases and list ended runs."""
 
-import contextlib
 import functools
-import queue
 import threading
 import time
 from collections.abc import Callable
-from typing import NamedTuple
 
 from almondstack.control.current_runs import is_same_incarnation
 from almondstack.control.lease import LeaseState, WorkerLease
@@ -19,7 +16,9 @@
     PollFailed,
     PollReply,
     StartOrder,
+    StartSent,
 )
+from almondstack.control.order_queue import Order, OrderQueue
 from almondstack.control.ports import WorkerCaller, WorkerCallers
 from almondstack.control.sent_calls import SentCalls, longest_hold_s
 from almondstack.control.settings import ControlSettings
@@ -31,18 +30,18 @@
 
 _MS_PER_S = 1000.0
 
-
 _MAX_EXTRA_CONNECTIONS = 2
-"""Maximum number of extra connections to a worker that answers an order late."""
+"""Maximum number of extra connections for orders to one worker."""
+
+_ORDERS_PER_CONNECTION = 32
+"""Orders that may wait for each connection; beyond that another one is opened."""
 
+_EXTRA_IDLE_S = 0.2
+"""Time without an order after which an extra connection is closed, in seconds; the owner plans
+several times in it."""
 
-class _Order(NamedTuple):
-    kind: OrderKind
-    task: str
-    run: int
-    start: StartOrder | None = None
-    is_wanted: Callable[[], bool] = lambda: True
-    percent: int = 0
+_MAX_WAITING_STARTS = 64
+"""Starts that may wait for one worker: about 0.2 s of calls that take 3 ms each."""
 
 
 class WorkerSession:
@@ -54,8 +53,8 @@
     allows, also while the owner's loop is blocked by the store; a poll after an
     unanswered one does not.  The worker lists an ended run in each reply until
     :meth:`acknowledge` is called with the number of that :class:`EndedRun`.
-    While the answer to an order is late, the orders queued behind it go over extra
-    connections.  A queued start is sent only if it is still wanted.
+    While the answer to an order is late, or many orders wait, they go over extra
+    connections as well.  A queued start is sent only if it is still wanted.
     Once another incarnation of the worker has answered, the session makes no more
     calls: that incarnation numbers its ended runs from the start again, and would take
     an acknowledgement meant for the earlier one as one of its own runs.
@@ -143,7 +142,7 @@
         self._last_listed_end = 0
         self._last_acknowledged_end = 0
         self._changed = threading.Condition()
-        self._orders: queue.SimpleQueue[_Order | None] = queue.SimpleQueue()
+        self._orders = OrderQueue()
         self._orders_began_s: dict[str, float] = {}
         self._threads: dict[str, threading.Thread] = {}
 
@@ -171,6 +170,15 @@
         """What the lease was last computed from."""
         return self._lease.state._replace(end_s=self.lease_end_s)
 
+    @property
+    def start_room(self) -> int:
+        """How many more starts the worker can be told within a fraction of a second."""
+        return max(0, _MAX_WAITING_STARTS - self._orders.starts)
+
+    def is_start_waiting(self, task: str, run: int) -> bool:
+        """Whether a start of that run is queued and not sent yet."""
+        return self._orders.has_start(task, run)
+
     def needs_contact(self, now_s: float) -> bool:
         """Whether the worker is to be polled though it has no runs.
 
@@ -199,34 +207,36 @@
 
     def start(self, order: StartOrder, is_wanted: Callable[[], bool]) -> None:
         """Queue a start; it is dropped if ``is_wanted`` returns False when it is to be sent."""
-        self._submit(_Order(OrderKind.START, order.task, order.run, order, is_wanted))
+        self._submit(Order(OrderKind.START, order.task, order.run, order, is_wanted))
 
     def stop(self, task: str, run: int) -> None:
         """Queue a stop."""
-        self._submit(_Order(OrderKind.STOP, task, run))
+        self._submit(Order(OrderKind.STOP, task, run))
 
     def pace(self, task: str, run: int, percent: int) -> None:
         """Queue a change of a run's speed, in percent."""
-        self._submit(_Order(OrderKind.PACE, task, run, percent=percent))
+        self._submit(Order(OrderKind.PACE, task, run, percent=percent))
 
     def add_connection_if_slow(self, now_s: float) -> None:
-        """Open another connection for orders if each open one waits for a late answer."""
-        if self._orders.empty() or self._is_closed:
+        """Open another connection for orders if all wait for late answers, or many orders wait."""
+        if not len(self._orders) or self._is_closed:
             return
         began_s = list(self._orders_began_s.values())
-        if not began_s or now_s - max(began_s) < self._settings.order_patience_s:
+        if not began_s:
             return
-        if len(began_s) <= _MAX_EXTRA_CONNECTIONS:
+        is_late = now_s - max(began_s) >= self._settings.order_patience_s
+        is_long = len(self._orders) > _ORDERS_PER_CONNECTION * len(began_s)
+        if (is_late or is_long) and len(began_s) <= _MAX_EXTRA_CONNECTIONS:
             self._ensure_thread(f"orders-{len(began_s)}", self._run_extra_orders)
 
     def close(self) -> None:
         """End all threads; calls in flight may still reach the worker."""
-        self._orders.put(None)
+        self._orders.close()
         with self._changed:
             self._is_closed = True
             self._changed.notify_all()
 
-    def _submit(self, order: _Order) -> None:
+    def _submit(self, order: Order) -> None:
         self._orders.put(order)
         self._ensure_thread("orders", self._run_orders)
 
@@ -245,16 +255,13 @@
         caller.close()
 
     def _run_extra_orders(self) -> None:
-        """Send the orders that are queued now."""
+        """Send orders until none has been queued for a moment."""
         caller = self._callers.caller(self.worker)
-        with contextlib.suppress(queue.Empty):
-            while (order := self._orders.get_nowait()) is not None and not self._is_closed:
-                self._execute_supervised(caller, order)
-            # The end marker is meant for the main order thread.
-            self._orders.put(None)
+        while (order := self._orders.get(_EXTRA_IDLE_S)) is not None and not self._is_closed:
+            self._execute_supervised(caller, order)
         caller.close()
 
-    def _execute_supervised(self, caller: WorkerCaller, order: _Order) -> None:
+    def _execute_supervised(self, caller: WorkerCaller, order: Order) -> None:
         """Send one order; after an unforeseen error it is unknown whether the worker has it."""
         try:
             self._execute(caller, order)
@@ -263,7 +270,7 @@
             reply = OrderReply(OrderStatus.UNCLEAR)
             self._post(OrderAnswered(self.worker, order.kind, order.task, order.run, reply))
 
-    def _execute(self, caller: WorkerCaller, order: _Order) -> None:
+    def _execute(self, caller: WorkerCaller, order: Order) -> None:
         """Send one order and post its reply."""
         thread_name = threading.current_thread().name
         began_s = self._orders_began_s[thread_name] = time.monotonic()
@@ -276,7 +283,7 @@
         self._lease.note_clock(reply.clock_ms, time.monotonic())
         self._post(OrderAnswered(self.worker, order.kind, order.task, order.run, reply))
 
-    def _send(self, caller: WorkerCaller, order: _Order) -> OrderReply:
+    def _send(self, caller: WorkerCaller, order: Order) -> OrderReply:
         """Send an order over a connection that leads to this life of the worker."""
         if order.kind is OrderKind.START:
             return self._send_start(caller, order)
@@ -288,7 +295,7 @@
             send = functools.partial(caller.pace, order.task, order.run, order.percent, self._token)
         return self._call_order(send, has_deadline=False)
 
-    def _send_start(self, caller: WorkerCaller, order: _Order) -> OrderReply:
+    def _send_start(self, caller: WorkerCaller, order: Order) -> OrderReply:
         if order.start is None or not self._may_extend():
             return OrderReply(OrderStatus.NOT_SENT)
         is_current = caller.is_connected and not self._lease.needs_reading(time.monotonic())
@@ -301,6 +308,7 @@
         if age_s is not None:
             self._metrics.timing_ms("start.clock_age", age_s * _MS_PER_S)
         start = functools.partial(caller.start, order.start, deadline_ms, self._token)
+        self._post(StartSent(self.worker, order.task, order.run, time.monotonic()))
         return self._call_order(start, has_deadline=True)
 
     def _call_order(self, send: Callable[[], OrderReply], *, has_deadline: bool) -> OrderReply:
--- a/almondstack/control/sessions.py
+++ b/almondstack/control/sessions.py
@@ -207,6 +207,8 @@
             is_polled = is_busy or is_watched or worker_id in probed or worker_id in awaited
             session.set_busy(is_polled or session.needs_contact(now_s))
             session.add_connection_if_slow(now_s)
+            if worker is not None:
+                worker.start_room = session.start_room
             if worker is not None and not is_busy and not worker.is_reachable:
                 worker.is_reachable = True
                 worker.set_aside_until_s = now_s + _UNREACHABLE_PAUSE_S
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -382,6 +382,20 @@
     assert task.status is TaskStatus.WAITING
 
 
+def test_a_start_that_still_waits_to_be_sent_is_not_stopped(world):
+    """Guards against 3,000 starts that were stopped before they were sent (review/11, LOST)."""
+    table, worker, task = world
+    table._orders.waiting.append(task)
+    table.note_poll(worker, 8.0, look(), 8.1)
+    assert table._orders.stops == []
+    table._orders.waiting.remove(task)
+    table.note_start_sent("w1", task.name, task.run, 8.2)
+    table.note_poll(worker, 13.0, look(), 13.1)
+    assert table._orders.stops == []
+    table.note_poll(worker, 14.0, look(), 14.1)
+    assert len(table._orders.stops) == 1
+
+
 def test_polls_that_are_open_while_a_stop_is_acknowledged_cause_no_further_stops():
     """Guards against an endless loop of stops.
 
--- a/almondstack/control/tests/test_sent_calls.py
+++ b/almondstack/control/tests/test_sent_calls.py
@@ -12,8 +12,9 @@
     PollReply,
     StartOrder,
 )
+from almondstack.control.order_queue import Order
 from almondstack.control.sent_calls import MAX_CALL_DELAY_S, SentCalls, longest_hold_s
-from almondstack.control.session import WorkerSession, _Order
+from almondstack.control.session import WorkerSession
 from almondstack.control.settings import ControlSettings
 from almondstack.core import LocalMetrics
 from almondstack.placement import WorkerInfo
@@ -115,7 +116,7 @@
 
 
 def _start_order():
-    return _Order(OrderKind.START, "t", 1, StartOrder("t", 1, "s", "", ""))
+    return Order(OrderKind.START, "t", 1, StartOrder("t", 1, "s", "", ""))
 
 
 def test_a_call_that_fails_unforeseen_counts_as_unanswered():
--- a/almondstack/control/tests/test_session.py
+++ b/almondstack/control/tests/test_session.py
@@ -14,8 +14,10 @@
     PollFailed,
     PollReply,
     StartOrder,
+    StartSent,
 )
-from almondstack.control.session import WorkerSession, _Order
+from almondstack.control.order_queue import Order
+from almondstack.control.session import WorkerSession
 from almondstack.control.settings import ControlSettings
 from almondstack.core import LocalMetrics
 from almondstack.placement import WorkerInfo
@@ -64,8 +66,23 @@
 
 @pytest.fixture
 def events():
-    """Collect the events that sessions post."""
-    return []
+    """Collect the events that sessions post, without the notes of what is sent."""
+    return _Events()
+
+
+class _Events(list):
+    """Events of sessions; the notes of starts that are sent are kept apart."""
+
+    def __init__(self):
+        super().__init__()
+        self.sent = []
+
+    def append(self, event):
+        """Add an event."""
+        if isinstance(event, StartSent):
+            self.sent.append(event)
+        else:
+            super().append(event)
 
 
 def _session(worker, events):
@@ -89,7 +106,7 @@
 
 
 def _start(task="t", is_wanted=lambda: True):
-    return _Order(OrderKind.START, task, 1, StartOrder(task, 1, "s", "", ""), is_wanted)
+    return Order(OrderKind.START, task, 1, StartOrder(task, 1, "s", "", ""), is_wanted)
 
 
 def test_a_first_lease_is_not_computed_from_an_old_registration(events):
@@ -114,7 +131,7 @@
 def test_a_stop_over_a_new_connection_is_sent_only_after_a_poll(events):
     """Guards against a stop by which a session goes on with the worker's next life (TWICE)."""
     worker = _Worker()
-    stop = _Order(OrderKind.STOP, "t", 1)
+    stop = Order(OrderKind.STOP, "t", 1)
     assert _session(worker, events)._send(worker, stop).status is OrderStatus.DONE
     assert worker.polls == [(None, 0, 0.0)]
     restarted = _Worker(life=2)
@@ -215,6 +232,49 @@
     session.close()
 
 
+def test_many_orders_go_over_several_connections(events):
+    """Guards against a wide job that waits for one call after the other (review/11, LOST)."""
+    worker = _FirstStartUnanswered()
+    session = _session(worker, events)
+    for task in ("first", *map(str, range(40)), "last"):
+        session.start(_start(task).start, lambda: True)
+    assert worker.has_first.wait(_TIMEOUT_S)
+    session.add_connection_if_slow(time.monotonic())
+    assert worker.has_last.wait(_TIMEOUT_S)
+    worker.may_answer.set()
+    session.close()
+
+
+def test_a_stop_is_sent_before_the_starts_that_wait_and_only_once(events):
+    """Guards against stops that wait behind starts, and fill the queue by repeats (review/11)."""
+    worker = _FirstStartUnanswered()
+    session = _session(worker, events)
+    for task in ("first", "second", "last"):
+        session.start(_start(task).start, lambda: True)
+    assert worker.has_first.wait(_TIMEOUT_S)
+    for _ in range(3):
+        session.stop("running", 1)
+    worker.may_answer.set()
+    assert worker.has_last.wait(_TIMEOUT_S)
+    session.close()
+    assert worker.stops == [("running", 1)]
+    assert [event.task for event in events[:3]] == ["first", "running", "second"]
+
+
+def test_a_start_is_noted_as_sent_when_it_leaves_the_queue(events):
+    """Guards against a start that counts as unanswered while it waits (review/11, LOST)."""
+    worker = _FirstStartUnanswered()
+    session = _session(worker, events)
+    for task in ("first", "last"):
+        session.start(_start(task).start, lambda: True)
+    assert worker.has_first.wait(_TIMEOUT_S)
+    assert [event.task for event in events.sent] == ["first"]
+    worker.may_answer.set()
+    assert worker.has_last.wait(_TIMEOUT_S)
+    session.close()
+    assert [event.task for event in events.sent] == ["first", "last"]
+
+
 def test_a_worker_is_polled_again_after_an_unforeseen_error(events, monkeypatch):
     """Guards against a worker that is never polled again, so that its runs never end.
 
--- a/almondstack/control/tests/test_sessions.py
+++ b/almondstack/control/tests/test_sessions.py
@@ -13,6 +13,7 @@
 
     def __init__(self):
         self.is_busy = None
+        self.start_room = 64
         self.contact_until_s = 0.0
 
     def needs_contact(self, now_s):
--- a/almondstack/placement/rounds.py
+++ b/almondstack/placement/rounds.py
@@ -193,11 +193,12 @@
         if not waiting or _step_key(waiting[0]) in self._stopped:
             return []
         candidates = self._candidates(waiting[0])
+        open_workers = _that_can_be_told(candidates)
         placed: list[Task] = []
         chosen: list[Worker] = []
         for task in waiting:
-            suitable = workers_beside_open_starts(task, candidates, self._now_s)
-            if suitable is not candidates and choose_worker(task, suitable) is None:
+            suitable = workers_beside_open_starts(task, open_workers, self._now_s)
+            if suitable is not open_workers and choose_worker(task, suitable) is None:
                 # It waits for one worker; the others of its step need not.
                 continue
             if not self._usage.allows(task.job.submission.account, account_demand(task)):
@@ -207,11 +208,14 @@
             worker = self._choose(task, suitable)
             if worker is None:
                 # Without candidates, the step lacks advice or an allowed worker rather than room.
-                if candidates:
+                # So it does if some of them have many starts to be told: they may have room.
+                if candidates and len(open_workers) == len(candidates):
                     self._block(task)
                 self._stopped.add(_step_key(task))
                 break
             self._take(task, worker)
+            if not worker.can_be_told():
+                open_workers = _that_can_be_told(open_workers)
             placed.append(task)
             chosen.append(worker)
         return [Assignment(placed, chosen)] if placed else []
@@ -239,6 +243,7 @@
 
     def _take(self, task: Task, worker: Worker) -> None:
         worker.put(task)
+        worker.note_start()
         self._usage.add(task)
 
     def _block(self, task: Task) -> None:
@@ -250,3 +255,10 @@
         if worker is not None:
             self._workers = [other for other in self._workers if other is not worker]
             self._reservations.append((task, worker))
+
+
+def _that_can_be_told(workers: list[Worker]) -> list[Worker]:
+    """Return the workers that can be told one more start now; the same list if all can."""
+    if all(worker.can_be_told() for worker in workers):
+        return workers
+    return [worker for worker in workers if worker.can_be_told()]
--- a/almondstack/placement/workers.py
+++ b/almondstack/placement/workers.py
@@ -106,6 +106,8 @@
     former_tasks : frozenset of str
         Names of the tasks of which it has last listed a run that is not the present one; such
         a run is being stopped.
+    start_room : int or None
+        How many more starts it can be told now; None is no bound.  Gangs are not bound by it.
     last_answer_s, last_failure_s : float
         Monotonic times of the last answered and the last failed call to it, in
         seconds; 0 if there was none.
@@ -126,6 +128,7 @@
         "penalty",
         "set_aside_until_s",
         "slowness",
+        "start_room",
         "unsettled_until_s",
     )
 
@@ -143,6 +146,7 @@
         self.max_runs: int | None = None
         self.penalty = 0.0
         self.former_tasks: frozenset[str] = frozenset()
+        self.start_room: int | None = None
         self.last_answer_s = 0.0
         self.last_failure_s = 0.0
 
@@ -183,6 +187,15 @@
             and self.set_aside_until_s <= now_s
         )
 
+    def note_start(self) -> None:
+        """Count a start that it is to be told."""
+        if self.start_room is not None:
+            self.start_room -= 1
+
+    def can_be_told(self) -> bool:
+        """Return whether it can be told one more start now."""
+        return self.start_room is None or self.start_room > 0
+
     def takes(self, task: Task, more: int = 0) -> bool:
         """Return whether its bound on tasks that end allows a task, and ``more`` before it."""
         if self.max_runs is None or task.step.is_long_running:
--- a/almondstack/testing/job_builders.py
+++ b/almondstack/testing/job_builders.py
@@ -113,8 +113,13 @@
 
     def __init__(self) -> None:
         self.starts: list[Task] = []
+        self.waiting: list[Task] = []
         self.stops: list[tuple[str, str, int]] = []
 
+    def is_start_waiting(self, task: Task) -> bool:
+        """Return whether a test has added the task to those whose starts wait."""
+        return task in self.waiting
+
     def retry_start(self, task: Task) -> None:
         """Record a repeated start."""
         self.starts.append(task)
--- a/almondstack/testing/pumped_session.py
+++ b/almondstack/testing/pumped_session.py
@@ -46,10 +46,7 @@
     def pump_orders(self) -> None:
         """Send the queued orders."""
         caller = self._caller_of_orders()
-        while not self._orders.empty():
-            order = self._orders.get()
-            if order is None or self._is_closed:
-                return
+        while (order := self._orders.get(timeout_s=0.0)) is not None and not self._is_closed:
             self._execute(caller, order)
 
     def pump_handshake(self) -> None:
