--- a/almondstack/control/owner.py
+++ b/almondstack/control/owner.py
@@ -8,6 +8,7 @@
 from almondstack.control.owner_parts import OwnerParts
 from almondstack.control.owner_round import JobChange, OwnerRound
 from almondstack.control.services import OwnerServices
+from almondstack.control.set_aside import setting_aside
 from almondstack.core.supervision import report_error
 from almondstack.ownership import FencedError, OwnershipSettings
 
@@ -137,19 +138,25 @@
         for job_id, entry in index.entries():
             if entry.state.is_final and entry.progress is None:
                 continue
-            job = parts.records.load(job_id)
-            if job is None:
-                continue
-            if job.is_over():
-                parts.records.schedule_removal(job_id)
-                continue
-            parts.table.restore_job(job, time.monotonic())
-            parts.delays.note_inherited(job, time.monotonic() - self._last_write_s)
-            runs += len(job.assigned())
-            if not job.is_open:
-                parts.table.stop_all(job, time.monotonic())
+            with setting_aside(self._services, parts.table, job_id):
+                runs += self._take_up(job_id)
         self._services.events.write("state-taken-over", jobs=len(parts.table.jobs), runs=runs)
 
+    def _take_up(self, job_id: str) -> int:
+        """Take a stored job up; return how many runs of it may be on workers."""
+        parts = self._parts
+        job = parts.records.load(job_id)
+        if job is None:
+            return 0
+        if job.is_over():
+            parts.records.schedule_removal(job_id)
+            return 0
+        parts.table.restore_job(job, time.monotonic())
+        parts.delays.note_inherited(job, time.monotonic() - self._last_write_s)
+        if not job.is_open:
+            parts.table.stop_all(job, time.monotonic())
+        return len(job.assigned())
+
     def release_if_ranges_needed(self) -> None:
         """Release ownership if a job needs the ranged form, which this owner's claim lacks.
 
--- a/almondstack/control/owner_round.py
+++ b/almondstack/control/owner_round.py
@@ -21,6 +21,7 @@
 )
 from almondstack.control.owner_parts import OwnerParts
 from almondstack.control.round_report import RoundReport
+from almondstack.control.set_aside import setting_aside
 from almondstack.control.worker_updates import WorkerUpdates
 from almondstack.intake import CancelRequest, SubmissionRequest
 from almondstack.jobs import ActiveJob, RecordKind, Task
@@ -168,20 +169,30 @@
         if event.kind is RecordKind.CANCEL:
             self.cancel(event.job)
         elif event.job not in self._parts.table.jobs:
-            job = self._parts.records.load(event.job)
-            if job is not None:
-                self.activate(job)
+            with setting_aside(self._parts.services, self._parts.table, event.job):
+                job = self._parts.records.load(event.job)
+                if job is not None:
+                    self.activate(job)
 
     @_handle.register
     def _(self, event: SubmissionRequest) -> None:
-        job = self._parts.requests.submit(event, self._parts.fleet.admission)
-        if job is not None:
-            self.activate(job)
+        requests = self._parts.requests
+        try:
+            job = requests.submit(event, self._parts.fleet.admission)
+            if job is not None:
+                self.activate(job)
+        except Exception as error:
+            requests.refuse_failed(event, error)
+            self._parts.table.forget_job(event.job)
 
     @_handle.register
     def _(self, event: CancelRequest) -> None:
-        if self._parts.requests.cancel(event):
-            self.cancel(event.job)
+        requests = self._parts.requests
+        try:
+            if requests.cancel(event):
+                self.cancel(event.job)
+        except Exception as error:
+            requests.fail_cancel(event, error)
 
     @_handle.register
     def _(self, event: PollAnswered) -> None:
--- a/almondstack/control/request_handler.py
+++ b/almondstack/control/request_handler.py
@@ -6,6 +6,7 @@
 
 from almondstack.control.planning import Planner
 from almondstack.control.services import OwnerServices
+from almondstack.control.set_aside import set_aside
 from almondstack.intake import CancelRequest, OwnerRequest, Receipt, SubmissionRequest, Verdict
 from almondstack.intake.rejections import report_rejection
 from almondstack.intake.verdicts import repeat_verdict
@@ -30,6 +31,13 @@
     decision: Decision
 
 
+class _Accepted(NamedTuple):
+    """An accepted submission, and its record."""
+
+    request: SubmissionRequest
+    record: Record
+
+
 class RequestHandler:
     """Handles requests, returns the records to store for them, and then answers them.
 
@@ -64,7 +72,7 @@
     def __init__(self, services: OwnerServices, planner: Planner) -> None:
         self._services = services
         self._planner = planner
-        self._accepted: dict[str, SubmissionRequest] = {}
+        self._accepted: dict[str, _Accepted] = {}
         self._duplicates: list[SubmissionRequest] = []
         self._cancelled: list[CancelRequest] = []
         self._refused: list[_Refusal] = []
@@ -101,13 +109,27 @@
             self._refused.append(_Refusal(request, decision))
             report_rejection(self._services, job, submission, policy, decision)
             return None
+        # A value that can't be stored fails here, where only this request is refused.
+        record = _submission_record(request)
         self._returns.release(submission.account, job)
         if admission.is_current:
             # A state that was read is kept by the job index, which adds what is stored.
             admission.note_accepted(submission)
-        self._accepted[job] = request
+        self._accepted[job] = _Accepted(request, record)
         return ActiveJob(job, submission, policy.max_attempts)
 
+    def refuse_failed(self, request: SubmissionRequest, error: Exception) -> None:
+        """Refuse a submission that could not be handled: nothing of it is stored.
+
+        Explanation
+        -----------
+        The error of one request must not end this owner, and the next ones, and with them the
+        work of all.
+        """
+        self._accepted.pop(request.job, None)
+        set_aside(self._services, "request-failed", request.job, error)
+        request.answer(Receipt(Verdict.NOT_STORED))
+
     def cancel(self, request: CancelRequest) -> bool:
         """Handle a cancel; return whether its job is to be cancelled."""
         if not request.take():
@@ -122,11 +144,16 @@
         self._cancelled.append(request)
         return True
 
+    def fail_cancel(self, request: CancelRequest, error: Exception) -> None:
+        """Answer a cancel that could not be handled: its record may be stored all the same."""
+        set_aside(self._services, "request-failed", request.job, error)
+        request.answer(Receipt(Verdict.UNCLEAR))
+
     def records(self) -> list[Record]:
         """Return the records to store for the pending requests."""
         return [
             *map(_refusal_record, self._refused),
-            *map(_submission_record, self._accepted.values()),
+            *(accepted.record for accepted in self._accepted.values()),
             *map(_cancel_record, self._cancelled),
         ]
 
@@ -139,12 +166,12 @@
         answered later, once the log has been read up to it.
         """
         accepted, self._accepted = self._accepted, {}
-        for request in accepted.values():
-            self._apply(_submission_record(request))
+        for request, record in accepted.values():
+            self._apply(record)
             request.answer(Receipt(Verdict.DONE))
         duplicates, self._duplicates = self._duplicates, []
         for request in duplicates:
-            stored = accepted[request.job].submission
+            stored = accepted[request.job].request.submission
             request.answer(Receipt(repeat_verdict(request.submission, stored)))
         cancelled, self._cancelled = self._cancelled, []
         for cancel in cancelled:
@@ -168,7 +195,7 @@
     def close(self) -> None:
         """Answer all pending requests with an unclear verdict: they may or may not be stored."""
         requests: list[OwnerRequest] = [
-            *self._accepted.values(),
+            *(accepted.request for accepted in self._accepted.values()),
             *self._duplicates,
             *self._cancelled,
             *(refusal.request for refusal in self._refused),
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -126,6 +126,12 @@
         del self.jobs[job.id]
         job.close()
 
+    def forget_job(self, job: str) -> None:
+        """Remove a job that could not be taken up, if it was added."""
+        found = self.jobs.get(job)
+        if found is not None:
+            self.remove_job(found)
+
     def restore_job(self, job: ActiveJob, now_s: float) -> None:
         """Add a job of the previous owner with its recorded runs."""
         self.add_job(job)
--- a/almondstack/platform/tests/test_job_api.py
+++ b/almondstack/platform/tests/test_job_api.py
@@ -168,6 +168,10 @@
         job_body(steps=[{"count": 1, "after": [1]}, {"count": 1}]),
         job_body(spec="x" * 5_000),
         job_body(steps=[{"count": 1, "cpu": -5}]),
+        job_body(**{"times": 1, "start-at-ms": 2**64}),
+        job_body(**{"times": 1, "start-at-ms": 10**15}),
+        job_body(**{"times": 1, "start-at-ms": 10**400}),
+        job_body(**{"times": 10**400}),
     ],
 )
 def test_an_invalid_body_is_rejected_and_nothing_is_stored(process, body):
--- a/almondstack/platform/wire.py
+++ b/almondstack/platform/wire.py
@@ -28,6 +28,8 @@
 
 _Count = Annotated[int, Meta(ge=0, le=1_000_000_000)]
 _MAX_TASKS = 10_000
+# Unix milliseconds of the end of the year 9999.
+_MAX_UNIX_MS = 253_402_300_799_999
 # An integer that an operator writes: one of many more digits overflows when converted to a float.
 _Integer = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
 
@@ -66,7 +68,7 @@
     # How many times the steps run; 0 means once, immediately.
     occurrences: _Count = field(name="times", default=0)
     # Unix milliseconds of the first occurrence.
-    first_due_ms: Annotated[int, Meta(ge=0)] = field(name="start-at-ms", default=0)
+    first_due_ms: Annotated[int, Meta(ge=0, le=_MAX_UNIX_MS)] = field(name="start-at-ms", default=0)
     interval_ms: _Count = field(name="interval-ms", default=0)
 
 
