--- a/almondstack/platform/tests/test_registrations.py
+++ b/almondstack/platform/tests/test_registrations.py
@@ -88,6 +88,19 @@
     assert directory.workers() == {}
 
 
+@pytest.mark.parametrize("number", [2**63, -(10**400), 10**400])
+@pytest.mark.parametrize(
+    "field", ["born", "clock-ms", "cold-left-ms", "cpu", "remaining-ms", "sequence", "slots"]
+)
+def test_an_entry_with_a_number_that_no_float_holds_is_not_used(directory, field, number):
+    """Guards against an entry of another writer that ends each owner (beyond-3/foreign, LOST)."""
+    change = {"capacity": {**_ENTRY["capacity"], "cpu": number}} if field == "cpu" else {}
+    _put(directory, _ENTRY, "i-0")
+    _put(directory, {**_ENTRY, **(change or {field: number})})
+    is_small_float = field == "cold-left-ms" and number == 2**63
+    assert list(directory.workers()) == (["i-0", "i-1"] if is_small_float else ["i-0"])
+
+
 @pytest.mark.parametrize("value", [b"\xff\xfe", b"[]", b"null", b"{"])
 def test_an_entry_that_can_not_be_read_is_not_used(directory, value):
     _put(directory, value)
--- a/almondstack/platform/tests/test_workers.py
+++ b/almondstack/platform/tests/test_workers.py
@@ -106,6 +106,8 @@
         b'{"clock-ms":9,"running":[["5c0e7a21d94b36f8.0.0.0","x","",1]],"ended":[]}',
         b'{"clock-ms":9,"running":[],"ended":[[1,"5c0e7a21d94b36f8.0.0.0"]]}',
         b'{"clock-ms":9,"running":7}',
+        b'{"clock-ms":9,"running":[["5c0e7a21d94b36f8.0.0.0",1,"",1%s]]}' % (b"0" * 400),
+        b'{"clock-ms":1%s,"running":[]}' % (b"0" * 400),
         b"[",
     ],
 )
--- a/almondstack/platform/wire.py
+++ b/almondstack/platform/wire.py
@@ -30,7 +30,7 @@
 _MAX_TASKS = 10_000
 # Unix milliseconds of the end of the year 9999.
 _MAX_UNIX_MS = 253_402_300_799_999
-# An integer that an operator writes: one of many more digits overflows when converted to a float.
+# Any other integer: the store takes no larger ones, and many more digits overflow as a float.
 _Integer = Annotated[int, Meta(ge=-(2**63), le=2**63 - 1)]
 
 
@@ -146,9 +146,9 @@
 class WorkerCapacityWire(Struct, frozen=True):
     """The total resources of a worker; each is always reported."""
 
-    cpu_millis: int = field(name="cpu")
-    memory_mb: int = field(name="mem-mb")
-    gpus: int
+    cpu_millis: _Integer = field(name="cpu")
+    memory_mb: _Integer = field(name="mem-mb")
+    gpus: _Integer
 
 
 class WorkerRegistrationWire(Struct, frozen=True):
@@ -165,17 +165,17 @@
     address: str
     zone: str
     version: str
-    slots: int
+    slots: _Integer
     state: str
     cold_left_ms: float = field(name="cold-left-ms")
-    sequence: int
+    sequence: _Integer
     labels: tuple[str, ...]
     capacity: WorkerCapacityWire
-    clock_ms: int = field(name="clock-ms")
+    clock_ms: _Integer = field(name="clock-ms")
     # Guaranteed remaining time of a draining worker.
-    remaining_ms: int | None = field(name="remaining-ms", default=None)
+    remaining_ms: _Integer | None = field(name="remaining-ms", default=None)
     # Start time of this incarnation of the worker, in Unix milliseconds.
-    life: int = field(name="born", default=0)
+    life: _Integer = field(name="born", default=0)
 
 
 class RunListWire(Struct, frozen=True):
@@ -188,25 +188,25 @@
     ended, checkpoint.
     """
 
-    clock_ms: int = field(name="clock-ms", default=0)
-    life: int = field(name="born", default=0)
+    clock_ms: _Integer = field(name="clock-ms", default=0)
+    life: _Integer = field(name="born", default=0)
     running: tuple[list[Any], ...] = ()
-    ended: tuple[tuple[int, str, int, str, str], ...] = ()
+    ended: tuple[tuple[_Integer, str, _Integer, str, str], ...] = ()
 
 
 class OrderReplyWire(Struct, frozen=True):
     """The answer of a worker or of the instance service to an order."""
 
     reason: str = ""
-    clock_ms: int | None = field(name="clock-ms", default=None)
+    clock_ms: _Integer | None = field(name="clock-ms", default=None)
 
 
 class AppendReplyWire(Struct, frozen=True):
     """The store's answer to an append."""
 
-    offset: int | None = None
+    offset: _Integer | None = None
     # End offset of the partition; also set if the append was rejected.
-    end_offset: int | None = field(name="end-offset", default=None)
+    end_offset: _Integer | None = field(name="end-offset", default=None)
     reason: str = ""
 
 
@@ -215,7 +215,7 @@
 
     key: str
     value: str
-    offset: int = 0
+    offset: _Integer = 0
 
 
 class NewestPageWire(Struct, frozen=True):
@@ -223,7 +223,7 @@
 
     items: tuple[NewestRecordWire, ...] = ()
     has_more: bool = field(name="has-more", default=False)
-    end_offset: int = field(name="end-offset", default=0)
+    end_offset: _Integer = field(name="end-offset", default=0)
 
 
 class MachineWire(Struct, frozen=True):
--- a/almondstack/platform/workers.py
+++ b/almondstack/platform/workers.py
@@ -41,6 +41,7 @@
     "broken": RunEnd.BROKEN,
     "alone": RunEnd.ALONE,
 }
+_INTEGER_BOUND = 2**63
 _RUNNING_FIELDS_WITH_LOAD = 5
 _MAX_LISTED_ENDS = 500
 """Ended runs that a worker lists in one reply; it lists the others once these are acknowledged."""
@@ -194,4 +195,15 @@
 
 def _to_running_run(row: list[Any]) -> RunningRun:
     load = row[4] if len(row) >= _RUNNING_FIELDS_WITH_LOAD else 0
-    return RunningRun(str(row[0]), int(row[1]), str(row[2] or ""), int(row[3] or 0), int(load or 0))
+    percent = _integer(row[3] or 0)
+    return RunningRun(
+        str(row[0]), _integer(row[1]), str(row[2] or ""), percent, _integer(load or 0)
+    )
+
+
+def _integer(value: Any) -> int:
+    """Return a number of a worker's list as an integer of 64 bits."""
+    number = int(value)
+    if not -_INTEGER_BOUND <= number < _INTEGER_BOUND:
+        raise ValueError("a number in a list of runs has more than 64 bits")
+    return number
