--- a/almondstack/control/pool_balancer.py
+++ b/almondstack/control/pool_balancer.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Sequence
 
 from almondstack.capacity import (
     Candidate,
@@ -202,7 +203,8 @@
             if info.state is InstanceState.UP and self._manager.can_order(info.name, now_s):
                 worker = self._table.workers.get(info.worker)
                 if is_off or (worker is not None and _is_usable(worker, now_s)):
-                    candidates.append(self._candidate(info, worker, held, now_s))
+                    awaiting = held.get(info.worker, ())
+                    candidates.append(self._candidate(info, worker, now_s, awaiting))
                 elif worker is None and self._may_still_register(info, now_s):
                     coming += 1
             elif info.state is not InstanceState.MAINTENANCE:
@@ -213,11 +215,11 @@
         self,
         info: InstanceInfo,
         worker: Worker | None,
-        held: dict[str, list[Task]],
         now_s: float,
+        awaiting: Sequence[Task] = (),
     ) -> Candidate:
-        # Tasks that may run on no other worker count as if they ran there.
-        tasks = worker.tasks + held.get(worker.id, []) if worker is not None else []
+        """Return what a move goes by; tasks that await the worker count as if they ran there."""
+        tasks = [*worker.tasks, *awaiting] if worker is not None else []
         candidate = Candidate(
             info.name,
             info.cpu_millis,
