Move stops, ends of gangs and chains of steps into modules of their own; forget a job with its runs

A job that failed while it was taken up left its runs in the table.

Change: control/run_stops.py, control/gang_ends.py, jobs/chains.py; forget_job removes the runs as well, with a test. The test of the line stop-ordered puts its recorder where the line is written now.

--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -15,6 +15,7 @@
 
 from almondstack.control.current_runs import CurrentRun, CurrentRuns, is_same_incarnation
 from almondstack.control.delays import JobDelays
+from almondstack.control.gang_ends import end_gang
 from almondstack.control.held_tasks import HeldTasks
 from almondstack.control.late_starts import (
     bound_inherited,
@@ -26,6 +27,7 @@
 from almondstack.control.messages import OrderReply, PollReply
 from almondstack.control.order_replies import OrderReplies
 from almondstack.control.poll_replies import PollReplies
+from almondstack.control.run_stops import RunStops
 from almondstack.core import LocalMetrics
 from almondstack.core.events import EventLog
 from almondstack.jobs import ActiveJob, JobState, RunEnd, Task, TaskBudget, TaskNameError
@@ -36,7 +38,6 @@
 
 __all__ = ["Orders", "RunTable"]
 
-_STOP_RETRY_S = 0.5
 _CONFIRMATION_TIMEOUT_S = 1.0
 """Time after its assignment in which a run is usually confirmed, in seconds."""
 
@@ -79,6 +80,7 @@
         "_orders",
         "_poll_replies",
         "_runs",
+        "_stops",
         "delays",
         "held_tasks",
         "jobs",
@@ -92,6 +94,7 @@
         self._events = events
         self._metrics = metrics
         self._runs = CurrentRuns()
+        self._stops = RunStops(orders, events)
         self._order_replies = OrderReplies(self, orders, events)
         self._poll_replies = PollReplies(self, self._order_replies, orders, events, metrics)
         self._budgets: dict[str, TaskBudget] = {}
@@ -129,8 +132,12 @@
     def forget_job(self, job: str) -> None:
         """Remove a job that could not be taken up, if it was added."""
         found = self.jobs.get(job)
-        if found is not None:
-            self.remove_job(found)
+        if found is None:
+            return
+        for task, _ in self._runs.items():
+            if task.job is found:
+                self.remove_run(task)
+        self.remove_job(found)
 
     def restore_job(self, job: ActiveJob, now_s: float) -> None:
         """Add a job of the previous owner with its recorded runs."""
@@ -247,21 +254,14 @@
     def request_stop(self, task: Task, now_s: float) -> None:
         """Send a stop of a task's current run, unless one is acknowledged or was just sent."""
         current = self._runs.get(task)
-        if current is None or current.stop_acked_s is not None:
-            return
-        if current.stop_sent_s is not None and now_s - current.stop_sent_s < _STOP_RETRY_S:
-            return
-        if current.stop_sent_s is None:
-            self._report_stop(task, current, now_s)
-        task.is_stopping = True
-        current.stop_sent_s = now_s
-        self._orders.stop(task.worker, task.name, task.run)
+        if current is not None:
+            self._stops.request(task, current, now_s)
 
     def retry_stops(self, now_s: float) -> None:
         """Retry the stops that were not acknowledged."""
         for task, current in self._runs.items():
-            if task.is_stopping and current.stop_acked_s is None:
-                self.request_stop(task, now_s)
+            if task.is_stopping:
+                self._stops.request(task, current, now_s)
 
     def note_unbegun(self, now_s: float) -> None:
         """Note jobs of which no worker has confirmed any start in time: they are still queued."""
@@ -340,20 +340,6 @@
         is_present = task.worker == worker and task.run == run
         return task if is_present else None
 
-    def _report_stop(self, task: Task, current: CurrentRun, now_s: float) -> None:
-        """Report the first stop of a run with what is known of its start."""
-        self._events.write(
-            "stop-ordered",
-            task=task.name,
-            run=task.run,
-            worker=task.worker,
-            is_confirmed=current.confirmed_s is not None,
-            is_unclear=current.is_unclear,
-            starts=current.tries,
-            answers=current.answers,
-            age_s=round(now_s - task.assigned_s, 3),
-        )
-
     def _report_malformed(self, worker: str, name: str) -> None:
         try:
             parse_task_name(name)
@@ -398,7 +384,7 @@
         current = self._runs.get(task)
         if current is not None and (end is not RunEnd.DONE or task.step.is_long_running):
             self._note_open_starts(task, current, now_s)
-        self._remove(task)
+        self.remove_run(task)
         job = task.job
         # The end of the run changes these.
         name, run, from_worker, life = task.name, task.run, task.worker, task.life
@@ -420,7 +406,7 @@
                 took_s=round(now_s - task.assigned_s, 3),
             )
         if task.step.is_gang:
-            self._end_gang(task, end, now_s)
+            end_gang(self, task, end, now_s)
         if was_open and not job.is_open:
             self.note_job_end(job, now_s)
 
@@ -442,7 +428,7 @@
             left_s=round(until_s - now_s, 3),
         )
 
-    def _remove(self, task: Task) -> None:
+    def remove_run(self, task: Task) -> None:
         """Remove a run from the current runs, its worker and the usage of its account."""
         current = self._runs.pop(task)
         if current is not None and current.confirmed_s is None:
@@ -452,28 +438,6 @@
             worker.remove(task)
         self.usage.remove(task)
 
-    def _end_gang(self, task: Task, end: RunEnd, now_s: float) -> None:
-        """Release or stop the other members of a gang of which one run has ended."""
-        if end is RunEnd.DONE and not task.step.is_long_running:
-            self._close_gang(task)
-        else:
-            self._stop_gang(task, now_s)
-
-    def _close_gang(self, task: Task) -> None:
-        """Release the other members: the gang is done when one member ends as done."""
-        for member in task.siblings:
-            if self._runs.pop(member) is None:
-                continue
-            worker = self.workers.get(member.worker)
-            if worker is not None:
-                worker.remove(member)
-            self.usage.remove(member)
-
-    def _stop_gang(self, task: Task, now_s: float) -> None:
-        for member in task.siblings:
-            if member.is_assigned:
-                self.request_stop(member, now_s)
-
     def note_job_end(self, job: ActiveJob, now_s: float) -> None:
         """Report a job that has ended, and stop what is left of one that has failed."""
         if self._job_end_listener is not None:
--- a/almondstack/control/tests/test_runs.py
+++ b/almondstack/control/tests/test_runs.py
@@ -551,7 +551,9 @@
     """Guards against logs that can't tell why a run was stopped: stops had no line."""
     table, _, task = world
     written = []
-    table._events = SimpleNamespace(write=lambda name, **fields: written.append((name, fields)))
+    table._stops._events = SimpleNamespace(
+        write=lambda name, **fields: written.append((name, fields))
+    )
     _start(table, task, OrderStatus.UNCLEAR)
     _start(table, task, OrderStatus.UNCLEAR, now_s=1.0)
     table.retry_stops(2.0)
--- a/almondstack/control/tests/test_set_aside.py
+++ b/almondstack/control/tests/test_set_aside.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from almondstack.control.delay_recorder import DelayRecorder
 from almondstack.control.job_records import JobRecords
 from almondstack.control.owner_round import OwnerRound
 from almondstack.intake import Verdict
@@ -95,3 +96,19 @@
     assert len(world.errors) == 1
     # It stays accepted, for an owner that can read it.
     assert other.index.entry(_BAD).shown_state is not JobState.FAILED
+
+
+def test_a_stored_job_that_fails_while_it_is_taken_up_leaves_no_run(world, monkeypatch):
+    """Guards against runs of a job that no owner has taken up, which would be resolved for good."""
+    assert _submit(world, _BAD) is Verdict.DONE
+    for worker in world.workers:
+        world.processes[0].pump(worker)
+    other = world.processes[1]
+
+    def fail(*_):
+        raise ValueError("injected error")
+
+    monkeypatch.setattr(DelayRecorder, "note_inherited", fail)
+    other.claim()
+    table = other.owner.parts.table
+    assert table.jobs == {} and table.runs.items() == [] and len(world.errors) == 1
--- a/almondstack/jobs/__init__.py
+++ b/almondstack/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Jobs: submissions, their records in the store, and the state machine that runs them."""
 
-from almondstack.jobs.active import ActiveJob, chain_lengths_ms
+from almondstack.jobs.active import ActiveJob
+from almondstack.jobs.chains import chain_lengths_ms
 from almondstack.jobs.errors import RecordError, SubmissionError, TaskNameError
 from almondstack.jobs.job_index import JobEntry, JobIndex
 from almondstack.jobs.model import (
--- a/almondstack/jobs/active.py
+++ b/almondstack/jobs/active.py
@@ -13,10 +13,10 @@
 
 from msgspec import structs
 
+from almondstack.jobs.chains import chain_lengths_ms
 from almondstack.jobs.model import (
     JobState,
     RunEnd,
-    Step,
     Submission,
     TaskKey,
     TaskRecord,
@@ -461,34 +461,6 @@
         return sum(member.failures for member in task.siblings) >= self.max_attempts
 
 
-def chain_lengths_ms(
-    steps: tuple[Step, ...], task_ms: Sequence[float] | None = None
-) -> list[float]:
-    """Return, for each step, the milliseconds of the longest chain that starts with it.
-
-    Parameters
-    ----------
-    steps : tuple of Step
-        The steps of a job.
-    task_ms : sequence of float, optional
-        Time of a task of each step, in milliseconds; by default as declared.
-
-    Examples
-    --------
-    >>> from almondstack.jobs import Step
-    >>> chain_lengths_ms((Step(1, estimate_ms=100), Step(1, estimate_ms=50, after=(0,))))
-    [150.0, 50.0]
-    """
-    if task_ms is None:
-        task_ms = [step.estimate_ms for step in steps]
-    lengths = [0.0] * len(steps)
-    for number in reversed(range(len(steps))):
-        lengths[number] += task_ms[number]
-        for earlier in steps[number].after:
-            lengths[earlier] = max(lengths[earlier], lengths[number])
-    return lengths
-
-
 def _by_step(records: list[TaskRecord]) -> dict[tuple[int, int], list[TaskRecord]]:
     """Return the records by occurrence and step."""
     found: dict[tuple[int, int], list[TaskRecord]] = {}
