Answer a repeat that fails as unclear, and bound starts that a record brings in by any way

Cause, found by reading the diff: a submission that failed removed its job also if it was a repeat of one that had been accepted, and was answered "not stored" then; a job that was taken up by news of the log kept the starts of its record without a time.

Change: only the job of the failing request itself is forgotten; a job that is known is answered as unclear; both ways to take up a job bound the recorded starts.

--- a/almondstack/control/owner_round.py
+++ b/almondstack/control/owner_round.py
@@ -111,6 +111,7 @@
     def activate(self, job: ActiveJob) -> None:
         """Schedule a job from now on; its submission is stored before any of its runs starts."""
         self._parts.table.add_job(job)
+        self._parts.table.hold_recorded(job, time.monotonic())
         self._parts.fleet.note_job(job, time.monotonic())
         self._parts.delays.note_taken_up(job, time.time() * _MS_PER_S)
 
@@ -187,8 +188,8 @@
             if job is not None:
                 self.activate(job)
         except Exception as error:
-            requests.refuse_failed(event, error)
-            self._parts.table.forget_job(event.job)
+            if requests.refuse_failed(event, error):
+                self._parts.table.forget_job(event.job)
 
     @_handle.register
     def _(self, event: CancelRequest) -> None:
--- a/almondstack/control/request_handler.py
+++ b/almondstack/control/request_handler.py
@@ -118,17 +118,27 @@
         self._accepted[job] = _Accepted(request, record)
         return ActiveJob(job, submission, policy.max_attempts)
 
-    def refuse_failed(self, request: SubmissionRequest, error: Exception) -> None:
-        """Refuse a submission that could not be handled: nothing of it is stored.
+    def refuse_failed(self, request: SubmissionRequest, error: Exception) -> bool:
+        """Answer a submission that failed: "not stored", or unclear if its job is known.
+
+        Returns
+        -------
+        bool
+            Whether it had been accepted, so that its job may have been taken up.
 
         Explanation
         -----------
         The error of one request must not end this owner, and the next ones, and with them the
         work of all.
         """
-        self._accepted.pop(request.job, None)
+        accepted = self._accepted.get(request.job)
+        is_own = accepted is not None and accepted.request is request
+        if is_own:
+            del self._accepted[request.job]
+        is_known = request.job in self._accepted or self._services.index.entry(request.job)
         set_aside(self._services, "request-failed", request.job, error)
-        request.answer(Receipt(Verdict.NOT_STORED))
+        request.answer(Receipt(Verdict.UNCLEAR if is_known else Verdict.NOT_STORED))
+        return is_own
 
     def cancel(self, request: CancelRequest) -> bool:
         """Handle a cancel; return whether its job is to be cancelled."""
--- a/almondstack/control/runs.py
+++ b/almondstack/control/runs.py
@@ -142,10 +142,7 @@
     def restore_job(self, job: ActiveJob, now_s: float) -> None:
         """Add a job of the previous owner with its recorded runs."""
         self.add_job(job)
-        for task in job.tasks():
-            if task.open_starts:
-                bound_inherited(task, now_s)
-                self.held_tasks.add(task)
+        self.hold_recorded(job, now_s)
         for task in job.assigned():
             self.usage.add(task)
             task.assigned_s = now_s
@@ -153,6 +150,13 @@
             current.is_unclear = True
             current.is_inherited = True
 
+    def hold_recorded(self, job: ActiveJob, now_s: float) -> None:
+        """Hold the tasks of which a previous owner has recorded starts without an answer."""
+        for task in job.tasks():
+            if task.open_starts:
+                bound_inherited(task, now_s)
+                self.held_tasks.add(task)
+
     def add_worker(self, worker: Worker, now_s: float) -> None:
         """Add a worker with the runs that are or may be on this incarnation of it."""
         self.workers[worker.id] = worker
--- a/almondstack/control/tests/test_set_aside.py
+++ b/almondstack/control/tests/test_set_aside.py
@@ -5,7 +5,7 @@
 from almondstack.control.delay_recorder import DelayRecorder
 from almondstack.control.job_records import JobRecords
 from almondstack.control.owner_round import OwnerRound
-from almondstack.intake import Verdict
+from almondstack.intake import SubmissionRequest, Verdict
 from almondstack.jobs import JobState, Submission
 from almondstack.testing.job_builders import make_step
 from almondstack.testing.owner_world import OwnerWorld
@@ -112,3 +112,20 @@
     other.claim()
     table = other.owner.parts.table
     assert table.jobs == {} and table.runs.items() == [] and len(world.errors) == 1
+
+
+def test_a_repeat_that_fails_does_not_remove_the_job(world, monkeypatch):
+    """Guards against an accepted job that its owner forgets, as a repeat of it failed (LOST)."""
+    assert _submit(world, _GOOD) is Verdict.DONE
+    handler = world.processes[0].owner.parts.requests
+
+    def fail(*_):
+        raise ValueError("injected error")
+
+    monkeypatch.setattr(type(handler), "submit", fail)
+    owner = world.processes[0].owner
+    request = SubmissionRequest(_GOOD, owner.parts.table.jobs[_GOOD].submission, 0)
+    owner.inbox.put(request)
+    world.processes[0].round()
+    assert request.receipt.verdict is Verdict.UNCLEAR
+    assert list(owner.parts.table.jobs) == [_GOOD]
