--- a/almondstack/control/current_runs.py
+++ b/almondstack/control/current_runs.py
@@ -19,8 +19,8 @@
     answers : int
         Number of starts whose outcome is known; the others may still be carried out.
     sent_s : float or None
-        When a start was last sent, in monotonic seconds; None while the first one is queued, and
-        for the start of a previous owner.
+        When a start was sent that had waited for long, in monotonic seconds; None if there is
+        none, as starts are usually sent at once.
     is_unclear : bool
         Whether it is unknown if a start was carried out.
     unanswered : int
--- a/almondstack/control/messages.py
+++ b/almondstack/control/messages.py
@@ -60,7 +60,7 @@
 
 
 class StartSent(NamedTuple):
-    """A start that was queued is sent to a worker now, at a monotonic time in seconds."""
+    """A start that had waited for long is sent to a worker, at a monotonic time in seconds."""
 
     worker: WorkerInfo
     task: str
--- a/almondstack/control/order_queue.py
+++ b/almondstack/control/order_queue.py
@@ -11,7 +11,10 @@
 
 
 class Order(NamedTuple):
-    """An order for one run; ``start`` and ``is_wanted`` belong to starts, ``percent`` to paces."""
+    """An order for one run; ``start`` and ``is_wanted`` belong to starts, ``percent`` to paces.
+
+    ``queued_s`` is when a start was queued, in monotonic seconds.
+    """
 
     kind: OrderKind
     task: str
@@ -19,6 +22,7 @@
     start: StartOrder | None = None
     is_wanted: Callable[[], bool] = lambda: True
     percent: int = 0
+    queued_s: float = 0.0
 
     @property
     def key(self) -> tuple[OrderKind, str, int]:
--- a/almondstack/control/session.py
+++ b/almondstack/control/session.py
@@ -40,6 +40,10 @@
 """Time without an order after which an extra connection is closed, in seconds; the owner plans
 several times in it."""
 
+_LONG_WAIT_S = 0.5
+"""Time that a start has waited from which on the owner is told when it is sent, in seconds; the
+news of each start would cost it a round."""
+
 _MAX_WAITING_STARTS = 64
 """Starts that may wait for one worker: about 0.2 s of calls that take 3 ms each."""
 
@@ -207,7 +211,10 @@
 
     def start(self, order: StartOrder, is_wanted: Callable[[], bool]) -> None:
         """Queue a start; it is dropped if ``is_wanted`` returns False when it is to be sent."""
-        self._submit(Order(OrderKind.START, order.task, order.run, order, is_wanted))
+        queued_s = time.monotonic()
+        self._submit(
+            Order(OrderKind.START, order.task, order.run, order, is_wanted, queued_s=queued_s)
+        )
 
     def stop(self, task: str, run: int) -> None:
         """Queue a stop."""
@@ -308,7 +315,9 @@
         if age_s is not None:
             self._metrics.timing_ms("start.clock_age", age_s * _MS_PER_S)
         start = functools.partial(caller.start, order.start, deadline_ms, self._token)
-        self._post(StartSent(self.worker, order.task, order.run, time.monotonic()))
+        now_s = time.monotonic()
+        if now_s - order.queued_s >= _LONG_WAIT_S:
+            self._post(StartSent(self.worker, order.task, order.run, now_s))
         return self._call_order(start, has_deadline=True)
 
     def _call_order(self, send: Callable[[], OrderReply], *, has_deadline: bool) -> OrderReply:
